--- /dev/null
+++ b/packages/cli/src/commands/apply/index.ts
@@ -0,0 +1,67 @@
+/** `limelead apply`: changes the configuration. */
+import { fromJson, type JsonValue } from '@bufbuild/protobuf';
+import { OperationSchema, type Operation as OperationMessage } from '@limelead/schema';
+import type { Operation } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { withClient, type ConnectionOptions } from '../../connect.js';
+import { EXIT_CODES } from '../../exit-codes.js';
+import { printLine } from '../../output.js';
+import decodeChangeFile from './change-file.js';
+
+/** Options of the command. */
+export interface ApplyOptions extends ConnectionOptions {
+  /** Revision that the change was made against; the present one where absent. */
+  base?: number;
+  /** Id of the change; the same id is applied once. */
+  changeId?: string;
+}
+
+/** Runs the command. */
+export default async function apply(file: string, options: ApplyOptions): Promise<number> {
+  const change = decodeChangeFile(file, readFileSync(file, 'utf8'));
+  if (E.isLeft(change)) {
+    throw change.left;
+  }
+  return withClient(options, async ({ administration, headers }) => {
+    const { revision } = await administration.apply(
+      {
+        changeId: options.changeId ?? randomUUID(),
+        baseRevision: await findBase(options.base, administration, headers),
+        operations: change.right.operations.map(toMessage),
+        reason: change.right.reason,
+      },
+      { headers },
+    );
+    const text =
+      options.json === true
+        ? JSON.stringify({ revision: Number(revision) })
+        : `revision ${revision}`;
+    printLine(text);
+    return EXIT_CODES.done;
+  });
+}
+
+type Administration = Parameters<Parameters<typeof withClient>[1]>[0]['administration'];
+
+async function findBase(
+  base: number | undefined,
+  administration: Administration,
+  headers: Record<string, string>,
+): Promise<bigint> {
+  if (base !== undefined) {
+    return BigInt(base);
+  }
+  // One kind is enough: only the revision is wanted.
+  const { revision } = await administration.getConfiguration({ kind: 'operator' }, { headers });
+  return revision;
+}
+
+function toMessage(operation: Operation): OperationMessage {
+  const json =
+    'put' in operation
+      ? { put: { [operation.put.kind]: operation.put.spec } }
+      : { delete: operation.delete };
+  return fromJson(OperationSchema, json as unknown as JsonValue);
+}
--- /dev/null
+++ b/packages/cli/src/commands/watch/index.ts
@@ -0,0 +1,48 @@
+/** `limelead watch`: follows what each mechanism of a VM does and why. */
+import { ObservedEventSchema, type ObservedEvent } from '@limelead/schema';
+import { withClient, type ConnectionOptions } from '../../connect.js';
+import { EXIT_CODES } from '../../exit-codes.js';
+import { printLine, printMessage } from '../../output.js';
+
+/** Options of the command. */
+export interface WatchOptions extends ConnectionOptions {
+  request?: string;
+}
+
+/** Runs the command until its stream ends. */
+export default function watch(options: WatchOptions): Promise<number> {
+  return withClient(options, async ({ observation, headers }) => {
+    const stream = observation.watch({ requestId: options.request ?? '' }, { headers });
+    for await (const { event } of stream) {
+      if (event.case === 'lost') {
+        printLine(`… ${event.value} events lost: this reader is slow`);
+      } else if (event.case === 'observed') {
+        printEvent(event.value, options.json === true);
+      }
+    }
+    return EXIT_CODES.done;
+  });
+}
+
+function printEvent(event: ObservedEvent, isJson: boolean): void {
+  if (isJson) {
+    return printMessage(ObservedEventSchema, event);
+  }
+  const at = new Date(Number(event.atMs)).toISOString();
+  const fields = Object.entries(event.detail.value ?? {})
+    .filter(([name]) => name !== '$typeName')
+    .map(([name, value]) => `${name}=${showValue(value)}`);
+  printLine([at, event.vm, event.requestId || '-', event.detail.case, ...fields].join(' '));
+}
+
+function showValue(value: unknown): string {
+  if (typeof value === 'string') {
+    return value;
+  }
+  return JSON.stringify(value, (key, inner: unknown) => {
+    if (key === '$typeName') {
+      return undefined;
+    }
+    return typeof inner === 'bigint' ? Number(inner) : inner;
+  });
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command limelead for callers and operators. */
+export { default as runLimelead } from './run-limelead.js';
--- /dev/null
+++ b/packages/cli/src/run-limelead.ts
@@ -0,0 +1,105 @@
+/** Defines the commands, their options and examples. */
+import { cac, type CAC } from 'cac';
+import apply, { type ApplyOptions } from './commands/apply/index.js';
+import audit, { type AuditOptions } from './commands/audit/index.js';
+import call, { type CallOptions } from './commands/call/index.js';
+import demo, { type DemoOptions } from './commands/demo/index.js';
+import generate, { type GenerateOptions } from './commands/generate/index.js';
+import get from './commands/get/index.js';
+import status from './commands/status/index.js';
+import watch, { type WatchOptions } from './commands/watch/index.js';
+import type { ConnectionOptions } from './connect.js';
+import { EXIT_CODES } from './exit-codes.js';
+import reportError from './report-error.js';
+
+/** Runs the command with the process's arguments; sets the exit code. */
+export default async function runLimelead(argv: string[]): Promise<void> {
+  const program = cac('limelead');
+  defineCallerCommands(program);
+  defineOperatorCommands(program);
+  program
+    .command('demo', 'Show answers that survive their engines, in one process')
+    .option(
+      '--fault <name>',
+      'none, engine-death, engine-pause, link-cut, vm-death, vm-stop, target-leave, store-outage or all',
+    )
+    .option('--seed <number>', 'Seed of the requests', { default: 1 })
+    .option('--requests <number>', 'Number of requests', { default: 24 })
+    .option('--json', 'Write the report as one line of JSON')
+    .example('limelead demo')
+    .example('limelead demo --fault all --seed 7 --json')
+    .action((options: DemoOptions) => finish(demo(options), options));
+  program.help();
+  try {
+    program.parse(argv, { run: false });
+    if (program.matchedCommand === undefined && program.options['help'] !== true) {
+      program.outputHelp();
+      process.exitCode = EXIT_CODES.usage;
+      return;
+    }
+    await program.runMatchedCommand();
+  } catch (thrown) {
+    const message = thrown instanceof Error ? thrown.message : String(thrown);
+    process.stderr.write(`limelead: ${message}\n`);
+    process.exitCode = EXIT_CODES.usage;
+  }
+}
+
+function defineCallerCommands(program: CAC): void {
+  withConnection(program.command('generate <service> <prompt>', 'Stream an answer'))
+    .option('--max-tokens <number>', 'Most tokens of the answer')
+    .option('--priority <name>', "Priority; the service's own where absent")
+    .option('--deadline-ms <number>', 'Milliseconds for the whole answer')
+    .option('--pace <number>', 'Tokens a second at most')
+    .option('--request-id <id>', 'Id of the request')
+    .example('limelead generate route-brief "Shift 3, water crews" --max-tokens 400')
+    .action((service: string, prompt: string, options: GenerateOptions) =>
+      finish(generate(service, prompt, options), options),
+    );
+  withConnection(program.command('call <service> <operation>', 'Call a plain service'))
+    .option('--body <text>', 'Body of the call')
+    .option('--repeatable', 'The call may run more than once')
+    .option('--request-id <id>', 'Id of the request; a retry by hand takes the same')
+    .example('limelead call booking book-room --body \'{"room":4}\'')
+    .action((service: string, operation: string, options: CallOptions) =>
+      finish(call(service, operation, options), options),
+    );
+}
+
+function defineOperatorCommands(program: CAC): void {
+  withConnection(program.command('apply <file>', 'Change the configuration'))
+    .option('--base <revision>', 'Revision that the change was made against')
+    .option('--change-id <id>', 'Id of the change; the same id is applied once')
+    .example('limelead apply change.jsonc --base 41')
+    .action((file: string, options: ApplyOptions) => finish(apply(file, options), options));
+  withConnection(program.command('get [kind]', 'Show the configuration in force'))
+    .example('limelead get organisation')
+    .action((kind: string | undefined, options: ConnectionOptions) =>
+      finish(get(kind, options), options),
+    );
+  withConnection(program.command('audit', 'Show who changed what, when and why'))
+    .option('--limit <number>', 'Changes shown')
+    .option('--before <revision>', 'Only changes below this revision')
+    .action((options: AuditOptions) => finish(audit(options), options));
+  withConnection(program.command('watch', 'Follow what each mechanism does and why'))
+    .option('--request <id>', 'Only events of this request')
+    .action((options: WatchOptions) => finish(watch(options), options));
+  withConnection(program.command('status', 'Show what a VM knows of VMs and targets')).action(
+    (options: ConnectionOptions) => finish(status(options), options),
+  );
+}
+
+function withConnection(command: ReturnType<CAC['command']>): ReturnType<CAC['command']> {
+  return command
+    .option('--url <urls>', 'Base URLs of VMs or of the balancer (LIMELEAD_URL)')
+    .option('--key <key>', 'Key of the organisation or operator (LIMELEAD_KEY)')
+    .option('--json', 'Write JSON');
+}
+
+async function finish(run: Promise<number>, options: { json?: boolean }): Promise<void> {
+  try {
+    process.exitCode = await run;
+  } catch (thrown) {
+    process.exitCode = reportError(thrown, options.json === true);
+  }
+}
--- /dev/null
+++ b/packages/configuration-state/src/plan-change.ts
@@ -0,0 +1,76 @@
+/** Pure decision: whether a change is accepted on top of a configuration. */
+import { ConflictError, LimeleadError } from '@limelead/errors';
+import type {
+  Change,
+  ChangeRequest,
+  Millis,
+  ResourceName,
+  VersionedResource,
+} from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import {
+  applyChanges,
+  findLastTouch,
+  findSpec,
+  findVersioned,
+  listSpecs,
+  nameOfOperation,
+  type Configuration,
+} from './configuration.js';
+
+/** Why a change is refused. */
+export type ChangeRefusal = LimeleadError | ConflictError<VersionedResource>;
+
+/** Who asks, and when. */
+export interface ChangeAuthor {
+  operator: string;
+  atMs: Millis;
+}
+
+/** Gives the change as it would be accepted, at the next revision. */
+export default function planChange(
+  configuration: Configuration,
+  request: ChangeRequest,
+  author: ChangeAuthor,
+): E.Either<ChangeRefusal, Change> {
+  if (request.operations.length === 0) {
+    return E.left(new LimeleadError('invalid-request', 'a change needs at least one operation'));
+  }
+  const conflicts = findConflicts(configuration, request);
+  if (conflicts.length > 0) {
+    return E.left(describeConflict(configuration, conflicts));
+  }
+  const change: Change = { ...request, ...author, revision: configuration.revision + 1 };
+  const fault = findDanglingReference(applyChanges(configuration, [change]));
+  return fault === undefined
+    ? E.right(change)
+    : E.left(new LimeleadError('invalid-request', fault));
+}
+
+/** Resources touched by the request that somebody else changed since its base revision. */
+function findConflicts(configuration: Configuration, request: ChangeRequest): ResourceName[] {
+  return request.operations
+    .map(nameOfOperation)
+    .filter((name) => findLastTouch(configuration, name) > request.baseRevision);
+}
+
+function describeConflict(
+  configuration: Configuration,
+  conflicts: ResourceName[],
+): ConflictError<VersionedResource> {
+  const names = conflicts.map(({ kind, name }) => `${kind} ${name}`);
+  const message = `changed or removed since the base revision: ${names.join(', ')}`;
+  const current = conflicts
+    .map((name) => findVersioned(configuration, name))
+    .filter((versioned) => versioned !== undefined);
+  return new ConflictError(message, configuration.revision, current);
+}
+
+function findDanglingReference(configuration: Configuration): string | undefined {
+  const dangling = listSpecs(configuration, 'service').find(
+    (service) => findSpec(configuration, 'priority', service.defaultPriority) === undefined,
+  );
+  return dangling === undefined
+    ? undefined
+    : `service ${dangling.name} names the priority ${dangling.defaultPriority}, which does not exist`;
+}
--- /dev/null
+++ b/packages/daemon/bin/limeleadd.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runLimeleadd } from '@limelead/daemon';
+
+runLimeleadd(process.argv);
--- /dev/null
+++ b/packages/daemon/src/create-context.ts
@@ -0,0 +1,109 @@
+/** Creates the parts of one VM and ties them together. */
+import { computeShare, createAdmission } from '@limelead/admit-request';
+import { createCallClaimer } from '@limelead/claim-call';
+import {
+  createHttpKeyValueStore,
+  createHttpTargetConnector,
+  createHttpTransport,
+  createHttpVmListSource,
+} from '@limelead/http-adapters';
+import createLogger from '@limelead/logger';
+import createMetrics from '@limelead/metrics';
+import createEventBus from '@limelead/observe-events';
+import type { Settings } from '@limelead/read-settings';
+import createHandleSigner from '@limelead/resume-handle';
+import { createCallRunner } from '@limelead/run-call';
+import { createGapTable } from '@limelead/run-generation';
+import { createConfigurationStore } from '@limelead/store-configuration';
+import { createMemberTable } from '@limelead/track-members';
+import { createTargetTable } from '@limelead/track-targets';
+import { randomBytes } from 'node:crypto';
+import Authenticator from './authenticate.js';
+import ConfigurationHolder from './configuration-holder.js';
+import OpenGenerations from './open-generations.js';
+import PeerConversation from './peer-conversation.js';
+import type { OutsideSystems, Runtime, VmContext } from './vm-context.js';
+
+const INCARNATION_BYTES = 6;
+
+/** The parts, and the conversation that they share with the peers. */
+export interface CreatedVm {
+  context: VmContext;
+  peers: PeerConversation;
+}
+
+/** Creates the parts of one VM; nothing is started yet. */
+export default function createContext(
+  settings: Settings,
+  runtime: Runtime,
+  isDraining: () => boolean,
+): CreatedVm {
+  const { clock, timers, random } = runtime;
+  const incarnation = `${settings.id}.${randomBytes(INCARNATION_BYTES).toString('hex')}`;
+  const metrics = createMetrics();
+  const bus = createEventBus(settings.id, clock);
+  const outside = connectOutside(settings);
+  const targets = createTargetTable({ maxListAgeMs: settings.timing.maxListAgeMs });
+  const members = createMemberTable(settings.id);
+  settings.peers.seeds.forEach((seed) => members.addSeed(seed));
+
+  const shareOf = (organisation: string): number => {
+    const vmCount = members.present(clock.now()).length + 1;
+    const own = admission.demand(clock.now()).find((entry) => entry.organisation === organisation);
+    return computeShare(own?.requestsPerSecond ?? 0, peers.demandOf(organisation), vmCount);
+  };
+  const admission = createAdmission({ maxOpen: settings.limits.maxOpenRequests }, shareOf);
+
+  const context: VmContext = {
+    ...runtime,
+    settings,
+    incarnation,
+    logger: createLogger(settings.id, settings.log.level),
+    metrics,
+    bus,
+    outside,
+    targets,
+    gaps: createGapTable(),
+    members,
+    configuration: new ConfigurationHolder(),
+    configurationStore: createConfigurationStore(outside.store, clock, timers),
+    admission,
+    authenticator: new Authenticator(settings.operators),
+    signer: createHandleSigner(settings.peers.secret),
+    openGenerations: new OpenGenerations(),
+    callRunner: createCallRunner({
+      clock,
+      random,
+      metrics,
+      bus,
+      targets,
+      connector: outside.connector,
+      claimer: createCallClaimer({ store: outside.store, clock, timers, random, incarnation }),
+      askHolder: (holder, organisation, requestId) =>
+        peers.askHolder(holder, organisation, requestId),
+    }),
+    isDraining,
+  };
+  const peers = new PeerConversation(context);
+  context.configuration.onAdvance((configuration) => context.authenticator.update(configuration));
+  registerGauges(context);
+  return { context, peers };
+}
+
+function connectOutside(settings: Settings): OutsideSystems {
+  const transport = createHttpTransport();
+  const { keyValue, vmList } = settings.platform;
+  return {
+    store: createHttpKeyValueStore(transport, keyValue.host, keyValue.port),
+    vmList: createHttpVmListSource(transport, vmList.host, vmList.port),
+    connector: createHttpTargetConnector(transport),
+    close: () => transport.close(),
+  };
+}
+
+function registerGauges({ metrics, openGenerations, admission, configuration }: VmContext): void {
+  metrics.gauge('limelead_open_generations', () => openGenerations.size);
+  metrics.gauge('limelead_open_requests', () => admission.open());
+  metrics.gauge('limelead_configuration_revision', () => configuration.configuration.revision);
+  metrics.gauge('limelead_resident_bytes', () => process.memoryUsage.rss());
+}
--- /dev/null
+++ b/packages/daemon/src/loop.ts
@@ -0,0 +1,48 @@
+/** Repeats an asynchronous task with a pause between its runs. */
+import type { Logger } from '@limelead/logger';
+import type { Random, Timers } from '@limelead/types';
+
+const JITTER = 0.2;
+
+/** What a loop needs. */
+export interface LoopDependencies {
+  timers: Timers;
+  random: Random;
+  logger: Logger;
+}
+
+/** A running loop. */
+export interface Loop {
+  stop(): void;
+}
+
+/**
+ * Starts a loop. The pause varies by a fifth, so that VMs which started
+ * together do not go on in step.
+ */
+export default function startLoop(
+  dependencies: LoopDependencies,
+  pauseMs: number,
+  task: () => Promise<void>,
+): Loop {
+  const { timers, random, logger } = dependencies;
+  let isStopped = false;
+
+  async function run(): Promise<void> {
+    try {
+      await task();
+    } catch (thrown) {
+      logger.error('a task failed', { error: String(thrown) });
+    }
+    if (!isStopped) {
+      timers.after(pauseMs * (1 + JITTER * (random.next() - 0.5)), () => void run());
+    }
+  }
+
+  void run();
+  return {
+    stop: () => {
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/peer-conversation.ts
@@ -0,0 +1,293 @@
+/** What this VM says to its peers, and what it makes of what they say. */
+import type { RememberedCall } from '@limelead/run-call';
+import {
+  createPeerLinks,
+  type PeerLinks,
+  type PeerMessage,
+  type PeerMessageOf,
+} from '@limelead/peer-links';
+import { splitIntoChunks } from '@limelead/store-configuration';
+import { chooseLinks } from '@limelead/track-members';
+import type { Change, TargetId, VmId } from '@limelead/types';
+import BreakerEvidence from './breaker-evidence.js';
+import type { ConfigurationSource } from './configuration-holder.js';
+import startLoop, { type Loop } from './loop.js';
+import SnapshotAssembler from './snapshot-assembler.js';
+import type { VmContext } from './vm-context.js';
+
+/** Characters of one part of a snapshot, well below the limit on a message. */
+const SNAPSHOT_PART_CHARACTERS = 300_000;
+const CALL_QUERY_TIMEOUT_MS = 10_000;
+/** A peer's list has to be fresher by this much before it is asked for. */
+const LIST_ADVANTAGE_MS = 200;
+
+type DemandReports = PeerMessageOf<'heartbeat'>['demand'];
+
+/** The conversation of one VM with all its peers. */
+export default class PeerConversation {
+  private readonly evidence = new BreakerEvidence();
+  private readonly assembler = new SnapshotAssembler();
+  private readonly demands = new Map<VmId, DemandReports>();
+  private readonly queries = new Map<number, (outcome: RememberedCall) => void>();
+  private links: PeerLinks | undefined;
+  private loop: Loop | undefined;
+  private lastQuery = 0;
+  private isLeaving = false;
+
+  constructor(private readonly context: VmContext) {}
+
+  /** Port on which peers are accepted. */
+  get port(): number {
+    return this.links?.port ?? 0;
+  }
+
+  /** Starts to accept peers and to send heartbeats. */
+  async start(): Promise<void> {
+    const { settings, incarnation, timers, metrics, configuration } = this.context;
+    this.links = await createPeerLinks({
+      id: settings.id,
+      incarnation,
+      secret: settings.peers.secret,
+      host: settings.peers.host,
+      port: settings.peers.port,
+      timers,
+      onReady: (peer) => this.onReady(peer),
+      onMessage: (peer, message) => this.onMessage(peer, message),
+      onLost: (peer) => this.onLost(peer),
+      onDropped: () => metrics.count('limelead_peer_messages_dropped_total'),
+    });
+    configuration.onAdvance((_, source) => this.spreadConfiguration(source));
+    const { heartbeatMs } = settings.timing;
+    this.loop = startLoop(this.context, heartbeatMs, () => this.beat());
+  }
+
+  /** Tells peers that this VM is leaving. */
+  announceLeaving(): void {
+    this.isLeaving = true;
+    this.links?.broadcast(this.createHeartbeat());
+  }
+
+  /** Tells peers that the breaker of a target opened here. */
+  spreadBreaker(target: TargetId): void {
+    const { targets, clock } = this.context;
+    const openUntilMs = targets.find(target)?.breaker.openUntilMs ?? 0;
+    const openForMs = openUntilMs - clock.now();
+    if (openForMs > 0) {
+      this.links?.broadcast({ kind: 'breaker', target, openForMs });
+    }
+  }
+
+  /** Demand of an organisation as each linked peer reported it last. */
+  demandOf(organisation: string): { vm: VmId; requestsPerSecond: number }[] {
+    return [...this.demands].map(([vm, reports]) => {
+      const report = reports.find((candidate) => candidate.organisation === organisation);
+      return { vm, requestsPerSecond: report?.requestsPerSecond ?? 0 };
+    });
+  }
+
+  /** Asks the VM that holds a claim what became of its call. */
+  askHolder(holder: string, organisation: string, requestId: string): Promise<RememberedCall> {
+    const peer = this.context.members.findByIncarnation(holder);
+    const query = (this.lastQuery += 1);
+    const message: PeerMessage = { kind: 'call-query', query, organisation, requestId };
+    if (peer === undefined || this.links?.send(peer.id, message) !== true) {
+      return Promise.resolve({ kind: 'unknown' });
+    }
+    return new Promise((resolve) => {
+      this.queries.set(query, resolve);
+      this.context.timers.after(CALL_QUERY_TIMEOUT_MS, () =>
+        this.settleQuery(query, { kind: 'unknown' }),
+      );
+    });
+  }
+
+  /** Ends all links. */
+  async stop(): Promise<void> {
+    this.loop?.stop();
+    await this.links?.close();
+  }
+
+  private async beat(): Promise<void> {
+    const { members, clock, settings } = this.context;
+    this.links?.broadcast(this.createHeartbeat());
+    const present = members.all().filter(({ leaving, port }) => !leaving && port > 0);
+    const chosen = chooseLinks(
+      settings.id,
+      present.map(({ id }) => id),
+    );
+    this.links?.open(present.filter(({ id }) => chosen.includes(id)));
+    for (const peer of this.links?.linked() ?? []) {
+      const member = members.find(peer);
+      if (member !== undefined && members.stateOf(member, clock.now()) === 'suspect') {
+        this.links?.drop(peer);
+      }
+    }
+  }
+
+  private createHeartbeat(): PeerMessageOf<'heartbeat'> {
+    const { settings, incarnation, configuration, targets, admission, clock } = this.context;
+    const { list, readAtMs } = targets.list();
+    const now = clock.now();
+    return {
+      kind: 'heartbeat',
+      id: settings.id,
+      host: settings.peers.host,
+      port: this.port,
+      failureDomain: settings.failureDomain,
+      incarnation,
+      revision: configuration.configuration.revision,
+      leaving: this.isLeaving,
+      listVersion: list.version,
+      listAgeMs: Number.isFinite(readAtMs) ? now - readAtMs : Number.MAX_SAFE_INTEGER,
+      demand: admission.demand(now),
+    };
+  }
+
+  private onReady(peer: VmId): void {
+    this.noteMembership(peer, 'linked');
+    this.links?.send(peer, this.createHeartbeat());
+  }
+
+  private onLost(peer: VmId): void {
+    this.context.members.noteLost(peer);
+    this.demands.delete(peer);
+    this.assembler.forget(peer);
+    this.noteMembership(peer, 'lost');
+  }
+
+  private noteMembership(subject: VmId, state: string): void {
+    const { bus, logger, metrics } = this.context;
+    metrics.count('limelead_peer_links_total', 1, { state });
+    logger.info('a peer changed', { peer: subject, state });
+    bus.publish('', () => ({ kind: 'membershipChanged', subject, state }));
+  }
+
+  private onMessage(peer: VmId, message: PeerMessage): void {
+    this.context.metrics.count('limelead_peer_messages_total', 1, { kind: message.kind });
+    switch (message.kind) {
+      case 'heartbeat':
+        return this.onHeartbeat(peer, message);
+      case 'changes':
+        return this.onChanges(peer, message.changes);
+      case 'want-changes':
+        return this.sendConfiguration(peer, message.after);
+      case 'snapshot':
+        return this.onSnapshot(peer, message);
+      case 'want-list':
+        return this.sendList(peer);
+      case 'list':
+        return this.onList(message);
+      case 'breaker':
+        return this.onBreaker(peer, message);
+      case 'call-query':
+        return void this.onCallQuery(peer, message);
+      case 'call-reply':
+        return this.settleQuery(message.query, message.outcome as RememberedCall);
+    }
+  }
+
+  private onHeartbeat(peer: VmId, heartbeat: PeerMessageOf<'heartbeat'>): void {
+    const { members, configuration, targets, clock } = this.context;
+    const now = clock.now();
+    const { kind: _, listVersion, listAgeMs, demand, ...facts } = heartbeat;
+    members.applyHeartbeat({ ...facts, id: peer }, now);
+    this.demands.set(peer, demand);
+    const { revision } = configuration.configuration;
+    if (heartbeat.revision > revision) {
+      this.links?.send(peer, { kind: 'want-changes', after: revision });
+    }
+    const own = targets.list();
+    const peerReadAtMs = now - listAgeMs;
+    if (listVersion === own.list.version) {
+      targets.applyList(own.list, peerReadAtMs);
+    } else if (listVersion > own.list.version && peerReadAtMs > own.readAtMs + LIST_ADVANTAGE_MS) {
+      this.links?.send(peer, { kind: 'want-list' });
+    }
+  }
+
+  private onChanges(peer: VmId, changes: Change[]): void {
+    const { configuration } = this.context;
+    const before = configuration.configuration.revision;
+    const hasAdvanced = configuration.adoptChanges(changes, 'peer');
+    const last = changes.at(-1)?.revision ?? 0;
+    if (!hasAdvanced && last > before) {
+      this.links?.send(peer, { kind: 'want-changes', after: before });
+    }
+  }
+
+  private onSnapshot(peer: VmId, message: PeerMessageOf<'snapshot'>): void {
+    const whole = this.assembler.take(peer, message);
+    if (whole !== undefined) {
+      this.context.configuration.adopt(whole, [], 'peer');
+    }
+  }
+
+  /** Changes go to every linked peer at once; those that have them already do not pass them on. */
+  private spreadConfiguration(source: ConfigurationSource): void {
+    const { configuration, bus, metrics, logger } = this.context;
+    const { revision } = configuration.configuration;
+    metrics.count('limelead_configuration_advances_total', 1, { source });
+    logger.info('the configuration advanced', { revision, source });
+    bus.publish('', () => ({ kind: 'configurationAdvanced', revision, source }));
+    const newest = configuration.recent.at(-1);
+    if (newest !== undefined) {
+      this.links?.broadcast({ kind: 'changes', changes: [newest] });
+    }
+  }
+
+  private sendConfiguration(peer: VmId, after: number): void {
+    const { configuration } = this.context;
+    const changes = configuration.changesAfter(after);
+    if (changes !== undefined) {
+      this.links?.send(peer, { kind: 'changes', changes });
+      return;
+    }
+    const { revision } = configuration.configuration;
+    const parts = splitIntoChunks(configuration.configuration, SNAPSHOT_PART_CHARACTERS);
+    parts.forEach((content, part) =>
+      this.links?.send(peer, {
+        kind: 'snapshot',
+        revision,
+        part,
+        parts: parts.length,
+        ...content,
+      }),
+    );
+  }
+
+  private sendList(peer: VmId): void {
+    const { targets, clock } = this.context;
+    const { list, readAtMs } = targets.list();
+    this.links?.send(peer, { kind: 'list', list, ageMs: clock.now() - readAtMs });
+  }
+
+  private onList({ list, ageMs }: PeerMessageOf<'list'>): void {
+    const { targets, members, clock } = this.context;
+    const now = clock.now();
+    targets.applyList(list, now - ageMs);
+    members.applyList(list, now);
+  }
+
+  private onBreaker(peer: VmId, { target, openForMs }: PeerMessageOf<'breaker'>): void {
+    const { targets, clock, bus } = this.context;
+    const saidAtMs = clock.now();
+    const hasOwnFailure = (targets.find(target)?.breaker.failures ?? 0) > 0;
+    const word = { peer, openUntilMs: saidAtMs + openForMs, saidAtMs };
+    const openUntilMs = this.evidence.take(target, word, hasOwnFailure);
+    if (openUntilMs !== undefined && targets.adoptOpenBreaker(target, openUntilMs)) {
+      bus.publish('', () => ({ kind: 'breakerChanged', target, state: 'open', source: peer }));
+    }
+  }
+
+  private async onCallQuery(peer: VmId, query: PeerMessageOf<'call-query'>): Promise<void> {
+    const { callRunner } = this.context;
+    const recalled = callRunner.recall(query.organisation, query.requestId);
+    const outcome: RememberedCall = (await recalled) ?? { kind: 'unknown' };
+    this.links?.send(peer, { kind: 'call-reply', query: query.query, outcome });
+  }
+
+  private settleQuery(query: number, outcome: RememberedCall): void {
+    this.queries.get(query)?.(outcome);
+    this.queries.delete(query);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/poll-targets.ts
@@ -0,0 +1,54 @@
+/** Reads the list of VMs, the load reports and the cache events at intervals. */
+import * as E from 'fp-ts/lib/Either.js';
+import type { TrackedTarget } from '@limelead/track-targets';
+import startLoop, { type Loop } from './loop.js';
+import type { VmContext } from './vm-context.js';
+
+/** Starts the polls of one VM. */
+export default function pollTargets(context: VmContext): Loop[] {
+  const { listPollMs, loadPollMs } = context.settings.timing;
+  return [
+    startLoop(context, listPollMs, () => readList(context)),
+    startLoop(context, loadPollMs, () => readReports(context)),
+  ];
+}
+
+async function readList(context: VmContext): Promise<void> {
+  const { outside, targets, members, clock, metrics, bus, gaps } = context;
+  const readAtMs = clock.now();
+  const list = await outside.vmList.read()();
+  if (E.isLeft(list)) {
+    metrics.count('limelead_list_reads_failed_total');
+    return;
+  }
+  const changed = targets.applyList(list.right, readAtMs);
+  members.applyList(list.right, clock.now());
+  gaps.keepOnly(new Set(targets.all().map(({ id }) => id)));
+  for (const id of changed) {
+    const target = targets.find(id);
+    const state = target === undefined ? 'gone' : targets.stateOf(target, clock.now());
+    bus.publish('', () => ({ kind: 'targetChanged', target: id, state }));
+  }
+}
+
+async function readReports(context: VmContext): Promise<void> {
+  const engines = context.targets.all().filter(({ role }) => role === 'engine');
+  await Promise.all(engines.map((target) => readReport(context, target)));
+}
+
+async function readReport(context: VmContext, target: TrackedTarget): Promise<void> {
+  const { outside, targets, clock, metrics } = context;
+  const engine = outside.connector.engine(target.host, target.port);
+  const [report, events] = await Promise.all([
+    engine.reportLoad()(),
+    engine.readCacheEvents(target.cacheSequence)(),
+  ]);
+  if (E.isRight(report)) {
+    targets.applyReport(target.id, report.right, clock.now());
+  } else {
+    metrics.count('limelead_load_reports_failed_total');
+  }
+  if (E.isRight(events)) {
+    targets.applyCacheEvents(target.id, events.right);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/run-limeleadd.ts
@@ -0,0 +1,55 @@
+/** The command limeleadd. */
+import { toLimeleadError } from '@limelead/errors';
+import readSettings from '@limelead/read-settings';
+import { cac } from 'cac';
+import * as E from 'fp-ts/lib/Either.js';
+import startDaemon from './start-daemon.js';
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+interface LimeleaddOptions {
+  settings?: string;
+  check?: boolean;
+}
+
+/** Runs the command with the process's arguments. */
+export default function runLimeleadd(argv: string[]): void {
+  const program = cac('limeleadd');
+  program
+    .command('', 'Run the daemon of one entry VM')
+    .option('--settings <file>', 'Settings in JSON with comments')
+    .option('--check', 'Check the settings and exit')
+    .example('limeleadd --settings limelead.jsonc')
+    .example('limeleadd --settings limelead.jsonc --check')
+    .action((options: LimeleaddOptions) => run(options));
+  program.help();
+  program.parse(argv);
+}
+
+async function run({ settings: file, check }: LimeleaddOptions): Promise<void> {
+  if (file === undefined) {
+    exitWith(EXIT_BAD_SETTINGS, 'limeleadd: --settings FILE is needed; see --help');
+  }
+  const settings = readSettings(file);
+  if (E.isLeft(settings)) {
+    exitWith(EXIT_BAD_SETTINGS, settings.left.message);
+  }
+  if (check === true) {
+    process.stdout.write(`${file}: the settings hold\n`);
+    return;
+  }
+  try {
+    const daemon = await startDaemon(settings.right);
+    const stop = (): void => void daemon.stop().then(() => process.exit(0));
+    process.once('SIGTERM', stop);
+    process.once('SIGINT', stop);
+  } catch (thrown) {
+    exitWith(EXIT_FAILED, `limeleadd: ${toLimeleadError(thrown).message}`);
+  }
+}
+
+function exitWith(code: number, message: string): never {
+  process.stderr.write(`${message}\n`);
+  process.exit(code);
+}
--- /dev/null
+++ b/packages/daemon/src/services/calls-service.ts
@@ -0,0 +1,106 @@
+/** The RPC service Calls. */
+import { create } from '@bufbuild/protobuf';
+import type { ServiceImpl } from '@connectrpc/connect';
+import { LimeleadError } from '@limelead/errors';
+import type { CallRequest } from '@limelead/run-call';
+import {
+  CallResponseSchema,
+  type CallRequest as CallRequestMessage,
+  type CallResponse,
+  type Calls,
+} from '@limelead/schema';
+import type { Organisation } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { checkRequestId, requirePriority, requireService } from '../check-generate-request.js';
+import toRpcError from '../to-rpc-error.js';
+import type { VmContext } from '../vm-context.js';
+import { refuseWhileDraining } from './generation-service.js';
+
+/** Time in which a call may be started whose caller named none. */
+const DEFAULT_START_WITHIN_MS = 120_000;
+/** A call may be started at most this far in the future, because its claim is kept that long. */
+const MAX_START_WITHIN_MS = 600_000;
+const OPERATION = /^[\w.-]{1,64}$/;
+
+/** Creates the service of one VM. */
+export default function createCallsService(context: VmContext): ServiceImpl<typeof Calls> {
+  return {
+    async call(message, rpc) {
+      try {
+        const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+        return await serveCall(context, organisation, message);
+      } catch (thrown) {
+        if (thrown instanceof LimeleadError) {
+          context.metrics.count('limelead_errors_total', 1, { kind: thrown.kind });
+        }
+        throw toRpcError(thrown);
+      }
+    },
+  };
+}
+
+async function serveCall(
+  context: VmContext,
+  organisation: Organisation,
+  message: CallRequestMessage,
+): Promise<CallResponse> {
+  const request = checkCall(context, organisation, message);
+  refuseWhileDraining(context);
+  const priority = requirePriority(
+    context,
+    message.priority || requireService(context, request.service).defaultPriority,
+  );
+  const ticket = context.admission.admit(
+    { organisation, rank: priority.rank, expectedFirstTokenMs: 0 },
+    context.clock.now(),
+  );
+  if (E.isLeft(ticket)) {
+    throw ticket.left;
+  }
+  try {
+    const { answer, replayed } = await context.callRunner.run(request);
+    return create(CallResponseSchema, { status: answer.status, body: answer.body, replayed });
+  } finally {
+    ticket.right.release();
+  }
+}
+
+function checkCall(
+  context: VmContext,
+  organisation: Organisation,
+  message: CallRequestMessage,
+): CallRequest {
+  checkRequestId(message.requestId);
+  if (!OPERATION.test(message.operation)) {
+    throw new LimeleadError('invalid-request', 'operation: expected 1 to 64 of [A-Za-z0-9_.-]');
+  }
+  const { maxCallBytes } = context.settings.limits;
+  if (message.body.length > maxCallBytes) {
+    throw new LimeleadError('too-large', `body: expected at most ${maxCallBytes} bytes`);
+  }
+  const service = requireService(context, message.service);
+  if (service.plain === undefined) {
+    throw new LimeleadError('invalid-request', `service: ${service.name} is not a plain service`);
+  }
+  return {
+    organisation: organisation.name,
+    requestId: message.requestId,
+    service: service.name,
+    operation: message.operation,
+    body: message.body,
+    repeatable: message.repeatable,
+    notAfterMs: checkNotAfter(Number(message.notAfterMs), context.clock.now()),
+    timeoutMs: service.plain.timeoutMs,
+  };
+}
+
+function checkNotAfter(notAfterMs: number, now: number): number {
+  if (notAfterMs === 0) {
+    return now + DEFAULT_START_WITHIN_MS;
+  }
+  if (notAfterMs > now + MAX_START_WITHIN_MS) {
+    const most = MAX_START_WITHIN_MS / 1000;
+    throw new LimeleadError('invalid-request', `not_after_ms: expected at most ${most} s from now`);
+  }
+  return notAfterMs;
+}
--- /dev/null
+++ b/packages/daemon/src/services/generation-service.ts
@@ -0,0 +1,182 @@
+/** The RPC service Generation. */
+import { create } from '@bufbuild/protobuf';
+import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
+import { findSpec } from '@limelead/configuration-state';
+import chooseTarget, { estimateCost } from '@limelead/choose-target';
+import { LimeleadError } from '@limelead/errors';
+import Generation, { type GenerationStart } from '@limelead/run-generation';
+import {
+  CancelResponseSchema,
+  GenerateResponseSchema,
+  type Generation as GenerationSchema,
+  type GenerateRequest,
+  type GenerateResponse,
+} from '@limelead/schema';
+import type { AnswerMessage, GenerationRequest, ModelVersion, Organisation } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import checkGenerateRequest from '../check-generate-request.js';
+import type { GenerationDependencies } from '@limelead/run-generation';
+import toRpcError from '../to-rpc-error.js';
+import type { VmContext } from '../vm-context.js';
+
+/** Creates the service of one VM. */
+export default function createGenerationService(
+  context: VmContext,
+  dependencies: GenerationDependencies,
+): ServiceImpl<typeof GenerationSchema> {
+  async function* generate(
+    message: GenerateRequest,
+    rpc: HandlerContext,
+  ): AsyncGenerator<GenerateResponse> {
+    yield* answerErrors(context, async function* () {
+      const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+      const request = checkGenerateRequest(context, organisation, message);
+      yield* serve(organisation, request, { tries: 0, delivered: [] }, rpc.signal);
+    });
+  }
+
+  async function* serve(
+    organisation: Organisation,
+    request: GenerationRequest,
+    start: GenerationStart,
+    signal: AbortSignal,
+  ): AsyncGenerator<GenerateResponse> {
+    refuseWhileDraining(context);
+    const ticket = admit(context, organisation, request);
+    const generation = new Generation(dependencies, request, start);
+    const remove = context.openGenerations.add(organisation.name, request.requestId, generation);
+    const onAbort = (): void => generation.abandon();
+    signal.addEventListener('abort', onAbort, { once: true });
+    try {
+      for await (const message of generation.messages()) {
+        yield toResponse(context, request, message);
+      }
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+      remove();
+      ticket.release();
+    }
+  }
+
+  return {
+    generate,
+    async *resume(message, rpc) {
+      yield* answerErrors(context, async function* () {
+        const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+        if (message.request === undefined) {
+          throw new LimeleadError('invalid-request', 'request: expected the request as first sent');
+        }
+        const request = checkGenerateRequest(context, organisation, message.request);
+        const { deliveredTokens: delivered, tries } = message;
+        if (delivered.length > request.maxTokens) {
+          throw new LimeleadError('invalid-request', 'delivered_tokens: more than max_tokens');
+        }
+        const verified = context.signer.verify(message.handle, request);
+        if (E.isLeft(verified)) {
+          throw verified.left;
+        }
+        const resume = verified.right;
+        const resumed = { ...request, deadlineAtMs: resume.deadlineAtMs };
+        context.metrics.count('limelead_answers_resumed_total');
+        yield* serve(organisation, resumed, { resume, tries, delivered }, rpc.signal);
+      });
+    },
+    cancel(message, rpc) {
+      try {
+        const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+        const cancelled = context.openGenerations.cancel(organisation.name, message.requestId);
+        return create(CancelResponseSchema, { cancelled });
+      } catch (thrown) {
+        throw toRpcError(thrown);
+      }
+    },
+  };
+}
+
+/** Passes a stream on and turns what it throws into RPC errors. */
+async function* answerErrors(
+  { metrics }: VmContext,
+  stream: () => AsyncGenerator<GenerateResponse>,
+): AsyncGenerator<GenerateResponse> {
+  try {
+    yield* stream();
+  } catch (thrown) {
+    if (thrown instanceof LimeleadError) {
+      metrics.count('limelead_errors_total', 1, { kind: thrown.kind });
+    }
+    throw toRpcError(thrown);
+  }
+}
+
+/** Refuses new work once a planned stop has begun. */
+export function refuseWhileDraining(context: VmContext): void {
+  if (context.isDraining()) {
+    throw new LimeleadError('shutting-down', 'this VM is stopping; another takes the request');
+  }
+}
+
+function admit(context: VmContext, organisation: Organisation, request: GenerationRequest) {
+  const ticket = context.admission.admit(
+    {
+      organisation,
+      rank: request.priority.rank,
+      deadlineAtMs: request.deadlineAtMs,
+      expectedFirstTokenMs: expectFirstToken(context, request),
+    },
+    context.clock.now(),
+  );
+  if (E.isRight(ticket)) {
+    return ticket.right;
+  }
+  const { kind: errorKind } = ticket.left;
+  context.bus.publish(request.requestId, () => ({
+    kind: 'requestRefused',
+    organisation: organisation.name,
+    errorKind,
+  }));
+  throw ticket.left;
+}
+
+/** What the cheapest of a few targets would need; 0 where nothing is known. */
+function expectFirstToken(context: VmContext, request: GenerationRequest): number {
+  const { targets, clock, random, settings } = context;
+  const version = currentVersion(context, request.service);
+  const routing = {
+    prefixHashes: [],
+    inputTokens: 0,
+    failureDomain: settings.failureDomain,
+    exclude: [],
+  };
+  const usable = targets.usableEngines(clock.now(), version);
+  const choice = chooseTarget(usable, routing, random);
+  return choice === undefined ? 0 : estimateCost(choice.target, routing).costMs;
+}
+
+/** The version with which new answers of a service begin. */
+export function currentVersion(context: VmContext, service: string): ModelVersion | undefined {
+  return findSpec(context.configuration.configuration, 'service', service)?.model;
+}
+
+function toResponse(
+  context: VmContext,
+  request: GenerationRequest,
+  message: AnswerMessage,
+): GenerateResponse {
+  switch (message.kind) {
+    case 'started': {
+      const { modelVersion, seed } = message.binding;
+      const handle = context.signer.sign(request, message.resume);
+      const { attempt } = message;
+      const value = { ...modelVersion, handle, attempt, seed: BigInt(seed) };
+      return create(GenerateResponseSchema, { event: { case: 'started', value } });
+    }
+    case 'tokens':
+      return create(GenerateResponseSchema, { event: { case: 'tokens', value: message } });
+    case 'finished':
+      return create(GenerateResponseSchema, { event: { case: 'finished', value: message } });
+    case 'handover':
+      return create(GenerateResponseSchema, { event: { case: 'handover', value: {} } });
+    case 'keep-alive':
+      return create(GenerateResponseSchema, { event: { case: 'keepAlive', value: {} } });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/watch-configuration.ts
@@ -0,0 +1,79 @@
+/** Keeps the configuration of this VM up with the platform's service. */
+import type { PortFault } from '@limelead/errors';
+import type { ReadResult } from '@limelead/store-configuration';
+import { chooseWatchers } from '@limelead/track-members';
+import * as E from 'fp-ts/lib/Either.js';
+import startLoop, { type Loop } from './loop.js';
+import type { VmContext } from './vm-context.js';
+
+const PAUSE_MS = 250;
+/** A VM that does not watch still looks by itself now and then. */
+const OWN_LOOK_INTERVAL_MS = 30_000;
+
+/** Starts to watch, as one of the few VMs that do, or else to look now and then. */
+export default function watchConfiguration(context: VmContext): Loop {
+  const watcher = new ConfigurationWatcher(context);
+  return startLoop(context, PAUSE_MS, () => watcher.look());
+}
+
+class ConfigurationWatcher {
+  private headVersion = 0;
+  private nextLookMs = 0;
+  private isReachable = true;
+
+  constructor(private readonly context: VmContext) {}
+
+  async look(): Promise<void> {
+    const { configurationStore, configuration, settings, clock, metrics } = this.context;
+    const known = configuration.configuration;
+    if (known.revision > 0 && this.isWatcher()) {
+      metrics.count('limelead_store_watches_total');
+      const { configurationWaitMs } = settings.timing;
+      await this.take(
+        await configurationStore.watch(known, this.headVersion, configurationWaitMs)(),
+      );
+    } else if (known.revision === 0 || clock.now() >= this.nextLookMs) {
+      this.nextLookMs = clock.now() + OWN_LOOK_INTERVAL_MS;
+      await this.take(await configurationStore.read(known)());
+    }
+  }
+
+  private isWatcher(): boolean {
+    const { members, clock, settings } = this.context;
+    const present = members.present(clock.now()).map(({ id }) => id);
+    return chooseWatchers([...present, settings.id]).includes(settings.id);
+  }
+
+  private async take(result: E.Either<PortFault, ReadResult>): Promise<void> {
+    this.noteReachable(E.isRight(result));
+    if (E.isLeft(result)) {
+      return;
+    }
+    const { configuration, changes, headVersion, storedRevision } = result.right;
+    this.headVersion = headVersion;
+    this.context.configuration.adopt(configuration, changes, 'store');
+    if (storedRevision < this.context.configuration.configuration.revision) {
+      await this.putBack();
+    }
+  }
+
+  /** The service was restored from something older than what is in force here. */
+  private async putBack(): Promise<void> {
+    const { configurationStore, configuration, logger, metrics } = this.context;
+    const { revision } = configuration.configuration;
+    logger.warn('the key-value service holds an older configuration', { revision });
+    metrics.count('limelead_configuration_restores_total');
+    await configurationStore.restore(configuration.configuration, configuration.recent)();
+  }
+
+  private noteReachable(now: boolean): void {
+    const { logger, metrics } = this.context;
+    if (!now) {
+      metrics.count('limelead_store_faults_total');
+    }
+    if (now !== this.isReachable) {
+      this.isReachable = now;
+      logger.warn('reachability of the key-value service changed', { reachable: now });
+    }
+  }
+}
--- /dev/null
+++ b/packages/decode-with-lines/src/decode-with-lines.ts
@@ -0,0 +1,109 @@
+/** Decodes a text and finds the line of each fault. */
+import { DecodeError, type DecodeFault } from '@limelead/errors';
+import * as E from 'fp-ts/lib/Either.js';
+import type * as t from 'io-ts';
+import {
+  findNodeAtLocation,
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
+
+const MAX_SHOWN_CHARACTERS = 60;
+
+/** Gives the decoded value, or an error that lists every fault. */
+export default function decodeWithLines<Value>(
+  file: string,
+  text: string,
+  codec: t.Type<Value, unknown>,
+): E.Either<DecodeError, Value> {
+  const parseErrors: ParseError[] = [];
+  const root = parseTree(text, parseErrors, { allowTrailingComma: true });
+  if (root === undefined || parseErrors.length > 0) {
+    return E.left(
+      new DecodeError(
+        file,
+        parseErrors.map((error) => describeParseError(text, error)),
+      ),
+    );
+  }
+  const decoded = codec.decode(toValue(root));
+  if (E.isLeft(decoded)) {
+    const faults = decoded.left.map((error) => describeFault(text, root, error));
+    return E.left(new DecodeError(file, removeRepeats(faults)));
+  }
+  return E.right(decoded.right);
+}
+
+function describeParseError(text: string, error: ParseError): DecodeFault {
+  return {
+    line: lineAt(text, error.offset),
+    key: '',
+    expected: 'JSON with comments',
+    found: printParseErrorCode(error.error),
+  };
+}
+
+function describeFault(text: string, root: Node, error: t.ValidationError): DecodeFault {
+  const path = error.context.slice(1).map(({ key }) => key);
+  const last = error.context.at(-1);
+  return {
+    line: lineAt(text, findNearest(root, path).offset),
+    key: path.join('.'),
+    expected: last?.type.name ?? 'another value',
+    found: showValue(error.value),
+  };
+}
+
+/** The node at the path, or where there is none, the nearest above it. */
+function findNearest(root: Node, path: string[]): Node {
+  for (let length = path.length; length > 0; length -= 1) {
+    const segments = path.slice(0, length).map(toSegment);
+    const node = findNodeAtLocation(root, segments);
+    if (node !== undefined) {
+      return node.parent?.type === 'property' ? node.parent : node;
+    }
+  }
+  return root;
+}
+
+function toSegment(key: string): string | number {
+  return /^\d+$/.test(key) ? Number(key) : key;
+}
+
+function toValue(node: Node): unknown {
+  switch (node.type) {
+    case 'object':
+      return Object.fromEntries((node.children ?? []).map(toEntry));
+    case 'array':
+      return (node.children ?? []).map(toValue);
+    default:
+      return node.value;
+  }
+}
+
+function toEntry(property: Node): [string, unknown] {
+  const [key, value] = property.children ?? [];
+  return [String(key?.value), value === undefined ? undefined : toValue(value)];
+}
+
+function lineAt(text: string, offset: number): number {
+  return text.slice(0, offset).split('\n').length;
+}
+
+function showValue(value: unknown): string {
+  if (value === undefined) {
+    return 'nothing';
+  }
+  const shown = JSON.stringify(value);
+  return shown.length > MAX_SHOWN_CHARACTERS ? `${shown.slice(0, MAX_SHOWN_CHARACTERS)}…` : shown;
+}
+
+function removeRepeats(faults: DecodeFault[]): DecodeFault[] {
+  const seen = new Set<string>();
+  return faults.filter((fault) => {
+    const identity = JSON.stringify(fault);
+    return !seen.has(identity) && seen.add(identity);
+  });
+}
--- /dev/null
+++ b/packages/decode-with-lines/src/index.ts
@@ -0,0 +1,4 @@
+/** Reads JSON with comments, checks it against an io-ts codec, and names file, line and key of each fault. */
+export { default } from './decode-with-lines.js';
+export { default as closed, type Closed } from './closed.js';
+export * from './refinements.js';
--- /dev/null
+++ b/packages/demo/src/demo-cluster.ts
@@ -0,0 +1,186 @@
+/** VMs and stand-ins in one process, on real loopback sockets. */
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@limelead/client';
+import { startDaemon, type Daemon } from '@limelead/daemon';
+import { ApplyRequestSchema } from '@limelead/schema';
+import {
+  startEngine,
+  startPlainService,
+  startPlatform,
+  type Engine,
+  type EngineOptions,
+  type PlainServiceStandIn,
+  type Platform,
+  type PlatformOptions,
+} from '@limelead/stand-ins';
+import { delay, type ListedVm, type Resource } from '@limelead/types';
+import createSettings from './create-settings.js';
+import { createDemoResources, DEMO_KEYS, DEMO_VERSIONS } from './demo-configuration.js';
+import toOperations from './to-operations.js';
+
+const HOST = '127.0.0.1';
+const DOMAINS = ['depot-north', 'depot-south', 'civic-hall'] as const;
+const READY_CHECK_MS = 20;
+
+/** How large the cluster is. */
+export interface DemoClusterOptions {
+  vms: number;
+  engines: number;
+  plainServices: number;
+  resources: Resource[];
+  engine: Partial<EngineOptions>;
+  platform: Partial<PlatformOptions>;
+}
+
+/** One VM of the cluster. */
+export interface DemoVm {
+  id: string;
+  daemon: Daemon;
+  /** Base URL for callers. */
+  url: string;
+  isUp: boolean;
+}
+
+/** A running cluster. */
+export interface DemoCluster {
+  platform: Platform;
+  engines: Engine[];
+  plainServices: PlainServiceStandIn[];
+  vms: DemoVm[];
+  /** Base URLs of the VMs that are up. */
+  urls(): string[];
+  /** Starts another VM and waits until it is ready. */
+  addVm(): Promise<DemoVm>;
+  stop(): Promise<void>;
+}
+
+const DEFAULT_OPTIONS: DemoClusterOptions = {
+  vms: 3,
+  engines: 4,
+  plainServices: 2,
+  resources: createDemoResources(),
+  engine: {},
+  platform: {},
+};
+
+/** Starts a cluster, applies its configuration, and waits until every VM is ready. */
+export default async function startDemoCluster(
+  options: Partial<DemoClusterOptions> = {},
+): Promise<DemoCluster> {
+  const sizes = { ...DEFAULT_OPTIONS, ...options };
+  const platform = await startPlatform(sizes.platform);
+  const engines = await startEngines(sizes, platform);
+  const plainServices = await startPlainServices(sizes.plainServices, platform);
+  const vms: DemoVm[] = [];
+
+  async function startVm(): Promise<DemoVm> {
+    const vm = await startDemoVm(platform, vms);
+    vms.push(vm);
+    return vm;
+  }
+
+  for (let index = 0; index < sizes.vms; index += 1) {
+    await startVm();
+  }
+  await applyResources(vms[0], sizes.resources);
+  await Promise.all(vms.map((vm) => whenReady(vm.url)));
+
+  return {
+    platform,
+    engines,
+    plainServices,
+    vms,
+    urls: () => vms.filter(({ isUp }) => isUp).map(({ url }) => url),
+    async addVm() {
+      const vm = await startVm();
+      await whenReady(vm.url);
+      return vm;
+    },
+    async stop() {
+      await Promise.all(vms.filter(({ isUp }) => isUp).map(({ daemon }) => daemon.kill()));
+      await Promise.all(engines.map((engine) => engine.stop()));
+      await Promise.all(plainServices.map((service) => service.stop()));
+      await platform.stop();
+    },
+  };
+}
+
+/** Resolves once a VM's readiness page says so. */
+export async function whenReady(url: string): Promise<void> {
+  for (;;) {
+    const response = await fetch(`${url}/readyz`);
+    await response.arrayBuffer();
+    if (response.ok) {
+      return;
+    }
+    await delay({ after: keepAliveAfter }, READY_CHECK_MS);
+  }
+}
+
+/** A timer that keeps the process alive, unlike those of the product. */
+function keepAliveAfter(milliseconds: number, run: () => void): () => void {
+  const timer = setTimeout(run, milliseconds);
+  return () => clearTimeout(timer);
+}
+
+async function startEngines(sizes: DemoClusterOptions, platform: Platform): Promise<Engine[]> {
+  const engines: Engine[] = [];
+  for (let index = 0; index < sizes.engines; index += 1) {
+    const id = `engine-${index + 1}`;
+    const engine = await startEngine({ id, loaded: Object.values(DEMO_VERSIONS), ...sizes.engine });
+    platform.vms.add(listed(id, 'engine', engine.port, index));
+    engines.push(engine);
+  }
+  return engines;
+}
+
+async function startPlainServices(
+  count: number,
+  platform: Platform,
+): Promise<PlainServiceStandIn[]> {
+  const services: PlainServiceStandIn[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const service = await startPlainService();
+    const vm = listed(`plain-${index + 1}`, 'plain', service.port, index);
+    platform.vms.add({ ...vm, services: ['booking'] });
+    services.push(service);
+  }
+  return services;
+}
+
+async function startDemoVm(platform: Platform, others: DemoVm[]): Promise<DemoVm> {
+  const index = others.length;
+  const id = `vm-${index + 1}`;
+  const seeds = others
+    .filter(({ isUp }) => isUp)
+    .map((vm) => ({ id: vm.id, host: HOST, port: vm.daemon.peerPort }));
+  const failureDomain = domainOf(index);
+  const settings = createSettings({ id, failureDomain, platformPort: platform.port, seeds });
+  const daemon = await startDaemon(settings);
+  platform.vms.add(listed(id, 'entry', daemon.peerPort, index));
+  return { id, daemon, url: `http://${HOST}:${daemon.rpcPort}`, isUp: true };
+}
+
+async function applyResources(vm: DemoVm | undefined, resources: Resource[]): Promise<void> {
+  if (vm === undefined || resources.length === 0) {
+    return;
+  }
+  const client = createClient({ urls: [vm.url], key: DEMO_KEYS.operator });
+  const operations = toOperations(resources);
+  const request = create(ApplyRequestSchema, {
+    changeId: 'demo-setup',
+    operations,
+    reason: 'set up the demonstration',
+  });
+  await client.administration.apply(request, { headers: client.headers });
+  await client.close();
+}
+
+function listed(id: string, role: ListedVm['role'], port: number, index: number): ListedVm {
+  const failureDomain = domainOf(index);
+  return { id, role, host: HOST, port, failureDomain, leaving: false, services: [] };
+}
+
+function domainOf(index: number): string {
+  return DOMAINS[index % DOMAINS.length] ?? DOMAINS[0];
+}
--- /dev/null
+++ b/packages/demo/src/demo-configuration.ts
@@ -0,0 +1,89 @@
+/** The configuration of the demonstration: both users on one system. */
+import type { ModelVersion, RecoveryPolicy, Resource } from '@limelead/types';
+import { createHash } from 'node:crypto';
+
+/** Keys of the demonstration. They are no secrets; a real system's are. */
+export const DEMO_KEYS = {
+  operator: 'demo-operator-key',
+  routing: 'demo-routing-key',
+  haneul: 'demo-haneul-key',
+} as const;
+
+/** Versions that every engine of the demonstration has loaded. */
+export const DEMO_VERSIONS = {
+  brief: { model: 'depot-large', adapter: '', version: '2026-11' },
+  prompt: { model: 'cab-small', adapter: 'canterbury', version: '7' },
+  feedback: { model: 'tutor-large', adapter: 'music', version: '3' },
+} as const satisfies Record<string, ModelVersion>;
+
+/** Recovery that puts resume latency first. */
+export const URGENT_RECOVERY: RecoveryPolicy = {
+  suspicionFactor: 4,
+  minSilenceMs: 100,
+  maxSilenceMs: 500,
+  hedge: true,
+  probeFirst: false,
+};
+
+const WHOLE_RECOVERY: RecoveryPolicy = {
+  suspicionFactor: 8,
+  minSilenceMs: 300,
+  maxSilenceMs: 1_500,
+  hedge: false,
+  probeFirst: false,
+};
+
+/** Recovery that puts extra resource use first. */
+export const FRUGAL_RECOVERY: RecoveryPolicy = {
+  suspicionFactor: 12,
+  minSilenceMs: 600,
+  maxSilenceMs: 2_500,
+  hedge: false,
+  probeFirst: true,
+};
+
+/** The hash under which a key is kept. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+/** All resources of the demonstration. */
+export function createDemoResources(): Resource[] {
+  return [
+    priority('urgent', 0, URGENT_RECOVERY),
+    priority('interactive', 1, URGENT_RECOVERY),
+    priority('whole', 2, WHOLE_RECOVERY),
+    priority('paced', 3, FRUGAL_RECOVERY),
+    modelService('route-brief', DEMO_VERSIONS.brief, 'whole'),
+    modelService('in-cab', DEMO_VERSIONS.prompt, 'urgent'),
+    modelService('feedback-sheet', DEMO_VERSIONS.feedback, 'paced'),
+    {
+      kind: 'service',
+      spec: { name: 'booking', plain: { timeoutMs: 2_000 }, defaultPriority: 'interactive' },
+    },
+    organisation('limelead-routing', DEMO_KEYS.routing),
+    organisation('haneul', DEMO_KEYS.haneul),
+    { kind: 'operator', spec: { name: 'demo', keyHashes: [hashKey(DEMO_KEYS.operator)] } },
+  ];
+}
+
+function priority(name: string, rank: number, recovery: RecoveryPolicy): Resource {
+  return { kind: 'priority', spec: { name, rank, deadlineMs: 0, recovery } };
+}
+
+function modelService(name: string, model: ModelVersion, defaultPriority: string): Resource {
+  return { kind: 'service', spec: { name, model, defaultPriority } };
+}
+
+function organisation(name: string, key: string): Resource {
+  return {
+    kind: 'organisation',
+    spec: {
+      name,
+      keyHashes: [hashKey(key)],
+      weight: 1,
+      requestsPerSecond: 1_000,
+      maxConcurrent: 1_000,
+    },
+  };
+}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,12 @@
+/** The demonstration: VMs and stand-ins in one process, faults, and a check of every token at the caller. */
+export { default as runDemo, type DemoOptions } from './run-demo.js';
+export {
+  default as startDemoCluster,
+  type DemoCluster,
+  type DemoClusterOptions,
+} from './demo-cluster.js';
+export { FAULT_NAMES, isFaultName, type FaultName } from './inject-faults.js';
+export type { DemoReport } from './report.js';
+export * from './demo-configuration.js';
+export { default as createSeededRandom } from './seeded-random.js';
+export { default as createSettings } from './create-settings.js';
--- /dev/null
+++ b/packages/demo/src/inject-faults.ts
@@ -0,0 +1,173 @@
+/** The faults of the demonstration. */
+import { delay, type Timers } from '@limelead/types';
+import type { DemoCluster, DemoVm } from './demo-cluster.js';
+import type { Engine } from '@limelead/stand-ins';
+
+/** Names of the faults, as on the command line. */
+export const FAULT_NAMES = [
+  'none',
+  'engine-death',
+  'engine-pause',
+  'link-cut',
+  'vm-death',
+  'vm-stop',
+  'target-leave',
+  'store-outage',
+  'all',
+] as const;
+
+/** One of the faults. */
+export type FaultName = (typeof FAULT_NAMES)[number];
+
+type SingleFault = Exclude<FaultName, 'none' | 'all'>;
+
+/** A fault that was injected, and when. */
+export interface InjectedFault {
+  fault: SingleFault;
+  subject: string;
+  /** Milliseconds since the first request. */
+  atMs: number;
+}
+
+const ENGINE_REVIVES_AFTER_MS = 1_500;
+const ENGINE_WAKES_AFTER_MS = 2_500;
+const STORE_RETURNS_AFTER_MS = 2_000;
+/** A target that leaves is switched off after this long. */
+const LEAVING_ENDS_AFTER_MS = 6_000;
+const PAUSE_BETWEEN_FAULTS_MS = 600;
+
+const ORDER_OF_ALL: SingleFault[] = [
+  'link-cut',
+  'store-outage',
+  'engine-pause',
+  'vm-death',
+  'engine-death',
+  'target-leave',
+  'vm-stop',
+];
+
+/** Says whether a text names a fault. */
+export function isFaultName(text: string): text is FaultName {
+  return (FAULT_NAMES as readonly string[]).includes(text);
+}
+
+/** Injects faults and undoes them again. */
+export default class FaultInjector {
+  readonly injected: InjectedFault[] = [];
+  /** Moment at which each leaving engine was announced as such. */
+  readonly leavingSince = new Map<string, number>();
+  private readonly pending: Promise<void>[] = [];
+  private readonly hit = new Set<string>();
+
+  constructor(
+    private readonly cluster: DemoCluster,
+    private readonly timers: Timers,
+    private readonly startedAtMs: number,
+  ) {}
+
+  /** Injects one fault, or all of them one after another. */
+  async inject(fault: FaultName): Promise<void> {
+    const faults = fault === 'all' ? ORDER_OF_ALL : fault === 'none' ? [] : [fault];
+    for (const [index, single] of faults.entries()) {
+      if (index > 0) {
+        await delay(this.timers, PAUSE_BETWEEN_FAULTS_MS);
+      }
+      await this.injectOne(single);
+    }
+  }
+
+  /** Resolves once every fault was undone. */
+  async settle(): Promise<void> {
+    await Promise.all(this.pending);
+  }
+
+  private async injectOne(fault: SingleFault): Promise<void> {
+    switch (fault) {
+      case 'engine-death':
+        return this.killEngine(this.takeBusiestEngine());
+      case 'engine-pause':
+        return this.pauseEngine(this.takeBusiestEngine());
+      case 'link-cut': {
+        const engine = this.busiestEngine();
+        this.note(fault, engine.id);
+        return engine.cutLinks();
+      }
+      case 'vm-death': {
+        const vm = this.takeVm();
+        this.note(fault, vm.id);
+        await vm.daemon.kill();
+        this.cluster.platform.vms.remove(vm.id);
+        return;
+      }
+      case 'vm-stop': {
+        const vm = this.takeVm();
+        this.note(fault, vm.id);
+        this.pending.push(vm.daemon.stop());
+        return;
+      }
+      case 'target-leave':
+        return this.leave(this.takeBusiestEngine());
+      case 'store-outage':
+        this.note(fault, 'key-value service');
+        this.cluster.platform.setOutage(true);
+        return this.later(STORE_RETURNS_AFTER_MS, () => this.cluster.platform.setOutage(false));
+    }
+  }
+
+  private async killEngine(engine: Engine): Promise<void> {
+    this.note('engine-death', engine.id);
+    await engine.die();
+    this.later(ENGINE_REVIVES_AFTER_MS, () => engine.revive());
+  }
+
+  private pauseEngine(engine: Engine): void {
+    this.note('engine-pause', engine.id);
+    engine.pause();
+    this.later(ENGINE_WAKES_AFTER_MS, () => engine.wake());
+  }
+
+  private leave(engine: Engine): void {
+    this.note('target-leave', engine.id);
+    this.leavingSince.set(engine.id, Date.now());
+    this.cluster.platform.vms.setLeaving(engine.id);
+    this.later(LEAVING_ENDS_AFTER_MS, () => engine.die());
+  }
+
+  private later(milliseconds: number, run: () => unknown): void {
+    this.pending.push(delay(this.timers, milliseconds).then(async () => void (await run())));
+  }
+
+  private note(fault: SingleFault, subject: string): void {
+    const atMs = Math.round(performance.now() - this.startedAtMs);
+    this.injected.push({ fault, subject, atMs });
+  }
+
+  /** The busiest engine that no fault has hit yet; it is not taken again. */
+  private takeBusiestEngine(): Engine {
+    const engine = this.busiestEngine();
+    this.hit.add(engine.id);
+    return engine;
+  }
+
+  private busiestEngine(): Engine {
+    const free = this.cluster.engines.filter(({ id }) => !this.hit.has(id));
+    const [first, ...others] = free;
+    if (first === undefined) {
+      throw new Error('no engine is left for another fault');
+    }
+    return others.reduce((best, engine) => (openOn(engine) > openOn(best) ? engine : best), first);
+  }
+
+  private takeVm(): DemoVm {
+    const vm = this.cluster.vms.find(({ isUp }) => isUp);
+    if (vm === undefined) {
+      throw new Error('no VM is left for another fault');
+    }
+    vm.isUp = false;
+    return vm;
+  }
+}
+
+function openOn(engine: Engine): number {
+  return engine.records().filter(({ ended }) => ended === 'running').length;
+}
--- /dev/null
+++ b/packages/demo/src/report.ts
@@ -0,0 +1,170 @@
+/** The report of a demonstration, from what callers saw and what the stand-ins recorded. */
+import { answerLength, tokenAt, type Engine, type TokenSource } from '@limelead/stand-ins';
+import type { InjectedFault } from './inject-faults.js';
+import type { AnswerRecord, CallRecord } from './run-work.js';
+
+/** What a demonstration found. */
+export interface DemoReport {
+  fault: string;
+  seed: number;
+  requests: number;
+  /** Requests that ended with an error; an error is no broken promise. */
+  failed: { requestId: string; kind: string; message: string }[];
+  tokensExpected: number;
+  tokensDelivered: number;
+  missing: number;
+  repeated: number;
+  mixed: number;
+  nonRepeatableSent: number;
+  nonRepeatableRunsMax: number;
+  notRunButRan: number;
+  /** Generations begun on a leaving engine more than four seconds after the announcement. */
+  lateWorkOnLeaving: number;
+  resumeLatencyMs: { count: number; p50: number; p95: number; max: number };
+  extraPrefillTokens: number;
+  extraDecodedTokens: number;
+  faults: InjectedFault[];
+  promisesHeld: boolean;
+}
+
+/** Everything that the report is made from. */
+export interface DemoEvidence {
+  fault: string;
+  seed: number;
+  answers: AnswerRecord[];
+  calls: CallRecord[];
+  engines: Engine[];
+  /** Runs of each call at all plain services together. */
+  runsOf(requestId: string): number;
+  lateWorkOnLeaving: number;
+  faults: InjectedFault[];
+}
+
+/** Assembles the report. */
+export default function assembleReport(evidence: DemoEvidence): DemoReport {
+  const { answers, calls } = evidence;
+  const checks = answers.map(checkAnswer);
+  const sum = (pick: (check: AnswerCheck) => number): number =>
+    checks.reduce((total, check) => total + pick(check), 0);
+  const runs = calls.map(({ work }) => evidence.runsOf(work.requestId));
+  const report = {
+    fault: evidence.fault,
+    seed: evidence.seed,
+    requests: answers.length + calls.length,
+    failed: listFailures([...answers, ...calls]),
+    tokensExpected: sum((check) => check.expected),
+    tokensDelivered: sum((check) => check.delivered),
+    missing: sum((check) => check.missing),
+    repeated: sum((check) => check.repeated),
+    mixed: sum((check) => check.mixed),
+    nonRepeatableSent: calls.length,
+    nonRepeatableRunsMax: Math.max(0, ...runs),
+    notRunButRan: calls.filter(
+      (call) => saidNotRun(call) && evidence.runsOf(call.work.requestId) > 0,
+    ).length,
+    lateWorkOnLeaving: evidence.lateWorkOnLeaving,
+    resumeLatencyMs: summarize(answers.flatMap(({ resumeLatenciesMs }) => resumeLatenciesMs)),
+    ...countExtraWork(evidence),
+    faults: evidence.faults,
+  };
+  return { ...report, promisesHeld: holdsPromises(report) };
+}
+
+function holdsPromises(report: Omit<DemoReport, 'promisesHeld'>): boolean {
+  const broken =
+    report.missing +
+    report.repeated +
+    report.mixed +
+    report.notRunButRan +
+    report.lateWorkOnLeaving +
+    report.failed.filter(({ kind }) => kind !== 'outcome-unknown').length;
+  return broken === 0 && report.nonRepeatableRunsMax <= 1;
+}
+
+interface AnswerCheck {
+  expected: number;
+  delivered: number;
+  missing: number;
+  repeated: number;
+  mixed: number;
+}
+
+/** Compares an answer token by token with what one generation under its binding gives. */
+function checkAnswer(record: AnswerRecord): AnswerCheck {
+  const { work, tokens } = record;
+  const source = findSource(record);
+  const length = source === undefined ? work.maxTokens : answerLength(source, work.maxTokens);
+  const seen = new Map<number, number>();
+  let mixed = countChangedBindings(record);
+  for (const { offset, token } of tokens) {
+    seen.set(offset, (seen.get(offset) ?? 0) + 1);
+    mixed += source !== undefined && tokenAt(source, offset) === token ? 0 : 1;
+  }
+  const inAnswer = [...seen.keys()].filter((offset) => offset < length).length;
+  const beyond = seen.size - inAnswer;
+  return {
+    expected: length,
+    delivered: tokens.length,
+    missing: length - inAnswer,
+    repeated: tokens.length - seen.size,
+    mixed: mixed + beyond,
+  };
+}
+
+/** The binding under which the first token was delivered. */
+function findSource({ work, started }: AnswerRecord): TokenSource | undefined {
+  const binding = started.findLast(({ deliveredBefore }) => deliveredBefore === 0)?.started;
+  if (binding === undefined) {
+    return undefined;
+  }
+  const { model, adapter, version, seed } = binding;
+  return {
+    prompt: work.prompt,
+    modelVersion: { model, adapter, version },
+    seed: Number(seed),
+  };
+}
+
+/** Bindings announced in mid-answer that differ from the one it began with. */
+function countChangedBindings({ started }: AnswerRecord): number {
+  const first = started.findLast(({ deliveredBefore }) => deliveredBefore === 0)?.started;
+  return started.filter(
+    ({ started: later, deliveredBefore }) =>
+      deliveredBefore > 0 && (later.seed !== first?.seed || later.version !== first.version),
+  ).length;
+}
+
+function saidNotRun({ error }: CallRecord): boolean {
+  return error?.execution === 'not-run';
+}
+
+function listFailures(records: (AnswerRecord | CallRecord)[]): DemoReport['failed'] {
+  return records.flatMap(({ work, error }) =>
+    error === undefined
+      ? []
+      : [{ requestId: work.requestId, kind: error.kind ?? 'link', message: error.message }],
+  );
+}
+
+/** What the engines did beyond one prefill and one decoding of each answer. */
+function countExtraWork({ answers, engines }: DemoEvidence) {
+  const records = engines.flatMap((engine) => engine.records());
+  let extraPrefillTokens = 0;
+  let extraDecodedTokens = 0;
+  for (const { work, tokens } of answers) {
+    // A generation's id names organisation, request, incarnation and attempt.
+    const own = records.filter(({ generationId }) => generationId.split('.')[1] === work.requestId);
+    const prefills = own.map(({ prefillTokens }) => prefillTokens);
+    const decoded = own.reduce((sum, { decodedTokens }) => sum + decodedTokens, 0);
+    extraPrefillTokens += prefills.slice(1).reduce((sum, prefill) => sum + prefill, 0);
+    extraDecodedTokens += decoded - tokens.length;
+  }
+  return { extraPrefillTokens, extraDecodedTokens };
+}
+
+function summarize(latenciesMs: number[]): DemoReport['resumeLatencyMs'] {
+  const sorted = [...latenciesMs].sort((a, b) => a - b);
+  const at = (quantile: number): number =>
+    Math.round(sorted[Math.min(sorted.length - 1, Math.floor(quantile * sorted.length))] ?? 0);
+  return { count: sorted.length, p50: at(0.5), p95: at(0.95), max: Math.round(sorted.at(-1) ?? 0) };
+}
--- /dev/null
+++ b/packages/demo/src/to-operations.ts
@@ -0,0 +1,11 @@
+/** The operations that put resources. */
+import { fromJson, type JsonValue } from '@bufbuild/protobuf';
+import { OperationSchema, type Operation } from '@limelead/schema';
+import type { Resource } from '@limelead/types';
+
+/** Creates one put for each resource. */
+export default function toOperations(resources: Resource[]): Operation[] {
+  return resources.map(({ kind, spec }) =>
+    fromJson(OperationSchema, { put: { [kind]: spec } } as unknown as JsonValue),
+  );
+}
--- /dev/null
+++ b/packages/demo/src/workload.ts
@@ -0,0 +1,105 @@
+/** The requests of one demonstration. */
+import type { Random } from '@limelead/types';
+import { DEMO_KEYS } from './demo-configuration.js';
+
+/** Part of each kind in the mix. */
+const KINDS = ['brief', 'prompt', 'feedback', 'booking'] as const;
+const ARRIVAL_SPREAD_MS = 2_500;
+
+/** One of the kinds of requests. */
+export type WorkKind = (typeof KINDS)[number];
+
+/** A request for an answer. */
+export interface AnswerWork {
+  kind: 'answer';
+  requestId: string;
+  key: string;
+  service: string;
+  prompt: string;
+  maxTokens: number;
+  paceTokensPerSecond: number;
+  startAtMs: number;
+}
+
+/** A call that must not run twice. */
+export interface CallWork {
+  kind: 'call';
+  requestId: string;
+  key: string;
+  service: string;
+  operation: string;
+  startAtMs: number;
+}
+
+/** One request. */
+export type Work = AnswerWork | CallWork;
+
+/** Draws the requests; the first of each kind comes at once, so that a fault finds work. */
+export default function createWorkload(count: number, random: Random): Work[] {
+  return Array.from({ length: count }, (_, index) => {
+    const kind = KINDS[index % KINDS.length] ?? 'brief';
+    const startAtMs = index < KINDS.length ? 0 : Math.floor(random.next() * ARRIVAL_SPREAD_MS);
+    return createWork(kind, index, startAtMs, random);
+  });
+}
+
+function createWork(kind: WorkKind, index: number, startAtMs: number, random: Random): Work {
+  const requestId = `${kind}-${index}`;
+  const between = (low: number, high: number): number =>
+    low + Math.floor(random.next() * (high - low));
+  switch (kind) {
+    case 'brief': {
+      const prompt = `Route brief for shift ${index % 3}. ${'Collect, inspect, report. '.repeat(40)}`;
+      const maxTokens = between(250, 400);
+      return answer(requestId, DEMO_KEYS.routing, 'route-brief', prompt, maxTokens, 0, startAtMs);
+    }
+    case 'prompt': {
+      const prompt = `Next turn for crew ${index}, heading north on the ring road.`;
+      const maxTokens = between(12, 40);
+      return answer(requestId, DEMO_KEYS.routing, 'in-cab', prompt, maxTokens, 0, startAtMs);
+    }
+    case 'feedback': {
+      const prompt = `Feedback for student ${index}: violin. ${'Bar by bar, kindly. '.repeat(30)}`;
+      const maxTokens = between(120, 200);
+      return answer(
+        requestId,
+        DEMO_KEYS.haneul,
+        'feedback-sheet',
+        prompt,
+        maxTokens,
+        60,
+        startAtMs,
+      );
+    }
+    case 'booking':
+      return {
+        kind: 'call',
+        requestId,
+        key: DEMO_KEYS.haneul,
+        service: 'booking',
+        operation: 'book-room',
+        startAtMs,
+      };
+  }
+}
+
+function answer(
+  requestId: string,
+  key: string,
+  service: string,
+  prompt: string,
+  maxTokens: number,
+  paceTokensPerSecond: number,
+  startAtMs: number,
+): AnswerWork {
+  return {
+    kind: 'answer',
+    requestId,
+    key,
+    service,
+    prompt,
+    maxTokens,
+    paceTokensPerSecond,
+    startAtMs,
+  };
+}
--- /dev/null
+++ b/packages/errors/src/kinds.ts
@@ -0,0 +1,95 @@
+/** The closed list of error kinds and the table from kind to answer. */
+
+/** Every kind of error that a caller or operator can meet. */
+export const ERROR_KINDS = [
+  'invalid-request',
+  'too-large',
+  'unauthenticated',
+  'permission-denied',
+  'not-found',
+  'conflict',
+  'rate-limited',
+  'overloaded',
+  'deadline-unreachable',
+  'deadline-passed',
+  'no-target',
+  'version-not-live',
+  'recovery-exhausted',
+  'outcome-unknown',
+  'call-expired',
+  'store-unavailable',
+  'handle-invalid',
+  'cancelled',
+  'shutting-down',
+  'internal',
+] as const;
+
+/** One of the closed list of error kinds. */
+export type ErrorKind = (typeof ERROR_KINDS)[number];
+
+/** Whether a target executed the request behind an error. */
+export type Execution = 'not-run' | 'unknown' | 'run';
+
+/** Names of the RPC codes that the table uses; they equal Connect's. */
+export type RpcCode =
+  | 'invalid_argument'
+  | 'unauthenticated'
+  | 'permission_denied'
+  | 'not_found'
+  | 'aborted'
+  | 'resource_exhausted'
+  | 'deadline_exceeded'
+  | 'unavailable'
+  | 'data_loss'
+  | 'canceled'
+  | 'failed_precondition'
+  | 'unknown'
+  | 'internal';
+
+/** What a caller is told for a kind. */
+export interface Answer {
+  rpcCode: RpcCode;
+  execution: Execution;
+  /** True where sending the same request again may succeed and is safe. */
+  mayRetry: boolean;
+  /** Milliseconds to wait before a retry, unless the thrower knows better. */
+  retryAfterMs: number;
+}
+
+/** The one table from kind to answer. */
+export const ANSWERS: Readonly<Record<ErrorKind, Answer>> = {
+  'invalid-request': answer('invalid_argument', 'not-run'),
+  'too-large': answer('invalid_argument', 'not-run'),
+  unauthenticated: answer('unauthenticated', 'not-run'),
+  'permission-denied': answer('permission_denied', 'not-run'),
+  'not-found': answer('not_found', 'not-run'),
+  conflict: answer('aborted', 'not-run'),
+  'rate-limited': answer('resource_exhausted', 'not-run', 1000),
+  overloaded: answer('resource_exhausted', 'not-run', 2000),
+  'deadline-unreachable': answer('deadline_exceeded', 'not-run'),
+  'deadline-passed': answer('deadline_exceeded', 'run'),
+  'no-target': answer('unavailable', 'not-run', 1000),
+  'version-not-live': answer('failed_precondition', 'not-run', 5000),
+  'recovery-exhausted': answer('data_loss', 'run', 1000),
+  'outcome-unknown': answer('unknown', 'unknown'),
+  'call-expired': answer('failed_precondition', 'not-run'),
+  'store-unavailable': answer('unavailable', 'not-run', 2000),
+  'handle-invalid': answer('invalid_argument', 'not-run'),
+  cancelled: answer('canceled', 'unknown'),
+  'shutting-down': answer('unavailable', 'not-run', 100),
+  internal: answer('internal', 'unknown'),
+};
+
+function answer(rpcCode: RpcCode, execution: Execution, retryAfterMs?: number): Answer {
+  return {
+    rpcCode,
+    execution,
+    mayRetry: retryAfterMs !== undefined,
+    retryAfterMs: retryAfterMs ?? 0,
+  };
+}
+
+/** Says whether a text names a kind of the closed list. */
+export function isErrorKind(text: string): text is ErrorKind {
+  return (ERROR_KINDS as readonly string[]).includes(text);
+}
--- /dev/null
+++ b/packages/http-adapters/src/index.ts
@@ -0,0 +1,6 @@
+/** HTTP adapters for the ports, one for each outside system. No adapter ever sends a request twice. */
+export { default as createHttpTransport, type HttpTransport } from './http-transport.js';
+export { default as createHttpTargetConnector } from './target-connector.js';
+export { default as createHttpKeyValueStore } from './key-value-store.js';
+export { default as createHttpVmListSource } from './vm-list-source.js';
+export { default as createHttpWeightStore } from './weight-store.js';
--- /dev/null
+++ b/packages/http-adapters/src/vm-list-source.ts
@@ -0,0 +1,16 @@
+/** The adapter to the platform's list of VMs. */
+import { PLATFORM_PATHS, vmListCodec } from '@limelead/outside-protocol';
+import type { VmListSource } from '@limelead/ports';
+import type { HttpTransport } from './http-transport.js';
+
+/** Creates the adapter for the list's address. */
+export default function createHttpVmListSource(
+  transport: HttpTransport,
+  host: string,
+  port: number,
+): VmListSource {
+  return {
+    read: () =>
+      transport.sendForJson({ method: 'GET', host, port, path: PLATFORM_PATHS.vms }, vmListCodec),
+  };
+}
--- /dev/null
+++ b/packages/outside-protocol/src/index.ts
@@ -0,0 +1,5 @@
+/** The HTTP protocol of the outside systems: paths, bodies, codecs and the hash of prompt prefixes. */
+export * from './codecs.js';
+export * from './paths.js';
+export { default as hashPromptBlocks } from './hash-prompt-blocks.js';
+export { default as countPromptTokens } from './count-prompt-tokens.js';
--- /dev/null
+++ b/packages/peer-links/src/index.ts
@@ -0,0 +1,4 @@
+/** Authenticated links between VMs: typed messages over WebSocket with bounded queues. */
+export { default as createPeerLinks } from './peer-links.js';
+export type { PeerLinks, PeerLinksOptions, PeerAddress } from './peer-links.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/peer-links/src/messages.ts
@@ -0,0 +1,136 @@
+/** Messages between VMs. */
+import { changeCodec, removalCodec, versionedResourceCodec } from '@limelead/configuration-state';
+import { vmListCodec } from '@limelead/outside-protocol';
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import { Packr } from 'msgpackr';
+
+/** Version of the messages; peers of another version are refused. */
+export const PROTOCOL_VERSION = 1;
+
+// Records would share structures between messages, and links may lose messages.
+const packr = new Packr({ useRecords: false });
+
+const heartbeat = t.type({
+  kind: t.literal('heartbeat'),
+  id: t.string,
+  host: t.string,
+  port: t.number,
+  failureDomain: t.string,
+  incarnation: t.string,
+  revision: t.number,
+  leaving: t.boolean,
+  /** Version of the newest list of VMs that the sender has, and how long ago it was read. */
+  listVersion: t.number,
+  listAgeMs: t.number,
+  /** Requests a second of each organisation that the sender admits, for sharing limits. */
+  demand: t.array(t.type({ organisation: t.string, requestsPerSecond: t.number })),
+});
+
+const wantChanges = t.type({ kind: t.literal('want-changes'), after: t.number });
+
+const changes = t.type({ kind: t.literal('changes'), changes: t.array(changeCodec) });
+
+const snapshot = t.type({
+  kind: t.literal('snapshot'),
+  revision: t.number,
+  part: t.number,
+  parts: t.number,
+  resources: t.array(versionedResourceCodec),
+  removals: t.array(removalCodec),
+});
+
+const wantList = t.type({ kind: t.literal('want-list') });
+
+const list = t.type({ kind: t.literal('list'), list: vmListCodec, ageMs: t.number });
+
+const breaker = t.type({
+  kind: t.literal('breaker'),
+  target: t.string,
+  openForMs: t.number,
+});
+
+const callQuery = t.type({
+  kind: t.literal('call-query'),
+  query: t.number,
+  organisation: t.string,
+  requestId: t.string,
+});
+
+const rememberedCall = t.union([
+  t.type({
+    kind: t.literal('answered'),
+    answer: t.type({ status: t.number, body: t.unknown }),
+  }),
+  t.type({ kind: t.literal('not-sent') }),
+  t.type({ kind: t.literal('unknown') }),
+]);
+
+const callReply = t.type({
+  kind: t.literal('call-reply'),
+  query: t.number,
+  outcome: rememberedCall,
+});
+
+const peerMessageCodec = t.union([
+  heartbeat,
+  wantChanges,
+  changes,
+  snapshot,
+  wantList,
+  list,
+  breaker,
+  callQuery,
+  callReply,
+]);
+
+/** A message from one VM to another. */
+export type PeerMessage = t.TypeOf<typeof peerMessageCodec>;
+
+/** One kind of message. */
+export type PeerMessageOf<Kind extends PeerMessage['kind']> = Extract<PeerMessage, { kind: Kind }>;
+
+/** Encodes a message. */
+export function encodeMessage(message: PeerMessage): Buffer {
+  return packr.pack(message);
+}
+
+/** Decodes a message; undefined where it does not hold. */
+export function decodeMessage(bytes: Buffer): PeerMessage | undefined {
+  const unpacked = unpack(bytes);
+  const decoded = peerMessageCodec.decode(unpacked);
+  return E.isRight(decoded) ? decoded.right : undefined;
+}
+
+const handshakeCodec = t.union([
+  t.type({
+    kind: t.literal('hello'),
+    version: t.number,
+    id: t.string,
+    incarnation: t.string,
+    nonce: t.string,
+  }),
+  t.type({ kind: t.literal('proof'), mac: t.string }),
+]);
+
+/** A message of the handshake that begins every link. */
+export type HandshakeMessage = t.TypeOf<typeof handshakeCodec>;
+
+/** Encodes a message of the handshake. */
+export function encodeHandshake(message: HandshakeMessage): Buffer {
+  return packr.pack(message);
+}
+
+/** Decodes a message of the handshake; undefined where it does not hold. */
+export function decodeHandshake(bytes: Buffer): HandshakeMessage | undefined {
+  const decoded = handshakeCodec.decode(unpack(bytes));
+  return E.isRight(decoded) ? decoded.right : undefined;
+}
+
+function unpack(bytes: Buffer): unknown {
+  try {
+    return packr.unpack(bytes);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/peer-links/src/peer-link.ts
@@ -0,0 +1,149 @@
+/** One link to one peer, from the handshake to its end. */
+import type { Timers } from '@limelead/types';
+import type { RawData, WebSocket } from 'ws';
+import { createHello, createProof, isSameProof, type LinkEnd } from './handshake.js';
+import {
+  decodeHandshake,
+  decodeMessage,
+  encodeHandshake,
+  encodeMessage,
+  PROTOCOL_VERSION,
+  type HandshakeMessage,
+  type PeerMessage,
+} from './messages.js';
+
+const HANDSHAKE_TIMEOUT_MS = 2_000;
+/** Bytes that may wait for a slow peer. Beyond it heartbeats are dropped, anything else ends the link. */
+const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+
+type Hello = Extract<HandshakeMessage, { kind: 'hello' }>;
+
+/** What the owner of a link is told. */
+export interface PeerLinkEvents {
+  /** The peer proved that it knows the secret. */
+  onReady(link: PeerLink): void;
+  onMessage(link: PeerLink, message: PeerMessage): void;
+  onClosed(link: PeerLink): void;
+  onDropped(): void;
+}
+
+/** What a link needs. */
+export interface PeerLinkOptions {
+  socket: WebSocket;
+  end: LinkEnd;
+  id: string;
+  incarnation: string;
+  secret: string;
+  timers: Timers;
+  events: PeerLinkEvents;
+}
+
+/** One link. */
+export default class PeerLink {
+  /** Empty until the peer's first message. */
+  peerId = '';
+  peerIncarnation = '';
+  isReady = false;
+  private readonly ownHello: Hello;
+  private peerHello: Hello | undefined;
+
+  constructor(private readonly options: PeerLinkOptions) {
+    const { socket, id, incarnation, timers } = options;
+    this.ownHello = createHello(id, incarnation);
+    socket.on('message', (data: RawData) => this.onData(toBuffer(data)));
+    socket.on('close', () => options.events.onClosed(this));
+    socket.on('error', () => socket.terminate());
+    if (socket.readyState === socket.OPEN) {
+      this.begin();
+    } else {
+      socket.once('open', () => this.begin());
+    }
+    timers.after(HANDSHAKE_TIMEOUT_MS, () => {
+      if (!this.isReady) {
+        this.close();
+      }
+    });
+  }
+
+  /** Which end this VM is. */
+  get end(): LinkEnd {
+    return this.options.end;
+  }
+
+  /** Sends a message unless the peer is too slow. */
+  send(message: PeerMessage): void {
+    const { socket, events } = this.options;
+    if (!this.isReady || socket.readyState !== socket.OPEN) {
+      return;
+    }
+    if (socket.bufferedAmount > MAX_QUEUED_BYTES) {
+      events.onDropped();
+      if (message.kind !== 'heartbeat') {
+        this.close();
+      }
+      return;
+    }
+    socket.send(encodeMessage(message));
+  }
+
+  /** Ends the link at once. */
+  close(): void {
+    this.options.socket.terminate();
+  }
+
+  private begin(): void {
+    this.options.socket.send(encodeHandshake(this.ownHello));
+  }
+
+  private onData(bytes: Buffer): void {
+    if (!this.isReady) {
+      return this.onHandshake(decodeHandshake(bytes));
+    }
+    const message = decodeMessage(bytes);
+    if (message === undefined) {
+      return this.close();
+    }
+    this.options.events.onMessage(this, message);
+  }
+
+  private onHandshake(message: HandshakeMessage | undefined): void {
+    if (message?.kind === 'hello' && message.version === PROTOCOL_VERSION) {
+      return this.onHello(message);
+    }
+    if (message?.kind === 'proof' && this.peerHello !== undefined) {
+      return this.onProof(message.mac, this.peerHello);
+    }
+    this.close();
+  }
+
+  private onHello(hello: Hello): void {
+    this.peerHello = hello;
+    this.peerId = hello.id;
+    this.peerIncarnation = hello.incarnation;
+    const mac = this.proofOf(this.options.end, hello);
+    this.options.socket.send(encodeHandshake({ kind: 'proof', mac }));
+  }
+
+  private onProof(mac: string, hello: Hello): void {
+    const otherEnd: LinkEnd = this.options.end === 'opener' ? 'acceptor' : 'opener';
+    if (!isSameProof(this.proofOf(otherEnd, hello), mac)) {
+      return this.close();
+    }
+    this.isReady = true;
+    this.options.events.onReady(this);
+  }
+
+  private proofOf(prover: LinkEnd, peerHello: Hello): string {
+    const { secret, end } = this.options;
+    return end === 'opener'
+      ? createProof(secret, prover, this.ownHello, peerHello)
+      : createProof(secret, prover, peerHello, this.ownHello);
+  }
+}
+
+function toBuffer(data: RawData): Buffer {
+  if (Buffer.isBuffer(data)) {
+    return data;
+  }
+  return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data);
+}
--- /dev/null
+++ b/packages/peer-links/src/peer-links.ts
@@ -0,0 +1,154 @@
+/** All links of one VM: accepts peers, opens links to chosen ones, opens them again when they break. */
+import type { Timers, VmId } from '@limelead/types';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { PeerMessage } from './messages.js';
+import PeerLink, { type PeerLinkEvents } from './peer-link.js';
+
+const MAX_MESSAGE_BYTES = 1_048_576;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Where a peer listens. */
+export interface PeerAddress {
+  id: VmId;
+  host: string;
+  port: number;
+}
+
+/** What the links need. */
+export interface PeerLinksOptions {
+  id: VmId;
+  incarnation: string;
+  secret: string;
+  host: string;
+  /** 0 takes any free port. */
+  port: number;
+  timers: Timers;
+  onReady(peer: VmId): void;
+  onMessage(peer: VmId, message: PeerMessage): void;
+  onLost(peer: VmId): void;
+  onDropped(): void;
+}
+
+/** The links of one VM. */
+export interface PeerLinks {
+  /** Port on which peers are accepted. */
+  port: number;
+  /** Opens links to those peers to which there is none. */
+  open(peers: PeerAddress[]): void;
+  send(peer: VmId, message: PeerMessage): boolean;
+  broadcast(message: PeerMessage, except?: VmId): void;
+  /** Ends a link; it may be opened again. */
+  drop(peer: VmId): void;
+  linked(): VmId[];
+  close(): Promise<void>;
+}
+
+/** Starts to accept peers. */
+export default async function createPeerLinks(options: PeerLinksOptions): Promise<PeerLinks> {
+  const server = new WebSocketServer({
+    host: options.host,
+    port: options.port,
+    maxPayload: MAX_MESSAGE_BYTES,
+    perMessageDeflate: false,
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('listening', resolve);
+    server.once('error', reject);
+  });
+  const ready = new Map<VmId, PeerLink>();
+  const opening = new Set<VmId>();
+  const all = new Set<PeerLink>();
+  let isClosed = false;
+
+  const events: PeerLinkEvents = {
+    onReady(link) {
+      opening.delete(link.peerId);
+      const existing = ready.get(link.peerId);
+      if (existing !== undefined && !replaces(options.id, link, existing)) {
+        link.close();
+        return;
+      }
+      ready.set(link.peerId, link);
+      existing?.close();
+      options.onReady(link.peerId);
+    },
+    onMessage(link, message) {
+      if (ready.get(link.peerId) === link) {
+        options.onMessage(link.peerId, message);
+      }
+    },
+    onClosed(link) {
+      all.delete(link);
+      if (ready.get(link.peerId) === link) {
+        ready.delete(link.peerId);
+        options.onLost(link.peerId);
+      }
+    },
+    onDropped: options.onDropped,
+  };
+
+  const createLink = (socket: WebSocket, end: 'opener' | 'acceptor'): void => {
+    const { id, incarnation, secret, timers } = options;
+    all.add(new PeerLink({ socket, end, id, incarnation, secret, timers, events }));
+  };
+
+  server.on('connection', (socket) => createLink(socket, 'acceptor'));
+
+  function open(peers: PeerAddress[]): void {
+    for (const { id, host, port } of peers) {
+      if (isClosed || id === options.id || ready.has(id) || opening.has(id)) {
+        continue;
+      }
+      opening.add(id);
+      const socket = new WebSocket(`ws://${host}:${port}`, {
+        maxPayload: MAX_MESSAGE_BYTES,
+        perMessageDeflate: false,
+        handshakeTimeout: CONNECT_TIMEOUT_MS,
+      });
+      socket.once('close', () => opening.delete(id));
+      createLink(socket, 'opener');
+    }
+  }
+
+  return {
+    open,
+    port: portOf(server),
+    send(peer, message) {
+      const link = ready.get(peer);
+      link?.send(message);
+      return link !== undefined;
+    },
+    broadcast(message, except) {
+      for (const [peer, link] of ready) {
+        if (peer !== except) {
+          link.send(message);
+        }
+      }
+    },
+    drop: (peer) => ready.get(peer)?.close(),
+    linked: () => [...ready.keys()],
+    async close() {
+      isClosed = true;
+      all.forEach((link) => link.close());
+      await new Promise<void>((resolve) => server.close(() => resolve()));
+    },
+  };
+}
+
+/**
+ * Two VMs may open links to each other at the same time. Both keep the one
+ * that the smaller id opened; a new incarnation always replaces an old link.
+ */
+function replaces(self: VmId, candidate: PeerLink, existing: PeerLink): boolean {
+  if (candidate.peerIncarnation !== existing.peerIncarnation) {
+    return true;
+  }
+  const openerOf = (link: PeerLink): VmId => (link.end === 'opener' ? self : link.peerId);
+  const smaller = self < candidate.peerId ? self : candidate.peerId;
+  return openerOf(candidate) === smaller;
+}
+
+function portOf(server: WebSocketServer): number {
+  const address = server.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
+}
--- /dev/null
+++ b/packages/run-generation/src/attempt-reader.ts
@@ -0,0 +1,181 @@
+/** Reads one attempt's stream and turns it into events of the session. */
+import type { PortFault } from '@limelead/errors';
+import type { EngineStream, ModelEngine, PortCall } from '@limelead/ports';
+import type { SessionEvent } from '@limelead/generation-session';
+import computeSilenceBound, { computeFirstTokenBound } from '@limelead/suspect-silence';
+import type {
+  BreakCause,
+  CancelTimer,
+  EngineMessage,
+  RecoveryPolicy,
+  TargetId,
+} from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import type { GenerationDependencies } from './dependencies.js';
+import type Mailbox from './mailbox.js';
+
+/** Which attempt is read, and where. */
+export interface AttemptPlace {
+  number: number;
+  targetId: TargetId;
+  generationId: string;
+  engine: ModelEngine;
+  policy: RecoveryPolicy;
+  /** Milliseconds until the first token, as the router expected. */
+  expectedFirstTokenMs: number;
+  /** Milliseconds between tokens that the caller's own pace asks for. */
+  paceGapMs: number;
+  prefixHashes: string[];
+}
+
+/** One attempt's reader. */
+export default class AttemptReader {
+  private readonly abort = new AbortController();
+  private stream: EngineStream | undefined;
+  private cancelSilenceTimer: CancelTimer = () => undefined;
+  private isClosed = false;
+  private hasTokens = false;
+  private lastMessageAtMs: number;
+
+  constructor(
+    readonly place: AttemptPlace,
+    private readonly dependencies: GenerationDependencies,
+    private readonly mailbox: Pick<Mailbox<SessionEvent>, 'post' | 'deliver'>,
+  ) {
+    this.lastMessageAtMs = dependencies.clock.now();
+  }
+
+  /** Opens the stream and reads it to its end. Never rejects. */
+  async run(open: (signal: AbortSignal) => PortCall<EngineStream>): Promise<void> {
+    const { targets, clock } = this.dependencies;
+    targets.noteSent(this.place.targetId, clock.now());
+    this.watchSilence();
+    const opened = await open(this.abort.signal)();
+    if (E.isLeft(opened)) {
+      this.reportFault(opened.left);
+      return;
+    }
+    this.stream = opened.right;
+    if (this.isClosed) {
+      this.stream.close();
+      return;
+    }
+    await this.readToEnd(opened.right);
+  }
+
+  /** Starts the silence bound anew. */
+  watchSilence(): void {
+    this.cancelSilenceTimer();
+    if (!this.isClosed) {
+      const { timers } = this.dependencies;
+      this.cancelSilenceTimer = timers.after(this.silenceBoundMs(), () => this.reportSilence());
+    }
+  }
+
+  /** Stops reading; the generation goes on at the engine. */
+  close(): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.isClosed = true;
+    this.cancelSilenceTimer();
+    this.abort.abort();
+    this.stream?.close();
+    this.dependencies.targets.noteDone(this.place.targetId);
+  }
+
+  private async readToEnd(stream: EngineStream): Promise<void> {
+    for (;;) {
+      this.watchSilence();
+      const message = await stream.read();
+      this.cancelSilenceTimer();
+      if (this.isClosed) {
+        return;
+      }
+      if (message === undefined) {
+        this.reportBreak('link-broken');
+        return;
+      }
+      await this.report(message);
+      if (message.kind === 'end') {
+        this.close();
+        return;
+      }
+    }
+  }
+
+  private async report(message: EngineMessage): Promise<void> {
+    const { number: attempt, targetId, prefixHashes } = this.place;
+    const { targets } = this.dependencies;
+    switch (message.kind) {
+      case 'accepted':
+        targets.notePrompt(targetId, prefixHashes);
+        return this.mailbox.deliver({
+          kind: 'opened',
+          attempt,
+          promptTokens: message.promptTokens,
+        });
+      case 'tokens':
+        this.noteTokens();
+        return this.mailbox.deliver({ ...message, attempt });
+      case 'end':
+        return this.mailbox.deliver({ ...message, kind: 'ended', attempt });
+    }
+  }
+
+  private noteTokens(): void {
+    const { clock, gaps, targets } = this.dependencies;
+    const now = clock.now();
+    if (this.hasTokens) {
+      gaps.note(this.place.targetId, now - this.lastMessageAtMs);
+    } else {
+      targets.noteSuccess(this.place.targetId);
+    }
+    this.hasTokens = true;
+    this.lastMessageAtMs = now;
+  }
+
+  private silenceBoundMs(): number {
+    const { policy, expectedFirstTokenMs, paceGapMs, targetId } = this.place;
+    const bound = this.hasTokens
+      ? computeSilenceBound(this.dependencies.gaps.read(targetId), policy)
+      : computeFirstTokenBound(expectedFirstTokenMs, policy);
+    return bound + paceGapMs;
+  }
+
+  private reportSilence(): void {
+    this.noteTargetFailure();
+    this.mailbox.post({ kind: 'silent', attempt: this.place.number });
+  }
+
+  private reportFault(fault: PortFault): void {
+    if (this.isClosed) {
+      return;
+    }
+    if (fault.reason !== 'gone') {
+      this.noteTargetFailure();
+    }
+    this.reportBreak(CAUSE_OF_FAULT[fault.reason]);
+  }
+
+  private reportBreak(cause: BreakCause): void {
+    this.close();
+    this.mailbox.post({ kind: 'broken', attempt: this.place.number, cause });
+  }
+
+  private noteTargetFailure(): void {
+    const { targets, clock, onBreakerOpened } = this.dependencies;
+    if (targets.noteFailure(this.place.targetId, clock.now())) {
+      onBreakerOpened(this.place.targetId);
+    }
+  }
+}
+
+const CAUSE_OF_FAULT: Readonly<Record<PortFault['reason'], BreakCause>> = {
+  unreachable: 'refused',
+  refused: 'refused',
+  invalid: 'refused',
+  gone: 'target-gone',
+  timeout: 'link-broken',
+  broken: 'link-broken',
+};
--- /dev/null
+++ b/packages/run-generation/src/generation.ts
@@ -0,0 +1,322 @@
+/** One running generation: feeds events to the session and carries out its commands. */
+import chooseTarget, { estimateCost, type RoutingRequest } from '@limelead/choose-target';
+import { LimeleadError, type ErrorKind } from '@limelead/errors';
+import advanceSession, {
+  createSession,
+  type SessionCommand,
+  type SessionEvent,
+  type SessionState,
+} from '@limelead/generation-session';
+import type { TrackedTarget } from '@limelead/track-targets';
+import type { AnswerMessage, CancelTimer, GenerationRequest } from '@limelead/types';
+import AttemptReader, { type AttemptPlace } from './attempt-reader.js';
+import cancelAtTarget from './cancel-at-target.js';
+import type { GenerationDependencies, GenerationStart } from './dependencies.js';
+import Mailbox from './mailbox.js';
+import recordObservation from './record-observation.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const MAX_SEED = 2 ** 32;
+/** Milliseconds without a message after which the caller is told that this VM still lives. */
+const KEEP_ALIVE_MS = 500;
+
+/** An event of the session, or the time for a sign of life. */
+type GenerationEvent = SessionEvent | { kind: 'keep-alive' };
+
+type CommandOf<Kind extends SessionCommand['kind']> = Extract<SessionCommand, { kind: Kind }>;
+
+/** Runs one generation on this VM. */
+export default class Generation {
+  private readonly mailbox = new Mailbox<GenerationEvent>();
+  private readonly readers = new Map<number, AttemptReader>();
+  private readonly prefixHashes: string[];
+  private readonly delivered: string[];
+  private readonly startedAtMs: number;
+  private state: SessionState;
+  private cancelDeadline: CancelTimer = () => undefined;
+  private cancelKeepAlive: CancelTimer = () => undefined;
+  private lastSentMs: number;
+  private failure: LimeleadError | undefined;
+  private isAbandoned = false;
+
+  constructor(
+    private readonly dependencies: GenerationDependencies,
+    private readonly request: GenerationRequest,
+    start: GenerationStart,
+  ) {
+    const { clock, connector, incarnation } = dependencies;
+    this.startedAtMs = clock.now();
+    this.lastSentMs = this.startedAtMs;
+    this.delivered = [...start.delivered];
+    this.prefixHashes = connector.hashPrompt(request.prompt);
+    const prefix = `${request.organisation}.${request.requestId}.${incarnation}`;
+    this.state = createSession(request, prefix, this.startedAtMs);
+    const { resume, tries } = start;
+    this.mailbox.post({ kind: 'begin', resume, tries, delivered: this.delivered.length });
+  }
+
+  /** The caller cancelled the generation. */
+  cancel(): void {
+    this.mailbox.post({ kind: 'cancelled' });
+  }
+
+  /** This VM is stopping; a resumable caller is asked to go on elsewhere. */
+  drain(): void {
+    this.mailbox.post({ kind: 'drain' });
+  }
+
+  /**
+   * The caller's link is lost. A resumable caller may be back through another
+   * VM within seconds, so the engine goes on for a while; this VM reads no more.
+   */
+  abandon(): void {
+    if (this.state.phase === 'done' || this.isAbandoned) {
+      return;
+    }
+    this.isAbandoned = true;
+    const { timers, abandonedGraceMs } = this.dependencies;
+    const graceMs = this.request.resumable ? abandonedGraceMs : 0;
+    const readers = [...this.readers.values()];
+    readers.forEach((reader) => reader.close());
+    timers.after(graceMs, () => readers.forEach((reader) => this.cancelPlace(reader.place)));
+    this.mailbox.post({ kind: 'cancelled' });
+  }
+
+  /** The answer. Throws a LimeleadError where the generation is given up. */
+  async *messages(): AsyncGenerator<AnswerMessage> {
+    this.watchDeadline();
+    this.scheduleKeepAlive();
+    try {
+      while (this.state.phase !== 'done') {
+        yield* this.advance(await this.mailbox.take());
+      }
+    } finally {
+      this.cancelDeadline();
+      this.cancelKeepAlive();
+      this.abandon();
+    }
+    if (this.failure !== undefined) {
+      throw this.failure;
+    }
+  }
+
+  private *advance(event: GenerationEvent): Generator<AnswerMessage> {
+    if (event.kind === 'keep-alive') {
+      this.lastSentMs = this.dependencies.clock.now();
+      yield event;
+      return;
+    }
+    const { state, commands } = advanceSession(this.state, event, this.dependencies.clock.now());
+    this.state = state;
+    for (const command of commands) {
+      if (command.kind === 'send') {
+        this.noteSent(command.message);
+        yield command.message;
+      } else {
+        this.carryOut(command);
+      }
+    }
+  }
+
+  private carryOut(command: Exclude<SessionCommand, { kind: 'send' }>): void {
+    switch (command.kind) {
+      case 'choose-target':
+        return this.chooseTarget(command);
+      case 'start':
+        return this.start(command);
+      case 'attach':
+        return this.attach(command);
+      case 'probe':
+        return void this.probe(command.attempt);
+      case 'watch-silence':
+        return this.readers.get(command.attempt)?.watchSilence();
+      case 'cancel-attempt':
+        return this.cancelAttempt(command.attempt);
+      case 'detach-attempt':
+        return this.readers.get(command.attempt)?.close();
+      case 'cancel-foreign':
+        return this.cancelForeign(command);
+      case 'wait-for-retry':
+        return this.waitForRetry(command);
+      case 'fail':
+        return this.noteFailure(command.error, command.message);
+      case 'observe':
+        return recordObservation(this.dependencies, this.request.requestId, command.detail);
+    }
+  }
+
+  private chooseTarget(command: CommandOf<'choose-target'>): void {
+    const { targets, random, clock, currentVersion } = this.dependencies;
+    const { attempt } = command;
+    const version = command.modelVersion ?? currentVersion(this.request.service);
+    const now = clock.now();
+    const usable = version === undefined ? [] : targets.usableEngines(now, version);
+    const routing = this.describeRouting(command.exclude);
+    const choice = chooseTarget(usable, routing, random);
+    if (version === undefined || choice === undefined) {
+      const error: ErrorKind = usable.length === 0 ? 'version-not-live' : 'no-target';
+      this.mailbox.post({ kind: 'no-target', attempt, error });
+      return;
+    }
+    const { target, considered } = choice;
+    const reason = 'lowest expected time to the next token';
+    recordObservation(this.dependencies, this.request.requestId, {
+      kind: 'targetChosen',
+      target: target.id,
+      attempt,
+      reason,
+      considered,
+    });
+    const binding = { modelVersion: version, seed: this.drawSeed() };
+    this.mailbox.post({ kind: 'target-chosen', attempt, targetId: target.id, binding });
+  }
+
+  private describeRouting(exclude: string[]): RoutingRequest {
+    const promptTokens = Math.ceil(this.request.prompt.length / CHARACTERS_PER_TOKEN);
+    return {
+      prefixHashes: this.prefixHashes,
+      inputTokens: promptTokens + this.delivered.length,
+      failureDomain: this.dependencies.failureDomain,
+      exclude,
+    };
+  }
+
+  private start(command: CommandOf<'start'>): void {
+    const { attempt, targetId, generationId, binding, prefixLength } = command;
+    const target = this.dependencies.targets.find(targetId);
+    if (target === undefined) {
+      this.mailbox.post({ kind: 'broken', attempt, cause: 'target-gone' });
+      return;
+    }
+    const reader = this.createReader(attempt, target, generationId);
+    const { prompt, maxTokens, priority, paceTokensPerSecond } = this.request;
+    void reader.run((signal) =>
+      reader.place.engine.start(
+        {
+          generationId,
+          attempt,
+          modelVersion: binding.modelVersion,
+          prompt,
+          forcedPrefix: this.delivered.slice(0, prefixLength),
+          seed: binding.seed,
+          maxTokens,
+          rank: priority.rank,
+          paceTokensPerSecond,
+        },
+        signal,
+      ),
+    );
+  }
+
+  private attach(command: CommandOf<'attach'>): void {
+    const { attempt, targetId, generationId, fromOffset } = command;
+    const target = this.dependencies.targets.find(targetId);
+    if (target === undefined) {
+      this.mailbox.post({ kind: 'broken', attempt, cause: 'target-gone' });
+      return;
+    }
+    const reader = this.createReader(attempt, target, generationId);
+    void reader.run((signal) =>
+      reader.place.engine.attach({ generationId, attempt, fromOffset }, signal),
+    );
+  }
+
+  private createReader(number: number, target: TrackedTarget, generationId: string): AttemptReader {
+    const { connector } = this.dependencies;
+    const { priority, paceTokensPerSecond } = this.request;
+    const routing = this.describeRouting([]);
+    const place: AttemptPlace = {
+      number,
+      targetId: target.id,
+      generationId,
+      engine: connector.engine(target.host, target.port),
+      policy: priority.recovery,
+      expectedFirstTokenMs: estimateCost(target, routing).costMs,
+      paceGapMs: paceTokensPerSecond > 0 ? 1000 / paceTokensPerSecond : 0,
+      prefixHashes: this.prefixHashes,
+    };
+    const reader = new AttemptReader(place, this.dependencies, this.mailbox);
+    this.readers.set(number, reader);
+    return reader;
+  }
+
+  private async probe(attempt: number): Promise<void> {
+    const place = this.readers.get(attempt)?.place;
+    const answer = await place?.engine.probe(place.generationId)();
+    const running = answer?._tag === 'Right' && answer.right;
+    this.mailbox.post({ kind: 'probed', attempt, running });
+  }
+
+  private cancelAttempt(attempt: number): void {
+    const reader = this.readers.get(attempt);
+    if (reader === undefined || this.isAbandoned) {
+      return;
+    }
+    reader.close();
+    this.readers.delete(attempt);
+    this.cancelPlace(reader.place);
+  }
+
+  private cancelPlace(place: AttemptPlace): void {
+    void cancelAtTarget(this.dependencies, place.engine, place.generationId, place.number);
+  }
+
+  private cancelForeign(command: CommandOf<'cancel-foreign'>): void {
+    const target = this.dependencies.targets.find(command.targetId);
+    if (target !== undefined && !this.isAbandoned) {
+      const engine = this.dependencies.connector.engine(target.host, target.port);
+      void cancelAtTarget(this.dependencies, engine, command.generationId, command.attempt);
+    }
+  }
+
+  private waitForRetry(command: CommandOf<'wait-for-retry'>): void {
+    const { timers, random } = this.dependencies;
+    // Full jitter between half and all of the delay keeps broken streams from coming back in step.
+    const delayMs = command.delayMs * (0.5 + random.next() / 2);
+    timers.after(delayMs, () => this.mailbox.post({ kind: 'retry-due', attempt: command.attempt }));
+  }
+
+  private watchDeadline(): void {
+    const { deadlineAtMs } = this.request;
+    if (deadlineAtMs !== undefined) {
+      const { timers, clock } = this.dependencies;
+      const leftMs = Math.max(0, deadlineAtMs - clock.now());
+      this.cancelDeadline = timers.after(leftMs, () =>
+        this.mailbox.post({ kind: 'deadline-passed' }),
+      );
+    }
+  }
+
+  /** One timer serves many messages: it only looks when the last one was sent. */
+  private scheduleKeepAlive(): void {
+    const { timers, clock } = this.dependencies;
+    const dueInMs = this.lastSentMs + KEEP_ALIVE_MS - clock.now();
+    this.cancelKeepAlive = timers.after(Math.max(dueInMs, KEEP_ALIVE_MS / 2), () => {
+      if (clock.now() - this.lastSentMs >= KEEP_ALIVE_MS) {
+        this.mailbox.post({ kind: 'keep-alive' });
+      }
+      this.scheduleKeepAlive();
+    });
+  }
+
+  private noteSent(message: AnswerMessage): void {
+    this.lastSentMs = this.dependencies.clock.now();
+    if (message.kind !== 'tokens') {
+      return;
+    }
+    const { metrics, clock } = this.dependencies;
+    if (this.delivered.length === 0) {
+      metrics.recordMs('limelead_first_token_ms', clock.now() - this.startedAtMs);
+    }
+    metrics.count('limelead_tokens_delivered_total', message.tokens.length);
+    this.delivered.push(...message.tokens);
+  }
+
+  private noteFailure(error: ErrorKind, message: string): void {
+    this.failure = new LimeleadError(error, message);
+  }
+
+  private drawSeed(): number {
+    return Math.floor(this.dependencies.random.next() * MAX_SEED);
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/batch.ts
@@ -0,0 +1,189 @@
+/** Continuous batching: running generations get a token a step, waiting ones a slot by priority. */
+import { countPromptTokens } from '@limelead/outside-protocol';
+import type { Clock, FinishReason, StartOrder } from '@limelead/types';
+import type PrefixCache from './prefix-cache.js';
+import { answerLength, tokenAt, type TokenSource } from './tokens.js';
+
+/** How fast the engine is. */
+export interface BatchOptions {
+  slots: number;
+  /** Milliseconds of a step with an empty batch. */
+  baseGapMs: number;
+  /** Part of the base gap that a full batch adds. */
+  loadSlowdown: number;
+  prefillTokensPerSecond: number;
+  /** Milliseconds for which a generation runs on that nobody reads. */
+  orphanMs: number;
+}
+
+/** What the engine did for one generation; for the checks at the end. */
+export interface EngineRecord {
+  generationId: string;
+  prefillTokens: number;
+  decodedTokens: number;
+  ended: 'running' | 'finished' | 'cancelled' | 'orphaned';
+}
+
+/** One generation in the engine. */
+export interface EngineGeneration {
+  order: StartOrder;
+  source: TokenSource;
+  /** Attempt of the present reader; lower ones are fenced. */
+  attempt: number;
+  /** Offset of the next token to decode. */
+  position: number;
+  length: number;
+  isPrefilled: boolean;
+  prefillLeft: number;
+  nextTokenAtMs: number;
+  unreadSinceMs: number | undefined;
+  /** Wakes the reader after a change. */
+  notify: () => void;
+  record: EngineRecord;
+}
+
+/** All generations of one engine. */
+export default class Batch {
+  readonly records: EngineRecord[] = [];
+  private readonly generations = new Map<string, EngineGeneration>();
+  private lastStepMs: number;
+
+  constructor(
+    private readonly options: BatchOptions,
+    private readonly cache: PrefixCache,
+    private readonly clock: Clock,
+  ) {
+    this.lastStepMs = clock.now();
+  }
+
+  /** Takes a generation in; gives the prompt tokens that need no processing. */
+  add(
+    order: StartOrder,
+    hasImportedKv: boolean,
+  ): { cachedPromptTokens: number; promptTokens: number } {
+    const promptTokens = countPromptTokens(order.prompt);
+    const cachedShare = hasImportedKv ? 1 : this.cache.cachedShare(order.prompt);
+    const cachedPromptTokens = Math.floor(promptTokens * cachedShare);
+    const prefixTokens = hasImportedKv ? 0 : order.forcedPrefix.length;
+    const source = { prompt: order.prompt, modelVersion: order.modelVersion, seed: order.seed };
+    const record: EngineRecord = {
+      generationId: order.generationId,
+      prefillTokens: promptTokens - cachedPromptTokens + prefixTokens,
+      decodedTokens: 0,
+      ended: 'running',
+    };
+    this.records.push(record);
+    this.generations.set(order.generationId, {
+      order,
+      source,
+      attempt: order.attempt,
+      position: order.forcedPrefix.length,
+      length: answerLength(source, order.maxTokens),
+      isPrefilled: false,
+      prefillLeft: record.prefillTokens,
+      nextTokenAtMs: 0,
+      unreadSinceMs: undefined,
+      notify: () => undefined,
+      record,
+    });
+    return { cachedPromptTokens, promptTokens };
+  }
+
+  find(generationId: string): EngineGeneration | undefined {
+    return this.generations.get(generationId);
+  }
+
+  /** Ends a generation early. */
+  remove(generation: EngineGeneration, ended: EngineRecord['ended']): void {
+    generation.record.ended = ended;
+    this.generations.delete(generation.order.generationId);
+    generation.notify();
+  }
+
+  get running(): EngineGeneration[] {
+    return this.ordered().slice(0, this.options.slots);
+  }
+
+  get waiting(): number {
+    return Math.max(0, this.open - this.options.slots);
+  }
+
+  /** Generations that still have tokens to decode. */
+  get open(): number {
+    return this.ordered().length;
+  }
+
+  /** Milliseconds between the tokens of one stream now. */
+  get gapMs(): number {
+    const { baseGapMs, loadSlowdown, slots } = this.options;
+    return baseGapMs * (1 + (loadSlowdown * this.running.length) / slots);
+  }
+
+  /** One step: prefill in order, then a token for each running generation. */
+  step(): void {
+    const now = this.clock.now();
+    this.prefill(now - this.lastStepMs);
+    this.lastStepMs = now;
+    for (const generation of this.running) {
+      this.decode(generation, now);
+    }
+    this.dropOrphans(now);
+  }
+
+  /** The reason with which a generation ends. */
+  static reasonOf(generation: EngineGeneration): FinishReason {
+    return generation.length < generation.order.maxTokens ? 'stop' : 'length';
+  }
+
+  private ordered(): EngineGeneration[] {
+    return [...this.generations.values()]
+      .filter((generation) => generation.position < generation.length)
+      .sort((a, b) => a.order.rank - b.order.rank);
+  }
+
+  private prefill(elapsedMs: number): void {
+    let budget = (elapsedMs * this.options.prefillTokensPerSecond) / 1000;
+    for (const generation of this.running) {
+      if (generation.isPrefilled) {
+        continue;
+      }
+      const done = Math.min(budget, generation.prefillLeft);
+      generation.prefillLeft -= done;
+      budget -= done;
+      if (generation.prefillLeft > 0) {
+        return;
+      }
+      generation.isPrefilled = true;
+      this.cache.store(generation.order.prompt);
+    }
+  }
+
+  private decode(generation: EngineGeneration, now: number): void {
+    if (!generation.isPrefilled || now < generation.nextTokenAtMs) {
+      return;
+    }
+    generation.position += 1;
+    generation.record.decodedTokens += 1;
+    const { paceTokensPerSecond } = generation.order;
+    generation.nextTokenAtMs = paceTokensPerSecond > 0 ? now + 1000 / paceTokensPerSecond : 0;
+    generation.notify();
+  }
+
+  private dropOrphans(now: number): void {
+    for (const generation of this.generations.values()) {
+      const { unreadSinceMs } = generation;
+      if (unreadSinceMs !== undefined && now - unreadSinceMs > this.options.orphanMs) {
+        this.remove(generation, 'orphaned');
+      }
+    }
+  }
+}
+
+/** The tokens of a generation from an offset up to what is decoded. */
+export function readTokens(generation: EngineGeneration, from: number): string[] {
+  const { order, position, source } = generation;
+  return Array.from({ length: Math.max(0, position - from) }, (_, index) => {
+    const offset = from + index;
+    return order.forcedPrefix[offset] ?? tokenAt(source, offset);
+  });
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/model-shelf.ts
@@ -0,0 +1,54 @@
+/** Which versions an engine has loaded, and the orders that changed it. */
+import {
+  isSameModelVersion,
+  type Clock,
+  type ModelVersion,
+  type PlacementOrder,
+} from '@limelead/types';
+
+/** How orders are carried out. */
+export interface ModelShelfOptions {
+  loaded: ModelVersion[];
+  loadMs: number;
+  checksFences: boolean;
+  clock: Clock;
+}
+
+/** The versions of one engine. */
+export default class ModelShelf {
+  readonly orders: PlacementOrder[] = [];
+  fence = 0;
+  private versions: { version: ModelVersion; readyAtMs: number }[];
+
+  constructor(private readonly options: ModelShelfOptions) {
+    this.versions = options.loaded.map((version) => ({ version, readyAtMs: 0 }));
+  }
+
+  loaded(): ModelVersion[] {
+    const now = this.options.clock.now();
+    return this.versions.filter(({ readyAtMs }) => readyAtMs <= now).map(({ version }) => version);
+  }
+
+  has(version: ModelVersion): boolean {
+    return this.loaded().some((loaded) => isSameModelVersion(loaded, version));
+  }
+
+  /** Carries an order out; says whether its fence let it through. */
+  take(order: PlacementOrder): boolean {
+    if (this.options.checksFences && order.fence < this.fence) {
+      return false;
+    }
+    this.fence = Math.max(this.fence, order.fence);
+    this.orders.push(order);
+    const others = this.versions.filter(
+      ({ version }) => !isSameModelVersion(version, order.modelVersion),
+    );
+    if (order.action === 'unload') {
+      this.versions = others;
+    } else if (others.length === this.versions.length) {
+      const readyAtMs = this.options.clock.now() + this.options.loadMs;
+      this.versions = [...others, { version: order.modelVersion, readyAtMs }];
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/start-engine.ts
@@ -0,0 +1,309 @@
+/** A model engine. */
+import { ENGINE_PATHS } from '@limelead/outside-protocol';
+import {
+  systemClock,
+  type AttachOrder,
+  type Clock,
+  type LoadReport,
+  type ModelVersion,
+  type PlacementOrder,
+  type StartOrder,
+} from '@limelead/types';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import FaultyServer from '../server.js';
+import Batch, { type BatchOptions, type EngineRecord } from './batch.js';
+import ModelShelf from './model-shelf.js';
+import PrefixCache from './prefix-cache.js';
+import streamToReader, { type EndFault } from './stream-reader.js';
+
+const STEP_MS = 2;
+
+/** How an engine behaves. */
+export interface EngineOptions extends BatchOptions {
+  id: string;
+  loaded: ModelVersion[];
+  /** Milliseconds between the figures of a report and its publication. */
+  reportLagMs: number;
+  cacheBlocks: number;
+  cacheLagMs: number;
+  /** Every so many cache events one is lost; 0 loses none. */
+  loseCacheEvery: number;
+  /** Milliseconds to load a version. */
+  loadMs: number;
+  checksFences: boolean;
+  clock: Clock;
+}
+
+/** Behaviour of an engine for tests: quick, and without faults. */
+export const DEFAULT_ENGINE_OPTIONS: Omit<EngineOptions, 'id' | 'loaded'> = {
+  slots: 16,
+  baseGapMs: 8,
+  loadSlowdown: 1,
+  prefillTokensPerSecond: 20_000,
+  orphanMs: 10_000,
+  reportLagMs: 300,
+  cacheBlocks: 2_000,
+  cacheLagMs: 500,
+  loseCacheEvery: 10,
+  loadMs: 200,
+  checksFences: true,
+  clock: systemClock,
+};
+
+/** A running engine with switches for its faults. */
+export interface Engine {
+  id: string;
+  port: number;
+  /** Ends at once; everything in it is lost. */
+  die(): Promise<void>;
+  /** Comes back empty on the same port. */
+  revive(): Promise<void>;
+  pause(): void;
+  wake(): void;
+  /** Breaks all present links; generations go on. */
+  cutLinks(): void;
+  /** Makes every step longer by the factor. */
+  slow(factor: number): void;
+  /** Ends coming streams wrongly. */
+  endWrongly(fault: EndFault): void;
+  /** What was done for each generation, over all lives. */
+  records(): EngineRecord[];
+  loaded(): ModelVersion[];
+  orders(): PlacementOrder[];
+  stop(): Promise<void>;
+}
+
+/** Starts an engine on loopback. */
+export default async function startEngine(
+  options: Partial<EngineOptions> & Pick<EngineOptions, 'id' | 'loaded'>,
+): Promise<Engine> {
+  const engine = new RunningEngine({ ...DEFAULT_ENGINE_OPTIONS, ...options });
+  await engine.start();
+  return engine;
+}
+
+class RunningEngine implements Engine {
+  private readonly server = new FaultyServer((server) => this.register(server));
+  private cache: PrefixCache;
+  private batch: Batch;
+  private shelf: ModelShelf;
+  private imported = new Set<string>();
+  private pastRecords: EngineRecord[] = [];
+  private reports: LoadReport[] = [];
+  private timer: NodeJS.Timeout | undefined;
+  private nextStepMs = 0;
+  private slowness = 1;
+  private endFault: EndFault = 'none';
+
+  constructor(private readonly options: EngineOptions) {
+    this.cache = this.createCache();
+    this.batch = new Batch(options, this.cache, options.clock);
+    this.shelf = new ModelShelf(options);
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  get port(): number {
+    return this.server.port;
+  }
+
+  async start(): Promise<void> {
+    await this.server.listen();
+    this.timer = setInterval(() => this.tick(), STEP_MS);
+  }
+
+  async die(): Promise<void> {
+    clearInterval(this.timer);
+    this.timer = undefined;
+    await this.server.die();
+    this.pastRecords.push(...this.batch.records);
+    this.cache = this.createCache();
+    this.batch = new Batch(this.options, this.cache, this.options.clock);
+    this.shelf = new ModelShelf(this.options);
+    this.imported = new Set();
+    this.reports = [];
+  }
+
+  async revive(): Promise<void> {
+    await this.start();
+  }
+
+  pause(): void {
+    this.server.pause();
+  }
+
+  wake(): void {
+    this.server.wake();
+  }
+
+  cutLinks(): void {
+    this.server.cutLinks();
+  }
+
+  slow(factor: number): void {
+    this.slowness = factor;
+  }
+
+  endWrongly(fault: EndFault): void {
+    this.endFault = fault;
+  }
+
+  records(): EngineRecord[] {
+    return [...this.pastRecords, ...this.batch.records];
+  }
+
+  loaded(): ModelVersion[] {
+    return this.shelf.loaded();
+  }
+
+  orders(): PlacementOrder[] {
+    return this.shelf.orders;
+  }
+
+  async stop(): Promise<void> {
+    if (this.timer !== undefined) {
+      await this.die();
+    }
+  }
+
+  private createCache(): PrefixCache {
+    const { cacheBlocks, cacheLagMs, loseCacheEvery, clock } = this.options;
+    const options = { capacityBlocks: cacheBlocks, lagMs: cacheLagMs, loseEvery: loseCacheEvery };
+    return new PrefixCache(options, clock);
+  }
+
+  private tick(): void {
+    const now = this.options.clock.now();
+    if (this.server.isPaused || now < this.nextStepMs) {
+      return;
+    }
+    this.nextStepMs = now + this.batch.gapMs * this.slowness;
+    this.batch.step();
+    this.noteReport(now);
+  }
+
+  private noteReport(now: number): void {
+    this.reports.push({
+      takenAtMs: now,
+      running: this.batch.running.length,
+      waiting: this.batch.waiting,
+      slots: this.options.slots,
+      tokenGapMs: this.batch.gapMs * this.slowness,
+      prefillTokensPerSecond: this.options.prefillTokensPerSecond / this.slowness,
+      loaded: this.shelf.loaded(),
+      fence: this.shelf.fence,
+    });
+    const published = now - this.options.reportLagMs;
+    while ((this.reports[1]?.takenAtMs ?? Infinity) <= published) {
+      this.reports.shift();
+    }
+  }
+
+  private register(server: FastifyInstance): void {
+    server.post(ENGINE_PATHS.generations, (request, reply) => this.onStart(request, reply));
+    server.post(ENGINE_PATHS.attach, (request, reply) => this.onAttach(request, reply));
+    server.post(ENGINE_PATHS.cancel, async (request) => this.onCancel(request));
+    server.post(ENGINE_PATHS.probe, async (request) => this.onProbe(request));
+    server.get(ENGINE_PATHS.load, async () => this.reports[0] ?? { ...EMPTY_REPORT });
+    server.get(ENGINE_PATHS.cacheEvents, async (request) => {
+      const { after } = request.query as { after: string };
+      return { events: this.cache.eventsAfter(Number(after)) };
+    });
+    server.post(ENGINE_PATHS.exportKv, async (request, reply) => this.onExport(request, reply));
+    server.post(ENGINE_PATHS.importKv, async (request) => {
+      this.imported.add((request.body as { copy: string }).copy);
+      return {};
+    });
+    server.post(ENGINE_PATHS.orders, async (request, reply) =>
+      this.shelf.take(request.body as PlacementOrder) ? {} : reply.code(409).send({}),
+    );
+  }
+
+  private onStart(request: FastifyRequest, reply: FastifyReply): void {
+    const order = request.body as StartOrder;
+    if (!this.shelf.has(order.modelVersion) || this.batch.find(order.generationId) !== undefined) {
+      void reply.code(409).send({});
+      return;
+    }
+    const hasImportedKv = this.imported.delete(order.prompt);
+    const accepted = this.batch.add(order, hasImportedKv);
+    this.beginStream(reply);
+    reply.raw.write(`${JSON.stringify({ kind: 'accepted', ...accepted })}\n`);
+    this.stream(order.generationId, order.forcedPrefix.length, reply);
+  }
+
+  private onAttach(request: FastifyRequest, reply: FastifyReply): void {
+    const { generationId, attempt, fromOffset } = request.body as AttachOrder;
+    const generation = this.batch.find(generationId);
+    if (generation === undefined) {
+      void reply.code(404).send({});
+      return;
+    }
+    if (attempt <= generation.attempt) {
+      void reply.code(409).send({});
+      return;
+    }
+    const fencedReader = generation.notify;
+    generation.attempt = attempt;
+    fencedReader();
+    this.beginStream(reply);
+    const accepted = { kind: 'accepted', cachedPromptTokens: 0, promptTokens: 0 };
+    reply.raw.write(`${JSON.stringify(accepted)}\n`);
+    this.stream(generationId, fromOffset, reply);
+  }
+
+  private beginStream(reply: FastifyReply): void {
+    reply.hijack();
+    reply.raw.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    reply.raw.on('error', () => undefined);
+  }
+
+  private stream(generationId: string, fromOffset: number, reply: FastifyReply): void {
+    const generation = this.batch.find(generationId);
+    if (generation !== undefined) {
+      streamToReader({
+        batch: this.batch,
+        generation,
+        response: reply.raw,
+        fromOffset,
+        now: () => this.options.clock.now(),
+        isPaused: () => this.server.isPaused,
+        endFault: () => this.endFault,
+      });
+    }
+  }
+
+  private onCancel(request: FastifyRequest): object {
+    const { generationId, attempt } = request.body as AttachOrder;
+    const generation = this.batch.find(generationId);
+    // A lower attempt was fenced; its VM must not end what another VM reads now.
+    if (generation !== undefined && attempt >= generation.attempt) {
+      this.batch.remove(generation, 'cancelled');
+    }
+    return {};
+  }
+
+  private onProbe(request: FastifyRequest): object {
+    const { generationId } = request.body as AttachOrder;
+    return { running: this.batch.find(generationId) !== undefined };
+  }
+
+  private async onExport(request: FastifyRequest, reply: FastifyReply): Promise<unknown> {
+    const { generationId } = request.body as AttachOrder;
+    const generation = this.batch.find(generationId);
+    return generation === undefined ? reply.code(404).send({}) : { copy: generation.order.prompt };
+  }
+}
+
+const EMPTY_REPORT: LoadReport = {
+  takenAtMs: 0,
+  running: 0,
+  waiting: 0,
+  slots: 0,
+  tokenGapMs: 0,
+  prefillTokensPerSecond: 1,
+  loaded: [],
+  fence: 0,
+};
--- /dev/null
+++ b/packages/stand-ins/src/engine/stream-reader.ts
@@ -0,0 +1,73 @@
+/** Writes one generation's tokens to one reader, as JSON lines. */
+import type { EngineMessage } from '@limelead/types';
+import type { ServerResponse } from 'node:http';
+import Batch, { readTokens, type EngineGeneration } from './batch.js';
+
+/** How an engine ends a stream wrongly. */
+export type EndFault = 'none' | 'no-marker' | 'wrong-length';
+
+/** What a reader needs. */
+export interface StreamReaderOptions {
+  batch: Batch;
+  generation: EngineGeneration;
+  response: ServerResponse;
+  fromOffset: number;
+  now(): number;
+  isPaused(): boolean;
+  endFault(): EndFault;
+}
+
+/** Writes until the generation ends, the link breaks, or a higher attempt takes over. */
+export default function streamToReader(options: StreamReaderOptions): void {
+  const { batch, generation, response, now } = options;
+  const attempt = generation.attempt;
+  let offset = options.fromOffset;
+  let isBlocked = false;
+  generation.unreadSinceMs = undefined;
+
+  function write(message: EngineMessage): void {
+    isBlocked = !response.write(`${JSON.stringify(message)}\n`);
+  }
+
+  function pump(): void {
+    if (options.isPaused() || isBlocked || response.destroyed) {
+      return;
+    }
+    if (generation.attempt !== attempt || generation.record.ended === 'cancelled') {
+      response.destroy();
+      return;
+    }
+    const tokens = readTokens(generation, offset);
+    if (tokens.length > 0) {
+      write({ kind: 'tokens', offset, tokens });
+      offset += tokens.length;
+    }
+    if (generation.position >= generation.length) {
+      finish();
+    }
+  }
+
+  function finish(): void {
+    const fault = options.endFault();
+    if (fault !== 'no-marker') {
+      const length = fault === 'wrong-length' ? offset + 1 : offset;
+      write({ kind: 'end', length, reason: Batch.reasonOf(generation) });
+    }
+    response.end();
+    if (fault === 'none') {
+      batch.remove(generation, 'finished');
+    }
+  }
+
+  response.on('drain', () => {
+    isBlocked = false;
+    pump();
+  });
+  response.on('close', () => {
+    if (generation.attempt === attempt) {
+      generation.unreadSinceMs = now();
+    }
+  });
+  generation.notify = pump;
+  pump();
+}
--- /dev/null
+++ b/packages/stand-ins/src/plain-service.ts
@@ -0,0 +1,66 @@
+/** A plain service that records every run of every call. */
+import { PLAIN_SERVICE_PREFIX, REQUEST_ID_HEADER } from '@limelead/outside-protocol';
+import { delay, systemTimers } from '@limelead/types';
+import type { FastifyInstance } from 'fastify';
+import FaultyServer from './server.js';
+
+/** A running plain service with switches for its faults. */
+export interface PlainServiceStandIn {
+  port: number;
+  /** Runs of each request id. */
+  runs(): ReadonlyMap<string, number>;
+  /** Breaks the link after the next calls ran, before they are answered. */
+  loseReplies(count: number): void;
+  /** Milliseconds that each call takes. */
+  takeMs(milliseconds: number): void;
+  die(): Promise<void>;
+  revive(): Promise<void>;
+  pause(): void;
+  wake(): void;
+  stop(): Promise<void>;
+}
+
+/** Starts a plain service on loopback. */
+export default async function startPlainService(): Promise<PlainServiceStandIn> {
+  const runs = new Map<string, number>();
+  let repliesToLose = 0;
+  let callMs = 0;
+
+  function register(server: FastifyInstance): void {
+    server.addContentTypeParser(
+      'application/octet-stream',
+      { parseAs: 'buffer' },
+      (_, body, done) => done(null, body),
+    );
+    server.post(`${PLAIN_SERVICE_PREFIX}/:service/:operation`, async (request, reply) => {
+      const requestId = String(request.headers[REQUEST_ID_HEADER]);
+      runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+      if (callMs > 0) {
+        await delay(systemTimers, callMs);
+      }
+      if (repliesToLose > 0) {
+        repliesToLose -= 1;
+        request.raw.socket.destroy();
+        return reply;
+      }
+      const { operation } = request.params as { operation: string };
+      return { requestId, operation, done: true };
+    });
+  }
+
+  const server = new FaultyServer(register);
+  await server.listen();
+  return {
+    get port() {
+      return server.port;
+    },
+    runs: () => runs,
+    loseReplies: (count) => void (repliesToLose = count),
+    takeMs: (milliseconds) => void (callMs = milliseconds),
+    die: () => server.die(),
+    revive: () => server.listen(),
+    pause: () => server.pause(),
+    wake: () => server.wake(),
+    stop: () => server.die(),
+  };
+}
--- /dev/null
+++ b/packages/suspect-silence/src/index.ts
@@ -0,0 +1,53 @@
+/**
+ * Pure adaptive bound on the silence of a stream. The bound follows the gaps
+ * that were seen, in the manner of a TCP retransmission timer, within limits
+ * that each priority sets.
+ */
+import type { RecoveryPolicy } from '@limelead/types';
+
+const MEAN_GAIN = 1 / 8;
+const DEVIATION_GAIN = 1 / 4;
+const INITIAL_MEAN_MS = 60;
+const INITIAL_DEVIATION_MS = 60;
+
+/** Moving mean and deviation of the gaps between messages, in milliseconds. */
+export interface GapEstimate {
+  meanMs: number;
+  deviationMs: number;
+}
+
+/** What is assumed before any gap was seen. */
+export const INITIAL_GAP_ESTIMATE: GapEstimate = {
+  meanMs: INITIAL_MEAN_MS,
+  deviationMs: INITIAL_DEVIATION_MS,
+};
+
+/** Takes one more gap into the estimate. */
+export function updateGapEstimate(estimate: GapEstimate, gapMs: number): GapEstimate {
+  const error = gapMs - estimate.meanMs;
+  return {
+    meanMs: estimate.meanMs + MEAN_GAIN * error,
+    deviationMs: estimate.deviationMs + DEVIATION_GAIN * (Math.abs(error) - estimate.deviationMs),
+  };
+}
+
+/** Milliseconds of silence in mid-stream after which the target is suspected. */
+export default function computeSilenceBound(estimate: GapEstimate, policy: RecoveryPolicy): number {
+  const bound = estimate.meanMs + policy.suspicionFactor * estimate.deviationMs;
+  return clamp(bound, policy.minSilenceMs, policy.maxSilenceMs);
+}
+
+/**
+ * Milliseconds to wait for the first token. Prefill and queueing come on top of
+ * the ordinary bound, because a long prompt is no sign of a dead engine.
+ */
+export function computeFirstTokenBound(
+  expectedFirstTokenMs: number,
+  policy: RecoveryPolicy,
+): number {
+  return policy.minSilenceMs + policy.suspicionFactor * expectedFirstTokenMs;
+}
+
+function clamp(value: number, low: number, high: number): number {
+  return Math.min(Math.max(value, low), high);
+}
--- /dev/null
+++ b/packages/track-members/src/choose-watchers.ts
@@ -0,0 +1,18 @@
+/** Pure decision: which VMs watch the configuration in the platform's service. */
+import type { VmId } from '@limelead/types';
+import { createHash } from 'node:crypto';
+
+/** VMs that watch at a time; a waiting watch counts against the service's rate. */
+export const WATCHER_COUNT = 2;
+
+/**
+ * Ranks the VMs by a hash, so that every VM comes to the same few without
+ * asking, and the loss of one moves only its own place.
+ */
+export default function chooseWatchers(members: readonly VmId[]): VmId[] {
+  return [...new Set(members)]
+    .map((id) => ({ id, rank: createHash('sha1').update(`watcher/${id}`).digest('hex') }))
+    .sort((a, b) => (a.rank < b.rank ? -1 : 1))
+    .slice(0, WATCHER_COUNT)
+    .map(({ id }) => id);
+}
--- /dev/null
+++ b/packages/types/src/events.ts
@@ -0,0 +1,58 @@
+/** Typed events of what each mechanism does, for operators who watch. */
+import type { Millis } from './time.js';
+import type { Revision } from './configuration.js';
+import type { TargetId, VmId } from './targets.js';
+
+/** One way considered by the router. */
+export interface ObservedCandidate {
+  target: TargetId;
+  /** Expected milliseconds until the first new token. */
+  costMs: number;
+  /** Share of the prompt expected in the prefix cache, 0 to 1. */
+  cachedShare: number;
+}
+
+/** Why a stream broke. */
+export type BreakCause =
+  'silence' | 'link-broken' | 'refused' | 'cut-short' | 'target-gone' | 'vm-lost';
+
+/** How an answer is continued. */
+export type RecoveryWay = 'attach' | 'import' | 'recompute' | 'restart' | 'fail';
+
+/** The part of an event that its mechanism fills in. */
+export type EventDetail =
+  | {
+      kind: 'targetChosen';
+      target: TargetId;
+      attempt: number;
+      reason: string;
+      considered: ObservedCandidate[];
+    }
+  | {
+      kind: 'streamBroken';
+      target: TargetId;
+      attempt: number;
+      cause: BreakCause;
+      delivered: number;
+    }
+  | { kind: 'recoveryPlanned'; way: RecoveryWay; reason: string; repeatedTokens: number }
+  | { kind: 'streamContinued'; target: TargetId; attempt: number; resumeLatencyMs: number }
+  | { kind: 'staleTokensDropped'; attempt: number; tokens: number }
+  | { kind: 'requestRefused'; organisation: string; errorKind: string }
+  | { kind: 'callClaimed'; outcome: 'granted' | 'held-by-other' | 'expired' | 'unavailable' }
+  | { kind: 'configurationAdvanced'; revision: Revision; source: 'store' | 'peer' | 'own-change' }
+  | { kind: 'membershipChanged'; subject: VmId; state: string }
+  | { kind: 'breakerChanged'; target: TargetId; state: string; source: string }
+  | { kind: 'leaseChanged'; lease: string; epoch: number; state: string }
+  | { kind: 'orderGiven'; target: TargetId; order: string; fence: number; outcome: string }
+  | { kind: 'answerFinished'; length: number; recoveries: number }
+  | { kind: 'targetChanged'; target: TargetId; state: string };
+
+/** An event with its time, VM and request. */
+export interface ObservedEvent {
+  atMs: Millis;
+  vm: VmId;
+  /** Empty where the event belongs to no request. */
+  requestId: string;
+  detail: EventDetail;
+}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,7 @@
+/** Shapes that several packages share. */
+export * from './configuration.js';
+export * from './engine.js';
+export * from './events.js';
+export * from './generation.js';
+export * from './targets.js';
+export * from './time.js';
