--- /dev/null
+++ b/packages/admit-request/src/admission.test.ts
@@ -0,0 +1,94 @@
+import * as E from 'fp-ts/lib/Either.js';
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { computeShare, createAdmission } from './index.js';
+
+const ORGANISATION = {
+  name: 'haneul',
+  keyHashes: [],
+  weight: 1,
+  requestsPerSecond: 10,
+  maxConcurrent: 100,
+};
+const REQUEST = { organisation: ORGANISATION, rank: 0, expectedFirstTokenMs: 0 };
+
+function kindOf(outcome: ReturnType<ReturnType<typeof createAdmission>['admit']>): string {
+  return E.isRight(outcome) ? 'admitted' : outcome.left.kind;
+}
+
+test('over a long time no more than the rate is admitted, whatever the arrivals', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 0, max: 300 }), { maxLength: 300 }), (pauses) => {
+      const admission = createAdmission({ maxOpen: 1_000 }, () => 1);
+      let now = 0;
+      let admitted = 0;
+      for (const pause of pauses) {
+        now += pause;
+        const outcome = admission.admit(REQUEST, now);
+        if (E.isRight(outcome)) {
+          admitted += 1;
+          outcome.right.release();
+        }
+      }
+      assert.ok(admitted <= 20 + (now * 10) / 1000 + 1);
+    }),
+    { seed: 8 },
+  );
+});
+
+test('a refusal for the rate says when to come back, and coming back then works', () => {
+  const admission = createAdmission({ maxOpen: 1_000 }, () => 1);
+  const refused = Array.from({ length: 30 }, () => admission.admit(REQUEST, 0)).find(E.isLeft);
+  assert.ok(refused !== undefined);
+  const { retryAfterMs } = refused.left.answer;
+  assert.is(kindOf(admission.admit(REQUEST, retryAfterMs)), 'admitted');
+});
+
+test('the VM sheds the less urgent first', () => {
+  const admission = createAdmission({ maxOpen: 10 }, () => 1);
+  for (let open = 0; open < 8; open += 1) {
+    assert.is(kindOf(admission.admit(REQUEST, 0)), 'admitted');
+  }
+  assert.is(kindOf(admission.admit({ ...REQUEST, rank: 3 }, 0)), 'overloaded');
+  assert.is(kindOf(admission.admit(REQUEST, 0)), 'admitted');
+});
+
+test('what can not land before its deadline is refused as not run', () => {
+  const admission = createAdmission({ maxOpen: 10 }, () => 1);
+  const outcome = admission.admit({ ...REQUEST, deadlineAtMs: 100, expectedFirstTokenMs: 200 }, 0);
+  assert.ok(E.isLeft(outcome) && outcome.left.kind === 'deadline-unreachable');
+  assert.is(outcome.left.answer.execution, 'not-run');
+});
+
+test('a released request frees its place once', () => {
+  const admission = createAdmission({ maxOpen: 10 }, () => 1);
+  const outcome = admission.admit(REQUEST, 0);
+  assert.ok(E.isRight(outcome));
+  outcome.right.release();
+  outcome.right.release();
+  assert.is(admission.open(), 0);
+});
+
+test('the shares of all VMs together stay near the limit, and no VM gets none', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat(1_000), { minLength: 1, maxLength: 30 }), (demands) => {
+      const shares = demands.map((own, self) => {
+        const others = demands
+          .map((requestsPerSecond, vm) => ({ vm: String(vm), requestsPerSecond }))
+          .filter((_, vm) => vm !== self);
+        return computeShare(own, others, demands.length);
+      });
+      const sum = shares.reduce((total, share) => total + share, 0);
+      assert.ok(sum <= 1 + 1e-9);
+      assert.ok(shares.every((share) => share >= 0.5 / demands.length - 1e-9));
+    }),
+    { seed: 9 },
+  );
+});
+
+test('a VM that hears nothing of the others keeps to an equal share', () => {
+  assert.is(computeShare(1_000, [], 4), 0.25);
+});
+
+test.run();
--- /dev/null
+++ b/packages/decode-with-lines/src/decode-with-lines.test.ts
@@ -0,0 +1,51 @@
+import * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import decodeWithLines, { closed, integerBetween, listOfAtMost } from './index.js';
+
+const codec = closed(
+  'settings',
+  { port: integerBetween(0, 65_535), peers: listOfAtMost(closed('peer', { id: t.string }), 2) },
+  { note: t.string },
+);
+
+function faultsOf(text: string): string[] {
+  const decoded = decodeWithLines('f.jsonc', text, codec);
+  return E.isLeft(decoded) ? decoded.left.message.split('\n') : [];
+}
+
+test('comments and trailing commas are fine', () => {
+  assert.equal(faultsOf('{\n // where\n "port": 1, "peers": [{"id":"a"}],\n}'), []);
+});
+
+test('a wrong value names its line, key, what was expected and what was found', () => {
+  assert.equal(faultsOf('{\n  "peers": [],\n  "port": "x"\n}'), [
+    'f.jsonc:3: port: expected a whole number from 0 to 65535, found "x"',
+  ]);
+});
+
+test('an unknown key is an error at its own line', () => {
+  assert.equal(faultsOf('{"port": 1,\n"peers": [{"id": "a",\n"prot": 2}]}'), [
+    'f.jsonc:3: peers.0.prot: expected no such key, found 2',
+  ]);
+});
+
+test('a missing key is an error of its parent, and every fault is listed', () => {
+  assert.equal(faultsOf('{\n"note": 3}'), [
+    'f.jsonc:1: port: expected a whole number from 0 to 65535, found nothing',
+    'f.jsonc:1: peers: expected a list of at most 2, found nothing',
+    'f.jsonc:2: note: expected string, found 3',
+  ]);
+});
+
+test('a text that is no JSON names the line', () => {
+  assert.match(faultsOf('{\n"port": }')[0] ?? '', /^f\.jsonc:2: document: expected JSON/);
+});
+
+test('a list that is too long is refused', () => {
+  const peers = '[{"id":"a"},{"id":"b"},{"id":"c"}]';
+  assert.match(faultsOf(`{"port":1,"peers":${peers}}`)[0] ?? '', /a list of at most 2/);
+});
+
+test.run();
--- /dev/null
+++ b/packages/run-call/src/call-runner.test.ts
@@ -0,0 +1,184 @@
+/** The at-most-once promise over real sockets: several VMs' runners, one service that counts its runs. */
+import { createCallClaimer } from '@limelead/claim-call';
+import { LimeleadError } from '@limelead/errors';
+import { createHttpTargetConnector, createHttpTransport } from '@limelead/http-adapters';
+import createMetrics from '@limelead/metrics';
+import createEventBus from '@limelead/observe-events';
+import {
+  createInProcessStore,
+  createKeyValueState,
+  startPlainService,
+  type PlainServiceStandIn,
+  type StoreFaults,
+} from '@limelead/stand-ins';
+import { createTargetTable } from '@limelead/track-targets';
+import { systemClock, systemRandom, systemTimers } from '@limelead/types';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createCallRunner, type CallRequest, type CallRunner } from './index.js';
+
+const CALL: CallRequest = {
+  organisation: 'haneul',
+  requestId: 'booking-1',
+  service: 'booking',
+  operation: 'book-room',
+  body: new Uint8Array(),
+  repeatable: false,
+  notAfterMs: Number.MAX_SAFE_INTEGER,
+  timeoutMs: 2_000,
+};
+
+interface System {
+  runners: CallRunner[];
+  services: PlainServiceStandIn[];
+  runs(requestId?: string): number;
+  faults: StoreFaults;
+}
+
+async function withSystem(run: (system: System) => Promise<void>): Promise<void> {
+  const services = [await startPlainService(), await startPlainService()];
+  const transport = createHttpTransport();
+  const faults: StoreFaults = { isOut: false, onSwap: () => 'ok' };
+  const store = createInProcessStore(createKeyValueState(systemClock), faults);
+  const runners: CallRunner[] = [];
+  for (const incarnation of ['vm-1', 'vm-2']) {
+    const targets = createTargetTable({ maxListAgeMs: Number.MAX_SAFE_INTEGER });
+    targets.applyList({ version: 1, vms: services.map(toListed) }, systemClock.now());
+    runners.push(
+      createCallRunner({
+        clock: systemClock,
+        random: systemRandom,
+        metrics: createMetrics(),
+        bus: createEventBus(incarnation, systemClock),
+        targets,
+        connector: createHttpTargetConnector(transport),
+        claimer: createCallClaimer({
+          store,
+          clock: systemClock,
+          timers: systemTimers,
+          random: systemRandom,
+          incarnation,
+        }),
+        askHolder: async (holder, organisation, requestId) =>
+          (await runners[holder === 'vm-1' ? 0 : 1]?.recall(organisation, requestId)) ?? {
+            kind: 'unknown',
+          },
+      }),
+    );
+  }
+  const runs = (requestId = CALL.requestId): number =>
+    services.reduce((sum, service) => sum + (service.runs().get(requestId) ?? 0), 0);
+  try {
+    await run({ runners, services, runs, faults });
+  } finally {
+    await Promise.all(services.map((service) => service.stop()));
+    await transport.close();
+  }
+}
+
+function toListed({ port }: PlainServiceStandIn, index: number) {
+  return {
+    id: `plain-${index}`,
+    role: 'plain' as const,
+    host: '127.0.0.1',
+    port,
+    failureDomain: 'suwon',
+    leaving: false,
+    services: ['booking'],
+  };
+}
+
+async function kindOf(call: Promise<unknown>): Promise<string> {
+  try {
+    await call;
+    return 'answered';
+  } catch (thrown) {
+    return thrown instanceof LimeleadError ? `${thrown.kind}/${thrown.answer.execution}` : 'other';
+  }
+}
+
+function runnerOf(system: System, index: number): CallRunner {
+  const runner = system.runners[index];
+  assert.ok(runner);
+  return runner;
+}
+
+test('a retry through another VM gets the kept answer, and the call runs once', () =>
+  withSystem(async (system) => {
+    const first = await runnerOf(system, 0).run(CALL);
+    const second = await runnerOf(system, 1).run(CALL);
+    assert.is(first.replayed, false);
+    assert.is(second.replayed, true);
+    assert.equal(Buffer.from(second.answer.body), Buffer.from(first.answer.body));
+    assert.is(system.runs(), 1);
+  }));
+
+test('two VMs that get the call at the same time run it once, and both have the answer', () =>
+  withSystem(async (system) => {
+    system.services.forEach((service) => service.takeMs(50));
+    const both = await Promise.all([
+      runnerOf(system, 0).run(CALL),
+      runnerOf(system, 1).run(CALL),
+      runnerOf(system, 0).run(CALL),
+    ]);
+    assert.equal(
+      both.map(({ answer }) => answer.status),
+      [200, 200, 200],
+    );
+    assert.is(system.runs(), 1);
+  }));
+
+test('a lost reply is an unknown outcome, here and through any other VM; nothing runs again', () =>
+  withSystem(async (system) => {
+    system.services.forEach((service) => service.loseReplies(1));
+    assert.is(await kindOf(runnerOf(system, 0).run(CALL)), 'outcome-unknown/unknown');
+    assert.is(await kindOf(runnerOf(system, 0).run(CALL)), 'outcome-unknown/unknown');
+    assert.is(await kindOf(runnerOf(system, 1).run(CALL)), 'outcome-unknown/unknown');
+    assert.is(system.runs(), 1);
+  }));
+
+test('a target that takes no connection never got the call, so another one may', () =>
+  withSystem(async (system) => {
+    await system.services[0]?.die();
+    for (let index = 0; index < 6; index += 1) {
+      const call = { ...CALL, requestId: `booking-${index}` };
+      assert.is((await runnerOf(system, 0).run(call)).answer.status, 200);
+      assert.is(system.runs(call.requestId), 1);
+    }
+  }));
+
+test('while the store is out the call is not run, and the caller may try again', () =>
+  withSystem(async (system) => {
+    system.faults.isOut = true;
+    assert.is(await kindOf(runnerOf(system, 0).run(CALL)), 'store-unavailable/not-run');
+    assert.is(system.runs(), 0);
+    system.faults.isOut = false;
+    assert.is(await kindOf(runnerOf(system, 1).run(CALL)), 'answered');
+    assert.is(system.runs(), 1);
+  }));
+
+test('when every target is down the call is not run, and the claim does not block a retry', () =>
+  withSystem(async (system) => {
+    await Promise.all(system.services.map((service) => service.die()));
+    assert.is(await kindOf(runnerOf(system, 0).run(CALL)), 'no-target/not-run');
+    await Promise.all(system.services.map((service) => service.revive()));
+    assert.is(await kindOf(runnerOf(system, 0).run(CALL)), 'answered');
+    assert.is(system.runs(), 1);
+  }));
+
+test('past its last moment a call is refused as not run', () =>
+  withSystem(async (system) => {
+    const call = { ...CALL, notAfterMs: systemClock.now() - 1 };
+    assert.is(await kindOf(runnerOf(system, 0).run(call)), 'call-expired/not-run');
+    assert.is(system.runs(), 0);
+  }));
+
+test('the naive runner, without a claim, runs a retried call twice', () =>
+  withSystem(async (system) => {
+    const call = { ...CALL, repeatable: true };
+    await runnerOf(system, 0).run(call);
+    await runnerOf(system, 1).run(call);
+    assert.is(system.runs(), 2);
+  }));
+
+test.run();
--- a/packages/run-call/src/call-runner.ts
+++ b/packages/run-call/src/call-runner.ts
@@ -96,16 +96,15 @@
     (): RememberedCall => ({ kind: 'not-sent' }),
   );
   records.add(key, notAfterMs, remembered);
-  try {
-    const { remembered: own, replayed } = await outcome;
-    if (own.kind === 'not-sent') {
-      records.forget(key);
-    }
-    return answerFrom(own, replayed);
-  } catch (thrown) {
+  const { remembered: own, replayed } = await outcome.catch((thrown: unknown) => {
     records.forget(key);
     throw thrown;
+  });
+  // Only what was certainly not sent is forgotten: an unknown outcome has to stay one.
+  if (own.kind === 'not-sent') {
+    records.forget(key);
   }
+  return answerFrom(own, replayed);
 }
 
 interface ClaimedOutcome {
--- a/packages/stand-ins/src/manual-time.ts
+++ b/packages/stand-ins/src/manual-time.ts
@@ -7,6 +7,8 @@
   timers: Timers;
   /** Moves the clock and runs the timers that fall due, in order; lets promises settle in between. */
   advance(milliseconds: number): Promise<void>;
+  /** Moves the clock alone, as when the process is paused. */
+  jump(milliseconds: number): void;
 }
 
 interface ManualTimer {
@@ -36,6 +38,9 @@
         };
       },
     },
+    jump(milliseconds) {
+      now += milliseconds;
+    },
     async advance(milliseconds) {
       const untilMs = now + milliseconds;
       await settle();
