Test the system over sockets: faults, operators, bad input, planned stop

Cause: the parts were proved one by one; the promises are of the whole. Change: tests of three VMs with stand-ins over loopback sockets, of each fault of the demonstration, and of one generation against fake engines. On a handover the callers' library moves on to another VM at once; before, it asked the stopping VM again and waited for its retry time.

--- a/packages/client/src/generate-answer.ts
+++ b/packages/client/src/generate-answer.ts
@@ -93,6 +93,7 @@
           return 'finished';
         }
         if (response.event.case === 'handover') {
+          this.dependencies.transports.moveOn();
           return 'the VM is stopping';
         }
       }
--- /dev/null
+++ b/packages/demo/src/system.test.ts
@@ -0,0 +1,310 @@
+/** A few VMs together, over real sockets. */
+import { create } from '@bufbuild/protobuf';
+import { createClient, readErrorDetail, type AnswerRequest, type Client } from '@limelead/client';
+import { ApplyRequestSchema } from '@limelead/schema';
+import { tokenAt } from '@limelead/stand-ins';
+import { delay, type Resource, type Timers } from '@limelead/types';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
+import toOperations from './to-operations.js';
+
+const POLL: Timers = {
+  after(milliseconds, run) {
+    const timer = setTimeout(run, milliseconds);
+    return () => clearTimeout(timer);
+  },
+};
+
+const PROMPT: AnswerRequest = {
+  requestId: 'r1',
+  service: 'in-cab',
+  prompt: 'next turn',
+  maxTokens: 20,
+};
+
+const clients: Client[] = [];
+
+function clientOf(cluster: DemoCluster, key: string, first = 0): Client {
+  const client = createClient({ urls: cluster.vms.map(({ url }) => url), key, first });
+  clients.push(client);
+  return client;
+}
+
+async function withCluster(run: (cluster: DemoCluster) => Promise<void>): Promise<void> {
+  const cluster = await startDemoCluster();
+  try {
+    await run(cluster);
+  } finally {
+    await Promise.all(clients.splice(0).map((client) => client.close()));
+    await cluster.stop();
+  }
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await delay(POLL, 10);
+  }
+}
+
+async function kindOf(run: () => Promise<unknown>): Promise<string> {
+  try {
+    await run();
+    return 'answered';
+  } catch (thrown) {
+    const { kind, execution } = readErrorDetail(thrown);
+    return `${kind ?? 'link'}/${execution}`;
+  }
+}
+
+async function readAnswer(client: Client, request: AnswerRequest): Promise<string[]> {
+  const tokens: string[] = [];
+  for await (const event of client.generate(request)) {
+    if (event.kind === 'tokens') {
+      tokens.push(...event.tokens);
+    }
+  }
+  return tokens;
+}
+
+function organisation(name: string, requestsPerSecond: number): Resource {
+  const spec = { name, keyHashes: [], weight: 1, requestsPerSecond, maxConcurrent: 1 };
+  return { kind: 'organisation', spec };
+}
+
+function applyThrough(client: Client, changeId: string, base: number, resource: Resource) {
+  const request = create(ApplyRequestSchema, {
+    changeId,
+    baseRevision: BigInt(base),
+    operations: toOperations([resource]),
+    reason: 'test',
+  });
+  return client.administration.apply(request, { headers: client.headers });
+}
+
+test('a caller needs a key, and an organisation can not administer', () =>
+  withCluster(async (cluster) => {
+    const stranger = clientOf(cluster, 'no-such-key');
+    assert.is(await kindOf(() => readAnswer(stranger, PROMPT)), 'unauthenticated/not-run');
+    const caller = clientOf(cluster, DEMO_KEYS.haneul);
+    const status = () => caller.administration.getStatus({}, { headers: caller.headers });
+    assert.is(await kindOf(status), 'permission-denied/not-run');
+    const operator = clientOf(cluster, DEMO_KEYS.operator);
+    assert.is(await kindOf(() => readAnswer(operator, PROMPT)), 'unauthenticated/not-run');
+  }));
+
+test('bad input gets a clear error and harms nobody else', () =>
+  withCluster(async (cluster) => {
+    const client = clientOf(cluster, DEMO_KEYS.routing);
+    const bad: [Partial<AnswerRequest>, string][] = [
+      [{ requestId: '' }, 'invalid-request/not-run'],
+      [{ requestId: 'x'.repeat(65) }, 'invalid-request/not-run'],
+      [{ prompt: '' }, 'invalid-request/not-run'],
+      [{ prompt: 'x'.repeat(100_001) }, 'too-large/not-run'],
+      [{ maxTokens: 0 }, 'invalid-request/not-run'],
+      [{ maxTokens: 1_000_000 }, 'invalid-request/not-run'],
+      [{ paceTokensPerSecond: -1 }, 'invalid-request/not-run'],
+      [{ paceTokensPerSecond: Number.NaN }, 'invalid-request/not-run'],
+      [{ service: 'nowhere' }, 'not-found/not-run'],
+      [{ service: 'booking' }, 'invalid-request/not-run'],
+      [{ priority: 'nowhere' }, 'not-found/not-run'],
+    ];
+    for (const [change, expected] of bad) {
+      const found = await kindOf(() => readAnswer(client, { ...PROMPT, ...change }));
+      assert.is(found, expected, JSON.stringify(change).slice(0, 80));
+    }
+    assert.ok((await readAnswer(client, PROMPT)).length > 0);
+  }));
+
+test('an organisation can not cancel what is not its own', () =>
+  withCluster(async (cluster) => {
+    const owner = clientOf(cluster, DEMO_KEYS.routing);
+    const other = clientOf(cluster, DEMO_KEYS.haneul);
+    const request = { ...PROMPT, service: 'route-brief', maxTokens: 200 };
+    let cancelledByOther: boolean | undefined;
+    const events = owner.generate(request);
+    for await (const event of events) {
+      if (event.kind === 'started') {
+        cancelledByOther = await other.cancel(request.requestId);
+        break;
+      }
+    }
+    assert.is(cancelledByOther, false);
+  }));
+
+test('a cancelled answer ends with an error of its own, and the engine stops', () =>
+  withCluster(async (cluster) => {
+    const client = clientOf(cluster, DEMO_KEYS.routing);
+    const request = { ...PROMPT, service: 'route-brief', maxTokens: 5_000 };
+    const found = await kindOf(async () => {
+      for await (const event of client.generate(request)) {
+        if (event.kind === 'tokens') {
+          await client.cancel(request.requestId);
+        }
+      }
+    });
+    assert.is(found, 'cancelled/unknown');
+    const records = () => cluster.engines.flatMap((engine) => engine.records());
+    await until(() => records().every(({ ended }) => ended !== 'running'));
+    assert.equal(records().map(({ ended }) => ended), ['cancelled']);
+  }));
+
+test('an accepted change is in force on every VM, also on one that starts in an outage', () =>
+  withCluster(async (cluster) => {
+    const operator = clientOf(cluster, DEMO_KEYS.operator);
+    const { revision } = await applyThrough(operator, 'c1', 1, organisation('new', 5));
+    cluster.platform.setOutage(true);
+    await until(() => cluster.vms.every(({ daemon }) => daemon.revision() === Number(revision)));
+    const late = await cluster.addVm();
+    assert.is(late.daemon.revision(), Number(revision));
+  }));
+
+test('operators who race through different VMs: one wins, the other sees what is there', () =>
+  withCluster(async (cluster) => {
+    const operators = [0, 1, 2].map((first) =>
+      createClient({ urls: [cluster.vms[first]?.url ?? ''], key: DEMO_KEYS.operator }),
+    );
+    clients.push(...operators);
+    const outcomes = await Promise.all(
+      operators.map((client, index) =>
+        kindOf(() => applyThrough(client, `c${index}`, 1, organisation('raced', index + 1))),
+      ),
+    );
+    assert.equal([...outcomes].sort(), ['answered', 'conflict/not-run', 'conflict/not-run']);
+    await until(() => cluster.vms.every(({ daemon }) => daemon.revision() === 2));
+  }));
+
+test('a configuration never goes back when the service is restored from something older', () =>
+  withCluster(async (cluster) => {
+    const operator = clientOf(cluster, DEMO_KEYS.operator);
+    const backup = cluster.platform.values.backUp();
+    await applyThrough(operator, 'c1', 1, organisation('new', 5));
+    await until(() => cluster.vms.every(({ daemon }) => daemon.revision() === 2));
+    cluster.platform.values.restore(backup);
+    const storedRevision = () => {
+      const { value } = cluster.platform.values.get('limelead/configuration/head');
+      return (JSON.parse(value) as { revision: number }).revision;
+    };
+    assert.is(storedRevision(), 1);
+    await until(() => storedRevision() === 2);
+    assert.ok(cluster.vms.every(({ daemon }) => daemon.revision() === 2));
+  }));
+
+test('a call whose VM dies in the middle runs once, and its outcome is said to be unknown', () =>
+  withCluster(async (cluster) => {
+    cluster.plainServices.forEach((service) => service.takeMs(500));
+    const client = clientOf(cluster, DEMO_KEYS.haneul);
+    const call = client.call({
+      requestId: 'booking-1',
+      service: 'booking',
+      operation: 'book-room',
+      repeatable: false,
+    });
+    const outcome = kindOf(() => call);
+    const runs = () =>
+      cluster.plainServices.reduce((sum, service) => sum + (service.runs().get('booking-1') ?? 0), 0);
+    await until(() => runs() === 1);
+    const vm = cluster.vms[0];
+    assert.ok(vm);
+    vm.isUp = false;
+    await vm.daemon.kill();
+    assert.is(await outcome, 'outcome-unknown/unknown');
+    assert.is(runs(), 1);
+  }));
+
+test('a VM that is cut off from the list, and from peers, gives no target new work', () =>
+  withCluster(async (cluster) => {
+    const client = clientOf(cluster, DEMO_KEYS.routing);
+    assert.ok((await readAnswer(client, PROMPT)).length > 0);
+    cluster.platform.setListOutage(true);
+    const isRefused = async () => {
+      const caller = createClient({ urls: [cluster.vms[0]?.url ?? ''], key: DEMO_KEYS.routing });
+      const { signal } = new AbortController();
+      try {
+        for await (const event of caller.generate(PROMPT, signal)) {
+          if (event.kind === 'tokens') {
+            return false;
+          }
+        }
+        return false;
+      } catch (thrown) {
+        return readErrorDetail(thrown).execution === 'not-run';
+      } finally {
+        await caller.close();
+      }
+    };
+    while (!(await isRefused())) {
+      await delay(POLL, 100);
+    }
+    const begun = cluster.engines.flatMap((engine) => engine.records()).length;
+    assert.ok(await isRefused());
+    assert.is(cluster.engines.flatMap((engine) => engine.records()).length, begun);
+    cluster.platform.setListOutage(false);
+  }));
+
+test('a leaving target gets no new work, while what runs there runs to its end', () =>
+  withCluster(async (cluster) => {
+    const client = clientOf(cluster, DEMO_KEYS.routing);
+    const long = readAnswer(client, { ...PROMPT, service: 'route-brief', maxTokens: 400 });
+    const running = () => cluster.engines.find((engine) => engine.records().length > 0);
+    await until(() => running() !== undefined);
+    const leaving = running();
+    assert.ok(leaving);
+    cluster.platform.vms.setLeaving(leaving.id);
+    const operator = clientOf(cluster, DEMO_KEYS.operator);
+    const isKnown = async () => {
+      const { targets } = await operator.administration.getStatus({}, { headers: operator.headers });
+      return targets.find(({ id }) => id === leaving.id)?.state === 'leaving';
+    };
+    while (!(await isKnown())) {
+      await delay(POLL, 10);
+    }
+    const begun = leaving.records().length;
+    for (let index = 0; index < 10; index += 1) {
+      await readAnswer(client, { ...PROMPT, requestId: `after-${index}` });
+    }
+    assert.is(leaving.records().length, begun);
+    assert.ok((await long).length > 0);
+    assert.is(leaving.records()[0]?.ended, 'finished');
+  }));
+
+test('a planned stop under load cuts no request', () =>
+  withCluster(async (cluster) => {
+    const answers = Array.from({ length: 12 }, (_, index) =>
+      readAnswer(clientOf(cluster, DEMO_KEYS.routing, index), {
+        ...PROMPT,
+        requestId: `r${index}`,
+        service: 'route-brief',
+        maxTokens: 150,
+      }),
+    );
+    const begun = () => cluster.engines.flatMap((engine) => engine.records()).length;
+    await until(() => begun() === 12);
+    const vm = cluster.vms[0];
+    assert.ok(vm);
+    vm.isUp = false;
+    await vm.daemon.stop();
+    assert.ok((await Promise.all(answers)).every((tokens) => tokens.length > 0));
+    assert.is(begun(), 12, 'nothing was computed again');
+  }));
+
+test('each caller gets its own answer when many come at the same time', () =>
+  withCluster(async (cluster) => {
+    const answers = await Promise.all(
+      Array.from({ length: 30 }, async (_, index) => {
+        const prompt = `prompt number ${index}`;
+        const client = clientOf(cluster, DEMO_KEYS.routing, index);
+        let seed = 0;
+        const tokens: string[] = [];
+        for await (const event of client.generate({ ...PROMPT, requestId: `r${index}`, prompt })) {
+          seed = event.kind === 'started' ? Number(event.started.seed) : seed;
+          tokens.push(...(event.kind === 'tokens' ? event.tokens : []));
+        }
+        const modelVersion = { model: 'cab-small', adapter: 'canterbury', version: '7' };
+        return tokens.every((token, at) => token === tokenAt({ prompt, modelVersion, seed }, at));
+      }),
+    );
+    assert.ok(answers.every((isOwn) => isOwn));
+  }));
+
+test.run();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,3 +9,4 @@
 export { default as createVmRegister, type VmRegister } from './vm-register.js';
 export { default as createInProcessStore, type StoreFaults } from './in-process-store.js';
 export { default as createManualTime, settle, type ManualTime } from './manual-time.js';
+export { default as runStandIns, type StandInsPlan } from './run-stand-ins.js';
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -33,6 +33,8 @@
   counts(): CallCounts;
   /** Answers every call of the key-value service with an error, or no longer. */
   setOutage(isOut: boolean): void;
+  /** Answers no reading of the list of VMs, or does so again. */
+  setListOutage(isOut: boolean): void;
   /** Carries the next compare-and-swaps out but breaks the link before the reply. */
   loseSwapReplies(count: number): void;
   /** Holds every call of the key-value service back by so many milliseconds. */
@@ -60,6 +62,7 @@
   const writeBudget = createBudget(writesPerSecond);
   const readBudget = createBudget(readsPerSecond);
   let isOut = false;
+  let isListOut = false;
   let repliesToLose = 0;
   let slownessMs = 0;
 
@@ -135,7 +138,9 @@
         return {};
       },
     );
-    server.get(PLATFORM_PATHS.vms, async () => vms.read());
+    server.get(PLATFORM_PATHS.vms, async (_, reply) =>
+      isListOut ? reply.code(503).send({}) : vms.read(),
+    );
     server.post(PLATFORM_PATHS.weights, async () => ({ bytes: WEIGHT_BYTES }));
   }
 
@@ -149,6 +154,7 @@
     vms,
     counts: () => ({ ...counts }),
     setOutage: (next) => void (isOut = next),
+    setListOutage: (next) => void (isListOut = next),
     loseSwapReplies: (count) => void (repliesToLose = count),
     slowBy: (milliseconds) => void (slownessMs = milliseconds),
     stop: () => server.die(),
