Become ready only with a load report; let callers bound their tries

Cause: a VM called itself ready as soon as it saw a live engine, before it knew what the engine had loaded. Ruled out: the engine's prefill and the machine (the CPU profile was idle in between). Change: a VM is ready once an engine has reported. The callers' library takes maxTries, so that a caller can have the first refusal. Conclusion: readiness must mean 'can route'; list evidence alone is not it.

--- a/packages/client/src/call-service.ts
+++ b/packages/client/src/call-service.ts
@@ -6,7 +6,6 @@
 import type { AnswerDependencies } from './generate-answer.js';
 import readErrorDetail from './read-error.js';
 
-const MAX_TRIES = 5;
 const RETRY_DELAY_MS = 100;
 const START_WITHIN_MS = 60_000;
 /** A VM that does not answer within this time is taken for lost. */
@@ -22,7 +21,7 @@
   call: ServiceCall,
   now: number,
 ): Promise<CallResponse> {
-  const { transports, headers, timers } = dependencies;
+  const { transports, headers, timers, maxTries } = dependencies;
   const notAfterMs = call.notAfterMs ?? BigInt(now + START_WITHIN_MS);
   const request = create(CallRequestSchema, { ...call, notAfterMs });
   for (let tries = 1; ; tries += 1) {
@@ -34,7 +33,7 @@
     } catch (thrown) {
       const error = readErrorDetail(thrown);
       const mayGoOn = error.kind === undefined || error.mayRetry;
-      if (!mayGoOn || tries >= MAX_TRIES) {
+      if (!mayGoOn || tries >= maxTries) {
         throw thrown;
       }
       transports.moveOn();
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -6,6 +6,8 @@
 import generateAnswer, { type AnswerEvent, type AnswerRequest } from './generate-answer.js';
 import Transports from './transports.js';
 
+const DEFAULT_MAX_TRIES = 10;
+
 /** Where the VMs are and who asks. */
 export interface ClientOptions {
   /** Base URLs of VMs, or the one of the balancer. */
@@ -13,6 +15,8 @@
   key: string;
   /** Index of the URL to begin with. */
   first?: number;
+  /** Tries in a row without a new token, or of a call; 1 never tries again. */
+  maxTries?: number;
   timers?: Timers;
   random?: Random;
 }
@@ -42,6 +46,7 @@
     headers,
     timers: options.timers ?? systemTimers,
     random: options.random ?? systemRandom,
+    maxTries: options.maxTries ?? DEFAULT_MAX_TRIES,
   };
   return {
     headers,
--- a/packages/client/src/generate-answer.ts
+++ b/packages/client/src/generate-answer.ts
@@ -14,8 +14,6 @@
 import readErrorDetail, { type ReadError } from './read-error.js';
 import type Transports from './transports.js';
 
-/** Tries in a row without a new token after which an answer is given up. */
-const MAX_TRIES_WITHOUT_PROGRESS = 10;
 const RETRY_DELAY_MS = 50;
 /** A VM sends something every half second; three are allowed to be late. */
 const LINK_SILENCE_MS = 1_500;
@@ -41,6 +39,8 @@
   timers: Timers;
   random: Random;
   headers: Record<string, string>;
+  /** Tries in a row without a new token after which an answer is given up. */
+  maxTries: number;
 }
 
 /** Gives the answer's events. Throws a ConnectError or a LimeleadError where it is given up. */
@@ -158,7 +158,7 @@
     }
     const error = readErrorDetail(thrown);
     const mayGoOn = error.kind === undefined || error.mayRetry;
-    if (!mayGoOn || this.triesWithoutProgress >= MAX_TRIES_WITHOUT_PROGRESS) {
+    if (!mayGoOn || this.triesWithoutProgress + 1 >= this.dependencies.maxTries) {
       throw thrown;
     }
     this.dependencies.transports.moveOn();
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -131,13 +131,15 @@
     });
   }
 
-  /** The balancer sends callers only to a VM that is staying, configured, and sees targets. */
+  /** The balancer sends callers only to a VM that is staying, configured, and can route. */
   private isReady(): boolean {
     const { configuration, targets, clock } = this.context;
-    const seesTargets = targets
-      .all()
-      .some((target) => targets.stateOf(target, clock.now()) === 'usable');
-    return this.phase === 'serving' && configuration.configuration.revision > 0 && seesTargets;
+    const now = clock.now();
+    const usable = targets.all().filter((target) => targets.stateOf(target, now) === 'usable');
+    const listsEngines = targets.all().some(({ role }) => role === 'engine');
+    // An engine that was listed but has not reported is of no use: what it has loaded is not known.
+    const canRoute = usable.some(({ report }) => !listsEngines || report !== undefined);
+    return this.phase === 'serving' && configuration.configuration.revision > 0 && canRoute;
   }
 
   private createGenerationDependencies(): GenerationDependencies {
--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -146,7 +146,10 @@
     assert.is(found, 'cancelled/unknown');
     const records = () => cluster.engines.flatMap((engine) => engine.records());
     await until(() => records().every(({ ended }) => ended !== 'running'));
-    assert.equal(records().map(({ ended }) => ended), ['cancelled']);
+    assert.equal(
+      records().map(({ ended }) => ended),
+      ['cancelled'],
+    );
   }));
 
 test('an accepted change is in force on every VM, also on one that starts in an outage', () =>
@@ -202,7 +205,10 @@
     });
     const outcome = kindOf(() => call);
     const runs = () =>
-      cluster.plainServices.reduce((sum, service) => sum + (service.runs().get('booking-1') ?? 0), 0);
+      cluster.plainServices.reduce(
+        (sum, service) => sum + (service.runs().get('booking-1') ?? 0),
+        0,
+      );
     await until(() => runs() === 1);
     const vm = cluster.vms[0];
     assert.ok(vm);
@@ -217,22 +223,14 @@
     const client = clientOf(cluster, DEMO_KEYS.routing);
     assert.ok((await readAnswer(client, PROMPT)).length > 0);
     cluster.platform.setListOutage(true);
-    const isRefused = async () => {
-      const caller = createClient({ urls: [cluster.vms[0]?.url ?? ''], key: DEMO_KEYS.routing });
-      const { signal } = new AbortController();
-      try {
-        for await (const event of caller.generate(PROMPT, signal)) {
-          if (event.kind === 'tokens') {
-            return false;
-          }
-        }
-        return false;
-      } catch (thrown) {
-        return readErrorDetail(thrown).execution === 'not-run';
-      } finally {
-        await caller.close();
-      }
-    };
+    const impatient = createClient({
+      urls: [cluster.vms[0]?.url ?? ''],
+      key: DEMO_KEYS.routing,
+      maxTries: 1,
+    });
+    clients.push(impatient);
+    const isRefused = async () =>
+      (await kindOf(() => readAnswer(impatient, PROMPT))).endsWith('/not-run');
     while (!(await isRefused())) {
       await delay(POLL, 100);
     }
@@ -253,7 +251,10 @@
     cluster.platform.vms.setLeaving(leaving.id);
     const operator = clientOf(cluster, DEMO_KEYS.operator);
     const isKnown = async () => {
-      const { targets } = await operator.administration.getStatus({}, { headers: operator.headers });
+      const { targets } = await operator.administration.getStatus(
+        {},
+        { headers: operator.headers },
+      );
       return targets.find(({ id }) => id === leaving.id)?.state === 'leaving';
     };
     while (!(await isKnown())) {
