--- /dev/null
+++ b/packages/cli/src/processes.test.ts
@@ -0,0 +1,229 @@
+/** The system as separate processes: killed and frozen as the operating system does it. */
+import { DEMO_KEYS, DEMO_VERSIONS, createDemoResources, createSettings } from '@limelead/demo';
+import { answerLength, tokenAt } from '@limelead/stand-ins';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+const BINARIES = {
+  limelead: '../bin/limelead.js',
+  limeleadd: '../../daemon/bin/limeleadd.js',
+  standIns: '../../stand-ins/bin/limelead-stand-ins.js',
+} as const;
+
+const READY_CHECK_MS = 50;
+const MAX_TOKENS = 200;
+const PROMPT = 'shift route brief';
+
+/** Starts one of the programs; its standard output is read line by line. */
+class Program {
+  readonly process: ChildProcess;
+  readonly lines: string[] = [];
+  readonly exited: Promise<number>;
+  private errors = '';
+  private waiting: (() => void)[] = [];
+
+  constructor(name: keyof typeof BINARIES, ...args: string[]) {
+    const file = fileURLToPath(new URL(BINARIES[name], import.meta.url));
+    this.process = spawn(process.execPath, [file, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    this.process.stderr?.on('data', (data) => (this.errors += String(data)));
+    const { stdout } = this.process;
+    assert.ok(stdout);
+    createInterface({ input: stdout }).on('line', (line) => {
+      this.lines.push(line);
+      this.waiting.splice(0).forEach((wake) => wake());
+    });
+    this.exited = new Promise((resolve) =>
+      this.process.once('close', (code) => {
+        this.waiting.splice(0).forEach((wake) => wake());
+        resolve(code ?? -1);
+      }),
+    );
+  }
+
+  async line(index: number): Promise<string> {
+    for (;;) {
+      const line = this.lines[index];
+      if (line !== undefined) {
+        return line;
+      }
+      assert.is(this.process.exitCode, null, `ended early: ${this.errors}`);
+      await new Promise<void>((resolve) => this.waiting.push(resolve));
+    }
+  }
+}
+
+interface System {
+  daemons: Program[];
+  urls: string[];
+  start(name: keyof typeof BINARIES, ...args: string[]): Program;
+}
+
+async function withSystem(run: (system: System) => Promise<void>): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'limelead-'));
+  const programs: Program[] = [];
+  const start: System['start'] = (name, ...args) => {
+    const program = new Program(name, ...args);
+    programs.push(program);
+    return program;
+  };
+  try {
+    const plan = {
+      engines: 2,
+      plainServices: [{ service: 'booking', count: 1 }],
+      loaded: Object.values(DEMO_VERSIONS),
+    };
+    const standIns = start('standIns', JSON.stringify(plan));
+    const { platformPort } = JSON.parse(await standIns.line(0)) as { platformPort: number };
+    const urls: string[] = [];
+    const daemons: Program[] = [];
+    for (const id of ['vm-1', 'vm-2']) {
+      const settings = createSettings({ id, failureDomain: 'suwon', platformPort, seeds: [] });
+      const rpc = { host: '127.0.0.1', port: await findFreePort() };
+      const file = join(folder, `${id}.jsonc`);
+      writeFileSync(file, JSON.stringify({ ...settings, rpc }));
+      daemons.push(start('limeleadd', '--settings', file));
+      urls.push(`http://127.0.0.1:${rpc.port}`);
+    }
+    await applyConfiguration(start, folder, urls[0] ?? '');
+    await Promise.all(urls.map(whenReady));
+    await run({ daemons, urls, start });
+  } finally {
+    programs.forEach((program) => program.process.kill('SIGKILL'));
+    await Promise.all(programs.map((program) => program.exited));
+    rmSync(folder, { recursive: true });
+  }
+}
+
+async function applyConfiguration(
+  start: System['start'],
+  folder: string,
+  url: string,
+): Promise<void> {
+  await untilAnswered(`${url}/readyz`);
+  const file = join(folder, 'change.jsonc');
+  const operations = createDemoResources().map((put) => ({ put }));
+  writeFileSync(file, JSON.stringify({ reason: 'set up', operations }));
+  const apply = start('limelead', 'apply', file, '--url', url, '--key', DEMO_KEYS.operator);
+  assert.is(await apply.exited, 0);
+  assert.equal(apply.lines, ['revision 1']);
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function untilAnswered(url: string): Promise<void> {
+  while ((await statusOf(url)) === 0) {
+    await new Promise((resolve) => setTimeout(resolve, READY_CHECK_MS));
+  }
+}
+
+async function whenReady(url: string): Promise<void> {
+  while ((await statusOf(`${url}/readyz`)) !== 200) {
+    await new Promise((resolve) => setTimeout(resolve, READY_CHECK_MS));
+  }
+}
+
+async function statusOf(url: string): Promise<number> {
+  try {
+    const response = await fetch(url);
+    await response.arrayBuffer();
+    return response.status;
+  } catch {
+    return 0;
+  }
+}
+
+interface PrintedEvent {
+  kind: string;
+  started?: { seed: string };
+  offset?: number;
+  tokens?: string[];
+}
+
+/** Streams an answer with the command; hits the first VM once tokens arrive. */
+async function generateThrough(system: System, hit: (daemon: Program) => void): Promise<void> {
+  const [daemon] = system.daemons;
+  assert.ok(daemon);
+  const url = system.urls.join(',');
+  const command = system.start(
+    'limelead',
+    ...['generate', 'route-brief', PROMPT, '--max-tokens', String(MAX_TOKENS), '--json'],
+    ...['--url', url, '--key', DEMO_KEYS.routing],
+  );
+  let isHit = false;
+  let seed = 0;
+  const tokens: string[] = [];
+  for (let index = 0; ; index += 1) {
+    const event = JSON.parse(await command.line(index)) as PrintedEvent;
+    seed = event.started === undefined ? seed : Number(event.started.seed);
+    tokens.push(...(event.tokens ?? []));
+    if (tokens.length > 20 && !isHit) {
+      isHit = true;
+      hit(daemon);
+    }
+    if (event.kind === 'finished') {
+      break;
+    }
+  }
+  assert.is(await command.exited, 0);
+  const source = { prompt: PROMPT, modelVersion: DEMO_VERSIONS.brief, seed };
+  const expected = Array.from({ length: answerLength(source, MAX_TOKENS) }, (_, position) =>
+    tokenAt(source, position),
+  );
+  assert.equal(tokens, expected);
+}
+
+test('an answer survives the SIGKILL of its VM, token by token', () =>
+  withSystem((system) => generateThrough(system, ({ process }) => process.kill('SIGKILL'))));
+
+test('an answer survives a VM that is frozen and comes back as if nothing had happened', () =>
+  withSystem(async (system) => {
+    await generateThrough(system, ({ process }) => process.kill('SIGSTOP'));
+    system.daemons[0]?.process.kill('SIGCONT');
+    await whenReady(system.urls[0] ?? '');
+  }));
+
+test('SIGTERM is a planned stop: the answer goes on and the VM ends by itself', () =>
+  withSystem(async (system) => {
+    await generateThrough(system, ({ process }) => process.kill('SIGTERM'));
+    assert.is(await system.daemons[0]?.exited, 0);
+  }));
+
+test('the commands say what they did by their exit codes', () =>
+  withSystem(async ({ start, urls }) => {
+    const url = urls[0] ?? '';
+    const asHaneul = ['--url', url, '--key', DEMO_KEYS.haneul];
+    const asOperator = ['--url', url, '--key', DEMO_KEYS.operator];
+    const call = ['call', 'booking', 'book-room', '--request-id', 'b1'];
+    const exitOf = (...args: string[]) => start('limelead', ...args).exited;
+    assert.is(await exitOf(...call, ...asHaneul), 0);
+    assert.is(await exitOf('status', ...asOperator), 0);
+    assert.is(await exitOf('get', 'service', '--json', ...asOperator), 0);
+    assert.is(await exitOf('audit', ...asOperator), 0);
+    assert.is(await exitOf('generate', 'nowhere', 'x', ...asHaneul), 3);
+    assert.is(await exitOf('status', '--url', url), 2);
+    assert.is(await exitOf('no-such-command'), 2);
+    assert.is(await exitOf('demo', '--fault', 'no-such-fault'), 2);
+  }));
+
+test('the daemon checks its settings and names the fault', async () => {
+  const example = fileURLToPath(new URL('../../../examples/limelead.jsonc', import.meta.url));
+  const good = new Program('limeleadd', '--settings', example, '--check');
+  assert.is(await good.exited, 0);
+  const bad = new Program('limeleadd', '--settings', '/no/such/file', '--check');
+  assert.is(await bad.exited, 2);
+});
+
+test.run();
--- a/packages/run-generation/src/generation.test.ts
+++ b/packages/run-generation/src/generation.test.ts
@@ -140,6 +140,11 @@
   return { messages, ended, tokens };
 }
 
+async function nextKind(messages: AsyncGenerator<AnswerMessage>): Promise<string> {
+  const next: IteratorResult<AnswerMessage, unknown> = await messages.next();
+  return next.done === true ? 'done' : next.value.kind;
+}
+
 function begin(dependencies: GenerationDependencies, change: Partial<GenerationRequest> = {}) {
   return new Generation(dependencies, { ...REQUEST, ...change }, { tries: 0, delivered: [] });
 }
@@ -154,7 +159,7 @@
 test('a caller that stops reading stops the reading from the engine', async () => {
   const { engines, dependencies } = createSystem(1);
   const messages = begin(dependencies).messages();
-  assert.is((await messages.next()).value?.kind, 'started');
+  assert.is(await nextKind(messages), 'started');
   const engine = engineThatStarted(engines);
   for (let offset = 0; offset < 50; offset += 1) {
     engine.feed({ kind: 'tokens', offset, tokens: ['t'] });
@@ -162,7 +167,7 @@
   await settle();
   const reads = engine.reads;
   assert.ok(reads <= 3, `${reads} reads`);
-  assert.is((await messages.next()).value?.kind, 'tokens');
+  assert.is(await nextKind(messages), 'tokens');
   await settle();
   assert.ok(engine.reads <= reads + 1);
   await messages.return(undefined);
