--- a/packages/admit-request/src/admission.test.ts
+++ b/packages/admit-request/src/admission.test.ts
@@ -11,7 +11,7 @@
   requestsPerSecond: 10,
   maxConcurrent: 100,
 };
-const REQUEST = { organisation: ORGANISATION, rank: 0, expectedFirstTokenMs: 0 };
+const REQUEST = { organisation: ORGANISATION, rank: 0, expectedWaitMs: 0, maxQueueMs: 1_000 };
 
 function kindOf(outcome: ReturnType<ReturnType<typeof createAdmission>['admit']>): string {
   return E.isRight(outcome) ? 'admitted' : outcome.left.kind;
@@ -56,11 +56,30 @@
 
 test('what can not land before its deadline is refused as not run', () => {
   const admission = createAdmission({ maxOpen: 10 }, () => 1);
-  const outcome = admission.admit({ ...REQUEST, deadlineAtMs: 100, expectedFirstTokenMs: 200 }, 0);
+  const outcome = admission.admit({ ...REQUEST, deadlineAtMs: 100, expectedWaitMs: 200 }, 0);
   assert.ok(E.isLeft(outcome) && outcome.left.kind === 'deadline-unreachable');
   assert.is(outcome.left.answer.execution, 'not-run');
 });
 
+test('under pressure the small organisation is still admitted when the large one is not', () => {
+  const admission = createAdmission({ maxOpen: 1_000 }, () => 1);
+  const large = {
+    ...ORGANISATION,
+    name: 'large',
+    requestsPerSecond: 10_000,
+    maxConcurrent: 10_000,
+  };
+  const ask = (organisation: typeof large, expectedWaitMs: number) =>
+    kindOf(admission.admit({ ...REQUEST, organisation, expectedWaitMs }, 0));
+  for (let open = 0; open < 50; open += 1) {
+    assert.is(ask(large, 0), 'admitted');
+  }
+  assert.is(ask(ORGANISATION, 0), 'admitted');
+  assert.is(ask(large, 1_100), 'overloaded');
+  assert.is(ask(ORGANISATION, 1_100), 'admitted');
+  assert.is(ask(ORGANISATION, 1_600), 'overloaded', 'nobody is admitted to a hopeless queue');
+});
+
 test('a released request frees its place once', () => {
   const admission = createAdmission({ maxOpen: 10 }, () => 1);
   const outcome = admission.admit(REQUEST, 0);
--- a/packages/admit-request/src/admission.ts
+++ b/packages/admit-request/src/admission.ts
@@ -9,6 +9,13 @@
 const RESERVED_PER_RANK = 0.1;
 const MAX_RESERVED = 0.5;
 const DEMAND_HALF_LIFE_MS = 2_000;
+/** Part of the allowed wait below which nobody is refused for it. */
+const RELAXED_PRESSURE = 0.5;
+/** Part of the allowed wait from which everybody is refused. */
+const REFUSE_ALL_PRESSURE = 1.5;
+/** Times its fair share that an organisation may have open when shares begin to count. */
+const SLACK_AT_RELAXED = 2;
+const MIN_OVERLOAD_RETRY_MS = 500;
 
 /** Limits of the VM itself. */
 export interface AdmissionLimits {
@@ -22,8 +29,10 @@
   rank: number;
   /** Unix milliseconds; undefined is no deadline. */
   deadlineAtMs?: Millis;
-  /** Milliseconds until the first token, as the router expects. */
-  expectedFirstTokenMs: number;
+  /** Milliseconds of waiting for a target, as the router expects. */
+  expectedWaitMs: number;
+  /** Expected wait beyond which the request's priority wants a refusal. */
+  maxQueueMs: number;
 }
 
 /** An admitted request; has to be released once. */
@@ -41,6 +50,7 @@
 
 interface OrganisationUse {
   open: number;
+  weight: number;
   tokens: number;
   refilledAtMs: Millis;
   /** Decaying count of requests, for the demand. */
@@ -64,6 +74,7 @@
     const refusal =
       findDeadlineRefusal(request, now) ??
       findOverload(request, open, limits) ??
+      findQueueRefusal(request, use, uses, open) ??
       findLimitRefusal(organisation, use, shareOf(organisation.name), now);
     if (refusal !== undefined) {
       return E.left(refusal);
@@ -106,12 +117,13 @@
   now: Millis,
 ): OrganisationUse {
   const tokens = burstOf(organisation, shareOf(organisation.name));
-  return { open: 0, tokens, refilledAtMs: now, recent: 0, recentAtMs: now };
+  const { weight } = organisation;
+  return { open: 0, weight, tokens, refilledAtMs: now, recent: 0, recentAtMs: now };
 }
 
 function findDeadlineRefusal(request: AdmissionRequest, now: Millis): LimeleadError | undefined {
-  const { deadlineAtMs, expectedFirstTokenMs } = request;
-  return deadlineAtMs !== undefined && now + expectedFirstTokenMs > deadlineAtMs
+  const { deadlineAtMs, expectedWaitMs } = request;
+  return deadlineAtMs !== undefined && now + expectedWaitMs > deadlineAtMs
     ? new LimeleadError('deadline-unreachable', 'the answer could not land before its deadline')
     : undefined;
 }
@@ -127,6 +139,40 @@
     : undefined;
 }
 
+/**
+ * Refuses before queues at the targets grow. The closer the expected wait comes
+ * to what the priority allows, the less an organisation may have open beyond
+ * its fair share; those below their share are refused last.
+ */
+function findQueueRefusal(
+  { organisation, expectedWaitMs, maxQueueMs }: AdmissionRequest,
+  use: OrganisationUse,
+  uses: ReadonlyMap<string, OrganisationUse>,
+  open: number,
+): LimeleadError | undefined {
+  const pressure = expectedWaitMs / maxQueueMs;
+  if (pressure < RELAXED_PRESSURE) {
+    return undefined;
+  }
+  const slack = Math.max(0, (REFUSE_ALL_PRESSURE - pressure) * SLACK_AT_RELAXED);
+  const fairShare = organisation.weight / sumWeights(uses);
+  const isWithinShare = use.open < slack * fairShare * open + 1;
+  return isWithinShare && pressure < REFUSE_ALL_PRESSURE
+    ? undefined
+    : new LimeleadError('overloaded', 'the targets are too busy', {
+        retryAfterMs: Math.ceil(Math.max(expectedWaitMs, MIN_OVERLOAD_RETRY_MS)),
+      });
+}
+
+/** Weights of the organisations that have something open. */
+function sumWeights(uses: ReadonlyMap<string, OrganisationUse>): number {
+  let sum = 0;
+  for (const { open, weight } of uses.values()) {
+    sum += open > 0 ? weight : 0;
+  }
+  return Math.max(sum, Number.MIN_VALUE);
+}
+
 function findLimitRefusal(
   organisation: Organisation,
   use: OrganisationUse,
--- a/packages/choose-target/src/index.test.ts
+++ b/packages/choose-target/src/index.test.ts
@@ -11,6 +11,9 @@
   inputTokens: 100,
   failureDomain: 'suwon',
   exclude: [],
+  vmCount: 7,
+  meanAnswerTokens: 64,
+  now: 0,
 };
 
 function seeded(seed: number): Random {
@@ -66,6 +69,14 @@
   assert.is.not(chooseTarget(targets, long, seeded(1))?.target.id, 'e3');
 });
 
+test('a target that does not answer its polls is taken only if the others are worse', () => {
+  const targets = createTargets([0, 3]);
+  const [silent] = targets;
+  assert.ok(silent);
+  silent.reportAtMs = -3_000;
+  assert.is(chooseTarget(targets, request, seeded(1))?.target.id, 'e1');
+});
+
 test('what this VM sent since the report counts on top of it', () => {
   const targets = createTargets([2, 3]);
   const [first, second] = targets;
--- a/packages/choose-target/src/index.ts
+++ b/packages/choose-target/src/index.ts
@@ -1,16 +1,20 @@
 /** Pure routing decision: ranks the usable targets for a request and takes one. */
 import { estimateLoad, type TrackedTarget } from '@limelead/track-targets';
-import type { ObservedCandidate, Random, TargetId } from '@limelead/types';
+import type { Millis, ObservedCandidate, Random, TargetId } from '@limelead/types';
 
-/** Targets drawn at random; the cheapest of them is taken. */
-const SAMPLE_SIZE = 2;
+/** Targets looked at; of more, so many are drawn at random. */
+const MAX_CONSIDERED = 64;
+/** Candidates that are told to those who watch. */
+const MAX_OBSERVED = 4;
+/** Part of the cost that is random, so that VMs with the same view do not all choose alike. */
+const JITTER = 0.1;
+/** A target whose report is older than this does not answer its polls. */
+const REPORT_EXPECTED_MS = 1_000;
 const DEFAULT_SLOTS = 8;
 const DEFAULT_GAP_MS = 30;
 const DEFAULT_PREFILL_TOKENS_PER_SECOND = 2_000;
 /** Milliseconds added for a target in another failure domain, there and back. */
 const OTHER_DOMAIN_COST_MS = 2;
-/** Tokens that a waiting generation is expected to produce before its slot is free. */
-const EXPECTED_TOKENS_AHEAD = 64;
 
 /** What a target is chosen for. */
 export interface RoutingRequest {
@@ -21,6 +25,11 @@
   /** Failure domain of this VM. */
   failureDomain: string;
   exclude: TargetId[];
+  /** VMs that route to the same targets, this one included. */
+  vmCount: number;
+  /** Tokens that an answer has on average, as this VM saw lately. */
+  meanAnswerTokens: number;
+  now: Millis;
 }
 
 /** The target taken and what it was compared with. */
@@ -29,32 +38,38 @@
   considered: ObservedCandidate[];
 }
 
-/**
- * Draws two targets and adds the one with most of the prompt cached; takes the
- * cheapest. Drawing keeps several VMs with the same lagging reports from all
- * taking the target that last looked idle.
- */
-export default function chooseTarget(
+/** Takes one of the targets, or none where none is allowed. */
+export type ChooseTarget = (
   targets: TrackedTarget[],
   request: RoutingRequest,
   random: Random,
-): RoutingChoice | undefined {
+) => RoutingChoice | undefined;
+
+/**
+ * Takes the target with the least expected time to the next token. The cost
+ * counts what was sent since the lagging report, by this VM and, as a guess,
+ * as much by each other, and a little chance; so VMs with the same reports
+ * spread instead of all taking the target that last looked idle.
+ */
+const chooseTarget: ChooseTarget = (targets, request, random) => {
   const allowed = targets.filter((target) => !request.exclude.includes(target.id));
-  const candidates = drawCandidates(allowed, request, random);
-  const ranked = candidates
-    .map((target) => ({ target, ...estimateCost(target, request) }))
+  const ranked = drawConsidered(allowed, random)
+    .map((target) => {
+      const { costMs, cachedShare } = estimateCost(target, request);
+      return { target, cachedShare, costMs: (costMs + 1) * (1 + JITTER * random.next()) };
+    })
     .sort((a, b) => a.costMs - b.costMs);
   const best = ranked[0];
   if (best === undefined) {
     return undefined;
   }
-  const considered = ranked.map(({ target, costMs, cachedShare }) => ({
-    target: target.id,
-    costMs,
-    cachedShare,
-  }));
+  const considered = ranked
+    .slice(0, MAX_OBSERVED)
+    .map(({ target, costMs, cachedShare }) => ({ target: target.id, costMs, cachedShare }));
   return { target: best.target, considered };
-}
+};
+
+export default chooseTarget;
 
 /** Expected milliseconds until the first new token, and the share of the prompt in the cache. */
 export function estimateCost(
@@ -63,21 +78,36 @@
 ): { costMs: number; cachedShare: number } {
   const cachedShare = estimateCachedShare(target, request.prefixHashes);
   const rate = target.report?.prefillTokensPerSecond ?? DEFAULT_PREFILL_TOKENS_PER_SECOND;
-  const prefillMs = (request.inputTokens * (1 - cachedShare) * 1000) / rate;
+  const ahead = target.prefillPending * request.vmCount;
+  const prefillMs = ((ahead + request.inputTokens * (1 - cachedShare)) * 1000) / rate;
   const domainMs = target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST_MS;
-  return { costMs: estimateQueueMs(target) + prefillMs + domainMs, cachedShare };
+  const costMs =
+    estimateQueueMs(target, request) + prefillMs + domainMs + estimateDoubtMs(target, request.now);
+  return { costMs, cachedShare };
 }
 
-function estimateQueueMs(target: TrackedTarget): number {
-  const slots = target.report?.slots ?? DEFAULT_SLOTS;
+/** Milliseconds until a slot is free, and the share of a step that the batch adds. */
+export function estimateQueueMs(
+  target: TrackedTarget,
+  { vmCount, meanAnswerTokens }: Pick<RoutingRequest, 'vmCount' | 'meanAnswerTokens'>,
+): number {
+  const slots = Math.max(1, target.report?.slots ?? DEFAULT_SLOTS);
   const gapMs = target.report?.tokenGapMs ?? DEFAULT_GAP_MS;
-  const load = estimateLoad(target);
+  const load = estimateLoad(target, vmCount);
   const ahead = Math.max(0, load + 1 - slots);
-  const waitMs = (ahead * EXPECTED_TOKENS_AHEAD * gapMs) / slots;
+  const waitMs = (ahead * meanAnswerTokens * gapMs) / slots;
   const batchMs = (gapMs * Math.min(load, slots)) / slots;
   return waitMs + batchMs;
 }
 
+/** A target that lately did not answer its polls may be paused or cut off. */
+function estimateDoubtMs(target: TrackedTarget, now: Millis): number {
+  if (target.report === undefined) {
+    return 0;
+  }
+  return Math.max(0, now - target.reportAtMs - REPORT_EXPECTED_MS);
+}
+
 function estimateCachedShare(target: TrackedTarget, prefixHashes: string[]): number {
   if (prefixHashes.length === 0) {
     return 0;
@@ -86,38 +116,13 @@
   return (longest + 1) / prefixHashes.length;
 }
 
-function drawCandidates(
-  targets: TrackedTarget[],
-  request: RoutingRequest,
-  random: Random,
-): TrackedTarget[] {
-  const drawn = new Set<TrackedTarget>();
-  const wanted = Math.min(SAMPLE_SIZE, targets.length);
-  while (drawn.size < wanted) {
-    const target = targets[Math.floor(random.next() * targets.length)];
-    if (target !== undefined) {
-      drawn.add(target);
-    }
-  }
-  const cached = findBestCached(targets, request.prefixHashes);
-  if (cached !== undefined) {
-    drawn.add(cached);
-  }
-  return [...drawn];
-}
-
-function findBestCached(
-  targets: TrackedTarget[],
-  prefixHashes: string[],
-): TrackedTarget | undefined {
-  let best: TrackedTarget | undefined;
-  let bestShare = 0;
-  for (const target of targets) {
-    const share = estimateCachedShare(target, prefixHashes);
-    if (share > bestShare) {
-      best = target;
-      bestShare = share;
-    }
+function drawConsidered(targets: TrackedTarget[], random: Random): TrackedTarget[] {
+  if (targets.length <= MAX_CONSIDERED) {
+    return targets;
   }
-  return best;
+  const start = Math.floor(random.next() * targets.length);
+  return Array.from(
+    { length: MAX_CONSIDERED },
+    (_, index) => targets[(start + index * 7) % targets.length],
+  ).filter((target) => target !== undefined);
 }
--- a/packages/cli/src/run-limelead.ts
+++ b/packages/cli/src/run-limelead.ts
@@ -6,6 +6,7 @@
 import demo, { type DemoOptions } from './commands/demo/index.js';
 import generate, { type GenerateOptions } from './commands/generate/index.js';
 import get from './commands/get/index.js';
+import load, { type LoadOptions } from './commands/load/index.js';
 import status from './commands/status/index.js';
 import watch, { type WatchOptions } from './commands/watch/index.js';
 import type { ConnectionOptions } from './connect.js';
@@ -29,6 +30,14 @@
     .example('limelead demo')
     .example('limelead demo --fault all --seed 7 --json')
     .action((options: DemoOptions) => finish(demo(options), options));
+  program
+    .command('load <mix>', 'Drive running VMs with the load of a mix file')
+    .option('--url <urls>', 'Base URLs of VMs, separated by commas (LIMELEAD_URL)')
+    .option('--seed <number>', 'Seed of the arrivals', { default: 1 })
+    .option('--tries <number>', 'Tries of one request', { default: 10 })
+    .option('--json', 'Write the figures as one line of JSON')
+    .example('limelead load examples/mix.jsonc --url http://127.0.0.1:8080')
+    .action((mix: string, options: LoadOptions) => finish(load(mix, options), options));
   program.help();
   try {
     program.parse(argv, { run: false });
--- a/packages/configuration-state/src/codecs.ts
+++ b/packages/configuration-state/src/codecs.ts
@@ -84,6 +84,7 @@
   rank: integerBetween(0, 100),
   deadlineMs: milliseconds,
   recovery: recoveryPolicyCodec,
+  maxQueueMs: integerBetween(1, LONGEST_MS),
 });
 
 /** A placement rule. */
--- a/packages/daemon/src/create-context.ts
+++ b/packages/daemon/src/create-context.ts
@@ -10,6 +10,7 @@
 import createLogger from '@limelead/logger';
 import createMetrics from '@limelead/metrics';
 import createEventBus from '@limelead/observe-events';
+import createRecoveryPacer from '@limelead/pace-recoveries';
 import type { Settings } from '@limelead/read-settings';
 import createHandleSigner from '@limelead/resume-handle';
 import { createCallRunner } from '@limelead/run-call';
@@ -22,9 +23,12 @@
 import ConfigurationHolder from './configuration-holder.js';
 import OpenGenerations from './open-generations.js';
 import PeerConversation from './peer-conversation.js';
-import type { OutsideSystems, Runtime, VmContext } from './vm-context.js';
+import type { OutsideSystems, Runtime, Strategies, VmContext } from './vm-context.js';
 
 const INCARNATION_BYTES = 6;
+/** Recoveries under way on one engine at a time, over all VMs. */
+const RECOVERIES_PER_ENGINE = 4;
+const MIN_RECOVERIES = 2;
 
 /** The parts, and the conversation that they share with the peers. */
 export interface CreatedVm {
@@ -36,6 +40,7 @@
 export default function createContext(
   settings: Settings,
   runtime: Runtime,
+  strategies: Strategies,
   isDraining: () => boolean,
 ): CreatedVm {
   const { clock, timers, random } = runtime;
@@ -54,6 +59,12 @@
   };
   const admission = createAdmission({ maxOpen: settings.limits.maxOpenRequests }, shareOf);
 
+  const recoveryPlaces = (): number => {
+    const vmCount = members.present(clock.now()).length + 1;
+    const engines = targets.usableEngines(clock.now()).length;
+    return Math.max(MIN_RECOVERIES, Math.ceil((engines * RECOVERIES_PER_ENGINE) / vmCount));
+  };
+
   const context: VmContext = {
     ...runtime,
     settings,
@@ -68,6 +79,8 @@
     configuration: new ConfigurationHolder(),
     configurationStore: createConfigurationStore(outside.store, clock, timers),
     admission,
+    pacer: strategies.pacer ?? createRecoveryPacer(recoveryPlaces),
+    chooseTarget: strategies.chooseTarget,
     authenticator: new Authenticator(settings.operators),
     signer: createHandleSigner(settings.peers.secret),
     openGenerations: new OpenGenerations(),
@@ -105,5 +118,12 @@
   metrics.gauge('limelead_open_generations', () => openGenerations.size);
   metrics.gauge('limelead_open_requests', () => admission.open());
   metrics.gauge('limelead_configuration_revision', () => configuration.configuration.revision);
+  metrics.gauge('limelead_cpu_milliseconds', readCpuMilliseconds);
   metrics.gauge('limelead_resident_bytes', () => process.memoryUsage.rss());
 }
+
+/** Processor time of the process since its start. */
+function readCpuMilliseconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1000;
+}
--- /dev/null
+++ b/packages/daemon/src/place-models.ts
@@ -0,0 +1,83 @@
+/** Does placement on this VM while it is one of the few that may, and holds the lease. */
+import { createPlacementDoer, type PlacementDoer } from '@limelead/apply-placement-plan';
+import { listSpecs } from '@limelead/configuration-state';
+import { chooseWatchers } from '@limelead/track-members';
+import { estimateLoad } from '@limelead/track-targets';
+import type { ModelVersion } from '@limelead/types';
+import startLoop, { type Loop } from './loop.js';
+import type { VmContext } from './vm-context.js';
+
+/** Three tries at a renewal fit into the lease's time. */
+const WORK_INTERVAL_MS = 1_500;
+/** The weight store serves only so many loads at a time. */
+const MAX_PENDING_LOADS = 4;
+/** Answers that began with a version that nothing wants any more have this long to end. */
+const RETAIN_MS = 600_000;
+const REPORT_MAX_AGE_MS = 5_000;
+
+/** Placement of one VM. */
+export interface Placement extends Loop {
+  release(): Promise<void>;
+}
+
+/** Starts to place. Without rules and without a lease nothing is asked of the service. */
+export default function placeModels(context: VmContext): Placement {
+  const doer = createDoer(context);
+  const loop = startLoop(context, WORK_INTERVAL_MS, async () => {
+    if (hasRules(context) && mayPlace(context)) {
+      await doer.work();
+    }
+  });
+  return { stop: () => loop.stop(), release: () => doer.release() };
+}
+
+function createDoer(context: VmContext): PlacementDoer {
+  const { outside, clock, metrics, bus, incarnation, targets } = context;
+  return createPlacementDoer({
+    store: outside.store,
+    clock,
+    metrics,
+    bus,
+    incarnation,
+    limits: { maxPendingLoads: MAX_PENDING_LOADS, retainMs: RETAIN_MS },
+    view: () => ({
+      rules: listSpecs(context.configuration.configuration, 'placementRule'),
+      current: listCurrentVersions(context),
+      targets: listPlacedTargets(context),
+    }),
+    engineOf: (id) => {
+      const target = targets.find(id);
+      return target === undefined ? undefined : outside.connector.engine(target.host, target.port);
+    },
+  });
+}
+
+function hasRules(context: VmContext): boolean {
+  return listSpecs(context.configuration.configuration, 'placementRule').length > 0;
+}
+
+/** The same few VMs that watch the configuration; so the lease costs the service few calls. */
+function mayPlace({ members, clock, settings }: VmContext): boolean {
+  const present = members.present(clock.now()).map(({ id }) => id);
+  return chooseWatchers([...present, settings.id]).includes(settings.id);
+}
+
+function listCurrentVersions(context: VmContext): ModelVersion[] {
+  return listSpecs(context.configuration.configuration, 'service').flatMap(({ model }) =>
+    model === undefined ? [] : [model],
+  );
+}
+
+function listPlacedTargets({ targets, clock }: VmContext) {
+  const now = clock.now();
+  return targets
+    .all()
+    .filter((target) => target.role === 'engine' && targets.stateOf(target, now) === 'usable')
+    .flatMap((target) => {
+      const { id, failureDomain, report, reportAtMs } = target;
+      const isFresh = report !== undefined && now - reportAtMs <= REPORT_MAX_AGE_MS;
+      return isFresh
+        ? [{ id, failureDomain, loaded: report.loaded, load: estimateLoad(target) }]
+        : [];
+    });
+}
--- a/packages/daemon/src/poll-targets.ts
+++ b/packages/daemon/src/poll-targets.ts
@@ -9,7 +9,7 @@
   const { listPollMs, loadPollMs } = context.settings.timing;
   return [
     startLoop(context, listPollMs, () => readList(context)),
-    startLoop(context, loadPollMs, () => readReports(context)),
+    startLoop(context, loadPollMs, createReportPoll(context)),
   ];
 }
 
@@ -31,9 +31,16 @@
   }
 }
 
-async function readReports(context: VmContext): Promise<void> {
-  const engines = context.targets.all().filter(({ role }) => role === 'engine');
-  await Promise.all(engines.map((target) => readReport(context, target)));
+/** A target that does not answer must not hold the others' polls back. */
+function createReportPoll(context: VmContext): () => Promise<void> {
+  const waiting = new Set<string>();
+  return async () => {
+    const engines = context.targets.all().filter(({ role }) => role === 'engine');
+    for (const target of engines.filter(({ id }) => !waiting.has(id))) {
+      waiting.add(target.id);
+      void readReport(context, target).finally(() => waiting.delete(target.id));
+    }
+  };
 }
 
 async function readReport(context: VmContext, target: TrackedTarget): Promise<void> {
--- a/packages/daemon/src/services/calls-service.ts
+++ b/packages/daemon/src/services/calls-service.ts
@@ -51,7 +51,7 @@
     message.priority || requireService(context, request.service).defaultPriority,
   );
   const ticket = context.admission.admit(
-    { organisation, rank: priority.rank, expectedFirstTokenMs: 0 },
+    { organisation, rank: priority.rank, expectedWaitMs: 0, maxQueueMs: priority.maxQueueMs },
     context.clock.now(),
   );
   if (E.isLeft(ticket)) {
--- a/packages/daemon/src/services/generation-service.ts
+++ b/packages/daemon/src/services/generation-service.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import { findSpec } from '@limelead/configuration-state';
-import chooseTarget, { estimateCost } from '@limelead/choose-target';
+import { estimateQueueMs } from '@limelead/choose-target';
 import { LimeleadError } from '@limelead/errors';
 import Generation, { type GenerationStart } from '@limelead/run-generation';
 import {
@@ -121,7 +121,8 @@
       organisation,
       rank: request.priority.rank,
       deadlineAtMs: request.deadlineAtMs,
-      expectedFirstTokenMs: expectFirstToken(context, request),
+      expectedWaitMs: expectWait(context, request),
+      maxQueueMs: request.priority.maxQueueMs,
     },
     context.clock.now(),
   );
@@ -137,19 +138,20 @@
   throw ticket.left;
 }
 
-/** What the cheapest of a few targets would need; 0 where nothing is known. */
-function expectFirstToken(context: VmContext, request: GenerationRequest): number {
-  const { targets, clock, random, settings } = context;
+/** Milliseconds of waiting at the target with the shortest queue; 0 where nothing is known. */
+function expectWait(context: VmContext, request: GenerationRequest): number {
+  const { targets, clock, gaps } = context;
   const version = currentVersion(context, request.service);
-  const routing = {
-    prefixHashes: [],
-    inputTokens: 0,
-    failureDomain: settings.failureDomain,
-    exclude: [],
-  };
-  const usable = targets.usableEngines(clock.now(), version);
-  const choice = chooseTarget(usable, routing, random);
-  return choice === undefined ? 0 : estimateCost(choice.target, routing).costMs;
+  const routing = { vmCount: countVms(context), meanAnswerTokens: gaps.readAnswerTokens() };
+  const waits = targets
+    .usableEngines(clock.now(), version)
+    .map((target) => estimateQueueMs(target, routing));
+  return waits.length === 0 ? 0 : Math.min(...waits);
+}
+
+/** VMs that route to the same targets, this one included. */
+export function countVms({ members, clock }: VmContext): number {
+  return members.present(clock.now()).length + 1;
 }
 
 /** The version with which new answers of a service begin. */
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -1,19 +1,24 @@
 /** Starts the daemon of one entry VM. */
 import { fastifyConnectPlugin } from '@connectrpc/connect-fastify';
+import chooseTarget from '@limelead/choose-target';
 import type { Settings } from '@limelead/read-settings';
 import type { GenerationDependencies } from '@limelead/run-generation';
 import { Administration, Calls, Generation, Observation } from '@limelead/schema';
-import { delay, systemClock, systemRandom, systemTimers } from '@limelead/types';
+import { backgroundTimers, delay, systemClock, systemRandom } from '@limelead/types';
 import fastify, { type FastifyInstance } from 'fastify';
 import createContext from './create-context.js';
 import type { Loop } from './loop.js';
 import type PeerConversation from './peer-conversation.js';
+import placeModels, { type Placement } from './place-models.js';
 import pollTargets from './poll-targets.js';
 import createAdministrationService from './services/administration-service.js';
 import createCallsService from './services/calls-service.js';
-import createGenerationService, { currentVersion } from './services/generation-service.js';
+import createGenerationService, {
+  countVms,
+  currentVersion,
+} from './services/generation-service.js';
 import createObservationService from './services/observation-service.js';
-import type { Runtime, VmContext } from './vm-context.js';
+import type { Runtime, Strategies, VmContext } from './vm-context.js';
 import watchConfiguration from './watch-configuration.js';
 
 const MAX_MESSAGE_BYTES = 1_048_576;
@@ -21,7 +26,7 @@
 
 const SYSTEM_RUNTIME: Runtime = {
   clock: systemClock,
-  timers: systemTimers,
+  timers: backgroundTimers,
   random: systemRandom,
 };
 
@@ -42,8 +47,9 @@
 export default async function startDaemon(
   settings: Settings,
   runtime: Runtime = SYSTEM_RUNTIME,
+  strategies: Strategies = { chooseTarget },
 ): Promise<Daemon> {
-  const daemon = new RunningDaemon(settings, runtime);
+  const daemon = new RunningDaemon(settings, runtime, strategies);
   await daemon.start();
   return daemon;
 }
@@ -56,11 +62,12 @@
   private readonly peers: PeerConversation;
   private readonly server: FastifyInstance;
   private loops: Loop[] = [];
+  private placement: Placement | undefined;
   private phase: StopPhase = 'serving';
 
-  constructor(settings: Settings, runtime: Runtime) {
+  constructor(settings: Settings, runtime: Runtime, strategies: Strategies) {
     const isDraining = (): boolean => this.phase === 'draining' || this.phase === 'stopped';
-    const { context, peers } = createContext(settings, runtime, isDraining);
+    const { context, peers } = createContext(settings, runtime, strategies, isDraining);
     this.context = context;
     this.peers = peers;
     this.server = fastify({ bodyLimit: MAX_MESSAGE_BYTES, forceCloseConnections: true });
@@ -74,7 +81,8 @@
     const { rpc } = this.context.settings;
     await this.registerRoutes();
     await this.peers.start();
-    this.loops = [...pollTargets(this.context), watchConfiguration(this.context)];
+    this.placement = placeModels(this.context);
+    this.loops = [...pollTargets(this.context), watchConfiguration(this.context), this.placement];
     await this.server.listen({ host: rpc.host, port: rpc.port });
     const address = this.server.server.address();
     this.rpcPort = typeof address === 'object' && address !== null ? address.port : 0;
@@ -94,6 +102,7 @@
     logger.info('draining', { openGenerations: openGenerations.size });
     openGenerations.drain();
     await this.whenNothingIsOpen();
+    await this.placement?.release();
     await this.close();
   }
 
@@ -149,6 +158,7 @@
       ...context,
       connector: outside.connector,
       failureDomain: settings.failureDomain,
+      countVms: () => countVms(context),
       abandonedGraceMs: settings.timing.abandonedGraceMs,
       currentVersion: (service) => currentVersion(context, service),
       onBreakerOpened: (target) => {
--- a/packages/daemon/src/vm-context.ts
+++ b/packages/daemon/src/vm-context.ts
@@ -1,9 +1,11 @@
 /** What the parts of one VM share. */
 import type { Admission } from '@limelead/admit-request';
+import type { ChooseTarget } from '@limelead/choose-target';
 import type { Logger } from '@limelead/logger';
 import type { Metrics } from '@limelead/metrics';
 import type { EventBus } from '@limelead/observe-events';
 import type { KeyValueStore, TargetConnector, VmListSource } from '@limelead/ports';
+import type { RecoveryPacer } from '@limelead/pace-recoveries';
 import type { Settings } from '@limelead/read-settings';
 import type { HandleSigner } from '@limelead/resume-handle';
 import type { GapTable } from '@limelead/run-generation';
@@ -31,6 +33,13 @@
   random: Random;
 }
 
+/** Decisions that a measurement may replace by a baseline. */
+export interface Strategies {
+  chooseTarget: ChooseTarget;
+  /** Absent takes the pacer that follows the number of engines and VMs. */
+  pacer?: RecoveryPacer;
+}
+
 /** Shared by the parts of one VM. */
 export interface VmContext extends Runtime {
   settings: Settings;
@@ -46,6 +55,8 @@
   configuration: ConfigurationHolder;
   configurationStore: ConfigurationStore;
   admission: Admission;
+  pacer: RecoveryPacer;
+  chooseTarget: ChooseTarget;
   authenticator: Authenticator;
   signer: HandleSigner;
   openGenerations: OpenGenerations;
--- a/packages/demo/src/demo-cluster.ts
+++ b/packages/demo/src/demo-cluster.ts
@@ -1,7 +1,7 @@
 /** VMs and stand-ins in one process, on real loopback sockets. */
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@limelead/client';
-import { startDaemon, type Daemon } from '@limelead/daemon';
+import { startDaemon, type Daemon, type Strategies } from '@limelead/daemon';
 import { ApplyRequestSchema } from '@limelead/schema';
 import {
   startEngine,
@@ -13,13 +13,12 @@
   type Platform,
   type PlatformOptions,
 } from '@limelead/stand-ins';
-import { delay, type ListedVm, type Resource } from '@limelead/types';
+import { delay, systemTimers, type ListedVm, type Resource } from '@limelead/types';
 import createSettings from './create-settings.js';
 import { createDemoResources, DEMO_KEYS, DEMO_VERSIONS } from './demo-configuration.js';
 import toOperations from './to-operations.js';
 
 const HOST = '127.0.0.1';
-const DOMAINS = ['depot-north', 'depot-south', 'civic-hall'] as const;
 const READY_CHECK_MS = 20;
 
 /** How large the cluster is. */
@@ -30,6 +29,9 @@
   resources: Resource[];
   engine: Partial<EngineOptions>;
   platform: Partial<PlatformOptions>;
+  strategies?: Strategies;
+  /** Names of failure domains, over which VMs and targets are dealt out. */
+  domains: readonly string[];
 }
 
 /** One VM of the cluster. */
@@ -61,6 +63,7 @@
   resources: createDemoResources(),
   engine: {},
   platform: {},
+  domains: ['depot-north', 'depot-south', 'civic-hall'],
 };
 
 /** Starts a cluster, applies its configuration, and waits until every VM is ready. */
@@ -70,11 +73,11 @@
   const sizes = { ...DEFAULT_OPTIONS, ...options };
   const platform = await startPlatform(sizes.platform);
   const engines = await startEngines(sizes, platform);
-  const plainServices = await startPlainServices(sizes.plainServices, platform);
+  const plainServices = await startPlainServices(sizes, platform);
   const vms: DemoVm[] = [];
 
   async function startVm(): Promise<DemoVm> {
-    const vm = await startDemoVm(platform, vms);
+    const vm = await startDemoVm(platform, vms, sizes);
     vms.push(vm);
     return vm;
   }
@@ -113,51 +116,49 @@
     if (response.ok) {
       return;
     }
-    await delay({ after: keepAliveAfter }, READY_CHECK_MS);
+    await delay(systemTimers, READY_CHECK_MS);
   }
 }
 
-/** A timer that keeps the process alive, unlike those of the product. */
-function keepAliveAfter(milliseconds: number, run: () => void): () => void {
-  const timer = setTimeout(run, milliseconds);
-  return () => clearTimeout(timer);
-}
-
 async function startEngines(sizes: DemoClusterOptions, platform: Platform): Promise<Engine[]> {
   const engines: Engine[] = [];
   for (let index = 0; index < sizes.engines; index += 1) {
     const id = `engine-${index + 1}`;
     const engine = await startEngine({ id, loaded: Object.values(DEMO_VERSIONS), ...sizes.engine });
-    platform.vms.add(listed(id, 'engine', engine.port, index));
+    platform.vms.add(listed(id, 'engine', engine.port, domainAt(sizes.domains, index)));
     engines.push(engine);
   }
   return engines;
 }
 
 async function startPlainServices(
-  count: number,
+  { plainServices: count, domains }: DemoClusterOptions,
   platform: Platform,
 ): Promise<PlainServiceStandIn[]> {
   const services: PlainServiceStandIn[] = [];
   for (let index = 0; index < count; index += 1) {
     const service = await startPlainService();
-    const vm = listed(`plain-${index + 1}`, 'plain', service.port, index);
+    const vm = listed(`plain-${index + 1}`, 'plain', service.port, domainAt(domains, index));
     platform.vms.add({ ...vm, services: ['booking'] });
     services.push(service);
   }
   return services;
 }
 
-async function startDemoVm(platform: Platform, others: DemoVm[]): Promise<DemoVm> {
+async function startDemoVm(
+  platform: Platform,
+  others: DemoVm[],
+  { strategies, domains }: DemoClusterOptions,
+): Promise<DemoVm> {
   const index = others.length;
   const id = `vm-${index + 1}`;
   const seeds = others
     .filter(({ isUp }) => isUp)
     .map((vm) => ({ id: vm.id, host: HOST, port: vm.daemon.peerPort }));
-  const failureDomain = domainOf(index);
+  const failureDomain = domainAt(domains, index);
   const settings = createSettings({ id, failureDomain, platformPort: platform.port, seeds });
-  const daemon = await startDaemon(settings);
-  platform.vms.add(listed(id, 'entry', daemon.peerPort, index));
+  const daemon = await startDaemon(settings, undefined, strategies);
+  platform.vms.add(listed(id, 'entry', daemon.peerPort, failureDomain));
   return { id, daemon, url: `http://${HOST}:${daemon.rpcPort}`, isUp: true };
 }
 
@@ -176,11 +177,10 @@
   await client.close();
 }
 
-function listed(id: string, role: ListedVm['role'], port: number, index: number): ListedVm {
-  const failureDomain = domainOf(index);
+function listed(id: string, role: ListedVm['role'], port: number, failureDomain: string): ListedVm {
   return { id, role, host: HOST, port, failureDomain, leaving: false, services: [] };
 }
 
-function domainOf(index: number): string {
-  return DOMAINS[index % DOMAINS.length] ?? DOMAINS[0];
+function domainAt(domains: readonly string[], index: number): string {
+  return domains[index % domains.length] ?? '';
 }
--- a/packages/demo/src/demo-configuration.ts
+++ b/packages/demo/src/demo-configuration.ts
@@ -68,7 +68,7 @@
 }
 
 function priority(name: string, rank: number, recovery: RecoveryPolicy): Resource {
-  return { kind: 'priority', spec: { name, rank, deadlineMs: 0, recovery } };
+  return { kind: 'priority', spec: { name, rank, deadlineMs: 0, recovery, maxQueueMs: 10_000 } };
 }
 
 function modelService(name: string, model: ModelVersion, defaultPriority: string): Resource {
--- a/packages/demo/src/run-demo.ts
+++ b/packages/demo/src/run-demo.ts
@@ -1,6 +1,5 @@
 /** Runs one demonstration. */
-import type { Timers } from '@limelead/types';
-import { delay } from '@limelead/types';
+import { delay, systemTimers } from '@limelead/types';
 import createSeededRandom from './seeded-random.js';
 import startDemoCluster, { type DemoCluster } from './demo-cluster.js';
 import FaultInjector, { type FaultName } from './inject-faults.js';
@@ -24,14 +23,6 @@
   print?: (line: string) => void;
 }
 
-/** Timers that keep the process alive while the demonstration waits. */
-const TIMERS: Timers = {
-  after(milliseconds, run) {
-    const timer = setTimeout(run, milliseconds);
-    return () => clearTimeout(timer);
-  },
-};
-
 /** Runs it; resolves with the report after everything was stopped. */
 export default async function runDemo(options: DemoOptions): Promise<DemoReport> {
   const cluster = await startDemoCluster();
@@ -50,7 +41,7 @@
 async function runOn(cluster: DemoCluster, options: DemoOptions): Promise<DemoReport> {
   const { fault, seed, requests, print } = options;
   const workload = createWorkload(requests, createSeededRandom(seed));
-  const injector = new FaultInjector(cluster, TIMERS, performance.now());
+  const injector = new FaultInjector(cluster, systemTimers, performance.now());
   const trigger = createTrigger(TOKENS_BEFORE_FAULT);
   const injection = trigger.fired.then(async () => {
     print?.(`fault: ${fault}`);
@@ -83,7 +74,7 @@
   index: number,
   onToken: () => void,
 ): Promise<AnswerRecord | CallRecord> {
-  await delay(TIMERS, work.startAtMs);
+  await delay(systemTimers, work.startAtMs);
   // A caller knows all addresses, as behind a balancer; each begins with another VM.
   const urls = cluster.vms.map(({ url }) => url);
   return work.kind === 'answer'
--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -3,19 +3,12 @@
 import { createClient, readErrorDetail, type AnswerRequest, type Client } from '@limelead/client';
 import { ApplyRequestSchema } from '@limelead/schema';
 import { tokenAt } from '@limelead/stand-ins';
-import { delay, type Resource, type Timers } from '@limelead/types';
+import { delay, systemTimers, type Resource } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
 import toOperations from './to-operations.js';
 
-const POLL: Timers = {
-  after(milliseconds, run) {
-    const timer = setTimeout(run, milliseconds);
-    return () => clearTimeout(timer);
-  },
-};
-
 const PROMPT: AnswerRequest = {
   requestId: 'r1',
   service: 'in-cab',
@@ -43,7 +36,7 @@
 
 async function until(holds: () => boolean): Promise<void> {
   while (!holds()) {
-    await delay(POLL, 10);
+    await delay(systemTimers, 10);
   }
 }
 
@@ -232,7 +225,7 @@
     const isRefused = async () =>
       (await kindOf(() => readAnswer(impatient, PROMPT))).endsWith('/not-run');
     while (!(await isRefused())) {
-      await delay(POLL, 100);
+      await delay(systemTimers, 100);
     }
     const begun = cluster.engines.flatMap((engine) => engine.records()).length;
     assert.ok(await isRefused());
@@ -258,7 +251,7 @@
       return targets.find(({ id }) => id === leaving.id)?.state === 'leaving';
     };
     while (!(await isKnown())) {
-      await delay(POLL, 10);
+      await delay(systemTimers, 10);
     }
     const begun = leaving.records().length;
     for (let index = 0; index < 10; index += 1) {
--- a/packages/generation-session/src/replay.fixture.ts
+++ b/packages/generation-session/src/replay.fixture.ts
@@ -16,6 +16,7 @@
     name: 'urgent',
     rank: 0,
     deadlineMs: 0,
+    maxQueueMs: 1_000,
     recovery: {
       suspicionFactor: 4,
       minSilenceMs: 100,
--- /dev/null
+++ b/packages/load/src/mix.ts
@@ -0,0 +1,68 @@
+/** The mix file: what kinds of requests arrive, how often, and from whom. */
+import decodeWithLines, {
+  closed,
+  integerBetween,
+  listOfAtMost,
+  positiveUpTo,
+} from '@limelead/decode-with-lines';
+import type { DecodeError } from '@limelead/errors';
+import type * as E from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+
+const MAX_RATE = 10_000;
+const MAX_DURATION_MS = 3_600_000;
+
+/** A length with a long tail: log-normal around the median, cut at the greatest. */
+const lengthCodec = closed('length', {
+  median: integerBetween(1, 100_000),
+  sigma: t.number,
+  max: integerBetween(1, 100_000),
+});
+
+const prefixesCodec = closed('shared prefixes', {
+  count: integerBetween(1, 10_000),
+  characters: integerBetween(1, 100_000),
+});
+
+const callCodec = closed('call', { operation: t.string, repeatable: t.boolean });
+
+const kindCodec = closed(
+  'kind',
+  {
+    name: t.string,
+    /** Part of all arrivals, relative to the other kinds. */
+    share: positiveUpTo(1_000_000),
+    service: t.string,
+    key: t.string,
+  },
+  {
+    priority: t.string,
+    deadlineMs: integerBetween(0, MAX_DURATION_MS),
+    pace: t.number,
+    promptCharacters: lengthCodec,
+    maxTokens: lengthCodec,
+    sharedPrefixes: prefixesCodec,
+    /** Present for calls to plain services. */
+    call: callCodec,
+  },
+);
+
+const mixCodec = closed('mix', {
+  requestsPerSecond: positiveUpTo(MAX_RATE),
+  durationMs: integerBetween(1, MAX_DURATION_MS),
+  kinds: listOfAtMost(kindCodec, 64),
+});
+
+/** One kind of requests. */
+export type MixKind = t.TypeOf<typeof kindCodec>;
+
+/** A length with a long tail. */
+export type Length = t.TypeOf<typeof lengthCodec>;
+
+/** A mix. */
+export type Mix = t.TypeOf<typeof mixCodec>;
+
+/** Reads the text of a mix file. */
+export function decodeMix(file: string, text: string): E.Either<DecodeError, Mix> {
+  return decodeWithLines(file, text, mixCodec);
+}
--- /dev/null
+++ b/packages/load/src/plan-arrivals.test.ts
@@ -0,0 +1,49 @@
+import * as E from 'fp-ts/lib/Either.js';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { decodeMix, planArrivals, type Mix } from './index.js';
+
+const EXAMPLE = fileURLToPath(new URL('../../../examples/mix.jsonc', import.meta.url));
+
+function seeded(seed: number) {
+  const generator = xoroshiro128plus(seed);
+  return { next: () => uniformFloat64(generator) };
+}
+
+function readExample(): Mix {
+  const mix = decodeMix(EXAMPLE, readFileSync(EXAMPLE, 'utf8'));
+  assert.ok(E.isRight(mix));
+  return mix.right;
+}
+
+test('the same seed plans the same load', () => {
+  const mix = readExample();
+  assert.equal(planArrivals(mix, seeded(1), 'x'), planArrivals(mix, seeded(1), 'x'));
+});
+
+test('the rate, the shares and the bounds of lengths are those of the mix', () => {
+  const mix = { ...readExample(), requestsPerSecond: 1_000, durationMs: 10_000 };
+  const arrivals = planArrivals(mix, seeded(2), 'x');
+  assert.ok(Math.abs(arrivals.length - 10_000) < 400, `${arrivals.length}`);
+  const total = mix.kinds.reduce((sum, { share }) => sum + share, 0);
+  for (const kind of mix.kinds) {
+    const own = arrivals.filter((arrival) => arrival.kind === kind);
+    assert.ok(Math.abs(own.length / arrivals.length - kind.share / total) < 0.03, kind.name);
+    const { maxTokens } = kind;
+    if (maxTokens !== undefined) {
+      assert.ok(own.every((arrival) => arrival.maxTokens <= maxTokens.max));
+    }
+  }
+});
+
+test('a mix that does not hold names its line', () => {
+  const mix = decodeMix('m.jsonc', '{"requestsPerSecond": 0,\n"durationMs": 1, "kinds": []}');
+  assert.ok(E.isLeft(mix));
+  assert.match(mix.left.message, /^m\.jsonc:1: requestsPerSecond: expected a number above 0/);
+});
+
+test.run();
--- /dev/null
+++ b/packages/measure/bin/bare-relay.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runBareRelay } from '@limelead/measure';
+
+await runBareRelay(process.argv);
--- /dev/null
+++ b/packages/measure/bin/measure.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runMeasure } from '@limelead/measure';
+
+await runMeasure(process.argv);
--- /dev/null
+++ b/packages/measure/src/experiments/routing.ts
@@ -0,0 +1,122 @@
+/** Routing against random, round robin, and the least loaded by report. */
+import chooseTarget, { type ChooseTarget } from '@limelead/choose-target';
+import { DEMO_KEYS } from '@limelead/demo';
+import type { Mix } from '@limelead/load';
+import ResultTable, { type Experiment } from '../experiment.js';
+import runCell from '../run-cell.js';
+
+const VMS = 7;
+const ENGINES = 12;
+
+const MIX: Mix = {
+  requestsPerSecond: 60,
+  durationMs: 7_000,
+  kinds: [
+    {
+      name: 'brief',
+      share: 1,
+      service: 'route-brief',
+      key: DEMO_KEYS.routing,
+      sharedPrefixes: { count: 24, characters: 6_000 },
+      promptCharacters: { median: 300, sigma: 0.5, max: 2_000 },
+      maxTokens: { median: 20, sigma: 0.7, max: 200 },
+    },
+  ],
+};
+
+const chooseRandom: ChooseTarget = (targets, request, random) => {
+  const allowed = targets.filter(({ id }) => !request.exclude.includes(id));
+  const target = allowed[Math.floor(random.next() * allowed.length)];
+  return target === undefined ? undefined : { target, considered: [] };
+};
+
+function createRoundRobin(): ChooseTarget {
+  let next = 0;
+  return (targets, request) => {
+    const allowed = targets.filter(({ id }) => !request.exclude.includes(id));
+    next += 1;
+    const target = allowed[next % allowed.length];
+    return target === undefined ? undefined : { target, considered: [] };
+  };
+}
+
+const chooseLeastReported: ChooseTarget = (targets, request) => {
+  const allowed = targets.filter(({ id }) => !request.exclude.includes(id));
+  const loadOf = ({ report }: (typeof allowed)[number]): number =>
+    report === undefined ? 0 : report.running + report.waiting;
+  const target = [...allowed].sort((a, b) => loadOf(a) - loadOf(b))[0];
+  return target === undefined ? undefined : { target, considered: [] };
+};
+
+/** Compares the routers under the same arrivals. */
+const routing: Experiment = {
+  name: 'routing',
+  async run({ seeds }) {
+    const table = new ResultTable();
+    const routers: [string, () => ChooseTarget][] = [
+      ['random', () => chooseRandom],
+      ['round robin', createRoundRobin],
+      ['least by report', () => chooseLeastReported],
+      ['limelead', () => chooseTarget],
+    ];
+    for (const seed of seeds) {
+      for (const [name, create] of routers) {
+        const { summary, extra, cluster } = await runCell({
+          cluster: {
+            vms: VMS,
+            engines: ENGINES,
+            strategies: { chooseTarget: create() },
+            engine: {
+              slots: 4,
+              baseGapMs: 15,
+              prefillTokensPerSecond: 8_000,
+              reportLagMs: 1_000,
+              cacheBlocks: 800,
+            },
+          },
+          mix: MIX,
+          seed,
+        });
+        const begun = cluster.engines.map((engine) => engine.records().length);
+        table.add(name, {
+          'first token p50 ms': summary.all.firstTokenMs.p50,
+          'first token p95 ms': summary.all.firstTokenMs.p95,
+          'gap p95 ms': summary.all.tokenGapMs.p95,
+          'busiest engine / mean': Math.max(...begun) / (sum(begun) / ENGINES),
+          'prefill tokens': sum(
+            cluster.engines.flatMap((engine) => engine.records().map((r) => r.prefillTokens)),
+          ),
+          'resume max ms': summary.all.resumeLatencyMs.max,
+          'prefilled again': extra.prefillTokens,
+          'decoded again': extra.decodedTokens,
+          'tokens/s': summary.goodTokensPerSecond,
+        });
+      }
+    }
+    return {
+      name: 'routing',
+      question:
+        'Does the router beat simple ones, and does it herd onto the engine that looked idle?',
+      setting: `${VMS} VMs, ${ENGINES} engines of 4 slots, reports lag 1 s, 60 requests/s for 7 s, 24 shared prefixes of 6,000 characters, one process`,
+      columns: [
+        'first token p50 ms',
+        'first token p95 ms',
+        'gap p95 ms',
+        'busiest engine / mean',
+        'prefill tokens',
+        'resume max ms',
+        'prefilled again',
+        'decoded again',
+        'tokens/s',
+      ],
+      baseline: 'least by report',
+      rows: table.list(),
+    };
+  },
+};
+
+function sum(values: number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+export default routing;
--- /dev/null
+++ b/packages/measure/src/processes.ts
@@ -0,0 +1,146 @@
+/** A daemon and its stand-ins as processes of their own, so that their costs can be told apart. */
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@limelead/client';
+import { createDemoResources, createSettings, DEMO_KEYS, DEMO_VERSIONS } from '@limelead/demo';
+import { ApplyRequestSchema, OperationSchema, type Operation } from '@limelead/schema';
+import type { EngineOptions } from '@limelead/stand-ins';
+import { fromJson, type JsonValue } from '@bufbuild/protobuf';
+import { delay, systemTimers, type RecoveryPolicy, type Resource } from '@limelead/types';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+
+const DAEMON = fileURLToPath(new URL('../../daemon/bin/limeleadd.js', import.meta.url));
+const STAND_INS = fileURLToPath(
+  new URL('../../stand-ins/bin/limelead-stand-ins.js', import.meta.url),
+);
+const READY_CHECK_MS = 30;
+const HOST = '127.0.0.1';
+const PATIENCE_MS = 60_000;
+const PATIENT_RECOVERY: RecoveryPolicy = {
+  suspicionFactor: 100,
+  minSilenceMs: PATIENCE_MS,
+  maxSilenceMs: PATIENCE_MS,
+  hedge: false,
+  probeFirst: false,
+};
+
+/** Running processes. */
+export interface ProcessGroup {
+  /** Base URL of the daemon. */
+  url: string;
+  platformPort: number;
+  /** Reads a gauge from the daemon's metrics page. */
+  readGauge(name: string): Promise<number>;
+  stop(): Promise<void>;
+}
+
+/** Starts one daemon and stand-ins with one engine of the given behaviour. */
+export default async function startProcesses(
+  engine: Partial<EngineOptions>,
+): Promise<ProcessGroup> {
+  const folder = mkdtempSync(join(tmpdir(), 'limelead-measure-'));
+  const children: ChildProcess[] = [];
+  const start = (file: string, ...args: string[]): ChildProcess => {
+    const child = spawn(process.execPath, [file, ...args], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    children.push(child);
+    return child;
+  };
+  const plan = { engines: 1, plainServices: [], loaded: Object.values(DEMO_VERSIONS), engine };
+  const { platformPort } = JSON.parse(await readLine(start(STAND_INS, JSON.stringify(plan)))) as {
+    platformPort: number;
+  };
+  const settings = createSettings({ id: 'vm-1', failureDomain: 'd1', platformPort, seeds: [] });
+  const port = await findFreePort();
+  const file = join(folder, 'vm-1.jsonc');
+  const limits = { ...settings.limits, maxOpenRequests: 100_000 };
+  writeFileSync(file, JSON.stringify({ ...settings, limits, rpc: { host: HOST, port } }));
+  start(DAEMON, '--settings', file);
+  const url = `http://${HOST}:${port}`;
+  await untilStatus(`${url}/readyz`, (status) => status !== 0);
+  await applyResources(url);
+  await untilStatus(`${url}/readyz`, (status) => status === 200);
+
+  return {
+    url,
+    platformPort,
+    async readGauge(name) {
+      const page = await (await fetch(`${url}/metrics`)).text();
+      const line = page.split('\n').find((candidate) => candidate.startsWith(`${name} `));
+      return Number(line?.split(' ')[1] ?? 0);
+    },
+    async stop() {
+      await Promise.all(children.map(endProcess));
+      rmSync(folder, { recursive: true });
+    },
+  };
+}
+
+/** Ends one process that was started here. */
+export function endProcess(child: ChildProcess): Promise<void> {
+  return new Promise((resolve) => {
+    child.once('close', () => resolve());
+    child.kill('SIGKILL');
+  });
+}
+
+/** Resolves with the first line that a process writes. */
+export function readLine(child: ChildProcess): Promise<string> {
+  const { stdout } = child;
+  if (stdout === null) {
+    throw new Error('expected a process with a readable output');
+  }
+  return new Promise((resolve) => createInterface({ input: stdout }).once('line', resolve));
+}
+
+async function applyResources(url: string): Promise<void> {
+  const client = createClient({ urls: [url], key: DEMO_KEYS.operator });
+  const operations = createDemoResources().map((resource): Operation =>
+    fromJson(OperationSchema, {
+      put: { [resource.kind]: relax(resource) },
+    } as unknown as JsonValue),
+  );
+  await client.administration.apply(
+    create(ApplyRequestSchema, { changeId: 'setup', operations, reason: 'measure' }),
+    { headers: client.headers },
+  );
+  await client.close();
+}
+
+/** Costs are measured: neither limits nor suspicions may get in between. */
+function relax(resource: Resource): Resource['spec'] {
+  switch (resource.kind) {
+    case 'organisation':
+      return { ...resource.spec, maxConcurrent: 100_000, requestsPerSecond: 100_000 };
+    case 'priority':
+      return { ...resource.spec, recovery: PATIENT_RECOVERY, maxQueueMs: PATIENCE_MS };
+    default:
+      return resource.spec;
+  }
+}
+
+async function untilStatus(url: string, holds: (status: number) => boolean): Promise<void> {
+  for (;;) {
+    const status = await fetch(url)
+      .then(async (response) => (await response.arrayBuffer(), response.status))
+      .catch(() => 0);
+    if (holds(status)) {
+      return;
+    }
+    await delay(systemTimers, READY_CHECK_MS);
+  }
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
--- /dev/null
+++ b/packages/measure/src/run-measure.ts
@@ -0,0 +1,53 @@
+/** The command `npm run measure`: runs named experiments and writes their pages. */
+import { cac } from 'cac';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { Experiment, ExperimentResult } from './experiment.js';
+import domainLoss from './experiments/domain-loss.js';
+import overload from './experiments/overload.js';
+import recovery from './experiments/recovery.js';
+import relay from './experiments/relay.js';
+import routing from './experiments/routing.js';
+import spread from './experiments/spread.js';
+import renderCurve from './render-curve.js';
+import renderMarkdown from './render-markdown.js';
+
+const EXPERIMENTS: Experiment[] = [routing, recovery, domainLoss, overload, spread, relay];
+const FOLDER = join('docs', 'measurements');
+const DEFAULT_SEEDS = 3;
+
+interface MeasureOptions {
+  seeds: number;
+}
+
+/** Runs the command with the process's arguments. */
+export default async function runMeasure(argv: string[]): Promise<void> {
+  const program = cac('measure');
+  const names = EXPERIMENTS.map(({ name }) => name).join(', ');
+  program
+    .command('[...names]', `Run experiments: ${names}`)
+    .option('--seeds <number>', 'Seeds of each cell', { default: DEFAULT_SEEDS })
+    .action((wanted: string[], options: MeasureOptions) => run(wanted, options));
+  program.help();
+  program.parse(argv, { run: false });
+  await program.runMatchedCommand();
+}
+
+async function run(wanted: string[], options: MeasureOptions): Promise<void> {
+  mkdirSync(FOLDER, { recursive: true });
+  const seeds = Array.from({ length: options.seeds }, (_, index) => index + 1);
+  for (const experiment of EXPERIMENTS) {
+    if (wanted.length === 0 || wanted.includes(experiment.name)) {
+      write(await experiment.run({ seeds }));
+    }
+  }
+}
+
+function write(result: ExperimentResult): void {
+  const file = (ending: string): string => join(FOLDER, `${result.name}.${ending}`);
+  writeFileSync(file('json'), `${JSON.stringify(result, null, 2)}\n`);
+  writeFileSync(file('md'), renderMarkdown(result));
+  if (result.name === 'recovery') {
+    writeFileSync(file('svg'), renderCurve(result, 'prefilled again', 'resume p95 ms'));
+  }
+}
--- a/packages/peer-links/src/peer-links.test.ts
+++ b/packages/peer-links/src/peer-links.test.ts
@@ -1,4 +1,4 @@
-import { systemTimers } from '@limelead/types';
+import { backgroundTimers } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { WebSocket } from 'ws';
@@ -28,7 +28,7 @@
       secret,
       host: '127.0.0.1',
       port: 0,
-      timers: systemTimers,
+      timers: backgroundTimers,
       onReady: (peer) => end.note(() => end.ready.push(peer)),
       onMessage: (_, message) => end.note(() => end.messages.push(message)),
       onLost: (peer) => end.note(() => end.lost.push(peer)),
--- a/packages/run-generation/src/attempt-reader.ts
+++ b/packages/run-generation/src/attempt-reader.ts
@@ -23,6 +23,8 @@
   policy: RecoveryPolicy;
   /** Milliseconds until the first token, as the router expected. */
   expectedFirstTokenMs: number;
+  /** Input tokens that the target has to process before it. */
+  inputTokens: number;
   /** Milliseconds between tokens that the caller's own pace asks for. */
   paceGapMs: number;
   prefixHashes: string[];
@@ -35,6 +37,8 @@
   private cancelSilenceTimer: CancelTimer = () => undefined;
   private isClosed = false;
   private hasTokens = false;
+  private isPrefilling = true;
+  private readonly startedAtMs: number;
   private lastMessageAtMs: number;
 
   constructor(
@@ -42,13 +46,15 @@
     private readonly dependencies: GenerationDependencies,
     private readonly mailbox: Pick<Mailbox<SessionEvent>, 'post' | 'deliver'>,
   ) {
-    this.lastMessageAtMs = dependencies.clock.now();
+    this.startedAtMs = dependencies.clock.now();
+    this.lastMessageAtMs = this.startedAtMs;
   }
 
   /** Opens the stream and reads it to its end. Never rejects. */
   async run(open: (signal: AbortSignal) => PortCall<EngineStream>): Promise<void> {
     const { targets, clock } = this.dependencies;
     targets.noteSent(this.place.targetId, clock.now());
+    targets.notePrefill(this.place.targetId, this.place.inputTokens);
     this.watchSilence();
     const opened = await open(this.abort.signal)();
     if (E.isLeft(opened)) {
@@ -81,9 +87,17 @@
     this.cancelSilenceTimer();
     this.abort.abort();
     this.stream?.close();
+    this.endPrefill();
     this.dependencies.targets.noteDone(this.place.targetId);
   }
 
+  private endPrefill(): void {
+    if (this.isPrefilling) {
+      this.isPrefilling = false;
+      this.dependencies.targets.notePrefill(this.place.targetId, -this.place.inputTokens);
+    }
+  }
+
   private async readToEnd(stream: EngineStream): Promise<void> {
     for (;;) {
       this.watchSilence();
@@ -130,6 +144,8 @@
       gaps.note(this.place.targetId, now - this.lastMessageAtMs);
     } else {
       targets.noteSuccess(this.place.targetId);
+      this.endPrefill();
+      gaps.noteLateness(now - this.startedAtMs - this.place.expectedFirstTokenMs);
     }
     this.hasTokens = true;
     this.lastMessageAtMs = now;
@@ -139,7 +155,7 @@
     const { policy, expectedFirstTokenMs, paceGapMs, targetId } = this.place;
     const bound = this.hasTokens
       ? computeSilenceBound(this.dependencies.gaps.read(targetId), policy)
-      : computeFirstTokenBound(expectedFirstTokenMs, policy);
+      : computeFirstTokenBound(expectedFirstTokenMs, this.dependencies.gaps.readLateness(), policy);
     return bound + paceGapMs;
   }
 
--- a/packages/run-generation/src/dependencies.ts
+++ b/packages/run-generation/src/dependencies.ts
@@ -1,8 +1,10 @@
 /** What a generation needs from its VM. */
+import type { ChooseTarget } from '@limelead/choose-target';
 import type { Metrics } from '@limelead/metrics';
 import type { EventBus } from '@limelead/observe-events';
 import type { TargetConnector } from '@limelead/ports';
 import type { TargetTable } from '@limelead/track-targets';
+import type { RecoveryPacer } from '@limelead/pace-recoveries';
 import type { Clock, ModelVersion, Random, ResumePoint, Timers } from '@limelead/types';
 import type { GapTable } from './gap-table.js';
 
@@ -16,7 +18,11 @@
   targets: TargetTable;
   gaps: GapTable;
   connector: TargetConnector;
+  pacer: RecoveryPacer;
+  chooseTarget: ChooseTarget;
   failureDomain: string;
+  /** VMs that route to the same targets, this one included. */
+  countVms(): number;
   /** Unique to this start of this VM's process. */
   incarnation: string;
   /** Version with which new answers of a service begin. */
--- a/packages/run-generation/src/generation.test.ts
+++ b/packages/run-generation/src/generation.test.ts
@@ -1,6 +1,8 @@
+import chooseTarget from '@limelead/choose-target';
 import { LimeleadError, PortFault } from '@limelead/errors';
 import createMetrics from '@limelead/metrics';
 import createEventBus from '@limelead/observe-events';
+import createRecoveryPacer from '@limelead/pace-recoveries';
 import type { EngineStream, ModelEngine, PortCall } from '@limelead/ports';
 import { createManualTime, settle } from '@limelead/stand-ins';
 import { createTargetTable } from '@limelead/track-targets';
@@ -21,6 +23,7 @@
     name: 'urgent',
     rank: 0,
     deadlineMs: 0,
+    maxQueueMs: 1_000,
     recovery: {
       suspicionFactor: 4,
       minSilenceMs: 100,
@@ -113,7 +116,10 @@
       },
       hashPrompt: () => [],
     },
+    pacer: createRecoveryPacer(() => 10),
+    chooseTarget,
     failureDomain: 'suwon',
+    countVms: () => 1,
     incarnation: 'vm-1.a',
     currentVersion: () => VERSION,
     abandonedGraceMs: 5_000,
--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -1,5 +1,5 @@
 /** One running generation: feeds events to the session and carries out its commands. */
-import chooseTarget, { estimateCost, type RoutingRequest } from '@limelead/choose-target';
+import { estimateCost, type RoutingRequest } from '@limelead/choose-target';
 import { LimeleadError, type ErrorKind } from '@limelead/errors';
 import advanceSession, {
   createSession,
@@ -17,6 +17,8 @@
 
 const CHARACTERS_PER_TOKEN = 4;
 const MAX_SEED = 2 ** 32;
+/** Milliseconds for which a recovery holds its place at most. */
+const LONGEST_RECOVERY_MS = 1_000;
 /** Milliseconds without a message after which the caller is told that this VM still lives. */
 const KEEP_ALIVE_MS = 500;
 
@@ -29,6 +31,8 @@
 export default class Generation {
   private readonly mailbox = new Mailbox<GenerationEvent>();
   private readonly readers = new Map<number, AttemptReader>();
+  /** Places of recoveries that have not delivered yet, by attempt. */
+  private readonly releases = new Map<number, () => void>();
   private readonly prefixHashes: string[];
   private readonly delivered: string[];
   private readonly startedAtMs: number;
@@ -93,6 +97,7 @@
     } finally {
       this.cancelDeadline();
       this.cancelKeepAlive();
+      this.releasePlaces();
       this.abandon();
     }
     if (this.failure !== undefined) {
@@ -145,16 +150,42 @@
     }
   }
 
+  /** A first attempt goes at once; a recovery waits for its place. */
   private chooseTarget(command: CommandOf<'choose-target'>): void {
+    if (command.attempt === 1) {
+      this.chooseTargetNow(command);
+    } else {
+      void this.chooseTargetInTurn(command);
+    }
+  }
+
+  private async chooseTargetInTurn(command: CommandOf<'choose-target'>): Promise<void> {
+    const { pacer, timers } = this.dependencies;
+    const { attempt } = command;
+    const release = await pacer.acquire(this.request.priority.rank);
+    this.releases.get(attempt)?.();
+    this.releases.set(attempt, release);
+    // A recovery that neither delivers nor breaks must not keep its place for ever.
+    timers.after(LONGEST_RECOVERY_MS, release);
+    if (this.state.phase === 'done') {
+      release();
+    } else {
+      this.chooseTargetNow(command);
+    }
+  }
+
+  private chooseTargetNow(command: CommandOf<'choose-target'>): void {
     const { targets, random, clock, currentVersion } = this.dependencies;
     const { attempt } = command;
     const version = command.modelVersion ?? currentVersion(this.request.service);
     const now = clock.now();
     const usable = version === undefined ? [] : targets.usableEngines(now, version);
     const routing = this.describeRouting(command.exclude);
-    const choice = chooseTarget(usable, routing, random);
+    const choice = this.dependencies.chooseTarget(usable, routing, random);
     if (version === undefined || choice === undefined) {
-      const error: ErrorKind = usable.length === 0 ? 'version-not-live' : 'no-target';
+      const isLive = version !== undefined && targets.hasVersion(version, now);
+      const error: ErrorKind = isLive ? 'no-target' : 'version-not-live';
+      this.releases.get(attempt)?.();
       this.mailbox.post({ kind: 'no-target', attempt, error });
       return;
     }
@@ -178,6 +209,9 @@
       inputTokens: promptTokens + this.delivered.length,
       failureDomain: this.dependencies.failureDomain,
       exclude,
+      vmCount: this.dependencies.countVms(),
+      meanAnswerTokens: this.dependencies.gaps.readAnswerTokens(),
+      now: this.dependencies.clock.now(),
     };
   }
 
@@ -188,7 +222,7 @@
       this.mailbox.post({ kind: 'broken', attempt, cause: 'target-gone' });
       return;
     }
-    const reader = this.createReader(attempt, target, generationId);
+    const reader = this.createReader(attempt, target, generationId, true);
     const { prompt, maxTokens, priority, paceTokensPerSecond } = this.request;
     void reader.run((signal) =>
       reader.place.engine.start(
@@ -215,23 +249,30 @@
       this.mailbox.post({ kind: 'broken', attempt, cause: 'target-gone' });
       return;
     }
-    const reader = this.createReader(attempt, target, generationId);
+    const reader = this.createReader(attempt, target, generationId, false);
     void reader.run((signal) =>
       reader.place.engine.attach({ generationId, attempt, fromOffset }, signal),
     );
   }
 
-  private createReader(number: number, target: TrackedTarget, generationId: string): AttemptReader {
+  private createReader(
+    number: number,
+    target: TrackedTarget,
+    generationId: string,
+    needsPrefill: boolean,
+  ): AttemptReader {
     const { connector } = this.dependencies;
     const { priority, paceTokensPerSecond } = this.request;
     const routing = this.describeRouting([]);
+    const { costMs, cachedShare } = estimateCost(target, routing);
     const place: AttemptPlace = {
       number,
       targetId: target.id,
       generationId,
       engine: connector.engine(target.host, target.port),
       policy: priority.recovery,
-      expectedFirstTokenMs: estimateCost(target, routing).costMs,
+      expectedFirstTokenMs: needsPrefill ? costMs : 0,
+      inputTokens: needsPrefill ? routing.inputTokens * (1 - cachedShare) : 0,
       paceGapMs: paceTokensPerSecond > 0 ? 1000 / paceTokensPerSecond : 0,
       prefixHashes: this.prefixHashes,
     };
@@ -254,9 +295,15 @@
     }
     reader.close();
     this.readers.delete(attempt);
+    this.releases.get(attempt)?.();
     this.cancelPlace(reader.place);
   }
 
+  private releasePlaces(): void {
+    this.releases.forEach((release) => release());
+    this.releases.clear();
+  }
+
   private cancelPlace(place: AttemptPlace): void {
     void cancelAtTarget(this.dependencies, place.engine, place.generationId, place.number);
   }
@@ -301,9 +348,13 @@
 
   private noteSent(message: AnswerMessage): void {
     this.lastSentMs = this.dependencies.clock.now();
+    if (message.kind === 'finished') {
+      this.dependencies.gaps.noteAnswerTokens(message.length);
+    }
     if (message.kind !== 'tokens') {
       return;
     }
+    this.releasePlaces();
     const { metrics, clock } = this.dependencies;
     if (this.delivered.length === 0) {
       metrics.recordMs('limelead_first_token_ms', clock.now() - this.startedAtMs);
--- a/packages/stand-ins/src/run-stand-ins.ts
+++ b/packages/stand-ins/src/run-stand-ins.ts
@@ -1,6 +1,6 @@
 /** Runs platform, engines and plain services in one process of their own, to try the system by hand. */
 import type { ListedVm, ModelVersion } from '@limelead/types';
-import startEngine from './engine/start-engine.js';
+import startEngine, { type EngineOptions } from './engine/start-engine.js';
 import startPlainService from './plain-service.js';
 import startPlatform from './platform.js';
 
@@ -11,6 +11,8 @@
   engines: number;
   plainServices: { service: string; count: number }[];
   loaded: ModelVersion[];
+  /** Behaviour of the engines that differs from the default. */
+  engine?: Partial<EngineOptions>;
 }
 
 /** Starts everything and writes one line of JSON with the platform's port. */
@@ -19,7 +21,7 @@
   const platform = await startPlatform();
   for (let index = 0; index < plan.engines; index += 1) {
     const id = `engine-${index + 1}`;
-    const engine = await startEngine({ id, loaded: plan.loaded });
+    const engine = await startEngine({ id, loaded: plan.loaded, ...plan.engine });
     platform.vms.add(listed(id, 'engine', engine.port, []));
   }
   for (const { service, count } of plan.plainServices) {
--- a/packages/suspect-silence/src/index.ts
+++ b/packages/suspect-silence/src/index.ts
@@ -38,14 +38,17 @@
 }
 
 /**
- * Milliseconds to wait for the first token. Prefill and queueing come on top of
- * the ordinary bound, because a long prompt is no sign of a dead engine.
+ * Milliseconds to wait for the first token. `lateness` is by how much first
+ * tokens lately came after the router's expectation: a long prompt or a queue
+ * that nobody reports is no sign of a dead engine.
  */
 export function computeFirstTokenBound(
-  expectedFirstTokenMs: number,
+  expectedMs: number,
+  lateness: GapEstimate,
   policy: RecoveryPolicy,
 ): number {
-  return policy.minSilenceMs + policy.suspicionFactor * expectedFirstTokenMs;
+  const late = lateness.meanMs + policy.suspicionFactor * lateness.deviationMs;
+  return policy.minSilenceMs + expectedMs + Math.max(0, late);
 }
 
 function clamp(value: number, low: number, high: number): number {
--- a/packages/track-targets/src/target-table.ts
+++ b/packages/track-targets/src/target-table.ts
@@ -43,6 +43,8 @@
   sentAtMs: Millis[];
   /** Requests of this VM that are open there. */
   inFlight: number;
+  /** Input tokens that this VM sent there and that have not led to a first token yet. */
+  prefillPending: number;
   /** Hashes of prompt prefixes believed to be in the target's cache. */
   prefixes: Set<string>;
   cacheSequence: number;
@@ -67,6 +69,8 @@
   notePrompt(id: TargetId, prefixHashes: string[]): void;
   noteSent(id: TargetId, now: Millis): void;
   noteDone(id: TargetId): void;
+  /** Input that was sent and waits for its first token; negative once it came or was given up. */
+  notePrefill(id: TargetId, tokens: number): void;
   noteSuccess(id: TargetId): void;
   /** Says whether the breaker opened by this failure. */
   noteFailure(id: TargetId, now: Millis): boolean;
@@ -77,6 +81,8 @@
   /** Engines that take new work now; with a version, those that have it loaded. */
   usableEngines(now: Millis, version?: ModelVersion): TrackedTarget[];
   usablePlain(service: string, now: Millis): TrackedTarget[];
+  /** Says whether any target has the version, also one that takes no new work now. */
+  hasVersion(version: ModelVersion, now: Millis): boolean;
 }
 
 /** Creates an empty table. */
@@ -134,6 +140,7 @@
         target.breaker = noteTrial(target.breaker, now);
       }),
     noteDone: (id) => change(id, (target) => void (target.inFlight -= 1)),
+    notePrefill: (id, tokens) => change(id, (target) => void (target.prefillPending += tokens)),
     noteSuccess: (id) => change(id, (target) => void (target.breaker = noteSuccess())),
     noteFailure: (id, now) => {
       const before = targets.get(id)?.breaker;
@@ -149,15 +156,21 @@
       usable('engine', now).filter(
         (target) => version === undefined || hasLoaded(target, version, now),
       ),
+    hasVersion: (version, now) =>
+      [...targets.values()].some((target) => hasLoaded(target, version, now)),
     usablePlain: (service, now) =>
       usable('plain', now).filter((target) => target.services.includes(service)),
   };
 }
 
-/** Requests that wait or run at the target: its report, and what this VM sent since. */
-export function estimateLoad(target: TrackedTarget): number {
+/**
+ * Requests that wait or run at the target: its report, and what was sent since.
+ * The other VMs are taken to have sent as much as this one, so that VMs which
+ * see the same lagging report do not all take the same target.
+ */
+export function estimateLoad(target: TrackedTarget, vmCount = 1): number {
   const reported = target.report === undefined ? 0 : target.report.running + target.report.waiting;
-  return Math.max(reported + target.sentAtMs.length, target.inFlight);
+  return Math.max(reported + target.sentAtMs.length * vmCount, target.inFlight);
 }
 
 function hasLoaded(target: TrackedTarget, version: ModelVersion, now: Millis): boolean {
@@ -204,6 +217,7 @@
     reportAtMs: Number.NEGATIVE_INFINITY,
     sentAtMs: [],
     inFlight: 0,
+    prefillPending: 0,
     prefixes: new Set(),
     cacheSequence: 0,
     breaker: CLOSED_BREAKER,
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -64,6 +64,8 @@
   /** Milliseconds for the whole answer; 0 is no deadline. */
   deadlineMs: number;
   recovery: RecoveryPolicy;
+  /** Expected milliseconds of waiting for a target beyond which a request is refused. */
+  maxQueueMs: number;
 }
 
 /** Which version should be loaded on how many targets. */
--- a/packages/types/src/time.ts
+++ b/packages/types/src/time.ts
@@ -28,8 +28,16 @@
   after(milliseconds: number, run: () => void): CancelTimer;
 }
 
-/** Timers of the runtime; they do not keep the process alive. */
+/** Timers of the runtime, for those whose process ends with their work. */
 export const systemTimers: Timers = {
+  after(milliseconds, run) {
+    const timer = setTimeout(run, milliseconds);
+    return () => clearTimeout(timer);
+  },
+};
+
+/** Timers of the runtime that do not keep the process alive, for a daemon that its servers keep. */
+export const backgroundTimers: Timers = {
   after(milliseconds, run) {
     const timer = setTimeout(run, milliseconds);
     timer.unref();
