--- a/packages/admit-request/src/admission.ts
+++ b/packages/admit-request/src/admission.ts
@@ -10,7 +10,7 @@
 const MAX_RESERVED = 0.5;
 const DEMAND_HALF_LIFE_MS = 2_000;
 /** Part of the allowed wait below which nobody is refused for it. */
-const RELAXED_PRESSURE = 0.5;
+const RELAXED_PRESSURE = 0.75;
 /** Part of the allowed wait from which everybody is refused. */
 const REFUSE_ALL_PRESSURE = 1.5;
 /** Times its fair share that an organisation may have open when shares begin to count. */
--- a/packages/choose-target/src/index.ts
+++ b/packages/choose-target/src/index.ts
@@ -2,12 +2,10 @@
 import { estimateLoad, type TrackedTarget } from '@limelead/track-targets';
 import type { Millis, ObservedCandidate, Random, TargetId } from '@limelead/types';
 
-/** Targets looked at; of more, so many are drawn at random. */
-const MAX_CONSIDERED = 64;
+/** Targets drawn at random, besides the one with most of the prompt cached. */
+const DEFAULT_SAMPLE_SIZE = 4;
 /** Candidates that are told to those who watch. */
 const MAX_OBSERVED = 4;
-/** Part of the cost that is random, so that VMs with the same view do not all choose alike. */
-const JITTER = 0.1;
 /** A target whose report is older than this does not answer its polls. */
 const REPORT_EXPECTED_MS = 1_000;
 const DEFAULT_SLOTS = 8;
@@ -25,8 +23,6 @@
   /** Failure domain of this VM. */
   failureDomain: string;
   exclude: TargetId[];
-  /** VMs that route to the same targets, this one included. */
-  vmCount: number;
   /** Tokens that an answer has on average, as this VM saw lately. */
   meanAnswerTokens: number;
   now: Millis;
@@ -46,28 +42,30 @@
 ) => RoutingChoice | undefined;
 
 /**
- * Takes the target with the least expected time to the next token. The cost
- * counts what was sent since the lagging report, by this VM and, as a guess,
- * as much by each other, and a little chance; so VMs with the same reports
- * spread instead of all taking the target that last looked idle.
+ * Creates a router that draws some targets, adds the one with most of the
+ * prompt cached, and takes the one with the least expected time to the next
+ * token. Drawing keeps VMs with the same lagging reports from all taking the
+ * target that last looked idle; what this VM sent since counts on top.
  */
-const chooseTarget: ChooseTarget = (targets, request, random) => {
-  const allowed = targets.filter((target) => !request.exclude.includes(target.id));
-  const ranked = drawConsidered(allowed, random)
-    .map((target) => {
-      const { costMs, cachedShare } = estimateCost(target, request);
-      return { target, cachedShare, costMs: (costMs + 1) * (1 + JITTER * random.next()) };
-    })
-    .sort((a, b) => a.costMs - b.costMs);
-  const best = ranked[0];
-  if (best === undefined) {
-    return undefined;
-  }
-  const considered = ranked
-    .slice(0, MAX_OBSERVED)
-    .map(({ target, costMs, cachedShare }) => ({ target: target.id, costMs, cachedShare }));
-  return { target: best.target, considered };
-};
+export function createTargetChooser(sampleSize: number): ChooseTarget {
+  return (targets, request, random) => {
+    const allowed = targets.filter((target) => !request.exclude.includes(target.id));
+    const ranked = drawCandidates(allowed, request, sampleSize, random)
+      .map((target) => ({ target, ...estimateCost(target, request) }))
+      .sort((a, b) => a.costMs - b.costMs);
+    const best = ranked[0];
+    if (best === undefined) {
+      return undefined;
+    }
+    const considered = ranked
+      .slice(0, MAX_OBSERVED)
+      .map(({ target, costMs, cachedShare }) => ({ target: target.id, costMs, cachedShare }));
+    return { target: best.target, considered };
+  };
+}
+
+/** The router with the sample size that was measured to be best. */
+const chooseTarget = createTargetChooser(DEFAULT_SAMPLE_SIZE);
 
 export default chooseTarget;
 
@@ -78,22 +76,22 @@
 ): { costMs: number; cachedShare: number } {
   const cachedShare = estimateCachedShare(target, request.prefixHashes);
   const rate = target.report?.prefillTokensPerSecond ?? DEFAULT_PREFILL_TOKENS_PER_SECOND;
-  const ahead = target.prefillPending * request.vmCount;
-  const prefillMs = ((ahead + request.inputTokens * (1 - cachedShare)) * 1000) / rate;
+  const prefillMs =
+    ((target.prefillPending + request.inputTokens * (1 - cachedShare)) * 1000) / rate;
   const domainMs = target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST_MS;
   const costMs =
-    estimateQueueMs(target, request) + prefillMs + domainMs + estimateDoubtMs(target, request.now);
+    estimateQueueMs(target, request.meanAnswerTokens) +
+    prefillMs +
+    domainMs +
+    estimateDoubtMs(target, request.now);
   return { costMs, cachedShare };
 }
 
 /** Milliseconds until a slot is free, and the share of a step that the batch adds. */
-export function estimateQueueMs(
-  target: TrackedTarget,
-  { vmCount, meanAnswerTokens }: Pick<RoutingRequest, 'vmCount' | 'meanAnswerTokens'>,
-): number {
+export function estimateQueueMs(target: TrackedTarget, meanAnswerTokens: number): number {
   const slots = Math.max(1, target.report?.slots ?? DEFAULT_SLOTS);
   const gapMs = target.report?.tokenGapMs ?? DEFAULT_GAP_MS;
-  const load = estimateLoad(target, vmCount);
+  const load = estimateLoad(target);
   const ahead = Math.max(0, load + 1 - slots);
   const waitMs = (ahead * meanAnswerTokens * gapMs) / slots;
   const batchMs = (gapMs * Math.min(load, slots)) / slots;
@@ -116,13 +114,39 @@
   return (longest + 1) / prefixHashes.length;
 }
 
-function drawConsidered(targets: TrackedTarget[], random: Random): TrackedTarget[] {
-  if (targets.length <= MAX_CONSIDERED) {
-    return targets;
+function drawCandidates(
+  targets: TrackedTarget[],
+  request: RoutingRequest,
+  sampleSize: number,
+  random: Random,
+): TrackedTarget[] {
+  const drawn = new Set<TrackedTarget>();
+  const wanted = Math.min(sampleSize, targets.length);
+  while (drawn.size < wanted) {
+    const target = targets[Math.floor(random.next() * targets.length)];
+    if (target !== undefined) {
+      drawn.add(target);
+    }
+  }
+  const cached = findBestCached(targets, request.prefixHashes);
+  if (cached !== undefined) {
+    drawn.add(cached);
+  }
+  return [...drawn];
+}
+
+function findBestCached(
+  targets: TrackedTarget[],
+  prefixHashes: string[],
+): TrackedTarget | undefined {
+  let best: TrackedTarget | undefined;
+  let bestShare = 0;
+  for (const target of targets) {
+    const share = estimateCachedShare(target, prefixHashes);
+    if (share > bestShare) {
+      best = target;
+      bestShare = share;
+    }
   }
-  const start = Math.floor(random.next() * targets.length);
-  return Array.from(
-    { length: MAX_CONSIDERED },
-    (_, index) => targets[(start + index * 7) % targets.length],
-  ).filter((target) => target !== undefined);
+  return best;
 }
--- a/packages/daemon/src/services/generation-service.ts
+++ b/packages/daemon/src/services/generation-service.ts
@@ -142,18 +142,13 @@
 function expectWait(context: VmContext, request: GenerationRequest): number {
   const { targets, clock, gaps } = context;
   const version = currentVersion(context, request.service);
-  const routing = { vmCount: countVms(context), meanAnswerTokens: gaps.readAnswerTokens() };
+  const meanAnswerTokens = gaps.readAnswerTokens();
   const waits = targets
     .usableEngines(clock.now(), version)
-    .map((target) => estimateQueueMs(target, routing));
+    .map((target) => estimateQueueMs(target, meanAnswerTokens));
   return waits.length === 0 ? 0 : Math.min(...waits);
 }
 
-/** VMs that route to the same targets, this one included. */
-export function countVms({ members, clock }: VmContext): number {
-  return members.present(clock.now()).length + 1;
-}
-
 /** The version with which new answers of a service begin. */
 export function currentVersion(context: VmContext, service: string): ModelVersion | undefined {
   return findSpec(context.configuration.configuration, 'service', service)?.model;
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -13,10 +13,7 @@
 import pollTargets from './poll-targets.js';
 import createAdministrationService from './services/administration-service.js';
 import createCallsService from './services/calls-service.js';
-import createGenerationService, {
-  countVms,
-  currentVersion,
-} from './services/generation-service.js';
+import createGenerationService, { currentVersion } from './services/generation-service.js';
 import createObservationService from './services/observation-service.js';
 import type { Runtime, Strategies, VmContext } from './vm-context.js';
 import watchConfiguration from './watch-configuration.js';
@@ -158,7 +155,6 @@
       ...context,
       connector: outside.connector,
       failureDomain: settings.failureDomain,
-      countVms: () => countVms(context),
       abandonedGraceMs: settings.timing.abandonedGraceMs,
       currentVersion: (service) => currentVersion(context, service),
       onBreakerOpened: (target) => {
--- /dev/null
+++ b/packages/measure/src/capacity/render-capacity.ts
@@ -0,0 +1,112 @@
+/** Renders docs/CAPACITY.md from the measured slopes. */
+import {
+  assembleControlRows,
+  assembleRoleRows,
+  assembleServiceRows,
+  type CapacityRow,
+} from './rows.js';
+import { assembleFailureRows, type FailureRow } from './failures.js';
+import { CONTROL_BUDGET, SERVICE_BUDGET } from './sizes.js';
+import type { Slope } from './slope.js';
+
+/** Gives the page. */
+export default function renderCapacity(slopes: readonly Slope[]): string {
+  const roles = assembleRoleRows(slopes);
+  const control = assembleControlRows(slopes);
+  const service = assembleServiceRows();
+  const misfits = [...roles, ...control, ...service].filter(({ fits }) => fits === false);
+  return [
+    '# Capacity',
+    '',
+    'This page is made by `npm run measure -- capacity` from measured slopes; a test holds it',
+    'against `docs/measurements/capacity.json`. "Today" is one user: 7 VMs, 21 targets; its rates',
+    'are assumed. "Target" is the size of the first letter: 410 nodes, 3,500 workers, 4,700',
+    'requests and 2.1 M tokens a second, 40,000 organisations, 2,000 changes a day.',
+    '',
+    `Budgets for control, a node: ${CONTROL_BUDGET.cpuMsPerSecond} ms of processor time a second`,
+    `(2.9% of a core), ${CONTROL_BUDGET.memoryMb} MB, ${CONTROL_BUDGET.kbPerSecond} KB a second. The platform's service: about`,
+    `${SERVICE_BUDGET.writesPerSecond} writes and ${SERVICE_BUDGET.readsPerSecond} reads a second for everybody.`,
+    '',
+    '## Rows that do not fit, worst first',
+    '',
+    ...renderMisfits(misfits),
+    '',
+    '## What each role holds and spends',
+    '',
+    ...renderRows(roles),
+    '',
+    '## Control traffic with no request in flight',
+    '',
+    ...renderRows(control),
+    '',
+    "## The platform's service, from the whole fleet",
+    '',
+    ...renderRows(service),
+    '',
+    '## Failures at size',
+    '',
+    ...renderFailures(assembleFailureRows(slopes)),
+    '',
+    '## Measured slopes',
+    '',
+    'Each was measured at four or five sizes on one machine; "fit" is the share of the',
+    'variation that the line explains.',
+    '',
+    '| What | Per | Slope | At zero | Fit | Sizes | Values |',
+    '| --- | --- | ---: | ---: | ---: | --- | --- |',
+    ...slopes.map(renderSlope),
+    '',
+  ].join('\n');
+}
+
+function renderRows(rows: CapacityRow[]): string[] {
+  return [
+    '| Role | What | Carried by | Formula | Today | Target | Budget | Fits |',
+    '| --- | --- | --- | --- | ---: | ---: | ---: | --- |',
+    ...rows.map(
+      (row) =>
+        `| ${row.role} | ${row.what} | ${row.mechanism} | ${row.formula} | ${show(row.today)} ${row.unit} | ${show(row.target)} ${row.unit} | ${row.budget === undefined ? '' : `${show(row.budget)} ${row.unit}`} | ${describeFit(row)} |`,
+    ),
+  ];
+}
+
+function renderMisfits(rows: CapacityRow[]): string[] {
+  const excess = ({ target, budget }: CapacityRow): number => target / (budget ?? target);
+  return [...rows]
+    .sort((a, b) => excess(b) - excess(a))
+    .map(
+      (row, index) =>
+        `${index + 1}. **${row.what}** (${row.role}): ${show(row.target)} ${row.unit} against ${show(row.budget ?? 0)}, ${show(excess(row))} times too much. ${row.remedy ?? ''}`,
+    );
+}
+
+function describeFit({ fits, target, budget }: CapacityRow): string {
+  if (fits === undefined || budget === undefined) {
+    return '';
+  }
+  return fits ? `yes, ${show(budget / Math.max(target, 1e-9))} times` : '**no**';
+}
+
+function renderFailures(rows: FailureRow[]): string[] {
+  return [
+    '| Failure | Generations that break | Computed again | Until the survivors have done it | What keeps it from spreading |',
+    '| --- | ---: | ---: | ---: | --- |',
+    ...rows.map(
+      (row) =>
+        `| ${row.failure} | ${show(row.broken)} | ${show(row.repeatedTokens)} tokens | ${show(row.seconds)} s | ${row.limit} |`,
+    ),
+  ];
+}
+
+function renderSlope(slope: Slope): string {
+  const { name, per, unit, intercept, fit, sizes, values } = slope;
+  const list = (numbers: number[]): string => numbers.join(', ');
+  return `| ${name} | ${per} | ${slope.slope} ${unit} | ${intercept} ${unit} | ${fit} | ${list(sizes)} | ${list(values)} |`;
+}
+
+function show(value: number): string {
+  if (value >= 1_000) {
+    return Math.round(value).toLocaleString('en-US');
+  }
+  return String(Number(value.toPrecision(3)));
+}
--- a/packages/measure/src/run-measure.ts
+++ b/packages/measure/src/run-measure.ts
@@ -2,6 +2,8 @@
 import { cac } from 'cac';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import measureSlopes from './capacity/measure-slopes.js';
+import renderCapacity from './capacity/render-capacity.js';
 import type { Experiment, ExperimentResult } from './experiment.js';
 import domainLoss from './experiments/domain-loss.js';
 import overload from './experiments/overload.js';
@@ -15,6 +17,7 @@
 const EXPERIMENTS: Experiment[] = [routing, recovery, domainLoss, overload, spread, relay];
 const FOLDER = join('docs', 'measurements');
 const DEFAULT_SEEDS = 3;
+const CAPACITY = 'capacity';
 
 interface MeasureOptions {
   seeds: number;
@@ -23,7 +26,7 @@
 /** Runs the command with the process's arguments. */
 export default async function runMeasure(argv: string[]): Promise<void> {
   const program = cac('measure');
-  const names = EXPERIMENTS.map(({ name }) => name).join(', ');
+  const names = [...EXPERIMENTS.map(({ name }) => name), CAPACITY].join(', ');
   program
     .command('[...names]', `Run experiments: ${names}`)
     .option('--seeds <number>', 'Seeds of each cell', { default: DEFAULT_SEEDS })
@@ -41,6 +44,15 @@
       write(await experiment.run({ seeds }));
     }
   }
+  if (wanted.length === 0 || wanted.includes(CAPACITY)) {
+    await writeCapacity();
+  }
+}
+
+async function writeCapacity(): Promise<void> {
+  const slopes = await measureSlopes();
+  writeFileSync(join(FOLDER, `${CAPACITY}.json`), `${JSON.stringify(slopes, null, 2)}\n`);
+  writeFileSync(join('docs', 'CAPACITY.md'), renderCapacity(slopes));
 }
 
 function write(result: ExperimentResult): void {
--- a/packages/run-generation/src/dependencies.ts
+++ b/packages/run-generation/src/dependencies.ts
@@ -21,8 +21,6 @@
   pacer: RecoveryPacer;
   chooseTarget: ChooseTarget;
   failureDomain: string;
-  /** VMs that route to the same targets, this one included. */
-  countVms(): number;
   /** Unique to this start of this VM's process. */
   incarnation: string;
   /** Version with which new answers of a service begin. */
--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -209,7 +209,6 @@
       inputTokens: promptTokens + this.delivered.length,
       failureDomain: this.dependencies.failureDomain,
       exclude,
-      vmCount: this.dependencies.countVms(),
       meanAnswerTokens: this.dependencies.gaps.readAnswerTokens(),
       now: this.dependencies.clock.now(),
     };
--- a/packages/track-targets/src/target-table.ts
+++ b/packages/track-targets/src/target-table.ts
@@ -163,14 +163,10 @@
   };
 }
 
-/**
- * Requests that wait or run at the target: its report, and what was sent since.
- * The other VMs are taken to have sent as much as this one, so that VMs which
- * see the same lagging report do not all take the same target.
- */
-export function estimateLoad(target: TrackedTarget, vmCount = 1): number {
+/** Requests that wait or run at the target: its report, and what this VM sent since. */
+export function estimateLoad(target: TrackedTarget): number {
   const reported = target.report === undefined ? 0 : target.report.running + target.report.waiting;
-  return Math.max(reported + target.sentAtMs.length * vmCount, target.inFlight);
+  return Math.max(reported + target.sentAtMs.length, target.inFlight);
 }
 
 function hasLoaded(target: TrackedTarget, version: ModelVersion, now: Millis): boolean {
