Do not refuse answers that go on; cancel across VMs

Cause: an answer that came from a lost VM went through admission like a new one: under pressure or at its rate limit it was refused in its middle. A cancel reached only the VM that the balancer happened to choose. Change: a resumed answer is admitted without limits and without counting again; a cancel that finds nothing here asks the linked peers. Conclusion: limits belong to the beginning of an answer.

--- a/packages/admit-request/src/admission.ts
+++ b/packages/admit-request/src/admission.ts
@@ -31,6 +31,8 @@
   deadlineAtMs?: Millis;
   /** Milliseconds of waiting for a target, as the router expects. */
   expectedWaitMs: number;
+  /** True for an answer that goes on here: it was admitted once, and is not refused in its middle. */
+  isResumed: boolean;
   /** Expected wait beyond which the request's priority wants a refusal. */
   maxQueueMs: number;
 }
@@ -71,15 +73,13 @@
     const use = uses.get(organisation.name) ?? createUse(organisation, shareOf, now);
     uses.set(organisation.name, use);
     noteDemand(use, now);
-    const refusal =
-      findDeadlineRefusal(request, now) ??
-      findOverload(request, open, limits) ??
-      findQueueRefusal(request, use, uses, open) ??
-      findLimitRefusal(organisation, use, shareOf(organisation.name), now);
+    const refusal = request.isResumed
+      ? undefined
+      : findRefusal(request, { use, uses, open, limits, share: shareOf(organisation.name) }, now);
     if (refusal !== undefined) {
       return E.left(refusal);
     }
-    use.tokens -= 1;
+    use.tokens -= request.isResumed ? 0 : 1;
     use.open += 1;
     open += 1;
     return E.right(createTicket(use));
@@ -111,6 +111,28 @@
   };
 }
 
+/** What a refusal is decided from, besides the request. */
+interface AdmissionState {
+  use: OrganisationUse;
+  uses: ReadonlyMap<string, OrganisationUse>;
+  open: number;
+  limits: AdmissionLimits;
+  share: number;
+}
+
+function findRefusal(
+  request: AdmissionRequest,
+  { use, uses, open, limits, share }: AdmissionState,
+  now: Millis,
+): LimeleadError | undefined {
+  return (
+    findDeadlineRefusal(request, now) ??
+    findOverload(request, open, limits) ??
+    findQueueRefusal(request, use, uses, open) ??
+    findLimitRefusal(request.organisation, use, share, now)
+  );
+}
+
 function createUse(
   organisation: Organisation,
   shareOf: (organisation: string) => number,
--- a/packages/daemon/src/peer-conversation.ts
+++ b/packages/daemon/src/peer-conversation.ts
@@ -18,6 +18,7 @@
 /** Characters of one part of a snapshot, well below the limit on a message. */
 const SNAPSHOT_PART_CHARACTERS = 300_000;
 const CALL_QUERY_TIMEOUT_MS = 10_000;
+const CANCEL_QUERY_TIMEOUT_MS = 1_000;
 /** A peer's list has to be fresher by this much before it is asked for. */
 const LIST_ADVANTAGE_MS = 200;
 
@@ -29,6 +30,7 @@
   private readonly assembler = new SnapshotAssembler();
   private readonly demands = new Map<VmId, DemandReports>();
   private readonly queries = new Map<number, (outcome: RememberedCall) => void>();
+  private readonly cancels = new Map<number, (cancelled: boolean) => void>();
   private links: PeerLinks | undefined;
   private loop: Loop | undefined;
   private lastQuery = 0;
@@ -101,12 +103,33 @@
     });
   }
 
+  /** Asks linked peers to cancel a generation; says whether one of them had it. */
+  async cancelElsewhere(organisation: string, requestId: string): Promise<boolean> {
+    const peers = this.links?.linked() ?? [];
+    const answers = peers.map((peer) => this.askToCancel(peer, organisation, requestId));
+    return (await Promise.all(answers)).some((cancelled) => cancelled);
+  }
+
   /** Ends all links. */
   async stop(): Promise<void> {
     this.loop?.stop();
     await this.links?.close();
   }
 
+  private askToCancel(peer: VmId, organisation: string, requestId: string): Promise<boolean> {
+    const query = (this.lastQuery += 1);
+    this.links?.send(peer, { kind: 'cancel-query', query, organisation, requestId });
+    return new Promise((resolve) => {
+      this.cancels.set(query, resolve);
+      this.context.timers.after(CANCEL_QUERY_TIMEOUT_MS, () => this.settleCancel(query, false));
+    });
+  }
+
+  private settleCancel(query: number, cancelled: boolean): void {
+    this.cancels.get(query)?.(cancelled);
+    this.cancels.delete(query);
+  }
+
   private async beat(): Promise<void> {
     const { members, clock, settings } = this.context;
     this.links?.broadcast(this.createHeartbeat());
@@ -181,6 +204,10 @@
         return this.onBreaker(peer, message);
       case 'call-query':
         return void this.onCallQuery(peer, message);
+      case 'cancel-query':
+        return this.onCancelQuery(peer, message);
+      case 'cancel-reply':
+        return this.settleCancel(message.query, message.cancelled);
       case 'call-reply':
         return this.settleQuery(message.query, message.outcome as RememberedCall);
     }
@@ -286,6 +313,12 @@
     this.links?.send(peer, { kind: 'call-reply', query: query.query, outcome });
   }
 
+  private onCancelQuery(peer: VmId, message: PeerMessageOf<'cancel-query'>): void {
+    const { query, organisation, requestId } = message;
+    const cancelled = this.context.openGenerations.cancel(organisation, requestId);
+    this.links?.send(peer, { kind: 'cancel-reply', query, cancelled });
+  }
+
   private settleQuery(query: number, outcome: RememberedCall): void {
     this.queries.get(query)?.(outcome);
     this.queries.delete(query);
--- a/packages/daemon/src/services/calls-service.ts
+++ b/packages/daemon/src/services/calls-service.ts
@@ -51,7 +51,13 @@
     message.priority || requireService(context, request.service).defaultPriority,
   );
   const ticket = context.admission.admit(
-    { organisation, rank: priority.rank, expectedWaitMs: 0, maxQueueMs: priority.maxQueueMs },
+    {
+      organisation,
+      rank: priority.rank,
+      expectedWaitMs: 0,
+      maxQueueMs: priority.maxQueueMs,
+      isResumed: false,
+    },
     context.clock.now(),
   );
   if (E.isLeft(ticket)) {
--- a/packages/daemon/src/services/generation-service.ts
+++ b/packages/daemon/src/services/generation-service.ts
@@ -1,6 +1,7 @@
 /** The RPC service Generation. */
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
+import type { Ticket } from '@limelead/admit-request';
 import { findSpec } from '@limelead/configuration-state';
 import { estimateQueueMs } from '@limelead/choose-target';
 import { LimeleadError } from '@limelead/errors';
@@ -23,6 +24,7 @@
 export default function createGenerationService(
   context: VmContext,
   dependencies: GenerationDependencies,
+  cancelElsewhere: (organisation: string, requestId: string) => Promise<boolean>,
 ): ServiceImpl<typeof GenerationSchema> {
   async function* generate(
     message: GenerateRequest,
@@ -42,7 +44,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<GenerateResponse> {
     refuseWhileDraining(context);
-    const ticket = admit(context, organisation, request);
+    const ticket = admit(context, organisation, request, start.resume !== undefined);
     const generation = new Generation(dependencies, request, start);
     const remove = context.openGenerations.add(organisation.name, request.requestId, generation);
     const onAbort = (): void => generation.abandon();
@@ -81,10 +83,12 @@
         yield* serve(organisation, resumed, { resume, tries, delivered }, rpc.signal);
       });
     },
-    cancel(message, rpc) {
+    async cancel({ requestId }, rpc) {
       try {
-        const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
-        const cancelled = context.openGenerations.cancel(organisation.name, message.requestId);
+        const { name } = context.authenticator.requireOrganisation(rpc.requestHeader);
+        const cancelled =
+          context.openGenerations.cancel(name, requestId) ||
+          (await cancelElsewhere(name, requestId));
         return create(CancelResponseSchema, { cancelled });
       } catch (thrown) {
         throw toRpcError(thrown);
@@ -115,7 +119,12 @@
   }
 }
 
-function admit(context: VmContext, organisation: Organisation, request: GenerationRequest) {
+function admit(
+  context: VmContext,
+  organisation: Organisation,
+  request: GenerationRequest,
+  isResumed: boolean,
+): Ticket {
   const ticket = context.admission.admit(
     {
       organisation,
@@ -123,6 +132,7 @@
       deadlineAtMs: request.deadlineAtMs,
       expectedWaitMs: expectWait(context, request),
       maxQueueMs: request.priority.maxQueueMs,
+      isResumed,
     },
     context.clock.now(),
   );
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -118,7 +118,11 @@
 
   private async registerRoutes(): Promise<void> {
     const { context } = this;
-    const generation = createGenerationService(context, this.createGenerationDependencies());
+    const generation = createGenerationService(
+      context,
+      this.createGenerationDependencies(),
+      (organisation, requestId) => this.peers.cancelElsewhere(organisation, requestId),
+    );
     await this.server.register(fastifyConnectPlugin, {
       readMaxBytes: MAX_MESSAGE_BYTES,
       routes: (router) => {
--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -145,6 +145,23 @@
     );
   }));
 
+test('a cancel that reaches another VM cancels all the same', () =>
+  withCluster(async (cluster) => {
+    const caller = clientOf(cluster, DEMO_KEYS.routing, 0);
+    const canceller = clientOf(cluster, DEMO_KEYS.routing, 1);
+    const request = { ...PROMPT, service: 'route-brief', maxTokens: 5_000 };
+    let cancelled: boolean | undefined;
+    const found = await kindOf(async () => {
+      for await (const event of caller.generate(request)) {
+        if (event.kind === 'tokens') {
+          cancelled ??= await canceller.cancel(request.requestId);
+        }
+      }
+    });
+    assert.is(found, 'cancelled/unknown');
+    assert.is(cancelled, true);
+  }));
+
 test('an accepted change is in force on every VM, also on one that starts in an outage', () =>
   withCluster(async (cluster) => {
     const operator = clientOf(cluster, DEMO_KEYS.operator);
--- a/packages/peer-links/src/messages.ts
+++ b/packages/peer-links/src/messages.ts
@@ -57,6 +57,19 @@
   requestId: t.string,
 });
 
+const cancelQuery = t.type({
+  kind: t.literal('cancel-query'),
+  query: t.number,
+  organisation: t.string,
+  requestId: t.string,
+});
+
+const cancelReply = t.type({
+  kind: t.literal('cancel-reply'),
+  query: t.number,
+  cancelled: t.boolean,
+});
+
 const rememberedCall = t.union([
   t.type({
     kind: t.literal('answered'),
@@ -82,6 +95,8 @@
   breaker,
   callQuery,
   callReply,
+  cancelQuery,
+  cancelReply,
 ]);
 
 /** A message from one VM to another. */
