--- a/packages/choose-target/src/index.ts
+++ b/packages/choose-target/src/index.ts
@@ -3,7 +3,7 @@
 import type { Millis, ObservedCandidate, Random, TargetId } from '@limelead/types';
 
 /** Targets drawn at random, besides the one with most of the prompt cached. */
-const DEFAULT_SAMPLE_SIZE = 4;
+const DEFAULT_SAMPLE_SIZE = 2;
 /** Candidates that are told to those who watch. */
 const MAX_OBSERVED = 4;
 /** A target whose report is older than this does not answer its polls. */
--- a/packages/measure/src/experiments/relay.ts
+++ b/packages/measure/src/experiments/relay.ts
@@ -91,7 +91,9 @@
   const work = async (): Promise<void> => {
     while (next < count) {
       next += 1;
-      tokens += await relayed.read(`${idPrefix}-${next}`.replaceAll(' ', '-'), maxTokens);
+      // `tokens += await …` would lose what others added in the meantime.
+      const own = await relayed.read(`${idPrefix}-${next}`.replaceAll(' ', '-'), maxTokens);
+      tokens += own;
     }
   };
   await Promise.all(Array.from({ length: concurrency }, work));
