--- a/packages/daemon/src/services/calls-service.ts
+++ b/packages/daemon/src/services/calls-service.ts
@@ -12,9 +12,8 @@
 import type { Organisation } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { checkRequestId, requirePriority, requireService } from '../check-generate-request.js';
-import toRpcError from '../to-rpc-error.js';
 import type { VmContext } from '../vm-context.js';
-import { refuseWhileDraining } from './generation-service.js';
+import { countError, refuseWhileDraining } from './generation-service.js';
 
 /** Time in which a call may be started whose caller named none. */
 const DEFAULT_START_WITHIN_MS = 120_000;
@@ -30,10 +29,7 @@
         const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
         return await serveCall(context, organisation, message);
       } catch (thrown) {
-        if (thrown instanceof LimeleadError) {
-          context.metrics.count('limelead_errors_total', 1, { kind: thrown.kind });
-        }
-        throw toRpcError(thrown);
+        throw countError(context, thrown);
       }
     },
   };
--- a/packages/daemon/src/services/generation-service.ts
+++ b/packages/daemon/src/services/generation-service.ts
@@ -1,6 +1,6 @@
 /** The RPC service Generation. */
 import { create } from '@bufbuild/protobuf';
-import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
+import type { ConnectError, HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import type { Ticket } from '@limelead/admit-request';
 import { findSpec } from '@limelead/configuration-state';
 import { estimateQueueMs } from '@limelead/choose-target';
@@ -12,6 +12,7 @@
   type Generation as GenerationSchema,
   type GenerateRequest,
   type GenerateResponse,
+  type ResumeRequest,
 } from '@limelead/schema';
 import type { AnswerMessage, GenerationRequest, ModelVersion, Organisation } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
@@ -26,63 +27,33 @@
   dependencies: GenerationDependencies,
   cancelElsewhere: (organisation: string, requestId: string) => Promise<boolean>,
 ): ServiceImpl<typeof GenerationSchema> {
-  async function* generate(
-    message: GenerateRequest,
-    rpc: HandlerContext,
-  ): AsyncGenerator<GenerateResponse> {
-    yield* answerErrors(context, async function* () {
-      const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
-      const request = checkGenerateRequest(context, organisation, message);
-      yield* serve(organisation, request, { tries: 0, delivered: [] }, rpc.signal);
-    });
-  }
-
+  /** The one generator between a generation and the RPC library: each layer costs every token. */
   async function* serve(
-    organisation: Organisation,
-    request: GenerationRequest,
-    start: GenerationStart,
+    prepare: () => PreparedAnswer,
     signal: AbortSignal,
   ): AsyncGenerator<GenerateResponse> {
-    refuseWhileDraining(context);
-    const ticket = admit(context, organisation, request, start.resume !== undefined);
-    const generation = new Generation(dependencies, request, start);
-    const remove = context.openGenerations.add(organisation.name, request.requestId, generation);
-    const onAbort = (): void => generation.abandon();
-    signal.addEventListener('abort', onAbort, { once: true });
+    const cleanUps: (() => void)[] = [];
     try {
+      refuseWhileDraining(context);
+      const { organisation, request, start } = prepare();
+      const ticket = admit(context, organisation, request, start.resume !== undefined);
+      cleanUps.push(() => ticket.release());
+      const generation = new Generation(dependencies, request, start);
+      cleanUps.push(context.openGenerations.add(organisation.name, request.requestId, generation));
+      signal.addEventListener('abort', () => generation.abandon(), { once: true });
       for await (const message of generation.messages()) {
         yield toResponse(context, request, message);
       }
+    } catch (thrown) {
+      throw countError(context, thrown);
     } finally {
-      signal.removeEventListener('abort', onAbort);
-      remove();
-      ticket.release();
+      cleanUps.forEach((cleanUp) => cleanUp());
     }
   }
 
   return {
-    generate,
-    async *resume(message, rpc) {
-      yield* answerErrors(context, async function* () {
-        const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
-        if (message.request === undefined) {
-          throw new LimeleadError('invalid-request', 'request: expected the request as first sent');
-        }
-        const request = checkGenerateRequest(context, organisation, message.request);
-        const { deliveredTokens: delivered, tries } = message;
-        if (delivered.length > request.maxTokens) {
-          throw new LimeleadError('invalid-request', 'delivered_tokens: more than max_tokens');
-        }
-        const verified = context.signer.verify(message.handle, request);
-        if (E.isLeft(verified)) {
-          throw verified.left;
-        }
-        const resume = verified.right;
-        const resumed = { ...request, deadlineAtMs: resume.deadlineAtMs };
-        context.metrics.count('limelead_answers_resumed_total');
-        yield* serve(organisation, resumed, { resume, tries, delivered }, rpc.signal);
-      });
-    },
+    generate: (message, rpc) => serve(() => prepareNew(context, message, rpc), rpc.signal),
+    resume: (message, rpc) => serve(() => prepareResumed(context, message, rpc), rpc.signal),
     async cancel({ requestId }, rpc) {
       try {
         const { name } = context.authenticator.requireOrganisation(rpc.requestHeader);
@@ -97,19 +68,55 @@
   };
 }
 
-/** Passes a stream on and turns what it throws into RPC errors. */
-async function* answerErrors(
-  { metrics }: VmContext,
-  stream: () => AsyncGenerator<GenerateResponse>,
-): AsyncGenerator<GenerateResponse> {
-  try {
-    yield* stream();
-  } catch (thrown) {
-    if (thrown instanceof LimeleadError) {
-      metrics.count('limelead_errors_total', 1, { kind: thrown.kind });
-    }
-    throw toRpcError(thrown);
+/** A checked request and where its answer begins. */
+interface PreparedAnswer {
+  organisation: Organisation;
+  request: GenerationRequest;
+  start: GenerationStart;
+}
+
+function prepareNew(
+  context: VmContext,
+  message: GenerateRequest,
+  rpc: HandlerContext,
+): PreparedAnswer {
+  const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+  const request = checkGenerateRequest(context, organisation, message);
+  return { organisation, request, start: { tries: 0, delivered: [] } };
+}
+
+function prepareResumed(
+  context: VmContext,
+  { request: message, handle, tries, deliveredTokens: delivered }: ResumeRequest,
+  rpc: HandlerContext,
+): PreparedAnswer {
+  const organisation = context.authenticator.requireOrganisation(rpc.requestHeader);
+  if (message === undefined) {
+    throw new LimeleadError('invalid-request', 'request: expected the request as first sent');
+  }
+  const request = checkGenerateRequest(context, organisation, message);
+  if (delivered.length > request.maxTokens) {
+    throw new LimeleadError('invalid-request', 'delivered_tokens: more than max_tokens');
+  }
+  const verified = context.signer.verify(handle, request);
+  if (E.isLeft(verified)) {
+    throw verified.left;
+  }
+  context.metrics.count('limelead_answers_resumed_total');
+  const resume = verified.right;
+  return {
+    organisation,
+    request: { ...request, deadlineAtMs: resume.deadlineAtMs },
+    start: { resume, tries, delivered },
+  };
+}
+
+/** Counts an error of the closed list and turns it into an RPC error. */
+export function countError({ metrics }: VmContext, thrown: unknown): ConnectError {
+  if (thrown instanceof LimeleadError) {
+    metrics.count('limelead_errors_total', 1, { kind: thrown.kind });
   }
+  return toRpcError(thrown);
 }
 
 /** Refuses new work once a planned stop has begun. */
