Stand-in engines can be partitioned

Cause: a paused engine stops generating; one that is cut off goes on, and its tokens come all at once when the link is back. That case was not tested. Change: partition and reconnect at the engine; a test of a stream through it.

--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -279,6 +279,31 @@
     assert.is(leaving.records()[0]?.ended, 'finished');
   }));
 
+test('an engine that is cut off goes on generating, but its tokens are not mixed in', () =>
+  withCluster(async (cluster) => {
+    const client = clientOf(cluster, DEMO_KEYS.routing);
+    const request = { ...PROMPT, service: 'in-cab', maxTokens: 300 };
+    const modelVersion = { model: 'cab-small', adapter: 'canterbury', version: '7' };
+    const tokens: string[] = [];
+    let seed = 0;
+    let cutOff: (typeof cluster.engines)[number] | undefined;
+    for await (const event of client.generate(request)) {
+      seed = event.kind === 'started' && tokens.length === 0 ? Number(event.started.seed) : seed;
+      tokens.push(...(event.kind === 'tokens' ? event.tokens : []));
+      if (tokens.length > 20 && cutOff === undefined) {
+        cutOff = cluster.engines.find((engine) => engine.records().length > 0);
+        cutOff?.partition();
+      }
+      if (tokens.length > 150) {
+        cutOff?.reconnect();
+      }
+    }
+    const source = { prompt: request.prompt, modelVersion, seed };
+    assert.ok(tokens.length > 150);
+    assert.ok(tokens.every((token, at) => token === tokenAt(source, at)));
+    await until(() => cutOff?.records()[0]?.ended !== 'running');
+  }));
+
 test('a planned stop under load cuts no request', () =>
   withCluster(async (cluster) => {
     const answers = Array.from({ length: 12 }, (_, index) =>
--- a/packages/stand-ins/src/engine/start-engine.ts
+++ b/packages/stand-ins/src/engine/start-engine.ts
@@ -60,6 +60,10 @@
   revive(): Promise<void>;
   pause(): void;
   wake(): void;
+  /** Lets nothing in or out, while generations go on; links stay open. */
+  partition(): void;
+  /** Ends the partition. */
+  reconnect(): void;
   /** Breaks all present links; generations go on. */
   cutLinks(): void;
   /** Makes every step longer by the factor. */
@@ -93,6 +97,8 @@
   private timer: NodeJS.Timeout | undefined;
   private nextStepMs = 0;
   private slowness = 1;
+  /** True while the engine itself does nothing; a partition stops only its links. */
+  private isStopped = false;
   private endFault: EndFault = 'none';
 
   constructor(private readonly options: EngineOptions) {
@@ -115,6 +121,7 @@
   }
 
   async die(): Promise<void> {
+    this.isStopped = false;
     clearInterval(this.timer);
     this.timer = undefined;
     await this.server.die();
@@ -131,10 +138,20 @@
   }
 
   pause(): void {
+    this.isStopped = true;
     this.server.pause();
   }
 
   wake(): void {
+    this.isStopped = false;
+    this.server.wake();
+  }
+
+  partition(): void {
+    this.server.pause();
+  }
+
+  reconnect(): void {
     this.server.wake();
   }
 
@@ -176,7 +193,7 @@
 
   private tick(): void {
     const now = this.options.clock.now();
-    if (this.server.isPaused || now < this.nextStepMs) {
+    if (this.isStopped || now < this.nextStepMs) {
       return;
     }
     this.nextStepMs = now + this.batch.gapMs * this.slowness;
