Let one piece of code serve where two stood

Cause: a second reading of the change. Admission worked out the demand of every organisation for each request, also where something else had refused already. Questions to peers had two tables that did the same; 'is this VM a watcher', the count of VMs, free ports, puts of resources, median and sum stood twice. Change: demandOf looks up one organisation and the share is worked out last; PendingQueries, isWatcher, findFreePort, toOperations and statistics serve both sides. Behaviour, bounds and assertions stay as they were. Conclusion: left as it is: the router's estimate of four characters a token stands beside the engine protocol's own count, because a VM must not depend on an adapter's protocol; the port should offer it.

--- a/packages/admit-request/src/admission.ts
+++ b/packages/admit-request/src/admission.ts
@@ -46,6 +46,8 @@
 export interface Admission {
   admit(request: AdmissionRequest, now: Millis): E.Either<LimeleadError, Ticket>;
   open(): number;
+  /** Requests a second that this VM sees of one organisation. */
+  demandOf(organisation: string, now: Millis): number;
   /** Requests a second that this VM sees of each organisation that asked lately. */
   demand(now: Millis): { organisation: string; requestsPerSecond: number }[];
 }
@@ -75,7 +77,7 @@
     noteDemand(use, now);
     const refusal = request.isResumed
       ? undefined
-      : findRefusal(request, { use, uses, open, limits, share: shareOf(organisation.name) }, now);
+      : findRefusal(request, { use, uses, open, limits, shareOf }, now);
     if (refusal !== undefined) {
       return E.left(refusal);
     }
@@ -101,6 +103,10 @@
   return {
     admit,
     open: () => open,
+    demandOf: (organisation, now) => {
+      const use = uses.get(organisation);
+      return use === undefined ? 0 : readDemand(use, now);
+    },
     demand: (now) => {
       forgetIdle(uses, now);
       return [...uses].map(([organisation, use]) => ({
@@ -117,19 +123,20 @@
   uses: ReadonlyMap<string, OrganisationUse>;
   open: number;
   limits: AdmissionLimits;
-  share: number;
+  /** Worked out only where nothing else refuses. */
+  shareOf: (organisation: string) => number;
 }
 
 function findRefusal(
   request: AdmissionRequest,
-  { use, uses, open, limits, share }: AdmissionState,
+  { use, uses, open, limits, shareOf }: AdmissionState,
   now: Millis,
 ): LimeleadError | undefined {
   return (
     findDeadlineRefusal(request, now) ??
     findOverload(request, open, limits) ??
     findQueueRefusal(request, use, uses, open) ??
-    findLimitRefusal(request.organisation, use, share, now)
+    findLimitRefusal(request.organisation, use, shareOf(request.organisation.name), now)
   );
 }
 
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -1,9 +1,14 @@
 /** The system as separate processes: killed and frozen as the operating system does it. */
-import { DEMO_KEYS, DEMO_VERSIONS, createDemoResources, createSettings } from '@limelead/demo';
+import {
+  DEMO_KEYS,
+  DEMO_VERSIONS,
+  createDemoResources,
+  createSettings,
+  findFreePort,
+} from '@limelead/demo';
 import { answerLength, tokenAt } from '@limelead/stand-ins';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -115,14 +120,6 @@
   assert.equal(apply.lines, ['revision 1']);
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function untilAnswered(url: string): Promise<void> {
   while ((await statusOf(url)) === 0) {
     await new Promise((resolve) => setTimeout(resolve, READY_CHECK_MS));
--- a/packages/daemon/src/create-context.ts
+++ b/packages/daemon/src/create-context.ts
@@ -52,17 +52,16 @@
   const members = createMemberTable(settings.id);
   settings.peers.seeds.forEach((seed) => members.addSeed(seed));
 
+  const countVms = (): number => members.present(clock.now()).length + 1;
   const shareOf = (organisation: string): number => {
-    const vmCount = members.present(clock.now()).length + 1;
-    const own = admission.demand(clock.now()).find((entry) => entry.organisation === organisation);
-    return computeShare(own?.requestsPerSecond ?? 0, peers.demandOf(organisation), vmCount);
+    const own = admission.demandOf(organisation, clock.now());
+    return computeShare(own, peers.demandOf(organisation), countVms());
   };
   const admission = createAdmission({ maxOpen: settings.limits.maxOpenRequests }, shareOf);
 
   const recoveryPlaces = (): number => {
-    const vmCount = members.present(clock.now()).length + 1;
     const engines = targets.usableEngines(clock.now()).length;
-    return Math.max(MIN_RECOVERIES, Math.ceil((engines * RECOVERIES_PER_ENGINE) / vmCount));
+    return Math.max(MIN_RECOVERIES, Math.ceil((engines * RECOVERIES_PER_ENGINE) / countVms()));
   };
 
   const context: VmContext = {
--- a/packages/daemon/src/peer-conversation.ts
+++ b/packages/daemon/src/peer-conversation.ts
@@ -12,6 +12,7 @@
 import BreakerEvidence from './breaker-evidence.js';
 import type { ConfigurationSource } from './configuration-holder.js';
 import startLoop, { type Loop } from './loop.js';
+import PendingQueries from './pending-queries.js';
 import SnapshotAssembler from './snapshot-assembler.js';
 import type { VmContext } from './vm-context.js';
 
@@ -29,14 +30,19 @@
   private readonly evidence = new BreakerEvidence();
   private readonly assembler = new SnapshotAssembler();
   private readonly demands = new Map<VmId, DemandReports>();
-  private readonly queries = new Map<number, (outcome: RememberedCall) => void>();
-  private readonly cancels = new Map<number, (cancelled: boolean) => void>();
+  private readonly callQueries: PendingQueries<RememberedCall>;
+  private readonly cancelQueries: PendingQueries<boolean>;
   private links: PeerLinks | undefined;
   private loop: Loop | undefined;
-  private lastQuery = 0;
   private isLeaving = false;
 
-  constructor(private readonly context: VmContext) {}
+  constructor(private readonly context: VmContext) {
+    const { timers } = context;
+    this.callQueries = new PendingQueries<RememberedCall>(timers, CALL_QUERY_TIMEOUT_MS, {
+      kind: 'unknown',
+    });
+    this.cancelQueries = new PendingQueries(timers, CANCEL_QUERY_TIMEOUT_MS, false);
+  }
 
   /** Port on which peers are accepted. */
   get port(): number {
@@ -89,24 +95,23 @@
 
   /** Asks the VM that holds a claim what became of its call. */
   askHolder(holder: string, organisation: string, requestId: string): Promise<RememberedCall> {
-    const peer = this.context.members.findByIncarnation(holder);
-    const query = (this.lastQuery += 1);
-    const message: PeerMessage = { kind: 'call-query', query, organisation, requestId };
-    if (peer === undefined || this.links?.send(peer.id, message) !== true) {
+    const peer = this.context.members.findByIncarnation(holder)?.id;
+    if (peer === undefined || this.links?.linked().includes(peer) !== true) {
       return Promise.resolve({ kind: 'unknown' });
     }
-    return new Promise((resolve) => {
-      this.queries.set(query, resolve);
-      this.context.timers.after(CALL_QUERY_TIMEOUT_MS, () =>
-        this.settleQuery(query, { kind: 'unknown' }),
-      );
-    });
+    return this.callQueries.ask((query) =>
+      this.links?.send(peer, { kind: 'call-query', query, organisation, requestId }),
+    );
   }
 
   /** Asks linked peers to cancel a generation; says whether one of them had it. */
   async cancelElsewhere(organisation: string, requestId: string): Promise<boolean> {
     const peers = this.links?.linked() ?? [];
-    const answers = peers.map((peer) => this.askToCancel(peer, organisation, requestId));
+    const answers = peers.map((peer) =>
+      this.cancelQueries.ask((query) =>
+        this.links?.send(peer, { kind: 'cancel-query', query, organisation, requestId }),
+      ),
+    );
     return (await Promise.all(answers)).some((cancelled) => cancelled);
   }
 
@@ -116,20 +121,6 @@
     await this.links?.close();
   }
 
-  private askToCancel(peer: VmId, organisation: string, requestId: string): Promise<boolean> {
-    const query = (this.lastQuery += 1);
-    this.links?.send(peer, { kind: 'cancel-query', query, organisation, requestId });
-    return new Promise((resolve) => {
-      this.cancels.set(query, resolve);
-      this.context.timers.after(CANCEL_QUERY_TIMEOUT_MS, () => this.settleCancel(query, false));
-    });
-  }
-
-  private settleCancel(query: number, cancelled: boolean): void {
-    this.cancels.get(query)?.(cancelled);
-    this.cancels.delete(query);
-  }
-
   private async beat(): Promise<void> {
     const { members, clock, settings } = this.context;
     this.links?.broadcast(this.createHeartbeat());
@@ -207,9 +198,9 @@
       case 'cancel-query':
         return this.onCancelQuery(peer, message);
       case 'cancel-reply':
-        return this.settleCancel(message.query, message.cancelled);
+        return this.cancelQueries.settle(message.query, message.cancelled);
       case 'call-reply':
-        return this.settleQuery(message.query, message.outcome as RememberedCall);
+        return this.callQueries.settle(message.query, message.outcome as RememberedCall);
     }
   }
 
@@ -318,9 +309,4 @@
     const cancelled = this.context.openGenerations.cancel(organisation, requestId);
     this.links?.send(peer, { kind: 'cancel-reply', query, cancelled });
   }
-
-  private settleQuery(query: number, outcome: RememberedCall): void {
-    this.queries.get(query)?.(outcome);
-    this.queries.delete(query);
-  }
 }
--- a/packages/daemon/src/place-models.ts
+++ b/packages/daemon/src/place-models.ts
@@ -1,9 +1,9 @@
 /** Does placement on this VM while it is one of the few that may, and holds the lease. */
 import { createPlacementDoer, type PlacementDoer } from '@limelead/apply-placement-plan';
 import { listSpecs } from '@limelead/configuration-state';
-import { chooseWatchers } from '@limelead/track-members';
 import { estimateLoad } from '@limelead/track-targets';
 import type { ModelVersion } from '@limelead/types';
+import isWatcher from './is-watcher.js';
 import startLoop, { type Loop } from './loop.js';
 import type { VmContext } from './vm-context.js';
 
@@ -24,7 +24,8 @@
 export default function placeModels(context: VmContext): Placement {
   const doer = createDoer(context);
   const loop = startLoop(context, WORK_INTERVAL_MS, async () => {
-    if (hasRules(context) && mayPlace(context)) {
+    // The VMs that watch already; so the lease costs the service few calls.
+    if (hasRules(context) && isWatcher(context)) {
       await doer.work();
     }
   });
@@ -56,12 +57,6 @@
   return listSpecs(context.configuration.configuration, 'placementRule').length > 0;
 }
 
-/** The same few VMs that watch the configuration; so the lease costs the service few calls. */
-function mayPlace({ members, clock, settings }: VmContext): boolean {
-  const present = members.present(clock.now()).map(({ id }) => id);
-  return chooseWatchers([...present, settings.id]).includes(settings.id);
-}
-
 function listCurrentVersions(context: VmContext): ModelVersion[] {
   return listSpecs(context.configuration.configuration, 'service').flatMap(({ model }) =>
     model === undefined ? [] : [model],
--- a/packages/daemon/src/watch-configuration.ts
+++ b/packages/daemon/src/watch-configuration.ts
@@ -1,8 +1,8 @@
 /** Keeps the configuration of this VM up with the platform's service. */
 import type { PortFault } from '@limelead/errors';
 import type { ReadResult } from '@limelead/store-configuration';
-import { chooseWatchers } from '@limelead/track-members';
 import * as E from 'fp-ts/lib/Either.js';
+import isWatcher from './is-watcher.js';
 import startLoop, { type Loop } from './loop.js';
 import type { VmContext } from './vm-context.js';
 
@@ -26,7 +26,7 @@
   async look(): Promise<void> {
     const { configurationStore, configuration, settings, clock, metrics } = this.context;
     const known = configuration.configuration;
-    if (known.revision > 0 && this.isWatcher()) {
+    if (known.revision > 0 && isWatcher(this.context)) {
       metrics.count('limelead_store_watches_total');
       const { configurationWaitMs } = settings.timing;
       await this.take(
@@ -38,12 +38,6 @@
     }
   }
 
-  private isWatcher(): boolean {
-    const { members, clock, settings } = this.context;
-    const present = members.present(clock.now()).map(({ id }) => id);
-    return chooseWatchers([...present, settings.id]).includes(settings.id);
-  }
-
   private async take(result: E.Either<PortFault, ReadResult>): Promise<void> {
     this.noteReachable(E.isRight(result));
     if (E.isLeft(result)) {
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -10,3 +10,5 @@
 export * from './demo-configuration.js';
 export { default as createSeededRandom } from './seeded-random.js';
 export { default as createSettings } from './create-settings.js';
+export { default as findFreePort } from './find-free-port.js';
+export { default as toOperations } from './to-operations.js';
--- a/packages/measure/src/capacity/measure-slopes.ts
+++ b/packages/measure/src/capacity/measure-slopes.ts
@@ -9,6 +9,7 @@
 import { createTargetTable } from '@limelead/track-targets';
 import type { Change, ListedVm, LoadReport, VersionedResource } from '@limelead/types';
 import measureOpenStreams from './open-streams.js';
+import { sum } from '../statistics.js';
 import fitSlope, { type Slope } from './slope.js';
 
 const ORGANISATIONS = [2_500, 5_000, 10_000, 20_000, 40_000];
@@ -258,7 +259,3 @@
   globalThis.gc?.();
   return process.memoryUsage().heapUsed / KB;
 }
-
-function sum(values: number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/measure/src/experiments/routing.ts
+++ b/packages/measure/src/experiments/routing.ts
@@ -3,6 +3,7 @@
 import { DEMO_KEYS } from '@limelead/demo';
 import type { Mix } from '@limelead/load';
 import ResultTable, { type Experiment } from '../experiment.js';
+import { sum } from '../statistics.js';
 import runCell from '../run-cell.js';
 
 const VMS = 7;
@@ -117,8 +118,4 @@
   },
 };
 
-function sum(values: number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 export default routing;
--- a/packages/measure/src/experiments/spread.ts
+++ b/packages/measure/src/experiments/spread.ts
@@ -4,6 +4,7 @@
 import { createDemoResources, DEMO_KEYS, startDemoCluster, type DemoCluster } from '@limelead/demo';
 import { ApplyRequestSchema } from '@limelead/schema';
 import { delay, systemTimers } from '@limelead/types';
+import { median } from '../statistics.js';
 import ResultTable, { type Experiment } from '../experiment.js';
 
 const FLEETS = [3, 7, 15, 30];
@@ -109,8 +110,4 @@
   },
 };
 
-function median(values: number[]): number {
-  return [...values].sort((a, b) => a - b)[Math.floor((values.length - 1) / 2)] ?? 0;
-}
-
 export default spread;
--- a/packages/measure/src/processes.ts
+++ b/packages/measure/src/processes.ts
@@ -1,14 +1,19 @@
 /** A daemon and its stand-ins as processes of their own, so that their costs can be told apart. */
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@limelead/client';
-import { createDemoResources, createSettings, DEMO_KEYS, DEMO_VERSIONS } from '@limelead/demo';
-import { ApplyRequestSchema, OperationSchema, type Operation } from '@limelead/schema';
+import {
+  createDemoResources,
+  createSettings,
+  DEMO_KEYS,
+  DEMO_VERSIONS,
+  findFreePort,
+  toOperations,
+} from '@limelead/demo';
+import { ApplyRequestSchema } from '@limelead/schema';
 import type { EngineOptions } from '@limelead/stand-ins';
-import { fromJson, type JsonValue } from '@bufbuild/protobuf';
 import { delay, systemTimers, type RecoveryPolicy, type Resource } from '@limelead/types';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -101,11 +106,7 @@
 
 async function applyResources(url: string): Promise<void> {
   const client = createClient({ urls: [url], key: DEMO_KEYS.operator });
-  const operations = createDemoResources().map((resource): Operation =>
-    fromJson(OperationSchema, {
-      put: { [resource.kind]: relax(resource) },
-    } as unknown as JsonValue),
-  );
+  const operations = toOperations(createDemoResources().map(relax));
   await client.administration.apply(
     create(ApplyRequestSchema, { changeId: 'setup', operations, reason: 'measure' }),
     { headers: client.headers },
@@ -114,14 +115,20 @@
 }
 
 /** Costs are measured: neither limits nor suspicions may get in between. */
-function relax(resource: Resource): Resource['spec'] {
+function relax(resource: Resource): Resource {
   switch (resource.kind) {
     case 'organisation':
-      return { ...resource.spec, maxConcurrent: 100_000, requestsPerSecond: 100_000 };
+      return {
+        kind: 'organisation',
+        spec: { ...resource.spec, maxConcurrent: 100_000, requestsPerSecond: 100_000 },
+      };
     case 'priority':
-      return { ...resource.spec, recovery: PATIENT_RECOVERY, maxQueueMs: PATIENCE_MS };
+      return {
+        kind: 'priority',
+        spec: { ...resource.spec, recovery: PATIENT_RECOVERY, maxQueueMs: PATIENCE_MS },
+      };
     default:
-      return resource.spec;
+      return resource;
   }
 }
 
@@ -136,11 +143,3 @@
     await delay(systemTimers, READY_CHECK_MS);
   }
 }
-
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
--- a/packages/measure/src/render-curve.ts
+++ b/packages/measure/src/render-curve.ts
@@ -1,6 +1,6 @@
 /** Draws rows as points of a curve, as SVG: one column against another. */
 import type { ExperimentResult } from './experiment.js';
-import { median } from './render-markdown.js';
+import { median } from './statistics.js';
 
 const WIDTH = 720;
 const HEIGHT = 420;
--- a/packages/measure/src/render-markdown.ts
+++ b/packages/measure/src/render-markdown.ts
@@ -1,4 +1,5 @@
 /** Renders a result as a Markdown table: the median over the seeds, and the spread where there is one. */
+import { median } from './statistics.js';
 import type { ExperimentResult, ResultRow } from './experiment.js';
 
 /** Gives the page of one experiment. */
@@ -40,12 +41,6 @@
   return `${show(middle)}${spread}${ratio}`;
 }
 
-/** The middle value; the lower one of two. */
-export function median(values: number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
-}
-
 function show(value: number): string {
   return Math.abs(value) >= 100 ? value.toFixed(0) : String(Math.round(value * 100) / 100);
 }
