--- /dev/null
+++ b/packages/choose-service-target/src/index.test.ts
@@ -0,0 +1,97 @@
+import {
+  NO_EVIDENCE,
+  observeTarget,
+  type TrackedServiceTarget,
+} from '@limelead/track-service-targets';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { chooseCopyKeeper, chooseServiceTarget, type ServiceChoiceRequest } from './index.js';
+
+function track(
+  id: string,
+  failureDomain: string,
+  overrides: Partial<TrackedServiceTarget> = {},
+): TrackedServiceTarget {
+  return {
+    target: {
+      id,
+      service: 'briefs',
+      host: '10.0.0.1',
+      port: 1,
+      failureDomain,
+      slots: 4,
+      leaving: false,
+    },
+    evidence: NO_EVIDENCE,
+    inFlight: 0,
+    copies: 0,
+    ...overrides,
+  };
+}
+
+function createRequest(overrides: Partial<ServiceChoiceRequest> = {}): ServiceChoiceRequest {
+  return {
+    affinityKey: 'session',
+    failureDomain: 'north',
+    exclude: new Set(),
+    limit: ({ target }) => target.slots,
+    isDomainDoubtful: () => false,
+    now: 1_000,
+    ...overrides,
+  };
+}
+
+const lost = observeTarget(NO_EVIDENCE, { kind: 'lost' }, 900);
+
+test('the own failure domain goes first, until it is clearly busier', () => {
+  const idle = [track('a', 'north'), track('b', 'south')];
+  assert.is(chooseServiceTarget(idle, createRequest())?.target.id, 'a');
+  const busy = [track('a', 'north', { inFlight: 3 }), track('b', 'south')];
+  assert.is(chooseServiceTarget(busy, createRequest())?.target.id, 'b');
+});
+
+test('one session meets the same target from every VM, and sessions are spread', () => {
+  const targets = ['a', 'b', 'c', 'd'].map((id) => track(id, 'north'));
+  const choose = (affinityKey: string, list: TrackedServiceTarget[]) =>
+    chooseServiceTarget(list, createRequest({ affinityKey }))?.target.id;
+  const counts = new Map<string | undefined, number>();
+  for (let index = 0; index < 400; index += 1) {
+    const id = choose(`s${index}`, targets);
+    assert.is(choose(`s${index}`, [...targets].reverse()), id);
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  assert.ok(Math.min(...counts.values()) > 60);
+});
+
+test('suspected, doubted and already tried targets come last, but are better than nothing', () => {
+  const near = track('a', 'north', { evidence: lost });
+  const far = track('b', 'south');
+  assert.is(chooseServiceTarget([near, far], createRequest())?.target.id, 'b');
+  assert.is(chooseServiceTarget([near], createRequest())?.target.id, 'a');
+  const exclude = new Set(['b']);
+  assert.is(chooseServiceTarget([near, far], createRequest({ exclude }))?.target.id, 'a');
+  const isDomainDoubtful = (domain: string): boolean => domain === 'north';
+  const fresh = [track('a', 'north'), far];
+  assert.is(chooseServiceTarget(fresh, createRequest({ isDomainDoubtful }))?.target.id, 'b');
+});
+
+test('a full target is not taken', () => {
+  const full = track('a', 'north', { inFlight: 4 });
+  assert.is(chooseServiceTarget([full], createRequest()), undefined);
+  const evidence = { ...NO_EVIDENCE, fullUntilMs: 1_001 };
+  assert.is(chooseServiceTarget([track('a', 'north', { evidence })], createRequest()), undefined);
+});
+
+test('a copy is kept in another failure domain, and copies are spread', () => {
+  const running = track('a', 'north');
+  const targets = [running, track('b', 'north'), track('c', 'south'), track('d', 'south')];
+  const keep = (affinityKey: string, list = targets) =>
+    chooseCopyKeeper(list, { affinityKey, running, isDomainDoubtful: () => false, now: 1_000 })
+      ?.target.id;
+  const keepers = new Set(Array.from({ length: 40 }, (_, index) => keep(`s${index}`)));
+  assert.equal([...keepers].sort(), ['c', 'd']);
+  assert.is(keep('s', [running, track('b', 'north')]), 'b');
+  assert.is(keep('s', [running]), undefined);
+});
+
+test.run();
--- /dev/null
+++ b/packages/choose-service-target/src/index.ts
@@ -0,0 +1,122 @@
+/**
+ * Pure choice of a target for one request, and of the target that keeps a copy
+ * of a run. Costs are compared first; among those of equal cost the one with
+ * the highest hash over the caller's session and the target wins, so that all
+ * VMs send a session to the target that already holds its prompt.
+ */
+import { hashToFraction } from '@limelead/route-requests';
+import {
+  isSuspected,
+  readFailureRate,
+  type TrackedServiceTarget,
+} from '@limelead/track-service-targets';
+import type { Millis } from '@limelead/types';
+
+/** Costs in units of one request under way at the target. */
+const OTHER_DOMAIN_COST = 2;
+const FAILURE_COST = 12;
+const DOUBT_COST = 40;
+const SUSPICION_COST = 100;
+const EXCLUDED_COST = 1_000;
+/** Failure rates below this are taken as the service's own, not the target's. */
+const COMMON_FAILURE_RATE = 0.35;
+/** Costs closer than this are taken as equal. */
+const EQUAL_COST = 0.5;
+/** Cost of one copy kept at a target, against that of a request running there. */
+const COPY_COST = 0.5;
+
+/** What a target is chosen for. */
+export interface ServiceChoiceRequest {
+  affinityKey: string;
+  /** Failure domain of this VM. */
+  failureDomain: string;
+  /** Targets that already failed this request; taken only where there is no other. */
+  exclude: ReadonlySet<string>;
+  /** Requests of this VM that one target takes at once. */
+  limit: (target: TrackedServiceTarget) => number;
+  isDomainDoubtful: (failureDomain: string) => boolean;
+  now: Millis;
+}
+
+/** Where a copy of a run may stand. */
+export interface CopyChoiceRequest {
+  affinityKey: string;
+  /** The target that runs the request. */
+  running: TrackedServiceTarget;
+  isDomainDoubtful: (failureDomain: string) => boolean;
+  now: Millis;
+}
+
+/** Takes a target, or none where all are full or none is there. */
+export function chooseServiceTarget(
+  targets: TrackedServiceTarget[],
+  request: ServiceChoiceRequest,
+): TrackedServiceTarget | undefined {
+  const withPlace = targets.filter(
+    (tracked) =>
+      tracked.inFlight < request.limit(tracked) && tracked.evidence.fullUntilMs <= request.now,
+  );
+  return takeCheapest(withPlace, request.affinityKey, (tracked) => costOf(tracked, request));
+}
+
+/** Takes the target that keeps a copy: in another failure domain wherever there is one. */
+export function chooseCopyKeeper(
+  targets: TrackedServiceTarget[],
+  request: CopyChoiceRequest,
+): TrackedServiceTarget | undefined {
+  const { running, now } = request;
+  const others = targets.filter(({ target }) => target.id !== running.target.id);
+  return takeCheapest(others, `copy ${request.affinityKey}`, ({ target, evidence, ...work }) => {
+    const isSameDomain = target.failureDomain === running.target.failureDomain;
+    return (
+      (isSameDomain ? DOUBT_COST : 0) +
+      (isSuspected(evidence, now) ? SUSPICION_COST : 0) +
+      (request.isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
+      work.inFlight +
+      work.copies * COPY_COST
+    );
+  });
+}
+
+function costOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): number {
+  const { target, evidence, inFlight } = tracked;
+  const failureRate = readFailureRate(evidence, request.now);
+  return (
+    inFlight +
+    (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST) +
+    (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_COST : 0) +
+    (isSuspected(evidence, request.now) ? SUSPICION_COST : 0) +
+    (request.isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
+    (request.exclude.has(target.id) ? EXCLUDED_COST : 0)
+  );
+}
+
+function takeCheapest(
+  targets: TrackedServiceTarget[],
+  affinityKey: string,
+  costOfTarget: (tracked: TrackedServiceTarget) => number,
+): TrackedServiceTarget | undefined {
+  const costs = targets.map((tracked) => ({ tracked, cost: costOfTarget(tracked) }));
+  const least = Math.min(...costs.map(({ cost }) => cost));
+  const equal = costs.filter(({ cost }) => cost < least + EQUAL_COST);
+  return takeHighestHash(
+    equal.map(({ tracked }) => tracked),
+    affinityKey,
+  );
+}
+
+function takeHighestHash(
+  targets: TrackedServiceTarget[],
+  affinityKey: string,
+): TrackedServiceTarget | undefined {
+  let best: TrackedServiceTarget | undefined;
+  let bestHash = -1;
+  for (const tracked of targets) {
+    const hash = hashToFraction(`${affinityKey} ${tracked.target.id}`);
+    if (hash > bestHash) {
+      best = tracked;
+      bestHash = hash;
+    }
+  }
+  return best;
+}
--- a/packages/errors/src/kinds.test.ts
+++ b/packages/errors/src/kinds.test.ts
@@ -6,6 +6,7 @@
   DecodeError,
   ERROR_KINDS,
   LimeleadError,
+  toHttpStatus,
   toLimeleadError,
 } from './index.js';
 
@@ -20,6 +21,15 @@
   }
 });
 
+test('a status that promises "not run" is given only where that is certain', () => {
+  for (const kind of ERROR_KINDS) {
+    for (const execution of ['unknown', 'run'] as const) {
+      assert.not([408, 421, 429, 503].includes(toHttpStatus(kind, execution)), kind);
+    }
+  }
+  assert.is(toHttpStatus('no-target', 'not-run'), 503);
+});
+
 test('nothing whose outcome is unknown invites a blind retry', () => {
   for (const kind of ERROR_KINDS) {
     const { execution, mayRetry } = ANSWERS[kind];
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -4,6 +4,8 @@
 export const ERROR_KINDS = [
   'invalid-request',
   'too-large',
+  'headers-too-large',
+  'too-slow',
   'unauthenticated',
   'permission-denied',
   'not-found',
@@ -60,6 +62,8 @@
 export const ANSWERS: Readonly<Record<ErrorKind, Answer>> = {
   'invalid-request': answer('invalid_argument', 'not-run'),
   'too-large': answer('invalid_argument', 'not-run'),
+  'headers-too-large': answer('invalid_argument', 'not-run'),
+  'too-slow': answer('deadline_exceeded', 'not-run'),
   unauthenticated: answer('unauthenticated', 'not-run'),
   'permission-denied': answer('permission_denied', 'not-run'),
   'not-found': answer('not_found', 'not-run'),
@@ -89,6 +93,45 @@
   };
 }
 
+/** HTTP status of each kind at the HTTP front door. */
+const HTTP_STATUS: Readonly<Record<ErrorKind, number>> = {
+  'invalid-request': 400,
+  'too-large': 413,
+  'headers-too-large': 431,
+  'too-slow': 408,
+  unauthenticated: 401,
+  'permission-denied': 403,
+  'not-found': 404,
+  conflict: 409,
+  'rate-limited': 429,
+  overloaded: 503,
+  'deadline-unreachable': 503,
+  'deadline-passed': 504,
+  'no-target': 503,
+  'version-not-live': 503,
+  'recovery-exhausted': 502,
+  'outcome-unknown': 502,
+  'call-expired': 410,
+  'store-unavailable': 503,
+  'handle-invalid': 400,
+  cancelled: 502,
+  'shutting-down': 503,
+  internal: 502,
+};
+
+/** Statuses that callers take as a promise that the request has not run and never will. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const BAD_GATEWAY = 502;
+
+/**
+ * HTTP status for a kind. A request that may have run never gets a status that
+ * promises that it did not.
+ */
+export function toHttpStatus(kind: ErrorKind, execution: Execution): number {
+  const status = HTTP_STATUS[kind];
+  return execution !== 'not-run' && PROMISES_NOT_RUN.has(status) ? BAD_GATEWAY : status;
+}
+
 /** Says whether a text names a kind of the closed list. */
 export function isErrorKind(text: string): text is ErrorKind {
   return (ERROR_KINDS as readonly string[]).includes(text);
--- /dev/null
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -0,0 +1,85 @@
+import type { Timers } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { StoreFollower, type StoreChanges, type StoreFault, type StoreList } from './index.js';
+
+type Answer = E.Either<StoreFault, StoreChanges>;
+
+/** Plays answers in turn and stops the follower after the last. */
+async function follow(lists: E.Either<StoreFault, StoreList>[], watches: Answer[]) {
+  const told: string[] = [];
+  const pauses: number[] = [];
+  const timers: Timers = {
+    after(milliseconds, run) {
+      pauses.push(milliseconds);
+      queueMicrotask(run);
+      return () => undefined;
+    },
+  };
+  const follower: StoreFollower = new StoreFollower({
+    timers,
+    random: { next: () => 0 },
+    port: {
+      list: async () => {
+        told.push('list');
+        return lists.shift() ?? stop();
+      },
+      watch: async (revision) => {
+        told.push(`watch ${revision}`);
+        return watches.shift() ?? stop();
+      },
+    },
+    events: {
+      onList: ({ items }) => told.push(`items ${items.length}`),
+      onChanges: ({ changes }) => told.push(`changes ${changes.length}`),
+      onLost: (fault) => told.push(`lost ${fault}`),
+      onRegained: () => told.push('regained'),
+    },
+  });
+  function stop(): E.Either<StoreFault, never> {
+    follower.stop();
+    return E.left('unreachable');
+  }
+  await follower.run();
+  return { told, pauses };
+}
+
+const emptyList = E.right({ items: [], revision: 5 });
+const gone = { kind: 'gone', key: 'a' } as const;
+
+test('a list is followed by watches from its revision, and a gap by another list', async () => {
+  const { told } = await follow(
+    [emptyList, E.right({ items: [], revision: 9 })],
+    [E.right({ changes: [gone], revision: 7 }), E.left('history-gone')],
+  );
+  assert.equal(told.slice(0, 7), [
+    'list',
+    'items 0',
+    'watch 5',
+    'changes 1',
+    'watch 7',
+    'list',
+    'items 0',
+  ]);
+});
+
+test('losses and returns are told once, and the pauses grow up to a bound', async () => {
+  const failures = Array.from({ length: 7 }, () => E.left<StoreFault>('silent'));
+  const { told, pauses } = await follow(
+    [emptyList],
+    [...failures, E.right({ changes: [], revision: 5 })],
+  );
+  assert.equal(told.filter((line) => line.startsWith('lost') || line === 'regained').slice(0, 2), [
+    'lost silent',
+    'regained',
+  ]);
+  assert.equal(pauses.slice(0, 7), [100, 200, 400, 800, 1_000, 1_000, 1_000]);
+});
+
+test('an answer from the past never sets the revision back', async () => {
+  const { told } = await follow([emptyList], [E.right({ changes: [gone], revision: 3 })]);
+  assert.ok(told.includes('watch 5') && !told.includes('watch 3'));
+});
+
+test.run();
--- /dev/null
+++ b/packages/follow-store/src/store-follower.ts
@@ -0,0 +1,117 @@
+/**
+ * Follows the store. A list is followed by watches from its revision. After a
+ * gap in the history the list is read again. While the store is away the pause
+ * between two tries grows, since refused calls are paid for like others.
+ */
+import { delay, type Random, type Timers } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import type { StoreChanges, StoreFault, StoreList, StorePort } from './store-port.js';
+
+/**
+ * Longest wait of one watch. A watch whose connection died without a word is
+ * noticed only when its time is over, so this bounds how long changes are missed.
+ */
+const WATCH_WAIT_MS = 3_000;
+/** Pause after changes came, in which further ones gather into the next answer. */
+const GATHER_MS = 250;
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 1_000;
+/** Part of a pause that is drawn at random, so that VMs do not all ask at once. */
+const JITTER = 0.4;
+
+/** What the owner of a follower is told. */
+export interface StoreFollowerEvents {
+  onList(list: StoreList): void;
+  onChanges(changes: StoreChanges): void;
+  /** The first failure after a success. */
+  onLost(fault: StoreFault): void;
+  /** The first success after a failure. */
+  onRegained(): void;
+}
+
+/** What a follower needs. */
+export interface StoreFollowerOptions {
+  port: StorePort;
+  timers: Timers;
+  random: Random;
+  events: StoreFollowerEvents;
+}
+
+/** Follows the store until it is stopped. */
+export default class StoreFollower {
+  private isStopped = false;
+  private failures = 0;
+  /** Undefined until a list was read, and again after a gap. */
+  private revision: number | undefined;
+
+  constructor(private readonly options: StoreFollowerOptions) {}
+
+  /** Whether the last call succeeded. */
+  get isInTouch(): boolean {
+    return this.failures === 0 && this.revision !== undefined;
+  }
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      const pauseMs = await this.step();
+      if (pauseMs > 0) {
+        await delay(this.options.timers, pauseMs);
+      }
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** One call; gives the pause until the next. */
+  private async step(): Promise<number> {
+    return this.revision === undefined ? this.readList() : this.readChanges(this.revision);
+  }
+
+  private async readList(): Promise<number> {
+    const list = await this.options.port.list();
+    if (E.isLeft(list)) {
+      return this.onFault(list.left);
+    }
+    this.onSuccess();
+    this.revision = list.right.revision;
+    this.options.events.onList(list.right);
+    return 0;
+  }
+
+  private async readChanges(revision: number): Promise<number> {
+    const changes = await this.options.port.watch(revision, WATCH_WAIT_MS);
+    if (E.isLeft(changes)) {
+      return this.onFault(changes.left);
+    }
+    this.onSuccess();
+    this.revision = Math.max(revision, changes.right.revision);
+    if (changes.right.changes.length === 0) {
+      return 0;
+    }
+    this.options.events.onChanges(changes.right);
+    return GATHER_MS;
+  }
+
+  private onSuccess(): void {
+    if (this.failures > 0) {
+      this.failures = 0;
+      this.options.events.onRegained();
+    }
+  }
+
+  private onFault(fault: StoreFault): number {
+    if (fault === 'history-gone') {
+      this.revision = undefined;
+      return 0;
+    }
+    this.failures += 1;
+    if (this.failures === 1) {
+      this.options.events.onLost(fault);
+    }
+    const pauseMs = Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS);
+    return pauseMs * (1 - JITTER * this.options.random.next());
+  }
+}
--- /dev/null
+++ b/packages/follow-store/src/store-port.ts
@@ -0,0 +1,46 @@
+/** The store as a follower sees it. */
+import type * as E from 'fp-ts/lib/Either.js';
+
+/** One item as it was last written. */
+export interface StoreItem {
+  key: string;
+  value: Buffer;
+  /** Store-wide number of the change that wrote it. */
+  revision: number;
+}
+
+/** One change. */
+export type StoreChange = { kind: 'put'; item: StoreItem } | { kind: 'gone'; key: string };
+
+/** Why a read failed. */
+export type StoreFault =
+  /** The store says no, or not now. */
+  | 'turned-away'
+  /** No connection, or it broke. */
+  | 'unreachable'
+  /** No answer came in time. */
+  | 'silent'
+  /** The changes since the asked revision are forgotten. */
+  | 'history-gone'
+  /** The answer does not hold. */
+  | 'invalid';
+
+/** A complete list. Pages are no snapshot: changes since `revision` may be in it already. */
+export interface StoreList {
+  items: StoreItem[];
+  /** The store's revision when the first page was read. */
+  revision: number;
+}
+
+/** Changes and the revision to go on from. */
+export interface StoreChanges {
+  changes: StoreChange[];
+  revision: number;
+}
+
+/** Reads of the store. */
+export interface StorePort {
+  list(): Promise<E.Either<StoreFault, StoreList>>;
+  /** Answers as soon as there is a change behind `revision`, or with none after the wait. */
+  watch(revision: number, waitMs: number): Promise<E.Either<StoreFault, StoreChanges>>;
+}
--- /dev/null
+++ b/packages/forward-request/src/context.ts
@@ -0,0 +1,43 @@
+/** What forwarding needs from the rest of the process. */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { Metrics } from '@limelead/metrics';
+import type { RouteTable } from '@limelead/route-requests';
+import type RetrySpender from '@limelead/spend-retries';
+import type { TargetConnections } from '@limelead/target-connections';
+import type { TargetDirectory } from '@limelead/track-service-targets';
+import type { Clock, IncomingRequest, Millis, ServingRoute, Timers } from '@limelead/types';
+import type { TargetDialect } from './dialect.js';
+import type PlaceQueue from './place-queue.js';
+import type SilenceWatch from './silence-watch.js';
+
+/** Everything that requests of one VM share. */
+export interface ForwardContext {
+  clock: Clock;
+  timers: Timers;
+  failureDomain: string;
+  directory: TargetDirectory;
+  connections: TargetConnections;
+  dialect: TargetDialect;
+  places: PlaceQueue;
+  silence: SilenceWatch;
+  log: DecisionLog;
+  metrics: Metrics;
+  /** The configuration in force. */
+  readTable(): RouteTable | undefined;
+  retriesOf(service: string): RetrySpender;
+  /** VMs that share the retry budget, this one included. */
+  countVms(): number;
+}
+
+/** One request with what the front door's filters decided about it. */
+export interface AdmittedRequest {
+  request: IncomingRequest;
+  route: ServingRoute;
+  service: string;
+  organisation?: string;
+  rank: number;
+  /** Steady time at which the request was read. */
+  receivedAtMs: Millis;
+  /** Steady time by which the final answer is due: the caller's or the route's limit. */
+  dueAtMs: Millis;
+}
--- /dev/null
+++ b/packages/forward-request/src/index.ts
@@ -0,0 +1,9 @@
+/** Carries a request to targets and its answer back. */
+export { keepEndToEnd, type AnswerSink } from './answer-sink.js';
+export type { AdmittedRequest, ForwardContext } from './context.js';
+export type { AnswerFacts, RunCopy, TargetDialect, TargetOrder } from './dialect.js';
+export { default as forwardCall } from './forward-call.js';
+export { default as forwardStream } from './forward-stream.js';
+export { default as judgeSilence } from './judge-silence.js';
+export { default as PlaceQueue } from './place-queue.js';
+export { default as SilenceWatch } from './silence-watch.js';
--- /dev/null
+++ b/packages/forward-request/src/place-queue.ts
@@ -0,0 +1,118 @@
+/**
+ * Requests that wait for a target with a free place. The most urgent are served
+ * first, then those whose time ends first.
+ */
+import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
+import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
+import type { CancelTimer, Clock, Millis, Timers } from '@limelead/types';
+
+/** Suspicion and pauses end with time, without any event; so waiters are tried again. */
+const RETRY_INTERVAL_MS = 20;
+
+/** What a place is wanted for. */
+export interface PlaceRequest {
+  service: string;
+  affinityKey: string;
+  exclude: ReadonlySet<string>;
+  rank: number;
+  /** Steady time at which waiting ends. */
+  untilMs: Millis;
+}
+
+/** A place at a target; `release` gives it back. */
+export interface Place {
+  tracked: TrackedServiceTarget;
+  release(): void;
+}
+
+/** Gives a place, or undefined where none came in time. */
+type Receive = (place: Place | undefined) => void;
+
+interface Waiter {
+  request: PlaceRequest;
+  receive: Receive;
+}
+
+/** What the queue needs. */
+export interface PlaceQueueOptions {
+  clock: Clock;
+  timers: Timers;
+  directory: TargetDirectory;
+  failureDomain: string;
+  /** Requests of this VM that one target takes at once. */
+  limit: (tracked: TrackedServiceTarget) => number;
+}
+
+/** Hands out places at targets. */
+export default class PlaceQueue {
+  private waiters: Waiter[] = [];
+  private cancelTimer: CancelTimer | undefined;
+
+  constructor(private readonly options: PlaceQueueOptions) {
+    options.directory.subscribe(() => this.serveWaiters());
+  }
+
+  /** Requests that wait now. */
+  get waiting(): number {
+    return this.waiters.length;
+  }
+
+  /** Takes a place at once or waits for one; the result gives up waiting. */
+  take(request: PlaceRequest, receive: Receive): () => void {
+    const place = this.tryTake(request);
+    if (place !== undefined) {
+      receive(place);
+      return () => undefined;
+    }
+    const waiter: Waiter = { request, receive };
+    this.waiters.push(waiter);
+    this.waiters.sort(compareWaiters);
+    this.schedule();
+    return () => {
+      this.waiters = this.waiters.filter((other) => other !== waiter);
+    };
+  }
+
+  private tryTake(request: PlaceRequest): Place | undefined {
+    const { directory, clock, failureDomain, limit } = this.options;
+    const choice: ServiceChoiceRequest = {
+      affinityKey: request.affinityKey,
+      failureDomain,
+      exclude: request.exclude,
+      limit,
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain),
+      now: clock.now(),
+    };
+    const tracked = chooseServiceTarget(directory.listUsable(request.service), choice);
+    return tracked && { tracked, release: directory.begin(tracked.target.id) };
+  }
+
+  private serveWaiters(): void {
+    if (this.waiters.length === 0) {
+      return;
+    }
+    const now = this.options.clock.now();
+    for (const waiter of [...this.waiters]) {
+      const place = this.tryTake(waiter.request);
+      if (place !== undefined || waiter.request.untilMs <= now) {
+        this.waiters = this.waiters.filter((other) => other !== waiter);
+        waiter.receive(place);
+      }
+    }
+  }
+
+  private schedule(): void {
+    if (this.cancelTimer !== undefined || this.waiters.length === 0) {
+      return;
+    }
+    this.cancelTimer = this.options.timers.after(RETRY_INTERVAL_MS, () => {
+      this.cancelTimer = undefined;
+      this.serveWaiters();
+      this.schedule();
+    });
+  }
+}
+
+function compareWaiters(a: Waiter, b: Waiter): number {
+  return a.request.rank - b.request.rank || a.request.untilMs - b.request.untilMs;
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,19 @@
+/** Settings of one gateway process, in the product's own words. */
+import type { RetryBudget } from '@limelead/spend-retries';
+import type { ListenAddress } from './readiness-server.js';
+
+/** What a process is told by its VM. Everything else comes from the store. */
+export interface GatewaySettings {
+  vm: string;
+  failureDomain: string;
+  frontDoor: ListenAddress;
+  readiness: ListenAddress;
+  metrics?: ListenAddress;
+  /** Where other VMs reach this one; undefined where it has no peers. */
+  peers?: ListenAddress;
+  /** Some addresses of other VMs, which may be old. */
+  seeds: ListenAddress[];
+  /** Time between the request to stop and the kill, in milliseconds. */
+  stopGraceMs: number;
+  retryBudget: RetryBudget;
+}
--- /dev/null
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -0,0 +1,21 @@
+/** What callers' requests say, without the names on the wire. */
+import type { LimeleadError } from '@limelead/errors';
+import type * as E from 'fp-ts/lib/Either.js';
+
+/** Facts of a request that stand in its headers. */
+export interface IngressFacts {
+  requestId: string;
+  /** Milliseconds that the caller waits; undefined where it does not say. */
+  waitMs?: number;
+  key?: string;
+  /** Number of the last piece that the caller has; 0 is none. */
+  lastPiece: number;
+  /** Names the caller's session or prompt; empty for none. */
+  affinityKey: string;
+  promptTokens: number;
+}
+
+/** Reads requests in the words of one kind of caller. */
+export interface IngressDialect {
+  readFacts(rawHeaders: string[]): E.Either<LimeleadError, IngressFacts>;
+}
--- /dev/null
+++ b/packages/spend-retries/src/index.test.ts
@@ -0,0 +1,47 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import RetrySpender from './index.js';
+
+const budget = { ratio: 0.5, slack: 20, windowMs: 1_000 };
+
+test('several VMs together never overspend any window, whatever arrives where', () => {
+  const arrival = fc.record({
+    gapMs: fc.integer({ min: 0, max: 40 }),
+    vm: fc.nat(2),
+    repeats: fc.nat(8),
+  });
+  fc.assert(
+    fc.property(fc.array(arrival, { maxLength: 300 }), (arrivals) => {
+      const vms = [0, 1, 2].map(() => new RetrySpender(budget));
+      const first: number[] = [];
+      const repeated: number[] = [];
+      let now = 0;
+      for (const { gapMs, vm, repeats } of arrivals) {
+        now += gapMs;
+        vms[vm]!.noteFirstSend(now);
+        first.push(now);
+        for (let index = 0; index < repeats; index += 1) {
+          if (vms[vm]!.trySpend(now, vms.length)) {
+            repeated.push(now);
+          }
+        }
+      }
+      for (const end of repeated) {
+        const inWindow = (at: number): boolean => at <= end && at > end - budget.windowMs;
+        const allowed = budget.ratio * first.filter(inWindow).length + budget.slack;
+        assert.ok(repeated.filter(inWindow).length <= allowed + 1);
+      }
+    }),
+    { seed: 11, numRuns: 60 },
+  );
+});
+
+test('a spent budget comes back as its window passes', () => {
+  const spender = new RetrySpender(budget);
+  while (spender.trySpend(0, 1));
+  assert.not(spender.trySpend(500, 1));
+  assert.ok(spender.trySpend(2_100, 1));
+});
+
+test.run();
--- /dev/null
+++ b/packages/target-connections/src/target-connection.ts
@@ -0,0 +1,200 @@
+/** One connection to one target, which carries one request at a time. */
+import { PortFault, type Sent } from '@limelead/errors';
+import type { Clock, Millis } from '@limelead/types';
+import { Client, type Dispatcher } from 'undici';
+import createConnector from './connect-socket.js';
+
+/** How long an idle connection is kept where the target tells nothing, in milliseconds. */
+const DEFAULT_IDLE_MS = 4_000;
+const LONGEST_IDLE_MS = 60_000;
+/** Time before the end that a target tells, at which a connection is no longer used. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** A request to a target. */
+export interface TargetCall {
+  method: string;
+  path: string;
+  /** Names and values by turns. */
+  headers: string[];
+  body: Buffer;
+}
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  status: number;
+  /** Names and values by turns, as received. */
+  rawHeaders: string[];
+  /** Values by name in lower case; the last one where a name comes twice. */
+  headers: ReadonlyMap<string, string>;
+}
+
+/** What the sender of a call is told. After `onEnd` or `onFault` nothing follows. */
+export interface CallEvents {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Buffer): void;
+  /** The answer is whole. */
+  onEnd(): void;
+  onFault(fault: PortFault): void;
+}
+
+/** A call under way. */
+export interface OpenCall {
+  /** Stops the call; the connection ends with it, and no event follows. */
+  cancel(): void;
+}
+
+/** A connection that is opened with its first request. */
+export default class TargetConnection {
+  isBusy = false;
+  /** When it last finished an answer; 0 before the first. */
+  idleSinceMs: Millis = 0;
+  isClosed = false;
+  private isBroken = false;
+  private readonly client: Client;
+
+  constructor(
+    origin: string,
+    connectTimeoutMs: number,
+    private readonly clock: Clock,
+    private readonly onClosed: (connection: TargetConnection) => void,
+  ) {
+    this.client = new Client(origin, {
+      pipelining: 1,
+      connect: createConnector(connectTimeoutMs, () => (this.isBroken = true)),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_MS,
+      keepAliveMaxTimeout: LONGEST_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+    });
+    this.client.on('disconnect', () => this.close());
+    this.client.on('connectionError', () => this.close());
+  }
+
+  /** Sends a call. */
+  send(call: TargetCall, events: CallEvents): OpenCall {
+    this.isBusy = true;
+    const handler = new CallHandler(events, {
+      isBroken: () => this.isBroken,
+      onIdle: () => this.onIdle(),
+      close: () => this.close(),
+    });
+    this.client.dispatch(
+      {
+        method: call.method as Dispatcher.HttpMethod,
+        path: call.path,
+        headers: call.headers,
+        body: call.body.length === 0 ? null : call.body,
+      },
+      handler,
+    );
+    return { cancel: () => handler.cancel() };
+  }
+
+  /** Ends the connection and whatever runs on it. */
+  close(): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.isClosed = true;
+    this.onClosed(this);
+    void this.client.destroy().catch(() => undefined);
+  }
+
+  private onIdle(): void {
+    this.isBusy = false;
+    this.idleSinceMs = this.clock.now();
+  }
+}
+
+/** What a call does with its connection. */
+interface ConnectionControl {
+  /** True once the connection ended with an error. */
+  isBroken(): boolean;
+  onIdle(): void;
+  close(): void;
+}
+
+/** Turns the events of the HTTP library into ours, and knows what was sent. */
+class CallHandler implements Dispatcher.DispatchHandler {
+  private sent: Sent = 'no';
+  private isOver = false;
+  private controller: Dispatcher.DispatchController | undefined;
+
+  constructor(
+    private readonly events: CallEvents,
+    private readonly connection: ConnectionControl,
+  ) {}
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.isOver || this.sent === 'maybe') {
+      // A second start would be a second send of the same request.
+      controller.abort(new Error('not sent again'));
+      return;
+    }
+    this.sent = 'maybe';
+    this.controller = controller;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (this.isOver || status < 200) {
+      return;
+    }
+    const rawHeaders = (controller.rawHeaders ?? []) as (Buffer | string)[];
+    this.events.onHead(
+      toHead(
+        status,
+        rawHeaders.map((part) => part.toString('latin1')),
+      ),
+    );
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isOver) {
+      this.events.onData(chunk);
+    }
+  }
+
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    if (this.connection.isBroken()) {
+      // The library takes an answer without a length as whole even after a reset.
+      this.onResponseError(controller, new Error('reset before the end of the answer'));
+      return;
+    }
+    if (!this.isOver) {
+      this.isOver = true;
+      this.connection.onIdle();
+      this.events.onEnd();
+    }
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.connection.close();
+    if (!this.isOver) {
+      this.isOver = true;
+      this.events.onFault(toFault(error, this.sent));
+    }
+  }
+
+  cancel(): void {
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    this.controller?.abort(new Error('cancelled'));
+    this.connection.close();
+  }
+}
+
+function toHead(status: number, rawHeaders: string[]): AnswerHead {
+  const headers = new Map<string, string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers.set((rawHeaders[index] ?? '').toLowerCase(), rawHeaders[index + 1] ?? '');
+  }
+  return { status, rawHeaders, headers };
+}
+
+function toFault(error: Error, sent: Sent): PortFault {
+  const reason = sent === 'no' ? 'unreachable' : 'broken';
+  return new PortFault(reason, sent, error.message);
+}
--- /dev/null
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -0,0 +1,105 @@
+import type { ServiceTarget } from '@limelead/types';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { TargetDirectory, type TargetNotice } from './index.js';
+
+function createTarget(id: string, overrides: Partial<ServiceTarget> = {}): ServiceTarget {
+  return {
+    id,
+    service: 'briefs',
+    host: '10.0.0.1',
+    port: Number(id.replace(/\D/g, '')) + 1,
+    failureDomain: 'north',
+    slots: 4,
+    leaving: false,
+    ...overrides,
+  };
+}
+
+function createDirectory() {
+  const time = { now: 1_000 };
+  const notices: TargetNotice[] = [];
+  const directory = new TargetDirectory({ now: () => time.now }, (notice) => notices.push(notice));
+  return { time, notices, directory };
+}
+
+test('a leaving target takes no new work at once, and keeps what it has', () => {
+  const { directory } = createDirectory();
+  directory.replaceAll([createTarget('t1'), createTarget('t2')]);
+  const end = directory.begin('t1');
+  directory.apply([{ kind: 'put', target: createTarget('t1', { leaving: true }) }]);
+  assert.equal(
+    directory.listUsable('briefs').map(({ target }) => target.id),
+    ['t2'],
+  );
+  assert.is(directory.get('t1')?.inFlight, 1);
+  end();
+  end();
+  assert.is(directory.get('t1')?.inFlight, 0);
+});
+
+test('a new incarnation at the same address replaces the old one with all suspicion', () => {
+  const { directory, notices } = createDirectory();
+  directory.replaceAll([createTarget('t1')]);
+  directory.observe('t1', { kind: 'lost' });
+  assert.ok(directory.isSuspected('t1'));
+  directory.apply([{ kind: 'put', target: createTarget('t9', { port: 2 }) }]);
+  assert.is(directory.get('t1'), undefined);
+  assert.not(directory.isSuspected('t9'));
+  assert.equal(
+    notices.map(({ kind }) => kind),
+    ['joined', 'gone', 'joined'],
+  );
+});
+
+test('a complete list ends what it does not hold', () => {
+  const { directory } = createDirectory();
+  directory.replaceAll([createTarget('t1'), createTarget('t2')]);
+  directory.replaceAll([createTarget('t2')]);
+  assert.is(directory.size, 1);
+});
+
+test('suspicion passes, lasts longer each time, and ends with an answer', () => {
+  const { directory, time } = createDirectory();
+  directory.replaceAll([createTarget('t1')]);
+  directory.observe('t1', { kind: 'lost' });
+  time.now += 401;
+  assert.not(directory.isSuspected('t1'));
+  directory.observe('t1', { kind: 'lost' });
+  time.now += 401;
+  assert.ok(directory.isSuspected('t1'));
+  directory.observe('t1', { kind: 'answered' });
+  assert.not(directory.isSuspected('t1'));
+});
+
+test('two losses close together put the whole failure domain in doubt, for a while', () => {
+  const { directory, time } = createDirectory();
+  directory.replaceAll([
+    createTarget('t1'),
+    createTarget('t2'),
+    createTarget('t3', { failureDomain: 'south' }),
+  ]);
+  directory.observe('t1', { kind: 'lost' });
+  assert.not(directory.isDomainDoubtful('north'));
+  directory.observe('t2', { kind: 'lost' });
+  assert.ok(directory.isDomainDoubtful('north'));
+  assert.not(directory.isDomainDoubtful('south'));
+  time.now += 701;
+  assert.not(directory.isDomainDoubtful('north'));
+});
+
+test('those who wait are woken when a place is free or a target joins', () => {
+  const { directory } = createDirectory();
+  directory.replaceAll([createTarget('t1')]);
+  let woken = 0;
+  const unsubscribe = directory.subscribe(() => (woken += 1));
+  const end = directory.begin('t1');
+  end();
+  directory.apply([{ kind: 'put', target: createTarget('t2') }]);
+  assert.is(woken, 2);
+  unsubscribe();
+  directory.apply([{ kind: 'gone', id: 't2' }]);
+  assert.is(woken, 2);
+});
+
+test.run();
--- /dev/null
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -0,0 +1,198 @@
+/** The targets that this VM knows, with its own work on them and its evidence about them. */
+import type { Clock, ServiceTarget } from '@limelead/types';
+import {
+  isSuspected,
+  NO_EVIDENCE,
+  observeTarget,
+  type TargetEvidence,
+  type TargetObservation,
+} from './evidence.js';
+
+/** Losses in one failure domain within this time are taken to have one cause. */
+const DOMAIN_WINDOW_MS = 700;
+/** Targets lost in a domain from which on the rest of it is doubted. */
+const DOMAIN_LOSSES = 2;
+
+/** One incarnation of a target with everything known of it. */
+export interface TrackedServiceTarget {
+  target: ServiceTarget;
+  evidence: TargetEvidence;
+  /** Requests of this VM under way there. */
+  inFlight: number;
+  /** Copies of runs of this VM kept there. */
+  copies: number;
+}
+
+/** A change of what the directory of targets tells. */
+export type TargetChange = { kind: 'put'; target: ServiceTarget } | { kind: 'gone'; id: string };
+
+/** What a change did, for the log. */
+export type TargetNotice =
+  | { kind: 'joined'; target: ServiceTarget }
+  | { kind: 'leaving'; target: ServiceTarget }
+  | { kind: 'gone'; target: ServiceTarget };
+
+/** Holds the targets of one VM. */
+export default class TargetDirectory {
+  private readonly tracked = new Map<string, TrackedServiceTarget>();
+  private readonly listeners = new Set<() => void>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly onNotice: (notice: TargetNotice) => void = () => undefined,
+  ) {}
+
+  /** Number of known incarnations. */
+  get size(): number {
+    return this.tracked.size;
+  }
+
+  /** Calls back whenever a waiting request may find a target that it did not find before. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Takes a complete list; incarnations that are not in it are gone. */
+  replaceAll(targets: ServiceTarget[]): void {
+    const listed = new Set(targets.map(({ id }) => id));
+    const missing = [...this.tracked.keys()].filter((id) => !listed.has(id));
+    this.apply([
+      ...missing.map((id): TargetChange => ({ kind: 'gone', id })),
+      ...targets.map((target): TargetChange => ({ kind: 'put', target })),
+    ]);
+  }
+
+  /** Takes changes in their order. */
+  apply(changes: TargetChange[]): void {
+    for (const change of changes) {
+      if (change.kind === 'put') {
+        this.put(change.target);
+      } else {
+        this.remove(change.id);
+      }
+    }
+    this.wake();
+  }
+
+  get(id: string): TrackedServiceTarget | undefined {
+    return this.tracked.get(id);
+  }
+
+  /** Every known incarnation. */
+  all(): TrackedServiceTarget[] {
+    return [...this.tracked.values()];
+  }
+
+  /** The incarnations of a service that take new work. */
+  listUsable(service: string): TrackedServiceTarget[] {
+    return this.all().filter(({ target }) => target.service === service && !target.leaving);
+  }
+
+  /** Notes that a request of this VM began there, and gives what ends it. */
+  begin(id: string): () => void {
+    const tracked = this.tracked.get(id);
+    if (tracked === undefined) {
+      return () => undefined;
+    }
+    tracked.inFlight += 1;
+    return once(() => {
+      tracked.inFlight -= 1;
+      this.wake();
+    });
+  }
+
+  /** Notes that a copy of a run is kept there, and gives what ends it. */
+  keepCopy(id: string): () => void {
+    const tracked = this.tracked.get(id);
+    if (tracked === undefined) {
+      return () => undefined;
+    }
+    tracked.copies += 1;
+    return once(() => (tracked.copies -= 1));
+  }
+
+  /** Takes an observation about a target. */
+  observe(id: string, observation: TargetObservation): void {
+    const tracked = this.tracked.get(id);
+    if (tracked !== undefined) {
+      tracked.evidence = observeTarget(tracked.evidence, observation, this.clock.now());
+    }
+  }
+
+  /** Notes that bytes came from a target; cheaper than an observation. */
+  hear(id: string): void {
+    const tracked = this.tracked.get(id);
+    if (tracked !== undefined) {
+      tracked.evidence.heardAtMs = this.clock.now();
+    }
+  }
+
+  /**
+   * Whether so many targets of a failure domain were lost just now that the
+   * rest of it is likely lost too.
+   */
+  isDomainDoubtful(failureDomain: string): boolean {
+    const since = this.clock.now() - DOMAIN_WINDOW_MS;
+    const lost = this.all().filter(
+      ({ target, evidence }) =>
+        target.failureDomain === failureDomain &&
+        evidence.lostAtMs > 0 &&
+        evidence.lostAtMs >= since,
+    );
+    return lost.length >= DOMAIN_LOSSES;
+  }
+
+  /** Whether a target is taken to be down now. */
+  isSuspected(id: string): boolean {
+    const tracked = this.tracked.get(id);
+    return tracked !== undefined && isSuspected(tracked.evidence, this.clock.now());
+  }
+
+  private put(target: ServiceTarget): void {
+    const known = this.tracked.get(target.id);
+    if (known === undefined) {
+      this.removeReplaced(target);
+      this.tracked.set(target.id, { target, evidence: { ...NO_EVIDENCE }, inFlight: 0, copies: 0 });
+      this.onNotice({ kind: target.leaving ? 'leaving' : 'joined', target });
+      return;
+    }
+    if (target.leaving && !known.target.leaving) {
+      this.onNotice({ kind: 'leaving', target });
+    }
+    known.target = target;
+  }
+
+  /** Where another incarnation stood at the same address, it is over. */
+  private removeReplaced({ host, port }: ServiceTarget): void {
+    for (const { target } of this.all()) {
+      if (target.host === host && target.port === port) {
+        this.remove(target.id);
+      }
+    }
+  }
+
+  private remove(id: string): void {
+    const known = this.tracked.get(id);
+    if (known !== undefined) {
+      this.tracked.delete(id);
+      this.onNotice({ kind: 'gone', target: known.target });
+    }
+  }
+
+  private wake(): void {
+    for (const listener of [...this.listeners]) {
+      listener();
+    }
+  }
+}
+
+function once(run: () => void): () => void {
+  let done = false;
+  return () => {
+    if (!done) {
+      done = true;
+      run();
+    }
+  };
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,5 +3,6 @@
 export * from './engine.js';
 export * from './events.js';
 export * from './generation.js';
+export * from './serving.js';
 export * from './targets.js';
 export * from './time.js';
--- /dev/null
+++ b/packages/types/src/serving.ts
@@ -0,0 +1,111 @@
+/** Shapes of the HTTP front door: its configuration, its targets and one call to a target. */
+import type { Millis } from './time.js';
+
+/** Part of a route's requests that go to one service. */
+export interface ServiceShare {
+  service: string;
+  /** Relative to the weights of the route's other shares. */
+  weight: number;
+}
+
+/** Where requests of one host and path prefix go, and how they are treated. */
+export interface ServingRoute {
+  name: string;
+  host: string;
+  /** Begins and ends with a slash. */
+  pathPrefix: string;
+  shares: ServiceShare[];
+  /** True where the answer is a series of numbered pieces. */
+  streaming: boolean;
+  /** True where a request may run more than once, a stream by being continued elsewhere. */
+  repeatable: boolean;
+  /** Longest time that a request may be held, in milliseconds. */
+  timeoutMs: number;
+  /** Time within which an answer is worth most, in milliseconds. */
+  objectiveMs: number;
+  /** Longest pause between pieces that callers bear, in milliseconds; undefined where none is told. */
+  maxPauseMs?: number;
+  /** Most targets that may run one request. */
+  maxTargets: number;
+  /** 0 is the most urgent. */
+  rank: number;
+  /** True where no key is asked for. */
+  open: boolean;
+}
+
+/** What the engines of a service can do; undefined for plain services. */
+export interface EngineTraits {
+  /** Requests that one engine runs at once. */
+  slots: number;
+  /** Tokens that one engine's memory holds. */
+  memoryTokens: number;
+  /** True where a run's memory can be copied to another engine while it runs. */
+  copiesRuns: boolean;
+}
+
+/** A group of targets that do the same work. */
+export interface ServedService {
+  name: string;
+  /** Connections that one target takes from all callers together. */
+  maxConnections: number;
+  engine?: EngineTraits;
+}
+
+/** An organisation and the keys that its callers show. */
+export interface ServedOrganisation {
+  name: string;
+  keys: string[];
+  /** Goes before the route's rank where given. */
+  rank?: number;
+}
+
+/** What one caller may send, and how long it may take. */
+export interface CallerLimits {
+  maxHeaderBytes: number;
+  maxBodyBytes: number;
+  headerTimeoutMs: number;
+  idleTimeoutMs: number;
+}
+
+/** Everything that operators decide about the HTTP front door. */
+export interface ServingConfiguration {
+  /** Rises with every change. */
+  version: number;
+  routes: ServingRoute[];
+  services: ServedService[];
+  /** Undefined where no keys are asked for. */
+  organisations?: ServedOrganisation[];
+  limits: CallerLimits;
+}
+
+/** One incarnation of a target, as the directory of targets tells it. */
+export interface ServiceTarget {
+  /** Names this incarnation; a restarted target has another id. */
+  id: string;
+  service: string;
+  host: string;
+  port: number;
+  failureDomain: string;
+  slots: number;
+  /** True once it takes no new work. */
+  leaving: boolean;
+}
+
+/** What one caller asked for, after the front door's checks. */
+export interface IncomingRequest {
+  requestId: string;
+  method: string;
+  /** Path and query, as received. */
+  path: string;
+  /** Names and values by turns, as received. */
+  rawHeaders: string[];
+  body: Buffer;
+  /** Steady time by which the caller has to have its answer. */
+  deadlineAtMs: Millis;
+  /** Number of the last piece that the caller already has; 0 is none. */
+  lastPiece: number;
+  /** Names the caller's session or prompt, for finding what a target kept; empty for none. */
+  affinityKey: string;
+  /** Tokens of the prompt, 0 where unknown. */
+  promptTokens: number;
+}
