Tell a reset that comes with the last bytes from the end of an answer

Change: at the end the peer's address is asked for; after a reset there is none. Conclusion: kept; the test fails without it.

--- a/packages/target-connections/src/connect-socket.ts
+++ b/packages/target-connections/src/connect-socket.ts
@@ -26,6 +26,13 @@
       clearTimeout(timer);
       socket.off('error', onError);
       socket.on('error', onBroken);
+      socket.on('end', () => {
+        // A reset that comes together with data is told as a plain end; but after
+        // a reset the system knows the peer's address no more.
+        if (socket.remoteAddress === undefined) {
+          onBroken();
+        }
+      });
       callback(null, socket);
     });
   };
--- a/packages/target-connections/src/target-connections.test.ts
+++ b/packages/target-connections/src/target-connections.test.ts
@@ -137,6 +137,18 @@
   await resetting.stop();
 });
 
+test('a reset that arrives together with the last bytes is no end of an answer', async () => {
+  const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of';
+  const target = await startTarget((socket) => {
+    socket.write(head, () => setImmediate(() => socket.resetAndDestroy()));
+  });
+  const connections = createConnections();
+  const outcome = await send(connections, target.target, 0);
+  assert.ok(outcome.fault !== undefined);
+  connections.closeAll();
+  await target.stop();
+});
+
 test('bytes behind an answer end the connection; they never reach the next request', async () => {
   const target = await startTarget((socket, request) =>
     socket.write(request === 1 ? ANSWER + ANSWER.replace('ok', 'no') : ANSWER),
