Give a continued run up when its first piece does not come

Change: a run that goes on from a copy owes its first piece in 500 ms; a target that is asked must name the run, else it is given up after two answers.

--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -38,10 +38,20 @@
   isOtherTarget: boolean;
 }
 
+/** What a target says of its work, as of some hundred milliseconds ago. */
+export interface ProbeFacts {
+  /** Ids of the requests that it works on. */
+  runs: ReadonlySet<string>;
+  /** Requests that wait there for a place. */
+  waiting: number;
+}
+
 /** Composes calls and reads answers in the words of one kind of target. */
 export interface TargetDialect {
   composeCall(order: TargetOrder): TargetCall;
   readAnswer(request: IncomingRequest, head: AnswerHead): AnswerFacts;
   /** A cheap call that a living target answers at once, whatever it is doing. */
   composeProbe(target: ServiceTarget): TargetCall;
+  /** What the answer to a probe says; undefined where it says nothing of runs. */
+  readProbe(body: Buffer): ProbeFacts | undefined;
 }
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -38,6 +38,8 @@
 const SILENCE_SHARE_OF_PAUSE = 0.5;
 const DEFAULT_PAUSE_MS = 800;
 const SUSPICION_FACTOR = 6;
+/** Time in which a run that goes on from a copy sends its first piece. */
+const FIRST_PIECE_OF_COPY_MS = 500;
 const SERVER_ERROR = 500;
 /** The version is the targets' own business on this path; one name stands for it. */
 const OPAQUE_BINDING: AnswerBinding = {
@@ -230,7 +232,7 @@
       copy: copyTo && { keeper: copyTo, runId: request.requestId },
       forgetCopy:
         copyTo === undefined ? () => undefined : this.context.directory.keepCopy(copyTo.id),
-      unwatch: this.watch(number, attempt),
+      unwatch: this.watch(number, attempt, continueFrom !== undefined),
     });
     this.context.log.write('stream-sent', {
       requestId: request.requestId,
@@ -279,26 +281,30 @@
     return this.context.retriesOf(this.admitted.service).trySpend(clock.now(), countVms());
   }
 
-  private watch(number: number, attempt: StreamAttempt): () => void {
+  private watch(number: number, attempt: StreamAttempt, continuesCopy: boolean): () => void {
     const { clock, silence } = this.context;
     const now = clock.now();
     let gaps: GapEstimate = INITIAL_GAP_ESTIMATE;
+    let hasSentPieces = false;
     const policy = this.policy;
     const run = {
       requestId: this.admitted.request.requestId,
       target: attempt.target,
       startedAtMs: now,
       heardAtMs: now,
-      hasSentPieces: false,
-      boundMs: () => computeSilenceBound(gaps, policy),
+      isSending: continuesCopy,
+      missedInProbes: 0,
+      boundMs: () =>
+        hasSentPieces ? computeSilenceBound(gaps, policy) : FIRST_PIECE_OF_COPY_MS,
       onSilent: () => this.onSilent(number),
     };
     this.hearers.set(number, () => {
       const heardAtMs = clock.now();
-      if (run.hasSentPieces) {
+      if (hasSentPieces) {
         gaps = updateGapEstimate(gaps, heardAtMs - run.heardAtMs);
       }
-      run.hasSentPieces = true;
+      hasSentPieces = true;
+      run.isSending = true;
       run.heardAtMs = heardAtMs;
     });
     return silence.watch(run);
--- a/packages/forward-request/src/judge-silence.ts
+++ b/packages/forward-request/src/judge-silence.ts
@@ -14,8 +14,11 @@
 
 /** What is known of one silent run. */
 export interface SilenceSituation {
-  /** True once the run has sent a piece; before it reads its prompt and is silent by nature. */
-  hasSentPieces: boolean;
+  /**
+   * True where a piece may be expected any moment: the run has sent one, or it
+   * goes on from a copy. Before, a run reads its prompt and is silent by nature.
+   */
+  isSending: boolean;
   /** Milliseconds since the run last sent something, or since it was sent. */
   runSilentMs: number;
   /** Milliseconds since the target last sent anything to this VM, or since the run was sent. */
@@ -33,7 +36,7 @@
 
 /** Judges one run. */
 export default function judgeSilence(situation: SilenceSituation): SilenceJudgement {
-  return situation.hasSentPieces ? judgeSending(situation) : judgeReading(situation);
+  return situation.isSending ? judgeSending(situation) : judgeReading(situation);
 }
 
 function judgeSending(situation: SilenceSituation): SilenceJudgement {
--- a/packages/forward-request/src/silence-watch.ts
+++ b/packages/forward-request/src/silence-watch.ts
@@ -3,7 +3,7 @@
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { CancelTimer, Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
-import type { TargetDialect } from './dialect.js';
+import type { ProbeFacts, TargetDialect } from './dialect.js';
 import judgeSilence from './judge-silence.js';
 
 const TICK_MS = 30;
@@ -13,6 +13,10 @@
 const HEARD_LATELY_MS = 100;
 /** Longest rest of a connection that a question may use. */
 const PROBE_MAX_IDLE_MS = 2_000;
+/** A run younger than this may be missing in an answer, which is a little old. */
+const PROBE_LAG_MS = 700;
+/** Answers in a row without the run after which it is given up. */
+const MISSES_TO_GIVE_UP = 2;
 
 /** One run under watch. */
 export interface WatchedRun {
@@ -21,7 +25,10 @@
   /** When it was sent, or last sent something. */
   heardAtMs: Millis;
   startedAtMs: Millis;
-  hasSentPieces: boolean;
+  /** True where a piece may be expected any moment. */
+  isSending: boolean;
+  /** Answers in a row in which the target did not name the run. */
+  missedInProbes: number;
   /** Silence that its gaps explain, in milliseconds. */
   boundMs(): number;
   /** The run is given up. */
@@ -93,7 +100,7 @@
     const heardFromTarget = directory.get(run.target.id)?.evidence.heardAtMs ?? 0;
     const askedAtMs = this.askedAtMs.get(run.target.id);
     return judgeSilence({
-      hasSentPieces: run.hasSentPieces,
+      isSending: run.isSending,
       runSilentMs: now - run.heardAtMs,
       targetSilentMs: now - Math.max(run.heardAtMs, heardFromTarget),
       boundMs: run.boundMs(),
@@ -109,38 +116,59 @@
   }
 
   private ask(target: ServiceTarget): void {
-    const { clock, connections, dialect, directory, log, timers } = this.options;
+    const { clock, connections, dialect, timers } = this.options;
     const now = clock.now();
     this.askedAtMs.set(target.id, now);
-    const finish = (isThere: boolean): void => {
-      cancelTimer();
-      directory.observe(target.id, { kind: isThere ? 'answered' : 'lost' });
-      log.write('target-asked', {
-        target: target.id,
-        isThere,
-        afterMs: Math.round(clock.now() - now),
-      });
-      if (!isThere) {
-        this.loseAll(target.id);
-      }
-    };
+    const body: Buffer[] = [];
     const open = connections.send(
       target,
       dialect.composeProbe(target),
       { maxIdleMs: PROBE_MAX_IDLE_MS },
       {
         onHead: () => undefined,
-        onData: () => undefined,
-        onEnd: () => finish(true),
-        onFault: () => finish(false),
+        onData: (chunk) => body.push(chunk),
+        onEnd: () => {
+          cancelTimer();
+          this.onAnswer(target, dialect.readProbe(Buffer.concat(body)));
+        },
+        onFault: () => {
+          cancelTimer();
+          this.onNoAnswer(target);
+        },
       },
     );
     const cancelTimer = timers.after(PROBE_TIMEOUT_MS, () => {
       open.cancel();
-      finish(false);
+      this.onNoAnswer(target);
     });
   }
 
+  /** The target is there; a run that it does not know any more is over. */
+  private onAnswer(target: ServiceTarget, facts: ProbeFacts | undefined): void {
+    const { clock, directory, log } = this.options;
+    directory.observe(target.id, { kind: 'answered' });
+    log.write('target-asked', { target: target.id, isThere: true, runs: facts?.runs.size });
+    if (facts === undefined || facts.waiting > 0) {
+      return;
+    }
+    const startedBefore = clock.now() - PROBE_LAG_MS;
+    for (const run of [...this.runs]) {
+      if (run.target.id === target.id && run.startedAtMs < startedBefore) {
+        run.missedInProbes = facts.runs.has(run.requestId) ? 0 : run.missedInProbes + 1;
+        if (run.missedInProbes >= MISSES_TO_GIVE_UP) {
+          this.giveUp(run);
+        }
+      }
+    }
+  }
+
+  private onNoAnswer(target: ServiceTarget): void {
+    const { directory, log } = this.options;
+    directory.observe(target.id, { kind: 'lost' });
+    log.write('target-asked', { target: target.id, isThere: false });
+    this.loseAll(target.id);
+  }
+
   private loseAll(targetId: string): void {
     for (const run of [...this.runs]) {
       if (run.target.id === targetId) {
