Let VMs tell each other load, lost targets and the store's items

Change: peer links carry any checked message; a package for the conversation; the choice of a target counts the peers' runs, losses are told at once.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -24,6 +24,7 @@
     },
     evidence: NO_EVIDENCE,
     inFlight: 0,
+    peerRequests: 0,
     copies: 0,
     ...overrides,
   };
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -73,16 +73,18 @@
       (isSuspected(evidence, now) ? SUSPICION_COST : 0) +
       (request.isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
       work.inFlight +
+      work.peerRequests +
       work.copies * COPY_COST
     );
   });
 }
 
 function costOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): number {
-  const { target, evidence, inFlight } = tracked;
+  const { target, evidence, inFlight, peerRequests } = tracked;
   const failureRate = readFailureRate(evidence, request.now);
   return (
     inFlight +
+    peerRequests +
     (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST) +
     (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_COST : 0) +
     (isSuspected(evidence, request.now) ? SUSPICION_COST : 0) +
--- a/packages/daemon/src/peer-conversation.ts
+++ b/packages/daemon/src/peer-conversation.ts
@@ -2,6 +2,7 @@
 import type { RememberedCall } from '@limelead/run-call';
 import {
   createPeerLinks,
+  peerMessageFormat,
   type PeerLinks,
   type PeerMessage,
   type PeerMessageOf,
@@ -32,7 +33,7 @@
   private readonly demands = new Map<VmId, DemandReports>();
   private readonly callQueries: PendingQueries<RememberedCall>;
   private readonly cancelQueries: PendingQueries<boolean>;
-  private links: PeerLinks | undefined;
+  private links: PeerLinks<PeerMessage> | undefined;
   private loop: Loop | undefined;
   private isLeaving = false;
 
@@ -59,6 +60,7 @@
       host: settings.peers.host,
       port: settings.peers.port,
       timers,
+      format: peerMessageFormat,
       onReady: (peer) => this.onReady(peer),
       onMessage: (peer, message) => this.onMessage(peer, message),
       onLost: (peer) => this.onLost(peer),
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -294,8 +294,7 @@
       heardAtMs: now,
       isSending: continuesCopy,
       missedInProbes: 0,
-      boundMs: () =>
-        hasSentPieces ? computeSilenceBound(gaps, policy) : FIRST_PIECE_OF_COPY_MS,
+      boundMs: () => (hasSentPieces ? computeSilenceBound(gaps, policy) : FIRST_PIECE_OF_COPY_MS),
       onSilent: () => this.onSilent(number),
     };
     this.hearers.set(number, () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,51 +9,35 @@
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import createMetrics, { type Metrics } from '@limelead/metrics';
+import { EvidenceExchange } from '@limelead/share-evidence';
 import RetrySpender from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
   TargetDirectory,
-  type TargetChange,
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import {
-  delay,
-  systemRandom,
-  systemTimers,
-  type Clock,
-  type ServiceTarget,
-  type ServingConfiguration,
-} from '@limelead/types';
-import type { StoreItem } from '@limelead/follow-store';
+import { delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
+import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
-import Knowledge from './knowledge.js';
-import { startMetricsServer, startReadinessServer } from './readiness-server.js';
+import Knowledge, { type StoreDialect } from './knowledge.js';
+import {
+  startMetricsServer,
+  startReadinessServer,
+  type ListenAddress,
+} from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
 
 const CONNECT_TIMEOUT_MS = 250;
 const MAX_IDLE_CONNECTIONS = 4;
-/** VMs assumed to share the retry budget while nobody told their number. */
-const ASSUMED_VMS = 8;
+/** VMs assumed to share the retry budget while nobody told of more. */
+const LEAST_VMS = 6;
 /** Time for the balancer to notice that this VM is not ready any more. */
 const LEAVE_BALANCER_MS = 2_500;
 /** Part of the grace that is kept for the end of the process. */
-const STOP_RESERVE_MS = 500;
+const STOP_RESERVE_MS = 150;
 const STOP_CHECK_MS = 50;
 
-/** What an item of the store means. */
-export type StoreFact =
-  | { kind: 'configuration'; configuration: ServingConfiguration }
-  | { kind: 'target'; target: ServiceTarget }
-  | { kind: 'other' };
-
-/** Reads items of the store in the platform's words. */
-export interface StoreDialect {
-  read(item: StoreItem): StoreFact;
-  /** The id of the target whose item has that key; undefined for other items. */
-  readTargetId(key: string): string | undefined;
-}
-
 /** What a gateway needs from the platform. */
 export interface GatewayPlatform {
   store: StorePort;
@@ -74,6 +58,8 @@
   private readonly connections: TargetConnections;
   private readonly knowledge: Knowledge;
   private readonly follower: StoreFollower;
+  /** Undefined where this VM has no address for peers. */
+  private readonly exchange: EvidenceExchange | undefined;
   private readonly frontDoor: HttpFrontDoor;
   private readonly spenders = new Map<string, RetrySpender>();
   private readonly servers: Server[] = [];
@@ -84,7 +70,11 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
-    this.directory = new TargetDirectory(steadyClock, (notice) => this.onNotice(notice));
+    this.directory = new TargetDirectory(steadyClock, {
+      onNotice: (notice) => this.onNotice(notice),
+      onLost: (id) => this.exchange?.noteLost(id),
+      onLoad: (tracked) => this.noteLoad(tracked),
+    });
     this.connections = new TargetConnections({
       clock: steadyClock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -95,7 +85,9 @@
       clock: steadyClock,
       log: this.log,
       directory: this.directory,
+      dialect: platform.storeDialect,
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
+      onChange: () => this.exchange?.noteKnowledge(),
     });
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
@@ -103,6 +95,7 @@
       dialect: platform.ingressDialect,
     });
     this.follower = this.createFollower();
+    this.exchange = this.createExchange();
   }
 
   /** Listens, then learns what there is to know; resolves when it listens. */
@@ -119,9 +112,10 @@
         ),
       );
     }
+    await this.exchange?.start();
     this.log.write('started', {
       failureDomain: settings.failureDomain,
-      frontDoor: `${settings.frontDoor.host}:${settings.frontDoor.port}`,
+      frontDoor: formatAddress(settings.frontDoor),
       sinceProcessStartMs: Math.round(performance.now()),
     });
     void this.follower.run();
@@ -166,6 +160,7 @@
       afterMs: Math.round(elapsed()),
     });
     this.follower.stop();
+    await this.exchange?.stop();
     this.frontDoor.close();
     this.connections.closeAll();
     this.servers.forEach((server) => server.close());
@@ -188,7 +183,7 @@
       metrics: this.metrics,
       readTable: () => this.knowledge.routes,
       retriesOf: (service) => this.retriesOf(service),
-      countVms: () => ASSUMED_VMS,
+      countVms: () => Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0),
     };
   }
 
@@ -199,19 +194,11 @@
       timers: systemTimers,
       random: systemRandom,
       events: {
-        onList: ({ items, revision }) => {
-          log.write('store-listed', { items: items.length, revision });
-          this.takeList(items);
-        },
-        onChanges: ({ changes }) => {
-          for (const change of changes) {
-            if (change.kind === 'put') {
-              this.takeItem(change.item);
-            } else {
-              this.takeRemoval(change.key);
-            }
-          }
+        onList: (list) => {
+          log.write('store-listed', { items: list.items.length, revision: list.revision });
+          this.knowledge.takeList(list, 'store');
         },
+        onChanges: (changes) => this.knowledge.takeChanges(changes),
         onLost: (fault) => {
           metrics.count('limelead_store_lost_total', 1, { fault });
           log.write('store-lost', { fault });
@@ -221,34 +208,51 @@
     });
   }
 
-  private takeList(items: StoreItem[]): void {
-    const facts = items.map((item) => this.platform.storeDialect.read(item));
-    const targets = facts.flatMap((fact) => (fact.kind === 'target' ? [fact.target] : []));
-    for (const fact of facts) {
-      if (fact.kind === 'configuration') {
-        this.knowledge.takeConfiguration(fact.configuration, 'store');
-      }
+  private createExchange(): EvidenceExchange | undefined {
+    const { failureDomain, peers, seeds } = this.settings;
+    if (peers === undefined) {
+      return undefined;
     }
-    this.knowledge.takeTargets(targets);
+    return new EvidenceExchange({
+      ...peers,
+      id: formatAddress(peers),
+      incarnation: randomUUID(),
+      failureDomain,
+      seeds: seeds.map(formatAddress),
+      clock: steadyClock,
+      timers: systemTimers,
+      log: this.log,
+      readKnowledge: () => ({
+        items: this.knowledge.items,
+        revision: this.knowledge.revision,
+        configuration: this.knowledge.routes?.version ?? 0,
+        isInTouch: this.follower.isInTouch,
+      }),
+      readLoad: () => this.readLoad(),
+      onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
+      onLost: (target) => this.directory.takePeerLoss(target),
+      onItems: (items, revision) => this.knowledge.takeList({ items, revision }, 'peer'),
+    });
   }
 
-  private takeItem(item: StoreItem): void {
-    const fact = this.platform.storeDialect.read(item);
-    if (fact.kind === 'configuration') {
-      this.knowledge.takeConfiguration(fact.configuration, 'store');
-    } else if (fact.kind === 'target') {
-      this.knowledge.takeTargetChanges([{ kind: 'put', target: fact.target }]);
-    }
+  /** Only runs of engines are told: they last, and one more slows the others down. */
+  private readLoad(): Map<string, number> {
+    const busy = this.directory
+      .all()
+      .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked));
+    return new Map(busy.map(({ target, inFlight }) => [target.id, inFlight]));
   }
 
-  private takeRemoval(key: string): void {
-    const id = this.platform.storeDialect.readTargetId(key);
-    if (id !== undefined) {
-      const change: TargetChange = { kind: 'gone', id };
-      this.knowledge.takeTargetChanges([change]);
+  private noteLoad(tracked: TrackedServiceTarget): void {
+    if (this.isEngine(tracked)) {
+      this.exchange?.noteLoad();
     }
   }
 
+  private isEngine({ target }: TrackedServiceTarget): boolean {
+    return this.knowledge.routes?.findService(target.service)?.engine !== undefined;
+  }
+
   private retriesOf(service: string): RetrySpender {
     const known = this.spenders.get(service);
     const spender = known ?? new RetrySpender(this.settings.retryBudget);
@@ -272,3 +276,7 @@
 function limitOf({ target }: TrackedServiceTarget): number {
   return Math.max(1, target.slots);
 }
+
+function formatAddress({ host, port }: ListenAddress): string {
+  return `${host}:${port}`;
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** The process of the HTTP front door. */
 export { default as Gateway } from './gateway.js';
-export type { GatewayPlatform, StoreDialect, StoreFact } from './gateway.js';
+export type { GatewayPlatform } from './gateway.js';
+export type { StoreDialect, StoreFact } from './knowledge.js';
 export type { GatewaySettings } from './settings.js';
 export type { ListenAddress } from './readiness-server.js';
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -1,8 +1,10 @@
 /**
- * What this VM knows of configuration and targets, whichever way it came. A
- * configuration is taken only if it is newer than the one in force.
+ * What this VM knows of the store, whichever way it came: the configuration in
+ * force and the targets. A configuration is taken only if it is newer than the
+ * one in force, and a peer's list only if it is newer than what is known.
  */
 import type { DecisionLog } from '@limelead/decision-log';
+import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, ServiceTarget, ServingConfiguration } from '@limelead/types';
@@ -10,20 +12,36 @@
 /** Where knowledge came from. */
 export type KnowledgeSource = 'store' | 'peer';
 
+/** What an item of the store means. */
+export type StoreFact =
+  | { kind: 'configuration'; configuration: ServingConfiguration }
+  | { kind: 'target'; target: ServiceTarget }
+  | { kind: 'other' };
+
+/** Reads items of the store in the platform's words. */
+export interface StoreDialect {
+  read(item: StoreItem): StoreFact;
+  /** The id of the target whose item has that key; undefined for other items. */
+  readTargetId(key: string): string | undefined;
+}
+
 /** What knowledge needs. */
 export interface KnowledgeOptions {
   clock: Clock;
   log: DecisionLog;
   directory: TargetDirectory;
+  dialect: StoreDialect;
   /** Called with each configuration that comes into force. */
   onConfiguration(table: RouteTable): void;
+  /** Called after each change of what is known. */
+  onChange(): void;
 }
 
 /** Holds the configuration in force, and passes changes of targets on. */
 export default class Knowledge {
   private table: RouteTable | undefined;
-  private configuration: ServingConfiguration | undefined;
-  private hasTargetList = false;
+  private readonly known = new Map<string, StoreItem>();
+  private knownRevision = 0;
   private changedAtMs: Millis = 0;
 
   constructor(private readonly options: KnowledgeOptions) {}
@@ -33,45 +51,85 @@
     return this.table;
   }
 
-  /** The configuration in force, as it came. */
-  get inForce(): ServingConfiguration | undefined {
-    return this.configuration;
+  /** Items that mean something, for peers that the store turns away. */
+  get items(): StoreItem[] {
+    return [...this.known.values()];
+  }
+
+  /** Revision of the store up to which everything is known; 0 before the first list. */
+  get revision(): number {
+    return this.knownRevision;
   }
 
   /** Whether requests can be served. */
   get isComplete(): boolean {
-    return this.table !== undefined && this.hasTargetList;
+    return this.table !== undefined && this.knownRevision > 0;
+  }
+
+  /** Takes a complete list. */
+  takeList({ items, revision }: StoreList, source: KnowledgeSource): void {
+    if (source === 'peer' && revision <= this.knownRevision) {
+      return;
+    }
+    this.known.clear();
+    const targets: ServiceTarget[] = [];
+    for (const item of items) {
+      const fact = this.read(item, source);
+      if (fact.kind === 'target') {
+        targets.push(fact.target);
+      }
+    }
+    this.knownRevision = Math.max(revision, this.knownRevision);
+    this.options.directory.replaceAll(targets);
+    this.options.onChange();
+  }
+
+  /** Takes changes that followed a list. */
+  takeChanges({ changes, revision }: StoreChanges): void {
+    this.options.directory.apply(changes.flatMap((change) => this.toTargetChange(change)));
+    this.knownRevision = Math.max(revision, this.knownRevision);
+    if (changes.length > 0) {
+      this.options.onChange();
+    }
+  }
+
+  private toTargetChange(change: StoreChange): TargetChange[] {
+    if (change.kind === 'gone') {
+      this.known.delete(change.key);
+      const id = this.options.dialect.readTargetId(change.key);
+      return id === undefined ? [] : [{ kind: 'gone', id }];
+    }
+    const fact = this.read(change.item, 'store');
+    return fact.kind === 'target' ? [{ kind: 'put', target: fact.target }] : [];
   }
 
-  /** Takes a configuration; an older one or the same is passed over. */
-  takeConfiguration(configuration: ServingConfiguration, source: KnowledgeSource): void {
+  private read(item: StoreItem, source: KnowledgeSource): StoreFact {
+    const fact = this.options.dialect.read(item);
+    if (fact.kind !== 'other') {
+      this.known.set(item.key, item);
+    }
+    if (fact.kind === 'configuration') {
+      this.takeConfiguration(fact.configuration, source);
+    }
+    return fact;
+  }
+
+  private takeConfiguration(configuration: ServingConfiguration, source: KnowledgeSource): void {
     const { clock, log } = this.options;
-    const known = this.table?.version;
-    if (known !== undefined && configuration.version <= known) {
+    const previous = this.table?.version;
+    if (previous !== undefined && configuration.version <= previous) {
       return;
     }
     const now = clock.now();
     log.write('configuration-in-force', {
       version: configuration.version,
-      previous: known,
+      previous,
       source,
       routes: configuration.routes.length,
-      previousAgeMs: known === undefined ? undefined : Math.round(now - this.changedAtMs),
+      previousAgeMs: previous === undefined ? undefined : Math.round(now - this.changedAtMs),
     });
     this.changedAtMs = now;
-    this.configuration = configuration;
     this.table = compileRoutes(configuration);
     this.options.onConfiguration(this.table);
   }
-
-  /** Takes the complete list of targets. */
-  takeTargets(targets: ServiceTarget[]): void {
-    this.hasTargetList = true;
-    this.options.directory.replaceAll(targets);
-  }
-
-  /** Takes changes of targets. */
-  takeTargetChanges(changes: TargetChange[]): void {
-    this.options.directory.apply(changes);
-  }
 }
--- a/packages/peer-links/src/messages.ts
+++ b/packages/peer-links/src/messages.ts
@@ -11,6 +11,30 @@
 // Records would share structures between messages, and links may lose messages.
 const packr = new Packr({ useRecords: false });
 
+/** How the messages of one kind of conversation stand on the wire. */
+export interface MessageFormat<Message> {
+  encode(message: Message): Buffer;
+  /** Undefined where the bytes hold no message. */
+  decode(bytes: Buffer): Message | undefined;
+  /** True for messages that may be dropped for a slow peer. */
+  isExpendable(message: Message): boolean;
+}
+
+/** Creates a format whose messages are checked when they arrive. */
+export function createMessageFormat<Message>(
+  codec: t.Type<Message, unknown>,
+  isExpendable: (message: Message) => boolean,
+): MessageFormat<Message> {
+  return {
+    encode: (message) => packr.pack(message),
+    decode(bytes) {
+      const decoded = codec.decode(unpack(bytes));
+      return E.isRight(decoded) ? decoded.right : undefined;
+    },
+    isExpendable,
+  };
+}
+
 const heartbeat = t.type({
   kind: t.literal('heartbeat'),
   id: t.string,
@@ -105,16 +129,20 @@
 /** One kind of message. */
 export type PeerMessageOf<Kind extends PeerMessage['kind']> = Extract<PeerMessage, { kind: Kind }>;
 
+/** Format of the messages between VMs. */
+export const peerMessageFormat: MessageFormat<PeerMessage> = createMessageFormat(
+  peerMessageCodec,
+  ({ kind }) => kind === 'heartbeat',
+);
+
 /** Encodes a message. */
 export function encodeMessage(message: PeerMessage): Buffer {
-  return packr.pack(message);
+  return peerMessageFormat.encode(message);
 }
 
 /** Decodes a message; undefined where it does not hold. */
 export function decodeMessage(bytes: Buffer): PeerMessage | undefined {
-  const unpacked = unpack(bytes);
-  const decoded = peerMessageCodec.decode(unpacked);
-  return E.isRight(decoded) ? decoded.right : undefined;
+  return peerMessageFormat.decode(bytes);
 }
 
 const handshakeCodec = t.union([
--- a/packages/peer-links/src/peer-link.ts
+++ b/packages/peer-links/src/peer-link.ts
@@ -4,12 +4,10 @@
 import { createHello, createProof, isSameProof, type LinkEnd } from './handshake.js';
 import {
   decodeHandshake,
-  decodeMessage,
   encodeHandshake,
-  encodeMessage,
   PROTOCOL_VERSION,
   type HandshakeMessage,
-  type PeerMessage,
+  type MessageFormat,
 } from './messages.js';
 
 const HANDSHAKE_TIMEOUT_MS = 2_000;
@@ -19,27 +17,28 @@
 type Hello = Extract<HandshakeMessage, { kind: 'hello' }>;
 
 /** What the owner of a link is told. */
-export interface PeerLinkEvents {
+export interface PeerLinkEvents<Message> {
   /** The peer proved that it knows the secret. */
-  onReady(link: PeerLink): void;
-  onMessage(link: PeerLink, message: PeerMessage): void;
-  onClosed(link: PeerLink): void;
+  onReady(link: PeerLink<Message>): void;
+  onMessage(link: PeerLink<Message>, message: Message): void;
+  onClosed(link: PeerLink<Message>): void;
   onDropped(): void;
 }
 
 /** What a link needs. */
-export interface PeerLinkOptions {
+export interface PeerLinkOptions<Message> {
   socket: WebSocket;
   end: LinkEnd;
   id: string;
   incarnation: string;
   secret: string;
   timers: Timers;
-  events: PeerLinkEvents;
+  events: PeerLinkEvents<Message>;
+  format: MessageFormat<Message>;
 }
 
 /** One link. */
-export default class PeerLink {
+export default class PeerLink<Message> {
   /** Empty until the peer's first message. */
   peerId = '';
   peerIncarnation = '';
@@ -47,7 +46,7 @@
   private readonly ownHello: Hello;
   private peerHello: Hello | undefined;
 
-  constructor(private readonly options: PeerLinkOptions) {
+  constructor(private readonly options: PeerLinkOptions<Message>) {
     const { socket, id, incarnation, timers } = options;
     this.ownHello = createHello(id, incarnation);
     socket.on('message', (data: RawData) => this.onData(toBuffer(data)));
@@ -71,19 +70,19 @@
   }
 
   /** Sends a message unless the peer is too slow. */
-  send(message: PeerMessage): void {
-    const { socket, events } = this.options;
+  send(message: Message): void {
+    const { socket, events, format } = this.options;
     if (!this.isReady || socket.readyState !== socket.OPEN) {
       return;
     }
     if (socket.bufferedAmount > MAX_QUEUED_BYTES) {
       events.onDropped();
-      if (message.kind !== 'heartbeat') {
+      if (!format.isExpendable(message)) {
         this.close();
       }
       return;
     }
-    socket.send(encodeMessage(message));
+    socket.send(format.encode(message));
   }
 
   /** Ends the link at once. */
@@ -99,7 +98,7 @@
     if (!this.isReady) {
       return this.onHandshake(decodeHandshake(bytes));
     }
-    const message = decodeMessage(bytes);
+    const message = this.options.format.decode(bytes);
     if (message === undefined) {
       return this.close();
     }
--- a/packages/peer-links/src/peer-links.test.ts
+++ b/packages/peer-links/src/peer-links.test.ts
@@ -6,6 +6,7 @@
   createPeerLinks,
   decodeMessage,
   encodeMessage,
+  peerMessageFormat,
   type PeerLinks,
   type PeerMessage,
 } from './index.js';
@@ -14,7 +15,7 @@
 
 /** One end, with promises for what its test waits for. */
 class End {
-  links!: PeerLinks;
+  links!: PeerLinks<PeerMessage>;
   readonly messages: PeerMessage[] = [];
   private waiting: (() => void)[] = [];
   readonly ready: string[] = [];
@@ -29,6 +30,7 @@
       host: '127.0.0.1',
       port: 0,
       timers: backgroundTimers,
+      format: peerMessageFormat,
       onReady: (peer) => end.note(() => end.ready.push(peer)),
       onMessage: (_, message) => end.note(() => end.messages.push(message)),
       onLost: (peer) => end.note(() => end.lost.push(peer)),
--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -1,7 +1,7 @@
 /** All links of one VM: accepts peers, opens links to chosen ones, opens them again when they break. */
 import type { Timers, VmId } from '@limelead/types';
 import { WebSocket, WebSocketServer } from 'ws';
-import type { PeerMessage } from './messages.js';
+import type { MessageFormat } from './messages.js';
 import PeerLink, { type PeerLinkEvents } from './peer-link.js';
 
 const MAX_MESSAGE_BYTES = 1_048_576;
@@ -15,7 +15,7 @@
 }
 
 /** What the links need. */
-export interface PeerLinksOptions {
+export interface PeerLinksOptions<Message> {
   id: VmId;
   incarnation: string;
   secret: string;
@@ -23,20 +23,21 @@
   /** 0 takes any free port. */
   port: number;
   timers: Timers;
+  format: MessageFormat<Message>;
   onReady(peer: VmId): void;
-  onMessage(peer: VmId, message: PeerMessage): void;
+  onMessage(peer: VmId, message: Message): void;
   onLost(peer: VmId): void;
   onDropped(): void;
 }
 
 /** The links of one VM. */
-export interface PeerLinks {
+export interface PeerLinks<Message> {
   /** Port on which peers are accepted. */
   port: number;
   /** Opens links to those peers to which there is none. */
   open(peers: PeerAddress[]): void;
-  send(peer: VmId, message: PeerMessage): boolean;
-  broadcast(message: PeerMessage, except?: VmId): void;
+  send(peer: VmId, message: Message): boolean;
+  broadcast(message: Message, except?: VmId): void;
   /** Ends a link; it may be opened again. */
   drop(peer: VmId): void;
   linked(): VmId[];
@@ -44,7 +45,9 @@
 }
 
 /** Starts to accept peers. */
-export default async function createPeerLinks(options: PeerLinksOptions): Promise<PeerLinks> {
+export default async function createPeerLinks<Message>(
+  options: PeerLinksOptions<Message>,
+): Promise<PeerLinks<Message>> {
   const server = new WebSocketServer({
     host: options.host,
     port: options.port,
@@ -55,12 +58,12 @@
     server.once('listening', resolve);
     server.once('error', reject);
   });
-  const ready = new Map<VmId, PeerLink>();
+  const ready = new Map<VmId, PeerLink<Message>>();
   const opening = new Set<VmId>();
-  const all = new Set<PeerLink>();
+  const all = new Set<PeerLink<Message>>();
   let isClosed = false;
 
-  const events: PeerLinkEvents = {
+  const events: PeerLinkEvents<Message> = {
     onReady(link) {
       opening.delete(link.peerId);
       const existing = ready.get(link.peerId);
@@ -88,8 +91,8 @@
   };
 
   const createLink = (socket: WebSocket, end: 'opener' | 'acceptor'): void => {
-    const { id, incarnation, secret, timers } = options;
-    all.add(new PeerLink({ socket, end, id, incarnation, secret, timers, events }));
+    const { id, incarnation, secret, timers, format } = options;
+    all.add(new PeerLink({ socket, end, id, incarnation, secret, timers, events, format }));
   };
 
   server.on('connection', (socket) => createLink(socket, 'acceptor'));
@@ -139,11 +142,15 @@
  * Two VMs may open links to each other at the same time. Both keep the one
  * that the smaller id opened; a new incarnation always replaces an old link.
  */
-function replaces(self: VmId, candidate: PeerLink, existing: PeerLink): boolean {
+function replaces<Message>(
+  self: VmId,
+  candidate: PeerLink<Message>,
+  existing: PeerLink<Message>,
+): boolean {
   if (candidate.peerIncarnation !== existing.peerIncarnation) {
     return true;
   }
-  const openerOf = (link: PeerLink): VmId => (link.end === 'opener' ? self : link.peerId);
+  const openerOf = (link: PeerLink<Message>): VmId => (link.end === 'opener' ? self : link.peerId);
   const smaller = self < candidate.peerId ? self : candidate.peerId;
   return openerOf(candidate) === smaller;
 }
--- /dev/null
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -0,0 +1,283 @@
+/**
+ * The conversation of one VM with its peers. VMs of one failure domain tell
+ * each other their load on every target; all tell each other which targets they
+ * found lost, and give the store's items to a VM that the store turns away.
+ */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { StoreItem } from '@limelead/follow-store';
+import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
+import { chooseLinks } from '@limelead/track-members';
+import type { Clock, Millis, Timers } from '@limelead/types';
+import MemberBook from './member-book.js';
+import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
+
+const HEARTBEAT_MS = 1_000;
+/** A peer that said nothing for this long is dropped. */
+const SILENT_PEER_MS = 3_200;
+/** Changes of load within this time are told together. */
+const LOAD_GATHER_MS = 15;
+/** A target told as lost again within this time is no news. */
+const LOST_NEWS_MS = 600;
+/** Pause between two questions for items while the store is away. */
+const ASK_INTERVAL_MS = 400;
+/** Links with a secret of their own would need a settings field that the platform lacks. */
+const NO_SECRET = '';
+
+/** An address on which VMs reach each other, as "host:port". */
+export type PeerId = string;
+
+/** What this VM knows of the store. */
+export interface StoreKnowledge {
+  items: StoreItem[];
+  revision: number;
+  configuration: number;
+  /** Whether the store answers this VM now. */
+  isInTouch: boolean;
+}
+
+/** What the exchange needs. */
+export interface EvidenceExchangeOptions {
+  id: PeerId;
+  incarnation: string;
+  host: string;
+  port: number;
+  failureDomain: string;
+  seeds: PeerId[];
+  clock: Clock;
+  timers: Timers;
+  log: DecisionLog;
+  readKnowledge(): StoreKnowledge;
+  /** Requests of this VM under way at each target. */
+  readLoad(): ReadonlyMap<string, number>;
+  /** The load that a peer told; empty once it is lost. */
+  onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
+  onLost(target: string): void;
+  onItems(items: StoreItem[], revision: number): void;
+}
+
+interface PeerState {
+  failureDomain: string;
+  heardAtMs: Millis;
+  revision: number;
+  configuration: number;
+}
+
+/** Talks with peers. */
+export default class EvidenceExchange {
+  private links: PeerLinks<EvidenceMessage> | undefined;
+  private readonly peers = new Map<PeerId, PeerState>();
+  private readonly members: MemberBook;
+  private readonly lostAtMs = new Map<string, Millis>();
+  private askedAtMs: Millis = -Infinity;
+  private isLoadDue = false;
+  private isStopped = false;
+
+  constructor(private readonly options: EvidenceExchangeOptions) {
+    this.members = new MemberBook(options.id, options.clock);
+    options.seeds.forEach((seed) => this.members.hear(seed));
+  }
+
+  /** VMs that are believed to run, this one included. */
+  get vmCount(): number {
+    return this.members.count;
+  }
+
+  /** Begins to talk. */
+  async start(): Promise<void> {
+    const { id, incarnation, host, port, timers } = this.options;
+    this.links = await createPeerLinks<EvidenceMessage>({
+      id,
+      incarnation,
+      secret: NO_SECRET,
+      host,
+      port,
+      timers,
+      format: evidenceMessageFormat,
+      onReady: (peer) => this.onReady(peer),
+      onMessage: (peer, message) => this.onMessage(peer, message),
+      onLost: (peer) => this.onPeerLost(peer),
+      onDropped: () => undefined,
+    });
+    this.beat();
+  }
+
+  /** Ends all links. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.links?.close();
+  }
+
+  /** The load of this VM changed; peers of the same failure domain are told soon. */
+  noteLoad(): void {
+    if (this.isLoadDue || this.isStopped) {
+      return;
+    }
+    this.isLoadDue = true;
+    this.options.timers.after(LOAD_GATHER_MS, () => {
+      this.isLoadDue = false;
+      this.sendLoad([...this.peers.keys()]);
+    });
+  }
+
+  /** This VM found a target lost. */
+  noteLost(target: string): void {
+    if (this.isNews(target)) {
+      this.links?.broadcast({ kind: 'lost', target });
+    }
+  }
+
+  /** What this VM knows of the store changed. */
+  noteKnowledge(): void {
+    this.links?.broadcast(this.createHeartbeat());
+  }
+
+  private beat(): void {
+    if (this.isStopped) {
+      return;
+    }
+    this.dropSilentPeers();
+    this.openLinks();
+    this.links?.broadcast(this.createHeartbeat());
+    this.askForItems();
+    this.options.timers.after(HEARTBEAT_MS, () => this.beat());
+  }
+
+  private openLinks(): void {
+    const chosen = new Set(chooseLinks(this.options.id, this.members.list()));
+    // The first links go to the seeds, whatever place they have among the members.
+    if (this.peers.size === 0) {
+      this.options.seeds.forEach((seed) => chosen.add(seed));
+    }
+    const addresses = [...chosen].map((id) => ({ id, ...parsePeerId(id) }));
+    this.links?.open(addresses.filter(({ port }) => port > 0));
+  }
+
+  private dropSilentPeers(): void {
+    const heardSince = this.options.clock.now() - SILENT_PEER_MS;
+    for (const [peer, { heardAtMs }] of [...this.peers]) {
+      if (heardAtMs < heardSince) {
+        this.links?.drop(peer);
+        this.onPeerLost(peer);
+      }
+    }
+  }
+
+  private onReady(peer: PeerId): void {
+    const heardAtMs = this.options.clock.now();
+    this.peers.set(peer, { failureDomain: '', heardAtMs, revision: 0, configuration: 0 });
+    this.members.hearFrom(peer);
+    this.options.log.write('peer-linked', { peer, peers: this.peers.size });
+    this.links?.send(peer, this.createHeartbeat());
+  }
+
+  private onPeerLost(peer: PeerId): void {
+    if (this.peers.delete(peer)) {
+      this.options.log.write('peer-lost', { peer, peers: this.peers.size });
+      this.options.onLoad(peer, new Map());
+    }
+  }
+
+  private onMessage(peer: PeerId, message: EvidenceMessage): void {
+    const state = this.peers.get(peer);
+    if (state === undefined) {
+      return;
+    }
+    state.heardAtMs = this.options.clock.now();
+    this.members.hearFrom(peer);
+    switch (message.kind) {
+      case 'heartbeat':
+        this.onHeartbeat(peer, state, message);
+        break;
+      case 'load':
+        this.options.onLoad(
+          peer,
+          new Map(message.targets.map(({ id, requests }) => [id, requests])),
+        );
+        break;
+      case 'lost':
+        this.onLost(peer, message.target);
+        break;
+      case 'want-items': {
+        const { items, revision } = this.options.readKnowledge();
+        this.links?.send(peer, { kind: 'items', items, revision });
+        break;
+      }
+      case 'items':
+        this.options.onItems(message.items, message.revision);
+        break;
+    }
+  }
+
+  private onHeartbeat(
+    peer: PeerId,
+    state: PeerState,
+    message: EvidenceMessageOf<'heartbeat'>,
+  ): void {
+    const isFirst = state.failureDomain === '';
+    state.failureDomain = message.failureDomain;
+    state.revision = message.revision;
+    state.configuration = message.configuration;
+    message.members.forEach((member) => this.members.hear(member));
+    if (isFirst) {
+      this.sendLoad([peer]);
+      this.openLinks();
+    }
+    this.askForItems();
+  }
+
+  private onLost(from: PeerId, target: string): void {
+    if (this.isNews(target)) {
+      this.links?.broadcast({ kind: 'lost', target }, from);
+      this.options.onLost(target);
+    }
+  }
+
+  private isNews(target: string): boolean {
+    const now = this.options.clock.now();
+    const isNews = now - (this.lostAtMs.get(target) ?? -Infinity) > LOST_NEWS_MS;
+    if (isNews) {
+      this.lostAtMs.set(target, now);
+    }
+    return isNews;
+  }
+
+  /** While the store does not answer this VM, the peer that knows most is asked. */
+  private askForItems(): void {
+    const own = this.options.readKnowledge();
+    const now = this.options.clock.now();
+    if (own.isInTouch || now - this.askedAtMs < ASK_INTERVAL_MS) {
+      return;
+    }
+    const newest = [...this.peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
+    if (newest !== undefined && newest[1].revision > own.revision) {
+      this.askedAtMs = now;
+      this.links?.send(newest[0], { kind: 'want-items' });
+    }
+  }
+
+  private sendLoad(peers: PeerId[]): void {
+    const load = [...this.options.readLoad()];
+    const targets = load.map(([id, requests]) => ({ id, requests }));
+    for (const peer of peers) {
+      if (this.peers.get(peer)?.failureDomain === this.options.failureDomain) {
+        this.links?.send(peer, { kind: 'load', targets });
+      }
+    }
+  }
+
+  private createHeartbeat(): EvidenceMessage {
+    const { revision, configuration } = this.options.readKnowledge();
+    return {
+      kind: 'heartbeat',
+      failureDomain: this.options.failureDomain,
+      members: this.members.sample(),
+      revision,
+      configuration,
+    };
+  }
+}
+
+function parsePeerId(id: PeerId): { host: string; port: number } {
+  const colon = id.lastIndexOf(':');
+  return { host: id.slice(0, colon), port: Number(id.slice(colon + 1)) || 0 };
+}
--- /dev/null
+++ b/packages/share-evidence/src/messages.ts
@@ -0,0 +1,61 @@
+/** Messages between VMs of the HTTP front door. */
+import { createMessageFormat, type MessageFormat } from '@limelead/peer-links';
+import * as t from 'io-ts';
+
+const buffer = new t.Type<Buffer, Uint8Array, unknown>(
+  'bytes',
+  (value): value is Buffer => Buffer.isBuffer(value),
+  (value, context) =>
+    value instanceof Uint8Array ? t.success(Buffer.from(value)) : t.failure(value, context),
+  (value) => value,
+);
+
+const storeItem = t.type({ key: t.string, value: buffer, revision: t.number });
+
+/** Sent about once a second, and at once after a change of the two last fields. */
+const heartbeat = t.type({
+  kind: t.literal('heartbeat'),
+  failureDomain: t.string,
+  /** Addresses of VMs that the sender heard of lately. */
+  members: t.array(t.string),
+  /** Revision of the store up to which the sender knows everything; 0 before the first list. */
+  revision: t.number,
+  /** Version of the configuration in force; 0 for none. */
+  configuration: t.number,
+});
+
+/** Requests of the sender under way at each target; targets without any are left out. */
+const load = t.type({
+  kind: t.literal('load'),
+  targets: t.array(t.type({ id: t.string, requests: t.number })),
+});
+
+/** The sender, or a VM that told it, found a target lost just now. */
+const lost = t.type({ kind: t.literal('lost'), target: t.string });
+
+/** Asks for everything that the peer knows of the store. */
+const wantItems = t.type({ kind: t.literal('want-items') });
+
+/** Everything that the sender knows of the store, up to the revision. */
+const items = t.type({
+  kind: t.literal('items'),
+  items: t.array(storeItem),
+  revision: t.number,
+});
+
+const evidenceMessageCodec = t.union([heartbeat, load, lost, wantItems, items]);
+
+/** A message from one VM to another. */
+export type EvidenceMessage = t.TypeOf<typeof evidenceMessageCodec>;
+
+/** One kind of message. */
+export type EvidenceMessageOf<Kind extends EvidenceMessage['kind']> = Extract<
+  EvidenceMessage,
+  { kind: Kind }
+>;
+
+/** Format of the messages on the wire. */
+export const evidenceMessageFormat: MessageFormat<EvidenceMessage> = createMessageFormat(
+  evidenceMessageCodec as t.Type<EvidenceMessage, unknown>,
+  ({ kind }) => kind === 'heartbeat' || kind === 'load',
+);
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -1,5 +1,10 @@
 /** The targets of every service with this VM's work on them and its evidence about them. */
 export { default as TargetDirectory } from './target-directory.js';
-export type { TargetChange, TargetNotice, TrackedServiceTarget } from './target-directory.js';
+export type {
+  TargetChange,
+  TargetDirectoryEvents,
+  TargetNotice,
+  TrackedServiceTarget,
+} from './target-directory.js';
 export { isSuspected, NO_EVIDENCE, observeTarget, readFailureRate } from './evidence.js';
 export type { TargetEvidence, TargetObservation } from './evidence.js';
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -19,8 +19,15 @@
 function createDirectory() {
   const time = { now: 1_000 };
   const notices: TargetNotice[] = [];
-  const directory = new TargetDirectory({ now: () => time.now }, (notice) => notices.push(notice));
-  return { time, notices, directory };
+  const lost: string[] = [];
+  const directory = new TargetDirectory(
+    { now: () => time.now },
+    {
+      onNotice: (notice) => notices.push(notice),
+      onLost: (id) => lost.push(id),
+    },
+  );
+  return { time, notices, lost, directory };
 }
 
 test('a leaving target takes no new work at once, and keeps what it has', () => {
@@ -88,6 +95,25 @@
   assert.not(directory.isDomainDoubtful('north'));
 });
 
+test('a loss that another VM told is believed, but not told again', () => {
+  const { directory, lost } = createDirectory();
+  directory.replaceAll([createTarget('t1'), createTarget('t2')]);
+  directory.takePeerLoss('t1');
+  directory.observe('t2', { kind: 'lost' });
+  assert.ok(directory.isSuspected('t1') && directory.isDomainDoubtful('north'));
+  assert.equal(lost, ['t2']);
+});
+
+test('the load of other VMs is summed, and goes with the VM that told it', () => {
+  const { directory } = createDirectory();
+  directory.replaceAll([createTarget('t1')]);
+  directory.takePeerLoad('vm-a', new Map([['t1', 2]]));
+  directory.takePeerLoad('vm-b', new Map([['t1', 3]]));
+  assert.is(directory.get('t1')?.peerRequests, 5);
+  directory.takePeerLoad('vm-a', new Map());
+  assert.is(directory.get('t1')?.peerRequests, 3);
+});
+
 test('those who wait are woken when a place is free or a target joins', () => {
   const { directory } = createDirectory();
   directory.replaceAll([createTarget('t1')]);
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -19,6 +19,8 @@
   evidence: TargetEvidence;
   /** Requests of this VM under way there. */
   inFlight: number;
+  /** Requests of other VMs under way there, as far as they told. */
+  peerRequests: number;
   /** Copies of runs of this VM kept there. */
   copies: number;
 }
@@ -32,14 +34,24 @@
   | { kind: 'leaving'; target: ServiceTarget }
   | { kind: 'gone'; target: ServiceTarget };
 
+/** What the owner of a directory is told. */
+export interface TargetDirectoryEvents {
+  onNotice(notice: TargetNotice): void;
+  /** This VM itself found a target lost. */
+  onLost(id: string): void;
+  /** The number of this VM's requests at a target changed. */
+  onLoad(tracked: TrackedServiceTarget): void;
+}
+
 /** Holds the targets of one VM. */
 export default class TargetDirectory {
   private readonly tracked = new Map<string, TrackedServiceTarget>();
   private readonly listeners = new Set<() => void>();
+  private readonly peerLoads = new Map<string, ReadonlyMap<string, number>>();
 
   constructor(
     private readonly clock: Clock,
-    private readonly onNotice: (notice: TargetNotice) => void = () => undefined,
+    private readonly events: Partial<TargetDirectoryEvents> = {},
   ) {}
 
   /** Number of known incarnations. */
@@ -96,8 +108,10 @@
       return () => undefined;
     }
     tracked.inFlight += 1;
+    this.events.onLoad?.(tracked);
     return once(() => {
       tracked.inFlight -= 1;
+      this.events.onLoad?.(tracked);
       this.wake();
     });
   }
@@ -112,11 +126,31 @@
     return once(() => (tracked.copies -= 1));
   }
 
-  /** Takes an observation about a target. */
+  /** Takes an observation of this VM about a target. */
   observe(id: string, observation: TargetObservation): void {
-    const tracked = this.tracked.get(id);
-    if (tracked !== undefined) {
-      tracked.evidence = observeTarget(tracked.evidence, observation, this.clock.now());
+    this.takeObservation(id, observation);
+    if (observation.kind === 'lost') {
+      this.events.onLost?.(id);
+    }
+  }
+
+  /** Another VM found a target lost. */
+  takePeerLoss(id: string): void {
+    this.takeObservation(id, { kind: 'lost' });
+  }
+
+  /** Takes the requests that another VM has under way at each target; empty once it is gone. */
+  takePeerLoad(peer: string, load: ReadonlyMap<string, number>): void {
+    const before = this.peerLoads.get(peer);
+    this.peerLoads.set(peer, load);
+    if (load.size === 0) {
+      this.peerLoads.delete(peer);
+    }
+    for (const id of new Set([...(before?.keys() ?? []), ...load.keys()])) {
+      const tracked = this.tracked.get(id);
+      if (tracked !== undefined) {
+        tracked.peerRequests = this.sumPeerLoads(id);
+      }
     }
   }
 
@@ -149,16 +183,37 @@
     return tracked !== undefined && isSuspected(tracked.evidence, this.clock.now());
   }
 
+  private takeObservation(id: string, observation: TargetObservation): void {
+    const tracked = this.tracked.get(id);
+    if (tracked !== undefined) {
+      tracked.evidence = observeTarget(tracked.evidence, observation, this.clock.now());
+    }
+  }
+
+  private sumPeerLoads(id: string): number {
+    let sum = 0;
+    for (const load of this.peerLoads.values()) {
+      sum += load.get(id) ?? 0;
+    }
+    return sum;
+  }
+
   private put(target: ServiceTarget): void {
     const known = this.tracked.get(target.id);
     if (known === undefined) {
       this.removeReplaced(target);
-      this.tracked.set(target.id, { target, evidence: { ...NO_EVIDENCE }, inFlight: 0, copies: 0 });
-      this.onNotice({ kind: target.leaving ? 'leaving' : 'joined', target });
+      this.tracked.set(target.id, {
+        target,
+        evidence: { ...NO_EVIDENCE },
+        inFlight: 0,
+        peerRequests: 0,
+        copies: 0,
+      });
+      this.events.onNotice?.({ kind: target.leaving ? 'leaving' : 'joined', target });
       return;
     }
     if (target.leaving && !known.target.leaving) {
-      this.onNotice({ kind: 'leaving', target });
+      this.events.onNotice?.({ kind: 'leaving', target });
     }
     known.target = target;
   }
@@ -176,7 +231,7 @@
     const known = this.tracked.get(id);
     if (known !== undefined) {
       this.tracked.delete(id);
-      this.onNotice({ kind: 'gone', target: known.target });
+      this.events.onNotice?.({ kind: 'gone', target: known.target });
     }
   }
 
