Never run a stream again that may not be repeated; test forwarding on sockets

Cause: found by tests on real sockets: a stream that may not be repeated was continued after a break; a gap in the numbers left the request hanging on an attach that these targets do not know; a call that was overdue by the timer but not by the clock was told 502 in place of 504. Change: the three mended; forward-stream split into copies, hearing and report.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -58,6 +58,7 @@
   private ran = 0;
   private turnedAway = 0;
   private isDone = false;
+  private isOverdue = false;
   private streaming: Attempt | undefined;
   /** A failure that the service itself answered; given to the caller where nothing better comes. */
   private failure: WholeAnswer | undefined;
@@ -74,11 +75,16 @@
   begin(): void {
     const { clock, timers } = this.context;
     const remainingMs = this.admitted.dueAtMs - clock.now();
-    this.timers.push(timers.after(Math.max(0, remainingMs), () => this.giveUp()));
+    this.timers.push(timers.after(Math.max(0, remainingMs), () => this.onOverdue()));
     this.sink.onGone(() => this.finish('caller-left'));
     this.openAttempt();
   }
 
+  private onOverdue(): void {
+    this.isOverdue = true;
+    this.giveUp();
+  }
+
   private openAttempt(): void {
     const { service, request, rank, dueAtMs } = this.admitted;
     this.isWaiting = true;
@@ -347,11 +353,10 @@
   }
 
   private describeRefusal(): LimeleadError {
-    const isOverdue = this.context.clock.now() >= this.admitted.dueAtMs;
     if (this.ran === 0) {
       return new LimeleadError('no-target', 'no target took the request');
     }
-    return isOverdue
+    return this.isOverdue
       ? new LimeleadError('deadline-passed', 'no answer came in time')
       : new LimeleadError('outcome-unknown', 'the answer of the target was lost');
   }
--- /dev/null
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -0,0 +1,165 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import forwardStream from './forward-stream.js';
+import {
+  admit,
+  begin,
+  formatPiece,
+  RecordingSink,
+  streamThen,
+  streamTo,
+  TestBed,
+  type Behaviour,
+} from './forwarding.fixture.js';
+
+const destroy = (response: { destroy(): void }): void => response.destroy();
+
+function pieces(first: number, last: number): string {
+  return Array.from({ length: last - first + 1 }, (_, index) => formatPiece(first + index)).join(
+    '',
+  );
+}
+
+const turnAway: Behaviour = (_, response) => {
+  response.writeHead(503, { 'not-run': '1' }).end();
+};
+
+/** Plays one streamed request and gives what its caller got. */
+async function play(behaviours: Behaviour[], ...admission: Parameters<typeof admit>) {
+  const bed = await TestBed.start(...behaviours);
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(...admission), sink);
+  await sink.done;
+  await bed.stop();
+  return { bed, sink };
+}
+
+test('a broken stream goes on from its copy in another failure domain, each piece once', async () => {
+  const { bed, sink } = await play([streamThen(3, destroy), streamTo(6)]);
+  assert.is(sink.outcome, 'ended');
+  assert.is(sink.body, pieces(1, 6));
+  assert.equal(bed.seen, [
+    { target: 't1', lastPiece: 0, copyTo: 't2', from: '' },
+    { target: 't2', lastPiece: 3, copyTo: 't1', from: 't2' },
+  ]);
+});
+
+test('a piece that was cut is not passed on; the next target sends it whole', async () => {
+  const cutInside: Behaviour = (request, response) => {
+    begin(request, response);
+    response.write(formatPiece(1) + formatPiece(2).slice(0, 9), () =>
+      setImmediate(() => response.destroy()),
+    );
+  };
+  const { sink } = await play([cutInside, streamTo(3)]);
+  assert.is(sink.body, pieces(1, 3));
+});
+
+test('a stream that ends properly inside a piece is not taken as whole', async () => {
+  const endInside: Behaviour = (request, response) => {
+    begin(request, response);
+    response.end(formatPiece(1) + 'id: 2\n');
+  };
+  const { sink } = await play([endInside, streamTo(2)]);
+  assert.is(sink.outcome, 'ended');
+  assert.is(sink.body, pieces(1, 2));
+});
+
+test('a silent target is left well within the pause that the caller bears', async () => {
+  const { bed, sink } = await play([streamThen(2, () => undefined), streamTo(4)]);
+  assert.is(sink.body, pieces(1, 4));
+  assert.equal(bed.asked, ['t1', 't2']);
+});
+
+test('a continued run that sends nothing is given up too', async () => {
+  const mute: Behaviour = (request, response) => {
+    begin(request, response);
+    response.flushHeaders();
+  };
+  const { bed, sink } = await play(
+    [streamThen(2, destroy), mute, streamTo(4)],
+    {},
+    { affinityKey: 's' },
+  );
+  assert.is(sink.outcome, 'ended');
+  assert.is(sink.body, pieces(1, 4));
+  assert.ok(bed.seen.length >= 3);
+});
+
+test('a client that comes back with its last piece gets only what follows', async () => {
+  const { bed, sink } = await play([streamTo(5)], {}, { lastPiece: 3 });
+  assert.is(sink.body, pieces(4, 5));
+  assert.is(bed.seen[0]?.lastPiece, 3);
+});
+
+test('pieces that come a second time are dropped, and a gap is no answer', async () => {
+  const repeat: Behaviour = (request, response) => {
+    begin(request, response);
+    response.end(pieces(1, 2) + pieces(1, 3));
+  };
+  const repeated = await play([repeat]);
+  assert.is(repeated.sink.body, pieces(1, 3));
+  const skip: Behaviour = (request, response) => {
+    begin(request, response);
+    response.end(formatPiece(1) + formatPiece(3));
+  };
+  const skipped = await play([skip, streamTo(3)]);
+  assert.is(skipped.sink.body, pieces(1, 3));
+});
+
+test('a target that takes no work is passed over without a trace in the answer', async () => {
+  const { bed, sink } = await play([turnAway, streamTo(2)]);
+  assert.is(sink.body, pieces(1, 2));
+  assert.equal(bed.asked, ['t1', 't2']);
+});
+
+test('a stream that may not be repeated is cut where its target breaks, and sent once', async () => {
+  const { bed, sink } = await play([streamThen(2, destroy), streamTo(4)], { repeatable: false });
+  assert.is(sink.outcome, 'aborted');
+  assert.is(sink.body, pieces(1, 2));
+  assert.equal(bed.asked, ['t1']);
+});
+
+test('when the time is over the caller is told at once, and the run is cancelled', async () => {
+  let onClosed = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (onClosed = resolve));
+  const slow: Behaviour = (request) => request.socket.once('close', onClosed);
+  const { sink } = await play([slow], { timeoutMs: 120 });
+  assert.is(sink.outcome, 'refused');
+  assert.is(sink.error?.kind, 'deadline-passed');
+  await closed;
+});
+
+test('a caller who leaves takes the run along', async () => {
+  let onClosed = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (onClosed = resolve));
+  const watched: Behaviour = (request, response, seen) => {
+    request.socket.once('close', onClosed);
+    streamThen(1, () => undefined)(request, response, seen);
+  };
+  const bed = await TestBed.start(watched);
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  await sink.until(() => sink.body !== '');
+  sink.leave();
+  await closed;
+  assert.is(bed.directory.get('t1')?.inFlight, 0);
+  await bed.stop();
+});
+
+test('an answer that is no stream goes to the caller as it is, a failure after a second try', async () => {
+  const fail: Behaviour = (request, response) => {
+    response.writeHead(500, { id: String(request.headers['id']) }).end('no');
+  };
+  const { bed, sink } = await play([fail, streamTo(2)]);
+  assert.is(sink.body, pieces(1, 2));
+  assert.equal(bed.asked, ['t1', 't2']);
+  const refuse: Behaviour = (request, response) => {
+    response.writeHead(400, { id: String(request.headers['id']) }).end('bad');
+  };
+  const refused = await play([refuse, streamTo(2)]);
+  assert.is(refused.sink.status, 400);
+  assert.is(refused.sink.body, 'bad');
+});
+
+test.run();
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -10,43 +10,27 @@
   type SessionEvent,
   type SessionState,
 } from '@limelead/generation-session';
-import computeSilenceBound, {
-  INITIAL_GAP_ESTIMATE,
-  updateGapEstimate,
-  type GapEstimate,
-} from '@limelead/suspect-silence';
-import { chooseCopyKeeper } from '@limelead/choose-service-target';
 import type { AnswerHead } from '@limelead/target-connections';
-import type {
-  AnswerBinding,
-  EventDetail,
-  GenerationRequest,
-  RecoveryPolicy,
-} from '@limelead/types';
+import type { AnswerMessage } from '@limelead/types';
 import { keepEndToEnd, type AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest, ForwardContext } from './context.js';
-import type { RunCopy } from './dialect.js';
+import type { RunCopy, TargetOrder } from './dialect.js';
 import type { Place } from './place-queue.js';
-import StreamAttempt, { type NumberedPiece, type TurnedAwayCause } from './stream-attempt.js';
+import RunCopies from './run-copies.js';
+import RunHearing from './run-hearing.js';
+import StreamAttempt, {
+  type NumberedPiece,
+  type StreamAttemptEvents,
+  type TurnedAwayCause,
+} from './stream-attempt.js';
+import StreamReport from './stream-report.js';
+import toGeneration, { OPAQUE_BINDING } from './to-generation.js';
 
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 60;
 /** Sends that targets turned away, after which a request is given up. */
 const MAX_TURNED_AWAY = 20;
-const MIN_SILENCE_MS = 240;
-/** Part of the pause that callers bear which detection may take. */
-const SILENCE_SHARE_OF_PAUSE = 0.5;
-const DEFAULT_PAUSE_MS = 800;
-const SUSPICION_FACTOR = 6;
-/** Time in which a run that goes on from a copy sends its first piece. */
-const FIRST_PIECE_OF_COPY_MS = 500;
 const SERVER_ERROR = 500;
-/** The version is the targets' own business on this path; one name stands for it. */
-const OPAQUE_BINDING: AnswerBinding = {
-  modelVersion: { model: '', adapter: '', version: '' },
-  seed: 0,
-};
-
 /** One attempt with what belongs to it. */
 interface LiveAttempt {
   attempt: StreamAttempt;
@@ -54,6 +38,7 @@
   /** Where the run's memory is copied to. */
   copy?: RunCopy;
   forgetCopy: () => void;
+  hearing: RunHearing;
   unwatch: () => void;
 }
 
@@ -70,8 +55,7 @@
   private state: SessionState;
   private readonly live = new Map<number, LiveAttempt>();
   private readonly chosen = new Map<number, Place>();
-  /** The copy that the next attempt may go on from. */
-  private copy: RunCopy | undefined;
+  private readonly copies: RunCopies;
   private head: AnswerHead | undefined;
   private hasBegun = false;
   private isDone = false;
@@ -80,12 +64,15 @@
   private turnedAway = 0;
   private trailer: Buffer = Buffer.alloc(0);
   private readonly cleanups: (() => void)[] = [];
+  private readonly report: StreamReport;
 
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
     private readonly sink: AnswerSink,
   ) {
+    this.report = new StreamReport(context, admitted);
+    this.copies = new RunCopies(context, admitted);
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGeneration(admitted), requestId, context.clock.now());
     this.state = { ...session, delivered: lastPiece };
@@ -100,6 +87,9 @@
   }
 
   private advance(event: SessionEvent): void {
+    if (this.isDone) {
+      return;
+    }
     const step = advanceSession(this.state, event, this.context.clock.now());
     this.state = step.state;
     step.commands.forEach((command) => this.carryOut(command));
@@ -117,43 +107,59 @@
       case 'detach-attempt':
         this.drop(command.attempt);
         break;
-      case 'wait-for-retry': {
-        const { attempt } = command;
-        const cancel = this.context.timers.after(command.delayMs, () =>
-          this.advance({ kind: 'retry-due', attempt }),
-        );
-        this.cleanups.push(cancel);
+      case 'wait-for-retry':
+        this.retryLater(command.attempt, command.delayMs);
         break;
-      }
       case 'send':
-        if (command.message.kind === 'tokens') {
-          this.deliver(command.message.tokens);
-        } else if (command.message.kind === 'finished') {
-          this.finish('answered', () => this.endAnswer());
-        }
+        this.send(command.message);
         break;
       case 'fail':
         this.fail(command.error, command.message);
         break;
       case 'observe':
-        this.observe(command.detail);
+        this.report.observed(command.detail);
         break;
       case 'attach':
-      case 'probe':
-      case 'watch-silence':
-      case 'cancel-foreign':
-        // Targets of this kind can't be attached to; silence is watched for all runs together.
+        this.leaveUnattached(command.attempt);
         break;
+      default:
+        // Silence is watched for all runs together.
+        break;
+    }
+  }
+
+  private send(message: AnswerMessage): void {
+    if (message.kind === 'tokens') {
+      this.deliver(message.tokens);
+    } else if (message.kind === 'finished') {
+      this.finish('answered', () => this.endAnswer());
     }
   }
 
+  /** Targets of this kind can't be attached to: what was to be read again is left. */
+  private leaveUnattached(attempt: number): void {
+    [...this.live.keys()].forEach((number) => this.drop(number));
+    this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+  }
+
+  private retryLater(attempt: number, delayMs: number): void {
+    const cancel = this.context.timers.after(delayMs, () =>
+      this.advance({ kind: 'retry-due', attempt }),
+    );
+    this.cleanups.push(cancel);
+  }
+
   private chooseTarget(attempt: number, exclude: string[]): void {
     const { service, request, rank, dueAtMs } = this.admitted;
+    if (this.ran > 0 && !this.admitted.route.repeatable) {
+      this.fail('outcome-unknown', 'the request may have run and may not be repeated');
+      return;
+    }
     if (!this.maySendAgain()) {
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
-    const keeper = this.takeKeeper();
+    const keeper = this.copies.takeKeeper();
     if (keeper !== undefined) {
       this.onPlace(attempt, keeper);
       return;
@@ -171,21 +177,6 @@
     this.cleanups.push(stopWaiting);
   }
 
-  /** The target that holds a copy of the run, where there is one that takes work. */
-  private takeKeeper(): Place | undefined {
-    const { directory } = this.context;
-    const tracked = this.copy && directory.get(this.copy.keeper.id);
-    if (
-      tracked === undefined ||
-      tracked.target.leaving ||
-      directory.isSuspected(tracked.target.id)
-    ) {
-      this.copy = undefined;
-      return undefined;
-    }
-    return { tracked, release: directory.begin(tracked.target.id) };
-  }
-
   private onPlace(attempt: number, place: Place | undefined): void {
     if (this.isDone) {
       place?.release();
@@ -209,56 +200,49 @@
     const { clock } = this.context;
     const { request, organisation, rank, dueAtMs } = this.admitted;
     const { target } = place.tracked;
-    const continueFrom = this.copy?.keeper.id === target.id ? this.copy : undefined;
-    const copyTo = this.chooseKeeper(place);
-    this.copy = undefined;
+    const continueFrom = this.copies.use(target);
+    const copyTo = this.copies.chooseKeeper(place);
     this.noteSend();
-    const remainingMs = dueAtMs - clock.now();
-    const attempt = new StreamAttempt(
-      this.context,
-      { request, target, organisation, remainingMs, lastPiece, copyTo, continueFrom, rank },
-      {
-        onOpened: (head) => this.onOpened(number, head),
-        onPieces: (pieces) => this.onPieces(number, pieces),
-        onEnded: (trailer) => this.onEnded(number, trailer),
-        onBroken: (reason) => this.onBroken(number, reason),
-        onTurnedAway: (cause, reason) => this.onTurnedAway(number, cause, reason),
-        onAnswered: (head, body) => this.onAnswered(number, head, body),
-      },
-    );
+    const order: TargetOrder = {
+      request,
+      target,
+      organisation,
+      remainingMs: dueAtMs - clock.now(),
+      lastPiece,
+      copyTo,
+      continueFrom,
+      rank,
+    };
+    const attempt = new StreamAttempt(this.context, order, this.createEvents(number));
+    const hearing = new RunHearing({
+      requestId: request.requestId,
+      target,
+      continuesCopy: continueFrom !== undefined,
+      policy: this.state.request.priority.recovery,
+      clock,
+      onSilent: () => this.onSilent(number),
+    });
     this.live.set(number, {
       attempt,
       place,
       copy: copyTo && { keeper: copyTo, runId: request.requestId },
-      forgetCopy:
-        copyTo === undefined ? () => undefined : this.context.directory.keepCopy(copyTo.id),
-      unwatch: this.watch(number, attempt, continueFrom !== undefined),
-    });
-    this.context.log.write('stream-sent', {
-      requestId: request.requestId,
-      attempt: number,
-      target: target.id,
-      lastPiece,
-      copyTo: copyTo?.id,
-      continuesCopy: continueFrom !== undefined,
-      remainingMs: Math.round(remainingMs),
+      forgetCopy: copyTo ? this.context.directory.keepCopy(copyTo.id) : () => undefined,
+      hearing,
+      unwatch: this.context.silence.watch(hearing),
     });
+    this.report.sent(number, order);
     attempt.send();
   }
 
-  private chooseKeeper(place: Place): StreamAttempt['target'] | undefined {
-    const { clock, directory } = this.context;
-    const { service, request, route } = this.admitted;
-    const engine = this.context.readTable()?.findService(service)?.engine;
-    if (!route.repeatable || engine?.copiesRuns !== true) {
-      return undefined;
-    }
-    return chooseCopyKeeper(directory.listUsable(service), {
-      affinityKey: request.affinityKey,
-      running: place.tracked,
-      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain),
-      now: clock.now(),
-    })?.target;
+  private createEvents(number: number): StreamAttemptEvents {
+    return {
+      onOpened: (head) => this.onOpened(number, head),
+      onPieces: (pieces) => this.onPieces(number, pieces),
+      onEnded: (trailer) => this.onEnded(number, trailer),
+      onBroken: (reason) => this.onBroken(number, reason),
+      onTurnedAway: (cause, reason) => this.onTurnedAway(number, cause, reason),
+      onAnswered: (head, body) => this.onAnswered(number, head, body),
+    };
   }
 
   private noteSend(): void {
@@ -281,40 +265,6 @@
     return this.context.retriesOf(this.admitted.service).trySpend(clock.now(), countVms());
   }
 
-  private watch(number: number, attempt: StreamAttempt, continuesCopy: boolean): () => void {
-    const { clock, silence } = this.context;
-    const now = clock.now();
-    let gaps: GapEstimate = INITIAL_GAP_ESTIMATE;
-    let hasSentPieces = false;
-    const policy = this.policy;
-    const run = {
-      requestId: this.admitted.request.requestId,
-      target: attempt.target,
-      startedAtMs: now,
-      heardAtMs: now,
-      isSending: continuesCopy,
-      missedInProbes: 0,
-      boundMs: () => (hasSentPieces ? computeSilenceBound(gaps, policy) : FIRST_PIECE_OF_COPY_MS),
-      onSilent: () => this.onSilent(number),
-    };
-    this.hearers.set(number, () => {
-      const heardAtMs = clock.now();
-      if (hasSentPieces) {
-        gaps = updateGapEstimate(gaps, heardAtMs - run.heardAtMs);
-      }
-      hasSentPieces = true;
-      run.isSending = true;
-      run.heardAtMs = heardAtMs;
-    });
-    return silence.watch(run);
-  }
-
-  private readonly hearers = new Map<number, () => void>();
-
-  private get policy(): RecoveryPolicy {
-    return this.state.request.priority.recovery;
-  }
-
   private onOpened(attempt: number, head: AnswerHead): void {
     if (this.live.has(attempt)) {
       this.head ??= head;
@@ -328,7 +278,7 @@
       return;
     }
     this.context.directory.hear(live.attempt.target.id);
-    this.hearers.get(attempt)?.();
+    live.hearing.hear();
     for (const { number, bytes } of pieces) {
       this.advance({
         kind: 'tokens',
@@ -351,40 +301,38 @@
   }
 
   private onBroken(attempt: number, reason: string): void {
-    this.lose(attempt, reason, 'failed');
+    this.lose(attempt, 'broken', reason);
     this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
   }
 
   private onSilent(attempt: number): void {
-    this.lose(attempt, 'silent', 'lost');
+    this.lose(attempt, 'silent', 'nothing came');
     this.advance({ kind: 'silent', attempt });
   }
 
   /** The target of an attempt is lost or broke off; its copy is the next attempt's start. */
-  private lose(attempt: number, reason: string, kind: 'failed' | 'lost'): void {
+  private lose(attempt: number, cause: 'broken' | 'silent', reason: string): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
       return;
     }
-    const { clock, directory, log, silence } = this.context;
-    this.copy = live.copy;
-    // A connection that ends with a run on it is a sign of a lost target, as silence is.
-    directory.observe(live.attempt.target.id, { kind: 'lost' });
-    log.write('stream-broken', {
-      requestId: this.admitted.request.requestId,
+    const { clock, directory, silence } = this.context;
+    const target = live.attempt.target.id;
+    this.copies.noteLost(live.copy);
+    this.report.lost({
       attempt,
-      target: live.attempt.target.id,
-      kind,
+      target,
+      cause,
       reason,
       delivered: this.state.delivered,
-      sinceLastPieceMs: Math.round(clock.now() - this.state.lastDeliveredAtMs),
+      sinceLastPieceMs: clock.now() - this.state.lastDeliveredAtMs,
       copyAt: live.copy?.keeper.id,
     });
+    live.attempt.cancel();
     this.release(attempt);
-    if (kind === 'lost') {
-      live.attempt.cancel();
-    }
-    silence.noteLost(live.attempt.target.id);
+    // A connection that ends with a run on it is a sign of a lost target, as silence is.
+    directory.observe(target, { kind: 'lost' });
+    silence.noteLost(target);
   }
 
   private onTurnedAway(attempt: number, cause: TurnedAwayCause, reason: string): void {
@@ -392,7 +340,7 @@
     if (live === undefined) {
       return;
     }
-    const { directory, log } = this.context;
+    const { directory } = this.context;
     const { target } = live.attempt;
     this.ran -= 1;
     this.turnedAway += 1;
@@ -400,13 +348,7 @@
       target.id,
       cause === 'full' ? { kind: 'full', pauseMs: FULL_PAUSE_MS } : { kind: 'lost' },
     );
-    log.write('stream-turned-away', {
-      requestId: this.admitted.request.requestId,
-      attempt,
-      target: target.id,
-      cause,
-      reason,
-    });
+    this.report.turnedAway(attempt, target.id, cause, reason);
     this.release(attempt);
     this.advance({ kind: 'broken', attempt, cause: 'refused' });
   }
@@ -442,10 +384,7 @@
       const { head } = this;
       const headers = keepEndToEnd(head?.rawHeaders ?? [], new Set(['content-length']));
       this.sink.begin(head?.status ?? SERVER_ERROR, headers);
-      this.context.metrics.recordMs(
-        'limelead_first_piece_ms',
-        this.context.clock.now() - this.admitted.receivedAtMs,
-      );
+      this.report.firstPiece();
     }
     pieces.forEach((piece) => this.sink.write(Buffer.from(piece, 'latin1')));
   }
@@ -486,30 +425,12 @@
     const live = this.live.get(attempt);
     if (live !== undefined) {
       this.live.delete(attempt);
-      this.hearers.delete(attempt);
       live.unwatch();
       live.forgetCopy();
       live.place.release();
     }
   }
 
-  private observe(detail: EventDetail): void {
-    const { log, metrics } = this.context;
-    const { requestId } = this.admitted.request;
-    if (detail.kind === 'streamContinued') {
-      const { target, attempt, resumeLatencyMs } = detail;
-      metrics.recordMs('limelead_resume_ms', resumeLatencyMs);
-      log.write('stream-continued', {
-        requestId,
-        target,
-        attempt,
-        resumeLatencyMs: Math.round(resumeLatencyMs),
-      });
-    } else if (detail.kind === 'recoveryPlanned') {
-      log.write('recovery-planned', { requestId, way: detail.way, reason: detail.reason });
-    }
-  }
-
   private finish(outcome: string, tell: () => void): void {
     if (this.isDone) {
       return;
@@ -518,49 +439,6 @@
     this.cleanups.forEach((cleanup) => cleanup());
     [...this.live.keys()].forEach((attempt) => this.drop(attempt));
     tell();
-    const { clock, log, metrics } = this.context;
-    const durationMs = Math.round(clock.now() - this.admitted.receivedAtMs);
-    log.write('stream-finished', {
-      requestId: this.admitted.request.requestId,
-      outcome,
-      delivered: this.state.delivered,
-      sends: this.sends,
-      durationMs,
-    });
-    metrics.count('limelead_streams_total', 1, { outcome });
-    metrics.recordMs('limelead_stream_ms', durationMs);
+    this.report.finished(outcome, this.state.delivered, this.sends);
   }
 }
-
-function toGeneration({
-  request,
-  route,
-  organisation,
-  service,
-  rank,
-}: AdmittedRequest): GenerationRequest {
-  const pauseMs = route.maxPauseMs ?? DEFAULT_PAUSE_MS;
-  const maxSilenceMs = pauseMs * SILENCE_SHARE_OF_PAUSE;
-  return {
-    requestId: request.requestId,
-    organisation: organisation ?? '',
-    service,
-    prompt: '',
-    maxTokens: Number.MAX_SAFE_INTEGER,
-    priority: {
-      name: route.name,
-      rank,
-      deadlineMs: route.timeoutMs,
-      recovery: {
-        suspicionFactor: SUSPICION_FACTOR,
-        minSilenceMs: Math.min(MIN_SILENCE_MS, maxSilenceMs),
-        maxSilenceMs,
-        hedge: false,
-        probeFirst: false,
-      },
-      maxQueueMs: route.timeoutMs,
-    },
-    paceTokensPerSecond: 0,
-    resumable: route.repeatable,
-  };
-}
--- /dev/null
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -0,0 +1,305 @@
+/** Targets on real sockets and a caller that writes down what it gets, for the tests of this package. */
+import createDecisionLog from '@limelead/decision-log';
+import type { LimeleadError } from '@limelead/errors';
+import createMetrics from '@limelead/metrics';
+import compileRoutes from '@limelead/route-requests';
+import RetrySpender from '@limelead/spend-retries';
+import { TargetConnections } from '@limelead/target-connections';
+import { TargetDirectory } from '@limelead/track-service-targets';
+import {
+  systemTimers,
+  type IncomingRequest,
+  type ServiceTarget,
+  type ServingRoute,
+} from '@limelead/types';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { AnswerSink } from './answer-sink.js';
+import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { TargetDialect } from './dialect.js';
+import PlaceQueue from './place-queue.js';
+import SilenceWatch from './silence-watch.js';
+
+const clock = { now: () => performance.now() };
+
+/** Plain names for a dialect that only the tests speak. */
+const dialect: TargetDialect = {
+  composeCall: ({ request, target, lastPiece, copyTo, continueFrom }) => ({
+    method: request.method,
+    path: request.path,
+    body: request.body,
+    headers: [
+      ...['host', 'test', 'id', request.requestId, 'target', target.id],
+      ...[
+        'last',
+        String(lastPiece),
+        'copy-to',
+        copyTo?.id ?? '',
+        'from',
+        continueFrom?.keeper.id ?? '',
+      ],
+    ],
+  }),
+  readAnswer: (request, { status, headers }) => ({
+    isForRequest: headers.has('not-run') || headers.get('id') === request.requestId,
+    notRun: headers.has('not-run'),
+    isOtherTarget: status === 421,
+  }),
+  composeProbe: () => ({
+    method: 'GET',
+    path: '/probe',
+    headers: ['host', 'test'],
+    body: Buffer.alloc(0),
+  }),
+  readProbe: (body) => ({ runs: new Set(body.toString().split(' ')), waiting: 0 }),
+};
+
+/** What a target saw of one request. */
+export interface SeenRequest {
+  target: string;
+  lastPiece: number;
+  copyTo: string;
+  from: string;
+}
+
+/** How a target answers a request. */
+export type Behaviour = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  seen: SeenRequest,
+) => void;
+
+/** A piece as the targets of these tests write it. */
+export function formatPiece(number: number): string {
+  return `id: ${number}\ndata: piece ${number}\n\n`;
+}
+
+/** Writes pieces up to the given one and ends the stream. */
+export function streamTo(last: number): Behaviour {
+  return (request, response, { lastPiece }) => {
+    begin(request, response);
+    for (let number = lastPiece + 1; number <= last; number += 1) {
+      response.write(formatPiece(number));
+    }
+    response.end();
+  };
+}
+
+/** Writes pieces up to the given one and does what follows once they are out. */
+export function streamThen(last: number, follow: (response: ServerResponse) => void): Behaviour {
+  return (request, response, { lastPiece }) => {
+    begin(request, response);
+    for (let number = lastPiece + 1; number < last; number += 1) {
+      response.write(formatPiece(number));
+    }
+    response.write(formatPiece(last), () => setImmediate(() => follow(response)));
+  };
+}
+
+/** Begins a good answer to the request. */
+export function begin(request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(200, { id: String(request.headers['id']), stamp: 'whole' });
+}
+
+/** What the caller got. */
+export class RecordingSink implements AnswerSink {
+  status = 0;
+  body = '';
+  outcome: 'open' | 'ended' | 'aborted' | 'refused' = 'open';
+  error: LimeleadError | undefined;
+  private gone: () => void = () => undefined;
+  private wake: (() => void)[] = [];
+
+  begin(status: number): void {
+    this.status = status;
+  }
+
+  write(bytes: Buffer): void {
+    this.body += bytes.toString();
+    this.wake.splice(0).forEach((wake) => wake());
+  }
+
+  end(): void {
+    this.finish('ended');
+  }
+
+  abort(error: LimeleadError): void {
+    this.error = error;
+    this.finish('aborted');
+  }
+
+  refuse(error: LimeleadError): void {
+    this.error = error;
+    this.finish('refused');
+  }
+
+  onGone(callback: () => void): void {
+    this.gone = callback;
+  }
+
+  /** The caller leaves. */
+  leave(): void {
+    this.gone();
+  }
+
+  /** Resolves when the condition holds; it is looked at whenever something came. */
+  async until(holds: () => boolean): Promise<void> {
+    while (!holds()) {
+      await new Promise<void>((resolve) => this.wake.push(resolve));
+    }
+  }
+
+  get done(): Promise<void> {
+    return this.until(() => this.outcome !== 'open');
+  }
+
+  private finish(outcome: 'ended' | 'aborted' | 'refused'): void {
+    this.outcome = outcome;
+    this.wake.splice(0).forEach((wake) => wake());
+  }
+}
+
+/** Some targets, what they saw, and a VM that forwards to them. */
+export class TestBed {
+  readonly seen: SeenRequest[] = [];
+  readonly directory = new TargetDirectory(clock);
+  readonly connections = new TargetConnections({ clock, connectTimeoutMs: 300, maxIdle: 4 });
+  readonly context: ForwardContext;
+  private readonly servers: Server[] = [];
+  private readonly behaviours = new Map<string, Behaviour>();
+  private readonly spender = new RetrySpender({ ratio: 1, slack: 100, windowMs: 10_000 });
+
+  private constructor() {
+    const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
+    const shared = { clock, timers: systemTimers, directory: this.directory };
+    const table = compileRoutes({
+      version: 1,
+      routes: [],
+      services: [
+        {
+          name: 'briefs',
+          maxConnections: 10,
+          engine: { slots: 2, memoryTokens: 100, copiesRuns: true },
+        },
+      ],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    });
+    this.context = {
+      ...shared,
+      failureDomain: 'north',
+      connections: this.connections,
+      dialect,
+      places: new PlaceQueue({
+        ...shared,
+        failureDomain: 'north',
+        limit: ({ target }) => target.slots,
+      }),
+      silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
+      log,
+      metrics: createMetrics(),
+      readTable: () => table,
+      retriesOf: () => this.spender,
+      countVms: () => 1,
+    };
+  }
+
+  /** Starts one target for each behaviour, named t1, t2 and so on; t1 is in this VM's domain. */
+  static async start(...behaviours: Behaviour[]): Promise<TestBed> {
+    const bed = new TestBed();
+    const targets: ServiceTarget[] = [];
+    for (const [index, behaviour] of behaviours.entries()) {
+      const id = `t${index + 1}`;
+      bed.behaviours.set(id, behaviour);
+      const port = await bed.listen(id);
+      const failureDomain = index === 0 ? 'north' : `south-${index}`;
+      targets.push({
+        id,
+        service: 'briefs',
+        host: '127.0.0.1',
+        port,
+        failureDomain,
+        slots: 2,
+        leaving: false,
+      });
+    }
+    bed.directory.replaceAll(targets);
+    return bed;
+  }
+
+  /** Targets that saw a request, in order. */
+  get asked(): string[] {
+    return this.seen.map(({ target }) => target);
+  }
+
+  async stop(): Promise<void> {
+    this.connections.closeAll();
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    }
+  }
+
+  private async listen(id: string): Promise<number> {
+    const server = createServer((request, response) => {
+      if (request.url === '/probe') {
+        response.end('');
+        return;
+      }
+      const { last, from } = request.headers;
+      const seen: SeenRequest = {
+        target: id,
+        lastPiece: Number(last),
+        copyTo: String(request.headers['copy-to']),
+        from: String(from),
+      };
+      this.seen.push(seen);
+      request.resume();
+      this.behaviours.get(id)?.(request, response, seen);
+    });
+    this.servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return (server.address() as AddressInfo).port;
+  }
+}
+
+/** A request as the front door admits it. */
+export function admit(
+  route: Partial<ServingRoute> = {},
+  request: Partial<IncomingRequest> = {},
+): AdmittedRequest {
+  const now = clock.now();
+  const wholeRoute: ServingRoute = {
+    name: 'route',
+    host: 'vans.example',
+    pathPrefix: '/a/',
+    shares: [{ service: 'briefs', weight: 1 }],
+    streaming: true,
+    repeatable: true,
+    timeoutMs: 5_000,
+    objectiveMs: 2_000,
+    maxPauseMs: 600,
+    maxTargets: 3,
+    rank: 1,
+    open: true,
+    ...route,
+  };
+  return {
+    request: {
+      requestId: 'r1',
+      method: 'POST',
+      path: '/a/1',
+      rawHeaders: [],
+      body: Buffer.from('prompt'),
+      deadlineAtMs: now + 5_000,
+      lastPiece: 0,
+      affinityKey: 'session',
+      promptTokens: 10,
+      ...request,
+    },
+    route: wholeRoute,
+    service: 'briefs',
+    rank: wholeRoute.rank,
+    receivedAtMs: now,
+    dueAtMs: now + wholeRoute.timeoutMs,
+  };
+}
--- /dev/null
+++ b/packages/forward-request/src/run-copies.ts
@@ -0,0 +1,60 @@
+/** Where copies of a run's memory are kept, and which of them a broken run goes on from. */
+import { chooseCopyKeeper } from '@limelead/choose-service-target';
+import type { ServiceTarget } from '@limelead/types';
+import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { RunCopy } from './dialect.js';
+import type { Place } from './place-queue.js';
+
+/** The copies of one request's runs. */
+export default class RunCopies {
+  /** The copy that the next attempt may go on from. */
+  private usable: RunCopy | undefined;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly admitted: AdmittedRequest,
+  ) {}
+
+  /** The run that was copied is lost. */
+  noteLost(copy: RunCopy | undefined): void {
+    this.usable = copy;
+  }
+
+  /** A place at the target that keeps a usable copy, where it takes work. */
+  takeKeeper(): Place | undefined {
+    const { directory } = this.context;
+    const tracked = this.usable && directory.get(this.usable.keeper.id);
+    if (
+      tracked === undefined ||
+      tracked.target.leaving ||
+      directory.isSuspected(tracked.target.id)
+    ) {
+      this.usable = undefined;
+      return undefined;
+    }
+    return { tracked, release: directory.begin(tracked.target.id) };
+  }
+
+  /** The usable copy at that target; a copy serves once. */
+  use(target: ServiceTarget): RunCopy | undefined {
+    const copy = this.usable;
+    this.usable = undefined;
+    return copy?.keeper.id === target.id ? copy : undefined;
+  }
+
+  /** Where the copies of a run at that place go; undefined where the engines make none. */
+  chooseKeeper(place: Place): ServiceTarget | undefined {
+    const { clock, directory } = this.context;
+    const { service, request, route } = this.admitted;
+    const engine = this.context.readTable()?.findService(service)?.engine;
+    if (!route.repeatable || engine?.copiesRuns !== true) {
+      return undefined;
+    }
+    return chooseCopyKeeper(directory.listUsable(service), {
+      affinityKey: request.affinityKey,
+      running: place.tracked,
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain),
+      now: clock.now(),
+    })?.target;
+  }
+}
--- /dev/null
+++ b/packages/forward-request/src/stream-report.ts
@@ -0,0 +1,86 @@
+/** Lines and figures of one streamed request. */
+import type { EventDetail } from '@limelead/types';
+import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { TargetOrder } from './dialect.js';
+
+/** How an attempt was lost. */
+export interface LossFacts {
+  attempt: number;
+  target: string;
+  cause: 'broken' | 'silent';
+  reason: string;
+  /** Pieces that the caller has. */
+  delivered: number;
+  sinceLastPieceMs: number;
+  /** Where a copy of the run stands. */
+  copyAt?: string;
+}
+
+/** Writes what was decided about one request. */
+export default class StreamReport {
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly admitted: AdmittedRequest,
+  ) {}
+
+  sent(
+    attempt: number,
+    { target, lastPiece, copyTo, continueFrom, remainingMs }: TargetOrder,
+  ): void {
+    const tracked = this.context.directory.get(target.id);
+    this.write('stream-sent', {
+      attempt,
+      target: target.id,
+      lastPiece,
+      copyTo: copyTo?.id,
+      continuesCopy: continueFrom !== undefined,
+      ownRequests: tracked?.inFlight,
+      peerRequests: tracked?.peerRequests,
+      remainingMs: Math.round(remainingMs),
+    });
+  }
+
+  lost({ sinceLastPieceMs, ...facts }: LossFacts): void {
+    this.context.metrics.count('limelead_streams_broken_total', 1, { cause: facts.cause });
+    this.write('stream-broken', { ...facts, sinceLastPieceMs: Math.round(sinceLastPieceMs) });
+  }
+
+  turnedAway(attempt: number, target: string, cause: string, reason: string): void {
+    this.context.metrics.count('limelead_streams_turned_away_total', 1, { cause });
+    this.write('stream-turned-away', { attempt, target, cause, reason });
+  }
+
+  firstPiece(): void {
+    this.context.metrics.recordMs('limelead_first_piece_ms', this.elapsedMs());
+  }
+
+  /** What the session core observed. */
+  observed(detail: EventDetail): void {
+    if (detail.kind === 'streamContinued') {
+      const { target, attempt, resumeLatencyMs } = detail;
+      this.context.metrics.recordMs('limelead_resume_ms', resumeLatencyMs);
+      this.write('stream-continued', {
+        target,
+        attempt,
+        resumeLatencyMs: Math.round(resumeLatencyMs),
+      });
+    } else if (detail.kind === 'recoveryPlanned') {
+      this.write('recovery-planned', { way: detail.way, reason: detail.reason });
+    }
+  }
+
+  finished(outcome: string, delivered: number, sends: number): void {
+    const durationMs = Math.round(this.elapsedMs());
+    this.context.metrics.count('limelead_streams_total', 1, { outcome });
+    this.context.metrics.recordMs('limelead_stream_ms', durationMs);
+    this.write('stream-finished', { outcome, delivered, sends, durationMs });
+  }
+
+  private elapsedMs(): number {
+    return this.context.clock.now() - this.admitted.receivedAtMs;
+  }
+
+  private write(event: string, fields: Parameters<ForwardContext['log']['write']>[1]): void {
+    this.context.log.write(event, { requestId: this.admitted.request.requestId, ...fields });
+  }
+}
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -81,7 +81,7 @@
     });
     this.client.dispatch(
       {
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         path: call.path,
         headers: call.headers,
         body: call.body.length === 0 ? null : call.body,
@@ -140,7 +140,7 @@
     if (this.isOver || status < 200) {
       return;
     }
-    const rawHeaders = (controller.rawHeaders ?? []) as (Buffer | string)[];
+    const rawHeaders = (controller.rawHeaders ?? []) as unknown as (Buffer | string)[];
     this.events.onHead(
       toHead(
         status,
