--- /dev/null
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -0,0 +1,266 @@
+import createDecisionLog from '@limelead/decision-log';
+import { LimeleadError } from '@limelead/errors';
+import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
+import { PlaceQueue, SilenceWatch } from '@limelead/forward-request';
+import createMetrics from '@limelead/metrics';
+import compileRoutes from '@limelead/route-requests';
+import RetrySpender from '@limelead/spend-retries';
+import { TargetConnections } from '@limelead/target-connections';
+import { TargetDirectory } from '@limelead/track-service-targets';
+import { systemTimers, type ServingConfiguration, type ServingRoute } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { createServer, type Server } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { HttpFrontDoor, type IngressDialect } from './index.js';
+
+const clock = { now: () => performance.now() };
+
+const ingress: IngressDialect = {
+  readFacts(rawHeaders) {
+    const read = (name: string): string | undefined => {
+      const index = rawHeaders.findIndex((part, at) => at % 2 === 0 && part.toLowerCase() === name);
+      return index < 0 ? undefined : rawHeaders[index + 1];
+    };
+    const requestId = read('id');
+    if (requestId === undefined) {
+      return E.left(new LimeleadError('invalid-request', 'no id'));
+    }
+    return E.right({ requestId, key: read('key'), lastPiece: 0, affinityKey: '', promptTokens: 0 });
+  },
+};
+
+const targets: TargetDialect = {
+  composeCall: ({ request, organisation }) => ({
+    method: request.method,
+    path: request.path,
+    headers: ['host', 'test', 'id', request.requestId, 'organisation', organisation ?? ''],
+    body: request.body,
+  }),
+  readAnswer: (request, { headers }) => ({
+    isForRequest: headers.get('id') === request.requestId,
+    notRun: false,
+    isOtherTarget: false,
+  }),
+  composeProbe: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
+  readProbe: () => undefined,
+};
+
+const route: ServingRoute = {
+  name: 'calls',
+  host: 'vans.example',
+  pathPrefix: '/call/',
+  shares: [{ service: 'calls', weight: 1 }],
+  streaming: false,
+  repeatable: false,
+  timeoutMs: 2_000,
+  objectiveMs: 500,
+  maxTargets: 1,
+  rank: 1,
+  open: false,
+};
+
+const configuration: ServingConfiguration = {
+  version: 1,
+  routes: [route],
+  services: [{ name: 'calls', maxConnections: 10 }],
+  organisations: [{ name: 'north', keys: ['good'] }],
+  limits: {
+    maxHeaderBytes: 2_000,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 300,
+    idleTimeoutMs: 400,
+  },
+};
+
+/** In place of a configuration: the VM has not learned any yet. */
+const NOTHING_KNOWN = 'nothing-known';
+
+interface Arrived {
+  path: string;
+  body: string;
+  organisation: string;
+}
+
+/** A front door before one target that answers with what it got. */
+class Bed {
+  readonly arrived: Arrived[] = [];
+  readonly metrics = createMetrics();
+  door!: HttpFrontDoor;
+  private target!: Server;
+  private readonly connections = new TargetConnections({
+    clock,
+    connectTimeoutMs: 300,
+    maxIdle: 2,
+  });
+  private readonly sockets: Socket[] = [];
+
+  static async start(
+    known: ServingConfiguration | typeof NOTHING_KNOWN = configuration,
+  ): Promise<Bed> {
+    const bed = new Bed();
+    bed.target = createServer((request, response) => {
+      let body = '';
+      request.on('data', (chunk) => (body += String(chunk)));
+      request.on('end', () => {
+        const organisation = String(request.headers['organisation']);
+        bed.arrived.push({ path: request.url ?? '', body, organisation });
+        response.writeHead(200, { id: String(request.headers['id']) }).end(`got ${body}`);
+      });
+    });
+    await new Promise<void>((resolve) => bed.target.listen(0, '127.0.0.1', resolve));
+    const { port } = bed.target.address() as AddressInfo;
+    const directory = new TargetDirectory(clock);
+    const where = { host: '127.0.0.1', port, failureDomain: 'north' };
+    directory.replaceAll([{ id: 't1', service: 'calls', ...where, slots: 4, leaving: false }]);
+    bed.door = new HttpFrontDoor({
+      host: '127.0.0.1',
+      port: 0,
+      context: bed.createContext(directory, known),
+      dialect: ingress,
+    });
+    bed.door.applyLimits(configuration.limits);
+    await bed.door.listen();
+    return bed;
+  }
+
+  /** Sends raw bytes and gives everything that came until the connection ended, or matched. */
+  exchange(bytes: string, until?: RegExp): Promise<string> {
+    return new Promise((resolve) => {
+      let text = '';
+      const socket = connect(this.door.port, '127.0.0.1', () => socket.write(bytes));
+      this.sockets.push(socket);
+      socket.on('error', () => resolve(text));
+      socket.on('close', () => resolve(text));
+      socket.on('data', (chunk) => {
+        text += chunk.toString();
+        if (until?.test(text)) {
+          resolve(text);
+        }
+      });
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.door.close();
+    this.connections.closeAll();
+    this.target.closeAllConnections();
+    await new Promise((resolve) => this.target.close(resolve));
+  }
+
+  private createContext(
+    directory: TargetDirectory,
+    known: ServingConfiguration | typeof NOTHING_KNOWN,
+  ): ForwardContext {
+    const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
+    const shared = { clock, timers: systemTimers, directory };
+    const table = known === NOTHING_KNOWN ? undefined : compileRoutes(known);
+    const { connections, metrics } = this;
+    return {
+      ...shared,
+      failureDomain: 'north',
+      connections,
+      dialect: targets,
+      places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
+      silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
+      log,
+      metrics,
+      readTable: () => table,
+      retriesOf: () => new RetrySpender({ ratio: 1, slack: 10, windowMs: 1_000 }),
+      countVms: () => 1,
+    };
+  }
+}
+
+function head(lines: string[] = [], path = '/call/1'): string {
+  return (
+    [`POST ${path} HTTP/1.1`, 'Host: vans.example', 'Id: r1', 'Key: good', ...lines].join('\r\n') +
+    '\r\n'
+  );
+}
+
+const GOOD = head(['Content-Length: 2']) + '\r\nhi';
+const ANSWERED = /got hi/;
+
+async function statusOf(bed: Bed, bytes: string): Promise<string> {
+  return (await bed.exchange(bytes, /\r\n\r\n/)).slice(9, 12);
+}
+
+test('a good request reaches its target as it was, with its organisation in place of the key', async () => {
+  const bed = await Bed.start();
+  const text = await bed.exchange(GOOD, ANSWERED);
+  assert.match(text, /^HTTP\/1.1 200/);
+  assert.equal(bed.arrived, [{ path: '/call/1', body: 'hi', organisation: 'north' }]);
+  const chunked = head(['Transfer-Encoding: chunked']) + '\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n';
+  await bed.exchange(chunked, ANSWERED);
+  assert.is(bed.arrived[1]?.body, 'hi');
+  await bed.stop();
+});
+
+test('what is no request gets its answer from the closed list and reaches no target', async () => {
+  const bed = await Bed.start();
+  const cases: [string, string][] = [
+    ['400', 'no request at all\r\n\r\n'],
+    ['400', head(['Content-Length: 2', 'Transfer-Encoding: chunked']) + '\r\n0\r\n\r\n'],
+    ['400', head(['Content-Length: 2', 'Content-Length: 3']) + '\r\nhi!'],
+    ['400', head(['Host: other.example', 'Content-Length: 0']) + '\r\n'],
+    ['400', 'POST /call/1 HTTP/1.1\r\nHost: vans.example\r\nContent-Length: 0\r\n\r\n'],
+    ['400', 'POST http://vans.example/call/1 HTTP/1.1\r\nHost: vans.example\r\nId: r1\r\n\r\n'],
+    ['401', head().replace('good', 'bad') + '\r\n'],
+    ['404', head([], '/elsewhere/1') + '\r\n'],
+    ['413', head(['Content-Length: 1001']) + '\r\n'],
+    ['413', head(['Transfer-Encoding: chunked']) + `\r\n3e9\r\n${'x'.repeat(1_001)}\r\n0\r\n\r\n`],
+    ['431', head([`Long: ${'x'.repeat(2_100)}`]) + '\r\n'],
+    ['431', head([`Long: ${'x'.repeat(70_000)}`]) + '\r\n'],
+  ];
+  for (const [status, bytes] of cases) {
+    assert.is(await statusOf(bed, bytes), status, bytes.slice(0, 200));
+  }
+  assert.equal(bed.arrived, []);
+  assert.is((await bed.exchange(GOOD, ANSWERED)).slice(9, 12), '200');
+  await bed.stop();
+});
+
+test('a head or body that comes too slowly ends with 408, and nothing else is disturbed', async () => {
+  const bed = await Bed.start();
+  const slowHead = bed.exchange('POST /call/1 HTTP/1.1\r\nHost: va');
+  const slowBody = bed.exchange(head(['Content-Length: 5']) + '\r\nh', /\r\n\r\n/);
+  assert.match(await bed.exchange(GOOD, ANSWERED), /200/);
+  assert.match(await slowHead, /^HTTP\/1.1 408/);
+  assert.match(await slowBody, /^HTTP\/1.1 408/);
+  assert.is(bed.arrived.length, 1);
+  await bed.stop();
+});
+
+test('a request inside the body of another is never taken for one', async () => {
+  const bed = await Bed.start();
+  const inner = head(['Content-Length: 0'], '/call/inner') + '\r\n';
+  const outer = head([`Content-Length: ${inner.length}`]) + `\r\n${inner}`;
+  await bed.exchange(outer, /got/);
+  assert.equal(
+    bed.arrived.map(({ path }) => path),
+    ['/call/1'],
+  );
+  await bed.stop();
+});
+
+test('without a configuration a VM says when to come back, and never that a route is unknown', async () => {
+  const blind = await Bed.start(NOTHING_KNOWN);
+  const text = await blind.exchange(GOOD, /\r\n\r\n/);
+  assert.match(text, /^HTTP\/1.1 503/);
+  assert.match(text, /Retry-After: 0\.\d/);
+  await blind.stop();
+});
+
+test('a stopping VM finishes what it reads and ends each connection with its answer', async () => {
+  const bed = await Bed.start();
+  bed.door.beginStop(clock.now() + 5_000);
+  const text = await bed.exchange(GOOD);
+  assert.match(text, /^HTTP\/1.1 200/);
+  assert.match(text, /connection: close/i);
+  await bed.stop();
+});
+
+test.run();
