--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**', 'target/**'] },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
@@ -29,7 +29,15 @@
       eqeqeq: 'error',
     },
   },
-  { files: ['**/*.js'], ...tseslint.configs.disableTypeChecked },
+  { files: ['**/*.js', '**/*.cjs'], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { require: 'readonly', exports: 'writable', module: 'writable' },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
   {
     files: ['**/*.test.ts'],
     rules: { 'max-lines-per-function': 'off' },
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -219,6 +219,7 @@
       target,
       continuesCopy: continueFrom !== undefined,
       policy: this.state.request.priority.recovery,
+      objectiveMs: this.admitted.route.objectiveMs,
       clock,
       onSilent: () => this.onSilent(number),
     });
@@ -318,7 +319,8 @@
     }
     const { clock, directory, silence } = this.context;
     const target = live.attempt.target.id;
-    this.copies.noteLost(live.copy);
+    // Engines send copies only of runs that have begun to write.
+    this.copies.noteLost(live.hearing.isSending ? live.copy : undefined);
     this.report.lost({
       attempt,
       target,
--- a/packages/forward-request/src/judge-silence.ts
+++ b/packages/forward-request/src/judge-silence.ts
@@ -23,7 +23,7 @@
   runSilentMs: number;
   /** Milliseconds since the target last sent anything to this VM, or since the run was sent. */
   targetSilentMs: number;
-  /** Silence that its gaps explain, in milliseconds. */
+  /** Silence that its gaps, or before the first piece the reading of its prompt, explain. */
   boundMs: number;
   /** Other targets of the same failure domain were lost just now. */
   isDomainDoubtful: boolean;
@@ -50,7 +50,10 @@
 }
 
 function judgeReading(situation: SilenceSituation): SilenceJudgement {
-  const { targetSilentMs, isDomainDoubtful, askedAgoMs } = situation;
+  const { runSilentMs, targetSilentMs, boundMs, isDomainDoubtful, askedAgoMs } = situation;
+  if (runSilentMs >= boundMs) {
+    return 'give-up';
+  }
   const askAfterMs = isDomainDoubtful ? ASK_AFTER_IN_DOUBT_MS : ASK_AFTER_MS;
   const askedLately = askedAgoMs !== undefined && askedAgoMs < ASK_INTERVAL_MS;
   return targetSilentMs >= askAfterMs && !askedLately ? 'ask' : 'wait';
--- a/packages/forward-request/src/silence-watch.ts
+++ b/packages/forward-request/src/silence-watch.ts
@@ -153,7 +153,8 @@
     }
     const startedBefore = clock.now() - PROBE_LAG_MS;
     for (const run of [...this.runs]) {
-      if (run.target.id === target.id && run.startedAtMs < startedBefore) {
+      // Targets name a run only once it writes.
+      if (run.isSending && run.target.id === target.id && run.startedAtMs < startedBefore) {
         run.missedInProbes = facts.runs.has(run.requestId) ? 0 : run.missedInProbes + 1;
         if (run.missedInProbes >= MISSES_TO_GIVE_UP) {
           this.giveUp(run);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import createMetrics, { type Metrics } from '@limelead/metrics';
-import { EvidenceExchange } from '@limelead/share-evidence';
+import { EvidenceExchange, type TargetLoad } from '@limelead/share-evidence';
 import RetrySpender from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
@@ -236,11 +236,15 @@
   }
 
   /** Only runs of engines are told: they last, and one more slows the others down. */
-  private readLoad(): Map<string, number> {
-    const busy = this.directory
+  private readLoad(): TargetLoad[] {
+    return this.directory
       .all()
-      .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked));
-    return new Map(busy.map(({ target, inFlight }) => [target.id, inFlight]));
+      .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked))
+      .map(({ target, inFlight }) => ({
+        id: target.id,
+        failureDomain: target.failureDomain,
+        requests: inFlight,
+      }));
   }
 
   private noteLoad(tracked: TrackedServiceTarget): void {
--- /dev/null
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -0,0 +1,136 @@
+import createDecisionLog from '@limelead/decision-log';
+import { backgroundTimers } from '@limelead/types';
+import { createServer, type AddressInfo } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { EvidenceExchange, type StoreKnowledge, type TargetLoad } from './index.js';
+
+const clock = { now: () => performance.now() };
+const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
+
+const EMPTY: StoreKnowledge = { items: [], revision: 0, configuration: 0, isInTouch: true };
+
+/** One VM, with what it was told. */
+class Vm {
+  readonly loads = new Map<string, ReadonlyMap<string, number>>();
+  readonly lost: string[] = [];
+  knowledge: StoreKnowledge = EMPTY;
+  load: TargetLoad[] = [];
+  exchange!: EvidenceExchange;
+  private wake: (() => void)[] = [];
+
+  static async start(
+    port: number,
+    failureDomain: string,
+    seeds: number[],
+    knowledge: StoreKnowledge = EMPTY,
+  ): Promise<Vm> {
+    const vm = new Vm();
+    vm.knowledge = knowledge;
+    vm.exchange = new EvidenceExchange({
+      id: `127.0.0.1:${port}`,
+      incarnation: `${port}.1`,
+      host: '127.0.0.1',
+      port,
+      failureDomain,
+      seeds: seeds.map((seed) => `127.0.0.1:${seed}`),
+      clock,
+      timers: backgroundTimers,
+      log,
+      readKnowledge: () => vm.knowledge,
+      readLoad: () => vm.load,
+      onLoad: (peer, load) => vm.note(() => vm.loads.set(peer, load)),
+      onLost: (target) => vm.note(() => vm.lost.push(target)),
+      onItems: (items, revision) =>
+        vm.note(() => (vm.knowledge = { ...vm.knowledge, items, revision })),
+    });
+    await vm.exchange.start();
+    return vm;
+  }
+
+  async until(holds: () => boolean): Promise<void> {
+    while (!holds()) {
+      await new Promise<void>((resolve) => {
+        this.wake.push(resolve);
+        setTimeout(resolve, 20);
+      });
+    }
+  }
+
+  private note(change: () => void): void {
+    change();
+    this.wake.splice(0).forEach((wake) => wake());
+  }
+}
+
+async function findPorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  await Promise.all(
+    servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map((server) => new Promise<void>((resolve) => server.close(() => resolve()))),
+  );
+  return ports;
+}
+
+test('VMs find each other through one seed, and count themselves', async () => {
+  const [a = 0, b = 0, c = 0] = await findPorts(3);
+  const first = await Vm.start(a, 'north', []);
+  const second = await Vm.start(b, 'north', [a]);
+  const third = await Vm.start(c, 'south', [a]);
+  await third.until(() => [first, second, third].every(({ exchange }) => exchange.vmCount === 3));
+  await Promise.all([first, second, third].map(({ exchange }) => exchange.stop()));
+});
+
+test('load goes whole to the own failure domain, and to another only that on its targets', async () => {
+  const [a = 0, b = 0, c = 0] = await findPorts(3);
+  const teller = await Vm.start(a, 'north', []);
+  const near = await Vm.start(b, 'north', [a]);
+  const far = await Vm.start(c, 'south', [a]);
+  teller.load = [
+    { id: 'n1', failureDomain: 'north', requests: 2 },
+    { id: 's1', failureDomain: 'south', requests: 1 },
+  ];
+  const told = (vm: Vm): Record<string, number> =>
+    Object.fromEntries(vm.loads.get(`127.0.0.1:${a}`) ?? []);
+  await near.until(() => {
+    teller.exchange.noteLoad();
+    return told(near)['n1'] === 2 && told(far)['s1'] === 1;
+  });
+  assert.equal(told(near), { n1: 2, s1: 1 });
+  assert.equal(told(far), { s1: 1 });
+  await teller.exchange.stop();
+  await near.until(() => Object.keys(told(near)).length === 0);
+  await Promise.all([near, far].map(({ exchange }) => exchange.stop()));
+});
+
+test('a lost target is told to everybody once', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const first = await Vm.start(a, 'north', []);
+  const second = await Vm.start(b, 'south', [a]);
+  await first.until(() => first.exchange.vmCount === 2);
+  await first.until(() => {
+    first.exchange.noteLost('t1');
+    return second.lost.length > 0;
+  });
+  first.exchange.noteLost('t2');
+  await second.until(() => second.lost.includes('t2'));
+  assert.equal([...new Set(second.lost)], second.lost);
+  assert.equal(first.lost, []);
+  await Promise.all([first, second].map(({ exchange }) => exchange.stop()));
+});
+
+test('a VM that the store turns away learns its items from a peer that knows more', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
+  const known = { items: [item], revision: 9, configuration: 3, isInTouch: true };
+  const first = await Vm.start(a, 'north', [], known);
+  const blind = await Vm.start(b, 'south', [a], { ...EMPTY, isInTouch: false });
+  await blind.until(() => blind.knowledge.revision === 9);
+  assert.equal(blind.knowledge.items, [item]);
+  await Promise.all([first, blind].map(({ exchange }) => exchange.stop()));
+});
+
+test.run();
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -1,7 +1,8 @@
 /**
  * The conversation of one VM with its peers. VMs of one failure domain tell
- * each other their load on every target; all tell each other which targets they
- * found lost, and give the store's items to a VM that the store turns away.
+ * each other their load on every target, others only that on targets of the
+ * peer's domain; all tell each other which targets they found lost, and give
+ * the store's items to a VM that the store turns away.
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
@@ -22,6 +23,7 @@
 const ASK_INTERVAL_MS = 400;
 /** Links with a secret of their own would need a settings field that the platform lacks. */
 const NO_SECRET = '';
+const NO_LOAD = '[]';
 
 /** An address on which VMs reach each other, as "host:port". */
 export type PeerId = string;
@@ -35,6 +37,13 @@
   isInTouch: boolean;
 }
 
+/** Requests of this VM under way at one target. */
+export interface TargetLoad {
+  id: string;
+  failureDomain: string;
+  requests: number;
+}
+
 /** What the exchange needs. */
 export interface EvidenceExchangeOptions {
   id: PeerId;
@@ -47,8 +56,8 @@
   timers: Timers;
   log: DecisionLog;
   readKnowledge(): StoreKnowledge;
-  /** Requests of this VM under way at each target. */
-  readLoad(): ReadonlyMap<string, number>;
+  /** Requests of this VM under way, target by target. */
+  readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
   onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
   onLost(target: string): void;
@@ -60,6 +69,8 @@
   heardAtMs: Millis;
   revision: number;
   configuration: number;
+  /** The load that it was told last, as text to compare with. */
+  toldLoad: string;
 }
 
 /** Talks with peers. */
@@ -164,7 +175,13 @@
 
   private onReady(peer: PeerId): void {
     const heardAtMs = this.options.clock.now();
-    this.peers.set(peer, { failureDomain: '', heardAtMs, revision: 0, configuration: 0 });
+    this.peers.set(peer, {
+      failureDomain: '',
+      heardAtMs,
+      revision: 0,
+      configuration: 0,
+      toldLoad: NO_LOAD,
+    });
     this.members.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.links?.send(peer, this.createHeartbeat());
@@ -256,15 +273,27 @@
   }
 
   private sendLoad(peers: PeerId[]): void {
-    const load = [...this.options.readLoad()];
-    const targets = load.map(([id, requests]) => ({ id, requests }));
+    const load = this.options.readLoad();
     for (const peer of peers) {
-      if (this.peers.get(peer)?.failureDomain === this.options.failureDomain) {
-        this.links?.send(peer, { kind: 'load', targets });
+      const state = this.peers.get(peer);
+      if (state !== undefined && state.failureDomain !== '') {
+        this.tellLoad(peer, state, load);
       }
     }
   }
 
+  private tellLoad(peer: PeerId, state: PeerState, load: TargetLoad[]): void {
+    const isNear = state.failureDomain === this.options.failureDomain;
+    const targets = load
+      .filter(({ failureDomain }) => isNear || failureDomain === state.failureDomain)
+      .map(({ id, requests }) => ({ id, requests }));
+    const text = JSON.stringify(targets);
+    if (text !== state.toldLoad) {
+      state.toldLoad = text;
+      this.links?.send(peer, { kind: 'load', targets });
+    }
+  }
+
   private createHeartbeat(): EvidenceMessage {
     const { revision, configuration } = this.options.readKnowledge();
     return {
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -1,3 +1,8 @@
 /** What VMs of the HTTP front door tell each other. */
 export { default as EvidenceExchange } from './evidence-exchange.js';
-export type { EvidenceExchangeOptions, PeerId, StoreKnowledge } from './evidence-exchange.js';
+export type {
+  EvidenceExchangeOptions,
+  PeerId,
+  StoreKnowledge,
+  TargetLoad,
+} from './evidence-exchange.js';
