Tell load to all peers, and let an idle engine of another domain go first

Cause: engines of a domain ran two and three prompts while others were idle; a VM knew the load of its own domain's engines only. Change: load goes to every peer; another domain costs less than one request.

--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -13,7 +13,7 @@
 import type { Millis } from '@limelead/types';
 
 /** Costs in units of one request under way at the target. */
-const OTHER_DOMAIN_COST = 2;
+const OTHER_DOMAIN_COST = 0.75;
 const FAILURE_COST = 12;
 const DOUBT_COST = 40;
 const SUSPICION_COST = 100;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,11 +240,7 @@
     return this.directory
       .all()
       .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked))
-      .map(({ target, inFlight }) => ({
-        id: target.id,
-        failureDomain: target.failureDomain,
-        requests: inFlight,
-      }));
+      .map(({ target, inFlight }) => ({ id: target.id, requests: inFlight }));
   }
 
   private noteLoad(tracked: TrackedServiceTarget): void {
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -1,8 +1,7 @@
 /**
- * The conversation of one VM with its peers. VMs of one failure domain tell
- * each other their load on every target, others only that on targets of the
- * peer's domain; all tell each other which targets they found lost, and give
- * the store's items to a VM that the store turns away.
+ * The conversation of one VM with its peers. They tell each other their load on
+ * every target and which targets they found lost, and give the store's items to
+ * a VM that the store turns away.
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
@@ -40,7 +39,6 @@
 /** Requests of this VM under way at one target. */
 export interface TargetLoad {
   id: string;
-  failureDomain: string;
   requests: number;
 }
 
@@ -118,7 +116,7 @@
     await this.links?.close();
   }
 
-  /** The load of this VM changed; peers of the same failure domain are told soon. */
+  /** The load of this VM changed; its peers are told soon. */
   noteLoad(): void {
     if (this.isLoadDue || this.isStopped) {
       return;
@@ -273,27 +271,17 @@
   }
 
   private sendLoad(peers: PeerId[]): void {
-    const load = this.options.readLoad();
+    const targets = this.options.readLoad();
+    const text = JSON.stringify(targets);
     for (const peer of peers) {
       const state = this.peers.get(peer);
-      if (state !== undefined && state.failureDomain !== '') {
-        this.tellLoad(peer, state, load);
+      if (state !== undefined && state.toldLoad !== text) {
+        state.toldLoad = text;
+        this.links?.send(peer, { kind: 'load', targets });
       }
     }
   }
 
-  private tellLoad(peer: PeerId, state: PeerState, load: TargetLoad[]): void {
-    const isNear = state.failureDomain === this.options.failureDomain;
-    const targets = load
-      .filter(({ failureDomain }) => isNear || failureDomain === state.failureDomain)
-      .map(({ id, requests }) => ({ id, requests }));
-    const text = JSON.stringify(targets);
-    if (text !== state.toldLoad) {
-      state.toldLoad = text;
-      this.links?.send(peer, { kind: 'load', targets });
-    }
-  }
-
   private createHeartbeat(): EvidenceMessage {
     const { revision, configuration } = this.options.readKnowledge();
     return {
