Send a client that comes back to the engine that keeps its prompt

Cause: after the loss of all VMs some twenty clients come back at once and each prompt was read again, two thirds of all tokens read for nothing; copies went into a domain that had just lost its targets. Change: for a request with a last piece the engines are asked what they keep, one question an engine for all; copies avoid a domain for 2.5 s after losses.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -7,6 +7,7 @@
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, IncomingRequest, Millis, ServingRoute, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
+import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
 import type SilenceWatch from './silence-watch.js';
 
@@ -20,6 +21,7 @@
   dialect: TargetDialect;
   places: PlaceQueue;
   silence: SilenceWatch;
+  kept: KeptPrompts;
   log: DecisionLog;
   metrics: Metrics;
   /** The configuration in force. */
--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -54,4 +54,8 @@
   composeProbe(target: ServiceTarget): TargetCall;
   /** What the answer to a probe says; undefined where it says nothing of runs. */
   readProbe(body: Buffer): ProbeFacts | undefined;
+  /** Asks a target which sessions' prompts it keeps. */
+  composeKeptQuery(target: ServiceTarget): TargetCall;
+  /** Affinity keys of the sessions whose prompts the target keeps. */
+  readKept(body: Buffer): ReadonlySet<string>;
 }
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -92,6 +92,17 @@
   assert.is(bed.seen[0]?.lastPiece, 3);
 });
 
+test('a client that comes back is sent to the target that still keeps its prompt', async () => {
+  const bed = await TestBed.start(streamTo(5), streamTo(5), streamTo(5));
+  bed.kept.set('t3', 'another session');
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit({}, { lastPiece: 3, affinityKey: 'session' }), sink);
+  await sink.done;
+  assert.equal(bed.asked, ['t3']);
+  assert.is(sink.body, pieces(4, 5));
+  await bed.stop();
+});
+
 test('pieces that come a second time are dropped, and a gap is no answer', async () => {
   const repeat: Behaviour = (request, response) => {
     begin(request, response);
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -150,7 +150,7 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    const { service, request, rank, dueAtMs } = this.admitted;
+    const { request } = this.admitted;
     if (this.ran > 0 && !this.admitted.route.repeatable) {
       this.fail('outcome-unknown', 'the request may have run and may not be repeated');
       return;
@@ -162,8 +162,28 @@
     const keeper = this.copies.takeKeeper();
     if (keeper !== undefined) {
       this.onPlace(attempt, keeper);
-      return;
+    } else if (this.sends === 0 && request.lastPiece > 0) {
+      void this.chooseWherePromptIsKept(attempt);
+    } else {
+      this.takePlace(attempt, exclude);
+    }
+  }
+
+  /** The caller's earlier entry VM is gone; its prompt may still stand at the target that ran it. */
+  private async chooseWherePromptIsKept(attempt: number): Promise<void> {
+    const { kept, places } = this.context;
+    const { service, request } = this.admitted;
+    const found = await kept.find(service, request.affinityKey);
+    const place = found === undefined ? undefined : places.takeAt(found);
+    if (place !== undefined) {
+      this.onPlace(attempt, place);
+    } else if (!this.isDone) {
+      this.takePlace(attempt, []);
     }
+  }
+
+  private takePlace(attempt: number, exclude: string[]): void {
+    const { service, request, rank, dueAtMs } = this.admitted;
     const stopWaiting = this.context.places.take(
       {
         service,
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -17,6 +17,7 @@
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import type { TargetDialect } from './dialect.js';
+import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import SilenceWatch from './silence-watch.js';
 
@@ -51,6 +52,13 @@
     headers: ['host', 'test'],
     body: Buffer.alloc(0),
   }),
+  composeKeptQuery: () => ({
+    method: 'GET',
+    path: '/kept',
+    headers: ['host', 'test'],
+    body: Buffer.alloc(0),
+  }),
+  readKept: (body) => new Set(body.toString().split(' ')),
   readProbe: (body) => ({ runs: new Set(body.toString().split(' ')), waiting: 0 }),
 };
 
@@ -162,6 +170,8 @@
 /** Some targets, what they saw, and a VM that forwards to them. */
 export class TestBed {
   readonly seen: SeenRequest[] = [];
+  /** Sessions whose prompts a target keeps, divided by blanks. */
+  readonly kept = new Map<string, string>();
   readonly directory = new TargetDirectory(clock);
   readonly connections = new TargetConnections({ clock, connectTimeoutMs: 300, maxIdle: 4 });
   readonly context: ForwardContext;
@@ -195,6 +205,7 @@
         limit: ({ target }) => target.slots,
       }),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
+      kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
       log,
       metrics: createMetrics(),
       readTable: () => table,
@@ -245,6 +256,10 @@
         response.end('');
         return;
       }
+      if (request.url === '/kept') {
+        response.end(this.kept.get(id) ?? '');
+        return;
+      }
       const { last, from } = request.headers;
       const seen: SeenRequest = {
         target: id,
--- /dev/null
+++ b/packages/forward-request/src/kept-prompts.ts
@@ -0,0 +1,105 @@
+/**
+ * Finds the target that keeps the prompt of a session. A caller that comes back
+ * with its last piece had an entry VM that is gone, and with it the knowledge of
+ * where its run was; reading the prompt again costs far more than asking.
+ */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { TargetConnections } from '@limelead/target-connections';
+import { isSuspected, type TargetDirectory } from '@limelead/track-service-targets';
+import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
+import type { TargetDialect } from './dialect.js';
+
+/** Time for the answers, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 150;
+/** Answers younger than this serve for other sessions too. */
+const REUSE_MS = 250;
+/** Longest rest of a connection that a question may use. */
+const MAX_IDLE_MS = 2_000;
+const NOTHING: ReadonlySet<string> = new Set();
+
+/** What the search needs. */
+export interface KeptPromptsOptions {
+  clock: Clock;
+  timers: Timers;
+  directory: TargetDirectory;
+  connections: TargetConnections;
+  dialect: TargetDialect;
+  log: DecisionLog;
+}
+
+interface Answer {
+  askedAtMs: Millis;
+  kept: Promise<ReadonlySet<string>>;
+}
+
+/** Asks targets what they keep. */
+export default class KeptPrompts {
+  private readonly answers = new Map<string, Answer>();
+
+  constructor(private readonly options: KeptPromptsOptions) {}
+
+  /** The target of the service that keeps the session's prompt, where one answers in time. */
+  async find(service: string, affinityKey: string): Promise<string | undefined> {
+    const { clock, directory, log } = this.options;
+    const askedAtMs = clock.now();
+    const targets = directory
+      .listUsable(service)
+      .filter(({ evidence }) => !isSuspected(evidence, askedAtMs))
+      .map(({ target }) => target);
+    const kept = await Promise.all(targets.map((target) => this.ask(target)));
+    const found = targets.find((_, index) => kept[index]?.has(affinityKey));
+    log.write('prompt-searched', {
+      session: affinityKey,
+      asked: targets.length,
+      found: found?.id,
+      afterMs: Math.round(clock.now() - askedAtMs),
+    });
+    return found?.id;
+  }
+
+  private ask(target: ServiceTarget): Promise<ReadonlySet<string>> {
+    const now = this.options.clock.now();
+    const known = this.answers.get(target.id);
+    if (known !== undefined && now - known.askedAtMs < REUSE_MS) {
+      return known.kept;
+    }
+    const kept = this.send(target);
+    this.answers.set(target.id, { askedAtMs: now, kept });
+    this.forgetOld(now);
+    return kept;
+  }
+
+  private send(target: ServiceTarget): Promise<ReadonlySet<string>> {
+    const { connections, dialect, timers } = this.options;
+    return new Promise((resolve) => {
+      const body: Buffer[] = [];
+      const finish = (kept: ReadonlySet<string>): void => {
+        cancelTimer();
+        resolve(kept);
+      };
+      const open = connections.send(
+        target,
+        dialect.composeKeptQuery(target),
+        { maxIdleMs: MAX_IDLE_MS },
+        {
+          onHead: () => undefined,
+          onData: (chunk) => body.push(chunk),
+          onEnd: () => finish(dialect.readKept(Buffer.concat(body))),
+          onFault: () => finish(NOTHING),
+        },
+      );
+      const cancelTimer = timers.after(ANSWER_TIMEOUT_MS, () => {
+        open.cancel();
+        resolve(NOTHING);
+      });
+    });
+  }
+
+  private forgetOld(now: Millis): void {
+    for (const [id, { askedAtMs }] of [...this.answers]) {
+      if (now - askedAtMs >= REUSE_MS) {
+        this.answers.delete(id);
+      }
+    }
+  }
+}
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -52,6 +52,15 @@
     options.directory.subscribe(() => this.serveWaiters());
   }
 
+  /** Takes a place at one target where it takes work and has one free. */
+  takeAt(targetId: string): Place | undefined {
+    const { directory, limit } = this.options;
+    const tracked = directory.get(targetId);
+    const isFree =
+      tracked !== undefined && !tracked.target.leaving && tracked.inFlight < limit(tracked);
+    return isFree ? { tracked, release: directory.begin(targetId) } : undefined;
+  }
+
   /** Requests that wait now. */
   get waiting(): number {
     return this.waiters.length;
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -5,6 +5,12 @@
 import type { RunCopy } from './dialect.js';
 import type { Place } from './place-queue.js';
 
+/**
+ * A failure domain that lost targets this lately keeps no new copies: targets
+ * that come back there are told as lost or new only one by one.
+ */
+const KEEPER_DOUBT_MS = 2_500;
+
 /** The copies of one request's runs. */
 export default class RunCopies {
   /** The copy that the next attempt may go on from. */
@@ -53,7 +59,7 @@
     return chooseCopyKeeper(directory.listUsable(service), {
       affinityKey: request.affinityKey,
       running: place.tracked,
-      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain),
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain, KEEPER_DOUBT_MS),
       now: clock.now(),
     })?.target;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import createDecisionLog, { type DecisionLog } from '@limelead/decision-log';
 import { StoreFollower, type StorePort } from '@limelead/follow-store';
 import {
+  KeptPrompts,
   PlaceQueue,
   SilenceWatch,
   type ForwardContext,
@@ -179,6 +180,7 @@
       dialect,
       places: new PlaceQueue({ ...shared, failureDomain, limit: limitOf }),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
+      kept: new KeptPrompts({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
       readTable: () => this.knowledge.routes,
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -1,7 +1,7 @@
 import createDecisionLog from '@limelead/decision-log';
 import { LimeleadError } from '@limelead/errors';
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
-import { PlaceQueue, SilenceWatch } from '@limelead/forward-request';
+import { KeptPrompts, PlaceQueue, SilenceWatch } from '@limelead/forward-request';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
 import RetrySpender from '@limelead/spend-retries';
@@ -45,6 +45,8 @@
   }),
   composeProbe: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
   readProbe: () => undefined,
+  composeKeptQuery: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
+  readKept: () => new Set(),
 };
 
 const route: ServingRoute = {
@@ -165,6 +167,7 @@
       dialect: targets,
       places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
+      kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
       readTable: () => table,
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -93,6 +93,7 @@
   assert.not(directory.isDomainDoubtful('south'));
   time.now += 701;
   assert.not(directory.isDomainDoubtful('north'));
+  assert.ok(directory.isDomainDoubtful('north', 2_000));
 });
 
 test('a loss that another VM told is believed, but not told again', () => {
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -1,5 +1,5 @@
 /** The targets that this VM knows, with its own work on them and its evidence about them. */
-import type { Clock, ServiceTarget } from '@limelead/types';
+import type { Clock, Millis, ServiceTarget } from '@limelead/types';
 import {
   isSuspected,
   NO_EVIDENCE,
@@ -163,11 +163,11 @@
   }
 
   /**
-   * Whether so many targets of a failure domain were lost just now that the
-   * rest of it is likely lost too.
+   * Whether so many targets of a failure domain were lost within the window that
+   * the rest of it is likely lost too.
    */
-  isDomainDoubtful(failureDomain: string): boolean {
-    const since = this.clock.now() - DOMAIN_WINDOW_MS;
+  isDomainDoubtful(failureDomain: string, windowMs: Millis = DOMAIN_WINDOW_MS): boolean {
+    const since = this.clock.now() - windowMs;
     const lost = this.all().filter(
       ({ target, evidence }) =>
         target.failureDomain === failureDomain &&
