Learn a newer configuration from a peer where the own watch tells nothing

Cause: after a cut a watch may hang until its time is over; the store seemed well meanwhile and no peer was asked.

--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -133,4 +133,20 @@
   await Promise.all([first, blind].map(({ exchange }) => exchange.stop()));
 });
 
+test('a VM whose store seems well but tells nothing new learns a newer configuration from a peer', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
+  const known = { items: [item], revision: 9, configuration: 3, isInTouch: true };
+  const first = await Vm.start(a, 'north', [], known);
+  const stale = await Vm.start(b, 'south', [a], {
+    ...known,
+    items: [],
+    revision: 5,
+    configuration: 2,
+  });
+  await stale.until(() => stale.knowledge.revision === 9);
+  assert.equal(stale.knowledge.items, [item]);
+  await Promise.all([first, stale].map(({ exchange }) => exchange.stop()));
+});
+
 test.run();
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -20,6 +20,11 @@
 const LOST_NEWS_MS = 600;
 /** Pause between two questions for items while the store is away. */
 const ASK_INTERVAL_MS = 400;
+/**
+ * A VM whose store still seems well learns a new configuration from its own
+ * watch; where a peer is ahead for longer than this, the watch is likely dead.
+ */
+const AHEAD_TOO_LONG_MS = 500;
 /** Links with a secret of their own would need a settings field that the platform lacks. */
 const NO_SECRET = '';
 const NO_LOAD = '[]';
@@ -78,6 +83,8 @@
   private readonly members: MemberBook;
   private readonly lostAtMs = new Map<string, Millis>();
   private askedAtMs: Millis = -Infinity;
+  /** Since when a peer has a newer configuration; undefined while none has. */
+  private behindSinceMs: Millis | undefined;
   private isLoadDue = false;
   private isStopped = false;
 
@@ -256,11 +263,13 @@
     return isNews;
   }
 
-  /** While the store does not answer this VM, the peer that knows most is asked. */
+  /** While the store does not tell this VM what is new, the peer that knows most is asked. */
   private askForItems(): void {
     const own = this.options.readKnowledge();
     const now = this.options.clock.now();
-    if (own.isInTouch || now - this.askedAtMs < ASK_INTERVAL_MS) {
+    this.noteBehind(own, now);
+    const isBehind = now - (this.behindSinceMs ?? now) >= AHEAD_TOO_LONG_MS;
+    if ((own.isInTouch && !isBehind) || now - this.askedAtMs < ASK_INTERVAL_MS) {
       return;
     }
     const newest = [...this.peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
@@ -270,6 +279,18 @@
     }
   }
 
+  private noteBehind(own: StoreKnowledge, now: Millis): void {
+    const isBehind = [...this.peers.values()].some(
+      ({ configuration }) => configuration > own.configuration,
+    );
+    if (!isBehind) {
+      this.behindSinceMs = undefined;
+    } else if (this.behindSinceMs === undefined) {
+      this.behindSinceMs = now;
+      this.options.timers.after(AHEAD_TOO_LONG_MS, () => this.askForItems());
+    }
+  }
+
   private sendLoad(peers: PeerId[]): void {
     const targets = this.options.readLoad();
     const text = JSON.stringify(targets);
