--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -15,6 +15,7 @@
 import { keepEndToEnd, type AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import type { RunCopy, TargetOrder } from './dialect.js';
+import findStreamPlace from './find-stream-place.js';
 import type { Place } from './place-queue.js';
 import RunCopies from './run-copies.js';
 import RunHearing from './run-hearing.js';
@@ -150,7 +151,6 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    const { request } = this.admitted;
     if (this.ran > 0 && !this.admitted.route.repeatable) {
       this.fail('outcome-unknown', 'the request may have run and may not be repeated');
       return;
@@ -159,41 +159,11 @@
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
-    const keeper = this.copies.takeKeeper();
-    if (keeper !== undefined) {
-      this.onPlace(attempt, keeper);
-    } else if (this.sends === 0 && request.lastPiece > 0) {
-      void this.chooseWherePromptIsKept(attempt);
-    } else {
-      this.takePlace(attempt, exclude);
-    }
-  }
-
-  /** The caller's earlier entry VM is gone; its prompt may still stand at the target that ran it. */
-  private async chooseWherePromptIsKept(attempt: number): Promise<void> {
-    const { kept, places } = this.context;
-    const { service, request } = this.admitted;
-    const found = await kept.find(service, request.affinityKey);
-    const place = found === undefined ? undefined : places.takeAt(found);
-    if (place !== undefined) {
-      this.onPlace(attempt, place);
-    } else if (!this.isDone) {
-      this.takePlace(attempt, []);
-    }
-  }
-
-  private takePlace(attempt: number, exclude: string[]): void {
-    const { service, request, rank, dueAtMs } = this.admitted;
-    const stopWaiting = this.context.places.take(
-      {
-        service,
-        affinityKey: request.affinityKey,
-        exclude: new Set(exclude),
-        rank,
-        untilMs: dueAtMs,
-      },
-      (place) => this.onPlace(attempt, place),
-    );
+    const stopWaiting = findStreamPlace(this.context, this.admitted, this.copies, {
+      isFirstSend: this.sends === 0,
+      exclude,
+      receive: (place) => this.onPlace(attempt, place),
+    });
     this.cleanups.push(stopWaiting);
   }
 
