Bound the bytes of bodies that one VM holds

Cause: each caller's body was bounded, all of them together were not; some hundred callers with the largest body would have gone over a VM's memory. Change: a budget of 64 MB, beyond it 503 with Retry-After; gauges for it, for requests under way and for dropped lines. Measured: the new test is red without the budget.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,6 +95,9 @@
       context: this.createContext(),
       dialect: platform.ingressDialect,
     });
+    this.metrics.gauge('limelead_requests_under_way', () => this.frontDoor.underWay);
+    this.metrics.gauge('limelead_held_body_bytes', () => this.frontDoor.heldBodyBytes);
+    this.metrics.gauge('limelead_log_lines_dropped', () => this.log.dropped);
     this.follower = this.createFollower();
     this.exchange = this.createExchange();
   }
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -79,6 +79,9 @@
 /** In place of a configuration: the VM has not learned any yet. */
 const NOTHING_KNOWN = 'nothing-known';
 
+/** Bodies that the VM of these tests holds at once. */
+const MAX_HELD_BYTES = 2_500;
+
 interface Arrived {
   path: string;
   body: string;
@@ -121,6 +124,7 @@
       port: 0,
       context: bed.createContext(directory, known),
       dialect: ingress,
+      maxHeldBytes: MAX_HELD_BYTES,
     });
     bed.door.applyLimits(configuration.limits);
     await bed.door.listen();
@@ -237,6 +241,20 @@
   await bed.stop();
 });
 
+test('bodies of many callers together are bounded; what is given back serves others', async () => {
+  const bed = await Bed.start();
+  const partial = head(['Content-Length: 1000']) + `\r\n${'x'.repeat(990)}`;
+  const held = [bed.exchange(partial), bed.exchange(partial)];
+  while (bed.door.heldBodyBytes < 1_980) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const whole = head(['Content-Length: 900']) + `\r\n${'x'.repeat(900)}`;
+  assert.is(await statusOf(bed, whole), '503');
+  await Promise.all(held);
+  assert.is(await statusOf(bed, whole), '200');
+  await bed.stop();
+});
+
 test('a request inside the body of another is never taken for one', async () => {
   const bed = await Bed.start();
   const inner = head(['Content-Length: 0'], '/call/inner') + '\r\n';
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -12,7 +12,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
-import readBody from './read-body.js';
+import readBody, { BodyBudget } from './read-body.js';
 import ResponseSink from './response-sink.js';
 
 /** Largest head that the parser takes; the configured limit is checked behind it. */
@@ -22,6 +22,8 @@
 const BACKLOG = 511;
 /** Time to wait before trying again while no configuration is known, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 300;
+/** Bytes of bodies that one VM holds at once, unless its owner says otherwise. */
+const DEFAULT_MAX_HELD_BYTES = 64 * 1024 * 1024;
 /** Time that a stream likely takes; with less left before a stop it is refused. */
 const STREAM_TIME_MS = 5_500;
 /** Name, colon, blank and line end of a header line. */
@@ -33,11 +35,14 @@
   port: number;
   context: ForwardContext;
   dialect: IngressDialect;
+  /** Bytes of bodies that this VM holds at once. */
+  maxHeldBytes?: number;
 }
 
 /** A request in the middle of the filters. */
 interface Arrival {
   message: IncomingMessage;
+  response: ServerResponse;
   sink: ResponseSink;
   table: RouteTable;
   receivedAtMs: Millis;
@@ -50,8 +55,10 @@
   /** Steady time by which everything has to be finished once this VM is stopping. */
   private finishByMs: Millis = Infinity;
   private open = 0;
+  private readonly bodies: BodyBudget;
 
   constructor(private readonly options: HttpFrontDoorOptions) {
+    this.bodies = new BodyBudget(options.maxHeldBytes ?? DEFAULT_MAX_HELD_BYTES);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_MAX_HEADER_BYTES,
@@ -76,6 +83,11 @@
     return this.open;
   }
 
+  /** Bytes of bodies held now. */
+  get heldBodyBytes(): number {
+    return this.bodies.heldBytes;
+  }
+
   /** Begins to take connections. */
   listen(): Promise<void> {
     const { host, port } = this.options;
@@ -123,7 +135,7 @@
       );
       return;
     }
-    this.filter({ message, sink, table, receivedAtMs: context.clock.now() });
+    this.filter({ message, response, sink, table, receivedAtMs: context.clock.now() });
   }
 
   private filter(arrival: Arrival): void {
@@ -154,9 +166,10 @@
     }
     const caller = authentication.kind === 'known' ? authentication.caller : undefined;
     const { limits } = arrival.table;
-    readBody(
+    const giveBack = readBody(
       arrival.message,
       { maxBytes: limits.maxBodyBytes, pauseMs: limits.idleTimeoutMs },
+      this.bodies,
       this.options.context.timers,
       {
         onRefused: (error) => arrival.sink.refuse(error),
@@ -168,6 +181,7 @@
           }),
       },
     );
+    arrival.response.once('close', giveBack);
   }
 
   private admit(
--- a/packages/http-front-door/src/read-body.ts
+++ b/packages/http-front-door/src/read-body.ts
@@ -10,26 +10,53 @@
   pauseMs: number;
 }
 
+/** Bytes of bodies that the whole VM holds, against the most that it may. */
+export class BodyBudget {
+  private held = 0;
+
+  constructor(private readonly maxBytes: number) {}
+
+  /** Bytes held now. */
+  get heldBytes(): number {
+    return this.held;
+  }
+
+  /** Takes bytes; false where there is no room, and then nothing was taken. */
+  tryTake(bytes: number): boolean {
+    if (this.held + bytes > this.maxBytes) {
+      return false;
+    }
+    this.held += bytes;
+    return true;
+  }
+
+  giveBack(bytes: number): void {
+    this.held -= bytes;
+  }
+}
+
 /** What became of a body; exactly one of the two is called, or none where the caller left. */
 export interface BodyEvents {
   onBody(body: Buffer): void;
   onRefused(error: LimeleadError): void;
 }
 
-/** Starts reading. */
+/** Starts reading. What it takes from the budget is given back by the result. */
 export default function readBody(
   message: IncomingMessage,
   limits: BodyLimits,
+  budget: BodyBudget,
   timers: Timers,
   events: BodyEvents,
-): void {
+): () => void {
   const announced = Number(message.headers['content-length'] ?? 0);
   if (announced > limits.maxBytes) {
     events.onRefused(describeSize(limits));
-    return;
+    return () => undefined;
   }
   const chunks: Buffer[] = [];
   let bytes = 0;
+  let taken = 0;
   let isOver = false;
   let cancelTimer = startTimer();
 
@@ -56,6 +83,11 @@
       finish(() => events.onRefused(describeSize(limits)));
       return;
     }
+    if (!budget.tryTake(chunk.length)) {
+      finish(() => events.onRefused(new LimeleadError('overloaded', 'too many bodies at once')));
+      return;
+    }
+    taken += chunk.length;
     chunks.push(chunk);
     cancelTimer();
     cancelTimer = startTimer();
@@ -63,6 +95,10 @@
   message.on('end', () => finish(() => events.onBody(Buffer.concat(chunks))));
   message.on('error', () => finish(() => undefined));
   message.on('close', () => finish(() => undefined));
+  return () => {
+    budget.giveBack(taken);
+    taken = 0;
+  };
 }
 
 function describeSize({ maxBytes }: BodyLimits): LimeleadError {
