--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -46,6 +46,47 @@
   assert.is(sink.body, 'done');
 });
 
+test('another target at the address ran nothing, and is not taken again for the one that was meant', async () => {
+  const other: Behaviour = (_, response) => {
+    response.writeHead(421, { 'not-run': '1' }).end();
+  };
+  const { bed, sink } = await play([other, answer], ONCE);
+  assert.equal(bed.asked, ['t1', 't2']);
+  assert.is(sink.body, 'done');
+  assert.ok(bed.directory.isSuspected('t1'));
+});
+
+test('a caller who leaves takes its call along', async () => {
+  let onClosed = (): void => undefined;
+  let onArrived = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (onClosed = resolve));
+  const arrived = new Promise<void>((resolve) => (onArrived = resolve));
+  const mute: Behaviour = (request) => {
+    request.socket.once('close', onClosed);
+    onArrived();
+  };
+  const bed = await TestBed.start(mute);
+  const sink = new RecordingSink();
+  forwardCall(bed.context, admit(REPEATABLE), sink);
+  await arrived;
+  sink.leave();
+  await closed;
+  assert.is(bed.seen.length, 1);
+  await bed.stop();
+});
+
+test('repeats stop when the budget that all VMs share is spent', async () => {
+  const bed = await TestBed.start(fail, fail, fail);
+  const spender = bed.context.retriesOf('briefs');
+  while (spender.trySpend(performance.now(), 1));
+  const sink = new RecordingSink();
+  forwardCall(bed.context, admit(REPEATABLE), sink);
+  await sink.done;
+  assert.is(sink.status, 500);
+  assert.is(bed.seen.length, 1);
+  await bed.stop();
+});
+
 test('a target that is gone did not run anything either', async () => {
   const bed = await TestBed.start(answer);
   const target = bed.directory.get('t1')!.target;
