--- /dev/null
+++ b/packages/measure/src/experiments/front-door.ts
@@ -0,0 +1,311 @@
+/** Cost of the HTTP front door against a bare relay on the same libraries. */
+import {
+  KeptPrompts,
+  keepEndToEnd,
+  PlaceQueue,
+  SilenceWatch,
+  type ForwardContext,
+  type TargetDialect,
+} from '@limelead/forward-request';
+import createDecisionLog from '@limelead/decision-log';
+import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
+import createMetrics from '@limelead/metrics';
+import compileRoutes from '@limelead/route-requests';
+import RetrySpender from '@limelead/spend-retries';
+import { TargetConnections } from '@limelead/target-connections';
+import { TargetDirectory } from '@limelead/track-service-targets';
+import { systemTimers, type ServingRoute } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { fork, type ChildProcess } from 'node:child_process';
+import { createServer, request as sendRequest, Agent, type IncomingMessage } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { fileURLToPath } from 'node:url';
+import { Client } from 'undici';
+import ResultTable, { type Experiment } from '../experiment.js';
+
+const CHILD = fileURLToPath(new URL('../../bin/front-door-child.js', import.meta.url));
+const HOST = '127.0.0.1';
+const CALLS = 4_000;
+const STREAMS = 300;
+const PIECES = 140;
+const CONCURRENCY = 16;
+const clock = { now: () => performance.now() };
+
+/** What a child process runs. */
+export type FrontDoorRole = 'target' | 'front door' | 'bare relay';
+
+/** Runs one child: listens, tells its port, and tells its processor time when asked. */
+export async function runFrontDoorChild(role: string, targetPort: number): Promise<void> {
+  const port = await startRole(role as FrontDoorRole, targetPort);
+  process.on('message', () => {
+    const { user, system } = process.cpuUsage();
+    process.send?.({ cpuMs: (user + system) / 1_000, residentMb: process.memoryUsage.rss() / 1e6 });
+  });
+  process.send?.({ port });
+}
+
+async function startRole(role: FrontDoorRole, targetPort: number): Promise<number> {
+  switch (role) {
+    case 'target':
+      return startTarget();
+    case 'bare relay':
+      return startBareRelay(targetPort);
+    case 'front door':
+      return startFrontDoor(targetPort);
+  }
+}
+
+/** Answers calls at once and streams pieces without a pause of its own. */
+async function startTarget(): Promise<number> {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(200, { id: String(request.headers['id']) });
+    if (request.url === '/call/1') {
+      response.end('x'.repeat(800));
+      return;
+    }
+    let number = 0;
+    const next = (): void => {
+      number += 1;
+      response.write(`id: ${number}\ndata: ${'x'.repeat(40)}\n\n`);
+      if (number === PIECES) {
+        response.end();
+      } else {
+        setTimeout(next, 5);
+      }
+    };
+    next();
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+/** One client a connection, as the front door has, and nothing decided. */
+async function startBareRelay(targetPort: number): Promise<number> {
+  const idle: Client[] = [];
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const client = idle.pop() ?? new Client(`http://${HOST}:${targetPort}`, { pipelining: 1 });
+      client.dispatch(
+        {
+          method: 'POST',
+          path: request.url ?? '/',
+          headers: ['host', 'x', 'id', String(request.headers['id'])],
+          body: Buffer.concat(chunks),
+        },
+        {
+          onRequestStart: () => undefined,
+          onResponseStart: (_, status) => void response.writeHead(status),
+          onResponseData: (_, chunk) => void response.write(chunk),
+          onResponseEnd: () => {
+            idle.push(client);
+            response.end();
+          },
+          onResponseError: () => response.destroy(),
+        },
+      );
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+async function startFrontDoor(targetPort: number): Promise<number> {
+  const directory = new TargetDirectory(clock);
+  const where = { host: HOST, port: targetPort, failureDomain: 'd1', leaving: false };
+  directory.replaceAll([{ ...where, id: 't1', service: 's', slots: 1_000 }]);
+  const door = new HttpFrontDoor({
+    host: HOST,
+    port: 0,
+    context: createContext(directory),
+    dialect: ingress,
+  });
+  await door.listen();
+  return door.port;
+}
+
+function createContext(directory: TargetDirectory): ForwardContext {
+  const log = createDecisionLog({ vm: 'vm-1', clock, output: (_, done) => done() });
+  const shared = { clock, timers: systemTimers, directory };
+  const connections = new TargetConnections({ clock, connectTimeoutMs: 1_000, maxIdle: 64 });
+  const table = compileRoutes({
+    version: 1,
+    routes: [createRoute('/call/', false), createRoute('/stream/', true)],
+    services: [{ name: 's', maxConnections: 1_000 }],
+    organisations: [{ name: 'o', keys: ['k'] }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1e6,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 9_000,
+    },
+  });
+  const spender = new RetrySpender({ ratio: 1, slack: 1e6, windowMs: 10_000 });
+  return {
+    ...shared,
+    failureDomain: 'd1',
+    connections,
+    dialect,
+    places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000 }),
+    silence: new SilenceWatch({ ...shared, connections, dialect, log }),
+    kept: new KeptPrompts({ ...shared, connections, dialect, log }),
+    log,
+    metrics: createMetrics(),
+    readTable: () => table,
+    retriesOf: () => spender,
+    countVms: () => 1,
+  };
+}
+
+function createRoute(pathPrefix: string, streaming: boolean): ServingRoute {
+  return {
+    name: pathPrefix,
+    host: 'x',
+    pathPrefix,
+    shares: [{ service: 's', weight: 1 }],
+    streaming,
+    repeatable: true,
+    timeoutMs: 60_000,
+    objectiveMs: 30_000,
+    maxPauseMs: 30_000,
+    maxTargets: 2,
+    rank: 1,
+    open: false,
+  };
+}
+
+const ingress: IngressDialect = {
+  readFacts(rawHeaders) {
+    const read = (name: string): string => rawHeaders[rawHeaders.indexOf(name) + 1] ?? '';
+    return E.right({
+      requestId: read('id'),
+      key: read('key'),
+      lastPiece: 0,
+      affinityKey: '',
+      promptTokens: 0,
+    });
+  },
+};
+
+const OWN_HEADERS: ReadonlySet<string> = new Set(['key', 'content-length']);
+
+const dialect: TargetDialect = {
+  composeCall: ({ request }) => ({
+    method: request.method,
+    path: request.path,
+    headers: keepEndToEnd(request.rawHeaders, OWN_HEADERS),
+    body: request.body,
+  }),
+  readAnswer: (request, { headers }) => ({
+    isForRequest: headers.get('id') === request.requestId,
+    notRun: false,
+    isOtherTarget: false,
+  }),
+  composeProbe: () => ({ method: 'GET', path: '/call/1', headers: [], body: Buffer.alloc(0) }),
+  readProbe: () => undefined,
+  composeKeptQuery: () => ({ method: 'GET', path: '/call/1', headers: [], body: Buffer.alloc(0) }),
+  readKept: () => new Set(),
+};
+
+/** A child process and what it tells. */
+class Child {
+  private constructor(
+    private readonly process: ChildProcess,
+    readonly port: number,
+  ) {}
+
+  static async start(role: FrontDoorRole, targetPort: number): Promise<Child> {
+    const child = fork(CHILD, [role, String(targetPort)]);
+    const { port } = await nextMessage<{ port: number }>(child);
+    return new Child(child, port);
+  }
+
+  async readCost(): Promise<{ cpuMs: number; residentMb: number }> {
+    this.process.send('cost');
+    return nextMessage(this.process);
+  }
+
+  stop(): void {
+    this.process.kill();
+  }
+}
+
+function nextMessage<Message>(child: ChildProcess): Promise<Message> {
+  return new Promise((resolve) => child.once('message', (message) => resolve(message as Message)));
+}
+
+async function readMany(port: number, path: string, count: number): Promise<void> {
+  const agent = new Agent({ keepAlive: true, maxSockets: CONCURRENCY });
+  let next = 0;
+  const work = async (): Promise<void> => {
+    while (next < count) {
+      next += 1;
+      await readOne(port, path, `r${next}`, agent);
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENCY }, work));
+  agent.destroy();
+}
+
+function readOne(port: number, path: string, id: string, agent: Agent): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const headers = { host: 'x', id, key: 'k' };
+    const options = { host: HOST, port, path, method: 'POST', headers, agent };
+    const request = sendRequest(options, (response: IncomingMessage) => {
+      if (response.statusCode !== 200) {
+        reject(new Error(`status ${response.statusCode}`));
+      }
+      response.resume();
+      response.on('end', resolve);
+    });
+    request.on('error', reject);
+    request.end('x'.repeat(600));
+  });
+}
+
+async function measure(table: ResultTable, name: FrontDoorRole, targetPort: number): Promise<void> {
+  const child = await Child.start(name, targetPort);
+  // A first round lets the code be compiled in both.
+  await readMany(child.port, '/call/1', CALLS / 4);
+  await readMany(child.port, '/stream/1', STREAMS / 10);
+  const start = await child.readCost();
+  await readMany(child.port, '/call/1', CALLS);
+  const afterCalls = await child.readCost();
+  await readMany(child.port, '/stream/1', STREAMS);
+  const afterStreams = await child.readCost();
+  child.stop();
+  const streamMs = afterStreams.cpuMs - afterCalls.cpuMs;
+  table.add(name, {
+    'ms per call': (afterCalls.cpuMs - start.cpuMs) / CALLS,
+    'ms per stream': streamMs / STREAMS,
+    'microseconds per piece': (streamMs * 1_000) / (STREAMS * PIECES),
+    'resident MB': afterStreams.residentMb,
+  });
+}
+
+/** Measures both over the same target, one after the other. */
+const frontDoor: Experiment = {
+  name: 'front-door',
+  async run({ seeds }) {
+    const table = new ResultTable();
+    for (const _ of seeds) {
+      const target = await Child.start('target', 0);
+      await measure(table, 'front door', target.port);
+      await measure(table, 'bare relay', target.port);
+      target.stop();
+    }
+    return {
+      name: 'front-door',
+      question:
+        'What does a call, a stream and a piece cost in the HTTP front door, against a relay on the same libraries that decides nothing?',
+      setting: `one process each for target and relay; ${CALLS} calls of 800 bytes, then ${STREAMS} streams of ${PIECES} pieces, ${CONCURRENCY} at a time`,
+      columns: ['ms per call', 'ms per stream', 'microseconds per piece', 'resident MB'],
+      baseline: 'bare relay',
+      rows: table.list(),
+    };
+  },
+};
+
+export default frontDoor;
--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,5 +1,6 @@
 /** Named experiments on loopback: each candidate beside its baseline, over several seeds. */
 export { default as runMeasure } from './run-measure.js';
 export { default as runBareRelay } from './bare-relay.js';
+export { runFrontDoorChild } from './experiments/front-door.js';
 export { default as renderMarkdown } from './render-markdown.js';
 export type { Experiment, ExperimentResult, ResultRow } from './experiment.js';
--- a/packages/measure/src/run-measure.ts
+++ b/packages/measure/src/run-measure.ts
@@ -6,6 +6,7 @@
 import renderCapacity from './capacity/render-capacity.js';
 import type { Experiment, ExperimentResult } from './experiment.js';
 import domainLoss from './experiments/domain-loss.js';
+import frontDoor from './experiments/front-door.js';
 import overload from './experiments/overload.js';
 import recovery from './experiments/recovery.js';
 import relay from './experiments/relay.js';
@@ -14,7 +15,15 @@
 import renderCurve from './render-curve.js';
 import renderMarkdown from './render-markdown.js';
 
-const EXPERIMENTS: Experiment[] = [routing, recovery, domainLoss, overload, spread, relay];
+const EXPERIMENTS: Experiment[] = [
+  routing,
+  recovery,
+  domainLoss,
+  overload,
+  spread,
+  relay,
+  frontDoor,
+];
 const FOLDER = join('docs', 'measurements');
 const DEFAULT_SEEDS = 3;
 const CAPACITY = 'capacity';
