Keep retry counts over a reload, and hold a stream's bounds before every send

Cause, found by a second reading: a reload emptied the retry budget's counts, so a window could be spent twice; a stream's bound on targets was looked at only after an answer that is no stream; a stream turned away too often waited on although nothing would be sent, and after 16 breaks was answered 'may have run' though it had not; two maps kept an entry for every incarnation ever seen.

Change: RetryBudgets keeps the counts and changes the bounds; StreamSends holds all bounds on sends and is asked where every send passes; the final answer comes at once; RecentTimes forgets. Asking a target within a time, the headers of an answer and the bounds that calls and streams share stand once now.

Tests, each red before: retry-budgets.test, recent-times.test and four in forward-stream.test.

--- a/packages/forward-request/src/answer-sink.ts
+++ b/packages/forward-request/src/answer-sink.ts
@@ -29,6 +29,13 @@
   'upgrade',
 ]);
 
+const LENGTH_HEADER: ReadonlySet<string> = new Set(['content-length']);
+
+/** Headers of a target's answer that pass through; the sink frames the body itself. */
+export function keepAnswerHeaders(rawHeaders: string[]): string[] {
+  return keepEndToEnd(rawHeaders, LENGTH_HEADER);
+}
+
 /**
  * Headers that pass through, names and values by turns: all but those of one
  * connection, those that a Connection header names, and the given ones.
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -2,7 +2,7 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
 import type { RouteTable } from '@limelead/route-requests';
-import type RetrySpender from '@limelead/spend-retries';
+import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, IncomingRequest, Millis, ServingRoute, Timers } from '@limelead/types';
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -7,8 +7,9 @@
 import { LimeleadError } from '@limelead/errors';
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
 import type { CancelTimer } from '@limelead/types';
-import { keepEndToEnd, type AnswerSink } from './answer-sink.js';
+import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest, ForwardContext } from './context.js';
+import { MAX_TURNED_AWAY, SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
@@ -21,9 +22,6 @@
 const HEDGE_SHARE = 0.5;
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 25;
-/** Sends that targets turned away, after which a call is given up. */
-const MAX_TURNED_AWAY = 20;
-const SERVER_ERROR = 500;
 
 /** An answer that is whole. */
 interface WholeAnswer {
@@ -200,7 +198,7 @@
     const length = head.headers.get('content-length');
     this.sink.begin(
       head.status,
-      keepEndToEnd(head.rawHeaders, new Set(['content-length'])),
+      keepAnswerHeaders(head.rawHeaders),
       length === undefined ? undefined : Number(length),
     );
     attempt.chunks.forEach((held) => this.sink.write(held));
@@ -212,7 +210,7 @@
       return;
     }
     const { head } = attempt;
-    const isGood = head.status < SERVER_ERROR;
+    const isGood = head.status < SERVER_ERROR_STATUS;
     this.context.directory.observe(attempt.place.tracked.target.id, {
       kind: isGood ? 'answered' : 'failed',
     });
@@ -327,7 +325,7 @@
   }
 
   private deliver(answer: WholeAnswer, attempt?: Attempt): void {
-    const headers = keepEndToEnd(answer.head.rawHeaders, new Set(['content-length']));
+    const headers = keepAnswerHeaders(answer.head.rawHeaders);
     this.sink.begin(answer.head.status, headers, answer.body.length);
     if (answer.body.length > 0) {
       this.sink.write(answer.body);
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -173,4 +173,50 @@
   assert.is(refused.sink.body, 'bad');
 });
 
+test('no more targets run a stream than its route allows, however often it breaks', async () => {
+  const stalls = [1, 2, 3, 4].map((last) => streamThen(last, () => undefined));
+  const { bed, sink } = await play([...stalls, streamTo(9)], { maxTargets: 2 });
+  assert.is(sink.outcome, 'aborted');
+  assert.is(bed.seen.length, 2);
+});
+
+test('targets that were lost do not count among those that ran a stream', async () => {
+  const bed = await TestBed.start(
+    streamThen(1, destroy),
+    streamThen(2, destroy),
+    streamThen(3, destroy),
+    streamTo(5),
+  );
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit({ maxTargets: 2 }), sink);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.outcome, 'ended');
+  assert.is(sink.body, pieces(1, 5));
+});
+
+test('a stream that every target turns away is refused at once, as not run', async () => {
+  let asked = 0;
+  const refuse: Behaviour = (request, response, seen) => {
+    asked += 1;
+    turnAway(request, response, seen);
+  };
+  const startedAtMs = performance.now();
+  const { sink } = await play([refuse, refuse], { timeoutMs: 60_000 });
+  assert.is(sink.error?.kind, 'overloaded');
+  assert.is(sink.error?.answer.execution, 'not-run');
+  assert.is(asked, 16);
+  assert.ok(performance.now() - startedAtMs < 9_000, 'gave up before the session does');
+});
+
+test('a stream that ends without a piece has no time of its first piece', async () => {
+  const endEmpty: Behaviour = (request, response) => {
+    begin(request, response);
+    response.end();
+  };
+  const { bed, sink } = await play([endEmpty]);
+  assert.is(sink.outcome, 'ended');
+  assert.not.match(bed.context.metrics.render(), /limelead_first_piece_ms/);
+});
+
 test.run();
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -3,7 +3,7 @@
  * lets each piece pass once and chooses how a broken stream goes on. This module
  * carries out its commands on HTTP targets, where a piece takes a token's place.
  */
-import { LimeleadError, type ErrorKind } from '@limelead/errors';
+import type { LimeleadError } from '@limelead/errors';
 import advanceSession, {
   createSession,
   type SessionCommand,
@@ -11,11 +11,13 @@
   type SessionState,
 } from '@limelead/generation-session';
 import type { AnswerHead } from '@limelead/target-connections';
+import type { LossCause } from '@limelead/track-service-targets';
 import type { AnswerMessage } from '@limelead/types';
-import { keepEndToEnd, type AnswerSink } from './answer-sink.js';
+import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import type { RunCopy, TargetOrder } from './dialect.js';
 import findStreamPlace from './find-stream-place.js';
+import { SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
 import RunCopies from './run-copies.js';
 import RunHearing from './run-hearing.js';
@@ -25,13 +27,11 @@
   type TurnedAwayCause,
 } from './stream-attempt.js';
 import StreamReport from './stream-report.js';
+import StreamSends from './stream-sends.js';
 import toGeneration, { OPAQUE_BINDING } from './to-generation.js';
 
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 60;
-/** Sends that targets turned away, after which a request is given up. */
-const MAX_TURNED_AWAY = 20;
-const SERVER_ERROR = 500;
 /** One attempt with what belongs to it. */
 interface LiveAttempt {
   attempt: StreamAttempt;
@@ -60,9 +60,7 @@
   private head: AnswerHead | undefined;
   private hasBegun = false;
   private isDone = false;
-  private sends = 0;
-  private ran = 0;
-  private turnedAway = 0;
+  private readonly sends: StreamSends;
   private trailer: Buffer = Buffer.alloc(0);
   private readonly cleanups: (() => void)[] = [];
   private readonly report: StreamReport;
@@ -74,6 +72,7 @@
   ) {
     this.report = new StreamReport(context, admitted);
     this.copies = new RunCopies(context, admitted);
+    this.sends = new StreamSends(context, admitted);
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGeneration(admitted), requestId, context.clock.now());
     this.state = { ...session, delivered: lastPiece };
@@ -115,7 +114,7 @@
         this.send(command.message);
         break;
       case 'fail':
-        this.fail(command.error, command.message);
+        this.fail(this.sends.createError(command.error, command.message));
         break;
       case 'observe':
         this.report.observed(command.detail);
@@ -151,16 +150,17 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    if (this.ran > 0 && !this.admitted.route.repeatable) {
-      this.fail('outcome-unknown', 'the request may have run and may not be repeated');
+    const end = this.sends.findEnd();
+    if (end !== undefined) {
+      this.fail(end);
       return;
     }
-    if (!this.maySendAgain()) {
+    if (!this.sends.tryPay()) {
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
     const stopWaiting = findStreamPlace(this.context, this.admitted, this.copies, {
-      isFirstSend: this.sends === 0,
+      isFirstSend: this.sends.count === 0,
       exclude,
       receive: (place) => this.onPlace(attempt, place),
     });
@@ -192,7 +192,7 @@
     const { target } = place.tracked;
     const continueFrom = this.copies.use(target);
     const copyTo = this.copies.chooseKeeper(place);
-    this.noteSend();
+    this.sends.noteSent(target.id);
     const order: TargetOrder = {
       request,
       target,
@@ -236,26 +236,6 @@
     };
   }
 
-  private noteSend(): void {
-    this.sends += 1;
-    this.ran += 1;
-    if (this.sends === 1) {
-      this.context.retriesOf(this.admitted.service).noteFirstSend(this.context.clock.now());
-    }
-  }
-
-  /** The first send is free; later ones are paid from the budget that all VMs share. */
-  private maySendAgain(): boolean {
-    if (this.sends === 0) {
-      return true;
-    }
-    if (this.turnedAway > MAX_TURNED_AWAY) {
-      return false;
-    }
-    const { clock, countVms } = this.context;
-    return this.context.retriesOf(this.admitted.service).trySpend(clock.now(), countVms());
-  }
-
   private onOpened(attempt: number, head: AnswerHead): void {
     if (this.live.has(attempt)) {
       this.head ??= head;
@@ -302,13 +282,14 @@
   }
 
   /** The target of an attempt is lost or broke off; its copy is the next attempt's start. */
-  private lose(attempt: number, cause: 'broken' | 'silent', reason: string): void {
+  private lose(attempt: number, cause: LossCause, reason: string): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
       return;
     }
     const { clock, directory, silence } = this.context;
     const target = live.attempt.target.id;
+    this.sends.noteLost(target, cause);
     // Engines send copies only of runs that have begun to write.
     this.copies.noteLost(live.hearing.isSending ? live.copy : undefined);
     this.report.lost({
@@ -334,8 +315,7 @@
     }
     const { directory } = this.context;
     const { target } = live.attempt;
-    this.ran -= 1;
-    this.turnedAway += 1;
+    this.sends.noteTurnedAway(target.id);
     directory.observe(
       target.id,
       cause === 'full' ? { kind: 'full', pauseMs: FULL_PAUSE_MS } : { kind: 'lost' },
@@ -353,18 +333,13 @@
     }
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
     this.release(attempt);
-    const { route } = this.admitted;
-    const mayGoOn = route.repeatable && this.ran < route.maxTargets;
-    if ((head.status >= SERVER_ERROR && mayGoOn) || this.hasBegun) {
+    const mayGoOn = this.admitted.route.repeatable && !this.sends.hasUsedItsTargets;
+    if ((head.status >= SERVER_ERROR_STATUS && mayGoOn) || this.hasBegun) {
       this.advance({ kind: 'broken', attempt, cause: 'refused' });
       return;
     }
     this.finish('answered', () => {
-      this.sink.begin(
-        head.status,
-        keepEndToEnd(head.rawHeaders, new Set(['content-length'])),
-        body.length,
-      );
+      this.sink.begin(head.status, keepAnswerHeaders(head.rawHeaders), body.length);
       this.sink.write(body);
       this.sink.end();
     });
@@ -372,29 +347,31 @@
 
   private deliver(pieces: string[]): void {
     if (!this.hasBegun) {
-      this.hasBegun = true;
-      const { head } = this;
-      const headers = keepEndToEnd(head?.rawHeaders ?? [], new Set(['content-length']));
-      this.sink.begin(head?.status ?? SERVER_ERROR, headers);
+      this.beginAnswer();
       this.report.firstPiece();
     }
     pieces.forEach((piece) => this.sink.write(Buffer.from(piece, 'latin1')));
   }
 
-  private endAnswer(): void {
+  private beginAnswer(): void {
     if (!this.hasBegun) {
-      this.deliver([]);
+      this.hasBegun = true;
+      const { head } = this;
+      const headers = keepAnswerHeaders(head?.rawHeaders ?? []);
+      this.sink.begin(head?.status ?? SERVER_ERROR_STATUS, headers);
     }
+  }
+
+  private endAnswer(): void {
+    this.beginAnswer();
     if (this.trailer.length > 0) {
       this.sink.write(this.trailer);
     }
     this.sink.end();
   }
 
-  private fail(kind: ErrorKind, message: string): void {
-    const overrides = this.ran > 0 ? ({ execution: 'unknown' } as const) : undefined;
-    const error = new LimeleadError(kind, message, overrides);
-    this.finish(kind, () => {
+  private fail(error: LimeleadError): void {
+    this.finish(error.kind, () => {
       if (this.hasBegun) {
         this.sink.abort(error);
       } else {
@@ -431,6 +408,6 @@
     this.cleanups.forEach((cleanup) => cleanup());
     [...this.live.keys()].forEach((attempt) => this.drop(attempt));
     tell();
-    this.report.finished(outcome, this.state.delivered, this.sends);
+    this.report.finished(outcome, this.state.delivered, this.sends.count);
   }
 }
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -3,7 +3,7 @@
 import type { LimeleadError } from '@limelead/errors';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
-import RetrySpender from '@limelead/spend-retries';
+import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
--- a/packages/forward-request/src/kept-prompts.ts
+++ b/packages/forward-request/src/kept-prompts.ts
@@ -7,14 +7,13 @@
 import type { TargetConnections } from '@limelead/target-connections';
 import { isSuspected, type TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
+import askTarget from './ask-target.js';
 import type { TargetDialect } from './dialect.js';
 
 /** Time for the answers, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 150;
 /** Answers younger than this serve for other sessions too. */
 const REUSE_MS = 250;
-/** Longest rest of a connection that a question may use. */
-const MAX_IDLE_MS = 2_000;
 const NOTHING: ReadonlySet<string> = new Set();
 
 /** What the search needs. */
@@ -69,30 +68,11 @@
     return kept;
   }
 
-  private send(target: ServiceTarget): Promise<ReadonlySet<string>> {
+  private async send(target: ServiceTarget): Promise<ReadonlySet<string>> {
     const { connections, dialect, timers } = this.options;
-    return new Promise((resolve) => {
-      const body: Buffer[] = [];
-      const finish = (kept: ReadonlySet<string>): void => {
-        cancelTimer();
-        resolve(kept);
-      };
-      const open = connections.send(
-        target,
-        dialect.composeKeptQuery(target),
-        { maxIdleMs: MAX_IDLE_MS },
-        {
-          onHead: () => undefined,
-          onData: (chunk) => body.push(chunk),
-          onEnd: () => finish(dialect.readKept(Buffer.concat(body))),
-          onFault: () => finish(NOTHING),
-        },
-      );
-      const cancelTimer = timers.after(ANSWER_TIMEOUT_MS, () => {
-        open.cancel();
-        resolve(NOTHING);
-      });
-    });
+    const options = { connections, timers, timeoutMs: ANSWER_TIMEOUT_MS };
+    const body = await askTarget(options, target, dialect.composeKeptQuery(target));
+    return body === undefined ? NOTHING : dialect.readKept(body);
   }
 
   private forgetOld(now: Millis): void {
--- a/packages/forward-request/src/silence-watch.ts
+++ b/packages/forward-request/src/silence-watch.ts
@@ -2,17 +2,25 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { CancelTimer, Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
+import {
+  RecentTimes,
+  type CancelTimer,
+  type Clock,
+  type Millis,
+  type ServiceTarget,
+  type Timers,
+} from '@limelead/types';
+import askTarget from './ask-target.js';
 import type { ProbeFacts, TargetDialect } from './dialect.js';
 import judgeSilence from './judge-silence.js';
 
 const TICK_MS = 30;
+/** A question older than this has no say any more. */
+const ASKED_LATELY_MS = 5_000;
 /** Time for an answer to a question, in milliseconds. */
 const PROBE_TIMEOUT_MS = 250;
 /** A run that was heard this lately is not given up because its target was found lost. */
 const HEARD_LATELY_MS = 100;
-/** Longest rest of a connection that a question may use. */
-const PROBE_MAX_IDLE_MS = 2_000;
 /** A run younger than this may be missing in an answer, which is a little old. */
 const PROBE_LAG_MS = 700;
 /** Answers in a row without the run after which it is given up. */
@@ -48,7 +56,7 @@
 /** Watches runs while there are any. */
 export default class SilenceWatch {
   private readonly runs = new Set<WatchedRun>();
-  private readonly askedAtMs = new Map<string, Millis>();
+  private readonly asked = new RecentTimes(ASKED_LATELY_MS);
   private cancelTimer: CancelTimer | undefined;
 
   constructor(private readonly options: SilenceWatchOptions) {}
@@ -85,7 +93,7 @@
     for (const run of [...this.runs]) {
       const judgement = this.runs.has(run) ? this.judge(run) : 'wait';
       if (judgement === 'ask') {
-        this.ask(run.target);
+        void this.ask(run.target);
       } else if (judgement === 'give-up') {
         this.options.directory.observe(run.target.id, { kind: 'lost' });
         this.giveUp(run);
@@ -98,14 +106,13 @@
     const { clock, directory } = this.options;
     const now = clock.now();
     const heardFromTarget = directory.get(run.target.id)?.evidence.heardAtMs ?? 0;
-    const askedAtMs = this.askedAtMs.get(run.target.id);
     return judgeSilence({
       isSending: run.isSending,
       runSilentMs: now - run.heardAtMs,
       targetSilentMs: now - Math.max(run.heardAtMs, heardFromTarget),
       boundMs: run.boundMs(),
       isDomainDoubtful: directory.isDomainDoubtful(run.target.failureDomain),
-      askedAgoMs: askedAtMs === undefined ? undefined : now - askedAtMs,
+      askedAgoMs: this.asked.ageMs(run.target.id, now),
     });
   }
 
@@ -115,32 +122,16 @@
     }
   }
 
-  private ask(target: ServiceTarget): void {
+  private async ask(target: ServiceTarget): Promise<void> {
     const { clock, connections, dialect, timers } = this.options;
-    const now = clock.now();
-    this.askedAtMs.set(target.id, now);
-    const body: Buffer[] = [];
-    const open = connections.send(
-      target,
-      dialect.composeProbe(target),
-      { maxIdleMs: PROBE_MAX_IDLE_MS },
-      {
-        onHead: () => undefined,
-        onData: (chunk) => body.push(chunk),
-        onEnd: () => {
-          cancelTimer();
-          this.onAnswer(target, dialect.readProbe(Buffer.concat(body)));
-        },
-        onFault: () => {
-          cancelTimer();
-          this.onNoAnswer(target);
-        },
-      },
-    );
-    const cancelTimer = timers.after(PROBE_TIMEOUT_MS, () => {
-      open.cancel();
+    this.asked.note(target.id, clock.now());
+    const options = { connections, timers, timeoutMs: PROBE_TIMEOUT_MS };
+    const body = await askTarget(options, target, dialect.composeProbe(target));
+    if (body === undefined) {
       this.onNoAnswer(target);
-    });
+    } else {
+      this.onAnswer(target, dialect.readProbe(body));
+    }
   }
 
   /** The target is there; a run that it does not know any more is over. */
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -1,4 +1,5 @@
 /** Lines and figures of one streamed request. */
+import type { LossCause } from '@limelead/track-service-targets';
 import type { EventDetail } from '@limelead/types';
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
@@ -7,7 +8,7 @@
 export interface LossFacts {
   attempt: number;
   target: string;
-  cause: 'broken' | 'silent';
+  cause: LossCause;
   reason: string;
   /** Pieces that the caller has. */
   delivered: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import createMetrics, { type Metrics } from '@limelead/metrics';
 import { EvidenceExchange, type TargetLoad } from '@limelead/share-evidence';
-import RetrySpender from '@limelead/spend-retries';
+import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
   TargetDirectory,
@@ -62,7 +62,7 @@
   /** Undefined where this VM has no address for peers. */
   private readonly exchange: EvidenceExchange | undefined;
   private readonly frontDoor: HttpFrontDoor;
-  private readonly spenders = new Map<string, RetrySpender>();
+  private readonly retries: RetryBudgets;
   private readonly servers: Server[] = [];
   private isStopping = false;
 
@@ -71,6 +71,7 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
+    this.retries = new RetryBudgets(settings.retryBudget);
     this.directory = new TargetDirectory(steadyClock, {
       onNotice: (notice) => this.onNotice(notice),
       onLost: (id) => this.exchange?.noteLost(id),
@@ -133,7 +134,7 @@
   /** Takes over new settings; addresses stay as they are until the next start. */
   reload(settings: GatewaySettings): void {
     this.settings = settings;
-    this.spenders.clear();
+    this.retries.change(settings.retryBudget);
     this.log.write('settings-reloaded', { failureDomain: settings.failureDomain });
   }
 
@@ -187,7 +188,7 @@
       log,
       metrics: this.metrics,
       readTable: () => this.knowledge.routes,
-      retriesOf: (service) => this.retriesOf(service),
+      retriesOf: (service) => this.retries.of(service),
       countVms: () => Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0),
     };
   }
@@ -258,13 +259,6 @@
     return this.knowledge.routes?.findService(target.service)?.engine !== undefined;
   }
 
-  private retriesOf(service: string): RetrySpender {
-    const known = this.spenders.get(service);
-    const spender = known ?? new RetrySpender(this.settings.retryBudget);
-    this.spenders.set(service, spender);
-    return spender;
-  }
-
   private onNotice({ kind, target }: TargetNotice): void {
     this.log.write(`target-${kind}`, {
       target: target.id,
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -4,7 +4,7 @@
 import { KeptPrompts, PlaceQueue, SilenceWatch } from '@limelead/forward-request';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
-import RetrySpender from '@limelead/spend-retries';
+import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import { systemTimers, type ServingConfiguration, type ServingRoute } from '@limelead/types';
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -11,7 +11,7 @@
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
-import RetrySpender from '@limelead/spend-retries';
+import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import { systemTimers, type ServingRoute } from '@limelead/types';
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -7,7 +7,7 @@
 import type { StoreItem } from '@limelead/follow-store';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import { chooseLinks } from '@limelead/track-members';
-import type { Clock, Millis, Timers } from '@limelead/types';
+import { RecentTimes, type Clock, type Millis, type Timers } from '@limelead/types';
 import MemberBook from './member-book.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 
@@ -81,7 +81,7 @@
   private links: PeerLinks<EvidenceMessage> | undefined;
   private readonly peers = new Map<PeerId, PeerState>();
   private readonly members: MemberBook;
-  private readonly lostAtMs = new Map<string, Millis>();
+  private readonly lostNews = new RecentTimes(LOST_NEWS_MS);
   private askedAtMs: Millis = -Infinity;
   /** Since when a peer has a newer configuration; undefined while none has. */
   private behindSinceMs: Millis | undefined;
@@ -256,9 +256,9 @@
 
   private isNews(target: string): boolean {
     const now = this.options.clock.now();
-    const isNews = now - (this.lostAtMs.get(target) ?? -Infinity) > LOST_NEWS_MS;
+    const isNews = this.lostNews.ageMs(target, now) === undefined;
     if (isNews) {
-      this.lostAtMs.set(target, now);
+      this.lostNews.note(target, now);
     }
     return isNews;
   }
--- a/packages/spend-retries/src/index.ts
+++ b/packages/spend-retries/src/index.ts
@@ -1,87 +1,9 @@
 /**
- * A retry budget for one service. A repeated send is allowed while the repeats
- * of the window stay below a share of the window's first sends and a fixed
- * slack. The budget belongs to all VMs together, so one VM spends only its
- * part of the slack; its part of the ratio follows from its own requests.
+ * Retry budgets. A repeated send is allowed while the repeats of the window stay
+ * below a share of the window's first sends and a fixed slack. The budget belongs
+ * to all VMs together, so one VM spends only its part of the slack; its part of
+ * the ratio follows from its own requests.
  */
-import type { Millis } from '@limelead/types';
-
-/** Buckets that a window is counted in; the window is rounded up by one of them. */
-const BUCKETS = 20;
-/** Part of the budget that is left unspent, since several VMs count for themselves. */
-const SAFETY = 0.8;
-
-/** What all VMs together may spend. */
-export interface RetryBudget {
-  /** Repeats allowed for each first send. */
-  ratio: number;
-  /** Repeats allowed on top, in any window. */
-  slack: number;
-  windowMs: number;
-}
-
-interface Bucket {
-  startMs: Millis;
-  firstSends: number;
-  repeats: number;
-}
-
-/** Counts one VM's sends to one service. */
-export default class RetrySpender {
-  private readonly buckets: Bucket[] = [];
-
-  constructor(private readonly budget: RetryBudget) {}
-
-  /** A request was sent for the first time. */
-  noteFirstSend(now: Millis): void {
-    this.bucketAt(now).firstSends += 1;
-  }
-
-  /**
-   * Takes one repeat out of the budget, or says no.
-   * @param vms number of VMs that share the slack
-   */
-  trySpend(now: Millis, vms: number): boolean {
-    if (this.remaining(now, vms) < 1) {
-      return false;
-    }
-    this.bucketAt(now).repeats += 1;
-    return true;
-  }
-
-  /** Repeats that are left in the present window. */
-  remaining(now: Millis, vms: number): number {
-    const current = this.bucketAt(now);
-    const counted = this.buckets.filter(({ startMs }) => startMs > current.startMs - this.spanMs);
-    const firstSends = sum(counted, ({ firstSends }) => firstSends);
-    const repeats = sum(counted, ({ repeats }) => repeats);
-    const allowed = this.budget.ratio * firstSends + this.budget.slack / Math.max(1, vms);
-    return SAFETY * allowed - repeats;
-  }
-
-  private get bucketMs(): number {
-    return this.budget.windowMs / BUCKETS;
-  }
-
-  private get spanMs(): number {
-    return this.budget.windowMs + this.bucketMs;
-  }
-
-  private bucketAt(now: Millis): Bucket {
-    const startMs = Math.floor(now / this.bucketMs) * this.bucketMs;
-    const last = this.buckets.at(-1);
-    if (last !== undefined && last.startMs >= startMs) {
-      return last;
-    }
-    const bucket = { startMs, firstSends: 0, repeats: 0 };
-    this.buckets.push(bucket);
-    while ((this.buckets[0]?.startMs ?? startMs) <= startMs - this.spanMs) {
-      this.buckets.shift();
-    }
-    return bucket;
-  }
-}
-
-function sum(buckets: Bucket[], read: (bucket: Bucket) => number): number {
-  return buckets.reduce((total, bucket) => total + read(bucket), 0);
-}
+export { default as RetryBudgets } from './retry-budgets.js';
+export { default as RetrySpender } from './retry-spender.js';
+export type { RetryBudget } from './retry-spender.js';
--- a/packages/spend-retries/src/index.test.ts
+++ b/packages/spend-retries/src/retry-spender.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import RetrySpender from './index.js';
+import { RetrySpender } from './index.js';
 
 const budget = { ratio: 0.5, slack: 20, windowMs: 1_000 };
 
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -1,6 +1,7 @@
 /** The targets of every service with this VM's work on them and its evidence about them. */
 export { default as TargetDirectory } from './target-directory.js';
 export type {
+  LossCause,
   TargetChange,
   TargetDirectoryEvents,
   TargetNotice,
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -34,6 +34,9 @@
   | { kind: 'leaving'; target: ServiceTarget }
   | { kind: 'gone'; target: ServiceTarget };
 
+/** How a run's target was lost: its connection broke, or nothing came from it. */
+export type LossCause = 'broken' | 'silent';
+
 /** What the owner of a directory is told. */
 export interface TargetDirectoryEvents {
   onNotice(notice: TargetNotice): void;
@@ -177,6 +180,22 @@
     return lost.length >= DOMAIN_LOSSES;
   }
 
+  /**
+   * Whether a target still runs, as far as its loss tells. A broken connection
+   * says that it ended. Silence says so only where its whole failure domain is in
+   * doubt; otherwise the target may just be slow.
+   */
+  isPresent(id: string, cause: LossCause | undefined): boolean {
+    const tracked = this.tracked.get(id);
+    if (tracked === undefined) {
+      return false;
+    }
+    const saysEnded =
+      cause === 'broken' ||
+      (cause === 'silent' && this.isDomainDoubtful(tracked.target.failureDomain));
+    return !(saysEnded && this.isSuspected(id));
+  }
+
   /** Whether a target is taken to be down now. */
   isSuspected(id: string): boolean {
     const tracked = this.tracked.get(id);
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,3 +6,4 @@
 export * from './serving.js';
 export * from './targets.js';
 export * from './time.js';
+export { default as RecentTimes } from './recent-times.js';
