Bound the links of a VM in a large fleet, and tell losses together

Links were opened to peers chosen from a view that grows by and by, and never closed: 68 links at both VMs whose log was taken. Each loss of a target was flooded alone over all of them, each change of load told to all, and each choice of a target asked about its failure domain by a scan over all targets, once for each target: 0.32 GB between domains and 2,768 store calls in 30 s, VMs that stood still for seconds after a domain died.

Losses of one moment go in one message. VMs are named with the age of their last word, so that every VM hears of every other over few links and forgets those that are gone. Sessions are spread by mixing hashes. Changes of the store gather for longer where more VMs pay for the calls.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -3,6 +3,7 @@
   observeTarget,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
+import { hashText } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { chooseCopyKeeper, chooseServiceTarget, type ServiceChoiceRequest } from './index.js';
@@ -22,6 +23,7 @@
       slots: 4,
       leaving: false,
     },
+    hash: hashText(id),
     evidence: NO_EVIDENCE,
     inFlight: 0,
     peerRequests: 0,
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -4,13 +4,12 @@
  * the highest hash over the caller's session and the target wins, so that all
  * VMs send a session to the target that already holds its prompt.
  */
-import { hashToFraction } from '@limelead/route-requests';
 import {
   isSuspected,
   readFailureRate,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import type { Millis } from '@limelead/types';
+import { hashText, mixHashes, type Millis } from '@limelead/types';
 
 /** Costs in units of one request under way at the target. */
 const OTHER_DOMAIN_COST = 0.75;
@@ -56,7 +55,8 @@
     (tracked) =>
       tracked.inFlight < request.limit(tracked) && tracked.evidence.fullUntilMs <= request.now,
   );
-  return takeCheapest(withPlace, request.affinityKey, (tracked) => costOf(tracked, request));
+  const choice = { ...request, isDomainDoubtful: rememberByDomain(request.isDomainDoubtful) };
+  return takeCheapest(withPlace, request.affinityKey, (tracked) => costOf(tracked, choice));
 }
 
 /** Takes the target that keeps a copy: in another failure domain wherever there is one. */
@@ -65,13 +65,14 @@
   request: CopyChoiceRequest,
 ): TrackedServiceTarget | undefined {
   const { running, now } = request;
+  const isDomainDoubtful = rememberByDomain(request.isDomainDoubtful);
   const others = targets.filter(({ target }) => target.id !== running.target.id);
   return takeCheapest(others, `copy ${request.affinityKey}`, ({ target, evidence, ...work }) => {
     const isSameDomain = target.failureDomain === running.target.failureDomain;
     return (
       (isSameDomain ? DOUBT_COST : 0) +
       (isSuspected(evidence, now) ? SUSPICION_COST : 0) +
-      (request.isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
+      (isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
       work.inFlight +
       work.peerRequests +
       work.copies * COPY_COST
@@ -79,6 +80,16 @@
   });
 }
 
+/** Many targets share a domain; each domain is asked about once. */
+function rememberByDomain(isDoubtful: (failureDomain: string) => boolean) {
+  const known = new Map<string, boolean>();
+  return (failureDomain: string): boolean => {
+    const answer = known.get(failureDomain) ?? isDoubtful(failureDomain);
+    known.set(failureDomain, answer);
+    return answer;
+  };
+}
+
 function costOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): number {
   const { target, evidence, inFlight, peerRequests } = tracked;
   const failureRate = readFailureRate(evidence, request.now);
@@ -111,10 +122,11 @@
   targets: TrackedServiceTarget[],
   affinityKey: string,
 ): TrackedServiceTarget | undefined {
+  const keyHash = hashText(affinityKey);
   let best: TrackedServiceTarget | undefined;
   let bestHash = -1;
   for (const tracked of targets) {
-    const hash = hashToFraction(`${affinityKey} ${tracked.target.id}`);
+    const hash = mixHashes(keyHash, tracked.hash);
     if (hash > bestHash) {
       best = tracked;
       bestHash = hash;
--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -7,7 +7,7 @@
 type Answer = E.Either<StoreFault, StoreChanges>;
 
 /** Plays answers in turn and stops the follower after the last. */
-async function follow(lists: E.Either<StoreFault, StoreList>[], watches: Answer[]) {
+async function follow(lists: E.Either<StoreFault, StoreList>[], watches: Answer[], vms = 7) {
   const told: string[] = [];
   const pauses: number[] = [];
   const timers: Timers = {
@@ -20,6 +20,7 @@
   const follower: StoreFollower = new StoreFollower({
     timers,
     random: { next: () => 0 },
+    countVms: () => vms,
     port: {
       list: async () => {
         told.push('list');
@@ -82,4 +83,12 @@
   assert.ok(told.includes('watch 5') && !told.includes('watch 3'));
 });
 
+test('changes gather for longer where more VMs pay for calls, up to a bound', async () => {
+  const pauseOf = async (vms: number): Promise<number | undefined> => {
+    const changes = E.right({ changes: [gone], revision: 7 });
+    return (await follow([emptyList], [changes], vms)).pauses[0];
+  };
+  assert.equal(await Promise.all([7, 40, 410].map(pauseOf)), [250, 400, 800]);
+});
+
 test.run();
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -13,7 +13,10 @@
  */
 const WATCH_WAIT_MS = 3_000;
 /** Pause after changes came, in which further ones gather into the next answer. */
-const GATHER_MS = 250;
+const LEAST_GATHER_MS = 250;
+const LONGEST_GATHER_MS = 800;
+/** The pause grows with the VMs that follow the store, which all pay for their calls. */
+const GATHER_MS_OF_ONE_VM = 10;
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 1_000;
 /** Part of a pause that is drawn at random, so that VMs do not all ask at once. */
@@ -34,6 +37,8 @@
   port: StorePort;
   timers: Timers;
   random: Random;
+  /** VMs that follow the store, this one included. */
+  countVms(): number;
   events: StoreFollowerEvents;
 }
 
@@ -92,7 +97,12 @@
       return 0;
     }
     this.options.events.onChanges(changes.right);
-    return GATHER_MS;
+    return this.gatherMs;
+  }
+
+  private get gatherMs(): number {
+    const wantedMs = this.options.countVms() * GATHER_MS_OF_ONE_VM;
+    return Math.min(Math.max(wantedMs, LEAST_GATHER_MS), LONGEST_GATHER_MS);
   }
 
   private onSuccess(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -189,7 +189,7 @@
       metrics: this.metrics,
       readTable: () => this.knowledge.routes,
       retriesOf: (service) => this.retries.of(service),
-      countVms: () => Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0),
+      countVms: () => this.countVms(),
     };
   }
 
@@ -199,6 +199,7 @@
       port: this.platform.store,
       timers: systemTimers,
       random: systemRandom,
+      countVms: () => this.countVms(),
       events: {
         onList: (list) => {
           log.write('store-listed', { items: list.items.length, revision: list.revision });
@@ -214,6 +215,10 @@
     });
   }
 
+  private countVms(): number {
+    return Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0);
+  }
+
   private createExchange(): EvidenceExchange | undefined {
     const { failureDomain, peers, seeds } = this.settings;
     if (peers === undefined) {
@@ -227,6 +232,7 @@
       seeds: seeds.map(formatAddress),
       clock: steadyClock,
       timers: systemTimers,
+      random: systemRandom,
       log: this.log,
       readKnowledge: () => ({
         items: this.knowledge.items,
--- a/packages/peer-links/src/peer-link.ts
+++ b/packages/peer-links/src/peer-link.ts
@@ -69,8 +69,11 @@
     return this.options.end;
   }
 
-  /** Sends a message unless the peer is too slow. */
-  send(message: Message): void {
+  /**
+   * Sends a message unless the peer is too slow.
+   * @param bytes the encoded message, where several peers get the same
+   */
+  send(message: Message, bytes?: Uint8Array): void {
     const { socket, events, format } = this.options;
     if (!this.isReady || socket.readyState !== socket.OPEN) {
       return;
@@ -82,7 +85,7 @@
       }
       return;
     }
-    socket.send(format.encode(message));
+    socket.send(bytes ?? format.encode(message));
   }
 
   /** Ends the link at once. */
--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -41,6 +41,8 @@
   /** Ends a link; it may be opened again. */
   drop(peer: VmId): void;
   linked(): VmId[];
+  /** Peers whose link this VM opened. */
+  opened(): VmId[];
   close(): Promise<void>;
 }
 
@@ -122,14 +124,16 @@
       return link !== undefined;
     },
     broadcast(message, except) {
+      const bytes = options.format.encode(message);
       for (const [peer, link] of ready) {
         if (peer !== except) {
-          link.send(message);
+          link.send(message, bytes);
         }
       }
     },
     drop: (peer) => ready.get(peer)?.close(),
     linked: () => [...ready.keys()],
+    opened: () => [...ready].filter(([, { end }]) => end === 'opener').map(([peer]) => peer),
     async close() {
       isClosed = true;
       all.forEach((link) => link.close());
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -3,14 +3,14 @@
  * configuration and answers which route a request takes, whose key it shows
  * and which service of a split it goes to.
  */
-import type {
-  CallerLimits,
-  EngineTraits,
-  ServedService,
-  ServingConfiguration,
-  ServingRoute,
+import {
+  hashText,
+  type CallerLimits,
+  type EngineTraits,
+  type ServedService,
+  type ServingConfiguration,
+  type ServingRoute,
 } from '@limelead/types';
-import { createHash } from 'node:crypto';
 
 const HASH_RANGE = 0x1_0000_0000;
 
@@ -72,7 +72,7 @@
  */
 export function chooseShare(route: ServingRoute, requestId: string): string | undefined {
   const total = route.shares.reduce((sum, { weight }) => sum + weight, 0);
-  const point = hashToFraction(requestId) * total;
+  const point = (hashText(requestId) / HASH_RANGE) * total;
   let passed = 0;
   for (const { service, weight } of route.shares) {
     passed += weight;
@@ -88,11 +88,6 @@
   return table.findService(service)?.engine;
 }
 
-/** A number in [0, 1) that is the same for the same text on every VM. */
-export function hashToFraction(text: string): number {
-  return createHash('sha1').update(text).digest().readUInt32BE(0) / HASH_RANGE;
-}
-
 function groupRoutes(routes: ServingRoute[]): Map<string, ServingRoute[]> {
   const byHost = new Map<string, ServingRoute[]>();
   const longestFirst = [...routes].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -1,5 +1,5 @@
 import createDecisionLog from '@limelead/decision-log';
-import { backgroundTimers } from '@limelead/types';
+import { backgroundTimers, systemRandom } from '@limelead/types';
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -36,6 +36,7 @@
       seeds: seeds.map((seed) => `127.0.0.1:${seed}`),
       clock,
       timers: backgroundTimers,
+      random: systemRandom,
       log,
       readKnowledge: () => vm.knowledge,
       readLoad: () => vm.load,
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -6,18 +6,18 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
-import { chooseLinks } from '@limelead/track-members';
-import { RecentTimes, type Clock, type Millis, type Timers } from '@limelead/types';
+import type { Clock, Millis, Random, Timers } from '@limelead/types';
+import { FULL_MESH_VMS } from './choose-peers.js';
+import LinkUpkeep from './link-upkeep.js';
+import LossNews from './loss-news.js';
 import MemberBook from './member-book.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 
 const HEARTBEAT_MS = 1_000;
 /** A peer that said nothing for this long is dropped. */
 const SILENT_PEER_MS = 3_200;
-/** Changes of load within this time are told together. */
+/** Changes of load within this time are told together in a fleet that is a full mesh. */
 const LOAD_GATHER_MS = 15;
-/** A target told as lost again within this time is no news. */
-const LOST_NEWS_MS = 600;
 /** Pause between two questions for items while the store is away. */
 const ASK_INTERVAL_MS = 400;
 /**
@@ -57,6 +57,7 @@
   seeds: PeerId[];
   clock: Clock;
   timers: Timers;
+  random: Random;
   log: DecisionLog;
   readKnowledge(): StoreKnowledge;
   /** Requests of this VM under way, target by target. */
@@ -81,7 +82,10 @@
   private links: PeerLinks<EvidenceMessage> | undefined;
   private readonly peers = new Map<PeerId, PeerState>();
   private readonly members: MemberBook;
-  private readonly lostNews = new RecentTimes(LOST_NEWS_MS);
+  private readonly lossNews: LossNews;
+  private upkeep: LinkUpkeep | undefined;
+  /** Version of the configuration that peers were told last. */
+  private toldConfiguration = 0;
   private askedAtMs: Millis = -Infinity;
   /** Since when a peer has a newer configuration; undefined while none has. */
   private behindSinceMs: Millis | undefined;
@@ -89,8 +93,14 @@
   private isStopped = false;
 
   constructor(private readonly options: EvidenceExchangeOptions) {
-    this.members = new MemberBook(options.id, options.clock);
-    options.seeds.forEach((seed) => this.members.hear(seed));
+    const { id, clock, timers, random } = options;
+    this.members = new MemberBook(id, clock, random);
+    this.lossNews = new LossNews({
+      clock,
+      timers,
+      listPeers: () => [...this.peers.keys()],
+      tell: (peer, targets) => this.links?.send(peer, { kind: 'lost', targets }),
+    });
   }
 
   /** VMs that are believed to run, this one included. */
@@ -114,6 +124,7 @@
       onLost: (peer) => this.onPeerLost(peer),
       onDropped: () => undefined,
     });
+    this.upkeep = new LinkUpkeep(id, this.options.seeds, this.links);
     this.beat();
   }
 
@@ -129,7 +140,7 @@
       return;
     }
     this.isLoadDue = true;
-    this.options.timers.after(LOAD_GATHER_MS, () => {
+    this.options.timers.after(this.loadGatherMs, () => {
       this.isLoadDue = false;
       this.sendLoad([...this.peers.keys()]);
     });
@@ -137,14 +148,21 @@
 
   /** This VM found a target lost. */
   noteLost(target: string): void {
-    if (this.isNews(target)) {
-      this.links?.broadcast({ kind: 'lost', target });
-    }
+    this.lossNews.take(target);
   }
 
-  /** What this VM knows of the store changed. */
+  /** What this VM knows of the store changed; a new configuration is told at once. */
   noteKnowledge(): void {
-    this.links?.broadcast(this.createHeartbeat());
+    const { configuration } = this.options.readKnowledge();
+    if (configuration > this.toldConfiguration) {
+      this.toldConfiguration = configuration;
+      this.links?.broadcast(this.createHeartbeat());
+    }
+  }
+
+  /** In a large fleet the load of one VM weighs little, and may be told later. */
+  private get loadGatherMs(): Millis {
+    return LOAD_GATHER_MS * Math.max(1, this.members.count / FULL_MESH_VMS);
   }
 
   private beat(): void {
@@ -152,20 +170,18 @@
       return;
     }
     this.dropSilentPeers();
-    this.openLinks();
+    this.upkeep?.tend(this.members.list());
     this.links?.broadcast(this.createHeartbeat());
     this.askForItems();
     this.options.timers.after(HEARTBEAT_MS, () => this.beat());
   }
 
-  private openLinks(): void {
-    const chosen = new Set(chooseLinks(this.options.id, this.members.list()));
-    // The first links go to the seeds, whatever place they have among the members.
-    if (this.peers.size === 0) {
-      this.options.seeds.forEach((seed) => chosen.add(seed));
+  /** A small fleet grows together at once; a large one by and by, as its ring settles. */
+  private meetMembers(): void {
+    const members = this.members.list();
+    if (members.length < FULL_MESH_VMS) {
+      this.upkeep?.open(members);
     }
-    const addresses = [...chosen].map((id) => ({ id, ...parsePeerId(id) }));
-    this.links?.open(addresses.filter(({ port }) => port > 0));
   }
 
   private dropSilentPeers(): void {
@@ -217,7 +233,9 @@
         );
         break;
       case 'lost':
-        this.onLost(peer, message.target);
+        message.targets
+          .filter((target) => this.lossNews.take(target, peer))
+          .forEach((target) => this.options.onLost(target));
         break;
       case 'want-items': {
         const { items, revision } = this.options.readKnowledge();
@@ -242,27 +260,11 @@
     message.members.forEach((member) => this.members.hear(member));
     if (isFirst) {
       this.sendLoad([peer]);
-      this.openLinks();
+      this.meetMembers();
     }
     this.askForItems();
   }
 
-  private onLost(from: PeerId, target: string): void {
-    if (this.isNews(target)) {
-      this.links?.broadcast({ kind: 'lost', target }, from);
-      this.options.onLost(target);
-    }
-  }
-
-  private isNews(target: string): boolean {
-    const now = this.options.clock.now();
-    const isNews = this.lostNews.ageMs(target, now) === undefined;
-    if (isNews) {
-      this.lostNews.note(target, now);
-    }
-    return isNews;
-  }
-
   /** While the store does not tell this VM what is new, the peer that knows most is asked. */
   private askForItems(): void {
     const own = this.options.readKnowledge();
@@ -314,8 +316,3 @@
     };
   }
 }
-
-function parsePeerId(id: PeerId): { host: string; port: number } {
-  const colon = id.lastIndexOf(':');
-  return { host: id.slice(0, colon), port: Number(id.slice(colon + 1)) || 0 };
-}
--- /dev/null
+++ b/packages/share-evidence/src/link-upkeep.test.ts
@@ -0,0 +1,69 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import LinkUpkeep from './link-upkeep.js';
+
+/** Links that are ready as soon as they are opened. */
+class InstantLinks {
+  readonly ready = new Set<string>();
+
+  open(peers: { id: string }[]): void {
+    peers.forEach(({ id }) => this.ready.add(id));
+  }
+
+  opened(): string[] {
+    return [...this.ready];
+  }
+
+  linked(): string[] {
+    return [...this.ready];
+  }
+
+  drop(peer: string): void {
+    this.ready.delete(peer);
+  }
+}
+
+function nameVms(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `10.0.${100 + index}.1:70`);
+}
+
+const [SELF = '', ...OTHERS] = nameVms(89);
+const SEEDS = OTHERS.slice(40, 43);
+
+test('a fleet that is met by and by does not end as a full mesh', () => {
+  const links = new InstantLinks();
+  const upkeep = new LinkUpkeep(SELF, SEEDS, links);
+  for (let known = 1; known <= OTHERS.length; known += 1) {
+    upkeep.tend(OTHERS.slice(-known));
+  }
+  for (let round = 0; round < 6; round += 1) {
+    upkeep.tend(OTHERS);
+  }
+  assert.ok(links.ready.size <= 6, `${links.ready.size} links`);
+});
+
+test('a small fleet is linked whole', () => {
+  const links = new InstantLinks();
+  const upkeep = new LinkUpkeep(SELF, SEEDS, links);
+  const few = OTHERS.slice(0, 6);
+  for (let round = 0; round < 12; round += 1) {
+    upkeep.tend(few);
+  }
+  assert.equal([...links.ready].sort(), few);
+});
+
+test('the seeds are met first, and again by and by', () => {
+  const links = new InstantLinks();
+  const upkeep = new LinkUpkeep(SELF, SEEDS, links);
+  upkeep.tend([]);
+  assert.equal([...links.ready], SEEDS);
+  const isApart: boolean[] = [];
+  for (let round = 0; round < 40; round += 1) {
+    upkeep.tend(OTHERS.slice(0, 3));
+    isApart.push(!SEEDS.some((seed) => links.ready.has(seed)));
+  }
+  assert.ok(isApart.includes(true));
+  assert.not(isApart.slice(-20).every(Boolean));
+});
+
+test.run();
--- /dev/null
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -0,0 +1,80 @@
+/**
+ * Keeps the links of one VM to the peers that it chose. As VMs hear of each other
+ * the choice changes; a link that is no longer wanted is closed after a while, or
+ * a fleet that starts would end as a full mesh.
+ */
+import type { PeerAddress, PeerLinks } from '@limelead/peer-links';
+import choosePeers from './choose-peers.js';
+import type { PeerId } from './evidence-exchange.js';
+
+/** Rounds in a row in which a link was not chosen before it is closed. */
+const UNWANTED_ROUNDS = 3;
+/** Rounds at the start in which links to the seeds are wanted. */
+const FIRST_ROUNDS = 5;
+/** The seeds are met again this often, so that groups of VMs that lost each other join. */
+const ROUNDS_BETWEEN_SEEDS = 20;
+
+/** Opens and closes links. */
+export default class LinkUpkeep {
+  /** Links that this VM opened, with the rounds since they were last chosen. */
+  private readonly unwantedRounds = new Map<PeerId, number>();
+  private rounds = 0;
+
+  constructor(
+    private readonly self: PeerId,
+    private readonly seeds: PeerId[],
+    private readonly links: Pick<PeerLinks<never>, 'open' | 'opened' | 'drop' | 'linked'>,
+  ) {}
+
+  /** Opens the links that are missing. */
+  open(members: PeerId[]): void {
+    this.links.open(toAddresses(this.choose(members)));
+  }
+
+  /** One round: opens what is missing and closes what was not chosen for some rounds. */
+  tend(members: PeerId[]): void {
+    this.rounds += 1;
+    this.open(members);
+    const chosen = new Set(this.choose(members));
+    const opened = this.links.opened();
+    for (const peer of opened) {
+      const rounds = chosen.has(peer) ? 0 : (this.unwantedRounds.get(peer) ?? 0) + 1;
+      this.unwantedRounds.set(peer, rounds);
+      if (rounds >= UNWANTED_ROUNDS) {
+        this.links.drop(peer);
+      }
+    }
+    this.forgetExcept(new Set(opened));
+  }
+
+  private choose(members: PeerId[]): PeerId[] {
+    const chosen = choosePeers(this.self, members);
+    return this.wantsSeeds ? [...chosen, ...this.seeds] : chosen;
+  }
+
+  /** Whether links to the seeds are wanted, whatever place they have among the members. */
+  private get wantsSeeds(): boolean {
+    return (
+      this.rounds <= FIRST_ROUNDS ||
+      this.rounds % ROUNDS_BETWEEN_SEEDS === 0 ||
+      this.links.linked().length === 0
+    );
+  }
+
+  private forgetExcept(opened: ReadonlySet<PeerId>): void {
+    for (const peer of [...this.unwantedRounds.keys()]) {
+      if (!opened.has(peer)) {
+        this.unwantedRounds.delete(peer);
+      }
+    }
+  }
+}
+
+function toAddresses(peers: PeerId[]): PeerAddress[] {
+  return peers.map(toAddress).filter(({ port }) => port > 0);
+}
+
+function toAddress(id: PeerId): PeerAddress {
+  const colon = id.lastIndexOf(':');
+  return { id, host: id.slice(0, colon), port: Number(id.slice(colon + 1)) || 0 };
+}
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -1,25 +1,32 @@
 /**
- * The VMs that this one heard of lately, directly or from others. Only those that
- * spoke themselves are named to others, so that a VM that is gone is forgotten.
+ * The VMs that this one heard of lately, directly or from others. Each is named
+ * with the time since it last spoke itself, so that a VM that is gone grows old
+ * everywhere at once and is forgotten.
  */
-import type { Clock, Millis } from '@limelead/types';
+import type { Clock, Millis, Random } from '@limelead/types';
 import type { PeerId } from './evidence-exchange.js';
 
-/** A VM that nobody named for this long is taken to be gone. */
+/** A VM that has not spoken for this long is taken to be gone. */
 const FORGET_AFTER_MS = 12_000;
-/** A VM is passed on to others only while it was heard of this lately. */
-const PASS_ON_MS = 4_000;
-/** Most addresses in one heartbeat. */
-const MAX_SAMPLE = 12;
+/** A VM is named to others only while it spoke this lately. */
+const PASS_ON_MS = 9_000;
+/** Most VMs named in one heartbeat. */
+const MAX_SAMPLE = 16;
+
+/** A VM with the time since it last spoke. */
+export interface MemberAge {
+  id: PeerId;
+  ageMs: Millis;
+}
 
 /** Remembers VMs by address. */
 export default class MemberBook {
-  private readonly heardAtMs = new Map<PeerId, Millis>();
   private readonly spokeAtMs = new Map<PeerId, Millis>();
 
   constructor(
     private readonly self: PeerId,
     private readonly clock: Clock,
+    private readonly random: Random,
   ) {}
 
   /** VMs that are believed to run, this one included. */
@@ -27,38 +34,37 @@
     return this.list().length + 1;
   }
 
-  /** Somebody named a VM. */
-  hear(member: PeerId): void {
-    if (member !== this.self) {
-      this.heardAtMs.set(member, this.clock.now());
+  /** A VM spoke that long ago, as far as somebody knows. */
+  hear({ id, ageMs }: MemberAge): void {
+    const spokeAtMs = this.clock.now() - Math.max(0, ageMs);
+    if (id !== this.self && spokeAtMs > (this.spokeAtMs.get(id) ?? -Infinity)) {
+      this.spokeAtMs.set(id, spokeAtMs);
     }
   }
 
-  /** A VM spoke itself. */
-  hearFrom(member: PeerId): void {
-    this.hear(member);
-    this.spokeAtMs.delete(member);
-    this.spokeAtMs.set(member, this.clock.now());
+  /** A VM spoke just now, to this one. */
+  hearFrom(id: PeerId): void {
+    this.hear({ id, ageMs: 0 });
   }
 
   /** The other VMs that are believed to run. */
   list(): PeerId[] {
     const since = this.clock.now() - FORGET_AFTER_MS;
-    for (const [member, heardAtMs] of [...this.heardAtMs]) {
-      if (heardAtMs < since) {
-        this.heardAtMs.delete(member);
+    for (const [member, spokeAtMs] of this.spokeAtMs) {
+      if (spokeAtMs < since) {
         this.spokeAtMs.delete(member);
       }
     }
-    return [...this.heardAtMs.keys()];
+    return [...this.spokeAtMs.keys()];
   }
 
-  /** VMs to name to others, those heard of last. */
-  sample(): PeerId[] {
-    const since = this.clock.now() - PASS_ON_MS;
-    return [...this.spokeAtMs]
-      .filter(([, spokeAtMs]) => spokeAtMs >= since)
-      .map(([member]) => member)
-      .slice(-MAX_SAMPLE);
+  /** Some VMs to name to others, drawn at random. */
+  sample(): MemberAge[] {
+    const now = this.clock.now();
+    const members = [...this.spokeAtMs]
+      .map(([id, spokeAtMs]): MemberAge => ({ id, ageMs: Math.round(now - spokeAtMs) }))
+      .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
+    const start = Math.floor(this.random.next() * members.length);
+    return [...members.slice(start), ...members.slice(0, start)].slice(0, MAX_SAMPLE);
   }
 }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -16,8 +16,8 @@
 const heartbeat = t.type({
   kind: t.literal('heartbeat'),
   failureDomain: t.string,
-  /** Addresses of VMs that the sender heard of lately. */
-  members: t.array(t.string),
+  /** Some VMs that the sender heard of lately, with the milliseconds since each spoke. */
+  members: t.array(t.type({ id: t.string, ageMs: t.number })),
   /** Revision of the store up to which the sender knows everything; 0 before the first list. */
   revision: t.number,
   /** Version of the configuration in force; 0 for none. */
@@ -30,8 +30,8 @@
   targets: t.array(t.type({ id: t.string, requests: t.number })),
 });
 
-/** The sender, or a VM that told it, found a target lost just now. */
-const lost = t.type({ kind: t.literal('lost'), target: t.string });
+/** The sender, or VMs that told it, found these targets lost just now. */
+const lost = t.type({ kind: t.literal('lost'), targets: t.array(t.string) });
 
 /** Asks for everything that the peer knows of the store. */
 const wantItems = t.type({ kind: t.literal('want-items') });
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -1,5 +1,6 @@
 /** The targets that this VM knows, with its own work on them and its evidence about them. */
-import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import { hashText, type Clock, type Millis, type ServiceTarget } from '@limelead/types';
+import DomainLosses from './domain-losses.js';
 import {
   isSuspected,
   NO_EVIDENCE,
@@ -10,12 +11,12 @@
 
 /** Losses in one failure domain within this time are taken to have one cause. */
 const DOMAIN_WINDOW_MS = 700;
-/** Targets lost in a domain from which on the rest of it is doubted. */
-const DOMAIN_LOSSES = 2;
 
 /** One incarnation of a target with everything known of it. */
 export interface TrackedServiceTarget {
   target: ServiceTarget;
+  /** Hash of the id, for the spread of sessions over targets. */
+  hash: number;
   evidence: TargetEvidence;
   /** Requests of this VM under way there. */
   inFlight: number;
@@ -49,6 +50,9 @@
 /** Holds the targets of one VM. */
 export default class TargetDirectory {
   private readonly tracked = new Map<string, TrackedServiceTarget>();
+  private readonly losses = new DomainLosses();
+  /** Number of targets in each failure domain. */
+  private readonly domainSizes = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
   private readonly peerLoads = new Map<string, ReadonlyMap<string, number>>();
 
@@ -170,14 +174,8 @@
    * the rest of it is likely lost too.
    */
   isDomainDoubtful(failureDomain: string, windowMs: Millis = DOMAIN_WINDOW_MS): boolean {
-    const since = this.clock.now() - windowMs;
-    const lost = this.all().filter(
-      ({ target, evidence }) =>
-        target.failureDomain === failureDomain &&
-        evidence.lostAtMs > 0 &&
-        evidence.lostAtMs >= since,
-    );
-    return lost.length >= DOMAIN_LOSSES;
+    const size = this.domainSizes.get(failureDomain) ?? 0;
+    return this.losses.isDoubtful(failureDomain, size, this.clock.now() - windowMs);
   }
 
   /**
@@ -205,7 +203,11 @@
   private takeObservation(id: string, observation: TargetObservation): void {
     const tracked = this.tracked.get(id);
     if (tracked !== undefined) {
-      tracked.evidence = observeTarget(tracked.evidence, observation, this.clock.now());
+      const now = this.clock.now();
+      tracked.evidence = observeTarget(tracked.evidence, observation, now);
+      if (observation.kind === 'lost') {
+        this.losses.note(tracked.target.failureDomain, id, now);
+      }
     }
   }
 
@@ -221,8 +223,10 @@
     const known = this.tracked.get(target.id);
     if (known === undefined) {
       this.removeReplaced(target);
+      this.resizeDomain(target.failureDomain, 1);
       this.tracked.set(target.id, {
         target,
+        hash: hashText(target.id),
         evidence: { ...NO_EVIDENCE },
         inFlight: 0,
         peerRequests: 0,
@@ -249,11 +253,19 @@
   private remove(id: string): void {
     const known = this.tracked.get(id);
     if (known !== undefined) {
+      const { target } = known;
       this.tracked.delete(id);
-      this.events.onNotice?.({ kind: 'gone', target: known.target });
+      this.resizeDomain(target.failureDomain, -1);
+      this.losses.forget(target.failureDomain, id);
+      this.events.onNotice?.({ kind: 'gone', target });
     }
   }
 
+  private resizeDomain(failureDomain: string, change: 1 | -1): void {
+    const size = (this.domainSizes.get(failureDomain) ?? 0) + change;
+    this.domainSizes.set(failureDomain, size);
+  }
+
   private wake(): void {
     for (const listener of [...this.listeners]) {
       listener();
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from './engine.js';
 export * from './events.js';
 export * from './generation.js';
+export { hashText, mixHashes } from './hash.js';
 export * from './serving.js';
 export * from './targets.js';
 export * from './time.js';
