Lend repeats between VMs, and pay only for sends that reach a target

Ruled out: places (none waited), the choice of the target (copies were there).

Change: a send that reached no target is given back, and the first that reaches one is free; a VM with fewer than two repeats left asks three linked peers, who lend part of what they can spare and count it as spent, so the fleet's sum holds without a shared counter; a loan ends after two seconds.

Tests: retry-budgets, send-payments, evidence-exchange.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -11,6 +11,7 @@
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import { MAX_TURNED_AWAY, SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
+import SendPayments, { type NoteUnreached } from './send-payments.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
 const REPEATABLE_MAX_IDLE_MS = 10_000;
@@ -33,6 +34,7 @@
 interface Attempt {
   number: number;
   place: Place;
+  noteUnreached: NoteUnreached;
   open?: OpenCall;
   head?: AnswerHead;
   chunks: Buffer[];
@@ -63,12 +65,15 @@
   private stopWaiting: () => void = () => undefined;
   private isWaiting = false;
   private readonly timers: CancelTimer[] = [];
+  private readonly payments: SendPayments;
 
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
     private readonly sink: AnswerSink,
-  ) {}
+  ) {
+    this.payments = new SendPayments(context, admitted.service);
+  }
 
   begin(): void {
     const { clock, timers } = this.context;
@@ -107,20 +112,18 @@
 
   private send(place: Place): void {
     const { clock, connections, dialect, log, timers } = this.context;
-    const { request, organisation, rank, route, dueAtMs, service } = this.admitted;
+    const { request, organisation, rank, route, dueAtMs } = this.admitted;
     const { target } = place.tracked;
     const attempt: Attempt = {
       number: this.attempts.length + 1,
       place,
+      noteUnreached: this.payments.noteSent(),
       chunks: [],
       heldBytes: 0,
       isOver: false,
     };
     this.attempts.push(attempt);
     this.tried.add(target.id);
-    if (attempt.number === 1) {
-      this.context.retriesOf(service).noteFirstSend(clock.now());
-    }
     const remainingMs = dueAtMs - clock.now();
     log.write('call-sent', {
       requestId: request.requestId,
@@ -247,6 +250,7 @@
       return;
     }
     if (notSent) {
+      attempt.noteUnreached();
       this.ran -= 1;
       this.afterNotRun();
     } else {
@@ -280,7 +284,7 @@
     if (this.isDone || this.hasLive()) {
       return;
     }
-    if (this.turnedAway > MAX_TURNED_AWAY || !this.spendRetry()) {
+    if (this.turnedAway > MAX_TURNED_AWAY || !this.payments.tryPay()) {
       this.giveUp();
       return;
     }
@@ -298,7 +302,7 @@
 
   private tryAgain(): boolean {
     const { route } = this.admitted;
-    if (!route.repeatable || this.ran >= route.maxTargets || !this.spendRetry()) {
+    if (!route.repeatable || this.ran >= route.maxTargets || !this.payments.tryPay()) {
       return false;
     }
     this.openAttempt();
@@ -309,11 +313,6 @@
     return this.isWaiting || this.attempts.some(({ isOver }) => !isOver);
   }
 
-  private spendRetry(): boolean {
-    const { clock, countVms } = this.context;
-    return this.context.retriesOf(this.admitted.service).trySpend(clock.now(), countVms());
-  }
-
   /** Takes an attempt as over; false where it already was. */
   private close(attempt: Attempt): boolean {
     if (attempt.isOver || this.isDone) {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -315,7 +315,7 @@
     }
     const { directory } = this.context;
     const { target } = live.attempt;
-    this.sends.noteTurnedAway(target.id);
+    this.sends.noteTurnedAway(target.id, cause);
     directory.observe(
       target.id,
       cause === 'full' ? { kind: 'full', pauseMs: FULL_PAUSE_MS } : { kind: 'lost' },
--- a/packages/forward-request/src/stream-sends.ts
+++ b/packages/forward-request/src/stream-sends.ts
@@ -3,11 +3,15 @@
 import type { LossCause } from '@limelead/track-service-targets';
 import type { AdmittedRequest, ForwardContext } from './context.js';
 import { MAX_TURNED_AWAY } from './limits.js';
+import SendPayments, { type NoteUnreached } from './send-payments.js';
+import type { TurnedAwayCause } from './stream-attempt.js';
 
 /** Counts sends and holds the bounds on them. */
 export default class StreamSends {
   private sends = 0;
   private turnedAway = 0;
+  private readonly payments: SendPayments;
+  private noteUnreached: NoteUnreached = () => undefined;
   /** Sends that a target may have run. */
   private ran = 0;
   /** Targets that may have run the request, and how each was lost. */
@@ -16,7 +20,9 @@
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
-  ) {}
+  ) {
+    this.payments = new SendPayments(context, admitted.service);
+  }
 
   get count(): number {
     return this.sends;
@@ -26,14 +32,11 @@
     return this.ran > 0;
   }
 
-  /** The first send of a request is what the budget for repeats is counted from. */
   noteSent(targetId: string): void {
     this.sends += 1;
     this.ran += 1;
     this.ranAt.set(targetId, undefined);
-    if (this.sends === 1) {
-      this.context.retriesOf(this.admitted.service).noteFirstSend(this.context.clock.now());
-    }
+    this.noteUnreached = this.payments.noteSent();
   }
 
   noteLost(targetId: string, cause: LossCause): void {
@@ -41,10 +44,13 @@
   }
 
   /** The target did not run the request. */
-  noteTurnedAway(targetId: string): void {
+  noteTurnedAway(targetId: string, cause: TurnedAwayCause): void {
     this.ran -= 1;
     this.ranAt.delete(targetId);
     this.turnedAway += 1;
+    if (cause === 'unreachable') {
+      this.noteUnreached();
+    }
   }
 
   /** Why the request may never be sent again; undefined while it may. */
@@ -70,13 +76,9 @@
     return present.length >= this.admitted.route.maxTargets;
   }
 
-  /** The first send is free; later ones are paid from the budget that all VMs share. */
+  /** Pays for the next send; false where the budget is spent for now. */
   tryPay(): boolean {
-    if (this.sends === 0) {
-      return true;
-    }
-    const { clock, countVms } = this.context;
-    return this.context.retriesOf(this.admitted.service).trySpend(clock.now(), countVms());
+    return this.payments.tryPay();
   }
 
   /** An error that promises no more than is known of the request's runs. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,7 +71,12 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
-    this.retries = new RetryBudgets(settings.retryBudget);
+    this.retries = new RetryBudgets({
+      budget: settings.retryBudget,
+      clock: steadyClock,
+      countVms: () => this.countVms(),
+      onShort: (service) => this.exchange?.wantRepeats(service),
+    });
     this.directory = new TargetDirectory(steadyClock, {
       onNotice: (notice) => this.onNotice(notice),
       onLost: (id) => this.exchange?.noteLost(id),
@@ -243,10 +248,18 @@
       readLoad: () => this.readLoad(),
       onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
       onLost: (target) => this.directory.takePeerLoss(target),
+      lendRepeats: (service, wanted) => this.retries.lend(service, wanted),
+      onRepeats: (service, repeats) => this.onRepeats(service, repeats),
       onItems: (items, revision) => this.knowledge.takeList({ items, revision }, 'peer'),
     });
   }
 
+  private onRepeats(service: string, repeats: number): void {
+    this.retries.borrow(service, repeats);
+    this.metrics.count('limelead_repeats_borrowed_total', repeats);
+    this.log.write('repeats-borrowed', { service, repeats });
+  }
+
   /** Only runs of engines are told: they last, and one more slows the others down. */
   private readLoad(): TargetLoad[] {
     return this.directory
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -14,6 +14,8 @@
 class Vm {
   readonly loads = new Map<string, ReadonlyMap<string, number>>();
   readonly lost: string[] = [];
+  readonly borrowed = new Map<string, number>();
+  spare = 0;
   knowledge: StoreKnowledge = EMPTY;
   load: TargetLoad[] = [];
   exchange!: EvidenceExchange;
@@ -42,6 +44,8 @@
       readLoad: () => vm.load,
       onLoad: (peer, load) => vm.note(() => vm.loads.set(peer, load)),
       onLost: (target) => vm.note(() => vm.lost.push(target)),
+      lendRepeats: (_, wanted) => Math.min(wanted, vm.spare),
+      onRepeats: (service, repeats) => vm.note(() => vm.borrowed.set(service, repeats)),
       onItems: (items, revision) =>
         vm.note(() => (vm.knowledge = { ...vm.knowledge, items, revision })),
     });
@@ -150,4 +154,17 @@
   await Promise.all([first, stale].map(({ exchange }) => exchange.stop()));
 });
 
+test('a VM with few repeats left gets some from a peer that has them', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const rich = await Vm.start(a, 'north', []);
+  rich.spare = 1;
+  const poor = await Vm.start(b, 'south', [a]);
+  await poor.until(() => {
+    poor.exchange.wantRepeats('briefs');
+    return poor.borrowed.get('briefs') === 1;
+  });
+  assert.is(rich.borrowed.size, 0);
+  await Promise.all([rich, poor].map(({ exchange }) => exchange.stop()));
+});
+
 test.run();
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -11,6 +11,7 @@
 import LinkUpkeep from './link-upkeep.js';
 import LossNews from './loss-news.js';
 import MemberBook from './member-book.js';
+import RepeatLoans from './repeat-loans.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 
 const HEARTBEAT_MS = 1_000;
@@ -66,6 +67,10 @@
   onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
   onLost(target: string): void;
   onItems(items: StoreItem[], revision: number): void;
+  /** A peer asks for repeats of a retry budget; gives how many it gets. */
+  lendRepeats(service: string, wanted: number): number;
+  /** A peer lent repeats. */
+  onRepeats(service: string, repeats: number): void;
 }
 
 interface PeerState {
@@ -83,6 +88,7 @@
   private readonly peers = new Map<PeerId, PeerState>();
   private readonly members: MemberBook;
   private readonly lossNews: LossNews;
+  private readonly loans: RepeatLoans;
   private upkeep: LinkUpkeep | undefined;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
@@ -94,11 +100,19 @@
 
   constructor(private readonly options: EvidenceExchangeOptions) {
     const { id, clock, timers, random } = options;
+    const listPeers = (): PeerId[] => [...this.peers.keys()];
     this.members = new MemberBook(id, clock, random);
+    this.loans = new RepeatLoans({
+      clock,
+      random,
+      listPeers,
+      ask: (peer, service, repeats) =>
+        this.links?.send(peer, { kind: 'want-repeats', service, repeats }),
+    });
     this.lossNews = new LossNews({
       clock,
       timers,
-      listPeers: () => [...this.peers.keys()],
+      listPeers,
       tell: (peer, targets) => this.links?.send(peer, { kind: 'lost', targets }),
     });
   }
@@ -151,6 +165,11 @@
     this.lossNews.take(target);
   }
 
+  /** This VM has few repeats left for a service. */
+  wantRepeats(service: string): void {
+    this.loans.want(service);
+  }
+
   /** What this VM knows of the store changed; a new configuration is told at once. */
   noteKnowledge(): void {
     const { configuration } = this.options.readKnowledge();
@@ -242,12 +261,28 @@
         this.links?.send(peer, { kind: 'items', items, revision });
         break;
       }
+      case 'want-repeats':
+        this.lendRepeats(peer, message);
+        break;
+      case 'lend-repeats':
+        this.options.onRepeats(message.service, message.repeats);
+        break;
       case 'items':
         this.options.onItems(message.items, message.revision);
         break;
     }
   }
 
+  private lendRepeats(
+    peer: PeerId,
+    { service, repeats: wanted }: EvidenceMessageOf<'want-repeats'>,
+  ): void {
+    const repeats = this.options.lendRepeats(service, wanted);
+    if (repeats > 0) {
+      this.links?.send(peer, { kind: 'lend-repeats', service, repeats });
+    }
+  }
+
   private onHeartbeat(
     peer: PeerId,
     state: PeerState,
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -43,7 +43,29 @@
   revision: t.number,
 });
 
-const evidenceMessageCodec = t.union([heartbeat, load, lost, wantItems, items]);
+/** Asks for repeats of the service's retry budget; the sender has few left. */
+const wantRepeats = t.type({
+  kind: t.literal('want-repeats'),
+  service: t.string,
+  repeats: t.number,
+});
+
+/** Repeats of the service's retry budget that the sender counts as spent. */
+const lendRepeats = t.type({
+  kind: t.literal('lend-repeats'),
+  service: t.string,
+  repeats: t.number,
+});
+
+const evidenceMessageCodec = t.union([
+  heartbeat,
+  load,
+  lost,
+  wantItems,
+  items,
+  wantRepeats,
+  lendRepeats,
+]);
 
 /** A message from one VM to another. */
 export type EvidenceMessage = t.TypeOf<typeof evidenceMessageCodec>;
@@ -57,5 +79,5 @@
 /** Format of the messages on the wire. */
 export const evidenceMessageFormat: MessageFormat<EvidenceMessage> = createMessageFormat(
   evidenceMessageCodec as t.Type<EvidenceMessage, unknown>,
-  ({ kind }) => kind === 'heartbeat' || kind === 'load',
+  ({ kind }) => kind === 'heartbeat' || kind === 'load' || kind === 'want-repeats',
 );
--- a/packages/spend-retries/src/index.ts
+++ b/packages/spend-retries/src/index.ts
@@ -5,5 +5,6 @@
  * the ratio follows from its own requests.
  */
 export { default as RetryBudgets } from './retry-budgets.js';
+export type { RetryBudgetsOptions } from './retry-budgets.js';
 export { default as RetrySpender } from './retry-spender.js';
 export type { RetryBudget } from './retry-spender.js';
--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -5,6 +5,12 @@
 const BUCKETS = 20;
 /** Part of the budget that is left unspent, since several VMs count for themselves. */
 const SAFETY = 0.8;
+/** With fewer repeats left than this, a VM asks its peers for some of theirs. */
+const LOW_REPEATS = 2;
+/** Part of its spare repeats that a VM lends at once. */
+const LENT_SHARE = 0.5;
+/** Time in which borrowed repeats have to be spent, since their lender counted them already. */
+const LOAN_MS = 2_000;
 
 /** What all VMs together may spend. */
 export interface RetryBudget {
@@ -18,14 +24,25 @@
 interface Bucket {
   startMs: Millis;
   firstSends: number;
+  /** Repeats spent or lent. */
   repeats: number;
 }
 
+interface Loan {
+  repeats: number;
+  untilMs: Millis;
+}
+
 /** Counts one VM's sends to one service. */
 export default class RetrySpender {
   private readonly buckets: Bucket[] = [];
+  private loans: Loan[] = [];
 
-  constructor(private budget: RetryBudget) {}
+  /** @param onShort called when few repeats or none are left */
+  constructor(
+    private budget: RetryBudget,
+    private readonly onShort: () => void = () => undefined,
+  ) {}
 
   /** Puts other bounds in force. What was sent and spent so far still counts. */
   changeBudget(budget: RetryBudget): void {
@@ -42,14 +59,35 @@
    * @param vms number of VMs that share the slack
    */
   trySpend(now: Millis, vms: number): boolean {
-    if (this.remaining(now, vms) < 1) {
-      return false;
+    const isPaid = this.spendOwn(now, vms) || this.spendLoan(now);
+    if (this.remaining(now, vms) + this.borrowed(now) < LOW_REPEATS) {
+      this.onShort();
     }
-    this.bucketAt(now).repeats += 1;
-    return true;
+    return isPaid;
+  }
+
+  /** A repeat that was paid for reached no target. */
+  giveBack(now: Millis): void {
+    this.bucketAt(now).repeats -= 1;
+  }
+
+  /** Gives repeats to another VM, which are then spent here; fewer than wanted, or none. */
+  lend(now: Millis, vms: number, wanted: number): number {
+    const spare = this.remaining(now, vms) - LOW_REPEATS;
+    const lent = Math.min(wanted, Math.floor(spare * LENT_SHARE));
+    if (lent <= 0) {
+      return 0;
+    }
+    this.bucketAt(now).repeats += lent;
+    return lent;
+  }
+
+  /** Takes repeats that another VM lent. */
+  borrow(now: Millis, repeats: number): void {
+    this.loans.push({ repeats, untilMs: now + LOAN_MS });
   }
 
-  /** Repeats that are left in the present window. */
+  /** Repeats of this VM's own part that are left in the present window. */
   remaining(now: Millis, vms: number): number {
     const current = this.bucketAt(now);
     const counted = this.buckets.filter(({ startMs }) => startMs > current.startMs - this.spanMs);
@@ -59,6 +97,29 @@
     return SAFETY * allowed - repeats;
   }
 
+  private spendOwn(now: Millis, vms: number): boolean {
+    if (this.remaining(now, vms) < 1) {
+      return false;
+    }
+    this.bucketAt(now).repeats += 1;
+    return true;
+  }
+
+  private spendLoan(now: Millis): boolean {
+    this.loans = this.loans.filter(({ repeats, untilMs }) => repeats > 0 && untilMs > now);
+    const [loan] = this.loans;
+    if (loan === undefined) {
+      return false;
+    }
+    loan.repeats -= 1;
+    return true;
+  }
+
+  private borrowed(now: Millis): number {
+    const valid = this.loans.filter(({ untilMs }) => untilMs > now);
+    return sum(valid, ({ repeats }) => repeats);
+  }
+
   private get bucketMs(): number {
     return this.budget.windowMs / BUCKETS;
   }
@@ -82,6 +143,6 @@
   }
 }
 
-function sum(buckets: Bucket[], read: (bucket: Bucket) => number): number {
-  return buckets.reduce((total, bucket) => total + read(bucket), 0);
+function sum<Item>(items: Item[], read: (item: Item) => number): number {
+  return items.reduce((total, item) => total + read(item), 0);
 }
