Lend all that a VM can spare, and bound reading by what was seen

And 13 runs were given up after 1.3 objectives while they still read long prompts beside others, which costs all that they had read.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -9,6 +9,7 @@
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
+import type ReadingTime from './reading-time.js';
 import type SilenceWatch from './silence-watch.js';
 
 /** Everything that requests of one VM share. */
@@ -22,6 +23,7 @@
   places: PlaceQueue;
   silence: SilenceWatch;
   kept: KeptPrompts;
+  reading: ReadingTime;
   log: DecisionLog;
   metrics: Metrics;
   /** The configuration in force. */
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -30,6 +30,11 @@
 import StreamSends from './stream-sends.js';
 import toGeneration, { OPAQUE_BINDING } from './to-generation.js';
 
+/**
+ * Longest wait before another look for a way on. What is waited for are repeats
+ * of the retry budget, which peers lend within some milliseconds.
+ */
+const LONGEST_RETRY_WAIT_MS = 150;
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 60;
 /** One attempt with what belongs to it. */
@@ -143,7 +148,7 @@
   }
 
   private retryLater(attempt: number, delayMs: number): void {
-    const cancel = this.context.timers.after(delayMs, () =>
+    const cancel = this.context.timers.after(Math.min(delayMs, LONGEST_RETRY_WAIT_MS), () =>
       this.advance({ kind: 'retry-due', attempt }),
     );
     this.cleanups.push(cancel);
@@ -209,7 +214,7 @@
       target,
       continuesCopy: continueFrom !== undefined,
       policy: this.state.request.priority.recovery,
-      objectiveMs: this.admitted.route.objectiveMs,
+      readingBoundMs: this.context.reading.boundMs(this.admitted),
       clock,
       onSilent: () => this.onSilent(number),
     });
@@ -249,6 +254,7 @@
       return;
     }
     this.context.directory.hear(live.attempt.target.id);
+    this.noteFirstPiece(live.hearing);
     live.hearing.hear();
     for (const { number, bytes } of pieces) {
       this.advance({
@@ -260,6 +266,13 @@
     }
   }
 
+  /** The time to the first piece of a run that read its whole prompt tells how fast targets read. */
+  private noteFirstPiece({ isSending, startedAtMs }: RunHearing): void {
+    if (!isSending) {
+      this.context.reading.note(this.admitted, this.context.clock.now() - startedAtMs);
+    }
+  }
+
   private onEnded(attempt: number, trailer: Buffer): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -19,6 +19,7 @@
 import type { TargetDialect } from './dialect.js';
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
+import ReadingTime from './reading-time.js';
 import SilenceWatch from './silence-watch.js';
 
 const clock = { now: () => performance.now() };
@@ -205,6 +206,7 @@
         limit: ({ target }) => target.slots,
       }),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
+      reading: new ReadingTime(),
       kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
       log,
       metrics: createMetrics(),
--- a/packages/forward-request/src/run-hearing.ts
+++ b/packages/forward-request/src/run-hearing.ts
@@ -9,8 +9,6 @@
 
 /** Time in which a run that goes on from a copy sends its first piece. */
 const FIRST_PIECE_OF_COPY_MS = 500;
-/** Objectives after which a run that has sent nothing is taken to have lost its answer. */
-const OBJECTIVES_TO_FIRST_PIECE = 1.3;
 
 /** What is known of a run when it is sent. */
 export interface RunHearingOptions {
@@ -19,8 +17,8 @@
   /** True where it goes on from a copy and reads next to nothing before its first piece. */
   continuesCopy: boolean;
   policy: RecoveryPolicy;
-  /** Time in which the first piece is wanted, in milliseconds. */
-  objectiveMs: number;
+  /** Time in which a run that reads its prompt sends its first piece, in milliseconds. */
+  readingBoundMs: number;
   clock: Clock;
   onSilent(): void;
 }
@@ -56,11 +54,11 @@
   }
 
   boundMs(): number {
-    const { continuesCopy, objectiveMs, policy } = this.options;
+    const { continuesCopy, readingBoundMs, policy } = this.options;
     if (this.hasSentPieces) {
       return computeSilenceBound(this.gaps, policy);
     }
-    return continuesCopy ? FIRST_PIECE_OF_COPY_MS : objectiveMs * OBJECTIVES_TO_FIRST_PIECE;
+    return continuesCopy ? FIRST_PIECE_OF_COPY_MS : readingBoundMs;
   }
 
   onSilent(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {
   KeptPrompts,
   PlaceQueue,
+  ReadingTime,
   SilenceWatch,
   type ForwardContext,
   type TargetDialect,
@@ -189,6 +190,7 @@
       dialect,
       places: new PlaceQueue({ ...shared, failureDomain, limit: limitOf }),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
+      reading: new ReadingTime(),
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -1,7 +1,7 @@
 import createDecisionLog from '@limelead/decision-log';
 import { LimeleadError } from '@limelead/errors';
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
-import { KeptPrompts, PlaceQueue, SilenceWatch } from '@limelead/forward-request';
+import { KeptPrompts, PlaceQueue, ReadingTime, SilenceWatch } from '@limelead/forward-request';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
@@ -171,6 +171,7 @@
       dialect: targets,
       places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
+      reading: new ReadingTime(),
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
--- a/packages/share-evidence/src/repeat-loans.ts
+++ b/packages/share-evidence/src/repeat-loans.ts
@@ -8,9 +8,9 @@
 import type { PeerId } from './evidence-exchange.js';
 
 /** Time between two rounds of asking for one service, in milliseconds. */
-const ASK_INTERVAL_MS = 150;
+const ASK_INTERVAL_MS = 100;
 /** Peers asked in one round. */
-const ASKED_PEERS = 3;
+const ASKED_PEERS = 4;
 /** Repeats asked of each. */
 const WANTED_REPEATS = 2;
 
--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -7,8 +7,8 @@
 const SAFETY = 0.8;
 /** With fewer repeats left than this, a VM asks its peers for some of theirs. */
 const LOW_REPEATS = 2;
-/** Part of its spare repeats that a VM lends at once. */
-const LENT_SHARE = 0.5;
+/** Repeats that a VM keeps for itself when it lends. */
+const KEPT_REPEATS = 1;
 /** Time in which borrowed repeats have to be spent, since their lender counted them already. */
 const LOAN_MS = 2_000;
 
@@ -73,8 +73,8 @@
 
   /** Gives repeats to another VM, which are then spent here; fewer than wanted, or none. */
   lend(now: Millis, vms: number, wanted: number): number {
-    const spare = this.remaining(now, vms) - LOW_REPEATS;
-    const lent = Math.min(wanted, Math.floor(spare * LENT_SHARE));
+    const spare = this.remaining(now, vms) - KEPT_REPEATS;
+    const lent = Math.min(wanted, Math.floor(spare));
     if (lent <= 0) {
       return 0;
     }
