Ask peers for repeats only when the next send could not be paid

Change: a VM asks when less than one repeat is left, three peers for one each, and may spend them for half a window.

--- a/packages/share-evidence/src/repeat-loans.ts
+++ b/packages/share-evidence/src/repeat-loans.ts
@@ -10,9 +10,9 @@
 /** Time between two rounds of asking for one service, in milliseconds. */
 const ASK_INTERVAL_MS = 100;
 /** Peers asked in one round. */
-const ASKED_PEERS = 4;
-/** Repeats asked of each. */
-const WANTED_REPEATS = 2;
+const ASKED_PEERS = 3;
+/** Repeats asked of each; what is borrowed and not needed is lost to all. */
+const WANTED_REPEATS = 1;
 
 /** What loans need. */
 export interface RepeatLoansOptions {
--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -6,11 +6,14 @@
 /** Part of the budget that is left unspent, since several VMs count for themselves. */
 const SAFETY = 0.8;
 /** With fewer repeats left than this, a VM asks its peers for some of theirs. */
-const LOW_REPEATS = 2;
+const LOW_REPEATS = 1;
 /** Repeats that a VM keeps for itself when it lends. */
 const KEPT_REPEATS = 1;
-/** Time in which borrowed repeats have to be spent, since their lender counted them already. */
-const LOAN_MS = 2_000;
+/**
+ * Part of a window in which borrowed repeats have to be spent, since their lender
+ * counted them already. A shorter time would waste them.
+ */
+const LOAN_SHARE = 0.5;
 
 /** What all VMs together may spend. */
 export interface RetryBudget {
@@ -84,7 +87,7 @@
 
   /** Takes repeats that another VM lent. */
   borrow(now: Millis, repeats: number): void {
-    this.loans.push({ repeats, untilMs: now + LOAN_MS });
+    this.loans.push({ repeats, untilMs: now + this.budget.windowMs * LOAN_SHARE });
   }
 
   /** Repeats of this VM's own part that are left in the present window. */
