Keep targets whose entries lapsed in an outage until they are back

Change: after an outage of two seconds or more the end of a target that did not say that it leaves is held back for 1.5 s, inside the time in which a target that left may still get work.

Tests: lapsed-targets.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,6 +91,7 @@
     });
     this.knowledge = new Knowledge({
       clock: steadyClock,
+      timers: systemTimers,
       log: this.log,
       directory: this.directory,
       dialect: platform.storeDialect,
@@ -216,8 +217,12 @@
         onLost: (fault) => {
           metrics.count('limelead_store_lost_total', 1, { fault });
           log.write('store-lost', { fault });
+          this.knowledge.noteStoreLost();
+        },
+        onRegained: () => {
+          log.write('store-regained');
+          this.knowledge.noteStoreRegained();
         },
-        onRegained: () => log.write('store-regained'),
       },
     });
   }
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -7,7 +7,8 @@
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
-import type { Clock, Millis, ServiceTarget, ServingConfiguration } from '@limelead/types';
+import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
+import LapsedTargets from './lapsed-targets.js';
 
 /** Where knowledge came from. */
 export type KnowledgeSource = 'store' | 'peer';
@@ -28,6 +29,7 @@
 /** What knowledge needs. */
 export interface KnowledgeOptions {
   clock: Clock;
+  timers: Timers;
   log: DecisionLog;
   directory: TargetDirectory;
   dialect: StoreDialect;
@@ -43,8 +45,30 @@
   private readonly known = new Map<string, StoreItem>();
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
+  private readonly lapsed: LapsedTargets;
 
-  constructor(private readonly options: KnowledgeOptions) {}
+  constructor(private readonly options: KnowledgeOptions) {
+    const { clock, timers, directory, log } = options;
+    this.lapsed = new LapsedTargets({
+      clock,
+      timers,
+      isLeaving: (id) => directory.get(id)?.target.leaving === true,
+      onGone: (ids) => {
+        log.write('lapsed-targets-gone', { targets: ids });
+        directory.apply(ids.map((id): TargetChange => ({ kind: 'gone', id })));
+      },
+    });
+  }
+
+  /** The store stopped answering this VM. */
+  noteStoreLost(): void {
+    this.lapsed.noteStoreLost();
+  }
+
+  /** The store answers again. */
+  noteStoreRegained(): void {
+    this.lapsed.noteStoreRegained();
+  }
 
   /** The compiled configuration in force. */
   get routes(): RouteTable | undefined {
@@ -80,13 +104,15 @@
       }
     }
     this.knownRevision = Math.max(revision, this.knownRevision);
-    this.options.directory.replaceAll(targets);
-    this.options.onChange();
+    const { directory, onChange } = this.options;
+    directory.apply(this.lapsed.filter(directory.compare(targets)));
+    onChange();
   }
 
   /** Takes changes that followed a list. */
   takeChanges({ changes, revision }: StoreChanges): void {
-    this.options.directory.apply(changes.flatMap((change) => this.toTargetChange(change)));
+    const targetChanges = changes.flatMap((change) => this.toTargetChange(change));
+    this.options.directory.apply(this.lapsed.filter(targetChanges));
     this.knownRevision = Math.max(revision, this.knownRevision);
     if (changes.length > 0) {
       this.options.onChange();
--- /dev/null
+++ b/packages/gateway/src/lapsed-targets.test.ts
@@ -0,0 +1,62 @@
+import type { TargetChange } from '@limelead/track-service-targets';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import LapsedTargets from './lapsed-targets.js';
+
+const gone = (id: string): TargetChange => ({ kind: 'gone', id });
+
+function put(id: string): TargetChange {
+  const target = { id, service: 's', host: 'h', port: 1, failureDomain: 'd', slots: 1 };
+  return { kind: 'put', target: { ...target, leaving: false } };
+}
+
+/** Under a clock and timers that the test moves. */
+function create(leaving: string[] = []) {
+  const told: string[] = [];
+  const due: (() => void)[] = [];
+  const clock = { at: 0, now: () => clock.at };
+  const lapsed = new LapsedTargets({
+    clock,
+    timers: {
+      after: (_, run) => {
+        due.push(run);
+        return () => undefined;
+      },
+    },
+    isLeaving: (id) => leaving.includes(id),
+    onGone: (ids) => told.push(...ids),
+  });
+  const outage = (milliseconds: number): void => {
+    lapsed.noteStoreLost();
+    clock.at += milliseconds;
+    lapsed.noteStoreRegained();
+  };
+  return { lapsed, told, clock, outage, runTimers: () => due.splice(0).forEach((run) => run()) };
+}
+
+test('entries that lapsed in an outage are kept until they are back', () => {
+  const { lapsed, told, outage, runTimers } = create();
+  outage(5_000);
+  assert.equal(lapsed.filter([gone('a'), gone('b')]), []);
+  assert.is(lapsed.filter([put('a')]).length, 1);
+  runTimers();
+  assert.equal(told, ['b']);
+});
+
+test('a target that said that it leaves is gone at once', () => {
+  const { lapsed, outage } = create(['a']);
+  outage(5_000);
+  assert.equal(lapsed.filter([gone('a')]), [gone('a')]);
+});
+
+test('without an outage, after a short one and after the grace a target is gone at once', () => {
+  const { lapsed, outage, clock } = create();
+  assert.equal(lapsed.filter([gone('a')]), [gone('a')]);
+  outage(300);
+  assert.equal(lapsed.filter([gone('a')]), [gone('a')]);
+  outage(5_000);
+  clock.at += 1_600;
+  assert.equal(lapsed.filter([gone('a')]), [gone('a')]);
+});
+
+test.run();
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -7,6 +7,7 @@
 import type { StoreItem } from '@limelead/follow-store';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { Clock, Millis, Random, Timers } from '@limelead/types';
+import CatchUp, { type PeerKnowledge } from './catch-up.js';
 import { FULL_MESH_VMS } from './choose-peers.js';
 import LinkUpkeep from './link-upkeep.js';
 import LossNews from './loss-news.js';
@@ -19,13 +20,6 @@
 const SILENT_PEER_MS = 3_200;
 /** Changes of load within this time are told together in a fleet that is a full mesh. */
 const LOAD_GATHER_MS = 15;
-/** Pause between two questions for items while the store is away. */
-const ASK_INTERVAL_MS = 400;
-/**
- * A VM whose store still seems well learns a new configuration from its own
- * watch; where a peer is ahead for longer than this, the watch is likely dead.
- */
-const AHEAD_TOO_LONG_MS = 500;
 /** Links with a secret of their own would need a settings field that the platform lacks. */
 const NO_SECRET = '';
 const NO_LOAD = '[]';
@@ -73,11 +67,9 @@
   onRepeats(service: string, repeats: number): void;
 }
 
-interface PeerState {
+interface PeerState extends PeerKnowledge {
   failureDomain: string;
   heardAtMs: Millis;
-  revision: number;
-  configuration: number;
   /** The load that it was told last, as text to compare with. */
   toldLoad: string;
 }
@@ -89,12 +81,10 @@
   private readonly members: MemberBook;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
+  private readonly catchUp: CatchUp;
   private upkeep: LinkUpkeep | undefined;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
-  private askedAtMs: Millis = -Infinity;
-  /** Since when a peer has a newer configuration; undefined while none has. */
-  private behindSinceMs: Millis | undefined;
   private isLoadDue = false;
   private isStopped = false;
 
@@ -109,6 +99,13 @@
       ask: (peer, service, repeats) =>
         this.links?.send(peer, { kind: 'want-repeats', service, repeats }),
     });
+    this.catchUp = new CatchUp({
+      clock,
+      timers,
+      readKnowledge: options.readKnowledge,
+      listPeers: () => [...this.peers],
+      ask: (peer) => this.links?.send(peer, { kind: 'want-items' }),
+    });
     this.lossNews = new LossNews({
       clock,
       timers,
@@ -191,7 +188,7 @@
     this.dropSilentPeers();
     this.upkeep?.tend(this.members.list());
     this.links?.broadcast(this.createHeartbeat());
-    this.askForItems();
+    this.catchUp.check();
     this.options.timers.after(HEARTBEAT_MS, () => this.beat());
   }
 
@@ -297,35 +294,7 @@
       this.sendLoad([peer]);
       this.meetMembers();
     }
-    this.askForItems();
-  }
-
-  /** While the store does not tell this VM what is new, the peer that knows most is asked. */
-  private askForItems(): void {
-    const own = this.options.readKnowledge();
-    const now = this.options.clock.now();
-    this.noteBehind(own, now);
-    const isBehind = now - (this.behindSinceMs ?? now) >= AHEAD_TOO_LONG_MS;
-    if ((own.isInTouch && !isBehind) || now - this.askedAtMs < ASK_INTERVAL_MS) {
-      return;
-    }
-    const newest = [...this.peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
-    if (newest !== undefined && newest[1].revision > own.revision) {
-      this.askedAtMs = now;
-      this.links?.send(newest[0], { kind: 'want-items' });
-    }
-  }
-
-  private noteBehind(own: StoreKnowledge, now: Millis): void {
-    const isBehind = [...this.peers.values()].some(
-      ({ configuration }) => configuration > own.configuration,
-    );
-    if (!isBehind) {
-      this.behindSinceMs = undefined;
-    } else if (this.behindSinceMs === undefined) {
-      this.behindSinceMs = now;
-      this.options.timers.after(AHEAD_TOO_LONG_MS, () => this.askForItems());
-    }
+    this.catchUp.check();
   }
 
   private sendLoad(peers: PeerId[]): void {
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -74,12 +74,17 @@
 
   /** Takes a complete list; incarnations that are not in it are gone. */
   replaceAll(targets: ServiceTarget[]): void {
+    this.apply(this.compare(targets));
+  }
+
+  /** The changes that lead from what is known to a complete list. */
+  compare(targets: ServiceTarget[]): TargetChange[] {
     const listed = new Set(targets.map(({ id }) => id));
     const missing = [...this.tracked.keys()].filter((id) => !listed.has(id));
-    this.apply([
+    return [
       ...missing.map((id): TargetChange => ({ kind: 'gone', id })),
       ...targets.map((target): TargetChange => ({ kind: 'put', target })),
-    ]);
+    ];
   }
 
   /** Takes changes in their order. */
