Keep lapsed targets also while only a peer knows the store again

Change: the end of a target is held back during a long outage too, each entry for a time of its own from when it was first missing: two seconds, or nine tenths of the time after which a target that left may get no work any more, which the settings tell now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -93,6 +93,7 @@
       clock: steadyClock,
       timers: systemTimers,
       log: this.log,
+      leavingTargetMs: settings.leavingTargetMs,
       directory: this.directory,
       dialect: platform.storeDialect,
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -31,6 +31,8 @@
   clock: Clock;
   timers: Timers;
   log: DecisionLog;
+  /** Time after which a target that leaves may get no work any more, in milliseconds. */
+  leavingTargetMs: Millis;
   directory: TargetDirectory;
   dialect: StoreDialect;
   /** Called with each configuration that comes into force. */
@@ -48,14 +50,15 @@
   private readonly lapsed: LapsedTargets;
 
   constructor(private readonly options: KnowledgeOptions) {
-    const { clock, timers, directory, log } = options;
+    const { clock, timers, leavingTargetMs, directory, log } = options;
     this.lapsed = new LapsedTargets({
       clock,
       timers,
+      leavingTargetMs,
       isLeaving: (id) => directory.get(id)?.target.leaving === true,
-      onGone: (ids) => {
-        log.write('lapsed-targets-gone', { targets: ids });
-        directory.apply(ids.map((id): TargetChange => ({ kind: 'gone', id })));
+      onGone: (id) => {
+        log.write('lapsed-target-gone', { target: id });
+        directory.apply([{ kind: 'gone', id }]);
       },
     });
   }
--- a/packages/gateway/src/lapsed-targets.ts
+++ b/packages/gateway/src/lapsed-targets.ts
@@ -8,30 +8,33 @@
 
 /** An outage shorter than this lets no entry lapse, in milliseconds. */
 const LEAST_OUTAGE_MS = 2_000;
-/**
- * Time after the store's return in which a missing entry may come back, in
- * milliseconds. It ends before a target that did leave may get no work any more.
- */
-const GRACE_MS = 1_500;
+/** Time in which entries that lapsed are back after the store's return, in milliseconds. */
+const LONGEST_GRACE_MS = 2_000;
+/** Part of the time in which a target that left may still get work. */
+const GRACE_SHARE = 0.9;
 
 /** What holding needs. */
 export interface LapsedTargetsOptions {
   clock: Clock;
   timers: Timers;
+  /** Time after which a target that leaves may get no work any more, in milliseconds. */
+  leavingTargetMs: Millis;
   /** Whether a target is known and said that it leaves; its end is no lapse. */
   isLeaving(id: string): boolean;
-  /** The entries did not come back. */
-  onGone(ids: string[]): void;
+  /** The entry did not come back. */
+  onGone(id: string): void;
 }
 
-/** Holds back the end of targets right after an outage of the store. */
+/** Holds back the end of targets during and right after an outage of the store. */
 export default class LapsedTargets {
   private lostAtMs: Millis | undefined;
   private graceEndsAtMs: Millis = -Infinity;
-  private readonly missing = new Set<string>();
-  private cancelTimer: CancelTimer | undefined;
+  private readonly missing = new Map<string, CancelTimer>();
+  private readonly graceMs: Millis;
 
-  constructor(private readonly options: LapsedTargetsOptions) {}
+  constructor(private readonly options: LapsedTargetsOptions) {
+    this.graceMs = Math.min(LONGEST_GRACE_MS, options.leavingTargetMs * GRACE_SHARE);
+  }
 
   /** The store stopped answering this VM. */
   noteStoreLost(): void {
@@ -40,15 +43,10 @@
 
   /** The store answers again. */
   noteStoreRegained(): void {
-    const now = this.options.clock.now();
-    const outageMs = now - (this.lostAtMs ?? now);
-    this.lostAtMs = undefined;
-    if (outageMs < LEAST_OUTAGE_MS) {
-      return;
+    if (this.isLongOutage) {
+      this.graceEndsAtMs = this.options.clock.now() + this.graceMs;
     }
-    this.graceEndsAtMs = now + GRACE_MS;
-    this.cancelTimer?.();
-    this.cancelTimer = this.options.timers.after(GRACE_MS, () => this.endGrace());
+    this.lostAtMs = undefined;
   }
 
   /** Takes changes and gives those that hold now. */
@@ -57,23 +55,40 @@
   }
 
   private holdsBack(change: TargetChange): boolean {
-    const { clock, isLeaving } = this.options;
     if (change.kind === 'put') {
-      this.missing.delete(change.target.id);
+      this.forget(change.target.id);
       return false;
     }
-    if (clock.now() >= this.graceEndsAtMs || isLeaving(change.id)) {
+    const { clock, isLeaving } = this.options;
+    const mayBeBack = this.isLongOutage || clock.now() < this.graceEndsAtMs;
+    if (!mayBeBack || isLeaving(change.id)) {
+      this.forget(change.id);
       return false;
     }
-    this.missing.add(change.id);
+    this.hold(change.id);
     return true;
   }
 
-  private endGrace(): void {
-    const gone = [...this.missing];
-    this.missing.clear();
-    if (gone.length > 0) {
-      this.options.onGone(gone);
+  /** A peer may know the store again before this VM does. */
+  private get isLongOutage(): boolean {
+    const now = this.options.clock.now();
+    return this.lostAtMs !== undefined && now - this.lostAtMs >= LEAST_OUTAGE_MS;
+  }
+
+  /** Each entry has its own time to come back, from when it was first missing. */
+  private hold(id: string): void {
+    if (this.missing.has(id)) {
+      return;
     }
+    const cancel = this.options.timers.after(this.graceMs, () => {
+      this.missing.delete(id);
+      this.options.onGone(id);
+    });
+    this.missing.set(id, cancel);
+  }
+
+  private forget(id: string): void {
+    this.missing.get(id)?.();
+    this.missing.delete(id);
   }
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -13,6 +13,8 @@
   peers?: ListenAddress;
   /** Some addresses of other VMs, which may be old. */
   seeds: ListenAddress[];
+  /** Time after which a target that leaves may get no work any more, in milliseconds. */
+  leavingTargetMs: number;
   /** Time between the request to stop and the kill, in milliseconds. */
   stopGraceMs: number;
   retryBudget: RetryBudget;
