--- a/packages/measure/src/capacity/rows.ts
+++ b/packages/measure/src/capacity/rows.ts
@@ -49,21 +49,21 @@
   const table = find('target table held');
   const signing = find('signing handles');
   return [
-    row(streams, {
+    fillRow(streams, {
       role: 'request path',
       what: 'open streams on a VM',
       mechanism: 'balancer; any VM takes any request',
       formula: 'tokens/s × 32 ms ÷ VMs',
       unit: 'streams',
     }),
-    row((size) => (streams(size) * memory.slope) / MB_IN_KB, {
+    fillRow((size) => (streams(size) * memory.slope) / MB_IN_KB, {
       role: 'request path',
       what: 'memory of open streams',
       mechanism: 'bounded mailbox and pulled reading (`run-generation`)',
       formula: `streams × ${memory.slope} KB`,
       unit: 'MB',
     }),
-    row(
+    fillRow(
       (size) =>
         (size.tokensPerSecond * perToken.slope + size.requestsPerSecond * perRequest.slope) /
         size.vms,
@@ -77,14 +77,14 @@
         remedy: 'Fewer messages a token, or more processes a VM.',
       },
     ),
-    row((size) => (size.requestsPerSecond * 1.1 * signing.slope) / size.vms, {
+    fillRow((size) => (size.requestsPerSecond * 1.1 * signing.slope) / size.vms, {
       role: 'request path',
       what: 'signing handles',
       mechanism: 'HMAC over a digest (`resume-handle`)',
       formula: `requests/s × 1.1 × ${signing.slope} ms`,
       unit: 'ms/s',
     }),
-    row((size) => valueAt(held, size.organisations) / MB_IN_KB, {
+    fillRow((size) => valueAt(held, size.organisations) / MB_IN_KB, {
       role: 'holder of the configuration',
       what: 'configuration in memory',
       mechanism: 'one index of resources (`configuration-state`)',
@@ -92,21 +92,21 @@
       unit: 'MB',
       budget: CONTROL_BUDGET.memoryMb,
     }),
-    row((size) => valueAt(find('applying a change'), size.organisations), {
+    fillRow((size) => valueAt(find('applying a change'), size.organisations), {
       role: 'holder of the configuration',
       what: 'one change',
       mechanism: 'a copy of the index',
       formula: `organisations × ${find('applying a change').slope} ms`,
       unit: 'ms',
     }),
-    row((size) => valueAt(find('configuration as a snapshot'), size.organisations) / MB_IN_KB, {
+    fillRow((size) => valueAt(find('configuration as a snapshot'), size.organisations) / MB_IN_KB, {
       role: 'holder of the configuration',
       what: 'a snapshot, for a new VM or every 96 changes',
       mechanism: 'parts of half a megabyte (`store-configuration`)',
       formula: `organisations × ${find('configuration as a snapshot').slope} KB`,
       unit: 'MB',
     }),
-    row((size) => valueAt(table, size.targets) / MB_IN_KB, {
+    fillRow((size) => valueAt(table, size.targets) / MB_IN_KB, {
       role: 'router',
       what: 'target table in memory',
       mechanism: 'every VM knows every target',
@@ -114,14 +114,14 @@
       unit: 'MB',
       budget: CONTROL_BUDGET.memoryMb,
     }),
-    row((size) => valueAt(find('choosing a target'), Math.min(size.targets, 64)) / 1_000, {
+    fillRow((size) => valueAt(find('choosing a target'), Math.min(size.targets, 64)) / 1_000, {
       role: 'router',
       what: 'choosing a target',
       mechanism: 'at most 64 are looked at (`choose-target`)',
       formula: `64 × ${find('choosing a target').slope} µs`,
       unit: 'ms',
     }),
-    row(
+    fillRow(
       (size) =>
         memory.intercept / MB_IN_KB +
         valueAt(held, size.organisations) / MB_IN_KB +
@@ -162,7 +162,7 @@
     heartbeatKb(size) + listKb(size) + reportKb(size) + changeKb(size);
   const budget = CONTROL_BUDGET.kbPerSecond;
   return [
-    row(heartbeatKb, {
+    fillRow(heartbeatKb, {
       role: 'peer',
       what: 'heartbeats, with the demand of organisations',
       mechanism: `ring links, ${links} at the most (\`track-members\`)`,
@@ -171,7 +171,7 @@
       budget,
       remedy: 'Send demand every 10 s, and only of organisations near their limit.',
     }),
-    row(listKb, {
+    fillRow(listKb, {
       role: 'reader of the list',
       what: 'the list of VMs',
       mechanism: 'every VM reads the whole list each second',
@@ -180,7 +180,7 @@
       budget,
       remedy: 'A few VMs read it; peers spread what changed, as with the configuration.',
     }),
-    row(reportKb, {
+    fillRow(reportKb, {
       role: 'router',
       what: 'polls of load reports',
       mechanism: 'every VM polls every engine twice a second',
@@ -189,7 +189,7 @@
       budget,
       remedy: 'Each VM sees a subset of about 60 targets and polls it every 5 s: 8 KB/s.',
     }),
-    row(changeKb, {
+    fillRow(changeKb, {
       role: 'peer',
       what: 'changes of the configuration',
       mechanism: 'deltas to linked peers (`peer-links`)',
@@ -197,7 +197,7 @@
       unit: 'KB/s',
       budget,
     }),
-    row(all, {
+    fillRow(all, {
       role: 'node',
       what: 'all control traffic',
       mechanism: 'the rows above',
@@ -206,7 +206,7 @@
       budget,
       remedy: 'The three remedies above bring it to about 20 KB/s.',
     }),
-    row(
+    fillRow(
       (size) =>
         (valueAt(coding, demands(size)) * linksOf(size)) / 1_000 / heartbeatSeconds +
         valueAt(listTaking, size.targets + size.vms) / listPollSeconds +
@@ -229,7 +229,7 @@
   const { ownLookSeconds, watchSeconds, leaseSeconds, watchers, claimBuckets } = FLEET_SETTINGS;
   const role = 'whole fleet';
   return [
-    row((size) => size.vms / ownLookSeconds, {
+    fillRow((size) => size.vms / ownLookSeconds, {
       role,
       what: 'VMs that look by themselves',
       mechanism: 'every 30 s (`watch-configuration`)',
@@ -237,7 +237,7 @@
       unit: 'reads/s',
       budget: SERVICE_BUDGET.readsPerSecond,
     }),
-    row(() => watchers / watchSeconds, {
+    fillRow(() => watchers / watchSeconds, {
       role,
       what: 'watches of the head',
       mechanism: 'two watchers, chosen by hash (`track-members`)',
@@ -245,7 +245,7 @@
       unit: 'reads/s',
       budget: SERVICE_BUDGET.readsPerSecond,
     }),
-    row(() => watchers / leaseSeconds, {
+    fillRow(() => watchers / leaseSeconds, {
       role,
       what: 'the placement lease',
       mechanism: 'only the watchers ask for it',
@@ -253,7 +253,7 @@
       unit: 'writes/s',
       budget: SERVICE_BUDGET.writesPerSecond,
     }),
-    row((size) => size.changesPerDay / SECONDS_A_DAY, {
+    fillRow((size) => size.changesPerDay / SECONDS_A_DAY, {
       role,
       what: 'changes of the configuration',
       mechanism: 'one compare-and-swap each',
@@ -261,7 +261,7 @@
       unit: 'writes/s',
       budget: SERVICE_BUDGET.writesPerSecond,
     }),
-    row((size) => size.requestsPerSecond * size.nonRepeatableShare, {
+    fillRow((size) => size.requestsPerSecond * size.nonRepeatableShare, {
       role,
       what: 'claims of calls, 5% of requests assumed',
       mechanism: `${claimBuckets} buckets, shared writes on one VM (\`claim-call\`)`,
@@ -281,7 +281,8 @@
   return idle.slope / POLLS_A_SECOND;
 }
 
-function row(valueOf: (size: SystemSize) => number, text: RowText): CapacityRow {
+/** Works a row out for both sizes. */
+export function fillRow(valueOf: (size: SystemSize) => number, text: RowText): CapacityRow {
   const today = valueOf(TODAY);
   const target = valueOf(TARGET);
   const fits = text.budget === undefined ? undefined : target <= text.budget;
