Refuse a call that may outlast a stopping VM

Streams were refused when they would not be whole in time; calls never were.

Change: a call that may be held for longer than is left of the grace is refused with 503 and Retry-After before it is sent.

Test: http-front-door, red before.

--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -285,4 +285,15 @@
   await bed.stop();
 });
 
+test('a call that may outlast a stopping VM is refused as not run, and reaches no target', async () => {
+  const bed = await Bed.start();
+  bed.door.beginStop(clock.now() + 150);
+  const text = await bed.exchange(GOOD);
+  assert.match(text, /^HTTP\/1.1 503/);
+  assert.match(text, /Retry-After: /i);
+  assert.match(text, /connection: close/i);
+  assert.equal(bed.arrived, []);
+  await bed.stop();
+});
+
 test.run();
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -24,7 +24,10 @@
 const NO_CONFIGURATION_RETRY_MS = 300;
 /** Bytes of bodies that one VM holds at once, unless its owner says otherwise. */
 const DEFAULT_MAX_HELD_BYTES = 64 * 1024 * 1024;
-/** Time that a stream likely takes; with less left before a stop it is refused. */
+/**
+ * Time that a stream likely takes; with less left before a stop it is refused. A
+ * call that may be held for less is refused later.
+ */
 const STREAM_TIME_MS = 5_500;
 /** Name, colon, blank and line end of a header line. */
 const HEADER_LINE_OVERHEAD_BYTES = 4;
@@ -190,8 +193,8 @@
     route: ServingRoute,
     admission: { body: Buffer; organisation?: string; rank: number },
   ): void {
-    if (route.streaming && this.finishByMs - receivedAtMs < STREAM_TIME_MS) {
-      sink.refuse(new LimeleadError('shutting-down', 'this VM stops before the stream would end'));
+    if (this.finishByMs - receivedAtMs < timeToAnswer(route)) {
+      sink.refuse(new LimeleadError('shutting-down', 'this VM stops before the answer is whole'));
       return;
     }
     const service = chooseShare(route, facts.requestId);
@@ -248,6 +251,11 @@
   }
 }
 
+/** Time in which an answer on that route is whole, or its final answer is given, in milliseconds. */
+function timeToAnswer({ streaming, timeoutMs }: ServingRoute): Millis {
+  return streaming ? STREAM_TIME_MS : Math.min(timeoutMs, STREAM_TIME_MS);
+}
+
 function describeMalformed(code: string | undefined): { status: number; text: string } {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
