--- a/packages/spend-retries/src/retry-spender.test.ts
+++ b/packages/spend-retries/src/retry-spender.test.ts
@@ -37,6 +37,44 @@
   );
 });
 
+test('what VMs lend each other does not let them overspend any window', () => {
+  const arrival = fc.record({
+    gapMs: fc.integer({ min: 0, max: 60 }),
+    vm: fc.nat(3),
+    isFirst: fc.boolean(),
+    repeats: fc.nat(6),
+  });
+  fc.assert(
+    fc.property(fc.array(arrival, { minLength: 50, maxLength: 300 }), (arrivals) => {
+      const vms = [0, 1, 2, 3].map(() => new RetrySpender(budget));
+      const first: number[] = [];
+      const repeated: number[] = [];
+      let now = 0;
+      for (const { gapMs, vm, isFirst, repeats } of arrivals) {
+        now += gapMs;
+        if (isFirst) {
+          vms[vm]!.noteFirstSend(now);
+          first.push(now);
+        }
+        for (let index = 0; index < repeats; index += 1) {
+          if (!vms[vm]!.trySpend(now, vms.length)) {
+            const lender = vms[(vm + 1 + (index % 3)) % vms.length]!;
+            vms[vm]!.borrow(now, lender.lend(now, vms.length, 1));
+          } else {
+            repeated.push(now);
+          }
+        }
+      }
+      for (const end of repeated) {
+        const inWindow = (at: number): boolean => at <= end && at > end - budget.windowMs;
+        const allowed = budget.ratio * first.filter(inWindow).length + budget.slack;
+        assert.ok(repeated.filter(inWindow).length <= allowed + 1);
+      }
+    }),
+    { seed: 12, numRuns: 200 },
+  );
+});
+
 test('a spent budget comes back as its window passes', () => {
   const spender = new RetrySpender(budget);
   while (spender.trySpend(0, 1));
