Hold a request that comes before the first configuration

Hypothesis: a request whose caller waits for seconds is better held until the first list comes, which all VMs get within milliseconds of the first. Change: a request is held for a fifth of the time that its caller waits, or until the configuration is known; a refusal then names a fifth of what is left as the time to come back. 512 at most are held, a stopping VM refuses them at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,7 +97,7 @@
       directory: this.directory,
       dialect: platform.storeDialect,
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
-      onChange: () => this.exchange?.noteKnowledge(),
+      onChange: () => this.onKnowledge(),
     });
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
@@ -228,6 +228,11 @@
     });
   }
 
+  private onKnowledge(): void {
+    this.exchange?.noteKnowledge();
+    this.frontDoor.noteKnowledge();
+  }
+
   private countVms(): number {
     return Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0);
   }
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,7 +3,7 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import { KeptPrompts, PlaceQueue, ReadingTime, SilenceWatch } from '@limelead/forward-request';
 import createMetrics from '@limelead/metrics';
-import compileRoutes from '@limelead/route-requests';
+import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
@@ -93,6 +93,8 @@
   readonly arrived: Arrived[] = [];
   readonly metrics = createMetrics();
   door!: HttpFrontDoor;
+  /** The configuration in force. */
+  table: RouteTable | undefined;
   private target!: Server;
   private readonly connections = new TargetConnections({
     clock,
@@ -105,6 +107,7 @@
     known: ServingConfiguration | typeof NOTHING_KNOWN = configuration,
   ): Promise<Bed> {
     const bed = new Bed();
+    bed.table = known === NOTHING_KNOWN ? undefined : compileRoutes(known);
     bed.target = createServer((request, response) => {
       let body = '';
       request.on('data', (chunk) => (body += String(chunk)));
@@ -122,7 +125,7 @@
     bed.door = new HttpFrontDoor({
       host: '127.0.0.1',
       port: 0,
-      context: bed.createContext(directory, known),
+      context: bed.createContext(directory),
       dialect: ingress,
       maxHeldBytes: MAX_HELD_BYTES,
     });
@@ -156,13 +159,9 @@
     await new Promise((resolve) => this.target.close(resolve));
   }
 
-  private createContext(
-    directory: TargetDirectory,
-    known: ServingConfiguration | typeof NOTHING_KNOWN,
-  ): ForwardContext {
+  private createContext(directory: TargetDirectory): ForwardContext {
     const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
     const shared = { clock, timers: systemTimers, directory };
-    const table = known === NOTHING_KNOWN ? undefined : compileRoutes(known);
     const { connections, metrics } = this;
     return {
       ...shared,
@@ -175,7 +174,7 @@
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
-      readTable: () => table,
+      readTable: () => this.table,
       retriesOf: () => new RetrySpender({ ratio: 1, slack: 10, windowMs: 1_000 }),
       countVms: () => 1,
     };
@@ -276,6 +275,32 @@
   await blind.stop();
 });
 
+test('a request that came before the configuration is held, and served once it is known', async () => {
+  const bed = await Bed.start(NOTHING_KNOWN);
+  const held = bed.exchange(GOOD, ANSWERED);
+  while (bed.door.underWay === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  bed.door.noteKnowledge();
+  assert.equal(bed.arrived, []);
+  bed.table = compileRoutes(configuration);
+  bed.door.noteKnowledge();
+  assert.match(await held, /^HTTP\/1.1 200/);
+  assert.is(bed.arrived.length, 1);
+  await bed.stop();
+});
+
+test('a VM that stops before it knows a configuration refuses at once what it held', async () => {
+  const bed = await Bed.start(NOTHING_KNOWN);
+  const held = bed.exchange(GOOD, /\r\n\r\n/);
+  while (bed.door.underWay === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  bed.door.beginStop(clock.now() + 5_000);
+  assert.match(await held, /^HTTP\/1.1 503/);
+  await bed.stop();
+});
+
 test('a stopping VM finishes what it reads and ends each connection with its answer', async () => {
   const bed = await Bed.start();
   bed.door.beginStop(clock.now() + 5_000);
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -11,6 +11,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import HeldArrivals, { shareOf } from './held-arrivals.js';
 import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
 import readBody, { BodyBudget } from './read-body.js';
 import ResponseSink from './response-sink.js';
@@ -20,8 +21,6 @@
 const CHECK_INTERVAL_MS = 500;
 /** Waiting connections that the system keeps for this process. */
 const BACKLOG = 511;
-/** Time to wait before trying again while no configuration is known, in milliseconds. */
-const NO_CONFIGURATION_RETRY_MS = 300;
 /** Bytes of bodies that one VM holds at once, unless its owner says otherwise. */
 const DEFAULT_MAX_HELD_BYTES = 64 * 1024 * 1024;
 /**
@@ -42,15 +41,19 @@
   maxHeldBytes?: number;
 }
 
-/** A request in the middle of the filters. */
+/** A request before the filters. */
 interface Arrival {
   message: IncomingMessage;
   response: ServerResponse;
   sink: ResponseSink;
-  table: RouteTable;
   receivedAtMs: Millis;
 }
 
+/** A request in the middle of the filters, with the configuration that it passes them by. */
+interface RoutedArrival extends Arrival {
+  table: RouteTable;
+}
+
 /** Serves callers. */
 export default class HttpFrontDoor {
   private readonly server: Server;
@@ -59,8 +62,10 @@
   private finishByMs: Millis = Infinity;
   private open = 0;
   private readonly bodies: BodyBudget;
+  private readonly held: HeldArrivals;
 
   constructor(private readonly options: HttpFrontDoorOptions) {
+    this.held = new HeldArrivals(options.context.timers);
     this.bodies = new BodyBudget(options.maxHeldBytes ?? DEFAULT_MAX_HELD_BYTES);
     this.server = createServer(
       {
@@ -106,6 +111,13 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** A configuration may be known now: requests that waited for one go on. */
+  noteKnowledge(): void {
+    if (this.held.size > 0 && this.options.context.readTable() !== undefined) {
+      this.held.releaseAll();
+    }
+  }
+
   /**
    * From now on each answer ends its connection, and streams that would likely
    * not be whole by the given time are refused.
@@ -113,6 +125,7 @@
   beginStop(finishByMs: Millis): void {
     this.isStopping = true;
     this.finishByMs = finishByMs;
+    this.held.releaseAll();
   }
 
   /** Ends everything. */
@@ -129,19 +142,45 @@
       isStopping: () => this.isStopping,
       onRefused: (error, status) => this.noteRefusal(message, error, status),
     });
-    const table = context.readTable();
-    if (table === undefined) {
-      sink.refuse(
-        new LimeleadError('store-unavailable', 'no configuration is known yet', {
-          retryAfterMs: NO_CONFIGURATION_RETRY_MS,
-        }),
-      );
+    const arrival: Arrival = { message, response, sink, receivedAtMs: context.clock.now() };
+    if (context.readTable() === undefined && !this.isStopping) {
+      this.hold(arrival);
+    } else {
+      this.route(arrival);
+    }
+  }
+
+  private hold(arrival: Arrival): void {
+    const forget = this.held.hold(this.readWaitMs(arrival), () => {
+      this.noteHeld(arrival);
+      this.route(arrival);
+    });
+    arrival.response.once('close', forget);
+  }
+
+  private route(arrival: Arrival): void {
+    const { clock, readTable } = this.options.context;
+    const table = readTable();
+    if (table !== undefined) {
+      this.filter({ ...arrival, table });
       return;
     }
-    this.filter({ message, response, sink, table, receivedAtMs: context.clock.now() });
+    const heldMs = clock.now() - arrival.receivedAtMs;
+    const waitMs = this.readWaitMs(arrival);
+    arrival.sink.refuse(
+      new LimeleadError('store-unavailable', 'no configuration is known yet', {
+        retryAfterMs: Math.ceil(shareOf(waitMs && Math.max(0, waitMs - heldMs))),
+      }),
+    );
+  }
+
+  /** Milliseconds that the caller waits, where its head can be read and says so. */
+  private readWaitMs({ message }: Arrival): Millis | undefined {
+    const facts = this.options.dialect.readFacts(message.rawHeaders);
+    return E.isRight(facts) ? facts.right.waitMs : undefined;
   }
 
-  private filter(arrival: Arrival): void {
+  private filter(arrival: RoutedArrival): void {
     const { message, sink, table } = arrival;
     const fault = checkHead(message, table.limits);
     if (fault !== undefined) {
@@ -161,7 +200,7 @@
     this.authenticate(arrival, facts.right, route);
   }
 
-  private authenticate(arrival: Arrival, facts: IngressFacts, route: ServingRoute): void {
+  private authenticate(arrival: RoutedArrival, facts: IngressFacts, route: ServingRoute): void {
     const authentication = arrival.table.authenticate(route, facts.key);
     if (authentication.kind === 'unknown-key') {
       arrival.sink.refuse(new LimeleadError('unauthenticated', 'the key is not known'));
@@ -188,7 +227,7 @@
   }
 
   private admit(
-    { message, sink, receivedAtMs }: Arrival,
+    { message, sink, receivedAtMs }: RoutedArrival,
     facts: IngressFacts,
     route: ServingRoute,
     admission: { body: Buffer; organisation?: string; rank: number },
@@ -226,12 +265,28 @@
     forward(this.options.context, admitted, sink);
   }
 
+  private noteHeld({ message, receivedAtMs }: Arrival): void {
+    const { clock, log, metrics, readTable } = this.options.context;
+    const heldMs = Math.round(clock.now() - receivedAtMs);
+    metrics.recordMs('limelead_held_for_configuration_ms', heldMs);
+    log.write('request-held', {
+      requestId: this.readRequestId(message),
+      heldMs,
+      configuration: readTable()?.version,
+    });
+  }
+
+  /** The id of a request; empty where its head can't be read. */
+  private readRequestId(message: IncomingMessage): string {
+    const facts = this.options.dialect.readFacts(message.rawHeaders);
+    return E.isRight(facts) ? facts.right.requestId : '';
+  }
+
   private noteRefusal(message: IncomingMessage, error: LimeleadError, status: number): void {
     const { log, metrics } = this.options.context;
-    const facts = this.options.dialect.readFacts(message.rawHeaders);
     metrics.count('limelead_refused_total', 1, { kind: error.kind });
     log.write('request-refused', {
-      requestId: E.isRight(facts) ? facts.right.requestId : '',
+      requestId: this.readRequestId(message),
       kind: error.kind,
       status,
       reason: error.message,
