--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -2,7 +2,13 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { StoreFollower, type StoreChanges, type StoreFault, type StoreList } from './index.js';
+import {
+  StoreFollower,
+  type StoreChanges,
+  type StoreFault,
+  type StoreItem,
+  type StoreList,
+} from './index.js';
 
 type Answer = E.Either<StoreFault, StoreChanges>;
 
@@ -91,4 +97,62 @@
   assert.equal(await Promise.all([7, 40, 410].map(pauseOf)), [250, 400, 800]);
 });
 
+/** A store with one item that is written every 80 ms for two seconds; time passes by pauses. */
+async function followChangingItem(bytes: number) {
+  const lastVersion = 25;
+  const time = { now: 0 };
+  const read: number[] = [];
+  const newest = (): number => Math.min(lastVersion, Math.floor(time.now / 80));
+  const version = (revision: number): StoreItem => {
+    read.push(revision);
+    return { key: 'large', value: Buffer.alloc(bytes), revision };
+  };
+  const follower: StoreFollower = new StoreFollower({
+    timers: {
+      after(milliseconds, run) {
+        time.now += milliseconds;
+        queueMicrotask(run);
+        return () => undefined;
+      },
+    },
+    random: { next: () => 0 },
+    countVms: () => 6,
+    port: {
+      list: async () => E.right({ items: [version(newest())], revision: newest() }),
+      watch: async (since) => {
+        if (newest() === since) {
+          time.now = since === lastVersion ? time.now + 3_000 : (since + 1) * 80;
+        }
+        if (time.now > 10_000) {
+          follower.stop();
+        }
+        const behind = Array.from({ length: newest() - since }, (_, index) => since + index + 1);
+        return E.right({
+          changes: behind.map((revision) => ({ kind: 'put', item: version(revision) }) as const),
+          revision: newest(),
+        });
+      },
+    },
+    events: {
+      onList: () => assert.ok(follower.isInTouch),
+      onChanges: () => assert.ok(follower.isInTouch),
+      onLost: () => undefined,
+      onRegained: () => undefined,
+    },
+  });
+  await follower.run();
+  return read;
+}
+
+test('of a large item that changes in quick succession only the newest versions are read', async () => {
+  const read = await followChangingItem(400_000);
+  assert.is(read.at(-1), 25);
+  assert.ok(read.length <= 8, `${read.length} versions were read`);
+});
+
+test('of a small item every version is read, with fewer calls', async () => {
+  const read = await followChangingItem(1_000);
+  assert.is(new Set(read).size, 26);
+});
+
 test.run();
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -2,10 +2,21 @@
  * Follows the store. A list is followed by watches from its revision. After a
  * gap in the history the list is read again. While the store is away the pause
  * between two tries grows, since refused calls are paid for like others.
+ *
+ * A watch gives every version of an item, a list only the newest. While a large
+ * item changes, lists are read in place of watches, or a quick succession of
+ * versions would fill the link of a small VM for longer than each one is in force.
  */
 import { delay, type Random, type Timers } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
-import type { StoreChanges, StoreFault, StoreList, StorePort } from './store-port.js';
+import type {
+  StoreChange,
+  StoreChanges,
+  StoreFault,
+  StoreItem,
+  StoreList,
+  StorePort,
+} from './store-port.js';
 
 /**
  * Longest wait of one watch. A watch whose connection died without a word is
@@ -17,6 +28,13 @@
 const LONGEST_GATHER_MS = 800;
 /** The pause grows with the VMs that follow the store, which all pay for their calls. */
 const GATHER_MS_OF_ONE_VM = 10;
+/**
+ * Bytes from which on an item is large: it takes a link of 7 Mbit/s, the slowest
+ * of the users' VMs, 0.1 s.
+ */
+const LARGE_ITEM_BYTES = 64 * 1024;
+/** Pause between two lists while a large item changes. */
+const LARGE_PAUSE_MS = 800;
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 1_000;
 /** Part of a pause that is drawn at random, so that VMs do not all ask at once. */
@@ -46,14 +64,18 @@
 export default class StoreFollower {
   private isStopped = false;
   private failures = 0;
-  /** Undefined until a list was read, and again after a gap. */
+  /** Where the next watch begins; undefined where a list has to be read first. */
   private revision: number | undefined;
+  /** Whether everything up to some revision is known: not before the first list, nor after a gap. */
+  private isComplete = false;
+  /** Newest revision of a large item, 0 while there is none. */
+  private largeRevision = 0;
 
   constructor(private readonly options: StoreFollowerOptions) {}
 
   /** Whether the last call succeeded. */
   get isInTouch(): boolean {
-    return this.failures === 0 && this.revision !== undefined;
+    return this.failures === 0 && this.isComplete;
   }
 
   /** Runs until `stop`. */
@@ -81,9 +103,22 @@
       return this.onFault(list.left);
     }
     this.onSuccess();
-    this.revision = list.right.revision;
+    const isStillChanging = this.noteLarge(list.right.items) && this.isComplete;
+    this.isComplete = true;
+    this.revision = isStillChanging ? undefined : list.right.revision;
     this.options.events.onList(list.right);
-    return 0;
+    return isStillChanging ? LARGE_PAUSE_MS : 0;
+  }
+
+  /** Whether a large item among these is newer than all that were seen before. */
+  private noteLarge(items: StoreItem[]): boolean {
+    const before = this.largeRevision;
+    for (const { value, revision } of items) {
+      if (value.length >= LARGE_ITEM_BYTES) {
+        this.largeRevision = Math.max(this.largeRevision, revision);
+      }
+    }
+    return this.largeRevision > before;
   }
 
   private async readChanges(revision: number): Promise<number> {
@@ -97,6 +132,10 @@
       return 0;
     }
     this.options.events.onChanges(changes.right);
+    if (this.noteLarge(changes.right.changes.flatMap(toItems))) {
+      this.revision = undefined;
+      return LARGE_PAUSE_MS;
+    }
     return this.gatherMs;
   }
 
@@ -115,6 +154,7 @@
   private onFault(fault: StoreFault): number {
     if (fault === 'history-gone') {
       this.revision = undefined;
+      this.isComplete = false;
       return 0;
     }
     this.failures += 1;
@@ -125,3 +165,7 @@
     return pauseMs * (1 - JITTER * this.options.random.next());
   }
 }
+
+function toItems(change: StoreChange): StoreItem[] {
+  return change.kind === 'put' ? [change.item] : [];
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -212,7 +212,7 @@
       events: {
         onList: (list) => {
           log.write('store-listed', { items: list.items.length, revision: list.revision });
-          this.knowledge.takeList(list, 'store');
+          this.knowledge.takeList(list);
         },
         onChanges: (changes) => this.knowledge.takeChanges(changes),
         onLost: (fault) => {
@@ -263,7 +263,7 @@
       onLost: (target) => this.directory.takePeerLoss(target),
       lendRepeats: (service, wanted) => this.retries.lend(service, wanted),
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
-      onItems: (items, revision) => this.knowledge.takeList({ items, revision }, 'peer'),
+      onUpdate: (update) => this.knowledge.takePeerUpdate(update),
     });
   }
 
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -5,6 +5,7 @@
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
+import type { StoreUpdate } from '@limelead/share-evidence';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
@@ -26,6 +27,11 @@
   readTargetId(key: string): string | undefined;
 }
 
+interface KnownItem {
+  item: StoreItem;
+  fact: StoreFact;
+}
+
 /** What knowledge needs. */
 export interface KnowledgeOptions {
   clock: Clock;
@@ -44,7 +50,8 @@
 /** Holds the configuration in force, and passes changes of targets on. */
 export default class Knowledge {
   private table: RouteTable | undefined;
-  private readonly known = new Map<string, StoreItem>();
+  /** Items that mean something, by key. */
+  private readonly known = new Map<string, KnownItem>();
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
   private readonly lapsed: LapsedTargets;
@@ -80,7 +87,7 @@
 
   /** Items that mean something, for peers that the store turns away. */
   get items(): StoreItem[] {
-    return [...this.known.values()];
+    return [...this.known.values()].map(({ item }) => item);
   }
 
   /** Revision of the store up to which everything is known; 0 before the first list. */
@@ -93,25 +100,45 @@
     return this.table !== undefined && this.knownRevision > 0;
   }
 
-  /** Takes a complete list. */
-  takeList({ items, revision }: StoreList, source: KnowledgeSource): void {
-    if (source === 'peer' && revision <= this.knownRevision) {
+  /** Takes a complete list of the store. */
+  takeList({ items, revision }: StoreList): void {
+    this.forgetExcept(new Set(items.map(({ key }) => key)));
+    items.forEach((item) => this.read(item, 'store'));
+    this.takeAll(revision);
+  }
+
+  /** Takes what a peer knows beyond this VM; nothing where this VM learned as much meanwhile. */
+  takePeerUpdate({ items, keys, revision }: StoreUpdate): void {
+    if (revision <= this.knownRevision) {
       return;
     }
-    this.known.clear();
-    const targets: ServiceTarget[] = [];
-    for (const item of items) {
-      const fact = this.read(item, source);
-      if (fact.kind === 'target') {
-        targets.push(fact.target);
-      }
-    }
+    this.forgetExcept(new Set(keys));
+    items.forEach((item) => this.read(item, 'peer'));
+    this.takeAll(revision);
+  }
+
+  /** All that is known now is all that there is. */
+  private takeAll(revision: number): void {
     this.knownRevision = Math.max(revision, this.knownRevision);
     const { directory, onChange } = this.options;
-    directory.apply(this.lapsed.filter(directory.compare(targets)));
+    directory.apply(this.lapsed.filter(directory.compare(this.listTargets())));
     onChange();
   }
 
+  private listTargets(): ServiceTarget[] {
+    return [...this.known.values()].flatMap(({ fact }) =>
+      fact.kind === 'target' ? [fact.target] : [],
+    );
+  }
+
+  private forgetExcept(keys: ReadonlySet<string>): void {
+    for (const key of [...this.known.keys()]) {
+      if (!keys.has(key)) {
+        this.known.delete(key);
+      }
+    }
+  }
+
   /** Takes changes that followed a list. */
   takeChanges({ changes, revision }: StoreChanges): void {
     const targetChanges = changes.flatMap((change) => this.toTargetChange(change));
@@ -133,9 +160,13 @@
   }
 
   private read(item: StoreItem, source: KnowledgeSource): StoreFact {
+    const known = this.known.get(item.key);
+    if (known !== undefined && known.item.revision >= item.revision) {
+      return known.fact;
+    }
     const fact = this.options.dialect.read(item);
     if (fact.kind !== 'other') {
-      this.known.set(item.key, item);
+      this.known.set(item.key, { item, fact });
     }
     if (fact.kind === 'configuration') {
       this.takeConfiguration(fact.configuration, source);
--- /dev/null
+++ b/packages/share-evidence/src/catch-up.test.ts
@@ -0,0 +1,43 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import CatchUp from './catch-up.js';
+
+function create(own: { revision: number; configuration: number; isInTouch: boolean }) {
+  const clock = { at: 0, now: () => clock.at };
+  const asked: number[] = [];
+  const catchUp = new CatchUp({
+    clock,
+    timers: { after: () => () => undefined },
+    readKnowledge: () => ({ ...own, items: [] }),
+    listPeers: () => [['peer', { revision: 9, configuration: 3 }]],
+    ask: (_, since) => asked.push(since),
+  });
+  return { clock, asked, catchUp };
+}
+
+test('a VM that the store turns away asks once, and again when the answer came or is late', () => {
+  const { clock, asked, catchUp } = create({ revision: 5, configuration: 2, isInTouch: false });
+  catchUp.check();
+  clock.at = 1_000;
+  catchUp.check();
+  assert.equal(asked, [5]);
+  catchUp.noteAnswer();
+  catchUp.check();
+  assert.equal(asked, [5, 5]);
+  clock.at = 2_500;
+  catchUp.check();
+  assert.equal(asked, [5, 5, 5]);
+});
+
+test('while the store tells this VM what is new, a peer is asked only after a while', () => {
+  const { clock, asked, catchUp } = create({ revision: 5, configuration: 2, isInTouch: true });
+  catchUp.check();
+  clock.at = 999;
+  catchUp.check();
+  assert.equal(asked, []);
+  clock.at = 1_000;
+  catchUp.check();
+  assert.equal(asked, [5]);
+});
+
+test.run();
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -1,20 +1,19 @@
 /** Decides when a VM asks a peer for what it knows of the store, and which peer. */
 import type { Clock, Millis, Timers } from '@limelead/types';
-import type { PeerId, StoreKnowledge } from './evidence-exchange.js';
+import type { PeerId, PeerKnowledge, StoreKnowledge } from './types.js';
 
 /** Pause between two questions for items while the store is away. */
 const ASK_INTERVAL_MS = 400;
+/**
+ * Time after which a question counts as lost. A configuration of 1,500 routes
+ * takes a link of 7 Mbit/s half a second; asked again meanwhile it comes twice.
+ */
+const ANSWER_TIMEOUT_MS = 1_500;
 /**
  * A VM whose store still seems well learns a new configuration from its own
  * watch; where a peer is ahead for longer than this, the watch is likely dead.
  */
-const AHEAD_TOO_LONG_MS = 500;
-
-/** What a peer last said that it knows. */
-export interface PeerKnowledge {
-  revision: number;
-  configuration: number;
-}
+const AHEAD_TOO_LONG_MS = 1_000;
 
 /** What catching up needs. */
 export interface CatchUpOptions {
@@ -22,12 +21,14 @@
   timers: Timers;
   readKnowledge(): StoreKnowledge;
   listPeers(): (readonly [PeerId, PeerKnowledge])[];
-  ask(peer: PeerId): void;
+  /** Asks a peer for what it knows beyond a revision. */
+  ask(peer: PeerId, since: number): void;
 }
 
 /** Asks while the store does not tell this VM what is new. */
 export default class CatchUp {
   private askedAtMs: Millis = -Infinity;
+  private isAnswerDue = false;
   /** Since when a peer has a newer configuration; undefined while none has. */
   private behindSinceMs: Millis | undefined;
 
@@ -40,16 +41,23 @@
     const now = clock.now();
     this.noteBehind(own, now);
     const isBehind = now - (this.behindSinceMs ?? now) >= AHEAD_TOO_LONG_MS;
-    if ((own.isInTouch && !isBehind) || now - this.askedAtMs < ASK_INTERVAL_MS) {
+    const pauseMs = this.isAnswerDue ? ANSWER_TIMEOUT_MS : ASK_INTERVAL_MS;
+    if ((own.isInTouch && !isBehind) || now - this.askedAtMs < pauseMs) {
       return;
     }
     const newest = this.findNewest();
     if (newest !== undefined && newest[1].revision > own.revision) {
       this.askedAtMs = now;
-      ask(newest[0]);
+      this.isAnswerDue = true;
+      ask(newest[0], own.revision);
     }
   }
 
+  /** A peer told what it knows. */
+  noteAnswer(): void {
+    this.isAnswerDue = false;
+  }
+
   private findNewest(): readonly [PeerId, PeerKnowledge] | undefined {
     const peers = this.options.listPeers();
     return [...peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
--- a/packages/share-evidence/src/choose-peers.ts
+++ b/packages/share-evidence/src/choose-peers.ts
@@ -1,6 +1,6 @@
 /** Pure decision: to which peers a VM of the HTTP front door opens links. */
 import { chooseLinks } from '@limelead/track-members';
-import type { PeerId } from './evidence-exchange.js';
+import type { PeerId } from './types.js';
 
 /** Fleets up to this size link every VM to every other, so that each knows all load. */
 export const FULL_MESH_VMS = 12;
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -3,7 +3,12 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { EvidenceExchange, type StoreKnowledge, type TargetLoad } from './index.js';
+import {
+  EvidenceExchange,
+  type StoreKnowledge,
+  type StoreUpdate,
+  type TargetLoad,
+} from './index.js';
 
 const clock = { now: () => performance.now() };
 const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
@@ -14,6 +19,7 @@
 class Vm {
   readonly loads = new Map<string, ReadonlyMap<string, number>>();
   readonly lost: string[] = [];
+  readonly updates: StoreUpdate[] = [];
   readonly borrowed = new Map<string, number>();
   spare = 0;
   knowledge: StoreKnowledge = EMPTY;
@@ -46,8 +52,12 @@
       onLost: (target) => vm.note(() => vm.lost.push(target)),
       lendRepeats: (_, wanted) => Math.min(wanted, vm.spare),
       onRepeats: (service, repeats) => vm.note(() => vm.borrowed.set(service, repeats)),
-      onItems: (items, revision) =>
-        vm.note(() => (vm.knowledge = { ...vm.knowledge, items, revision })),
+      onUpdate: (update) =>
+        vm.note(() => {
+          const { items, revision } = update;
+          vm.updates.push(update);
+          vm.knowledge = { ...vm.knowledge, items, revision };
+        }),
     });
     await vm.exchange.start();
     return vm;
@@ -154,6 +164,20 @@
   await Promise.all([first, stale].map(({ exchange }) => exchange.stop()));
 });
 
+test('a peer that is behind gets what it lacks, and the keys of the rest', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const old = { key: 'old', value: Buffer.from('v'), revision: 4 };
+  const newer = { key: 'newer', value: Buffer.from('w'), revision: 7 };
+  const known = { items: [old, newer], revision: 9, configuration: 3, isInTouch: true };
+  const first = await Vm.start(a, 'north', [], known);
+  const behind = await Vm.start(b, 'south', [a], { ...EMPTY, revision: 5, isInTouch: false });
+  await behind.until(() => behind.updates.length > 0);
+  const [update] = behind.updates;
+  assert.equal(update?.items, [newer]);
+  assert.equal(update?.keys, ['old', 'newer']);
+  await Promise.all([first, behind].map(({ exchange }) => exchange.stop()));
+});
+
 test('a VM with few repeats left gets some from a peer that has them', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const rich = await Vm.start(a, 'north', []);
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -3,17 +3,16 @@
  * every target and which targets they found lost, and give the store's items to
  * a VM that the store turns away.
  */
-import type { DecisionLog } from '@limelead/decision-log';
-import type { StoreItem } from '@limelead/follow-store';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
-import type { Clock, Millis, Random, Timers } from '@limelead/types';
-import CatchUp, { type PeerKnowledge } from './catch-up.js';
+import type { Millis } from '@limelead/types';
+import CatchUp from './catch-up.js';
 import { FULL_MESH_VMS } from './choose-peers.js';
 import LinkUpkeep from './link-upkeep.js';
 import LossNews from './loss-news.js';
 import MemberBook from './member-book.js';
 import RepeatLoans from './repeat-loans.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
+import type { EvidenceExchangeOptions, PeerId, PeerState } from './types.js';
 
 const HEARTBEAT_MS = 1_000;
 /** A peer that said nothing for this long is dropped. */
@@ -24,56 +23,6 @@
 const NO_SECRET = '';
 const NO_LOAD = '[]';
 
-/** An address on which VMs reach each other, as "host:port". */
-export type PeerId = string;
-
-/** What this VM knows of the store. */
-export interface StoreKnowledge {
-  items: StoreItem[];
-  revision: number;
-  configuration: number;
-  /** Whether the store answers this VM now. */
-  isInTouch: boolean;
-}
-
-/** Requests of this VM under way at one target. */
-export interface TargetLoad {
-  id: string;
-  requests: number;
-}
-
-/** What the exchange needs. */
-export interface EvidenceExchangeOptions {
-  id: PeerId;
-  incarnation: string;
-  host: string;
-  port: number;
-  failureDomain: string;
-  seeds: PeerId[];
-  clock: Clock;
-  timers: Timers;
-  random: Random;
-  log: DecisionLog;
-  readKnowledge(): StoreKnowledge;
-  /** Requests of this VM under way, target by target. */
-  readLoad(): TargetLoad[];
-  /** The load that a peer told; empty once it is lost. */
-  onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
-  onLost(target: string): void;
-  onItems(items: StoreItem[], revision: number): void;
-  /** A peer asks for repeats of a retry budget; gives how many it gets. */
-  lendRepeats(service: string, wanted: number): number;
-  /** A peer lent repeats. */
-  onRepeats(service: string, repeats: number): void;
-}
-
-interface PeerState extends PeerKnowledge {
-  failureDomain: string;
-  heardAtMs: Millis;
-  /** The load that it was told last, as text to compare with. */
-  toldLoad: string;
-}
-
 /** Talks with peers. */
 export default class EvidenceExchange {
   private links: PeerLinks<EvidenceMessage> | undefined;
@@ -104,7 +53,7 @@
       timers,
       readKnowledge: options.readKnowledge,
       listPeers: () => [...this.peers],
-      ask: (peer) => this.links?.send(peer, { kind: 'want-items' }),
+      ask: (peer, since) => this.links?.send(peer, { kind: 'want-items', since }),
     });
     this.lossNews = new LossNews({
       clock,
@@ -253,11 +202,9 @@
           .filter((target) => this.lossNews.take(target, peer))
           .forEach((target) => this.options.onLost(target));
         break;
-      case 'want-items': {
-        const { items, revision } = this.options.readKnowledge();
-        this.links?.send(peer, { kind: 'items', items, revision });
+      case 'want-items':
+        this.sendItems(peer, message.since);
         break;
-      }
       case 'want-repeats':
         this.lendRepeats(peer, message);
         break;
@@ -265,11 +212,23 @@
         this.options.onRepeats(message.service, message.repeats);
         break;
       case 'items':
-        this.options.onItems(message.items, message.revision);
+        this.catchUp.noteAnswer();
+        this.options.onUpdate(message);
         break;
     }
   }
 
+  /** The peer gets what it lacks, once. */
+  private sendItems(peer: PeerId, since: number): void {
+    const { items, revision } = this.options.readKnowledge();
+    this.links?.send(peer, {
+      kind: 'items',
+      items: items.filter((item) => item.revision > since),
+      keys: items.map(({ key }) => key),
+      revision,
+    });
+  }
+
   private lendRepeats(
     peer: PeerId,
     { service, repeats: wanted }: EvidenceMessageOf<'want-repeats'>,
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -4,5 +4,6 @@
   EvidenceExchangeOptions,
   PeerId,
   StoreKnowledge,
+  StoreUpdate,
   TargetLoad,
-} from './evidence-exchange.js';
+} from './types.js';
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerAddress, PeerLinks } from '@limelead/peer-links';
 import choosePeers from './choose-peers.js';
-import type { PeerId } from './evidence-exchange.js';
+import type { PeerId } from './types.js';
 
 /** Rounds in a row in which a link was not chosen before it is closed. */
 const UNWANTED_ROUNDS = 3;
--- a/packages/share-evidence/src/loss-news.ts
+++ b/packages/share-evidence/src/loss-news.ts
@@ -4,7 +4,7 @@
  * is told together, and each target only once in a while.
  */
 import { RecentTimes, type Clock, type Timers } from '@limelead/types';
-import type { PeerId } from './evidence-exchange.js';
+import type { PeerId } from './types.js';
 
 /** A target told as lost again within this time is no news, in milliseconds. */
 const NEWS_MS = 600;
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -4,7 +4,7 @@
  * everywhere at once and is forgotten.
  */
 import type { Clock, Millis, Random } from '@limelead/types';
-import type { PeerId } from './evidence-exchange.js';
+import type { PeerId } from './types.js';
 
 /** A VM that has not spoken for this long is taken to be gone. */
 const FORGET_AFTER_MS = 12_000;
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -33,13 +33,16 @@
 /** The sender, or VMs that told it, found these targets lost just now. */
 const lost = t.type({ kind: t.literal('lost'), targets: t.array(t.string) });
 
-/** Asks for everything that the peer knows of the store. */
-const wantItems = t.type({ kind: t.literal('want-items') });
+/** Asks for what the peer knows of the store beyond a revision; 0 for everything. */
+const wantItems = t.type({ kind: t.literal('want-items'), since: t.number });
 
-/** Everything that the sender knows of the store, up to the revision. */
+/** What the sender knows of the store, up to the revision. */
 const items = t.type({
   kind: t.literal('items'),
+  /** The items written behind the revision that was asked for. */
   items: t.array(storeItem),
+  /** Keys of all items that are there; what is missing is gone. */
+  keys: t.array(t.string),
   revision: t.number,
 });
 
--- a/packages/share-evidence/src/repeat-loans.ts
+++ b/packages/share-evidence/src/repeat-loans.ts
@@ -5,7 +5,7 @@
  * is spent by all together, whatever is lost on the way.
  */
 import { RecentTimes, type Clock, type Random } from '@limelead/types';
-import type { PeerId } from './evidence-exchange.js';
+import type { PeerId } from './types.js';
 
 /** Time between two rounds of asking for one service, in milliseconds. */
 const ASK_INTERVAL_MS = 100;
--- /dev/null
+++ b/packages/share-evidence/src/types.ts
@@ -0,0 +1,71 @@
+/** Shapes that the parts of the exchange share. */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { StoreItem } from '@limelead/follow-store';
+import type { Clock, Millis, Random, Timers } from '@limelead/types';
+
+/** An address on which VMs reach each other, as "host:port". */
+export type PeerId = string;
+
+/** What this VM knows of the store. */
+export interface StoreKnowledge {
+  items: StoreItem[];
+  revision: number;
+  configuration: number;
+  /** Whether the store answers this VM now. */
+  isInTouch: boolean;
+}
+
+/** What a peer knows of the store that this VM does not. */
+export interface StoreUpdate {
+  /** Items that were written behind the revision known here. */
+  items: StoreItem[];
+  /** Keys of all items that are there; what is missing is gone. */
+  keys: string[];
+  revision: number;
+}
+
+/** Requests of this VM under way at one target. */
+export interface TargetLoad {
+  id: string;
+  requests: number;
+}
+
+/** What the exchange needs. */
+export interface EvidenceExchangeOptions {
+  id: PeerId;
+  incarnation: string;
+  host: string;
+  port: number;
+  failureDomain: string;
+  seeds: PeerId[];
+  clock: Clock;
+  timers: Timers;
+  random: Random;
+  log: DecisionLog;
+  readKnowledge(): StoreKnowledge;
+  /** Requests of this VM under way, target by target. */
+  readLoad(): TargetLoad[];
+  /** The load that a peer told; empty once it is lost. */
+  onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
+  onLost(target: string): void;
+  /** A peer told what the store held at a later revision than this VM knows. */
+  onUpdate(update: StoreUpdate): void;
+  /** A peer asks for repeats of a retry budget; gives how many it gets. */
+  lendRepeats(service: string, wanted: number): number;
+  /** A peer lent repeats. */
+  onRepeats(service: string, repeats: number): void;
+}
+
+/** What a peer last said that it knows. */
+export interface PeerKnowledge {
+  revision: number;
+  configuration: number;
+}
+
+/** One peer, as this VM is linked to it. */
+export interface PeerState extends PeerKnowledge {
+  failureDomain: string;
+  heardAtMs: Millis;
+  /** The load that it was told last, as text to compare with. */
+  toldLoad: string;
+}
