Let four VMs of a large fleet follow the store for all

Hypothesis: a VM may rely on others if it knows how old its knowledge is. The four lowest by hash follow; each answer of the store is told on with its age; a VM that is behind asks the peer that told it; one whose news are older than 1.7 s follows the store itself.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -10,6 +10,9 @@
   type StoreList,
 } from './index.js';
 
+/** No other VM follows the store for this one. */
+const ALONE = { mustFollow: () => true, followsForOthers: () => false, readRevision: () => 0 };
+
 type Answer = E.Either<StoreFault, StoreChanges>;
 
 /** Plays answers in turn and stops the follower after the last. */
@@ -26,7 +29,8 @@
   const follower: StoreFollower = new StoreFollower({
     timers,
     random: { next: () => 0 },
-    countVms: () => vms,
+    countFollowers: () => vms,
+    ...ALONE,
     port: {
       list: async () => {
         told.push('list');
@@ -97,6 +101,41 @@
   assert.equal(await Promise.all([7, 40, 410].map(pauseOf)), [250, 400, 800]);
 });
 
+test('while others follow the store a VM asks it nothing, and goes on from what it knows', async () => {
+  const told: string[] = [];
+  const turns = [true, false, false, true];
+  const follower: StoreFollower = new StoreFollower({
+    timers: {
+      after(_, run) {
+        queueMicrotask(run);
+        return () => undefined;
+      },
+    },
+    random: { next: () => 0 },
+    countFollowers: () => 4,
+    mustFollow: () => turns.shift() ?? true,
+    followsForOthers: () => false,
+    readRevision: () => 30,
+    port: {
+      list: async () => E.right({ items: [], revision: 5 }),
+      watch: async (revision) => {
+        told.push(`watch ${revision}`);
+        follower.stop();
+        return E.right({ changes: [], revision });
+      },
+    },
+    events: {
+      onList: () => told.push('list'),
+      onChanges: () => undefined,
+      onLost: () => undefined,
+      onRegained: () => undefined,
+    },
+  });
+  await follower.run();
+  assert.equal(told, ['list', 'watch 30']);
+  assert.equal(turns, []);
+});
+
 /** A store with one item that is written every 80 ms for two seconds; time passes by pauses. */
 async function followChangingItem(bytes: number) {
   const lastVersion = 25;
@@ -116,7 +155,8 @@
       },
     },
     random: { next: () => 0 },
-    countVms: () => 6,
+    countFollowers: () => 6,
+    ...ALONE,
     port: {
       list: async () => E.right({ items: [version(newest())], revision: newest() }),
       watch: async (since) => {
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -23,6 +23,10 @@
  * noticed only when its time is over, so this bounds how long changes are missed.
  */
 const WATCH_WAIT_MS = 3_000;
+/** Longest wait of a watch by a VM that tells others how old its knowledge is. */
+const SHORT_WATCH_WAIT_MS = 800;
+/** Pause between two looks whether this VM has to follow the store itself again. */
+const IDLE_CHECK_MS = 100;
 /** Pause after changes came, in which further ones gather into the next answer. */
 const LEAST_GATHER_MS = 250;
 const LONGEST_GATHER_MS = 800;
@@ -43,6 +47,7 @@
 /** What the owner of a follower is told. */
 export interface StoreFollowerEvents {
   onList(list: StoreList): void;
+  /** Changes, or none where nothing changed during a watch. */
   onChanges(changes: StoreChanges): void;
   /** The first failure after a success. */
   onLost(fault: StoreFault): void;
@@ -56,7 +61,13 @@
   timers: Timers;
   random: Random;
   /** VMs that follow the store, this one included. */
-  countVms(): number;
+  countFollowers(): number;
+  /** Whether this VM has to follow the store itself now. */
+  mustFollow(): boolean;
+  /** Whether other VMs rely on this one's answers, which then may not be old. */
+  followsForOthers(): boolean;
+  /** Revision up to which this VM knows everything, from wherever; 0 for nothing. */
+  readRevision(): number;
   events: StoreFollowerEvents;
 }
 
@@ -81,7 +92,7 @@
   /** Runs until `stop`. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      const pauseMs = await this.step();
+      const pauseMs = this.isIdle ? this.rest() : await this.step();
       if (pauseMs > 0) {
         await delay(this.options.timers, pauseMs);
       }
@@ -92,9 +103,25 @@
     this.isStopped = true;
   }
 
+  /** Whether others follow the store for this VM. */
+  get isIdle(): boolean {
+    return this.options.readRevision() > 0 && !this.options.mustFollow();
+  }
+
+  /** Others reach the store, so it is not lost; gives the pause until the next look. */
+  private rest(): number {
+    this.onSuccess();
+    this.isComplete = true;
+    this.revision ??= this.options.readRevision();
+    return IDLE_CHECK_MS;
+  }
+
   /** One call; gives the pause until the next. */
   private async step(): Promise<number> {
-    return this.revision === undefined ? this.readList() : this.readChanges(this.revision);
+    if (this.revision === undefined) {
+      return this.readList();
+    }
+    return this.readChanges(Math.max(this.revision, this.options.readRevision()));
   }
 
   private async readList(): Promise<number> {
@@ -122,16 +149,16 @@
   }
 
   private async readChanges(revision: number): Promise<number> {
-    const changes = await this.options.port.watch(revision, WATCH_WAIT_MS);
+    const changes = await this.options.port.watch(revision, this.watchWaitMs);
     if (E.isLeft(changes)) {
       return this.onFault(changes.left);
     }
     this.onSuccess();
     this.revision = Math.max(revision, changes.right.revision);
+    this.options.events.onChanges(changes.right);
     if (changes.right.changes.length === 0) {
       return 0;
     }
-    this.options.events.onChanges(changes.right);
     if (this.noteLarge(changes.right.changes.flatMap(toItems))) {
       this.revision = undefined;
       return LARGE_PAUSE_MS;
@@ -139,8 +166,12 @@
     return this.gatherMs;
   }
 
+  private get watchWaitMs(): number {
+    return this.options.followsForOthers() ? SHORT_WATCH_WAIT_MS : WATCH_WAIT_MS;
+  }
+
   private get gatherMs(): number {
-    const wantedMs = this.options.countVms() * GATHER_MS_OF_ONE_VM;
+    const wantedMs = this.options.countFollowers() * GATHER_MS_OF_ONE_VM;
     return Math.min(Math.max(wantedMs, LEAST_GATHER_MS), LONGEST_GATHER_MS);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,7 +174,8 @@
     });
     this.follower.stop();
     await this.exchange?.stop();
-    this.frontDoor.close();
+    // Callers go first: a stream that loses its target while it has a caller is sent on.
+    await this.frontDoor.close();
     this.connections.closeAll();
     this.servers.forEach((server) => server.close());
     await this.log.flush();
@@ -208,17 +209,24 @@
       port: this.platform.store,
       timers: systemTimers,
       random: systemRandom,
-      countVms: () => this.countVms(),
+      countFollowers: () => Math.max(1, this.exchange?.followerCount ?? 0),
+      mustFollow: () => this.exchange?.mustFollow ?? true,
+      followsForOthers: () => this.exchange?.followsForOthers ?? false,
+      readRevision: () => this.knowledge.revision,
       events: {
         onList: (list) => {
           log.write('store-listed', { items: list.items.length, revision: list.revision });
           this.knowledge.takeList(list);
+          this.exchange?.noteStoreAnswered();
+        },
+        onChanges: (changes) => {
+          this.knowledge.takeChanges(changes);
+          this.exchange?.noteStoreAnswered();
         },
-        onChanges: (changes) => this.knowledge.takeChanges(changes),
         onLost: (fault) => {
           metrics.count('limelead_store_lost_total', 1, { fault });
           log.write('store-lost', { fault });
-          this.knowledge.noteStoreLost();
+          this.knowledge.noteStoreLost(this.exchange?.storeConfirmedAtMs);
         },
         onRegained: () => {
           log.write('store-regained');
@@ -253,11 +261,12 @@
       random: systemRandom,
       log: this.log,
       readKnowledge: () => ({
-        items: this.knowledge.items,
         revision: this.knowledge.revision,
         configuration: this.knowledge.routes?.version ?? 0,
+        configurationBytes: this.knowledge.configurationBytes,
         isInTouch: this.follower.isInTouch,
       }),
+      listItems: () => this.knowledge.items,
       readLoad: () => this.readLoad(),
       onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
       onLost: (target) => this.directory.takePeerLoss(target),
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -54,6 +54,7 @@
   private readonly known = new Map<string, KnownItem>();
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
+  private configurationSize = 0;
   private readonly lapsed: LapsedTargets;
 
   constructor(private readonly options: KnowledgeOptions) {
@@ -70,9 +71,12 @@
     });
   }
 
-  /** The store stopped answering this VM. */
-  noteStoreLost(): void {
-    this.lapsed.noteStoreLost();
+  /**
+   * The store stopped answering this VM.
+   * @param lastAnswerAtMs when it last answered any VM, where that is known to be earlier
+   */
+  noteStoreLost(lastAnswerAtMs?: Millis): void {
+    this.lapsed.noteStoreLost(lastAnswerAtMs);
   }
 
   /** The store answers again. */
@@ -95,6 +99,11 @@
     return this.knownRevision;
   }
 
+  /** Bytes of the newest configuration; 0 for none. */
+  get configurationBytes(): number {
+    return this.configurationSize;
+  }
+
   /** Whether requests can be served. */
   get isComplete(): boolean {
     return this.table !== undefined && this.knownRevision > 0;
@@ -169,6 +178,7 @@
       this.known.set(item.key, { item, fact });
     }
     if (fact.kind === 'configuration') {
+      this.configurationSize = item.value.length;
       this.takeConfiguration(fact.configuration, source);
     }
     return fact;
--- a/packages/gateway/src/lapsed-targets.ts
+++ b/packages/gateway/src/lapsed-targets.ts
@@ -36,9 +36,14 @@
     this.graceMs = Math.min(LONGEST_GRACE_MS, options.leavingTargetMs * GRACE_SHARE);
   }
 
-  /** The store stopped answering this VM. */
-  noteStoreLost(): void {
-    this.lostAtMs ??= this.options.clock.now();
+  /**
+   * The store stopped answering this VM, which may notice it only some time after
+   * the store's last answer to any VM.
+   */
+  noteStoreLost(lastAnswerAtMs: Millis = -Infinity): void {
+    const now = this.options.clock.now();
+    const isKnown = Number.isFinite(lastAnswerAtMs);
+    this.lostAtMs ??= isKnown ? Math.min(now, lastAnswerAtMs) : now;
   }
 
   /** The store answers again. */
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -153,7 +153,7 @@
 
   async stop(): Promise<void> {
     this.sockets.forEach((socket) => socket.destroy());
-    this.door.close();
+    await this.door.close();
     this.connections.closeAll();
     this.target.closeAllConnections();
     await new Promise((resolve) => this.target.close(resolve));
@@ -310,6 +310,18 @@
   await bed.stop();
 });
 
+test('a front door that closed has no request left that could still be sent on', async () => {
+  const bed = await Bed.start();
+  const partial = head(['Content-Length: 1000']) + '\r\nx';
+  void bed.exchange(partial);
+  while (bed.door.underWay === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await bed.door.close();
+  assert.is(bed.door.underWay, 0);
+  await bed.stop();
+});
+
 test('a call that may outlast a stopping VM is refused as not run, and reaches no target', async () => {
   const bed = await Bed.start();
   bed.door.beginStop(clock.now() + 150);
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -61,6 +61,8 @@
   /** Steady time by which everything has to be finished once this VM is stopping. */
   private finishByMs: Millis = Infinity;
   private open = 0;
+  /** Called when no request is under way any more. */
+  private onIdle: () => void = () => undefined;
   private readonly bodies: BodyBudget;
   private readonly held: HeldArrivals;
 
@@ -128,16 +130,18 @@
     this.held.releaseAll();
   }
 
-  /** Ends everything. */
-  close(): void {
+  /** Ends everything; resolves when every request knows that its caller is gone. */
+  close(): Promise<void> {
+    const ended = new Promise<void>((resolve) => (this.onIdle = resolve));
     this.server.close();
     this.server.closeAllConnections();
+    return this.open === 0 ? Promise.resolve() : ended;
   }
 
   private onRequest(message: IncomingMessage, response: ServerResponse): void {
     const { context } = this.options;
     this.open += 1;
-    response.once('close', () => (this.open -= 1));
+    response.once('close', () => this.onEnded());
     const sink = new ResponseSink(message, response, {
       isStopping: () => this.isStopping,
       onRefused: (error, status) => this.noteRefusal(message, error, status),
@@ -150,6 +154,13 @@
     }
   }
 
+  private onEnded(): void {
+    this.open -= 1;
+    if (this.open === 0) {
+      this.onIdle();
+    }
+  }
+
   private hold(arrival: Arrival): void {
     const forget = this.held.hold(this.readWaitMs(arrival), () => {
       this.noteHeld(arrival);
--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -4,7 +4,8 @@
 import type { MessageFormat } from './messages.js';
 import PeerLink, { type PeerLinkEvents } from './peer-link.js';
 
-const MAX_MESSAGE_BYTES = 1_048_576;
+/** Largest message: an item of the store, 1 MiB at most, with what is told beside it. */
+const MAX_MESSAGE_BYTES = 2 * 1_048_576;
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Where a peer listens. */
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -20,6 +20,8 @@
   clock: Clock;
   timers: Timers;
   readKnowledge(): StoreKnowledge;
+  /** Whether this VM asks the store itself; in a large fleet a few VMs do it for all. */
+  isFollowing(): boolean;
   listPeers(): (readonly [PeerId, PeerKnowledge])[];
   /** Asks a peer for what it knows beyond a revision. */
   ask(peer: PeerId, since: number): void;
@@ -41,8 +43,8 @@
     const now = clock.now();
     this.noteBehind(own, now);
     const isBehind = now - (this.behindSinceMs ?? now) >= AHEAD_TOO_LONG_MS;
-    const pauseMs = this.isAnswerDue ? ANSWER_TIMEOUT_MS : ASK_INTERVAL_MS;
-    if ((own.isInTouch && !isBehind) || now - this.askedAtMs < pauseMs) {
+    const hasOwnSource = own.isInTouch && this.options.isFollowing();
+    if ((hasOwnSource && !isBehind) || now - this.askedAtMs < this.pauseMs(own)) {
       return;
     }
     const newest = this.findNewest();
@@ -53,11 +55,19 @@
     }
   }
 
-  /** A peer told what it knows. */
+  /** A peer told what it knows; another may know more by now. */
   noteAnswer(): void {
     this.isAnswerDue = false;
   }
 
+  /** A VM that others keep current asks as soon as one of them knows more. */
+  private pauseMs({ isInTouch }: StoreKnowledge): Millis {
+    if (this.isAnswerDue) {
+      return ANSWER_TIMEOUT_MS;
+    }
+    return isInTouch ? 0 : ASK_INTERVAL_MS;
+  }
+
   private findNewest(): readonly [PeerId, PeerKnowledge] | undefined {
     const peers = this.options.listPeers();
     return [...peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -1,4 +1,5 @@
 import createDecisionLog from '@limelead/decision-log';
+import type { StoreItem } from '@limelead/follow-store';
 import { backgroundTimers, systemRandom } from '@limelead/types';
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
@@ -13,7 +14,12 @@
 const clock = { now: () => performance.now() };
 const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
 
-const EMPTY: StoreKnowledge = { items: [], revision: 0, configuration: 0, isInTouch: true };
+const EMPTY: StoreKnowledge = {
+  revision: 0,
+  configuration: 0,
+  configurationBytes: 0,
+  isInTouch: true,
+};
 
 /** One VM, with what it was told. */
 class Vm {
@@ -23,6 +29,7 @@
   readonly borrowed = new Map<string, number>();
   spare = 0;
   knowledge: StoreKnowledge = EMPTY;
+  items: StoreItem[] = [];
   load: TargetLoad[] = [];
   exchange!: EvidenceExchange;
   private wake: (() => void)[] = [];
@@ -32,8 +39,10 @@
     failureDomain: string,
     seeds: number[],
     knowledge: StoreKnowledge = EMPTY,
+    items: StoreItem[] = [],
   ): Promise<Vm> {
     const vm = new Vm();
+    vm.items = items;
     vm.knowledge = knowledge;
     vm.exchange = new EvidenceExchange({
       id: `127.0.0.1:${port}`,
@@ -47,6 +56,7 @@
       random: systemRandom,
       log,
       readKnowledge: () => vm.knowledge,
+      listItems: () => vm.items,
       readLoad: () => vm.load,
       onLoad: (peer, load) => vm.note(() => vm.loads.set(peer, load)),
       onLost: (target) => vm.note(() => vm.lost.push(target)),
@@ -56,7 +66,8 @@
         vm.note(() => {
           const { items, revision } = update;
           vm.updates.push(update);
-          vm.knowledge = { ...vm.knowledge, items, revision };
+          vm.items = items;
+          vm.knowledge = { ...vm.knowledge, revision };
         }),
     });
     await vm.exchange.start();
@@ -140,27 +151,26 @@
 test('a VM that the store turns away learns its items from a peer that knows more', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
-  const known = { items: [item], revision: 9, configuration: 3, isInTouch: true };
-  const first = await Vm.start(a, 'north', [], known);
+  const known = { ...EMPTY, revision: 9, configuration: 3 };
+  const first = await Vm.start(a, 'north', [], known, [item]);
   const blind = await Vm.start(b, 'south', [a], { ...EMPTY, isInTouch: false });
   await blind.until(() => blind.knowledge.revision === 9);
-  assert.equal(blind.knowledge.items, [item]);
+  assert.equal(blind.items, [item]);
   await Promise.all([first, blind].map(({ exchange }) => exchange.stop()));
 });
 
 test('a VM whose store seems well but tells nothing new learns a newer configuration from a peer', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
-  const known = { items: [item], revision: 9, configuration: 3, isInTouch: true };
-  const first = await Vm.start(a, 'north', [], known);
+  const known = { ...EMPTY, revision: 9, configuration: 3 };
+  const first = await Vm.start(a, 'north', [], known, [item]);
   const stale = await Vm.start(b, 'south', [a], {
     ...known,
-    items: [],
     revision: 5,
     configuration: 2,
   });
   await stale.until(() => stale.knowledge.revision === 9);
-  assert.equal(stale.knowledge.items, [item]);
+  assert.equal(stale.items, [item]);
   await Promise.all([first, stale].map(({ exchange }) => exchange.stop()));
 });
 
@@ -168,8 +178,8 @@
   const [a = 0, b = 0] = await findPorts(2);
   const old = { key: 'old', value: Buffer.from('v'), revision: 4 };
   const newer = { key: 'newer', value: Buffer.from('w'), revision: 7 };
-  const known = { items: [old, newer], revision: 9, configuration: 3, isInTouch: true };
-  const first = await Vm.start(a, 'north', [], known);
+  const known = { ...EMPTY, revision: 9, configuration: 3 };
+  const first = await Vm.start(a, 'north', [], known, [old, newer]);
   const behind = await Vm.start(b, 'south', [a], { ...EMPTY, revision: 5, isInTouch: false });
   await behind.until(() => behind.updates.length > 0);
   const [update] = behind.updates;
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -4,6 +4,7 @@
  * a VM that the store turns away.
  */
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
+import { chooseWatchers } from '@limelead/track-members';
 import type { Millis } from '@limelead/types';
 import CatchUp from './catch-up.js';
 import { FULL_MESH_VMS } from './choose-peers.js';
@@ -11,10 +12,16 @@
 import LossNews from './loss-news.js';
 import MemberBook from './member-book.js';
 import RepeatLoans from './repeat-loans.js';
+import StoreNews from './store-news.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { EvidenceExchangeOptions, PeerId, PeerState } from './types.js';
 
 const HEARTBEAT_MS = 1_000;
+/**
+ * VMs of a large fleet that follow the store for all. Several, so that all but one
+ * may be stopped, cut off or killed at once before the others have to ask themselves.
+ */
+const FOLLOWERS = 4;
 /** A peer that said nothing for this long is dropped. */
 const SILENT_PEER_MS = 3_200;
 /** Changes of load within this time are told together in a fleet that is a full mesh. */
@@ -31,9 +38,12 @@
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
   private readonly catchUp: CatchUp;
+  private readonly storeNews: StoreNews;
   private upkeep: LinkUpkeep | undefined;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
+  /** Whether this VM is one of those that follow the store for all, as of the last heartbeat. */
+  private isChosen = true;
   private isLoadDue = false;
   private isStopped = false;
 
@@ -52,9 +62,16 @@
       clock,
       timers,
       readKnowledge: options.readKnowledge,
+      isFollowing: () => this.mustFollow,
       listPeers: () => [...this.peers],
       ask: (peer, since) => this.links?.send(peer, { kind: 'want-items', since }),
     });
+    this.storeNews = new StoreNews({
+      clock,
+      readKnowledge: options.readKnowledge,
+      listPeers,
+      tell: (peer, news) => this.links?.send(peer, { kind: 'store-news', ...news }),
+    });
     this.lossNews = new LossNews({
       clock,
       timers,
@@ -68,6 +85,33 @@
     return this.members.count;
   }
 
+  /** VMs that ask the store themselves while news of it spread as they should. */
+  get followerCount(): number {
+    return this.isLarge ? FOLLOWERS : this.vmCount;
+  }
+
+  /** Whether this VM has to ask the store itself. */
+  get mustFollow(): boolean {
+    return !this.isLarge || this.isChosen || !this.storeNews.isCurrent;
+  }
+
+  /** Whether others rely on this VM to follow the store. */
+  get followsForOthers(): boolean {
+    return this.isLarge && this.isChosen;
+  }
+
+  /** When the store last answered any VM, as far as this one heard. */
+  get storeConfirmedAtMs(): Millis {
+    return this.storeNews.lastConfirmedAtMs;
+  }
+
+  /** The store answered this VM. */
+  noteStoreAnswered(): void {
+    if (this.isLarge) {
+      this.storeNews.confirm();
+    }
+  }
+
   /** Begins to talk. */
   async start(): Promise<void> {
     const { id, incarnation, host, port, timers } = this.options;
@@ -130,12 +174,21 @@
     return LOAD_GATHER_MS * Math.max(1, this.members.count / FULL_MESH_VMS);
   }
 
+  /** Whether a few VMs follow the store for all; a small fleet asks it directly. */
+  private get isLarge(): boolean {
+    return this.members.count >= FULL_MESH_VMS;
+  }
+
   private beat(): void {
     if (this.isStopped) {
       return;
     }
     this.dropSilentPeers();
-    this.upkeep?.tend(this.members.list());
+    const members = this.members.list();
+    this.upkeep?.tend(members);
+    this.isChosen = chooseWatchers([...members, this.options.id], FOLLOWERS).includes(
+      this.options.id,
+    );
     this.links?.broadcast(this.createHeartbeat());
     this.catchUp.check();
     this.options.timers.after(HEARTBEAT_MS, () => this.beat());
@@ -202,6 +255,9 @@
           .filter((target) => this.lossNews.take(target, peer))
           .forEach((target) => this.options.onLost(target));
         break;
+      case 'store-news':
+        this.onStoreNews(peer, state, message);
+        break;
       case 'want-items':
         this.sendItems(peer, message.since);
         break;
@@ -214,13 +270,23 @@
       case 'items':
         this.catchUp.noteAnswer();
         this.options.onUpdate(message);
+        this.storeNews.noteCaughtUp();
+        this.catchUp.check();
         break;
     }
   }
 
+  private onStoreNews(peer: PeerId, state: PeerState, news: EvidenceMessageOf<'store-news'>): void {
+    state.revision = Math.max(state.revision, news.revision);
+    state.configuration = Math.max(state.configuration, news.configuration);
+    this.storeNews.hear(peer, news);
+    this.catchUp.check();
+  }
+
   /** The peer gets what it lacks, once. */
   private sendItems(peer: PeerId, since: number): void {
-    const { items, revision } = this.options.readKnowledge();
+    const items = this.options.listItems();
+    const { revision } = this.options.readKnowledge();
     this.links?.send(peer, {
       kind: 'items',
       items: items.filter((item) => item.revision > since),
--- a/packages/share-evidence/src/link-upkeep.test.ts
+++ b/packages/share-evidence/src/link-upkeep.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import choosePeers from './choose-peers.js';
 import LinkUpkeep from './link-upkeep.js';
 
 /** Links that are ready as soon as they are opened. */
@@ -66,4 +67,23 @@
   assert.not(isApart.slice(-20).every(Boolean));
 });
 
+test('VMs that started together do not meet a seed again all at once', () => {
+  const met = new Map<number, number>();
+  for (const vm of OTHERS.filter((id) => !SEEDS.includes(id))) {
+    const links = new InstantLinks();
+    const upkeep = new LinkUpkeep(vm, SEEDS, links);
+    const wanted = new Set(choosePeers(vm, OTHERS));
+    for (let round = 0; round < 60; round += 1) {
+      const before = new Set(links.ready);
+      upkeep.tend(OTHERS);
+      const isMet = SEEDS.some((id) => !wanted.has(id) && !before.has(id) && links.ready.has(id));
+      if (round > 5 && isMet) {
+        met.set(round, (met.get(round) ?? 0) + 1);
+      }
+    }
+  }
+  assert.ok(met.size > 20, `met in ${met.size} rounds`);
+  assert.ok(Math.max(...met.values()) <= 15, `${Math.max(...met.values())} in one round`);
+});
+
 test.run();
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -4,6 +4,7 @@
  * a fleet that starts would end as a full mesh.
  */
 import type { PeerAddress, PeerLinks } from '@limelead/peer-links';
+import { hashText } from '@limelead/types';
 import choosePeers from './choose-peers.js';
 import type { PeerId } from './types.js';
 
@@ -11,7 +12,7 @@
 const UNWANTED_ROUNDS = 3;
 /** Rounds at the start in which links to the seeds are wanted. */
 const FIRST_ROUNDS = 5;
-/** The seeds are met again this often, so that groups of VMs that lost each other join. */
+/** One of the seeds is met again this often, so that groups of VMs that lost each other join. */
 const ROUNDS_BETWEEN_SEEDS = 20;
 
 /** Opens and closes links. */
@@ -19,12 +20,15 @@
   /** Links that this VM opened, with the rounds since they were last chosen. */
   private readonly unwantedRounds = new Map<PeerId, number>();
   private rounds = 0;
+  private readonly phase: number;
 
   constructor(
     private readonly self: PeerId,
     private readonly seeds: PeerId[],
     private readonly links: Pick<PeerLinks<never>, 'open' | 'opened' | 'drop' | 'linked'>,
-  ) {}
+  ) {
+    this.phase = hashText(self) % ROUNDS_BETWEEN_SEEDS;
+  }
 
   /** Opens the links that are missing. */
   open(members: PeerId[]): void {
@@ -48,17 +52,21 @@
   }
 
   private choose(members: PeerId[]): PeerId[] {
-    const chosen = choosePeers(this.self, members);
-    return this.wantsSeeds ? [...chosen, ...this.seeds] : chosen;
+    return [...choosePeers(this.self, members), ...this.chooseSeeds()];
   }
 
-  /** Whether links to the seeds are wanted, whatever place they have among the members. */
-  private get wantsSeeds(): boolean {
-    return (
-      this.rounds <= FIRST_ROUNDS ||
-      this.rounds % ROUNDS_BETWEEN_SEEDS === 0 ||
-      this.links.linked().length === 0
-    );
+  /**
+   * The seeds that are wanted, whatever place they have among the members: all
+   * while this VM knows nobody, and one by turns later. VMs that started together
+   * meet theirs at different times, or a seed would have to take them all at once.
+   */
+  private chooseSeeds(): PeerId[] {
+    if (this.rounds <= FIRST_ROUNDS || this.links.linked().length === 0) {
+      return this.seeds;
+    }
+    const turn = this.rounds + this.phase;
+    const seed = this.seeds[Math.floor(turn / ROUNDS_BETWEEN_SEEDS) % this.seeds.length];
+    return turn % ROUNDS_BETWEEN_SEEDS === 0 && seed !== undefined ? [seed] : [];
   }
 
   private forgetExcept(opened: ReadonlySet<PeerId>): void {
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -33,6 +33,15 @@
 /** The sender, or VMs that told it, found these targets lost just now. */
 const lost = t.type({ kind: t.literal('lost'), targets: t.array(t.string) });
 
+/** Told by VMs that follow the store, and passed on; see `NewsOfStore`. */
+const storeNews = t.type({
+  kind: t.literal('store-news'),
+  revision: t.number,
+  configuration: t.number,
+  configurationBytes: t.number,
+  ageMs: t.number,
+});
+
 /** Asks for what the peer knows of the store beyond a revision; 0 for everything. */
 const wantItems = t.type({ kind: t.literal('want-items'), since: t.number });
 
@@ -64,6 +73,7 @@
   heartbeat,
   load,
   lost,
+  storeNews,
   wantItems,
   items,
   wantRepeats,
@@ -79,8 +89,16 @@
   { kind: Kind }
 >;
 
+/** Messages that a later one makes needless; a slow link may drop them. */
+const DROPPABLE_KINDS: ReadonlySet<EvidenceMessage['kind']> = new Set([
+  'heartbeat',
+  'load',
+  'store-news',
+  'want-repeats',
+]);
+
 /** Format of the messages on the wire. */
 export const evidenceMessageFormat: MessageFormat<EvidenceMessage> = createMessageFormat(
   evidenceMessageCodec as t.Type<EvidenceMessage, unknown>,
-  ({ kind }) => kind === 'heartbeat' || kind === 'load' || kind === 'want-repeats',
+  ({ kind }) => DROPPABLE_KINDS.has(kind),
 );
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -8,9 +8,12 @@
 
 /** What this VM knows of the store. */
 export interface StoreKnowledge {
-  items: StoreItem[];
+  /** Revision up to which it knows everything; 0 before the first list. */
   revision: number;
+  /** Version of the configuration in force; 0 for none. */
   configuration: number;
+  /** Bytes of the configuration in force; 0 for none. */
+  configurationBytes: number;
   /** Whether the store answers this VM now. */
   isInTouch: boolean;
 }
@@ -43,6 +46,8 @@
   random: Random;
   log: DecisionLog;
   readKnowledge(): StoreKnowledge;
+  /** The items of the store as far as this VM knows them. */
+  listItems(): StoreItem[];
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
--- a/packages/track-members/src/choose-watchers.ts
+++ b/packages/track-members/src/choose-watchers.ts
@@ -9,10 +9,13 @@
  * Ranks the VMs by a hash, so that every VM comes to the same few without
  * asking, and the loss of one moves only its own place.
  */
-export default function chooseWatchers(members: readonly VmId[]): VmId[] {
+export default function chooseWatchers(
+  members: readonly VmId[],
+  count: number = WATCHER_COUNT,
+): VmId[] {
   return [...new Set(members)]
     .map((id) => ({ id, rank: createHash('sha1').update(`watcher/${id}`).digest('hex') }))
     .sort((a, b) => (a.rank < b.rank ? -1 : 1))
-    .slice(0, WATCHER_COUNT)
+    .slice(0, count)
     .map(({ id }) => id);
 }
