Count a prompt that is being read as work of its target

Cause: a step of an engine takes 5 ms with any number of runs, but 30 ms while a piece of a prompt is read in it, so a prompt holds up every run there for a second, and two prompts that are read together take each other's time. Placement counted requests only. Change: VMs tell each other how many of their requests read, and each counts as one request more when a target is chosen. Tests: choose-service-target, track-service-targets, share-evidence.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -26,7 +26,9 @@
     hash: hashText(id),
     evidence: NO_EVIDENCE,
     inFlight: 0,
+    reading: 0,
     peerRequests: 0,
+    peerReading: 0,
     copies: 0,
     ...overrides,
   };
@@ -53,6 +55,16 @@
   assert.is(chooseServiceTarget(busy, createRequest())?.target.id, 'b');
 });
 
+test('a target that reads a prompt waits its turn behind one that only writes', () => {
+  const reading = track('a', 'north', { inFlight: 1, reading: 1 });
+  const writing = track('b', 'north', { inFlight: 1 });
+  const choose = (targets: TrackedServiceTarget[]) =>
+    chooseServiceTarget(targets, createRequest())?.target.id;
+  assert.is(choose([reading, writing]), 'b');
+  const busy = track('c', 'north', { inFlight: 3 });
+  assert.is(choose([track('a', 'north', { peerRequests: 1, peerReading: 1 }), busy]), 'a');
+});
+
 test('one session meets the same target from every VM, and sessions are spread', () => {
   const targets = ['a', 'b', 'c', 'd'].map((id) => track(id, 'north'));
   const choose = (affinityKey: string, list: TrackedServiceTarget[]) =>
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -13,6 +13,11 @@
 
 /** Costs in units of one request under way at the target. */
 const OTHER_DOMAIN_COST = 0.75;
+/**
+ * Cost of a prompt that is being read there, beside that of its request: two that
+ * are read together take each other's time, and hold up every run for that long.
+ */
+const READING_COST = 1;
 const FAILURE_COST = 12;
 const DOUBT_COST = 40;
 const SUSPICION_COST = 100;
@@ -91,11 +96,12 @@
 }
 
 function costOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): number {
-  const { target, evidence, inFlight, peerRequests } = tracked;
+  const { target, evidence, inFlight, reading, peerRequests, peerReading } = tracked;
   const failureRate = readFailureRate(evidence, request.now);
   return (
     inFlight +
     peerRequests +
+    (reading + peerReading) * READING_COST +
     (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST) +
     (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_COST : 0) +
     (isSuspected(evidence, request.now) ? SUSPICION_COST : 0) +
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -44,6 +44,7 @@
   /** Where the run's memory is copied to. */
   copy?: RunCopy;
   forgetCopy: () => void;
+  endReading: () => void;
   hearing: RunHearing;
   unwatch: () => void;
 }
@@ -222,6 +223,7 @@
       attempt,
       place,
       copy: copyTo && { keeper: copyTo, runId: request.requestId },
+      endReading: continueFrom ? () => undefined : this.context.directory.beginReading(target.id),
       forgetCopy: copyTo ? this.context.directory.keepCopy(copyTo.id) : () => undefined,
       hearing,
       unwatch: this.context.silence.watch(hearing),
@@ -254,6 +256,7 @@
       return;
     }
     this.context.directory.hear(live.attempt.target.id);
+    live.endReading();
     this.noteFirstPiece(live.hearing);
     live.hearing.hear();
     for (const { number, bytes } of pieces) {
@@ -409,6 +412,7 @@
       this.live.delete(attempt);
       live.unwatch();
       live.forgetCopy();
+      live.endReading();
       live.place.release();
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -287,7 +287,7 @@
     return this.directory
       .all()
       .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked))
-      .map(({ target, inFlight }) => ({ id: target.id, requests: inFlight }));
+      .map(({ target, inFlight, reading }) => ({ id: target.id, requests: inFlight, reading }));
   }
 
   private noteLoad(tracked: TrackedServiceTarget): void {
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -23,7 +23,7 @@
 
 /** One VM, with what it was told. */
 class Vm {
-  readonly loads = new Map<string, ReadonlyMap<string, number>>();
+  readonly loads = new Map<string, ReadonlyMap<string, TargetLoad>>();
   readonly lost: string[] = [];
   readonly updates: StoreUpdate[] = [];
   readonly borrowed = new Map<string, number>();
@@ -116,11 +116,13 @@
   const near = await Vm.start(b, 'north', [a]);
   const far = await Vm.start(c, 'south', [a]);
   teller.load = [
-    { id: 'n1', requests: 2 },
-    { id: 's1', requests: 1 },
+    { id: 'n1', requests: 2, reading: 1 },
+    { id: 's1', requests: 1, reading: 0 },
   ];
   const told = (vm: Vm): Record<string, number> =>
-    Object.fromEntries(vm.loads.get(`127.0.0.1:${a}`) ?? []);
+    Object.fromEntries(
+      [...(vm.loads.get(`127.0.0.1:${a}`) ?? [])].map(([id, { requests }]) => [id, requests]),
+    );
   await near.until(() => {
     teller.exchange.noteLoad();
     return told(near)['n1'] === 2 && told(far)['s1'] === 1;
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -245,10 +245,7 @@
         this.onHeartbeat(peer, state, message);
         break;
       case 'load':
-        this.options.onLoad(
-          peer,
-          new Map(message.targets.map(({ id, requests }) => [id, requests])),
-        );
+        this.options.onLoad(peer, new Map(message.targets.map((load) => [load.id, load])));
         break;
       case 'lost':
         message.targets
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -27,7 +27,7 @@
 /** Requests of the sender under way at each target; targets without any are left out. */
 const load = t.type({
   kind: t.literal('load'),
-  targets: t.array(t.type({ id: t.string, requests: t.number })),
+  targets: t.array(t.type({ id: t.string, requests: t.number, reading: t.number })),
 });
 
 /** The sender, or VMs that told it, found these targets lost just now. */
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -31,6 +31,8 @@
 export interface TargetLoad {
   id: string;
   requests: number;
+  /** Those of them that read their prompts. */
+  reading: number;
 }
 
 /** What the exchange needs. */
@@ -51,7 +53,7 @@
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
-  onLoad(peer: PeerId, load: ReadonlyMap<string, number>): void;
+  onLoad(peer: PeerId, load: ReadonlyMap<string, TargetLoad>): void;
   onLost(target: string): void;
   /** A peer told what the store held at a later revision than this VM knows. */
   onUpdate(update: StoreUpdate): void;
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -2,6 +2,7 @@
 export { default as TargetDirectory } from './target-directory.js';
 export type {
   LossCause,
+  PeerLoad,
   TargetChange,
   TargetDirectoryEvents,
   TargetNotice,
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -108,9 +108,10 @@
 test('the load of other VMs is summed, and goes with the VM that told it', () => {
   const { directory } = createDirectory();
   directory.replaceAll([createTarget('t1')]);
-  directory.takePeerLoad('vm-a', new Map([['t1', 2]]));
-  directory.takePeerLoad('vm-b', new Map([['t1', 3]]));
+  directory.takePeerLoad('vm-a', new Map([['t1', { requests: 2, reading: 1 }]]));
+  directory.takePeerLoad('vm-b', new Map([['t1', { requests: 3, reading: 2 }]]));
   assert.is(directory.get('t1')?.peerRequests, 5);
+  assert.is(directory.get('t1')?.peerReading, 3);
   directory.takePeerLoad('vm-a', new Map());
   assert.is(directory.get('t1')?.peerRequests, 3);
 });
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -20,12 +20,23 @@
   evidence: TargetEvidence;
   /** Requests of this VM under way there. */
   inFlight: number;
+  /** Those of them that read their prompts. */
+  reading: number;
   /** Requests of other VMs under way there, as far as they told. */
   peerRequests: number;
+  /** Those of them that read their prompts. */
+  peerReading: number;
   /** Copies of runs of this VM kept there. */
   copies: number;
 }
 
+/** Requests of one VM at one target. */
+export interface PeerLoad {
+  requests: number;
+  /** Those of them that read their prompts. */
+  reading: number;
+}
+
 /** A change of what the directory of targets tells. */
 export type TargetChange = { kind: 'put'; target: ServiceTarget } | { kind: 'gone'; id: string };
 
@@ -54,7 +65,7 @@
   /** Number of targets in each failure domain. */
   private readonly domainSizes = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
-  private readonly peerLoads = new Map<string, ReadonlyMap<string, number>>();
+  private readonly peerLoads = new Map<string, ReadonlyMap<string, PeerLoad>>();
 
   constructor(
     private readonly clock: Clock,
@@ -128,6 +139,19 @@
     });
   }
 
+  /** Notes that a request of this VM reads its prompt there, and gives what ends it. */
+  beginReading(id: string): () => void {
+    const tracked = this.tracked.get(id);
+    if (tracked === undefined) {
+      return () => undefined;
+    }
+    tracked.reading += 1;
+    return once(() => {
+      tracked.reading -= 1;
+      this.events.onLoad?.(tracked);
+    });
+  }
+
   /** Notes that a copy of a run is kept there, and gives what ends it. */
   keepCopy(id: string): () => void {
     const tracked = this.tracked.get(id);
@@ -152,7 +176,7 @@
   }
 
   /** Takes the requests that another VM has under way at each target; empty once it is gone. */
-  takePeerLoad(peer: string, load: ReadonlyMap<string, number>): void {
+  takePeerLoad(peer: string, load: ReadonlyMap<string, PeerLoad>): void {
     const before = this.peerLoads.get(peer);
     this.peerLoads.set(peer, load);
     if (load.size === 0) {
@@ -161,7 +185,7 @@
     for (const id of new Set([...(before?.keys() ?? []), ...load.keys()])) {
       const tracked = this.tracked.get(id);
       if (tracked !== undefined) {
-        tracked.peerRequests = this.sumPeerLoads(id);
+        this.sumPeerLoads(tracked);
       }
     }
   }
@@ -216,12 +240,14 @@
     }
   }
 
-  private sumPeerLoads(id: string): number {
-    let sum = 0;
-    for (const load of this.peerLoads.values()) {
-      sum += load.get(id) ?? 0;
+  private sumPeerLoads(tracked: TrackedServiceTarget): void {
+    tracked.peerRequests = 0;
+    tracked.peerReading = 0;
+    for (const loads of this.peerLoads.values()) {
+      const load = loads.get(tracked.target.id);
+      tracked.peerRequests += load?.requests ?? 0;
+      tracked.peerReading += load?.reading ?? 0;
     }
-    return sum;
   }
 
   private put(target: ServiceTarget): void {
@@ -234,7 +260,9 @@
         hash: hashText(target.id),
         evidence: { ...NO_EVIDENCE },
         inFlight: 0,
+        reading: 0,
         peerRequests: 0,
+        peerReading: 0,
         copies: 0,
       });
       this.events.onNotice?.({ kind: target.leaving ? 'leaving' : 'joined', target });
