--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -89,7 +89,7 @@
       failureDomain,
       exclude: request.exclude,
       limit,
-      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain),
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
     const tracked = chooseServiceTarget(directory.listUsable(request.service), choice);
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -59,7 +59,7 @@
     return chooseCopyKeeper(directory.listUsable(service), {
       affinityKey: request.affinityKey,
       running: place.tracked,
-      isDomainDoubtful: (domain) => directory.isDomainDoubtful(domain, KEEPER_DOUBT_MS),
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
       now: clock.now(),
     })?.target;
   }
--- a/packages/forward-request/src/silence-watch.ts
+++ b/packages/forward-request/src/silence-watch.ts
@@ -111,7 +111,7 @@
       runSilentMs: now - run.heardAtMs,
       targetSilentMs: now - Math.max(run.heardAtMs, heardFromTarget),
       boundMs: run.boundMs(),
-      isDomainDoubtful: directory.isDomainDoubtful(run.target.failureDomain),
+      isDomainDoubtful: directory.isDomainDoubtful(run.target.service, run.target.failureDomain),
       askedAgoMs: this.asked.ageMs(run.target.id, now),
     });
   }
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -87,13 +87,23 @@
     createTarget('t3', { failureDomain: 'south' }),
   ]);
   directory.observe('t1', { kind: 'lost' });
-  assert.not(directory.isDomainDoubtful('north'));
+  assert.not(directory.isDomainDoubtful('briefs', 'north'));
   directory.observe('t2', { kind: 'lost' });
-  assert.ok(directory.isDomainDoubtful('north'));
-  assert.not(directory.isDomainDoubtful('south'));
+  assert.ok(directory.isDomainDoubtful('briefs', 'north'));
+  assert.not(directory.isDomainDoubtful('briefs', 'south'));
   time.now += 701;
-  assert.not(directory.isDomainDoubtful('north'));
-  assert.ok(directory.isDomainDoubtful('north', 2_000));
+  assert.not(directory.isDomainDoubtful('briefs', 'north'));
+  assert.ok(directory.isDomainDoubtful('briefs', 'north', 2_000));
+});
+
+test('lost engines say nothing of the other services of their failure domain', () => {
+  const { directory } = createDirectory();
+  const calls = createTarget('c1', { service: 'calls', port: 90 });
+  directory.replaceAll([createTarget('t1'), createTarget('t2'), calls]);
+  directory.observe('t1', { kind: 'lost' });
+  directory.observe('t2', { kind: 'lost' });
+  assert.ok(directory.isDomainDoubtful('briefs', 'north'));
+  assert.not(directory.isDomainDoubtful('calls', 'north'));
 });
 
 test('a loss that another VM told is believed, but not told again', () => {
@@ -101,7 +111,7 @@
   directory.replaceAll([createTarget('t1'), createTarget('t2')]);
   directory.takePeerLoss('t1');
   directory.observe('t2', { kind: 'lost' });
-  assert.ok(directory.isSuspected('t1') && directory.isDomainDoubtful('north'));
+  assert.ok(directory.isSuspected('t1') && directory.isDomainDoubtful('briefs', 'north'));
   assert.equal(lost, ['t2']);
 });
 
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -61,9 +61,8 @@
 /** Holds the targets of one VM. */
 export default class TargetDirectory {
   private readonly tracked = new Map<string, TrackedServiceTarget>();
-  private readonly losses = new DomainLosses();
-  /** Number of targets in each failure domain. */
-  private readonly domainSizes = new Map<string, number>();
+  /** Service by service: what strikes engines need not strike the services beside them. */
+  private readonly losses = new Map<string, DomainLosses>();
   private readonly listeners = new Set<() => void>();
   private readonly peerLoads = new Map<string, ReadonlyMap<string, PeerLoad>>();
 
@@ -199,12 +198,15 @@
   }
 
   /**
-   * Whether so many targets of a failure domain were lost within the window that
-   * the rest of it is likely lost too.
+   * Whether so many of a service's targets in a failure domain were lost within the
+   * window that the rest of them are likely lost too.
    */
-  isDomainDoubtful(failureDomain: string, windowMs: Millis = DOMAIN_WINDOW_MS): boolean {
-    const size = this.domainSizes.get(failureDomain) ?? 0;
-    return this.losses.isDoubtful(failureDomain, size, this.clock.now() - windowMs);
+  isDomainDoubtful(
+    service: string,
+    failureDomain: string,
+    windowMs: Millis = DOMAIN_WINDOW_MS,
+  ): boolean {
+    return this.lossesOf(service).isDoubtful(failureDomain, this.clock.now() - windowMs);
   }
 
   /**
@@ -219,7 +221,8 @@
     }
     const saysEnded =
       cause === 'broken' ||
-      (cause === 'silent' && this.isDomainDoubtful(tracked.target.failureDomain));
+      (cause === 'silent' &&
+        this.isDomainDoubtful(tracked.target.service, tracked.target.failureDomain));
     return !(saysEnded && this.isSuspected(id));
   }
 
@@ -235,7 +238,7 @@
       const now = this.clock.now();
       tracked.evidence = observeTarget(tracked.evidence, observation, now);
       if (observation.kind === 'lost') {
-        this.losses.note(tracked.target.failureDomain, id, now);
+        this.lossesOf(tracked.target.service).note(tracked.target.failureDomain, id, now);
       }
     }
   }
@@ -254,7 +257,7 @@
     const known = this.tracked.get(target.id);
     if (known === undefined) {
       this.removeReplaced(target);
-      this.resizeDomain(target.failureDomain, 1);
+      this.lossesOf(target.service).join(target.failureDomain);
       this.tracked.set(target.id, {
         target,
         hash: hashText(target.id),
@@ -288,15 +291,19 @@
     if (known !== undefined) {
       const { target } = known;
       this.tracked.delete(id);
-      this.resizeDomain(target.failureDomain, -1);
-      this.losses.forget(target.failureDomain, id);
+      this.lossesOf(target.service).leave(target.failureDomain, id);
       this.events.onNotice?.({ kind: 'gone', target });
     }
   }
 
-  private resizeDomain(failureDomain: string, change: 1 | -1): void {
-    const size = (this.domainSizes.get(failureDomain) ?? 0) + change;
-    this.domainSizes.set(failureDomain, size);
+  private lossesOf(service: string): DomainLosses {
+    const known = this.losses.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const losses = new DomainLosses();
+    this.losses.set(service, losses);
+    return losses;
   }
 
   private wake(): void {
