--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -5,7 +5,7 @@
 import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { Clock, IncomingRequest, Millis, ServingRoute, Timers } from '@limelead/types';
+import type { Clock, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
@@ -32,16 +32,3 @@
   /** VMs that share the retry budget, this one included. */
   countVms(): number;
 }
-
-/** One request with what the front door's filters decided about it. */
-export interface AdmittedRequest {
-  request: IncomingRequest;
-  route: ServingRoute;
-  service: string;
-  organisation?: string;
-  rank: number;
-  /** Steady time at which the request was read. */
-  receivedAtMs: Millis;
-  /** Steady time by which the final answer is due: the caller's or the route's limit. */
-  dueAtMs: Millis;
-}
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -1,5 +1,6 @@
 /** Finds the place where a stream begins or goes on: the cheapest way that is open comes first. */
-import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import type { Place } from './place-queue.js';
 import type RunCopies from './run-copies.js';
 
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -12,20 +12,17 @@
 } from '@limelead/generation-session';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause } from '@limelead/track-service-targets';
-import type { AnswerMessage } from '@limelead/types';
+import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
 import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
-import type { AdmittedRequest, ForwardContext } from './context.js';
-import type { RunCopy, TargetOrder } from './dialect.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
 import { SERVER_ERROR_STATUS } from './limits.js';
+import LiveAttempts from './live-attempts.js';
 import type { Place } from './place-queue.js';
 import RunCopies from './run-copies.js';
-import RunHearing from './run-hearing.js';
-import StreamAttempt, {
-  type NumberedPiece,
-  type StreamAttemptEvents,
-  type TurnedAwayCause,
-} from './stream-attempt.js';
+import type RunHearing from './run-hearing.js';
+import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
 import StreamReport from './stream-report.js';
 import StreamSends from './stream-sends.js';
 import toGeneration, { OPAQUE_BINDING } from './to-generation.js';
@@ -37,17 +34,6 @@
 const LONGEST_RETRY_WAIT_MS = 150;
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 60;
-/** One attempt with what belongs to it. */
-interface LiveAttempt {
-  attempt: StreamAttempt;
-  place: Place;
-  /** Where the run's memory is copied to. */
-  copy?: RunCopy;
-  forgetCopy: () => void;
-  endReading: () => void;
-  hearing: RunHearing;
-  unwatch: () => void;
-}
 
 /** Starts forwarding. The answer, whatever it is, goes to the sink. */
 export default function forwardStream(
@@ -60,7 +46,7 @@
 
 class StreamForwarder {
   private state: SessionState;
-  private readonly live = new Map<number, LiveAttempt>();
+  private readonly live: LiveAttempts;
   private readonly chosen = new Map<number, Place>();
   private readonly copies: RunCopies;
   private head: AnswerHead | undefined;
@@ -79,6 +65,11 @@
     this.report = new StreamReport(context, admitted);
     this.copies = new RunCopies(context, admitted);
     this.sends = new StreamSends(context, admitted);
+    this.live = new LiveAttempts(context, admitted, this.copies, {
+      createEvents: (number) => this.createEvents(number),
+      onSending: (number, order) => this.report.sent(number, order),
+      onSilent: (number) => this.onSilent(number),
+    });
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGeneration(admitted), requestId, context.clock.now());
     this.state = { ...session, delivered: lastPiece };
@@ -144,7 +135,7 @@
 
   /** Targets of this kind can't be attached to: what was to be read again is left. */
   private leaveUnattached(attempt: number): void {
-    [...this.live.keys()].forEach((number) => this.drop(number));
+    this.live.dropAll();
     this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
   }
 
@@ -193,43 +184,14 @@
     if (place === undefined) {
       return;
     }
-    const { clock } = this.context;
-    const { request, organisation, rank, dueAtMs } = this.admitted;
-    const { target } = place.tracked;
-    const continueFrom = this.copies.use(target);
-    const copyTo = this.copies.chooseKeeper(place);
-    this.sends.noteSent(target.id);
-    const order: TargetOrder = {
-      request,
-      target,
-      organisation,
-      remainingMs: dueAtMs - clock.now(),
-      lastPiece,
-      copyTo,
-      continueFrom,
-      rank,
-    };
-    const attempt = new StreamAttempt(this.context, order, this.createEvents(number));
-    const hearing = new RunHearing({
-      requestId: request.requestId,
-      target,
-      continuesCopy: continueFrom !== undefined,
-      policy: this.state.request.priority.recovery,
-      readingBoundMs: this.context.reading.boundMs(this.admitted),
-      clock,
-      onSilent: () => this.onSilent(number),
-    });
-    this.live.set(number, {
-      attempt,
-      place,
-      copy: copyTo && { keeper: copyTo, runId: request.requestId },
-      endReading: continueFrom ? () => undefined : this.context.directory.beginReading(target.id),
-      forgetCopy: copyTo ? this.context.directory.keepCopy(copyTo.id) : () => undefined,
-      hearing,
-      unwatch: this.context.silence.watch(hearing),
-    });
-    this.report.sent(number, order);
-    attempt.send();
+    this.sends.noteSent(place.tracked.target.id);
+    const { policy } = this;
+    this.live.start(number, { place, lastPiece, policy });
+  }
+
+  /** How much is paid to go on sooner. */
+  private get policy(): RecoveryPolicy {
+    return this.state.request.priority.recovery;
   }
 
   private createEvents(number: number): StreamAttemptEvents {
@@ -244,7 +206,7 @@
   }
 
   private onOpened(attempt: number, head: AnswerHead): void {
-    if (this.live.has(attempt)) {
+    if (this.live.get(attempt) !== undefined) {
       this.head ??= head;
       this.advance({ kind: 'opened', attempt, promptTokens: 0 });
     }
@@ -283,7 +245,7 @@
     }
     this.trailer = trailer;
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
-    this.release(attempt);
+    this.live.release(attempt);
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
   }
 
@@ -318,7 +280,7 @@
       copyAt: live.copy?.keeper.id,
     });
     live.attempt.cancel();
-    this.release(attempt);
+    this.live.release(attempt);
     // A connection that ends with a run on it is a sign of a lost target, as silence is.
     directory.observe(target, { kind: 'lost' });
     silence.noteLost(target);
@@ -337,7 +299,7 @@
       cause === 'full' ? { kind: 'full', pauseMs: FULL_PAUSE_MS } : { kind: 'lost' },
     );
     this.report.turnedAway(attempt, target.id, cause, reason);
-    this.release(attempt);
+    this.live.release(attempt);
     this.advance({ kind: 'broken', attempt, cause: 'refused' });
   }
 
@@ -348,7 +310,7 @@
       return;
     }
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
-    this.release(attempt);
+    this.live.release(attempt);
     const mayGoOn = this.admitted.route.repeatable && !this.sends.hasUsedItsTargets;
     if ((head.status >= SERVER_ERROR_STATUS && mayGoOn) || this.hasBegun) {
       this.advance({ kind: 'broken', attempt, cause: 'refused' });
@@ -397,33 +359,18 @@
   }
 
   private drop(attempt: number): void {
-    const live = this.live.get(attempt);
-    if (live !== undefined) {
-      live.attempt.cancel();
-      this.release(attempt);
-    }
+    this.live.drop(attempt);
     this.chosen.get(attempt)?.release();
     this.chosen.delete(attempt);
   }
 
-  private release(attempt: number): void {
-    const live = this.live.get(attempt);
-    if (live !== undefined) {
-      this.live.delete(attempt);
-      live.unwatch();
-      live.forgetCopy();
-      live.endReading();
-      live.place.release();
-    }
-  }
-
   private finish(outcome: string, tell: () => void): void {
     if (this.isDone) {
       return;
     }
     this.isDone = true;
     this.cleanups.forEach((cleanup) => cleanup());
-    [...this.live.keys()].forEach((attempt) => this.drop(attempt));
+    this.live.dropAll();
     tell();
     this.report.finished(outcome, this.state.delivered, this.sends.count);
   }
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -15,7 +15,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { AnswerSink } from './answer-sink.js';
-import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import type { TargetDialect } from './dialect.js';
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -1,6 +1,7 @@
 /** Carries a request to targets and its answer back. */
 export { keepEndToEnd, type AnswerSink } from './answer-sink.js';
-export type { AdmittedRequest, ForwardContext } from './context.js';
+export type { AdmittedRequest } from './admitted-request.js';
+export type { ForwardContext } from './context.js';
 export type { AnswerFacts, RunCopy, TargetDialect, TargetOrder } from './dialect.js';
 export { default as forwardCall } from './forward-call.js';
 export { default as forwardStream } from './forward-stream.js';
--- a/packages/forward-request/src/reading-time.ts
+++ b/packages/forward-request/src/reading-time.ts
@@ -4,7 +4,7 @@
  * of that service were seen to take, prompts of other runs beside them included.
  */
 import type { Millis } from '@limelead/types';
-import type { AdmittedRequest } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
 
 /** Objectives that a run may read at least. */
 const LEAST_OBJECTIVES = 1.3;
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -1,7 +1,8 @@
 /** Where copies of a run's memory are kept, and which of them a broken run goes on from. */
 import { chooseCopyKeeper } from '@limelead/choose-service-target';
 import type { ServiceTarget } from '@limelead/types';
-import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import type { RunCopy } from './dialect.js';
 import type { Place } from './place-queue.js';
 
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -1,7 +1,8 @@
 /** Lines and figures of one streamed request. */
 import type { LossCause } from '@limelead/track-service-targets';
 import type { EventDetail } from '@limelead/types';
-import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
 
 /** How an attempt was lost. */
--- a/packages/forward-request/src/stream-sends.ts
+++ b/packages/forward-request/src/stream-sends.ts
@@ -1,7 +1,8 @@
 /** The sends of one streamed request: where it may have run, and whether it may be sent once more. */
 import { LimeleadError } from '@limelead/errors';
 import type { LossCause } from '@limelead/track-service-targets';
-import type { AdmittedRequest, ForwardContext } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
 import { MAX_TURNED_AWAY } from './limits.js';
 import SendPayments, { type NoteUnreached } from './send-payments.js';
 import type { TurnedAwayCause } from './stream-attempt.js';
--- a/packages/forward-request/src/to-generation.ts
+++ b/packages/forward-request/src/to-generation.ts
@@ -5,7 +5,7 @@
   RecoveryPolicy,
   ServingRoute,
 } from '@limelead/types';
-import type { AdmittedRequest } from './context.js';
+import type { AdmittedRequest } from './admitted-request.js';
 
 const MIN_SILENCE_MS = 240;
 /** Part of the pause that callers bear which detection may take. */
