--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -46,6 +46,7 @@
       onChanges: ({ changes }) => told.push(`changes ${changes.length}`),
       onLost: (fault) => told.push(`lost ${fault}`),
       onRegained: () => told.push('regained'),
+      onFollowing: () => undefined,
     },
   });
   function stop(): E.Either<StoreFault, never> {
@@ -129,10 +130,11 @@
       onChanges: () => undefined,
       onLost: () => undefined,
       onRegained: () => undefined,
+      onFollowing: (isFollowing) => told.push(`following ${isFollowing}`),
     },
   });
   await follower.run();
-  assert.equal(told, ['list', 'watch 30']);
+  assert.equal(told, ['list', 'following false', 'following true', 'watch 30']);
   assert.equal(turns, []);
 });
 
@@ -178,6 +180,7 @@
       onChanges: () => assert.ok(follower.isInTouch),
       onLost: () => undefined,
       onRegained: () => undefined,
+      onFollowing: () => undefined,
     },
   });
   await follower.run();
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -53,6 +53,8 @@
   onLost(fault: StoreFault): void;
   /** The first success after a failure. */
   onRegained(): void;
+  /** This VM begins to follow the store itself, or leaves that to others. */
+  onFollowing(isFollowing: boolean): void;
 }
 
 /** What a follower needs. */
@@ -75,6 +77,7 @@
 export default class StoreFollower {
   private isStopped = false;
   private failures = 0;
+  private isFollowing = true;
   /** Where the next watch begins; undefined where a list has to be read first. */
   private revision: number | undefined;
   /** Whether everything up to some revision is known: not before the first list, nor after a gap. */
@@ -92,7 +95,9 @@
   /** Runs until `stop`. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      const pauseMs = this.isIdle ? this.rest() : await this.step();
+      const { isIdle } = this;
+      this.noteFollowing(!isIdle);
+      const pauseMs = isIdle ? this.rest() : await this.step();
       if (pauseMs > 0) {
         await delay(this.options.timers, pauseMs);
       }
@@ -108,11 +113,19 @@
     return this.options.readRevision() > 0 && !this.options.mustFollow();
   }
 
+  private noteFollowing(isFollowing: boolean): void {
+    if (isFollowing !== this.isFollowing) {
+      this.isFollowing = isFollowing;
+      this.options.events.onFollowing(isFollowing);
+    }
+  }
+
   /** Others reach the store, so it is not lost; gives the pause until the next look. */
   private rest(): number {
     this.onSuccess();
     this.isComplete = true;
-    this.revision ??= this.options.readRevision();
+    // Watches from here would give every version of a large item.
+    this.revision = this.largeRevision > 0 ? undefined : this.options.readRevision();
     return IDLE_CHECK_MS;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -232,6 +232,8 @@
           log.write('store-regained');
           this.knowledge.noteStoreRegained();
         },
+        onFollowing: (isFollowing) =>
+          log.write('store-following', { isFollowing, vms: this.exchange?.vmCount }),
       },
     });
   }
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -13,8 +13,11 @@
   return { id, service: 's', host: 'h', port, failureDomain: 'd', slots: 1, leaving: false };
 }
 
-function item(key: string, revision: number): StoreItem {
-  return { key, value: Buffer.from(String(revision)), revision };
+/** Value of a target that said that it leaves. */
+const LEAVING = 'leaving';
+
+function item(key: string, revision: number, value = String(revision)): StoreItem {
+  return { key, value: Buffer.from(value), revision };
 }
 
 /** Knowledge whose store holds a configuration under "c" and targets under "t1", "t2" and so on. */
@@ -32,7 +35,8 @@
       read({ key, value }) {
         decoded.push(key);
         if (key !== 'c') {
-          return { kind: 'target', target: toTarget(key) };
+          const leaving = value.toString() === LEAVING;
+          return { kind: 'target', target: { ...toTarget(key), leaving } };
         }
         const limits = {
           maxHeaderBytes: 1,
@@ -52,7 +56,8 @@
     onChange: () => undefined,
   });
   const ids = (): string[] => directory.all().map(({ target }) => target.id);
-  return { knowledge, decoded, versions, ids };
+  const usable = (): string[] => directory.listUsable('s').map(({ target }) => target.id);
+  return { knowledge, decoded, versions, ids, usable };
 }
 
 test('what did not change is not decoded again', () => {
@@ -82,4 +87,19 @@
   assert.equal(ids(), ['t1']);
 });
 
+test('a target that said that it leaves gets nothing new while the store is away either', () => {
+  const { knowledge, usable } = create();
+  knowledge.takeList({ items: [item('t1', 3), item('t2', 4)], revision: 6 });
+  knowledge.takeChanges({
+    changes: [{ kind: 'put', item: item('t1', 7, LEAVING) }],
+    revision: 7,
+  });
+  knowledge.noteStoreLost();
+  assert.equal(usable(), ['t2']);
+  knowledge.takePeerUpdate({ items: [item('t1', 3)], keys: ['t1', 't2'], revision: 5 });
+  assert.equal(usable(), ['t2']);
+  knowledge.takePeerUpdate({ items: [item('t1', 3)], keys: ['t1', 't2'], revision: 8 });
+  assert.equal(usable(), ['t2']);
+});
+
 test.run();
