Read large configurations from the store only, whoever told of them

Cause: with four followers the heartbeat that tells a new configuration came before the news, and VMs asked peers for 0.4 MB each: 23 false alarms in the second of the large configuration (2 before), 0.238 GB between domains. Change: heartbeats carry the size too; a VM that hears of a large configuration by either message follows the store itself until it has it, and asks a peer only after 1.8 s.

--- a/packages/share-evidence/src/catch-up.test.ts
+++ b/packages/share-evidence/src/catch-up.test.ts
@@ -15,7 +15,7 @@
       configurationBytes: 0,
     }),
     isFollowing: () => isFollowing,
-    listPeers: () => [['peer', { revision: 9, configuration: 3 }]],
+    listPeers: () => [['peer', { revision: 9, configuration: 3, configurationBytes: 500 }]],
     ask: (_, since) => asked.push(since),
   });
   return { clock, asked, catchUp };
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -1,6 +1,11 @@
 /** Decides when a VM asks a peer for what it knows of the store, and which peer. */
 import type { Clock, Millis, Timers } from '@limelead/types';
-import type { PeerId, PeerKnowledge, StoreKnowledge } from './types.js';
+import {
+  LARGE_CONFIGURATION_BYTES,
+  type PeerId,
+  type PeerKnowledge,
+  type StoreKnowledge,
+} from './types.js';
 
 /** Pause between two questions for items while the store is away. */
 const ASK_INTERVAL_MS = 400;
@@ -14,6 +19,8 @@
  * watch; where a peer is ahead for longer than this, the watch is likely dead.
  */
 const AHEAD_TOO_LONG_MS = 1_000;
+/** The same for a large configuration, which takes a small VM's link most of a second. */
+const LARGE_AHEAD_TOO_LONG_MS = 1_800;
 
 /** What catching up needs. */
 export interface CatchUpOptions {
@@ -42,12 +49,14 @@
     const own = this.options.readKnowledge();
     const now = clock.now();
     this.noteBehind(own, now);
-    const isBehind = now - (this.behindSinceMs ?? now) >= AHEAD_TOO_LONG_MS;
+    const newest = this.findNewest();
+    const isLarge = (newest?.[1].configurationBytes ?? 0) >= LARGE_CONFIGURATION_BYTES;
+    const waitMs = isLarge ? LARGE_AHEAD_TOO_LONG_MS : AHEAD_TOO_LONG_MS;
+    const isBehind = now - (this.behindSinceMs ?? now) >= waitMs;
     const hasOwnSource = own.isInTouch && this.options.isFollowing();
     if ((hasOwnSource && !isBehind) || now - this.askedAtMs < this.pauseMs(own)) {
       return;
     }
-    const newest = this.findNewest();
     if (newest !== undefined && newest[1].revision > own.revision) {
       this.askedAtMs = now;
       this.isAnswerDue = true;
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -219,6 +219,7 @@
       heardAtMs,
       revision: 0,
       configuration: 0,
+      configurationBytes: 0,
       toldLoad: NO_LOAD,
     });
     this.members.hearFrom(peer);
@@ -276,6 +277,7 @@
   private onStoreNews(peer: PeerId, state: PeerState, news: EvidenceMessageOf<'store-news'>): void {
     state.revision = Math.max(state.revision, news.revision);
     state.configuration = Math.max(state.configuration, news.configuration);
+    state.configurationBytes = news.configurationBytes;
     this.storeNews.hear(peer, news);
     this.catchUp.check();
   }
@@ -311,6 +313,8 @@
     state.failureDomain = message.failureDomain;
     state.revision = message.revision;
     state.configuration = message.configuration;
+    state.configurationBytes = message.configurationBytes;
+    this.storeNews.noteConfiguration(message);
     message.members.forEach((member) => this.members.hear(member));
     if (isFirst) {
       this.sendLoad([peer]);
@@ -332,13 +336,14 @@
   }
 
   private createHeartbeat(): EvidenceMessage {
-    const { revision, configuration } = this.options.readKnowledge();
+    const { revision, configuration, configurationBytes } = this.options.readKnowledge();
     return {
       kind: 'heartbeat',
       failureDomain: this.options.failureDomain,
       members: this.members.sample(),
       revision,
       configuration,
+      configurationBytes,
     };
   }
 }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -22,6 +22,7 @@
   revision: t.number,
   /** Version of the configuration in force; 0 for none. */
   configuration: t.number,
+  configurationBytes: t.number,
 });
 
 /** Requests of the sender under way at each target; targets without any are left out. */
--- a/packages/share-evidence/src/store-news.ts
+++ b/packages/share-evidence/src/store-news.ts
@@ -5,7 +5,12 @@
  * follows the store itself until news come again.
  */
 import type { Clock, Millis } from '@limelead/types';
-import type { PeerId, StoreKnowledge } from './types.js';
+import {
+  LARGE_CONFIGURATION_BYTES,
+  type PeerId,
+  type PeerKnowledge,
+  type StoreKnowledge,
+} from './types.js';
 
 /**
  * Age of the last news from which on a VM follows the store itself. It has to
@@ -15,11 +20,6 @@
 const LATE_NEWS_MS = 1_700;
 /** News that are newer than the known ones by less than this are not passed on. */
 const PASS_ON_MS = 400;
-/**
- * Configurations from this size on come from the store to each VM: passed on, one
- * would fill the link of a small VM once for each of its peers.
- */
-const LARGE_CONFIGURATION_BYTES = 64 * 1024;
 
 /** What one VM tells another about the store. */
 export interface NewsOfStore {
@@ -79,21 +79,22 @@
 
   /** Takes news; this VM may have to catch up before it counts as current. */
   hear(from: PeerId, news: NewsOfStore): void {
-    const { clock, readKnowledge } = this.options;
-    const known = readKnowledge();
-    if (
-      news.configuration > known.configuration &&
-      news.configurationBytes >= LARGE_CONFIGURATION_BYTES
-    ) {
-      this.wantedConfiguration = news.configuration;
-    }
-    const confirmedAtMs = clock.now() - Math.max(0, news.ageMs);
+    this.noteConfiguration(news);
+    const confirmedAtMs = this.options.clock.now() - Math.max(0, news.ageMs);
     if (this.pending === undefined || news.revision >= this.pending.revision) {
       this.pending = { from, revision: news.revision, confirmedAtMs };
     }
     this.noteCaughtUp();
   }
 
+  /** A peer knows that configuration. */
+  noteConfiguration({ configuration, configurationBytes }: PeerKnowledge): void {
+    const isNew = configuration > this.options.readKnowledge().configuration;
+    if (isNew && configurationBytes >= LARGE_CONFIGURATION_BYTES) {
+      this.wantedConfiguration = Math.max(this.wantedConfiguration, configuration);
+    }
+  }
+
   /** This VM may know by now what it had news of. */
   noteCaughtUp(): void {
     const { pending } = this;
