Judge no silence after the process stood still

Cause: timers run before sockets are read. After a pause of the loop the look at silent runs came first, and found runs silent whose pieces waited to be read. Change: a look that comes 40 ms late or later is left out; the next one judges. Measured: the test fails on the code as it was. No play with and without it. Conclusion: kept as a mend of a fault found by reading.

--- a/packages/forward-request/src/silence-watch.ts
+++ b/packages/forward-request/src/silence-watch.ts
@@ -14,7 +14,13 @@
 import type { ProbeFacts, TargetDialect } from './dialect.js';
 import judgeSilence from './judge-silence.js';
 
+/** Pause between two looks at the runs, in milliseconds; about the pause between two pieces. */
 const TICK_MS = 30;
+/**
+ * A look that comes this late, in milliseconds, finds a process that stood still:
+ * pieces that came meanwhile wait to be read, and silence says nothing.
+ */
+const STOOD_STILL_MS = 40;
 /** A question older than this has no say any more. */
 const ASKED_LATELY_MS = 5_000;
 /** Time for an answer to a question, in milliseconds. */
@@ -82,9 +88,12 @@
     if (this.cancelTimer !== undefined || this.runs.size === 0) {
       return;
     }
+    const dueAtMs = this.options.clock.now() + TICK_MS;
     this.cancelTimer = this.options.timers.after(TICK_MS, () => {
       this.cancelTimer = undefined;
-      this.tick();
+      if (this.options.clock.now() < dueAtMs + STOOD_STILL_MS) {
+        this.tick();
+      }
       this.schedule();
     });
   }
