--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -30,16 +30,17 @@
     this.phase = hashText(self) % ROUNDS_BETWEEN_SEEDS;
   }
 
-  /** Opens the links that are missing. */
-  open(members: PeerId[]): void {
-    this.links.open(toAddresses(this.choose(members)));
+  /** Opens the links that are missing, and gives the peers that are wanted. */
+  open(members: PeerId[]): PeerId[] {
+    const chosen = this.choose(members);
+    this.links.open(toAddresses(chosen));
+    return chosen;
   }
 
   /** One round: opens what is missing and closes what was not chosen for some rounds. */
   tend(members: PeerId[]): void {
     this.rounds += 1;
-    this.open(members);
-    const chosen = new Set(this.choose(members));
+    const chosen = new Set(this.open(members));
     const opened = this.links.opened();
     for (const peer of opened) {
       const rounds = chosen.has(peer) ? 0 : (this.unwantedRounds.get(peer) ?? 0) + 1;
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -4,6 +4,7 @@
  * everywhere at once and is forgotten.
  */
 import type { Clock, Millis, Random } from '@limelead/types';
+import drawSome from './draw-some.js';
 import type { PeerId } from './types.js';
 
 /** A VM that has not spoken for this long is taken to be gone. */
@@ -64,7 +65,6 @@
     const members = [...this.spokeAtMs]
       .map(([id, spokeAtMs]): MemberAge => ({ id, ageMs: Math.round(now - spokeAtMs) }))
       .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
-    const start = Math.floor(this.random.next() * members.length);
-    return [...members.slice(start), ...members.slice(0, start)].slice(0, MAX_SAMPLE);
+    return drawSome(members, MAX_SAMPLE, this.random);
   }
 }
--- a/packages/share-evidence/src/repeat-loans.ts
+++ b/packages/share-evidence/src/repeat-loans.ts
@@ -5,6 +5,7 @@
  * is spent by all together, whatever is lost on the way.
  */
 import { RecentTimes, type Clock, type Random } from '@limelead/types';
+import drawSome from './draw-some.js';
 import type { PeerId } from './types.js';
 
 /** Time between two rounds of asking for one service, in milliseconds. */
@@ -36,9 +37,7 @@
       return;
     }
     this.asked.note(service, now);
-    const peers = listPeers();
-    const first = Math.floor(random.next() * peers.length);
-    const turned = [...peers.slice(first), ...peers.slice(0, first)];
-    turned.slice(0, ASKED_PEERS).forEach((peer) => ask(peer, service, WANTED_REPEATS));
+    const peers = drawSome(listPeers(), ASKED_PEERS, random);
+    peers.forEach((peer) => ask(peer, service, WANTED_REPEATS));
   }
 }
