--- a/packages/cli/src/run-limelead.ts
+++ b/packages/cli/src/run-limelead.ts
@@ -4,6 +4,7 @@
 import audit, { type AuditOptions } from './commands/audit/index.js';
 import call, { type CallOptions } from './commands/call/index.js';
 import demo, { type DemoOptions } from './commands/demo/index.js';
+import explain, { type ExplainOptions } from './commands/explain/index.js';
 import generate, { type GenerateOptions } from './commands/generate/index.js';
 import get from './commands/get/index.js';
 import load, { type LoadOptions } from './commands/load/index.js';
@@ -93,6 +94,11 @@
   withConnection(program.command('watch', 'Follow what each mechanism does and why'))
     .option('--request <id>', 'Only events of this request')
     .action((options: WatchOptions) => finish(watch(options), options));
+  program
+    .command('explain <id>', "Tell a request's way from the log lines on standard input")
+    .option('--json', 'Write JSON')
+    .example('cat vm-*.log | limelead explain c94c3facf4664d64')
+    .action((id: string, options: ExplainOptions) => finish(explain(id, options), options));
   withConnection(program.command('status', 'Show what a VM knows of VMs and targets')).action(
     (options: ConnectionOptions) => finish(status(options), options),
   );
