Of two targets at one address take the one that was written later

Lists are in the order of keys, so it was right by luck; since what is known is kept by key, the order is that of arrival, and the test's second entry won. A real list holds two entries at one address when an engine came back before its old entry lapsed. Change: the entry that was written later stands at the address, whatever the order, and a list that brings nothing new replaces nothing. The test was wrong: its second entry claimed the address of a target that still stood there, so what it expected held by the order of keys only. The second entry has a target of its own now; knowledge.test holds the order for both key orders.

--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -15,6 +15,8 @@
 
 /** Value of a target that said that it leaves. */
 const LEAVING = 'leaving';
+/** Value of a target at an address that others use, too. */
+const AT_PORT_1 = 'at port 1';
 
 function item(key: string, revision: number, value = String(revision)): StoreItem {
   return { key, value: Buffer.from(value), revision };
@@ -24,7 +26,10 @@
 function create() {
   const decoded: string[] = [];
   const versions: number[] = [];
-  const directory = new TargetDirectory(clock);
+  const joined: string[] = [];
+  const directory = new TargetDirectory(clock, {
+    onNotice: ({ kind, target }) => kind === 'joined' && joined.push(target.id),
+  });
   const knowledge = new Knowledge({
     clock,
     timers: { after: () => () => undefined },
@@ -36,7 +41,8 @@
         decoded.push(key);
         if (key !== 'c') {
           const leaving = value.toString() === LEAVING;
-          return { kind: 'target', target: { ...toTarget(key), leaving } };
+          const port = value.toString() === AT_PORT_1 ? 1 : toTarget(key).port;
+          return { kind: 'target', target: { ...toTarget(key), leaving, port } };
         }
         const limits = {
           maxHeaderBytes: 1,
@@ -57,7 +63,7 @@
   });
   const ids = (): string[] => directory.all().map(({ target }) => target.id);
   const usable = (): string[] => directory.listUsable('s').map(({ target }) => target.id);
-  return { knowledge, decoded, versions, ids, usable };
+  return { knowledge, decoded, versions, ids, usable, joined };
 }
 
 test('what did not change is not decoded again', () => {
@@ -87,6 +93,23 @@
   assert.equal(ids(), ['t1']);
 });
 
+test('of two targets at one address the one that was written later stands there', () => {
+  for (const [earlier, later] of [
+    ['t1', 't2'],
+    ['t2', 't1'],
+  ] as const) {
+    const { knowledge, ids, joined } = create();
+    const items = [item(earlier, 3, AT_PORT_1), item(later, 4, AT_PORT_1)];
+    items.sort((a, b) => (a.key < b.key ? -1 : 1));
+    knowledge.takeList({ items, revision: 6 });
+    assert.equal(ids(), [later]);
+    joined.length = 0;
+    knowledge.takeList({ items, revision: 7 });
+    assert.equal(ids(), [later]);
+    assert.equal(joined, []);
+  }
+});
+
 test('a target that said that it leaves gets nothing new while the store is away either', () => {
   const { knowledge, usable } = create();
   knowledge.takeList({ items: [item('t1', 3), item('t2', 4)], revision: 6 });
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -134,10 +134,16 @@
     onChange();
   }
 
+  /** Of two targets at one address the one that was written later stands there. */
   private listTargets(): ServiceTarget[] {
-    return [...this.known.values()].flatMap(({ fact }) =>
-      fact.kind === 'target' ? [fact.target] : [],
-    );
+    const inOrder = [...this.known.values()].sort((a, b) => a.item.revision - b.item.revision);
+    const byAddress = new Map<string, ServiceTarget>();
+    for (const { fact } of inOrder) {
+      if (fact.kind === 'target') {
+        byAddress.set(`${fact.target.host}:${fact.target.port}`, fact.target);
+      }
+    }
+    return [...byAddress.values()];
   }
 
   private forgetExcept(keys: ReadonlySet<string>): void {
