Keep one bound for large items, and count members without listing them

Cause: the size from which an item is large stood twice, as LARGE_ITEM_BYTES in follow-store and LARGE_CONFIGURATION_BYTES in share-evidence; the two have to agree, or a VM is sent to the store for what the follower does not read by lists. MemberBook.count built a list of all members to count it, and is asked for several times a second since followers depend on the size of the fleet. Change: share-evidence takes the bound of follow-store; members are forgotten by one method and counted by the map's size.

--- a/packages/follow-store/src/index.ts
+++ b/packages/follow-store/src/index.ts
@@ -1,4 +1,5 @@
 /** Follows a part of the platform's store. */
+export { LARGE_ITEM_BYTES } from './large-items.js';
 export { default as StoreFollower } from './store-follower.js';
 export type { StoreFollowerEvents, StoreFollowerOptions } from './store-follower.js';
 export type * from './store-port.js';
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -9,6 +9,7 @@
  */
 import { delay, type Random, type Timers } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
+import { LARGE_ITEM_BYTES } from './large-items.js';
 import type {
   StoreChange,
   StoreChanges,
@@ -32,11 +33,6 @@
 const LONGEST_GATHER_MS = 800;
 /** The pause grows with the VMs that follow the store, which all pay for their calls. */
 const GATHER_MS_OF_ONE_VM = 10;
-/**
- * Bytes from which on an item is large: it takes a link of 7 Mbit/s, the slowest
- * of the users' VMs, 0.1 s.
- */
-const LARGE_ITEM_BYTES = 64 * 1024;
 /** Pause between two lists while a large item changes. */
 const LARGE_PAUSE_MS = 800;
 const FIRST_PAUSE_MS = 100;
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -1,11 +1,7 @@
 /** Decides when a VM asks a peer for what it knows of the store, and which peer. */
+import { LARGE_ITEM_BYTES } from '@limelead/follow-store';
 import type { Clock, Millis, Timers } from '@limelead/types';
-import {
-  LARGE_CONFIGURATION_BYTES,
-  type PeerId,
-  type PeerKnowledge,
-  type StoreKnowledge,
-} from './types.js';
+import type { PeerId, PeerKnowledge, StoreKnowledge } from './types.js';
 
 /** Pause between two questions for items while the store is away. */
 const ASK_INTERVAL_MS = 400;
@@ -50,7 +46,7 @@
     const now = clock.now();
     this.noteBehind(own, now);
     const newest = this.findNewest();
-    const isLarge = (newest?.[1].configurationBytes ?? 0) >= LARGE_CONFIGURATION_BYTES;
+    const isLarge = (newest?.[1].configurationBytes ?? 0) >= LARGE_ITEM_BYTES;
     const waitMs = isLarge ? LARGE_AHEAD_TOO_LONG_MS : AHEAD_TOO_LONG_MS;
     const isBehind = now - (this.behindSinceMs ?? now) >= waitMs;
     const hasOwnSource = own.isInTouch && this.options.isFollowing();
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -32,7 +32,8 @@
 
   /** VMs that are believed to run, this one included. */
   get count(): number {
-    return this.list().length + 1;
+    this.forgetOld();
+    return this.spokeAtMs.size + 1;
   }
 
   /** A VM spoke that long ago, as far as somebody knows. */
@@ -50,12 +51,7 @@
 
   /** The other VMs that are believed to run. */
   list(): PeerId[] {
-    const since = this.clock.now() - FORGET_AFTER_MS;
-    for (const [member, spokeAtMs] of this.spokeAtMs) {
-      if (spokeAtMs < since) {
-        this.spokeAtMs.delete(member);
-      }
-    }
+    this.forgetOld();
     return [...this.spokeAtMs.keys()];
   }
 
@@ -67,4 +63,13 @@
       .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
     return drawSome(members, MAX_SAMPLE, this.random);
   }
+
+  private forgetOld(): void {
+    const since = this.clock.now() - FORGET_AFTER_MS;
+    for (const [member, spokeAtMs] of this.spokeAtMs) {
+      if (spokeAtMs < since) {
+        this.spokeAtMs.delete(member);
+      }
+    }
+  }
 }
--- a/packages/share-evidence/src/store-news.ts
+++ b/packages/share-evidence/src/store-news.ts
@@ -4,13 +4,9 @@
  * that a VM knows how old its own knowledge may be. One whose news is late
  * follows the store itself until news come again.
  */
+import { LARGE_ITEM_BYTES } from '@limelead/follow-store';
 import type { Clock, Millis } from '@limelead/types';
-import {
-  LARGE_CONFIGURATION_BYTES,
-  type PeerId,
-  type PeerKnowledge,
-  type StoreKnowledge,
-} from './types.js';
+import type { PeerId, PeerKnowledge, StoreKnowledge } from './types.js';
 
 /**
  * Age of the last news from which on a VM follows the store itself. It has to
@@ -90,7 +86,7 @@
   /** A peer knows that configuration. */
   noteConfiguration({ configuration, configurationBytes }: PeerKnowledge): void {
     const isNew = configuration > this.options.readKnowledge().configuration;
-    if (isNew && configurationBytes >= LARGE_CONFIGURATION_BYTES) {
+    if (isNew && configurationBytes >= LARGE_ITEM_BYTES) {
       this.wantedConfiguration = Math.max(this.wantedConfiguration, configuration);
     }
   }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -70,12 +70,6 @@
   configurationBytes: number;
 }
 
-/**
- * Configurations from this size on come from the store to each VM: passed on, one
- * would fill the link of a small VM once for each of its peers.
- */
-export const LARGE_CONFIGURATION_BYTES = 64 * 1024;
-
 /** One peer, as this VM is linked to it. */
 export interface PeerState extends PeerKnowledge {
   failureDomain: string;
