Split one send and the lines of a call from forward-call

Change: call-attempt holds one send, call-report writes the lines; each failed attempt has its call-failed line with the status. Policy as before.

--- /dev/null
+++ b/packages/forward-request/src/call-attempt.ts
@@ -0,0 +1,138 @@
+/** One send of a call to one target: holds its answer back until it is whole, or passes it on. */
+import type { AnswerHead, OpenCall } from '@limelead/target-connections';
+import type { ServiceTarget } from '@limelead/types';
+import type { ForwardContext } from './context.js';
+import type { TargetOrder } from './dialect.js';
+import type { Place } from './place-queue.js';
+import type { NoteUnreached } from './send-payments.js';
+
+/** Longest answer that is held back until it is whole, in bytes; the users' are 0.8 KB on the mean. */
+const MAX_HELD_BYTES = 256 * 1024;
+
+/** An answer that is whole. */
+export interface WholeAnswer {
+  head: AnswerHead;
+  body: Buffer;
+}
+
+/** What the owner of an attempt is told. `onEnd`, `onFault` and `onTurnedAway` come last, and once. */
+export interface CallAttemptEvents {
+  /** The answer is too long to be held back; `passOn` gives what came so far. */
+  onLong(head: AnswerHead): void;
+  /** A part of an answer that is passed on. */
+  onData(chunk: Buffer): void;
+  /** The answer is whole; its body is empty where it was passed on. */
+  onEnd(answer: WholeAnswer): void;
+  /** @param notSent true where the request certainly reached nobody */
+  onFault(notSent: boolean, reason: string): void;
+  /** The target did not run the request. */
+  onTurnedAway(isOtherTarget: boolean): void;
+}
+
+/** What an attempt is made with. */
+export interface CallAttemptOptions {
+  number: number;
+  place: Place;
+  noteUnreached: NoteUnreached;
+  events: CallAttemptEvents;
+}
+
+/** One send to one target. */
+export default class CallAttempt {
+  readonly number: number;
+  readonly noteUnreached: NoteUnreached;
+  /** True once it ended or was cancelled; nothing is told from then on. */
+  isOver = false;
+  private readonly place: Place;
+  private readonly events: CallAttemptEvents;
+  private open: OpenCall | undefined;
+  private head: AnswerHead | undefined;
+  private chunks: Buffer[] = [];
+  private heldBytes = 0;
+  private isPassedOn = false;
+
+  constructor({ number, place, noteUnreached, events }: CallAttemptOptions) {
+    this.number = number;
+    this.place = place;
+    this.noteUnreached = noteUnreached;
+    this.events = events;
+  }
+
+  get target(): ServiceTarget {
+    return this.place.tracked.target;
+  }
+
+  /** @param maxIdleMs longest rest of a connection that may be used */
+  send({ connections, dialect }: ForwardContext, order: TargetOrder, maxIdleMs: number): void {
+    this.open = connections.send(
+      this.target,
+      dialect.composeCall(order),
+      { maxIdleMs },
+      {
+        onHead: (head) => this.onHead(dialect.readAnswer(order.request, head), head),
+        onData: (chunk) => this.onData(chunk),
+        onEnd: () => this.onEnd(),
+        onFault: (fault) =>
+          this.over(() => this.events.onFault(fault.sent === 'no', fault.message)),
+      },
+    );
+  }
+
+  /** From here on the answer is told as it comes; gives what was held back. */
+  passOn(): Buffer[] {
+    this.isPassedOn = true;
+    return this.chunks.splice(0);
+  }
+
+  /** Ends the send and gives its place back; the target stops the run. */
+  cancel(): void {
+    if (!this.isOver) {
+      this.isOver = true;
+      this.open?.cancel();
+      this.place.release();
+    }
+  }
+
+  private onHead(facts: ReturnType<ForwardContext['dialect']['readAnswer']>, head: AnswerHead) {
+    if (!facts.isForRequest) {
+      this.open?.cancel();
+      this.over(() => this.events.onFault(false, 'answer of another request'));
+      return;
+    }
+    this.head = head;
+    if (facts.notRun) {
+      this.open?.cancel();
+      this.over(() => this.events.onTurnedAway(facts.isOtherTarget));
+    }
+  }
+
+  private onData(chunk: Buffer): void {
+    if (this.isOver || this.head === undefined) {
+      return;
+    }
+    if (this.isPassedOn) {
+      this.events.onData(chunk);
+      return;
+    }
+    this.chunks.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > MAX_HELD_BYTES) {
+      this.events.onLong(this.head);
+    }
+  }
+
+  private onEnd(): void {
+    const { head } = this;
+    if (head !== undefined) {
+      this.over(() => this.events.onEnd({ head, body: Buffer.concat(this.chunks) }));
+    }
+  }
+
+  private over(tell: () => void): void {
+    if (!this.isOver) {
+      this.isOver = true;
+      this.place.release();
+      tell();
+    }
+  }
+}
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -5,44 +5,26 @@
  * a second time beside the first; the first good answer is taken.
  */
 import { LimeleadError } from '@limelead/errors';
-import type { AnswerHead, OpenCall } from '@limelead/target-connections';
+import type { AnswerHead } from '@limelead/target-connections';
 import type { CancelTimer } from '@limelead/types';
 import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
+import CallAttempt, { type CallAttemptEvents, type WholeAnswer } from './call-attempt.js';
+import CallReport, { type CallEnd } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { MAX_TURNED_AWAY, SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
-import SendPayments, { type NoteUnreached } from './send-payments.js';
+import SendPayments from './send-payments.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
 const REPEATABLE_MAX_IDLE_MS = 10_000;
 /** A call that may run once takes a fresh connection, which no target closes meanwhile. */
 const ONCE_MAX_IDLE_MS = 0;
-/** Longest answer that is held back until it is whole. */
-const MAX_HELD_BYTES = 256 * 1024;
 /** Part of the objective after which a repeatable call is sent a second time. */
 const HEDGE_SHARE = 0.5;
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 25;
 
-/** An answer that is whole. */
-interface WholeAnswer {
-  head: AnswerHead;
-  body: Buffer;
-}
-
-/** One send to one target. */
-interface Attempt {
-  number: number;
-  place: Place;
-  noteUnreached: NoteUnreached;
-  open?: OpenCall;
-  head?: AnswerHead;
-  chunks: Buffer[];
-  heldBytes: number;
-  isOver: boolean;
-}
-
 /** Starts forwarding. The answer, whatever it is, goes to the sink. */
 export default function forwardCall(
   context: ForwardContext,
@@ -53,20 +35,22 @@
 }
 
 class CallForwarder {
-  private readonly attempts: Attempt[] = [];
+  private readonly attempts: CallAttempt[] = [];
   private readonly tried = new Set<string>();
   /** Sends that a target may have run. */
   private ran = 0;
   private turnedAway = 0;
   private isDone = false;
   private isOverdue = false;
-  private streaming: Attempt | undefined;
+  /** The attempt whose answer is passed on as it comes. */
+  private streaming: CallAttempt | undefined;
   /** A failure that the service itself answered; given to the caller where nothing better comes. */
   private failure: WholeAnswer | undefined;
   private stopWaiting: () => void = () => undefined;
   private isWaiting = false;
   private readonly timers: CancelTimer[] = [];
   private readonly payments: SendPayments;
+  private readonly report: CallReport;
 
   constructor(
     private readonly context: ForwardContext,
@@ -74,6 +58,7 @@
     private readonly sink: AnswerSink,
   ) {
     this.payments = new SendPayments(context, admitted.service);
+    this.report = new CallReport(context, admitted);
   }
 
   begin(): void {
@@ -112,91 +97,55 @@
   }
 
   private send(place: Place): void {
-    const { clock, connections, dialect, log, timers } = this.context;
+    const attempt = this.createAttempt(place);
+    this.attempts.push(attempt);
+    this.tried.add(attempt.target.id);
+    this.ran += 1;
     const { request, organisation, rank, route, dueAtMs } = this.admitted;
-    const { target } = place.tracked;
-    const attempt: Attempt = {
+    const { target } = attempt;
+    const remainingMs = dueAtMs - this.context.clock.now();
+    this.report.sent(attempt, remainingMs);
+    const order = { request, target, organisation, remainingMs, lastPiece: 0, rank };
+    const maxIdleMs = route.repeatable ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS;
+    attempt.send(this.context, order, maxIdleMs);
+    if (route.repeatable && attempt.number === 1) {
+      this.hedgeAfter(route.objectiveMs * HEDGE_SHARE);
+    }
+  }
+
+  private createAttempt(place: Place): CallAttempt {
+    const attempt: CallAttempt = new CallAttempt({
       number: this.attempts.length + 1,
       place,
       noteUnreached: this.payments.noteSent(),
-      chunks: [],
-      heldBytes: 0,
-      isOver: false,
-    };
-    this.attempts.push(attempt);
-    this.tried.add(target.id);
-    const remainingMs = dueAtMs - clock.now();
-    log.write('call-sent', {
-      requestId: request.requestId,
-      target: target.id,
-      attempt: attempt.number,
-      remainingMs: Math.round(remainingMs),
+      events: this.createEvents(() => attempt),
     });
-    const call = dialect.composeCall({
-      request,
-      target,
-      organisation,
-      remainingMs,
-      lastPiece: 0,
-      rank,
-    });
-    const maxIdleMs = route.repeatable ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS;
-    this.ran += 1;
-    attempt.open = connections.send(
-      target,
-      call,
-      { maxIdleMs },
-      {
-        onHead: (head) => this.onHead(attempt, head),
-        onData: (chunk) => this.onData(attempt, chunk),
-        onEnd: () => this.onEnd(attempt),
-        onFault: (fault) => this.onFault(attempt, fault.sent === 'no', fault.message),
-      },
-    );
-    if (route.repeatable && attempt.number === 1) {
-      const hedgeMs = route.objectiveMs * HEDGE_SHARE;
-      this.timers.push(timers.after(hedgeMs, () => this.hedge()));
-    }
+    return attempt;
   }
 
-  private hedge(): void {
-    const isUnderWay = this.attempts.some(({ isOver }) => !isOver);
-    if (!this.isDone && !this.isWaiting && isUnderWay && this.streaming === undefined) {
-      this.tryAgain();
-    }
+  private createEvents(readAttempt: () => CallAttempt): CallAttemptEvents {
+    return {
+      onLong: (head) => this.beginStreaming(readAttempt(), head),
+      onData: (chunk) => this.sink.write(chunk),
+      onEnd: (answer) => this.onEnd(readAttempt(), answer),
+      onFault: (notSent, reason) => this.onFault(readAttempt(), notSent, reason),
+      onTurnedAway: (isOtherTarget) => this.onTurnedAway(readAttempt(), isOtherTarget),
+    };
   }
 
-  private onHead(attempt: Attempt, head: AnswerHead): void {
-    const facts = this.context.dialect.readAnswer(this.admitted.request, head);
-    if (!facts.isForRequest) {
-      attempt.open?.cancel();
-      this.onFault(attempt, false, 'answer of another request');
-      return;
-    }
-    attempt.head = head;
-    if (facts.notRun) {
-      attempt.open?.cancel();
-      this.onTurnedAway(attempt, facts.isOtherTarget);
-    }
+  private hedgeAfter(delayMs: number): void {
+    this.timers.push(this.context.timers.after(delayMs, () => this.hedge()));
   }
 
-  private onData(attempt: Attempt, chunk: Buffer): void {
-    if (this.isDone || attempt.isOver || attempt.head === undefined) {
-      return;
-    }
-    if (this.streaming === attempt) {
-      this.sink.write(chunk);
-      return;
-    }
-    attempt.chunks.push(chunk);
-    attempt.heldBytes += chunk.length;
-    if (attempt.heldBytes > MAX_HELD_BYTES) {
-      this.beginStreaming(attempt, attempt.head);
+  private hedge(): void {
+    const isUnderWay = this.attempts.some(({ isOver }) => !isOver);
+    if (!this.isDone && !this.isWaiting && isUnderWay && this.streaming === undefined) {
+      this.tryAgain();
     }
   }
 
   /** A long answer is passed on as it comes; from here on no other can take its place. */
-  private beginStreaming(attempt: Attempt, head: AnswerHead): void {
+  private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
     this.cancelOthers(attempt);
     const length = head.headers.get('content-length');
@@ -205,46 +154,32 @@
       keepAnswerHeaders(head.rawHeaders),
       length === undefined ? undefined : Number(length),
     );
-    attempt.chunks.forEach((held) => this.sink.write(held));
-    attempt.chunks = [];
+    attempt.passOn().forEach((held) => this.sink.write(held));
   }
 
-  private onEnd(attempt: Attempt): void {
-    if (!this.close(attempt) || attempt.head === undefined) {
-      return;
-    }
-    const { head } = attempt;
-    const isGood = head.status < SERVER_ERROR_STATUS;
-    this.context.directory.observe(attempt.place.tracked.target.id, {
-      kind: isGood ? 'answered' : 'failed',
-    });
+  private onEnd(attempt: CallAttempt, answer: WholeAnswer): void {
+    const { status } = answer.head;
+    const isGood = status < SERVER_ERROR_STATUS;
+    const kind = isGood ? 'answered' : 'failed';
+    this.context.directory.observe(attempt.target.id, { kind });
     if (this.streaming === attempt) {
       this.sink.end();
-      this.finish('answered', attempt, head.status);
+      this.finish('answered', attempt, status);
       return;
     }
-    const answer = { head, body: Buffer.concat(attempt.chunks) };
     if (isGood || !this.admitted.route.repeatable) {
       this.deliver(answer, attempt);
       return;
     }
+    this.report.failed(attempt, false, `status ${status}`);
     this.failure = answer;
     this.afterFailure();
   }
 
-  private onFault(attempt: Attempt, notSent: boolean, reason: string): void {
-    if (!this.close(attempt)) {
-      return;
-    }
-    const { target } = attempt.place.tracked;
-    this.context.directory.observe(target.id, { kind: notSent ? 'lost' : 'failed' });
-    this.context.log.write('call-failed', {
-      requestId: this.admitted.request.requestId,
-      target: target.id,
-      attempt: attempt.number,
-      notSent,
-      reason,
-    });
+  private onFault(attempt: CallAttempt, notSent: boolean, reason: string): void {
+    const kind = notSent ? 'lost' : 'failed';
+    this.context.directory.observe(attempt.target.id, { kind });
+    this.report.failed(attempt, notSent, reason);
     if (this.streaming === attempt) {
       this.sink.abort(new LimeleadError('outcome-unknown', 'the answer broke off'));
       this.finish('broke-off', attempt);
@@ -259,24 +194,17 @@
     }
   }
 
-  private onTurnedAway(attempt: Attempt, isOtherTarget: boolean): void {
-    if (!this.close(attempt)) {
-      return;
-    }
-    const { target } = attempt.place.tracked;
+  private onTurnedAway(attempt: CallAttempt, isOtherTarget: boolean): void {
+    const { id } = attempt.target;
     this.ran -= 1;
     this.turnedAway += 1;
     this.context.directory.observe(
-      target.id,
+      id,
       isOtherTarget ? { kind: 'lost' } : { kind: 'full', pauseMs: FULL_PAUSE_MS },
     );
-    this.context.log.write('call-turned-away', {
-      requestId: this.admitted.request.requestId,
-      target: target.id,
-      isOtherTarget,
-    });
+    this.report.turnedAway(attempt, isOtherTarget);
     if (!isOtherTarget) {
-      this.tried.delete(target.id);
+      this.tried.delete(id);
     }
     this.afterNotRun();
   }
@@ -314,17 +242,7 @@
     return this.isWaiting || this.attempts.some(({ isOver }) => !isOver);
   }
 
-  /** Takes an attempt as over; false where it already was. */
-  private close(attempt: Attempt): boolean {
-    if (attempt.isOver || this.isDone) {
-      return false;
-    }
-    attempt.isOver = true;
-    attempt.place.release();
-    return true;
-  }
-
-  private deliver(answer: WholeAnswer, attempt?: Attempt): void {
+  private deliver(answer: WholeAnswer, attempt?: CallAttempt): void {
     const headers = keepAnswerHeaders(answer.head.rawHeaders);
     this.sink.begin(answer.head.status, headers, answer.body.length);
     if (answer.body.length > 0) {
@@ -359,17 +277,11 @@
       : new LimeleadError('outcome-unknown', 'the answer of the target was lost');
   }
 
-  private cancelOthers(kept?: Attempt): void {
-    for (const attempt of this.attempts) {
-      if (attempt !== kept && !attempt.isOver) {
-        attempt.isOver = true;
-        attempt.open?.cancel();
-        attempt.place.release();
-      }
-    }
+  private cancelOthers(kept?: CallAttempt): void {
+    this.attempts.filter((attempt) => attempt !== kept).forEach((attempt) => attempt.cancel());
   }
 
-  private finish(outcome: string, attempt?: Attempt, status?: number): void {
+  private finish(outcome: CallEnd['outcome'], attempt?: CallAttempt, status?: number): void {
     if (this.isDone) {
       return;
     }
@@ -377,18 +289,12 @@
     this.stopWaiting();
     this.timers.forEach((cancel) => cancel());
     this.cancelOthers();
-    const { clock, log, metrics } = this.context;
-    const durationMs = Math.round(clock.now() - this.admitted.receivedAtMs);
-    log.write('call-finished', {
-      requestId: this.admitted.request.requestId,
+    this.report.finished({
       outcome,
       status,
-      target: attempt?.place.tracked.target.id,
+      target: attempt?.target.id,
       attempts: this.attempts.length,
       ran: this.ran,
-      durationMs,
     });
-    metrics.count('limelead_calls_total', 1, { outcome });
-    metrics.recordMs('limelead_call_ms', durationMs);
   }
 }
