Let a fleet that starts hear of itself before it links

Change: a member that is news is named to all peers once, a new link is told all members, the second round comes after 0.4 s, and a large fleet links to others than the seeds from the third round on. Links, members and followers moved out of the exchange into one piece, membership.

--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -4,24 +4,24 @@
  * a VM that the store turns away.
  */
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
-import { chooseWatchers } from '@limelead/track-members';
 import type { Millis } from '@limelead/types';
 import CatchUp from './catch-up.js';
 import { FULL_MESH_VMS } from './choose-peers.js';
-import LinkUpkeep from './link-upkeep.js';
 import LossNews from './loss-news.js';
-import MemberBook from './member-book.js';
+import type { MemberAge } from './member-book.js';
+import Membership from './membership.js';
 import RepeatLoans from './repeat-loans.js';
 import StoreNews from './store-news.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { EvidenceExchangeOptions, PeerId, PeerState } from './types.js';
 
-const HEARTBEAT_MS = 1_000;
+/** Time between two rounds: heartbeats, links, members. */
+const ROUND_MS = 1_000;
 /**
- * VMs of a large fleet that follow the store for all. Several, so that all but one
- * may be stopped, cut off or killed at once before the others have to ask themselves.
+ * Time to the second round. The users' VMs start within 0.3 s of each other; by
+ * then all of them have met the seeds, which name them to each other.
  */
-const FOLLOWERS = 4;
+const SECOND_ROUND_MS = 400;
 /** A peer that said nothing for this long is dropped. */
 const SILENT_PEER_MS = 3_200;
 /** Changes of load within this time are told together in a fleet that is a full mesh. */
@@ -34,23 +34,19 @@
 export default class EvidenceExchange {
   private links: PeerLinks<EvidenceMessage> | undefined;
   private readonly peers = new Map<PeerId, PeerState>();
-  private readonly members: MemberBook;
+  private members: Membership | undefined;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
   private readonly catchUp: CatchUp;
   private readonly storeNews: StoreNews;
-  private upkeep: LinkUpkeep | undefined;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
-  /** Whether this VM is one of those that follow the store for all, as of the last heartbeat. */
-  private isChosen = true;
   private isLoadDue = false;
   private isStopped = false;
 
   constructor(private readonly options: EvidenceExchangeOptions) {
-    const { id, clock, timers, random } = options;
+    const { clock, timers, random } = options;
     const listPeers = (): PeerId[] => [...this.peers.keys()];
-    this.members = new MemberBook(id, clock, random);
     this.loans = new RepeatLoans({
       clock,
       random,
@@ -82,22 +78,22 @@
 
   /** VMs that are believed to run, this one included. */
   get vmCount(): number {
-    return this.members.count;
+    return this.members?.count ?? 1;
   }
 
   /** VMs that ask the store themselves while news of it spread as they should. */
   get followerCount(): number {
-    return this.isLarge ? FOLLOWERS : this.vmCount;
+    return this.members?.followerCount ?? 1;
   }
 
   /** Whether this VM has to ask the store itself. */
   get mustFollow(): boolean {
-    return !this.isLarge || this.isChosen || !this.storeNews.isCurrent;
+    return !this.isLarge || this.followsForOthers || !this.storeNews.isCurrent;
   }
 
   /** Whether others rely on this VM to follow the store. */
   get followsForOthers(): boolean {
-    return this.isLarge && this.isChosen;
+    return this.members?.followsForOthers ?? false;
   }
 
   /** When the store last answered any VM, as far as this one heard. */
@@ -114,7 +110,7 @@
 
   /** Begins to talk. */
   async start(): Promise<void> {
-    const { id, incarnation, host, port, timers } = this.options;
+    const { id, incarnation, host, port, timers, seeds, clock, random } = this.options;
     this.links = await createPeerLinks<EvidenceMessage>({
       id,
       incarnation,
@@ -128,8 +124,8 @@
       onLost: (peer) => this.onPeerLost(peer),
       onDropped: () => undefined,
     });
-    this.upkeep = new LinkUpkeep(id, this.options.seeds, this.links);
-    this.beat();
+    this.members = new Membership({ self: id, seeds, links: this.links, clock, random });
+    this.beat(SECOND_ROUND_MS);
   }
 
   /** Ends all links. */
@@ -165,41 +161,28 @@
     const { configuration } = this.options.readKnowledge();
     if (configuration > this.toldConfiguration) {
       this.toldConfiguration = configuration;
-      this.links?.broadcast(this.createHeartbeat());
+      this.links?.broadcast(this.createHeartbeat([]));
     }
   }
 
   /** In a large fleet the load of one VM weighs little, and may be told later. */
   private get loadGatherMs(): Millis {
-    return LOAD_GATHER_MS * Math.max(1, this.members.count / FULL_MESH_VMS);
+    return LOAD_GATHER_MS * Math.max(1, this.vmCount / FULL_MESH_VMS);
   }
 
-  /** Whether a few VMs follow the store for all; a small fleet asks it directly. */
   private get isLarge(): boolean {
-    return this.members.count >= FULL_MESH_VMS;
+    return this.members?.isLarge ?? false;
   }
 
-  private beat(): void {
+  private beat(nextMs: Millis = ROUND_MS): void {
     if (this.isStopped) {
       return;
     }
     this.dropSilentPeers();
-    const members = this.members.list();
-    this.upkeep?.tend(members);
-    this.isChosen = chooseWatchers([...members, this.options.id], FOLLOWERS).includes(
-      this.options.id,
-    );
-    this.links?.broadcast(this.createHeartbeat());
+    const named = this.members?.tend() ?? [];
+    this.links?.broadcast(this.createHeartbeat(named));
     this.catchUp.check();
-    this.options.timers.after(HEARTBEAT_MS, () => this.beat());
-  }
-
-  /** A small fleet grows together at once; a large one by and by, as its ring settles. */
-  private meetMembers(): void {
-    const members = this.members.list();
-    if (members.length < FULL_MESH_VMS) {
-      this.upkeep?.open(members);
-    }
+    this.options.timers.after(nextMs, () => this.beat());
   }
 
   private dropSilentPeers(): void {
@@ -222,9 +205,9 @@
       configurationBytes: 0,
       toldLoad: NO_LOAD,
     });
-    this.members.hearFrom(peer);
+    this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
-    this.links?.send(peer, this.createHeartbeat());
+    this.links?.send(peer, this.createHeartbeat(this.members?.nameAll() ?? []));
   }
 
   private onPeerLost(peer: PeerId): void {
@@ -240,7 +223,7 @@
       return;
     }
     state.heardAtMs = this.options.clock.now();
-    this.members.hearFrom(peer);
+    this.members?.hearFrom(peer);
     switch (message.kind) {
       case 'heartbeat':
         this.onHeartbeat(peer, state, message);
@@ -315,10 +298,9 @@
     state.configuration = message.configuration;
     state.configurationBytes = message.configurationBytes;
     this.storeNews.noteConfiguration(message);
-    message.members.forEach((member) => this.members.hear(member));
+    this.members?.hear(message.members);
     if (isFirst) {
       this.sendLoad([peer]);
-      this.meetMembers();
     }
     this.catchUp.check();
   }
@@ -335,12 +317,12 @@
     }
   }
 
-  private createHeartbeat(): EvidenceMessage {
+  private createHeartbeat(members: MemberAge[]): EvidenceMessage {
     const { revision, configuration, configurationBytes } = this.options.readKnowledge();
     return {
       kind: 'heartbeat',
       failureDomain: this.options.failureDomain,
-      members: this.members.sample(),
+      members,
       revision,
       configuration,
       configurationBytes,
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -5,13 +5,20 @@
  */
 import type { PeerAddress, PeerLinks } from '@limelead/peer-links';
 import { hashText } from '@limelead/types';
-import choosePeers from './choose-peers.js';
+import choosePeers, { FULL_MESH_VMS } from './choose-peers.js';
 import type { PeerId } from './types.js';
 
 /** Rounds in a row in which a link was not chosen before it is closed. */
 const UNWANTED_ROUNDS = 3;
 /** Rounds at the start in which links to the seeds are wanted. */
 const FIRST_ROUNDS = 5;
+/**
+ * Round from which on a VM links to others than the seeds. The first rounds are
+ * for hearing of them: a choice among the few that are known is a wrong one.
+ */
+const FIRST_SMALL_ROUND = 2;
+/** The same where too many are known for a full mesh. */
+const FIRST_LARGE_ROUND = 3;
 /** One of the seeds is met again this often, so that groups of VMs that lost each other join. */
 const ROUNDS_BETWEEN_SEEDS = 20;
 
@@ -53,7 +60,9 @@
   }
 
   private choose(members: PeerId[]): PeerId[] {
-    return [...choosePeers(this.self, members), ...this.chooseSeeds()];
+    const firstRound = members.length < FULL_MESH_VMS ? FIRST_SMALL_ROUND : FIRST_LARGE_ROUND;
+    const peers = this.rounds < firstRound ? [] : choosePeers(this.self, members);
+    return [...peers, ...this.chooseSeeds()];
   }
 
   /**
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -11,8 +11,10 @@
 const FORGET_AFTER_MS = 12_000;
 /** A VM is named to others only while it spoke this lately. */
 const PASS_ON_MS = 9_000;
-/** Most VMs named in one heartbeat. */
+/** VMs that a heartbeat names beside those that are news. */
 const MAX_SAMPLE = 16;
+/** VMs that one message names at most: 4 KB, and more than the largest fleet that is planned for. */
+const MAX_NAMED = 512;
 
 /** A VM with the time since it last spoke. */
 export interface MemberAge {
@@ -23,6 +25,8 @@
 /** Remembers VMs by address. */
 export default class MemberBook {
   private readonly spokeAtMs = new Map<PeerId, Millis>();
+  /** VMs that this one did not know when it last named some to all its peers. */
+  private readonly news = new Set<PeerId>();
 
   constructor(
     private readonly self: PeerId,
@@ -39,8 +43,13 @@
   /** A VM spoke that long ago, as far as somebody knows. */
   hear({ id, ageMs }: MemberAge): void {
     const spokeAtMs = this.clock.now() - Math.max(0, ageMs);
-    if (id !== this.self && spokeAtMs > (this.spokeAtMs.get(id) ?? -Infinity)) {
-      this.spokeAtMs.set(id, spokeAtMs);
+    const knownAtMs = this.spokeAtMs.get(id);
+    if (id === this.self || spokeAtMs <= (knownAtMs ?? -Infinity)) {
+      return;
+    }
+    this.spokeAtMs.set(id, spokeAtMs);
+    if (knownAtMs === undefined) {
+      this.news.add(id);
     }
   }
 
@@ -55,13 +64,28 @@
     return [...this.spokeAtMs.keys()];
   }
 
-  /** Some VMs to name to others, drawn at random. */
+  /**
+   * VMs to name to all peers: each that is news, once, so that a fleet that starts
+   * knows itself within a few rounds, and some drawn at random.
+   */
   sample(): MemberAge[] {
+    const members = this.listSpeaking();
+    const news = members.filter(({ id }) => this.news.has(id)).slice(0, MAX_NAMED);
+    const others = members.filter(({ id }) => !this.news.has(id));
+    this.news.clear();
+    return [...news, ...drawSome(others, MAX_SAMPLE, this.random)];
+  }
+
+  /** The VMs to name to a peer that may know none of them. */
+  nameAll(): MemberAge[] {
+    return drawSome(this.listSpeaking(), MAX_NAMED, this.random);
+  }
+
+  private listSpeaking(): MemberAge[] {
     const now = this.clock.now();
-    const members = [...this.spokeAtMs]
+    return [...this.spokeAtMs]
       .map(([id, spokeAtMs]): MemberAge => ({ id, ageMs: Math.round(now - spokeAtMs) }))
       .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
-    return drawSome(members, MAX_SAMPLE, this.random);
   }
 
   private forgetOld(): void {
--- a/packages/track-members/src/choose-watchers.ts
+++ b/packages/track-members/src/choose-watchers.ts
@@ -1,6 +1,5 @@
 /** Pure decision: which VMs watch the configuration in the platform's service. */
-import type { VmId } from '@limelead/types';
-import { createHash } from 'node:crypto';
+import { hashText, type VmId } from '@limelead/types';
 
 /** VMs that watch at a time; a waiting watch counts against the service's rate. */
 export const WATCHER_COUNT = 2;
@@ -14,8 +13,8 @@
   count: number = WATCHER_COUNT,
 ): VmId[] {
   return [...new Set(members)]
-    .map((id) => ({ id, rank: createHash('sha1').update(`watcher/${id}`).digest('hex') }))
-    .sort((a, b) => (a.rank < b.rank ? -1 : 1))
+    .map((id) => ({ id, rank: hashText(`watcher/${id}`) }))
+    .sort((a, b) => a.rank - b.rank || (a.id < b.id ? -1 : 1))
     .slice(0, count)
     .map(({ id }) => id);
 }
