Say when a stream's first piece came and its longest pause

Cause: whether an answer was late could not be told from the lines of its id. Change: stream-finished carries firstPieceMs and longestPauseMs. Measured: tests of forward-request pass; no decision changed.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -324,10 +324,8 @@
   }
 
   private deliver(pieces: string[]): void {
-    if (!this.hasBegun) {
-      this.beginAnswer();
-      this.report.firstPiece();
-    }
+    this.beginAnswer();
+    this.report.delivered();
     pieces.forEach((piece) => this.sink.write(Buffer.from(piece, 'latin1')));
   }
 
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -1,6 +1,6 @@
 /** Lines and figures of one streamed request. */
 import type { LossCause } from '@limelead/track-service-targets';
-import type { EventDetail } from '@limelead/types';
+import type { EventDetail, Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
@@ -20,6 +20,10 @@
 
 /** Writes what was decided about one request. */
 export default class StreamReport {
+  private firstPieceMs: Millis | undefined;
+  private lastPieceAtMs: Millis = 0;
+  private longestPauseMs: Millis = 0;
+
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
@@ -52,8 +56,16 @@
     this.write('stream-turned-away', { attempt, target, cause, reason });
   }
 
-  firstPiece(): void {
-    this.context.metrics.recordMs('limelead_first_piece_ms', this.elapsedMs());
+  /** A piece goes to the caller. */
+  delivered(): void {
+    const now = this.context.clock.now();
+    if (this.firstPieceMs === undefined) {
+      this.firstPieceMs = this.elapsedMs();
+      this.context.metrics.recordMs('limelead_first_piece_ms', this.firstPieceMs);
+    } else {
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastPieceAtMs);
+    }
+    this.lastPieceAtMs = now;
   }
 
   /** What the session core observed. */
@@ -75,7 +87,14 @@
     const durationMs = Math.round(this.elapsedMs());
     this.context.metrics.count('limelead_streams_total', 1, { outcome });
     this.context.metrics.recordMs('limelead_stream_ms', durationMs);
-    this.write('stream-finished', { outcome, delivered, sends, durationMs });
+    this.write('stream-finished', {
+      outcome,
+      delivered,
+      sends,
+      durationMs,
+      firstPieceMs: this.firstPieceMs && Math.round(this.firstPieceMs),
+      longestPauseMs: Math.round(this.longestPauseMs),
+    });
   }
 
   private elapsedMs(): number {
