Give peers time to tell a VM that starts what the store holds

Change: a VM that is no seed waits for its seeds, 0.5 s, in a large fleet 1.5 s, before its first call. The first watch is a short one, so that seeds have news for all within 0.8 s. A large configuration is still read from the store, and a peer is asked for it only where the store fails or is late.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -11,7 +11,12 @@
 } from './index.js';
 
 /** No other VM follows the store for this one. */
-const ALONE = { mustFollow: () => true, followsForOthers: () => false, readRevision: () => 0 };
+const ALONE = {
+  mustFollow: () => true,
+  followsForOthers: () => false,
+  readRevision: () => 0,
+  startWaitMs: () => 0,
+};
 
 type Answer = E.Either<StoreFault, StoreChanges>;
 
@@ -117,6 +122,7 @@
     mustFollow: () => turns.shift() ?? true,
     followsForOthers: () => false,
     readRevision: () => 30,
+    startWaitMs: () => 0,
     port: {
       list: async () => E.right({ items: [], revision: 5 }),
       watch: async (revision) => {
@@ -198,4 +204,48 @@
   assert.is(new Set(read).size, 26);
 });
 
+test('a VM that starts asks the store only where its peers tell nothing in time', async () => {
+  const startWith = async (toldAfterMs: number): Promise<string[]> => {
+    const told: string[] = [];
+    let now = 0;
+    const follower: StoreFollower = new StoreFollower({
+      timers: {
+        after(milliseconds, run) {
+          now += milliseconds;
+          if (now > 3_000) {
+            follower.stop();
+          }
+          queueMicrotask(run);
+          return () => undefined;
+        },
+      },
+      random: { next: () => 0 },
+      countFollowers: () => 4,
+      mustFollow: () => now < toldAfterMs,
+      followsForOthers: () => false,
+      readRevision: () => (now < toldAfterMs ? 0 : 7),
+      startWaitMs: () => 1_500,
+      port: {
+        list: async () => {
+          told.push(`list at ${now}`);
+          follower.stop();
+          return E.left('unreachable');
+        },
+        watch: async () => E.left('unreachable'),
+      },
+      events: {
+        onList: () => undefined,
+        onChanges: () => undefined,
+        onLost: () => undefined,
+        onRegained: () => undefined,
+        onFollowing: () => undefined,
+      },
+    });
+    await follower.run();
+    return told;
+  };
+  assert.equal(await startWith(900), []);
+  assert.equal(await startWith(Infinity), ['list at 1500']);
+});
+
 test.run();
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -66,6 +66,11 @@
   followsForOthers(): boolean;
   /** Revision up to which this VM knows everything, from wherever; 0 for nothing. */
   readRevision(): number;
+  /**
+   * Milliseconds since the start in which peers are given time to tell what the
+   * store holds, as far as this VM knows by now; 0 where nobody else would ask.
+   */
+  startWaitMs(): number;
   events: StoreFollowerEvents;
 }
 
@@ -80,6 +85,7 @@
   private isComplete = false;
   /** Newest revision of a large item, 0 while there is none. */
   private largeRevision = 0;
+  private hasWatched = false;
 
   constructor(private readonly options: StoreFollowerOptions) {}
 
@@ -88,8 +94,14 @@
     return this.failures === 0 && this.isComplete;
   }
 
+  /** Whether the last call failed. */
+  get isStoreAway(): boolean {
+    return this.failures > 0;
+  }
+
   /** Runs until `stop`. */
   async run(): Promise<void> {
+    await this.waitForPeers();
     while (!this.isStopped) {
       const { isIdle } = this;
       this.noteFollowing(!isIdle);
@@ -104,6 +116,15 @@
     this.isStopped = true;
   }
 
+  /** A fleet that starts together would else ask the store as often as it has VMs. */
+  private async waitForPeers(): Promise<void> {
+    let waitedMs = 0;
+    while (!this.isStopped && waitedMs < this.options.startWaitMs() && !this.isIdle) {
+      await delay(this.options.timers, IDLE_CHECK_MS);
+      waitedMs += IDLE_CHECK_MS;
+    }
+  }
+
   /** Whether others follow the store for this VM. */
   get isIdle(): boolean {
     return this.options.readRevision() > 0 && !this.options.mustFollow();
@@ -158,7 +179,9 @@
   }
 
   private async readChanges(revision: number): Promise<number> {
-    const changes = await this.options.port.watch(revision, this.watchWaitMs);
+    const waitMs = this.watchWaitMs;
+    this.hasWatched = true;
+    const changes = await this.options.port.watch(revision, waitMs);
     if (E.isLeft(changes)) {
       return this.onFault(changes.left);
     }
@@ -175,8 +198,10 @@
     return this.gatherMs;
   }
 
+  /** At the start nobody knows yet who relies on whom, so the first watch is a short one. */
   private get watchWaitMs(): number {
-    return this.options.followsForOthers() ? SHORT_WATCH_WAIT_MS : WATCH_WAIT_MS;
+    const isShort = !this.hasWatched || this.options.followsForOthers();
+    return isShort ? SHORT_WATCH_WAIT_MS : WATCH_WAIT_MS;
   }
 
   private get gatherMs(): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,6 +225,7 @@
       mustFollow: () => this.exchange?.mustFollow ?? true,
       followsForOthers: () => this.exchange?.followsForOthers ?? false,
       readRevision: () => this.knowledge.revision,
+      startWaitMs: () => this.exchange?.startWaitMs ?? 0,
       events: {
         onList: (list) => {
           log.write('store-listed', { items: list.items.length, revision: list.revision });
@@ -279,6 +280,7 @@
         configuration: this.knowledge.routes?.version ?? 0,
         configurationBytes: this.knowledge.configurationBytes,
         isInTouch: this.follower.isInTouch,
+        isStoreAway: this.follower.isStoreAway,
       }),
       listItems: () => this.knowledge.items,
       readLoad: () => this.readLoad(),
--- a/packages/share-evidence/src/catch-up.test.ts
+++ b/packages/share-evidence/src/catch-up.test.ts
@@ -2,7 +2,17 @@
 import * as assert from 'uvu/assert';
 import CatchUp from './catch-up.js';
 
-function create({ isInTouch, isFollowing }: { isInTouch: boolean; isFollowing: boolean }) {
+interface Situation {
+  isInTouch: boolean;
+  isFollowing: boolean;
+  isStoreAway?: boolean;
+  revision?: number;
+  /** Bytes of the configuration that the peer knows. */
+  bytes?: number;
+}
+
+function create(situation: Situation) {
+  const { isInTouch, isFollowing, isStoreAway = false, revision = 5, bytes = 500 } = situation;
   const clock = { at: 0, now: () => clock.at };
   const asked: number[] = [];
   const catchUp = new CatchUp({
@@ -10,12 +20,13 @@
     timers: { after: () => () => undefined },
     readKnowledge: () => ({
       isInTouch,
-      revision: 5,
+      isStoreAway,
+      revision,
       configuration: 2,
       configurationBytes: 0,
     }),
     isFollowing: () => isFollowing,
-    listPeers: () => [['peer', { revision: 9, configuration: 3, configurationBytes: 500 }]],
+    listPeers: () => [['peer', { revision: 9, configuration: 3, configurationBytes: bytes }]],
     ask: (_, since) => asked.push(since),
   });
   return { clock, asked, catchUp };
@@ -55,4 +66,17 @@
   assert.equal(asked, [5, 5]);
 });
 
+test('a VM that starts reads a large configuration from the store while that is there', () => {
+  const start = { isInTouch: false, isFollowing: true, revision: 0, bytes: 400_000 };
+  const { clock, asked, catchUp } = create(start);
+  catchUp.check();
+  assert.equal(asked, []);
+  clock.at = 1_800;
+  catchUp.check();
+  assert.equal(asked, [0]);
+  const away = create({ ...start, isStoreAway: true });
+  away.catchUp.check();
+  assert.equal(away.asked, [0]);
+});
+
 test.run();
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -50,7 +50,10 @@
     const waitMs = isLarge ? LARGE_AHEAD_TOO_LONG_MS : AHEAD_TOO_LONG_MS;
     const isBehind = now - (this.behindSinceMs ?? now) >= waitMs;
     const hasOwnSource = own.isInTouch && this.options.isFollowing();
-    if ((hasOwnSource && !isBehind) || now - this.askedAtMs < this.pauseMs(own)) {
+    // A VM that starts reads a large configuration from the store, which has the wider link.
+    const isStarting = isLarge && own.revision === 0 && !own.isStoreAway;
+    const mayWait = (hasOwnSource || isStarting) && !isBehind;
+    if (mayWait || now - this.askedAtMs < this.pauseMs(own)) {
       return;
     }
     if (newest !== undefined && newest[1].revision > own.revision) {
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -19,6 +19,7 @@
   configuration: 0,
   configurationBytes: 0,
   isInTouch: true,
+  isStoreAway: false,
 };
 
 /** One VM, with what it was told. */
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -22,6 +22,14 @@
  * then all of them have met the seeds, which name them to each other.
  */
 const SECOND_ROUND_MS = 400;
+/**
+ * Time in which a VM that starts hears from its seeds what the store holds, in
+ * milliseconds: their links are up within 50, and a round later it is known
+ * whether the fleet is a large one.
+ */
+const START_WAIT_MS = 500;
+/** The same in a large fleet: until the third round shows which VMs follow the store. */
+const LARGE_START_WAIT_MS = 1_500;
 /** A peer that said nothing for this long is dropped. */
 const SILENT_PEER_MS = 3_200;
 /** Changes of load within this time are told together in a fleet that is a full mesh. */
@@ -96,6 +104,19 @@
     return this.members?.followsForOthers ?? false;
   }
 
+  /**
+   * Milliseconds since the start in which this VM leaves the store to its seeds,
+   * which tell it what the store holds; 0 for a seed, and where the configuration
+   * is too large to be passed on.
+   */
+  get startWaitMs(): Millis {
+    const { id, seeds } = this.options;
+    if (seeds.length === 0 || seeds.includes(id) || this.storeNews.wantsLargeConfiguration) {
+      return 0;
+    }
+    return this.isLarge ? LARGE_START_WAIT_MS : START_WAIT_MS;
+  }
+
   /** When the store last answered any VM, as far as this one heard. */
   get storeConfirmedAtMs(): Millis {
     return this.storeNews.lastConfirmedAtMs;
--- a/packages/share-evidence/src/store-news.test.ts
+++ b/packages/share-evidence/src/store-news.test.ts
@@ -14,6 +14,7 @@
       ...known,
       configurationBytes: 500,
       isInTouch: true,
+      isStoreAway: false,
     }),
     listPeers: () => ['a', 'b'],
     tell: (peer, what) => told.push([peer, what]),
--- a/packages/share-evidence/src/store-news.ts
+++ b/packages/share-evidence/src/store-news.ts
@@ -60,11 +60,13 @@
 
   /** Whether others keep this VM's knowledge of the store current. */
   get isCurrent(): boolean {
-    const { clock, readKnowledge } = this.options;
-    return (
-      clock.now() - this.confirmedAtMs < LATE_NEWS_MS &&
-      readKnowledge().configuration >= this.wantedConfiguration
-    );
+    const { clock } = this.options;
+    return clock.now() - this.confirmedAtMs < LATE_NEWS_MS && !this.wantsLargeConfiguration;
+  }
+
+  /** Whether this VM has to read a large configuration from the store itself. */
+  get wantsLargeConfiguration(): boolean {
+    return this.options.readKnowledge().configuration < this.wantedConfiguration;
   }
 
   /** The store answered this VM: what it knows is all that there is. */
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -16,6 +16,8 @@
   configurationBytes: number;
   /** Whether the store answers this VM now. */
   isInTouch: boolean;
+  /** Whether this VM's last call to the store failed. */
+  isStoreAway: boolean;
 }
 
 /** What a peer knows of the store that this VM does not. */
