Let most VMs of a large fleet try a store that is away seldom

Change: a VM that is none of the four followers and has peers waits 3 s between tries, and stops waiting as soon as others follow the store for it again.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -15,13 +15,19 @@
   mustFollow: () => true,
   followsForOthers: () => false,
   readRevision: () => 0,
+  othersTry: () => false,
   startWaitMs: () => 0,
 };
 
 type Answer = E.Either<StoreFault, StoreChanges>;
 
 /** Plays answers in turn and stops the follower after the last. */
-async function follow(lists: E.Either<StoreFault, StoreList>[], watches: Answer[], vms = 7) {
+async function follow(
+  lists: E.Either<StoreFault, StoreList>[],
+  watches: Answer[],
+  vms = 7,
+  shared = false,
+) {
   const told: string[] = [];
   const pauses: number[] = [];
   const timers: Timers = {
@@ -36,6 +42,7 @@
     random: { next: () => 0 },
     countFollowers: () => vms,
     ...ALONE,
+    othersTry: () => shared,
     port: {
       list: async () => {
         told.push('list');
@@ -94,6 +101,14 @@
   assert.equal(pauses.slice(0, 7), [100, 200, 400, 800, 1_000, 1_000, 1_000]);
 });
 
+test('while many others try the store too, a VM tries it seldom', async () => {
+  const failures = Array.from({ length: 3 }, () => E.left<StoreFault>('silent'));
+  const { told, pauses } = await follow([emptyList], failures, 195, true);
+  const tries = told.filter((line) => line === 'watch 5').length;
+  const waitedMs = pauses.reduce((sum, pause) => sum + pause, 0);
+  assert.ok(waitedMs / tries >= 2_000, `${tries} tries in ${waitedMs} ms`);
+});
+
 test('an answer from the past never sets the revision back', async () => {
   const { told } = await follow([emptyList], [E.right({ changes: [gone], revision: 3 })]);
   assert.ok(told.includes('watch 5') && !told.includes('watch 3'));
@@ -121,6 +136,7 @@
     countFollowers: () => 4,
     mustFollow: () => turns.shift() ?? true,
     followsForOthers: () => false,
+    othersTry: () => false,
     readRevision: () => 30,
     startWaitMs: () => 0,
     port: {
@@ -223,6 +239,7 @@
       countFollowers: () => 4,
       mustFollow: () => now < toldAfterMs,
       followsForOthers: () => false,
+      othersTry: () => false,
       readRevision: () => (now < toldAfterMs ? 0 : 7),
       startWaitMs: () => 1_500,
       port: {
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -37,6 +37,12 @@
 const LARGE_PAUSE_MS = 800;
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 1_000;
+/**
+ * Pause of a VM while many others try as well and tell it when the store is back.
+ * With 195 VMs some VM still tries every 15 ms, and none is alone for longer than
+ * the 4 s after which the users' larger sites take it to be in touch again.
+ */
+const SHARED_PAUSE_MS = 3_000;
 /** Part of a pause that is drawn at random, so that VMs do not all ask at once. */
 const JITTER = 0.4;
 
@@ -64,6 +70,8 @@
   mustFollow(): boolean;
   /** Whether other VMs rely on this one's answers, which then may not be old. */
   followsForOthers(): boolean;
+  /** Whether others follow the store, try it while it is away, and can tell this VM. */
+  othersTry(): boolean;
   /** Revision up to which this VM knows everything, from wherever; 0 for nothing. */
   readRevision(): number;
   /**
@@ -101,7 +109,7 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
-    await this.waitForPeers();
+    await this.waitForOthers(() => this.options.startWaitMs());
     while (!this.isStopped) {
       const { isIdle } = this;
       this.noteFollowing(!isIdle);
@@ -116,10 +124,13 @@
     this.isStopped = true;
   }
 
-  /** A fleet that starts together would else ask the store as often as it has VMs. */
-  private async waitForPeers(): Promise<void> {
+  /**
+   * Waits until others follow the store for this VM, or the time is over. VMs that
+   * start together, or lose the store together, would else ask it all at once.
+   */
+  private async waitForOthers(readLimitMs: () => number): Promise<void> {
     let waitedMs = 0;
-    while (!this.isStopped && waitedMs < this.options.startWaitMs() && !this.isIdle) {
+    while (!this.isStopped && waitedMs < readLimitMs() && !this.isIdle) {
       await delay(this.options.timers, IDLE_CHECK_MS);
       waitedMs += IDLE_CHECK_MS;
     }
@@ -216,7 +227,8 @@
     }
   }
 
-  private onFault(fault: StoreFault): number {
+  /** Gives the pause until the next call. */
+  private async onFault(fault: StoreFault): Promise<number> {
     if (fault === 'history-gone') {
       this.revision = undefined;
       this.isComplete = false;
@@ -226,8 +238,12 @@
     if (this.failures === 1) {
       this.options.events.onLost(fault);
     }
-    const pauseMs = Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS);
-    return pauseMs * (1 - JITTER * this.options.random.next());
+    const jitter = 1 - JITTER * this.options.random.next();
+    if (this.options.othersTry()) {
+      await this.waitForOthers(() => SHARED_PAUSE_MS * jitter);
+      return 0;
+    }
+    return Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS) * jitter;
   }
 }
 
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -117,6 +117,11 @@
     return this.isLarge ? LARGE_START_WAIT_MS : START_WAIT_MS;
   }
 
+  /** Whether others follow the store and reach this VM with what they learn. */
+  get hasFollowers(): boolean {
+    return this.isLarge && !this.followsForOthers && this.peers.size > 0;
+  }
+
   /** When the store last answered any VM, as far as this one heard. */
   get storeConfirmedAtMs(): Millis {
     return this.storeNews.lastConfirmedAtMs;
