Pass news of the store on every 0.7 s in place of 0.4 s

Change: news are passed on where they are newer by 0.7 s; that is still less than one follower's watch of 0.8 s, and news are late only at 1.7 s.

--- a/packages/share-evidence/src/store-news.ts
+++ b/packages/share-evidence/src/store-news.ts
@@ -14,8 +14,12 @@
  * and of one that a follower learned within a second.
  */
 const LATE_NEWS_MS = 1_700;
-/** News that are newer than the known ones by less than this are not passed on. */
-const PASS_ON_MS = 400;
+/**
+ * News that are newer than the known ones by less than this are not passed on.
+ * Less than the 0.8 s of one follower's watch, or every second answer of the last
+ * follower would be dropped and its news come late.
+ */
+const PASS_ON_MS = 700;
 
 /** What one VM tells another about the store. */
 export interface NewsOfStore {
