List the store at once, and wait for others before the first watch only

Change: the first list comes at once as before; only the watches wait, 0.1 s in a small fleet, 1.5 s in a large one. A small fleet links as soon as its members are known.

--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -75,8 +75,8 @@
   /** Revision up to which this VM knows everything, from wherever; 0 for nothing. */
   readRevision(): number;
   /**
-   * Milliseconds since the start in which peers are given time to tell what the
-   * store holds, as far as this VM knows by now; 0 where nobody else would ask.
+   * Milliseconds behind the first list in which it may turn out that others follow
+   * the store for this VM, as far as it knows by now; 0 where nobody else would.
    */
   startWaitMs(): number;
   events: StoreFollowerEvents;
@@ -109,7 +109,6 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
-    await this.waitForOthers(() => this.options.startWaitMs());
     while (!this.isStopped) {
       const { isIdle } = this;
       this.noteFollowing(!isIdle);
@@ -175,7 +174,13 @@
     this.isComplete = true;
     this.revision = isStillChanging ? undefined : list.right.revision;
     this.options.events.onList(list.right);
-    return isStillChanging ? LARGE_PAUSE_MS : 0;
+    if (isStillChanging) {
+      return LARGE_PAUSE_MS;
+    }
+    if (!this.hasWatched) {
+      await this.waitForOthers(() => this.options.startWaitMs());
+    }
+    return 0;
   }
 
   /** Whether a large item among these is newer than all that were seen before. */
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -23,11 +23,10 @@
  */
 const SECOND_ROUND_MS = 400;
 /**
- * Time in which a VM that starts hears from its seeds what the store holds, in
- * milliseconds: their links are up within 50, and a round later it is known
- * whether the fleet is a large one.
+ * Time in which a VM that has listed the store hears from its seeds whether the
+ * fleet is a large one, in milliseconds: their links are up within 50.
  */
-const START_WAIT_MS = 500;
+const START_WAIT_MS = 100;
 /** The same in a large fleet: until the third round shows which VMs follow the store. */
 const LARGE_START_WAIT_MS = 1_500;
 /** A peer that said nothing for this long is dropped. */
@@ -105,9 +104,8 @@
   }
 
   /**
-   * Milliseconds since the start in which this VM leaves the store to its seeds,
-   * which tell it what the store holds; 0 for a seed, and where the configuration
-   * is too large to be passed on.
+   * Milliseconds in which this VM waits for others to follow the store before its
+   * first watch; 0 for a seed, and where a large configuration has to be read.
    */
   get startWaitMs(): Millis {
     const { id, seeds } = this.options;
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -13,12 +13,10 @@
 /** Rounds at the start in which links to the seeds are wanted. */
 const FIRST_ROUNDS = 5;
 /**
- * Round from which on a VM links to others than the seeds. The first rounds are
- * for hearing of them: a choice among the few that are known is a wrong one.
+ * Round from which on a VM of a large fleet links to others than the seeds. The
+ * first rounds are for hearing of them: a ring of the few that are known is wrong.
  */
-const FIRST_SMALL_ROUND = 2;
-/** The same where too many are known for a full mesh. */
-const FIRST_LARGE_ROUND = 3;
+const FIRST_RING_ROUND = 3;
 /** One of the seeds is met again this often, so that groups of VMs that lost each other join. */
 const ROUNDS_BETWEEN_SEEDS = 20;
 
@@ -60,8 +58,8 @@
   }
 
   private choose(members: PeerId[]): PeerId[] {
-    const firstRound = members.length < FULL_MESH_VMS ? FIRST_SMALL_ROUND : FIRST_LARGE_ROUND;
-    const peers = this.rounds < firstRound ? [] : choosePeers(this.self, members);
+    const isTooEarly = members.length >= FULL_MESH_VMS && this.rounds < FIRST_RING_ROUND;
+    const peers = isTooEarly ? [] : choosePeers(this.self, members);
     return [...peers, ...this.chooseSeeds()];
   }
 
