Ask peers for news while the first watch waits

Cause: a VM that had its first list and waited for others to follow the store heard of no change for up to 1.5 s: neither its own watch nor its peers told it. Change: it does not count as in touch with the store meanwhile, so it asks its peers as soon as one knows more; and a large fleet links its ring in the second round, not the third (195 VMs still open twelve links each, test in membership).

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -227,6 +227,9 @@
     const follower: StoreFollower = new StoreFollower({
       timers: {
         after(milliseconds, run) {
+          if (now < othersFollowAtMs) {
+            assert.not(follower.isInTouch, 'peers are asked for news meanwhile');
+          }
           now += milliseconds;
           if (now > 3_000) {
             follower.stop();
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -94,12 +94,14 @@
   /** Newest revision of a large item, 0 while there is none. */
   private largeRevision = 0;
   private hasWatched = false;
+  /** Whether it waits for others to follow the store; peers are asked for news meanwhile. */
+  private isWaiting = false;
 
   constructor(private readonly options: StoreFollowerOptions) {}
 
-  /** Whether the last call succeeded. */
+  /** Whether the store tells this VM what is new: not while it waits for others to do so. */
   get isInTouch(): boolean {
-    return this.failures === 0 && this.isComplete;
+    return this.failures === 0 && this.isComplete && !this.isWaiting;
   }
 
   /** Whether the last call failed. */
@@ -129,10 +131,12 @@
    */
   private async waitForOthers(readLimitMs: () => number): Promise<void> {
     let waitedMs = 0;
+    this.isWaiting = true;
     while (!this.isStopped && waitedMs < readLimitMs() && !this.isIdle) {
       await delay(this.options.timers, IDLE_CHECK_MS);
       waitedMs += IDLE_CHECK_MS;
     }
+    this.isWaiting = false;
   }
 
   /** Whether others follow the store for this VM. */
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -16,7 +16,7 @@
  * Round from which on a VM of a large fleet links to others than the seeds. The
  * first rounds are for hearing of them: a ring of the few that are known is wrong.
  */
-const FIRST_RING_ROUND = 3;
+const FIRST_RING_ROUND = 2;
 /** One of the seeds is met again this often, so that groups of VMs that lost each other join. */
 const ROUNDS_BETWEEN_SEEDS = 20;
 
