Name the costs of a choice as delays in milliseconds

Cause: the costs of choose-service-target were in units of one request, which a reader had to translate. Change: each is the delay that a run is expected to suffer, in milliseconds; proportions as before. Measured: tests of choose-service-target pass unchanged; no choice changed.

--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -1,6 +1,6 @@
 /**
  * Pure choice of a target for one request, and of the target that keeps a copy
- * of a run. Costs are compared first; among those of equal cost the one with
+ * of a run. Expected delays are compared first; among those of equal delay the one with
  * the highest hash over the caller's session and the target wins, so that all
  * VMs send a session to the target that already holds its prompt.
  */
@@ -12,39 +12,41 @@
 import { hashText, mixHashes, type Millis } from '@limelead/types';
 
 /*
- * Costs in units of one request under way at the target. Those below one decide
- * between targets of equal work; those of 40 and more between targets of any work,
- * in the order in which they grow.
+ * Costs are delays in milliseconds that a run is expected to suffer. Those up to one
+ * request's decide between targets of equal work; the larger ones are no forecasts,
+ * but stand above any work that a target can have, in the order in which they grow.
  */
 
 /**
- * Cost of bytes between failure domains: less than a request more at the target,
- * which costs its run a second on the users' engines, but more than `EQUAL_COST`.
+ * Delay by one request under way at the target: the prompt of the next one beside
+ * it is read in a second on the users' engines, and holds up every run for that long.
  */
-const OTHER_DOMAIN_COST = 0.75;
+const REQUEST_MS = 1_000;
+/** Price of bytes between failure domains: less than a request more, more than `EQUAL_MS`. */
+const OTHER_DOMAIN_MS = 750;
 /**
- * Cost of a prompt that is being read there, beside that of its request: two that
- * are read together take each other's time, and hold up every run for that long.
+ * Delay by a prompt that is being read there, beside that of its request: two that
+ * are read together take each other's time.
  */
-const READING_COST = 1;
-/** Cost of a target of which every answer fails; at half of that it is worth six requests. */
-const FAILURE_COST = 12;
-/** Cost of a target whose failure domain is in doubt: any work elsewhere is better. */
-const DOUBT_COST = 40;
-/** Cost of a target that was just found lost: worse than any doubt. */
-const SUSPICION_COST = 100;
-/** Cost of a target that already failed this request: taken only where there is no other. */
-const EXCLUDED_COST = 1_000;
+const READING_MS = 1_000;
+/** Delay by a target of which every answer fails; at half of that it is worth six requests. */
+const FAILURE_MS = 12_000;
+/** Delay by a target whose failure domain is in doubt: any work elsewhere is better. */
+const DOUBT_MS = 40_000;
+/** Delay by a target that was just found lost: worse than any doubt. */
+const SUSPICION_MS = 100_000;
+/** Delay by a target that already failed this request: taken only where there is no other. */
+const EXCLUDED_MS = 1_000_000;
 /**
  * Failure rates (0 to 1) below this are taken as the service's own. The users'
  * portals fail a tenth of their calls on a plain day, and a moving share of few
  * answers is three times that now and then.
  */
 const COMMON_FAILURE_RATE = 0.35;
-/** Costs closer than this are taken as equal: half a request, so no whole one is ignored. */
-const EQUAL_COST = 0.5;
-/** Cost of one copy kept at a target: it takes memory as a run does, but no time. */
-const COPY_COST = 0.5;
+/** Delays closer than this are taken as equal: half a request, so no whole one is ignored. */
+const EQUAL_MS = 500;
+/** Delay by one copy kept at a target: it takes memory as a run does, but no time. */
+const COPY_MS = 500;
 
 /** What a target is chosen for. */
 export interface ServiceChoiceRequest {
@@ -78,7 +80,7 @@
       tracked.inFlight < request.limit(tracked) && tracked.evidence.fullUntilMs <= request.now,
   );
   const choice = { ...request, isDomainDoubtful: rememberByDomain(request.isDomainDoubtful) };
-  return takeCheapest(withPlace, request.affinityKey, (tracked) => costOf(tracked, choice));
+  return takeLeastDelayed(withPlace, request.affinityKey, (tracked) => delayOf(tracked, choice));
 }
 
 /** Takes the target that keeps a copy: in another failure domain wherever there is one. */
@@ -89,15 +91,14 @@
   const { running, now } = request;
   const isDomainDoubtful = rememberByDomain(request.isDomainDoubtful);
   const others = targets.filter(({ target }) => target.id !== running.target.id);
-  return takeCheapest(others, `copy ${request.affinityKey}`, ({ target, evidence, ...work }) => {
+  return takeLeastDelayed(others, `copy ${request.affinityKey}`, ({ target, evidence, ...work }) => {
     const isSameDomain = target.failureDomain === running.target.failureDomain;
     return (
-      (isSameDomain ? DOUBT_COST : 0) +
-      (isSuspected(evidence, now) ? SUSPICION_COST : 0) +
-      (isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
-      work.inFlight +
-      work.peerRequests +
-      work.copies * COPY_COST
+      (isSameDomain ? DOUBT_MS : 0) +
+      (isSuspected(evidence, now) ? SUSPICION_MS : 0) +
+      (isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
+      (work.inFlight + work.peerRequests) * REQUEST_MS +
+      work.copies * COPY_MS
     );
   });
 }
@@ -136,29 +137,29 @@
   };
 }
 
-function costOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): number {
+/** The delay that a run is expected to suffer there. */
+function delayOf(tracked: TrackedServiceTarget, request: ServiceChoiceRequest): Millis {
   const { target, evidence, inFlight, reading, peerRequests, peerReading } = tracked;
   const failureRate = readFailureRate(evidence, request.now);
   return (
-    inFlight +
-    peerRequests +
-    (reading + peerReading) * READING_COST +
-    (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_COST) +
-    (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_COST : 0) +
-    (isSuspected(evidence, request.now) ? SUSPICION_COST : 0) +
-    (request.isDomainDoubtful(target.failureDomain) ? DOUBT_COST : 0) +
-    (request.exclude.has(target.id) ? EXCLUDED_COST : 0)
+    (inFlight + peerRequests) * REQUEST_MS +
+    (reading + peerReading) * READING_MS +
+    (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_MS) +
+    (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_MS : 0) +
+    (isSuspected(evidence, request.now) ? SUSPICION_MS : 0) +
+    (request.isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
+    (request.exclude.has(target.id) ? EXCLUDED_MS : 0)
   );
 }
 
-function takeCheapest(
+function takeLeastDelayed(
   targets: TrackedServiceTarget[],
   affinityKey: string,
-  costOfTarget: (tracked: TrackedServiceTarget) => number,
+  delayOfTarget: (tracked: TrackedServiceTarget) => Millis,
 ): TrackedServiceTarget | undefined {
-  const costs = targets.map((tracked) => ({ tracked, cost: costOfTarget(tracked) }));
-  const least = Math.min(...costs.map(({ cost }) => cost));
-  const equal = costs.filter(({ cost }) => cost < least + EQUAL_COST);
+  const delays = targets.map((tracked) => ({ tracked, delayMs: delayOfTarget(tracked) }));
+  const least = Math.min(...delays.map(({ delayMs }) => delayMs));
+  const equal = delays.filter(({ delayMs }) => delayMs < least + EQUAL_MS);
   return takeHighestHash(
     equal.map(({ tracked }) => tracked),
     affinityKey,
