--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -91,16 +91,20 @@
   const { running, now } = request;
   const isDomainDoubtful = rememberByDomain(request.isDomainDoubtful);
   const others = targets.filter(({ target }) => target.id !== running.target.id);
-  return takeLeastDelayed(others, `copy ${request.affinityKey}`, ({ target, evidence, ...work }) => {
-    const isSameDomain = target.failureDomain === running.target.failureDomain;
-    return (
-      (isSameDomain ? DOUBT_MS : 0) +
-      (isSuspected(evidence, now) ? SUSPICION_MS : 0) +
-      (isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
-      (work.inFlight + work.peerRequests) * REQUEST_MS +
-      work.copies * COPY_MS
-    );
-  });
+  return takeLeastDelayed(
+    others,
+    `copy ${request.affinityKey}`,
+    ({ target, evidence, ...work }) => {
+      const isSameDomain = target.failureDomain === running.target.failureDomain;
+      return (
+        (isSameDomain ? DOUBT_MS : 0) +
+        (isSuspected(evidence, now) ? SUSPICION_MS : 0) +
+        (isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
+        (work.inFlight + work.peerRequests) * REQUEST_MS +
+        work.copies * COPY_MS
+      );
+    },
+  );
 }
 
 /**
