Write a line where the retry budget does not pay, split two checks from the front door

Cause: a stream that waited for a repeat left no line while it waited, so its pause had no cause in the log; the front door held pure checks of its own. Change: repeat-unpaid names service and sends so far; check-head and describe-malformed are files of their own.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -213,7 +213,7 @@
     if (this.isDone || this.hasLive()) {
       return;
     }
-    if (this.turnedAway > MAX_TURNED_AWAY || !this.payments.tryPay()) {
+    if (this.turnedAway > MAX_TURNED_AWAY || !this.tryPay()) {
       this.giveUp();
       return;
     }
@@ -231,13 +231,21 @@
 
   private tryAgain(): boolean {
     const { route } = this.admitted;
-    if (!route.repeatable || this.ran >= route.maxTargets || !this.payments.tryPay()) {
+    if (!route.repeatable || this.ran >= route.maxTargets || !this.tryPay()) {
       return false;
     }
     this.openAttempt();
     return true;
   }
 
+  private tryPay(): boolean {
+    const isPaid = this.payments.tryPay();
+    if (!isPaid) {
+      this.report.unpaid(this.attempts.length);
+    }
+    return isPaid;
+  }
+
   private hasLive(): boolean {
     return this.isWaiting || this.attempts.some(({ isOver }) => !isOver);
   }
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -153,6 +153,7 @@
       return;
     }
     if (!this.sends.tryPay()) {
+      this.report.unpaid(attempt);
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -11,6 +11,8 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import checkHead from './check-head.js';
+import describeMalformed from './describe-malformed.js';
 import HeldArrivals, { shareOf } from './held-arrivals.js';
 import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
 import readBody, { BodyBudget } from './read-body.js';
@@ -28,9 +30,6 @@
  * call that may be held for less is refused later.
  */
 const STREAM_TIME_MS = 5_500;
-/** Name, colon, blank and line end of a header line. */
-const HEADER_LINE_OVERHEAD_BYTES = 4;
-
 /** What the front door needs. */
 export interface HttpFrontDoorOptions {
   host: string;
@@ -321,36 +320,3 @@
 function timeToAnswer({ streaming, timeoutMs }: ServingRoute): Millis {
   return streaming ? STREAM_TIME_MS : Math.min(timeoutMs, STREAM_TIME_MS);
 }
-
-function describeMalformed(code: string | undefined): { status: number; text: string } {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return { status: 431, text: 'Request Header Fields Too Large' };
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return { status: 408, text: 'Request Timeout' };
-    default:
-      return { status: 400, text: 'Bad Request' };
-  }
-}
-
-function checkHead(message: IncomingMessage, limits: CallerLimits): LimeleadError | undefined {
-  const { rawHeaders, url = '' } = message;
-  const bytes = rawHeaders.reduce(
-    (sum, part, index) => sum + part.length + (index % 2) * HEADER_LINE_OVERHEAD_BYTES,
-    url.length,
-  );
-  if (bytes > limits.maxHeaderBytes) {
-    return new LimeleadError('headers-too-large', 'the head is too long');
-  }
-  if (!url.startsWith('/')) {
-    return new LimeleadError('invalid-request', 'the path does not begin with a slash');
-  }
-  if (countHeader(rawHeaders, 'host') > 1) {
-    return new LimeleadError('invalid-request', 'more than one host');
-  }
-  return undefined;
-}
-
-function countHeader(rawHeaders: string[], name: string): number {
-  return rawHeaders.filter((part, index) => index % 2 === 0 && part.toLowerCase() === name).length;
-}
