Lend the last repeat of the retry budget too

Cause: at 195 VMs a VM's own part of the budget is 0.8 x (0.8 x 1.5 first sends + 150 / 195) = 1.6 repeats, and each kept one back when it lent: four VMs of five had nothing to lend, so streams that broke waited while most of the budget lay idle. Change: nothing is kept back; a VM that lent its last repeat borrows in its turn. The sum over the fleet is bounded as before (property test). New test fails with the repeat kept back; the old test's figure for a lender that gives all was 10 of 11 and is 11 of 11 now.

--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -7,8 +7,6 @@
 const SAFETY = 0.8;
 /** With fewer repeats left than this, a VM asks its peers for some of theirs. */
 const LOW_REPEATS = 1;
-/** Repeats that a VM keeps for itself when it lends. */
-const KEPT_REPEATS = 1;
 /**
  * Part of a window in which borrowed repeats have to be spent, since their lender
  * counted them already. A shorter time would waste them.
@@ -74,10 +72,13 @@
     this.bucketAt(now).repeats -= 1;
   }
 
-  /** Gives repeats to another VM, which are then spent here; fewer than wanted, or none. */
+  /**
+   * Gives repeats to another VM, which are then spent here; fewer than wanted, or
+   * none. Nothing is kept back: in a fleet of hundreds a VM's own part is one or two
+   * repeats, and one that lent them borrows in its turn.
+   */
   lend(now: Millis, vms: number, wanted: number): number {
-    const spare = this.remaining(now, vms) - KEPT_REPEATS;
-    const lent = Math.min(wanted, Math.floor(spare));
+    const lent = Math.min(wanted, Math.floor(this.remaining(now, vms)));
     if (lent <= 0) {
       return 0;
     }
