--- a/packages/measure/src/capacity/front-door-rows.ts
+++ b/packages/measure/src/capacity/front-door-rows.ts
@@ -1,18 +1,19 @@
 /**
  * Rows of the HTTP front door. Its figures come from played days, not from slopes:
- * journal entry 807d57a7, 88 VMs before 280 targets, requests included. With links
- * bounded, what a VM says to its peers does not grow with the fleet.
+ * wcfs-route-large trouble-1 (journal entry e059878e), 195 VMs before 161 targets,
+ * requests, a loss of all VMs and both starts included, a VM and second of its life.
+ * With links bounded, what a VM says to its peers does not grow with the fleet.
  */
 import { fillRow, findSlope, type CapacityRow } from './rows.js';
 import { CONTROL_BUDGET, MB_IN_KB, SERVICE_BUDGET } from './sizes.js';
 import type { Slope } from './slope.js';
 
 const PLAYED = {
-  targets: 280,
-  memoryMb: 59.8,
-  cpuMsPerSecond: 45.8,
-  kbPerSecondBetweenDomains: 14.3,
-  storeCallsPerSecond: 0.942,
+  targets: 161,
+  memoryMb: 35.0,
+  cpuMsPerSecond: 36.1,
+  kbPerSecondBetweenDomains: 6.5,
+  storeCallsPerSecond: 0.069,
 } as const;
 
 const ROLE = 'front door VM';
@@ -25,14 +26,14 @@
       role: ROLE,
       what: 'memory at its peak',
       mechanism: 'bounded bodies and logs; one entry a target (`track-service-targets`)',
-      formula: '59.8 MB + (targets − 280) × 1.244 KB',
+      formula: '35.0 MB + (targets − 161) × 1.244 KB',
       unit: 'MB',
       budget: CONTROL_BUDGET.memoryMb,
     }),
     fillRow(() => PLAYED.kbPerSecondBetweenDomains, {
       role: ROLE,
       what: 'bytes between failure domains, requests included',
-      mechanism: 'at most 12 links a VM, losses told together (`share-evidence`)',
+      mechanism: '12 links a VM, members of eight bytes, losses told together (`share-evidence`)',
       formula: 'as played',
       unit: 'KB/s',
       budget: CONTROL_BUDGET.kbPerSecond,
@@ -47,8 +48,8 @@
     fillRow((size) => size.vms * PLAYED.storeCallsPerSecond, {
       role: 'front door fleet',
       what: 'lists and watches of the store',
-      mechanism: 'changes gather up to 0.8 s (`follow-store`)',
-      formula: 'VMs × 0.942',
+      mechanism: 'four VMs follow it for all, each VM lists it once (`follow-store`)',
+      formula: 'VMs × 0.069',
       unit: 'reads/s',
       budget: SERVICE_BUDGET.readsPerSecond,
     }),
--- a/packages/measure/src/capacity/render-capacity.ts
+++ b/packages/measure/src/capacity/render-capacity.ts
@@ -48,7 +48,7 @@
     '',
     ...renderRows(service),
     '',
-    '## The HTTP front door, from a played day of 88 VMs',
+    '## The HTTP front door, from a played day of 195 VMs',
     '',
     ...renderRows(frontDoor),
     '',
