Split the caller's side of a stream and the telling of load into pieces of their own

Cause: forward-stream and evidence-exchange were the largest files of their packages, each with state that only a few of its functions used. Change: stream-answer and load-news; behaviour as before.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -13,7 +13,7 @@
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause } from '@limelead/track-service-targets';
 import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
-import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
+import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
@@ -23,6 +23,7 @@
 import RunCopies from './run-copies.js';
 import type RunHearing from './run-hearing.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
+import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
 import StreamSends from './stream-sends.js';
 import toGeneration, { OPAQUE_BINDING } from './to-generation.js';
@@ -49,11 +50,9 @@
   private readonly live: LiveAttempts;
   private readonly chosen = new Map<number, Place>();
   private readonly copies: RunCopies;
-  private head: AnswerHead | undefined;
-  private hasBegun = false;
+  private readonly answer: StreamAnswer;
   private isDone = false;
   private readonly sends: StreamSends;
-  private trailer: Buffer = Buffer.alloc(0);
   private readonly cleanups: (() => void)[] = [];
   private readonly report: StreamReport;
 
@@ -62,6 +61,7 @@
     private readonly admitted: AdmittedRequest,
     private readonly sink: AnswerSink,
   ) {
+    this.answer = new StreamAnswer(sink);
     this.report = new StreamReport(context, admitted);
     this.copies = new RunCopies(context, admitted);
     this.sends = new StreamSends(context, admitted);
@@ -129,7 +129,7 @@
     if (message.kind === 'tokens') {
       this.deliver(message.tokens);
     } else if (message.kind === 'finished') {
-      this.finish('answered', () => this.endAnswer());
+      this.finish('answered', () => this.answer.end());
     }
   }
 
@@ -208,7 +208,7 @@
 
   private onOpened(attempt: number, head: AnswerHead): void {
     if (this.live.get(attempt) !== undefined) {
-      this.head ??= head;
+      this.answer.noteHead(head);
       this.advance({ kind: 'opened', attempt, promptTokens: 0 });
     }
   }
@@ -244,7 +244,7 @@
     if (live === undefined) {
       return;
     }
-    this.trailer = trailer;
+    this.answer.noteTrailer(trailer);
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
     this.live.release(attempt);
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
@@ -313,48 +313,20 @@
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
     this.live.release(attempt);
     const mayGoOn = this.admitted.route.repeatable && !this.sends.hasUsedItsTargets;
-    if ((head.status >= SERVER_ERROR_STATUS && mayGoOn) || this.hasBegun) {
+    if ((head.status >= SERVER_ERROR_STATUS && mayGoOn) || this.answer.hasBegun) {
       this.advance({ kind: 'broken', attempt, cause: 'refused' });
       return;
     }
-    this.finish('answered', () => {
-      this.sink.begin(head.status, keepAnswerHeaders(head.rawHeaders), body.length);
-      this.sink.write(body);
-      this.sink.end();
-    });
+    this.finish('answered', () => this.answer.answer(head, body));
   }
 
   private deliver(pieces: string[]): void {
-    this.beginAnswer();
+    this.answer.write(pieces);
     this.report.delivered();
-    pieces.forEach((piece) => this.sink.write(Buffer.from(piece, 'latin1')));
-  }
-
-  private beginAnswer(): void {
-    if (!this.hasBegun) {
-      this.hasBegun = true;
-      const { head } = this;
-      const headers = keepAnswerHeaders(head?.rawHeaders ?? []);
-      this.sink.begin(head?.status ?? SERVER_ERROR_STATUS, headers);
-    }
-  }
-
-  private endAnswer(): void {
-    this.beginAnswer();
-    if (this.trailer.length > 0) {
-      this.sink.write(this.trailer);
-    }
-    this.sink.end();
   }
 
   private fail(error: LimeleadError): void {
-    this.finish(error.kind, () => {
-      if (this.hasBegun) {
-        this.sink.abort(error);
-      } else {
-        this.sink.refuse(error);
-      }
-    });
+    this.finish(error.kind, () => this.answer.fail(error));
   }
 
   private drop(attempt: number): void {
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -6,7 +6,7 @@
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { Millis } from '@limelead/types';
 import CatchUp from './catch-up.js';
-import { FULL_MESH_VMS } from './choose-peers.js';
+import LoadNews from './load-news.js';
 import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
 import Membership from './membership.js';
@@ -31,24 +31,21 @@
 const LARGE_START_WAIT_MS = 1_500;
 /** A peer that said nothing for this long is dropped. */
 const SILENT_PEER_MS = 3_200;
-/** Changes of load within this time are told together in a fleet that is a full mesh. */
-const LOAD_GATHER_MS = 15;
 /** Links with a secret of their own would need a settings field that the platform lacks. */
 const NO_SECRET = '';
-const NO_LOAD = '[]';
 
 /** Talks with peers. */
 export default class EvidenceExchange {
   private links: PeerLinks<EvidenceMessage> | undefined;
   private readonly peers = new Map<PeerId, PeerState>();
   private members: Membership | undefined;
+  private readonly loadNews: LoadNews;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
   private readonly catchUp: CatchUp;
   private readonly storeNews: StoreNews;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
-  private isLoadDue = false;
   private isStopped = false;
 
   constructor(private readonly options: EvidenceExchangeOptions) {
@@ -75,6 +72,13 @@
       listPeers,
       tell: (peer, news) => this.links?.send(peer, { kind: 'store-news', ...news }),
     });
+    this.loadNews = new LoadNews({
+      timers,
+      listPeers,
+      countVms: () => this.vmCount,
+      readLoad: options.readLoad,
+      tell: (peer, targets) => this.links?.send(peer, { kind: 'load', targets }),
+    });
     this.lossNews = new LossNews({
       clock,
       timers,
@@ -160,14 +164,9 @@
 
   /** The load of this VM changed; its peers are told soon. */
   noteLoad(): void {
-    if (this.isLoadDue || this.isStopped) {
-      return;
+    if (!this.isStopped) {
+      this.loadNews.note();
     }
-    this.isLoadDue = true;
-    this.options.timers.after(this.loadGatherMs, () => {
-      this.isLoadDue = false;
-      this.sendLoad([...this.peers.keys()]);
-    });
   }
 
   /** This VM found a target lost. */
@@ -189,11 +188,6 @@
     }
   }
 
-  /** In a large fleet the load of one VM weighs little, and may be told later. */
-  private get loadGatherMs(): Millis {
-    return LOAD_GATHER_MS * Math.max(1, this.vmCount / FULL_MESH_VMS);
-  }
-
   private get isLarge(): boolean {
     return this.members?.isLarge ?? false;
   }
@@ -227,8 +221,8 @@
       revision: 0,
       configuration: 0,
       configurationBytes: 0,
-      toldLoad: NO_LOAD,
     });
+    this.loadNews.forget(peer);
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.links?.send(peer, this.createHeartbeat(this.members?.nameAll() ?? []));
@@ -237,6 +231,7 @@
   private onPeerLost(peer: PeerId): void {
     if (this.peers.delete(peer)) {
       this.options.log.write('peer-lost', { peer, peers: this.peers.size });
+      this.loadNews.forget(peer);
       this.options.onLoad(peer, new Map());
     }
   }
@@ -324,23 +319,11 @@
     this.storeNews.noteConfiguration(message);
     this.members?.hear(message.members);
     if (isFirst) {
-      this.sendLoad([peer]);
+      this.loadNews.tellTo([peer]);
     }
     this.catchUp.check();
   }
 
-  private sendLoad(peers: PeerId[]): void {
-    const targets = this.options.readLoad();
-    const text = JSON.stringify(targets);
-    for (const peer of peers) {
-      const state = this.peers.get(peer);
-      if (state !== undefined && state.toldLoad !== text) {
-        state.toldLoad = text;
-        this.links?.send(peer, { kind: 'load', targets });
-      }
-    }
-  }
-
   private createHeartbeat(members: MemberAge[]): EvidenceMessage {
     const { revision, configuration, configurationBytes } = this.options.readKnowledge();
     return {
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -76,6 +76,4 @@
 export interface PeerState extends PeerKnowledge {
   failureDomain: string;
   heardAtMs: Millis;
-  /** The load that it was told last, as text to compare with. */
-  toldLoad: string;
 }
