Let a VM that waits for a large configuration try the store as often as before

Cause: found on reading the change again: a configuration of 64 KiB or more is read from the store only, so others can't tell it; the VM would still have waited 3 s between two tries. Change: may-leave-tries decides, as a pure function.

--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -70,7 +70,7 @@
   mustFollow(): boolean;
   /** Whether other VMs rely on this one's answers, which then may not be old. */
   followsForOthers(): boolean;
-  /** Whether others follow the store, try it while it is away, and can tell this VM. */
+  /** Whether others try the store while it is away, and can tell this VM all that it needs. */
   othersTry(): boolean;
   /** Revision up to which this VM knows everything, from wherever; 0 for nothing. */
   readRevision(): number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,7 +225,7 @@
       mustFollow: () => this.exchange?.mustFollow ?? true,
       followsForOthers: () => this.exchange?.followsForOthers ?? false,
       readRevision: () => this.knowledge.revision,
-      othersTry: () => this.exchange?.hasFollowers ?? false,
+      othersTry: () => this.exchange?.othersTry ?? false,
       startWaitMs: () => this.exchange?.startWaitMs ?? 0,
       events: {
         onList: (list) => {
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -9,6 +9,7 @@
 import LoadNews from './load-news.js';
 import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
+import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
 import RepeatLoans from './repeat-loans.js';
 import StoreNews from './store-news.js';
@@ -119,9 +120,14 @@
     return this.isLarge ? LARGE_START_WAIT_MS : START_WAIT_MS;
   }
 
-  /** Whether others follow the store and reach this VM with what they learn. */
-  get hasFollowers(): boolean {
-    return this.isLarge && !this.followsForOthers && this.peers.size > 0;
+  /** Whether others try a store that is away, and can tell this VM all that it needs. */
+  get othersTry(): boolean {
+    return mayLeaveTries({
+      isLarge: this.isLarge,
+      followsForOthers: this.followsForOthers,
+      peers: this.peers.size,
+      wantsLargeConfiguration: this.storeNews.wantsLargeConfiguration,
+    });
   }
 
   /** When the store last answered any VM, as far as this one heard. */
