--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -15,18 +15,18 @@
   body: Buffer;
 }
 
-/** What the owner of an attempt is told. `onEnd`, `onFault` and `onTurnedAway` come last, and once. */
+/** What the owner of attempts is told. `onEnd`, `onFault` and `onTurnedAway` come last, and once. */
 export interface CallAttemptEvents {
   /** The answer is too long to be held back; `passOn` gives what came so far. */
-  onLong(head: AnswerHead): void;
+  onLong(attempt: CallAttempt, head: AnswerHead): void;
   /** A part of an answer that is passed on. */
-  onData(chunk: Buffer): void;
+  onData(attempt: CallAttempt, chunk: Buffer): void;
   /** The answer is whole; its body is empty where it was passed on. */
-  onEnd(answer: WholeAnswer): void;
+  onEnd(attempt: CallAttempt, answer: WholeAnswer): void;
   /** @param notSent true where the request certainly reached nobody */
-  onFault(notSent: boolean, reason: string): void;
+  onFault(attempt: CallAttempt, notSent: boolean, reason: string): void;
   /** The target did not run the request. */
-  onTurnedAway(isOtherTarget: boolean): void;
+  onTurnedAway(attempt: CallAttempt, isOtherTarget: boolean): void;
 }
 
 /** What an attempt is made with. */
@@ -73,7 +73,7 @@
         onData: (chunk) => this.onData(chunk),
         onEnd: () => this.onEnd(),
         onFault: (fault) =>
-          this.over(() => this.events.onFault(fault.sent === 'no', fault.message)),
+          this.over(() => this.events.onFault(this, fault.sent === 'no', fault.message)),
       },
     );
   }
@@ -96,13 +96,13 @@
   private onHead(facts: ReturnType<ForwardContext['dialect']['readAnswer']>, head: AnswerHead) {
     if (!facts.isForRequest) {
       this.open?.cancel();
-      this.over(() => this.events.onFault(false, 'answer of another request'));
+      this.over(() => this.events.onFault(this, false, 'answer of another request'));
       return;
     }
     this.head = head;
     if (facts.notRun) {
       this.open?.cancel();
-      this.over(() => this.events.onTurnedAway(facts.isOtherTarget));
+      this.over(() => this.events.onTurnedAway(this, facts.isOtherTarget));
     }
   }
 
@@ -111,20 +111,20 @@
       return;
     }
     if (this.isPassedOn) {
-      this.events.onData(chunk);
+      this.events.onData(this, chunk);
       return;
     }
     this.chunks.push(chunk);
     this.heldBytes += chunk.length;
     if (this.heldBytes > MAX_HELD_BYTES) {
-      this.events.onLong(this.head);
+      this.events.onLong(this, this.head);
     }
   }
 
   private onEnd(): void {
     const { head } = this;
     if (head !== undefined) {
-      this.over(() => this.events.onEnd({ head, body: Buffer.concat(this.chunks) }));
+      this.over(() => this.events.onEnd(this, { head, body: Buffer.concat(this.chunks) }));
     }
   }
 
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -49,6 +49,13 @@
   private stopWaiting: () => void = () => undefined;
   private isWaiting = false;
   private readonly timers: CancelTimer[] = [];
+  private readonly events: CallAttemptEvents = {
+    onLong: (attempt, head) => this.beginStreaming(attempt, head),
+    onData: (_, chunk) => this.sink.write(chunk),
+    onEnd: (attempt, answer) => this.onEnd(attempt, answer),
+    onFault: (attempt, notSent, reason) => this.onFault(attempt, notSent, reason),
+    onTurnedAway: (attempt, isOtherTarget) => this.onTurnedAway(attempt, isOtherTarget),
+  };
   private readonly payments: SendPayments;
   private readonly report: CallReport;
 
@@ -114,23 +121,12 @@
   }
 
   private createAttempt(place: Place): CallAttempt {
-    const attempt: CallAttempt = new CallAttempt({
+    return new CallAttempt({
       number: this.attempts.length + 1,
       place,
       noteUnreached: this.payments.noteSent(),
-      events: this.createEvents(() => attempt),
+      events: this.events,
     });
-    return attempt;
-  }
-
-  private createEvents(readAttempt: () => CallAttempt): CallAttemptEvents {
-    return {
-      onLong: (head) => this.beginStreaming(readAttempt(), head),
-      onData: (chunk) => this.sink.write(chunk),
-      onEnd: (answer) => this.onEnd(readAttempt(), answer),
-      onFault: (notSent, reason) => this.onFault(readAttempt(), notSent, reason),
-      onTurnedAway: (isOtherTarget) => this.onTurnedAway(readAttempt(), isOtherTarget),
-    };
   }
 
   private hedgeAfter(delayMs: number): void {
