Write the line of an unpaid repeat, and a whole answer, in one place

Cause: read again: the refusal of the retry budget is decided in send-payments, but calls and streams each wrote its line; both also wrote a whole answer to the caller by statements of their own. A test file had three copies of events that nobody looks at. No decision changed.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -19,6 +19,15 @@
   startWaitMs: () => 0,
 };
 
+/** Events that a test does not look at. */
+const IGNORED = {
+  onList: () => undefined,
+  onChanges: () => undefined,
+  onLost: () => undefined,
+  onRegained: () => undefined,
+  onFollowing: () => undefined,
+};
+
 type Answer = E.Either<StoreFault, StoreChanges>;
 
 /** Plays answers in turn and stops the follower after the last. */
@@ -148,10 +157,8 @@
       },
     },
     events: {
+      ...IGNORED,
       onList: () => told.push('list'),
-      onChanges: () => undefined,
-      onLost: () => undefined,
-      onRegained: () => undefined,
       onFollowing: (isFollowing) => told.push(`following ${isFollowing}`),
     },
   });
@@ -198,11 +205,9 @@
       },
     },
     events: {
+      ...IGNORED,
       onList: () => assert.ok(follower.isInTouch),
       onChanges: () => assert.ok(follower.isInTouch),
-      onLost: () => undefined,
-      onRegained: () => undefined,
-      onFollowing: () => undefined,
     },
   });
   await follower.run();
@@ -256,13 +261,7 @@
           return E.left('unreachable');
         },
       },
-      events: {
-        onList: () => undefined,
-        onChanges: () => undefined,
-        onLost: () => undefined,
-        onRegained: () => undefined,
-        onFollowing: () => undefined,
-      },
+      events: IGNORED,
     });
     await follower.run();
     return told;
--- a/packages/forward-request/src/answer-sink.ts
+++ b/packages/forward-request/src/answer-sink.ts
@@ -1,5 +1,6 @@
 /** Where an answer goes: the caller's side of one request. */
 import type { LimeleadError } from '@limelead/errors';
+import type { AnswerHead } from '@limelead/target-connections';
 
 /** Takes one answer. After `end`, `abort` or `refuse` nothing is taken any more. */
 export interface AnswerSink {
@@ -16,6 +17,12 @@
   onGone(callback: () => void): void;
 }
 
+/** An answer of a target that is whole. */
+export interface WholeAnswer {
+  head: AnswerHead;
+  body: Buffer;
+}
+
 /** Headers that concern only one connection, in lower case. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -36,6 +43,15 @@
   return keepEndToEnd(rawHeaders, LENGTH_HEADER);
 }
 
+/** Gives the caller an answer that is whole. */
+export function passWholeAnswer(sink: AnswerSink, { head, body }: WholeAnswer): void {
+  sink.begin(head.status, keepAnswerHeaders(head.rawHeaders), body.length);
+  if (body.length > 0) {
+    sink.write(body);
+  }
+  sink.end();
+}
+
 /**
  * Headers that pass through, names and values by turns: all but those of one
  * connection, those that a Connection header names, and the given ones.
--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a call to one target: holds its answer back until it is whole, or passes it on. */
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
 import type { ServiceTarget } from '@limelead/types';
+import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
 import type { Place } from './place-queue.js';
@@ -9,12 +10,6 @@
 /** Longest answer that is held back until it is whole, in bytes; the users' are 0.8 KB on the mean. */
 const MAX_HELD_BYTES = 256 * 1024;
 
-/** An answer that is whole. */
-export interface WholeAnswer {
-  head: AnswerHead;
-  body: Buffer;
-}
-
 /** What the owner of attempts is told. `onEnd`, `onFault` and `onTurnedAway` come last, and once. */
 export interface CallAttemptEvents {
   /** The answer is too long to be held back; `passOn` gives what came so far. */
--- a/packages/forward-request/src/call-report.ts
+++ b/packages/forward-request/src/call-report.ts
@@ -35,11 +35,6 @@
     this.write('call-turned-away', { target: target.id, isOtherTarget });
   }
 
-  /** The retry budget does not pay for another send. */
-  unpaid(attempts: number): void {
-    this.write('repeat-unpaid', { service: this.admitted.service, attempts });
-  }
-
   finished(end: CallEnd): void {
     const durationMs = Math.round(this.context.clock.now() - this.admitted.receivedAtMs);
     this.write('call-finished', { ...end, durationMs });
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -7,9 +7,14 @@
 import { LimeleadError } from '@limelead/errors';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { CancelTimer } from '@limelead/types';
-import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
+import {
+  keepAnswerHeaders,
+  passWholeAnswer,
+  type AnswerSink,
+  type WholeAnswer,
+} from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
-import CallAttempt, { type CallAttemptEvents, type WholeAnswer } from './call-attempt.js';
+import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
 import CallReport, { type CallEnd } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { MAX_TURNED_AWAY, SERVER_ERROR_STATUS } from './limits.js';
@@ -64,7 +69,7 @@
     private readonly admitted: AdmittedRequest,
     private readonly sink: AnswerSink,
   ) {
-    this.payments = new SendPayments(context, admitted.service);
+    this.payments = new SendPayments(context, admitted);
     this.report = new CallReport(context, admitted);
   }
 
@@ -209,7 +214,7 @@
     if (this.isDone || this.hasLive()) {
       return;
     }
-    if (this.turnedAway > MAX_TURNED_AWAY || !this.tryPay()) {
+    if (this.turnedAway > MAX_TURNED_AWAY || !this.payments.tryPay()) {
       this.giveUp();
       return;
     }
@@ -227,32 +232,19 @@
 
   private tryAgain(): boolean {
     const { route } = this.admitted;
-    if (!route.repeatable || this.ran >= route.maxTargets || !this.tryPay()) {
+    if (!route.repeatable || this.ran >= route.maxTargets || !this.payments.tryPay()) {
       return false;
     }
     this.openAttempt();
     return true;
   }
 
-  private tryPay(): boolean {
-    const isPaid = this.payments.tryPay();
-    if (!isPaid) {
-      this.report.unpaid(this.attempts.length);
-    }
-    return isPaid;
-  }
-
   private hasLive(): boolean {
     return this.isWaiting || this.attempts.some(({ isOver }) => !isOver);
   }
 
   private deliver(answer: WholeAnswer, attempt?: CallAttempt): void {
-    const headers = keepAnswerHeaders(answer.head.rawHeaders);
-    this.sink.begin(answer.head.status, headers, answer.body.length);
-    if (answer.body.length > 0) {
-      this.sink.write(answer.body);
-    }
-    this.sink.end();
+    passWholeAnswer(this.sink, answer);
     this.finish('answered', attempt, answer.head.status);
   }
 
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -153,7 +153,6 @@
       return;
     }
     if (!this.sends.tryPay()) {
-      this.report.unpaid(attempt);
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
@@ -317,7 +316,7 @@
       this.advance({ kind: 'broken', attempt, cause: 'refused' });
       return;
     }
-    this.finish('answered', () => this.answer.answer(head, body));
+    this.finish('answered', () => this.answer.replace({ head, body }));
   }
 
   private deliver(pieces: string[]): void {
--- a/packages/forward-request/src/stream-answer.ts
+++ b/packages/forward-request/src/stream-answer.ts
@@ -1,7 +1,12 @@
 /** The caller's side of one streamed answer: its head once, its pieces, and how it ends. */
 import type { LimeleadError } from '@limelead/errors';
 import type { AnswerHead } from '@limelead/target-connections';
-import { keepAnswerHeaders, type AnswerSink } from './answer-sink.js';
+import {
+  keepAnswerHeaders,
+  passWholeAnswer,
+  type AnswerSink,
+  type WholeAnswer,
+} from './answer-sink.js';
 import { SERVER_ERROR_STATUS } from './limits.js';
 
 /** Writes the answer of one stream, whichever targets its pieces come from. */
@@ -43,10 +48,8 @@
   }
 
   /** A whole answer that is no stream, in place of one. */
-  answer(head: AnswerHead, body: Buffer): void {
-    this.sink.begin(head.status, keepAnswerHeaders(head.rawHeaders), body.length);
-    this.sink.write(body);
-    this.sink.end();
+  replace(answer: WholeAnswer): void {
+    passWholeAnswer(this.sink, answer);
   }
 
   /** Nothing more will come: an answer that has begun is cut, so that it does not look whole. */
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -46,11 +46,6 @@
     });
   }
 
-  /** The retry budget does not pay for this attempt now. */
-  unpaid(attempt: number): void {
-    this.write('repeat-unpaid', { service: this.admitted.service, attempts: attempt - 1 });
-  }
-
   lost({ sinceLastPieceMs, ...facts }: LossFacts): void {
     this.context.metrics.count('limelead_streams_broken_total', 1, { cause: facts.cause });
     this.write('stream-broken', { ...facts, sinceLastPieceMs: Math.round(sinceLastPieceMs) });
--- a/packages/forward-request/src/stream-sends.ts
+++ b/packages/forward-request/src/stream-sends.ts
@@ -22,7 +22,7 @@
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
   ) {
-    this.payments = new SendPayments(context, admitted.service);
+    this.payments = new SendPayments(context, admitted);
   }
 
   get count(): number {
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -30,6 +30,7 @@
  * call that may be held for less is refused later.
  */
 const STREAM_TIME_MS = 5_500;
+
 /** What the front door needs. */
 export interface HttpFrontDoorOptions {
   host: string;
