Let a scheduler of a large fleet advise where streams go

Cause: a VM of a large fleet hears the load of 12 of its 90 peers, so it took every engine for idle: 64 in 100 first sends met a busy engine while 30 to 50 of 126 engines stood idle, and a stream of one send took 5.8 s (50th percentile) where the engine's floor is 4.6 s. Streams that last longer are more to lose at each death of a domain or of all VMs.

Change: the last VM of the ranking that all VMs share is told the load of all at its part of the targets (one part for about 100 VMs, each with a stand-in), and is asked before each first send and each send without a copy. It counts what it advised until the asker's load follows the advice. Where it is late (40 ms) or lost, the VM chooses by itself. Soft state, no agreement; a small fleet is a full mesh as before and asks nobody. Load is told to schedulers in place of all peers, and links to schedulers carry no gossip.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -5,7 +5,7 @@
 import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { Clock, Timers } from '@limelead/types';
+import type { AskTarget, Clock, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
@@ -21,6 +21,8 @@
   connections: TargetConnections;
   dialect: TargetDialect;
   places: PlaceQueue;
+  /** Asks the scheduler of a large fleet where a stream should go. */
+  askTarget: AskTarget;
   silence: SilenceWatch;
   kept: KeptPrompts;
   reading: ReadingTime;
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -1,4 +1,5 @@
 /** Finds the place where a stream begins or goes on: the cheapest way that is open comes first. */
+import type { Advice } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { Place } from './place-queue.js';
@@ -16,7 +17,8 @@
 
 /**
  * Goes on from a copy of the run; else, for a caller that comes back, where its
- * prompt is kept; else at any target with a free place. Gives what ends waiting.
+ * prompt is kept; else where a scheduler advises, if there is one; else at any target
+ * with a free place. Gives what ends waiting.
  */
 export default function findStreamPlace(
   context: ForwardContext,
@@ -32,7 +34,7 @@
   if (search.isFirstSend && admitted.request.lastPiece > 0) {
     return findKeptPrompt(context, admitted, search);
   }
-  return takeAnyPlace(context, admitted, search);
+  return takeAdvisedPlace(context, admitted, search);
 }
 
 /** The caller's earlier entry VM is gone; its prompt may still stand at the target that ran it. */
@@ -50,7 +52,7 @@
     }
     const place = found === undefined ? undefined : context.places.takeAt(found);
     if (place === undefined) {
-      stopWaiting = takeAnyPlace(context, admitted, search);
+      stopWaiting = takeAdvisedPlace(context, admitted, search);
     } else {
       search.receive(place);
     }
@@ -61,6 +63,53 @@
   };
 }
 
+function takeAdvisedPlace(
+  context: ForwardContext,
+  admitted: AdmittedRequest,
+  search: StreamPlaceSearch,
+): () => void {
+  const { service, request } = admitted;
+  const { exclude, receive } = search;
+  let stopWaiting = (): void => undefined;
+  const stopAsking = context.askTarget(
+    { service, affinityKey: request.affinityKey, exclude },
+    (advice) => {
+      const place = advice.outcome === 'advised' ? context.places.takeAt(advice.target) : undefined;
+      reportAdvice(context, request.requestId, advice, place !== undefined);
+      if (place === undefined) {
+        stopWaiting = takeAnyPlace(context, admitted, search);
+      } else {
+        receive(place);
+      }
+    },
+  );
+  return () => {
+    stopAsking();
+    stopWaiting();
+  };
+}
+
+function reportAdvice(
+  { log, metrics }: ForwardContext,
+  requestId: string,
+  advice: Advice,
+  isTaken: boolean,
+): void {
+  if (advice.outcome === 'nobody-to-ask') {
+    return;
+  }
+  const { outcome, scheduler, afterMs } = advice;
+  metrics.count('limelead_target_advice_total', 1, { outcome });
+  log.write('target-advised', {
+    requestId,
+    outcome,
+    scheduler,
+    target: advice.outcome === 'advised' ? advice.target : undefined,
+    isTaken,
+    afterMs: Math.round(afterMs),
+  });
+}
+
 function takeAnyPlace(
   context: ForwardContext,
   { service, request, rank, dueAtMs }: AdmittedRequest,
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -1,3 +1,4 @@
+import type { AskTarget } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import forwardStream from './forward-stream.js';
@@ -219,4 +220,51 @@
   assert.not.match(bed.context.metrics.render(), /limelead_first_piece_ms/);
 });
 
+/** A scheduler that always advises the same target. */
+function advise(target: string): AskTarget {
+  return (_, receive) => {
+    receive({ outcome: 'advised', target, scheduler: 'vm', afterMs: 1 });
+    return () => undefined;
+  };
+}
+
+test('a stream goes where the scheduler advises, though its own domain would come first', async () => {
+  const bed = await TestBed.start(streamTo(2), streamTo(2));
+  bed.askTarget = advise('t2');
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  await sink.done;
+  assert.equal(bed.asked, ['t2']);
+  await bed.stop();
+});
+
+test('an advised target that this VM just found lost is not taken', async () => {
+  const bed = await TestBed.start(streamTo(2), streamTo(2));
+  bed.askTarget = advise('t2');
+  bed.directory.observe('t2', { kind: 'lost' });
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  await sink.done;
+  assert.equal(bed.asked, ['t1']);
+  await bed.stop();
+});
+
+test('a caller that leaves while the scheduler is asked sends nothing to any target', async () => {
+  const bed = await TestBed.start(streamTo(2));
+  let answer = (): void => undefined;
+  let hasStopped = false;
+  bed.askTarget = (_, receive) => {
+    answer = () => receive({ outcome: 'advised', target: 't1', scheduler: 'vm', afterMs: 1 });
+    return () => (hasStopped = true);
+  };
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  sink.leave();
+  answer();
+  assert.ok(hasStopped);
+  assert.is(bed.directory.get('t1')?.inFlight, 0);
+  assert.equal(bed.asked, []);
+  await bed.stop();
+});
+
 test.run();
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -7,7 +7,9 @@
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
+  askNobody,
   systemTimers,
+  type AskTarget,
   type IncomingRequest,
   type ServiceTarget,
   type ServingRoute,
@@ -177,6 +179,8 @@
   readonly directory = new TargetDirectory(clock);
   readonly connections = new TargetConnections({ clock, connectTimeoutMs: 300, maxIdle: 4 });
   readonly context: ForwardContext;
+  /** What a scheduler would say; by default there is none. */
+  askTarget: AskTarget = askNobody;
   private readonly servers: Server[] = [];
   private readonly behaviours = new Map<string, Behaviour>();
   private readonly spender = new RetrySpender({ ratio: 1, slack: 100, windowMs: 10_000 });
@@ -206,6 +210,7 @@
         failureDomain: 'north',
         limit: ({ target }) => target.slots,
       }),
+      askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
       reading: new ReadingTime(),
       kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -54,10 +54,14 @@
 
   /** Takes a place at one target where it takes work and has one free. */
   takeAt(targetId: string): Place | undefined {
-    const { directory, limit } = this.options;
+    const { clock, directory, limit } = this.options;
     const tracked = directory.get(targetId);
     const isFree =
-      tracked !== undefined && !tracked.target.leaving && tracked.inFlight < limit(tracked);
+      tracked !== undefined &&
+      !tracked.target.leaving &&
+      !directory.isSuspected(targetId) &&
+      tracked.evidence.fullUntilMs <= clock.now() &&
+      tracked.inFlight < limit(tracked);
     return isFree ? { tracked, release: directory.begin(targetId) } : undefined;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import { delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
+import { askNobody, delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import Knowledge, { type StoreDialect } from './knowledge.js';
@@ -29,6 +29,7 @@
   type ListenAddress,
 } from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
+import TargetScheduler from './target-scheduler.js';
 
 /**
  * Time for a connection to a target, in milliseconds. One takes 2 to 6 ms within
@@ -204,6 +205,8 @@
       connections,
       dialect,
       places: new PlaceQueue({ ...shared, failureDomain, limit: limitOf }),
+      askTarget: (request, receive) =>
+        this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
       reading: new ReadingTime(),
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
@@ -266,9 +269,12 @@
     if (peers === undefined) {
       return undefined;
     }
+    const id = formatAddress(peers);
+    const { directory } = this;
+    const scheduler = new TargetScheduler({ self: id, clock: steadyClock, directory });
     return new EvidenceExchange({
       ...peers,
-      id: formatAddress(peers),
+      id,
       incarnation: randomUUID(),
       failureDomain,
       seeds: seeds.map(formatAddress),
@@ -286,6 +292,7 @@
       listItems: () => this.knowledge.items,
       readLoad: () => this.readLoad(),
       onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
+      adviseTarget: (peer, question) => scheduler.advise(peer, question),
       onLost: (target) => this.directory.takePeerLoss(target),
       lendRepeats: (service, wanted) => this.retries.lend(service, wanted),
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
--- /dev/null
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -0,0 +1,72 @@
+import { TargetDirectory } from '@limelead/track-service-targets';
+import type { ServiceTarget } from '@limelead/types';
+import type { TargetQuestion } from '@limelead/share-evidence';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import TargetScheduler from './target-scheduler.js';
+
+const clock = { now: () => 1_000 };
+
+function createTarget(index: number, slots = 4): ServiceTarget {
+  return {
+    id: `t${index}`,
+    service: 'briefs',
+    host: '10.0.0.1',
+    port: index + 1,
+    failureDomain: 'north',
+    slots,
+    leaving: false,
+  };
+}
+
+function create(count: number, slots?: number) {
+  const directory = new TargetDirectory(clock);
+  directory.replaceAll(Array.from({ length: count }, (_, index) => createTarget(index, slots)));
+  const scheduler = new TargetScheduler({ self: 'self', clock, directory });
+  let asked = 0;
+  const ask = (peer: string, question: Partial<TargetQuestion> = {}): string | undefined => {
+    asked += 1;
+    return scheduler.advise(peer, {
+      service: 'briefs',
+      affinityKey: `session ${asked}`,
+      failureDomain: 'north',
+      exclude: [],
+      number: asked,
+      part: 0,
+      parts: 1,
+      ...question,
+    });
+  };
+  return { directory, ask };
+}
+
+test('VMs that ask at the same moment are sent to different idle targets', () => {
+  const { ask } = create(40);
+  const advised = Array.from({ length: 40 }, (_, index) => ask(`vm-${index}`));
+  assert.is(new Set(advised).size, 40);
+});
+
+test('no VM is sent to a target of which all places are taken by others', () => {
+  const { directory, ask } = create(1, 2);
+  const load = { requests: 2, reading: 0 };
+  directory.takePeerLoad('vm-a', { targets: new Map([['t0', load]]), advice: 0 });
+  assert.is(ask('vm-b'), undefined);
+  directory.takePeerLoad('vm-a', { targets: new Map(), advice: 0 });
+  assert.is(ask('vm-b'), 't0');
+});
+
+test('only targets of the part that is asked for are looked at', () => {
+  const { ask } = create(40);
+  const even = new Set(Array.from({ length: 20 }, () => ask('vm', { part: 0, parts: 2 })));
+  const odd = new Set(Array.from({ length: 20 }, () => ask('vm', { part: 1, parts: 2 })));
+  assert.ok(even.size >= 15 && odd.size >= 15);
+  assert.not([...even].some((target) => odd.has(target)));
+});
+
+test('what this VM advised itself is counted by its own requests alone', () => {
+  const { directory, ask } = create(1);
+  ask('self');
+  assert.is(directory.get('t0')?.peerRequests, 0);
+});
+
+test.run();
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -7,7 +7,12 @@
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
-import { systemTimers, type ServingConfiguration, type ServingRoute } from '@limelead/types';
+import {
+  askNobody,
+  systemTimers,
+  type ServingConfiguration,
+  type ServingRoute,
+} from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
@@ -168,6 +173,7 @@
       failureDomain: 'north',
       connections,
       dialect: targets,
+      askTarget: askNobody,
       places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -15,7 +15,7 @@
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
-import { systemTimers, type ServingRoute } from '@limelead/types';
+import { askNobody, systemTimers, type ServingRoute } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { fork, type ChildProcess } from 'node:child_process';
 import { createServer, request as sendRequest, Agent, type IncomingMessage } from 'node:http';
@@ -149,6 +149,7 @@
     failureDomain: 'd1',
     connections,
     dialect,
+    askTarget: askNobody,
     places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000 }),
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -1,16 +1,17 @@
 /**
  * The conversation of one VM with its peers. They tell each other their load on
- * every target and which targets they found lost, and give the store's items to
- * a VM that the store turns away.
+ * every target and which targets they found lost, advise each other where streams go,
+ * and give the store's items to a VM that the store turns away.
  */
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
-import type { Millis } from '@limelead/types';
+import type { Advice, AdviceRequest, Millis } from '@limelead/types';
 import CatchUp from './catch-up.js';
-import LoadNews from './load-news.js';
+import LoadExchange from './load-exchange.js';
 import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
 import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
+import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
 import StoreNews from './store-news.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
@@ -30,17 +31,15 @@
 const START_WAIT_MS = 100;
 /** The same in a large fleet: until the third round shows which VMs follow the store. */
 const LARGE_START_WAIT_MS = 1_500;
-/** A peer that said nothing for this long is dropped. */
-const SILENT_PEER_MS = 3_200;
 /** Links with a secret of their own would need a settings field that the platform lacks. */
 const NO_SECRET = '';
 
 /** Talks with peers. */
 export default class EvidenceExchange {
   private links: PeerLinks<EvidenceMessage> | undefined;
-  private readonly peers = new Map<PeerId, PeerState>();
+  private readonly peers: PeerTable;
   private members: Membership | undefined;
-  private readonly loadNews: LoadNews;
+  private readonly load: LoadExchange;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
   private readonly catchUp: CatchUp;
@@ -51,7 +50,8 @@
 
   constructor(private readonly options: EvidenceExchangeOptions) {
     const { clock, timers, random } = options;
-    const listPeers = (): PeerId[] => [...this.peers.keys()];
+    this.peers = new PeerTable(clock);
+    const listPeers = (): PeerId[] => this.listGossiping();
     this.loans = new RepeatLoans({
       clock,
       random,
@@ -64,7 +64,7 @@
       timers,
       readKnowledge: options.readKnowledge,
       isFollowing: () => this.mustFollow,
-      listPeers: () => [...this.peers],
+      listPeers: () => this.peers.readKnowledge(this.listGossiping()),
       ask: (peer, since) => this.links?.send(peer, { kind: 'want-items', since }),
     });
     this.storeNews = new StoreNews({
@@ -73,12 +73,12 @@
       listPeers,
       tell: (peer, news) => this.links?.send(peer, { kind: 'store-news', ...news }),
     });
-    this.loadNews = new LoadNews({
-      timers,
-      listPeers,
-      countVms: () => this.vmCount,
-      readLoad: options.readLoad,
-      tell: (peer, targets) => this.links?.send(peer, { kind: 'load', targets }),
+    this.load = new LoadExchange({
+      ...options,
+      self: options.id,
+      peers: this.peers,
+      listSchedulers: () => this.members?.schedulers ?? [],
+      send: (peer, message) => this.links?.send(peer, message),
     });
     this.lossNews = new LossNews({
       clock,
@@ -159,6 +159,7 @@
       onDropped: () => undefined,
     });
     this.members = new Membership({ self: id, seeds, links: this.links, clock, random });
+    this.load.start();
     this.beat(SECOND_ROUND_MS);
   }
 
@@ -171,10 +172,15 @@
   /** The load of this VM changed; its peers are told soon. */
   noteLoad(): void {
     if (!this.isStopped) {
-      this.loadNews.note();
+      this.load.note();
     }
   }
 
+  /** Asks where a stream should go; answered at once where there is nobody to ask. */
+  askTarget(request: AdviceRequest, receive: (advice: Advice) => void): () => void {
+    return this.load.ask(request, receive);
+  }
+
   /** This VM found a target lost. */
   noteLost(target: string): void {
     this.lossNews.take(target);
@@ -190,7 +196,7 @@
     const { configuration } = this.options.readKnowledge();
     if (configuration > this.toldConfiguration) {
       this.toldConfiguration = configuration;
-      this.links?.broadcast(this.createHeartbeat([]));
+      this.listGossiping().forEach((peer) => this.sendHeartbeat(peer, []));
     }
   }
 
@@ -202,46 +208,64 @@
     if (this.isStopped) {
       return;
     }
-    this.dropSilentPeers();
+    this.peers.listSilent().forEach((peer) => this.drop(peer));
     const named = this.members?.tend() ?? [];
-    this.links?.broadcast(this.createHeartbeat(named));
+    this.peers.list().forEach((peer) => this.beatTo(peer, named));
+    this.load.tell();
     this.catchUp.check();
     this.options.timers.after(nextMs, () => this.beat());
   }
 
-  private dropSilentPeers(): void {
-    const heardSince = this.options.clock.now() - SILENT_PEER_MS;
-    for (const [peer, { heardAtMs }] of [...this.peers]) {
-      if (heardAtMs < heardSince) {
-        this.links?.drop(peer);
-        this.onPeerLost(peer);
-      }
+  private drop(peer: PeerId): void {
+    this.links?.drop(peer);
+    this.onPeerLost(peer);
+  }
+
+  private beatTo(peer: PeerId, named: MemberAge[]): void {
+    const state = this.peers.get(peer);
+    if (state === undefined || !this.gossips(peer)) {
+      this.links?.send(peer, { kind: 'pulse' });
+    } else if (state.isGreeted) {
+      this.sendHeartbeat(peer, named);
+    } else {
+      this.greet(peer, state);
     }
   }
 
+  /** The first heartbeat names all members. */
+  private greet(peer: PeerId, state: PeerState): void {
+    state.isGreeted = true;
+    this.sendHeartbeat(peer, this.members?.nameAll() ?? []);
+  }
+
   private onReady(peer: PeerId): void {
-    const heardAtMs = this.options.clock.now();
-    this.peers.set(peer, {
-      failureDomain: '',
-      heardAtMs,
-      revision: 0,
-      configuration: 0,
-      configurationBytes: 0,
-    });
-    this.loadNews.forget(peer);
+    this.peers.add(peer);
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
-    this.links?.send(peer, this.createHeartbeat(this.members?.nameAll() ?? []));
+    this.beatTo(peer, []);
+    this.load.noteLinked(peer);
   }
 
   private onPeerLost(peer: PeerId): void {
-    if (this.peers.delete(peer)) {
+    if (this.peers.remove(peer)) {
       this.options.log.write('peer-lost', { peer, peers: this.peers.size });
-      this.loadNews.forget(peer);
-      this.options.onLoad(peer, new Map());
+      this.load.noteLost(peer);
     }
   }
 
+  /** Peers with which losses, members, repeats and news of the store are shared. */
+  private listGossiping(): PeerId[] {
+    return this.peers.listGossiping((peer) => this.isChosen(peer));
+  }
+
+  private gossips(peer: PeerId): boolean {
+    return this.peers.gossips(peer, (chosen) => this.isChosen(chosen));
+  }
+
+  private isChosen(peer: PeerId): boolean {
+    return this.members?.isChosenPeer(peer) ?? false;
+  }
+
   private onMessage(peer: PeerId, message: EvidenceMessage): void {
     const state = this.peers.get(peer);
     if (state === undefined) {
@@ -253,8 +277,17 @@
       case 'heartbeat':
         this.onHeartbeat(peer, state, message);
         break;
+      case 'pulse':
+        state.isWantedThere = false;
+        break;
       case 'load':
-        this.options.onLoad(peer, new Map(message.targets.map((load) => [load.id, load])));
+        this.load.hearLoad(peer, message);
+        break;
+      case 'want-target':
+        this.load.answer(peer, message);
+        break;
+      case 'advise-target':
+        this.load.hearAdvice(peer, message);
         break;
       case 'lost':
         message.targets
@@ -317,28 +350,28 @@
     state: PeerState,
     message: EvidenceMessageOf<'heartbeat'>,
   ): void {
-    const isFirst = state.failureDomain === '';
-    state.failureDomain = message.failureDomain;
+    state.isWantedThere = message.wanted;
     state.revision = message.revision;
     state.configuration = message.configuration;
     state.configurationBytes = message.configurationBytes;
     this.storeNews.noteConfiguration(message);
     this.members?.hear(message.members);
-    if (isFirst) {
-      this.loadNews.tellTo([peer]);
+    if (!state.isGreeted && this.gossips(peer)) {
+      this.greet(peer, state);
     }
     this.catchUp.check();
   }
 
-  private createHeartbeat(members: MemberAge[]): EvidenceMessage {
+  private sendHeartbeat(peer: PeerId, members: MemberAge[]): void {
     const { revision, configuration, configurationBytes } = this.options.readKnowledge();
-    return {
+    const wanted = this.isChosen(peer);
+    this.links?.send(peer, {
       kind: 'heartbeat',
-      failureDomain: this.options.failureDomain,
+      wanted,
       members,
       revision,
       configuration,
       configurationBytes,
-    };
+    });
   }
 }
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -1,9 +1,11 @@
 /** What VMs of the HTTP front door tell each other. */
 export { default as EvidenceExchange } from './evidence-exchange.js';
+export { choosePart } from './choose-schedulers.js';
 export type {
   EvidenceExchangeOptions,
   PeerId,
   StoreKnowledge,
   StoreUpdate,
   TargetLoad,
+  TargetQuestion,
 } from './types.js';
--- a/packages/share-evidence/src/link-upkeep.ts
+++ b/packages/share-evidence/src/link-upkeep.ts
@@ -25,6 +25,8 @@
   /** Links that this VM opened, with the rounds since they were last chosen. */
   private readonly unwantedRounds = new Map<PeerId, number>();
   private rounds = 0;
+  /** Peers that were chosen for gossip last. */
+  private chosen: ReadonlySet<PeerId>;
   private readonly phase: number;
 
   constructor(
@@ -33,22 +35,33 @@
     private readonly links: Pick<PeerLinks<never>, 'open' | 'opened' | 'drop' | 'linked'>,
   ) {
     this.phase = hashText(self) % ROUNDS_BETWEEN_SEEDS;
+    this.chosen = new Set(seeds);
   }
 
-  /** Opens the links that are missing, and gives the peers that are wanted. */
-  open(members: PeerId[]): PeerId[] {
+  /** Whether a peer was chosen for gossip last. */
+  isChosen(peer: PeerId): boolean {
+    return this.chosen.has(peer);
+  }
+
+  /** Chooses peers for gossip, and opens the links to them that are missing. */
+  open(members: PeerId[]): void {
     const chosen = this.choose(members);
+    this.chosen = new Set(chosen);
     this.links.open(toAddresses(chosen));
-    return chosen;
   }
 
-  /** One round: opens what is missing and closes what was not chosen for some rounds. */
-  tend(members: PeerId[]): void {
+  /**
+   * One round: opens what is missing and closes what was not chosen for some rounds.
+   * @param schedulers VMs to which a link is kept beside those for gossip
+   */
+  tend(members: PeerId[], schedulers: readonly PeerId[] = []): void {
     this.rounds += 1;
-    const chosen = new Set(this.open(members));
+    this.open(members);
+    this.links.open(toAddresses(schedulers));
+    const wanted = new Set([...this.chosen, ...schedulers]);
     const opened = this.links.opened();
     for (const peer of opened) {
-      const rounds = chosen.has(peer) ? 0 : (this.unwantedRounds.get(peer) ?? 0) + 1;
+      const rounds = wanted.has(peer) ? 0 : (this.unwantedRounds.get(peer) ?? 0) + 1;
       this.unwantedRounds.set(peer, rounds);
       if (rounds >= UNWANTED_ROUNDS) {
         this.links.drop(peer);
@@ -86,7 +99,7 @@
   }
 }
 
-function toAddresses(peers: PeerId[]): PeerAddress[] {
+function toAddresses(peers: readonly PeerId[]): PeerAddress[] {
   return peers.map(toAddress).filter(({ port }) => port > 0);
 }
 
--- /dev/null
+++ b/packages/share-evidence/src/load-exchange.ts
@@ -0,0 +1,124 @@
+/**
+ * The load of VMs at targets, and what follows from it. In a small fleet every VM
+ * tells all others. In a large one each tells the schedulers, and asks them where its
+ * streams go.
+ */
+import type { Advice, AdviceRequest, Clock, Millis, Timers } from '@limelead/types';
+import { choosePart, type Schedulers } from './choose-schedulers.js';
+import LoadNews from './load-news.js';
+import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
+import type PeerTable from './peer-table.js';
+import TargetAdvice from './target-advice.js';
+import type { EvidenceExchangeOptions, PeerId, TargetLoad } from './types.js';
+
+/** What it needs. */
+export interface LoadExchangeOptions extends Pick<
+  EvidenceExchangeOptions,
+  'failureDomain' | 'readLoad' | 'onLoad' | 'adviseTarget'
+> {
+  self: PeerId;
+  clock: Clock;
+  timers: Timers;
+  peers: PeerTable;
+  /** By part of the targets; none in a small fleet. */
+  listSchedulers(): Schedulers;
+  send(peer: PeerId, message: EvidenceMessage): void;
+}
+
+/** Tells load, asks for advice and gives it. */
+export default class LoadExchange {
+  private readonly news: LoadNews;
+  private readonly advice: TargetAdvice;
+  private startedAtMs: Millis = 0;
+
+  constructor(private readonly options: LoadExchangeOptions) {
+    const { self, clock, timers, peers, listSchedulers, adviseTarget, send } = options;
+    this.news = new LoadNews({
+      timers,
+      listPeers: () => this.listReaders(),
+      readLoadFor: (peer) => this.readLoadFor(peer),
+      tell: (peer, targets) =>
+        send(peer, { kind: 'load', targets, advice: this.advice.answeredBy(peer) }),
+    });
+    this.advice = new TargetAdvice({
+      self,
+      clock,
+      timers,
+      listSchedulers,
+      readLinkedAtMs: (scheduler) =>
+        scheduler === self ? this.startedAtMs : peers.get(scheduler)?.linkedAtMs,
+      decide: (question) => adviseTarget(self, question),
+      send: (scheduler, question) => send(scheduler, { kind: 'want-target', ...question }),
+    });
+  }
+
+  /** From now on this VM counts as linked to itself. */
+  start(): void {
+    this.startedAtMs = this.options.clock.now();
+  }
+
+  /** The load of this VM changed; those who should know are told soon. */
+  note(): void {
+    this.news.note();
+  }
+
+  /** Tells those who should know another load than they do. */
+  tell(): void {
+    this.news.tellAll();
+  }
+
+  /** Asks where a stream should go; answered at once where there is nobody to ask. */
+  ask(request: AdviceRequest, receive: (advice: Advice) => void): () => void {
+    return this.advice.ask({ ...request, failureDomain: this.options.failureDomain }, receive);
+  }
+
+  /** A link came up. */
+  noteLinked(peer: PeerId): void {
+    this.news.forget(peer);
+    this.news.tellAll();
+  }
+
+  /** A link is lost. */
+  noteLost(peer: PeerId): void {
+    this.news.forget(peer);
+    this.advice.noteLost(peer);
+    this.options.onLoad(peer, { targets: new Map(), advice: Infinity });
+  }
+
+  /** A peer told its load. */
+  hearLoad(peer: PeerId, { targets, advice }: EvidenceMessageOf<'load'>): void {
+    this.options.onLoad(peer, {
+      targets: new Map(targets.map((load) => [load.id, load])),
+      advice,
+    });
+  }
+
+  /** A peer asks where its stream should go. */
+  answer(peer: PeerId, question: EvidenceMessageOf<'want-target'>): void {
+    const { adviseTarget, send } = this.options;
+    const target = adviseTarget(peer, question) ?? null;
+    send(peer, { kind: 'advise-target', number: question.number, target });
+  }
+
+  /** A scheduler answered. */
+  hearAdvice(peer: PeerId, { number, target }: EvidenceMessageOf<'advise-target'>): void {
+    this.advice.hear(peer, number, target ?? undefined);
+  }
+
+  /** The schedulers, or all peers where there are none. */
+  private listReaders(): PeerId[] {
+    const { peers, listSchedulers } = this.options;
+    const schedulers = new Set(listSchedulers().flat());
+    return peers.list().filter((peer) => schedulers.size === 0 || schedulers.has(peer));
+  }
+
+  /** A scheduler is told the load at its part of the targets. */
+  private readLoadFor(peer: PeerId): TargetLoad[] {
+    const { listSchedulers, readLoad } = this.options;
+    const parts = listSchedulers();
+    const part = parts.findIndex((schedulers) => schedulers.includes(peer));
+    return part < 0
+      ? readLoad()
+      : readLoad().filter(({ id }) => choosePart(id, parts.length) === part);
+  }
+}
--- a/packages/share-evidence/src/load-news.ts
+++ b/packages/share-evidence/src/load-news.ts
@@ -1,18 +1,20 @@
-/** Tells peers the requests of this VM under way at each target, where they changed. */
-import type { Millis, Timers } from '@limelead/types';
-import { FULL_MESH_VMS } from './choose-peers.js';
+/**
+ * Tells the requests of this VM under way at each target, where they changed: to every
+ * peer in a small fleet, and to the schedulers of a large one.
+ */
+import type { Timers } from '@limelead/types';
 import type { PeerId, TargetLoad } from './types.js';
 
-/** Changes of load within this time are told together in a fleet that is a full mesh. */
+/** Changes of load within this time are told together, in milliseconds. */
 const GATHER_MS = 15;
 const NO_LOAD = '[]';
 
 /** What the news need. */
 export interface LoadNewsOptions {
   timers: Timers;
-  countVms(): number;
-  readLoad(): TargetLoad[];
-  /** Peers that are linked now. */
+  /** The load that one peer should know. */
+  readLoadFor(peer: PeerId): TargetLoad[];
+  /** Peers that are told, of those that are linked now. */
   listPeers(): PeerId[];
   tell(peer: PeerId, targets: TargetLoad[]): void;
 }
@@ -25,28 +27,26 @@
 
   constructor(private readonly options: LoadNewsOptions) {}
 
-  /** The load changed; all peers are told soon. */
+  /** The load changed; all listed peers are told soon. */
   note(): void {
     if (this.isDue) {
       return;
     }
     this.isDue = true;
-    this.options.timers.after(this.gatherMs, () => {
+    this.options.timers.after(GATHER_MS, () => {
       this.isDue = false;
-      this.tellTo(this.options.listPeers());
+      this.tellAll();
     });
   }
 
-  /** Tells those of the peers that know another load. */
-  tellTo(peers: PeerId[]): void {
-    const targets = this.options.readLoad();
-    const text = JSON.stringify(targets);
-    for (const peer of peers) {
-      if ((this.told.get(peer) ?? NO_LOAD) !== text) {
-        this.told.set(peer, text);
-        this.options.tell(peer, targets);
-      }
+  /** Tells the listed peers that know another load, and takes it back from those no longer listed. */
+  tellAll(): void {
+    const listed = new Set(this.options.listPeers());
+    for (const peer of [...this.told.keys()].filter((known) => !listed.has(known))) {
+      this.tellIfNew(peer, []);
+      this.told.delete(peer);
     }
+    listed.forEach((peer) => this.tellIfNew(peer, this.options.readLoadFor(peer)));
   }
 
   /** A peer is lost; one that comes back knows nothing. */
@@ -54,8 +54,11 @@
     this.told.delete(peer);
   }
 
-  /** In a large fleet the load of one VM weighs little, and may be told later. */
-  private get gatherMs(): Millis {
-    return GATHER_MS * Math.max(1, this.options.countVms() / FULL_MESH_VMS);
+  private tellIfNew(peer: PeerId, targets: TargetLoad[]): void {
+    const text = JSON.stringify(targets);
+    if ((this.told.get(peer) ?? NO_LOAD) !== text) {
+      this.told.set(peer, text);
+      this.options.tell(peer, targets);
+    }
   }
 }
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -1,11 +1,13 @@
 /**
  * Which VMs there are, as one of them sees it, and what follows from it: the links
- * that it keeps, and whether it is one of those that follow the store for all.
+ * that it keeps, whether it is one of those that follow the store for all, and which
+ * VMs are asked where streams go.
  */
 import type { PeerLinks } from '@limelead/peer-links';
-import { chooseWatchers } from '@limelead/track-members';
+import { rankVms } from '@limelead/track-members';
 import type { Clock, Random } from '@limelead/types';
 import { FULL_MESH_VMS } from './choose-peers.js';
+import chooseSchedulers, { type Schedulers } from './choose-schedulers.js';
 import LinkUpkeep from './link-upkeep.js';
 import MemberBook, { type MemberAge } from './member-book.js';
 import type { PeerId } from './types.js';
@@ -31,6 +33,8 @@
   private readonly upkeep: LinkUpkeep;
   /** As of the last round. */
   private isChosen = true;
+  /** By part of the targets, as of the last round; none in a small fleet. */
+  private chosenSchedulers: Schedulers = [];
 
   constructor(private readonly options: MembershipOptions) {
     const { self, seeds, links, clock, random } = options;
@@ -58,6 +62,16 @@
     return this.isLarge && this.isChosen;
   }
 
+  /** The VMs that are asked where streams go, by part of the targets; none in a small fleet. */
+  get schedulers(): Schedulers {
+    return this.chosenSchedulers;
+  }
+
+  /** Whether this VM chose a peer for gossip. */
+  isChosenPeer(peer: PeerId): boolean {
+    return this.upkeep.isChosen(peer);
+  }
+
   /** A peer spoke just now. */
   hearFrom(peer: PeerId): void {
     this.book.hearFrom(peer);
@@ -75,8 +89,10 @@
   tend(): MemberAge[] {
     const { self } = this.options;
     const members = this.book.list();
-    this.upkeep.tend(members);
-    this.isChosen = chooseWatchers([...members, self], FOLLOWERS).includes(self);
+    const ranking = rankVms([...members, self]);
+    this.isChosen = ranking.slice(0, FOLLOWERS).includes(self);
+    this.chosenSchedulers = this.isLarge ? chooseSchedulers(ranking) : [];
+    this.upkeep.tend(members, this.chosenSchedulers.flat());
     return this.book.sample();
   }
 
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -13,10 +13,11 @@
 
 const storeItem = t.type({ key: t.string, value: buffer, revision: t.number });
 
-/** Sent about once a second, and at once after a change of the two last fields. */
+/** Sent about once a second for gossip, and at once after a change of the two last fields. */
 const heartbeat = t.type({
   kind: t.literal('heartbeat'),
-  failureDomain: t.string,
+  /** Whether the sender chose the receiver for gossip. */
+  wanted: t.boolean,
   /** Some VMs that the sender heard of lately, with the milliseconds since each spoke. */
   members: memberListCodec,
   /** Revision of the store up to which the sender knows everything; 0 before the first list. */
@@ -26,9 +27,14 @@
   configurationBytes: t.number,
 });
 
+/** Takes the place of a heartbeat on links that serve no gossip. */
+const pulse = t.type({ kind: t.literal('pulse') });
+
 /** Requests of the sender under way at each target; targets without any are left out. */
 const load = t.type({
   kind: t.literal('load'),
+  /** Number of the receiver's last advice that this load follows; 0 for none. */
+  advice: t.number,
   targets: t.array(t.type({ id: t.string, requests: t.number, reading: t.number })),
 });
 
@@ -71,9 +77,31 @@
   repeats: t.number,
 });
 
+/** Asks a scheduler where a stream should go; see `TargetQuestion`. */
+const wantTarget = t.type({
+  kind: t.literal('want-target'),
+  number: t.number,
+  service: t.string,
+  affinityKey: t.string,
+  failureDomain: t.string,
+  exclude: t.array(t.string),
+  part: t.number,
+  parts: t.number,
+});
+
+/** Answers the question of that number; no target where none has a place. */
+const adviseTarget = t.type({
+  kind: t.literal('advise-target'),
+  number: t.number,
+  target: t.union([t.string, t.null]),
+});
+
 const evidenceMessageCodec = t.union([
   heartbeat,
+  pulse,
   load,
+  wantTarget,
+  adviseTarget,
   lost,
   storeNews,
   wantItems,
@@ -94,7 +122,10 @@
 /** Messages that a later one makes needless; a slow link may drop them. */
 const DROPPABLE_KINDS: ReadonlySet<EvidenceMessage['kind']> = new Set([
   'heartbeat',
+  'pulse',
   'load',
+  'want-target',
+  'advise-target',
   'store-news',
   'want-repeats',
 ]);
--- /dev/null
+++ b/packages/share-evidence/src/peer-table.ts
@@ -0,0 +1,72 @@
+/**
+ * The peers to which this VM is linked. A link serves gossip where one of both ends
+ * chose the other for it; a link to a scheduler carries load and questions only.
+ */
+import type { Clock, Millis } from '@limelead/types';
+import type { PeerId, PeerKnowledge, PeerState } from './types.js';
+
+/** A peer that said nothing for this long is dropped. */
+const SILENT_PEER_MS = 3_200;
+
+/** Holds the peers. */
+export default class PeerTable {
+  private readonly peers = new Map<PeerId, PeerState>();
+
+  constructor(private readonly clock: Clock) {}
+
+  get size(): number {
+    return this.peers.size;
+  }
+
+  /** A link came up. */
+  add(peer: PeerId): void {
+    const now = this.clock.now();
+    this.peers.set(peer, {
+      linkedAtMs: now,
+      heardAtMs: now,
+      isWantedThere: false,
+      isGreeted: false,
+      revision: 0,
+      configuration: 0,
+      configurationBytes: 0,
+    });
+  }
+
+  get(peer: PeerId): PeerState | undefined {
+    return this.peers.get(peer);
+  }
+
+  /** True where the peer was there. */
+  remove(peer: PeerId): boolean {
+    return this.peers.delete(peer);
+  }
+
+  /** Every linked peer. */
+  list(): PeerId[] {
+    return [...this.peers.keys()];
+  }
+
+  /** Peers with which gossip is shared. */
+  listGossiping(isWantedHere: (peer: PeerId) => boolean): PeerId[] {
+    return this.list().filter((peer) => this.gossips(peer, isWantedHere));
+  }
+
+  /** Whether one of both ends chose the other for gossip. */
+  gossips(peer: PeerId, isWantedHere: (peer: PeerId) => boolean): boolean {
+    return isWantedHere(peer) || this.peers.get(peer)?.isWantedThere === true;
+  }
+
+  /** What each of some peers knows of the store. */
+  readKnowledge(peers: PeerId[]): (readonly [PeerId, PeerKnowledge])[] {
+    return peers.flatMap((peer) => {
+      const state = this.peers.get(peer);
+      return state === undefined ? [] : [[peer, state] as const];
+    });
+  }
+
+  /** Peers that have been silent for too long. */
+  listSilent(): PeerId[] {
+    const heardSince: Millis = this.clock.now() - SILENT_PEER_MS;
+    return this.list().filter((peer) => (this.peers.get(peer)?.heardAtMs ?? 0) < heardSince);
+  }
+}
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -1,7 +1,7 @@
 /** Shapes that the parts of the exchange share. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
-import type { Clock, Millis, Random, Timers } from '@limelead/types';
+import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
 
 /** An address on which VMs reach each other, as "host:port". */
 export type PeerId = string;
@@ -37,6 +37,24 @@
   reading: number;
 }
 
+/** A request for advice as a scheduler gets it. */
+export interface TargetQuestion extends AdviceRequest {
+  /** Failure domain of the VM that asks. */
+  failureDomain: string;
+  /** Questions of one VM are numbered from 1. */
+  number: number;
+  /** Only targets of this part, out of so many, are looked at. */
+  part: number;
+  parts: number;
+}
+
+/** Load that a peer told. */
+export interface PeerLoadNews {
+  targets: ReadonlyMap<string, TargetLoad>;
+  /** Number of the last advice that this load follows; 0 for none. */
+  advice: number;
+}
+
 /** What the exchange needs. */
 export interface EvidenceExchangeOptions {
   id: PeerId;
@@ -55,7 +73,9 @@
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
-  onLoad(peer: PeerId, load: ReadonlyMap<string, TargetLoad>): void;
+  onLoad(peer: PeerId, load: PeerLoadNews): void;
+  /** A peer asks where a stream should go; undefined where no target has a place. */
+  adviseTarget(peer: PeerId, question: TargetQuestion): string | undefined;
   onLost(target: string): void;
   /** A peer told what the store held at a later revision than this VM knows. */
   onUpdate(update: StoreUpdate): void;
@@ -74,6 +94,10 @@
 
 /** One peer, as this VM is linked to it. */
 export interface PeerState extends PeerKnowledge {
-  failureDomain: string;
+  linkedAtMs: Millis;
   heardAtMs: Millis;
+  /** Whether the peer chose this VM for gossip. */
+  isWantedThere: boolean;
+  /** Whether the peer was named all members once. */
+  isGreeted: boolean;
 }
--- a/packages/track-members/src/index.ts
+++ b/packages/track-members/src/index.ts
@@ -2,4 +2,4 @@
 export { default as createMemberTable } from './member-table.js';
 export type { Member, MemberState, MemberTable, HeartbeatFacts } from './member-table.js';
 export { default as chooseLinks } from './choose-links.js';
-export { default as chooseWatchers } from './choose-watchers.js';
+export { default as chooseWatchers, rankVms } from './choose-watchers.js';
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -2,11 +2,11 @@
 export { default as TargetDirectory } from './target-directory.js';
 export type {
   LossCause,
-  PeerLoad,
   TargetChange,
   TargetDirectoryEvents,
   TargetNotice,
   TrackedServiceTarget,
 } from './target-directory.js';
+export type { AdvisedRequest, PeerLoad, ToldLoad } from './peer-loads.js';
 export { isSuspected, NO_EVIDENCE, observeTarget, readFailureRate } from './evidence.js';
 export type { TargetEvidence, TargetObservation } from './evidence.js';
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -8,6 +8,7 @@
   type TargetEvidence,
   type TargetObservation,
 } from './evidence.js';
+import PeerLoads, { type AdvisedRequest, type PeerLoad, type ToldLoad } from './peer-loads.js';
 
 /** Losses in one failure domain within this time are taken to have one cause. */
 const DOMAIN_WINDOW_MS = 700;
@@ -22,7 +23,7 @@
   inFlight: number;
   /** Those of them that read their prompts. */
   reading: number;
-  /** Requests of other VMs under way there, as far as they told. */
+  /** Requests of other VMs under way there, as far as they told or were advised. */
   peerRequests: number;
   /** Those of them that read their prompts. */
   peerReading: number;
@@ -30,13 +31,6 @@
   copies: number;
 }
 
-/** Requests of one VM at one target. */
-export interface PeerLoad {
-  requests: number;
-  /** Those of them that read their prompts. */
-  reading: number;
-}
-
 /** A change of what the directory of targets tells. */
 export type TargetChange = { kind: 'put'; target: ServiceTarget } | { kind: 'gone'; id: string };
 
@@ -64,12 +58,14 @@
   /** Service by service: what strikes engines need not strike the services beside them. */
   private readonly losses = new Map<string, DomainLosses>();
   private readonly listeners = new Set<() => void>();
-  private readonly peerLoads = new Map<string, ReadonlyMap<string, PeerLoad>>();
+  private readonly peerLoads: PeerLoads;
 
   constructor(
     private readonly clock: Clock,
     private readonly events: Partial<TargetDirectoryEvents> = {},
-  ) {}
+  ) {
+    this.peerLoads = new PeerLoads(clock, (id, total) => this.setPeerLoad(id, total));
+  }
 
   /** Number of known incarnations. */
   get size(): number {
@@ -174,19 +170,14 @@
     this.takeObservation(id, { kind: 'lost' });
   }
 
-  /** Takes the requests that another VM has under way at each target; empty once it is gone. */
-  takePeerLoad(peer: string, load: ReadonlyMap<string, PeerLoad>): void {
-    const before = this.peerLoads.get(peer);
-    this.peerLoads.set(peer, load);
-    if (load.size === 0) {
-      this.peerLoads.delete(peer);
-    }
-    for (const id of new Set([...(before?.keys() ?? []), ...load.keys()])) {
-      const tracked = this.tracked.get(id);
-      if (tracked !== undefined) {
-        this.sumPeerLoads(tracked);
-      }
-    }
+  /** Takes the requests that another VM has under way at each target; none once it is gone. */
+  takePeerLoad(peer: string, load: ToldLoad): void {
+    this.peerLoads.take(peer, load);
+  }
+
+  /** Another VM was advised to send a request to a target. */
+  noteAdvised(request: AdvisedRequest): void {
+    this.peerLoads.noteAdvised(request);
   }
 
   /** Notes that bytes came from a target; cheaper than an observation. */
@@ -243,13 +234,11 @@
     }
   }
 
-  private sumPeerLoads(tracked: TrackedServiceTarget): void {
-    tracked.peerRequests = 0;
-    tracked.peerReading = 0;
-    for (const loads of this.peerLoads.values()) {
-      const load = loads.get(tracked.target.id);
-      tracked.peerRequests += load?.requests ?? 0;
-      tracked.peerReading += load?.reading ?? 0;
+  private setPeerLoad(id: string, { requests, reading }: PeerLoad): void {
+    const tracked = this.tracked.get(id);
+    if (tracked !== undefined) {
+      tracked.peerRequests = requests;
+      tracked.peerReading = reading;
     }
   }
 
@@ -258,14 +247,15 @@
     if (known === undefined) {
       this.removeReplaced(target);
       this.lossesOf(target.service).join(target.failureDomain);
+      const peers = this.peerLoads.totalOf(target.id);
       this.tracked.set(target.id, {
         target,
         hash: hashText(target.id),
         evidence: { ...NO_EVIDENCE },
         inFlight: 0,
         reading: 0,
-        peerRequests: 0,
-        peerReading: 0,
+        peerRequests: peers.requests,
+        peerReading: peers.reading,
         copies: 0,
       });
       this.events.onNotice?.({ kind: target.leaving ? 'leaving' : 'joined', target });
