Avoid targets whose runs write slower than those of others

Cause: an engine that turned slow answers everything and fails nothing.

Change: a VM measures ten pieces of a run together, holds their pace against the median of its service's last runs, and tells the slowness (1.8 times and more) with its load. Beside a prompt that is read or was just read it says nothing. A run's expected delay grows by 4.5 s for each further multiple; the belief halves in 3 s where no run there tells.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -34,6 +34,7 @@
     reading: 0,
     peerRequests: 0,
     peerReading: 0,
+    readAtMs: 0,
     copies: 0,
     ...overrides,
   };
@@ -95,6 +96,14 @@
   assert.is(chooseServiceTarget(fresh, createRequest({ isDomainDoubtful }))?.target.id, 'b');
 });
 
+test('a slow target is taken only where the others have far more work', () => {
+  const slow = observeTarget(NO_EVIDENCE, { kind: 'paced', slowness: 3 }, 1_000);
+  const busy = [track('a', 'north', { evidence: slow }), track('b', 'south', { inFlight: 3 })];
+  assert.is(chooseServiceTarget(busy, createRequest())?.target.id, 'b');
+  const full = [track('a', 'north', { evidence: slow }), track('b', 'south', { inFlight: 4 })];
+  assert.is(chooseServiceTarget(full, createRequest())?.target.id, 'a');
+});
+
 test('a full target is not taken', () => {
   const full = track('a', 'north', { inFlight: 4 });
   assert.is(chooseServiceTarget([full], createRequest()), undefined);
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -7,6 +7,7 @@
 import {
   isSuspected,
   readFailureRate,
+  readSlowness,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { hashText, mixHashes, type Millis } from '@limelead/types';
@@ -29,6 +30,11 @@
  * are read together take each other's time.
  */
 const READING_MS = 1_000;
+/**
+ * Delay by a run that takes twice the usual time: the users' runs last four to five
+ * times as long as their prompts are read.
+ */
+const SLOW_RUN_MS = 4_500;
 /** Delay by a target of which every answer fails; at half of that it is worth six requests. */
 const FAILURE_MS = 12_000;
 /** Delay by a target whose failure domain is in doubt: any work elsewhere is better. */
@@ -100,6 +106,7 @@
         (isSameDomain ? DOUBT_MS : 0) +
         (isSuspected(evidence, now) ? SUSPICION_MS : 0) +
         (isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
+        (readSlowness(evidence, now) - 1) * SLOW_RUN_MS +
         (work.inFlight + work.peerRequests) * REQUEST_MS +
         work.copies * COPY_MS
       );
@@ -149,6 +156,7 @@
     (inFlight + peerRequests) * REQUEST_MS +
     (reading + peerReading) * READING_MS +
     (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_MS) +
+    (readSlowness(evidence, request.now) - 1) * SLOW_RUN_MS +
     (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_MS : 0) +
     (isSuspected(evidence, request.now) ? SUSPICION_MS : 0) +
     (request.isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -10,6 +10,7 @@
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
 import type ReadingTime from './reading-time.js';
+import type TargetPace from './target-pace.js';
 import type SilenceWatch from './silence-watch.js';
 
 /** Everything that requests of one VM share. */
@@ -26,6 +27,7 @@
   silence: SilenceWatch;
   kept: KeptPrompts;
   reading: ReadingTime;
+  pace: TargetPace;
   log: DecisionLog;
   metrics: Metrics;
   /** The configuration in force. */
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -232,6 +232,7 @@
     live.endReading();
     this.noteFirstPiece(live.hearing);
     live.hearing.hear();
+    live.pace.notePieces(pieces.length, this.context.clock.now());
     for (const { number, bytes } of pieces) {
       this.advance({
         kind: 'tokens',
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -23,6 +23,7 @@
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
+import TargetPace from './target-pace.js';
 import SilenceWatch from './silence-watch.js';
 
 const clock = { now: () => performance.now() };
@@ -213,6 +214,7 @@
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
       reading: new ReadingTime(),
+      pace: new TargetPace(() => undefined),
       kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
       log,
       metrics: createMetrics(),
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -6,6 +6,7 @@
 import type { Place } from './place-queue.js';
 import type RunCopies from './run-copies.js';
 import RunHearing from './run-hearing.js';
+import type { RunPace } from './target-pace.js';
 import StreamAttempt, { type StreamAttemptEvents } from './stream-attempt.js';
 
 /** One send with what belongs to it. */
@@ -15,6 +16,7 @@
   /** Where the run's memory is copied to. */
   copy?: RunCopy;
   hearing: RunHearing;
+  pace: RunPace;
   /** The run reads its prompt no longer. */
   endReading: () => void;
   forgetCopy: () => void;
@@ -59,7 +61,9 @@
     const { directory, silence } = this.context;
     const attempt = new StreamAttempt(this.context, order, this.events.createEvents(number));
     const hearing = this.createHearing(number, order, policy);
+    const pace = this.context.pace.createRun(target);
     this.live.set(number, {
+      pace,
       attempt,
       place,
       copy: copyTo && { keeper: copyTo, runId: order.request.requestId },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
+  TargetPace,
   type ForwardContext,
   type TargetDialect,
 } from '@limelead/forward-request';
@@ -76,6 +77,7 @@
   /** Undefined where this VM has no address for peers. */
   private readonly exchange: EvidenceExchange | undefined;
   private readonly frontDoor: HttpFrontDoor;
+  private readonly pace: TargetPace;
   private readonly retries: RetryBudgets;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -96,6 +98,10 @@
       onLost: (id, loss) => this.exchange?.noteLost(id, loss),
       onLoad: (tracked) => this.noteLoad(tracked),
     });
+    this.pace = new TargetPace((id, slowness) => {
+      this.directory.notePace(id, slowness);
+      this.exchange?.noteLoad();
+    });
     this.connections = new TargetConnections({
       clock: steadyClock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -209,6 +215,7 @@
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
       reading: new ReadingTime(),
+      pace: this.pace,
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
@@ -311,7 +318,12 @@
     return this.directory
       .all()
       .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked))
-      .map(({ target, inFlight, reading }) => ({ id: target.id, requests: inFlight, reading }));
+      .map(({ target, inFlight, reading }) => ({
+        id: target.id,
+        requests: inFlight,
+        reading,
+        slowness: this.pace.slownessOf(target.id),
+      }));
   }
 
   private noteLoad(tracked: TrackedServiceTarget): void {
@@ -332,6 +344,7 @@
     });
     if (kind !== 'joined') {
       this.connections.release(target.id);
+      this.pace.forget(target.id);
     }
   }
 }
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -1,7 +1,13 @@
 import createDecisionLog from '@limelead/decision-log';
 import { LimeleadError } from '@limelead/errors';
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
-import { KeptPrompts, PlaceQueue, ReadingTime, SilenceWatch } from '@limelead/forward-request';
+import {
+  KeptPrompts,
+  PlaceQueue,
+  ReadingTime,
+  SilenceWatch,
+  TargetPace,
+} from '@limelead/forward-request';
 import createMetrics from '@limelead/metrics';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
@@ -177,6 +183,7 @@
       places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
+      pace: new TargetPace(() => undefined),
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -5,6 +5,7 @@
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
+  TargetPace,
   type ForwardContext,
   type TargetDialect,
 } from '@limelead/forward-request';
@@ -153,6 +154,7 @@
     places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000 }),
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
+    pace: new TargetPace(() => undefined),
     kept: new KeptPrompts({ ...shared, connections, dialect, log }),
     log,
     metrics: createMetrics(),
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -35,7 +35,9 @@
   kind: t.literal('load'),
   /** Number of the receiver's last advice that this load follows; 0 for none. */
   advice: t.number,
-  targets: t.array(t.type({ id: t.string, requests: t.number, reading: t.number })),
+  targets: t.array(
+    t.type({ id: t.string, requests: t.number, reading: t.number, slowness: t.number }),
+  ),
 });
 
 /** The sender, or VMs that told it, found these targets lost just now; see `LostTargets`. */
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -44,6 +44,8 @@
   requests: number;
   /** Those of them that read their prompts. */
   reading: number;
+  /** Times the usual time that pieces take there, 1 or more. */
+  slowness: number;
 }
 
 /** A request for advice as a scheduler gets it. */
--- a/packages/track-service-targets/src/evidence.ts
+++ b/packages/track-service-targets/src/evidence.ts
@@ -6,6 +6,8 @@
 const FAILURE_HALF_LIFE_MS = 4_000;
 const FIRST_SUSPICION_MS = 400;
 const LONGEST_SUSPICION_MS = 3_000;
+/** Time in which what is believed of a slow target halves while no run there tells, in milliseconds. */
+const SLOWNESS_HALF_LIFE_MS = 3_000;
 /**
  * Time for which an incarnation is left alone whose address another one holds, in
  * milliseconds. It never comes back; its entry goes with three missed heartbeats, or
@@ -27,6 +29,9 @@
   /** Moving share of failed answers, 0 to 1, as of `failureRateAtMs`. */
   failureRate: number;
   failureRateAtMs: Millis;
+  /** Times the usual time that its pieces took, 1 or more, as of `slownessAtMs`. */
+  slowness: number;
+  slownessAtMs: Millis;
   /** Until when it is left alone because it said that it is full. */
   fullUntilMs: Millis;
 }
@@ -39,6 +44,8 @@
   suspicions: 0,
   failureRate: 0,
   failureRateAtMs: 0,
+  slowness: 1,
+  slownessAtMs: 0,
   fullUntilMs: 0,
 };
 
@@ -52,6 +59,8 @@
   | { kind: 'lost' }
   /** Another incarnation answers at its address. */
   | { kind: 'replaced' }
+  /** Its pieces took so many times the usual time. */
+  | { kind: 'paced'; slowness: number }
   /** It said that it has no place. */
   | { kind: 'full'; pauseMs: number };
 
@@ -75,6 +84,8 @@
       return suspect(withFailure(evidence, 1, now), now);
     case 'replaced':
       return { ...evidence, suspectedUntilMs: now + REPLACED_MS };
+    case 'paced':
+      return { ...evidence, slowness: observation.slowness, slownessAtMs: now };
     case 'full':
       return { ...evidence, heardAtMs: now, fullUntilMs: now + observation.pauseMs };
   }
@@ -86,6 +97,12 @@
   return evidence.failureRate * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
 }
 
+/** Times the usual time that a run takes there, 1 or more, as far as it is believed now. */
+export function readSlowness(evidence: TargetEvidence, now: Millis): number {
+  const ageMs = Math.max(0, now - evidence.slownessAtMs);
+  return 1 + (evidence.slowness - 1) * 0.5 ** (ageMs / SLOWNESS_HALF_LIFE_MS);
+}
+
 /** Whether the target is taken to be down now. */
 export function isSuspected(evidence: TargetEvidence, now: Millis): boolean {
   return evidence.suspectedUntilMs > now;
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -8,6 +8,12 @@
   TargetNotice,
   TrackedServiceTarget,
 } from './target-directory.js';
-export type { AdvisedRequest, PeerLoad, ToldLoad } from './peer-loads.js';
-export { isSuspected, NO_EVIDENCE, observeTarget, readFailureRate } from './evidence.js';
+export type { AdvisedRequest, PacedLoad, PeerLoad, ToldLoad } from './peer-loads.js';
+export {
+  isSuspected,
+  NO_EVIDENCE,
+  observeTarget,
+  readFailureRate,
+  readSlowness,
+} from './evidence.js';
 export type { TargetEvidence, TargetObservation } from './evidence.js';
--- a/packages/track-service-targets/src/peer-loads.test.ts
+++ b/packages/track-service-targets/src/peer-loads.test.ts
@@ -1,13 +1,14 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import PeerLoads, { type PeerLoad } from './peer-loads.js';
+import PeerLoads, { type PacedLoad } from './peer-loads.js';
 
-const ONE_READING: PeerLoad = { requests: 1, reading: 1 };
+const ONE_READING: PacedLoad = { requests: 1, reading: 1, slowness: 1 };
+const ONE: Omit<PacedLoad, 'slowness'> = { requests: 1, reading: 1 };
 
 function create() {
   const time = { now: 1_000 };
   const loads = new PeerLoads({ now: () => time.now }, () => undefined);
-  const tell = (peer: string, targets: [string, PeerLoad][], advice = 0): void =>
+  const tell = (peer: string, targets: [string, PacedLoad][], advice = 0): void =>
     loads.take(peer, { targets: new Map(targets), advice });
   return { time, loads, tell };
 }
@@ -15,7 +16,7 @@
 test('an advised request counts until its VM tells a load that follows the advice', () => {
   const { loads, tell } = create();
   loads.noteAdvised({ peer: 'a', advice: 7, target: 't1' });
-  assert.equal(loads.totalOf('t1'), ONE_READING);
+  assert.equal(loads.totalOf('t1'), ONE);
   tell('a', [['t2', ONE_READING]], 6);
   assert.is(loads.totalOf('t1').requests, 1);
   tell('b', [['t1', ONE_READING]], 9);
@@ -36,10 +37,10 @@
 
 test('the load of a VM that is gone is taken off again', () => {
   const { loads, tell } = create();
-  tell('a', [['t1', { requests: 3, reading: 1 }]]);
+  tell('a', [['t1', { requests: 3, reading: 1, slowness: 1 }]]);
   tell('b', [['t1', ONE_READING]]);
   tell('a', []);
-  assert.equal(loads.totalOf('t1'), ONE_READING);
+  assert.equal(loads.totalOf('t1'), ONE);
 });
 
 test.run();
--- a/packages/track-service-targets/src/peer-loads.ts
+++ b/packages/track-service-targets/src/peer-loads.ts
@@ -18,9 +18,15 @@
   reading: number;
 }
 
+/** Load of one VM at one target, with what its runs tell of the target's pace. */
+export interface PacedLoad extends PeerLoad {
+  /** Times the usual time that pieces take there, 1 or more. */
+  slowness: number;
+}
+
 /** What one VM told last. */
 export interface ToldLoad {
-  targets: ReadonlyMap<string, PeerLoad>;
+  targets: ReadonlyMap<string, PacedLoad>;
   /** Number of the last advice that this load already follows; 0 for none. */
   advice: number;
 }
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -1,7 +1,13 @@
 import type { ServiceTarget } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { TargetDirectory, type PeerLoad, type TargetNotice, type ToldLoad } from './index.js';
+import {
+  readSlowness,
+  TargetDirectory,
+  type PacedLoad,
+  type TargetNotice,
+  type ToldLoad,
+} from './index.js';
 
 function createTarget(id: string, overrides: Partial<ServiceTarget> = {}): ServiceTarget {
   return {
@@ -16,7 +22,7 @@
   };
 }
 
-function tellLoad(atT1?: PeerLoad): ToldLoad {
+function tellLoad(atT1?: PacedLoad): ToldLoad {
   return { targets: new Map(atT1 && [['t1', atT1]]), advice: 0 };
 }
 
@@ -130,11 +136,33 @@
   assert.not(directory.isSuspected('t4'));
 });
 
+test('a pace tells of a slow target, but not beside a prompt that is read or was just read', () => {
+  const { directory, time } = createDirectory();
+  directory.replaceAll([createTarget('t1')]);
+  const slowness = (): number => {
+    const tracked = directory.get('t1');
+    return tracked === undefined ? 0 : readSlowness(tracked.evidence, time.now);
+  };
+  const endReading = directory.beginReading('t1');
+  directory.notePace('t1', 5);
+  assert.is(slowness(), 1);
+  endReading();
+  directory.notePace('t1', 5);
+  assert.is(slowness(), 1);
+  time.now += 1_500;
+  directory.notePace('t1', 5);
+  assert.is(slowness(), 5);
+  time.now += 3_000;
+  assert.is(slowness(), 3);
+  directory.notePace('t1', 1);
+  assert.is(slowness(), 1);
+});
+
 test('the load of other VMs is summed, and goes with the VM that told it', () => {
   const { directory } = createDirectory();
   directory.replaceAll([createTarget('t1')]);
-  directory.takePeerLoad('vm-a', tellLoad({ requests: 2, reading: 1 }));
-  directory.takePeerLoad('vm-b', tellLoad({ requests: 3, reading: 2 }));
+  directory.takePeerLoad('vm-a', tellLoad({ requests: 2, reading: 1, slowness: 1 }));
+  directory.takePeerLoad('vm-b', tellLoad({ requests: 3, reading: 2, slowness: 1 }));
   assert.is(directory.get('t1')?.peerRequests, 5);
   assert.is(directory.get('t1')?.peerReading, 3);
   directory.takePeerLoad('vm-a', tellLoad());
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -13,6 +13,13 @@
 /** Losses in one failure domain within this time are taken to have one cause. */
 const DOMAIN_WINDOW_MS = 700;
 
+/**
+ * Time after the last reading of a prompt at a target in which the pace of its pieces
+ * tells nothing, in milliseconds: each step that reads takes five times as long, and
+ * pieces of about a second are measured together.
+ */
+const READING_BLURS_MS = 1_500;
+
 /** One incarnation of a target with everything known of it. */
 export interface TrackedServiceTarget {
   target: ServiceTarget;
@@ -27,6 +34,8 @@
   peerRequests: number;
   /** Those of them that read their prompts. */
   peerReading: number;
+  /** When a prompt was last known to be read there; 0 for never. */
+  readAtMs: Millis;
   /** Copies of runs of this VM kept there. */
   copies: number;
 }
@@ -146,6 +155,7 @@
     tracked.reading += 1;
     return once(() => {
       tracked.reading -= 1;
+      tracked.readAtMs = this.clock.now();
       this.events.onLoad?.(tracked);
     });
   }
@@ -176,6 +186,20 @@
   /** Takes the requests that another VM has under way at each target; none once it is gone. */
   takePeerLoad(peer: string, load: ToldLoad): void {
     this.peerLoads.take(peer, load);
+    load.targets.forEach(({ slowness }, id) => this.notePace(id, slowness));
+  }
+
+  /** Pieces of a run took so many times the usual time; worth nothing beside a prompt that is read. */
+  notePace(id: string, slowness: number): void {
+    const tracked = this.tracked.get(id);
+    if (tracked === undefined) {
+      return;
+    }
+    const reads = tracked.reading + tracked.peerReading > 0;
+    const isBlurred = reads || this.clock.now() - tracked.readAtMs < READING_BLURS_MS;
+    if (slowness === 1 || !isBlurred) {
+      this.takeObservation(id, { kind: 'paced', slowness });
+    }
   }
 
   /** Another VM was advised to send a request to a target. */
@@ -240,6 +264,9 @@
   private setPeerLoad(id: string, { requests, reading }: PeerLoad): void {
     const tracked = this.tracked.get(id);
     if (tracked !== undefined) {
+      if (tracked.peerReading > 0) {
+        tracked.readAtMs = this.clock.now();
+      }
       tracked.peerRequests = requests;
       tracked.peerReading = reading;
     }
@@ -259,6 +286,7 @@
         reading: 0,
         peerRequests: peers.requests,
         peerReading: peers.reading,
+        readAtMs: 0,
         copies: 0,
       });
       this.events.onNotice?.({ kind: target.leaving ? 'leaving' : 'joined', target });
