Pay for a repeat with an own part and a borrowed part together

Change: loans, which end, go first, and the rest is taken of the own part.

Measured: a test that failed before; that what all VMs spend together stays within the budget is held by the property tests.

--- a/packages/spend-retries/src/retry-spender.test.ts
+++ b/packages/spend-retries/src/retry-spender.test.ts
@@ -75,6 +75,15 @@
   );
 });
 
+test('an own part and a borrowed part that make one repeat together pay for it', () => {
+  const spender = new RetrySpender({ ratio: 0, slack: 0.75, windowMs: 1_000 });
+  assert.is(spender.remaining(0, 1), 0.75 * 0.8);
+  spender.borrow(0, 0.5);
+  assert.ok(spender.trySpend(0, 1));
+  assert.ok(Math.abs(spender.remaining(0, 1) - 0.1) < 1e-9);
+  assert.not(spender.trySpend(0, 1));
+});
+
 test('a spent budget comes back as its window passes', () => {
   const spender = new RetrySpender(budget);
   while (spender.trySpend(0, 1));
--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -64,7 +64,7 @@
    * @param vms number of VMs that share the slack
    */
   trySpend(now: Millis, vms: number): boolean {
-    const isPaid = this.spendOwn(now, vms) || this.spendLoan(now);
+    const isPaid = this.spendOne(now, vms);
     if (this.remaining(now, vms) + this.borrowed(now) < LOW_REPEATS) {
       this.onShort();
     }
@@ -106,26 +106,29 @@
     return SAFETY * allowed - repeats;
   }
 
-  private spendOwn(now: Millis, vms: number): boolean {
-    if (this.remaining(now, vms) < 1) {
+  /**
+   * Takes one repeat, of loans as far as they go, since those end, and the rest of this
+   * VM's own part: neither has to hold a whole one.
+   */
+  private spendOne(now: Millis, vms: number): boolean {
+    const borrowed = Math.min(1, this.borrowed(now));
+    const own = 1 - borrowed;
+    if (own > ROUNDING && this.remaining(now, vms) < own - ROUNDING) {
       return false;
     }
-    this.bucketAt(now).repeats += 1;
+    this.spendLoans(borrowed);
+    this.bucketAt(now).repeats += own;
     return true;
   }
 
-  /** Takes one repeat out of the loans, those that end first. */
-  private spendLoan(now: Millis): boolean {
-    if (this.borrowed(now) < 1 - ROUNDING) {
-      return false;
-    }
-    let missing = 1;
+  /** Takes so many repeats out of the loans, those that end first. */
+  private spendLoans(repeats: number): void {
+    let missing = repeats;
     for (const loan of this.loans) {
       const taken = Math.min(missing, loan.repeats);
       loan.repeats -= taken;
       missing -= taken;
     }
-    return true;
   }
 
   /** Repeats of loans that are still to be spent; the others are dropped. */
