Tell a request whose caller left before it is forwarded that it is gone

Cause: a sink that was asked after its response had closed never told anybody. A process that was slow reads a request and its caller's end together, and sent what nobody waits for.

Change: who asks later is told at once.

Measured: a test on a socket that failed before.

--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -90,13 +90,19 @@
     this.endBehindBody(isBodyRead);
   }
 
+  /** Told at once where the caller left before: a request and its end may be read together. */
   onGone(callback: () => void): void {
-    this.response.on('close', () => {
+    const tell = (): void => {
       if (!this.isOver) {
         this.isOver = true;
         callback();
       }
-    });
+    };
+    if (this.response.closed) {
+      tell();
+    } else {
+      this.response.on('close', tell);
+    }
   }
 
   /**
