Encode what goes to several peers once; split the store's part from the exchange

Change: one message to several peers is encoded once, news of the store too. What VMs tell each other of the store is a piece of its own.

--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -38,7 +38,8 @@
   /** Opens links to those peers to which there is none. */
   open(peers: PeerAddress[]): void;
   send(peer: VmId, message: Message): boolean;
-  broadcast(message: Message, except?: VmId): void;
+  /** Sends one message to several peers, all that are linked unless they are named; encoded once. */
+  broadcast(message: Message, peers?: readonly VmId[]): void;
   /** Ends a link; it may be opened again. */
   drop(peer: VmId): void;
   linked(): VmId[];
@@ -124,12 +125,10 @@
       link?.send(message);
       return link !== undefined;
     },
-    broadcast(message, except) {
-      const bytes = options.format.encode(message);
-      for (const [peer, link] of ready) {
-        if (peer !== except) {
-          link.send(message, bytes);
-        }
+    broadcast(message, peers = [...ready.keys()]) {
+      if (peers.length > 0) {
+        const bytes = options.format.encode(message);
+        peers.forEach((peer) => ready.get(peer)?.send(message, bytes));
       }
     },
     drop: (peer) => ready.get(peer)?.close(),
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -6,7 +6,6 @@
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
-import CatchUp from './catch-up.js';
 import LoadExchange from './load-exchange.js';
 import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
@@ -14,7 +13,7 @@
 import Membership from './membership.js';
 import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
-import StoreNews from './store-news.js';
+import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { EvidenceExchangeOptions, PeerId, PeerState } from './types.js';
 
@@ -43,8 +42,7 @@
   private readonly load: LoadExchange;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
-  private readonly catchUp: CatchUp;
-  private readonly storeNews: StoreNews;
+  private readonly store: StoreExchange;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
   private isStopped = false;
@@ -53,39 +51,36 @@
     const { clock, timers, random } = options;
     this.peers = new PeerTable(clock);
     const listPeers = (): PeerId[] => this.listGossiping();
+    const send = (peer: PeerId, message: EvidenceMessage): void => {
+      this.links?.send(peer, message);
+    };
     this.loans = new RepeatLoans({
       clock,
       random,
       listPeers,
-      ask: (peer, service, repeats) =>
-        this.links?.send(peer, { kind: 'want-repeats', service, repeats }),
+      ask: (peer, service, repeats) => send(peer, { kind: 'want-repeats', service, repeats }),
     });
-    this.catchUp = new CatchUp({
-      clock,
-      timers,
-      readKnowledge: options.readKnowledge,
-      isFollowing: () => this.mustFollow,
-      listPeers: () => this.peers.readKnowledge(this.listGossiping()),
-      ask: (peer, since) => this.links?.send(peer, { kind: 'want-items', since }),
-    });
-    this.storeNews = new StoreNews({
-      clock,
-      readKnowledge: options.readKnowledge,
+    this.store = new StoreExchange({
+      ...options,
+      peers: this.peers,
       listPeers,
-      tell: (peer, news) => this.links?.send(peer, { kind: 'store-news', ...news }),
+      isLarge: () => this.isLarge,
+      followsForOthers: () => this.followsForOthers,
+      send,
+      broadcast: (message, peers) => this.links?.broadcast(message, peers),
     });
     this.load = new LoadExchange({
       ...options,
       self: options.id,
       peers: this.peers,
       listSchedulers: () => this.members?.schedulers ?? [],
-      send: (peer, message) => this.links?.send(peer, message),
+      send,
     });
     this.lossNews = new LossNews({
       clock,
       timers,
       listPeers,
-      tell: (peer, lost) => this.links?.send(peer, { kind: 'lost', ...lost }),
+      tell: (peer, lost) => send(peer, { kind: 'lost', ...lost }),
     });
   }
 
@@ -101,7 +96,7 @@
 
   /** Whether this VM has to ask the store itself. */
   get mustFollow(): boolean {
-    return !this.isLarge || this.followsForOthers || !this.storeNews.isCurrent;
+    return this.store.mustFollow;
   }
 
   /** Whether others rely on this VM to follow the store. */
@@ -115,7 +110,7 @@
    */
   get startWaitMs(): Millis {
     const { id, seeds } = this.options;
-    if (seeds.length === 0 || seeds.includes(id) || this.storeNews.wantsLargeConfiguration) {
+    if (seeds.length === 0 || seeds.includes(id) || this.store.wantsLargeConfiguration) {
       return 0;
     }
     return this.isLarge ? LARGE_START_WAIT_MS : START_WAIT_MS;
@@ -127,20 +122,18 @@
       isLarge: this.isLarge,
       followsForOthers: this.followsForOthers,
       peers: this.peers.size,
-      wantsLargeConfiguration: this.storeNews.wantsLargeConfiguration,
+      wantsLargeConfiguration: this.store.wantsLargeConfiguration,
     });
   }
 
   /** When the store last answered any VM, as far as this one heard. */
   get storeConfirmedAtMs(): Millis {
-    return this.storeNews.lastConfirmedAtMs;
+    return this.store.confirmedAtMs;
   }
 
   /** The store answered this VM. */
   noteStoreAnswered(): void {
-    if (this.isLarge) {
-      this.storeNews.confirm();
-    }
+    this.store.noteAnswered();
   }
 
   /** Begins to talk. */
@@ -197,7 +190,7 @@
     const { configuration } = this.options.readKnowledge();
     if (configuration > this.toldConfiguration) {
       this.toldConfiguration = configuration;
-      this.listGossiping().forEach((peer) => this.sendHeartbeat(peer, []));
+      this.sendHeartbeats(this.listGossiping(), []);
     }
   }
 
@@ -211,9 +204,9 @@
     }
     this.peers.listSilent().forEach((peer) => this.drop(peer));
     const named = this.members?.tend() ?? [];
-    this.peers.list().forEach((peer) => this.beatTo(peer, named));
+    this.beatTo(this.peers.list(), named);
     this.load.tell();
-    this.catchUp.check();
+    this.store.check();
     this.options.timers.after(nextMs, () => this.beat());
   }
 
@@ -222,28 +215,39 @@
     this.onPeerLost(peer);
   }
 
-  private beatTo(peer: PeerId, named: MemberAge[]): void {
-    const state = this.peers.get(peer);
-    if (state === undefined || !this.gossips(peer)) {
-      this.links?.send(peer, { kind: 'pulse' });
-    } else if (state.isGreeted) {
-      this.sendHeartbeat(peer, named);
-    } else {
-      this.greet(peer, state);
+  private beatTo(peers: PeerId[], named: MemberAge[]): void {
+    const gossiping = peers.filter((peer) => this.gossips(peer));
+    const others = peers.filter((peer) => !gossiping.includes(peer));
+    this.links?.broadcast({ kind: 'pulse' }, others);
+    this.sendHeartbeats(gossiping, named);
+  }
+
+  /** The first heartbeat to a peer names all members. */
+  private sendHeartbeats(peers: PeerId[], named: MemberAge[]): void {
+    const greeted = this.peers.takeUngreeted(peers);
+    if (greeted.length > 0) {
+      this.sendHeartbeat(greeted, this.members?.nameAll() ?? []);
     }
+    this.sendHeartbeat(
+      peers.filter((peer) => !greeted.includes(peer)),
+      named,
+    );
   }
 
-  /** The first heartbeat names all members. */
-  private greet(peer: PeerId, state: PeerState): void {
-    state.isGreeted = true;
-    this.sendHeartbeat(peer, this.members?.nameAll() ?? []);
+  private sendHeartbeat(peers: PeerId[], members: MemberAge[]): void {
+    const { revision, configuration, configurationBytes } = this.options.readKnowledge();
+    const knowledge = { revision, configuration, configurationBytes };
+    for (const wanted of [true, false]) {
+      const addressed = peers.filter((peer) => this.isChosen(peer) === wanted);
+      this.links?.broadcast({ kind: 'heartbeat', wanted, members, ...knowledge }, addressed);
+    }
   }
 
   private onReady(peer: PeerId): void {
     this.peers.add(peer);
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
-    this.beatTo(peer, []);
+    this.beatTo([peer], []);
     this.load.noteLinked(peer);
   }
 
@@ -295,10 +299,10 @@
         this.onLost(peer, message.replaced, 'replaced');
         break;
       case 'store-news':
-        this.onStoreNews(peer, state, message);
+        this.store.hearNews(peer, message);
         break;
       case 'want-items':
-        this.sendItems(peer, message.since);
+        this.store.answer(peer, message);
         break;
       case 'want-repeats':
         this.lendRepeats(peer, message);
@@ -307,10 +311,7 @@
         this.options.onRepeats(message.service, message.repeats);
         break;
       case 'items':
-        this.catchUp.noteAnswer();
-        this.options.onUpdate(message);
-        this.storeNews.noteCaughtUp();
-        this.catchUp.check();
+        this.store.hearItems(message);
         break;
     }
   }
@@ -321,26 +322,6 @@
       .forEach((target) => this.options.onLost(target, loss));
   }
 
-  private onStoreNews(peer: PeerId, state: PeerState, news: EvidenceMessageOf<'store-news'>): void {
-    state.revision = Math.max(state.revision, news.revision);
-    state.configuration = Math.max(state.configuration, news.configuration);
-    state.configurationBytes = news.configurationBytes;
-    this.storeNews.hear(peer, news);
-    this.catchUp.check();
-  }
-
-  /** The peer gets what it lacks, once. */
-  private sendItems(peer: PeerId, since: number): void {
-    const items = this.options.listItems();
-    const { revision } = this.options.readKnowledge();
-    this.links?.send(peer, {
-      kind: 'items',
-      items: items.filter((item) => item.revision > since),
-      keys: items.map(({ key }) => key),
-      revision,
-    });
-  }
-
   private lendRepeats(
     peer: PeerId,
     { service, repeats: wanted }: EvidenceMessageOf<'want-repeats'>,
@@ -357,27 +338,11 @@
     message: EvidenceMessageOf<'heartbeat'>,
   ): void {
     state.isWantedThere = message.wanted;
-    state.revision = message.revision;
-    state.configuration = message.configuration;
-    state.configurationBytes = message.configurationBytes;
-    this.storeNews.noteConfiguration(message);
+    this.store.noteKnowledge(peer, message);
     this.members?.hear(message.members);
     if (!state.isGreeted && this.gossips(peer)) {
-      this.greet(peer, state);
+      this.sendHeartbeats([peer], []);
     }
-    this.catchUp.check();
-  }
-
-  private sendHeartbeat(peer: PeerId, members: MemberAge[]): void {
-    const { revision, configuration, configurationBytes } = this.options.readKnowledge();
-    const wanted = this.isChosen(peer);
-    this.links?.send(peer, {
-      kind: 'heartbeat',
-      wanted,
-      members,
-      revision,
-      configuration,
-      configurationBytes,
-    });
+    this.store.check();
   }
 }
--- a/packages/share-evidence/src/peer-table.ts
+++ b/packages/share-evidence/src/peer-table.ts
@@ -56,6 +56,39 @@
     return isWantedHere(peer) || this.peers.get(peer)?.isWantedThere === true;
   }
 
+  /** Those of some peers that were not named all members yet; from now on they were. */
+  takeUngreeted(peers: PeerId[]): PeerId[] {
+    return peers.filter((peer) => {
+      const state = this.peers.get(peer);
+      const isFirst = state?.isGreeted === false;
+      if (isFirst) {
+        state.isGreeted = true;
+      }
+      return isFirst;
+    });
+  }
+
+  /** A peer told all that it knows of the store. */
+  noteKnowledge(
+    peer: PeerId,
+    { revision, configuration, configurationBytes }: PeerKnowledge,
+  ): void {
+    const state = this.peers.get(peer);
+    if (state !== undefined) {
+      Object.assign(state, { revision, configuration, configurationBytes });
+    }
+  }
+
+  /** A peer has news of the store, which may be older than what it told before. */
+  noteNews(peer: PeerId, { revision, configuration, configurationBytes }: PeerKnowledge): void {
+    const state = this.peers.get(peer);
+    if (state !== undefined) {
+      state.revision = Math.max(state.revision, revision);
+      state.configuration = Math.max(state.configuration, configuration);
+      state.configurationBytes = configurationBytes;
+    }
+  }
+
   /** What each of some peers knows of the store. */
   readKnowledge(peers: PeerId[]): (readonly [PeerId, PeerKnowledge])[] {
     return peers.flatMap((peer) => {
--- /dev/null
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -0,0 +1,110 @@
+/** What VMs tell each other of the store: how new their knowledge is, and its items to those that lack them. */
+import type { Clock, Millis, Timers } from '@limelead/types';
+import CatchUp from './catch-up.js';
+import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
+import type PeerTable from './peer-table.js';
+import StoreNews from './store-news.js';
+import type { EvidenceExchangeOptions, PeerId, PeerKnowledge } from './types.js';
+
+/** What it needs. */
+export interface StoreExchangeOptions extends Pick<
+  EvidenceExchangeOptions,
+  'readKnowledge' | 'listItems' | 'onUpdate'
+> {
+  clock: Clock;
+  timers: Timers;
+  peers: PeerTable;
+  /** Peers with which news are shared. */
+  listPeers(): PeerId[];
+  /** Whether a few VMs follow the store for all. */
+  isLarge(): boolean;
+  /** Whether this VM is one of them. */
+  followsForOthers(): boolean;
+  send(peer: PeerId, message: EvidenceMessage): void;
+  broadcast(message: EvidenceMessage, peers: PeerId[]): void;
+}
+
+/** Tells and takes news of the store. */
+export default class StoreExchange {
+  private readonly catchUp: CatchUp;
+  private readonly news: StoreNews;
+
+  constructor(private readonly options: StoreExchangeOptions) {
+    const { clock, timers, readKnowledge, peers, listPeers, send, broadcast } = options;
+    this.catchUp = new CatchUp({
+      clock,
+      timers,
+      readKnowledge,
+      isFollowing: () => this.mustFollow,
+      listPeers: () => peers.readKnowledge(listPeers()),
+      ask: (peer, since) => send(peer, { kind: 'want-items', since }),
+    });
+    this.news = new StoreNews({
+      clock,
+      readKnowledge,
+      listPeers,
+      tell: (told, news) => broadcast({ kind: 'store-news', ...news }, told),
+    });
+  }
+
+  /** Whether this VM has to ask the store itself. */
+  get mustFollow(): boolean {
+    const { isLarge, followsForOthers } = this.options;
+    return !isLarge() || followsForOthers() || !this.news.isCurrent;
+  }
+
+  /** Whether this VM has to read a large configuration from the store itself. */
+  get wantsLargeConfiguration(): boolean {
+    return this.news.wantsLargeConfiguration;
+  }
+
+  /** When the store last answered any VM, as far as this one heard. */
+  get confirmedAtMs(): Millis {
+    return this.news.lastConfirmedAtMs;
+  }
+
+  /** The store answered this VM. */
+  noteAnswered(): void {
+    if (this.options.isLarge()) {
+      this.news.confirm();
+    }
+  }
+
+  /** Asks a peer for what this VM lacks, where it is time to. */
+  check(): void {
+    this.catchUp.check();
+  }
+
+  /** A peer knows so much of the store. */
+  noteKnowledge(peer: PeerId, knowledge: PeerKnowledge): void {
+    this.options.peers.noteKnowledge(peer, knowledge);
+    this.news.noteConfiguration(knowledge);
+  }
+
+  /** A peer has news. */
+  hearNews(peer: PeerId, news: EvidenceMessageOf<'store-news'>): void {
+    this.options.peers.noteNews(peer, news);
+    this.news.hear(peer, news);
+    this.catchUp.check();
+  }
+
+  /** A peer gets what it lacks, once. */
+  answer(peer: PeerId, { since }: EvidenceMessageOf<'want-items'>): void {
+    const { listItems, readKnowledge, send } = this.options;
+    const items = listItems();
+    send(peer, {
+      kind: 'items',
+      items: items.filter((item) => item.revision > since),
+      keys: items.map(({ key }) => key),
+      revision: readKnowledge().revision,
+    });
+  }
+
+  /** A peer gave what this VM lacked. */
+  hearItems(items: EvidenceMessageOf<'items'>): void {
+    this.catchUp.noteAnswer();
+    this.options.onUpdate(items);
+    this.news.noteCaughtUp();
+    this.catchUp.check();
+  }
+}
--- a/packages/share-evidence/src/store-news.test.ts
+++ b/packages/share-evidence/src/store-news.test.ts
@@ -17,7 +17,7 @@
       isStoreAway: false,
     }),
     listPeers: () => ['a', 'b'],
-    tell: (peer, what) => told.push([peer, what]),
+    tell: (peers, what) => peers.forEach((peer) => told.push([peer, what])),
   });
   return { clock, known, told, news };
 }
--- a/packages/share-evidence/src/store-news.ts
+++ b/packages/share-evidence/src/store-news.ts
@@ -42,7 +42,7 @@
   clock: Clock;
   readKnowledge(): StoreKnowledge;
   listPeers(): PeerId[];
-  tell(peer: PeerId, news: NewsOfStore): void;
+  tell(peers: PeerId[], news: NewsOfStore): void;
 }
 
 /** Takes news and passes them on. */
@@ -117,10 +117,7 @@
     this.toldRevision = revision;
     this.toldAtMs = this.confirmedAtMs;
     const ageMs = Math.round(clock.now() - this.confirmedAtMs);
-    for (const peer of listPeers()) {
-      if (peer !== except) {
-        tell(peer, { revision, configuration, configurationBytes, ageMs });
-      }
-    }
+    const peers = listPeers().filter((peer) => peer !== except);
+    tell(peers, { revision, configuration, configurationBytes, ageMs });
   }
 }
