Let the scheduler choose where copies of runs stand

Cause: each VM spread its own copies only.

Change: VMs tell the copies that they keep with their load, and the scheduler names the keeper with the target. In a small fleet every VM counts the copies of all.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -36,6 +36,7 @@
     peerReading: 0,
     readAtMs: 0,
     copies: 0,
+    peerCopies: 0,
     ...overrides,
   };
 }
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -54,6 +54,12 @@
 /** Delay by one copy kept at a target: it takes memory as a run does, but no time. */
 const COPY_MS = 500;
 
+/**
+ * A failure domain that lost targets this lately keeps no new copies, in milliseconds:
+ * targets that come back there are told as lost or new only one by one.
+ */
+export const KEEPER_DOUBT_MS = 2_500;
+
 /** What a target is chosen for. */
 export interface ServiceChoiceRequest {
   affinityKey: string;
@@ -108,7 +114,7 @@
         (isDomainDoubtful(target.failureDomain) ? DOUBT_MS : 0) +
         (readSlowness(evidence, now) - 1) * SLOW_RUN_MS +
         (work.inFlight + work.peerRequests) * REQUEST_MS +
-        work.copies * COPY_MS
+        (work.copies + work.peerCopies) * COPY_MS
       );
     },
   );
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -74,7 +74,10 @@
   const stopAsking = context.askTarget(
     { service, affinityKey: request.affinityKey, exclude },
     (advice) => {
-      const place = advice.outcome === 'advised' ? context.places.takeAt(advice.target) : undefined;
+      const place =
+        advice.outcome === 'advised'
+          ? context.places.takeAt(advice.target, advice.copyTo)
+          : undefined;
       reportAdvice(context, request.requestId, advice, place !== undefined);
       if (place === undefined) {
         stopWaiting = takeAnyPlace(context, admitted, search);
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -221,9 +221,9 @@
 });
 
 /** A scheduler that always advises the same target. */
-function advise(target: string): AskTarget {
+function advise(target: string, copyTo?: string): AskTarget {
   return (_, receive) => {
-    receive({ outcome: 'advised', target, scheduler: 'vm', afterMs: 1 });
+    receive({ outcome: 'advised', target, copyTo, scheduler: 'vm', afterMs: 1 });
     return () => undefined;
   };
 }
@@ -249,6 +249,21 @@
   await bed.stop();
 });
 
+test('a copy stands where the scheduler advises, unless this VM just found that target lost', async () => {
+  const bed = await TestBed.start(streamTo(2), streamTo(2), streamTo(2));
+  bed.askTarget = advise('t1', 't3');
+  const copyTo = async (): Promise<string | undefined> => {
+    const sink = new RecordingSink();
+    forwardStream(bed.context, admit(), sink);
+    await sink.done;
+    return bed.seen.at(-1)?.copyTo;
+  };
+  assert.is(await copyTo(), 't3');
+  bed.directory.observe('t3', { kind: 'lost' });
+  assert.is(await copyTo(), 't2');
+  await bed.stop();
+});
+
 test('a caller that leaves while the scheduler is asked sends nothing to any target', async () => {
   const bed = await TestBed.start(streamTo(2));
   let answer = (): void => undefined;
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -22,6 +22,8 @@
 /** A place at a target; `release` gives it back. */
 export interface Place {
   tracked: TrackedServiceTarget;
+  /** Where the scheduler would keep a copy of the run. */
+  copyTo?: string;
   release(): void;
 }
 
@@ -53,7 +55,7 @@
   }
 
   /** Takes a place at one target where it takes work and has one free. */
-  takeAt(targetId: string): Place | undefined {
+  takeAt(targetId: string, copyTo?: string): Place | undefined {
     const { clock, directory, limit } = this.options;
     const tracked = directory.get(targetId);
     const isFree =
@@ -62,7 +64,7 @@
       !directory.isSuspected(targetId) &&
       tracked.evidence.fullUntilMs <= clock.now() &&
       tracked.inFlight < limit(tracked);
-    return isFree ? { tracked, release: directory.begin(targetId) } : undefined;
+    return isFree ? { tracked, copyTo, release: directory.begin(targetId) } : undefined;
   }
 
   /** Requests that wait now. */
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -1,17 +1,11 @@
 /** Where copies of a run's memory are kept, and which of them a broken run goes on from. */
-import { chooseCopyKeeper } from '@limelead/choose-service-target';
+import { chooseCopyKeeper, KEEPER_DOUBT_MS } from '@limelead/choose-service-target';
 import type { ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy } from './dialect.js';
 import type { Place } from './place-queue.js';
 
-/**
- * A failure domain that lost targets this lately keeps no new copies: targets
- * that come back there are told as lost or new only one by one.
- */
-const KEEPER_DOUBT_MS = 2_500;
-
 /** The copies of one request's runs. */
 export default class RunCopies {
   /** The copy that the next attempt may go on from. */
@@ -57,6 +51,10 @@
     if (!route.repeatable || engine?.copiesRuns !== true) {
       return undefined;
     }
+    const advised = this.findAdvised(place);
+    if (advised !== undefined) {
+      return advised;
+    }
     return chooseCopyKeeper(directory.listUsable(service), {
       affinityKey: request.affinityKey,
       running: place.tracked,
@@ -64,4 +62,11 @@
       now: clock.now(),
     })?.target;
   }
+  /** The keeper that the scheduler advised with the place, where this VM knows nothing against it. */
+  private findAdvised({ copyTo }: Place): ServiceTarget | undefined {
+    const { directory } = this.context;
+    const target = copyTo === undefined ? undefined : directory.get(copyTo)?.target;
+    const isUsable = target !== undefined && !target.leaving && !directory.isSuspected(target.id);
+    return isUsable ? target : undefined;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -317,11 +317,12 @@
   private readLoad(): TargetLoad[] {
     return this.directory
       .all()
-      .filter((tracked) => tracked.inFlight > 0 && this.isEngine(tracked))
-      .map(({ target, inFlight, reading }) => ({
+      .filter((tracked) => tracked.inFlight + tracked.copies > 0 && this.isEngine(tracked))
+      .map(({ target, inFlight, reading, copies }) => ({
         id: target.id,
         requests: inFlight,
         reading,
+        copies,
         slowness: this.pace.slownessOf(target.id),
       }));
   }
--- a/packages/gateway/src/target-scheduler.test.ts
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -1,6 +1,6 @@
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
-import type { TargetQuestion } from '@limelead/share-evidence';
+import type { TargetAnswer, TargetQuestion } from '@limelead/share-evidence';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import TargetScheduler from './target-scheduler.js';
@@ -19,25 +19,33 @@
   };
 }
 
+const QUESTION: TargetQuestion = {
+  service: 'briefs',
+  affinityKey: 'session',
+  failureDomain: 'north',
+  exclude: [],
+  number: 1,
+  part: 0,
+  parts: 1,
+};
+
 function create(count: number, slots?: number) {
   const directory = new TargetDirectory(clock);
   directory.replaceAll(Array.from({ length: count }, (_, index) => createTarget(index, slots)));
   const scheduler = new TargetScheduler({ self: 'self', clock, directory });
   let asked = 0;
+  const advise = (peer: string, question: TargetQuestion): TargetAnswer | undefined =>
+    scheduler.advise(peer, question);
   const ask = (peer: string, question: Partial<TargetQuestion> = {}): string | undefined => {
     asked += 1;
-    return scheduler.advise(peer, {
-      service: 'briefs',
+    return advise(peer, {
+      ...QUESTION,
       affinityKey: `session ${asked}`,
-      failureDomain: 'north',
-      exclude: [],
       number: asked,
-      part: 0,
-      parts: 1,
       ...question,
-    });
+    })?.target;
   };
-  return { directory, ask };
+  return { directory, advise, ask };
 }
 
 test('VMs that ask at the same moment are sent to different idle targets', () => {
@@ -48,7 +56,7 @@
 
 test('no VM is sent to a target of which all places are taken by others', () => {
   const { directory, ask } = create(1, 2);
-  const load = { requests: 2, reading: 0, slowness: 1 };
+  const load = { requests: 2, reading: 0, copies: 0, slowness: 1 };
   directory.takePeerLoad('vm-a', { targets: new Map([['t0', load]]), advice: 0 });
   assert.is(ask('vm-b'), undefined);
   directory.takePeerLoad('vm-a', { targets: new Map(), advice: 0 });
@@ -63,6 +71,22 @@
   assert.not([...even].some((target) => odd.has(target)));
 });
 
+test('copies are spread over the targets of other domains, whoever asks', () => {
+  const { directory, advise } = create(12);
+  const south = Array.from({ length: 10 }, (_, index) => ({
+    ...createTarget(100 + index),
+    failureDomain: 'south',
+  }));
+  directory.apply(south.map((target) => ({ kind: 'put', target })));
+  const keepers = Array.from({ length: 10 }, (_, index) =>
+    advise(`vm-${index}`, { ...QUESTION, number: 1, affinityKey: `session ${index}` }),
+  ).map((answer) => answer?.copyTo);
+  assert.is(new Set(keepers).size, 10);
+  assert.ok(
+    keepers.every((keeper) => directory.get(keeper ?? '')?.target.failureDomain === 'south'),
+  );
+});
+
 test('what this VM advised itself is counted by its own requests alone', () => {
   const { directory, ask } = create(1);
   ask('self');
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -2,9 +2,18 @@
  * Answers the VMs of a large fleet that ask where a stream should go. This VM is told
  * the load of all others, and counts what it advised until they tell of it.
  */
-import { chooseServiceTarget } from '@limelead/choose-service-target';
-import { choosePart, type PeerId, type TargetQuestion } from '@limelead/share-evidence';
-import type { TargetDirectory } from '@limelead/track-service-targets';
+import {
+  chooseCopyKeeper,
+  chooseServiceTarget,
+  KEEPER_DOUBT_MS,
+} from '@limelead/choose-service-target';
+import {
+  choosePart,
+  type PeerId,
+  type TargetAnswer,
+  type TargetQuestion,
+} from '@limelead/share-evidence';
+import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { Clock } from '@limelead/types';
 
 /** What a scheduler needs. */
@@ -20,9 +29,10 @@
   constructor(private readonly options: TargetSchedulerOptions) {}
 
   /** The target with the least work; undefined where all are full or none is there. */
-  advise(peer: PeerId, question: TargetQuestion): string | undefined {
+  advise(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined {
     const { self, clock, directory } = this.options;
     const { service, number, part, parts } = question;
+    const now = clock.now();
     const targets = directory
       .listUsable(service)
       .filter(({ target }) => parts <= 1 || choosePart(target.id, parts) === part);
@@ -31,11 +41,29 @@
       exclude: new Set(question.exclude),
       limit: ({ target, peerRequests }) => target.slots - peerRequests,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain),
-      now: clock.now(),
+      now,
     });
-    if (chosen !== undefined && peer !== self) {
-      directory.noteAdvised({ peer, advice: number, target: chosen.target.id });
+    if (chosen === undefined) {
+      return undefined;
+    }
+    const answer = { target: chosen.target.id, copyTo: this.chooseCopyTo(chosen, question) };
+    if (peer !== self) {
+      directory.noteAdvised({ peer, advice: number, ...answer });
     }
-    return chosen?.target.id;
+    return answer;
+  }
+
+  /** Any part of the targets may keep the copy: what is known of their load is soft anyway. */
+  private chooseCopyTo(
+    running: TrackedServiceTarget,
+    { service, affinityKey }: TargetQuestion,
+  ): string | undefined {
+    const { clock, directory } = this.options;
+    return chooseCopyKeeper(directory.listUsable(service), {
+      affinityKey,
+      running,
+      isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
+      now: clock.now(),
+    })?.target.id;
   }
 }
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -118,8 +118,8 @@
   const near = await Vm.start(b, 'north', [a]);
   const far = await Vm.start(c, 'south', [a]);
   teller.load = [
-    { id: 'n1', requests: 2, reading: 1, slowness: 1 },
-    { id: 's1', requests: 1, reading: 0, slowness: 1 },
+    { id: 'n1', requests: 2, reading: 1, copies: 0, slowness: 1 },
+    { id: 's1', requests: 1, reading: 0, copies: 0, slowness: 1 },
   ];
   const told = (vm: Vm): Record<string, number> =>
     Object.fromEntries(
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -6,6 +6,7 @@
   PeerId,
   StoreKnowledge,
   StoreUpdate,
+  TargetAnswer,
   TargetLoad,
   TargetQuestion,
 } from './types.js';
--- a/packages/share-evidence/src/load-exchange.ts
+++ b/packages/share-evidence/src/load-exchange.ts
@@ -96,13 +96,19 @@
   /** A peer asks where its stream should go. */
   answer(peer: PeerId, question: EvidenceMessageOf<'want-target'>): void {
     const { adviseTarget, send } = this.options;
-    const target = adviseTarget(peer, question) ?? null;
-    send(peer, { kind: 'advise-target', number: question.number, target });
+    const answer = adviseTarget(peer, question);
+    send(peer, {
+      kind: 'advise-target',
+      number: question.number,
+      target: answer?.target ?? null,
+      copyTo: answer?.copyTo ?? null,
+    });
   }
 
   /** A scheduler answered. */
-  hearAdvice(peer: PeerId, { number, target }: EvidenceMessageOf<'advise-target'>): void {
-    this.advice.hear(peer, number, target ?? undefined);
+  hearAdvice(peer: PeerId, { number, target, copyTo }: EvidenceMessageOf<'advise-target'>): void {
+    const answer = target === null ? undefined : { target, copyTo: copyTo ?? undefined };
+    this.advice.hear(peer, number, answer);
   }
 
   /** The schedulers, or all peers where there are none. */
--- a/packages/share-evidence/src/load-news.test.ts
+++ b/packages/share-evidence/src/load-news.test.ts
@@ -23,7 +23,7 @@
 
 test('changes that come together are told once, and to nobody who knows them', () => {
   const { told, due, state, news } = create();
-  state.load = [{ id: 't1', requests: 1, reading: 1, slowness: 1 }];
+  state.load = [{ id: 't1', requests: 1, reading: 1, copies: 0, slowness: 1 }];
   news.note();
   news.note();
   assert.is(due.length, 1);
@@ -45,7 +45,7 @@
 
 test('a peer that should know no longer is told that there is no load, once', () => {
   const { told, state, news } = create();
-  state.load = [{ id: 't1', requests: 1, reading: 1, slowness: 1 }];
+  state.load = [{ id: 't1', requests: 1, reading: 1, copies: 0, slowness: 1 }];
   news.tellAll();
   state.listed = ['b'];
   news.tellAll();
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -36,7 +36,13 @@
   /** Number of the receiver's last advice that this load follows; 0 for none. */
   advice: t.number,
   targets: t.array(
-    t.type({ id: t.string, requests: t.number, reading: t.number, slowness: t.number }),
+    t.type({
+      id: t.string,
+      requests: t.number,
+      reading: t.number,
+      copies: t.number,
+      slowness: t.number,
+    }),
   ),
 });
 
@@ -95,11 +101,12 @@
   parts: t.number,
 });
 
-/** Answers the question of that number; no target where none has a place. */
+/** Answers the question of that number; no target where none has a place, no copy where there is no other. */
 const adviseTarget = t.type({
   kind: t.literal('advise-target'),
   number: t.number,
   target: t.union([t.string, t.null]),
+  copyTo: t.union([t.string, t.null]),
 });
 
 const evidenceMessageCodec = t.union([
--- a/packages/share-evidence/src/target-advice.test.ts
+++ b/packages/share-evidence/src/target-advice.test.ts
@@ -18,7 +18,7 @@
     timers: time.timers,
     listSchedulers: () => schedulers,
     readLinkedAtMs: (scheduler) => linkedAtMs.get(scheduler),
-    decide: () => 't-own',
+    decide: () => ({ target: 't-own' }),
     send: (scheduler, question) => sent.push([scheduler, question]),
   });
   const ask = (): (() => void) => advice.ask(REQUEST, (given) => received.push(given));
@@ -31,8 +31,8 @@
   ask();
   assert.equal(askedVms(), ['first']);
   await time.advance(2);
-  advice.hear('first', 1, 't1');
-  advice.hear('first', 1, 't2');
+  advice.hear('first', 1, { target: 't1' });
+  advice.hear('first', 1, { target: 't2' });
   await time.advance(1_000);
   assert.equal(received, [{ outcome: 'advised', target: 't1', scheduler: 'first', afterMs: 2 }]);
   assert.is(advice.answeredBy('first'), 1);
@@ -44,7 +44,7 @@
   ask();
   await time.advance(40);
   assert.equal(received, [{ outcome: 'late', scheduler: 'first', afterMs: 40 }]);
-  advice.hear('first', 1, 't1');
+  advice.hear('first', 1, { target: 't1' });
   assert.is(received.length, 1);
   ask();
   await time.advance(1_000);
@@ -76,7 +76,7 @@
 test('a question that nobody waits for any more is not answered', () => {
   const { received, advice, ask } = create();
   ask()();
-  advice.hear('first', 1, 't1');
+  advice.hear('first', 1, { target: 't1' });
   assert.equal(received, []);
 });
 
--- a/packages/share-evidence/src/target-advice.ts
+++ b/packages/share-evidence/src/target-advice.ts
@@ -13,7 +13,7 @@
   type Timers,
 } from '@limelead/types';
 import { choosePart, type Schedulers } from './choose-schedulers.js';
-import type { PeerId, TargetQuestion } from './types.js';
+import type { PeerId, TargetAnswer, TargetQuestion } from './types.js';
 
 /**
  * Time for an answer, in milliseconds: several round trips between failure domains,
@@ -38,7 +38,7 @@
   /** When the link to a scheduler came up, or this VM's own start; undefined without one. */
   readLinkedAtMs(scheduler: PeerId): Millis | undefined;
   /** Takes the decision where this VM is the scheduler. */
-  decide(question: TargetQuestion): string | undefined;
+  decide(question: TargetQuestion): TargetAnswer | undefined;
   send(scheduler: PeerId, question: TargetQuestion): void;
 }
 
@@ -86,13 +86,13 @@
   }
 
   /** A scheduler answered. */
-  hear(scheduler: PeerId, number: number, target: string | undefined): void {
+  hear(scheduler: PeerId, number: number, answer: TargetAnswer | undefined): void {
     this.answered.set(scheduler, number);
     const question = this.open.get(number);
     if (question?.scheduler === scheduler) {
       const afterMs = this.options.clock.now() - question.askedAtMs;
       this.close(number);
-      question.receive(toAdvice(target, { scheduler, afterMs }));
+      question.receive(toAdvice(answer, { scheduler, afterMs }));
     }
   }
 
@@ -143,10 +143,10 @@
 }
 
 function toAdvice(
-  target: string | undefined,
+  answer: TargetAnswer | undefined,
   { scheduler, afterMs }: { scheduler: PeerId; afterMs: Millis },
 ): Advice {
-  return target === undefined
+  return answer === undefined
     ? { outcome: 'no-target', scheduler, afterMs }
-    : { outcome: 'advised', target, scheduler, afterMs };
+    : { outcome: 'advised', ...answer, scheduler, afterMs };
 }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -44,6 +44,8 @@
   requests: number;
   /** Those of them that read their prompts. */
   reading: number;
+  /** Copies of the VM's runs that are kept there. */
+  copies: number;
   /** Times the usual time that pieces take there, 1 or more. */
   slowness: number;
 }
@@ -59,6 +61,13 @@
   parts: number;
 }
 
+/** What a scheduler answers. */
+export interface TargetAnswer {
+  target: string;
+  /** Where a copy of the run may stand. */
+  copyTo?: string;
+}
+
 /** Load that a peer told. */
 export interface PeerLoadNews {
   targets: ReadonlyMap<string, TargetLoad>;
@@ -86,7 +95,7 @@
   /** The load that a peer told; empty once it is lost. */
   onLoad(peer: PeerId, load: PeerLoadNews): void;
   /** A peer asks where a stream should go; undefined where no target has a place. */
-  adviseTarget(peer: PeerId, question: TargetQuestion): string | undefined;
+  adviseTarget(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined;
   onLost(target: string, loss: TargetLoss): void;
   /** A peer told what the store held at a later revision than this VM knows. */
   onUpdate(update: StoreUpdate): void;
--- a/packages/track-service-targets/src/peer-loads.test.ts
+++ b/packages/track-service-targets/src/peer-loads.test.ts
@@ -2,8 +2,8 @@
 import * as assert from 'uvu/assert';
 import PeerLoads, { type PacedLoad } from './peer-loads.js';
 
-const ONE_READING: PacedLoad = { requests: 1, reading: 1, slowness: 1 };
-const ONE: Omit<PacedLoad, 'slowness'> = { requests: 1, reading: 1 };
+const ONE_READING: PacedLoad = { requests: 1, reading: 1, copies: 0, slowness: 1 };
+const ONE: Omit<PacedLoad, 'slowness'> = { requests: 1, reading: 1, copies: 0 };
 
 function create() {
   const time = { now: 1_000 };
@@ -37,7 +37,7 @@
 
 test('the load of a VM that is gone is taken off again', () => {
   const { loads, tell } = create();
-  tell('a', [['t1', { requests: 3, reading: 1, slowness: 1 }]]);
+  tell('a', [['t1', { requests: 3, reading: 1, copies: 0, slowness: 1 }]]);
   tell('b', [['t1', ONE_READING]]);
   tell('a', []);
   assert.equal(loads.totalOf('t1'), ONE);
--- a/packages/track-service-targets/src/peer-loads.ts
+++ b/packages/track-service-targets/src/peer-loads.ts
@@ -16,6 +16,8 @@
   requests: number;
   /** Those of them that read their prompts. */
   reading: number;
+  /** Copies of runs that are kept there. */
+  copies: number;
 }
 
 /** Load of one VM at one target, with what its runs tell of the target's pace. */
@@ -37,9 +39,14 @@
   /** Numbers of one VM's questions rise. */
   advice: number;
   target: string;
+  /** Where a copy of the run may stand. */
+  copyTo?: string;
 }
 
-const NO_LOAD: PeerLoad = { requests: 0, reading: 0 };
+const NO_LOAD: PeerLoad = { requests: 0, reading: 0, copies: 0 };
+/** What an advised request brings where it is sent, and where its copy stands. */
+const ADVISED_RUN: PeerLoad = { requests: 1, reading: 1, copies: 0 };
+const ADVISED_COPY: PeerLoad = { requests: 0, reading: 0, copies: 1 };
 
 /** Adds up the load of all other VMs. */
 export default class PeerLoads {
@@ -76,14 +83,21 @@
     const now = this.clock.now();
     this.dropAdvised(({ atMs }) => now - atMs >= ADVISED_MS);
     this.advised.push({ ...request, atMs: now });
-    this.add(request.target, { requests: 1, reading: 1 }, 1);
+    this.addAdvised(request, 1);
   }
 
   private dropAdvised(isOver: (request: AdvisedRequest & { atMs: Millis }) => boolean): void {
     const over = this.advised.filter(isOver);
     if (over.length > 0) {
       this.advised = this.advised.filter((request) => !over.includes(request));
-      over.forEach(({ target }) => this.add(target, { requests: 1, reading: 1 }, -1));
+      over.forEach((request) => this.addAdvised(request, -1));
+    }
+  }
+
+  private addAdvised({ target, copyTo }: AdvisedRequest, sign: 1 | -1): void {
+    this.add(target, ADVISED_RUN, sign);
+    if (copyTo !== undefined) {
+      this.add(copyTo, ADVISED_COPY, sign);
     }
   }
 
@@ -92,8 +106,9 @@
     const next: PeerLoad = {
       requests: total.requests + sign * load.requests,
       reading: total.reading + sign * load.reading,
+      copies: total.copies + sign * load.copies,
     };
-    if (next.requests === 0 && next.reading === 0) {
+    if (next.requests === 0 && next.reading === 0 && next.copies === 0) {
       this.totals.delete(target);
     } else {
       this.totals.set(target, next);
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -161,8 +161,8 @@
 test('the load of other VMs is summed, and goes with the VM that told it', () => {
   const { directory } = createDirectory();
   directory.replaceAll([createTarget('t1')]);
-  directory.takePeerLoad('vm-a', tellLoad({ requests: 2, reading: 1, slowness: 1 }));
-  directory.takePeerLoad('vm-b', tellLoad({ requests: 3, reading: 2, slowness: 1 }));
+  directory.takePeerLoad('vm-a', tellLoad({ requests: 2, reading: 1, copies: 0, slowness: 1 }));
+  directory.takePeerLoad('vm-b', tellLoad({ requests: 3, reading: 2, copies: 0, slowness: 1 }));
   assert.is(directory.get('t1')?.peerRequests, 5);
   assert.is(directory.get('t1')?.peerReading, 3);
   directory.takePeerLoad('vm-a', tellLoad());
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -38,6 +38,8 @@
   readAtMs: Millis;
   /** Copies of runs of this VM kept there. */
   copies: number;
+  /** Copies of runs of other VMs kept there, as far as they told. */
+  peerCopies: number;
 }
 
 /** A change of what the directory of targets tells. */
@@ -167,7 +169,10 @@
       return () => undefined;
     }
     tracked.copies += 1;
-    return once(() => (tracked.copies -= 1));
+    return once(() => {
+      tracked.copies -= 1;
+      this.events.onLoad?.(tracked);
+    });
   }
 
   /** Takes an observation of this VM about a target. */
@@ -261,7 +266,7 @@
     }
   }
 
-  private setPeerLoad(id: string, { requests, reading }: PeerLoad): void {
+  private setPeerLoad(id: string, { requests, reading, copies }: PeerLoad): void {
     const tracked = this.tracked.get(id);
     if (tracked !== undefined) {
       if (tracked.peerReading > 0) {
@@ -269,6 +274,7 @@
       }
       tracked.peerRequests = requests;
       tracked.peerReading = reading;
+      tracked.peerCopies = copies;
     }
   }
 
@@ -288,6 +294,7 @@
         peerReading: peers.reading,
         readAtMs: 0,
         copies: 0,
+        peerCopies: peers.copies,
       });
       this.events.onNotice?.({ kind: target.leaving ? 'leaving' : 'joined', target });
       return;
--- a/packages/types/src/advice.ts
+++ b/packages/types/src/advice.ts
@@ -11,7 +11,14 @@
 
 /** What came of asking for advice. */
 export type Advice =
-  | { outcome: 'advised'; target: string; scheduler: string; afterMs: Millis }
+  | {
+      outcome: 'advised';
+      target: string;
+      /** Where a copy of the run may stand; undefined where there is no other target. */
+      copyTo?: string;
+      scheduler: string;
+      afterMs: Millis;
+    }
   /** The scheduler knows no target with a free place, or does not answer. */
   | { outcome: 'no-target' | 'late' | 'link-lost'; scheduler: string; afterMs: Millis }
   /** The fleet is small, or no scheduler is linked. */
