--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import createMetrics, { type Metrics } from '@limelead/metrics';
-import { EvidenceExchange, type TargetLoad } from '@limelead/share-evidence';
+import { EvidenceExchange } from '@limelead/share-evidence';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
@@ -23,6 +23,7 @@
 import { askNobody, delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
+import EngineLoad from './engine-load.js';
 import Knowledge, { type StoreDialect } from './knowledge.js';
 import {
   startMetricsServer,
@@ -78,6 +79,7 @@
   private readonly exchange: EvidenceExchange | undefined;
   private readonly frontDoor: HttpFrontDoor;
   private readonly pace: TargetPace;
+  private readonly engineLoad: EngineLoad;
   private readonly retries: RetryBudgets;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -96,12 +98,18 @@
     this.directory = new TargetDirectory(steadyClock, {
       onNotice: (notice) => this.onNotice(notice),
       onLost: (id, loss) => this.exchange?.noteLost(id, loss),
-      onLoad: (tracked) => this.noteLoad(tracked),
+      onLoad: (tracked) => this.engineLoad.note(tracked),
     });
     this.pace = new TargetPace((id, slowness) => {
       this.directory.notePace(id, slowness);
       this.exchange?.noteLoad();
     });
+    this.engineLoad = new EngineLoad({
+      directory: this.directory,
+      pace: this.pace,
+      isEngine: (service) => this.knowledge.routes?.findService(service)?.engine !== undefined,
+      onChange: () => this.exchange?.noteLoad(),
+    });
     this.connections = new TargetConnections({
       clock: steadyClock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -297,7 +305,7 @@
         isStoreAway: this.follower.isStoreAway,
       }),
       listItems: () => this.knowledge.items,
-      readLoad: () => this.readLoad(),
+      readLoad: () => this.engineLoad.read(),
       onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
       adviseTarget: (peer, question) => scheduler.advise(peer, question),
       onLost: (target, loss) => this.directory.takePeerLoss(target, loss),
@@ -313,30 +321,6 @@
     this.log.write('repeats-borrowed', { service, repeats });
   }
 
-  /** Only runs of engines are told: they last, and one more slows the others down. */
-  private readLoad(): TargetLoad[] {
-    return this.directory
-      .all()
-      .filter((tracked) => tracked.inFlight + tracked.copies > 0 && this.isEngine(tracked))
-      .map(({ target, inFlight, reading, copies }) => ({
-        id: target.id,
-        requests: inFlight,
-        reading,
-        copies,
-        slowness: this.pace.slownessOf(target.id),
-      }));
-  }
-
-  private noteLoad(tracked: TrackedServiceTarget): void {
-    if (this.isEngine(tracked)) {
-      this.exchange?.noteLoad();
-    }
-  }
-
-  private isEngine({ target }: TrackedServiceTarget): boolean {
-    return this.knowledge.routes?.findService(target.service)?.engine !== undefined;
-  }
-
   private onNotice({ kind, target }: TargetNotice): void {
     this.log.write(`target-${kind}`, {
       target: target.id,
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -6,16 +6,16 @@
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
+import Gossip from './gossip.js';
 import LoadExchange from './load-exchange.js';
 import LossNews from './loss-news.js';
-import type { MemberAge } from './member-book.js';
 import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
 import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
-import type { EvidenceExchangeOptions, PeerId, PeerState } from './types.js';
+import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
 /** Time between two rounds: heartbeats, links, members. */
 const ROUND_MS = 1_000;
@@ -39,6 +39,7 @@
   private links: PeerLinks<EvidenceMessage> | undefined;
   private readonly peers: PeerTable;
   private members: Membership | undefined;
+  private readonly gossip: Gossip;
   private readonly load: LoadExchange;
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
@@ -50,10 +51,19 @@
   constructor(private readonly options: EvidenceExchangeOptions) {
     const { clock, timers, random } = options;
     this.peers = new PeerTable(clock);
-    const listPeers = (): PeerId[] => this.listGossiping();
+    const listPeers = (): PeerId[] => this.gossip.listPeers();
     const send = (peer: PeerId, message: EvidenceMessage): void => {
       this.links?.send(peer, message);
     };
+    const broadcast = (message: EvidenceMessage, peers: PeerId[]): void =>
+      this.links?.broadcast(message, peers);
+    this.gossip = new Gossip({
+      peers: this.peers,
+      readKnowledge: options.readKnowledge,
+      isChosen: (peer) => this.members?.isChosenPeer(peer) ?? false,
+      nameAll: () => this.members?.nameAll() ?? [],
+      broadcast,
+    });
     this.loans = new RepeatLoans({
       clock,
       random,
@@ -67,7 +77,7 @@
       isLarge: () => this.isLarge,
       followsForOthers: () => this.followsForOthers,
       send,
-      broadcast: (message, peers) => this.links?.broadcast(message, peers),
+      broadcast,
     });
     this.load = new LoadExchange({
       ...options,
@@ -190,7 +200,7 @@
     const { configuration } = this.options.readKnowledge();
     if (configuration > this.toldConfiguration) {
       this.toldConfiguration = configuration;
-      this.sendHeartbeats(this.listGossiping(), []);
+      this.gossip.beat(this.gossip.listPeers(), []);
     }
   }
 
@@ -204,7 +214,7 @@
     }
     this.peers.listSilent().forEach((peer) => this.drop(peer));
     const named = this.members?.tend() ?? [];
-    this.beatTo(this.peers.list(), named);
+    this.gossip.beat(this.peers.list(), named);
     this.load.tell();
     this.store.check();
     this.options.timers.after(nextMs, () => this.beat());
@@ -215,39 +225,11 @@
     this.onPeerLost(peer);
   }
 
-  private beatTo(peers: PeerId[], named: MemberAge[]): void {
-    const gossiping = peers.filter((peer) => this.gossips(peer));
-    const others = peers.filter((peer) => !gossiping.includes(peer));
-    this.links?.broadcast({ kind: 'pulse' }, others);
-    this.sendHeartbeats(gossiping, named);
-  }
-
-  /** The first heartbeat to a peer names all members. */
-  private sendHeartbeats(peers: PeerId[], named: MemberAge[]): void {
-    const greeted = this.peers.takeUngreeted(peers);
-    if (greeted.length > 0) {
-      this.sendHeartbeat(greeted, this.members?.nameAll() ?? []);
-    }
-    this.sendHeartbeat(
-      peers.filter((peer) => !greeted.includes(peer)),
-      named,
-    );
-  }
-
-  private sendHeartbeat(peers: PeerId[], members: MemberAge[]): void {
-    const { revision, configuration, configurationBytes } = this.options.readKnowledge();
-    const knowledge = { revision, configuration, configurationBytes };
-    for (const wanted of [true, false]) {
-      const addressed = peers.filter((peer) => this.isChosen(peer) === wanted);
-      this.links?.broadcast({ kind: 'heartbeat', wanted, members, ...knowledge }, addressed);
-    }
-  }
-
   private onReady(peer: PeerId): void {
     this.peers.add(peer);
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
-    this.beatTo([peer], []);
+    this.gossip.beat([peer], []);
     this.load.noteLinked(peer);
   }
 
@@ -258,19 +240,6 @@
     }
   }
 
-  /** Peers with which losses, members, repeats and news of the store are shared. */
-  private listGossiping(): PeerId[] {
-    return this.peers.listGossiping((peer) => this.isChosen(peer));
-  }
-
-  private gossips(peer: PeerId): boolean {
-    return this.peers.gossips(peer, (chosen) => this.isChosen(chosen));
-  }
-
-  private isChosen(peer: PeerId): boolean {
-    return this.members?.isChosenPeer(peer) ?? false;
-  }
-
   private onMessage(peer: PeerId, message: EvidenceMessage): void {
     const state = this.peers.get(peer);
     if (state === undefined) {
@@ -280,10 +249,10 @@
     this.members?.hearFrom(peer);
     switch (message.kind) {
       case 'heartbeat':
-        this.onHeartbeat(peer, state, message);
+        this.onHeartbeat(peer, message);
         break;
       case 'pulse':
-        state.isWantedThere = false;
+        this.gossip.hear(peer, false);
         break;
       case 'load':
         this.load.hearLoad(peer, message);
@@ -332,17 +301,10 @@
     }
   }
 
-  private onHeartbeat(
-    peer: PeerId,
-    state: PeerState,
-    message: EvidenceMessageOf<'heartbeat'>,
-  ): void {
-    state.isWantedThere = message.wanted;
+  private onHeartbeat(peer: PeerId, message: EvidenceMessageOf<'heartbeat'>): void {
     this.store.noteKnowledge(peer, message);
     this.members?.hear(message.members);
-    if (!state.isGreeted && this.gossips(peer)) {
-      this.sendHeartbeats([peer], []);
-    }
+    this.gossip.hear(peer, message.wanted);
     this.store.check();
   }
 }
--- a/packages/share-evidence/src/peer-table.ts
+++ b/packages/share-evidence/src/peer-table.ts
@@ -1,7 +1,4 @@
-/**
- * The peers to which this VM is linked. A link serves gossip where one of both ends
- * chose the other for it; a link to a scheduler carries load and questions only.
- */
+/** The peers to which this VM is linked, with what each said last. */
 import type { Clock, Millis } from '@limelead/types';
 import type { PeerId, PeerKnowledge, PeerState } from './types.js';
 
@@ -46,16 +43,6 @@
     return [...this.peers.keys()];
   }
 
-  /** Peers with which gossip is shared. */
-  listGossiping(isWantedHere: (peer: PeerId) => boolean): PeerId[] {
-    return this.list().filter((peer) => this.gossips(peer, isWantedHere));
-  }
-
-  /** Whether one of both ends chose the other for gossip. */
-  gossips(peer: PeerId, isWantedHere: (peer: PeerId) => boolean): boolean {
-    return isWantedHere(peer) || this.peers.get(peer)?.isWantedThere === true;
-  }
-
   /** Those of some peers that were not named all members yet; from now on they were. */
   takeUngreeted(peers: PeerId[]): PeerId[] {
     return peers.filter((peer) => {
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -7,7 +7,7 @@
   TargetLoss,
   TargetNotice,
   TrackedServiceTarget,
-} from './target-directory.js';
+} from './tracked-target.js';
 export type { AdvisedRequest, PacedLoad, PeerLoad, ToldLoad } from './peer-loads.js';
 export {
   isSuspected,
