--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -1,6 +1,6 @@
 import createDecisionLog from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
-import { backgroundTimers, systemRandom } from '@limelead/types';
+import { backgroundTimers, systemRandom, type Advice } from '@limelead/types';
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -60,7 +60,7 @@
       listItems: () => vm.items,
       readLoad: () => vm.load,
       onLoad: (peer, { targets }) => vm.note(() => vm.loads.set(peer, targets)),
-      adviseTarget: () => undefined,
+      adviseTarget: () => ({ target: `advised by ${port}` }),
       onLost: (target) => vm.note(() => vm.lost.push(target)),
       lendRepeats: (_, wanted) => Math.min(wanted, vm.spare),
       onRepeats: (service, repeats) => vm.note(() => vm.borrowed.set(service, repeats)),
@@ -205,4 +205,38 @@
   await Promise.all([rich, poor].map(({ exchange }) => exchange.stop()));
 });
 
+test('a fleet of twelve asks one scheduler, and its stand-in once it is gone', async () => {
+  const ports = await findPorts(12);
+  const vms: Vm[] = [];
+  for (const port of ports) {
+    vms.push(await Vm.start(port, 'north', ports.slice(0, 3)));
+  }
+  const ask = (vm: Vm): Promise<Advice> =>
+    new Promise((resolve) => {
+      const request = { service: 'briefs', affinityKey: 'session', exclude: [] };
+      vm.exchange.askTarget(request, resolve);
+    });
+  /** Asks until all that run are told the same by one scheduler; gives its port. */
+  const agree = async (running: Vm[]): Promise<number> => {
+    for (;;) {
+      const advice = await Promise.all(running.map(ask));
+      const schedulers = new Set(
+        advice.map((given) => (given.outcome === 'advised' ? given.target : given.outcome)),
+      );
+      const [answer = ''] = schedulers;
+      if (schedulers.size === 1 && answer.startsWith('advised by ')) {
+        return Number(answer.slice('advised by '.length));
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  };
+  const first = await agree(vms);
+  const others = vms.filter((_, index) => ports[index] !== first);
+  await vms[ports.indexOf(first)]?.exchange.stop();
+  const second = await agree(others);
+  assert.ok(ports.includes(second));
+  assert.is.not(second, first);
+  await Promise.all(others.map(({ exchange }) => exchange.stop()));
+});
+
 test.run();
