Tell peers which items of the store went, not all that are there

Cause: a VM that lacks something of the store got the keys of all its items with each answer.

Change: the keys that went since the last whole list are remembered (2,048 at most), and a peer that lacks little is told these. Where they are not all known, as after a new list, it gets the keys of all as before: what came and went while this VM was cut off may be known to the peer only.

Measured: tests of both ways.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -304,7 +304,7 @@
         isInTouch: this.follower.isInTouch,
         isStoreAway: this.follower.isStoreAway,
       }),
-      listItems: () => this.knowledge.items,
+      readUpdate: (since) => this.knowledge.readUpdate(since),
       readLoad: () => this.engineLoad.read(),
       onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
       adviseTarget: (peer, question) => scheduler.advise(peer, question),
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -79,16 +79,69 @@
 test("a peer's update brings what is newer, and ends what is gone", () => {
   const { knowledge, versions, ids } = create();
   knowledge.takeList({ items: [item('c', 5), item('t1', 3), item('t2', 4)], revision: 6 });
-  knowledge.takePeerUpdate({ items: [item('c', 8)], keys: ['c', 't2'], revision: 9 });
+  knowledge.takePeerUpdate({ items: [item('c', 8)], gone: [], present: ['c', 't2'], revision: 9 });
   assert.equal(versions, [5, 8]);
   assert.equal(ids(), ['t2']);
   assert.is(knowledge.revision, 9);
 });
 
+test('a peer that lacks little is told what went and came, not all that is there', () => {
+  const { knowledge } = create();
+  const behind = create();
+  const list = { items: [item('c', 5), item('t1', 3), item('t2', 4), item('t3', 4)], revision: 6 };
+  knowledge.takeList(list);
+  behind.knowledge.takeList(list);
+  knowledge.takeChanges({
+    changes: [
+      { kind: 'gone', key: 't1' },
+      { kind: 'gone', key: 't2' },
+      { kind: 'put', item: item('t4', 8) },
+    ],
+    revision: 8,
+  });
+  knowledge.takeChanges({ changes: [{ kind: 'put', item: item('t2', 9) }], revision: 9 });
+  const update = knowledge.readUpdate(6);
+  assert.equal(update.gone, ['t1']);
+  assert.is(update.present, undefined);
+  assert.equal(
+    update.items.map(({ key }) => key),
+    ['t4', 't2'],
+  );
+  behind.knowledge.takePeerUpdate(update);
+  assert.equal(behind.ids().sort(), ['t2', 't3', 't4']);
+  assert.is(behind.knowledge.revision, 9);
+  assert.equal(behind.knowledge.readUpdate(6).gone, ['t1']);
+});
+
+test('a peer that knows less than this VM ever heard of is told all that is there', () => {
+  const { knowledge } = create();
+  knowledge.takeList({ items: [item('c', 5), item('t1', 3)], revision: 6 });
+  assert.equal(knowledge.readUpdate(4).present, ['c', 't1']);
+  assert.equal(knowledge.readUpdate(0).items.length, 2);
+});
+
+test('of two targets at one address that a peer tells the one that was written later stands there', () => {
+  const { knowledge, ids } = create();
+  knowledge.takeList({ items: [item('c', 5)], revision: 6 });
+  const items = [item('t2', 8, AT_PORT_1), item('t1', 7, AT_PORT_1)];
+  knowledge.takePeerUpdate({ items, gone: [], revision: 8 });
+  assert.equal(ids(), ['t2']);
+});
+
+test('a peer that knows what came and went while this VM was cut off is told all that is there', () => {
+  const { knowledge } = create();
+  knowledge.takeList({ items: [item('c', 5)], revision: 10 });
+  const behind = create();
+  behind.knowledge.takeList({ items: [item('c', 5), item('t1', 12)], revision: 15 });
+  knowledge.takeList({ items: [item('c', 5)], revision: 20 });
+  behind.knowledge.takePeerUpdate(knowledge.readUpdate(15));
+  assert.equal(behind.ids(), []);
+});
+
 test('an update that is older than what is known changes nothing', () => {
   const { knowledge, versions, ids } = create();
   knowledge.takeList({ items: [item('c', 5), item('t1', 3)], revision: 6 });
-  knowledge.takePeerUpdate({ items: [item('c', 4)], keys: ['c'], revision: 6 });
+  knowledge.takePeerUpdate({ items: [item('c', 4)], gone: [], present: ['c'], revision: 6 });
   assert.equal(versions, [5]);
   assert.equal(ids(), ['t1']);
 });
@@ -119,9 +172,19 @@
   });
   knowledge.noteStoreLost();
   assert.equal(usable(), ['t2']);
-  knowledge.takePeerUpdate({ items: [item('t1', 3)], keys: ['t1', 't2'], revision: 5 });
+  knowledge.takePeerUpdate({
+    items: [item('t1', 3)],
+    gone: [],
+    present: ['t1', 't2'],
+    revision: 5,
+  });
   assert.equal(usable(), ['t2']);
-  knowledge.takePeerUpdate({ items: [item('t1', 3)], keys: ['t1', 't2'], revision: 8 });
+  knowledge.takePeerUpdate({
+    items: [item('t1', 3)],
+    gone: [],
+    present: ['t1', 't2'],
+    revision: 8,
+  });
   assert.equal(usable(), ['t2']);
 });
 
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -10,6 +10,7 @@
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
 import LapsedTargets from './lapsed-targets.js';
+import RemovedKeys from './removed-keys.js';
 
 /** Where knowledge came from. */
 export type KnowledgeSource = 'store' | 'peer';
@@ -52,6 +53,7 @@
   private table: RouteTable | undefined;
   /** Items that mean something, by key. */
   private readonly known = new Map<string, KnownItem>();
+  private readonly removed = new RemovedKeys();
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
   private configurationSize = 0;
@@ -89,9 +91,17 @@
     return this.table;
   }
 
-  /** Items that mean something, for peers that the store turns away. */
-  get items(): StoreItem[] {
-    return [...this.known.values()].map(({ item }) => item);
+  /** What is known beyond a revision, for peers that do not ask the store themselves. */
+  readUpdate(since: number): StoreUpdate {
+    const items = [...this.known.values()].map(({ item }) => item);
+    const gone = this.removed.listSince(since);
+    return {
+      items: items.filter((item) => item.revision > since),
+      // A key that came back is no longer gone.
+      gone: gone?.filter((key) => !this.known.has(key)) ?? [],
+      present: gone === undefined ? items.map(({ key }) => key) : undefined,
+      revision: this.knownRevision,
+    };
   }
 
   /** Revision of the store up to which everything is known; 0 before the first list. */
@@ -117,11 +127,20 @@
   }
 
   /** Takes what a peer knows beyond this VM; nothing where this VM learned as much meanwhile. */
-  takePeerUpdate({ items, keys, revision }: StoreUpdate): void {
+  takePeerUpdate({ items, gone, present, revision }: StoreUpdate): void {
     if (revision <= this.knownRevision) {
       return;
     }
-    this.forgetExcept(new Set(keys));
+    if (present === undefined) {
+      const puts = [...items].sort((a, b) => a.revision - b.revision);
+      const changes = [
+        ...gone.map((key): StoreChange => ({ kind: 'gone', key })),
+        ...puts.map((item): StoreChange => ({ kind: 'put', item })),
+      ];
+      this.takeChanges({ changes, revision }, 'peer');
+      return;
+    }
+    this.forgetExcept(new Set(present));
     items.forEach((item) => this.read(item, 'peer'));
     this.takeAll(revision);
   }
@@ -129,6 +148,7 @@
   /** All that is known now is all that there is. */
   private takeAll(revision: number): void {
     this.knownRevision = Math.max(revision, this.knownRevision);
+    this.removed.begin(revision);
     const { directory, onChange } = this.options;
     directory.apply(this.lapsed.filter(directory.compare(this.listTargets())));
     onChange();
@@ -155,8 +175,10 @@
   }
 
   /** Takes changes that followed a list. */
-  takeChanges({ changes, revision }: StoreChanges): void {
-    const targetChanges = changes.flatMap((change) => this.toTargetChange(change));
+  takeChanges({ changes, revision }: StoreChanges, source: KnowledgeSource = 'store'): void {
+    const targetChanges = changes.flatMap((change) =>
+      this.toTargetChange(change, revision, source),
+    );
     this.options.directory.apply(this.lapsed.filter(targetChanges));
     this.knownRevision = Math.max(revision, this.knownRevision);
     if (changes.length > 0) {
@@ -164,13 +186,18 @@
     }
   }
 
-  private toTargetChange(change: StoreChange): TargetChange[] {
+  private toTargetChange(
+    change: StoreChange,
+    revision: number,
+    source: KnowledgeSource,
+  ): TargetChange[] {
     if (change.kind === 'gone') {
       this.known.delete(change.key);
+      this.removed.note(change.key, revision);
       const id = this.options.dialect.readTargetId(change.key);
       return id === undefined ? [] : [{ kind: 'gone', id }];
     }
-    const fact = this.read(change.item, 'store');
+    const fact = this.read(change.item, source);
     return fact.kind === 'target' ? [{ kind: 'put', target: fact.target }] : [];
   }
 
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -57,7 +57,12 @@
       random: systemRandom,
       log,
       readKnowledge: () => vm.knowledge,
-      listItems: () => vm.items,
+      readUpdate: (since) => ({
+        items: vm.items.filter((item) => item.revision > since),
+        gone: ['removed'],
+        present: since === 0 ? vm.items.map(({ key }) => key) : undefined,
+        revision: vm.knowledge.revision,
+      }),
       readLoad: () => vm.load,
       onLoad: (peer, { targets }) => vm.note(() => vm.loads.set(peer, targets)),
       adviseTarget: () => ({ target: `advised by ${port}` }),
@@ -178,7 +183,7 @@
   await Promise.all([first, stale].map(({ exchange }) => exchange.stop()));
 });
 
-test('a peer that is behind gets what it lacks, and the keys of the rest', async () => {
+test('a peer that is behind gets what it lacks, and the keys that went', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const old = { key: 'old', value: Buffer.from('v'), revision: 4 };
   const newer = { key: 'newer', value: Buffer.from('w'), revision: 7 };
@@ -188,7 +193,8 @@
   await behind.until(() => behind.updates.length > 0);
   const [update] = behind.updates;
   assert.equal(update?.items, [newer]);
-  assert.equal(update?.keys, ['old', 'newer']);
+  assert.equal(update?.gone, ['removed']);
+  assert.is(update?.present, undefined);
   await Promise.all([first, behind].map(({ exchange }) => exchange.stop()));
 });
 
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -70,8 +70,10 @@
   kind: t.literal('items'),
   /** The items written behind the revision that was asked for. */
   items: t.array(storeItem),
-  /** Keys of all items that are there; what is missing is gone. */
-  keys: t.array(t.string),
+  /** Keys that went behind it. */
+  gone: t.array(t.string),
+  /** Keys of all items that are there, where not all that went is known; what is missing is gone. */
+  present: t.union([t.array(t.string), t.null]),
   revision: t.number,
 });
 
--- a/packages/share-evidence/src/store-exchange.ts
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -9,7 +9,7 @@
 /** What it needs. */
 export interface StoreExchangeOptions extends Pick<
   EvidenceExchangeOptions,
-  'readKnowledge' | 'listItems' | 'onUpdate'
+  'readKnowledge' | 'readUpdate' | 'onUpdate'
 > {
   clock: Clock;
   timers: Timers;
@@ -90,20 +90,15 @@
 
   /** A peer gets what it lacks, once. */
   answer(peer: PeerId, { since }: EvidenceMessageOf<'want-items'>): void {
-    const { listItems, readKnowledge, send } = this.options;
-    const items = listItems();
-    send(peer, {
-      kind: 'items',
-      items: items.filter((item) => item.revision > since),
-      keys: items.map(({ key }) => key),
-      revision: readKnowledge().revision,
-    });
+    const { readUpdate, send } = this.options;
+    const update = readUpdate(since);
+    send(peer, { kind: 'items', ...update, present: update.present ?? null });
   }
 
   /** A peer gave what this VM lacked. */
-  hearItems(items: EvidenceMessageOf<'items'>): void {
+  hearItems({ items, gone, present, revision }: EvidenceMessageOf<'items'>): void {
     this.catchUp.noteAnswer();
-    this.options.onUpdate(items);
+    this.options.onUpdate({ items, gone, present: present ?? undefined, revision });
     this.news.noteCaughtUp();
     this.catchUp.check();
   }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -25,8 +25,10 @@
 export interface StoreUpdate {
   /** Items that were written behind the revision known here. */
   items: StoreItem[];
-  /** Keys of all items that are there; what is missing is gone. */
-  keys: string[];
+  /** Keys that went behind that revision. */
+  gone: string[];
+  /** Keys of all items that are there, where not all that went is known; what is missing is gone. */
+  present?: string[];
   revision: number;
 }
 
@@ -88,8 +90,8 @@
   random: Random;
   log: DecisionLog;
   readKnowledge(): StoreKnowledge;
-  /** The items of the store as far as this VM knows them. */
-  listItems(): StoreItem[];
+  /** What this VM knows of the store beyond a revision; 0 for everything. */
+  readUpdate(since: number): StoreUpdate;
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
