--- a/packages/measure/src/capacity/render-capacity.ts
+++ b/packages/measure/src/capacity/render-capacity.ts
@@ -15,7 +15,7 @@
   const roles = assembleRoleRows(slopes);
   const control = assembleControlRows(slopes);
   const service = assembleServiceRows();
-  const frontDoor = assembleFrontDoorRows(slopes);
+  const frontDoor = assembleFrontDoorRows();
   const misfits = [...roles, ...control, ...service, ...frontDoor].filter(
     ({ fits }) => fits === false,
   );
@@ -48,7 +48,7 @@
     '',
     ...renderRows(service),
     '',
-    '## The HTTP front door, from a played day of 195 VMs',
+    '## The HTTP front door, from a sweep to 300 VMs',
     '',
     ...renderRows(frontDoor),
     '',
