--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -1,5 +1,6 @@
 import createDecisionLog from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
+import type { PacedLoad } from '@limelead/track-service-targets';
 import { backgroundTimers, systemRandom, type Advice } from '@limelead/types';
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
@@ -24,7 +25,7 @@
 
 /** One VM, with what it was told. */
 class Vm {
-  readonly loads = new Map<string, ReadonlyMap<string, TargetLoad>>();
+  readonly loads = new Map<string, ReadonlyMap<string, PacedLoad>>();
   readonly lost: string[] = [];
   readonly updates: StoreUpdate[] = [];
   readonly borrowed = new Map<string, number>();
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -1,7 +1,7 @@
 /** Shapes that the parts of the exchange share. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
-import type { TargetLoss } from '@limelead/track-service-targets';
+import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
 
 /** An address on which VMs reach each other, as "host:port". */
@@ -40,16 +40,9 @@
   replaced: string[];
 }
 
-/** Requests of this VM under way at one target. */
-export interface TargetLoad {
+/** A VM's load at one target. */
+export interface TargetLoad extends PacedLoad {
   id: string;
-  requests: number;
-  /** Those of them that read their prompts. */
-  reading: number;
-  /** Copies of the VM's runs that are kept there. */
-  copies: number;
-  /** Times the usual time that pieces take there, 1 or more. */
-  slowness: number;
 }
 
 /** A request for advice as a scheduler gets it. */
@@ -70,13 +63,6 @@
   copyTo?: string;
 }
 
-/** Load that a peer told. */
-export interface PeerLoadNews {
-  targets: ReadonlyMap<string, TargetLoad>;
-  /** Number of the last advice that this load follows; 0 for none. */
-  advice: number;
-}
-
 /** What the exchange needs. */
 export interface EvidenceExchangeOptions {
   id: PeerId;
@@ -95,7 +81,7 @@
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
-  onLoad(peer: PeerId, load: PeerLoadNews): void;
+  onLoad(peer: PeerId, load: ToldLoad): void;
   /** A peer asks where a stream should go; undefined where no target has a place. */
   adviseTarget(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined;
   onLost(target: string, loss: TargetLoss): void;
