Tell each failed call to the store, and how old what a VM knows is

Cause: only the first failure of an outage was written, without the call, its wait or the pause behind it. The late configuration could be a long call or a long pause, and no line told them apart.

Change: store-call-failed for each failure, the time away with store-regained, the age of what a VM knows with configuration-in-force, store-lost and request-refused, and as the figure limelead_store_knowledge_age_ms. No decision changed.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -4,14 +4,17 @@
 import * as assert from 'uvu/assert';
 import {
   StoreFollower,
+  type StoreCallFailure,
   type StoreChanges,
   type StoreFault,
   type StoreItem,
   type StoreList,
+  type StoreOutage,
 } from './index.js';
 
 /** No other VM follows the store for this one. */
 const ALONE = {
+  clock: { now: () => 0 },
   mustFollow: () => true,
   followsForOthers: () => false,
   readRevision: () => 0,
@@ -24,6 +27,7 @@
   onList: () => undefined,
   onChanges: () => undefined,
   onLost: () => undefined,
+  onCallFailed: () => undefined,
   onRegained: () => undefined,
   onFollowing: () => undefined,
 };
@@ -66,6 +70,7 @@
       onList: ({ items }) => told.push(`items ${items.length}`),
       onChanges: ({ changes }) => told.push(`changes ${changes.length}`),
       onLost: (fault) => told.push(`lost ${fault}`),
+      onCallFailed: () => undefined,
       onRegained: () => told.push('regained'),
       onFollowing: () => undefined,
     },
@@ -110,6 +115,56 @@
   assert.equal(pauses.slice(0, 7), [100, 200, 400, 800, 1_000, 1_000, 1_000]);
 });
 
+test('each failed call is told with its wait, its time and the pause behind it, and a return with the time away', async () => {
+  const time = { now: 1_000 };
+  const failures: StoreCallFailure[] = [];
+  const outages: StoreOutage[] = [];
+  const answers: Answer[] = [
+    E.left('silent'),
+    E.left('turned-away'),
+    E.right({ changes: [], revision: 5 }),
+  ];
+  const follower: StoreFollower = new StoreFollower({
+    ...ALONE,
+    clock: { now: () => time.now },
+    timers: {
+      after(milliseconds, run) {
+        time.now += milliseconds;
+        queueMicrotask(run);
+        return () => undefined;
+      },
+    },
+    random: { next: () => 0 },
+    countFollowers: () => 6,
+    port: {
+      list: async () => emptyList,
+      watch: async () => {
+        time.now += 40;
+        const answer = answers.shift();
+        if (answer === undefined) {
+          follower.stop();
+        }
+        return answer ?? E.left('unreachable');
+      },
+    },
+    events: {
+      ...IGNORED,
+      onCallFailed: (failure) => failures.push(failure),
+      onRegained: (outage) => outages.push(outage),
+    },
+  });
+  await follower.run();
+  const [first, second] = failures;
+  assert.equal(
+    [first, second].map((failure) => ({ ...failure, waitMs: 0 })),
+    [
+      { call: 'watch', waitMs: 0, fault: 'silent', afterMs: 40, failures: 1, pauseMs: 100 },
+      { call: 'watch', waitMs: 0, fault: 'turned-away', afterMs: 40, failures: 2, pauseMs: 200 },
+    ],
+  );
+  assert.equal(outages[0], { awayMs: 40 + 100 + 40 + 200 + 40, failures: 2 });
+});
+
 test('while many others try the store too, a VM tries it seldom', async () => {
   const failures = Array.from({ length: 3 }, () => E.left<StoreFault>('silent'));
   const { told, pauses } = await follow([emptyList], failures, 195, true);
@@ -141,6 +196,7 @@
         return () => undefined;
       },
     },
+    clock: { now: () => 0 },
     random: { next: () => 0 },
     countFollowers: () => 4,
     mustFollow: () => turns.shift() ?? true,
@@ -243,6 +299,7 @@
           return () => undefined;
         },
       },
+      clock: { now: () => now },
       random: { next: () => 0 },
       countFollowers: () => 4,
       mustFollow: () => now < othersFollowAtMs,
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -7,15 +7,17 @@
  * item changes, lists are read in place of watches, or a quick succession of
  * versions would fill the link of a small VM for longer than each one is in force.
  */
-import { delay, type Random, type Timers } from '@limelead/types';
+import { delay, type Clock, type Millis, type Random, type Timers } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { LARGE_ITEM_BYTES } from './large-items.js';
 import type {
+  StoreCallFailure,
   StoreChange,
   StoreChanges,
   StoreFault,
   StoreItem,
   StoreList,
+  StoreOutage,
   StorePort,
 } from './store-port.js';
 
@@ -53,8 +55,10 @@
   onChanges(changes: StoreChanges): void;
   /** The first failure after a success. */
   onLost(fault: StoreFault): void;
+  /** Each failure, the first one included. */
+  onCallFailed(failure: StoreCallFailure): void;
   /** The first success after a failure. */
-  onRegained(): void;
+  onRegained(outage: StoreOutage): void;
   /** This VM begins to follow the store itself, or leaves that to others. */
   onFollowing(isFollowing: boolean): void;
 }
@@ -62,6 +66,7 @@
 /** What a follower needs. */
 export interface StoreFollowerOptions {
   port: StorePort;
+  clock: Clock;
   timers: Timers;
   random: Random;
   /** VMs that follow the store, this one included. */
@@ -82,10 +87,19 @@
   events: StoreFollowerEvents;
 }
 
+/** A call that failed just now. */
+interface FailedCall extends Pick<StoreCallFailure, 'call' | 'fault' | 'waitMs'> {
+  calledAtMs: Millis;
+}
+
 /** Follows the store until it is stopped. */
 export default class StoreFollower {
   private isStopped = false;
   private failures = 0;
+  /** When the first of these failed calls was made. */
+  private awaySinceMs: Millis = 0;
+  /** When the store last answered; before that, when this VM began to ask. */
+  private answeredAtMs: Millis;
   private isFollowing = true;
   /** Where the next watch begins; undefined where a list has to be read first. */
   private revision: number | undefined;
@@ -97,7 +111,14 @@
   /** Whether it waits for others to follow the store; peers are asked for news meanwhile. */
   private isWaiting = false;
 
-  constructor(private readonly options: StoreFollowerOptions) {}
+  constructor(private readonly options: StoreFollowerOptions) {
+    this.answeredAtMs = options.clock.now();
+  }
+
+  /** When the store last answered this VM; before its first answer, when this VM began to ask. */
+  get lastAnswerAtMs(): Millis {
+    return this.answeredAtMs;
+  }
 
   /** Whether the store tells this VM what is new: not while it waits for others to do so. */
   get isInTouch(): boolean {
@@ -169,15 +190,17 @@
   }
 
   private async readList(): Promise<number> {
+    const calledAtMs = this.options.clock.now();
     const list = await this.options.port.list();
     if (E.isLeft(list)) {
-      return this.onFault(list.left);
+      return this.onFault({ call: 'list', waitMs: 0, fault: list.left, calledAtMs });
     }
     this.onSuccess();
     const isStillChanging = this.noteLarge(list.right.items) && this.isComplete;
     this.isComplete = true;
     this.revision = isStillChanging ? undefined : list.right.revision;
     this.options.events.onList(list.right);
+    this.noteAnswer();
     if (isStillChanging) {
       return LARGE_PAUSE_MS;
     }
@@ -201,13 +224,15 @@
   private async readChanges(revision: number): Promise<number> {
     const waitMs = this.watchWaitMs;
     this.hasWatched = true;
+    const calledAtMs = this.options.clock.now();
     const changes = await this.options.port.watch(revision, waitMs);
     if (E.isLeft(changes)) {
-      return this.onFault(changes.left);
+      return this.onFault({ call: 'watch', waitMs, fault: changes.left, calledAtMs });
     }
     this.onSuccess();
     this.revision = Math.max(revision, changes.right.revision);
     this.options.events.onChanges(changes.right);
+    this.noteAnswer();
     if (changes.right.changes.length === 0) {
       return 0;
     }
@@ -218,6 +243,11 @@
     return this.gatherMs;
   }
 
+  /** Told behind the events of an answer, which may still want to know how old the last one is. */
+  private noteAnswer(): void {
+    this.answeredAtMs = this.options.clock.now();
+  }
+
   /** At the start nobody knows yet who relies on whom, so the first watch is a short one. */
   private get watchWaitMs(): number {
     const isShort = !this.hasWatched || this.options.followsForOthers();
@@ -230,29 +260,43 @@
   }
 
   private onSuccess(): void {
-    if (this.failures > 0) {
+    const { failures } = this;
+    if (failures > 0) {
       this.failures = 0;
-      this.options.events.onRegained();
+      const awayMs = this.options.clock.now() - this.awaySinceMs;
+      this.options.events.onRegained({ awayMs, failures });
     }
   }
 
   /** Gives the pause until the next call. */
-  private async onFault(fault: StoreFault): Promise<number> {
-    if (fault === 'history-gone') {
+  private async onFault(failed: FailedCall): Promise<number> {
+    if (failed.fault === 'history-gone') {
       this.revision = undefined;
       this.isComplete = false;
+      this.tellFailure(failed, 0);
       return 0;
     }
     this.failures += 1;
     if (this.failures === 1) {
-      this.options.events.onLost(fault);
+      this.awaySinceMs = failed.calledAtMs;
+      this.options.events.onLost(failed.fault);
     }
     const jitter = 1 - JITTER * this.options.random.next();
     if (this.options.othersTry()) {
-      await this.waitForOthers(() => SHARED_PAUSE_MS * jitter);
+      const sharedMs = SHARED_PAUSE_MS * jitter;
+      this.tellFailure(failed, sharedMs);
+      await this.waitForOthers(() => sharedMs);
       return 0;
     }
-    return Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS) * jitter;
+    const pauseMs = Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS) * jitter;
+    this.tellFailure(failed, pauseMs);
+    return pauseMs;
+  }
+
+  private tellFailure({ calledAtMs, ...failed }: FailedCall, pauseMs: Millis): void {
+    const { clock, events } = this.options;
+    const { failures } = this;
+    events.onCallFailed({ ...failed, afterMs: clock.now() - calledAtMs, failures, pauseMs });
   }
 }
 
--- a/packages/follow-store/src/store-port.ts
+++ b/packages/follow-store/src/store-port.ts
@@ -1,4 +1,5 @@
 /** The store as a follower sees it. */
+import type { Millis } from '@limelead/types';
 import type * as E from 'fp-ts/lib/Either.js';
 
 /** One item as it was last written. */
@@ -25,6 +26,31 @@
   /** The answer does not hold. */
   | 'invalid';
 
+/** Reads that a follower makes. */
+export type StoreCall = 'list' | 'watch';
+
+/** One call that failed. */
+export interface StoreCallFailure {
+  call: StoreCall;
+  fault: StoreFault;
+  /** Time for which the store was asked to wait for a change; 0 for a list. */
+  waitMs: Millis;
+  /** Time from the call to its failure. */
+  afterMs: Millis;
+  /** Failures since the store's last answer, this one included; 0 where the store did answer. */
+  failures: number;
+  /** Longest pause until the next call. */
+  pauseMs: Millis;
+}
+
+/** An outage that is over, as one VM saw it. */
+export interface StoreOutage {
+  /** Time since the first call that failed was made. */
+  awayMs: Millis;
+  /** Calls that failed. */
+  failures: number;
+}
+
 /** A complete list. Pages are no snapshot: changes since `revision` may be in it already. */
 export interface StoreList {
   items: StoreItem[];
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -5,7 +5,7 @@
 import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { AskTarget, Clock, Timers } from '@limelead/types';
+import type { AskTarget, Clock, Millis, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
@@ -32,6 +32,8 @@
   metrics: Metrics;
   /** The configuration in force. */
   readTable(): RouteTable | undefined;
+  /** Time since the store last confirmed what this VM knows, in milliseconds. */
+  readKnowledgeAgeMs(): Millis;
   retriesOf(service: string): RetrySpender;
   /** VMs that share the retry budget, this one included. */
   countVms(): number;
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -219,6 +219,7 @@
       log,
       metrics: createMetrics(),
       readTable: () => table,
+      readKnowledgeAgeMs: () => 0,
       retriesOf: () => this.spender,
       countVms: () => 1,
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,7 @@
       leavingTargetMs: settings.leavingTargetMs,
       directory: this.directory,
       dialect: platform.storeDialect,
+      readAgeMs: () => this.knowledgeAgeMs,
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
       onChange: () => this.onKnowledge(),
     });
@@ -134,6 +135,7 @@
     this.metrics.gauge('limelead_requests_under_way', () => this.frontDoor.underWay);
     this.metrics.gauge('limelead_held_body_bytes', () => this.frontDoor.heldBodyBytes);
     this.metrics.gauge('limelead_log_lines_dropped', () => this.log.dropped);
+    this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.knowledgeAgeMs);
     this.follower = this.createFollower();
     this.exchange = this.createExchange();
   }
@@ -228,6 +230,7 @@
       log,
       metrics: this.metrics,
       readTable: () => this.knowledge.routes,
+      readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       retriesOf: (service) => this.retries.of(service),
       countVms: () => this.countVms(),
     };
@@ -237,6 +240,7 @@
     const { log, metrics } = this;
     return new StoreFollower({
       port: this.platform.store,
+      clock: steadyClock,
       timers: systemTimers,
       random: systemRandom,
       countFollowers: () => Math.max(1, this.exchange?.followerCount ?? 0),
@@ -257,11 +261,17 @@
         },
         onLost: (fault) => {
           metrics.count('limelead_store_lost_total', 1, { fault });
-          log.write('store-lost', { fault });
+          log.write('store-lost', { fault, knowledgeAgeMs: this.knowledgeAgeMs });
           this.knowledge.noteStoreLost(this.exchange?.storeConfirmedAtMs);
         },
-        onRegained: () => {
-          log.write('store-regained');
+        onCallFailed: ({ afterMs, pauseMs, ...failure }) =>
+          log.write('store-call-failed', {
+            ...failure,
+            afterMs: Math.round(afterMs),
+            pauseMs: Math.round(pauseMs),
+          }),
+        onRegained: ({ awayMs, failures }) => {
+          log.write('store-regained', { awayMs: Math.round(awayMs), failures });
           this.knowledge.noteStoreRegained();
         },
         onFollowing: (isFollowing) =>
@@ -270,6 +280,15 @@
     });
   }
 
+  /** Milliseconds since the store last answered this VM, or one whose news came here. */
+  private get knowledgeAgeMs(): number {
+    const newestMs = Math.max(
+      this.follower.lastAnswerAtMs,
+      this.exchange?.storeConfirmedAtMs ?? -Infinity,
+    );
+    return Math.round(steadyClock.now() - newestMs);
+  }
+
   private onKnowledge(): void {
     this.exchange?.noteKnowledge();
     this.frontDoor.noteKnowledge();
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -35,6 +35,7 @@
     timers: { after: () => () => undefined },
     log: createDecisionLog({ vm: 'test', clock, output: (_, done) => done() }),
     leavingTargetMs: 2_000,
+    readAgeMs: () => 0,
     directory,
     dialect: {
       read({ key, value }) {
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -42,6 +42,8 @@
   leavingTargetMs: Millis;
   directory: TargetDirectory;
   dialect: StoreDialect;
+  /** Time since what is known was last confirmed by the store, in milliseconds. */
+  readAgeMs(): Millis;
   /** Called with each configuration that comes into force. */
   onConfiguration(table: RouteTable): void;
   /** Called after each change of what is known. */
@@ -218,7 +220,7 @@
   }
 
   private takeConfiguration(configuration: ServingConfiguration, source: KnowledgeSource): void {
-    const { clock, log } = this.options;
+    const { clock, log, readAgeMs } = this.options;
     const previous = this.table?.version;
     if (previous !== undefined && configuration.version <= previous) {
       return;
@@ -229,6 +231,7 @@
       previous,
       source,
       routes: configuration.routes.length,
+      knowledgeAgeMs: readAgeMs(),
       previousAgeMs: previous === undefined ? undefined : Math.round(now - this.changedAtMs),
     });
     this.changedAtMs = now;
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -188,6 +188,7 @@
       log,
       metrics,
       readTable: () => this.table,
+      readKnowledgeAgeMs: () => 0,
       retriesOf: () => new RetrySpender({ ratio: 1, slack: 10, windowMs: 1_000 }),
       countVms: () => 1,
     };
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -294,14 +294,15 @@
   }
 
   private noteRefusal(message: IncomingMessage, error: LimeleadError, status: number): void {
-    const { log, metrics } = this.options.context;
+    const { log, metrics, readTable, readKnowledgeAgeMs } = this.options.context;
     metrics.count('limelead_refused_total', 1, { kind: error.kind });
     log.write('request-refused', {
       requestId: this.readRequestId(message),
       kind: error.kind,
       status,
       reason: error.message,
-      configuration: this.options.context.readTable()?.version,
+      configuration: readTable()?.version,
+      knowledgeAgeMs: readKnowledgeAgeMs(),
     });
   }
 
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -159,6 +159,7 @@
     log,
     metrics: createMetrics(),
     readTable: () => table,
+    readKnowledgeAgeMs: () => 0,
     retriesOf: () => spender,
     countVms: () => 1,
   };
