--- a/packages/follow-store/src/index.ts
+++ b/packages/follow-store/src/index.ts
@@ -2,4 +2,4 @@
 export { LARGE_ITEM_BYTES } from './large-items.js';
 export { default as StoreFollower } from './store-follower.js';
 export type { StoreFollowerEvents, StoreFollowerOptions } from './store-follower.js';
-export type * from './store-port.js';
+export * from './store-port.js';
--- a/packages/follow-store/src/store-port.ts
+++ b/packages/follow-store/src/store-port.ts
@@ -2,6 +2,13 @@
 import type { Millis } from '@limelead/types';
 import type * as E from 'fp-ts/lib/Either.js';
 
+/**
+ * Time for the store's answer, beyond the wait that a call asked for, in milliseconds. It
+ * answers within 4, and within 320 when it is as slow as the users have played it. A
+ * call that was lost shows only when this time is over.
+ */
+export const STORE_ANSWER_MS: Millis = 800;
+
 /** One item as it was last written. */
 export interface StoreItem {
   key: string;
