Let a call to the store wait only as long as the promise allows

Cause: a call that is lost, by a store that is silent or a connection that died without a word, shows only when its wait and the time for its answer are over: 3.8 s, of 2 s within which a confirmed configuration has to be in force. A store that was away was tried with the same wait, so its return could go unnoticed for 3.8 s and a pause.

Change: waits and pauses follow from the promised time, a setting that the platform fills; a store that is away is asked for an answer at once.

--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -14,6 +14,7 @@
 
 /** No other VM follows the store for this one. */
 const ALONE = {
+  noticeWithinMs: 2_000,
   clock: { now: () => 0 },
   mustFollow: () => true,
   followsForOthers: () => false,
@@ -196,6 +197,7 @@
         return () => undefined;
       },
     },
+    noticeWithinMs: 2_000,
     clock: { now: () => 0 },
     random: { next: () => 0 },
     countFollowers: () => 4,
@@ -299,6 +301,7 @@
           return () => undefined;
         },
       },
+      noticeWithinMs: 2_000,
       clock: { now: () => now },
       random: { next: () => 0 },
       countFollowers: () => 4,
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -10,6 +10,7 @@
 import { delay, type Clock, type Millis, type Random, type Timers } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { LARGE_ITEM_BYTES } from './large-items.js';
+import { planRetryPause, planWatchWait } from './plan-calls.js';
 import type {
   StoreCallFailure,
   StoreChange,
@@ -21,13 +22,6 @@
   StorePort,
 } from './store-port.js';
 
-/**
- * Longest wait of one watch. A watch whose connection died without a word is
- * noticed only when its time is over, so this bounds how long changes are missed.
- */
-const WATCH_WAIT_MS = 3_000;
-/** Longest wait of a watch by a VM that tells others how old its knowledge is. */
-const SHORT_WATCH_WAIT_MS = 800;
 /** Pause between two looks whether this VM has to follow the store itself again. */
 const IDLE_CHECK_MS = 100;
 /** Pause after changes came, in which further ones gather into the next answer. */
@@ -37,8 +31,6 @@
 const GATHER_MS_OF_ONE_VM = 10;
 /** Pause between two lists while a large item changes. */
 const LARGE_PAUSE_MS = 800;
-const FIRST_PAUSE_MS = 100;
-const LONGEST_PAUSE_MS = 1_000;
 /**
  * Pause of a VM while many others try as well and tell it when the store is back.
  * With 195 VMs some VM still tries every 15 ms, and none is alone for longer than
@@ -66,6 +58,11 @@
 /** What a follower needs. */
 export interface StoreFollowerOptions {
   port: StorePort;
+  /**
+   * Time within which this VM has to know what the store accepted, in milliseconds, also
+   * where a call was lost meanwhile; the users promise it to their operators.
+   */
+  noticeWithinMs: Millis;
   clock: Clock;
   timers: Timers;
   random: Random;
@@ -132,10 +129,11 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
+    let pauseMs = 0;
     while (!this.isStopped) {
       const { isIdle } = this;
       this.noteFollowing(!isIdle);
-      const pauseMs = isIdle ? this.rest() : await this.step();
+      pauseMs = isIdle ? this.rest() : await this.step(pauseMs);
       if (pauseMs > 0) {
         await delay(this.options.timers, pauseMs);
       }
@@ -181,12 +179,12 @@
     return IDLE_CHECK_MS;
   }
 
-  /** One call; gives the pause until the next. */
-  private async step(): Promise<number> {
+  /** One call behind a pause; gives the pause until the next. */
+  private async step(pausedMs: Millis): Promise<number> {
     if (this.revision === undefined) {
       return this.readList();
     }
-    return this.readChanges(Math.max(this.revision, this.options.readRevision()));
+    return this.readChanges(Math.max(this.revision, this.options.readRevision()), pausedMs);
   }
 
   private async readList(): Promise<number> {
@@ -221,8 +219,8 @@
     return this.largeRevision > before;
   }
 
-  private async readChanges(revision: number): Promise<number> {
-    const waitMs = this.watchWaitMs;
+  private async readChanges(revision: number, pausedMs: Millis): Promise<number> {
+    const waitMs = this.planWait(pausedMs);
     this.hasWatched = true;
     const calledAtMs = this.options.clock.now();
     const changes = await this.options.port.watch(revision, waitMs);
@@ -248,10 +246,11 @@
     this.answeredAtMs = this.options.clock.now();
   }
 
-  /** At the start nobody knows yet who relies on whom, so the first watch is a short one. */
-  private get watchWaitMs(): number {
-    const isShort = !this.hasWatched || this.options.followsForOthers();
-    return isShort ? SHORT_WATCH_WAIT_MS : WATCH_WAIT_MS;
+  /** At the start nobody knows yet who relies on whom. */
+  private planWait(pausedMs: Millis): Millis {
+    const { noticeWithinMs, followsForOthers } = this.options;
+    const mayServeOthers = !this.hasWatched || followsForOthers();
+    return planWatchWait({ noticeWithinMs, pausedMs, isAway: this.isStoreAway, mayServeOthers });
   }
 
   private get gatherMs(): number {
@@ -288,7 +287,7 @@
       await this.waitForOthers(() => sharedMs);
       return 0;
     }
-    const pauseMs = Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS) * jitter;
+    const pauseMs = planRetryPause(this.options.noticeWithinMs, this.failures) * jitter;
     this.tellFailure(failed, pauseMs);
     return pauseMs;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,6 +240,7 @@
     const { log, metrics } = this;
     return new StoreFollower({
       port: this.platform.store,
+      noticeWithinMs: this.settings.configurationWithinMs,
       clock: steadyClock,
       timers: systemTimers,
       random: systemRandom,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -15,6 +15,8 @@
   seeds: ListenAddress[];
   /** Time after which a target that leaves may get no work any more, in milliseconds. */
   leavingTargetMs: number;
+  /** Time within which a configuration that the store accepted has to be in force, in milliseconds. */
+  configurationWithinMs: number;
   /** Time between the request to stop and the kill, in milliseconds. */
   stopGraceMs: number;
   retryBudget: RetryBudget;
