Look for a large configuration as soon as the own watch had its time

Cause: a VM that is behind a peer looked again after the second that a small configuration gets; a large one gets 1.8 s, so that look was in vain and the next came with a heartbeat, up to a second later.

Change: the look comes when the time that applies is over. Its test failed before.

--- a/packages/share-evidence/src/catch-up.test.ts
+++ b/packages/share-evidence/src/catch-up.test.ts
@@ -1,3 +1,4 @@
+import { createManualTime } from '@limelead/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import CatchUp from './catch-up.js';
@@ -13,11 +14,12 @@
 
 function create(situation: Situation) {
   const { isInTouch, isFollowing, isStoreAway = false, revision = 5, bytes = 500 } = situation;
-  const clock = { at: 0, now: () => clock.at };
+  const { clock: time, timers, advance } = createManualTime(0);
+  const clock = { at: 0, now: () => Math.max(clock.at, time.now()) };
   const asked: number[] = [];
   const catchUp = new CatchUp({
     clock,
-    timers: { after: () => () => undefined },
+    timers,
     readKnowledge: () => ({
       isInTouch,
       isStoreAway,
@@ -29,7 +31,7 @@
     listPeers: () => [['peer', { revision: 9, configuration: 3, configurationBytes: bytes }]],
     ask: (_, since) => asked.push(since),
   });
-  return { clock, asked, catchUp };
+  return { clock, asked, catchUp, advance };
 }
 
 test('a VM that the store turns away asks once, and again when the answer came or is late', () => {
@@ -79,4 +81,18 @@
   assert.equal(away.asked, [0]);
 });
 
+test('a VM that is behind looks again as soon as its own watch had its time, without a heartbeat', async () => {
+  for (const [bytes, waitMs] of [
+    [500, 1_000],
+    [400_000, 1_800],
+  ] as const) {
+    const { asked, catchUp, advance } = create({ isInTouch: true, isFollowing: true, bytes });
+    catchUp.check();
+    await advance(waitMs - 1);
+    assert.equal(asked, []);
+    await advance(1);
+    assert.equal(asked, [5]);
+  }
+});
+
 test.run();
--- a/packages/share-evidence/src/catch-up.ts
+++ b/packages/share-evidence/src/catch-up.ts
@@ -44,10 +44,10 @@
     const { clock, ask } = this.options;
     const own = this.options.readKnowledge();
     const now = clock.now();
-    this.noteBehind(own, now);
     const newest = this.findNewest();
     const isLarge = (newest?.[1].configurationBytes ?? 0) >= LARGE_ITEM_BYTES;
     const waitMs = isLarge ? LARGE_AHEAD_TOO_LONG_MS : AHEAD_TOO_LONG_MS;
+    this.noteBehind(own, now, waitMs);
     const isBehind = now - (this.behindSinceMs ?? now) >= waitMs;
     const hasOwnSource = own.isInTouch && this.options.isFollowing();
     // A VM that starts reads a large configuration from the store, which has the wider link.
@@ -81,14 +81,14 @@
     return [...peers].sort(([, a], [, b]) => b.revision - a.revision)[0];
   }
 
-  private noteBehind(own: StoreKnowledge, now: Millis): void {
+  private noteBehind(own: StoreKnowledge, now: Millis, waitMs: Millis): void {
     const { listPeers, timers } = this.options;
     const isBehind = listPeers().some(([, { configuration }]) => configuration > own.configuration);
     if (!isBehind) {
       this.behindSinceMs = undefined;
     } else if (this.behindSinceMs === undefined) {
       this.behindSinceMs = now;
-      timers.after(AHEAD_TOO_LONG_MS, () => this.check());
+      timers.after(waitMs, () => this.check());
     }
   }
 }
