Hold the call to the store to both promises that rest on it

A target that leaves is told on the same way as a configuration, and has a time of its own after which it may get nothing new. The shorter of both counts; they are the same on all deployments known.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,7 +240,7 @@
     const { log, metrics } = this;
     return new StoreFollower({
       port: this.platform.store,
-      noticeWithinMs: this.settings.configurationWithinMs,
+      noticeWithinMs: Math.min(this.settings.configurationWithinMs, this.settings.leavingTargetMs),
       clock: steadyClock,
       timers: systemTimers,
       random: systemRandom,
