--- a/packages/daemon/src/watch-configuration.ts
+++ b/packages/daemon/src/watch-configuration.ts
@@ -29,9 +29,12 @@
     if (known.revision > 0 && isWatcher(this.context)) {
       metrics.count('limelead_store_watches_total');
       const { configurationWaitMs } = settings.timing;
-      await this.take(
-        await configurationStore.watch(known, this.headVersion, configurationWaitMs)(),
-      );
+      // A service that did not answer is asked for an answer at once: a watch that is lost
+      // right before its return would hide every change for as long as it may wait.
+      const call = this.isReachable
+        ? configurationStore.watch(known, this.headVersion, configurationWaitMs)
+        : configurationStore.read(known);
+      await this.take(await call());
     } else if (known.revision === 0 || clock.now() >= this.nextLookMs) {
       this.nextLookMs = clock.now() + OWN_LOOK_INTERVAL_MS;
       await this.take(await configurationStore.read(known)());
