Tell an item of the store that does not hold

Cause: a configuration that could not be read was passed over without a line: one more way for a change to stay unnoticed. The store takes valid ones only; a newer field is enough for it to happen.

Change: store-item-unreadable, with key, revision and reason; what was known stays in force.

--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -1,4 +1,4 @@
-import createDecisionLog from '@limelead/decision-log';
+import type { LogFields } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
@@ -15,6 +15,8 @@
 
 /** Value of a target that said that it leaves. */
 const LEAVING = 'leaving';
+/** Value of an item that does not hold. */
+const UNREADABLE = 'unreadable';
 /** Value of a target at an address that others use, too. */
 const AT_PORT_1 = 'at port 1';
 
@@ -27,19 +29,27 @@
   const decoded: string[] = [];
   const versions: number[] = [];
   const joined: string[] = [];
+  const lines: LogFields[] = [];
   const directory = new TargetDirectory(clock, {
     onNotice: ({ kind, target }) => kind === 'joined' && joined.push(target.id),
   });
   const knowledge = new Knowledge({
     clock,
     timers: { after: () => () => undefined },
-    log: createDecisionLog({ vm: 'test', clock, output: (_, done) => done() }),
+    log: {
+      write: (event, fields) => lines.push({ event, ...fields }),
+      flush: () => Promise.resolve(),
+      dropped: 0,
+    },
     leavingTargetMs: 2_000,
     readAgeMs: () => 0,
     directory,
     dialect: {
       read({ key, value }) {
         decoded.push(key);
+        if (value.toString() === UNREADABLE) {
+          return { kind: 'unreadable', reason: 'no version' };
+        }
         if (key !== 'c') {
           const leaving = value.toString() === LEAVING;
           const port = value.toString() === AT_PORT_1 ? 1 : toTarget(key).port;
@@ -64,7 +74,7 @@
   });
   const ids = (): string[] => directory.all().map(({ target }) => target.id);
   const usable = (): string[] => directory.listUsable('s').map(({ target }) => target.id);
-  return { knowledge, decoded, versions, ids, usable, joined };
+  return { knowledge, decoded, versions, ids, usable, joined, lines };
 }
 
 test('what did not change is not decoded again', () => {
@@ -189,4 +199,16 @@
   assert.equal(usable(), ['t2']);
 });
 
+test('an item that does not hold is told, and what was known before stays in force', () => {
+  const { knowledge, lines } = create();
+  knowledge.takeList({ items: [item('c', 1)], revision: 1 });
+  const change = { kind: 'put', item: item('c', 2, UNREADABLE) } as const;
+  knowledge.takeChanges({ changes: [change], revision: 2 });
+  assert.is(knowledge.routes?.version, 1);
+  const told = lines.filter(({ event }) => event === 'store-item-unreadable');
+  assert.equal(told, [
+    { event: 'store-item-unreadable', key: 'c', revision: 2, reason: 'no version' },
+  ]);
+});
+
 test.run();
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -19,6 +19,8 @@
 export type StoreFact =
   | { kind: 'configuration'; configuration: ServingConfiguration }
   | { kind: 'target'; target: ServiceTarget }
+  /** It should be one of these, and does not hold. */
+  | { kind: 'unreadable'; reason: string }
   | { kind: 'other' };
 
 /** Reads items of the store in the platform's words. */
@@ -209,6 +211,11 @@
       return known.fact;
     }
     const fact = this.options.dialect.read(item);
+    if (fact.kind === 'unreadable') {
+      const { key, revision } = item;
+      this.options.log.write('store-item-unreadable', { key, revision, reason: fact.reason });
+      return fact;
+    }
     if (fact.kind !== 'other') {
       this.known.set(item.key, { item, fact });
     }
