--- /dev/null
+++ b/packages/gateway/src/follower-events.ts
@@ -0,0 +1,53 @@
+/** What a gateway does with what its follower of the store tells it. */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { StoreFollowerEvents } from '@limelead/follow-store';
+import type { Metrics } from '@limelead/metrics';
+import type { EvidenceExchange } from '@limelead/share-evidence';
+import type { Millis } from '@limelead/types';
+import type Knowledge from './knowledge.js';
+
+/** What the events need. */
+export interface FollowerEventsOptions {
+  log: DecisionLog;
+  metrics: Metrics;
+  knowledge: Knowledge;
+  /** Undefined where this VM has no address for peers. */
+  readExchange(): EvidenceExchange | undefined;
+  /** Time since the store last confirmed what this VM knows, in milliseconds. */
+  readKnowledgeAgeMs(): Millis;
+}
+
+/** Writes each event, and passes on what it means for knowledge and peers. */
+export default function createFollowerEvents(options: FollowerEventsOptions): StoreFollowerEvents {
+  const { log, metrics, knowledge, readExchange, readKnowledgeAgeMs } = options;
+  return {
+    onList(list) {
+      log.write('store-listed', { items: list.items.length, revision: list.revision });
+      knowledge.takeList(list);
+      readExchange()?.noteStoreAnswered();
+    },
+    onChanges(changes) {
+      knowledge.takeChanges(changes);
+      readExchange()?.noteStoreAnswered();
+    },
+    onLost(fault) {
+      metrics.count('limelead_store_lost_total', 1, { fault });
+      log.write('store-lost', { fault, knowledgeAgeMs: readKnowledgeAgeMs() });
+      knowledge.noteStoreLost(readExchange()?.storeConfirmedAtMs);
+    },
+    onCallFailed({ afterMs, pauseMs, ...failure }) {
+      log.write('store-call-failed', {
+        ...failure,
+        afterMs: Math.round(afterMs),
+        pauseMs: Math.round(pauseMs),
+      });
+    },
+    onRegained({ awayMs, failures }) {
+      log.write('store-regained', { awayMs: Math.round(awayMs), failures });
+      knowledge.noteStoreRegained();
+    },
+    onFollowing(isFollowing) {
+      log.write('store-following', { isFollowing, vms: readExchange()?.vmCount });
+    },
+  };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import EngineLoad from './engine-load.js';
+import createFollowerEvents from './follower-events.js';
 import Knowledge, { type StoreDialect } from './knowledge.js';
 import {
   startMetricsServer,
@@ -237,10 +238,10 @@
   }
 
   private createFollower(): StoreFollower {
-    const { log, metrics } = this;
+    const { configurationWithinMs, leavingTargetMs } = this.settings;
     return new StoreFollower({
       port: this.platform.store,
-      noticeWithinMs: Math.min(this.settings.configurationWithinMs, this.settings.leavingTargetMs),
+      noticeWithinMs: Math.min(configurationWithinMs, leavingTargetMs),
       clock: steadyClock,
       timers: systemTimers,
       random: systemRandom,
@@ -250,34 +251,13 @@
       readRevision: () => this.knowledge.revision,
       othersTry: () => this.exchange?.othersTry ?? false,
       startWaitMs: () => this.exchange?.startWaitMs ?? 0,
-      events: {
-        onList: (list) => {
-          log.write('store-listed', { items: list.items.length, revision: list.revision });
-          this.knowledge.takeList(list);
-          this.exchange?.noteStoreAnswered();
-        },
-        onChanges: (changes) => {
-          this.knowledge.takeChanges(changes);
-          this.exchange?.noteStoreAnswered();
-        },
-        onLost: (fault) => {
-          metrics.count('limelead_store_lost_total', 1, { fault });
-          log.write('store-lost', { fault, knowledgeAgeMs: this.knowledgeAgeMs });
-          this.knowledge.noteStoreLost(this.exchange?.storeConfirmedAtMs);
-        },
-        onCallFailed: ({ afterMs, pauseMs, ...failure }) =>
-          log.write('store-call-failed', {
-            ...failure,
-            afterMs: Math.round(afterMs),
-            pauseMs: Math.round(pauseMs),
-          }),
-        onRegained: ({ awayMs, failures }) => {
-          log.write('store-regained', { awayMs: Math.round(awayMs), failures });
-          this.knowledge.noteStoreRegained();
-        },
-        onFollowing: (isFollowing) =>
-          log.write('store-following', { isFollowing, vms: this.exchange?.vmCount }),
-      },
+      events: createFollowerEvents({
+        log: this.log,
+        metrics: this.metrics,
+        knowledge: this.knowledge,
+        readExchange: () => this.exchange,
+        readKnowledgeAgeMs: () => this.knowledgeAgeMs,
+      }),
     });
   }
 
