--- a/packages/follow-store/src/plan-calls.ts
+++ b/packages/follow-store/src/plan-calls.ts
@@ -6,17 +6,19 @@
 import type { Millis } from '@limelead/types';
 import { STORE_ANSWER_MS } from './store-port.js';
 
-/** Longest wait of one watch, where the promise would allow more. */
+/** Longest wait of one watch, where the promise would allow more: beyond it few calls are saved. */
 const LONGEST_WATCH_WAIT_MS: Millis = 3_000;
 /** Shortest wait of one watch, so that a short promise does not become a stream of calls. */
 const LEAST_WATCH_WAIT_MS: Millis = 200;
-/** Longest wait of a watch by a VM that tells others how old its knowledge is. */
+/** Longest wait of a watch by a VM that tells others how old its knowledge is, each second. */
 const SHORT_WATCH_WAIT_MS: Millis = 800;
 /** Wait of a watch that asks whether the store is back: it is answered at once or it is lost. */
 const PROBE_WAIT_MS: Millis = 1;
 /** Time to connect anew and to be answered, on a VM that is busy. */
 const RECONNECT_MS: Millis = 100;
+/** Pause behind the first failure, which may be the connection's alone. */
 const FIRST_PAUSE_MS: Millis = 100;
+/** Longest pause between two tries, where the promise would allow more. */
 const LONGEST_PAUSE_MS: Millis = 1_000;
 
 /** What the wait of a watch depends on. */
