--- a/packages/follow-store/src/notice-in-time.test.ts
+++ b/packages/follow-store/src/notice-in-time.test.ts
@@ -40,7 +40,6 @@
 /** A call that waits for a change. */
 interface WaitingCall {
   isLost: boolean;
-  since: number;
   answer(): void;
 }
 
@@ -94,7 +93,6 @@
       const { timers } = this.time;
       const call: WaitingCall = {
         isLost: false,
-        since,
         answer: () => {
           this.waiting.delete(call);
           resolve(E.right({ changes: this.listChanges(since), revision: this.revision }));
--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -35,6 +35,17 @@
 
 type Answer = E.Either<StoreFault, StoreChanges>;
 
+/** Timers that are due at once; time passes by what they were set to. */
+function createPassingTimers(time: { now: number }): Timers {
+  return {
+    after(milliseconds, run) {
+      time.now += milliseconds;
+      queueMicrotask(run);
+      return () => undefined;
+    },
+  };
+}
+
 /** Plays answers in turn and stops the follower after the last. */
 async function follow(
   lists: E.Either<StoreFault, StoreList>[],
@@ -128,13 +139,7 @@
   const follower: StoreFollower = new StoreFollower({
     ...ALONE,
     clock: { now: () => time.now },
-    timers: {
-      after(milliseconds, run) {
-        time.now += milliseconds;
-        queueMicrotask(run);
-        return () => undefined;
-      },
-    },
+    timers: createPassingTimers(time),
     random: { next: () => 0 },
     countFollowers: () => 6,
     port: {
@@ -236,13 +241,7 @@
     return { key: 'large', value: Buffer.alloc(bytes), revision };
   };
   const follower: StoreFollower = new StoreFollower({
-    timers: {
-      after(milliseconds, run) {
-        time.now += milliseconds;
-        queueMicrotask(run);
-        return () => undefined;
-      },
-    },
+    timers: createPassingTimers(time),
     random: { next: () => 0 },
     countFollowers: () => 6,
     ...ALONE,
