Split the gateway, and give the parts for two new customers their interfaces

Cause: two customers ask for duties of one VM at a time, targets that are ordered, versions and regions; gateway.ts could not take four more parts.

--- /dev/null
+++ b/packages/call-json/src/json-caller.ts
@@ -0,0 +1,91 @@
+/** Single calls with JSON bodies to one service. Nothing is sent twice. */
+import { PortFault } from '@limelead/errors';
+import type { PortCall } from '@limelead/ports';
+import { createConnector } from '@limelead/target-connections';
+import * as E from 'fp-ts/lib/Either.js';
+import { Client } from 'undici';
+
+/** Time for a connection, in milliseconds; one within the region takes some. */
+const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Time after which an idle connection is closed, in milliseconds. Calls are a second or
+ * more apart: each gets a connection of its own, which can't have died unnoticed.
+ */
+const IDLE_CONNECTION_MS = 500;
+/** Codes of faults behind which no byte of the request left. */
+const NEVER_CONNECTED_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** One call. */
+export interface JsonCall {
+  method: 'GET' | 'POST' | 'DELETE';
+  path: string;
+  query?: Record<string, string | number>;
+  headers?: Record<string, string>;
+  body?: object;
+}
+
+/** What came back, whatever its status; the body is undefined where it is no JSON. */
+export interface JsonReply {
+  status: number;
+  body: unknown;
+}
+
+/** Makes a call. */
+export type JsonCaller = (call: JsonCall) => PortCall<JsonReply>;
+
+/** @param timeoutMs time from the call to the end of its answer, in milliseconds */
+export default function createJsonCaller(
+  { host, port }: { host: string; port: number },
+  timeoutMs: number,
+): JsonCaller {
+  const client = new Client(`http://${host}:${port}`, {
+    pipelining: 1,
+    connect: createConnector(CONNECT_TIMEOUT_MS),
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  return (call) => async () => {
+    const silence = new AbortController();
+    const timer = setTimeout(() => silence.abort(), timeoutMs);
+    try {
+      const { statusCode, body } = await client.request({
+        method: call.method,
+        path: call.path,
+        query: call.query,
+        headers: { ...call.headers, ...(call.body && { 'content-type': 'application/json' }) },
+        body: call.body && JSON.stringify(call.body),
+        signal: silence.signal,
+      });
+      return E.right({ status: statusCode, body: parse(await body.text()) });
+    } catch (thrown) {
+      return E.left(toFault(thrown, silence.signal.aborted));
+    } finally {
+      clearTimeout(timer);
+    }
+  };
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // Bodies of refusals need not be JSON; who needs a body checks its shape.
+    return undefined;
+  }
+}
+
+function toFault(thrown: unknown, isTimeout: boolean): PortFault {
+  const message = thrown instanceof Error ? thrown.message : String(thrown);
+  const code = (thrown as { code?: unknown } | undefined)?.code;
+  if (typeof code === 'string' && NEVER_CONNECTED_CODES.has(code)) {
+    return new PortFault('unreachable', 'no', message);
+  }
+  return new PortFault(isTimeout ? 'timeout' : 'broken', 'maybe', message);
+}
--- /dev/null
+++ b/packages/estimate-time/src/index.ts
@@ -0,0 +1,2 @@
+/** True time from the clocks of many VMs, some of which jump. */
+export {};
--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -1,6 +1,6 @@
 /** One send of a call to one target: holds its answer back until it is whole, or passes it on. */
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
-import type { ServiceTarget } from '@limelead/types';
+import type { Millis, ServiceTarget } from '@limelead/types';
 import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
@@ -38,6 +38,8 @@
   readonly noteUnreached: NoteUnreached;
   /** True once it ended or was cancelled; nothing is told from then on. */
   isOver = false;
+  /** When the request was sent; 0 before that. */
+  sentAtMs: Millis = 0;
   private readonly place: Place;
   private readonly events: CallAttemptEvents;
   private open: OpenCall | undefined;
@@ -58,7 +60,12 @@
   }
 
   /** @param maxIdleMs longest rest of a connection that may be used */
-  send({ connections, dialect }: ForwardContext, order: TargetOrder, maxIdleMs: number): void {
+  send(
+    { connections, dialect, clock }: ForwardContext,
+    order: TargetOrder,
+    maxIdleMs: number,
+  ): void {
+    this.sentAtMs = clock.now();
     this.open = connections.send(
       this.target,
       dialect.composeCall(order),
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -12,6 +12,7 @@
 import type ReadingTime from './reading-time.js';
 import type SilenceWatch from './silence-watch.js';
 import type TargetPace from './target-pace.js';
+import type { TrafficObserver } from './traffic-observer.js';
 
 /** Everything that requests of one VM share. */
 export interface ForwardContext {
@@ -30,6 +31,8 @@
   pace: TargetPace;
   log: DecisionLog;
   metrics: Metrics;
+  /** Told of each request; empty where no part counts traffic. */
+  observer: TrafficObserver;
   /** The configuration in force. */
   readTable(): RouteTable | undefined;
   /** Time since the store last confirmed what this VM knows, in milliseconds. */
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -74,7 +74,8 @@
   }
 
   begin(): void {
-    const { clock, timers } = this.context;
+    const { clock, timers, observer } = this.context;
+    observer.onAdmitted?.(this.admitted);
     const remainingMs = this.admitted.dueAtMs - clock.now();
     this.timers.push(timers.after(Math.max(0, remainingMs), () => this.onOverdue()));
     this.sink.onGone(() => this.finish('caller-left'));
@@ -163,6 +164,8 @@
     const isGood = status < SERVER_ERROR_STATUS;
     const kind = isGood ? 'answered' : 'failed';
     this.context.directory.observe(attempt.target.id, { kind });
+    this.context.observer.onBegun?.(this.admitted, attempt.target);
+    this.tellSendEnd(attempt, isGood);
     if (this.streaming === attempt) {
       this.sink.end();
       this.finish('answered', attempt, status);
@@ -181,6 +184,9 @@
     const kind = notSent ? 'lost' : 'failed';
     this.context.directory.observe(attempt.target.id, { kind });
     this.report.failed(attempt, notSent, reason);
+    if (!notSent) {
+      this.tellSendEnd(attempt, false);
+    }
     if (this.streaming === attempt) {
       this.sink.abort(new LimeleadError('outcome-unknown', 'the answer broke off'));
       this.finish('broke-off', attempt);
@@ -195,6 +201,12 @@
     }
   }
 
+  private tellSendEnd(attempt: CallAttempt, isGood: boolean): void {
+    const { clock, observer } = this.context;
+    const afterMs = clock.now() - attempt.sentAtMs;
+    observer.onSendEnded?.(this.admitted, attempt.target, { isGood, afterMs });
+  }
+
   private onTurnedAway(attempt: CallAttempt, isOtherTarget: boolean): void {
     const { id } = attempt.target;
     this.ran -= 1;
@@ -292,5 +304,6 @@
       attempts: this.attempts.length,
       ran: this.ran,
     });
+    this.context.observer.onFinished?.(this.admitted);
   }
 }
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -18,10 +18,9 @@
 import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
 import { SERVER_ERROR_STATUS } from './limits.js';
-import LiveAttempts from './live-attempts.js';
+import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
 import type { Place } from './place-queue.js';
 import RunCopies from './run-copies.js';
-import type RunHearing from './run-hearing.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
@@ -88,7 +87,8 @@
   }
 
   begin(): void {
-    const { clock, timers } = this.context;
+    const { clock, timers, observer } = this.context;
+    observer.onAdmitted?.(this.admitted);
     const remainingMs = Math.max(0, this.admitted.dueAtMs - clock.now());
     this.cleanups.push(timers.after(remainingMs, () => this.advance({ kind: 'deadline-passed' })));
     this.sink.onGone(() => this.advance({ kind: 'cancelled' }));
@@ -231,7 +231,7 @@
     }
     this.context.directory.hear(live.attempt.target.id);
     live.endReading();
-    this.noteFirstPiece(live.hearing);
+    this.noteFirstPiece(live);
     live.hearing.hear();
     live.pace.notePieces(pieces.length, this.context.clock.now());
     for (const { number, bytes } of pieces) {
@@ -245,10 +245,23 @@
   }
 
   /** The time to the first piece of a run that read its whole prompt tells how fast targets read. */
-  private noteFirstPiece({ isSending, startedAtMs }: RunHearing): void {
+  private noteFirstPiece(live: LiveAttempt): void {
+    if (live.firstPieceAfterMs !== undefined) {
+      return;
+    }
+    const { clock, reading, observer } = this.context;
+    const { isSending, startedAtMs } = live.hearing;
+    live.firstPieceAfterMs = clock.now() - startedAtMs;
     if (!isSending) {
-      this.context.reading.note(this.admitted, this.context.clock.now() - startedAtMs);
+      reading.note(this.admitted, live.firstPieceAfterMs);
     }
+    observer.onBegun?.(this.admitted, live.attempt.target);
+  }
+
+  private tellSendEnd({ attempt, hearing, firstPieceAfterMs }: LiveAttempt, isGood: boolean): void {
+    const { clock, observer } = this.context;
+    const afterMs = firstPieceAfterMs ?? clock.now() - hearing.startedAtMs;
+    observer.onSendEnded?.(this.admitted, attempt.target, { isGood, afterMs });
   }
 
   private onEnded(attempt: number, trailer: Buffer): void {
@@ -258,6 +271,7 @@
     }
     this.answer.noteTrailer(trailer);
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
+    this.tellSendEnd(live, true);
     this.live.release(attempt);
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
   }
@@ -293,6 +307,7 @@
       copyAt: live.copy?.keeper.id,
     });
     live.attempt.cancel();
+    this.tellSendEnd(live, false);
     this.live.release(attempt);
     // A connection that ends with a run on it is a sign of a lost target, as silence is.
     directory.observe(target, { kind: 'lost' });
@@ -320,6 +335,7 @@
       return;
     }
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
+    this.tellSendEnd(live, false);
     this.live.release(attempt);
     const mayGoOn = this.admitted.route.repeatable && !this.sends.hasUsedItsTargets;
     if ((head.status >= SERVER_ERROR_STATUS && mayGoOn) || this.answer.hasBegun) {
@@ -352,6 +368,7 @@
     this.cleanups.forEach((cleanup) => cleanup());
     this.live.dropAll();
     tell();
+    this.context.observer.onFinished?.(this.admitted);
     this.report.finished(outcome, this.state.delivered, this.sends.count);
   }
 }
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -218,6 +218,7 @@
       kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
       log,
       metrics: createMetrics(),
+      observer: {},
       readTable: () => table,
       readKnowledgeAgeMs: () => 0,
       retriesOf: () => this.spender,
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -11,3 +11,4 @@
 export { default as PlaceQueue } from './place-queue.js';
 export { default as SilenceWatch } from './silence-watch.js';
 export { default as TargetPace } from './target-pace.js';
+export { tellAll, type SendEnd, type TrafficObserver } from './traffic-observer.js';
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -1,5 +1,5 @@
 /** The sends of one stream that are under way, each with everything that belongs to it. */
-import type { RecoveryPolicy } from '@limelead/types';
+import type { Millis, RecoveryPolicy } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy, TargetOrder } from './dialect.js';
@@ -17,6 +17,8 @@
   copy?: RunCopy;
   hearing: RunHearing;
   pace: RunPace;
+  /** Time from the send to its first piece; undefined before that. */
+  firstPieceAfterMs?: Millis;
   /** The run reads its prompt no longer. */
   endReading: () => void;
   forgetCopy: () => void;
--- /dev/null
+++ b/packages/gateway/src/create-exchange.ts
@@ -0,0 +1,65 @@
+/** Joins a gateway's knowledge, load and evidence to the conversation with its peers. */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { StoreFollower } from '@limelead/follow-store';
+import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
+import type { RetryBudgets } from '@limelead/spend-retries';
+import type { TargetDirectory } from '@limelead/track-service-targets';
+import { systemRandom, systemTimers, type Clock } from '@limelead/types';
+import { randomUUID } from 'node:crypto';
+import type EngineLoad from './engine-load.js';
+import formatAddress from './format-address.js';
+import type Knowledge from './knowledge.js';
+import type { GatewaySettings } from './settings.js';
+import TargetScheduler from './target-scheduler.js';
+
+/** What the conversation is about. */
+export interface ExchangeParts {
+  settings: GatewaySettings;
+  clock: Clock;
+  log: DecisionLog;
+  directory: TargetDirectory;
+  knowledge: Knowledge;
+  follower: StoreFollower;
+  engineLoad: EngineLoad;
+  retries: RetryBudgets;
+  onRepeats(service: string, repeats: number): void;
+  onReport(peer: PeerId, report: PeerReport): void;
+}
+
+/** Creates the conversation; undefined where this VM has no address for peers. */
+export default function createExchange(parts: ExchangeParts): EvidenceExchange | undefined {
+  const { settings, clock, log, directory, knowledge, follower, engineLoad, retries } = parts;
+  const { failureDomain, peers, seeds } = settings;
+  if (peers === undefined) {
+    return undefined;
+  }
+  const id = formatAddress(peers);
+  const scheduler = new TargetScheduler({ self: id, clock, directory });
+  return new EvidenceExchange({
+    ...peers,
+    id,
+    incarnation: randomUUID(),
+    failureDomain,
+    seeds: seeds.map(formatAddress),
+    clock,
+    timers: systemTimers,
+    random: systemRandom,
+    log,
+    readKnowledge: () => ({
+      revision: knowledge.revision,
+      configuration: knowledge.routes?.version ?? 0,
+      configurationBytes: knowledge.configurationBytes,
+      isInTouch: follower.isInTouch,
+      isStoreAway: follower.isStoreAway,
+    }),
+    readUpdate: (since) => knowledge.readUpdate(since),
+    readLoad: () => engineLoad.read(),
+    onLoad: (peer, load) => directory.takePeerLoad(peer, load),
+    adviseTarget: (peer, question) => scheduler.advise(peer, question),
+    onLost: (target, loss) => directory.takePeerLoss(target, loss),
+    lendRepeats: (service, wanted) => retries.lend(service, wanted),
+    onRepeats: parts.onRepeats,
+    onReport: parts.onReport,
+    onUpdate: (update) => knowledge.takePeerUpdate(update),
+  });
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,12 +7,14 @@
   ReadingTime,
   SilenceWatch,
   TargetPace,
+  tellAll,
   type ForwardContext,
   type TargetDialect,
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
+import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
-import { EvidenceExchange } from '@limelead/share-evidence';
+import type { EvidenceExchange } from '@limelead/share-evidence';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
@@ -21,18 +23,16 @@
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { askNobody, delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
-import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
+import createExchange from './create-exchange.js';
+import createFleetParts from './create-fleet-parts.js';
 import EngineLoad from './engine-load.js';
+import type { FleetPart } from './fleet-part.js';
 import createFollowerEvents from './follower-events.js';
 import Knowledge, { type StoreDialect } from './knowledge.js';
-import {
-  startMetricsServer,
-  startReadinessServer,
-  type ListenAddress,
-} from './readiness-server.js';
+import formatAddress from './format-address.js';
+import { startMetricsServer, startReadinessServer } from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
-import TargetScheduler from './target-scheduler.js';
 
 /**
  * Time for a connection to a target, in milliseconds. One takes 2 to 6 ms within
@@ -59,6 +59,10 @@
 /** What a gateway needs from the platform. */
 export interface GatewayPlatform {
   store: StorePort;
+  /** The same store, for reads and writes of single items. */
+  storeItems: ConditionalStore;
+  /** Undefined where the platform names no duties. */
+  dutyPlatform?: DutyPlatform;
   storeDialect: StoreDialect;
   targetDialect: TargetDialect;
   ingressDialect: IngressDialect;
@@ -82,6 +86,8 @@
   private readonly pace: TargetPace;
   private readonly engineLoad: EngineLoad;
   private readonly retries: RetryBudgets;
+  /** Parts that look at the whole fleet; those that nothing asks for are not there. */
+  private readonly parts: FleetPart[];
   private readonly servers: Server[] = [];
   private isStopping = false;
 
@@ -128,6 +134,18 @@
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
       onChange: () => this.onKnowledge(),
     });
+    this.parts = createFleetParts({
+      settings,
+      platform,
+      clock: steadyClock,
+      timers: systemTimers,
+      random: systemRandom,
+      log: this.log,
+      metrics: this.metrics,
+      directory: this.directory,
+      knowledge: this.knowledge,
+      readExchange: () => this.exchange,
+    });
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
       context: this.createContext(),
@@ -138,7 +156,18 @@
     this.metrics.gauge('limelead_log_lines_dropped', () => this.log.dropped);
     this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.knowledgeAgeMs);
     this.follower = this.createFollower();
-    this.exchange = this.createExchange();
+    this.exchange = createExchange({
+      settings,
+      clock: steadyClock,
+      log: this.log,
+      directory: this.directory,
+      knowledge: this.knowledge,
+      follower: this.follower,
+      engineLoad: this.engineLoad,
+      retries: this.retries,
+      onRepeats: (service, repeats) => this.onRepeats(service, repeats),
+      onReport: (peer, report) => this.parts.forEach((part) => part.onReport?.(peer, report)),
+    });
   }
 
   /** Listens, then learns what there is to know; resolves when it listens. */
@@ -162,6 +191,7 @@
       sinceProcessStartMs: Math.round(performance.now()),
     });
     void this.follower.run();
+    this.parts.forEach((part) => part.start());
   }
 
   /** Whether new connections are welcome. */
@@ -189,6 +219,7 @@
     this.isStopping = true;
     const startedAtMs = steadyClock.now();
     const { stopGraceMs } = this.settings;
+    const handedOver = Promise.all(this.parts.map((part) => part.handOver()));
     this.log.write('stopping', { underWay: this.frontDoor.underWay, graceMs: stopGraceMs });
     this.frontDoor.beginStop(startedAtMs + stopGraceMs - STOP_RESERVE_MS);
     const elapsed = (): number => steadyClock.now() - startedAtMs;
@@ -202,6 +233,7 @@
       underWay: this.frontDoor.underWay,
       afterMs: Math.round(elapsed()),
     });
+    await handedOver;
     this.follower.stop();
     await this.exchange?.stop();
     // Callers go first: a stream that loses its target while it has a caller is sent on.
@@ -230,6 +262,7 @@
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
+      observer: tellAll(this.parts.flatMap(({ observer }) => observer ?? [])),
       readTable: () => this.knowledge.routes,
       readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       retriesOf: (service) => this.retries.of(service),
@@ -279,42 +312,6 @@
     return Math.max(LEAST_VMS, this.exchange?.vmCount ?? 0);
   }
 
-  private createExchange(): EvidenceExchange | undefined {
-    const { failureDomain, peers, seeds } = this.settings;
-    if (peers === undefined) {
-      return undefined;
-    }
-    const id = formatAddress(peers);
-    const { directory } = this;
-    const scheduler = new TargetScheduler({ self: id, clock: steadyClock, directory });
-    return new EvidenceExchange({
-      ...peers,
-      id,
-      incarnation: randomUUID(),
-      failureDomain,
-      seeds: seeds.map(formatAddress),
-      clock: steadyClock,
-      timers: systemTimers,
-      random: systemRandom,
-      log: this.log,
-      readKnowledge: () => ({
-        revision: this.knowledge.revision,
-        configuration: this.knowledge.routes?.version ?? 0,
-        configurationBytes: this.knowledge.configurationBytes,
-        isInTouch: this.follower.isInTouch,
-        isStoreAway: this.follower.isStoreAway,
-      }),
-      readUpdate: (since) => this.knowledge.readUpdate(since),
-      readLoad: () => this.engineLoad.read(),
-      onLoad: (peer, load) => this.directory.takePeerLoad(peer, load),
-      adviseTarget: (peer, question) => scheduler.advise(peer, question),
-      onLost: (target, loss) => this.directory.takePeerLoss(target, loss),
-      lendRepeats: (service, wanted) => this.retries.lend(service, wanted),
-      onRepeats: (service, repeats) => this.onRepeats(service, repeats),
-      onUpdate: (update) => this.knowledge.takePeerUpdate(update),
-    });
-  }
-
   private onRepeats(service: string, repeats: number): void {
     this.retries.borrow(service, repeats);
     this.metrics.count('limelead_repeats_borrowed_total', repeats);
@@ -338,7 +335,3 @@
 function limitOf({ target }: TrackedServiceTarget): number {
   return Math.max(1, target.slots);
 }
-
-function formatAddress({ host, port }: ListenAddress): string {
-  return `${host}:${port}`;
-}
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -8,7 +8,14 @@
 import type { StoreUpdate } from '@limelead/share-evidence';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
-import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
+import type {
+  Clock,
+  Millis,
+  RollOutOrder,
+  ServiceTarget,
+  ServingConfiguration,
+  Timers,
+} from '@limelead/types';
 import LapsedTargets from './lapsed-targets.js';
 import RemovedKeys from './removed-keys.js';
 
@@ -19,10 +26,17 @@
 export type StoreFact =
   | { kind: 'configuration'; configuration: ServingConfiguration }
   | { kind: 'target'; target: ServiceTarget }
+  | { kind: 'roll-out'; order: RollOutOrder }
   /** It should be one of these, and does not hold. */
   | { kind: 'unreadable'; reason: string }
   | { kind: 'other' };
 
+/** An order of a roll-out, as the store holds it. */
+export interface KnownRollOut {
+  order: RollOutOrder;
+  revision: number;
+}
+
 /** Reads items of the store in the platform's words. */
 export interface StoreDialect {
   read(item: StoreItem): StoreFact;
@@ -95,6 +109,13 @@
     return this.table;
   }
 
+  /** Orders of roll-outs that stand now, with the revision that wrote each. */
+  listRollOuts(): KnownRollOut[] {
+    return [...this.known.values()].flatMap(({ item, fact }) =>
+      fact.kind === 'roll-out' ? [{ order: fact.order, revision: item.revision }] : [],
+    );
+  }
+
   /** What is known beyond a revision, for peers that do not ask the store themselves. */
   readUpdate(since: number): StoreUpdate {
     const items = [...this.known.values()].map(({ item }) => item);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,6 +2,25 @@
 import type { RetryBudget } from '@limelead/spend-retries';
 import type { ListenAddress } from './readiness-server.js';
 
+/** Calls to the platform that only one VM at a time may make, and the bounds on them. */
+export interface DutySettings {
+  /** What this system has to do. */
+  duties: readonly DutyName[];
+  /** Calls that all VMs together may make in a second. */
+  callsPerSecond: number;
+  /** Whether the platform refuses tokens below the highest that it has seen. */
+  isFenced: boolean;
+  /** Within this time holders may not act in the order A, B, A, in milliseconds. */
+  leaseMs: number;
+  /** Length of a window of usage, in milliseconds. */
+  usageWindowMs: number;
+  /** Time behind the end of a window by which its usage is due, in milliseconds. */
+  usageDueMs: number;
+}
+
+/** A duty that the product knows. */
+export type DutyName = 'usage' | 'capacity';
+
 /** What a process is told by its VM. Everything else comes from the store. */
 export interface GatewaySettings {
   vm: string;
@@ -20,4 +39,10 @@
   /** Time between the request to stop and the kill, in milliseconds. */
   stopGraceMs: number;
   retryBudget: RetryBudget;
+  /** Region of this VM; undefined where nothing tells of regions. */
+  region?: string;
+  /** Region of each failure domain; empty where nothing tells of regions. */
+  regionOf: Readonly<Record<string, string>>;
+  /** Undefined where the platform names no duties. */
+  duties?: DutySettings;
 }
--- /dev/null
+++ b/packages/hold-duty/src/index.ts
@@ -0,0 +1,2 @@
+/** One VM at a time does a duty. */
+export type { Duty, DutyPermit } from './duty.js';
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -187,6 +187,7 @@
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
+      observer: {},
       readTable: () => this.table,
       readKnowledgeAgeMs: () => 0,
       retriesOf: () => new RetrySpender({ ratio: 1, slack: 10, windowMs: 1_000 }),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -158,6 +158,7 @@
     kept: new KeptPrompts({ ...shared, connections, dialect, log }),
     log,
     metrics: createMetrics(),
+    observer: {},
     readTable: () => table,
     readKnowledgeAgeMs: () => 0,
     retriesOf: () => spender,
--- /dev/null
+++ b/packages/meter-usage/src/index.ts
@@ -0,0 +1,2 @@
+/** Counts the requests of each organisation by window, settles them once and reports them once. */
+export {};
--- /dev/null
+++ b/packages/plan-capacity/src/index.ts
@@ -0,0 +1,2 @@
+/** Pure plan of how many targets each failure domain should have, plain and spot, for a demand. */
+export {};
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -91,6 +91,94 @@
   releaseLease(name: string, holder: string): PortCall<void>;
 }
 
+/** An item of a store that writes under conditions. */
+export interface StoreEntry {
+  key: string;
+  value: Buffer;
+  /** Store-wide number of the change that wrote it; later changes have higher numbers. */
+  revision: number;
+}
+
+/** One change of a write that does everything or nothing. */
+export type StoreWrite =
+  /** @property lease the item goes when this lease ends; undefined where it stays */
+  { kind: 'put'; key: string; value: Buffer; lease?: number } | { kind: 'remove'; key: string };
+
+/** What has to stand for a write to be done; revision 0: the key is not there. */
+export interface WriteCondition {
+  key: string;
+  revision: number;
+}
+
+/** What became of a conditional write. */
+export type WriteOutcome =
+  | { kind: 'written'; revision: number }
+  /** A condition does not hold. */
+  | { kind: 'mismatch' }
+  /** The lease of a put is over. */
+  | { kind: 'lease-gone' };
+
+/** A lease that items of a store can hang on. */
+export interface GrantedLease {
+  lease: number;
+  /** Time that it lasts from when the call arrived, as the store decided. */
+  ttlMs: number;
+}
+
+/**
+ * A store with linearizable reads and writes under conditions. A write or a lease that
+ * fails with `sent: 'maybe'` may be done already, or be done seconds later.
+ */
+export interface ConditionalStore {
+  /** Undefined where the key is not there. */
+  read(key: string): PortCall<StoreEntry | undefined>;
+  write(conditions: WriteCondition[], writes: StoreWrite[]): PortCall<WriteOutcome>;
+  grantLease(ttlMs: number): PortCall<GrantedLease>;
+  /** False where the lease is over. */
+  renewLease(lease: number): PortCall<boolean>;
+  endLease(lease: number): PortCall<void>;
+}
+
+/** What every call that only one VM at a time may make carries. */
+export interface DutyCredentials {
+  /** Name of the VM. */
+  holder: string;
+  /** Higher for each later holder. */
+  token: number;
+}
+
+/** Requests of each organisation that targets began in one window of time. */
+export interface UsageReport {
+  /** Number of the window: window 0 begins with 1970, in true time. */
+  window: number;
+  counts: ReadonlyMap<string, number>;
+}
+
+/** Number of targets that a failure domain should have. */
+export interface TargetOrder {
+  service: string;
+  failureDomain: string;
+  count: number;
+  /** Plain and spot targets are ordered apart. */
+  isSpot: boolean;
+}
+
+/** What the platform says to a call of a duty. */
+export type DutyAnswer =
+  | 'taken'
+  /** A later holder called already, or none of the ordered kind is to be had now. */
+  | 'refused'
+  /** Too many calls now. */
+  | 'too-many'
+  /** The call does not hold; to repeat it is useless. */
+  | 'invalid';
+
+/** The platform's calls that only one VM at a time may make. */
+export interface DutyPlatform {
+  reportUsage(credentials: DutyCredentials, report: UsageReport): PortCall<DutyAnswer>;
+  orderTargets(credentials: DutyCredentials, order: TargetOrder): PortCall<DutyAnswer>;
+}
+
 /** The platform's lagging list of live and leaving VMs. */
 export interface VmListSource {
   read(): PortCall<VmList>;
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -15,6 +15,7 @@
 import RepeatLoans from './repeat-loans.js';
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
+import type { PeerReport } from './report-messages.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
 /** Time between two rounds: heartbeats, links, members. */
@@ -195,6 +196,25 @@
     this.loans.want(service);
   }
 
+  /** The VMs that stand for duties of one VM at a time, which may include this one. */
+  get dutyCandidates(): readonly PeerId[] {
+    return this.members?.dutyCandidates ?? [];
+  }
+
+  /** Gives a report to the VMs that stand for duties, this one aside. */
+  reportToCandidates(report: PeerReport): void {
+    const { id } = this.options;
+    const linked = this.dutyCandidates.filter(
+      (peer) => peer !== id && this.peers.get(peer) !== undefined,
+    );
+    this.links?.broadcast(report, linked);
+  }
+
+  /** Gives a report to the peers with which gossip is shared. */
+  reportToPeers(report: PeerReport): void {
+    this.links?.broadcast(report, this.gossip.listPeers());
+  }
+
   /** What this VM knows of the store changed; a new configuration is told at once. */
   noteKnowledge(): void {
     const { configuration } = this.options.readKnowledge();
@@ -241,11 +261,9 @@
   }
 
   private onMessage(peer: PeerId, message: EvidenceMessage): void {
-    const state = this.peers.get(peer);
-    if (state === undefined) {
+    if (!this.peers.hear(peer)) {
       return;
     }
-    state.heardAtMs = this.options.clock.now();
     this.members?.hearFrom(peer);
     switch (message.kind) {
       case 'heartbeat':
@@ -255,23 +273,17 @@
         this.gossip.hear(peer, false);
         break;
       case 'load':
-        this.load.hearLoad(peer, message);
-        break;
       case 'want-target':
-        this.load.answer(peer, message);
-        break;
       case 'advise-target':
-        this.load.hearAdvice(peer, message);
+        this.load.hear(peer, message);
         break;
       case 'lost':
-        this.onLost(peer, message.targets, 'lost');
-        this.onLost(peer, message.replaced, 'replaced');
+        this.onLost(peer, message);
         break;
       case 'store-news':
-        this.store.hearNews(peer, message);
-        break;
       case 'want-items':
-        this.store.answer(peer, message);
+      case 'items':
+        this.store.hear(peer, message);
         break;
       case 'want-repeats':
         this.lendRepeats(peer, message);
@@ -279,13 +291,18 @@
       case 'lend-repeats':
         this.options.onRepeats(message.service, message.repeats);
         break;
-      case 'items':
-        this.store.hearItems(message);
+      default:
+        this.options.onReport?.(peer, message);
         break;
     }
   }
 
-  private onLost(peer: PeerId, targets: string[], loss: TargetLoss): void {
+  private onLost(peer: PeerId, { targets, replaced }: EvidenceMessageOf<'lost'>): void {
+    this.passOnLost(peer, targets, 'lost');
+    this.passOnLost(peer, replaced, 'replaced');
+  }
+
+  private passOnLost(peer: PeerId, targets: string[], loss: TargetLoss): void {
     targets
       .filter((target) => this.lossNews.take(target, loss, peer))
       .forEach((target) => this.options.onLost(target, loss));
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -1,6 +1,7 @@
 /** What VMs of the HTTP front door tell each other. */
 export { default as EvidenceExchange } from './evidence-exchange.js';
 export { choosePart } from './choose-schedulers.js';
+export type { PeerReport } from './report-messages.js';
 export type {
   EvidenceExchangeOptions,
   PeerId,
--- a/packages/share-evidence/src/load-exchange.ts
+++ b/packages/share-evidence/src/load-exchange.ts
@@ -85,8 +85,23 @@
     this.options.onLoad(peer, { targets: new Map(), advice: Infinity });
   }
 
+  /** A peer told its load, or one of the two asks where a stream should go. */
+  hear(peer: PeerId, message: EvidenceMessageOf<'load' | 'want-target' | 'advise-target'>): void {
+    switch (message.kind) {
+      case 'load':
+        this.hearLoad(peer, message);
+        break;
+      case 'want-target':
+        this.answer(peer, message);
+        break;
+      case 'advise-target':
+        this.hearAdvice(peer, message);
+        break;
+    }
+  }
+
   /** A peer told its load. */
-  hearLoad(peer: PeerId, { targets, advice }: EvidenceMessageOf<'load'>): void {
+  private hearLoad(peer: PeerId, { targets, advice }: EvidenceMessageOf<'load'>): void {
     this.options.onLoad(peer, {
       targets: new Map(targets.map((load) => [load.id, load])),
       advice,
@@ -94,7 +109,7 @@
   }
 
   /** A peer asks where its stream should go. */
-  answer(peer: PeerId, question: EvidenceMessageOf<'want-target'>): void {
+  private answer(peer: PeerId, question: EvidenceMessageOf<'want-target'>): void {
     const { adviseTarget, send } = this.options;
     const answer = adviseTarget(peer, question);
     send(peer, {
@@ -106,7 +121,10 @@
   }
 
   /** A scheduler answered. */
-  hearAdvice(peer: PeerId, { number, target, copyTo }: EvidenceMessageOf<'advise-target'>): void {
+  private hearAdvice(
+    peer: PeerId,
+    { number, target, copyTo }: EvidenceMessageOf<'advise-target'>,
+  ): void {
     const answer = target === null ? undefined : { target, copyTo: copyTo ?? undefined };
     this.advice.hear(peer, number, answer);
   }
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -7,6 +7,7 @@
 import { rankVms } from '@limelead/track-members';
 import type { Clock, Random } from '@limelead/types';
 import { FULL_MESH_VMS } from './choose-peers.js';
+import chooseDutyCandidates from './choose-duty-candidates.js';
 import chooseSchedulers, { type Schedulers } from './choose-schedulers.js';
 import LinkUpkeep from './link-upkeep.js';
 import MemberBook, { type MemberAge } from './member-book.js';
@@ -35,6 +36,8 @@
   private isChosen = true;
   /** By part of the targets, as of the last round; none in a small fleet. */
   private chosenSchedulers: Schedulers = [];
+  /** As of the last round. */
+  private candidates: readonly PeerId[] = [];
 
   constructor(private readonly options: MembershipOptions) {
     const { self, seeds, links, clock, random } = options;
@@ -67,6 +70,11 @@
     return this.chosenSchedulers;
   }
 
+  /** The VMs that stand for duties of one VM at a time; none before the first round. */
+  get dutyCandidates(): readonly PeerId[] {
+    return this.candidates;
+  }
+
   /** Whether this VM chose a peer for gossip. */
   isChosenPeer(peer: PeerId): boolean {
     return this.upkeep.isChosen(peer);
@@ -92,6 +100,7 @@
     const ranking = rankVms([...members, self]);
     this.isChosen = ranking.slice(0, FOLLOWERS).includes(self);
     this.chosenSchedulers = this.isLarge ? chooseSchedulers(ranking) : [];
+    this.candidates = chooseDutyCandidates(ranking, this.chosenSchedulers);
     this.upkeep.tend(members, this.chosenSchedulers.flat());
     return this.book.sample();
   }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -2,6 +2,7 @@
 import { createMessageFormat, type MessageFormat } from '@limelead/peer-links';
 import * as t from 'io-ts';
 import { memberListCodec } from './member-codec.js';
+import { demand, timeOfDay, usage } from './report-messages.js';
 
 const buffer = new t.Type<Buffer, Uint8Array, unknown>(
   'bytes',
@@ -123,6 +124,9 @@
   items,
   wantRepeats,
   lendRepeats,
+  timeOfDay,
+  usage,
+  demand,
 ]);
 
 /** A message from one VM to another. */
@@ -143,6 +147,8 @@
   'advise-target',
   'store-news',
   'want-repeats',
+  'time-of-day',
+  'demand',
 ]);
 
 /** Format of the messages on the wire. */
--- a/packages/share-evidence/src/peer-table.ts
+++ b/packages/share-evidence/src/peer-table.ts
@@ -33,6 +33,16 @@
     return this.peers.get(peer);
   }
 
+  /** A peer said something; false where no link to it is up. */
+  hear(peer: PeerId): boolean {
+    const state = this.peers.get(peer);
+    if (state === undefined) {
+      return false;
+    }
+    state.heardAtMs = this.clock.now();
+    return true;
+  }
+
   /** True where the peer was there. */
   remove(peer: PeerId): boolean {
     return this.peers.delete(peer);
--- /dev/null
+++ b/packages/share-evidence/src/report-messages.ts
@@ -0,0 +1,50 @@
+/**
+ * Reports that VMs give each other for the parts of the product that look at the whole
+ * fleet: usage, capacity and roll-outs. The exchange carries them and reads none.
+ */
+import * as t from 'io-ts';
+
+/** The sender's time of day, by which VMs agree on true time. */
+export const timeOfDay = t.type({
+  kind: t.literal('time-of-day'),
+  /** Milliseconds since 1970 by the clock of the sender's machine. */
+  timeMs: t.number,
+});
+
+/**
+ * Requests that targets began for the sender's callers. Counts are the sums of this
+ * incarnation so far, so a report that is lost, repeated or late changes nothing.
+ */
+export const usage = t.type({
+  kind: t.literal('usage'),
+  incarnation: t.string,
+  windows: t.array(
+    t.type({
+      window: t.number,
+      /** Organisations and their requests, those that changed since the last report. */
+      counts: t.array(t.tuple([t.string, t.number])),
+    }),
+  ),
+});
+
+/** What the sender's callers ask of each service; sums of this incarnation, and what is there now. */
+export const demand = t.type({
+  kind: t.literal('demand'),
+  incarnation: t.string,
+  services: t.array(
+    t.type({
+      service: t.string,
+      /** Requests that were admitted, and the tokens of their prompts; sums so far. */
+      arrived: t.number,
+      promptTokens: t.number,
+      /** Requests that targets have begun and not ended. */
+      running: t.number,
+      /** Requests that wait for a target now. */
+      waiting: t.number,
+    }),
+  ),
+});
+
+/** One report. */
+export type PeerReport =
+  t.TypeOf<typeof timeOfDay> | t.TypeOf<typeof usage> | t.TypeOf<typeof demand>;
--- a/packages/share-evidence/src/store-exchange.ts
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -81,22 +81,37 @@
     this.news.noteConfiguration(knowledge);
   }
 
+  /** A peer spoke of the store. */
+  hear(peer: PeerId, message: EvidenceMessageOf<'store-news' | 'want-items' | 'items'>): void {
+    switch (message.kind) {
+      case 'store-news':
+        this.hearNews(peer, message);
+        break;
+      case 'want-items':
+        this.answer(peer, message);
+        break;
+      case 'items':
+        this.hearItems(message);
+        break;
+    }
+  }
+
   /** A peer has news. */
-  hearNews(peer: PeerId, news: EvidenceMessageOf<'store-news'>): void {
+  private hearNews(peer: PeerId, news: EvidenceMessageOf<'store-news'>): void {
     this.options.peers.noteNews(peer, news);
     this.news.hear(peer, news);
     this.catchUp.check();
   }
 
   /** A peer gets what it lacks, once. */
-  answer(peer: PeerId, { since }: EvidenceMessageOf<'want-items'>): void {
+  private answer(peer: PeerId, { since }: EvidenceMessageOf<'want-items'>): void {
     const { readUpdate, send } = this.options;
     const update = readUpdate(since);
     send(peer, { kind: 'items', ...update, present: update.present ?? null });
   }
 
   /** A peer gave what this VM lacked. */
-  hearItems({ items, gone, present, revision }: EvidenceMessageOf<'items'>): void {
+  private hearItems({ items, gone, present, revision }: EvidenceMessageOf<'items'>): void {
     this.catchUp.noteAnswer();
     this.options.onUpdate({ items, gone, present: present ?? undefined, revision });
     this.news.noteCaughtUp();
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -3,6 +3,7 @@
 import type { StoreItem } from '@limelead/follow-store';
 import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
+import type { PeerReport } from './report-messages.js';
 
 /** An address on which VMs reach each other, as "host:port". */
 export type PeerId = string;
@@ -91,6 +92,8 @@
   lendRepeats(service: string, wanted: number): number;
   /** A peer lent repeats. */
   onRepeats(service: string, repeats: number): void;
+  /** A peer gave a report; undefined where no part of this VM reads any. */
+  onReport?(peer: PeerId, report: PeerReport): void;
 }
 
 /** What a peer last said that it knows. */
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -43,12 +43,27 @@
   copiesRuns: boolean;
 }
 
+/** How many targets of a service this system orders, where it orders them. */
+export interface ServiceScaling {
+  /** Fewest and most targets of one failure domain, plain and spot together. */
+  min: number;
+  max: number;
+  /** Time from an order until the new target serves. */
+  bootMs: Millis;
+  /** Price of a spot target as a part of a plain one; undefined where there are none. */
+  spotPrice?: number;
+  /** Price of one target and second by failure domain, relative to each other; empty where all are alike. */
+  domainPrices: Readonly<Record<string, number>>;
+}
+
 /** A group of targets that do the same work. */
 export interface ServedService {
   name: string;
   /** Connections that one target takes from all callers together. */
   maxConnections: number;
   engine?: EngineTraits;
+  /** Undefined where somebody else decides how many targets there are. */
+  scaling?: ServiceScaling;
 }
 
 /** An organisation and the keys that its callers show. */
@@ -89,6 +104,20 @@
   slots: number;
   /** True once it takes no new work. */
   leaving: boolean;
+  /** Version of its software; undefined where it tells none. */
+  version?: string;
+  /** True where it costs less and may be taken away at short notice. */
+  isSpot?: boolean;
+  /** Time left when its notice to leave was read, in milliseconds; undefined without one. */
+  leavesInMs?: Millis;
+}
+
+/** An operator's order to move a service's traffic to another version of its targets. */
+export interface RollOutOrder {
+  service: string;
+  version: string;
+  /** Time after the order by which the move is to be completed or taken back. */
+  durationMs: Millis;
 }
 
 /** What one caller asked for, after the front door's checks. */
