Hold a duty of one VM at a time by a lease of the platform's store

Cause: the front door had no notion of calls that only one VM may make. Every VM keeps the duty's key among what it knows of the store, so that candidates learn from news that the holder went.

--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -17,6 +17,7 @@
   Timers,
 } from '@limelead/types';
 import LapsedTargets from './lapsed-targets.js';
+import { DUTY_KEY } from './own-keys.js';
 import RemovedKeys from './removed-keys.js';
 
 /** Where knowledge came from. */
@@ -27,6 +28,8 @@
   | { kind: 'configuration'; configuration: ServingConfiguration }
   | { kind: 'target'; target: ServiceTarget }
   | { kind: 'roll-out'; order: RollOutOrder }
+  /** Written by this system: somebody holds the duties. */
+  | { kind: 'duty' }
   /** It should be one of these, and does not hold. */
   | { kind: 'unreadable'; reason: string }
   | { kind: 'other' };
@@ -44,6 +47,8 @@
   readTargetId(key: string): string | undefined;
 }
 
+const DUTY: StoreFact = { kind: 'duty' };
+
 interface KnownItem {
   item: StoreItem;
   fact: StoreFact;
@@ -116,6 +121,11 @@
     );
   }
 
+  /** Whether an item that means something is there. */
+  has(key: string): boolean {
+    return this.known.has(key);
+  }
+
   /** What is known beyond a revision, for peers that do not ask the store themselves. */
   readUpdate(since: number): StoreUpdate {
     const items = [...this.known.values()].map(({ item }) => item);
@@ -231,7 +241,7 @@
     if (known !== undefined && known.item.revision >= item.revision) {
       return known.fact;
     }
-    const fact = this.options.dialect.read(item);
+    const fact = item.key === DUTY_KEY ? DUTY : this.options.dialect.read(item);
     if (fact.kind === 'unreadable') {
       const { key, revision } = item;
       this.options.log.write('store-item-unreadable', { key, revision, reason: fact.reason });
--- /dev/null
+++ b/packages/hold-duty/src/key-value-seat.ts
@@ -0,0 +1,44 @@
+/** A seat that is a lease of the key-value service. */
+import type { KeyValueStore, Lease, PortCall } from '@limelead/ports';
+import type { Clock, Millis } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import type { LeaseSeat, SeatAnswer } from './lease-seat.js';
+
+/** What a seat needs. */
+export interface KeyValueSeatOptions {
+  store: KeyValueStore;
+  /** Name of the lease. */
+  name: string;
+  /** Unique to this start of the process: a restart is another holder. */
+  incarnation: string;
+  /** Time after which a holder that fell silent loses the seat. */
+  ttlMs: Millis;
+  clock: Clock;
+}
+
+/** The token is the lease's epoch, which the service raises with each change of holder. */
+export default class KeyValueSeat implements LeaseSeat {
+  constructor(private readonly options: KeyValueSeatOptions) {}
+
+  /** One call takes and renews, and tells who holds the lease. */
+  take(): PortCall<SeatAnswer> {
+    return async () => {
+      const { store, name, incarnation, ttlMs, clock } = this.options;
+      const sentAtMs = clock.now();
+      const lease = await store.acquireLease(name, incarnation, ttlMs)();
+      return E.map(({ holder, epoch }: Lease): SeatAnswer => {
+        const isOurs = holder === incarnation;
+        return isOurs ? { kind: 'ours', token: epoch, sentAtMs, ttlMs } : { kind: 'taken' };
+      })(lease);
+    };
+  }
+
+  renew(): PortCall<SeatAnswer> {
+    return this.take();
+  }
+
+  release(): PortCall<void> {
+    const { store, name, incarnation } = this.options;
+    return store.releaseLease(name, incarnation);
+  }
+}
