--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -45,4 +45,6 @@
   regionOf: Readonly<Record<string, string>>;
   /** Undefined where the platform names no duties. */
   duties?: DutySettings;
+  /** Duties that the platform names and the product does not know. */
+  unknownDuties?: readonly string[];
 }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -16,7 +16,7 @@
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { PeerReport } from './report-messages.js';
-import type { EvidenceExchangeOptions, PeerId } from './types.js';
+import type { EvidenceExchangeOptions, LinkedPeer, PeerId } from './types.js';
 
 /** Time between two rounds: heartbeats, links, members. */
 const ROUND_MS = 1_000;
@@ -201,6 +201,19 @@
     return this.members?.dutyCandidates ?? [];
   }
 
+  /** Those of them to which a link is up, with the time since which it is. */
+  get linkedCandidates(): LinkedPeer[] {
+    return this.dutyCandidates.flatMap((peer) => {
+      const linkedAtMs = this.peers.get(peer)?.linkedAtMs;
+      return linkedAtMs === undefined ? [] : [{ peer, linkedAtMs }];
+    });
+  }
+
+  /** Gives a report to one peer; lost where no link to it is up. */
+  reportTo(peer: PeerId, report: PeerReport): void {
+    this.links?.send(peer, report);
+  }
+
   /** Gives a report to the VMs that stand for duties, this one aside. */
   reportToCandidates(report: PeerReport): void {
     const { id } = this.options;
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -8,6 +8,13 @@
 /** An address on which VMs reach each other, as "host:port". */
 export type PeerId = string;
 
+/** A peer to which a link is up. */
+export interface LinkedPeer {
+  peer: PeerId;
+  /** Steady time. */
+  linkedAtMs: Millis;
+}
+
 /** What this VM knows of the store. */
 export interface StoreKnowledge {
   /** Revision up to which it knows everything; 0 before the first list. */
