Replace candidates that are gone, use the one lease for placement, test holding

Cause: with both candidates gone nobody stood for 12 s; placement had lease code of its own; a holder under failure was untested. Change: a candidate without a link for 2 s has the next of the ranking in its place; apply-placement-plan holds its lease through hold-duty, its tests as they were; a world of VMs, store and platform with troubles.

--- a/packages/apply-placement-plan/src/placement-doer.ts
+++ b/packages/apply-placement-plan/src/placement-doer.ts
@@ -13,6 +13,7 @@
   type PlacementLimits,
   type PlannedOrder,
 } from '@limelead/assemble-placement-plan';
+import { HeldDuty, KeyValueSeat } from '@limelead/hold-duty';
 import type { Metrics } from '@limelead/metrics';
 import type { EventBus } from '@limelead/observe-events';
 import type { KeyValueStore, ModelEngine } from '@limelead/ports';
@@ -31,6 +32,10 @@
 const LEASE_TTL_MS = 6_000;
 /** Part of the lease's time that is left unused, for clocks that run at different speeds. */
 const LEASE_MARGIN_MS = 1_000;
+/** Late orders are fenced or mended by the next plan: nothing waits for them to arrive. */
+const ARRIVAL_MS = 0;
+/** For the same reason a holder that wins the lease back goes on at once. */
+const NO_QUIET_MS = 0;
 /** An ordered load that does not show within this time is ordered again. */
 const LOAD_TIMEOUT_MS = 120_000;
 
@@ -71,29 +76,41 @@
   dependencies: PlacementDoerDependencies,
 ): PlacementDoer {
   const { store, clock, metrics, bus, incarnation, limits } = dependencies;
-  let heldUntilMs = 0;
   let epoch = 0;
   let pending: DatedLoad[] = [];
   const unwantedSince = new Map<string, Millis>();
+  const seat = new KeyValueSeat({
+    store,
+    name: LEASE_NAME,
+    incarnation,
+    ttlMs: LEASE_TTL_MS,
+    clock,
+  });
+  const duty = new HeldDuty({
+    holder: incarnation,
+    clock,
+    quietMs: NO_QUIET_MS,
+    marginMs: LEASE_MARGIN_MS,
+    onTaken(token) {
+      if (token !== epoch) {
+        epoch = token;
+        forgetWhatOthersMayHaveDone();
+      }
+      tell(token, 'held');
+    },
+    onLost: (token) => tell(token, 'lost'),
+  });
 
-  const isHolder = (): boolean => clock.now() < heldUntilMs;
+  const tell = (token: number, state: 'held' | 'lost'): void =>
+    bus.publish('', () => ({ kind: 'leaseChanged', lease: LEASE_NAME, epoch: token, state }));
 
   async function renew(): Promise<void> {
-    const askedAtMs = clock.now();
-    const lease = await store.acquireLease(LEASE_NAME, incarnation, LEASE_TTL_MS)();
-    const wasHolder = isHolder();
-    if (E.isLeft(lease)) {
-      return;
-    }
-    const isOurs = lease.right.holder === incarnation;
-    heldUntilMs = isOurs ? askedAtMs + LEASE_TTL_MS - LEASE_MARGIN_MS : 0;
-    if (isOurs && lease.right.epoch !== epoch) {
-      epoch = lease.right.epoch;
-      forgetWhatOthersMayHaveDone();
-    }
-    if (wasHolder !== isHolder()) {
-      const state = isHolder() ? 'held' : 'lost';
-      bus.publish('', () => ({ kind: 'leaseChanged', lease: LEASE_NAME, epoch, state }));
+    const answer = await seat.renew()();
+    duty.noteTime();
+    if (E.isRight(answer)) {
+      duty.noteAnswer(answer.right);
+    } else {
+      metrics.count('limelead_lease_calls_failed_total', 1, { cause: answer.left.reason });
     }
   }
 
@@ -104,7 +121,7 @@
 
   async function work(): Promise<void> {
     await renew();
-    if (!isHolder()) {
+    if (duty.permit(ARRIVAL_MS) === undefined) {
       return;
     }
     const view = dependencies.view();
@@ -143,11 +160,13 @@
   async function give(order: PlannedOrder): Promise<void> {
     const engine = dependencies.engineOf(order.targetId);
     // Looked at again for each order: the process may have been paused since the last.
-    if (engine === undefined || !isHolder()) {
+    const permit = duty.permit(ARRIVAL_MS);
+    if (engine === undefined || permit === undefined) {
       return;
     }
     const { targetId, action, modelVersion } = order;
-    const outcome = await engine.order({ action, modelVersion, fence: epoch })();
+    const { token } = permit;
+    const outcome = await engine.order({ action, modelVersion, fence: token })();
     const result = E.isRight(outcome) ? 'taken' : outcome.left.reason;
     if (E.isRight(outcome) && action === 'load') {
       pending = [...pending, { targetId, modelVersion, orderedAtMs: clock.now() }];
@@ -157,7 +176,7 @@
       kind: 'orderGiven',
       target: targetId,
       order: `${action} ${describeModelVersion(modelVersion)}`,
-      fence: epoch,
+      fence: token,
       outcome: result,
     }));
   }
@@ -165,9 +184,9 @@
   return {
     work,
     async release() {
-      if (isHolder()) {
-        heldUntilMs = 0;
-        await store.releaseLease(LEASE_NAME, incarnation)();
+      if (duty.sentAtMs !== undefined) {
+        duty.giveUp();
+        await seat.release()();
       }
     },
   };
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -7,8 +7,8 @@
 import { rankVms } from '@limelead/track-members';
 import type { Clock, Random } from '@limelead/types';
 import { FULL_MESH_VMS } from './choose-peers.js';
-import chooseDutyCandidates from './choose-duty-candidates.js';
 import chooseSchedulers, { type Schedulers } from './choose-schedulers.js';
+import DutyCandidates from './duty-candidates.js';
 import LinkUpkeep from './link-upkeep.js';
 import MemberBook, { type MemberAge } from './member-book.js';
 import type { PeerId } from './types.js';
@@ -36,12 +36,12 @@
   private isChosen = true;
   /** By part of the targets, as of the last round; none in a small fleet. */
   private chosenSchedulers: Schedulers = [];
-  /** As of the last round. */
-  private candidates: readonly PeerId[] = [];
+  private readonly candidates: DutyCandidates;
 
   constructor(private readonly options: MembershipOptions) {
     const { self, seeds, links, clock, random } = options;
     this.book = new MemberBook(self, clock, random);
+    this.candidates = new DutyCandidates(self, clock);
     this.upkeep = new LinkUpkeep(self, seeds, links);
   }
 
@@ -72,7 +72,7 @@
 
   /** The VMs that stand for duties of one VM at a time; none before the first round. */
   get dutyCandidates(): readonly PeerId[] {
-    return this.candidates;
+    return this.candidates.list;
   }
 
   /** Whether this VM chose a peer for gossip. */
@@ -95,13 +95,15 @@
 
   /** One round: links and followers are chosen anew. Gives the members to name to all peers. */
   tend(): MemberAge[] {
-    const { self } = this.options;
+    const { self, links } = this.options;
     const members = this.book.list();
     const ranking = rankVms([...members, self]);
     this.isChosen = ranking.slice(0, FOLLOWERS).includes(self);
     this.chosenSchedulers = this.isLarge ? chooseSchedulers(ranking) : [];
-    this.candidates = chooseDutyCandidates(ranking, this.chosenSchedulers);
-    this.upkeep.tend(members, this.chosenSchedulers.flat());
+    this.candidates.choose(ranking, this.chosenSchedulers, links.linked());
+    const wanted = new Set([...this.chosenSchedulers.flat(), ...this.candidates.list]);
+    wanted.delete(self);
+    this.upkeep.tend(members, this.isLarge ? [...wanted] : []);
     return this.book.sample();
   }
 
