--- /dev/null
+++ b/packages/meter-usage/src/counting.test.ts
@@ -0,0 +1,86 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { WindowCounts } from './types.js';
+import UsageBook from './usage-book.js';
+import UsageCounter from './usage-counter.js';
+import UsageTeller from './usage-teller.js';
+
+const WINDOW_MS = 5_000;
+
+/** A VM that counts, and what it told. */
+function createVm(): {
+  count(atMs: number, organisation: string): void;
+  tell(link: string): WindowCounts[];
+} {
+  let now = 0;
+  const counter = new UsageCounter({
+    trueTime: { now: () => now },
+    windowMs: WINDOW_MS,
+    onCounted: (window, organisation) => teller.note(window, organisation),
+  });
+  const teller = new UsageTeller(counter);
+  return {
+    count(atMs, organisation) {
+      now = atMs;
+      counter.count(organisation, 0);
+    },
+    tell(link) {
+      const told: WindowCounts[] = [];
+      teller.tell([{ link, tell: (windows) => told.push(...windows) }]);
+      return told;
+    },
+  };
+}
+
+test('a listener is told all at first, then what changed; another link is another listener', () => {
+  const vm = createVm();
+  vm.count(0, 'a');
+  vm.count(WINDOW_MS, 'a');
+  assert.equal(vm.tell('x'), [
+    { window: 0, counts: [['a', 1]] },
+    { window: 1, counts: [['a', 1]] },
+  ]);
+  assert.equal(vm.tell('x'), []);
+  vm.count(WINDOW_MS + 1, 'a');
+  assert.equal(vm.tell('x'), [{ window: 1, counts: [['a', 2]] }]);
+  assert.is(vm.tell('y').length, 2);
+});
+
+test('40,000 organisations are told piece by piece', () => {
+  const vm = createVm();
+  vm.tell('x');
+  for (let organisation = 0; organisation < 40_000; organisation += 1) {
+    vm.count(0, `org-${organisation}`);
+  }
+  const book = new UsageBook();
+  for (let message = 0; message < 40; message += 1) {
+    const told = vm.tell('x');
+    assert.ok((told[0]?.counts.length ?? 0) <= 1_000);
+    book.hear('1', told);
+  }
+  assert.is(book.sum(0).size, 40_000);
+});
+
+test('sums outlast lost, repeated and reordered words, a restart and the loss of a VM', () => {
+  const book = new UsageBook();
+  const word = (requests: number): WindowCounts[] => [{ window: 7, counts: [['a', requests]] }];
+  book.hear('vm 1, first start', word(3));
+  book.hear('vm 1, first start', word(2));
+  book.hear('vm 1, first start', word(3));
+  book.hear('vm 1, second start', word(1));
+  book.hear('vm 2', word(4));
+  assert.equal([...book.sum(7)], [['a', 8]]);
+  assert.is(book.countTellers(7), 3);
+  assert.is(book.oldestTold, 7);
+});
+
+test('a VM whose clock was wrong pushes out no more than a window', () => {
+  const book = new UsageBook();
+  for (let window = 0; window < 8; window += 1) {
+    book.hear('vm 1', [{ window, counts: [['a', 1]] }]);
+  }
+  book.hear('vm 2', [{ window: 9_999, counts: [['a', 1]] }]);
+  assert.is(book.sum(7).get('a'), 1);
+});
+
+test.run();
