--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -8,9 +8,12 @@
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
 const PACKAGES = [
   'decision-log',
+  'estimate-time',
   'forward-request',
   'gateway',
+  'hold-duty',
   'http-front-door',
+  'meter-usage',
   'share-evidence',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
