--- a/packages/load/src/mix.ts
+++ b/packages/load/src/mix.ts
@@ -11,6 +11,7 @@
 
 const MAX_RATE = 10_000;
 const MAX_DURATION_MS = 3_600_000;
+const MAX_SURGE = 1_000;
 
 /** A length with a long tail: log-normal around the median, cut at the greatest. */
 const lengthCodec = closed('length', {
@@ -47,12 +48,37 @@
   },
 );
 
-const mixCodec = closed('mix', {
-  requestsPerSecond: positiveUpTo(MAX_RATE),
-  durationMs: integerBetween(1, MAX_DURATION_MS),
-  kinds: listOfAtMost(kindCodec, 64),
+/** For some time a kind, or every kind where none is named, arrives so many times as often. */
+const surgeCodec = closed(
+  'surge',
+  {
+    fromMs: integerBetween(0, MAX_DURATION_MS),
+    toMs: integerBetween(1, MAX_DURATION_MS),
+    factor: positiveUpTo(MAX_SURGE),
+  },
+  { kind: t.string },
+);
+
+const placeCodec = closed('place', {
+  failureDomain: t.string,
+  /** Part of all arrivals, relative to the other places. */
+  share: positiveUpTo(1_000_000),
 });
 
+const mixCodec = closed(
+  'mix',
+  {
+    requestsPerSecond: positiveUpTo(MAX_RATE),
+    durationMs: integerBetween(1, MAX_DURATION_MS),
+    kinds: listOfAtMost(kindCodec, 64),
+  },
+  {
+    surges: listOfAtMost(surgeCodec, 64),
+    /** Failure domains at which requests arrive. */
+    places: listOfAtMost(placeCodec, 64),
+  },
+);
+
 /** One kind of requests. */
 export type MixKind = t.TypeOf<typeof kindCodec>;
 
--- a/packages/load/src/plan-arrivals.ts
+++ b/packages/load/src/plan-arrivals.ts
@@ -12,14 +12,16 @@
   kind: MixKind;
   prompt: string;
   maxTokens: number;
+  /** Where it arrives; undefined where the mix names no places. */
+  failureDomain?: string;
 }
 
-/** Plans Poisson arrivals over the duration of the mix. */
+/** Plans Poisson arrivals over the duration of the mix; their rate follows its surges. */
 export default function planArrivals(mix: Mix, random: Random, idPrefix: string): Arrival[] {
   const arrivals: Arrival[] = [];
-  let atMs = drawPause(mix, random);
+  let atMs = drawPause(mix, 0, random);
   while (atMs < mix.durationMs) {
-    const kind = drawKind(mix.kinds, random);
+    const kind = drawShare(listShares(mix, atMs), random).kind;
     const index = arrivals.length;
     arrivals.push({
       atMs,
@@ -27,26 +29,51 @@
       kind,
       prompt: drawPrompt(kind, index, random),
       maxTokens: drawLength(kind.maxTokens ?? DEFAULT_TOKENS, random),
+      ...(mix.places && { failureDomain: drawShare(mix.places, random).failureDomain }),
     });
-    atMs += drawPause(mix, random);
+    atMs += drawPause(mix, atMs, random);
   }
   return arrivals;
 }
 
-function drawPause({ requestsPerSecond }: Mix, random: Random): number {
-  return (-Math.log(1 - random.next()) * 1000) / requestsPerSecond;
+/** A kind with the part of all arrivals that it has at some time. */
+interface KindShare {
+  kind: MixKind;
+  share: number;
+}
+
+function listShares({ kinds, surges = [] }: Mix, atMs: number): KindShare[] {
+  const present = surges.filter(({ fromMs, toMs }) => fromMs <= atMs && atMs < toMs);
+  return kinds.map((kind) => ({
+    kind,
+    share: present
+      .filter((surge) => surge.kind === undefined || surge.kind === kind.name)
+      .reduce((share, { factor }) => share * factor, kind.share),
+  }));
 }
 
-function drawKind(kinds: readonly MixKind[], random: Random): MixKind {
-  const total = kinds.reduce((sum, { share }) => sum + share, 0);
-  let left = random.next() * total;
-  for (const kind of kinds) {
-    left -= kind.share;
+/** A pause at the rate of the time at which it begins. */
+function drawPause(mix: Mix, atMs: number, random: Random): number {
+  const factor = sumShares(listShares(mix, atMs)) / sumShares(mix.kinds);
+  return (-Math.log(1 - random.next()) * 1000) / (mix.requestsPerSecond * factor);
+}
+
+function drawShare<Entry extends { share: number }>(
+  entries: readonly Entry[],
+  random: Random,
+): Entry {
+  let left = random.next() * sumShares(entries);
+  for (const entry of entries) {
+    left -= entry.share;
     if (left < 0) {
-      return kind;
+      return entry;
     }
   }
-  throw new Error('a mix needs at least one kind');
+  throw new Error('nothing to draw from');
+}
+
+function sumShares(entries: readonly { share: number }[]): number {
+  return entries.reduce((sum, { share }) => sum + share, 0);
 }
 
 function drawPrompt(kind: MixKind, index: number, random: Random): string {
