--- a/packages/load/src/plan-arrivals.test.ts
+++ b/packages/load/src/plan-arrivals.test.ts
@@ -40,6 +40,28 @@
   }
 });
 
+test('in a surge its kind arrives so many times as often, at the places of the mix', () => {
+  const example = readExample();
+  const mix: Mix = {
+    ...example,
+    requestsPerSecond: 1_000,
+    durationMs: 20_000,
+    surges: [{ fromMs: 10_000, toMs: 20_000, factor: 3, kind: 'brief' }],
+    places: [
+      { failureDomain: 'north', share: 3 },
+      { failureDomain: 'south', share: 1 },
+    ],
+  };
+  const arrivals = planArrivals(mix, seeded(3), 'x');
+  const count = (kind: string, isInSurge: boolean): number =>
+    arrivals.filter((arrival) => arrival.kind.name === kind && arrival.atMs >= 10_000 === isInSurge)
+      .length;
+  assert.ok(Math.abs(count('brief', true) / count('brief', false) - 3) < 0.2);
+  assert.ok(Math.abs(count('prompt', true) / count('prompt', false) - 1) < 0.1);
+  const north = arrivals.filter(({ failureDomain }) => failureDomain === 'north');
+  assert.ok(Math.abs(north.length / arrivals.length - 0.75) < 0.02);
+});
+
 test('a mix that does not hold names its line', () => {
   const mix = decodeMix('m.jsonc', '{"requestsPerSecond": 0,\n"durationMs": 1, "kinds": []}');
   assert.ok(E.isLeft(mix));
