Leave the duty to others where the platform answers none of this VM's reports

Cause: a holder that was cut from the duty platform alone kept the duty. Change: after 3.5 s without an answer it gives the duty up for 10 s where other candidates are linked; while the platform is away for all, the duty wanders. Result: 16 tests of hold-duty, 17 of meter-usage, 26 of the gateway pass.

--- a/packages/gateway/src/create-fleet-parts.ts
+++ b/packages/gateway/src/create-fleet-parts.ts
@@ -15,10 +15,9 @@
     return [];
   }
   const dutyPart = createDutyPart(context, duties);
-  const { duty } = dutyPart;
   const parts: FleetPart[] = [dutyPart];
   if (duties.duties.includes('usage')) {
-    parts.push(createUsagePart(context, { duties, duty, dutyPlatform }));
+    parts.push(createUsagePart(context, { duties, dutyPart, dutyPlatform }));
   }
   return parts;
 }
--- a/packages/gateway/src/duty-part.ts
+++ b/packages/gateway/src/duty-part.ts
@@ -17,6 +17,8 @@
 /** A part, and the duty that it holds or does not. */
 export interface DutyPart extends FleetPart {
   duty: Duty;
+  /** This VM can't carry the duty out; it gives it up where others stand. */
+  stepAside(): void;
 }
 
 /** Creates the part. One lease covers all duties, so that one VM does all of them. */
@@ -74,6 +76,13 @@
   metrics.gauge('limelead_duty_held', () => (duty.sentAtMs === undefined ? 0 : 1));
   return {
     duty,
+    stepAside() {
+      const others = context.readExchange()?.linkedCandidates ?? [];
+      if (others.length > 0) {
+        log.write('duty-left-to-others', { candidates: others.map(({ peer }) => peer) });
+        keeper.stepAside();
+      }
+    },
     start: () => keeper.start(),
     handOver: () => keeper.handOver(),
   };
--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -1,6 +1,5 @@
 /** The part that counts usage, tells it to those that stand for the duties, and reports it. */
 import { TimeEstimate } from '@limelead/estimate-time';
-import type { Duty } from '@limelead/hold-duty';
 import {
   UsageBook,
   UsageCounter,
@@ -14,6 +13,7 @@
 import type { DutyPlatform } from '@limelead/ports';
 import type { EvidenceExchange } from '@limelead/share-evidence';
 import { randomUUID } from 'node:crypto';
+import type { DutyPart } from './duty-part.js';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import { DUTY_KEY, USAGE_KEY } from './own-keys.js';
 import type { DutySettings } from './settings.js';
@@ -36,14 +36,14 @@
 /** What the part needs beside the context. */
 export interface UsagePartOptions {
   duties: DutySettings;
-  duty: Duty;
+  dutyPart: DutyPart;
   dutyPlatform: DutyPlatform;
 }
 
 /** Creates the part. */
 export default function createUsagePart(
   context: FleetPartContext,
-  { duties, duty, dutyPlatform }: UsagePartOptions,
+  { duties, dutyPart, dutyPlatform }: UsagePartOptions,
 ): FleetPart {
   const { clock, timers, platform, readExchange } = context;
   const { usageWindowMs: windowMs, usageDueMs } = duties;
@@ -58,7 +58,7 @@
   const teller = new UsageTeller(counter);
   const book = new UsageBook();
   const reporter = new UsageReporter({
-    duty,
+    duty: dutyPart.duty,
     platform: dutyPlatform,
     record: new UsageRecord(platform.storeItems, USAGE_KEY, DUTY_KEY),
     clock,
@@ -74,6 +74,7 @@
       const ownFirst = Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
       return Math.min(ownFirst, (book.oldestTold ?? ownFirst) + 1);
     },
+    onUnreached: () => dutyPart.stepAside(),
     events: createEvents(context, (window) => book.countTellers(window)),
   });
 
--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -16,6 +16,11 @@
 const FIRST_PAUSE_MS = 500;
 /** Longest pause between tries, for a store that is away for long: each call has its price. */
 const LONGEST_PAUSE_MS = 4_000;
+/**
+ * Time for which a VM that can't carry a duty out leaves it to others, in milliseconds: one of
+ * them has taken it and tried by then.
+ */
+const ASIDE_MS = 10_000;
 /** Share of a pause that is drawn, so that VMs that failed together do not try together. */
 const DRAWN_SHARE = 0.3;
 
@@ -41,6 +46,7 @@
   private outOfPlaceSinceMs: Millis | undefined;
   private askedAtMs: Millis = -Infinity;
   private retryAtMs: Millis = -Infinity;
+  private asideUntilMs: Millis = -Infinity;
   private failures = 0;
   private wasHeld = false;
   private isStopping = false;
@@ -57,6 +63,11 @@
     });
   }
 
+  /** This VM holds the duty and can't carry it out: another may, for a while. */
+  stepAside(): void {
+    this.asideUntilMs = this.options.clock.now() + ASIDE_MS;
+  }
+
   /** Gives the duty up, once all that was permitted arrived; resolves when another may take it. */
   async handOver(): Promise<void> {
     this.isStopping = true;
@@ -91,6 +102,7 @@
       outOfPlaceSinceMs: this.outOfPlaceSinceMs,
       vacantSinceMs: this.vacantSinceMs,
       askedAtMs: this.askedAtMs,
+      asideUntilMs: this.asideUntilMs,
       retryAtMs: this.retryAtMs,
       renewEveryMs: ttlMs / RENEWALS_A_LEASE,
     };
--- a/packages/hold-duty/src/hold-duty.test.ts
+++ b/packages/hold-duty/src/hold-duty.test.ts
@@ -85,6 +85,11 @@
   assert.ok(longestGap(world) < 2_500, `${longestGap(world)}`);
 });
 
+test('a holder that steps aside has the other one in its place for a while', async () => {
+  const world = await play({ troubles: one('aside', 0) }, 30_000);
+  assert.equal(listHolders(world), ['0/1', '1/1']);
+});
+
 test('a holder that stood still for longer than its lease does not act again', async () => {
   const world = await play({ troubles: one('pause', 5_000) });
   assert.equal(listHolders(world), ['0/1', '1/1']);
@@ -149,7 +154,7 @@
   fc.record({
     atMs: fc.integer({ min: 0, max: TROUBLED_MS }),
     vm: fc.constantFrom<Trouble['vm']>(0, 1, 2),
-    kind: fc.constantFrom<Trouble['kind']>('pause', 'kill', 'stop', 'cut', 'lose', 'late'),
+    kind: fc.constantFrom<Trouble['kind']>('pause', 'kill', 'stop', 'aside', 'cut', 'lose', 'late'),
     forMs: fc.integer({ min: 50, max: LONGEST_MS }),
   }),
   fc.record({
--- a/packages/hold-duty/src/plan-step.ts
+++ b/packages/hold-duty/src/plan-step.ts
@@ -14,6 +14,8 @@
   vacantSinceMs: Millis | undefined;
   /** When this VM last asked the store who holds the duty. */
   askedAtMs: Millis;
+  /** Until then this VM leaves the duty to others; in the past where it does not. */
+  asideUntilMs: Millis;
   /** No call before, since the last ones failed. */
   retryAtMs: Millis;
   renewEveryMs: Millis;
@@ -31,14 +33,17 @@
 
 /** Chooses the step. */
 export default function planStep(situation: DutySituation): DutyStep {
-  const { now, sentAtMs, outOfPlaceSinceMs, retryAtMs, renewEveryMs } = situation;
+  const { now, sentAtMs, outOfPlaceSinceMs, asideUntilMs, retryAtMs, renewEveryMs } = situation;
   if (now < retryAtMs) {
     return 'wait';
   }
+  const isAside = now < asideUntilMs;
   if (sentAtMs === undefined) {
-    return shouldTake(situation) ? 'take' : 'wait';
+    return !isAside && shouldTake(situation) ? 'take' : 'wait';
   }
-  if (outOfPlaceSinceMs !== undefined && now - outOfPlaceSinceMs >= OUT_OF_PLACE_MS) {
+  const isOutOfPlace =
+    outOfPlaceSinceMs !== undefined && now - outOfPlaceSinceMs >= OUT_OF_PLACE_MS;
+  if (isAside || isOutOfPlace) {
     return 'release';
   }
   return now - sentAtMs >= renewEveryMs ? 'renew' : 'wait';
--- a/packages/hold-duty/src/world.fixture.ts
+++ b/packages/hold-duty/src/world.fixture.ts
@@ -24,7 +24,8 @@
 export interface Trouble {
   atMs: Millis;
   vm: number | 'store';
-  kind: 'pause' | 'kill' | 'stop' | 'cut' | 'lose' | 'late' | 'down-waiting' | 'down-lapsing';
+  kind:
+    'pause' | 'kill' | 'stop' | 'aside' | 'cut' | 'lose' | 'late' | 'down-waiting' | 'down-lapsing';
   forMs: Millis;
 }
 
@@ -325,6 +326,8 @@
       vm.losesUntilMs = untilMs;
     } else if (kind === 'late') {
       vm.lateUntilMs = untilMs;
+    } else if (kind === 'aside') {
+      vm.keeper?.stepAside();
     } else if (kind === 'kill') {
       vm.starts += 1;
       this.time.at(untilMs, () => vm.start());
--- a/packages/meter-usage/src/reporting.fixture.ts
+++ b/packages/meter-usage/src/reporting.fixture.ts
@@ -55,6 +55,7 @@
       settleAfterMs: SETTLE_AFTER_MS,
       sum: (window) => new Map([[name, window]]),
       readCountedFrom: () => countedFrom,
+      onUnreached: () => void this.lines.push('unreached'),
       events: {
         onSettled: ({ window }) => void this.lines.push(`settled ${window}`),
         onReported: ({ window }) => void this.lines.push(`reported ${window}`),
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -90,6 +90,7 @@
   reporting.callFates = Array.from({ length: 8 }, (): Fate => 'undone');
   await playUntil(reporting, [reporting.createVm('a', () => 1)], 8 * WINDOW_MS);
   assert.equal(reporting.listWindows(), [0, 1, 2, 3, 4, 5, 6]);
+  assert.ok(reporting.lines.includes('unreached'));
 });
 
 test('a report that is called invalid three times is given up, with a line', async () => {
--- a/packages/meter-usage/src/usage-reporter.ts
+++ b/packages/meter-usage/src/usage-reporter.ts
@@ -21,6 +21,11 @@
 const FIRST_PAUSE_MS = 300;
 /** Longest such pause: with it a window is in time once the platform is back. */
 const LONGEST_PAUSE_MS = 2_000;
+/**
+ * Time without any answer of the platform after which another VM may try, in milliseconds:
+ * three calls, and time enough is left for a window to come from there before it is due.
+ */
+const UNREACHED_MS = 3_500;
 /** Times that a report which the platform calls invalid is sent: it may be a bad moment of its own. */
 const INVALID_TRIES = 3;
 
@@ -40,6 +45,8 @@
   sum(window: number): Map<string, number>;
   /** The first window that was counted from its beginning. */
   readCountedFrom(): number;
+  /** The platform answered none of this VM's reports for a while. */
+  onUnreached(): void;
   events: UsageEvents;
 }
 
@@ -65,6 +72,8 @@
   private retryAtMs: Millis = -Infinity;
   private failures = 0;
   private invalid = 0;
+  /** When the first report in a row was sent that got no answer. */
+  private unansweredSinceMs: Millis | undefined;
   private isBusy = false;
 
   constructor(private readonly options: UsageReporterOptions) {}
@@ -142,7 +151,7 @@
   }
 
   private async report(known: KnownByToken, settled: SettledWindow): Promise<void> {
-    const { duty, platform } = this.options;
+    const { duty, platform, clock } = this.options;
     const { window } = settled;
     const counts = new Map(settled.counts);
     // Asked last of all: the process may have stood still since it settled.
@@ -151,10 +160,13 @@
       return;
     }
     const credentials = { holder: duty.holder, token: permit.token };
+    const sentAtMs = clock.now();
     const answer = await platform.reportUsage(credentials, { window, counts })();
     if (E.isLeft(answer)) {
       this.noteFailure('report', window, describe(answer.left));
+      this.noteUnanswered(sentAtMs);
     } else {
+      this.unansweredSinceMs = undefined;
       this.takeAnswer(answer.right, known, settled);
     }
   }
@@ -179,6 +191,14 @@
     }
   }
 
+  private noteUnanswered(sentAtMs: Millis): void {
+    this.unansweredSinceMs ??= sentAtMs;
+    if (this.options.clock.now() - this.unansweredSinceMs >= UNREACHED_MS) {
+      this.unansweredSinceMs = undefined;
+      this.options.onUnreached();
+    }
+  }
+
   private finish(known: KnownByToken, window: number): void {
     this.known = { ...known, doneUpTo: window };
     this.invalid = 0;
