--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -24,7 +24,7 @@
  */
 const LOOK_EVERY_MS = 300;
 /** Time between two words on the time of day, in milliseconds; clocks that are told stay right. */
-const TIME_EVERY_MS = 5_000;
+const TIME_EVERY_MS = 10_000;
 /**
  * Time from the end of a window until its counts are settled, in milliseconds: what VMs tell
  * has come, and those that were cut off for a moment are back.
