--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Knowledge from './knowledge.js';
+import { DUTY_KEY } from './own-keys.js';
 
 const clock = { now: () => 1_000 };
 
@@ -211,4 +212,15 @@
   ]);
 });
 
+test('who holds the duties is known, passed on to peers, and gone with its key', () => {
+  const { knowledge, decoded } = create();
+  knowledge.takeList({ items: [item('c', 5), item(DUTY_KEY, 7)], revision: 8 });
+  assert.ok(knowledge.has(DUTY_KEY) && !decoded.includes(DUTY_KEY));
+  const peer = create().knowledge;
+  peer.takePeerUpdate(knowledge.readUpdate(0));
+  assert.ok(peer.has(DUTY_KEY));
+  peer.takeChanges({ changes: [{ kind: 'gone', key: DUTY_KEY }], revision: 9 });
+  assert.not.ok(peer.has(DUTY_KEY));
+});
+
 test.run();
