Keep windows of usage that are yet to be settled

Cause: windows were evicted in the order in which they were opened, and a VM's own list kept its last 12 windows with traffic, however old. Each time the holder added up a window it told its book that list, which opened evicted windows again and pushed out the one about to be read; so did a mostly idle VM that linked anew.

Change: what is told and heard is limited to the present window, the 11 before it and the one ahead by true time; the book evicts what is far ahead, else the oldest. A counter's parameter that was always 0 is gone.

--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -56,7 +56,7 @@
     onCounted: (window, organisation) => teller.note(window, organisation),
   });
   const teller = new UsageTeller(counter);
-  const book = new UsageBook();
+  const book = new UsageBook({ trueTime, windowMs });
   const reporter = new UsageReporter({
     duty,
     platform: dutyPlatform,
@@ -92,7 +92,7 @@
     observer: {
       onBegun: ({ organisation }) => {
         if (organisation !== undefined) {
-          counter.count(organisation, 0);
+          counter.count(organisation);
         }
       },
     },
--- a/packages/meter-usage/src/counting.test.ts
+++ b/packages/meter-usage/src/counting.test.ts
@@ -7,6 +7,11 @@
 
 const WINDOW_MS = 5_000;
 
+/** A book at a moment. */
+function createBook(atMs: () => number): UsageBook {
+  return new UsageBook({ trueTime: { now: atMs }, windowMs: WINDOW_MS });
+}
+
 /** A VM that counts, and what it told. */
 function createVm(): {
   count(atMs: number, organisation: string): void;
@@ -22,7 +27,7 @@
   return {
     count(atMs, organisation) {
       now = atMs;
-      counter.count(organisation, 0);
+      counter.count(organisation);
     },
     tell(link) {
       const told: WindowCounts[] = [];
@@ -52,7 +57,7 @@
   for (let organisation = 0; organisation < 40_000; organisation += 1) {
     vm.count(0, `org-${organisation}`);
   }
-  const book = new UsageBook();
+  const book = createBook(() => 0);
   for (let message = 0; message < 40; message += 1) {
     const told = vm.tell('x');
     assert.ok((told[0]?.counts.length ?? 0) <= 1_000);
@@ -62,7 +67,7 @@
 });
 
 test('sums outlast lost, repeated and reordered words, a restart and the loss of a VM', () => {
-  const book = new UsageBook();
+  const book = createBook(() => 7 * WINDOW_MS);
   const word = (requests: number): WindowCounts[] => [{ window: 7, counts: [['a', requests]] }];
   book.hear('vm 1, first start', word(3));
   book.hear('vm 1, first start', word(2));
@@ -75,7 +80,7 @@
 });
 
 test('a VM whose clock was wrong pushes out no more than a window', () => {
-  const book = new UsageBook();
+  const book = createBook(() => 7 * WINDOW_MS);
   for (let window = 0; window < 8; window += 1) {
     book.hear('vm 1', [{ window, counts: [['a', 1]] }]);
   }
@@ -83,4 +88,44 @@
   assert.is(book.sum(7).get('a'), 1);
 });
 
+test('windows that a VM with rare traffic kept push out none that is yet to be settled', () => {
+  let now = 0;
+  const book = createBook(() => now);
+  const sparse: WindowCounts[] = [];
+  for (let window = 0; window < 100; window += 1) {
+    now = window * WINDOW_MS;
+    book.hear('busy', [{ window, counts: [['a', 1]] }]);
+    if (window % 8 === 2) {
+      sparse.push({ window, counts: [['b', 1]] });
+    }
+    book.hear('sparse', sparse);
+    assert.is(book.sum(window - 1).get('a'), window === 0 ? undefined : 1, `window ${window - 1}`);
+  }
+  assert.is(book.sum(88).get('a'), 1);
+  assert.is(book.oldestTold, 87);
+});
+
+test('a VM with rare traffic tells a new link nothing of long ago', () => {
+  const vm = createVm();
+  for (let window = 10; window <= 90; window += 8) {
+    vm.count(window * WINDOW_MS, 'a');
+  }
+  assert.equal(
+    vm.tell('x').map(({ window }) => window),
+    [82, 90],
+  );
+});
+
+test('a window that was opened by a wrong clock goes before one that is yet to be settled', () => {
+  let now = 9_999 * WINDOW_MS;
+  const book = createBook(() => now);
+  book.hear('vm 1', [{ window: 9_999, counts: [['a', 1]] }]);
+  for (let window = 0; window < 14; window += 1) {
+    now = window * WINDOW_MS;
+    book.hear('vm 1', [{ window, counts: [['a', 1]] }]);
+  }
+  assert.is(book.sum(2).get('a'), 1);
+  assert.is(book.sum(9_999).size, 0);
+});
+
 test.run();
--- a/packages/meter-usage/src/usage-book.ts
+++ b/packages/meter-usage/src/usage-book.ts
@@ -2,25 +2,36 @@
  * What all VMs told, those that are gone included. Each tells its own sums so far, so
  * the largest of each incarnation counts, whatever is lost, repeated or reordered.
  */
-import openWindow from './open-window.js';
+import type { Clock, Millis } from '@limelead/types';
+import openWindow, { isKept } from './open-window.js';
 import type { WindowCounts } from './types.js';
 
 /** Counts by incarnation of the VM that told them, then by organisation. */
 type WindowBook = Map<string, Map<string, number>>;
 
+/** What a book needs. */
+export interface UsageBookOptions {
+  /** Gives true time, in milliseconds since 1970. */
+  trueTime: Clock;
+  windowMs: Millis;
+}
+
 /** Adds up. */
 export default class UsageBook {
   private readonly windows = new Map<number, WindowBook>();
 
+  constructor(private readonly options: UsageBookOptions) {}
+
   /** The first window that is kept; undefined where nobody told of any. */
   get oldestTold(): number | undefined {
     return this.windows.size === 0 ? undefined : Math.min(...this.windows.keys());
   }
 
-  /** A VM told its sums. */
+  /** A VM told its sums; those of windows that are over for long, or far ahead, are ignored. */
   hear(incarnation: string, told: readonly WindowCounts[]): void {
-    for (const { window, counts } of told) {
-      const book = this.windows.get(window) ?? this.open(window);
+    const present = this.readPresent();
+    for (const { window, counts } of told.filter((word) => isKept(word.window, present))) {
+      const book = this.windows.get(window) ?? this.open(window, present);
       const largest = book.get(incarnation) ?? new Map<string, number>();
       book.set(incarnation, largest);
       for (const [organisation, requests] of counts) {
@@ -45,9 +56,14 @@
     return this.windows.get(window)?.size ?? 0;
   }
 
-  private open(window: number): WindowBook {
+  private open(window: number, present: number): WindowBook {
     const book: WindowBook = new Map();
-    openWindow(this.windows, window, book);
+    openWindow(this.windows, window, book, present);
     return book;
   }
+
+  private readPresent(): number {
+    const { trueTime, windowMs } = this.options;
+    return Math.floor(trueTime.now() / windowMs);
+  }
 }
--- a/packages/meter-usage/src/usage-counter.ts
+++ b/packages/meter-usage/src/usage-counter.ts
@@ -1,6 +1,6 @@
 /** Counts what began for the callers of this VM, by window and organisation. */
 import type { Clock, Millis } from '@limelead/types';
-import openWindow from './open-window.js';
+import openWindow, { isKept } from './open-window.js';
 import type { WindowCounts } from './types.js';
 
 /** What a counter needs. */
@@ -18,10 +18,10 @@
 
   constructor(private readonly options: UsageCounterOptions) {}
 
-  /** A target began a request, so many milliseconds ago. */
-  count(organisation: string, agoMs: Millis): void {
-    const { trueTime, windowMs, onCounted } = this.options;
-    const window = Math.floor((trueTime.now() - agoMs) / windowMs);
+  /** A target began a request now. */
+  count(organisation: string): void {
+    const { onCounted } = this.options;
+    const window = this.readPresent();
     const counts = this.windows.get(window) ?? this.open(window);
     counts.set(organisation, (counts.get(organisation) ?? 0) + 1);
     onCounted(window, organisation);
@@ -32,14 +32,22 @@
     return this.windows.get(window)?.get(organisation) ?? 0;
   }
 
-  /** Everything that is kept. */
+  /** Everything that is of use. */
   list(): WindowCounts[] {
-    return [...this.windows].map(([window, counts]) => ({ window, counts: [...counts] }));
+    const present = this.readPresent();
+    return [...this.windows]
+      .filter(([window]) => isKept(window, present))
+      .map(([window, counts]) => ({ window, counts: [...counts] }));
   }
 
   private open(window: number): Map<string, number> {
     const counts = new Map<string, number>();
-    openWindow(this.windows, window, counts);
+    openWindow(this.windows, window, counts, window);
     return counts;
   }
+
+  private readPresent(): number {
+    const { trueTime, windowMs } = this.options;
+    return Math.floor(trueTime.now() / windowMs);
+  }
 }
