Let late words not set true time back

Cause: each word on the time of day replaced the one before. A VM that stood still for 8 s reads what queued meanwhile, and each old word gave an origin up to 8 s too low; with all peers' words late, the median went back.

Change: of each peer the largest origin within a minute counts, since a word on its way only grows old. The message names the start of the sender's process: a peer that starts again, perhaps with another clock, counts anew.

--- a/packages/estimate-time/src/time-estimate.ts
+++ b/packages/estimate-time/src/time-estimate.ts
@@ -23,9 +23,15 @@
   toldAtMs: Millis;
 }
 
+interface Peer {
+  incarnation: string;
+  /** What it told lately, the largest first; words below a later one are left out. */
+  words: ToldOrigin[];
+}
+
 /** Estimates true time. */
 export default class TimeEstimate implements Clock {
-  private readonly told = new Map<string, ToldOrigin>();
+  private readonly peers = new Map<string, Peer>();
 
   constructor(private readonly options: TimeEstimateOptions) {}
 
@@ -39,15 +45,23 @@
     return this.medianOrigin() - this.options.originMs;
   }
 
-  /** A peer said what time it is, in milliseconds since 1970. */
-  hear(peer: string, timeMs: Millis): void {
+  /**
+   * A peer said what time it is, in milliseconds since 1970.
+   * @param incarnation another for each start of the peer's process, which may see another clock
+   */
+  hear(peer: string, incarnation: string, timeMs: Millis): void {
     const toldAtMs = this.options.clock.now();
+    const originMs = timeMs - toldAtMs;
+    const known = this.peers.get(peer);
+    const earlier = known?.incarnation === incarnation ? known.words : [];
+    // A VM that stood still reads old words late, each of which alone would set true time back.
+    const larger = this.listRecent(earlier).filter((word) => word.originMs > originMs);
     // Put in again at the end, so that the first is the one that was silent for longest.
-    this.told.delete(peer);
-    this.told.set(peer, { originMs: timeMs - toldAtMs, toldAtMs });
-    const [oldest] = this.told.keys();
-    if (this.told.size > MAX_PEERS && oldest !== undefined) {
-      this.told.delete(oldest);
+    this.peers.delete(peer);
+    this.peers.set(peer, { incarnation, words: [...larger, { originMs, toldAtMs }] });
+    const [oldest] = this.peers.keys();
+    if (this.peers.size > MAX_PEERS && oldest !== undefined) {
+      this.peers.delete(oldest);
     }
   }
 
@@ -57,10 +71,17 @@
   }
 
   private medianOrigin(): Millis {
-    const { originMs, clock } = this.options;
-    const since = clock.now() - FORGET_AFTER_MS;
-    const told = [...this.told.values()].filter(({ toldAtMs }) => toldAtMs >= since);
+    const { originMs } = this.options;
+    // On its way a word only grows old, so the largest origin that a peer told is the closest.
+    const told = [...this.peers.values()].flatMap(({ words }) =>
+      this.listRecent(words).slice(0, 1),
+    );
     const origins = [originMs, ...told.map((word) => word.originMs)].sort((a, b) => a - b);
     return origins[Math.floor((origins.length - 1) / 2)] ?? originMs;
   }
+
+  private listRecent(words: readonly ToldOrigin[]): ToldOrigin[] {
+    const since = this.options.clock.now() - FORGET_AFTER_MS;
+    return words.filter(({ toldAtMs }) => toldAtMs >= since);
+  }
 }
--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -84,7 +84,7 @@
   }
 
   function tellTime(): void {
-    readExchange()?.reportToPeers({ kind: 'time-of-day', timeMs: trueTime.ownTimeMs });
+    readExchange()?.reportToPeers({ kind: 'time-of-day', incarnation, timeMs: trueTime.ownTimeMs });
     timers.after(TIME_EVERY_MS, tellTime);
   }
 
@@ -100,7 +100,7 @@
       if (report.kind === 'usage') {
         book.hear(report.incarnation, report.windows);
       } else if (report.kind === 'time-of-day') {
-        trueTime.hear(peer, report.timeMs);
+        trueTime.hear(peer, report.incarnation, report.timeMs);
       }
     },
     start() {
--- a/packages/share-evidence/src/report-messages.ts
+++ b/packages/share-evidence/src/report-messages.ts
@@ -7,6 +7,8 @@
 /** The sender's time of day, by which VMs agree on true time. */
 export const timeOfDay = t.type({
   kind: t.literal('time-of-day'),
+  /** Another for each start of the sender's process. */
+  incarnation: t.string,
   /** Milliseconds since 1970 by the clock of the sender's machine. */
   timeMs: t.number,
 });
