Never use a lease again whose release was not heard of

Cause: a VM that released the duty and did not hear the answer found its own key standing when it was back in place, renewed the lease and acted. The release was done later, another VM took over, and this one went on with the lower token.

Change: where the answer to a release is lost, the token counts as outdated: the lease is released again and a new write brings a new token.

--- /dev/null
+++ b/packages/hold-duty/src/duty-keeper.test.ts
@@ -0,0 +1,103 @@
+/** A keeper beside a seat whose answers the test chooses. */
+import { PortFault } from '@limelead/errors';
+import { createManualTime, type ManualTime } from '@limelead/stand-ins';
+import * as E from 'fp-ts/lib/Either.js';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import DutyKeeper from './duty-keeper.js';
+import HeldDuty from './held-duty.js';
+import type { SeatAnswer } from './lease-seat.js';
+
+const LEASE_MS = 3_000;
+/** Longer than a VM without a place keeps the duty, and than the pause behind its release. */
+const OUT_OF_PLACE_MS = 3_500;
+const RELEASE_PAUSE_MS = 6_000;
+
+interface Scene {
+  time: ManualTime;
+  duty: HeldDuty;
+  keeper: DutyKeeper;
+  place: number | undefined;
+  /** What the store says to who asks; its time is that of the call. */
+  seat: 'ours' | 'taken' | 'free';
+  token: number;
+  releaseIsHeard: boolean;
+  takes: number;
+  releases: number;
+}
+
+function createScene(): Scene {
+  const time = createManualTime(0);
+  const { clock, timers } = time;
+  const duty = new HeldDuty({
+    holder: 'a',
+    clock,
+    quietMs: 0,
+    marginMs: 100,
+    onTaken: () => undefined,
+    onLost: () => undefined,
+  });
+  const answer = (): E.Either<never, SeatAnswer> => {
+    const { seat, token } = scene;
+    return seat === 'ours'
+      ? E.right({ kind: seat, token, sentAtMs: clock.now(), ttlMs: LEASE_MS })
+      : E.right({ kind: seat });
+  };
+  const keeper = new DutyKeeper({
+    seat: {
+      take: () => async () => {
+        scene.takes += 1;
+        return answer();
+      },
+      renew: () => async () => answer(),
+      release: () => async () => {
+        scene.releases += 1;
+        if (!scene.releaseIsHeard) {
+          return E.left(new PortFault('timeout', 'maybe', 'unheard'));
+        }
+        // Whoever takes it next has a new token.
+        scene.token += 1;
+        return E.right(undefined);
+      },
+    },
+    duty,
+    clock,
+    timers,
+    random: { next: () => 0 },
+    ttlMs: LEASE_MS,
+    readPlace: () => scene.place,
+    isTaken: () => false,
+    onFault: () => undefined,
+  });
+  const scene: Scene = {
+    time,
+    duty,
+    keeper,
+    place: 0,
+    seat: 'ours',
+    token: 1,
+    releaseIsHeard: true,
+    takes: 0,
+    releases: 0,
+  };
+  keeper.start();
+  return scene;
+}
+
+test('a lease whose release was not heard of is released again and never used again', async () => {
+  const scene = createScene();
+  await scene.time.advance(1_000);
+  assert.is(scene.duty.permit(0)?.token, 1);
+  scene.releaseIsHeard = false;
+  scene.place = undefined;
+  await scene.time.advance(OUT_OF_PLACE_MS);
+  assert.is(scene.releases, 1);
+  // The release is still on its way, so the key stands when this VM asks again.
+  scene.place = 0;
+  scene.releaseIsHeard = true;
+  await scene.time.advance(RELEASE_PAUSE_MS);
+  assert.is(scene.releases, 2);
+  assert.is(scene.duty.permit(0)?.token, 2);
+});
+
+test.run();
--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -141,15 +141,17 @@
   /** Waits until calls on their way have arrived, so that none comes behind a later holder's. */
   private async release(): Promise<void> {
     const { duty, seat, clock, timers } = this.options;
-    const isHeld = duty.sentAtMs !== undefined;
-    duty.giveUp();
+    const token = duty.giveUp();
     const onTheirWayMs = duty.lastArrivalMs - clock.now();
-    if (isHeld && onTheirWayMs > 0) {
+    if (token !== undefined && onTheirWayMs > 0) {
       await delay(timers, onTheirWayMs);
     }
     const released = await seat.release()();
     if (E.isLeft(released)) {
       this.options.onFault('release', released.left);
+      // It may be done at any time, also behind a renewal of the lease: whoever takes the
+      // duty then would act beside this VM.
+      duty.noteOutdated(token ?? 0);
     }
     this.pause(LONGEST_PAUSE_MS);
   }
--- a/packages/hold-duty/src/held-duty.ts
+++ b/packages/hold-duty/src/held-duty.ts
@@ -104,9 +104,11 @@
     }
   }
 
-  /** From now on nothing is permitted. */
-  giveUp(): void {
+  /** From now on nothing is permitted; gives the token that was held. */
+  giveUp(): number | undefined {
+    const token = this.hold?.token;
     this.lose('given-up');
+    return token;
   }
 
   private take(token: number, sentAtMs: Millis, ttlMs: Millis): void {
