Ask soon again for a duty that was found taken

Cause: each answer that the duty is taken lengthened the pause, and only holding it reset that: a VM that stood by asked 4 to 5 s late for a duty that got free.

Change: such an answer is no failure; the pause is the first one, 0.5 s. While the store's news show a holder it asks each 15 s as before.

--- a/packages/hold-duty/src/duty-keeper.test.ts
+++ b/packages/hold-duty/src/duty-keeper.test.ts
@@ -100,4 +100,18 @@
   assert.is(scene.duty.permit(0)?.token, 2);
 });
 
+test('who found the duty taken, however often, asks again soon', async () => {
+  const scene = createScene();
+  scene.seat = 'taken';
+  await scene.time.advance(20_000);
+  for (let step = 0; step < 6; step += 1) {
+    const before = scene.takes;
+    await scene.time.advance(800);
+    assert.ok(scene.takes > before, `step ${step}`);
+  }
+  scene.seat = 'ours';
+  await scene.time.advance(800);
+  assert.is(scene.duty.permit(0)?.token, 1);
+});
+
 test.run();
--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -12,7 +12,7 @@
 const RENEWALS_A_LEASE = 3;
 /** Pause behind a renewal that failed: while the lease lasts another try is worth its call. */
 const RENEW_AGAIN_MS = 300;
-/** Pause behind the first try to take that failed or found the duty taken. */
+/** Pause behind a try that found the duty taken, and behind the first that failed. */
 const FIRST_PAUSE_MS = 500;
 /** Longest pause between tries, for a store that is away for long: each call has its price. */
 const LONGEST_PAUSE_MS = 4_000;
@@ -119,6 +119,12 @@
       this.failures = 0;
       return;
     }
+    if (answer.right.kind === 'taken') {
+      // The store works and told all there is to know: the next vacancy is not waited out.
+      this.failures = 0;
+      this.pause(FIRST_PAUSE_MS);
+      return;
+    }
     if (!isUsable) {
       // The lease of a token that nobody may use would only keep others out.
       await this.release();
