Pause ever longer where a store takes reads alone

Cause: each refused or unanswered settling write is followed by a read, whose success reset the count of failures. Under 429 on writes the pause never grew beyond 0.3 s.

Change: only a window that was settled or reported resets it.

--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -92,6 +92,21 @@
   assert.equal(reporting.listWindows(), [0, 1, 2, 3, 4, 5, 6]);
 });
 
+test('a store that takes reads alone is asked ever less often', async () => {
+  const reporting = new Reporting();
+  reporting.writeFates = Array.from({ length: 40 }, (): Fate => 'undone');
+  const vm = reporting.createVm('a', () => 1);
+  const seconds = 20;
+  for (; reporting.now < WINDOW_MS + SETTLE_AFTER_MS + seconds * 1_000; reporting.now += 100) {
+    await vm.look();
+  }
+  const tries = reporting.lines.filter((line) => line === 'settle failed').length;
+  assert.ok(tries <= seconds / 2 + 4, `${tries} tries`);
+  reporting.writeFates = [];
+  await playUntil(reporting, [vm], reporting.now + 4_000);
+  assert.ok(reporting.lines.includes('reported 0'));
+});
+
 test('a report that is called invalid three times is given up, with a line', async () => {
   const reporting = new Reporting();
   reporting.callFates = ['invalid', 'invalid', 'invalid'];
--- a/packages/meter-usage/src/usage-reporter.ts
+++ b/packages/meter-usage/src/usage-reporter.ts
@@ -104,8 +104,9 @@
       this.noteFailure('read', undefined, describe(record.left));
       return;
     }
+    // No end of the failures: each refused write is followed by a read, and its pause would
+    // never grow where the store takes reads alone.
     this.known = { token, ...record.right };
-    this.failures = 0;
   }
 
   private async advance(known: KnownByToken): Promise<void> {
