Give the duty up where its holder is cut off from the others

Cause: a holder that lost its links to the other VMs, but reaches store and platform, kept the duty and settled its own counts alone, while the VM that stands by was told all.

Change: a VM with links to less than a third of those that it knows, at least two, is cut off. A holder settles nothing from then on and gives the duty up after 2 s. It takes it again 4 s later where nobody else did, and keeps it then, since the others may be lost. A third: a fleet that lost half goes on.

--- a/packages/gateway/src/duty-part.ts
+++ b/packages/gateway/src/duty-part.ts
@@ -67,6 +67,7 @@
     random,
     ttlMs: leaseMs,
     readPlace,
+    readCutOffSinceMs: () => context.readExchange()?.cutOffSinceMs,
     isTaken: () => (knowledge.revision > 0 ? knowledge.has(DUTY_KEY) : undefined),
     onFault: (step, { reason, sent, message }) =>
       log.write('duty-call-failed', { step, reason, sent, message }),
--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -69,6 +69,7 @@
       book.hear(incarnation, counter.list());
       return book.sum(window);
     },
+    isCutOff: (heldSinceMs) => heldSinceMs < (readExchange()?.cutOffSinceMs ?? -Infinity),
     readCountedFrom() {
       const ageMs = clock.now() - startedAtMs;
       const ownFirst = Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
--- a/packages/hold-duty/src/duty-keeper.test.ts
+++ b/packages/hold-duty/src/duty-keeper.test.ts
@@ -18,6 +18,7 @@
   duty: HeldDuty;
   keeper: DutyKeeper;
   place: number | undefined;
+  cutOffSinceMs: number | undefined;
   /** What the store says to who asks; its time is that of the call. */
   seat: 'ours' | 'taken' | 'free';
   token: number;
@@ -66,7 +67,8 @@
     random: { next: () => 0 },
     ttlMs: LEASE_MS,
     readPlace: () => scene.place,
-    isTaken: () => false,
+    readCutOffSinceMs: () => scene.cutOffSinceMs,
+    isTaken: () => scene.duty.sentAtMs !== undefined,
     onFault: () => undefined,
   });
   const scene: Scene = {
@@ -74,6 +76,7 @@
     duty,
     keeper,
     place: 0,
+    cutOffSinceMs: undefined,
     seat: 'ours',
     token: 1,
     releaseIsHeard: true,
@@ -114,4 +117,20 @@
   assert.is(scene.duty.permit(0)?.token, 1);
 });
 
+test('a holder that is cut off gives the duty up, and takes it again where nobody does', async () => {
+  const scene = createScene();
+  await scene.time.advance(5_000);
+  scene.cutOffSinceMs = 5_000;
+  await scene.time.advance(1_900);
+  assert.is(scene.releases, 0);
+  await scene.time.advance(500);
+  assert.is(scene.releases, 1);
+  assert.is(scene.duty.permit(0), undefined);
+  await scene.time.advance(3_500);
+  assert.is(scene.takes, 1);
+  await scene.time.advance(20_000);
+  assert.is(scene.releases, 1);
+  assert.is(scene.duty.permit(0)?.token, 2);
+});
+
 test.run();
--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -30,6 +30,8 @@
   ttlMs: Millis;
   /** Places behind the first of the VMs that stand for the duty; undefined where others stand. */
   readPlace(): number | undefined;
+  /** Since when this VM has no links to most of the others; undefined where it has. */
+  readCutOffSinceMs(): Millis | undefined;
   /** Whether somebody holds the duty by news of the store; undefined where they tell nothing. */
   isTaken(): boolean | undefined;
   onFault(step: DutyStep, fault: PortFault): void;
@@ -78,7 +80,7 @@
   }
 
   private readSituation(): DutySituation {
-    const { duty, clock, ttlMs, readPlace, isTaken } = this.options;
+    const { duty, clock, ttlMs, readPlace, readCutOffSinceMs, isTaken } = this.options;
     const now = clock.now();
     const place = readPlace();
     this.vacantSinceMs = isTaken() === false ? (this.vacantSinceMs ?? now) : undefined;
@@ -89,6 +91,8 @@
       place,
       sentAtMs: duty.sentAtMs,
       outOfPlaceSinceMs: this.outOfPlaceSinceMs,
+      cutOffSinceMs: readCutOffSinceMs(),
+      heldSinceMs: duty.heldSinceMs,
       vacantSinceMs: this.vacantSinceMs,
       askedAtMs: this.askedAtMs,
       retryAtMs: this.retryAtMs,
--- a/packages/hold-duty/src/held-duty.ts
+++ b/packages/hold-duty/src/held-duty.ts
@@ -57,6 +57,11 @@
     return this.hold?.sentAtMs;
   }
 
+  /** Since when it is held; undefined where it is not. */
+  get heldSinceMs(): Millis | undefined {
+    return this.hold?.heldSinceMs;
+  }
+
   /** When all that was permitted has arrived or is lost. */
   get lastArrivalMs(): Millis {
     return this.quietSinceMs;
--- a/packages/hold-duty/src/world.fixture.ts
+++ b/packages/hold-duty/src/world.fixture.ts
@@ -181,6 +181,7 @@
       random: { next: () => options.draw() },
       ttlMs: LEASE_MS,
       readPlace: () => this.number,
+      readCutOffSinceMs: () => undefined,
       isTaken: () => this.world.store.read(KEY) !== undefined,
       onFault: () => undefined,
     });
--- a/packages/meter-usage/src/reporting.fixture.ts
+++ b/packages/meter-usage/src/reporting.fixture.ts
@@ -31,6 +31,7 @@
   /** Writes that are carried out later. */
   readonly late: (() => void)[] = [];
   token = 1;
+  isCutOff = false;
   private revision = 100;
   private record: { value: Buffer; revision: number } | undefined;
 
@@ -54,6 +55,7 @@
       windowMs: WINDOW_MS,
       settleAfterMs: SETTLE_AFTER_MS,
       sum: (window) => new Map([[name, window]]),
+      isCutOff: () => this.isCutOff,
       readCountedFrom: () => countedFrom,
       events: {
         onSettled: ({ window }) => void this.lines.push(`settled ${window}`),
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -107,6 +107,16 @@
   assert.ok(reporting.lines.includes('reported 0'));
 });
 
+test('a holder that is cut off from the VMs that count settles nothing', async () => {
+  const reporting = Object.assign(new Reporting(), { isCutOff: true });
+  const vm = reporting.createVm('a', () => 1);
+  await playUntil(reporting, [vm], 3 * WINDOW_MS);
+  assert.equal(reporting.lines, []);
+  reporting.isCutOff = false;
+  await playUntil(reporting, [vm], 4 * WINDOW_MS);
+  assert.equal(reporting.listWindows(), [0, 1, 2]);
+});
+
 test('a report that is called invalid three times is given up, with a line', async () => {
   const reporting = new Reporting();
   reporting.callFates = ['invalid', 'invalid', 'invalid'];
--- a/packages/meter-usage/src/usage-reporter.ts
+++ b/packages/meter-usage/src/usage-reporter.ts
@@ -4,7 +4,7 @@
  * sends the very same.
  */
 import type { PortFault } from '@limelead/errors';
-import type { Duty } from '@limelead/hold-duty';
+import type { Duty, DutyPermit } from '@limelead/hold-duty';
 import type { DutyAnswer, DutyPlatform } from '@limelead/ports';
 import type { Clock, Millis } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
@@ -38,6 +38,11 @@
   settleAfterMs: Millis;
   /** Requests of each organisation in a window, as all VMs told them. */
   sum(window: number): Map<string, number>;
+  /**
+   * Whether what VMs told since this VM took the duty is incomplete, as it has lost its links
+   * to most of them: it gives the duty up, and settles nothing meanwhile.
+   */
+  isCutOff(heldSinceMs: Millis): boolean;
   /** The first window that was counted from its beginning. */
   readCountedFrom(): number;
   events: UsageEvents;
@@ -81,19 +86,19 @@
     }
     this.isBusy = true;
     try {
-      await this.work(permit.token);
+      await this.work(permit);
     } finally {
       this.isBusy = false;
     }
   }
 
-  private async work(token: number): Promise<void> {
+  private async work({ token, heldSinceMs }: DutyPermit): Promise<void> {
     const { known } = this;
     if (known?.token !== token) {
       await this.read(token);
     } else if (known.settled !== undefined && known.settled.window > (known.doneUpTo ?? -1)) {
       await this.report(known, known.settled);
-    } else {
+    } else if (!this.options.isCutOff(heldSinceMs)) {
       await this.advance(known);
     }
   }
--- a/packages/share-evidence/src/duty-candidates.test.ts
+++ b/packages/share-evidence/src/duty-candidates.test.ts
@@ -32,4 +32,17 @@
   assert.equal(candidates.list, ['b', 'c']);
 });
 
+test('a VM is cut off while it reaches less than a third of those that it knows', () => {
+  let now = 0;
+  const candidates = new DutyCandidates('f', { now: () => now });
+  const rounds = [['a', 'b'], ['a'], [], ['a'], ['a', 'b', 'c']].map((linked) => {
+    candidates.choose(RANKING, SCHEDULERS, linked);
+    now += 1_000;
+    return candidates.cutOffSinceMs;
+  });
+  assert.equal(rounds, [undefined, 1_000, 1_000, 1_000, undefined]);
+  candidates.choose(['e', 'f'], [], []);
+  assert.is(candidates.cutOffSinceMs, undefined);
+});
+
 test.run();
--- a/packages/share-evidence/src/duty-candidates.ts
+++ b/packages/share-evidence/src/duty-candidates.ts
@@ -14,12 +14,20 @@
  * only after 12 s, and with all candidates gone the fleet would have nobody to tell.
  */
 const GONE_AFTER_MS = 2_000;
+/**
+ * A VM with links to a smaller share of the others is cut off. Where half of the fleet is
+ * lost at once, those that are left have links to about half and go on with their duties.
+ */
+const CUT_OFF_SHARE = 1 / 3;
+/** With a single other VM nobody can tell which of the two is cut off. */
+const FEWEST_OTHERS = 2;
 
 /** Follows who stands. */
 export default class DutyCandidates {
   private chosen: readonly PeerId[] = [];
   /** When each VM that should stand was first seen without a link. */
   private readonly unlinkedSinceMs = new Map<PeerId, Millis>();
+  private cutOffSince: Millis | undefined;
 
   constructor(
     private readonly self: PeerId,
@@ -31,12 +39,18 @@
     return this.chosen;
   }
 
+  /** Since when this VM has no links to most of the others that it knows; undefined where it has. */
+  get cutOffSinceMs(): Millis | undefined {
+    return this.cutOffSince;
+  }
+
   /** One round: as many as there are schedulers, from the end of the ranking that all VMs share. */
   choose(ranking: readonly PeerId[], schedulers: Schedulers, linked: readonly PeerId[]): void {
     const first = schedulers.flat();
     const inOrder = first.length > 0 ? first : ranking.slice(-SMALL_FLEET_CANDIDATES);
     const others = ranking.filter((vm) => !inOrder.includes(vm)).reverse();
     this.noteLinks([...inOrder, ...this.chosen], linked);
+    this.noteCut(ranking, linked);
     this.chosen = [...inOrder, ...others].filter((vm) => !this.isGone(vm)).slice(0, inOrder.length);
   }
 
@@ -51,6 +65,13 @@
     unlinked.forEach((vm) => this.unlinkedSinceMs.set(vm, this.unlinkedSinceMs.get(vm) ?? now));
   }
 
+  private noteCut(ranking: readonly PeerId[], linked: readonly PeerId[]): void {
+    const known = ranking.filter((vm) => vm !== this.self);
+    const reached = known.filter((vm) => linked.includes(vm));
+    const isCutOff = known.length >= FEWEST_OTHERS && reached.length < known.length * CUT_OFF_SHARE;
+    this.cutOffSince = isCutOff ? (this.cutOffSince ?? this.clock.now()) : undefined;
+  }
+
   private isGone(vm: PeerId): boolean {
     const sinceMs = this.unlinkedSinceMs.get(vm);
     return sinceMs !== undefined && this.clock.now() - sinceMs >= GONE_AFTER_MS;
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -201,6 +201,11 @@
     return this.members?.dutyCandidates ?? [];
   }
 
+  /** Since when this VM has no links to most of the others that it knows; undefined where it has. */
+  get cutOffSinceMs(): Millis | undefined {
+    return this.members?.cutOffSinceMs;
+  }
+
   /** Those of them to which a link is up, with the time since which it is. */
   get linkedCandidates(): LinkedPeer[] {
     return this.dutyCandidates.flatMap((peer) => {
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerLinks } from '@limelead/peer-links';
 import { rankVms } from '@limelead/track-members';
-import type { Clock, Random } from '@limelead/types';
+import type { Clock, Millis, Random } from '@limelead/types';
 import { FULL_MESH_VMS } from './choose-peers.js';
 import chooseSchedulers, { type Schedulers } from './choose-schedulers.js';
 import DutyCandidates from './duty-candidates.js';
@@ -75,6 +75,11 @@
     return this.candidates.list;
   }
 
+  /** Since when this VM has no links to most of the others that it knows; undefined where it has. */
+  get cutOffSinceMs(): Millis | undefined {
+    return this.candidates.cutOffSinceMs;
+  }
+
   /** Whether this VM chose a peer for gossip. */
   isChosenPeer(peer: PeerId): boolean {
     return this.upkeep.isChosen(peer);
