Count no look at the duty as a call

Cause: each look asked for a permit of 0 ms and moved the time from which a VM that wins the duty back stays still, though nothing was sent.

Change: a permit for 0 ms is a look and moves nothing.

--- a/packages/hold-duty/src/duty.ts
+++ b/packages/hold-duty/src/duty.ts
@@ -16,7 +16,8 @@
   /**
    * The permit for one call; undefined where this VM is not sure to hold the duty until the
    * call arrived. Asked again right before each call, since the process may have stood still.
-   * @param arrivalMs longest time until the call arrives or is lost, in milliseconds
+   * @param arrivalMs longest time until the call arrives or is lost, in milliseconds; 0 for a
+   * look behind which nothing is sent
    */
   permit(arrivalMs: Millis): DutyPermit | undefined;
   /** A later holder's token was seen by somebody: this one is never used again. */
--- a/packages/hold-duty/src/held-duty.ts
+++ b/packages/hold-duty/src/held-duty.ts
@@ -73,7 +73,10 @@
     if (hold === undefined || now < hold.actsFromMs || now + arrivalMs > this.validUntilMs(hold)) {
       return undefined;
     }
-    this.quietSinceMs = Math.max(this.quietSinceMs, now + arrivalMs);
+    if (arrivalMs > 0) {
+      // A look sends nothing, and would put off this VM's next hold.
+      this.quietSinceMs = Math.max(this.quietSinceMs, now + arrivalMs);
+    }
     return { token: hold.token, heldSinceMs: hold.heldSinceMs };
   }
 
