Tell a new link first what is settled next

Cause: over a new link the oldest windows were told first, 1,000 counts at a time, which kept back those that were about to be settled.

Change: the last window that ended and the present one go first, then the older ones from the latest on.

--- a/packages/meter-usage/src/counting.test.ts
+++ b/packages/meter-usage/src/counting.test.ts
@@ -51,6 +51,17 @@
   assert.is(vm.tell('y').length, 2);
 });
 
+test('over a new link the windows that are yet to be settled come first', () => {
+  const vm = createVm();
+  for (let window = 0; window < 6; window += 1) {
+    for (let organisation = 0; organisation < 400; organisation += 1) {
+      vm.count(window * WINDOW_MS, `org-${organisation}`);
+    }
+  }
+  const order = [1, 2, 3].map(() => vm.tell('x').map(({ window }) => window));
+  assert.equal(order, [[4, 5, 3], [2, 3, 1], [0]]);
+});
+
 test('40,000 organisations are told piece by piece', () => {
   const vm = createVm();
   vm.tell('x');
--- a/packages/meter-usage/src/usage-teller.ts
+++ b/packages/meter-usage/src/usage-teller.ts
@@ -60,7 +60,7 @@
   private take(untold: Untold): WindowCounts[] {
     const windows: WindowCounts[] = [];
     let room = MAX_COUNTS;
-    for (const [window, organisations] of untold) {
+    for (const [window, organisations] of listByUrgency(untold)) {
       const taken = [...organisations].slice(0, room);
       room -= taken.length;
       taken.forEach((organisation) => organisations.delete(organisation));
@@ -77,3 +77,12 @@
     return windows;
   }
 }
+
+/**
+ * The window that is settled next and the present one, then older ones, the latest first: over
+ * a new link those that are done would keep the others back.
+ */
+function listByUrgency(untold: Untold): [number, Set<string>][] {
+  const latestFirst = [...untold].sort(([one], [other]) => other - one);
+  return [...latestFirst.slice(0, 2).reverse(), ...latestFirst.slice(2)];
+}
