Believe a VM on what it counted from the beginning, as it knows now

Cause: the first window that counts as whole was the oldest one told, plus one. A VM that restarted with a clock some seconds behind told of a window before its start, and a window that nobody had counted was settled. It heard others' time only after up to 5 s.

Change: a VM tells its first whole window with its sums, by its present estimate of its start; the book keeps the latest word of each. The time of day is told each second.

Tests that read oldestTold read countedFrom.

--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -10,9 +10,10 @@
   type SettledWindow,
   type UsageEvents,
   type UsageListener,
+  type WindowCounts,
 } from '@limelead/meter-usage';
 import type { DutyPlatform } from '@limelead/ports';
-import type { EvidenceExchange } from '@limelead/share-evidence';
+import type { EvidenceExchange, PeerId } from '@limelead/share-evidence';
 import { randomUUID } from 'node:crypto';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import { DUTY_KEY, USAGE_KEY } from './own-keys.js';
@@ -23,8 +24,11 @@
  * power takes so much of its counts with it at most.
  */
 const LOOK_EVERY_MS = 300;
-/** Time between two words on the time of day, in milliseconds; clocks that are told stay right. */
-const TIME_EVERY_MS = 5_000;
+/**
+ * Time between two words on the time of day, in milliseconds. A VM that starts with a wrong
+ * clock counts into wrong windows until it heard others.
+ */
+const TIME_EVERY_MS = 1_000;
 /**
  * Time from the end of a window until its counts are settled, in milliseconds: what VMs tell
  * has come, and those that were cut off for a moment are back.
@@ -66,20 +70,29 @@
     windowMs,
     settleAfterMs: Math.min(SETTLE_AFTER_MS, usageDueMs * SETTLE_SHARE),
     sum(window) {
-      book.hear(incarnation, counter.list());
+      book.hear(incarnation, counter.list(), readOwnFirst());
       return book.sum(window);
     },
     isCutOff: (heldSinceMs) => heldSinceMs < (readExchange()?.cutOffSinceMs ?? -Infinity),
     readCountedFrom() {
-      const ageMs = clock.now() - startedAtMs;
-      const ownFirst = Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
-      return Math.min(ownFirst, (book.oldestTold ?? ownFirst) + 1);
+      return Math.min(readOwnFirst(), book.countedFrom ?? Infinity);
     },
     events: createEvents(context, (window) => book.countTellers(window)),
   });
 
+  function readOwnFirst(): number {
+    const ageMs = clock.now() - startedAtMs;
+    return Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
+  }
+
   function tell(): void {
-    teller.tell(listListeners(readExchange(), incarnation));
+    const exchange = readExchange();
+    const countedFrom = readOwnFirst();
+    teller.tell(
+      listListeners(exchange, (peer, windows) =>
+        exchange?.reportTo(peer, { kind: 'usage', incarnation, countedFrom, windows }),
+      ),
+    );
   }
 
   function look(): void {
@@ -103,7 +116,7 @@
     },
     onReport(peer, report) {
       if (report.kind === 'usage') {
-        book.hear(report.incarnation, report.windows);
+        book.hear(report.incarnation, report.windows, report.countedFrom);
       } else if (report.kind === 'time-of-day') {
         trueTime.hear(peer, report.incarnation, report.timeMs);
       }
@@ -124,11 +137,11 @@
 /** Those that stand for the duties, each with the link to it. */
 function listListeners(
   exchange: EvidenceExchange | undefined,
-  incarnation: string,
+  tell: (peer: PeerId, windows: WindowCounts[]) => void,
 ): UsageListener[] {
   return (exchange?.linkedCandidates ?? []).map(({ peer, linkedAtMs }) => ({
     link: `${peer} ${linkedAtMs}`,
-    tell: (windows) => exchange?.reportTo(peer, { kind: 'usage', incarnation, windows }),
+    tell: (windows) => tell(peer, windows),
   }));
 }
 
--- a/packages/meter-usage/src/usage-book.ts
+++ b/packages/meter-usage/src/usage-book.ts
@@ -19,21 +19,28 @@
 /** Adds up. */
 export default class UsageBook {
   private readonly windows = new Map<number, WindowBook>();
+  /** By incarnation, of those that told of a window that is kept. */
+  private readonly firstWhole = new Map<string, number>();
 
   constructor(private readonly options: UsageBookOptions) {}
 
-  /** The first window that is kept; undefined where nobody told of any. */
-  get oldestTold(): number | undefined {
-    return this.windows.size === 0 ? undefined : Math.min(...this.windows.keys());
+  /** The first window that a VM counted from its beginning; undefined where nobody told of any. */
+  get countedFrom(): number | undefined {
+    return this.firstWhole.size === 0 ? undefined : Math.min(...this.firstWhole.values());
   }
 
-  /** A VM told its sums; those of windows that are over for long, or far ahead, are ignored. */
-  hear(incarnation: string, told: readonly WindowCounts[]): void {
+  /**
+   * A VM told its sums; those of windows that are over for long, or far ahead, are ignored.
+   * @param countedFrom the first window that it counted from its beginning, as it says now: by
+   * its first words alone, a VM whose clock was behind at its start had counted what it did not
+   */
+  hear(incarnation: string, told: readonly WindowCounts[], countedFrom: number): void {
     const present = this.readPresent();
     for (const { window, counts } of told.filter((word) => isKept(word.window, present))) {
       const book = this.windows.get(window) ?? this.open(window, present);
       const largest = book.get(incarnation) ?? new Map<string, number>();
       book.set(incarnation, largest);
+      this.firstWhole.set(incarnation, countedFrom);
       for (const [organisation, requests] of counts) {
         largest.set(organisation, Math.max(requests, largest.get(organisation) ?? 0));
       }
@@ -59,9 +66,19 @@
   private open(window: number, present: number): WindowBook {
     const book: WindowBook = new Map();
     openWindow(this.windows, window, book, present);
+    this.forgetSilent();
     return book;
   }
 
+  private forgetSilent(): void {
+    const tellers = new Set([...this.windows.values()].flatMap((book) => [...book.keys()]));
+    for (const incarnation of [...this.firstWhole.keys()]) {
+      if (!tellers.has(incarnation)) {
+        this.firstWhole.delete(incarnation);
+      }
+    }
+  }
+
   private readPresent(): number {
     const { trueTime, windowMs } = this.options;
     return Math.floor(trueTime.now() / windowMs);
--- a/packages/share-evidence/src/report-messages.ts
+++ b/packages/share-evidence/src/report-messages.ts
@@ -20,6 +20,8 @@
 export const usage = t.type({
   kind: t.literal('usage'),
   incarnation: t.string,
+  /** The first window that the sender counted from its beginning. */
+  countedFrom: t.number,
   windows: t.array(
     t.type({
       window: t.number,
