Test that a call's arrival time counts, in the holder and in the reporter

Cause: no test fell when only the arrival time was ignored: the patched holder ignored the clock altogether, and the reporter's fake duty both.

Change: schedules with a holder that ignores the arrival time alone must break, and a real holder stands still between settling and report.

--- a/packages/hold-duty/src/hold-duty.test.ts
+++ b/packages/hold-duty/src/hold-duty.test.ts
@@ -32,6 +32,13 @@
   }
 }
 
+/** Looks at the clock, but not at the time that a call may take. */
+class Hasty extends HeldDuty {
+  override permit(): DutyPermit | undefined {
+    return super.permit(0);
+  }
+}
+
 /** Numbers in [0, 1) from a seed. */
 function createDraw(seed: number): () => number {
   let state = seed >>> 0;
@@ -190,6 +197,11 @@
   assert.ok(details.failed);
 });
 
+test('a holder that ignores how long a call may take is caught', async () => {
+  const details = await searchBroken(RUNS, (options) => new Hasty(options));
+  assert.ok(details.failed);
+});
+
 test('a VM that wins the duty back waits until it is no second A of A, B, A', async () => {
   const troubles: Trouble[] = [
     { atMs: 6_000, vm: 0, kind: 'stop', forMs: 1_000 },
--- a/packages/meter-usage/src/reporting.fixture.ts
+++ b/packages/meter-usage/src/reporting.fixture.ts
@@ -32,20 +32,19 @@
   readonly late: (() => void)[] = [];
   token = 1;
   isCutOff = false;
+  /** Called when the store carries a write out. */
+  onWrite: () => void = () => undefined;
   private revision = 100;
   private record: { value: Buffer; revision: number } | undefined;
 
   /** A VM with counts of its own; it holds the duty where `readToken` gives a token. */
   createVm(name: string, readToken: () => number | undefined, countedFrom = 0): UsageReporter {
+    return this.createReporter(this.createDuty(name, readToken), countedFrom);
+  }
+
+  /** A VM with a duty of the test's. */
+  createReporter(duty: Duty, countedFrom = 0): UsageReporter {
     const clock = { now: () => this.now };
-    const duty: Duty = {
-      holder: name,
-      permit: () => {
-        const token = readToken();
-        return token === undefined ? undefined : { token, heldSinceMs: 0 };
-      },
-      noteOutdated: (token) => void this.lines.push(`outdated ${token}`),
-    };
     return new UsageReporter({
       duty,
       platform: this.createPlatform(),
@@ -54,7 +53,7 @@
       trueTime: clock,
       windowMs: WINDOW_MS,
       settleAfterMs: SETTLE_AFTER_MS,
-      sum: (window) => new Map([[name, window]]),
+      sum: (window) => new Map([[duty.holder, window]]),
       isCutOff: () => this.isCutOff,
       readCountedFrom: () => countedFrom,
       events: {
@@ -68,6 +67,17 @@
     });
   }
 
+  private createDuty(name: string, readToken: () => number | undefined): Duty {
+    return {
+      holder: name,
+      permit: () => {
+        const token = readToken();
+        return token === undefined ? undefined : { token, heldSinceMs: 0 };
+      },
+      noteOutdated: (token) => void this.lines.push(`outdated ${token}`),
+    };
+  }
+
   /** Windows that were told with differing counts. */
   listDiffering(): number[] {
     const first = new Map<number, string>();
@@ -108,6 +118,7 @@
         const fate = this.writeFates.shift() ?? 'answered';
         let outcome: WriteOutcome = { kind: 'mismatch' };
         const write = (): void => {
+          this.onWrite();
           const stands = conditions.every(
             ({ key, revision }) =>
               revision === (key === DUTY_KEY ? this.token : (this.record?.revision ?? 0)),
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { HeldDuty } from '@limelead/hold-duty';
 import Reporting, { SETTLE_AFTER_MS, WINDOW_MS, type Fate } from './reporting.fixture.js';
 import type UsageReporter from './usage-reporter.js';
 
@@ -117,6 +118,36 @@
   assert.equal(reporting.listWindows(), [0, 1, 2]);
 });
 
+/** Reports of a real holder whose process stood still for so long while it settled. */
+async function standStill(forMs: number): Promise<Reporting> {
+  const reporting = new Reporting();
+  const duty = new HeldDuty({
+    holder: 'a',
+    clock: { now: () => reporting.now },
+    quietMs: 0,
+    marginMs: 100,
+    onTaken: () => undefined,
+    onLost: () => undefined,
+  });
+  reporting.now = WINDOW_MS + SETTLE_AFTER_MS;
+  duty.noteAnswer({ kind: 'ours', token: 1, sentAtMs: reporting.now, ttlMs: 3_000 });
+  reporting.onWrite = () => void (reporting.now += forMs);
+  const vm = reporting.createReporter(duty);
+  for (let look = 0; look < 3; look += 1) {
+    await vm.look();
+  }
+  return reporting;
+}
+
+test('a holder that stood still between settling and reporting does not report', async () => {
+  const brief = await standStill(1_800);
+  assert.equal(brief.lines, ['settled 0', 'reported 0']);
+  // The lease lasts, but not until the report has surely arrived.
+  const long = await standStill(2_000);
+  assert.equal(long.lines, ['settled 0']);
+  assert.equal(long.reports, []);
+});
+
 test('a report that is called invalid three times is given up, with a line', async () => {
   const reporting = new Reporting();
   reporting.callFates = ['invalid', 'invalid', 'invalid'];
