Give the reason of the lease's margin

Clocks that run at different speeds account for 3 ms of the 200; the rest is for a busy process whose call leaves behind the check. The figure stays.

--- a/packages/gateway/src/duty-part.ts
+++ b/packages/gateway/src/duty-part.ts
@@ -11,7 +11,10 @@
  * others; before, each VM of a fleet that starts would think itself the only candidate.
  */
 const STAND_AFTER_MS = 2_500;
-/** Part of a lease that is left unused, in milliseconds: clocks run alike to a thousandth. */
+/**
+ * Part of a lease that is left unused, in milliseconds. Clocks run alike to a thousandth, 3 ms
+ * of a lease; the rest is for a busy process, whose call leaves some time behind the check.
+ */
 const LEASE_MARGIN_MS = 200;
 
 /** A part, and the duty that it holds or does not. */
