Say that the store's item of usage makes no sense, and settle nothing below

Cause: an item that could not be read counted as none, without a line, and all windows that were kept were settled anew, also those that it may have held.

Change: a line, usage-item-unreadable; windows before the last ripe one are left out.

--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -166,6 +166,8 @@
       countWindows('skipped', to - from + 1);
       log.write('usage-skipped', { from, to, reason });
     },
+    onUnreadable: (revision, leftOutUpTo) =>
+      log.write('usage-item-unreadable', { revision, leftOutUpTo }),
     onGivenUp(window) {
       countWindows('given-up');
       log.write('usage-given-up', { window });
--- a/packages/meter-usage/src/plan-windows.ts
+++ b/packages/meter-usage/src/plan-windows.ts
@@ -30,10 +30,19 @@
   next?: number;
 }
 
+/** The last window that ended long enough ago. */
+export function findLastRipe({
+  nowMs,
+  windowMs,
+  settleAfterMs,
+}: Pick<WindowSituation, 'nowMs' | 'windowMs' | 'settleAfterMs'>): number {
+  return Math.floor((nowMs - settleAfterMs) / windowMs) - 1;
+}
+
 /** Plans. */
 export default function planWindows(situation: WindowSituation): WindowPlan {
-  const { nowMs, windowMs, settleAfterMs, doneUpTo, countedFrom } = situation;
-  const lastRipe = Math.floor((nowMs - settleAfterMs) / windowMs) - 1;
+  const { nowMs, windowMs, doneUpTo, countedFrom } = situation;
+  const lastRipe = findLastRipe(situation);
   const first = doneUpTo === undefined ? countedFrom : doneUpTo + 1;
   const firstKept = Math.floor(nowMs / windowMs) - KEPT_WINDOWS + 1;
   if (first > lastRipe) {
--- a/packages/meter-usage/src/reporting.fixture.ts
+++ b/packages/meter-usage/src/reporting.fixture.ts
@@ -35,7 +35,7 @@
   /** Called when the store carries a write out. */
   onWrite: () => void = () => undefined;
   private revision = 100;
-  private record: { value: Buffer; revision: number } | undefined;
+  record: { value: Buffer; revision: number } | undefined;
 
   /** A VM with counts of its own; it holds the duty where `readToken` gives a token. */
   createVm(name: string, readToken: () => number | undefined, countedFrom = 0): UsageReporter {
@@ -61,6 +61,7 @@
         onReported: ({ window }) => void this.lines.push(`reported ${window}`),
         onSkipped: ({ from, to, reason }) =>
           void this.lines.push(`skipped ${from}-${to} ${reason}`),
+        onUnreadable: (_revision, upTo) => void this.lines.push(`unreadable, left out to ${upTo}`),
         onGivenUp: (window) => void this.lines.push(`given up ${window}`),
         onCallFailed: (call) => void this.lines.push(`${call} failed`),
       },
--- a/packages/meter-usage/src/usage-record.ts
+++ b/packages/meter-usage/src/usage-record.ts
@@ -27,6 +27,8 @@
   /** Undefined where nothing was ever reported. */
   doneUpTo?: number;
   settled?: SettledWindow;
+  /** The item says something that this program does not understand. */
+  isUnreadable?: true;
 }
 
 /** Reads and writes the item. */
@@ -41,7 +43,7 @@
     private readonly dutyKey: string,
   ) {}
 
-  /** An item that cannot be read counts as none, and is replaced by the next. */
+  /** An item that makes no sense is told as such; the next one that is settled replaces it. */
   async read(): Promise<E.Either<PortFault, KnownRecord>> {
     const found = await this.store.read(this.key)();
     return E.map((entry: StoreEntry | undefined) =>
@@ -66,12 +68,12 @@
   }
 }
 
-function parse(value: Buffer): t.TypeOf<typeof recordCodec> | object {
+function parse(value: Buffer): t.TypeOf<typeof recordCodec> | { isUnreadable: true } {
   try {
     const decoded = recordCodec.decode(JSON.parse(value.toString()));
-    return E.isRight(decoded) ? decoded.right : {};
+    return E.isRight(decoded) ? decoded.right : { isUnreadable: true };
   } catch {
-    // Nothing but this program writes the key; what it can't read tells of no window.
-    return {};
+    // Told as such: the caller writes a line.
+    return { isUnreadable: true };
   }
 }
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -148,6 +148,15 @@
   assert.equal(long.reports, []);
 });
 
+test('behind an item that makes no sense nothing older than the last ripe window is settled', async () => {
+  const reporting = new Reporting();
+  reporting.record = { value: Buffer.from('{}'), revision: 50 };
+  reporting.now = 6 * WINDOW_MS;
+  await playUntil(reporting, [reporting.createVm('a', () => 1)], 7 * WINDOW_MS);
+  assert.is(reporting.lines[0], 'unreadable, left out to 3');
+  assert.equal(reporting.listWindows(), [4, 5]);
+});
+
 test('a report that is called invalid three times is given up, with a line', async () => {
   const reporting = new Reporting();
   reporting.callFates = ['invalid', 'invalid', 'invalid'];
--- a/packages/meter-usage/src/usage-reporter.ts
+++ b/packages/meter-usage/src/usage-reporter.ts
@@ -8,7 +8,7 @@
 import type { DutyAnswer, DutyPlatform } from '@limelead/ports';
 import type { Clock, Millis } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
-import planWindows, { type SkippedWindows } from './plan-windows.js';
+import planWindows, { findLastRipe, type SkippedWindows } from './plan-windows.js';
 import type UsageRecord from './usage-record.js';
 import type { KnownRecord, SettledWindow } from './usage-record.js';
 
@@ -54,6 +54,8 @@
   /** @param afterMs time since the end of the window */
   onReported(settled: SettledWindow, token: number, afterMs: Millis): void;
   onSkipped(skipped: SkippedWindows): void;
+  /** The store's item makes no sense; windows up to one are left out. */
+  onUnreadable(revision: number, leftOutUpTo: number): void;
   /** The platform did not take a window. */
   onGivenUp(window: number): void;
   onCallFailed(call: 'read' | 'settle' | 'report', window: number | undefined, why: string): void;
@@ -111,7 +113,18 @@
     }
     // No end of the failures: each refused write is followed by a read, and its pause would
     // never grow where the store takes reads alone.
-    this.known = { token, ...record.right };
+    this.known = { token, ...this.leaveOutUnreadable(record.right) };
+  }
+
+  /** Windows up to the last ripe one may be settled with counts that nobody can read any more. */
+  private leaveOutUnreadable(record: KnownRecord): KnownRecord {
+    if (record.isUnreadable === undefined) {
+      return record;
+    }
+    const { trueTime, windowMs, settleAfterMs, events } = this.options;
+    const doneUpTo = findLastRipe({ nowMs: trueTime.now(), windowMs, settleAfterMs }) - 1;
+    events.onUnreadable(record.revision, doneUpTo);
+    return { revision: record.revision, doneUpTo };
   }
 
   private async advance(known: KnownByToken): Promise<void> {
