--- a/packages/gateway/src/usage-part.ts
+++ b/packages/gateway/src/usage-part.ts
@@ -9,9 +9,10 @@
   type SettledWindow,
   type UsageEvents,
   type UsageListener,
+  type WindowCounts,
 } from '@limelead/meter-usage';
 import type { DutyPlatform } from '@limelead/ports';
-import type { EvidenceExchange } from '@limelead/share-evidence';
+import type { EvidenceExchange, PeerId } from '@limelead/share-evidence';
 import { randomUUID } from 'node:crypto';
 import type { DutyPart } from './duty-part.js';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
@@ -23,8 +24,11 @@
  * power takes so much of its counts with it at most.
  */
 const LOOK_EVERY_MS = 300;
-/** Time between two words on the time of day, in milliseconds; clocks that are told stay right. */
-const TIME_EVERY_MS = 10_000;
+/**
+ * Time between two words on the time of day, in milliseconds. A VM that starts with a wrong
+ * clock counts into wrong windows until it heard others.
+ */
+const TIME_EVERY_MS = 2_000;
 /**
  * Time from the end of a window until its counts are settled, in milliseconds: what VMs tell
  * has come, and those that were cut off for a moment are back.
@@ -56,7 +60,7 @@
     onCounted: (window, organisation) => teller.note(window, organisation),
   });
   const teller = new UsageTeller(counter);
-  const book = new UsageBook();
+  const book = new UsageBook({ trueTime, windowMs });
   const reporter = new UsageReporter({
     duty: dutyPart.duty,
     platform: dutyPlatform,
@@ -66,26 +70,40 @@
     windowMs,
     settleAfterMs: Math.min(SETTLE_AFTER_MS, usageDueMs * SETTLE_SHARE),
     sum(window) {
-      book.hear(incarnation, counter.list());
+      book.hear(incarnation, counter.list(), readOwnFirst());
       return book.sum(window);
     },
+    isCutOff: (heldSinceMs) => heldSinceMs < (readExchange()?.cutOffSinceMs ?? -Infinity),
     readCountedFrom() {
-      const ageMs = clock.now() - startedAtMs;
-      const ownFirst = Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
-      return Math.min(ownFirst, (book.oldestTold ?? ownFirst) + 1);
+      return Math.min(readOwnFirst(), book.countedFrom ?? Infinity);
     },
     onUnreached: () => dutyPart.stepAside(),
     events: createEvents(context, (window) => book.countTellers(window)),
   });
 
+  function readOwnFirst(): number {
+    const ageMs = clock.now() - startedAtMs;
+    return Math.floor((trueTime.now() - ageMs) / windowMs) + 1;
+  }
+
+  function tell(): void {
+    const exchange = readExchange();
+    const countedFrom = readOwnFirst();
+    teller.tell(
+      listListeners(exchange, (peer, windows) =>
+        exchange?.reportTo(peer, { kind: 'usage', incarnation, countedFrom, windows }),
+      ),
+    );
+  }
+
   function look(): void {
-    teller.tell(listListeners(readExchange(), incarnation));
+    tell();
     void reporter.look();
     timers.after(LOOK_EVERY_MS, look);
   }
 
   function tellTime(): void {
-    readExchange()?.reportToPeers({ kind: 'time-of-day', timeMs: trueTime.ownTimeMs });
+    readExchange()?.reportToPeers({ kind: 'time-of-day', incarnation, timeMs: trueTime.ownTimeMs });
     timers.after(TIME_EVERY_MS, tellTime);
   }
 
@@ -93,33 +111,38 @@
     observer: {
       onBegun: ({ organisation }) => {
         if (organisation !== undefined) {
-          counter.count(organisation, 0);
+          counter.count(organisation);
         }
       },
     },
     onReport(peer, report) {
       if (report.kind === 'usage') {
-        book.hear(report.incarnation, report.windows);
+        book.hear(report.incarnation, report.windows, report.countedFrom);
       } else if (report.kind === 'time-of-day') {
-        trueTime.hear(peer, report.timeMs);
+        trueTime.hear(peer, report.incarnation, report.timeMs);
       }
     },
     start() {
       look();
       timers.after(LOOK_EVERY_MS, tellTime);
     },
-    handOver: () => Promise.resolve(),
+    handOver() {
+      tell();
+      return Promise.resolve();
+    },
+    // What was counted since the last look would go with the process.
+    leave: tell,
   };
 }
 
 /** Those that stand for the duties, each with the link to it. */
 function listListeners(
   exchange: EvidenceExchange | undefined,
-  incarnation: string,
+  tell: (peer: PeerId, windows: WindowCounts[]) => void,
 ): UsageListener[] {
   return (exchange?.linkedCandidates ?? []).map(({ peer, linkedAtMs }) => ({
     link: `${peer} ${linkedAtMs}`,
-    tell: (windows) => exchange?.reportTo(peer, { kind: 'usage', incarnation, windows }),
+    tell: (windows) => tell(peer, windows),
   }));
 }
 
@@ -144,6 +167,8 @@
       countWindows('skipped', to - from + 1);
       log.write('usage-skipped', { from, to, reason });
     },
+    onUnreadable: (revision, leftOutUpTo) =>
+      log.write('usage-item-unreadable', { revision, leftOutUpTo }),
     onGivenUp(window) {
       countWindows('given-up');
       log.write('usage-given-up', { window });
--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -12,7 +12,7 @@
 const RENEWALS_A_LEASE = 3;
 /** Pause behind a renewal that failed: while the lease lasts another try is worth its call. */
 const RENEW_AGAIN_MS = 300;
-/** Pause behind the first try to take that failed or found the duty taken. */
+/** Pause behind a try that found the duty taken, and behind the first that failed. */
 const FIRST_PAUSE_MS = 500;
 /** Longest pause between tries, for a store that is away for long: each call has its price. */
 const LONGEST_PAUSE_MS = 4_000;
@@ -35,6 +35,8 @@
   ttlMs: Millis;
   /** Places behind the first of the VMs that stand for the duty; undefined where others stand. */
   readPlace(): number | undefined;
+  /** Since when this VM has no links to most of the others; undefined where it has. */
+  readCutOffSinceMs(): Millis | undefined;
   /** Whether somebody holds the duty by news of the store; undefined where they tell nothing. */
   isTaken(): boolean | undefined;
   onFault(step: DutyStep, fault: PortFault): void;
@@ -89,7 +91,7 @@
   }
 
   private readSituation(): DutySituation {
-    const { duty, clock, ttlMs, readPlace, isTaken } = this.options;
+    const { duty, clock, ttlMs, readPlace, readCutOffSinceMs, isTaken } = this.options;
     const now = clock.now();
     const place = readPlace();
     this.vacantSinceMs = isTaken() === false ? (this.vacantSinceMs ?? now) : undefined;
@@ -100,6 +102,8 @@
       place,
       sentAtMs: duty.sentAtMs,
       outOfPlaceSinceMs: this.outOfPlaceSinceMs,
+      cutOffSinceMs: readCutOffSinceMs(),
+      heldSinceMs: duty.heldSinceMs,
       vacantSinceMs: this.vacantSinceMs,
       askedAtMs: this.askedAtMs,
       asideUntilMs: this.asideUntilMs,
@@ -131,6 +135,12 @@
       this.failures = 0;
       return;
     }
+    if (answer.right.kind === 'taken') {
+      // The store works and told all there is to know: the next vacancy is not waited out.
+      this.failures = 0;
+      this.pause(FIRST_PAUSE_MS);
+      return;
+    }
     if (!isUsable) {
       // The lease of a token that nobody may use would only keep others out.
       await this.release();
@@ -153,15 +163,17 @@
   /** Waits until calls on their way have arrived, so that none comes behind a later holder's. */
   private async release(): Promise<void> {
     const { duty, seat, clock, timers } = this.options;
-    const isHeld = duty.sentAtMs !== undefined;
-    duty.giveUp();
+    const token = duty.giveUp();
     const onTheirWayMs = duty.lastArrivalMs - clock.now();
-    if (isHeld && onTheirWayMs > 0) {
+    if (token !== undefined && onTheirWayMs > 0) {
       await delay(timers, onTheirWayMs);
     }
     const released = await seat.release()();
     if (E.isLeft(released)) {
       this.options.onFault('release', released.left);
+      // It may be done at any time, also behind a renewal of the lease: whoever takes the
+      // duty then would act beside this VM.
+      duty.noteOutdated(token ?? 0);
     }
     this.pause(LONGEST_PAUSE_MS);
   }
--- a/packages/hold-duty/src/held-duty.ts
+++ b/packages/hold-duty/src/held-duty.ts
@@ -57,6 +57,11 @@
     return this.hold?.sentAtMs;
   }
 
+  /** Since when it is held; undefined where it is not. */
+  get heldSinceMs(): Millis | undefined {
+    return this.hold?.heldSinceMs;
+  }
+
   /** When all that was permitted has arrived or is lost. */
   get lastArrivalMs(): Millis {
     return this.quietSinceMs;
@@ -68,7 +73,10 @@
     if (hold === undefined || now < hold.actsFromMs || now + arrivalMs > this.validUntilMs(hold)) {
       return undefined;
     }
-    this.quietSinceMs = Math.max(this.quietSinceMs, now + arrivalMs);
+    if (arrivalMs > 0) {
+      // A look sends nothing, and would put off this VM's next hold.
+      this.quietSinceMs = Math.max(this.quietSinceMs, now + arrivalMs);
+    }
     return { token: hold.token, heldSinceMs: hold.heldSinceMs };
   }
 
@@ -104,9 +112,11 @@
     }
   }
 
-  /** From now on nothing is permitted. */
-  giveUp(): void {
+  /** From now on nothing is permitted; gives the token that was held. */
+  giveUp(): number | undefined {
+    const token = this.hold?.token;
     this.lose('given-up');
+    return token;
   }
 
   private take(token: number, sentAtMs: Millis, ttlMs: Millis): void {
--- a/packages/meter-usage/src/reporting.fixture.ts
+++ b/packages/meter-usage/src/reporting.fixture.ts
@@ -31,20 +31,20 @@
   /** Writes that are carried out later. */
   readonly late: (() => void)[] = [];
   token = 1;
+  isCutOff = false;
+  /** Called when the store carries a write out. */
+  onWrite: () => void = () => undefined;
   private revision = 100;
-  private record: { value: Buffer; revision: number } | undefined;
+  record: { value: Buffer; revision: number } | undefined;
 
   /** A VM with counts of its own; it holds the duty where `readToken` gives a token. */
   createVm(name: string, readToken: () => number | undefined, countedFrom = 0): UsageReporter {
+    return this.createReporter(this.createDuty(name, readToken), countedFrom);
+  }
+
+  /** A VM with a duty of the test's. */
+  createReporter(duty: Duty, countedFrom = 0): UsageReporter {
     const clock = { now: () => this.now };
-    const duty: Duty = {
-      holder: name,
-      permit: () => {
-        const token = readToken();
-        return token === undefined ? undefined : { token, heldSinceMs: 0 };
-      },
-      noteOutdated: (token) => void this.lines.push(`outdated ${token}`),
-    };
     return new UsageReporter({
       duty,
       platform: this.createPlatform(),
@@ -53,7 +53,8 @@
       trueTime: clock,
       windowMs: WINDOW_MS,
       settleAfterMs: SETTLE_AFTER_MS,
-      sum: (window) => new Map([[name, window]]),
+      sum: (window) => new Map([[duty.holder, window]]),
+      isCutOff: () => this.isCutOff,
       readCountedFrom: () => countedFrom,
       onUnreached: () => void this.lines.push('unreached'),
       events: {
@@ -61,12 +62,24 @@
         onReported: ({ window }) => void this.lines.push(`reported ${window}`),
         onSkipped: ({ from, to, reason }) =>
           void this.lines.push(`skipped ${from}-${to} ${reason}`),
+        onUnreadable: (_revision, upTo) => void this.lines.push(`unreadable, left out to ${upTo}`),
         onGivenUp: (window) => void this.lines.push(`given up ${window}`),
         onCallFailed: (call) => void this.lines.push(`${call} failed`),
       },
     });
   }
 
+  private createDuty(name: string, readToken: () => number | undefined): Duty {
+    return {
+      holder: name,
+      permit: () => {
+        const token = readToken();
+        return token === undefined ? undefined : { token, heldSinceMs: 0 };
+      },
+      noteOutdated: (token) => void this.lines.push(`outdated ${token}`),
+    };
+  }
+
   /** Windows that were told with differing counts. */
   listDiffering(): number[] {
     const first = new Map<number, string>();
@@ -107,6 +120,7 @@
         const fate = this.writeFates.shift() ?? 'answered';
         let outcome: WriteOutcome = { kind: 'mismatch' };
         const write = (): void => {
+          this.onWrite();
           const stands = conditions.every(
             ({ key, revision }) =>
               revision === (key === DUTY_KEY ? this.token : (this.record?.revision ?? 0)),
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { HeldDuty } from '@limelead/hold-duty';
 import Reporting, { SETTLE_AFTER_MS, WINDOW_MS, type Fate } from './reporting.fixture.js';
 import type UsageReporter from './usage-reporter.js';
 
@@ -93,6 +94,70 @@
   assert.ok(reporting.lines.includes('unreached'));
 });
 
+test('a store that takes reads alone is asked ever less often', async () => {
+  const reporting = new Reporting();
+  reporting.writeFates = Array.from({ length: 40 }, (): Fate => 'undone');
+  const vm = reporting.createVm('a', () => 1);
+  const seconds = 20;
+  for (; reporting.now < WINDOW_MS + SETTLE_AFTER_MS + seconds * 1_000; reporting.now += 100) {
+    await vm.look();
+  }
+  const tries = reporting.lines.filter((line) => line === 'settle failed').length;
+  assert.ok(tries <= seconds / 2 + 4, `${tries} tries`);
+  reporting.writeFates = [];
+  await playUntil(reporting, [vm], reporting.now + 4_000);
+  assert.ok(reporting.lines.includes('reported 0'));
+});
+
+test('a holder that is cut off from the VMs that count settles nothing', async () => {
+  const reporting = Object.assign(new Reporting(), { isCutOff: true });
+  const vm = reporting.createVm('a', () => 1);
+  await playUntil(reporting, [vm], 3 * WINDOW_MS);
+  assert.equal(reporting.lines, []);
+  reporting.isCutOff = false;
+  await playUntil(reporting, [vm], 4 * WINDOW_MS);
+  assert.equal(reporting.listWindows(), [0, 1, 2]);
+});
+
+/** Reports of a real holder whose process stood still for so long while it settled. */
+async function standStill(forMs: number): Promise<Reporting> {
+  const reporting = new Reporting();
+  const duty = new HeldDuty({
+    holder: 'a',
+    clock: { now: () => reporting.now },
+    quietMs: 0,
+    marginMs: 100,
+    onTaken: () => undefined,
+    onLost: () => undefined,
+  });
+  reporting.now = WINDOW_MS + SETTLE_AFTER_MS;
+  duty.noteAnswer({ kind: 'ours', token: 1, sentAtMs: reporting.now, ttlMs: 3_000 });
+  reporting.onWrite = () => void (reporting.now += forMs);
+  const vm = reporting.createReporter(duty);
+  for (let look = 0; look < 3; look += 1) {
+    await vm.look();
+  }
+  return reporting;
+}
+
+test('a holder that stood still between settling and reporting does not report', async () => {
+  const brief = await standStill(1_800);
+  assert.equal(brief.lines, ['settled 0', 'reported 0']);
+  // The lease lasts, but not until the report has surely arrived.
+  const long = await standStill(2_000);
+  assert.equal(long.lines, ['settled 0']);
+  assert.equal(long.reports, []);
+});
+
+test('behind an item that makes no sense nothing older than the last ripe window is settled', async () => {
+  const reporting = new Reporting();
+  reporting.record = { value: Buffer.from('{}'), revision: 50 };
+  reporting.now = 6 * WINDOW_MS;
+  await playUntil(reporting, [reporting.createVm('a', () => 1)], 7 * WINDOW_MS);
+  assert.is(reporting.lines[0], 'unreadable, left out to 3');
+  assert.equal(reporting.listWindows(), [4, 5]);
+});
+
 test('a report that is called invalid three times is given up, with a line', async () => {
   const reporting = new Reporting();
   reporting.callFates = ['invalid', 'invalid', 'invalid'];
--- a/packages/meter-usage/src/usage-reporter.ts
+++ b/packages/meter-usage/src/usage-reporter.ts
@@ -4,11 +4,11 @@
  * sends the very same.
  */
 import type { PortFault } from '@limelead/errors';
-import type { Duty } from '@limelead/hold-duty';
+import type { Duty, DutyPermit } from '@limelead/hold-duty';
 import type { DutyAnswer, DutyPlatform } from '@limelead/ports';
 import type { Clock, Millis } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
-import planWindows, { type SkippedWindows } from './plan-windows.js';
+import planWindows, { findLastRipe, type SkippedWindows } from './plan-windows.js';
 import type UsageRecord from './usage-record.js';
 import type { KnownRecord, SettledWindow } from './usage-record.js';
 
@@ -43,6 +43,11 @@
   settleAfterMs: Millis;
   /** Requests of each organisation in a window, as all VMs told them. */
   sum(window: number): Map<string, number>;
+  /**
+   * Whether what VMs told since this VM took the duty is incomplete, as it has lost its links
+   * to most of them: it gives the duty up, and settles nothing meanwhile.
+   */
+  isCutOff(heldSinceMs: Millis): boolean;
   /** The first window that was counted from its beginning. */
   readCountedFrom(): number;
   /** The platform answered none of this VM's reports for a while. */
@@ -56,6 +61,8 @@
   /** @param afterMs time since the end of the window */
   onReported(settled: SettledWindow, token: number, afterMs: Millis): void;
   onSkipped(skipped: SkippedWindows): void;
+  /** The store's item makes no sense; windows up to one are left out. */
+  onUnreadable(revision: number, leftOutUpTo: number): void;
   /** The platform did not take a window. */
   onGivenUp(window: number): void;
   onCallFailed(call: 'read' | 'settle' | 'report', window: number | undefined, why: string): void;
@@ -90,19 +97,19 @@
     }
     this.isBusy = true;
     try {
-      await this.work(permit.token);
+      await this.work(permit);
     } finally {
       this.isBusy = false;
     }
   }
 
-  private async work(token: number): Promise<void> {
+  private async work({ token, heldSinceMs }: DutyPermit): Promise<void> {
     const { known } = this;
     if (known?.token !== token) {
       await this.read(token);
     } else if (known.settled !== undefined && known.settled.window > (known.doneUpTo ?? -1)) {
       await this.report(known, known.settled);
-    } else {
+    } else if (!this.options.isCutOff(heldSinceMs)) {
       await this.advance(known);
     }
   }
@@ -113,8 +120,20 @@
       this.noteFailure('read', undefined, describe(record.left));
       return;
     }
-    this.known = { token, ...record.right };
-    this.failures = 0;
+    // No end of the failures: each refused write is followed by a read, and its pause would
+    // never grow where the store takes reads alone.
+    this.known = { token, ...this.leaveOutUnreadable(record.right) };
+  }
+
+  /** Windows up to the last ripe one may be settled with counts that nobody can read any more. */
+  private leaveOutUnreadable(record: KnownRecord): KnownRecord {
+    if (record.isUnreadable === undefined) {
+      return record;
+    }
+    const { trueTime, windowMs, settleAfterMs, events } = this.options;
+    const doneUpTo = findLastRipe({ nowMs: trueTime.now(), windowMs, settleAfterMs }) - 1;
+    events.onUnreadable(record.revision, doneUpTo);
+    return { revision: record.revision, doneUpTo };
   }
 
   private async advance(known: KnownByToken): Promise<void> {
