--- a/packages/gateway/src/usage-part.test.ts
+++ b/packages/gateway/src/usage-part.test.ts
@@ -30,7 +30,7 @@
   } as unknown as FleetPartContext;
   const options = {
     duties: { usageWindowMs: WINDOW_MS, usageDueMs: 10_000 },
-    duty: { permit: () => undefined },
+    dutyPart: { duty: { permit: () => undefined } },
   } as unknown as UsagePartOptions;
   const part = createUsagePart(context, options);
   const begun = { organisation: 'a' } as never;
