Plan and order targets by failure domain, plain and spot (not wired yet)

Cause: a service whose configuration has scaling pays for its targets by the second, and limelead ordered none. Change: plan-capacity works out the need from arrivals, reading and memory, forecasts it, and splits it over failure domains so that price and expected late runs cost least; order-capacity keeps what all VMs told of their load, orders under the duty one call at a time for each domain, repeats what got no answer, and lowers only what others replace; gateway/capacity counts and tells the load. Gauges may have labels; a route table lists its services.

--- /dev/null
+++ b/packages/gateway/src/capacity.ts
@@ -0,0 +1,152 @@
+/** Counts what callers ask of this VM, tells the VMs that stand for duties, and orders targets. */
+import type { AdmittedRequest, TrafficObserver } from '@limelead/forward-request';
+import type { Duty } from '@limelead/hold-duty';
+import { CapacityDuty, DemandBook, type ServiceDemand } from '@limelead/order-capacity';
+import type { PeerReport } from '@limelead/share-evidence';
+import type { Millis } from '@limelead/types';
+import type { FleetPart, FleetPartContext } from './fleet-part.js';
+
+/** Pause between two reports of this VM's load, in milliseconds; forecasts look at seconds. */
+const REPORT_MS = 1_000;
+
+/** Creates the part; undefined where the platform lets nobody order targets. */
+export default function createCapacity(
+  context: FleetPartContext,
+  duty: Duty,
+): FleetPart | undefined {
+  const { settings, platform } = context;
+  const duties = settings.duties;
+  if (!duties?.duties.includes('capacity') || platform.dutyPlatform === undefined) {
+    return undefined;
+  }
+  const { clock, timers, log, metrics, directory, knowledge } = context;
+  const demand = new DemandBook();
+  const counts = new DemandCounts(context);
+  const ordering = new CapacityDuty({
+    duty,
+    platform: platform.dutyPlatform,
+    clock,
+    timers,
+    log,
+    metrics,
+    settings: settings.capacity,
+    callsPerSecond: duties.callsPerSecond,
+    demand,
+    listServices: () => knowledge.routes?.listServices() ?? [],
+    listTargets: (service) =>
+      directory.all().flatMap(({ target }) => (target.service === service ? [target] : [])),
+  });
+
+  function tell(): void {
+    timers.after(REPORT_MS, () => {
+      const report = counts.report();
+      if (report !== undefined) {
+        demand.take(settings.vm, report, clock.now());
+        context.readExchange()?.reportToCandidates(report);
+      }
+      tell();
+    });
+  }
+
+  return {
+    observer: counts.observer,
+    onReport: (peer, report) => {
+      if (report.kind === 'demand') {
+        demand.take(peer, report, clock.now());
+      }
+    },
+    start: () => {
+      tell();
+      ordering.start();
+    },
+    handOver: async () => ordering.stop(),
+  };
+}
+
+/** What is counted of one request. */
+interface CountedRequest {
+  /** Sends of it that targets began. */
+  begun: number;
+}
+
+/** Counts the requests of this VM for services whose targets are ordered. */
+class DemandCounts {
+  private readonly incarnation: string;
+  private readonly services = new Map<string, ServiceDemand>();
+  private readonly requests = new Map<object, CountedRequest>();
+
+  constructor(private readonly context: FleetPartContext) {
+    this.incarnation = `${context.settings.vm} ${context.random.next()}`;
+  }
+
+  readonly observer: TrafficObserver = {
+    onAdmitted: (admitted) => {
+      const counts = this.countsOf(admitted.service);
+      if (counts !== undefined) {
+        this.requests.set(admitted, { begun: 0 });
+        counts.arrived += 1;
+        counts.promptTokens += admitted.request.promptTokens;
+        counts.waiting += 1;
+      }
+    },
+    onBegun: (admitted) => {
+      const counts = this.countsOf(admitted.service);
+      const counted = this.requests.get(admitted);
+      if (counts === undefined || counted === undefined) {
+        return;
+      }
+      counted.begun += 1;
+      if (counted.begun === 1) {
+        counts.waiting -= 1;
+        counts.running += 1;
+      }
+    },
+    onSendEnded: (admitted, _, { isGood, afterMs }) => {
+      // A run that goes on elsewhere reads little or nothing of its prompt.
+      if (isGood && this.requests.get(admitted)?.begun === 1) {
+        this.countPace(admitted, afterMs);
+      }
+    },
+    onFinished: (admitted) => {
+      const counts = this.countsOf(admitted.service);
+      const counted = this.requests.get(admitted);
+      this.requests.delete(admitted);
+      if (counts !== undefined && counted !== undefined) {
+        counts[counted.begun > 0 ? 'running' : 'waiting'] -= 1;
+      }
+    },
+  };
+
+  /** Undefined where this system orders no targets. */
+  report(): Extract<PeerReport, { kind: 'demand' }> | undefined {
+    const services = this.scaled().flatMap(({ name }) => this.countsOf(name) ?? []);
+    return services.length === 0
+      ? undefined
+      : { kind: 'demand', incarnation: this.incarnation, services };
+  }
+
+  private countPace({ service, request }: AdmittedRequest, afterMs: Millis): void {
+    const counts = this.countsOf(service);
+    if (counts !== undefined && request.lastPiece === 0) {
+      counts.begunTokens += request.promptTokens;
+      counts.begunMs += afterMs;
+    }
+  }
+
+  private scaled() {
+    const services = this.context.knowledge.routes?.listServices() ?? [];
+    return services.filter(({ scaling }) => scaling !== undefined);
+  }
+
+  private countsOf(service: string): ServiceDemand | undefined {
+    if (this.context.knowledge.routes?.findService(service)?.scaling === undefined) {
+      return undefined;
+    }
+    const counts = this.services.get(service) ?? {
+      service,
+      ...{ arrived: 0, promptTokens: 0, running: 0, waiting: 0, begunTokens: 0, begunMs: 0 },
+    };
+    this.services.set(service, counts);
+    return counts;
+  }
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process, in the product's own words. */
+import type { CapacitySettings } from '@limelead/order-capacity';
 import type { RetryBudget } from '@limelead/spend-retries';
 import type { ListenAddress } from './readiness-server.js';
 
@@ -45,4 +46,6 @@
   regionOf: Readonly<Record<string, string>>;
   /** Undefined where the platform names no duties. */
   duties?: DutySettings;
+  /** How many targets are ordered, where this system orders them. */
+  capacity: CapacitySettings;
 }
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -15,7 +15,7 @@
   /** Records a duration in milliseconds. */
   recordMs(name: string, milliseconds: number, labels?: Labels): void;
   /** Registers a gauge that is read when the page is rendered. */
-  gauge(name: string, read: () => number): void;
+  gauge(name: string, read: () => number, labels?: Labels): void;
   /** Present value of a counter, 0 where it was never counted. */
   counterValue(name: string, labels?: Labels): number;
   /** The page in the Prometheus text format. */
@@ -28,6 +28,12 @@
   value: number;
 }
 
+interface GaugeSeries {
+  name: string;
+  labels: Labels;
+  read: () => number;
+}
+
 interface HistogramSeries {
   name: string;
   labels: Labels;
@@ -39,7 +45,7 @@
 export default function createMetrics(): Metrics {
   const counters = new Map<string, CounterSeries>();
   const histograms = new Map<string, HistogramSeries>();
-  const gauges = new Map<string, () => number>();
+  const gauges = new Map<string, GaugeSeries>();
 
   function count(name: string, by = 1, labels: Labels = {}): void {
     const key = seriesKey(name, labels);
@@ -70,9 +76,9 @@
       announce(series.name, 'counter');
       lines.push(`${seriesKey(series.name, series.labels)} ${series.value}`);
     }
-    for (const [name, read] of gauges) {
+    for (const { name, labels, read } of sortByName(gauges.values())) {
       announce(name, 'gauge');
-      lines.push(`${name} ${read()}`);
+      lines.push(`${seriesKey(name, labels)} ${read()}`);
     }
     for (const series of sortByName(histograms.values())) {
       announce(series.name, 'summary');
@@ -85,7 +91,8 @@
     count,
     recordMs,
     render,
-    gauge: (name, read) => void gauges.set(name, read),
+    gauge: (name, read, labels = {}) =>
+      void gauges.set(seriesKey(name, labels), { name, labels, read }),
     counterValue: (name, labels = {}) => counters.get(seriesKey(name, labels))?.value ?? 0,
   };
 }
--- /dev/null
+++ b/packages/order-capacity/src/capacity-duty.ts
@@ -0,0 +1,251 @@
+/**
+ * Orders targets while this VM holds the duty. A holder starts with what is there and what
+ * every VM told of its load; what an earlier holder ordered it finds in the store.
+ */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { Duty } from '@limelead/hold-duty';
+import type { Metrics } from '@limelead/metrics';
+import type { DutyAnswer, DutyPlatform } from '@limelead/ports';
+import type { Clock, Millis, ServedService, ServiceTarget, Timers } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import CallRate from './call-rate.js';
+import type DemandBook from './demand-book.js';
+import viewDomains, { type DomainView } from './domain-view.js';
+import listOrders, { type TargetKind, type WantedOrder } from './order-book.js';
+import ServiceOrders from './service-orders.js';
+import ServicePlanner, { type ServicePlan } from './service-plan.js';
+import type { CapacitySettings } from './settings.js';
+
+/** Pause between two looks, in milliseconds: an order goes out in the second of its cause. */
+const LOOK_MS = 250;
+/** Longest time until an order arrives or is lost, in milliseconds: its call is given up then. */
+const ARRIVAL_MS = 1_000;
+/** Part of the calls of all duties that orders may take; reports of usage need the rest. */
+const CALL_SHARE = 0.5;
+
+/** What ordering needs. */
+export interface CapacityDutyOptions {
+  duty: Duty;
+  platform: DutyPlatform;
+  clock: Clock;
+  timers: Timers;
+  log: DecisionLog;
+  metrics: Metrics;
+  settings: CapacitySettings;
+  /** Calls of all duties that the platform takes in a second. */
+  callsPerSecond: number;
+  demand: DemandBook;
+  listServices(): readonly ServedService[];
+  listTargets(service: string): ServiceTarget[];
+}
+
+/** A service that this system orders targets of. */
+type ScaledService = ServedService & Required<Pick<ServedService, 'engine' | 'scaling'>>;
+
+interface ServiceState {
+  planner: ServicePlanner;
+  orders: ServiceOrders;
+  plan?: ServicePlan;
+  views: Map<string, DomainView>;
+}
+
+/** Looks, plans and orders, again and again. */
+export default class CapacityDuty {
+  private readonly services = new Map<string, ServiceState>();
+  private readonly shown = new Set<string>();
+  private readonly rate: CallRate;
+  private token: number | undefined;
+  private isStopped = false;
+
+  constructor(private readonly options: CapacityDutyOptions) {
+    this.rate = new CallRate(options.callsPerSecond * CALL_SHARE);
+  }
+
+  start(): void {
+    this.options.timers.after(LOOK_MS, () => {
+      if (!this.isStopped) {
+        this.look();
+        this.start();
+      }
+    });
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private look(): void {
+    const { duty, listServices } = this.options;
+    const token = duty.permit(ARRIVAL_MS)?.token;
+    if (token !== this.token) {
+      // What was ordered under another token may have been changed by another holder since.
+      this.services.clear();
+      this.token = token;
+    }
+    if (token === undefined) {
+      return;
+    }
+    const scaled = listServices().filter(isScaled);
+    const names = new Set(scaled.map(({ name }) => name));
+    [...this.services.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => this.services.delete(name));
+    scaled.forEach((service) => this.lookAt(service));
+  }
+
+  private lookAt(service: ScaledService): void {
+    const { clock, demand, listTargets, log } = this.options;
+    const { name, scaling, engine } = service;
+    const now = clock.now();
+    const state = this.stateOf(name);
+    const { orders, planner } = state;
+    state.views = viewDomains(listTargets(name), scaling);
+    for (const failureDomain of orders.see(state.views, now)) {
+      log.write('spot-targets-reclaimed', { service: name, failureDomain });
+    }
+    state.plan = planner.plan({
+      now,
+      scaling,
+      engine,
+      demand: demand.read(name, now),
+      views: state.views,
+      isDry: (domain) => orders.isDry(domain, now),
+    });
+    state.views.forEach((_, domain) => this.show(name, domain));
+    this.order(service, state, now);
+  }
+
+  private order({ name, scaling }: ScaledService, state: ServiceState, now: Millis): void {
+    const { orders, plan, views } = state;
+    if (plan === undefined) {
+      return;
+    }
+    const { max, bootMs } = scaling;
+    for (const order of listOrders(orders.toStates(views, plan, now), { now, max, bootMs })) {
+      if (orders.mayOrder(order.failureDomain, now) && this.rate.tryTake(now)) {
+        void this.send(name, state, order);
+      }
+    }
+  }
+
+  private async send(service: string, state: ServiceState, order: WantedOrder): Promise<void> {
+    const { duty, platform, clock } = this.options;
+    const permit = duty.permit(ARRIVAL_MS);
+    if (permit === undefined || permit.token !== this.token) {
+      return;
+    }
+    const { failureDomain, kind, count } = order;
+    const startedAtMs = clock.now();
+    state.orders.noteSending(order);
+    const answer = await platform.orderTargets(
+      { holder: duty.holder, token: permit.token },
+      { service, failureDomain, count, isSpot: kind === 'spot' },
+    )();
+    const outcome = E.isLeft(answer) ? 'no-answer' : answer.right;
+    this.tell(service, state, order, { outcome, token: permit.token, startedAtMs });
+    this.noteOutcome(state, order, outcome, permit.token);
+  }
+
+  private noteOutcome(
+    { orders }: ServiceState,
+    order: WantedOrder,
+    outcome: DutyAnswer | 'no-answer',
+    token: number,
+  ): void {
+    const { clock, duty } = this.options;
+    const now = clock.now();
+    switch (outcome) {
+      case 'taken':
+        orders.noteOrdered(order, now, true);
+        break;
+      case 'no-answer':
+        orders.noteOrdered(order, now, false);
+        break;
+      case 'refused':
+        if (order.kind === 'spot') {
+          // An outdated token is found out by the duty's own renewal.
+          orders.noteDry(order, now);
+        } else {
+          orders.notePause(order, now, false);
+          duty.noteOutdated(token);
+        }
+        break;
+      case 'too-many':
+      case 'invalid':
+        orders.notePause(order, now, outcome === 'invalid');
+        break;
+    }
+  }
+
+  private tell(
+    service: string,
+    { plan, views }: ServiceState,
+    { failureDomain, kind, count, reason }: WantedOrder,
+    sent: { outcome: string; token: number; startedAtMs: Millis },
+  ): void {
+    const { clock, log, metrics } = this.options;
+    const there = views.get(failureDomain)?.[kind];
+    const { outcome, token, startedAtMs } = sent;
+    metrics.count('limelead_capacity_orders_total', 1, { outcome });
+    log.write('targets-ordered', {
+      service,
+      failureDomain,
+      kind,
+      count,
+      ready: there?.ready,
+      leaving: there?.leaving,
+      reason,
+      outcome,
+      token,
+      afterMs: Math.round(clock.now() - startedAtMs),
+      isLoadKnown: plan?.isKnown,
+      forecastTokensPerSecond: Math.round(plan?.forecast ?? 0),
+      needed: plan?.needed,
+      cover: plan?.cover,
+      pricePerSecond: plan && Math.round(plan.pricePerSecond * 100) / 100,
+    });
+  }
+
+  private stateOf(name: string): ServiceState {
+    const known = this.services.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const state: ServiceState = {
+      planner: new ServicePlanner(this.options.settings),
+      orders: new ServiceOrders(),
+      views: new Map(),
+    };
+    this.services.set(name, state);
+    return state;
+  }
+
+  /** Figures read what this VM knows when they are asked for; 0 where it does not hold the duty. */
+  private show(service: string, domain: string): void {
+    const key = `${service} ${domain}`;
+    if (this.shown.has(key)) {
+      return;
+    }
+    this.shown.add(key);
+    const { metrics, clock } = this.options;
+    const state = (): ServiceState | undefined => this.services.get(service);
+    const labels = (kind: TargetKind) => ({ service, failure_domain: domain, kind });
+    for (const kind of ['plain', 'spot'] as const) {
+      const wanted = (): number => state()?.plan?.counts.get(domain)?.[kind] ?? 0;
+      const ordered = (): number => state()?.orders.readOrdered(domain, kind) ?? 0;
+      const ready = (): number => state()?.views.get(domain)?.[kind].ready ?? 0;
+      metrics.gauge('limelead_capacity_wanted', wanted, labels(kind));
+      metrics.gauge('limelead_capacity_ordered', ordered, labels(kind));
+      metrics.gauge('limelead_capacity_ready', ready, labels(kind));
+    }
+    metrics.gauge(
+      'limelead_capacity_dry',
+      () => Number(state()?.orders.isDry(domain, clock.now()) ?? false),
+      { service, failure_domain: domain },
+    );
+  }
+}
+
+function isScaled(service: ServedService): service is ScaledService {
+  return service.scaling !== undefined && service.engine !== undefined;
+}
--- /dev/null
+++ b/packages/order-capacity/src/domain-view.ts
@@ -0,0 +1,44 @@
+/** What is there of one service, failure domain by failure domain. */
+import type { ServiceScaling, ServiceTarget } from '@limelead/types';
+import type { TargetKind, ThereCount } from './order-book.js';
+
+/** One failure domain as the store tells it. */
+export interface DomainView {
+  plain: ThereCount;
+  spot: ThereCount;
+  /** All spot targets of the domain got their notice: none is to be had there for a while. */
+  isReclaimed: boolean;
+}
+
+/** Looks at every target once. */
+export default function viewDomains(
+  targets: readonly ServiceTarget[],
+  scaling: ServiceScaling,
+): Map<string, DomainView> {
+  const views = new Map<string, DomainView>();
+  Object.keys(scaling.domainPrices).forEach((name) => views.set(name, createView()));
+  for (const target of targets) {
+    const view = views.get(target.failureDomain) ?? createView();
+    views.set(target.failureDomain, view);
+    count(view, target);
+  }
+  views.forEach((view) => {
+    view.isReclaimed &&= view.spot.ready === 0;
+  });
+  return views;
+}
+
+function createView(): DomainView {
+  const none = (): ThereCount => ({ ready: 0, leaving: 0 });
+  return { plain: none(), spot: none(), isReclaimed: false };
+}
+
+function count(view: DomainView, { isSpot, leaving, leavesInMs }: ServiceTarget): void {
+  const kind: TargetKind = isSpot === true ? 'spot' : 'plain';
+  if (leaving) {
+    view[kind].leaving += 1;
+    view.isReclaimed ||= kind === 'spot' && leavesInMs !== undefined;
+  } else {
+    view[kind].ready += 1;
+  }
+}
--- /dev/null
+++ b/packages/order-capacity/src/order-book.ts
@@ -0,0 +1,146 @@
+/** Pure decision: which orders lead from what is there and was ordered to what is wanted. */
+import type { TargetCounts } from '@limelead/plan-capacity';
+import type { Millis } from '@limelead/types';
+
+/** Kinds of targets. */
+export type TargetKind = keyof TargetCounts;
+
+/** Targets of one kind in one failure domain. */
+export interface ThereCount {
+  /** Those that take work. */
+  ready: number;
+  leaving: number;
+}
+
+/** One failure domain. */
+export interface DomainState {
+  wanted: TargetCounts;
+  there: Record<TargetKind, ThereCount>;
+  /** The last order of each kind; undefined where this holder gave none that counts. */
+  ordered: Record<TargetKind, PastOrder | undefined>;
+  /** No spot target is to be had there now. */
+  isDry: boolean;
+}
+
+/** An order that went out. */
+export interface PastOrder {
+  count: number;
+  atMs: Millis;
+  /** False where no answer came: it may be done, or be done seconds later. */
+  isSure: boolean;
+}
+
+/** Why an order goes out. */
+export type OrderReason =
+  | 'more'
+  | 'fewer'
+  /** What is there does not follow the last order. */
+  | 'did-not-come'
+  /** The last order got no answer. */
+  | 'no-answer';
+
+/** One order to send. */
+export interface WantedOrder {
+  failureDomain: string;
+  kind: TargetKind;
+  count: number;
+  reason: OrderReason;
+}
+
+/** What limits orders. */
+export interface OrderLimits {
+  now: Millis;
+  /** Most targets of one failure domain, both kinds together. */
+  max: number;
+  /** Time from an order until the new target serves. */
+  bootMs: Millis;
+}
+
+/** Time until an entry of a new target is read everywhere, and late orders are done, in milliseconds. */
+const SETTLE_MS = 4_000;
+/** Pause before an order without an answer is repeated, in milliseconds; it says the same number. */
+const REPEAT_MS = 1_000;
+const KINDS: readonly TargetKind[] = ['spot', 'plain'];
+
+/** Lists orders, those for more targets first. */
+export default function listOrders(
+  domains: ReadonlyMap<string, DomainState>,
+  limits: OrderLimits,
+): WantedOrder[] {
+  const spare = new SpareTargets(domains);
+  const orders: WantedOrder[] = [];
+  for (const [failureDomain, state] of domains) {
+    for (const kind of KINDS) {
+      const count = aim(state, kind, spare, limits);
+      const reason = findReason(state, kind, count, limits);
+      if (reason !== undefined) {
+        orders.push({ failureDomain, kind, count, reason });
+      }
+    }
+  }
+  return orders.sort((a, b) => Number(a.reason === 'fewer') - Number(b.reason === 'fewer'));
+}
+
+/** Targets that may go, because as many as are wanted serve without them. */
+class SpareTargets {
+  private left: number;
+
+  constructor(domains: ReadonlyMap<string, DomainState>) {
+    this.left = 0;
+    for (const { wanted, there } of domains.values()) {
+      this.left += there.plain.ready + there.spot.ready - wanted.plain - wanted.spot;
+    }
+  }
+
+  take(most: number): number {
+    const taken = Math.max(0, Math.min(most, this.left));
+    this.left -= taken;
+    return taken;
+  }
+}
+
+/** What is to be ordered now: never fewer than others replace, nor more than the bound. */
+function aim(
+  state: DomainState,
+  kind: TargetKind,
+  spare: SpareTargets,
+  { max }: OrderLimits,
+): number {
+  const wanted = state.wanted[kind];
+  const present = presentOf(state, kind);
+  if (wanted < present) {
+    return present - spare.take(present - wanted);
+  }
+  const other = presentOf(state, kind === 'spot' ? 'plain' : 'spot');
+  return Math.max(present, Math.min(wanted, max - other));
+}
+
+/** What was ordered last, or else what is there. */
+function presentOf({ ordered, there }: DomainState, kind: TargetKind): number {
+  return ordered[kind]?.count ?? there[kind].ready;
+}
+
+function findReason(
+  state: DomainState,
+  kind: TargetKind,
+  count: number,
+  { now, bootMs }: OrderLimits,
+): OrderReason | undefined {
+  if (kind === 'spot' && state.isDry) {
+    return undefined;
+  }
+  const present = presentOf(state, kind);
+  if (count !== present) {
+    return count > present ? 'more' : 'fewer';
+  }
+  const last = state.ordered[kind];
+  if (last === undefined) {
+    return undefined;
+  }
+  const ageMs = now - last.atMs;
+  if (!last.isSure) {
+    return ageMs >= REPEAT_MS ? 'no-answer' : undefined;
+  }
+  const isOff = state.there[kind].ready !== last.count;
+  return isOff && ageMs >= bootMs + SETTLE_MS ? 'did-not-come' : undefined;
+}
--- a/packages/plan-capacity/src/index.ts
+++ b/packages/plan-capacity/src/index.ts
@@ -1,2 +1,19 @@
 /** Pure plan of how many targets each failure domain should have, plain and spot, for a demand. */
-export {};
+export { forecastByLevelAndSwing, forecastByQuantile, type Forecast } from './forecast.js';
+export { default as limitFall, type FallState } from './limit-fall.js';
+export {
+  default as estimateNeed,
+  targetsAt,
+  type ServiceLoad,
+  type TargetNeed,
+  type TargetPace,
+} from './needed-targets.js';
+export { default as planDomains, pricesOf } from './plan-domains.js';
+export type {
+  CapacityPlan,
+  CapacityPolicy,
+  CapacityQuestion,
+  Cover,
+  PlannedDomain,
+  TargetCounts,
+} from './types.js';
--- /dev/null
+++ b/packages/plan-capacity/src/plan-domains.ts
@@ -0,0 +1,169 @@
+/**
+ * Pure plan of the targets of each failure domain. Every split of the need into plain and
+ * spot that bears two losses, one or none is priced, and the late runs that it leaves are
+ * priced with it; the cheapest sum is taken.
+ */
+import type { CapacityPlan, CapacityQuestion, Cover, TargetCounts } from './types.js';
+
+/*
+ * Likelihoods are parts of all time. They weigh the price of a reserve against the runs
+ * that go without it; a wrong one costs a little money or a few runs, never correctness.
+ */
+
+/** One failure domain is down: some seconds of every few minutes on the users' worst days. */
+const DOMAIN_DOWN = 0.03;
+/** The spot targets of one failure domain are away: a notice, the time until new ones serve. */
+const SPOT_AWAY = 0.1;
+
+const COVERS: readonly Cover[] = ['two-losses', 'one-loss', 'none'];
+
+/** The numbers of each failure domain, in order, for one split. */
+interface Candidate {
+  cover: Cover;
+  counts: TargetCounts[];
+}
+
+/**
+ * Takes the split whose price and late runs together cost least. Dry domains have no say in
+ * the split, since they are dry for some seconds only; what they can't give is ordered
+ * elsewhere.
+ */
+export default function planDomains(question: CapacityQuestion): CapacityPlan {
+  return moveFromDry(question, planAllOpen(question));
+}
+
+function planAllOpen(question: CapacityQuestion): CapacityPlan {
+  const candidates = listCandidates(question);
+  const plans = candidates.map((candidate) => toPlan(question, candidate));
+  const [first, ...rest] = plans;
+  if (first === undefined) {
+    return { counts: new Map(), cover: 'none', pricePerSecond: 0, lateRunsPerSecond: 0 };
+  }
+  return rest.reduce(
+    (best, plan) => (costOf(question, plan) < costOf(question, best) ? plan : best),
+    first,
+  );
+}
+
+/** Price of one target and second: plain 1, times what the failure domain asks. */
+export function pricesOf(
+  { scaling }: Pick<CapacityQuestion, 'scaling'>,
+  domain: string,
+): TargetCounts {
+  const plain = scaling.domainPrices[domain] ?? 1;
+  return { plain, spot: plain * (scaling.spotPrice ?? 1) };
+}
+
+function costOf({ policy }: CapacityQuestion, plan: CapacityPlan): number {
+  return plan.pricePerSecond + plan.lateRunsPerSecond / policy.lateRunsPerTargetSecond;
+}
+
+function listCandidates(question: CapacityQuestion): Candidate[] {
+  const { domains, needed, policy } = question;
+  if (domains.length === 0) {
+    return [];
+  }
+  return COVERS.flatMap((cover) => {
+    const mostPlain = plainThatCovers(cover, needed, domains.length);
+    const least = Math.min(policy.plainFloor, mostPlain);
+    const length = mostPlain - least + 1;
+    return Array.from({ length }, (_, step) => toCandidate(question, cover, least + step));
+  });
+}
+
+/** Plain targets of each failure domain that bear the losses without any spot target. */
+function plainThatCovers(cover: Cover, needed: number, domains: number): number {
+  const left = cover === 'none' ? domains : Math.max(1, domains - 1);
+  return Math.ceil(needed / left);
+}
+
+function toCandidate(question: CapacityQuestion, cover: Cover, plain: number): Candidate {
+  const { domains, needed, policy, scaling } = question;
+  const maySpot = policy.usesSpot && scaling.spotPrice !== undefined;
+  const spot = maySpot ? spotBeside(cover, { needed, plain, domains: domains.length }) : 0;
+  return { cover, counts: domains.map(() => hold({ plain, spot }, question)) };
+}
+
+/** Spot targets of each failure domain that bear the losses beside so many plain ones. */
+function spotBeside(
+  cover: Cover,
+  { needed, plain, domains }: { needed: number; plain: number; domains: number },
+): number {
+  const perDomain = (missing: number, left: number): number =>
+    left <= 0 ? 0 : Math.max(0, Math.ceil(missing / left));
+  if (cover === 'none') {
+    return perDomain(needed - domains * plain, domains);
+  }
+  const domainDown = perDomain(needed - (domains - 1) * plain, domains - 1);
+  const spotAway = perDomain(needed - domains * plain, domains - 1);
+  const oneLoss = Math.max(domainDown, spotAway);
+  if (cover === 'one-loss') {
+    return oneLoss;
+  }
+  return Math.max(oneLoss, perDomain(needed - (domains - 1) * plain, domains - 2));
+}
+
+/** What dry domains can't give is ordered in the others; plain where none is left. */
+function moveFromDry(question: CapacityQuestion, plan: CapacityPlan): CapacityPlan {
+  const { domains } = question;
+  const isDry = new Map(domains.map((domain) => [domain.name, domain.isDry]));
+  const open = domains.filter((domain) => !domain.isDry).length;
+  const missing = [...plan.counts]
+    .filter(([name]) => isDry.get(name))
+    .reduce((sum, [, { spot }]) => sum + spot, 0);
+  const extra = open === 0 ? 0 : Math.ceil(missing / open);
+  const move = (name: string, { plain, spot }: TargetCounts): TargetCounts => {
+    if (open === 0) {
+      return { plain: plain + spot, spot: 0 };
+    }
+    return { plain, spot: isDry.get(name) ? 0 : spot + extra };
+  };
+  const moved = [...plan.counts].map(([name, counts]): [string, TargetCounts] => [
+    name,
+    hold(move(name, counts), question),
+  ]);
+  return { ...plan, counts: new Map(moved) };
+}
+
+/** Holds the sum between the bounds; spot targets give way first, plain ones fill up. */
+function hold({ plain, spot }: TargetCounts, { scaling }: CapacityQuestion): TargetCounts {
+  const heldPlain = Math.min(plain, scaling.max);
+  const heldSpot = Math.min(spot, scaling.max - heldPlain);
+  const missing = Math.max(0, scaling.min - heldPlain - heldSpot);
+  return { plain: heldPlain + missing, spot: heldSpot };
+}
+
+function toPlan(question: CapacityQuestion, { cover, counts }: Candidate): CapacityPlan {
+  const { domains } = question;
+  const pricePerSecond = domains.reduce((sum, { name }, index) => {
+    const price = pricesOf(question, name);
+    const { plain, spot } = counts[index] ?? { plain: 0, spot: 0 };
+    return sum + plain * price.plain + spot * price.spot;
+  }, 0);
+  return {
+    counts: new Map(
+      domains.map(({ name }, index) => [name, counts[index] ?? { plain: 0, spot: 0 }]),
+    ),
+    cover,
+    pricePerSecond,
+    lateRunsPerSecond: question.runsPerSecond * expectLateShare(question.needed, counts),
+  };
+}
+
+/** Part of the runs that is late, over all losses by their likelihood. */
+export function expectLateShare(needed: number, counts: readonly TargetCounts[]): number {
+  const total = counts.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
+  const lateShare = (left: number): number => (needed <= 0 ? 0 : Math.max(0, 1 - left / needed));
+  return counts.reduce((sum, down, index) => {
+    const afterDown = total - down.plain - down.spot;
+    const one = DOMAIN_DOWN * lateShare(afterDown) + SPOT_AWAY * lateShare(total - down.spot);
+    const two = counts.reduce(
+      (pairs, away, other) =>
+        other === index
+          ? pairs
+          : pairs + DOMAIN_DOWN * SPOT_AWAY * lateShare(afterDown - away.spot),
+      0,
+    );
+    return sum + one + two;
+  }, lateShare(total));
+}
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -34,6 +34,7 @@
   /** Says who calls; `key` is undefined where none was shown. */
   authenticate(route: ServingRoute, key: string | undefined): Authentication;
   findService(name: string): ServedService | undefined;
+  listServices(): readonly ServedService[];
   /** Whether any route may send requests to the service. */
   isRouted(service: string): boolean;
 }
@@ -62,6 +63,7 @@
       return caller === undefined ? { kind: 'unknown-key' } : { kind: 'known', caller };
     },
     findService: (name) => services.get(name),
+    listServices: () => configuration.services,
     isRouted: (service) => routed.has(service),
   };
 }
--- a/packages/share-evidence/src/report-messages.ts
+++ b/packages/share-evidence/src/report-messages.ts
@@ -41,6 +41,9 @@
       running: t.number,
       /** Requests that wait for a target now. */
       waiting: t.number,
+      /** Prompt tokens of the runs that were begun, and the milliseconds until their first pieces; sums so far. */
+      begunTokens: t.number,
+      begunMs: t.number,
     }),
   ),
 });
