Merge the duties, and order targets under the duty that this VM holds

Cause: orders need a permit before each call. Change: the part is made where the platform names the duty; a short time without a permit does not forget what was ordered under the same token.

--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -2,29 +2,33 @@
 import type { AdmittedRequest, TrafficObserver } from '@limelead/forward-request';
 import type { Duty } from '@limelead/hold-duty';
 import { CapacityDuty, DemandBook, type ServiceDemand } from '@limelead/order-capacity';
+import type { DutyPlatform } from '@limelead/ports';
 import type { PeerReport } from '@limelead/share-evidence';
 import type { Millis } from '@limelead/types';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
+import type { DutySettings } from './settings.js';
 
 /** Pause between two reports of this VM's load, in milliseconds; forecasts look at seconds. */
 const REPORT_MS = 1_000;
 
-/** Creates the part; undefined where the platform lets nobody order targets. */
+/** What only a fleet with the duty has. */
+export interface CapacityOptions {
+  duties: DutySettings;
+  duty: Duty;
+  dutyPlatform: DutyPlatform;
+}
+
+/** Creates the part. */
 export default function createCapacity(
   context: FleetPartContext,
-  duty: Duty,
-): FleetPart | undefined {
-  const { settings, platform } = context;
-  const duties = settings.duties;
-  if (!duties?.duties.includes('capacity') || platform.dutyPlatform === undefined) {
-    return undefined;
-  }
-  const { clock, timers, log, metrics, directory, knowledge } = context;
+  { duties, duty, dutyPlatform }: CapacityOptions,
+): FleetPart {
+  const { settings, clock, timers, log, metrics, directory, knowledge } = context;
   const demand = new DemandBook();
   const counts = new DemandCounts(context);
   const ordering = new CapacityDuty({
     duty,
-    platform: platform.dutyPlatform,
+    platform: dutyPlatform,
     clock,
     timers,
     log,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -48,4 +48,6 @@
   duties?: DutySettings;
   /** How many targets are ordered, where this system orders them. */
   capacity: CapacitySettings;
+  /** Duties that the platform names and the product does not know. */
+  unknownDuties?: readonly string[];
 }
--- a/packages/order-capacity/src/capacity-duty.ts
+++ b/packages/order-capacity/src/capacity-duty.ts
@@ -77,14 +77,14 @@
   private look(): void {
     const { duty, listServices } = this.options;
     const token = duty.permit(ARRIVAL_MS)?.token;
+    if (token === undefined) {
+      return;
+    }
     if (token !== this.token) {
       // What was ordered under another token may have been changed by another holder since.
       this.services.clear();
       this.token = token;
     }
-    if (token === undefined) {
-      return;
-    }
     const scaled = listServices().filter(isScaled);
     const names = new Set(scaled.map(({ name }) => name));
     [...this.services.keys()]
