--- /dev/null
+++ b/packages/plan-capacity/src/compare-ways.fixture.ts
@@ -0,0 +1,143 @@
+/** Plays a load with losses against ways to order targets, and counts what each costs. */
+import type { Forecast } from './forecast.js';
+import limitFall, { type FallState } from './limit-fall.js';
+import planDomains, { pricesOf } from './plan-domains.js';
+import type { CapacityPolicy, TargetCounts } from './types.js';
+
+const DOMAINS = ['a', 'b', 'c'];
+const SCALING = {
+  ...{ min: 1, max: 56, bootMs: 4_000, spotPrice: 0.15 },
+  domainPrices: { a: 1, b: 0.8, c: 1.25 },
+};
+export const POLICY: CapacityPolicy = {
+  ...{ load: 0.9, usesSpot: true, plainFloor: 1, lateRunsPerTargetSecond: 0.01 },
+};
+const SECONDS = 300;
+const BOOT_SECONDS = 6;
+const WINDOW_SECONDS = 15;
+const RUNS_PER_SECOND = 18;
+/** Targets that one run of a second keeps busy for a second. */
+const WORK_OF_RUN = 1.1;
+/** Seconds of work that may wait until runs are late. */
+const PATIENCE_SECONDS = 3;
+
+/** Targets of each domain for a need. */
+export type Way = (needed: number) => ReadonlyMap<string, TargetCounts>;
+
+/** What a way cost. */
+export interface WayCost {
+  price: number;
+  targetSeconds: number;
+  lateRuns: number;
+  orders: number;
+}
+
+const evenly = (plain: number, spot: number) =>
+  new Map(DOMAINS.map((name) => [name, { plain, spot }]));
+
+function planWith(policy: Partial<CapacityPolicy>, needed: number) {
+  return planDomains({
+    domains: DOMAINS.map((name) => ({ name, isDry: false })),
+    scaling: SCALING,
+    policy: { ...POLICY, ...policy },
+    needed,
+    runsPerSecond: RUNS_PER_SECOND,
+  }).counts;
+}
+
+/** The ways that were weighed. */
+export const WAYS: Readonly<Record<string, Way>> = {
+  'keep all plain': () => evenly(28, 0),
+  'cheapest plain': (needed) => {
+    const cheap = Math.min(SCALING.max, needed);
+    return new Map([
+      ['a', { plain: Math.max(1, needed - cheap), spot: 0 }],
+      ['b', { plain: cheap, spot: 0 }],
+      ['c', { plain: 1, spot: 0 }],
+    ]);
+  },
+  'mixed with reserve': (needed) => planWith({ plainFloor: Math.ceil(needed / 3) }, needed),
+  'all spot spread': (needed) => planWith({ plainFloor: 0 }, needed),
+  planned: (needed) => planWith({}, needed),
+};
+
+/** Numbers in [0, 1) from a seed. */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 0x1_0000_0000;
+  };
+}
+
+/** Runs of each second: a wave, clumps of three, and now and then a jump of some seconds. */
+export function drawLoad(seed: number): number[] {
+  const random = createRandom(seed);
+  let jumpUntil = 0;
+  let jump = 1;
+  return Array.from({ length: SECONDS }, (_, second) => {
+    if (random() < 0.01) {
+      jumpUntil = second + 3 + 7 * random();
+      jump = 1.7 + 0.8 * random();
+    }
+    const wave = 1 + 0.27 * Math.sin((second * 2 * Math.PI) / 11);
+    const mean = RUNS_PER_SECOND * wave * (second < jumpUntil ? jump : 1);
+    let runs = 0;
+    for (let clump = 0; clump < mean; clump += 1) {
+      runs += random() < 1 / 3 ? 3 : 0;
+    }
+    return runs;
+  });
+}
+
+/** Each domain in its turn is down for a second of every six, and one loses its spot targets every 40 s. */
+function leftOf(counts: ReadonlyMap<string, TargetCounts>, second: number): number {
+  const down = second % 6 === 0 ? DOMAINS[(second / 6) % 3] : undefined;
+  const dry = second % 40 < 10 ? DOMAINS[Math.floor(second / 40) % 3] : undefined;
+  let left = 0;
+  for (const [name, { plain, spot }] of counts) {
+    left += name === down ? 0.1 * (plain + spot) : plain + (name === dry ? 0 : spot);
+  }
+  return left;
+}
+
+/** Plays one load. */
+export function playWay(way: Way, forecast: Forecast, seed: number): WayCost {
+  const loads = drawLoad(seed);
+  const cost: WayCost = { price: 0, targetSeconds: 0, lateRuns: 0, orders: 0 };
+  const ordered: ReadonlyMap<string, TargetCounts>[] = [];
+  let fall: FallState = { needed: 0, highest: 0, sinceMs: 0, isFalling: false };
+  let backlog = 0;
+  loads.forEach((load, second) => {
+    const seen = loads.slice(Math.max(0, second - WINDOW_SECONDS), second);
+    const needed = Math.ceil((forecast(seen) * WORK_OF_RUN) / POLICY.load);
+    fall = limitFall(fall, needed, second * 1_000);
+    const counts = second < WINDOW_SECONDS ? evenly(28, 0) : way(fall.needed);
+    cost.orders += countOrders(ordered.at(-1), counts);
+    ordered.push(counts);
+    const serving = ordered[Math.max(0, second - BOOT_SECONDS)] ?? counts;
+    for (const [domain, { plain, spot }] of counts) {
+      const price = pricesOf({ scaling: SCALING }, domain);
+      cost.price += plain * price.plain + spot * price.spot;
+      cost.targetSeconds += plain + spot;
+    }
+    const left = leftOf(serving, second);
+    backlog = Math.max(0, backlog + load * WORK_OF_RUN - left);
+    const late = Math.max(0, backlog - left * PATIENCE_SECONDS);
+    cost.lateRuns += late / WORK_OF_RUN;
+    backlog -= late;
+  });
+  return cost;
+}
+
+function countOrders(
+  before: ReadonlyMap<string, TargetCounts> | undefined,
+  after: ReadonlyMap<string, TargetCounts>,
+): number {
+  let orders = 0;
+  for (const [name, { plain, spot }] of after) {
+    const old = before?.get(name) ?? { plain: 28, spot: 0 };
+    orders += Number(old.plain !== plain) + Number(old.spot !== spot);
+  }
+  return orders;
+}
--- /dev/null
+++ b/packages/plan-capacity/src/limit-fall.test.ts
@@ -0,0 +1,36 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import limitFall, { NEED_COUNTS_MS, type FallState } from './limit-fall.js';
+
+const START: FallState = { needed: 0, highest: 0, sinceMs: 0, isFalling: false };
+
+function play(needOf: (second: number) => number, seconds: number): number[] {
+  let state = START;
+  return Array.from({ length: seconds }, (_, second) => {
+    state = limitFall(state, needOf(second), second * 1_000);
+    return state.needed;
+  });
+}
+
+test('a rise counts at once', () => {
+  const needs = play((second) => (second < 10 ? 20 : 50), 11);
+  assert.is(needs[10], 50);
+});
+
+test('a swing of 11 s changes nothing after its first peak', () => {
+  const needs = play((second) => Math.round(20 + 5 * Math.sin((second * 2 * Math.PI) / 11)), 120);
+  assert.is(new Set(needs.slice(11)).size, 1);
+});
+
+test('a fall waits, and then goes down step by step', () => {
+  const needs = play((second) => (second < 5 ? 40 : 10), 90);
+  assert.is(needs[4 + NEED_COUNTS_MS / 1_000 - 1], 40);
+  const last = needs.at(-1) ?? 0;
+  assert.ok(last >= 10 && last * 0.9 <= 10, `${last} after all`);
+  needs.slice(1).forEach((need, index) => {
+    const before = needs[index] ?? 0;
+    assert.ok(need >= before * 0.84 - 1, `${before} to ${need}`);
+  });
+});
+
+test.run();
