--- /dev/null
+++ b/packages/order-capacity/src/world.fixture.ts
@@ -0,0 +1,99 @@
+/** One fleet: a platform, holders of the duty, and VMs that tell their load. */
+import type { Duty } from '@limelead/hold-duty';
+import type { ServedService } from '@limelead/types';
+import CapacityDuty from './capacity-duty.js';
+import DemandBook from './demand-book.js';
+import createFakePlatform, { BOOT_MS, SERVICE } from './fake-platform.fixture.js';
+import { DEFAULT_CAPACITY, type CapacitySettings } from './settings.js';
+
+/** What a test may change. */
+export interface WorldOptions {
+  domains?: string[];
+  plain?: number;
+  scaling?: { min?: number; max?: number };
+  settings?: Partial<CapacitySettings>;
+  isFenced?: boolean;
+}
+
+/** Creates everything; nothing runs before a holder is started. */
+export default function createWorld(options: WorldOptions = {}) {
+  const { domains = ['a', 'b', 'c'], plain = 28, isFenced = true } = options;
+  const fake = createFakePlatform(domains, plain, isFenced);
+  const { time, targets, platform } = fake;
+  const lines: { event: string; fields: Record<string, unknown> }[] = [];
+  const service: ServedService = {
+    name: SERVICE,
+    maxConnections: 100,
+    engine: { slots: 96, memoryTokens: 88_000, copiesRuns: true },
+    scaling: {
+      ...{ min: 1, max: 56, bootMs: BOOT_MS, spotPrice: 0.15 },
+      domainPrices: Object.fromEntries(domains.map((name) => [name, 1])),
+      ...options.scaling,
+    },
+  };
+  const services = [service];
+
+  function createHolder(vm: string, token: number) {
+    const state = { token: token as number | undefined, outdated: 0 };
+    const duty: Duty = {
+      holder: vm,
+      permit: () =>
+        state.token === undefined ? undefined : { token: state.token, heldSinceMs: 0 },
+      noteOutdated: (outdated) => {
+        state.outdated = outdated;
+        state.token = undefined;
+      },
+    };
+    const demand = new DemandBook();
+    const capacity = new CapacityDuty({
+      ...{ duty, platform, demand, clock: time.clock, timers: time.timers },
+      log: {
+        write: (event, fields = {}) => void lines.push({ event, fields }),
+        flush: async () => undefined,
+        dropped: 0,
+      },
+      metrics: {
+        count: () => undefined,
+        recordMs: () => undefined,
+        gauge: () => undefined,
+        counterValue: () => 0,
+        render: () => '',
+      },
+      settings: { ...DEFAULT_CAPACITY, ...options.settings },
+      callsPerSecond: 50,
+      listServices: () => services,
+      listTargets: () => [...targets.values()],
+    });
+    capacity.start();
+    return { demand, capacity, state };
+  }
+
+  /** Lets VMs tell a steady load for some seconds. */
+  async function load(
+    holders: { demand: DemandBook }[],
+    { runs, seconds, vms = 4 }: { runs: number; seconds: number; vms?: number },
+  ): Promise<void> {
+    for (let second = 0; second < seconds; second += 1) {
+      for (let vm = 0; vm < vms; vm += 1) {
+        const told = tell(vm, runs / 4);
+        holders.forEach(({ demand }) => demand.take(`vm${vm}`, told, time.clock.now()));
+      }
+      await time.advance(1_000);
+    }
+  }
+
+  const sums = new Map<number, number>();
+  function tell(vm: number, runs: number) {
+    const arrived = (sums.get(vm) ?? 0) + runs;
+    sums.set(vm, arrived);
+    const promptTokens = arrived * 8_000;
+    const now = { running: runs * 4, waiting: 0 };
+    const begun = { begunTokens: promptTokens, begunMs: promptTokens * 0.14 };
+    return {
+      incarnation: `${vm}`,
+      services: [{ service: SERVICE, arrived, promptTokens, ...now, ...begun }],
+    };
+  }
+
+  return { ...fake, lines, services, createHolder, load };
+}
--- a/packages/plan-capacity/src/plan-domains.ts
+++ b/packages/plan-capacity/src/plan-domains.ts
@@ -64,7 +64,8 @@
     return [];
   }
   return COVERS.flatMap((cover) => {
-    const mostPlain = plainThatCovers(cover, needed, domains.length);
+    const covering = plainThatCovers(cover, needed, domains.length);
+    const mostPlain = Math.min(covering, question.scaling.max);
     const least = Math.min(policy.plainFloor, mostPlain);
     const length = mostPlain - least + 1;
     return Array.from({ length }, (_, step) => toCandidate(question, cover, least + step));
