--- /dev/null
+++ b/packages/gateway/src/capacity.test.ts
@@ -0,0 +1,75 @@
+import type { AdmittedRequest } from '@limelead/forward-request';
+import createMetrics from '@limelead/metrics';
+import type { DutyAnswer } from '@limelead/ports';
+import { createManualTime } from '@limelead/stand-ins';
+import type { ServedService, ServiceTarget } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import createCapacity from './capacity.js';
+import type { FleetPartContext } from './fleet-part.js';
+
+const SCALING = { min: 1, max: 9, bootMs: 4_000, domainPrices: {} };
+const TARGET = { id: 't', service: 's' } as ServiceTarget;
+
+function createPart(service: Partial<ServedService>) {
+  const time = createManualTime();
+  const reports: unknown[] = [];
+  const services = [{ name: 's', maxConnections: 9, ...service }];
+  const context = {
+    settings: { vm: 'vm1', capacity: {} },
+    ...time,
+    random: { next: () => 0.5 },
+    log: { write: () => undefined },
+    metrics: createMetrics(),
+    directory: { all: () => [] },
+    knowledge: {
+      routes: { listServices: () => services, findService: () => services[0] },
+    },
+    readExchange: () => ({ reportToCandidates: (report: unknown) => void reports.push(report) }),
+  } as unknown as FleetPartContext;
+  const part = createCapacity(context, {
+    duties: { callsPerSecond: 9 } as never,
+    duty: { holder: 'vm1', permit: () => undefined, noteOutdated: () => undefined },
+    dutyPlatform: {
+      reportUsage: () => async () => E.right<never, DutyAnswer>('taken'),
+      orderTargets: () => async () => E.right<never, DutyAnswer>('invalid'),
+    },
+  });
+  part.start();
+  return { part, time, reports };
+}
+
+const ADMITTED = {
+  service: 's',
+  request: { promptTokens: 800, lastPiece: 0 },
+} as AdmittedRequest;
+
+test('a VM tells what its callers ask of a service whose targets are ordered', async () => {
+  const { part, time, reports } = createPart({ scaling: SCALING });
+  part.observer?.onAdmitted?.(ADMITTED);
+  await time.advance(1_000);
+  part.observer?.onBegun?.(ADMITTED, TARGET);
+  await time.advance(1_000);
+  part.observer?.onSendEnded?.(ADMITTED, TARGET, { isGood: true, afterMs: 100 });
+  part.observer?.onFinished?.(ADMITTED);
+  await time.advance(1_000);
+  const seen = reports.map((report) => (report as { services: unknown[] }).services[0]);
+  const base = { service: 's', arrived: 1, promptTokens: 800 };
+  const unread = { begunTokens: 0, begunMs: 0 };
+  assert.equal(seen, [
+    { ...base, running: 0, waiting: 1, ...unread },
+    { ...base, running: 1, waiting: 0, ...unread },
+    { ...base, running: 0, waiting: 0, begunTokens: 800, begunMs: 100 },
+  ]);
+});
+
+test('where nobody orders targets nothing is counted or told', async () => {
+  const { part, time, reports } = createPart({});
+  part.observer?.onAdmitted?.(ADMITTED);
+  part.observer?.onFinished?.(ADMITTED);
+  await time.advance(5_000);
+  assert.equal(reports, []);
+});
+
+test.run();
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -123,7 +123,11 @@
 
   /** Undefined where this system orders no targets. */
   report(): Extract<PeerReport, { kind: 'demand' }> | undefined {
-    const services = this.scaled().flatMap(({ name }) => this.countsOf(name) ?? []);
+    const services = this.scaled().flatMap(({ name }) => {
+      const counts = this.countsOf(name);
+      // Counts go on while the report is kept or on its way.
+      return counts === undefined ? [] : [{ ...counts }];
+    });
     return services.length === 0
       ? undefined
       : { kind: 'demand', incarnation: this.incarnation, services };
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -11,6 +11,7 @@
   'forward-request',
   'gateway',
   'http-front-door',
+  'order-capacity',
   'share-evidence',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
