Take a dry domain as one that keeps what it has, and a reclaim by what leaves

Change: a dry domain keeps its spot targets; where all are dry plain ones fill up to the need of the load alone; a reclaim is that all spot targets of a domain leave.

--- a/packages/order-capacity/src/domain-view.ts
+++ b/packages/order-capacity/src/domain-view.ts
@@ -6,7 +6,7 @@
 export interface DomainView {
   plain: ThereCount;
   spot: ThereCount;
-  /** All spot targets of the domain got their notice: none is to be had there for a while. */
+  /** All spot targets of the domain leave: none is to be had there for a while. */
   isReclaimed: boolean;
 }
 
@@ -23,7 +23,7 @@
     count(view, target);
   }
   views.forEach((view) => {
-    view.isReclaimed &&= view.spot.ready === 0;
+    view.isReclaimed = view.spot.leaving > 0 && view.spot.ready === 0;
   });
   return views;
 }
@@ -33,11 +33,10 @@
   return { plain: none(), spot: none(), isReclaimed: false };
 }
 
-function count(view: DomainView, { isSpot, leaving, leavesInMs }: ServiceTarget): void {
+function count(view: DomainView, { isSpot, leaving }: ServiceTarget): void {
   const kind: TargetKind = isSpot === true ? 'spot' : 'plain';
   if (leaving) {
     view[kind].leaving += 1;
-    view.isReclaimed ||= kind === 'spot' && leavesInMs !== undefined;
   } else {
     view[kind].ready += 1;
   }
--- a/packages/order-capacity/src/service-orders.ts
+++ b/packages/order-capacity/src/service-orders.ts
@@ -6,6 +6,8 @@
 
 /** Time after which a domain that had no spot targets is asked again, in milliseconds. */
 const DRY_MS = 1_000;
+/** Time after a notice in which the platform surely takes targets away, in milliseconds. */
+const RECLAIM_MS = 2_000;
 /** Time after which a refused or unheard order may be given again, in milliseconds. */
 const PAUSE_MS = 1_000;
 /** Time after which an order that does not hold is tried again, in milliseconds: the configuration may have changed. */
@@ -28,10 +30,8 @@
     const reclaimed: string[] = [];
     for (const [name, { isReclaimed }] of views) {
       const domain = this.at(name);
-      if (isReclaimed) {
-        domain.dryUntilMs = now + DRY_MS;
-      }
       if (isReclaimed && !domain.isReclaimed) {
+        domain.dryUntilMs = now + RECLAIM_MS;
         // What was ordered is not what comes: the platform takes it away.
         domain.ordered.spot = undefined;
         reclaimed.push(name);
--- a/packages/order-capacity/src/service-plan.ts
+++ b/packages/order-capacity/src/service-plan.ts
@@ -98,7 +98,10 @@
   private planFor(facts: ServiceFacts, needed: number): CapacityPlan {
     const { scaling, views, isDry, demand } = facts;
     return planDomains({
-      domains: [...views.keys()].map((name) => ({ name, isDry: isDry(name) })),
+      domains: [...views].map(([name, { spot }]) => ({
+        name,
+        mostSpot: isDry(name) ? spot.ready : undefined,
+      })),
       scaling,
       policy: this.settings,
       needed,
--- a/packages/plan-capacity/src/compare-ways.fixture.ts
+++ b/packages/plan-capacity/src/compare-ways.fixture.ts
@@ -37,7 +37,7 @@
 
 function planWith(policy: Partial<CapacityPolicy>, needed: number) {
   return planDomains({
-    domains: DOMAINS.map((name) => ({ name, isDry: false })),
+    domains: DOMAINS.map((name) => ({ name })),
     scaling: SCALING,
     policy: { ...POLICY, ...policy },
     needed,
--- a/packages/plan-capacity/src/plan-domains.ts
+++ b/packages/plan-capacity/src/plan-domains.ts
@@ -104,26 +104,28 @@
   return Math.max(oneLoss, perDomain(needed - (domains - 1) * plain, domains - 2));
 }
 
-/** What dry domains can't give is ordered in the others; plain where none is left. */
+/**
+ * What dry domains can't give is ordered in the others. Where all are dry, plain targets come
+ * in for what the load itself needs, without any reserve: they boot as long as domains are dry.
+ */
 function moveFromDry(question: CapacityQuestion, plan: CapacityPlan): CapacityPlan {
-  const { domains } = question;
-  const isDry = new Map(domains.map((domain) => [domain.name, domain.isDry]));
-  const open = domains.filter((domain) => !domain.isDry).length;
-  const missing = [...plan.counts]
-    .filter(([name]) => isDry.get(name))
-    .reduce((sum, [, { spot }]) => sum + spot, 0);
-  const extra = open === 0 ? 0 : Math.ceil(missing / open);
-  const move = (name: string, { plain, spot }: TargetCounts): TargetCounts => {
-    if (open === 0) {
-      return { plain: plain + spot, spot: 0 };
-    }
-    return { plain, spot: isDry.get(name) ? 0 : spot + extra };
-  };
-  const moved = [...plan.counts].map(([name, counts]): [string, TargetCounts] => [
-    name,
-    hold(move(name, counts), question),
-  ]);
-  return { ...plan, counts: new Map(moved) };
+  const { domains, needed } = question;
+  const open = domains.filter(({ mostSpot }) => mostSpot === undefined).length;
+  const given = domains.map(({ name, mostSpot = Infinity }) => {
+    const { plain, spot } = plan.counts.get(name) ?? { plain: 0, spot: 0 };
+    return { name, plain, spot: Math.min(spot, mostSpot), missing: Math.max(0, spot - mostSpot) };
+  });
+  const missing = given.reduce((sum, domain) => sum + domain.missing, 0);
+  const total = given.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
+  const extraSpot = open === 0 ? 0 : Math.ceil(missing / open);
+  const short = open === 0 && missing > 0 ? Math.max(0, needed - total) : 0;
+  const extraPlain = Math.ceil(short / Math.max(1, domains.length));
+  const counts = given.map(({ name, plain, spot }, index): [string, TargetCounts] => {
+    const isOpen = domains[index]?.mostSpot === undefined;
+    const moved = { plain: plain + extraPlain, spot: spot + (isOpen ? extraSpot : 0) };
+    return [name, hold(moved, question)];
+  });
+  return { ...plan, counts: new Map(counts) };
 }
 
 /** Holds the sum between the bounds; spot targets give way first, plain ones fill up. */
--- a/packages/plan-capacity/src/types.ts
+++ b/packages/plan-capacity/src/types.ts
@@ -10,8 +10,8 @@
 /** What a failure domain can have. */
 export interface PlannedDomain {
   name: string;
-  /** True while no spot target is to be had there. */
-  isDry: boolean;
+  /** Spot targets at most, where no more are to be had there now; undefined where more are. */
+  mostSpot?: number;
 }
 
 /** What an operator decides about the plan. */
