Fill up with plain targets where spot is dry everywhere and a reserve is worth it

Cause: the platform refuses spot everywhere for some ten seconds after each reclaim; two reclaims leave one domain with all targets, and its death stops the service. Change: where all are dry, plain targets come in as far as they cost less than the runs that would be late; a domain that refuses what others lack is asked again after 5 s, not each second, since plain targets went and came with each question.

--- a/packages/order-capacity/src/service-orders.ts
+++ b/packages/order-capacity/src/service-orders.ts
@@ -6,6 +6,11 @@
 
 /** Time after which a domain that had no spot targets is asked again, in milliseconds. */
 const DRY_MS = 1_000;
+/**
+ * The same where the domain has as many as it would have by itself, and refused those of
+ * others, in milliseconds: asked each second, plain targets elsewhere went and came.
+ */
+const DRY_FOR_OTHERS_MS = 5_000;
 /** Time after a notice in which the platform surely takes targets away, in milliseconds. */
 const RECLAIM_MS = 2_000;
 /** Time after which a refused or unheard order may be given again, in milliseconds. */
@@ -85,11 +90,12 @@
     domain.ordered[kind] = { count, atMs: now, isSure };
   }
 
-  noteDry({ failureDomain }: WantedOrder, now: Millis): void {
+  /** @param isForOthers whether it lacks none of its own */
+  noteDry({ failureDomain }: WantedOrder, now: Millis, isForOthers: boolean): void {
     const domain = this.at(failureDomain);
     domain.isSending = false;
     domain.ordered.spot = undefined;
-    domain.dryUntilMs = now + DRY_MS;
+    domain.dryUntilMs = now + (isForOthers ? DRY_FOR_OTHERS_MS : DRY_MS);
   }
 
   notePause({ failureDomain }: WantedOrder, now: Millis, isInvalid: boolean): void {
--- a/packages/plan-capacity/src/plan-domains.ts
+++ b/packages/plan-capacity/src/plan-domains.ts
@@ -15,6 +15,12 @@
 /** The spot targets of one failure domain are away: a notice, the time until new ones serve. */
 const SPOT_AWAY = 0.1;
 
+/** A plan without what it would be if no domain were dry. */
+type Split = Omit<CapacityPlan, 'open'>;
+
+const NO_PLAN: Split = {
+  ...{ counts: new Map(), cover: 'none', pricePerSecond: 0, lateRunsPerSecond: 0 },
+};
 const COVERS: readonly Cover[] = ['two-losses', 'one-loss', 'none'];
 
 /** The numbers of each failure domain, in order, for one split. */
@@ -29,15 +35,20 @@
  * elsewhere.
  */
 export default function planDomains(question: CapacityQuestion): CapacityPlan {
-  return moveFromDry(question, planAllOpen(question));
+  const open = planAllOpen(question);
+  return { ...moveFromDry(question, open), open: open.counts };
 }
 
-function planAllOpen(question: CapacityQuestion): CapacityPlan {
+function planAllOpen(question: CapacityQuestion): Split {
   const candidates = listCandidates(question);
   const plans = candidates.map((candidate) => toPlan(question, candidate));
+  return takeCheapest(question, plans);
+}
+
+function takeCheapest(question: CapacityQuestion, plans: Split[]): Split {
   const [first, ...rest] = plans;
   if (first === undefined) {
-    return { counts: new Map(), cover: 'none', pricePerSecond: 0, lateRunsPerSecond: 0 };
+    return NO_PLAN;
   }
   return rest.reduce(
     (best, plan) => (costOf(question, plan) < costOf(question, best) ? plan : best),
@@ -54,7 +65,7 @@
   return { plain, spot: plain * (scaling.spotPrice ?? 1) };
 }
 
-function costOf({ policy }: CapacityQuestion, plan: CapacityPlan): number {
+function costOf({ policy }: CapacityQuestion, plan: Split): number {
   return plan.pricePerSecond + plan.lateRunsPerSecond / policy.lateRunsPerTargetSecond;
 }
 
@@ -104,28 +115,48 @@
   return Math.max(oneLoss, perDomain(needed - (domains - 1) * plain, domains - 2));
 }
 
-/**
- * What dry domains can't give is ordered in the others. Where all are dry, plain targets come
- * in for what the load itself needs, without any reserve: they boot as long as domains are dry.
- */
-function moveFromDry(question: CapacityQuestion, plan: CapacityPlan): CapacityPlan {
-  const { domains, needed } = question;
+/** What dry domains can't give is ordered in the others. */
+function moveFromDry(question: CapacityQuestion, plan: Split): Split {
+  const { domains } = question;
   const open = domains.filter(({ mostSpot }) => mostSpot === undefined).length;
   const given = domains.map(({ name, mostSpot = Infinity }) => {
     const { plain, spot } = plan.counts.get(name) ?? { plain: 0, spot: 0 };
-    return { name, plain, spot: Math.min(spot, mostSpot), missing: Math.max(0, spot - mostSpot) };
+    return { plain, spot: Math.min(spot, mostSpot), missing: Math.max(0, spot - mostSpot) };
   });
   const missing = given.reduce((sum, domain) => sum + domain.missing, 0);
-  const total = given.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
-  const extraSpot = open === 0 ? 0 : Math.ceil(missing / open);
-  const short = open === 0 && missing > 0 ? Math.max(0, needed - total) : 0;
-  const extraPlain = Math.ceil(short / Math.max(1, domains.length));
-  const counts = given.map(({ name, plain, spot }, index): [string, TargetCounts] => {
+  if (missing === 0) {
+    return plan;
+  }
+  if (open === 0) {
+    return fillWithPlain(question, plan.cover, given);
+  }
+  const extra = Math.ceil(missing / open);
+  const counts = given.map(({ plain, spot }, index) => {
     const isOpen = domains[index]?.mostSpot === undefined;
-    const moved = { plain: plain + extraPlain, spot: spot + (isOpen ? extraSpot : 0) };
-    return [name, hold(moved, question)];
+    return hold({ plain, spot: spot + (isOpen ? extra : 0) }, question);
   });
-  return { ...plan, counts: new Map(counts) };
+  return toPlan(question, { cover: plan.cover, counts });
+}
+
+/**
+ * Where all domains are dry, plain targets come in for the spot ones: as many in the emptiest
+ * domains as cost less than the runs that would be late without them.
+ */
+function fillWithPlain(
+  question: CapacityQuestion,
+  cover: Cover,
+  given: readonly TargetCounts[],
+): Split {
+  const most = Math.min(question.scaling.max, question.needed);
+  const plans = Array.from({ length: most + 1 }, (_, level) =>
+    toPlan(question, {
+      cover,
+      counts: given.map(({ plain, spot }) =>
+        hold({ plain: Math.max(plain, level - spot), spot }, question),
+      ),
+    }),
+  );
+  return takeCheapest(question, plans);
 }
 
 /** Holds the sum between the bounds; spot targets give way first, plain ones fill up. */
@@ -136,7 +167,7 @@
   return { plain: heldPlain + missing, spot: heldSpot };
 }
 
-function toPlan(question: CapacityQuestion, { cover, counts }: Candidate): CapacityPlan {
+function toPlan(question: CapacityQuestion, { cover, counts }: Candidate): Split {
   const { domains } = question;
   const pricePerSecond = domains.reduce((sum, { name }, index) => {
     const price = pricesOf(question, name);
--- a/packages/plan-capacity/src/types.ts
+++ b/packages/plan-capacity/src/types.ts
@@ -48,6 +48,8 @@
 /** What is ordered, and why. */
 export interface CapacityPlan {
   counts: ReadonlyMap<string, TargetCounts>;
+  /** The same if no domain were dry. */
+  open: ReadonlyMap<string, TargetCounts>;
   cover: Cover;
   /** Price of a second, in plain targets at price 1. */
   pricePerSecond: number;
