Let runs at spot targets that are taken away go on from their copies ahead of the end

Cause: all spot targets of a domain end together, and their runs met at the keepers of their copies; placement takes no copy at a leaving target, but the runs stayed until they broke. Change: runs with a standing copy move one after the other within the notice; others stay.

--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -45,6 +45,26 @@
   ]);
 });
 
+test('a run whose spot target is taken away goes on from its copy ahead of the end', async () => {
+  const bed = await TestBed.start(
+    streamThen(3, () => undefined),
+    streamTo(6),
+  );
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  await sink.until(() => sink.body === pieces(1, 3));
+  const target = bed.directory.get('t1')?.target;
+  assert.ok(target !== undefined);
+  const leaving = { ...target, isSpot: true, leaving: true, leavesInMs: 600 };
+  bed.directory.apply([{ kind: 'put', target: leaving }]);
+  bed.context.leaving.leave(leaving);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.body, pieces(1, 6));
+  assert.equal(bed.seen.at(-1), { target: 't2', lastPiece: 3, copyTo: '', from: 't2' });
+  assert.not(bed.directory.isSuspected('t1'));
+});
+
 test('a piece that was cut is not passed on; the next target sends it whole', async () => {
   const cutInside: Behaviour = (request, response) => {
     begin(request, response);
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -21,15 +21,18 @@
     this.usable = copy;
   }
 
+  /** Whether the target that keeps a copy is there and stays. */
+  stands({ keeper }: RunCopy): boolean {
+    const { directory } = this.context;
+    const target = directory.get(keeper.id)?.target;
+    return target !== undefined && !target.leaving && !directory.isSuspected(target.id);
+  }
+
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
     const { directory } = this.context;
     const tracked = this.usable && directory.get(this.usable.keeper.id);
-    if (
-      tracked === undefined ||
-      tracked.target.leaving ||
-      directory.isSuspected(tracked.target.id)
-    ) {
+    if (this.usable === undefined || tracked === undefined || !this.stands(this.usable)) {
       this.usable = undefined;
       return undefined;
     }
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,6 +3,7 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import {
   KeptPrompts,
+  LeavingRuns,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -15,6 +16,7 @@
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   askNobody,
+  systemRandom,
   systemTimers,
   type ServingConfiguration,
   type ServingRoute,
@@ -182,6 +184,7 @@
       askTarget: askNobody,
       places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
+      leaving: new LeavingRuns({ timers: systemTimers, random: systemRandom, log }),
       reading: new ReadingTime(),
       pace: new TargetPace(() => undefined),
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
