Keep a dry domain dry until it gives, and ask it apart from the plan

Change: dry for 5 s after a refusal or until an order is taken; meanwhile one question a second for what the domain would have if it were not dry.

--- a/packages/order-capacity/src/capacity-duty.test.ts
+++ b/packages/order-capacity/src/capacity-duty.test.ts
@@ -105,6 +105,24 @@
   assert.equal([world.count('a', true), world.count('a', false)], [stays, 1]);
 });
 
+test('plain targets stay while dry domains are asked again, and go once spot ones are back', async () => {
+  const { world, holder } = await settled();
+  await world.load([holder], { runs: 16, seconds: KNOWN_SECONDS });
+  world.dry.add('c');
+  ['a', 'b'].forEach((name) => world.reclaim(name, 2_400));
+  await world.load([holder], { runs: 16, seconds: 2 });
+  world.lines.length = 0;
+  await world.load([holder], { runs: 16, seconds: 12 });
+  assert.equal(
+    world.lines.filter(({ fields }) => fields['reason'] === 'fewer'),
+    [],
+  );
+  assert.ok(world.count('a', false) > 1);
+  world.dry.clear();
+  await world.load([holder], { runs: 16, seconds: 12 });
+  assert.equal([world.count('a', false), world.count('b', false)], [1, 1]);
+});
+
 test('where all spot targets are taken away, plain ones carry the load', async () => {
   const { world, holder } = await settled();
   await world.load([holder], { runs: 16, seconds: KNOWN_SECONDS });
--- a/packages/order-capacity/src/capacity-duty.ts
+++ b/packages/order-capacity/src/capacity-duty.ts
@@ -147,7 +147,7 @@
   }
 
   private noteOutcome(
-    { orders, plan, views }: ServiceState,
+    { orders }: ServiceState,
     order: WantedOrder,
     outcome: DutyAnswer | 'no-answer',
     token: number,
@@ -164,8 +164,7 @@
       case 'refused':
         if (order.kind === 'spot') {
           // An outdated token is found out by the duty's own renewal.
-          const own = plan?.open.get(order.failureDomain)?.spot ?? 0;
-          orders.noteDry(order, now, (views.get(order.failureDomain)?.spot.ready ?? 0) >= own);
+          orders.noteDry(order, now);
         } else {
           orders.notePause(order, now, false);
           duty.noteOutdated(token);
--- a/packages/order-capacity/src/order-book.ts
+++ b/packages/order-capacity/src/order-book.ts
@@ -20,6 +20,8 @@
   ordered: Record<TargetKind, PastOrder | undefined>;
   /** No spot target is to be had there now. */
   isDry: boolean;
+  /** Spot targets that a dry domain may be asked for now, whether it has them again. */
+  ask: number | undefined;
 }
 
 /** An order that went out. */
@@ -71,7 +73,7 @@
   const orders: WantedOrder[] = [];
   for (const [failureDomain, state] of domains) {
     for (const kind of KINDS) {
-      const count = aim(state, kind, spare, limits);
+      const count = isDryOf(state, kind) ? askFor(state, limits) : aim(state, kind, spare, limits);
       const reason = findReason(state, kind, count, limits);
       if (reason !== undefined) {
         orders.push({ failureDomain, kind, count, reason });
@@ -81,6 +83,17 @@
   return orders.sort((a, b) => Number(a.reason === 'fewer') - Number(b.reason === 'fewer'));
 }
 
+function isDryOf({ isDry }: DomainState, kind: TargetKind): boolean {
+  return kind === 'spot' && isDry;
+}
+
+/** A dry domain is asked for what it would have if it were not; else nothing is ordered there. */
+function askFor(state: DomainState, { max }: OrderLimits): number {
+  const present = presentOf(state, 'spot');
+  const most = Math.min(state.ask ?? 0, max - presentOf(state, 'plain'));
+  return Math.max(present, most);
+}
+
 /** Targets that may go, because as many as are wanted serve without them. */
 class SpareTargets {
   private left: number;
@@ -126,15 +139,12 @@
   count: number,
   { now, bootMs }: OrderLimits,
 ): OrderReason | undefined {
-  if (kind === 'spot' && state.isDry) {
-    return undefined;
-  }
   const present = presentOf(state, kind);
   if (count !== present) {
     return count > present ? 'more' : 'fewer';
   }
   const last = state.ordered[kind];
-  if (last === undefined) {
+  if (last === undefined || isDryOf(state, kind)) {
     return undefined;
   }
   const ageMs = now - last.atMs;
--- a/packages/order-capacity/src/service-orders.ts
+++ b/packages/order-capacity/src/service-orders.ts
@@ -4,13 +4,13 @@
 import type { DomainState, PastOrder, TargetKind, WantedOrder } from './order-book.js';
 import type { ServicePlan } from './service-plan.js';
 
-/** Time after which a domain that had no spot targets is asked again, in milliseconds. */
-const DRY_MS = 1_000;
+/** Time between two questions for spot targets at a dry domain, in milliseconds. */
+const ASK_MS = 1_000;
 /**
- * The same where the domain has as many as it would have by itself, and refused those of
- * others, in milliseconds: asked each second, plain targets elsewhere went and came.
+ * A domain counts as dry for this long after it refused, in milliseconds, or until it gives:
+ * taken as open with each question, plain targets elsewhere went and came.
  */
-const DRY_FOR_OTHERS_MS = 5_000;
+const DRY_MS = 5_000;
 /** Time after a notice in which the platform surely takes targets away, in milliseconds. */
 const RECLAIM_MS = 2_000;
 /** Time after which a refused or unheard order may be given again, in milliseconds. */
@@ -21,6 +21,7 @@
 interface DomainOrders {
   ordered: Record<TargetKind, PastOrder | undefined>;
   dryUntilMs: Millis;
+  askFromMs: Millis;
   pausedUntilMs: Millis;
   isSending: boolean;
   isReclaimed: boolean;
@@ -36,7 +37,8 @@
     for (const [name, { isReclaimed }] of views) {
       const domain = this.at(name);
       if (isReclaimed && !domain.isReclaimed) {
-        domain.dryUntilMs = now + RECLAIM_MS;
+        domain.dryUntilMs = now + DRY_MS;
+        domain.askFromMs = now + RECLAIM_MS;
         // What was ordered is not what comes: the platform takes it away.
         domain.ordered.spot = undefined;
         reclaimed.push(name);
@@ -74,6 +76,7 @@
           there: { plain, spot },
           ordered: { ...this.at(name).ordered },
           isDry: this.isDry(name, now),
+          ask: this.at(name).askFromMs <= now ? plan.open.get(name)?.spot : undefined,
         },
       ]),
     );
@@ -88,14 +91,17 @@
     const domain = this.at(failureDomain);
     domain.isSending = false;
     domain.ordered[kind] = { count, atMs: now, isSure };
+    if (kind === 'spot' && isSure) {
+      domain.dryUntilMs = -Infinity;
+    }
   }
 
-  /** @param isForOthers whether it lacks none of its own */
-  noteDry({ failureDomain }: WantedOrder, now: Millis, isForOthers: boolean): void {
+  noteDry({ failureDomain }: WantedOrder, now: Millis): void {
     const domain = this.at(failureDomain);
     domain.isSending = false;
     domain.ordered.spot = undefined;
-    domain.dryUntilMs = now + (isForOthers ? DRY_FOR_OTHERS_MS : DRY_MS);
+    domain.dryUntilMs = now + DRY_MS;
+    domain.askFromMs = now + ASK_MS;
   }
 
   notePause({ failureDomain }: WantedOrder, now: Millis, isInvalid: boolean): void {
@@ -112,6 +118,7 @@
     const domain: DomainOrders = {
       ordered: { plain: undefined, spot: undefined },
       dryUntilMs: -Infinity,
+      askFromMs: -Infinity,
       pausedUntilMs: -Infinity,
       isSending: false,
       isReclaimed: false,
