--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -65,6 +65,28 @@
   assert.not(bed.directory.isSuspected('t1'));
 });
 
+test('a run whose copy is taken away goes on there, and has another copy made', async () => {
+  const bed = await TestBed.start(
+    streamThen(3, () => undefined),
+    streamTo(6),
+    streamTo(6),
+  );
+  const sink = new RecordingSink();
+  forwardStream(bed.context, admit(), sink);
+  await sink.until(() => sink.body === pieces(1, 3));
+  const keeper = bed.directory.get(bed.seen[0]?.copyTo ?? '')?.target;
+  assert.ok(keeper !== undefined);
+  const leaving = { ...keeper, isSpot: true, leaving: true, leavesInMs: 600 };
+  bed.directory.apply([{ kind: 'put', target: leaving }]);
+  bed.context.leaving.leave(leaving);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.body, pieces(1, 6));
+  const last = bed.seen.at(-1);
+  assert.equal([last?.target, last?.lastPiece, last?.from], [keeper.id, 3, keeper.id]);
+  assert.ok(last?.copyTo !== keeper.id && last?.copyTo !== '');
+});
+
 test('a piece that was cut is not passed on; the next target sends it whole', async () => {
   const cutInside: Behaviour = (request, response) => {
     begin(request, response);
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -290,10 +290,13 @@
   /** Without a copy the run stays until its target ends: it would have to read its prompt again. */
   private onLeaving(attempt: number): boolean {
     const live = this.live.get(attempt);
-    if (live?.copy === undefined || !live.hearing.isSending || !this.copies.stands(live.copy)) {
+    if (
+      live?.copy === undefined ||
+      !live.hearing.isSending ||
+      !this.copies.tryMove(live.copy, live.attempt.target)
+    ) {
       return false;
     }
-    this.copies.noteLost(live.copy);
     live.attempt.cancel();
     this.tellSendEnd(live, true);
     this.live.release(attempt);
--- a/packages/forward-request/src/leaving-runs.ts
+++ b/packages/forward-request/src/leaving-runs.ts
@@ -1,7 +1,9 @@
 /**
- * Runs whose targets are about to be taken away. They go on elsewhere before the end, a few
- * at a time: all targets of a domain end together, and their runs would meet at the keepers
- * of their copies.
+ * Runs whose targets, or the keepers of their copies, are about to be taken away. Those at
+ * such a target go on elsewhere before its end, a few at a time: all targets of a domain end
+ * together, and their runs would meet at the keepers of their copies. Those with such a
+ * keeper go on there while it lasts, and have another copy made: without, the loss of their
+ * own target soon after made them read their prompts again.
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Millis, Random, ServiceTarget, Timers } from '@limelead/types';
@@ -11,9 +13,14 @@
 /** Time in which runs move where nothing tells the time left, in milliseconds; notices are longer. */
 const UNTOLD_MS = 1_000;
 
+/** Time in which runs go on at a keeper that leaves, in milliseconds: then a new copy is whole in time. */
+const AT_KEEPER_MS = 800;
+
 /** One run under watch. */
 export interface LeavableRun {
   target: ServiceTarget;
+  /** Where its copy stands. */
+  keeper?: ServiceTarget;
   /** Goes on elsewhere where a copy allows it; gives whether it does. */
   moveOn(): boolean;
 }
@@ -33,7 +40,13 @@
 
   /** Begins to watch a run; the result ends it. */
   watch(run: LeavableRun): () => void {
-    const { id } = run.target;
+    const ends = [run.target, ...(run.keeper === undefined ? [] : [run.keeper])].map(({ id }) =>
+      this.watchAt(id, run),
+    );
+    return () => ends.forEach((end) => end());
+  }
+
+  private watchAt(id: string, run: LeavableRun): () => void {
     const runs = this.runs.get(id) ?? new Set();
     this.runs.set(id, runs.add(run));
     return () => {
@@ -52,12 +65,13 @@
     const { timers, random } = this.options;
     const withinMs: Millis = Math.max(0, (leavesInMs ?? UNTOLD_MS + RESERVE_MS) - RESERVE_MS);
     for (const run of this.runs.get(id) ?? []) {
-      timers.after(random.next() * withinMs, () => this.move(run));
+      const isKeeper = run.keeper?.id === id;
+      const untilMs = isKeeper ? Math.min(withinMs, AT_KEEPER_MS) : withinMs;
+      timers.after(random.next() * untilMs, () => this.move(id, run));
     }
   }
 
-  private move(run: LeavableRun): void {
-    const { id } = run.target;
+  private move(id: string, run: LeavableRun): void {
     if (this.runs.get(id)?.has(run) === true) {
       const isMoved = run.moveOn();
       this.options.log.write('run-leaves', { target: id, isMoved });
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -76,7 +76,11 @@
       endReading: continueFrom ? () => undefined : directory.beginReading(target.id),
       forgetCopy: copyTo ? directory.keepCopy(copyTo.id) : () => undefined,
       unwatch: silence.watch(hearing),
-      unwatchLeaving: leaving.watch({ target, moveOn: () => this.events.onLeaving(number) }),
+      unwatchLeaving: leaving.watch({
+        target,
+        keeper: copyTo,
+        moveOn: () => this.events.onLeaving(number),
+      }),
     });
     this.events.onSending(number, order);
     attempt.send();
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -10,6 +10,8 @@
 export default class RunCopies {
   /** The copy that the next attempt may go on from. */
   private usable: RunCopy | undefined;
+  /** Whether its keeper may be one that leaves. */
+  private mayLeave = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -19,20 +21,39 @@
   /** The run that was copied is lost. */
   noteLost(copy: RunCopy | undefined): void {
     this.usable = copy;
+    this.mayLeave = false;
+  }
+
+  /** The run goes on at the keeper of its copy, though that leaves too, if its own target stays. */
+  tryMove(copy: RunCopy, running: ServiceTarget): boolean {
+    const { directory } = this.context;
+    const isLeaving = directory.get(running.id)?.target.leaving === true;
+    if (isLeaving ? !this.stands(copy) : !this.isThere(copy)) {
+      return false;
+    }
+    this.usable = copy;
+    this.mayLeave = !isLeaving;
+    return true;
   }
 
   /** Whether the target that keeps a copy is there and stays. */
-  stands({ keeper }: RunCopy): boolean {
+  private stands(copy: RunCopy): boolean {
+    const target = this.context.directory.get(copy.keeper.id)?.target;
+    return target?.leaving === false && this.isThere(copy);
+  }
+
+  private isThere({ keeper }: RunCopy): boolean {
     const { directory } = this.context;
-    const target = directory.get(keeper.id)?.target;
-    return target !== undefined && !target.leaving && !directory.isSuspected(target.id);
+    return directory.get(keeper.id) !== undefined && !directory.isSuspected(keeper.id);
   }
 
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
     const { directory } = this.context;
     const tracked = this.usable && directory.get(this.usable.keeper.id);
-    if (this.usable === undefined || tracked === undefined || !this.stands(this.usable)) {
+    const holds = (copy: RunCopy): boolean =>
+      this.mayLeave ? this.isThere(copy) : this.stands(copy);
+    if (this.usable === undefined || tracked === undefined || !holds(this.usable)) {
       this.usable = undefined;
       return undefined;
     }
