--- a/packages/order-capacity/src/service-plan.ts
+++ b/packages/order-capacity/src/service-plan.ts
@@ -77,9 +77,8 @@
     }
     const { headroom, load } = this.settings;
     const forecast = forecastByQuantile(headroom)(demand.tokensBySecond);
-    const copies = engine.copiesRuns ? demand.runs : 0;
     const need = estimateNeed(
-      { promptTokensPerSecond: forecast, runs: demand.runs, copies },
+      { promptTokensPerSecond: forecast, runs: demand.runs },
       {
         readMsPerToken: demand.readMsPerToken,
         tokensPerRun: demand.tokensPerRun * (1 + WRITTEN_SHARE),
--- a/packages/order-capacity/src/settings.ts
+++ b/packages/order-capacity/src/settings.ts
@@ -10,8 +10,8 @@
 
 /** What holds where an operator decides nothing. */
 export const DEFAULT_CAPACITY: CapacitySettings = {
-  // Forecasts are made from seconds; a load that grows by a tenth while a target boots is common.
-  headroom: 0.1,
+  // The reserve for lost domains carries a jump of the load too: both seldom meet.
+  headroom: 0,
   // Runs that read beside each other wait; at nine tenths they still catch up with a swing.
   load: 0.9,
   usesSpot: true,
--- a/packages/plan-capacity/src/needed-targets.ts
+++ b/packages/plan-capacity/src/needed-targets.ts
@@ -5,9 +5,8 @@
 export interface ServiceLoad {
   /** Tokens of prompts that arrive in a second. */
   promptTokensPerSecond: number;
-  /** Runs under way and waiting, and the copies of their memory. */
+  /** Runs under way and waiting; their copies are made only where there is room. */
   runs: number;
-  copies: number;
 }
 
 /** What targets were seen to do. */
@@ -29,13 +28,13 @@
 
 /** Gives the need by each thing; the highest decides. */
 export default function estimateNeed(
-  { promptTokensPerSecond, runs, copies }: ServiceLoad,
+  { promptTokensPerSecond, runs }: ServiceLoad,
   { readMsPerToken, tokensPerRun }: TargetPace,
   { slots, memoryTokens }: EngineTraits,
 ): TargetNeed {
   return {
     reading: (promptTokensPerSecond * readMsPerToken) / MILLISECONDS_A_SECOND,
-    memory: ((runs + copies) * tokensPerRun) / Math.max(1, memoryTokens),
+    memory: (runs * tokensPerRun) / Math.max(1, memoryTokens),
     slots: runs / Math.max(1, slots),
   };
 }
