Spend a spare target once, pay a move before the run leaves, and keep what a new holder finds

Cause: (1) the list still shows targets that were ordered away, and each look spent them as spare again; (2) a move could end a run whose route allows no further target, or leave it unpaid; (3) a new token in a lull took the low need at once, and (5) of plain and spot kept the larger only; (4) the cover changed with each swing of the runs; (7) a night without runs brought back the start's number. Change: spare counts what was ordered; a move is paid first and else not made; a new holder lowers nothing for 20 s and keeps both kinds unless it replaces plain ones itself; runs fall as the need does; the pace and that the load is known are kept.

--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -1,4 +1,4 @@
-import type { AskTarget } from '@limelead/types';
+import { delay, systemTimers, type AskTarget } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import forwardStream from './forward-stream.js';
@@ -87,6 +87,32 @@
   assert.ok(last?.copyTo !== keeper.id && last?.copyTo !== '');
 });
 
+for (const [why, maxTargets, isBroke] of [
+  ['may not run at another target', 1, false],
+  ['finds no budget for another send', 3, true],
+] as const) {
+  test(`a run that ${why} stays where it is until its target ends`, async () => {
+    const bed = await TestBed.start(
+      streamThen(3, () => undefined),
+      streamTo(6),
+    );
+    const sink = new RecordingSink();
+    forwardStream(bed.context, admit({ maxTargets }), sink);
+    await sink.until(() => sink.body === pieces(1, 3));
+    const spender = bed.context.retriesOf('briefs');
+    while (isBroke && spender.trySpend(bed.context.clock.now(), 1));
+    const target = bed.directory.get('t1')?.target;
+    assert.ok(target !== undefined);
+    const leaving = { ...target, isSpot: true, leaving: true, leavesInMs: 520 };
+    bed.directory.apply([{ kind: 'put', target: leaving }]);
+    bed.context.leaving.leave(leaving);
+    await delay(systemTimers, 100);
+    assert.equal([sink.outcome, bed.seen.length], ['open', 1]);
+    sink.leave();
+    await bed.stop();
+  });
+}
+
 test('a piece that was cut is not passed on; the next target sends it whole', async () => {
   const cutInside: Behaviour = (request, response) => {
     begin(request, response);
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -293,10 +293,12 @@
     if (
       live?.copy === undefined ||
       !live.hearing.isSending ||
-      !this.copies.tryMove(live.copy, live.attempt.target)
+      !this.copies.mayMove(live.copy, live.attempt.target) ||
+      !this.sends.tryPayMove()
     ) {
       return false;
     }
+    this.copies.noteMoving(live.copy, live.attempt.target);
     live.attempt.cancel();
     this.tellSendEnd(live, true);
     this.live.release(attempt);
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -24,16 +24,18 @@
     this.mayLeave = false;
   }
 
-  /** The run goes on at the keeper of its copy, though that leaves too, if its own target stays. */
-  tryMove(copy: RunCopy, running: ServiceTarget): boolean {
-    const { directory } = this.context;
-    const isLeaving = directory.get(running.id)?.target.leaving === true;
-    if (isLeaving ? !this.stands(copy) : !this.isThere(copy)) {
-      return false;
-    }
+  /** Whether a run may go on at the keeper of its copy, which may leave where its own target stays. */
+  mayMove(copy: RunCopy, running: ServiceTarget): boolean {
+    return this.isLeaving(running) ? this.stands(copy) : this.isThere(copy);
+  }
+
+  noteMoving(copy: RunCopy, running: ServiceTarget): void {
     this.usable = copy;
-    this.mayLeave = !isLeaving;
-    return true;
+    this.mayLeave = !this.isLeaving(running);
+  }
+
+  private isLeaving({ id }: ServiceTarget): boolean {
+    return this.context.directory.get(id)?.target.leaving === true;
   }
 
   /** Whether the target that keeps a copy is there and stays. */
--- /dev/null
+++ b/packages/order-capacity/src/order-book.test.ts
@@ -0,0 +1,45 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import listOrders, { type DomainState } from './order-book.js';
+
+const LIMITS = { now: 10_000, max: 56, bootMs: 4_000 };
+const NONE = { ready: 0, leaving: 0 };
+
+function domain(plain: number, spot: number, orderedPlain?: number): DomainState {
+  return {
+    wanted: { plain: 1, spot: 27 },
+    there: { plain: { ...NONE, ready: plain }, spot: { ...NONE, ready: spot } },
+    ordered: {
+      plain: orderedPlain === undefined ? undefined : sure(orderedPlain),
+      spot: sure(27),
+    },
+    isDry: false,
+    ask: undefined,
+  };
+}
+
+function sure(count: number) {
+  return { count, atMs: 9_000, isSure: true };
+}
+
+test('what was ordered away counts as gone, though the list still shows it', () => {
+  const states = new Map([
+    ['a', domain(28, 27, 1)],
+    ['b', domain(28, 0)],
+    ['c', domain(28, 0)],
+  ]);
+  assert.equal(listOrders(states, LIMITS), []);
+});
+
+test('what others replace may go, and no more', () => {
+  const states = new Map([
+    ['a', domain(28, 27)],
+    ['b', domain(28, 0)],
+    ['c', domain(28, 0)],
+  ]);
+  assert.equal(listOrders(states, LIMITS), [
+    { failureDomain: 'a', kind: 'plain', count: 1, reason: 'fewer' },
+  ]);
+});
+
+test.run();
--- a/packages/order-capacity/src/order-book.ts
+++ b/packages/order-capacity/src/order-book.ts
@@ -100,8 +100,11 @@
 
   constructor(domains: ReadonlyMap<string, DomainState>) {
     this.left = 0;
-    for (const { wanted, there } of domains.values()) {
-      this.left += there.plain.ready + there.spot.ready - wanted.plain - wanted.spot;
+    for (const { wanted, there, ordered } of domains.values()) {
+      for (const kind of KINDS) {
+        // The list may still show targets that were ordered away.
+        this.left += Math.min(there[kind].ready, ordered[kind]?.count ?? Infinity) - wanted[kind];
+      }
     }
   }
 
--- a/packages/order-capacity/src/service-plan.ts
+++ b/packages/order-capacity/src/service-plan.ts
@@ -14,6 +14,13 @@
 import type { DomainView } from './domain-view.js';
 import type { CapacitySettings } from './settings.js';
 
+/**
+ * Time after which a new holder may order fewer, in milliseconds: as long as a need counts,
+ * so that a change of holder in a lull of the load lowers nothing.
+ */
+const HOLD_MS = 20_000;
+/** Hundredths of runs, which fall as whole numbers do. */
+const HUNDREDTHS = 100;
 /** Seconds of load after which fewer targets may be ordered: the swings of a load show in them. */
 const KNOWN_SECONDS = 15;
 /** Seconds of load before which a forecast would follow chance. */
@@ -41,61 +48,76 @@
   isDry(failureDomain: string): boolean;
 }
 
+const START: FallState = { needed: 0, highest: 0, sinceMs: -Infinity, isFalling: false };
+
 /** Remembers what a plan may not forget from one look to the next. */
 export default class ServicePlanner {
-  private fall: FallState | undefined;
+  private need = START;
+  private runs = START;
+  private startedAtMs: Millis | undefined;
+  private readMsPerToken: number | undefined;
+  private isKnown = false;
   /** Most targets that were seen in each failure domain, until the load is known. */
-  private readonly seen = new Map<string, number>();
+  private readonly seen = new Map<string, TargetCounts>();
+  /** Domains whose plain targets this holder replaces by spot ones. */
+  private readonly swapped = new Set<string>();
 
   constructor(private readonly settings: CapacitySettings) {}
 
   /** Until the load is known the plan keeps as many targets as there are, or more. */
   plan(facts: ServiceFacts): ServicePlan {
-    const need = this.need(facts);
-    const isKnown = need !== undefined && (facts.demand?.seenSeconds ?? 0) >= KNOWN_SECONDS;
-    const planned = this.planFor(facts, need?.targets ?? 0);
-    if (isKnown) {
-      return { ...planned, ...this.tell(need), isKnown };
+    const forecast = this.forecast(facts);
+    this.noteKnown(facts);
+    const planned = this.planFor(facts);
+    const told = { forecast, needed: this.need.needed, isKnown: this.isKnown };
+    if (this.isKnown) {
+      return { ...planned, ...told };
     }
-    const kept = this.keepSeen(facts);
     const counts = new Map(
-      [...kept].map(([name, { plain, spot }]): [string, TargetCounts] => {
+      [...this.keepSeen(facts)].map(([name, { plain, spot }]): [string, TargetCounts] => {
         const wanted = planned.counts.get(name) ?? { plain: 0, spot: 0 };
         return [name, { plain: Math.max(plain, wanted.plain), spot: Math.max(spot, wanted.spot) }];
       }),
     );
-    return { ...planned, counts, ...this.tell(need), isKnown };
+    return { ...planned, ...told, counts };
   }
 
-  private tell(need: { forecast: number; targets: number } | undefined) {
-    return { forecast: need?.forecast ?? 0, needed: need?.targets ?? 0 };
+  /** Known once, it stays known: at night too few runs begin to tell how fast targets read. */
+  private noteKnown({ demand, now }: ServiceFacts): void {
+    this.startedAtMs ??= now;
+    this.isKnown ||=
+      this.readMsPerToken !== undefined &&
+      (demand?.seenSeconds ?? 0) >= KNOWN_SECONDS &&
+      now - this.startedAtMs >= HOLD_MS;
   }
 
-  private need({ demand, engine, now }: ServiceFacts) {
-    if (demand?.readMsPerToken === undefined || demand.seenSeconds < LEAST_SECONDS) {
-      return undefined;
+  /** Gives the prompt tokens a second that are forecast, and takes the need for them. */
+  private forecast({ demand, engine, now }: ServiceFacts): number {
+    this.readMsPerToken = demand?.readMsPerToken ?? this.readMsPerToken;
+    if (
+      demand === undefined ||
+      this.readMsPerToken === undefined ||
+      demand.seenSeconds < LEAST_SECONDS
+    ) {
+      return 0;
     }
     const { headroom, load } = this.settings;
     const forecast = forecastByQuantile(headroom)(demand.tokensBySecond);
     const need = estimateNeed(
       { promptTokensPerSecond: forecast, runs: demand.runs },
       {
-        readMsPerToken: demand.readMsPerToken,
+        readMsPerToken: this.readMsPerToken,
         tokensPerRun: demand.tokensPerRun * (1 + WRITTEN_SHARE),
       },
       engine,
     );
-    const needed = targetsAt(load, need);
-    this.fall = limitFall(
-      this.fall ?? { needed: 0, highest: 0, sinceMs: now, isFalling: false },
-      needed,
-      now,
-    );
-    return { forecast, targets: this.fall.needed };
+    this.need = limitFall(this.need, targetsAt(load, need), now);
+    // The reserve is weighed against late runs; a swing of the runs may not swing it.
+    this.runs = limitFall(this.runs, Math.ceil(demand.runsPerSecond * HUNDREDTHS), now);
+    return forecast;
   }
 
-  private planFor(facts: ServiceFacts, needed: number): CapacityPlan {
-    const { scaling, views, isDry, demand } = facts;
+  private planFor({ scaling, views, isDry }: ServiceFacts): CapacityPlan {
     return planDomains({
       domains: [...views].map(([name, { spot }]) => ({
         name,
@@ -103,23 +125,34 @@
       })),
       scaling,
       policy: this.settings,
-      needed,
-      runsPerSecond: demand?.runsPerSecond ?? 0,
+      needed: this.need.needed,
+      runsPerSecond: this.runs.needed / HUNDREDTHS,
     });
   }
 
-  /** As many as were seen, of the kind that costs less; new ones come before old ones go. */
+  /**
+   * As many as were seen. Where there are only plain ones, spot ones replace them; where an
+   * earlier holder already ordered spot ones, nobody knows here which of them replace others.
+   */
   private keepSeen({ views, scaling }: ServiceFacts): Map<string, TargetCounts> {
     const { usesSpot, plainFloor } = this.settings;
     const maySpot = usesSpot && (scaling.spotPrice ?? 1) < 1;
     const counts = new Map<string, TargetCounts>();
     for (const [name, { plain, spot }] of views) {
-      // While spot targets replace plain ones, both are there.
-      const there = Math.max(plain.ready, spot.ready + plainFloor);
-      const most = Math.min(scaling.max, Math.max(this.seen.get(name) ?? 0, there));
+      const known = this.seen.get(name) ?? { plain: 0, spot: 0 };
+      const spotThere = this.swapped.has(name) ? 0 : spot.ready + spot.leaving;
+      const most = {
+        plain: Math.min(scaling.max, Math.max(known.plain, plain.ready)),
+        spot: Math.max(known.spot, spotThere),
+      };
       this.seen.set(name, most);
-      const floor = Math.min(plainFloor, most);
-      counts.set(name, !maySpot ? { plain: most, spot: 0 } : { plain: floor, spot: most - floor });
+      if (maySpot && most.spot === 0 && most.plain > plainFloor) {
+        this.swapped.add(name);
+      }
+      counts.set(
+        name,
+        this.swapped.has(name) ? { plain: plainFloor, spot: most.plain - plainFloor } : most,
+      );
     }
     return counts;
   }
