Spread what a late report tells over its time, and count runs of services that went

Cause: sums told after a gap landed in one second and rose the forecast; a run whose service's scaling was removed stayed counted for ever. Change: arrivals between two reports come evenly in them; a request holds its own counts; a plain target that tells its time left is left ahead of it too.

--- a/packages/forward-request/src/leaving-runs.ts
+++ b/packages/forward-request/src/leaving-runs.ts
@@ -57,9 +57,9 @@
     };
   }
 
-  /** A target told that it leaves. Others than spot ones let their runs end. */
+  /** A target told that it leaves. Others than spot ones, and without a time, let their runs end. */
   leave({ id, isSpot, leavesInMs }: ServiceTarget): void {
-    if (isSpot !== true) {
+    if (isSpot !== true && leavesInMs === undefined) {
       return;
     }
     const { timers, random } = this.options;
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -69,6 +69,8 @@
 
 /** What is counted of one request. */
 interface CountedRequest {
+  /** Where it is counted, also after its service is no longer there. */
+  counts: ServiceDemand;
   /** Sends of it that targets began. */
   begun: number;
 }
@@ -87,22 +89,21 @@
     onAdmitted: (admitted) => {
       const counts = this.countsOf(admitted.service);
       if (counts !== undefined) {
-        this.requests.set(admitted, { begun: 0 });
+        this.requests.set(admitted, { counts, begun: 0 });
         counts.arrived += 1;
         counts.promptTokens += admitted.request.promptTokens;
         counts.waiting += 1;
       }
     },
     onBegun: (admitted) => {
-      const counts = this.countsOf(admitted.service);
       const counted = this.requests.get(admitted);
-      if (counts === undefined || counted === undefined) {
+      if (counted === undefined) {
         return;
       }
       counted.begun += 1;
       if (counted.begun === 1) {
-        counts.waiting -= 1;
-        counts.running += 1;
+        counted.counts.waiting -= 1;
+        counted.counts.running += 1;
       }
     },
     onSendEnded: (admitted, _, { isGood, afterMs }) => {
@@ -112,11 +113,10 @@
       }
     },
     onFinished: (admitted) => {
-      const counts = this.countsOf(admitted.service);
       const counted = this.requests.get(admitted);
-      this.requests.delete(admitted);
-      if (counts !== undefined && counted !== undefined) {
-        counts[counted.begun > 0 ? 'running' : 'waiting'] -= 1;
+      if (counted !== undefined) {
+        this.requests.delete(admitted);
+        counted.counts[counted.begun > 0 ? 'running' : 'waiting'] -= 1;
       }
     },
   };
--- a/packages/order-capacity/src/demand-book.ts
+++ b/packages/order-capacity/src/demand-book.ts
@@ -63,6 +63,12 @@
   services: Map<string, ServiceDemand>;
 }
 
+/** Time between two reports; what arrived is taken to have come evenly in it. */
+interface Span {
+  sinceMs: Millis;
+  untilMs: Millis;
+}
+
 interface Second {
   second: number;
   arrived: number;
@@ -88,7 +94,10 @@
     const isSame = before?.incarnation === incarnation;
     const known = isSame ? before.services : new Map<string, ServiceDemand>();
     for (const demand of services) {
-      this.add(demand, known.get(demand.service), now);
+      this.add(demand, known.get(demand.service), {
+        sinceMs: isSame ? before.atMs : now,
+        untilMs: now,
+      });
       known.set(demand.service, demand);
     }
     this.told.set(vm, { incarnation, atMs: now, services: known });
@@ -121,32 +130,38 @@
     };
   }
 
-  private add(demand: ServiceDemand, known: ServiceDemand | undefined, now: Millis): void {
+  private add(demand: ServiceDemand, known: ServiceDemand | undefined, told: Span): void {
     // What a VM did before it first told is no load of this second.
     const since = known ?? demand;
-    const arrived = demand.arrived - since.arrived;
     if (demand.arrived === 0) {
       return;
     }
-    const second = this.secondAt(demand.service, now);
-    second.arrived += arrived;
-    second.tokens += demand.promptTokens - since.promptTokens;
+    const last = Math.floor(told.untilMs / SECOND_MS);
+    const first = Math.max(Math.floor(told.sinceMs / SECOND_MS) + 1, last - LOAD_SECONDS + 1);
+    const seconds = Math.max(1, last - first + 1);
+    for (let number = Math.min(first, last); number <= last; number += 1) {
+      const second = this.secondAt(demand.service, number);
+      second.arrived += (demand.arrived - since.arrived) / seconds;
+      second.tokens += (demand.promptTokens - since.promptTokens) / seconds;
+    }
+    const second = this.secondAt(demand.service, last);
     second.begun += demand.begunTokens > since.begunTokens ? 1 : 0;
     second.begunTokens += demand.begunTokens - since.begunTokens;
     second.begunMs += demand.begunMs - since.begunMs;
   }
 
-  private secondAt(service: string, now: Millis): Second {
-    const number = Math.floor(now / SECOND_MS);
+  private secondAt(service: string, number: number): Second {
     const book = this.books.get(service) ?? { firstSecond: number, seconds: [] };
     this.books.set(service, book);
-    const last = book.seconds.at(-1);
-    if (last?.second === number) {
-      return last;
+    book.firstSecond = Math.min(book.firstSecond, number);
+    const known = book.seconds.findLast(({ second }) => second === number);
+    if (known !== undefined) {
+      return known;
     }
     const second = { second: number, arrived: 0, tokens: 0, begun: 0, begunTokens: 0, begunMs: 0 };
-    book.seconds.push(second);
-    book.seconds = book.seconds.slice(-PACE_SECONDS);
+    const later = book.seconds.filter((other) => other.second > number);
+    const earlier = book.seconds.slice(0, book.seconds.length - later.length);
+    book.seconds = [...earlier, second, ...later].slice(-PACE_SECONDS);
     return second;
   }
 
