--- a/packages/gateway/src/create-fleet-parts.ts
+++ b/packages/gateway/src/create-fleet-parts.ts
@@ -1,4 +1,5 @@
 /** Creates the parts that settings and configuration ask for. */
+import createCapacity from './capacity.js';
 import createDutyPart from './duty-part.js';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import createUsagePart from './usage-part.js';
@@ -19,5 +20,8 @@
   if (duties.duties.includes('usage')) {
     parts.push(createUsagePart(context, { duties, dutyPart, dutyPlatform }));
   }
+  if (duties.duties.includes('capacity')) {
+    parts.push(createCapacity(context, { duties, duty: dutyPart.duty, dutyPlatform }));
+  }
   return parts;
 }
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -14,6 +14,7 @@
   'hold-duty',
   'http-front-door',
   'meter-usage',
+  'order-capacity',
   'share-evidence',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
