--- a/packages/hold-duty/src/duty-keeper.ts
+++ b/packages/hold-duty/src/duty-keeper.ts
@@ -14,8 +14,11 @@
 const RENEW_AGAIN_MS = 300;
 /** Pause behind the first try to take that failed or found the duty taken. */
 const FIRST_PAUSE_MS = 500;
-/** Longest pause between tries, for a store that is away for long: each call has its price. */
-const LONGEST_PAUSE_MS = 4_000;
+/**
+ * Longest pause between tries, in milliseconds, for a store that is away for long: each call has
+ * its price, and a window that ended meanwhile is due 10 s behind its end.
+ */
+const LONGEST_PAUSE_MS = 2_000;
 /**
  * Time for which a VM that can't carry a duty out leaves it to others, in milliseconds: one of
  * them has taken it and tried by then.
