Keep a region's streams in it until its targets are three requests behind

Cause: any other failure domain counted as 750 ms away, so a stream went to an idle target of another region before a second request went to one of its own; bytes between regions are billed three times those between domains. A fleet of one region, or of none, has the old price everywhere.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -1,3 +1,4 @@
+import { createLocality } from '@limelead/locality';
 import {
   NO_EVIDENCE,
   observeTarget,
@@ -45,6 +46,7 @@
   return {
     affinityKey: 'session',
     failureDomain: 'north',
+    locality: createLocality({ failureDomain: 'north', regionOf: {} }),
     exclude: new Set(),
     limit: ({ target }) => target.slots,
     isDomainDoubtful: () => false,
@@ -142,4 +144,25 @@
   assert.equal(listLikelyTargets(targets.slice(0, 24), 'session', 24), targets.slice(0, 24));
 });
 
+const REGION_OF = { north: 'inland', hills: 'inland', south: 'coast', islands: 'coast' };
+const inRegions = createLocality({ failureDomain: 'north', regionOf: REGION_OF });
+
+test('a region keeps its work until it is three requests behind another', () => {
+  const choose = (busy: number): string | undefined => {
+    const targets = [
+      track('own', 'north', { inFlight: busy }),
+      track('near', 'hills', { peerRequests: busy }),
+      track('far', 'south'),
+    ];
+    return chooseServiceTarget(targets, createRequest({ locality: inRegions }))?.target.id;
+  };
+  assert.is(choose(1), 'own');
+  assert.is(choose(3), 'far');
+});
+
+test('a region whose targets are lost is served by another, whatever it costs', () => {
+  const targets = [track('own', 'north', { evidence: lost }), track('far', 'south')];
+  assert.is(chooseServiceTarget(targets, createRequest({ locality: inRegions }))?.target.id, 'far');
+});
+
 test.run();
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -4,6 +4,7 @@
  * the highest hash over the caller's session and the target wins, so that all
  * VMs send a session to the target that already holds its prompt.
  */
+import type { Locality } from '@limelead/locality';
 import {
   isSuspected,
   readFailureRate,
@@ -23,8 +24,6 @@
  * it is read in a second on the users' engines, and holds up every run for that long.
  */
 const REQUEST_MS = 1_000;
-/** Price of bytes between failure domains: less than a request more, more than `EQUAL_MS`. */
-const OTHER_DOMAIN_MS = 750;
 /**
  * Delay by a prompt that is being read there, beside that of its request: two that
  * are read together take each other's time.
@@ -63,8 +62,9 @@
 /** What a target is chosen for. */
 export interface ServiceChoiceRequest {
   affinityKey: string;
-  /** Failure domain of this VM. */
+  /** Failure domain of the VM that serves the caller. */
   failureDomain: string;
+  locality: Pick<Locality, 'readPriceMs'>;
   /** Targets that already failed this request; taken only where there is no other. */
   exclude: ReadonlySet<string>;
   /** Requests of this VM that one target takes at once. */
@@ -161,7 +161,7 @@
   return (
     (inFlight + peerRequests) * REQUEST_MS +
     (reading + peerReading) * READING_MS +
-    (target.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_MS) +
+    request.locality.readPriceMs(request.failureDomain, target.failureDomain) +
     (readSlowness(evidence, request.now) - 1) * SLOW_RUN_MS +
     (failureRate > COMMON_FAILURE_RATE ? failureRate * FAILURE_MS : 0) +
     (isSuspected(evidence, request.now) ? SUSPICION_MS : 0) +
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -1,5 +1,6 @@
 /** What forwarding needs from the rest of the process. */
 import type { DecisionLog } from '@limelead/decision-log';
+import type { Locality } from '@limelead/locality';
 import type { Metrics } from '@limelead/metrics';
 import type { RouteTable } from '@limelead/route-requests';
 import type { RetrySpender } from '@limelead/spend-retries';
@@ -19,6 +20,7 @@
   clock: Clock;
   timers: Timers;
   failureDomain: string;
+  locality: Locality;
   directory: TargetDirectory;
   connections: TargetConnections;
   dialect: TargetDialect;
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -1,6 +1,7 @@
 /** Targets on real sockets and a caller that writes down what it gets, for the tests of this package. */
 import createDecisionLog from '@limelead/decision-log';
 import type { LimeleadError } from '@limelead/errors';
+import { createLocality } from '@limelead/locality';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
@@ -201,13 +202,16 @@
       ],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
+    const locality = createLocality({ failureDomain: 'north', regionOf: {} });
     this.context = {
       ...shared,
+      locality,
       failureDomain: 'north',
       connections: this.connections,
       dialect,
       places: new PlaceQueue({
         ...shared,
+        locality,
         failureDomain: 'north',
         limit: ({ target }) => target.slots,
       }),
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -3,6 +3,7 @@
  * first, then those whose time ends first.
  */
 import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
+import type { Locality } from '@limelead/locality';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { CancelTimer, Clock, Millis, Timers } from '@limelead/types';
 
@@ -41,6 +42,7 @@
   timers: Timers;
   directory: TargetDirectory;
   failureDomain: string;
+  locality: Locality;
   /** Requests of this VM that one target takes at once. */
   limit: (tracked: TrackedServiceTarget) => number;
 }
@@ -89,10 +91,11 @@
   }
 
   private tryTake(request: PlaceRequest): Place | undefined {
-    const { directory, clock, failureDomain, limit } = this.options;
+    const { directory, clock, failureDomain, locality, limit } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
       failureDomain,
+      locality,
       exclude: request.exclude,
       limit,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -1,6 +1,7 @@
 /** Joins a gateway's knowledge, load and evidence to the conversation with its peers. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreFollower } from '@limelead/follow-store';
+import type { Locality } from '@limelead/locality';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
 import type { TargetDirectory } from '@limelead/track-service-targets';
@@ -18,6 +19,7 @@
   clock: Clock;
   log: DecisionLog;
   directory: TargetDirectory;
+  locality: Locality;
   knowledge: Knowledge;
   follower: StoreFollower;
   engineLoad: EngineLoad;
@@ -28,13 +30,14 @@
 
 /** Creates the conversation; undefined where this VM has no address for peers. */
 export default function createExchange(parts: ExchangeParts): EvidenceExchange | undefined {
-  const { settings, clock, log, directory, knowledge, follower, engineLoad, retries } = parts;
+  const { settings, clock, log, directory, locality, knowledge } = parts;
+  const { follower, engineLoad, retries } = parts;
   const { failureDomain, peers, seeds } = settings;
   if (peers === undefined) {
     return undefined;
   }
   const id = formatAddress(peers);
-  const scheduler = new TargetScheduler({ self: id, clock, directory });
+  const scheduler = new TargetScheduler({ self: id, clock, directory, locality });
   return new EvidenceExchange({
     ...peers,
     id,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
   type TargetDialect,
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
+import { createLocality, type Locality } from '@limelead/locality';
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
 import type { EvidenceExchange } from '@limelead/share-evidence';
@@ -77,6 +78,7 @@
   readonly log: DecisionLog;
   private readonly metrics: Metrics = createMetrics();
   private readonly directory: TargetDirectory;
+  private readonly locality: Locality;
   private readonly connections: TargetConnections;
   private readonly knowledge: Knowledge;
   private readonly follower: StoreFollower;
@@ -96,6 +98,7 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
+    this.locality = createLocality({ ...settings, prices: settings.localityPrices });
     this.retries = new RetryBudgets({
       budget: settings.retryBudget,
       clock: steadyClock,
@@ -161,6 +164,7 @@
       clock: steadyClock,
       log: this.log,
       directory: this.directory,
+      locality: this.locality,
       knowledge: this.knowledge,
       follower: this.follower,
       engineLoad: this.engineLoad,
@@ -244,16 +248,17 @@
   }
 
   private createContext(): ForwardContext {
-    const { directory, connections, log } = this;
+    const { directory, locality, connections, log } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
     const shared = { clock: steadyClock, timers: systemTimers, directory };
     return {
       ...shared,
       failureDomain,
+      locality,
       connections,
       dialect,
-      places: new PlaceQueue({ ...shared, failureDomain, limit: limitOf }),
+      places: new PlaceQueue({ ...shared, failureDomain, locality, limit: limitOf }),
       askTarget: (request, receive) =>
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process, in the product's own words. */
+import type { LocalityPrices } from '@limelead/locality';
 import type { RetryBudget } from '@limelead/spend-retries';
 import type { ListenAddress } from './readiness-server.js';
 
@@ -43,6 +44,8 @@
   region?: string;
   /** Region of each failure domain; empty where nothing tells of regions. */
   regionOf: Readonly<Record<string, string>>;
+  /** Prices of distance that the operator set; the others have their defaults. */
+  localityPrices?: Partial<LocalityPrices>;
   /** Undefined where the platform names no duties. */
   duties?: DutySettings;
 }
--- a/packages/gateway/src/target-scheduler.test.ts
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -1,3 +1,4 @@
+import { createLocality } from '@limelead/locality';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
 import type { TargetAnswer, TargetQuestion } from '@limelead/share-evidence';
@@ -32,7 +33,8 @@
 function create(count: number, slots?: number) {
   const directory = new TargetDirectory(clock);
   directory.replaceAll(Array.from({ length: count }, (_, index) => createTarget(index, slots)));
-  const scheduler = new TargetScheduler({ self: 'self', clock, directory });
+  const locality = createLocality({ failureDomain: 'north', regionOf: {} });
+  const scheduler = new TargetScheduler({ self: 'self', clock, directory, locality });
   let asked = 0;
   const advise = (peer: string, question: TargetQuestion): TargetAnswer | undefined =>
     scheduler.advise(peer, question);
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -7,6 +7,7 @@
   chooseServiceTarget,
   KEEPER_DOUBT_MS,
 } from '@limelead/choose-service-target';
+import type { Locality } from '@limelead/locality';
 import {
   choosePart,
   type PeerId,
@@ -22,6 +23,7 @@
   self: PeerId;
   clock: Clock;
   directory: TargetDirectory;
+  locality: Locality;
 }
 
 /** Chooses targets for other VMs, and for this one. */
@@ -30,7 +32,7 @@
 
   /** The target with the least work; undefined where all are full or none is there. */
   advise(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined {
-    const { self, clock, directory } = this.options;
+    const { self, clock, directory, locality } = this.options;
     const { service, number, part, parts } = question;
     const now = clock.now();
     const targets = directory
@@ -38,6 +40,7 @@
       .filter(({ target }) => parts <= 1 || choosePart(target.id, parts) === part);
     const chosen = chooseServiceTarget(targets, {
       ...question,
+      locality,
       exclude: new Set(question.exclude),
       limit: ({ target, peerRequests }) => target.slots - peerRequests,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain),
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -8,6 +8,7 @@
   SilenceWatch,
   TargetPace,
 } from '@limelead/forward-request';
+import { createLocality } from '@limelead/locality';
 import createMetrics from '@limelead/metrics';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
@@ -174,13 +175,15 @@
     const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
     const shared = { clock, timers: systemTimers, directory };
     const { connections, metrics } = this;
+    const locality = createLocality({ failureDomain: 'north', regionOf: {} });
     return {
       ...shared,
+      locality,
       failureDomain: 'north',
       connections,
       dialect: targets,
       askTarget: askNobody,
-      places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
+      places: new PlaceQueue({ ...shared, failureDomain: 'north', locality, limit: () => 4 }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
       pace: new TargetPace(() => undefined),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -11,6 +11,7 @@
 } from '@limelead/forward-request';
 import createDecisionLog from '@limelead/decision-log';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
+import { createLocality } from '@limelead/locality';
 import createMetrics from '@limelead/metrics';
 import compileRoutes from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
@@ -145,13 +146,15 @@
     },
   });
   const spender = new RetrySpender({ ratio: 1, slack: 1e6, windowMs: 10_000 });
+  const locality = createLocality({ failureDomain: 'd1', regionOf: {} });
   return {
     ...shared,
     failureDomain: 'd1',
+    locality,
     connections,
     dialect,
     askTarget: askNobody,
-    places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000 }),
+    places: new PlaceQueue({ ...shared, failureDomain: 'd1', locality, limit: () => 1_000 }),
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
     pace: new TargetPace(() => undefined),
