--- a/packages/forward-request/src/call-report.ts
+++ b/packages/forward-request/src/call-report.ts
@@ -2,6 +2,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type CallAttempt from './call-attempt.js';
 import type { ForwardContext } from './context.js';
+import countSend from './count-send.js';
 
 /** How a call ended. */
 export interface CallEnd {
@@ -18,12 +19,16 @@
 /** Writes what was decided about one request. */
 export default class CallReport {
   constructor(
-    private readonly context: Pick<ForwardContext, 'clock' | 'log' | 'metrics'>,
+    private readonly context: Pick<
+      ForwardContext,
+      'clock' | 'failureDomain' | 'locality' | 'log' | 'metrics'
+    >,
     private readonly admitted: AdmittedRequest,
   ) {}
 
   sent({ number, target }: CallAttempt, remainingMs: number): void {
     const facts = { target: target.id, attempt: number, remainingMs: Math.round(remainingMs) };
+    countSend(this.context, target);
     this.write('call-sent', facts);
   }
 
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -3,6 +3,7 @@
 import type { EventDetail, Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
+import countSend from './count-send.js';
 import type { TargetOrder } from './dialect.js';
 
 /** How an attempt was lost. */
@@ -37,6 +38,7 @@
     this.write('stream-sent', {
       attempt,
       target: target.id,
+      nearness: countSend(this.context, target),
       lastPiece,
       copyTo: copyTo?.id,
       continuesCopy: continueFrom !== undefined,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -191,6 +191,7 @@
     await this.exchange?.start();
     this.log.write('started', {
       failureDomain: settings.failureDomain,
+      region: this.locality.region,
       frontDoor: formatAddress(settings.frontDoor),
       sinceProcessStartMs: Math.round(performance.now()),
     });
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -14,6 +14,7 @@
 import { readNamedMembers } from './named-members.js';
 import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
+import type { RegionNotice } from './region-sizes.js';
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { PeerReport } from './report-messages.js';
@@ -169,7 +170,13 @@
       onLost: (peer) => this.onPeerLost(peer),
       onDropped: () => undefined,
     });
-    this.members = new Membership({ self: id, region, seeds, links: this.links, clock, random });
+    const onRegion = (notice: RegionNotice): void =>
+      this.options.log.write(notice.isInSight ? 'region-in-sight' : 'region-away', {
+        region: notice.region,
+        vms: notice.vms,
+      });
+    const { links } = this;
+    this.members = new Membership({ self: id, region, seeds, links, clock, random, onRegion });
     this.load.start();
     this.beat(SECOND_ROUND_MS);
   }
--- a/packages/share-evidence/src/fleet.fixture.ts
+++ b/packages/share-evidence/src/fleet.fixture.ts
@@ -57,6 +57,8 @@
   readonly membership: Membership;
   readonly linked = new Set<string>();
   readonly openedNow = new Set<string>();
+  /** What it noticed of other regions. */
+  readonly regions: string[] = [];
   /** Links opened, and members named to peers, since the start. */
   opened = 0;
   named = 0;
@@ -72,6 +74,7 @@
       seeds: fleet.seeds,
       clock: { now: () => fleet.now },
       random: fleet.random,
+      onRegion: ({ region: other, isInSight }) => this.regions.push(`${other} ${isInSight}`),
       links: {
         open: (peers) => peers.forEach((peer) => this.open(peer.id)),
         opened: () => [...this.openedNow],
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -11,7 +11,7 @@
 import LinkUpkeep from './link-upkeep.js';
 import MemberBook, { type MemberAge } from './member-book.js';
 import planFleet, { LONE_PLAN, type FleetPlan, type LocatedVm } from './plan-fleet.js';
-import RegionSizes from './region-sizes.js';
+import RegionSizes, { type RegionNotice } from './region-sizes.js';
 import type { PeerId } from './types.js';
 
 /** What a membership needs. */
@@ -23,6 +23,8 @@
   links: Pick<PeerLinks<never>, 'open' | 'opened' | 'drop' | 'linked'>;
   clock: Clock;
   random: Random;
+  /** Another region came into sight, or went out of it. */
+  onRegion(notice: RegionNotice): void;
 }
 
 /** Follows the members, round by round. */
@@ -37,7 +39,7 @@
     const { self, region, seeds, links, clock, random } = options;
     this.book = new MemberBook(self, clock, random, region !== undefined);
     this.upkeep = new LinkUpkeep(self, seeds, links);
-    this.sizes = new RegionSizes(clock);
+    this.sizes = new RegionSizes(clock, options.onRegion);
     this.plan = { ...LONE_PLAN, followers: [self] };
   }
 
--- a/packages/share-evidence/src/region-sizes.ts
+++ b/packages/share-evidence/src/region-sizes.ts
@@ -11,17 +11,29 @@
  */
 const VANISHING_MS = 30_000;
 
+/** A region came into sight, or all its VMs went out of it. */
+export interface RegionNotice {
+  region: string;
+  isInSight: boolean;
+  /** VMs that it has, or had before it went. */
+  vms: number;
+}
+
 interface RegionSize {
   vms: number;
   /** When the region last had so many VMs. */
   atMs: Millis;
+  isInSight: boolean;
 }
 
 /** Remembers how many VMs the other regions have. */
 export default class RegionSizes {
   private readonly sizes = new Map<string, RegionSize>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly onNotice: (notice: RegionNotice) => void,
+  ) {}
 
   /** Takes the VMs of other regions that are known now. */
   note(distant: readonly LocatedVm[]): void {
@@ -32,6 +44,7 @@
       }
     }
     counts.forEach((vms, region) => this.noteRegion(region, vms));
+    this.sizes.forEach((size, region) => this.noteSight(region, size, counts.has(region)));
   }
 
   /** VMs that run out of sight, as far as this one has to expect. */
@@ -45,7 +58,14 @@
     const atMs = this.clock.now();
     const size = this.sizes.get(region);
     if (size === undefined || vms >= size.vms || atMs - size.atMs >= VANISHING_MS) {
-      this.sizes.set(region, { vms, atMs });
+      this.sizes.set(region, { vms, atMs, isInSight: size?.isInSight ?? false });
+    }
+  }
+
+  private noteSight(region: string, size: RegionSize, isInSight: boolean): void {
+    if (size.isInSight !== isInSight) {
+      size.isInSight = isInSight;
+      this.onNotice({ region, isInSight, vms: size.vms });
     }
   }
 }
--- a/packages/share-evidence/src/regions.test.ts
+++ b/packages/share-evidence/src/regions.test.ts
@@ -95,6 +95,8 @@
     assert.equal([...new Set(own.map(({ membership }) => membership.budgetCount))], [89]);
     assert.is(own.filter(({ membership }) => membership.followsForOthers).length, 4);
   }
+  const [vm] = vms.filter(({ region }) => region === 'region 0');
+  assert.equal(vm?.regions.slice(2).sort(), ['region 1 false', 'region 2 false']);
   const opened = countOpened(vms);
   fleet.isCut = () => false;
   // Each VM meets a seed once in twenty rounds; what it hears then spreads in a few more.
