--- a/packages/locality/src/locality.test.ts
+++ b/packages/locality/src/locality.test.ts
@@ -21,7 +21,7 @@
 });
 
 test('the operator may set one price and leave the other', () => {
-  const prices = { otherRegionMs: 9_000 };
+  const prices = { otherRegion: 9_000 };
   const locality = createLocality({ failureDomain: 'n1', regionOf: REGION_OF, prices });
   assert.is(locality.readPriceMs('n1', 's1'), 9_000);
   assert.is(locality.readPriceMs('n1', 'n2'), 750);
--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -10,16 +10,16 @@
  */
 export interface LocalityPrices {
   /** In another failure domain of the region. */
-  otherDomainMs: Millis;
+  otherDomain: Millis;
   /** In another region. */
-  otherRegionMs: Millis;
+  otherRegion: Millis;
 }
 
 /**
  * A region is left for a delay of two requests: links between regions are billed about
  * three times those between failure domains.
  */
-const DEFAULT_PRICES: LocalityPrices = { otherDomainMs: 750, otherRegionMs: 2_250 };
+const DEFAULT_PRICES: LocalityPrices = { otherDomain: 750, otherRegion: 2_250 };
 
 /** What is told of regions. */
 export interface LocalitySettings {
@@ -44,11 +44,11 @@
 /** Creates the answers. A fleet of one region is one in which nothing tells of regions. */
 export default function createLocality(settings: LocalitySettings): Locality {
   const { failureDomain, regionOf } = settings;
-  const { otherDomainMs, otherRegionMs } = { ...DEFAULT_PRICES, ...settings.prices };
+  const { otherDomain, otherRegion } = { ...DEFAULT_PRICES, ...settings.prices };
   const priceOf: Record<Nearness, Millis> = {
     'own-domain': 0,
-    'own-region': otherDomainMs,
-    'other-region': otherRegionMs,
+    'own-region': otherDomain,
+    'other-region': otherRegion,
   };
   const hasRegions = new Set(Object.values(regionOf)).size > 1;
   const readNearness = (from: string, to: string): Nearness => {
