Hold what is known of regions through upgrades, restarts and slow news

Cause, found in review and by a probe of the in-memory fleet: VMs of unknown region were named to nobody, and older releases ignored those of other regions; a region heard wrongly once stayed; a VM restarted during a cut forgot the regions that it can't see and their part of the retry budget; half of a region forgot running VMs of others for a second now and then; a scheduler that no longer speaks for its region left its last sums standing; sums were formed once per reader.

--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -10,21 +10,23 @@
  */
 export interface LocalityPrices {
   /** In another failure domain of the region. */
-  otherDomain: Millis;
+  otherDomainMs: Millis;
   /** In another region. */
-  otherRegion: Millis;
+  otherRegionMs: Millis;
 }
 
 /**
- * A region is left for a delay of two requests: links between regions are billed about
+ * A region is left once its targets are three requests behind: links between regions are billed about
  * three times those between failure domains.
  */
-const DEFAULT_PRICES: LocalityPrices = { otherDomain: 750, otherRegion: 2_250 };
+const DEFAULT_PRICES: LocalityPrices = { otherDomainMs: 750, otherRegionMs: 2_250 };
 
 /** What is told of regions. */
 export interface LocalitySettings {
   /** Failure domain of this VM. */
   failureDomain: string;
+  /** Region of this VM, where it is told; the one of its failure domain otherwise. */
+  region?: string;
   /** Region of each failure domain; empty where nothing tells of regions. */
   regionOf: Readonly<Record<string, string>>;
   /** Prices that the operator set; the others have their defaults. */
@@ -43,14 +45,19 @@
 
 /** Creates the answers. A fleet of one region is one in which nothing tells of regions. */
 export default function createLocality(settings: LocalitySettings): Locality {
-  const { failureDomain, regionOf } = settings;
-  const { otherDomain, otherRegion } = { ...DEFAULT_PRICES, ...settings.prices };
+  const { failureDomain } = settings;
+  const region = settings.region ?? settings.regionOf[failureDomain];
+  const regionOf: Readonly<Record<string, string | undefined>> = {
+    ...settings.regionOf,
+    [failureDomain]: region,
+  };
+  const { otherDomainMs, otherRegionMs } = { ...DEFAULT_PRICES, ...settings.prices };
   const priceOf: Record<Nearness, Millis> = {
     'own-domain': 0,
-    'own-region': otherDomain,
-    'other-region': otherRegion,
+    'own-region': otherDomainMs,
+    'other-region': otherRegionMs,
   };
-  const hasRegions = new Set(Object.values(regionOf)).size > 1;
+  const hasRegions = new Set(Object.values(regionOf).filter((name) => name !== undefined)).size > 1;
   const readNearness = (from: string, to: string): Nearness => {
     if (from === to) {
       return 'own-domain';
@@ -60,7 +67,7 @@
     return isElsewhere ? 'other-region' : 'own-region';
   };
   return {
-    region: hasRegions ? regionOf[failureDomain] : undefined,
+    region: hasRegions ? region : undefined,
     readNearness,
     readPriceMs: (from, to) => priceOf[readNearness(from, to)],
   };
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -66,6 +66,7 @@
       region: options.region,
       isChosen: (peer) => this.members?.isChosenPeer(peer) ?? false,
       isDistant: (peer) => this.members?.isDistant(peer) ?? false,
+      listHidden: () => this.members?.listHidden() ?? [],
       nameRegion: () => this.members?.nameRegion() ?? [],
       nameAll: () => this.members?.nameAll() ?? [],
       broadcast,
@@ -93,6 +94,7 @@
       listLoadReaders: () => this.members?.loadReaders ?? [],
       isDistant: (peer) => this.members?.isDistant(peer) ?? false,
       send,
+      broadcast,
     });
     this.lossNews = new LossNews({
       clock,
@@ -337,10 +339,8 @@
 
   private onHeartbeat(peer: PeerId, message: EvidenceMessageOf<'heartbeat'>): void {
     this.store.noteKnowledge(peer, message);
-    this.members?.hear([
-      { id: peer, ageMs: 0, region: message.region },
-      ...readNamedMembers(message),
-    ]);
+    this.members?.locate(peer, message.region);
+    this.members?.hear(readNamedMembers(message), message.hidden);
     this.gossip.hear(peer, message.wanted);
     this.store.check();
   }
--- a/packages/share-evidence/src/gossip.ts
+++ b/packages/share-evidence/src/gossip.ts
@@ -5,6 +5,7 @@
 import type { MemberAge } from './member-book.js';
 import { nameMembers } from './named-members.js';
 import type { EvidenceMessage } from './messages.js';
+import type { HiddenRegion } from './region-sizes.js';
 import type PeerTable from './peer-table.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
@@ -19,6 +20,8 @@
   isDistant(peer: PeerId): boolean;
   /** The members of the own region; none where the fleet is in one. */
   nameRegion(): MemberAge[];
+  /** Regions that this VM can't see. */
+  listHidden(): HiddenRegion[];
   broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
@@ -85,12 +88,16 @@
   }
 
   private sendHeartbeat(peers: PeerId[], members: MemberAge[]): void {
-    const { readKnowledge, region, isChosen, broadcast } = this.options;
+    const { readKnowledge, region, isChosen, listHidden, broadcast } = this.options;
     const { revision, configuration, configurationBytes } = readKnowledge();
     const knowledge = { revision, configuration, configurationBytes };
     for (const wanted of [true, false]) {
       const addressed = peers.filter((peer) => isChosen(peer) === wanted);
-      const told = nameMembers(members, region);
+      const hidden = listHidden();
+      const told = {
+        ...nameMembers(members, region),
+        ...(hidden.length === 0 ? {} : { hidden }),
+      };
       broadcast({ kind: 'heartbeat', wanted, ...told, ...knowledge }, addressed);
     }
   }
--- a/packages/share-evidence/src/load-exchange.ts
+++ b/packages/share-evidence/src/load-exchange.ts
@@ -8,18 +8,10 @@
 import LoadNews from './load-news.js';
 import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
 import type PeerTable from './peer-table.js';
-import RegionLoad, { fromColumns, toColumns } from './region-load.js';
+import RegionLoad, { fromColumns } from './region-load.js';
 import TargetAdvice from './target-advice.js';
 import type { EvidenceExchangeOptions, PeerId, TargetLoad } from './types.js';
 
-/** Changes of load within this time are told together, in milliseconds. */
-const GATHER_MS = 15;
-/**
- * The same for the load of a whole region, which other regions need only to send work
- * there: a tenth of a run, and one message in place of some thirty.
- */
-const REGION_GATHER_MS = 500;
-
 /** What it needs. */
 export interface LoadExchangeOptions extends Pick<
   EvidenceExchangeOptions,
@@ -36,6 +28,7 @@
   /** Whether a peer is in another region. */
   isDistant(peer: PeerId): boolean;
   send(peer: PeerId, message: EvidenceMessage): void;
+  broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
 type LoadMessage = EvidenceMessageOf<'load' | 'region-load' | 'want-target' | 'advise-target'>;
@@ -43,27 +36,24 @@
 /** Tells load, asks for advice and gives it. */
 export default class LoadExchange {
   private readonly news: LoadNews;
-  private readonly regionNews: LoadNews;
-  private readonly regionLoad = new RegionLoad();
+  private readonly region: RegionLoad;
   private readonly advice: TargetAdvice;
   private startedAtMs: Millis = 0;
 
   constructor(private readonly options: LoadExchangeOptions) {
-    const { self, clock, timers, peers, listSchedulers, adviseTarget, send } = options;
+    const { self, clock, timers, peers, listSchedulers, adviseTarget, send, broadcast } = options;
     this.news = new LoadNews({
       timers,
-      gatherMs: GATHER_MS,
       listPeers: () => this.listReaders(),
       readLoadFor: (peer) => this.readLoadFor(peer),
       tell: (peer, targets) =>
         send(peer, { kind: 'load', targets, advice: this.advice.answeredBy(peer) }),
     });
-    this.regionNews = new LoadNews({
+    this.region = new RegionLoad({
       timers,
-      gatherMs: REGION_GATHER_MS,
-      listPeers: () => this.listRegionReaders(),
-      readLoadFor: () => this.regionLoad.sum(this.options.readLoad()),
-      tell: (peer, targets) => send(peer, { kind: 'region-load', ...toColumns(targets) }),
+      readOwnLoad: () => this.readLoadFor(self),
+      listReaders: () => this.listRegionReaders(),
+      tell: (readers, sums) => broadcast({ kind: 'region-load', ...sums }, readers),
     });
     this.advice = new TargetAdvice({
       self,
@@ -85,12 +75,13 @@
   /** The load of this VM changed; those who should know are told soon. */
   note(): void {
     this.news.note();
-    this.noteRegion();
+    this.region.note();
   }
 
   /** Tells those who should know another load than they do. */
   tell(): void {
     this.news.tellAll();
+    this.region.tellAll();
   }
 
   /** Asks where a stream should go; answered at once where there is nobody to ask. */
@@ -101,17 +92,16 @@
   /** A link came up. */
   noteLinked(peer: PeerId): void {
     this.news.forget(peer);
-    this.regionNews.forget(peer);
+    this.region.forget(peer);
     this.news.tellAll();
-    this.noteRegion();
+    this.region.note();
   }
 
   /** A link is lost. */
   noteLost(peer: PeerId): void {
     this.news.forget(peer);
-    this.regionNews.forget(peer);
-    this.regionLoad.take(peer, []);
-    this.noteRegion();
+    this.region.forget(peer);
+    this.region.take(peer, []);
     this.advice.noteLost(peer);
     this.options.onLoad(peer, { targets: new Map(), advice: Infinity });
   }
@@ -137,16 +127,7 @@
   /** A peer told its load. */
   private hearLoad(peer: PeerId, { targets, advice }: EvidenceMessageOf<'load'>): void {
     this.options.onLoad(peer, { targets: toLoads(targets), advice });
-    if (!this.options.isDistant(peer)) {
-      this.regionLoad.take(peer, targets);
-      this.noteRegion();
-    }
-  }
-
-  private noteRegion(): void {
-    if (this.options.listLoadReaders().length > 0) {
-      this.regionNews.note();
-    }
+    this.region.take(peer, this.options.isDistant(peer) ? [] : targets);
   }
 
   /** A peer asks where its stream should go. */
--- a/packages/share-evidence/src/load-news.ts
+++ b/packages/share-evidence/src/load-news.ts
@@ -2,16 +2,16 @@
  * Tells the requests of this VM under way at each target, where they changed: to every
  * peer in a small fleet, and to the schedulers of a large one.
  */
-import type { Millis, Timers } from '@limelead/types';
+import type { Timers } from '@limelead/types';
 import type { PeerId, TargetLoad } from './types.js';
 
+/** Changes of load within this time are told together, in milliseconds. */
+const GATHER_MS = 15;
 const NO_LOAD = '[]';
 
 /** What the news need. */
 export interface LoadNewsOptions {
   timers: Timers;
-  /** Changes of load within this time are told together, in milliseconds. */
-  gatherMs: Millis;
   /** The load that one peer should know. */
   readLoadFor(peer: PeerId): TargetLoad[];
   /** Peers that are told, of those that are linked now. */
@@ -33,7 +33,7 @@
       return;
     }
     this.isDue = true;
-    this.options.timers.after(this.options.gatherMs, () => {
+    this.options.timers.after(GATHER_MS, () => {
       this.isDue = false;
       this.tellAll();
     });
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -12,6 +12,11 @@
 const FORGET_AFTER_MS = 12_000;
 /** A VM is named to others only while it spoke this lately. */
 const PASS_ON_MS = 9_000;
+/**
+ * Times the same for a VM of another region: its word comes over a few bridges, and with
+ * 12 s half of a region forgot running VMs of others for a moment.
+ */
+const DISTANT_FACTOR = 2;
 /** VMs that a heartbeat names beside those that are news, at least. */
 const LEAST_SAMPLE = 16;
 /**
@@ -51,8 +56,8 @@
     private readonly self: PeerId,
     private readonly clock: Clock,
     private readonly random: Random,
-    /** Whether the fleet is in several regions. */
-    private readonly hasRegions = false,
+    /** Region of this VM; undefined where the fleet is in one. */
+    private readonly region?: string,
   ) {}
 
   /** VMs that are believed to run, this one included. */
@@ -77,6 +82,14 @@
     }
   }
 
+  /** A VM told its own region, which may be another than others heard. */
+  locate(id: PeerId, region: string): void {
+    const known = this.members.get(id);
+    if (known !== undefined) {
+      known.region = region;
+    }
+  }
+
   /** A VM spoke just now, to this one. */
   hearFrom(id: PeerId): void {
     this.hear({ id, ageMs: 0 });
@@ -116,7 +129,7 @@
   }
 
   private get sampleSize(): number {
-    const share = this.hasRegions ? REGIONS_SAMPLE_SHARE : SAMPLE_SHARE;
+    const share = this.region !== undefined ? REGIONS_SAMPLE_SHARE : SAMPLE_SHARE;
     return Math.max(LEAST_SAMPLE, Math.floor(this.members.size * share));
   }
 
@@ -124,13 +137,18 @@
     const now = this.clock.now();
     return [...this.members]
       .map(([id, { spokeAtMs, region }]) => ({ id, ageMs: Math.round(now - spokeAtMs), region }))
-      .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
+      .filter(({ ageMs, region }) => ageMs <= PASS_ON_MS * this.factorOf(region));
+  }
+
+  private factorOf(region: string | undefined): number {
+    const isDistant = region !== undefined && region !== this.region;
+    return isDistant ? DISTANT_FACTOR : 1;
   }
 
   private forgetOld(): void {
-    const since = this.clock.now() - FORGET_AFTER_MS;
-    for (const [member, { spokeAtMs }] of this.members) {
-      if (spokeAtMs < since) {
+    const now = this.clock.now();
+    for (const [member, { spokeAtMs, region }] of this.members) {
+      if (spokeAtMs < now - FORGET_AFTER_MS * this.factorOf(region)) {
         this.members.delete(member);
       }
     }
--- a/packages/share-evidence/src/member-codec.test.ts
+++ b/packages/share-evidence/src/member-codec.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import { evidenceMessageFormat, type EvidenceMessage } from './messages.js';
 import { memberListCodec } from './member-codec.js';
+import { nameMembers, readNamedMembers } from './named-members.js';
 
 const MEMBERS = Array.from({ length: 16 }, (_, index) => ({
   id: `10.2.0.${200 + index}:7210`,
@@ -37,4 +38,26 @@
   assert.equal(evidenceMessageFormat.decode(bytes), heartbeat);
 });
 
+test('the regions of a heartbeat and the sums of a region come out as they went in', () => {
+  const members = MEMBERS.map((member, index) => ({ ...member, region: index % 2 ? 'b' : 'a' }));
+  const named = nameMembers(members, 'a');
+  const heartbeat: EvidenceMessage = {
+    kind: 'heartbeat',
+    wanted: true,
+    ...named,
+    hidden: [{ region: 'c', vms: 30, ageMs: 9_000 }],
+    ...{ revision: 7, configuration: 2, configurationBytes: 900 },
+  };
+  const sums: EvidenceMessage = {
+    kind: 'region-load',
+    ...{ targets: ['t1'], requests: [3], reading: [1], copies: [2], slowness: [1.5] },
+  };
+  for (const message of [heartbeat, sums]) {
+    const read = evidenceMessageFormat.decode(evidenceMessageFormat.encode(message));
+    const expected = message === heartbeat ? { ...heartbeat, members: MEMBERS } : message;
+    assert.equal(read, expected);
+  }
+  assert.equal(readNamedMembers(named), members);
+});
+
 test.run();
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -11,7 +11,7 @@
 import LinkUpkeep from './link-upkeep.js';
 import MemberBook, { type MemberAge } from './member-book.js';
 import planFleet, { LONE_PLAN, type FleetPlan, type LocatedVm } from './plan-fleet.js';
-import RegionSizes, { type RegionNotice } from './region-sizes.js';
+import RegionSizes, { type HiddenRegion, type RegionNotice } from './region-sizes.js';
 import type { PeerId } from './types.js';
 
 /** What a membership needs. */
@@ -34,10 +34,12 @@
   private readonly sizes: RegionSizes;
   /** As of the last round; before the first, a VM of a large fleet is taken for a follower. */
   private plan: FleetPlan;
+  /** VMs that run out of sight, as of the last round. */
+  private hiddenVms = 0;
 
   constructor(private readonly options: MembershipOptions) {
     const { self, region, seeds, links, clock, random } = options;
-    this.book = new MemberBook(self, clock, random, region !== undefined);
+    this.book = new MemberBook(self, clock, random, region);
     this.upkeep = new LinkUpkeep(self, seeds, links);
     this.sizes = new RegionSizes(clock, options.onRegion);
     this.plan = { ...LONE_PLAN, followers: [self] };
@@ -53,7 +55,7 @@
    * spending, and three regions that lose each other would spend three budgets.
    */
   get budgetCount(): number {
-    return this.count + this.sizes.countHidden(this.listDistant(this.book.listLocated()));
+    return this.count + this.hiddenVms;
   }
 
   /** Whether a few VMs follow the store for all; a small fleet asks it directly. */
@@ -101,8 +103,23 @@
     this.book.hearFrom(peer);
   }
 
-  /** A peer named other VMs; a small fleet grows together at once. */
-  hear(members: MemberAge[]): void {
+  /** A peer told its own region; undefined where it knows none. */
+  locate(peer: PeerId, region: string | undefined): void {
+    if (region !== undefined) {
+      this.book.locate(peer, region);
+    }
+  }
+
+  /** Regions that this VM can't see. */
+  listHidden(): HiddenRegion[] {
+    return this.sizes.listHidden();
+  }
+
+  /** A peer named other VMs, and regions that it can't see; a small fleet grows together at once. */
+  hear(members: MemberAge[], hidden: readonly HiddenRegion[] = []): void {
+    hidden
+      .filter(({ region }) => region !== this.options.region)
+      .forEach((region) => this.sizes.hear(region));
     members.forEach((member) => this.book.hear(member));
     if (!this.isLarge) {
       this.upkeep.open(this.book.list());
@@ -113,7 +130,7 @@
   tend(): MemberAge[] {
     const { self, region } = this.options;
     const members = this.book.listLocated();
-    this.sizes.note(this.listDistant(members));
+    this.hiddenVms = this.sizes.note(this.listDistant(members));
     this.plan = planFleet({ id: self, region }, members);
     const { isLarge, near, schedulers, loadReaders, candidates } = this.plan;
     const kept = isLarge ? [...schedulers.flat(), ...loadReaders, ...candidates] : [];
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -31,7 +31,10 @@
 /** What a heartbeat says beside that in a fleet of several regions; see `NamedMembers`. */
 const heartbeatRegions = t.partial({
   region: t.string,
-  elsewhere: t.record(t.string, memberListCodec),
+  regions: t.array(t.string),
+  regionOf: t.array(t.number),
+  /** Regions that the sender can't see; see `HiddenRegion`. */
+  hidden: t.array(t.type({ region: t.string, vms: t.number, ageMs: t.number })),
 });
 
 const heartbeat = t.intersection([heartbeatBase, heartbeatRegions]);
--- a/packages/share-evidence/src/named-members.ts
+++ b/packages/share-evidence/src/named-members.ts
@@ -1,35 +1,36 @@
 /** Members of a heartbeat with the regions in which they are. */
 import type { MemberAge } from './member-book.js';
 
-/** Members as a heartbeat names them; the last two are left out where the fleet is in one region. */
+/** Members as a heartbeat names them; only the first is there where the fleet is in one region. */
 export interface NamedMembers {
-  /** Those of the sender's region. */
+  /** All of them, for VMs of a release that knows no regions as well. */
   members: MemberAge[];
   /** Region of the sender. */
   region?: string;
-  /** Those of other regions, by region. */
-  elsewhere?: Record<string, MemberAge[]>;
+  /** Regions of the members. */
+  regions?: string[];
+  /** For each member its place in `regions`; `UNKNOWN_REGION` where nobody told it. */
+  regionOf?: number[];
 }
 
-/** Gives what to send; in a fleet of several regions, VMs whose region is not known are left out. */
+const UNKNOWN_REGION = -1;
+
+/** Gives what to send from a VM of that region. */
 export function nameMembers(members: MemberAge[], region: string | undefined): NamedMembers {
   if (region === undefined) {
     return { members };
   }
-  const elsewhere: Record<string, MemberAge[]> = {};
-  for (const member of members) {
-    if (member.region !== undefined && member.region !== region) {
-      (elsewhere[member.region] ??= []).push(member);
-    }
-  }
-  return { region, members: members.filter((member) => member.region === region), elsewhere };
+  const regions = [...new Set(members.flatMap((member) => member.region ?? []))];
+  const regionOf = members.map((member) =>
+    member.region === undefined ? UNKNOWN_REGION : regions.indexOf(member.region),
+  );
+  return { members, region, regions, regionOf };
 }
 
 /** Gives the members that a heartbeat named. */
-export function readNamedMembers({ members, region, elsewhere = {} }: NamedMembers): MemberAge[] {
-  const near = members.map((member) => ({ ...member, region }));
-  const distant = Object.entries(elsewhere).flatMap(([name, others]) =>
-    others.map((member) => ({ ...member, region: name })),
-  );
-  return [...near, ...distant];
+export function readNamedMembers({ members, regions, regionOf }: NamedMembers): MemberAge[] {
+  return members.map((member, index) => ({
+    ...member,
+    region: regions?.[regionOf?.[index] ?? UNKNOWN_REGION],
+  }));
 }
--- a/packages/share-evidence/src/region-sizes.ts
+++ b/packages/share-evidence/src/region-sizes.ts
@@ -7,7 +7,7 @@
 
 /**
  * Time in which a region that shrinks is taken to be vanishing, in milliseconds: its VMs
- * are forgotten one by one, 12 s after each spoke, and none of them came back.
+ * are forgotten one by one, 24 s after each spoke, and none of them came back.
  */
 const VANISHING_MS = 30_000;
 
@@ -19,6 +19,14 @@
   vms: number;
 }
 
+/** A region that is out of sight, as VMs tell each other, or one of them would forget it by a restart. */
+export interface HiddenRegion {
+  region: string;
+  vms: number;
+  /** Milliseconds since it had so many. */
+  ageMs: Millis;
+}
+
 interface RegionSize {
   vms: number;
   /** When the region last had so many VMs. */
@@ -35,8 +43,8 @@
     private readonly onNotice: (notice: RegionNotice) => void,
   ) {}
 
-  /** Takes the VMs of other regions that are known now. */
-  note(distant: readonly LocatedVm[]): void {
+  /** Takes the VMs of other regions that are known now; gives how many more run out of sight. */
+  note(distant: readonly LocatedVm[]): number {
     const counts = new Map<string, number>();
     for (const { region } of distant) {
       if (region !== undefined) {
@@ -44,16 +52,31 @@
       }
     }
     counts.forEach((vms, region) => this.noteRegion(region, vms));
-    this.sizes.forEach((size, region) => this.noteSight(region, size, counts.has(region)));
-  }
-
-  /** VMs that run out of sight, as far as this one has to expect. */
-  countHidden(distant: readonly LocatedVm[]): number {
     let held = 0;
-    this.sizes.forEach(({ vms }) => (held += vms));
+    this.sizes.forEach((size, region) => {
+      this.noteSight(region, size, counts.has(region));
+      held += size.vms;
+    });
     return Math.max(0, held - distant.length);
   }
 
+  /** The regions that are out of sight. */
+  listHidden(): HiddenRegion[] {
+    const now = this.clock.now();
+    return [...this.sizes]
+      .filter(([, { isInSight }]) => !isInSight)
+      .map(([region, { vms, atMs }]) => ({ region, vms, ageMs: Math.round(now - atMs) }));
+  }
+
+  /** Another VM tells of a region that it can't see; the newest word counts. */
+  hear({ region, vms, ageMs }: HiddenRegion): void {
+    const atMs = this.clock.now() - Math.max(0, ageMs);
+    const size = this.sizes.get(region);
+    if (size === undefined || (!size.isInSight && atMs > size.atMs)) {
+      this.sizes.set(region, { vms, atMs, isInSight: false });
+    }
+  }
+
   private noteRegion(region: string, vms: number): void {
     const atMs = this.clock.now();
     const size = this.sizes.get(region);
