--- a/packages/load/src/replay-load.fixture.ts
+++ b/packages/load/src/replay-load.fixture.ts
@@ -4,6 +4,7 @@
  * they read one prompt after another, and then write at their pace.
  */
 import { PlaceQueue } from '@limelead/forward-request';
+import { createLocality } from '@limelead/locality';
 import { TargetDirectory, type PacedLoad } from '@limelead/track-service-targets';
 import { hashText, type Millis, type ServiceTarget } from '@limelead/types';
 import type { Arrival } from './plan-arrivals.js';
@@ -116,13 +117,14 @@
   private createVm(index: number): ReplayVm {
     const directory = new TargetDirectory(this.time);
     directory.replaceAll(this.targets);
+    const failureDomain = this.domainOf(index);
     const places = new PlaceQueue({
       clock: this.time,
       timers: this.time,
       directory,
-      failureDomain: this.domainOf(index),
-      limit: ({ target, reading, peerReading }) =>
-        reading + peerReading >= Number(process.env['K'] ?? 1000) ? 0 : target.slots,
+      failureDomain,
+      locality: createLocality({ failureDomain, regionOf: {} }),
+      limit: ({ target }) => target.slots,
     });
     return { id: `vm${index}`, directory, places };
   }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -11,8 +11,10 @@
 import LossNews from './loss-news.js';
 import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
+import { readNamedMembers } from './named-members.js';
 import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
+import type { RegionNotice } from './region-sizes.js';
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
 import type { PeerReport } from './report-messages.js';
@@ -61,7 +63,11 @@
     this.gossip = new Gossip({
       peers: this.peers,
       readKnowledge: options.readKnowledge,
+      region: options.region,
       isChosen: (peer) => this.members?.isChosenPeer(peer) ?? false,
+      isDistant: (peer) => this.members?.isDistant(peer) ?? false,
+      listHidden: () => this.members?.listHidden() ?? [],
+      nameRegion: () => this.members?.nameRegion() ?? [],
       nameAll: () => this.members?.nameAll() ?? [],
       broadcast,
     });
@@ -85,7 +91,10 @@
       self: options.id,
       peers: this.peers,
       listSchedulers: () => this.members?.schedulers ?? [],
+      listLoadReaders: () => this.members?.loadReaders ?? [],
+      isDistant: (peer) => this.members?.isDistant(peer) ?? false,
       send,
+      broadcast,
     });
     this.lossNews = new LossNews({
       clock,
@@ -95,9 +104,9 @@
     });
   }
 
-  /** VMs that are believed to run, this one included. */
+  /** VMs that share the retry budget, this one included, with those of regions that can't be reached. */
   get vmCount(): number {
-    return this.members?.count ?? 1;
+    return this.members?.budgetCount ?? 1;
   }
 
   /** VMs that ask the store themselves while news of it spread as they should. */
@@ -149,7 +158,7 @@
 
   /** Begins to talk. */
   async start(): Promise<void> {
-    const { id, incarnation, host, port, timers, seeds, clock, random } = this.options;
+    const { id, incarnation, host, port, timers, region, seeds, clock, random } = this.options;
     this.links = await createPeerLinks<EvidenceMessage>({
       id,
       incarnation,
@@ -163,7 +172,13 @@
       onLost: (peer) => this.onPeerLost(peer),
       onDropped: () => undefined,
     });
-    this.members = new Membership({ self: id, seeds, links: this.links, clock, random });
+    const onRegion = (notice: RegionNotice): void =>
+      this.options.log.write(notice.isInSight ? 'region-in-sight' : 'region-away', {
+        region: notice.region,
+        vms: notice.vms,
+      });
+    const { links } = this;
+    this.members = new Membership({ self: id, region, seeds, links, clock, random, onRegion });
     this.load.start();
     this.beat(SECOND_ROUND_MS);
   }
@@ -294,6 +309,7 @@
         this.gossip.hear(peer, false);
         break;
       case 'load':
+      case 'region-load':
       case 'want-target':
       case 'advise-target':
         this.load.hear(peer, message);
@@ -341,7 +357,8 @@
 
   private onHeartbeat(peer: PeerId, message: EvidenceMessageOf<'heartbeat'>): void {
     this.store.noteKnowledge(peer, message);
-    this.members?.hear(message.members);
+    this.members?.locate(peer, message.region);
+    this.members?.hear(readNamedMembers(message), message.hidden);
     this.gossip.hear(peer, message.wanted);
     this.store.check();
   }
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -5,12 +5,18 @@
  */
 import type { Clock, Millis, Random } from '@limelead/types';
 import drawSome from './draw-some.js';
+import type { LocatedVm } from './plan-fleet.js';
 import type { PeerId } from './types.js';
 
 /** A VM that has not spoken for this long is taken to be gone. */
 const FORGET_AFTER_MS = 12_000;
 /** A VM is named to others only while it spoke this lately. */
 const PASS_ON_MS = 9_000;
+/**
+ * Times the same for a VM of another region: its word comes over a few bridges, and with
+ * 12 s half of a region forgot running VMs of others for a moment.
+ */
+const DISTANT_FACTOR = 2;
 /** VMs that a heartbeat names beside those that are news, at least. */
 const LEAST_SAMPLE = 16;
 /**
@@ -19,6 +25,11 @@
  * 410 let some VMs know no more than 355.
  */
 const SAMPLE_SHARE = 1 / 12;
+/**
+ * The same in a fleet of several regions. VMs of other regions are heard of over a few
+ * bridges only: with a twelfth, VMs of 410 in seven regions knew as few as 325.
+ */
+const REGIONS_SAMPLE_SHARE = 1 / 5;
 /** VMs that one message names at most: 4 KB, and more than the largest fleet that is planned for. */
 const MAX_NAMED = 512;
 
@@ -26,11 +37,18 @@
 export interface MemberAge {
   id: PeerId;
   ageMs: Millis;
+  /** Undefined where the fleet is in one region, and where nobody told it yet. */
+  region?: string;
+}
+
+interface KnownMember {
+  spokeAtMs: Millis;
+  region: string | undefined;
 }
 
 /** Remembers VMs by address. */
 export default class MemberBook {
-  private readonly spokeAtMs = new Map<PeerId, Millis>();
+  private readonly members = new Map<PeerId, KnownMember>();
   /** VMs that this one did not know when it last named some to all its peers. */
   private readonly news = new Set<PeerId>();
 
@@ -38,27 +56,40 @@
     private readonly self: PeerId,
     private readonly clock: Clock,
     private readonly random: Random,
+    /** Region of this VM; undefined where the fleet is in one. */
+    private readonly region?: string,
   ) {}
 
   /** VMs that are believed to run, this one included. */
   get count(): number {
     this.forgetOld();
-    return this.spokeAtMs.size + 1;
+    return this.members.size + 1;
   }
 
   /** A VM spoke that long ago, as far as somebody knows. */
-  hear({ id, ageMs }: MemberAge): void {
+  hear({ id, ageMs, region }: MemberAge): void {
     const spokeAtMs = this.clock.now() - Math.max(0, ageMs);
-    const knownAtMs = this.spokeAtMs.get(id);
-    if (id === this.self || spokeAtMs <= (knownAtMs ?? -Infinity)) {
+    const known = this.members.get(id);
+    if (known !== undefined) {
+      known.region ??= region;
+    }
+    if (id === this.self || spokeAtMs <= (known?.spokeAtMs ?? -Infinity)) {
       return;
     }
-    this.spokeAtMs.set(id, spokeAtMs);
-    if (knownAtMs === undefined) {
+    this.members.set(id, { spokeAtMs, region: known?.region ?? region });
+    if (known === undefined) {
       this.news.add(id);
     }
   }
 
+  /** A VM told its own region, which may be another than others heard. */
+  locate(id: PeerId, region: string): void {
+    const known = this.members.get(id);
+    if (known !== undefined) {
+      known.region = region;
+    }
+  }
+
   /** A VM spoke just now, to this one. */
   hearFrom(id: PeerId): void {
     this.hear({ id, ageMs: 0 });
@@ -66,8 +97,13 @@
 
   /** The other VMs that are believed to run. */
   list(): PeerId[] {
+    return this.listLocated().map(({ id }) => id);
+  }
+
+  /** The same, with their regions. */
+  listLocated(): LocatedVm[] {
     this.forgetOld();
-    return [...this.spokeAtMs.keys()];
+    return [...this.members].map(([id, { region }]) => ({ id, region }));
   }
 
   /**
@@ -87,22 +123,33 @@
     return drawSome(this.listSpeaking(), MAX_NAMED, this.random);
   }
 
+  /** The VMs of one region that spoke lately. */
+  nameRegion(region: string): MemberAge[] {
+    return this.listSpeaking().filter((member) => member.region === region);
+  }
+
   private get sampleSize(): number {
-    return Math.max(LEAST_SAMPLE, Math.floor(this.spokeAtMs.size * SAMPLE_SHARE));
+    const share = this.region !== undefined ? REGIONS_SAMPLE_SHARE : SAMPLE_SHARE;
+    return Math.max(LEAST_SAMPLE, Math.floor(this.members.size * share));
   }
 
   private listSpeaking(): MemberAge[] {
     const now = this.clock.now();
-    return [...this.spokeAtMs]
-      .map(([id, spokeAtMs]): MemberAge => ({ id, ageMs: Math.round(now - spokeAtMs) }))
-      .filter(({ ageMs }) => ageMs <= PASS_ON_MS);
+    return [...this.members]
+      .map(([id, { spokeAtMs, region }]) => ({ id, ageMs: Math.round(now - spokeAtMs), region }))
+      .filter(({ ageMs, region }) => ageMs <= PASS_ON_MS * this.factorOf(region));
+  }
+
+  private factorOf(region: string | undefined): number {
+    const isDistant = region !== undefined && region !== this.region;
+    return isDistant ? DISTANT_FACTOR : 1;
   }
 
   private forgetOld(): void {
-    const since = this.clock.now() - FORGET_AFTER_MS;
-    for (const [member, spokeAtMs] of this.spokeAtMs) {
-      if (spokeAtMs < since) {
-        this.spokeAtMs.delete(member);
+    const now = this.clock.now();
+    for (const [member, { spokeAtMs, region }] of this.members) {
+      if (spokeAtMs < now - FORGET_AFTER_MS * this.factorOf(region)) {
+        this.members.delete(member);
       }
     }
   }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -15,7 +15,7 @@
 const storeItem = t.type({ key: t.string, value: buffer, revision: t.number });
 
 /** Sent about once a second for gossip, and at once after a change of the two last fields. */
-const heartbeat = t.type({
+const heartbeatBase = t.type({
   kind: t.literal('heartbeat'),
   /** Whether the sender chose the receiver for gossip. */
   wanted: t.boolean,
@@ -28,6 +28,17 @@
   configurationBytes: t.number,
 });
 
+/** What a heartbeat says beside that in a fleet of several regions; see `NamedMembers`. */
+const heartbeatRegions = t.partial({
+  region: t.string,
+  regions: t.array(t.string),
+  regionOf: t.array(t.number),
+  /** Regions that the sender can't see; see `HiddenRegion`. */
+  hidden: t.array(t.type({ region: t.string, vms: t.number, ageMs: t.number })),
+});
+
+const heartbeat = t.intersection([heartbeatBase, heartbeatRegions]);
+
 /** Takes the place of a heartbeat on links that serve no gossip. */
 const pulse = t.type({ kind: t.literal('pulse') });
 
@@ -47,6 +58,16 @@
   ),
 });
 
+/** Requests of a whole region under way at each target, told by one of its schedulers; see `RegionLoad`. */
+const regionLoad = t.type({
+  kind: t.literal('region-load'),
+  targets: t.array(t.string),
+  requests: t.array(t.number),
+  reading: t.array(t.number),
+  copies: t.array(t.number),
+  slowness: t.array(t.number),
+});
+
 /** The sender, or VMs that told it, found these targets lost just now; see `LostTargets`. */
 const lost = t.type({
   kind: t.literal('lost'),
@@ -116,6 +137,7 @@
   heartbeat,
   pulse,
   load,
+  regionLoad,
   wantTarget,
   adviseTarget,
   lost,
@@ -143,6 +165,7 @@
   'heartbeat',
   'pulse',
   'load',
+  'region-load',
   'want-target',
   'advise-target',
   'store-news',
