Judge a version under trial, and plan its roll-out (in work)

Cause: versions of targets and orders of roll-outs were not read. Change: judge-version (two ways), run-roll-outs (exposure, steps, writer), a gate for places.

--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -84,7 +84,7 @@
 
 /** Takes a target, or none where all are full or none is there. */
 export function chooseServiceTarget(
-  targets: TrackedServiceTarget[],
+  targets: readonly TrackedServiceTarget[],
   request: ServiceChoiceRequest,
 ): TrackedServiceTarget | undefined {
   const withPlace = targets.filter(
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -11,6 +11,7 @@
 import type PlaceQueue from './place-queue.js';
 import type ReadingTime from './reading-time.js';
 import type SilenceWatch from './silence-watch.js';
+import type { TargetGate } from './target-gate.js';
 import type TargetPace from './target-pace.js';
 import type { TrafficObserver } from './traffic-observer.js';
 
@@ -23,6 +24,7 @@
   connections: TargetConnections;
   dialect: TargetDialect;
   places: PlaceQueue;
+  gate: TargetGate;
   /** Asks the scheduler of a large fleet where a stream should go. */
   askTarget: AskTarget;
   silence: SilenceWatch;
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -71,6 +71,9 @@
 ): () => void {
   const { service, request } = admitted;
   const { exclude, receive } = search;
+  if (context.gate.decidesAlone(service)) {
+    return takeAnyPlace(context, admitted, search);
+  }
   let stopWaiting = (): void => undefined;
   const stopAsking = context.askTarget(
     { service, affinityKey: request.affinityKey, exclude },
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -286,7 +286,14 @@
   }
 
   private cancelOthers(kept?: CallAttempt): void {
-    this.attempts.filter((attempt) => attempt !== kept).forEach((attempt) => attempt.cancel());
+    const others = this.attempts.filter((attempt) => attempt !== kept);
+    others.filter(({ isOver }) => !isOver).forEach((attempt) => this.tellAbandoned(attempt));
+    others.forEach((attempt) => attempt.cancel());
+  }
+
+  private tellAbandoned({ target, sentAtMs }: CallAttempt): void {
+    const { clock, observer } = this.context;
+    observer.onSendAbandoned?.(this.admitted, target, clock.now() - sentAtMs);
   }
 
   private finish(outcome: CallEnd['outcome'], attempt?: CallAttempt, status?: number): void {
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -23,6 +23,7 @@
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
+import { OPEN_GATE } from './target-gate.js';
 import TargetPace from './target-pace.js';
 import SilenceWatch from './silence-watch.js';
 
@@ -210,7 +211,9 @@
         ...shared,
         failureDomain: 'north',
         limit: ({ target }) => target.slots,
+        gate: OPEN_GATE,
       }),
+      gate: OPEN_GATE,
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
       reading: new ReadingTime(),
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -5,6 +5,7 @@
 import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { CancelTimer, Clock, Millis, Timers } from '@limelead/types';
+import type { TargetGate } from './target-gate.js';
 
 /** Suspicion and pauses end with time, without any event; so waiters are tried again. */
 const RETRY_INTERVAL_MS = 20;
@@ -43,6 +44,7 @@
   failureDomain: string;
   /** Requests of this VM that one target takes at once. */
   limit: (tracked: TrackedServiceTarget) => number;
+  gate: TargetGate;
 }
 
 /** Hands out places at targets. */
@@ -56,15 +58,16 @@
 
   /** Takes a place at one target where it takes work and has one free. */
   takeAt(targetId: string, copyTo?: string): Place | undefined {
-    const { clock, directory, limit } = this.options;
+    const { clock, directory, limit, gate } = this.options;
     const tracked = directory.get(targetId);
     const isFree =
       tracked !== undefined &&
       !tracked.target.leaving &&
       !directory.isSuspected(targetId) &&
       tracked.evidence.fullUntilMs <= clock.now() &&
-      tracked.inFlight < limit(tracked);
-    return isFree ? { tracked, copyTo, release: directory.begin(targetId) } : undefined;
+      tracked.inFlight < limit(tracked) &&
+      gate.mayTake(tracked.target);
+    return isFree ? this.begin(tracked, copyTo) : undefined;
   }
 
   /** Requests that wait now. */
@@ -89,7 +92,7 @@
   }
 
   private tryTake(request: PlaceRequest): Place | undefined {
-    const { directory, clock, failureDomain, limit } = this.options;
+    const { directory, clock, failureDomain, limit, gate } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
       failureDomain,
@@ -98,8 +101,20 @@
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
-    const tracked = chooseServiceTarget(directory.listUsable(request.service), choice);
-    return tracked && { tracked, release: directory.begin(tracked.target.id) };
+    const usable = directory.listUsable(request.service);
+    for (const group of gate.arrange(request.service, usable, request.exclude.size > 0)) {
+      const tracked = chooseServiceTarget(group, choice);
+      if (tracked !== undefined) {
+        return this.begin(tracked);
+      }
+    }
+    return undefined;
+  }
+
+  private begin(tracked: TrackedServiceTarget, copyTo?: string): Place {
+    const { directory, gate } = this.options;
+    gate.noteSent(tracked.target);
+    return { tracked, copyTo, release: directory.begin(tracked.target.id) };
   }
 
   private serveWaiters(): void {
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -23,16 +23,18 @@
 
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
-    const { directory } = this.context;
+    const { directory, gate } = this.context;
     const tracked = this.usable && directory.get(this.usable.keeper.id);
     if (
       tracked === undefined ||
       tracked.target.leaving ||
-      directory.isSuspected(tracked.target.id)
+      directory.isSuspected(tracked.target.id) ||
+      !gate.mayTake(tracked.target)
     ) {
       this.usable = undefined;
       return undefined;
     }
+    gate.noteSent(tracked.target);
     return { tracked, release: directory.begin(tracked.target.id) };
   }
 
@@ -45,7 +47,7 @@
 
   /** Where the copies of a run at that place go; undefined where the engines make none. */
   chooseKeeper(place: Place): ServiceTarget | undefined {
-    const { clock, directory } = this.context;
+    const { clock, directory, gate } = this.context;
     const { service, request, route } = this.admitted;
     const engine = this.context.readTable()?.findService(service)?.engine;
     if (!route.repeatable || engine?.copiesRuns !== true) {
@@ -55,7 +57,7 @@
     if (advised !== undefined) {
       return advised;
     }
-    return chooseCopyKeeper(directory.listUsable(service), {
+    return chooseCopyKeeper(gate.listAdvisable(service, directory.listUsable(service)), {
       affinityKey: request.affinityKey,
       running: place.tracked,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
--- a/packages/forward-request/src/traffic-observer.ts
+++ b/packages/forward-request/src/traffic-observer.ts
@@ -21,6 +21,11 @@
   onBegun?(admitted: AdmittedRequest, target: ServiceTarget): void;
   /** A send that was begun, or that broke off before, ended. */
   onSendEnded?(admitted: AdmittedRequest, target: ServiceTarget, end: SendEnd): void;
+  /**
+   * A send was given up before its answer came, for a better one or since its time was
+   * over: its answer takes longer than that.
+   */
+  onSendAbandoned?(admitted: AdmittedRequest, target: ServiceTarget, afterMs: Millis): void;
   /** The caller has its final answer, or left; it is told once. */
   onFinished?(admitted: AdmittedRequest): void;
 }
@@ -31,6 +36,8 @@
     onAdmitted: (...facts) => observers.forEach((observer) => observer.onAdmitted?.(...facts)),
     onBegun: (...facts) => observers.forEach((observer) => observer.onBegun?.(...facts)),
     onSendEnded: (...facts) => observers.forEach((observer) => observer.onSendEnded?.(...facts)),
+    onSendAbandoned: (...facts) =>
+      observers.forEach((observer) => observer.onSendAbandoned?.(...facts)),
     onFinished: (...facts) => observers.forEach((observer) => observer.onFinished?.(...facts)),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -323,6 +323,7 @@
       target: target.id,
       service: target.service,
       failureDomain: target.failureDomain,
+      version: target.version,
     });
     if (kind !== 'joined') {
       this.connections.release(target.id);
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,6 +3,7 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import {
   KeptPrompts,
+  OPEN_GATE,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -180,7 +181,8 @@
       connections,
       dialect: targets,
       askTarget: askNobody,
-      places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4 }),
+      places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4, gate: OPEN_GATE }),
+      gate: OPEN_GATE,
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
       pace: new TargetPace(() => undefined),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -2,6 +2,7 @@
 import {
   KeptPrompts,
   keepEndToEnd,
+  OPEN_GATE,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -151,7 +152,8 @@
     connections,
     dialect,
     askTarget: askNobody,
-    places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000 }),
+    places: new PlaceQueue({ ...shared, failureDomain: 'd1', limit: () => 1_000, gate: OPEN_GATE }),
+    gate: OPEN_GATE,
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
     pace: new TargetPace(() => undefined),
--- /dev/null
+++ b/packages/run-roll-outs/src/plan-step.ts
@@ -0,0 +1,120 @@
+/** Pure decision: the next step of a roll-out. */
+import type { Millis } from '@limelead/types';
+import type { OrderFault } from './check-order.js';
+import type { RollOutStep } from './types.js';
+
+/** Part of an order's time that is kept for moving the traffic and ending what is under way. */
+const MOVE_SHARE = 0.35;
+/** Longest time kept for it: the users' longest streams and calls end within it. */
+const LONGEST_MOVE_MS = 30_000;
+/** Part of an order's time that is kept for writing the state, and the most of it. */
+const RESERVE_SHARE = 0.1;
+const LONGEST_RESERVE_MS = 3_000;
+/**
+ * Time in which the traffic goes over, from the trial's share to all of it: a version
+ * that fails under load shows it before it has everything.
+ */
+const RAMP_MS = 4_000;
+/** Time at full traffic before a move may be completed: two exchanges of evidence and a look. */
+const WATCH_MS = 3_000;
+/** Answers of the version under trial without which it is not moved to. */
+const LEAST_ANSWERS = 30;
+
+/** What is known of a roll-out. */
+export interface StepFacts {
+  /** The step that stands; undefined before the first. */
+  step?: RollOutStep;
+  fault?: OrderFault;
+  durationMs: Millis;
+  /** Time since the order was seen. */
+  ageMs: Millis;
+  /** Time since the move was agreed; 0 before. */
+  movedForMs: Millis;
+  isOrdered: boolean;
+  isBad: boolean;
+  /** Whether every target of the service already has the version. */
+  isInForce: boolean;
+  /** Targets of the version that take work. */
+  targets: number;
+  /** Answers of the version so far. */
+  answers: number;
+  /** Whether no VM has anything under way at replaced targets, nor sends there. */
+  isMoved: boolean;
+}
+
+/** A step to take, and why. */
+export interface NextStep {
+  step: RollOutStep;
+  reason: string;
+}
+
+/** When the traffic begins to move, as time since the order. */
+export function moveAfterMs(durationMs: Millis): Millis {
+  return durationMs - Math.min(LONGEST_MOVE_MS, durationMs * MOVE_SHARE);
+}
+
+/**
+ * The part of the requests that goes to the version while traffic moves.
+ * @param from the part at the move's begin
+ */
+export function shareOfMove(movedForMs: Millis, from: number): number {
+  return Math.min(1, from + (1 - from) * (movedForMs / RAMP_MS));
+}
+
+/** Gives the next step; undefined where the present one stays. */
+export default function planStep(facts: StepFacts): NextStep | undefined {
+  switch (facts.step) {
+    case undefined:
+      return planFirst(facts);
+    case 'trial':
+      return planRollBack(facts) ?? planMove(facts);
+    case 'move':
+      return planRollBack(facts) ?? planCompletion(facts);
+    default:
+      return undefined;
+  }
+}
+
+function planFirst({ fault, isInForce }: StepFacts): NextStep {
+  if (fault !== undefined) {
+    return { step: 'rolled_back', reason: fault };
+  }
+  return isInForce
+    ? { step: 'completed', reason: 'already-in-force' }
+    : { step: 'trial', reason: 'ordered' };
+}
+
+function planRollBack({ isOrdered, isBad, step, ...facts }: StepFacts): NextStep | undefined {
+  if (!isOrdered) {
+    return { step: 'rolled_back', reason: 'order-deleted' };
+  }
+  if (isBad) {
+    return { step: 'rolled_back', reason: 'bad-version' };
+  }
+  const isLate = facts.ageMs >= latestMs(facts.durationMs);
+  return isLate && step === 'trial'
+    ? { step: 'rolled_back', reason: facts.targets === 0 ? 'no-target' : 'too-few-answers' }
+    : undefined;
+}
+
+function planMove({ ageMs, durationMs, answers, targets }: StepFacts): NextStep | undefined {
+  const mayMove = ageMs >= moveAfterMs(durationMs) && answers >= LEAST_ANSWERS && targets > 0;
+  return mayMove ? { step: 'move', reason: 'as-good-as-in-force' } : undefined;
+}
+
+function planCompletion(facts: StepFacts): NextStep | undefined {
+  if (facts.targets === 0) {
+    return { step: 'rolled_back', reason: 'no-target' };
+  }
+  if (facts.isMoved && facts.movedForMs >= RAMP_MS + WATCH_MS) {
+    return { step: 'completed', reason: 'moved' };
+  }
+  // What is still under way at replaced targets goes on elsewhere, as after any loss.
+  return facts.ageMs >= latestMs(facts.durationMs)
+    ? { step: 'completed', reason: 'time-is-over' }
+    : undefined;
+}
+
+function latestMs(durationMs: Millis): Millis {
+  return durationMs - Math.min(LONGEST_RESERVE_MS, durationMs * RESERVE_SHARE);
+}
--- /dev/null
+++ b/packages/run-roll-outs/src/roll-outs.ts
@@ -0,0 +1,395 @@
+/**
+ * The roll-outs of all services on one VM: which targets a request may go to, what is
+ * told to other VMs, and which step is written next.
+ */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { RouteTest } from '@limelead/judge-version';
+import type { Metrics } from '@limelead/metrics';
+import type { Clock, Millis, Random, ServiceTarget } from '@limelead/types';
+import checkOrder from './check-order.js';
+import planStep, { type StepFacts } from './plan-step.js';
+import type StepWriter from './step-writer.js';
+import VersionBook, { versionOf } from './version-book.js';
+import VersionTrial from './version-trial.js';
+import type {
+  AgreedStep,
+  GatheredEvidence,
+  RollOutBounds,
+  StandingOrder,
+  StoredStep,
+  VmEvidence,
+} from './types.js';
+
+/** A target with the requests of this VM that are under way there. */
+export interface TargetInUse {
+  target: ServiceTarget;
+  inFlight: number;
+}
+
+/** What is known of the store. */
+export interface RollOutKnowledge {
+  orders: readonly StandingOrder[];
+  steps: ReadonlyMap<string, AgreedStep>;
+  targets: readonly ServiceTarget[];
+}
+
+/** How a send ended. */
+export interface EndedSend {
+  route: string;
+  target: ServiceTarget;
+  isGood: boolean;
+  afterMs: Millis;
+}
+
+/** What roll-outs need. */
+export interface RollOutsOptions {
+  clock: Clock;
+  random: Random;
+  log: DecisionLog;
+  metrics: Pick<Metrics, 'count'>;
+  bounds: RollOutBounds;
+  /** Names this process among all that ever told evidence. */
+  incarnation: string;
+  writer: Pick<StepWriter, 'write'>;
+  isService(name: string): boolean;
+  listTargets(): readonly TargetInUse[];
+  /** Whether a target seems to be down. */
+  isSuspected(id: string): boolean;
+  countVms(): number;
+  /** Whether the store's news are young enough here to send to a version under trial. */
+  isInTouch(): boolean;
+  /** Whether this VM gathers evidence for all. */
+  gathers(): boolean;
+  /** Tells those that gather; this VM itself is told directly. */
+  tellGatherers(evidence: VmEvidence): void;
+  tellAll(gathered: GatheredEvidence): void;
+  createTest?: () => RouteTest;
+}
+
+/** Where a request may go: groups of targets, in the order in which they are tried. */
+export type TargetGroups<Item> = readonly (readonly Item[])[];
+
+/** Follows all roll-outs. */
+export default class RollOuts {
+  private readonly versions: VersionBook;
+  /** By service. */
+  private readonly trials = new Map<string, VersionTrial>();
+  private readonly warmAtMs = new Map<string, Millis>();
+  private hasKnowledge = false;
+
+  constructor(private readonly options: RollOutsOptions) {
+    this.versions = new VersionBook(options.clock);
+  }
+
+  /** Whether there is anything to do round by round. */
+  get isActive(): boolean {
+    return [...this.trials.values()].some(({ step }) => !isFinal(step));
+  }
+
+  /** Takes what the store holds now. */
+  take({ orders, steps, targets }: RollOutKnowledge): void {
+    this.versions.take(targets, orders, steps);
+    this.noteWarming(targets);
+    orders.forEach((standing) => this.takeOrder(standing));
+    for (const [service, trial] of this.trials) {
+      this.takeStep(service, trial, steps.get(service));
+    }
+    this.hasKnowledge = true;
+  }
+
+  /** Orders the targets that a request may go to; the very array where all may be taken. */
+  arrange<Item extends { target: ServiceTarget }>(
+    service: string,
+    items: readonly Item[],
+    isRepeat: boolean,
+  ): TargetGroups<Item> {
+    if (this.versions.get(service)?.isPlain ?? true) {
+      return [items];
+    }
+    const of = (use: string): Item[] =>
+      items.filter(({ target }) => this.versions.useOf(service, versionOf(target)) === use);
+    const trial = this.trials.get(service);
+    const inForce = of('in-force');
+    if (trial !== undefined && this.mustLeaveForce(trial, inForce)) {
+      return [of('under-trial')];
+    }
+    if (!isRepeat && trial?.wantsTrial(this.options.isInTouch()) === true) {
+      return [of('under-trial'), inForce];
+    }
+    return inForce.length > 0 ? [inForce] : [of('unordered')];
+  }
+
+  /** Whether a request may go to just this target now. */
+  mayTake(target: ServiceTarget): boolean {
+    const { service } = target;
+    if (this.versions.get(service)?.isPlain ?? true) {
+      return true;
+    }
+    const use = this.versions.useOf(service, versionOf(target));
+    const trial = this.trials.get(service);
+    if (use === 'under-trial') {
+      return trial?.wantsTrial(this.options.isInTouch()) === true;
+    }
+    return use === 'in-force' && !(trial !== undefined && this.mustLeaveForce(trial, [{ target }]));
+  }
+
+  /** Whether the next request should go to a version under trial, whatever is advised. */
+  wantsTrial(service: string): boolean {
+    return this.trials.get(service)?.wantsTrial(this.options.isInTouch()) ?? false;
+  }
+
+  /** The targets that may be advised to other VMs. */
+  listAdvisable<Item extends { target: ServiceTarget }>(service: string, items: Item[]): Item[] {
+    if (this.versions.get(service)?.isPlain ?? true) {
+      return items;
+    }
+    const trial = this.trials.get(service);
+    const mustLeave = trial !== undefined && this.mustLeaveForce(trial, items);
+    const use = mustLeave ? 'under-trial' : 'in-force';
+    return items.filter(({ target }) => this.versions.useOf(service, versionOf(target)) === use);
+  }
+
+  /** A request was sent. */
+  noteSent(target: ServiceTarget): void {
+    const trial = this.trials.get(target.service);
+    if (trial === undefined || isFinal(trial.step)) {
+      return;
+    }
+    const isTrial = this.isTrialVersion(trial, target);
+    trial.noteSent(isTrial);
+    this.options.metrics.count('limelead_roll_out_sends_total', 1, {
+      service: target.service,
+      version: versionOf(target),
+    });
+  }
+
+  /** A send ended. */
+  noteEnded({ route, target, isGood, afterMs }: EndedSend): void {
+    const trial = this.trials.get(target.service);
+    if (trial === undefined || isFinal(trial.step)) {
+      return;
+    }
+    const isWarm = (this.warmAtMs.get(target.id) ?? 0) <= this.options.clock.now();
+    const isTrial = this.isTrialVersion(trial, target);
+    trial.noteEnded({ route, isTrial, isGood, afterMs: isWarm ? afterMs : undefined });
+    if (!isGood) {
+      this.options.metrics.count('limelead_roll_out_bad_answers_total', 1, {
+        service: target.service,
+        version: versionOf(target),
+      });
+    }
+  }
+
+  /** One round: what this VM knows is told, and the next steps are written. */
+  round(): void {
+    for (const trial of this.trials.values()) {
+      if (!isFinal(trial.step)) {
+        this.tell(trial);
+      }
+    }
+    for (const trial of this.trials.values()) {
+      void this.advance(trial);
+    }
+  }
+
+  /** A VM told what its sends brought. */
+  hear(incarnation: string, evidence: VmEvidence): void {
+    this.trialOf(evidence)?.hear(incarnation, evidence);
+  }
+
+  /** A VM that gathers told what all sends brought. */
+  hearGathered(gathered: GatheredEvidence): void {
+    const trial = this.trialOf(gathered);
+    if (trial?.hearGathered(gathered) === true) {
+      const { order, revision } = trial.standing;
+      this.options.log.write('roll-out-version-bad', {
+        service: order.service,
+        version: order.version,
+        order: revision,
+        source: trial.verdict === undefined ? 'peer' : 'own',
+        ...trial.verdict,
+        answers: trial.answers,
+        ageMs: Math.round(trial.ageMs),
+      });
+    }
+  }
+
+  private tell(trial: VersionTrial): void {
+    const evidence = trial.tell(this.countAtReplaced(trial));
+    this.options.tellGatherers(evidence);
+    if (this.options.gathers()) {
+      trial.hear(this.options.incarnation, evidence);
+      const gathered = trial.gather();
+      this.options.tellAll(gathered);
+      this.hearGathered(gathered);
+    }
+  }
+
+  private async advance(trial: VersionTrial): Promise<void> {
+    const { order, revision } = trial.standing;
+    const next = isFinal(trial.step) ? undefined : planStep(this.readFacts(trial));
+    if (next === undefined) {
+      return;
+    }
+    const { service, version } = order;
+    const agreed: AgreedStep = {
+      order: revision,
+      version,
+      step: next.step,
+      replaces: this.listReplaced(trial),
+    };
+    const { reason } = next;
+    const stored = await this.options.writer.write({
+      service,
+      agreed,
+      reason,
+      ageMs: trial.ageMs,
+    });
+    if (stored !== undefined) {
+      this.takeStored(trial, stored);
+    }
+  }
+
+  /** What was just written or read counts at once, also before the store's news bring it. */
+  private takeStored(trial: VersionTrial, { agreed }: StoredStep): void {
+    this.takeStep(trial.standing.order.service, trial, agreed);
+  }
+
+  private readFacts(trial: VersionTrial): StepFacts {
+    const { order, revision } = trial.standing;
+    const known = this.versions.get(order.service);
+    const targets = this.options
+      .listTargets()
+      .filter(({ target }) => target.service === order.service && !target.leaving);
+    const ordered = targets.filter(({ target }) => versionOf(target) === order.version);
+    return {
+      step: trial.step,
+      fault: checkOrder(trial.standing, (name) => this.options.isService(name)),
+      durationMs: order.durationMs,
+      ageMs: trial.ageMs,
+      movedForMs: trial.movedForMs,
+      isOrdered: known?.order?.revision === revision,
+      isBad: trial.isBad,
+      isInForce: targets.length > 0 && ordered.length === targets.length,
+      targets: ordered.length,
+      answers: trial.answers,
+      isMoved: trial.isMoved(this.options.countVms()),
+    };
+  }
+
+  private takeOrder(standing: StandingOrder): void {
+    const { service, version, durationMs } = standing.order;
+    const known = this.trials.get(service);
+    if (known !== undefined && known.standing.revision >= standing.revision) {
+      return;
+    }
+    const { clock, random, bounds, incarnation, createTest } = this.options;
+    const isLate = !this.hasKnowledge;
+    this.trials.set(
+      service,
+      new VersionTrial({
+        standing,
+        bounds,
+        clock,
+        random,
+        incarnation,
+        isLate,
+        countVms: () => this.options.countVms(),
+        createTest,
+      }),
+    );
+    this.options.log.write('roll-out-seen', {
+      service,
+      version,
+      order: standing.revision,
+      durationMs,
+      isLate,
+      fault: checkOrder(standing, (name) => this.options.isService(name)),
+      replacesOrder: known?.standing.revision,
+    });
+  }
+
+  private takeStep(service: string, trial: VersionTrial, agreed: AgreedStep | undefined): void {
+    const before = trial.step;
+    if (agreed === undefined || agreed.order !== trial.standing.revision) {
+      return;
+    }
+    trial.noteStep(agreed.step);
+    if (trial.step !== before) {
+      const { step, answers, ageMs } = trial;
+      const { version, order } = agreed;
+      this.options.log.write('roll-out-step', {
+        service,
+        version,
+        order,
+        step,
+        answers,
+        ageMs: Math.round(ageMs),
+      });
+    }
+  }
+
+  /**
+   * While traffic moves, nothing new goes to what is replaced. A VM without touch goes on
+   * there, until it finds that all of it is gone: the move may be completed by then.
+   */
+  private mustLeaveForce(
+    trial: VersionTrial,
+    inForce: readonly { target: ServiceTarget }[],
+  ): boolean {
+    if (trial.step !== 'move' || trial.isBad) {
+      return false;
+    }
+    const { isInTouch, isSuspected } = this.options;
+    return isInTouch() && trial.isHeard
+      ? trial.isRamped
+      : inForce.every(({ target }) => isSuspected(target.id));
+  }
+
+  private countAtReplaced(trial: VersionTrial): number {
+    const { service, version } = trial.standing.order;
+    return this.options
+      .listTargets()
+      .filter(({ target }) => target.service === service && versionOf(target) !== version)
+      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+  }
+
+  private listReplaced(trial: VersionTrial): string[] {
+    const { service, version } = trial.standing.order;
+    const present = this.options
+      .listTargets()
+      .filter(({ target }) => target.service === service && versionOf(target) !== version)
+      .filter(({ target }) => this.versions.useOf(service, versionOf(target)) === 'in-force');
+    const agreed = this.versions.get(service)?.agreed;
+    const earlier = agreed?.order === trial.standing.revision ? agreed.replaces : [];
+    return [...new Set([...earlier, ...present.map(({ target }) => versionOf(target))])];
+  }
+
+  private trialOf({ service, order }: { service: string; order: number }): VersionTrial | undefined {
+    const trial = this.trials.get(service);
+    return trial?.standing.revision === order && !isFinal(trial.step) ? trial : undefined;
+  }
+
+  private isTrialVersion({ standing }: VersionTrial, target: ServiceTarget): boolean {
+    return versionOf(target) === standing.order.version;
+  }
+
+  private noteWarming(targets: readonly ServiceTarget[]): void {
+    const now = this.options.clock.now();
+    const present = new Set(targets.map(({ id }) => id));
+    for (const { id, coldForMs = 0 } of targets) {
+      if (coldForMs > 0 && !this.warmAtMs.has(id)) {
+        this.warmAtMs.set(id, now + coldForMs);
+      }
+    }
+    for (const id of [...this.warmAtMs.keys()]) {
+      if (!present.has(id)) {
+        this.warmAtMs.delete(id);
+      }
+    }
+  }
+}
+
+function isFinal(step: string | undefined): boolean {
+  return step === 'completed' || step === 'rolled_back';
+}
--- /dev/null
+++ b/packages/run-roll-outs/src/version-book.ts
@@ -0,0 +1,127 @@
+/**
+ * Which versions of a service are in force. A version that appears beside those in force
+ * is under trial: an order comes before its targets, and a replacement without an order
+ * keeps the version.
+ */
+import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import type { AgreedStep, StandingOrder } from './types.js';
+
+/**
+ * Time after which a version that nobody ordered counts as a plain replacement. News of
+ * an order reach every VM that is in touch within a few seconds.
+ */
+const UNORDERED_MS = 5_000;
+
+/** What a version of a service may be given. */
+export type VersionUse = 'in-force' | 'under-trial' | 'blocked' | 'unordered';
+
+/** What is known of one service. */
+export interface ServiceVersions {
+  order?: StandingOrder;
+  agreed?: AgreedStep;
+  /** Versions, and when each counts as in force without an order. */
+  admittedAtMs: Map<string, Millis>;
+  /** True where every target may be sent to, and nothing has to be counted. */
+  isPlain: boolean;
+}
+
+/** The version of a target; empty where it tells none. */
+export function versionOf({ version }: ServiceTarget): string {
+  return version ?? '';
+}
+
+/** Holds the versions of all services. */
+export default class VersionBook {
+  private readonly services = new Map<string, ServiceVersions>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** What is known of a service; undefined before its first target. */
+  get(service: string): ServiceVersions | undefined {
+    return this.services.get(service);
+  }
+
+  /** Takes what the store holds now. */
+  take(
+    targets: readonly ServiceTarget[],
+    orders: readonly StandingOrder[],
+    steps: ReadonlyMap<string, AgreedStep>,
+  ): void {
+    const now = this.clock.now();
+    const versions = new Map<string, Set<string>>();
+    for (const target of targets) {
+      const present = versions.get(target.service) ?? new Set();
+      versions.set(target.service, present.add(versionOf(target)));
+    }
+    for (const { order } of orders) {
+      versions.set(order.service, versions.get(order.service) ?? new Set());
+    }
+    for (const [service, present] of versions) {
+      const order = orders.find((standing) => standing.order.service === service);
+      this.takeService(service, present, { order, agreed: steps.get(service), now });
+    }
+  }
+
+  /** What a version may be given now. */
+  useOf(service: string, version: string): VersionUse {
+    const known = this.services.get(service);
+    if (known === undefined) {
+      return 'in-force';
+    }
+    const { order, agreed } = known;
+    const isOrdered = order?.order.version === version;
+    if (isOrdered && agreed?.order !== order.revision) {
+      return 'under-trial';
+    }
+    return (
+      (agreed && useByStep(agreed, version, order !== undefined)) ??
+      this.useWithoutOrder(known, version)
+    );
+  }
+
+  private takeService(
+    service: string,
+    present: ReadonlySet<string>,
+    { order, agreed, now }: Pick<ServiceVersions, 'order' | 'agreed'> & { now: Millis },
+  ): void {
+    const known = this.services.get(service);
+    const admittedAtMs = known?.admittedAtMs ?? new Map<string, Millis>();
+    // Versions that are there at the first look are in force, but for the one on order.
+    const admitAtMs = admittedAtMs.size === 0 ? now : now + UNORDERED_MS;
+    for (const version of present) {
+      if (!admittedAtMs.has(version) && order?.order.version !== version) {
+        admittedAtMs.set(version, admitAtMs);
+      }
+    }
+    for (const version of [...admittedAtMs.keys()]) {
+      if (!present.has(version) && admittedAtMs.size > 1) {
+        admittedAtMs.delete(version);
+      }
+    }
+    const isPlain = order === undefined && agreed === undefined && present.size <= 1;
+    this.services.set(service, { order, agreed, admittedAtMs, isPlain });
+  }
+
+  private useWithoutOrder({ admittedAtMs }: ServiceVersions, version: string): VersionUse {
+    const admittedMs = admittedAtMs.get(version);
+    return admittedMs !== undefined && admittedMs <= this.clock.now() ? 'in-force' : 'unordered';
+  }
+}
+
+/** Undefined where the step says nothing of the version. */
+function useByStep(
+  { step, version: ordered, replaces }: AgreedStep,
+  version: string,
+  isOrdered: boolean,
+): VersionUse | undefined {
+  if (version === ordered) {
+    if (step === 'completed') {
+      return 'in-force';
+    }
+    return step === 'rolled_back' || !isOrdered ? 'blocked' : 'under-trial';
+  }
+  if (!replaces.includes(version)) {
+    return undefined;
+  }
+  return step === 'completed' ? 'blocked' : 'in-force';
+}
--- a/packages/spend-retries/src/retry-spender.ts
+++ b/packages/spend-retries/src/retry-spender.ts
@@ -65,7 +65,7 @@
    */
   trySpend(now: Millis, vms: number): boolean {
     const isPaid = this.spendOne(now, vms);
-    if (this.remaining(now, vms) + this.borrowed(now) < LOW_REPEATS) {
+    if (this.left(now, vms) < LOW_REPEATS) {
       this.onShort();
     }
     return isPaid;
@@ -96,6 +96,11 @@
     this.loans.push({ repeats, untilMs: now + this.budget.windowMs * LOAN_SHARE });
   }
 
+  /** Repeats that this VM may still spend, its own and borrowed ones. */
+  left(now: Millis, vms: number): number {
+    return this.remaining(now, vms) + this.borrowed(now);
+  }
+
   /** Repeats of this VM's own part that are left in the present window. */
   remaining(now: Millis, vms: number): number {
     const current = this.bucketAt(now);
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -106,6 +106,8 @@
   leaving: boolean;
   /** Version of its software; undefined where it tells none. */
   version?: string;
+  /** Time for which it was still slow from its start when its entry was read, in milliseconds. */
+  coldForMs?: Millis;
   /** True where it costs less and may be taken away at short notice. */
   isSpot?: boolean;
   /** Time left when its notice to leave was read, in milliseconds; undefined without one. */
