--- a/packages/run-roll-outs/src/roll-outs.ts
+++ b/packages/run-roll-outs/src/roll-outs.ts
@@ -215,7 +215,11 @@
   }
 
   private tell(trial: VersionTrial): void {
-    const evidence = trial.tell(this.countAtReplaced(trial));
+    const replaced = this.listAtReplaced(trial);
+    const underWay = replaced.reduce((sum, { inFlight }) => sum + inFlight, 0);
+    // Without touch a word that was given still holds, and none is given anew.
+    const moves = this.options.isInTouch() && trial.isHeard && this.mustLeaveForce(trial, replaced);
+    const evidence = trial.tell(underWay, moves);
     this.options.tellGatherers(evidence);
     if (this.options.gathers()) {
       trial.hear(this.options.incarnation, evidence);
@@ -330,8 +334,9 @@
   }
 
   /**
-   * While traffic moves, nothing new goes to what is replaced. A VM without touch goes on
-   * there, until it finds that all of it is gone: the move may be completed by then.
+   * While traffic moves, nothing new goes to what is replaced. A VM that told so keeps to
+   * it until its word is too old to complete the move by. Without touch it goes back then,
+   * unless it finds that all of it is gone.
    */
   private mustLeaveForce(
     trial: VersionTrial,
@@ -343,23 +348,21 @@
     const { isInTouch, isSuspected } = this.options;
     return isInTouch() && trial.isHeard
       ? trial.isRamped
-      : inForce.every(({ target }) => isSuspected(target.id));
+      : trial.isBound || inForce.every(({ target }) => isSuspected(target.id));
   }
 
-  private countAtReplaced(trial: VersionTrial): number {
+  private listAtReplaced(trial: VersionTrial): TargetInUse[] {
     const { service, version } = trial.standing.order;
     return this.options
       .listTargets()
-      .filter(({ target }) => target.service === service && versionOf(target) !== version)
-      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+      .filter(({ target }) => target.service === service && versionOf(target) !== version);
   }
 
   private listReplaced(trial: VersionTrial): string[] {
-    const { service, version } = trial.standing.order;
-    const present = this.options
-      .listTargets()
-      .filter(({ target }) => target.service === service && versionOf(target) !== version)
-      .filter(({ target }) => this.versions.useOf(service, versionOf(target)) === 'in-force');
+    const { service } = trial.standing.order;
+    const present = this.listAtReplaced(trial).filter(
+      ({ target }) => this.versions.useOf(service, versionOf(target)) === 'in-force',
+    );
     const agreed = this.versions.get(service)?.agreed;
     const earlier = agreed?.order === trial.standing.revision ? agreed.replaces : [];
     return [...new Set([...earlier, ...present.map(({ target }) => versionOf(target))])];
--- a/packages/run-roll-outs/src/version-trial.ts
+++ b/packages/run-roll-outs/src/version-trial.ts
@@ -31,8 +31,10 @@
 const HEARD_MS = 2_000;
 /** Time between two looks at the evidence; several VMs tell the same in each round. */
 const LOOK_MS = 400;
-/** What a VM told of its moved traffic holds this long. */
+/** What a VM told of its moved traffic is believed this long. */
 const TOLD_MS = 2_000;
+/** A VM that told so keeps to it this long: until it is not believed, and a write arrived. */
+const BOUND_MS = TOLD_MS + 1_000;
 
 /** What a trial needs. */
 export interface VersionTrialOptions {
@@ -68,6 +70,7 @@
   private beganAtMs: Millis;
   private lookedAtMs: Millis = -Infinity;
   private movesSinceMs: Millis | undefined;
+  private toldMovedAtMs: Millis = -Infinity;
   private ownVerdict: BadVerdict | undefined;
   private isBadElsewhere = false;
   private knownStep: RollOutStep | undefined;
@@ -111,6 +114,11 @@
     return this.movesSinceMs === undefined ? 0 : this.now - this.movesSinceMs;
   }
 
+  /** Whether this VM told lately that it sends nothing new to replaced targets. */
+  get isBound(): boolean {
+    return this.now - this.toldMovedAtMs < BOUND_MS;
+  }
+
   /** Whether all traffic goes to the version by now. */
   get isRamped(): boolean {
     return shareOfMove(this.movedForMs, 0) >= 1;
@@ -164,13 +172,16 @@
   }
 
   /** What this VM tells those that gather. */
-  tell(underWay: number): VmEvidence {
+  tell(underWay: number, moves: boolean): VmEvidence {
     const { order, revision } = this.standing;
+    if (moves) {
+      this.toldMovedAtMs = this.now;
+    }
     return {
       service: order.service,
       order: revision,
       ageMs: this.ageMs,
-      moves: this.knownStep === 'move',
+      moves,
       underWay,
       sums: this.own.read(),
     };
