Move a service's traffic to a new version, or back (wired)

Cause: nothing read versions or orders; a bad version got its full share at once. Change: a gate for places, rounds of evidence, steps in the store; settings.

--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -1,6 +1,7 @@
 /** Joins a gateway's knowledge, load and evidence to the conversation with its peers. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreFollower } from '@limelead/follow-store';
+import type { TargetGate } from '@limelead/forward-request';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
 import type { TargetDirectory } from '@limelead/track-service-targets';
@@ -22,6 +23,7 @@
   follower: StoreFollower;
   engineLoad: EngineLoad;
   retries: RetryBudgets;
+  gate: TargetGate;
   onRepeats(service: string, repeats: number): void;
   onReport(peer: PeerId, report: PeerReport): void;
 }
@@ -34,7 +36,7 @@
     return undefined;
   }
   const id = formatAddress(peers);
-  const scheduler = new TargetScheduler({ self: id, clock, directory });
+  const scheduler = new TargetScheduler({ self: id, clock, directory, gate: parts.gate });
   return new EvidenceExchange({
     ...peers,
     id,
--- a/packages/gateway/src/create-fleet-parts.ts
+++ b/packages/gateway/src/create-fleet-parts.ts
@@ -1,9 +1,10 @@
 /** Creates the parts that settings and configuration ask for. */
 import createDutyPart from './duty-part.js';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
+import createRollOutPart from './roll-outs.js';
 import createUsagePart from './usage-part.js';
 
-/** Gives the parts; none where nothing asks for any. */
+/** Gives the parts; roll-outs are always followed. */
 export default function createFleetParts(context: FleetPartContext): FleetPart[] {
   const { settings, platform, log } = context;
   const { duties, unknownDuties = [] } = settings;
@@ -12,11 +13,11 @@
   }
   const { dutyPlatform } = platform;
   if (duties === undefined || dutyPlatform === undefined) {
-    return [];
+    return [createRollOutPart(context, undefined)];
   }
   const dutyPart = createDutyPart(context, duties);
   const { duty } = dutyPart;
-  const parts: FleetPart[] = [dutyPart];
+  const parts: FleetPart[] = [dutyPart, createRollOutPart(context, duty)];
   if (duties.duties.includes('usage')) {
     parts.push(createUsagePart(context, { duties, duty, dutyPlatform }));
   }
--- a/packages/gateway/src/duty-part.ts
+++ b/packages/gateway/src/duty-part.ts
@@ -19,10 +19,12 @@
   duty: Duty;
 }
 
-/** Creates the part. One lease covers all duties, so that one VM does all of them. */
+/**
+ * Creates the part. One lease covers all duties of a key, so that one VM does all of them.
+ */
 export default function createDutyPart(
   context: FleetPartContext,
-  { leaseMs }: DutySettings,
+  { leaseMs, key = DUTY_KEY }: Pick<DutySettings, 'leaseMs'> & { key?: string },
 ): DutyPart {
   const { settings, platform, clock, timers, random, log, metrics, knowledge } = context;
   const startedAtMs = clock.now();
@@ -53,7 +55,7 @@
   };
   const seat = new ConditionalSeat({
     store: platform.storeItems,
-    key: DUTY_KEY,
+    key,
     vm: settings.vm,
     incarnation: randomUUID(),
     ttlMs: leaseMs,
@@ -67,7 +69,7 @@
     random,
     ttlMs: leaseMs,
     readPlace,
-    isTaken: () => (knowledge.revision > 0 ? knowledge.has(DUTY_KEY) : undefined),
+    isTaken: () => (knowledge.revision > 0 ? knowledge.has(key) : undefined),
     onFault: (step, { reason, sent, message }) =>
       log.write('duty-call-failed', { step, reason, sent, message }),
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { StoreFollower, type StorePort } from '@limelead/follow-store';
 import {
   KeptPrompts,
+  OPEN_GATE,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -10,6 +11,7 @@
   tellAll,
   type ForwardContext,
   type TargetDialect,
+  type TargetGate,
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
@@ -144,6 +146,7 @@
       metrics: this.metrics,
       directory: this.directory,
       knowledge: this.knowledge,
+      readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       readExchange: () => this.exchange,
     });
     this.frontDoor = new HttpFrontDoor({
@@ -165,6 +168,7 @@
       follower: this.follower,
       engineLoad: this.engineLoad,
       retries: this.retries,
+      gate: this.gate,
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
       onReport: (peer, report) => this.parts.forEach((part) => part.onReport?.(peer, report)),
     });
@@ -243,11 +247,15 @@
     await this.log.flush();
   }
 
+  private get gate(): TargetGate {
+    return this.parts.find(({ gate }) => gate !== undefined)?.gate ?? OPEN_GATE;
+  }
+
   private createContext(): ForwardContext {
     const { directory, connections, log } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
-    const shared = { clock: steadyClock, timers: systemTimers, directory };
+    const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
     return {
       ...shared,
       failureDomain,
@@ -304,6 +312,7 @@
   }
 
   private onKnowledge(): void {
+    this.parts.forEach((part) => part.onKnowledge?.());
     this.exchange?.noteKnowledge();
     this.frontDoor.noteKnowledge();
   }
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -68,6 +68,7 @@
         };
       },
       readTargetId: (key) => (key === 'c' ? undefined : key),
+      composeRollOutState: (key) => ({ key, value: Buffer.alloc(0) }),
     },
     onConfiguration: ({ version }) => versions.push(version),
     onChange: () => undefined,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -6,6 +6,13 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
 import type { StoreUpdate } from '@limelead/share-evidence';
+import {
+  readStep,
+  STEP_KEYS,
+  type AgreedStep,
+  type RollOutState,
+  type StateItem,
+} from '@limelead/run-roll-outs';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
 import type {
@@ -17,7 +24,7 @@
   Timers,
 } from '@limelead/types';
 import LapsedTargets from './lapsed-targets.js';
-import { DUTY_KEY } from './own-keys.js';
+import { DUTY_KEY, ROLL_OUT_DUTY_KEY } from './own-keys.js';
 import RemovedKeys from './removed-keys.js';
 
 /** Where knowledge came from. */
@@ -28,6 +35,8 @@
   | { kind: 'configuration'; configuration: ServingConfiguration }
   | { kind: 'target'; target: ServiceTarget }
   | { kind: 'roll-out'; order: RollOutOrder }
+  /** Written by this system: how far a roll-out is. */
+  | { kind: 'roll-out-step'; service: string; agreed: AgreedStep }
   /** Written by this system: somebody holds the duties. */
   | { kind: 'duty' }
   /** It should be one of these, and does not hold. */
@@ -45,6 +54,8 @@
   read(item: StoreItem): StoreFact;
   /** The id of the target whose item has that key; undefined for other items. */
   readTargetId(key: string): string | undefined;
+  /** The item by which the operator is told how far a roll-out is. */
+  composeRollOutState(service: string, state: RollOutState, version: string): StateItem;
 }
 
 const DUTY: StoreFact = { kind: 'duty' };
@@ -121,6 +132,15 @@
     );
   }
 
+  /** Steps of roll-outs that all VMs agree on, by service. */
+  readRollOutSteps(): ReadonlyMap<string, AgreedStep> {
+    return new Map(
+      [...this.known.values()].flatMap(({ fact }): [string, AgreedStep][] =>
+        fact.kind === 'roll-out-step' ? [[fact.service, fact.agreed]] : [],
+      ),
+    );
+  }
+
   /** Whether an item that means something is there. */
   has(key: string): boolean {
     return this.known.has(key);
@@ -214,8 +234,9 @@
     const targetChanges = changes.flatMap((change) =>
       this.toTargetChange(change, revision, source),
     );
-    this.options.directory.apply(this.lapsed.filter(targetChanges));
+    // Requests that wait are served as targets come; by then all that came with them counts.
     this.knownRevision = Math.max(revision, this.knownRevision);
+    this.options.directory.apply(this.lapsed.filter(targetChanges));
     if (changes.length > 0) {
       this.options.onChange();
     }
@@ -241,7 +262,7 @@
     if (known !== undefined && known.item.revision >= item.revision) {
       return known.fact;
     }
-    const fact = item.key === DUTY_KEY ? DUTY : this.options.dialect.read(item);
+    const fact = readOwnItem(item) ?? this.options.dialect.read(item);
     if (fact.kind === 'unreadable') {
       const { key, revision } = item;
       this.options.log.write('store-item-unreadable', { key, revision, reason: fact.reason });
@@ -277,3 +298,17 @@
     this.options.onConfiguration(this.table);
   }
 }
+
+/** Items that this system writes for itself; undefined for others. */
+function readOwnItem({ key, value }: StoreItem): StoreFact | undefined {
+  if (key === DUTY_KEY || key === ROLL_OUT_DUTY_KEY) {
+    return DUTY;
+  }
+  if (!key.startsWith(STEP_KEYS)) {
+    return undefined;
+  }
+  const agreed = readStep(value);
+  return agreed === undefined
+    ? { kind: 'unreadable', reason: 'holds no step of a roll-out' }
+    : { kind: 'roll-out-step', service: key.slice(STEP_KEYS.length), agreed };
+}
--- a/packages/gateway/src/own-keys.ts
+++ b/packages/gateway/src/own-keys.ts
@@ -2,5 +2,7 @@
 
 /** Who holds the duties that one VM at a time may do. */
 export const DUTY_KEY = 'limelead/duties';
+/** Who may write the steps of roll-outs, where the platform names no duties. */
+export const ROLL_OUT_DUTY_KEY = 'limelead/roll-out-duty';
 /** The usage that was settled last. */
 export const USAGE_KEY = 'limelead/usage';
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process, in the product's own words. */
+import type { RollOutBounds } from '@limelead/run-roll-outs';
 import type { RetryBudget } from '@limelead/spend-retries';
 import type { ListenAddress } from './readiness-server.js';
 
@@ -39,6 +40,7 @@
   /** Time between the request to stop and the kill, in milliseconds. */
   stopGraceMs: number;
   retryBudget: RetryBudget;
+  rollOut: RollOutBounds;
   /** Region of this VM; undefined where nothing tells of regions. */
   region?: string;
   /** Region of each failure domain; empty where nothing tells of regions. */
--- a/packages/gateway/src/target-scheduler.test.ts
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -1,3 +1,4 @@
+import { OPEN_GATE } from '@limelead/forward-request';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
 import type { TargetAnswer, TargetQuestion } from '@limelead/share-evidence';
@@ -32,7 +33,7 @@
 function create(count: number, slots?: number) {
   const directory = new TargetDirectory(clock);
   directory.replaceAll(Array.from({ length: count }, (_, index) => createTarget(index, slots)));
-  const scheduler = new TargetScheduler({ self: 'self', clock, directory });
+  const scheduler = new TargetScheduler({ self: 'self', clock, directory, gate: OPEN_GATE });
   let asked = 0;
   const advise = (peer: string, question: TargetQuestion): TargetAnswer | undefined =>
     scheduler.advise(peer, question);
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -7,6 +7,7 @@
   chooseServiceTarget,
   KEEPER_DOUBT_MS,
 } from '@limelead/choose-service-target';
+import type { TargetGate } from '@limelead/forward-request';
 import {
   choosePart,
   type PeerId,
@@ -22,6 +23,7 @@
   self: PeerId;
   clock: Clock;
   directory: TargetDirectory;
+  gate: TargetGate;
 }
 
 /** Chooses targets for other VMs, and for this one. */
@@ -33,9 +35,9 @@
     const { self, clock, directory } = this.options;
     const { service, number, part, parts } = question;
     const now = clock.now();
-    const targets = directory
-      .listUsable(service)
-      .filter(({ target }) => parts <= 1 || choosePart(target.id, parts) === part);
+    const targets = this.listAdvisable(service).filter(
+      ({ target }) => parts <= 1 || choosePart(target.id, parts) === part,
+    );
     const chosen = chooseServiceTarget(targets, {
       ...question,
       exclude: new Set(question.exclude),
@@ -53,13 +55,19 @@
     return answer;
   }
 
+  /** Versions under trial are each VM's own matter. */
+  private listAdvisable(service: string): TrackedServiceTarget[] {
+    const { directory, gate } = this.options;
+    return gate.listAdvisable(service, directory.listUsable(service));
+  }
+
   /** Any part of the targets may keep the copy: what is known of their load is soft anyway. */
   private chooseCopyTo(
     running: TrackedServiceTarget,
     { service, affinityKey }: TargetQuestion,
   ): string | undefined {
     const { clock, directory } = this.options;
-    return chooseCopyKeeper(directory.listUsable(service), {
+    return chooseCopyKeeper(this.listAdvisable(service), {
       affinityKey,
       running,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -181,7 +181,12 @@
       connections,
       dialect: targets,
       askTarget: askNobody,
-      places: new PlaceQueue({ ...shared, failureDomain: 'north', limit: () => 4, gate: OPEN_GATE }),
+      places: new PlaceQueue({
+        ...shared,
+        failureDomain: 'north',
+        limit: () => 4,
+        gate: OPEN_GATE,
+      }),
       gate: OPEN_GATE,
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
--- a/packages/judge-version/src/sums.ts
+++ b/packages/judge-version/src/sums.ts
@@ -71,7 +71,10 @@
 }
 
 /** Adds sums of one route to others. */
-export function addTo(sums: Sums, { good, bad, times }: Omit<RouteSums, 'route' | 'isTrial'>): void {
+export function addTo(
+  sums: Sums,
+  { good, bad, times }: Omit<RouteSums, 'route' | 'isTrial'>,
+): void {
   sums.good += good;
   sums.bad += bad;
   for (const [bucket, answers] of times) {
--- a/packages/run-roll-outs/src/fleet.fixture.ts
+++ b/packages/run-roll-outs/src/fleet.fixture.ts
@@ -179,13 +179,17 @@
           store: this.createStore(isCut),
           log,
           duty: { permit: () => (index < gatherers ? { token: 1, heldSinceMs: 0 } : undefined) },
-          composeState: (service, state) => ({ key: `status/${service}`, value: Buffer.from(state) }),
+          composeState: (service, state) => ({
+            key: `status/${service}`,
+            value: Buffer.from(state),
+          }),
         }),
         isService: (name) => name === SERVICE,
         listTargets: () =>
           this.targets.map((target) => ({ target, inFlight: vm.inFlight.get(target.id) ?? 0 })),
         isSuspected: () => false,
         countVms: () => this.plan.vms,
+        countTellers: () => this.plan.vms,
         isInTouch: () => !isCut() && !this.isDark,
         gathers: () => index < gatherers,
         tellGatherers: (evidence) =>
@@ -373,7 +377,8 @@
     const after = (atMs = Infinity): Millis => Math.max(0, last - atMs);
     this.result.leftAfterFirstMs = after(this.firstBadAtMs);
     this.result.leftAfterManyMs = after(this.badAtMs[MANY_BAD - 1]);
-    this.result.isAgreed = new Set(this.result.states.filter((state) => state !== 'running')).size <= 1;
+    this.result.isAgreed =
+      new Set(this.result.states.filter((state) => state !== 'running')).size <= 1;
     return this.result;
   }
 }
--- a/packages/run-roll-outs/src/roll-outs.ts
+++ b/packages/run-roll-outs/src/roll-outs.ts
@@ -55,7 +55,10 @@
   listTargets(): readonly TargetInUse[];
   /** Whether a target seems to be down. */
   isSuspected(id: string): boolean;
+  /** VMs that share the slack, this one included. */
   countVms(): number;
+  /** VMs that tell evidence, this one included. */
+  countTellers(): number;
   /** Whether the store's news are young enough here to send to a version under trial. */
   isInTouch(): boolean;
   /** Whether this VM gathers evidence for all. */
@@ -277,7 +280,7 @@
       isInForce: targets.length > 0 && ordered.length === targets.length,
       targets: ordered.length,
       answers: trial.answers,
-      isMoved: trial.isMoved(this.options.countVms()),
+      isMoved: trial.isMoved(this.options.countTellers()),
     };
   }
 
@@ -368,7 +371,13 @@
     return [...new Set([...earlier, ...present.map(({ target }) => versionOf(target))])];
   }
 
-  private trialOf({ service, order }: { service: string; order: number }): VersionTrial | undefined {
+  private trialOf({
+    service,
+    order,
+  }: {
+    service: string;
+    order: number;
+  }): VersionTrial | undefined {
     const trial = this.trials.get(service);
     return trial?.standing.revision === order && !isFinal(trial.step) ? trial : undefined;
   }
--- /dev/null
+++ b/packages/run-roll-outs/src/run-roll-outs.test.ts
@@ -0,0 +1,282 @@
+import type { LogFields } from '@limelead/decision-log';
+import type { ConditionalStore, StoreEntry } from '@limelead/ports';
+import type { ServiceTarget } from '@limelead/types';
+import { PortFault } from '@limelead/errors';
+import * as E from 'fp-ts/lib/Either.js';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  BAD_KINDS,
+  BOUNDS,
+  createRandom,
+  findBreaches,
+  playRollOut,
+  type RunPlan,
+} from './fleet.fixture.js';
+import RollOuts, { type RollOutKnowledge } from './roll-outs.js';
+import { readStep, stepKeyOf } from './step-item.js';
+import StepWriter, { mayFollow } from './step-writer.js';
+import type { AgreedStep, RollOutStep } from './types.js';
+
+const RUN: Omit<RunPlan, 'kind' | 'seed'> = { vms: 3, durationMs: 60_000, hasFaults: true };
+const SEEDS = [1, 2, 3, 4];
+
+for (const kind of ['good', ...BAD_KINDS] as const) {
+  test(`a version that is ${kind}: bounds and duty hold under faults`, async () => {
+    for (const seed of SEEDS) {
+      const plan = { ...RUN, seed, kind };
+      assert.equal(findBreaches(plan, await playRollOut(plan)), [], `seed ${seed}`);
+    }
+  });
+}
+
+test('a version whose verdict is ignored fails the check', async () => {
+  const plan: RunPlan = {
+    ...RUN,
+    seed: 1,
+    kind: 'at-once',
+    createTest: () => ({ take: () => undefined }),
+  };
+  const breaches = findBreaches(plan, await playRollOut(plan));
+  assert.ok(breaches.includes('exposure') && breaches.includes('duty'), breaches.join());
+});
+
+const STEPS: RollOutStep[] = ['trial', 'move', 'completed', 'rolled_back'];
+
+function agree(step: RollOutStep, order = 5): AgreedStep {
+  return { order, version: 'v2', step, replaces: ['v1'] };
+}
+
+test('no step follows a final one of the same order, and a later order follows any', () => {
+  for (const step of STEPS) {
+    assert.not.ok(mayFollow(agree('completed'), agree(step)));
+    assert.not.ok(mayFollow(agree('rolled_back'), agree(step)));
+    assert.ok(mayFollow(agree('completed'), agree(step, 6)));
+    assert.not.ok(mayFollow(agree('trial', 6), agree(step)));
+  }
+});
+
+/** One VM alone, which holds the duty, with a store in memory. */
+function createAlone() {
+  const items = new Map<string, StoreEntry>();
+  const lines: LogFields[] = [];
+  let now = 0;
+  let revision = 10;
+  let fault: PortFault | undefined;
+  let known: RollOutKnowledge = { orders: [], steps: new Map(), targets: [] };
+  const store: ConditionalStore = {
+    read: (key) => async () => E.right(items.get(key)),
+    write: (conditions, writes) => async () => {
+      if (conditions.some((entry) => (items.get(entry.key)?.revision ?? 0) !== entry.revision)) {
+        return E.right({ kind: 'mismatch' as const });
+      }
+      revision += 1;
+      for (const write of writes) {
+        if (write.kind === 'put') {
+          items.set(write.key, { ...write, revision });
+        }
+      }
+      return fault ? E.left(fault) : E.right({ kind: 'written' as const, revision });
+    },
+    grantLease: () => async () => E.left(new PortFault('invalid', 'no', 'not asked for')),
+    renewLease: () => async () => E.right(true),
+    endLease: () => async () => E.right(undefined),
+  };
+  const log = {
+    write: (event: string, fields?: LogFields) => void lines.push({ event, ...fields }),
+    flush: async () => undefined,
+    dropped: 0,
+  };
+  const rollOuts = new RollOuts({
+    clock: { now: () => now },
+    random: createRandom(1),
+    log,
+    metrics: { count: () => undefined },
+    bounds: BOUNDS,
+    incarnation: 'vm/1',
+    writer: new StepWriter({
+      store,
+      log,
+      duty: { permit: () => ({ token: 1, heldSinceMs: 0 }) },
+      composeState: (service, state, version) => ({
+        key: `status/${service}`,
+        value: Buffer.from(`${state} ${version}`),
+      }),
+    }),
+    isService: (name) => name === 's',
+    listTargets: () => known.targets.map((target) => ({ target, inFlight: 0 })),
+    isSuspected: () => false,
+    countVms: () => 1,
+    countTellers: () => 1,
+    isInTouch: () => true,
+    gathers: () => true,
+    tellGatherers: () => undefined,
+    tellAll: () => undefined,
+  });
+  const take = (change: Partial<RollOutKnowledge>): void => {
+    const item = items.get(stepKeyOf('s'));
+    const agreed = item && readStep(item.value);
+    known = { ...known, steps: new Map(agreed ? [['s', agreed]] : []), ...change };
+    rollOuts.take(known);
+  };
+  return {
+    rollOuts,
+    lines,
+    items,
+    take,
+    failWrites: (next?: PortFault) => (fault = next),
+    status: (service = 's') => items.get(`status/${service}`)?.value.toString(),
+    async runFor(ms: number): Promise<void> {
+      for (const untilMs = now + ms; now < untilMs; now += 500) {
+        rollOuts.round();
+        await new Promise((resolve) => setImmediate(resolve));
+        take({});
+      }
+    },
+  };
+}
+
+function target(version: string, index = 0): ServiceTarget {
+  const id = `${version}-${index}`;
+  return {
+    id,
+    service: 's',
+    host: 'h',
+    port: 1,
+    failureDomain: 'a',
+    slots: 1,
+    leaving: false,
+    version,
+  };
+}
+
+function order(version = 'v2', durationMs = 60_000, service = 's', revision = 5) {
+  return { order: { service, version, durationMs }, revision };
+}
+
+const BAD_ORDERS = [
+  { name: 'an unknown service', given: order('v2', 60_000, 'x'), reason: 'unknown-service' },
+  { name: 'a duration of 0', given: order('v2', 0), reason: 'duration-out-of-range' },
+  {
+    name: 'a duration beyond a day',
+    given: order('v2', 86_400_001),
+    reason: 'duration-out-of-range',
+  },
+] as const;
+
+for (const { name, given, reason } of BAD_ORDERS) {
+  test(`${name} is answered by rolled_back, with a line`, async () => {
+    const vm = createAlone();
+    vm.take({ targets: [target('v1')] });
+    vm.take({ orders: [given] });
+    await vm.runFor(1_000);
+    assert.is(vm.status(given.order.service), 'rolled_back v2');
+    const seen = vm.lines.find(({ event }) => event === 'roll-out-seen');
+    assert.is(seen?.['fault'], reason);
+  });
+}
+
+test('the version that is in force already is completed at once', async () => {
+  const vm = createAlone();
+  vm.take({ targets: [target('v2')] });
+  vm.take({ orders: [order()] });
+  await vm.runFor(1_000);
+  assert.is(vm.status(), 'completed v2');
+});
+
+test('a version that no target has is rolled back by the deadline', async () => {
+  const vm = createAlone();
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()] });
+  await vm.runFor(50_000);
+  assert.is(vm.status(), 'running v2');
+  await vm.runFor(9_000);
+  assert.is(vm.status(), 'rolled_back v2');
+  assert.is(vm.lines.at(-2)?.['reason'], 'no-target');
+});
+
+test('an order that is deleted is rolled back, and its version gets nothing more', async () => {
+  const vm = createAlone();
+  const targets = [target('v1'), target('v2')];
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()], targets });
+  await vm.runFor(2_000);
+  vm.take({ orders: [] });
+  await vm.runFor(20_000);
+  assert.is(vm.status(), 'rolled_back v2');
+  const usable = targets.map((known) => ({ target: known }));
+  assert.equal(vm.rollOuts.arrange('s', usable, false), [usable.slice(0, 1)]);
+});
+
+test('a second order takes the place of the first, whose version gets nothing more', async () => {
+  const vm = createAlone();
+  const targets = [target('v1'), target('v2'), target('v3')];
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()], targets: targets.slice(0, 2) });
+  await vm.runFor(2_000);
+  vm.take({ orders: [order('v3', 60_000, 's', 12)], targets });
+  await vm.runFor(2_000);
+  assert.is(vm.status(), 'running v3');
+  const [first, second] = vm.rollOuts.arrange(
+    's',
+    targets.map((known) => ({ target: known })),
+    false,
+  );
+  const ids = (group: readonly { target: ServiceTarget }[] = []) =>
+    group.map((known) => known.target.id);
+  assert.equal([ids(first), ids(second)], [['v3-0'], ['v1-0']]);
+});
+
+test('a version without an order waits until news of one would have come', async () => {
+  const vm = createAlone();
+  const targets = [target('v1'), target('v2')];
+  vm.take({ targets: [target('v1')] });
+  vm.take({ targets });
+  const usable = targets.map((known) => ({ target: known }));
+  assert.equal(vm.rollOuts.arrange('s', usable, false), [usable.slice(0, 1)]);
+  assert.not.ok(vm.rollOuts.mayTake(target('v2')));
+  await vm.runFor(5_500);
+  assert.equal(vm.rollOuts.arrange('s', usable, false), [usable]);
+});
+
+test('a replacement of the same version is taken at once, and costs no group', () => {
+  const vm = createAlone();
+  vm.take({ targets: [target('v1')] });
+  vm.take({ targets: [target('v1'), target('v1', 1)] });
+  const usable = [target('v1'), target('v1', 1)].map((known) => ({ target: known }));
+  assert.is(vm.rollOuts.arrange('s', usable, false)[0], usable);
+});
+
+test('a request that a target failed does not go to the version under trial', async () => {
+  const vm = createAlone();
+  const targets = [target('v1'), target('v2')];
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()], targets });
+  await vm.runFor(2_000);
+  const usable = targets.map((known) => ({ target: known }));
+  assert.is(vm.rollOuts.arrange('s', usable, false).length, 2);
+  assert.equal(vm.rollOuts.arrange('s', usable, true), [usable.slice(0, 1)]);
+});
+
+test('a VM that started while the order stood gets no part of the slack', async () => {
+  const vm = createAlone();
+  vm.take({ orders: [order()], targets: [target('v1'), target('v2')] });
+  await vm.runFor(2_000);
+  assert.is(vm.status(), 'running v2');
+  assert.not.ok(vm.rollOuts.wantsTrial('s'));
+});
+
+test('a write whose answer is lost is found done, and none is written twice', async () => {
+  const vm = createAlone();
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()] });
+  vm.failWrites(new PortFault('timeout', 'maybe', 'no answer'));
+  await vm.runFor(500);
+  const { revision } = vm.items.get('status/s') ?? {};
+  vm.failWrites();
+  await vm.runFor(2_000);
+  assert.is(vm.items.get('status/s')?.revision, revision);
+  assert.ok(vm.lines.some(({ event }) => event === 'roll-out-write-failed'));
+});
+
+test.run();
--- a/packages/run-roll-outs/src/version-trial.ts
+++ b/packages/run-roll-outs/src/version-trial.ts
@@ -27,8 +27,11 @@
 const TRIAL_PART = 0.6;
 /** A budget's window has to be longer than any order, so that nothing is forgotten within it. */
 const WINDOW_FACTOR = 2;
-/** What another VM gathered is good for this long: three of its rounds may be lost. */
-const HEARD_MS = 2_000;
+/**
+ * Part of the time to leave a bad version for which gathered evidence is good: the rest is
+ * for the verdict's way, and some of its rounds may be lost.
+ */
+const HEARD_PART = 0.4;
 /** Time between two looks at the evidence; several VMs tell the same in each round. */
 const LOOK_MS = 400;
 /** What a VM told of its moved traffic is believed this long. */
@@ -140,7 +143,7 @@
 
   /** Whether others gathered evidence for this VM just now. */
   get isHeard(): boolean {
-    return this.gatheredAtMs !== undefined && this.now - this.gatheredAtMs < HEARD_MS;
+    return this.gatheredAtMs !== undefined && this.now - this.gatheredAtMs < this.heardMs;
   }
 
   /** Whether the next request should go to the version under trial. */
@@ -237,6 +240,10 @@
     this.beganAtMs = Math.min(this.beganAtMs, this.now - ageMs);
   }
 
+  private get heardMs(): Millis {
+    return this.options.bounds.rollBackMs * HEARD_PART;
+  }
+
   private get now(): Millis {
     return this.options.clock.now();
   }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -223,6 +223,11 @@
     this.links?.broadcast(report, linked);
   }
 
+  /** Gives a report to every VM to which a link is up. */
+  reportToLinked(report: PeerReport): void {
+    this.links?.broadcast(report, this.peers.list());
+  }
+
   /** Gives a report to the peers with which gossip is shared. */
   reportToPeers(report: PeerReport): void {
     this.links?.broadcast(report, this.gossip.listPeers());
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -2,7 +2,7 @@
 import { createMessageFormat, type MessageFormat } from '@limelead/peer-links';
 import * as t from 'io-ts';
 import { memberListCodec } from './member-codec.js';
-import { demand, timeOfDay, usage } from './report-messages.js';
+import { demand, timeOfDay, usage, versionEvidence, versionTotal } from './report-messages.js';
 
 const buffer = new t.Type<Buffer, Uint8Array, unknown>(
   'bytes',
@@ -127,6 +127,8 @@
   timeOfDay,
   usage,
   demand,
+  versionEvidence,
+  versionTotal,
 ]);
 
 /** A message from one VM to another. */
@@ -149,6 +151,8 @@
   'want-repeats',
   'time-of-day',
   'demand',
+  'version-evidence',
+  'version-total',
 ]);
 
 /** Format of the messages on the wire. */
--- a/packages/share-evidence/src/report-messages.ts
+++ b/packages/share-evidence/src/report-messages.ts
@@ -45,6 +45,44 @@
   ),
 });
 
+const routeSums = t.type({
+  route: t.string,
+  isTrial: t.boolean,
+  good: t.number,
+  bad: t.number,
+  /** Numbers of buckets and answers whose time fell there. */
+  times: t.array(t.tuple([t.number, t.number])),
+});
+
+/** What the sender's sends to the versions of a service brought; sums of this incarnation. */
+export const versionEvidence = t.type({
+  kind: t.literal('version-evidence'),
+  incarnation: t.string,
+  service: t.string,
+  /** Revision of the order. */
+  order: t.number,
+  /** Longest time since any VM saw the order, as far as the sender heard. */
+  ageMs: t.number,
+  /** Whether the sender sends nothing new to replaced targets, and what is under way there. */
+  moves: t.boolean,
+  underWay: t.number,
+  sums: t.array(routeSums),
+});
+
+/** The sums of all VMs that told the sender. */
+export const versionTotal = t.type({
+  kind: t.literal('version-total'),
+  service: t.string,
+  order: t.number,
+  ageMs: t.number,
+  isBad: t.boolean,
+  sums: t.array(routeSums),
+});
+
 /** One report. */
 export type PeerReport =
-  t.TypeOf<typeof timeOfDay> | t.TypeOf<typeof usage> | t.TypeOf<typeof demand>;
+  | t.TypeOf<typeof timeOfDay>
+  | t.TypeOf<typeof usage>
+  | t.TypeOf<typeof demand>
+  | t.TypeOf<typeof versionEvidence>
+  | t.TypeOf<typeof versionTotal>;
