--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -11,6 +11,8 @@
   'forward-request',
   'gateway',
   'http-front-door',
+  'judge-version',
+  'run-roll-outs',
   'share-evidence',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
