--- /dev/null
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -0,0 +1,84 @@
+import { TargetDirectory } from '@limelead/track-service-targets';
+import type { ServiceTarget } from '@limelead/types';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import PlaceQueue, { type Place, type PlaceRequest } from './place-queue.js';
+import { OPEN_GATE, type TargetGate } from './target-gate.js';
+
+const clock = { now: () => 0 };
+const REQUEST: PlaceRequest = {
+  service: 's',
+  affinityKey: 'k',
+  exclude: new Set(),
+  rank: 1,
+  untilMs: 1_000,
+};
+
+function toTarget(version: string, index: number): ServiceTarget {
+  const id = `${version}-${index}`;
+  const port = Number(version.slice(1)) * 10 + index;
+  return { id, service: 's', host: 'h', port, failureDomain: 'd', slots: 1, leaving: false, version };
+}
+
+/** A queue before a target of each of two versions; v2 is tried first. */
+function create(gate: Partial<TargetGate>) {
+  const directory = new TargetDirectory(clock);
+  directory.replaceAll([toTarget('v1', 0), toTarget('v2', 0)]);
+  const sent: string[] = [];
+  const queue = new PlaceQueue({
+    clock,
+    timers: { after: () => () => undefined },
+    directory,
+    failureDomain: 'd',
+    limit: ({ target }) => target.slots,
+    gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
+  });
+  const places: (Place | undefined)[] = [];
+  const take = (exclude: string[] = []): void => {
+    queue.take({ ...REQUEST, exclude: new Set(exclude) }, (place) => places.push(place));
+  };
+  return { queue, sent, places, take };
+}
+
+test('groups are tried in their order, and what is in none is not taken', () => {
+  const { queue, sent, take } = create({
+    arrange: (_, targets) => [targets.filter(({ target }) => target.version === 'v2')],
+  });
+  take();
+  take();
+  assert.equal(sent, ['v2-0']);
+  assert.is(queue.waiting, 1);
+});
+
+test('the next group serves where the first has no place', () => {
+  const of = (version: string): TargetGate['arrange'] => (_, targets) =>
+    [targets.filter(({ target }) => target.version === version)];
+  const { sent, take } = create({
+    arrange: (...facts) => [...of('v2')(...facts), ...of('v1')(...facts)],
+  });
+  take();
+  take();
+  assert.equal(sent, ['v2-0', 'v1-0']);
+});
+
+test('the gate is told of a request that a target already failed', () => {
+  const repeats: boolean[] = [];
+  const { take } = create({
+    arrange: (_, targets, isRepeat) => {
+      repeats.push(isRepeat);
+      return [targets];
+    },
+  });
+  take();
+  take(['v1-0']);
+  assert.equal(repeats, [false, true]);
+});
+
+test('a certain target is taken only where the gate lets it', () => {
+  const { queue, sent } = create({ mayTake: ({ version }) => version === 'v1' });
+  assert.is(queue.takeAt('v2-0'), undefined);
+  assert.is(queue.takeAt('v1-0')?.tracked.target.id, 'v1-0');
+  assert.equal(sent, ['v1-0']);
+});
+
+test.run();
