--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -17,7 +17,16 @@
 function toTarget(version: string, index: number): ServiceTarget {
   const id = `${version}-${index}`;
   const port = Number(version.slice(1)) * 10 + index;
-  return { id, service: 's', host: 'h', port, failureDomain: 'd', slots: 1, leaving: false, version };
+  return {
+    id,
+    service: 's',
+    host: 'h',
+    port,
+    failureDomain: 'd',
+    slots: 1,
+    leaving: false,
+    version,
+  };
 }
 
 /** A queue before a target of each of two versions; v2 is tried first. */
@@ -51,8 +60,9 @@
 });
 
 test('the next group serves where the first has no place', () => {
-  const of = (version: string): TargetGate['arrange'] => (_, targets) =>
-    [targets.filter(({ target }) => target.version === version)];
+  const of =
+    (version: string): TargetGate['arrange'] =>
+    (_, targets) => [targets.filter(({ target }) => target.version === version)];
   const { sent, take } = create({
     arrange: (...facts) => [...of('v2')(...facts), ...of('v1')(...facts)],
   });
