End blocks with their roll-outs, watch every move, and count overdue calls as bad

Change: blocks end 30 s behind a final step; ramp and watch are scaled and always kept; overdue sends are bad, those of callers that left tell nothing; a step without an order is ended; touch asks for another VM's word. Unordered versions serve where all in force are suspected.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -149,6 +149,7 @@
   /** A long answer is passed on as it comes; from here on no other can take its place. */
   private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
+    this.tellUnanswered('answered', attempt);
     this.cancelOthers(attempt);
     const length = head.headers.get('content-length');
     this.sink.begin(
@@ -287,10 +288,19 @@
 
   private cancelOthers(kept?: CallAttempt): void {
     const others = this.attempts.filter((attempt) => attempt !== kept);
-    others.filter(({ isOver }) => !isOver).forEach((attempt) => this.tellAbandoned(attempt));
     others.forEach((attempt) => attempt.cancel());
   }
 
+  /** A send without an answer in time is a bad one; one whose caller left tells nothing. */
+  private tellUnanswered(outcome: CallEnd['outcome'], answered?: CallAttempt): void {
+    const open = this.attempts.filter((attempt) => attempt !== answered && !attempt.isOver);
+    if (this.isOverdue) {
+      open.forEach((attempt) => this.tellSendEnd(attempt, false));
+    } else if (outcome !== 'caller-left') {
+      open.forEach((attempt) => this.tellAbandoned(attempt));
+    }
+  }
+
   private tellAbandoned({ target, sentAtMs }: CallAttempt): void {
     const { clock, observer } = this.context;
     observer.onSendAbandoned?.(this.admitted, target, clock.now() - sentAtMs);
@@ -303,6 +313,7 @@
     this.isDone = true;
     this.stopWaiting();
     this.timers.forEach((cancel) => cancel());
+    this.tellUnanswered(outcome, attempt);
     this.cancelOthers();
     this.report.finished({
       outcome,
--- a/packages/gateway/src/roll-outs.ts
+++ b/packages/gateway/src/roll-outs.ts
@@ -22,6 +22,8 @@
  * has just started take all of it.
  */
 const LEAST_VMS = 6;
+/** Part of the time to leave a bad version for which news of another VM are fresh. */
+const HEARD_PART = 0.4;
 /** Time for which the right to write lasts without renewal: a dead writer is replaced within it. */
 const WRITER_LEASE_MS = 3_000;
 
@@ -46,6 +48,9 @@
   /** The right to write of this part alone, where the platform names no duties. */
   private ownDuty: DutyPart | undefined;
   private knownRevision = 0;
+  private mostVms = 1;
+  /** When another VM last told of a roll-out. */
+  private heardAtMs: Millis = -Infinity;
   private isRunning = false;
   private isStopping = false;
 
@@ -83,6 +88,9 @@
   }
 
   onReport(_peer: string, report: PeerReport): void {
+    if (report.kind === 'version-evidence' || report.kind === 'version-total') {
+      this.heardAtMs = this.context.clock.now();
+    }
     if (report.kind === 'version-evidence') {
       this.rollOuts.hear(report.incarnation, report);
     } else if (report.kind === 'version-total') {
@@ -155,15 +163,24 @@
       isSuspected: (id) => directory.isSuspected(id),
       countVms: () => Math.max(LEAST_VMS, this.vmCount),
       countTellers: () => this.vmCount,
-      isInTouch: () => context.readKnowledgeAgeMs() <= settings.configurationWithinMs,
+      isInTouch: () => this.isInTouch,
       gathers: () => this.gathers(),
       tellGatherers: (evidence) => this.tellGatherers(evidence),
       tellAll: (gathered) => this.tellAll(gathered),
     });
   }
 
+  /** The most VMs that were seen: those that are cut off share in the slack, too. */
   private get vmCount(): number {
-    return this.context.readExchange()?.vmCount ?? 1;
+    this.mostVms = Math.max(this.mostVms, this.context.readExchange()?.vmCount ?? 1);
+    return this.mostVms;
+  }
+
+  /** Fresh news of the store, and of another VM where there are any. */
+  private get isInTouch(): boolean {
+    const { settings, clock, readKnowledgeAgeMs } = this.context;
+    const hears = clock.now() - this.heardAtMs < settings.rollOut.rollBackMs * HEARD_PART;
+    return readKnowledgeAgeMs() <= settings.configurationWithinMs && (hears || this.vmCount === 1);
   }
 
   private gathers(): boolean {
--- a/packages/run-roll-outs/src/plan-step.ts
+++ b/packages/run-roll-outs/src/plan-step.ts
@@ -14,9 +14,12 @@
  * Time in which the traffic goes over, from the trial's share to all of it: a version
  * that fails under load shows it before it has everything.
  */
-const RAMP_MS = 4_000;
+const LONGEST_RAMP_MS = 4_000;
+/** Parts of a short order's time that ramp and watch take instead. */
+const RAMP_SHARE = 0.1;
+const WATCH_SHARE = 0.05;
 /** Time at full traffic before a move may be completed: two exchanges of evidence and a look. */
-const WATCH_MS = 3_000;
+const LONGEST_WATCH_MS = 3_000;
 /** Answers of the version under trial without which it is not moved to. */
 const LEAST_ANSWERS = 30;
 
@@ -57,8 +60,17 @@
  * The part of the requests that goes to the version while traffic moves.
  * @param from the part at the move's begin
  */
-export function shareOfMove(movedForMs: Millis, from: number): number {
-  return Math.min(1, from + (1 - from) * (movedForMs / RAMP_MS));
+export function shareOfMove(movedForMs: Millis, durationMs: Millis, from: number): number {
+  return Math.min(1, from + (1 - from) * (movedForMs / rampMs(durationMs)));
+}
+
+function rampMs(durationMs: Millis): Millis {
+  return Math.min(LONGEST_RAMP_MS, durationMs * RAMP_SHARE);
+}
+
+/** Least time from the agreed move to its completion. */
+function leastMoveMs(durationMs: Millis): Millis {
+  return rampMs(durationMs) + Math.min(LONGEST_WATCH_MS, durationMs * WATCH_SHARE);
 }
 
 /** Gives the next step; undefined where the present one stays. */
@@ -98,7 +110,9 @@
 }
 
 function planMove({ ageMs, durationMs, answers, targets }: StepFacts): NextStep | undefined {
-  const mayMove = ageMs >= moveAfterMs(durationMs) && answers >= LEAST_ANSWERS && targets > 0;
+  const isTime =
+    ageMs >= moveAfterMs(durationMs) && ageMs + leastMoveMs(durationMs) <= latestMs(durationMs);
+  const mayMove = isTime && answers >= LEAST_ANSWERS && targets > 0;
   return mayMove ? { step: 'move', reason: 'as-good-as-in-force' } : undefined;
 }
 
@@ -106,11 +120,12 @@
   if (facts.targets === 0) {
     return { step: 'rolled_back', reason: 'no-target' };
   }
-  if (facts.isMoved && facts.movedForMs >= RAMP_MS + WATCH_MS) {
+  const isWatched = facts.movedForMs >= leastMoveMs(facts.durationMs);
+  if (facts.isMoved && isWatched) {
     return { step: 'completed', reason: 'moved' };
   }
   // What is still under way at replaced targets goes on elsewhere, as after any loss.
-  return facts.ageMs >= latestMs(facts.durationMs)
+  return facts.ageMs >= latestMs(facts.durationMs) && isWatched
     ? { step: 'completed', reason: 'time-is-over' }
     : undefined;
 }
--- a/packages/run-roll-outs/src/roll-outs.ts
+++ b/packages/run-roll-outs/src/roll-outs.ts
@@ -94,6 +94,7 @@
     this.versions.take(targets, orders, steps);
     this.noteWarming(targets);
     orders.forEach((standing) => this.takeOrder(standing));
+    steps.forEach((agreed, service) => this.takeUnordered(service, agreed));
     for (const [service, trial] of this.trials) {
       this.takeStep(service, trial, steps.get(service));
     }
@@ -119,7 +120,11 @@
     if (!isRepeat && trial?.wantsTrial(this.options.isInTouch()) === true) {
       return [of('under-trial'), inForce];
     }
-    return inForce.length > 0 ? [inForce] : [of('unordered')];
+    if (inForce.some(({ target }) => !this.options.isSuspected(target.id))) {
+      return [inForce];
+    }
+    // Better a version that nobody judged than none, but never one that is on order.
+    return [[...inForce, ...of('unordered')]];
   }
 
   /** Whether a request may go to just this target now. */
@@ -316,6 +321,13 @@
     });
   }
 
+  /** A step that nobody finished, whose order was deleted: whoever may write ends it. */
+  private takeUnordered(service: string, { step, version, order: revision }: AgreedStep): void {
+    if (!this.trials.has(service) && !isFinal(step)) {
+      this.takeOrder({ order: { service, version, durationMs: 1 }, revision });
+    }
+  }
+
   private takeStep(service: string, trial: VersionTrial, agreed: AgreedStep | undefined): void {
     const before = trial.step;
     if (agreed === undefined || agreed.order !== trial.standing.revision) {
--- a/packages/run-roll-outs/src/version-book.ts
+++ b/packages/run-roll-outs/src/version-book.ts
@@ -12,6 +12,12 @@
  */
 const UNORDERED_MS = 5_000;
 
+/**
+ * Time for which a version stays blocked behind the end of its roll-out: replaced targets
+ * stop at once, those of a version that was taken back drain within it.
+ */
+const BLOCKED_MS = 30_000;
+
 /** What a version of a service may be given. */
 export type VersionUse = 'in-force' | 'under-trial' | 'blocked' | 'unordered';
 
@@ -21,6 +27,10 @@
   agreed?: AgreedStep;
   /** Versions, and when each counts as in force without an order. */
   admittedAtMs: Map<string, Millis>;
+  /** Versions that stood on an order. */
+  ordered: Set<string>;
+  /** Since when the agreed step is final and says no more than that targets end. */
+  endedAtMs?: Millis;
   /** True where every target may be sent to, and nothing has to be counted. */
   isPlain: boolean;
 }
@@ -73,10 +83,11 @@
     if (isOrdered && agreed?.order !== order.revision) {
       return 'under-trial';
     }
-    return (
-      (agreed && useByStep(agreed, version, order !== undefined)) ??
-      this.useWithoutOrder(known, version)
-    );
+    const isOver =
+      known.endedAtMs !== undefined && this.clock.now() - known.endedAtMs >= BLOCKED_MS;
+    const byStep =
+      agreed === undefined || isOver ? undefined : useByStep(agreed, version, order !== undefined);
+    return byStep ?? this.useWithoutOrder(known, version);
   }
 
   private takeService(
@@ -99,15 +110,35 @@
       }
     }
     const isPlain = order === undefined && agreed === undefined && present.size <= 1;
-    this.services.set(service, { order, agreed, admittedAtMs, isPlain });
+    const ordered = new Set(known?.ordered);
+    if (order !== undefined) {
+      ordered.add(order.order.version);
+    }
+    const endedAtMs = hasEnded(order, agreed) ? (known?.endedAtMs ?? now) : undefined;
+    this.services.set(service, { order, agreed, admittedAtMs, ordered, endedAtMs, isPlain });
   }
 
-  private useWithoutOrder({ admittedAtMs }: ServiceVersions, version: string): VersionUse {
+  private useWithoutOrder(
+    { order, agreed, ordered, admittedAtMs }: ServiceVersions,
+    version: string,
+  ): VersionUse {
+    if (agreed?.step === 'completed' && agreed.version === version) {
+      return 'in-force';
+    }
+    // A version whose order another one replaced was never found good.
+    if (order !== undefined && ordered.has(version)) {
+      return 'blocked';
+    }
     const admittedMs = admittedAtMs.get(version);
     return admittedMs !== undefined && admittedMs <= this.clock.now() ? 'in-force' : 'unordered';
   }
 }
 
+/** A version that was taken back stays so while its order stands. */
+function hasEnded(order: StandingOrder | undefined, agreed: AgreedStep | undefined): boolean {
+  return agreed?.step === 'completed' || (agreed?.step === 'rolled_back' && order === undefined);
+}
+
 /** Undefined where the step says nothing of the version. */
 function useByStep(
   { step, version: ordered, replaces }: AgreedStep,
