--- a/packages/run-roll-outs/src/version-book.ts
+++ b/packages/run-roll-outs/src/version-book.ts
@@ -96,19 +96,7 @@
     { order, agreed, now }: Pick<ServiceVersions, 'order' | 'agreed'> & { now: Millis },
   ): void {
     const known = this.services.get(service);
-    const admittedAtMs = known?.admittedAtMs ?? new Map<string, Millis>();
-    // Versions that are there at the first look are in force, but for the one on order.
-    const admitAtMs = admittedAtMs.size === 0 ? now : now + UNORDERED_MS;
-    for (const version of present) {
-      if (!admittedAtMs.has(version) && order?.order.version !== version) {
-        admittedAtMs.set(version, admitAtMs);
-      }
-    }
-    for (const version of [...admittedAtMs.keys()]) {
-      if (!present.has(version) && admittedAtMs.size > 1) {
-        admittedAtMs.delete(version);
-      }
-    }
+    const admittedAtMs = admit(known?.admittedAtMs ?? new Map(), present, order, now);
     const isPlain = order === undefined && agreed === undefined && present.size <= 1;
     const ordered = new Set(known?.ordered);
     if (order !== undefined) {
@@ -134,6 +122,23 @@
   }
 }
 
+/** Versions that are there at the first look are in force, but for the one on order. */
+function admit(
+  admittedAtMs: ReadonlyMap<string, Millis>,
+  present: ReadonlySet<string>,
+  order: StandingOrder | undefined,
+  now: Millis,
+): Map<string, Millis> {
+  const admitAtMs = admittedAtMs.size === 0 ? now : now + UNORDERED_MS;
+  const kept = [...admittedAtMs].filter(([version]) => present.has(version));
+  const fresh = [...present]
+    .filter((version) => !admittedAtMs.has(version) && order?.order.version !== version)
+    .map((version): [string, Millis] => [version, admitAtMs]);
+  const admitted = new Map([...kept, ...fresh]);
+  // Where all targets are gone, the versions that were there stay those in force.
+  return admitted.size > 0 ? admitted : new Map(admittedAtMs);
+}
+
 /** A version that was taken back stays so while its order stands. */
 function hasEnded(order: StandingOrder | undefined, agreed: AgreedStep | undefined): boolean {
   return agreed?.step === 'completed' || (agreed?.step === 'rolled_back' && order === undefined);
