--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** The process of the HTTP front door. */
+export { default as toRollOutBounds } from './roll-out-bounds.js';
 export { default as Gateway } from './gateway.js';
 export type { GatewayPlatform } from './gateway.js';
 export type { StoreDialect, StoreFact } from './knowledge.js';
