--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -77,6 +77,9 @@
     search.refuse();
     return () => undefined;
   }
+  if (context.gate.decidesAlone(service)) {
+    return takeAnyPlace(context, admitted, search);
+  }
   let stopWaiting = (): void => undefined;
   const stopAsking = context.askTarget(
     { service, affinityKey: request.affinityKey, exclude },
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -51,14 +51,20 @@
 
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
-    const { directory } = this.context;
+    const { directory, gate } = this.context;
     const tracked = this.usable && directory.get(this.usable.keeper.id);
     const holds = (copy: RunCopy): boolean =>
       this.mayLeave ? this.isThere(copy) : this.stands(copy);
-    if (this.usable === undefined || tracked === undefined || !holds(this.usable)) {
+    if (
+      this.usable === undefined ||
+      tracked === undefined ||
+      !holds(this.usable) ||
+      !gate.mayTake(tracked.target)
+    ) {
       this.usable = undefined;
       return undefined;
     }
+    gate.noteSent(tracked.target);
     return { tracked, release: directory.begin(tracked.target.id) };
   }
 
@@ -71,7 +77,7 @@
 
   /** Where the copies of a run at that place go; undefined where the engines make none. */
   chooseKeeper(place: Place): ServiceTarget | undefined {
-    const { clock, directory } = this.context;
+    const { clock, directory, gate } = this.context;
     const { service, request, route } = this.admitted;
     const engine = this.context.readTable()?.findService(service)?.engine;
     if (!route.repeatable || engine?.copiesRuns !== true) {
@@ -81,7 +87,7 @@
     if (advised !== undefined) {
       return advised;
     }
-    return chooseCopyKeeper(directory.listUsable(service), {
+    return chooseCopyKeeper(gate.listAdvisable(service, directory.listUsable(service)), {
       affinityKey: request.affinityKey,
       running: place.tracked,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreFollower } from '@limelead/follow-store';
 import type { Locality } from '@limelead/locality';
+import type { TargetGate } from '@limelead/forward-request';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
 import type { TargetDirectory } from '@limelead/track-service-targets';
@@ -24,6 +25,7 @@
   follower: StoreFollower;
   engineLoad: EngineLoad;
   retries: RetryBudgets;
+  gate: TargetGate;
   onRepeats(service: string, repeats: number): void;
   onReport(peer: PeerId, report: PeerReport): void;
 }
@@ -37,7 +39,7 @@
     return undefined;
   }
   const id = formatAddress(peers);
-  const scheduler = new TargetScheduler({ self: id, clock, directory, locality });
+  const scheduler = new TargetScheduler({ self: id, clock, directory, locality, gate: parts.gate });
   return new EvidenceExchange({
     ...peers,
     id,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {
   KeptPrompts,
   LeavingRuns,
+  OPEN_GATE,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -11,6 +12,7 @@
   tellAll,
   type ForwardContext,
   type TargetDialect,
+  type TargetGate,
 } from '@limelead/forward-request';
 import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
 import { createLocality, type Locality } from '@limelead/locality';
@@ -154,6 +156,7 @@
       metrics: this.metrics,
       directory: this.directory,
       knowledge: this.knowledge,
+      readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       readExchange: () => this.exchange,
     });
     this.frontDoor = new HttpFrontDoor({
@@ -176,6 +179,7 @@
       follower: this.follower,
       engineLoad: this.engineLoad,
       retries: this.retries,
+      gate: this.gate,
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
       onReport: (peer, report) => this.parts.forEach((part) => part.onReport?.(peer, report)),
     });
@@ -256,11 +260,15 @@
     await this.log.flush();
   }
 
+  private get gate(): TargetGate {
+    return this.parts.find(({ gate }) => gate !== undefined)?.gate ?? OPEN_GATE;
+  }
+
   private createContext(): ForwardContext {
     const { directory, locality, connections, log } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
-    const shared = { clock: steadyClock, timers: systemTimers, directory };
+    const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
     return {
       ...shared,
       failureDomain,
@@ -319,6 +327,7 @@
   }
 
   private onKnowledge(): void {
+    this.parts.forEach((part) => part.onKnowledge?.());
     this.exchange?.noteKnowledge();
     this.frontDoor.noteKnowledge();
   }
@@ -340,6 +349,7 @@
       failureDomain: target.failureDomain,
       isSpot: target.isSpot,
       leavesInMs: target.leavesInMs,
+      version: target.version,
     });
     if (kind === 'leaving') {
       this.leaving.leave(target);
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -69,6 +69,7 @@
         };
       },
       readTargetId: (key) => (key === 'c' ? undefined : key),
+      composeRollOutState: (key) => ({ key, value: Buffer.alloc(0) }),
     },
     onConfiguration: ({ version }) => versions.push(version),
     onChange: () => undefined,
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -15,6 +15,8 @@
   'http-front-door',
   'meter-usage',
   'order-capacity',
+  'judge-version',
+  'run-roll-outs',
   'share-evidence',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of one gateway process, in the product's own words. */
 import type { CapacitySettings } from '@limelead/order-capacity';
 import type { LocalityPrices } from '@limelead/locality';
+import type { RollOutBounds } from '@limelead/run-roll-outs';
 import type { RetryBudget } from '@limelead/spend-retries';
 import type { ListenAddress } from './readiness-server.js';
 
@@ -41,6 +42,7 @@
   /** Time between the request to stop and the kill, in milliseconds. */
   stopGraceMs: number;
   retryBudget: RetryBudget;
+  rollOut: RollOutBounds;
   /** Region of this VM; undefined where nothing tells of regions. */
   region?: string;
   /** Region of each failure domain; empty where nothing tells of regions. */
--- a/packages/gateway/src/target-scheduler.test.ts
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -1,4 +1,5 @@
 import { createLocality } from '@limelead/locality';
+import { OPEN_GATE } from '@limelead/forward-request';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
 import type { TargetAnswer, TargetQuestion } from '@limelead/share-evidence';
@@ -34,7 +35,10 @@
   const directory = new TargetDirectory(clock);
   directory.replaceAll(Array.from({ length: count }, (_, index) => createTarget(index, slots)));
   const locality = createLocality({ failureDomain: 'north', regionOf: {} });
-  const scheduler = new TargetScheduler({ self: 'self', clock, directory, locality });
+  const scheduler = new TargetScheduler({
+    ...{ self: 'self', clock, directory, locality },
+    gate: OPEN_GATE,
+  });
   let asked = 0;
   const advise = (peer: string, question: TargetQuestion): TargetAnswer | undefined =>
     scheduler.advise(peer, question);
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -4,6 +4,7 @@
 import {
   KeptPrompts,
   LeavingRuns,
+  OPEN_GATE,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -185,7 +186,12 @@
       connections,
       dialect: targets,
       askTarget: askNobody,
-      places: new PlaceQueue({ ...shared, failureDomain: 'north', locality, limit: () => 4 }),
+      places: new PlaceQueue({
+        ...{ ...shared, failureDomain: 'north', locality },
+        limit: () => 4,
+        gate: OPEN_GATE,
+      }),
+      gate: OPEN_GATE,
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       leaving: new LeavingRuns({ timers: systemTimers, random: systemRandom, log }),
       reading: new ReadingTime(),
--- a/packages/load/src/replay-load.fixture.ts
+++ b/packages/load/src/replay-load.fixture.ts
@@ -3,7 +3,7 @@
  * own. VMs and their knowledge of targets are the product's; targets are a few lines:
  * they read one prompt after another, and then write at their pace.
  */
-import { PlaceQueue } from '@limelead/forward-request';
+import { OPEN_GATE, PlaceQueue } from '@limelead/forward-request';
 import { createLocality } from '@limelead/locality';
 import { TargetDirectory, type PacedLoad } from '@limelead/track-service-targets';
 import { hashText, type Millis, type ServiceTarget } from '@limelead/types';
@@ -125,6 +125,7 @@
       failureDomain,
       locality: createLocality({ failureDomain, regionOf: {} }),
       limit: ({ target }) => target.slots,
+      gate: OPEN_GATE,
     });
     return { id: `vm${index}`, directory, places };
   }
