--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -10,7 +10,6 @@
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
 import type ReadingTime from './reading-time.js';
-import type LeavingRuns from './leaving-runs.js';
 import type SilenceWatch from './silence-watch.js';
 import type TargetPace from './target-pace.js';
 import type { TrafficObserver } from './traffic-observer.js';
@@ -27,7 +26,6 @@
   /** Asks the scheduler of a large fleet where a stream should go. */
   askTarget: AskTarget;
   silence: SilenceWatch;
-  leaving: LeavingRuns;
   kept: KeptPrompts;
   reading: ReadingTime;
   pace: TargetPace;
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -80,7 +80,6 @@
       createEvents: (number) => this.createEvents(number),
       onSending: (number, order) => this.report.sent(number, order),
       onSilent: (number) => this.onSilent(number),
-      onLeaving: (number) => this.onLeaving(number),
     });
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGeneration(admitted), requestId, context.clock.now());
@@ -287,25 +286,6 @@
     this.advance({ kind: 'silent', attempt });
   }
 
-  /** Without a copy the run stays until its target ends: it would have to read its prompt again. */
-  private onLeaving(attempt: number): boolean {
-    const live = this.live.get(attempt);
-    if (
-      live?.copy === undefined ||
-      !live.hearing.isSending ||
-      !this.copies.mayMove(live.copy, live.attempt.target) ||
-      !this.sends.tryPayMove()
-    ) {
-      return false;
-    }
-    this.copies.noteMoving(live.copy, live.attempt.target);
-    live.attempt.cancel();
-    this.tellSendEnd(live, true);
-    this.live.release(attempt);
-    this.advance({ kind: 'broken', attempt, cause: 'refused' });
-    return true;
-  }
-
   /** The target of an attempt is lost or broke off; its copy is the next attempt's start. */
   private lose(attempt: number, cause: LossCause, reason: string): void {
     const live = this.live.get(attempt);
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -7,7 +7,6 @@
 export { default as forwardStream } from './forward-stream.js';
 export { default as judgeSilence } from './judge-silence.js';
 export { default as KeptPrompts } from './kept-prompts.js';
-export { default as LeavingRuns } from './leaving-runs.js';
 export { default as ReadingTime } from './reading-time.js';
 export { default as PlaceQueue } from './place-queue.js';
 export { default as SilenceWatch } from './silence-watch.js';
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -23,7 +23,6 @@
   endReading: () => void;
   forgetCopy: () => void;
   unwatch: () => void;
-  unwatchLeaving: () => void;
 }
 
 /** What a send begins with. */
@@ -40,8 +39,6 @@
   /** Called right before the order goes out. */
   onSending(number: number, order: TargetOrder): void;
   onSilent(number: number): void;
-  /** The target is about to be taken away; gives whether the run goes on elsewhere. */
-  onLeaving(number: number): boolean;
 }
 
 /** Holds the sends by their numbers. */
@@ -63,7 +60,7 @@
   start(number: number, { place, lastPiece, policy }: AttemptStart): void {
     const order = this.composeOrder(place, lastPiece);
     const { copyTo, continueFrom, target } = order;
-    const { directory, leaving, silence } = this.context;
+    const { directory, silence } = this.context;
     const attempt = new StreamAttempt(this.context, order, this.events.createEvents(number));
     const hearing = this.createHearing(number, order, policy);
     const pace = this.context.pace.createRun(target);
@@ -76,11 +73,6 @@
       endReading: continueFrom ? () => undefined : directory.beginReading(target.id),
       forgetCopy: copyTo ? directory.keepCopy(copyTo.id) : () => undefined,
       unwatch: silence.watch(hearing),
-      unwatchLeaving: leaving.watch({
-        target,
-        keeper: copyTo,
-        moveOn: () => this.events.onLeaving(number),
-      }),
     });
     this.events.onSending(number, order);
     attempt.send();
@@ -92,7 +84,6 @@
     if (live !== undefined) {
       this.live.delete(number);
       live.unwatch();
-      live.unwatchLeaving();
       live.endReading();
       live.forgetCopy();
       live.place.release();
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -10,8 +10,6 @@
 export default class RunCopies {
   /** The copy that the next attempt may go on from. */
   private usable: RunCopy | undefined;
-  /** Whether its keeper may be one that leaves. */
-  private mayLeave = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -21,41 +19,17 @@
   /** The run that was copied is lost. */
   noteLost(copy: RunCopy | undefined): void {
     this.usable = copy;
-    this.mayLeave = false;
-  }
-
-  /** Whether a run may go on at the keeper of its copy, which may leave where its own target stays. */
-  mayMove(copy: RunCopy, running: ServiceTarget): boolean {
-    return this.isLeaving(running) ? this.stands(copy) : this.isThere(copy);
-  }
-
-  noteMoving(copy: RunCopy, running: ServiceTarget): void {
-    this.usable = copy;
-    this.mayLeave = !this.isLeaving(running);
-  }
-
-  private isLeaving({ id }: ServiceTarget): boolean {
-    return this.context.directory.get(id)?.target.leaving === true;
-  }
-
-  /** Whether the target that keeps a copy is there and stays. */
-  private stands(copy: RunCopy): boolean {
-    const target = this.context.directory.get(copy.keeper.id)?.target;
-    return target?.leaving === false && this.isThere(copy);
-  }
-
-  private isThere({ keeper }: RunCopy): boolean {
-    const { directory } = this.context;
-    return directory.get(keeper.id) !== undefined && !directory.isSuspected(keeper.id);
   }
 
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
     const { directory } = this.context;
     const tracked = this.usable && directory.get(this.usable.keeper.id);
-    const holds = (copy: RunCopy): boolean =>
-      this.mayLeave ? this.isThere(copy) : this.stands(copy);
-    if (this.usable === undefined || tracked === undefined || !holds(this.usable)) {
+    if (
+      tracked === undefined ||
+      tracked.target.leaving ||
+      directory.isSuspected(tracked.target.id)
+    ) {
       this.usable = undefined;
       return undefined;
     }
--- a/packages/forward-request/src/stream-sends.ts
+++ b/packages/forward-request/src/stream-sends.ts
@@ -12,8 +12,6 @@
   private sends = 0;
   private turnedAway = 0;
   private readonly payments: SendPayments;
-  /** Whether a move was paid for that is still to be sent. */
-  private isPrepaid = false;
   private noteUnreached: NoteUnreached = () => undefined;
   /** Sends that a target may have run. */
   private ran = 0;
@@ -81,19 +79,9 @@
 
   /** Pays for the next send; false where the budget is spent for now. */
   tryPay(): boolean {
-    if (this.isPrepaid) {
-      this.isPrepaid = false;
-      return true;
-    }
     return this.payments.tryPay();
   }
 
-  /** Pays ahead for a move that nothing forces; false where the run has to stay. */
-  tryPayMove(): boolean {
-    this.isPrepaid = this.findEnd() === undefined && this.payments.tryPay();
-    return this.isPrepaid;
-  }
-
   /** An error that promises no more than is known of the request's runs. */
   createError(kind: LimeleadError['kind'], message: string): LimeleadError {
     return new LimeleadError(kind, message, this.mayHaveRun ? { execution: 'unknown' } : {});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,6 @@
 import { StoreFollower, type StorePort } from '@limelead/follow-store';
 import {
   KeptPrompts,
-  LeavingRuns,
   PlaceQueue,
   ReadingTime,
   SilenceWatch,
@@ -87,7 +86,6 @@
   private readonly pace: TargetPace;
   private readonly engineLoad: EngineLoad;
   private readonly retries: RetryBudgets;
-  private readonly leaving: LeavingRuns;
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
   private readonly servers: Server[] = [];
@@ -98,11 +96,6 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
-    this.leaving = new LeavingRuns({
-      timers: systemTimers,
-      random: systemRandom,
-      log: this.log,
-    });
     this.retries = new RetryBudgets({
       budget: settings.retryBudget,
       clock: steadyClock,
@@ -264,7 +257,6 @@
       askTarget: (request, receive) =>
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
-      leaving: this.leaving,
       reading: new ReadingTime(),
       pace: this.pace,
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
@@ -334,9 +326,6 @@
       isSpot: target.isSpot,
       leavesInMs: target.leavesInMs,
     });
-    if (kind === 'leaving') {
-      this.leaving.leave(target);
-    }
     if (kind !== 'joined') {
       this.connections.release(target.id);
       this.pace.forget(target.id);
