--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -24,7 +24,6 @@
     host: 'h',
     port,
     failureDomain: 'd',
-    locality: createLocality({ failureDomain: 'd', regionOf: {} }),
     slots: 1,
     leaving: false,
     version,
@@ -41,6 +40,7 @@
     timers: { after: () => () => undefined },
     directory,
     failureDomain: 'd',
+    locality: createLocality({ failureDomain: 'd', regionOf: {} }),
     limit: ({ target }) => target.slots,
     gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,6 @@
 import { StoreFollower, type StorePort } from '@limelead/follow-store';
 import {
   KeptPrompts,
-  LeavingRuns,
   OPEN_GATE,
   PlaceQueue,
   ReadingTime,
@@ -91,7 +90,6 @@
   private readonly pace: TargetPace;
   private readonly engineLoad: EngineLoad;
   private readonly retries: RetryBudgets;
-  private readonly leaving: LeavingRuns;
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
   private readonly servers: Server[] = [];
@@ -102,11 +100,6 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
-    this.leaving = new LeavingRuns({
-      timers: systemTimers,
-      random: systemRandom,
-      log: this.log,
-    });
     this.locality = createLocality({ ...settings, prices: settings.localityPrices });
     this.retries = new RetryBudgets({
       budget: settings.retryBudget,
@@ -279,7 +272,6 @@
       askTarget: (request, receive) =>
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
-      leaving: this.leaving,
       reading: new ReadingTime(),
       pace: this.pace,
       kept: new KeptPrompts({ ...shared, connections, dialect, log }),
@@ -351,9 +343,6 @@
       leavesInMs: target.leavesInMs,
       version: target.version,
     });
-    if (kind === 'leaving') {
-      this.leaving.leave(target);
-    }
     if (kind !== 'joined') {
       this.connections.release(target.id);
       this.pace.forget(target.id);
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,7 +3,6 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import {
   KeptPrompts,
-  LeavingRuns,
   OPEN_GATE,
   PlaceQueue,
   ReadingTime,
@@ -18,7 +17,6 @@
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   askNobody,
-  systemRandom,
   systemTimers,
   type ServingConfiguration,
   type ServingRoute,
@@ -193,7 +191,6 @@
       }),
       gate: OPEN_GATE,
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
-      leaving: new LeavingRuns({ timers: systemTimers, random: systemRandom, log }),
       reading: new ReadingTime(),
       pace: new TargetPace(() => undefined),
       kept: new KeptPrompts({ ...shared, connections, dialect: targets, log }),
