--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -186,7 +186,7 @@
     this.context.directory.observe(attempt.target.id, { kind });
     this.report.failed(attempt, notSent, reason);
     if (!notSent) {
-      // Of 107 calls whose answer was lost in one window, the targets had begun all.
+      // A call that may have been sent was most likely begun: usage was 107 of 589 too low without.
       this.context.observer.onBegun?.(this.admitted, attempt.target);
       this.tellSendEnd(attempt, false);
     }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -11,8 +11,6 @@
   duties: readonly DutyName[];
   /** Calls that all VMs together may make in a second. */
   callsPerSecond: number;
-  /** Whether the platform refuses tokens below the highest that it has seen. */
-  isFenced: boolean;
   /** Within this time holders may not act in the order A, B, A, in milliseconds. */
   leaseMs: number;
   /** Length of a window of usage, in milliseconds. */
--- a/packages/order-capacity/src/service-orders.ts
+++ b/packages/order-capacity/src/service-orders.ts
@@ -8,7 +8,7 @@
 const ASK_MS = 1_000;
 /**
  * A domain counts as dry for this long after it refused, in milliseconds, or until it gives:
- * taken as open with each question, plain targets elsewhere went and came.
+ * asked at once, plain targets elsewhere would come and go.
  */
 const DRY_MS = 5_000;
 /** Time after a notice in which the platform surely takes targets away, in milliseconds. */
--- a/packages/order-capacity/src/settings.ts
+++ b/packages/order-capacity/src/settings.ts
@@ -20,7 +20,7 @@
   // Where the spot targets of one domain are taken away, those of the next often follow, and
   // none are to be had anywhere until the load is past.
   plainShare: 1,
-  // A caller who has to come back costs as much as a target in some two minutes.
+  // A caller who has to come back costs as much as a target in 100 s.
   lateRunsPerTargetSecond: 0.01,
 };
 
--- a/packages/plan-capacity/src/limit-fall.ts
+++ b/packages/plan-capacity/src/limit-fall.ts
@@ -15,7 +15,7 @@
 
 /** What the last look left. */
 export interface FallState {
-  /** Targets that the plan is made for. */
+  /** What the plan is made for: targets, or hundredths of runs a second. */
   needed: number;
   /** The highest need since the step, which the next one may fall to. */
   highest: number;
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -166,11 +166,11 @@
 /** What the platform says to a call of a duty. */
 export type DutyAnswer =
   | 'taken'
-  /** A later holder called already, or none of the ordered kind is to be had now. */
+  /** An outdated token, or no spot target to be had now: the order's kind tells which. */
   | 'refused'
   /** Too many calls now. */
   | 'too-many'
-  /** The call does not hold; to repeat it is useless. */
+  /** The platform calls it invalid; it is repeated a few times at most. */
   | 'invalid';
 
 /** The platform's calls that only one VM at a time may make. */
--- a/packages/share-evidence/src/choose-bridges.ts
+++ b/packages/share-evidence/src/choose-bridges.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerId } from './types.js';
 
-/** Links between two regions: one is enough, the others stand by and carry news as well. */
+/** Links between two regions: one is enough; all carry news, so that losing two changes nothing. */
 const BRIDGES = 3;
 /** The first of a region's ranking follows the store; its loss should take no bridge as well. */
 const FIRST_BRIDGE = 1;
--- a/packages/share-evidence/src/duty-candidates.ts
+++ b/packages/share-evidence/src/duty-candidates.ts
@@ -44,7 +44,7 @@
     return this.cutOffSince;
   }
 
-  /** One round: as many as there are schedulers, from the end of the ranking that all VMs share. */
+  /** One round: the schedulers of a large fleet, else the last VMs of the ranking that all share. */
   choose(ranking: readonly PeerId[], schedulers: Schedulers, linked: readonly PeerId[]): void {
     const first = schedulers.flat();
     const inOrder = first.length > 0 ? first : ranking.slice(-SMALL_FLEET_CANDIDATES);
