--- a/packages/order-capacity/src/service-plan.ts
+++ b/packages/order-capacity/src/service-plan.ts
@@ -25,11 +25,6 @@
 const KNOWN_SECONDS = 15;
 /** Seconds of load before which a forecast would follow chance. */
 const LEAST_SECONDS = 5;
-/**
- * Part of the plain targets that stays until the load is known: it serves where the spot ones
- * that replace the rest are taken away before.
- */
-const KEPT_PLAIN_SHARE = 1 / 3;
 /** Tokens that a run holds beside its prompt, as a part of it: what it has written. */
 const WRITTEN_SHARE = 0.2;
 
@@ -140,7 +135,7 @@
    * earlier holder already ordered spot ones, nobody knows here which of them replace others.
    */
   private keepSeen({ views, scaling }: ServiceFacts): Map<string, TargetCounts> {
-    const { usesSpot, plainFloor, plainShare } = this.settings;
+    const { usesSpot, plainFloor } = this.settings;
     const maySpot = usesSpot && (scaling.spotPrice ?? 1) < 1;
     const counts = new Map<string, TargetCounts>();
     for (const [name, { plain, spot }] of views) {
@@ -154,9 +149,10 @@
       if (maySpot && most.spot === 0 && most.plain > plainFloor) {
         this.swapped.add(name);
       }
-      const kept = Math.max(plainFloor, Math.ceil(most.plain * plainShare * KEPT_PLAIN_SHARE));
-      const swap = { plain: Math.min(kept, most.plain), spot: Math.max(0, most.plain - kept) };
-      counts.set(name, this.swapped.has(name) ? swap : most);
+      counts.set(
+        name,
+        this.swapped.has(name) ? { plain: plainFloor, spot: most.plain - plainFloor } : most,
+      );
     }
     return counts;
   }
--- a/packages/order-capacity/src/settings.ts
+++ b/packages/order-capacity/src/settings.ts
@@ -17,9 +17,6 @@
   usesSpot: true,
   // A service is never without any target, whatever becomes of its spot ones.
   plainFloor: 1,
-  // Where the spot targets of one domain are taken away, those of the next often follow, and
-  // none are to be had anywhere until the load is past.
-  plainShare: 1,
   // A caller who has to come back costs as much as a target in 100 s.
   lateRunsPerTargetSecond: 0.01,
 };
@@ -43,7 +40,6 @@
   load: numberBetween(0.05, 1),
   usesSpot: t.boolean,
   plainFloor: numberBetween(0, 1_000),
-  plainShare: numberBetween(0, 3),
   lateRunsPerTargetSecond: numberBetween(0.000_001, 1_000),
 });
 
--- a/packages/plan-capacity/src/plan-domains.ts
+++ b/packages/plan-capacity/src/plan-domains.ts
@@ -77,8 +77,7 @@
   return COVERS.flatMap((cover) => {
     const covering = plainThatCovers(cover, needed, domains.length);
     const mostPlain = Math.min(covering, question.scaling.max);
-    const carrying = Math.ceil((needed * policy.plainShare) / domains.length);
-    const least = Math.min(Math.max(policy.plainFloor, carrying), mostPlain);
+    const least = Math.min(policy.plainFloor, mostPlain);
     const length = mostPlain - least + 1;
     return Array.from({ length }, (_, step) => toCandidate(question, cover, least + step));
   });
--- a/packages/plan-capacity/src/types.ts
+++ b/packages/plan-capacity/src/types.ts
@@ -22,11 +22,6 @@
   usesSpot: boolean;
   /** Fewest plain targets of one failure domain. */
   plainFloor: number;
-  /**
-   * Part of the need that plain targets alone carry; 1: a fleet that loses the spot targets of
-   * all domains, and gets none for a while, still serves.
-   */
-  plainShare: number;
   /** Runs that may be late or lost for one second of a plain target saved. */
   lateRunsPerTargetSecond: number;
 }
