--- a/packages/order-capacity/src/settings.ts
+++ b/packages/order-capacity/src/settings.ts
@@ -14,7 +14,8 @@
   headroom: 0,
   // Runs that read beside each other wait; at nine tenths they still catch up with a swing.
   load: 0.9,
-  usesSpot: true,
+  // When a domain's spot targets are taken away, copies of runs go with those that keep them.
+  usesSpot: false,
   // A service is never without any target, whatever becomes of its spot ones.
   plainFloor: 1,
   // A caller who has to come back costs as much as a target in 100 s.
--- a/packages/order-capacity/src/world.fixture.ts
+++ b/packages/order-capacity/src/world.fixture.ts
@@ -59,7 +59,7 @@
         counterValue: () => 0,
         render: () => '',
       },
-      settings: { ...DEFAULT_CAPACITY, ...options.settings },
+      settings: { ...DEFAULT_CAPACITY, usesSpot: true, ...options.settings },
       callsPerSecond: 50,
       listServices: () => services,
       listTargets: () => [...targets.values()],
