Write once what the parts had written twice

Cause: a second reading of the whole change. Two clients of the platform made the same connection, two files the same steady clock; the part of a bad version's time, the time for which a need counts and the seconds of load stood twice with one reason; a type of a standing order had a twin. A comment said that roll-outs cost nothing without an order: they look at what is known once for each revision. Change: createSingleConnection in call-json, steadyClock in types, one constant each. Nothing behaves otherwise. Result: tests of order-capacity, plan-capacity, gateway and the store's clients pass.

--- a/packages/call-json/src/json-caller.ts
+++ b/packages/call-json/src/json-caller.ts
@@ -1,12 +1,9 @@
 /** Single calls with JSON bodies to one service. Nothing is sent twice. */
 import { PortFault } from '@limelead/errors';
 import type { PortCall } from '@limelead/ports';
-import { createConnector } from '@limelead/target-connections';
 import * as E from 'fp-ts/lib/Either.js';
-import { Client } from 'undici';
+import createSingleConnection, { type ServiceAddress } from './single-connection.js';
 
-/** Time for a connection, in milliseconds; one within the region takes some. */
-const CONNECT_TIMEOUT_MS = 400;
 /**
  * Time after which an idle connection is closed, in milliseconds. Calls are a second or
  * more apart: each gets a connection of its own, which can't have died unnoticed.
@@ -39,18 +36,8 @@
 export type JsonCaller = (call: JsonCall) => PortCall<JsonReply>;
 
 /** @param timeoutMs time from the call to the end of its answer, in milliseconds */
-export default function createJsonCaller(
-  { host, port }: { host: string; port: number },
-  timeoutMs: number,
-): JsonCaller {
-  const client = new Client(`http://${host}:${port}`, {
-    pipelining: 1,
-    connect: createConnector(CONNECT_TIMEOUT_MS),
-    keepAliveTimeout: IDLE_CONNECTION_MS,
-    keepAliveMaxTimeout: IDLE_CONNECTION_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+export default function createJsonCaller(address: ServiceAddress, timeoutMs: number): JsonCaller {
+  const client = createSingleConnection(address, IDLE_CONNECTION_MS);
   return (call) => async () => {
     const silence = new AbortController();
     const timer = setTimeout(() => silence.abort(), timeoutMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import { askNobody, delay, systemRandom, systemTimers, type Clock } from '@limelead/types';
+import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
 import type { Server } from 'node:http';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
@@ -73,8 +73,6 @@
   metricsPath: string;
 }
 
-const steadyClock: Clock = { now: () => performance.now() };
-
 /** Runs one process. */
 export default class Gateway {
   readonly log: DecisionLog;
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -12,6 +12,7 @@
   type AgreedStep,
   type RollOutState,
   type StateItem,
+  type StandingOrder,
 } from '@limelead/run-roll-outs';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
@@ -43,12 +44,6 @@
   | { kind: 'unreadable'; reason: string }
   | { kind: 'other' };
 
-/** An order of a roll-out, as the store holds it. */
-export interface KnownRollOut {
-  order: RollOutOrder;
-  revision: number;
-}
-
 /** Reads items of the store in the platform's words. */
 export interface StoreDialect {
   read(item: StoreItem): StoreFact;
@@ -126,7 +121,7 @@
   }
 
   /** Orders of roll-outs that stand now, with the revision that wrote each. */
-  listRollOuts(): KnownRollOut[] {
+  listRollOuts(): StandingOrder[] {
     return [...this.known.values()].flatMap(({ item, fact }) =>
       fact.kind === 'roll-out' ? [{ order: fact.order, revision: item.revision }] : [],
     );
--- a/packages/gateway/src/roll-outs.ts
+++ b/packages/gateway/src/roll-outs.ts
@@ -2,6 +2,7 @@
 import type { AdmittedRequest, TargetGate, TrafficObserver } from '@limelead/forward-request';
 import type { Duty } from '@limelead/hold-duty';
 import {
+  HEARD_PART,
   RollOuts,
   StepWriter,
   type GatheredEvidence,
@@ -22,8 +23,6 @@
  * has just started take all of it.
  */
 const LEAST_VMS = 6;
-/** Part of the time to leave a bad version for which news of another VM are fresh. */
-const HEARD_PART = 0.4;
 /** Time for which the right to write lasts without renewal: a dead writer is replaced within it. */
 const WRITER_LEASE_MS = 3_000;
 
@@ -32,7 +31,10 @@
   gate: TargetGate;
 }
 
-/** Creates the part. It costs nothing while no order stands and one version is there. */
+/**
+ * Creates the part. Without an order and with one version it makes no calls and tells peers
+ * nothing; it looks at what is known once for each revision of the store.
+ */
 export default function createRollOutPart(
   context: FleetPartContext,
   duty: Duty | undefined,
--- a/packages/order-capacity/src/demand-book.ts
+++ b/packages/order-capacity/src/demand-book.ts
@@ -42,7 +42,7 @@
 
 const SECOND_MS = 1_000;
 /** Seconds of load that forecasts look at: longer than the swings of the users' load, 11 s. */
-const LOAD_SECONDS = 15;
+export const LOAD_SECONDS = 15;
 /** Seconds in which targets' best time for a token is looked for: long enough to hold a calm one. */
 const PACE_SECONDS = 60;
 /** Runs that a mean time for a token is taken over, at least; fewer are chance. */
--- a/packages/order-capacity/src/service-plan.ts
+++ b/packages/order-capacity/src/service-plan.ts
@@ -3,6 +3,7 @@
   estimateNeed,
   forecastByQuantile,
   limitFall,
+  NEED_COUNTS_MS,
   planDomains,
   targetsAt,
   type CapacityPlan,
@@ -10,19 +11,12 @@
   type TargetCounts,
 } from '@limelead/plan-capacity';
 import type { EngineTraits, Millis, ServiceScaling } from '@limelead/types';
-import type { KnownDemand } from './demand-book.js';
+import { LOAD_SECONDS, type KnownDemand } from './demand-book.js';
 import type { DomainView } from './domain-view.js';
 import type { CapacitySettings } from './settings.js';
 
-/**
- * Time after which a new holder may order fewer, in milliseconds: as long as a need counts,
- * so that a change of holder in a lull of the load lowers nothing.
- */
-const HOLD_MS = 20_000;
 /** Hundredths of runs, which fall as whole numbers do. */
 const HUNDREDTHS = 100;
-/** Seconds of load after which fewer targets may be ordered: the swings of a load show in them. */
-const KNOWN_SECONDS = 15;
 /** Seconds of load before which a forecast would follow chance. */
 const LEAST_SECONDS = 5;
 /** Tokens that a run holds beside its prompt, as a part of it: what it has written. */
@@ -82,13 +76,17 @@
     return { ...planned, ...told, counts };
   }
 
-  /** Known once, it stays known: at night too few runs begin to tell how fast targets read. */
+  /**
+   * A new holder may order fewer once it saw all the load that forecasts look at, and only
+   * after as long as a need counts: a change of holder in a lull lowers nothing.
+   * Known once, it stays known: at night too few runs begin to tell how fast targets read.
+   */
   private noteKnown({ demand, now }: ServiceFacts): void {
     this.startedAtMs ??= now;
     this.isKnown ||=
       this.readMsPerToken !== undefined &&
-      (demand?.seenSeconds ?? 0) >= KNOWN_SECONDS &&
-      now - this.startedAtMs >= HOLD_MS;
+      (demand?.seenSeconds ?? 0) >= LOAD_SECONDS &&
+      now - this.startedAtMs >= NEED_COUNTS_MS;
   }
 
   /** Gives the prompt tokens a second that are forecast, and takes the need for them. */
--- a/packages/plan-capacity/src/index.ts
+++ b/packages/plan-capacity/src/index.ts
@@ -1,6 +1,6 @@
 /** Pure plan of how many targets each failure domain should have, plain and spot, for a demand. */
 export { forecastByLevelAndSwing, forecastByQuantile, type Forecast } from './forecast.js';
-export { default as limitFall, type FallState } from './limit-fall.js';
+export { default as limitFall, NEED_COUNTS_MS, type FallState } from './limit-fall.js';
 export {
   default as estimateNeed,
   targetsAt,
--- a/packages/run-roll-outs/src/index.ts
+++ b/packages/run-roll-outs/src/index.ts
@@ -7,6 +7,7 @@
   TargetGroups,
   TargetInUse,
 } from './roll-outs.js';
+export { HEARD_PART } from './version-trial.js';
 export { readStep, STEP_KEYS } from './step-item.js';
 export { default as StepWriter, type StateItem, type StepWriterOptions } from './step-writer.js';
 export type {
--- a/packages/run-roll-outs/src/version-trial.ts
+++ b/packages/run-roll-outs/src/version-trial.ts
@@ -31,7 +31,7 @@
  * Part of the time to leave a bad version for which gathered evidence is good: the rest is
  * for the verdict's way, and some of its rounds may be lost.
  */
-const HEARD_PART = 0.4;
+export const HEARD_PART = 0.4;
 /** Time between two looks at the evidence; several VMs tell the same in each round. */
 const LOOK_MS = 400;
 /** What a VM told of its moved traffic is believed this long. */
--- a/packages/types/src/time.ts
+++ b/packages/types/src/time.ts
@@ -16,6 +16,9 @@
 /** The clock of the machine. */
 export const systemClock: Clock = { now: () => Date.now() };
 
+/** Steady clock of the process: milliseconds since its start, which never jump. */
+export const steadyClock: Clock = { now: () => performance.now() };
+
 /** Randomness of the runtime, for jitter and tie-breaking; never for secrets. */
 export const systemRandom: Random = { next: () => Math.random() };
 
