Tell who told the configuration behind each refusal, and lose no line on the way out

Cause: failing requests stood in no line. Change: the rest of a batch is written once the pipe takes it, lines that an output refuses are counted; request-malformed with what can be read, 20 a second; source of the configuration in request-refused; revision and peer in configuration-in-force; peer-told-items.

--- /dev/null
+++ b/packages/decision-log/src/file-output.ts
@@ -0,0 +1,31 @@
+/** Writes to a file descriptor in the background; one that takes nothing holds up nobody. */
+import { write } from 'node:fs';
+import type { LogOutput } from './log-output.js';
+
+/** Pause until a pipe that is full is tried again: its reader empties 64 KB in about that time. */
+const FULL_PAUSE_MS = 10;
+
+/** The call of the file system that is used. */
+export type WriteBytes = (
+  file: number,
+  bytes: Buffer,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
+/** Creates the output. A pipe that does not block takes part of a text, or nothing for now. */
+export default function createFileOutput(file: number, writeBytes: WriteBytes = write): LogOutput {
+  function writeAll(bytes: Buffer, done: (isWritten: boolean) => void): void {
+    writeBytes(file, bytes, (error, written) => {
+      if (error?.code === 'EAGAIN') {
+        setTimeout(() => writeAll(bytes, done), FULL_PAUSE_MS);
+      } else if (error !== null) {
+        done(false);
+      } else if (written < bytes.length) {
+        writeAll(bytes.subarray(written), done);
+      } else {
+        done(true);
+      }
+    });
+  }
+  return (text, done) => writeAll(Buffer.from(text), done);
+}
--- a/packages/decision-log/src/index.ts
+++ b/packages/decision-log/src/index.ts
@@ -4,7 +4,11 @@
  * next line that is written says how many were.
  */
 import type { Clock } from '@limelead/types';
-import { write } from 'node:fs';
+import createFileOutput from './file-output.js';
+import type { LogOutput } from './log-output.js';
+
+export { default as createLineLimit, type LimitedLines } from './line-limit.js';
+export type { LogOutput } from './log-output.js';
 
 const STANDARD_OUTPUT = 1;
 const DEFAULT_MAX_QUEUED = 2_000;
@@ -26,9 +30,6 @@
   readonly dropped: number;
 }
 
-/** Writes text somewhere, and says when it is ready for more. */
-export type LogOutput = (text: string, done: () => void) => void;
-
 /** What a log needs. */
 export interface DecisionLogOptions {
   /** Name of this VM, on every line. */
@@ -40,13 +41,23 @@
 
 /** Creates a log. */
 export default function createDecisionLog(options: DecisionLogOptions): DecisionLog {
-  const { vm, clock, output = writeToStandardOutput, maxQueued = DEFAULT_MAX_QUEUED } = options;
+  const {
+    vm,
+    clock,
+    output = createFileOutput(STANDARD_OUTPUT),
+    maxQueued = DEFAULT_MAX_QUEUED,
+  } = options;
   const queued: string[] = [];
   let waiting: (() => void)[] = [];
   let isWriting = false;
   let dropped = 0;
   let untold = 0;
 
+  function noteLost(lines: number): void {
+    dropped += lines;
+    untold += lines;
+  }
+
   function writeNext(): void {
     if (queued.length === 0) {
       isWriting = false;
@@ -60,14 +71,18 @@
       batch.unshift(toLine(vm, clock, 'lines-dropped', { lines: untold }));
       untold = 0;
     }
-    output(batch.join(''), writeNext);
+    output(batch.join(''), (isWritten = true) => {
+      if (!isWritten) {
+        noteLost(batch.length);
+      }
+      writeNext();
+    });
   }
 
   return {
     write(event, fields = {}) {
       if (queued.length >= maxQueued) {
-        dropped += 1;
-        untold += 1;
+        noteLost(1);
         return;
       }
       queued.push(toLine(vm, clock, event, fields));
@@ -89,8 +104,3 @@
   const steadyMs = Math.round(clock.now());
   return `${JSON.stringify({ time: new Date().toISOString(), steadyMs, vm, event, ...fields })}\n`;
 }
-
-/** Writes in the background; an output that takes nothing holds up nobody. */
-function writeToStandardOutput(text: string, done: () => void): void {
-  write(STANDARD_OUTPUT, text, () => done());
-}
--- /dev/null
+++ b/packages/decision-log/src/line-limit.test.ts
@@ -0,0 +1,19 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { createLineLimit, type LogFields } from './index.js';
+
+test('a flood of lines is cut, and the next line says how many were left out', () => {
+  const time = { now: 0 };
+  const written: LogFields[] = [];
+  const log = { write: (_: string, fields: LogFields = {}) => void written.push(fields) };
+  const write = createLineLimit(log, { now: () => time.now }, 2, 'flood');
+  for (let line = 1; line <= 5; line += 1) {
+    write({ line });
+  }
+  time.now = 1_000;
+  write({ line: 6 });
+  write({ line: 7 });
+  assert.equal(written, [{ line: 1 }, { line: 2 }, { line: 6, unwritten: 3 }, { line: 7 }]);
+});
+
+test.run();
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -41,6 +41,8 @@
   readTable(): RouteTable | undefined;
   /** Time since the store last confirmed what this VM knows, in milliseconds. */
   readKnowledgeAgeMs(): Millis;
+  /** Who told the configuration in force: "store", or the address of a peer. */
+  readConfigurationSource(): string | undefined;
   retriesOf(service: string): RetrySpender;
   /** VMs that share the retry budget, this one included. */
   countVms(): number;
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -228,6 +228,7 @@
       observer: {},
       readTable: () => table,
       readKnowledgeAgeMs: () => 0,
+      readConfigurationSource: () => 'store',
       retriesOf: () => this.spender,
       countVms: () => 1,
     };
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -66,6 +66,6 @@
     lendRepeats: (service, wanted) => retries.lend(service, wanted),
     onRepeats: parts.onRepeats,
     onReport: parts.onReport,
-    onUpdate: (update) => knowledge.takePeerUpdate(update),
+    onUpdate: (update, peer) => knowledge.takePeerUpdate(update, peer),
   });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -278,6 +278,7 @@
       observer: tellAll(this.parts.flatMap(({ observer }) => observer ?? [])),
       readTable: () => this.knowledge.routes,
       readKnowledgeAgeMs: () => this.knowledgeAgeMs,
+      readConfigurationSource: () => this.knowledge.configurationSource,
       retriesOf: (service) => this.retries.of(service),
       countVms: () => this.countVms(),
     };
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -8,6 +8,7 @@
 import { DUTY_KEY } from './own-keys.js';
 
 const clock = { now: () => 1_000 };
+const PEER = 'h:9';
 
 function toTarget(id: string): ServiceTarget {
   const port = Number(id.replace(/\D/g, '')) + 1;
@@ -92,7 +93,10 @@
 test("a peer's update brings what is newer, and ends what is gone", () => {
   const { knowledge, versions, ids } = create();
   knowledge.takeList({ items: [item('c', 5), item('t1', 3), item('t2', 4)], revision: 6 });
-  knowledge.takePeerUpdate({ items: [item('c', 8)], gone: [], present: ['c', 't2'], revision: 9 });
+  knowledge.takePeerUpdate(
+    { items: [item('c', 8)], gone: [], present: ['c', 't2'], revision: 9 },
+    PEER,
+  );
   assert.equal(versions, [5, 8]);
   assert.equal(ids(), ['t2']);
   assert.is(knowledge.revision, 9);
@@ -120,7 +124,7 @@
     update.items.map(({ key }) => key),
     ['t4', 't2'],
   );
-  behind.knowledge.takePeerUpdate(update);
+  behind.knowledge.takePeerUpdate(update, PEER);
   assert.equal(behind.ids().sort(), ['t2', 't3', 't4']);
   assert.is(behind.knowledge.revision, 9);
   assert.equal(behind.knowledge.readUpdate(6).gone, ['t1']);
@@ -137,7 +141,7 @@
   const { knowledge, ids } = create();
   knowledge.takeList({ items: [item('c', 5)], revision: 6 });
   const items = [item('t2', 8, AT_PORT_1), item('t1', 7, AT_PORT_1)];
-  knowledge.takePeerUpdate({ items, gone: [], revision: 8 });
+  knowledge.takePeerUpdate({ items, gone: [], revision: 8 }, PEER);
   assert.equal(ids(), ['t2']);
 });
 
@@ -147,14 +151,14 @@
   const behind = create();
   behind.knowledge.takeList({ items: [item('c', 5), item('t1', 12)], revision: 15 });
   knowledge.takeList({ items: [item('c', 5)], revision: 20 });
-  behind.knowledge.takePeerUpdate(knowledge.readUpdate(15));
+  behind.knowledge.takePeerUpdate(knowledge.readUpdate(15), PEER);
   assert.equal(behind.ids(), []);
 });
 
 test('an update that is older than what is known changes nothing', () => {
   const { knowledge, versions, ids } = create();
   knowledge.takeList({ items: [item('c', 5), item('t1', 3)], revision: 6 });
-  knowledge.takePeerUpdate({ items: [item('c', 4)], gone: [], present: ['c'], revision: 6 });
+  knowledge.takePeerUpdate({ items: [item('c', 4)], gone: [], present: ['c'], revision: 6 }, PEER);
   assert.equal(versions, [5]);
   assert.equal(ids(), ['t1']);
 });
@@ -185,19 +189,25 @@
   });
   knowledge.noteStoreLost();
   assert.equal(usable(), ['t2']);
-  knowledge.takePeerUpdate({
-    items: [item('t1', 3)],
-    gone: [],
-    present: ['t1', 't2'],
-    revision: 5,
-  });
+  knowledge.takePeerUpdate(
+    {
+      items: [item('t1', 3)],
+      gone: [],
+      present: ['t1', 't2'],
+      revision: 5,
+    },
+    PEER,
+  );
   assert.equal(usable(), ['t2']);
-  knowledge.takePeerUpdate({
-    items: [item('t1', 3)],
-    gone: [],
-    present: ['t1', 't2'],
-    revision: 8,
-  });
+  knowledge.takePeerUpdate(
+    {
+      items: [item('t1', 3)],
+      gone: [],
+      present: ['t1', 't2'],
+      revision: 8,
+    },
+    PEER,
+  );
   assert.equal(usable(), ['t2']);
 });
 
@@ -218,7 +228,7 @@
   knowledge.takeList({ items: [item('c', 5), item(DUTY_KEY, 7)], revision: 8 });
   assert.ok(knowledge.has(DUTY_KEY) && !decoded.includes(DUTY_KEY));
   const peer = create().knowledge;
-  peer.takePeerUpdate(knowledge.readUpdate(0));
+  peer.takePeerUpdate(knowledge.readUpdate(0), PEER);
   assert.ok(peer.has(DUTY_KEY));
   peer.takeChanges({ changes: [{ kind: 'gone', key: DUTY_KEY }], revision: 9 });
   assert.not.ok(peer.has(DUTY_KEY));
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -28,8 +28,10 @@
 import { DUTY_KEY, ROLL_OUT_DUTY_KEY } from './own-keys.js';
 import RemovedKeys from './removed-keys.js';
 
-/** Where knowledge came from. */
-export type KnowledgeSource = 'store' | 'peer';
+/** Where knowledge came from: the store itself, or the address of a peer that told it. */
+type KnowledgeSource = string;
+
+const STORE: KnowledgeSource = 'store';
 
 /** What an item of the store means. */
 export type StoreFact =
@@ -85,6 +87,7 @@
   private readonly removed = new RemovedKeys();
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
+  private source: KnowledgeSource | undefined;
   private configurationSize = 0;
   private readonly lapsed: LapsedTargets;
 
@@ -120,6 +123,11 @@
     return this.table;
   }
 
+  /** Who told the configuration in force: "store", or the address of a peer. */
+  get configurationSource(): string | undefined {
+    return this.source;
+  }
+
   /** Orders of roll-outs that stand now, with the revision that wrote each. */
   listRollOuts(): StandingOrder[] {
     return [...this.known.values()].flatMap(({ item, fact }) =>
@@ -172,26 +180,28 @@
   /** Takes a complete list of the store. */
   takeList({ items, revision }: StoreList): void {
     this.forgetExcept(new Set(items.map(({ key }) => key)));
-    items.forEach((item) => this.read(item, 'store'));
+    items.forEach((item) => this.read(item, STORE));
     this.takeAll(revision);
   }
 
   /** Takes what a peer knows beyond this VM; nothing where this VM learned as much meanwhile. */
-  takePeerUpdate({ items, gone, present, revision }: StoreUpdate): void {
+  takePeerUpdate({ items, gone, present, revision }: StoreUpdate, peer: string): void {
     if (revision <= this.knownRevision) {
       return;
     }
+    const from = this.knownRevision;
+    this.options.log.write('peer-told-items', { peer, from, revision, items: items.length });
     if (present === undefined) {
       const puts = [...items].sort((a, b) => a.revision - b.revision);
       const changes = [
         ...gone.map((key): StoreChange => ({ kind: 'gone', key })),
         ...puts.map((item): StoreChange => ({ kind: 'put', item })),
       ];
-      this.takeChanges({ changes, revision }, 'peer');
+      this.takeChanges({ changes, revision }, peer);
       return;
     }
     this.forgetExcept(new Set(present));
-    items.forEach((item) => this.read(item, 'peer'));
+    items.forEach((item) => this.read(item, peer));
     this.takeAll(revision);
   }
 
@@ -225,7 +235,7 @@
   }
 
   /** Takes changes that followed a list. */
-  takeChanges({ changes, revision }: StoreChanges, source: KnowledgeSource = 'store'): void {
+  takeChanges({ changes, revision }: StoreChanges, source = STORE): void {
     const targetChanges = changes.flatMap((change) =>
       this.toTargetChange(change, revision, source),
     );
@@ -268,12 +278,16 @@
     }
     if (fact.kind === 'configuration') {
       this.configurationSize = item.value.length;
-      this.takeConfiguration(fact.configuration, source);
+      this.takeConfiguration(fact.configuration, item.revision, source);
     }
     return fact;
   }
 
-  private takeConfiguration(configuration: ServingConfiguration, source: KnowledgeSource): void {
+  private takeConfiguration(
+    configuration: ServingConfiguration,
+    revision: number,
+    source: KnowledgeSource,
+  ): void {
     const { clock, log, readAgeMs } = this.options;
     const previous = this.table?.version;
     if (previous !== undefined && configuration.version <= previous) {
@@ -283,12 +297,14 @@
     log.write('configuration-in-force', {
       version: configuration.version,
       previous,
+      revision,
       source,
       routes: configuration.routes.length,
       knowledgeAgeMs: readAgeMs(),
       previousAgeMs: previous === undefined ? undefined : Math.round(now - this.changedAtMs),
     });
     this.changedAtMs = now;
+    this.source = source;
     this.table = compileRoutes(configuration);
     this.options.onConfiguration(this.table);
   }
--- a/packages/http-front-door/src/describe-malformed.ts
+++ b/packages/http-front-door/src/describe-malformed.ts
@@ -17,3 +17,30 @@
       return { status: 400, text: 'Bad Request' };
   }
 }
+
+/** What the runtime tells of bytes that its parser does not take. */
+export interface ParserError extends NodeJS.ErrnoException {
+  /** The packet in which it stopped; undefined where none came in time. */
+  rawPacket?: Buffer;
+}
+
+/** Most characters of a first line that are written. */
+const MOST_LINE_CHARACTERS = 200;
+
+/** What can be read of a head that is none. */
+export interface BrokenHead {
+  firstLine: string;
+  /** Names and values by turns, of the lines that look like headers. */
+  rawHeaders: string[];
+}
+
+/** @param packet the bytes in which the parser stopped, which need not begin with the head */
+export function readBrokenHead(packet: Buffer | undefined): BrokenHead {
+  const [head = ''] = (packet?.toString('latin1') ?? '').split('\r\n\r\n', 1);
+  const [firstLine = '', ...lines] = head.split('\r\n');
+  const rawHeaders = lines.flatMap((line) => {
+    const colon = line.indexOf(':');
+    return colon < 1 ? [] : [line.slice(0, colon), line.slice(colon + 1).trim()];
+  });
+  return { firstLine: firstLine.slice(0, MOST_LINE_CHARACTERS), rawHeaders };
+}
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -115,6 +115,7 @@
     maxIdle: 2,
   });
   private readonly sockets: Socket[] = [];
+  private text = '';
 
   static async start(
     known: ServingConfiguration | typeof NOTHING_KNOWN = configuration,
@@ -147,6 +148,12 @@
     return bed;
   }
 
+  /** What the log says so far, a line each. */
+  readLines(): Record<string, unknown>[] {
+    const lines = this.text.split('\n').filter((line) => line !== '');
+    return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  }
+
   /** Sends raw bytes and gives everything that came until the connection ended, or matched. */
   exchange(bytes: string, until?: RegExp): Promise<string> {
     return new Promise((resolve) => {
@@ -173,7 +180,11 @@
   }
 
   private createContext(directory: TargetDirectory): ForwardContext {
-    const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
+    const output = (text: string, done: () => void): void => {
+      this.text += text;
+      done();
+    };
+    const log = createDecisionLog({ vm: 'test', clock, output });
     const shared = { clock, timers: systemTimers, directory };
     const { connections, metrics } = this;
     const locality = createLocality({ failureDomain: 'north', regionOf: {} });
@@ -199,6 +210,7 @@
       observer: {},
       readTable: () => this.table,
       readKnowledgeAgeMs: () => 0,
+      readConfigurationSource: () => 'store',
       retriesOf: () => new RetrySpender({ ratio: 1, slack: 10, windowMs: 1_000 }),
       countVms: () => 1,
     };
@@ -254,6 +266,34 @@
   await bed.stop();
 });
 
+test('every answer that this VM makes itself has a line with the id, where it can be read', async () => {
+  const bed = await Bed.start();
+  const both = head(['Content-Length: 2', 'Transfer-Encoding: chunked']) + '\r\n0\r\n\r\n';
+  await statusOf(bed, both);
+  await statusOf(bed, head([], '/elsewhere/1') + '\r\n');
+  const told = bed.readLines().filter(({ status }) => status !== undefined);
+  assert.equal(
+    told.map(({ event, requestId, status }) => [event, requestId, status]),
+    [
+      ['request-malformed', 'r1', 400],
+      ['request-refused', 'r1', 404],
+    ],
+  );
+  assert.equal(
+    told.map(({ source }) => source),
+    ['store', 'store'],
+  );
+  assert.is(told[0]?.['firstLine'], 'POST /call/1 HTTP/1.1');
+  await bed.stop();
+});
+
+test('an expectation that this VM does not know is passed over', async () => {
+  const bed = await Bed.start();
+  const text = await bed.exchange(head(['Expect: luck', 'Content-Length: 2']) + '\r\nhi', ANSWERED);
+  assert.match(text, /^HTTP\/1.1 200/);
+  await bed.stop();
+});
+
 test('a head or body that comes too slowly ends with 408, and nothing else is disturbed', async () => {
   const bed = await Bed.start();
   const slowHead = bed.exchange('POST /call/1 HTTP/1.1\r\nHost: va');
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -1,4 +1,5 @@
 /** The HTTP server that callers meet, and the filters that each request passes. */
+import { createLineLimit, type LimitedLines, type LogFields } from '@limelead/decision-log';
 import { LimeleadError } from '@limelead/errors';
 import {
   forwardCall,
@@ -12,7 +13,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import checkHead from './check-head.js';
-import describeMalformed from './describe-malformed.js';
+import describeMalformed, { readBrokenHead, type ParserError } from './describe-malformed.js';
 import HeldArrivals, { shareOf } from './held-arrivals.js';
 import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
 import readBody, { BodyBudget } from './read-body.js';
@@ -21,6 +22,8 @@
 /** Largest head that the parser takes; the configured limit is checked behind it. */
 const PARSER_MAX_HEADER_BYTES = 64 * 1024;
 const CHECK_INTERVAL_MS = 500;
+/** Enough to see who sends what is no request; a flood of it must not push out other lines. */
+const MOST_MALFORMED_LINES_PER_SECOND = 20;
 /** Waiting connections that the system keeps for this process. */
 const BACKLOG = 511;
 /** Bytes of bodies that one VM holds at once, unless its owner says otherwise. */
@@ -65,8 +68,16 @@
   private onIdle: () => void = () => undefined;
   private readonly bodies: BodyBudget;
   private readonly held: HeldArrivals;
+  private readonly noteMalformed: LimitedLines;
 
   constructor(private readonly options: HttpFrontDoorOptions) {
+    const { log, clock } = options.context;
+    this.noteMalformed = createLineLimit(
+      log,
+      clock,
+      MOST_MALFORMED_LINES_PER_SECOND,
+      'request-malformed',
+    );
     this.held = new HeldArrivals(options.context.timers);
     this.bodies = new BodyBudget(options.maxHeldBytes ?? DEFAULT_MAX_HELD_BYTES);
     this.server = createServer(
@@ -78,7 +89,11 @@
       },
       (message, response) => this.onRequest(message, response),
     );
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+    // The runtime would answer 417 by itself, without a line; what is expected is the body's matter.
+    this.server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) =>
+      this.onRequest(message, response),
+    );
+    this.server.on('clientError', (error: ParserError, socket: Socket) =>
       this.onMalformed(error, socket),
     );
   }
@@ -281,35 +296,52 @@
     const heldMs = Math.round(clock.now() - receivedAtMs);
     metrics.recordMs('limelead_held_for_configuration_ms', heldMs);
     log.write('request-held', {
-      requestId: this.readRequestId(message),
+      requestId: this.readRequestId(message.rawHeaders),
       heldMs,
       configuration: readTable()?.version,
     });
   }
 
   /** The id of a request; empty where its head can't be read. */
-  private readRequestId(message: IncomingMessage): string {
-    const facts = this.options.dialect.readFacts(message.rawHeaders);
+  private readRequestId(rawHeaders: string[]): string {
+    const facts = this.options.dialect.readFacts(rawHeaders);
     return E.isRight(facts) ? facts.right.requestId : '';
   }
 
   private noteRefusal(message: IncomingMessage, error: LimeleadError, status: number): void {
-    const { log, metrics, readTable, readKnowledgeAgeMs } = this.options.context;
+    const { log, metrics } = this.options.context;
     metrics.count('limelead_refused_total', 1, { kind: error.kind });
     log.write('request-refused', {
-      requestId: this.readRequestId(message),
+      requestId: this.readRequestId(message.rawHeaders),
       kind: error.kind,
       status,
       reason: error.message,
+      ...this.describeKnowledge(),
+    });
+  }
+
+  /** What decides now: which configuration, who told it, and how old knowledge is. */
+  private describeKnowledge(): LogFields {
+    const { readTable, readConfigurationSource, readKnowledgeAgeMs } = this.options.context;
+    return {
       configuration: readTable()?.version,
+      source: readConfigurationSource(),
       knowledgeAgeMs: readKnowledgeAgeMs(),
-    });
+    };
   }
 
   /** Bytes that are no request, too much of a head, or one that comes too slowly. */
-  private onMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  private onMalformed(error: ParserError, socket: Socket): void {
     const { status, text } = describeMalformed(error.code);
     this.options.context.metrics.count('limelead_malformed_total', 1, { status: String(status) });
+    const { firstLine, rawHeaders } = readBrokenHead(error.rawPacket);
+    this.noteMalformed({
+      requestId: this.readRequestId(rawHeaders),
+      status,
+      reason: error.code,
+      firstLine,
+      ...this.describeKnowledge(),
+    });
     if (socket.writable && error.code !== 'ECONNRESET') {
       socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     } else {
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -170,6 +170,7 @@
     observer: {},
     readTable: () => table,
     readKnowledgeAgeMs: () => 0,
+    readConfigurationSource: () => 'store',
     retriesOf: () => spender,
     countVms: () => 1,
   };
--- a/packages/share-evidence/src/store-exchange.ts
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -91,7 +91,7 @@
         this.answer(peer, message);
         break;
       case 'items':
-        this.hearItems(message);
+        this.hearItems(peer, message);
         break;
     }
   }
@@ -111,9 +111,12 @@
   }
 
   /** A peer gave what this VM lacked. */
-  private hearItems({ items, gone, present, revision }: EvidenceMessageOf<'items'>): void {
+  private hearItems(
+    peer: PeerId,
+    { items, gone, present, revision }: EvidenceMessageOf<'items'>,
+  ): void {
     this.catchUp.noteAnswer();
-    this.options.onUpdate({ items, gone, present: present ?? undefined, revision });
+    this.options.onUpdate({ items, gone, present: present ?? undefined, revision }, peer);
     this.news.noteCaughtUp();
     this.catchUp.check();
   }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -96,7 +96,7 @@
   adviseTarget(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined;
   onLost(target: string, loss: TargetLoss): void;
   /** A peer told what the store held at a later revision than this VM knows. */
-  onUpdate(update: StoreUpdate): void;
+  onUpdate(update: StoreUpdate, peer: PeerId): void;
   /** A peer asks for repeats of a retry budget; gives how many it gets. */
   lendRepeats(service: string, wanted: number): number;
   /** A peer lent repeats. */
