Let what a peer says of the store count only where it follows the same store

Cause: revisions and versions of any store were compared with those of the own one, so a VM of another fleet, or one left over from before the store began anew, set the configuration for good. Class: what comes from outside is taken by its order, without looking where it comes from. A store that is behind what was known, or lists what contradicts it, replaces all of it. A VM lists the store once before it leaves it to others. Links prove a secret where the settings name one.

--- a/packages/follow-store/src/index.ts
+++ b/packages/follow-store/src/index.ts
@@ -2,5 +2,5 @@
 export { LARGE_ITEM_BYTES } from './large-items.js';
 export { default as PagedList, type ReadPage, type StorePage } from './paged-list.js';
 export { default as StoreFollower } from './store-follower.js';
-export type { StoreFollowerEvents, StoreFollowerOptions } from './store-follower.js';
+export type { StoreBehind, StoreFollowerEvents, StoreFollowerOptions } from './store-follower.js';
 export * from './store-port.js';
--- a/packages/follow-store/src/notice-in-time.test.ts
+++ b/packages/follow-store/src/notice-in-time.test.ts
@@ -155,6 +155,7 @@
     events: {
       onList: note,
       onChanges: note,
+      onBehind: () => undefined,
       onLost: () => undefined,
       onCallFailed: () => undefined,
       onRegained: () => undefined,
--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -25,6 +25,7 @@
 
 /** Events that a test does not look at. */
 const IGNORED = {
+  onBehind: () => undefined,
   onList: () => undefined,
   onChanges: () => undefined,
   onLost: () => undefined,
@@ -81,6 +82,7 @@
     events: {
       onList: ({ items }) => told.push(`items ${items.length}`),
       onChanges: ({ changes }) => told.push(`changes ${changes.length}`),
+      onBehind: ({ known, revision }) => told.push(`behind ${known} ${revision}`),
       onLost: (fault) => told.push(`lost ${fault}`),
       onCallFailed: () => undefined,
       onRegained: () => told.push('regained'),
@@ -184,6 +186,15 @@
   assert.ok(told.includes('watch 5') && !told.includes('watch 3'));
 });
 
+test('a store that has not come as far as was known of it is told, and listed anew', async () => {
+  const list = E.right({ items: [], revision: 20 });
+  const behind = E.right({ changes: [], revision: 4 });
+  const { told } = await follow([list, E.right({ items: [], revision: 4 })], [behind]);
+  const at = told.indexOf('behind 20 4');
+  assert.ok(at > 0 && told.indexOf('list', at) > at, told.join());
+  assert.ok(told.includes('watch 4'));
+});
+
 test('changes gather for longer where more VMs pay for calls, up to a bound', async () => {
   const pauseOf = async (vms: number): Promise<number | undefined> => {
     const changes = E.right({ changes: [gone], revision: 7 });
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -45,6 +45,11 @@
   onList(list: StoreList): void;
   /** Changes, or none where nothing changed during a watch. */
   onChanges(changes: StoreChanges): void;
+  /**
+   * The store's answer is from a revision that lies before what this VM knew when it asked.
+   * A store never goes back, so that was of another one, or this one began anew.
+   */
+  onBehind(behind: StoreBehind): void;
   /** The first failure after a success. */
   onLost(fault: StoreFault): void;
   /** Each failure, the first one included. */
@@ -84,6 +89,14 @@
   events: StoreFollowerEvents;
 }
 
+/** How far the store is behind what was known of it. */
+export interface StoreBehind {
+  /** Revision that was known before the call. */
+  known: number;
+  /** The store's own. */
+  revision: number;
+}
+
 /** A call that failed just now. */
 interface FailedCall extends Pick<StoreCallFailure, 'call' | 'fault' | 'waitMs'> {
   calledAtMs: Millis;
@@ -105,6 +118,8 @@
   /** Newest revision of a large item, 0 while there is none. */
   private largeRevision = 0;
   private hasWatched = false;
+  /** Whether the store ever gave this VM its list; what peers told before has to be compared with it. */
+  private hasListed = false;
   /** Whether it waits for others to follow the store; peers are asked for news meanwhile. */
   private isWaiting = false;
 
@@ -160,7 +175,7 @@
 
   /** Whether others follow the store for this VM. */
   get isIdle(): boolean {
-    return this.options.readRevision() > 0 && !this.options.mustFollow();
+    return this.options.readRevision() > 0 && !this.options.mustFollow() && this.hasListed;
   }
 
   private noteFollowing(isFollowing: boolean): void {
@@ -189,11 +204,16 @@
 
   private async readList(): Promise<number> {
     const calledAtMs = this.options.clock.now();
+    const known = this.options.readRevision();
     const list = await this.options.port.list();
     if (E.isLeft(list)) {
       return this.onFault({ call: 'list', waitMs: 0, fault: list.left, calledAtMs });
     }
     this.onSuccess();
+    if (list.right.revision < known) {
+      this.options.events.onBehind({ known, revision: list.right.revision });
+    }
+    this.hasListed = true;
     const isStillChanging = this.noteLarge(list.right.items) && this.isComplete;
     this.isComplete = true;
     this.revision = isStillChanging ? undefined : list.right.revision;
@@ -228,7 +248,10 @@
       return this.onFault({ call: 'watch', waitMs, fault: changes.left, calledAtMs });
     }
     this.onSuccess();
-    this.revision = Math.max(revision, changes.right.revision);
+    if (changes.right.revision < revision) {
+      return this.beginAnew({ known: revision, revision: changes.right.revision });
+    }
+    this.revision = changes.right.revision;
     this.options.events.onChanges(changes.right);
     this.noteAnswer();
     if (changes.right.changes.length === 0) {
@@ -241,6 +264,15 @@
     return this.gatherMs;
   }
 
+  /** The next call is a list; gives the pause until then. */
+  private beginAnew(behind: StoreBehind): number {
+    this.options.events.onBehind(behind);
+    this.revision = undefined;
+    this.isComplete = false;
+    this.largeRevision = 0;
+    return 0;
+  }
+
   /** Told behind the events of an answer, which may still want to know how old the last one is. */
   private noteAnswer(): void {
     this.answeredAtMs = this.options.clock.now();
--- a/packages/follow-store/src/store-port.ts
+++ b/packages/follow-store/src/store-port.ts
@@ -15,6 +15,8 @@
   value: Buffer;
   /** Store-wide number of the change that wrote it. */
   revision: number;
+  /** Store-wide number of the change that created it, where the store tells it. */
+  made?: number;
 }
 
 /** One change. */
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -26,6 +26,8 @@
   engineLoad: EngineLoad;
   retries: RetryBudgets;
   gate: TargetGate;
+  storeAddress: string;
+  onStranger(peer: PeerId): void;
   onRepeats(service: string, repeats: number): void;
   onReport(peer: PeerId, report: PeerReport): void;
 }
@@ -47,6 +49,8 @@
     failureDomain,
     region: locality.region,
     seeds: seeds.map(formatAddress),
+    secret: settings.peerSecret,
+    storeAddress: parts.storeAddress,
     clock,
     timers: systemTimers,
     random: systemRandom,
@@ -58,6 +62,8 @@
       isInTouch: follower.isInTouch,
       isStoreAway: follower.isStoreAway,
     }),
+    readMarks: () => knowledge.readMarks(),
+    onStranger: parts.onStranger,
     readUpdate: (since) => knowledge.readUpdate(since),
     readLoad: () => engineLoad.read(),
     onLoad: (peer, load) => directory.takePeerLoad(peer, load),
--- a/packages/gateway/src/follower-events.ts
+++ b/packages/gateway/src/follower-events.ts
@@ -30,6 +30,10 @@
       knowledge.takeChanges(changes);
       readExchange()?.noteStoreAnswered();
     },
+    onBehind({ known, revision }) {
+      log.write('store-behind', { known, revision });
+      knowledge.forgetAll('store-behind', revision);
+    },
     onLost(fault) {
       metrics.count('limelead_store_lost_total', 1, { fault });
       log.write('store-lost', { fault, knowledgeAgeMs: readKnowledgeAgeMs() });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,6 +62,8 @@
 /** What a gateway needs from the platform. */
 export interface GatewayPlatform {
   store: StorePort;
+  /** Where the store is, as "host:port"; peers that name the same are believed before it answers. */
+  storeAddress: string;
   /** The same store, for reads and writes of single items. */
   storeItems: ConditionalStore;
   /** Undefined where the platform names no duties. */
@@ -135,6 +137,7 @@
       dialect: platform.storeDialect,
       readAgeMs: () => this.knowledgeAgeMs,
       onConfiguration: (table) => this.frontDoor.applyLimits(table.limits),
+      onForgotten: () => this.exchange?.forgetStore(),
       onChange: () => this.onKnowledge(),
     });
     this.parts = createFleetParts({
@@ -171,6 +174,8 @@
       engineLoad: this.engineLoad,
       retries: this.retries,
       gate: this.gate,
+      storeAddress: platform.storeAddress,
+      onStranger: () => this.metrics.count('limelead_strangers_total'),
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
       onReport: (peer, report) => this.parts.forEach((part) => part.onReport?.(peer, report)),
     });
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -73,6 +73,7 @@
       composeRollOutState: (key) => ({ key, value: Buffer.alloc(0) }),
     },
     onConfiguration: ({ version }) => versions.push(version),
+    onForgotten: () => undefined,
     onChange: () => undefined,
   });
   const ids = (): string[] => directory.all().map(({ target }) => target.id);
@@ -234,4 +235,50 @@
   assert.not.ok(peer.has(DUTY_KEY));
 });
 
+test('what a peer told before the store answered goes where the store lists otherwise', () => {
+  const { knowledge, versions, ids } = create();
+  knowledge.takePeerUpdate(
+    { items: [item('c', 90), item('t7', 80)], gone: [], present: ['c', 't7'], revision: 95 },
+    PEER,
+  );
+  assert.equal(knowledge.readMarks(), [], 'a word that is not confirmed proves nothing');
+  knowledge.takeList({ items: [item('c', 5), item('t1', 3)], revision: 200 });
+  assert.equal(versions, [90, 5]);
+  assert.equal(ids(), ['t1']);
+  assert.is(knowledge.revision, 200);
+});
+
+test('what a peer told ahead of the list stays, since the store may have moved on meanwhile', () => {
+  const { knowledge, versions } = create();
+  knowledge.takeList({ items: [item('c', 5)], revision: 6 });
+  knowledge.takePeerUpdate({ items: [item('c', 9)], gone: [], revision: 9 }, PEER);
+  knowledge.takeList({ items: [item('c', 5)], revision: 7 });
+  assert.equal(versions, [5, 9]);
+});
+
+test('knowledge of a store that began anew is dropped whole, with its marks', () => {
+  const { knowledge, versions, ids, lines } = create();
+  knowledge.takeList({ items: [item('c', 50), item('t1', 40)], revision: 60 });
+  const [before] = knowledge.readMarks();
+  knowledge.forgetAll('store-behind', 7);
+  assert.is(knowledge.routes, undefined);
+  assert.is(knowledge.revision, 0);
+  knowledge.takeList({ items: [item('c', 4), item('t2', 3)], revision: 7 });
+  assert.equal(versions, [50, 4]);
+  assert.equal(ids(), ['t2']);
+  assert.not.ok(knowledge.readMarks().includes(before ?? 0));
+  assert.ok(lines.some(({ event, known }) => event === 'store-knowledge-dropped' && known === 60));
+});
+
+test('VMs of one store share marks while one of them is a configuration behind', () => {
+  const [ahead, behind, other] = [create(), create(), create()];
+  const made = { ...item('t1', 3), made: 2 };
+  behind.knowledge.takeList({ items: [item('c', 5), made], revision: 6 });
+  ahead.knowledge.takeList({ items: [item('c', 8), { ...made, revision: 7 }], revision: 8 });
+  other.knowledge.takeList({ items: [item('c', 6), { ...made, made: 4 }], revision: 6 });
+  const marks = new Set(behind.knowledge.readMarks());
+  assert.ok(ahead.knowledge.readMarks().some((mark) => marks.has(mark)));
+  assert.not.ok(other.knowledge.readMarks().some((mark) => marks.has(mark)));
+});
+
 test.run();
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -27,6 +27,7 @@
 import LapsedTargets from './lapsed-targets.js';
 import { DUTY_KEY, ROLL_OUT_DUTY_KEY } from './own-keys.js';
 import RemovedKeys from './removed-keys.js';
+import StoreMarks, { markTarget } from './store-marks.js';
 
 /** Where knowledge came from: the store itself, or the address of a peer that told it. */
 type KnowledgeSource = string;
@@ -60,6 +61,8 @@
 interface KnownItem {
   item: StoreItem;
   fact: StoreFact;
+  /** Mark of a target; see `StoreMarks`. */
+  mark?: number;
 }
 
 /** What knowledge needs. */
@@ -75,6 +78,8 @@
   readAgeMs(): Millis;
   /** Called with each configuration that comes into force. */
   onConfiguration(table: RouteTable): void;
+  /** Called when all that was known turned out to be of another store. */
+  onForgotten(): void;
   /** Called after each change of what is known. */
   onChange(): void;
 }
@@ -84,7 +89,10 @@
   private table: RouteTable | undefined;
   /** Items that mean something, by key. */
   private readonly known = new Map<string, KnownItem>();
-  private readonly removed = new RemovedKeys();
+  private removed = new RemovedKeys();
+  private readonly marks = new StoreMarks();
+  /** Whether the store itself gave its list; until then peers' word is all that there is. */
+  private isConfirmed = false;
   private knownRevision = 0;
   private changedAtMs: Millis = 0;
   private source: KnowledgeSource | undefined;
@@ -113,6 +121,38 @@
     this.lapsed.noteStoreLost(lastAnswerAtMs);
   }
 
+  /** Marks by which peers of the same store are told from others; none before the store answered. */
+  readMarks(): readonly number[] {
+    if (!this.isConfirmed) {
+      return [];
+    }
+    return this.marks.list([...this.known.values()].flatMap(({ mark }) => mark ?? []));
+  }
+
+  /**
+   * Drops all that is known: it was of another store, or of this one before it began anew.
+   * The store decides, since it never goes back, and what peers say may be of anywhere.
+   * @param revision up to which the store itself has come
+   */
+  forgetAll(reason: string, revision: number): void {
+    this.options.log.write('store-knowledge-dropped', {
+      reason,
+      known: this.knownRevision,
+      revision,
+      configuration: this.table?.version,
+      source: this.source,
+    });
+    this.known.clear();
+    this.removed = new RemovedKeys();
+    this.marks.forget();
+    this.isConfirmed = false;
+    this.knownRevision = 0;
+    this.table = undefined;
+    this.source = undefined;
+    this.configurationSize = 0;
+    this.options.onForgotten();
+  }
+
   /** The store answers again. */
   noteStoreRegained(): void {
     this.lapsed.noteStoreRegained();
@@ -179,11 +219,25 @@
 
   /** Takes a complete list of the store. */
   takeList({ items, revision }: StoreList): void {
+    if (items.some((item) => this.isContradicted(item, revision))) {
+      this.forgetAll('contradicts-list', revision);
+    }
+    this.isConfirmed = true;
     this.forgetExcept(new Set(items.map(({ key }) => key)));
     items.forEach((item) => this.read(item, STORE));
     this.takeAll(revision);
   }
 
+  /** Whether what is known of an item can't be of the store that listed it so. */
+  private isContradicted(item: StoreItem, listRevision: number): boolean {
+    const known = this.known.get(item.key);
+    if (known === undefined || known.item.revision > listRevision) {
+      return false;
+    }
+    const isSame = known.item.revision === item.revision;
+    return known.item.revision > item.revision || (isSame && !known.item.value.equals(item.value));
+  }
+
   /** Takes what a peer knows beyond this VM; nothing where this VM learned as much meanwhile. */
   takePeerUpdate({ items, gone, present, revision }: StoreUpdate, peer: string): void {
     if (revision <= this.knownRevision) {
@@ -274,9 +328,11 @@
       return fact;
     }
     if (fact.kind !== 'other') {
-      this.known.set(item.key, { item, fact });
+      const mark = fact.kind === 'target' ? markTarget(item, fact.target) : undefined;
+      this.known.set(item.key, { item, fact, mark });
     }
     if (fact.kind === 'configuration') {
+      this.marks.noteConfiguration(item);
       this.configurationSize = item.value.length;
       this.takeConfiguration(fact.configuration, item.revision, source);
     }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,6 +33,8 @@
   peers?: ListenAddress;
   /** Some addresses of other VMs, which may be old. */
   seeds: ListenAddress[];
+  /** Shared by the VMs of a fleet; empty where links prove nothing. */
+  peerSecret: string;
   /** Time after which a target that leaves may get no work any more, in milliseconds. */
   leavingTargetMs: number;
   /** Time within which a configuration that the store accepted has to be in force, in milliseconds. */
--- a/packages/load/src/fleet-start.test.ts
+++ b/packages/load/src/fleet-start.test.ts
@@ -83,6 +83,7 @@
           follower.stop();
         },
         onChanges: () => undefined,
+        onBehind: () => undefined,
         onLost: () => undefined,
         onCallFailed: () => undefined,
         onRegained: () => undefined,
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -28,6 +28,9 @@
   readonly loads = new Map<string, ReadonlyMap<string, PacedLoad>>();
   readonly lost: string[] = [];
   readonly updates: StoreUpdate[] = [];
+  readonly strangers: string[] = [];
+  /** Of the one store that all follow, unless a test says otherwise. */
+  marks = [1];
   readonly borrowed = new Map<string, number>();
   spare = 0;
   knowledge: StoreKnowledge = EMPTY;
@@ -58,6 +61,10 @@
       random: systemRandom,
       log,
       readKnowledge: () => vm.knowledge,
+      secret: '',
+      storeAddress: 'store:1',
+      readMarks: () => vm.marks,
+      onStranger: (peer) => vm.note(() => vm.strangers.push(peer)),
       readUpdate: (since) => ({
         items: vm.items.filter((item) => item.revision > since),
         gone: ['removed'],
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -9,11 +9,13 @@
 import Gossip from './gossip.js';
 import LoadExchange from './load-exchange.js';
 import LossNews from './loss-news.js';
+import type { MemberAge } from './member-book.js';
 import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
 import { readNamedMembers } from './named-members.js';
 import PeerTable from './peer-table.js';
 import RepeatLoans from './repeat-loans.js';
+import SameStore from './same-store.js';
 import type { RegionNotice } from './region-sizes.js';
 import StoreExchange from './store-exchange.js';
 import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
@@ -34,8 +36,6 @@
 const START_WAIT_MS = 100;
 /** The same in a large fleet: until the third round shows which VMs follow the store. */
 const LARGE_START_WAIT_MS = 1_500;
-/** Links with a secret of their own would need a settings field that the platform lacks. */
-const NO_SECRET = '';
 
 /** Talks with peers. */
 export default class EvidenceExchange {
@@ -47,6 +47,7 @@
   private readonly lossNews: LossNews;
   private readonly loans: RepeatLoans;
   private readonly store: StoreExchange;
+  private readonly sameStore: SameStore;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
   private isStopped = false;
@@ -60,6 +61,13 @@
     };
     const broadcast = (message: EvidenceMessage, peers: PeerId[]): void =>
       this.links?.broadcast(message, peers);
+    this.sameStore = new SameStore({
+      clock,
+      store: options.storeAddress,
+      seeds: options.seeds,
+      readMarks: options.readMarks,
+      onStranger: (peer) => this.onStranger(peer),
+    });
     this.gossip = new Gossip({
       peers: this.peers,
       readKnowledge: options.readKnowledge,
@@ -69,6 +77,7 @@
       listHidden: () => this.members?.listHidden() ?? [],
       nameRegion: () => this.members?.nameRegion() ?? [],
       nameAll: () => this.members?.nameAll() ?? [],
+      composeMarks: (peer) => this.sameStore.compose(peer),
       broadcast,
     });
     this.loans = new RepeatLoans({
@@ -81,6 +90,7 @@
       ...options,
       peers: this.peers,
       listPeers,
+      isTrusted: (peer) => this.sameStore.isTrusted(peer),
       isLarge: () => this.isLarge,
       followsForOthers: () => this.followsForOthers,
       send,
@@ -162,7 +172,7 @@
     this.links = await createPeerLinks<EvidenceMessage>({
       id,
       incarnation,
-      secret: NO_SECRET,
+      secret: this.options.secret,
       host,
       port,
       timers,
@@ -177,12 +187,26 @@
         region: notice.region,
         vms: notice.vms,
       });
-    const { links } = this;
+    const links = this.avoidStrangers(this.links);
     this.members = new Membership({ self: id, region, seeds, links, clock, random, onRegion });
     this.load.start();
     this.beat(SECOND_ROUND_MS);
   }
 
+  /** A VM that follows another store is not linked to, though seeds or members name it. */
+  private avoidStrangers(links: PeerLinks<EvidenceMessage>): PeerLinks<EvidenceMessage> {
+    return {
+      ...links,
+      open: (peers) => links.open(peers.filter(({ id }) => !this.sameStore.isAvoided(id))),
+    };
+  }
+
+  /** What this VM knew of the store was not what its store holds; peers have to prove themselves anew. */
+  forgetStore(): void {
+    this.toldConfiguration = 0;
+    this.sameStore.forget();
+  }
+
   /** Ends all links. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -271,6 +295,7 @@
       return;
     }
     this.peers.listSilent().forEach((peer) => this.drop(peer));
+    this.sameStore.findStrangers().forEach((peer) => this.drop(peer));
     const named = this.members?.tend() ?? [];
     this.gossip.beat(this.peers.list(), named);
     this.load.tell();
@@ -283,8 +308,19 @@
     this.onPeerLost(peer);
   }
 
+  private onStranger(peer: PeerId): void {
+    this.options.log.write('peer-of-other-store', { peer });
+    this.options.onStranger(peer);
+    this.members?.forget(peer);
+  }
+
   private onReady(peer: PeerId): void {
+    if (this.sameStore.isAvoided(peer)) {
+      this.links?.drop(peer);
+      return;
+    }
     this.peers.add(peer);
+    this.sameStore.add(peer);
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.gossip.beat([peer], []);
@@ -293,6 +329,7 @@
 
   private onPeerLost(peer: PeerId): void {
     if (this.peers.remove(peer)) {
+      this.sameStore.remove(peer);
       this.options.log.write('peer-lost', { peer, peers: this.peers.size });
       this.load.noteLost(peer);
     }
@@ -360,10 +397,17 @@
     }
   }
 
+  private withoutStrangers(members: MemberAge[]): MemberAge[] {
+    return members.filter(({ id }) => !this.sameStore.isAvoided(id));
+  }
+
   private onHeartbeat(peer: PeerId, message: EvidenceMessageOf<'heartbeat'>): void {
+    this.sameStore.hear(peer, message.storeMarks);
     this.store.noteKnowledge(peer, message);
-    this.members?.locate(peer, message.region);
-    this.members?.hear(readNamedMembers(message), message.hidden);
+    if (this.sameStore.isPossible(peer)) {
+      this.members?.locate(peer, message.region);
+      this.members?.hear(this.withoutStrangers(readNamedMembers(message)), message.hidden);
+    }
     this.gossip.hear(peer, message.wanted);
     this.store.check();
   }
--- a/packages/share-evidence/src/gossip.test.ts
+++ b/packages/share-evidence/src/gossip.test.ts
@@ -22,6 +22,7 @@
     isDistant: (peer) => peer === 'far',
     nameRegion: () => [{ id: 'c', ageMs: 0, region: 'here' }],
     listHidden: () => [],
+    composeMarks: () => undefined,
     isChosen: (peer) => chosen.includes(peer),
     nameAll: () => [
       { id: 'a', ageMs: 0 },
--- a/packages/share-evidence/src/gossip.ts
+++ b/packages/share-evidence/src/gossip.ts
@@ -4,9 +4,10 @@
  */
 import type { MemberAge } from './member-book.js';
 import { nameMembers } from './named-members.js';
-import type { EvidenceMessage } from './messages.js';
+import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
 import type { HiddenRegion } from './region-sizes.js';
 import type PeerTable from './peer-table.js';
+import type { StoreMarks } from './same-store.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
 /** What gossip needs. */
@@ -22,6 +23,8 @@
   nameRegion(): MemberAge[];
   /** Regions that this VM can't see. */
   listHidden(): HiddenRegion[];
+  /** What to tell a peer of the store that this VM follows; undefined where both are sure. */
+  composeMarks(peer: PeerId): StoreMarks | undefined;
   broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
@@ -88,7 +91,7 @@
   }
 
   private sendHeartbeat(peers: PeerId[], members: MemberAge[]): void {
-    const { readKnowledge, region, isChosen, listHidden, broadcast } = this.options;
+    const { readKnowledge, region, isChosen, listHidden } = this.options;
     const { revision, configuration, configurationBytes } = readKnowledge();
     const knowledge = { revision, configuration, configurationBytes };
     for (const wanted of [true, false]) {
@@ -98,7 +101,23 @@
         ...nameMembers(members, region),
         ...(hidden.length === 0 ? {} : { hidden }),
       };
-      broadcast({ kind: 'heartbeat', wanted, ...told, ...knowledge }, addressed);
+      const heartbeat = { kind: 'heartbeat', wanted, ...told, ...knowledge } as const;
+      this.sendWithMarks(heartbeat, addressed);
+    }
+  }
+
+  /** Marks are told one by one to those that need them, which are few behind the start. */
+  private sendWithMarks(heartbeat: EvidenceMessageOf<'heartbeat'>, peers: PeerId[]): void {
+    const { broadcast, composeMarks } = this.options;
+    const marks = new Map(peers.map((peer) => [peer, composeMarks(peer)]));
+    broadcast(
+      heartbeat,
+      peers.filter((peer) => marks.get(peer) === undefined),
+    );
+    for (const [peer, storeMarks] of marks) {
+      if (storeMarks !== undefined) {
+        broadcast({ ...heartbeat, storeMarks }, [peer]);
+      }
     }
   }
 }
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -90,6 +90,12 @@
     }
   }
 
+  /** A VM does not belong here. */
+  forget(id: PeerId): void {
+    this.members.delete(id);
+    this.news.delete(id);
+  }
+
   /** A VM spoke just now, to this one. */
   hearFrom(id: PeerId): void {
     this.hear({ id, ageMs: 0 });
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -111,6 +111,11 @@
     this.book.hearFrom(peer);
   }
 
+  /** A peer turned out to belong to another fleet. */
+  forget(peer: PeerId): void {
+    this.book.forget(peer);
+  }
+
   /** A peer told its own region; undefined where it knows none. */
   locate(peer: PeerId, region: string | undefined): void {
     if (region !== undefined) {
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -12,7 +12,10 @@
   (value) => value,
 );
 
-const storeItem = t.type({ key: t.string, value: buffer, revision: t.number });
+const storeItem = t.intersection([
+  t.type({ key: t.string, value: buffer, revision: t.number }),
+  t.partial({ made: t.number }),
+]);
 
 /** Sent about once a second for gossip, and at once after a change of the two last fields. */
 const heartbeatBase = t.type({
@@ -37,7 +40,12 @@
   hidden: t.array(t.type({ region: t.string, vms: t.number, ageMs: t.number })),
 });
 
-const heartbeat = t.intersection([heartbeatBase, heartbeatRegions]);
+/** Left out where both ends know that they follow the same store; see `StoreMarks`. */
+const heartbeatMarks = t.partial({
+  storeMarks: t.type({ store: t.string, marks: t.array(t.number), isUnsure: t.boolean }),
+});
+
+const heartbeat = t.intersection([heartbeatBase, heartbeatRegions, heartbeatMarks]);
 
 /** Takes the place of a heartbeat on links that serve no gossip. */
 const pulse = t.type({ kind: t.literal('pulse') });
--- a/packages/share-evidence/src/store-exchange.ts
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -16,6 +16,8 @@
   peers: PeerTable;
   /** Peers with which news are shared. */
   listPeers(): PeerId[];
+  /** Whether what a peer says of the store counts here. */
+  isTrusted(peer: PeerId): boolean;
   /** Whether a few VMs follow the store for all. */
   isLarge(): boolean;
   /** Whether this VM is one of them. */
@@ -36,7 +38,7 @@
       timers,
       readKnowledge,
       isFollowing: () => this.mustFollow,
-      listPeers: () => peers.readKnowledge(listPeers()),
+      listPeers: () => peers.readKnowledge(listPeers().filter(options.isTrusted)),
       ask: (peer, since) => send(peer, { kind: 'want-items', since }),
     });
     this.news = new StoreNews({
@@ -77,22 +79,23 @@
 
   /** A peer knows so much of the store. */
   noteKnowledge(peer: PeerId, knowledge: PeerKnowledge): void {
-    this.options.peers.noteKnowledge(peer, knowledge);
-    this.news.noteConfiguration(knowledge);
+    const { peers, isTrusted } = this.options;
+    peers.noteKnowledge(peer, knowledge);
+    if (isTrusted(peer)) {
+      this.news.noteConfiguration(knowledge);
+    }
   }
 
   /** A peer spoke of the store. */
   hear(peer: PeerId, message: EvidenceMessageOf<'store-news' | 'want-items' | 'items'>): void {
-    switch (message.kind) {
-      case 'store-news':
-        this.hearNews(peer, message);
-        break;
-      case 'want-items':
-        this.answer(peer, message);
-        break;
-      case 'items':
-        this.hearItems(peer, message);
-        break;
+    if (message.kind === 'want-items') {
+      this.answer(peer, message);
+    } else if (!this.options.isTrusted(peer)) {
+      return;
+    } else if (message.kind === 'store-news') {
+      this.hearNews(peer, message);
+    } else {
+      this.hearItems(peer, message);
     }
   }
 
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -81,6 +81,10 @@
   /** Region of this VM; undefined where the fleet is in one. */
   region?: string;
   seeds: PeerId[];
+  /** Both ends of each link prove that they know it. */
+  secret: string;
+  /** Address of the store in this VM's settings, as "host:port". */
+  storeAddress: string;
   clock: Clock;
   timers: Timers;
   random: Random;
@@ -88,6 +92,10 @@
   readKnowledge(): StoreKnowledge;
   /** What this VM knows of the store beyond a revision; 0 for everything. */
   readUpdate(since: number): StoreUpdate;
+  /** Marks of what only this VM's store can have written; none before it answered. See `SameStore`. */
+  readMarks(): readonly number[];
+  /** A peer follows another store; the link to it is ended. */
+  onStranger(peer: PeerId): void;
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
