Take each item of the store by itself, and let no fault reach further than what it met

Cause: an entry's address was first looked at in a send, whose exception ended the process by the wake-up of waiting requests; an unreadable item left what was known in force, targets too; an answer with one row of another shape was invalid as a whole. A target that begins again under its name (born) has an id of its own, so that nothing of before touches it. Two entries of a test lacked fields that every entry has; they have them now.

--- a/packages/errors/src/classes.ts
+++ b/packages/errors/src/classes.ts
@@ -90,6 +90,15 @@
   }
 }
 
+/** Message and the first frames. */
+const DESCRIBED_LINES = 4;
+
+/** What was thrown and where, for a line; the first frames say which part of the program it was. */
+export function describeThrown(thrown: unknown): string {
+  const text = thrown instanceof Error ? (thrown.stack ?? thrown.message) : String(thrown);
+  return text.split('\n').slice(0, DESCRIBED_LINES).join(' | ');
+}
+
 /** Turns anything thrown into an error of the closed list. */
 export function toLimeleadError(thrown: unknown): LimeleadError {
   if (thrown instanceof LimeleadError) {
--- a/packages/follow-store/src/notice-in-time.test.ts
+++ b/packages/follow-store/src/notice-in-time.test.ts
@@ -155,6 +155,7 @@
     events: {
       onList: note,
       onChanges: note,
+      onStepFailed: (thrown) => assert.unreachable(String(thrown)),
       onBehind: () => undefined,
       onLost: () => undefined,
       onCallFailed: () => undefined,
--- a/packages/follow-store/src/paged-list.ts
+++ b/packages/follow-store/src/paged-list.ts
@@ -18,6 +18,10 @@
 /** One page of the items, in the order of their keys. */
 export interface StorePage {
   items: StoreItem[];
+  /** Rows that could not be read at all. */
+  skipped?: number;
+  /** Key of the last row, where it is not that of the last item. */
+  lastKey?: string;
   /** The store's revision when the page was read. */
   revision: number;
   hasMore: boolean;
@@ -32,6 +36,8 @@
   /** The store's revision when the first page was read. */
   revision: number;
   pages: number;
+  skipped: number;
+  lastKey: string | undefined;
   begunAtMs: Millis;
 }
 
@@ -49,17 +55,20 @@
     let list = this.takeKept();
     while (list === undefined || list.pages < MAX_PAGES) {
       const begunAtMs = this.clock.now();
-      const page = await this.readPage(list?.items.at(-1)?.key);
+      const page = await this.readPage(list?.lastKey);
       if (E.isLeft(page)) {
         this.underWay = isPassing(page.left) ? list : undefined;
         return page;
       }
-      const { items, revision, hasMore } = page.right;
-      list ??= { items: [], revision, pages: 0, begunAtMs };
+      const { items, revision, hasMore, skipped = 0, lastKey = items.at(-1)?.key } = page.right;
+      list ??= { items: [], revision, pages: 0, skipped: 0, lastKey, begunAtMs };
       list.items.push(...items);
+      list.skipped += skipped;
+      list.lastKey = lastKey;
       list.pages += 1;
       if (!hasMore) {
-        return E.right({ items: list.items, revision: list.revision });
+        const { items: all, skipped: left, revision: first } = list;
+        return E.right({ items: all, skipped: left, revision: first, lastRevision: revision });
       }
     }
     return E.left('invalid');
--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -25,6 +25,7 @@
 
 /** Events that a test does not look at. */
 const IGNORED = {
+  onStepFailed: (thrown: unknown) => assert.unreachable(String(thrown)),
   onBehind: () => undefined,
   onList: () => undefined,
   onChanges: () => undefined,
@@ -82,6 +83,7 @@
     events: {
       onList: ({ items }) => told.push(`items ${items.length}`),
       onChanges: ({ changes }) => told.push(`changes ${changes.length}`),
+      onStepFailed: (thrown: unknown) => assert.unreachable(String(thrown)),
       onBehind: ({ known, revision }) => told.push(`behind ${known} ${revision}`),
       onLost: (fault) => told.push(`lost ${fault}`),
       onCallFailed: () => undefined,
@@ -195,6 +197,35 @@
   assert.ok(told.includes('watch 4'));
 });
 
+test('an answer that can not be taken does not end the loop: the store is listed anew', async () => {
+  const told: string[] = [];
+  const follower: StoreFollower = new StoreFollower({
+    timers: createPassingTimers({ now: 0 }),
+    random: { next: () => 0 },
+    countFollowers: () => 6,
+    ...ALONE,
+    port: {
+      list: async () => E.right({ items: [], revision: 5 }),
+      watch: async () => E.right({ changes: [gone], revision: 6 }),
+    },
+    events: {
+      ...IGNORED,
+      onList: () => {
+        told.push('list');
+        if (told.length > 2) {
+          follower.stop();
+        }
+      },
+      onChanges: () => {
+        throw new TypeError('no such target');
+      },
+      onStepFailed: (thrown) => told.push(String(thrown)),
+    },
+  });
+  await follower.run();
+  assert.equal(told, ['list', 'TypeError: no such target', 'list']);
+});
+
 test('changes gather for longer where more VMs pay for calls, up to a bound', async () => {
   const pauseOf = async (vms: number): Promise<number | undefined> => {
     const changes = E.right({ changes: [gone], revision: 7 });
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -37,6 +37,8 @@
  * the 4 s after which the users' larger sites take it to be in touch again.
  */
 const SHARED_PAUSE_MS = 3_000;
+/** Pause behind an answer that could not be taken: such a one costs a list, and may come again. */
+const FAILED_STEP_PAUSE_MS = 1_000;
 /** Part of a pause that is drawn at random, so that VMs do not all ask at once. */
 const JITTER = 0.4;
 
@@ -56,6 +58,8 @@
   onCallFailed(failure: StoreCallFailure): void;
   /** The first success after a failure. */
   onRegained(outage: StoreOutage): void;
+  /** Taking an answer failed by a fault of this program; it is listed anew behind a pause. */
+  onStepFailed(thrown: unknown): void;
   /** This VM begins to follow the store itself, or leaves that to others. */
   onFollowing(isFollowing: boolean): void;
 }
@@ -148,7 +152,7 @@
     while (!this.isStopped) {
       const { isIdle } = this;
       this.noteFollowing(!isIdle);
-      pauseMs = isIdle ? this.rest() : await this.step(pauseMs);
+      pauseMs = isIdle ? this.rest() : await this.stepGuarded(pauseMs);
       if (pauseMs > 0) {
         await delay(this.options.timers, pauseMs);
       }
@@ -194,6 +198,18 @@
     return IDLE_CHECK_MS;
   }
 
+  /** An answer that can't be taken must not end the loop: nothing would ever be learnt again. */
+  private async stepGuarded(pausedMs: Millis): Promise<number> {
+    try {
+      return await this.step(pausedMs);
+    } catch (thrown) {
+      this.options.events.onStepFailed(thrown);
+      this.revision = undefined;
+      this.isComplete = false;
+      return FAILED_STEP_PAUSE_MS;
+    }
+  }
+
   /** One call behind a pause; gives the pause until the next. */
   private async step(pausedMs: Millis): Promise<number> {
     if (this.revision === undefined) {
@@ -210,8 +226,10 @@
       return this.onFault({ call: 'list', waitMs: 0, fault: list.left, calledAtMs });
     }
     this.onSuccess();
-    if (list.right.revision < known) {
-      this.options.events.onBehind({ known, revision: list.right.revision });
+    // Pages that a failed try left may be older than what peers told since; the last one is not.
+    const { revision, lastRevision = revision } = list.right;
+    if (lastRevision < known) {
+      this.options.events.onBehind({ known, revision: lastRevision });
     }
     this.hasListed = true;
     const isStillChanging = this.noteLarge(list.right.items) && this.isComplete;
--- a/packages/follow-store/src/store-port.ts
+++ b/packages/follow-store/src/store-port.ts
@@ -65,12 +65,18 @@
   items: StoreItem[];
   /** The store's revision when the first page was read. */
   revision: number;
+  /** The same when the last page was read; left out, there is one page. */
+  lastRevision?: number;
+  /** Rows that could not be read at all. */
+  skipped?: number;
 }
 
 /** Changes and the revision to go on from. */
 export interface StoreChanges {
   changes: StoreChange[];
   revision: number;
+  /** Rows that could not be read at all. */
+  skipped?: number;
 }
 
 /** Reads of the store. */
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -28,6 +28,7 @@
   gate: TargetGate;
   storeAddress: string;
   onStranger(peer: PeerId): void;
+  onFault(): void;
   onRepeats(service: string, repeats: number): void;
   onReport(peer: PeerId, report: PeerReport): void;
 }
@@ -64,6 +65,7 @@
     }),
     readMarks: () => knowledge.readMarks(),
     onStranger: parts.onStranger,
+    onFault: parts.onFault,
     readUpdate: (since) => knowledge.readUpdate(since),
     readLoad: () => engineLoad.read(),
     onLoad: (peer, load) => directory.takePeerLoad(peer, load),
--- a/packages/gateway/src/follower-events.ts
+++ b/packages/gateway/src/follower-events.ts
@@ -1,5 +1,6 @@
 /** What a gateway does with what its follower of the store tells it. */
 import type { DecisionLog } from '@limelead/decision-log';
+import { describeThrown } from '@limelead/errors';
 import type { StoreFollowerEvents } from '@limelead/follow-store';
 import type { Metrics } from '@limelead/metrics';
 import type { EvidenceExchange } from '@limelead/share-evidence';
@@ -20,13 +21,20 @@
 /** Writes each event, and passes on what it means for knowledge and peers. */
 export default function createFollowerEvents(options: FollowerEventsOptions): StoreFollowerEvents {
   const { log, metrics, knowledge, readExchange, readKnowledgeAgeMs } = options;
+  const noteSkipped = (rows = 0): void => {
+    if (rows > 0) {
+      log.write('store-rows-skipped', { rows });
+    }
+  };
   return {
     onList(list) {
+      noteSkipped(list.skipped);
       log.write('store-listed', { items: list.items.length, revision: list.revision });
       knowledge.takeList(list);
       readExchange()?.noteStoreAnswered();
     },
     onChanges(changes) {
+      noteSkipped(changes.skipped);
       knowledge.takeChanges(changes);
       readExchange()?.noteStoreAnswered();
     },
@@ -46,6 +54,10 @@
         pauseMs: Math.round(pauseMs),
       });
     },
+    onStepFailed(thrown) {
+      metrics.count('limelead_faults_total', 1, { boundary: 'store' });
+      log.write('store-step-failed', { reason: describeThrown(thrown) });
+    },
     onRegained({ awayMs, failures }) {
       log.write('store-regained', { awayMs: Math.round(awayMs), failures });
       knowledge.noteStoreRegained();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -175,6 +175,7 @@
       retries: this.retries,
       gate: this.gate,
       storeAddress: platform.storeAddress,
+      onFault: () => this.metrics.count('limelead_faults_total', 1, { boundary: 'peer' }),
       onStranger: () => this.metrics.count('limelead_strangers_total'),
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
       onReport: (peer, report) => this.parts.forEach((part) => part.onReport?.(peer, report)),
--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -17,6 +17,8 @@
 
 /** Value of a target that said that it leaves. */
 const LEAVING = 'leaving';
+/** Value of a target that began again. */
+const REBORN = 'reborn';
 /** Value of an item that does not hold. */
 const UNREADABLE = 'unreadable';
 /** Value of a target at an address that others use, too. */
@@ -54,8 +56,9 @@
         }
         if (key !== 'c') {
           const leaving = value.toString() === LEAVING;
+          const id = value.toString() === REBORN ? `${key}@2` : key;
           const port = value.toString() === AT_PORT_1 ? 1 : toTarget(key).port;
-          return { kind: 'target', target: { ...toTarget(key), leaving, port } };
+          return { kind: 'target', target: { ...toTarget(key), id, leaving, port } };
         }
         const limits = {
           maxHeaderBytes: 1,
@@ -281,4 +284,36 @@
   assert.not.ok(other.knowledge.readMarks().some((mark) => marks.has(mark)));
 });
 
+test('a target whose item no longer holds is left, and used again once it does', () => {
+  const { knowledge, usable, ids, lines } = create();
+  knowledge.takeList({ items: [item('c', 5), item('t1', 3), item('t2', 4)], revision: 6 });
+  const spoilt = [item('t1', 7, UNREADABLE), item('t3', 8, UNREADABLE), item('c', 9, UNREADABLE)];
+  const changes = spoilt.map((put) => ({ kind: 'put', item: put }) as const);
+  knowledge.takeChanges({ changes, revision: 9 });
+  assert.equal([usable(), ids()], [['t2'], ['t1', 't2']]);
+  assert.is(knowledge.routes?.version, 5);
+  knowledge.takeList({ items: [...spoilt, item('t2', 4)], revision: 10 });
+  assert.equal([usable(), ids()], [['t2'], ['t1', 't2']]);
+  const told = lines.filter(({ event }) => event === 'store-item-unreadable');
+  assert.equal(
+    told.map(({ key, revision }) => [key, revision]),
+    [
+      ['t1', 7],
+      ['t3', 8],
+      ['c', 9],
+    ],
+  );
+  knowledge.takeChanges({ changes: [{ kind: 'put', item: item('t1', 11) }], revision: 11 });
+  assert.equal(usable(), ['t1', 't2']);
+});
+
+test('a target that begins again under its name is another one', () => {
+  const { knowledge, ids, joined } = create();
+  knowledge.takeList({ items: [item('c', 5), item('t1', 3)], revision: 6 });
+  knowledge.takeChanges({ changes: [{ kind: 'put', item: item('t1', 7, REBORN) }], revision: 7 });
+  assert.equal([ids(), joined], [['t1@2'], ['t1', 't1@2']]);
+  knowledge.takeChanges({ changes: [{ kind: 'gone', key: 't1' }], revision: 8 });
+  assert.equal(ids(), []);
+});
+
 test.run();
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -3,7 +3,7 @@
  * force and the targets. A configuration is taken only if it is newer than the
  * one in force, and a peer's list only if it is newer than what is known.
  */
-import type { DecisionLog } from '@limelead/decision-log';
+import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
 import type { StoreUpdate } from '@limelead/share-evidence';
 import {
@@ -43,8 +43,11 @@
   | { kind: 'roll-out-step'; service: string; agreed: AgreedStep }
   /** Written by this system: somebody holds the duties. */
   | { kind: 'duty' }
-  /** It should be one of these, and does not hold. */
-  | { kind: 'unreadable'; reason: string }
+  /**
+   * It should be one of these, and does not hold. A target that the item named before is left
+   * there as one that leaves: nothing new goes to it until its own writer is back.
+   */
+  | { kind: 'unreadable'; reason: string; left?: ServiceTarget }
   | { kind: 'other' };
 
 /** Reads items of the store in the platform's words. */
@@ -57,6 +60,8 @@
 }
 
 const DUTY: StoreFact = { kind: 'duty' };
+/** Enough to see what a writer spoils; thousands of spoilt items must not push out other lines. */
+const MOST_UNREADABLE_LINES_PER_SECOND = 20;
 
 interface KnownItem {
   item: StoreItem;
@@ -90,6 +95,9 @@
   /** Items that mean something, by key. */
   private readonly known = new Map<string, KnownItem>();
   private removed = new RemovedKeys();
+  /** Revisions of items that do not hold and left what was known before in force, by key. */
+  private readonly unreadable = new Map<string, number>();
+  private readonly noteUnreadable: LimitedLines;
   private readonly marks = new StoreMarks();
   /** Whether the store itself gave its list; until then peers' word is all that there is. */
   private isConfirmed = false;
@@ -101,6 +109,12 @@
 
   constructor(private readonly options: KnowledgeOptions) {
     const { clock, timers, leavingTargetMs, directory, log } = options;
+    this.noteUnreadable = createLineLimit(
+      log,
+      clock,
+      MOST_UNREADABLE_LINES_PER_SECOND,
+      'store-item-unreadable',
+    );
     this.lapsed = new LapsedTargets({
       clock,
       timers,
@@ -143,6 +157,7 @@
       source: this.source,
     });
     this.known.clear();
+    this.unreadable.clear();
     this.removed = new RemovedKeys();
     this.marks.forget();
     this.isConfirmed = false;
@@ -273,8 +288,9 @@
     const inOrder = [...this.known.values()].sort((a, b) => a.item.revision - b.item.revision);
     const byAddress = new Map<string, ServiceTarget>();
     for (const { fact } of inOrder) {
-      if (fact.kind === 'target') {
-        byAddress.set(`${fact.target.host}:${fact.target.port}`, fact.target);
+      const target = targetOf(fact);
+      if (target !== undefined) {
+        byAddress.set(`${target.host}:${target.port}`, target);
       }
     }
     return [...byAddress.values()];
@@ -306,14 +322,28 @@
     revision: number,
     source: KnowledgeSource,
   ): TargetChange[] {
+    const key = change.kind === 'gone' ? change.key : change.item.key;
+    const before = this.readTarget(key);
     if (change.kind === 'gone') {
-      this.known.delete(change.key);
-      this.removed.note(change.key, revision);
-      const id = this.options.dialect.readTargetId(change.key);
+      this.known.delete(key);
+      this.unreadable.delete(key);
+      this.removed.note(key, revision);
+      const id = before?.id ?? this.options.dialect.readTargetId(key);
       return id === undefined ? [] : [{ kind: 'gone', id }];
     }
-    const fact = this.read(change.item, source);
-    return fact.kind === 'target' ? [{ kind: 'put', target: fact.target }] : [];
+    const target = targetOf(this.read(change.item, source));
+    if (target === undefined) {
+      return [];
+    }
+    // Under its name a target may begin again, and then knows nothing of before.
+    const isOther = before !== undefined && before.id !== target.id;
+    const put: TargetChange = { kind: 'put', target };
+    return isOther ? [{ kind: 'gone', id: before.id }, put] : [put];
+  }
+
+  private readTarget(key: string): ServiceTarget | undefined {
+    const known = this.known.get(key);
+    return known && targetOf(known.fact);
   }
 
   private read(item: StoreItem, source: KnowledgeSource): StoreFact {
@@ -323,10 +353,9 @@
     }
     const fact = readOwnItem(item) ?? this.options.dialect.read(item);
     if (fact.kind === 'unreadable') {
-      const { key, revision } = item;
-      this.options.log.write('store-item-unreadable', { key, revision, reason: fact.reason });
-      return fact;
+      return this.takeUnreadable(item, fact.reason);
     }
+    this.unreadable.delete(item.key);
     if (fact.kind !== 'other') {
       const mark = fact.kind === 'target' ? markTarget(item, fact.target) : undefined;
       this.known.set(item.key, { item, fact, mark });
@@ -339,6 +368,22 @@
     return fact;
   }
 
+  /** A target is left; of anything else the last one that held stays. One line for each revision. */
+  private takeUnreadable(item: StoreItem, reason: string): StoreFact {
+    const { key, revision } = item;
+    if ((this.unreadable.get(key) ?? 0) < revision) {
+      this.unreadable.set(key, revision);
+      this.noteUnreadable({ key, revision, reason });
+    }
+    const before = this.readTarget(key);
+    const left = before && { ...before, leaving: true };
+    const fact: StoreFact = { kind: 'unreadable', reason, left };
+    if (this.options.dialect.readTargetId(key) !== undefined) {
+      this.known.set(key, { item, fact });
+    }
+    return fact;
+  }
+
   private takeConfiguration(
     configuration: ServingConfiguration,
     revision: number,
@@ -366,6 +411,13 @@
   }
 }
 
+function targetOf(fact: StoreFact): ServiceTarget | undefined {
+  if (fact.kind === 'target') {
+    return fact.target;
+  }
+  return fact.kind === 'unreadable' ? fact.left : undefined;
+}
+
 /** Items that this system writes for itself; undefined for others. */
 function readOwnItem({ key, value }: StoreItem): StoreFact | undefined {
   if (key === DUTY_KEY || key === ROLL_OUT_DUTY_KEY) {
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -1,6 +1,6 @@
 /** The HTTP server that callers meet, and the filters that each request passes. */
 import { createLineLimit, type LimitedLines, type LogFields } from '@limelead/decision-log';
-import { LimeleadError } from '@limelead/errors';
+import { describeThrown, LimeleadError, toLimeleadError } from '@limelead/errors';
 import {
   forwardCall,
   forwardStream,
@@ -162,10 +162,24 @@
       onRefused: (error, status) => this.noteRefusal(message, error, status),
     });
     const arrival: Arrival = { message, response, sink, receivedAtMs: context.clock.now() };
-    if (context.readTable() === undefined && !this.isStopping) {
-      this.hold(arrival);
-    } else {
-      this.route(arrival);
+    this.guard(arrival, () => {
+      if (context.readTable() === undefined && !this.isStopping) {
+        this.hold(arrival);
+      } else {
+        this.route(arrival);
+      }
+    });
+  }
+
+  /** A fault of this program ends the request that met it, not the others. */
+  private guard({ sink }: Arrival, run: () => void): void {
+    const { log, metrics } = this.options.context;
+    try {
+      run();
+    } catch (thrown) {
+      metrics.count('limelead_faults_total', 1, { boundary: 'request' });
+      log.write('request-failed', { reason: describeThrown(thrown) });
+      sink.refuse(toLimeleadError(thrown));
     }
   }
 
@@ -179,7 +193,7 @@
   private hold(arrival: Arrival): void {
     const forget = this.held.hold(this.readWaitMs(arrival), () => {
       this.noteHeld(arrival);
-      this.route(arrival);
+      this.guard(arrival, () => this.route(arrival));
     });
     arrival.response.once('close', forget);
   }
@@ -242,11 +256,13 @@
       {
         onRefused: (error) => arrival.sink.refuse(error),
         onBody: (body) =>
-          this.admit(arrival, facts, route, {
-            body,
-            organisation: caller?.organisation,
-            rank: caller?.rank ?? route.rank,
-          }),
+          this.guard(arrival, () =>
+            this.admit(arrival, facts, route, {
+              body,
+              organisation: caller?.organisation,
+              rank: caller?.rank ?? route.rank,
+            }),
+          ),
       },
     );
     arrival.response.once('close', giveBack);
--- a/packages/load/src/fleet-start.test.ts
+++ b/packages/load/src/fleet-start.test.ts
@@ -83,6 +83,7 @@
           follower.stop();
         },
         onChanges: () => undefined,
+        onStepFailed: (thrown) => assert.unreachable(String(thrown)),
         onBehind: () => undefined,
         onLost: () => undefined,
         onCallFailed: () => undefined,
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -62,6 +62,7 @@
       log,
       readKnowledge: () => vm.knowledge,
       secret: '',
+      onFault: () => assert.unreachable(),
       storeAddress: 'store:1',
       readMarks: () => vm.marks,
       onStranger: (peer) => vm.note(() => vm.strangers.push(peer)),
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -3,6 +3,7 @@
  * every target and which targets they found lost, advise each other where streams go,
  * and give the store's items to a VM that the store turns away.
  */
+import { describeThrown } from '@limelead/errors';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
@@ -336,9 +337,17 @@
   }
 
   private onMessage(peer: PeerId, message: EvidenceMessage): void {
-    if (this.peers.hear(peer)) {
-      this.members?.hearFrom(peer);
+    if (!this.peers.hear(peer)) {
+      return;
+    }
+    this.members?.hearFrom(peer);
+    try {
       this.dispatch(peer, message);
+    } catch (thrown) {
+      // What one peer says must not end this VM; the next message may be a better one.
+      const reason = describeThrown(thrown);
+      this.options.log.write('peer-message-failed', { peer, kind: message.kind, reason });
+      this.options.onFault();
     }
   }
 
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -96,6 +96,8 @@
   readMarks(): readonly number[];
   /** A peer follows another store; the link to it is ended. */
   onStranger(peer: PeerId): void;
+  /** A message of a peer could not be taken by a fault of this program. */
+  onFault(): void;
   /** Requests of this VM under way, target by target. */
   readLoad(): TargetLoad[];
   /** The load that a peer told; empty once it is lost. */
--- a/packages/target-connections/src/target-connections.ts
+++ b/packages/target-connections/src/target-connections.ts
@@ -1,4 +1,5 @@
 /** The connections of this VM to all targets, kept by incarnation. */
+import { PortFault } from '@limelead/errors';
 import type { Clock, Millis, ServiceTarget } from '@limelead/types';
 import TargetConnection, {
   type CallEvents,
@@ -45,7 +46,7 @@
   ): OpenCall {
     const idle = this.takeIdle(target.id, options.maxIdleMs);
     if (idle === undefined) {
-      return this.open(target).send(call, events);
+      return this.sendAnew(target, call, events);
     }
     let open = idle.send(call, {
       onHead: (head) => events.onHead(head),
@@ -53,7 +54,7 @@
       onEnd: () => events.onEnd(),
       onFault: (fault) => {
         if (fault.sent === 'no') {
-          open = this.open(target).send(call, events);
+          open = this.sendAnew(target, call, events);
         } else {
           events.onFault(fault);
         }
@@ -62,6 +63,18 @@
     return { cancel: () => open.cancel() };
   }
 
+  /** What can't be sent at all is a fault of this call; thrown, it would end whatever woke the request. */
+  private sendAnew(target: ServiceTarget, call: TargetCall, events: CallEvents): OpenCall {
+    try {
+      return this.open(target).send(call, events);
+    } catch (thrown) {
+      const fault = new PortFault('unreachable', 'no', String(thrown));
+      let isCancelled = false;
+      queueMicrotask(() => isCancelled || events.onFault(fault));
+      return { cancel: () => (isCancelled = true) };
+    }
+  }
+
   /** Open connections to a target, busy and idle. */
   count(targetId: string): number {
     return this.byTarget.get(targetId)?.size ?? 0;
@@ -95,14 +108,14 @@
 
   private open(target: ServiceTarget): TargetConnection {
     const { clock, connectTimeoutMs } = this.options;
-    const connections = this.byTarget.get(target.id) ?? new Set<TargetConnection>();
-    this.byTarget.set(target.id, connections);
     const connection = new TargetConnection(
       `http://${target.host}:${target.port}`,
       connectTimeoutMs,
       clock,
       (closed) => this.forget(target.id, closed),
     );
+    const connections = this.byTarget.get(target.id) ?? new Set<TargetConnection>();
+    this.byTarget.set(target.id, connections);
     connections.add(connection);
     this.options.onOpened?.();
     return connection;
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -97,6 +97,8 @@
 export interface ServiceTarget {
   /** Names this incarnation; a restarted target has another id. */
   id: string;
+  /** What the target calls itself, where its incarnations share a name; else its id. */
+  name?: string;
   service: string;
   host: string;
   port: number;
