Route a request in absolute form by its target, and keep the connection of a refusal without a body

Cause: HTTP/1.1 asks servers to take a whole URL; it was refused with 400. A request is told when its head is read, so one without a body counted as not yet read and its refusal closed the connection. Change: the target's host goes before the header's and is passed on in its place; a request that declares no body counts as read.

--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -16,6 +16,7 @@
 import describeMalformed, { readBrokenHead, type ParserError } from './describe-malformed.js';
 import HeldArrivals, { shareOf } from './held-arrivals.js';
 import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
+import readTarget, { type RequestTarget } from './request-target.js';
 import readBody, { BodyBudget } from './read-body.js';
 import ResponseSink from './response-sink.js';
 
@@ -55,6 +56,7 @@
 /** A request in the middle of the filters, with the configuration that it passes them by. */
 interface RoutedArrival extends Arrival {
   table: RouteTable;
+  target: RequestTarget;
 }
 
 /** Serves callers. */
@@ -202,7 +204,7 @@
     const { clock, readTable } = this.options.context;
     const table = readTable();
     if (table !== undefined) {
-      this.filter({ ...arrival, table });
+      this.filter({ ...arrival, table, target: readTarget(arrival.message) });
       return;
     }
     const heldMs = clock.now() - arrival.receivedAtMs;
@@ -221,18 +223,18 @@
   }
 
   private filter(arrival: RoutedArrival): void {
-    const { message, sink, table } = arrival;
-    const fault = checkHead(message, table.limits);
+    const { target, sink, table } = arrival;
+    const fault = checkHead(target, table.limits);
     if (fault !== undefined) {
       sink.refuse(fault);
       return;
     }
-    const facts = this.options.dialect.readFacts(message.rawHeaders);
+    const facts = this.options.dialect.readFacts(target.rawHeaders);
     if (E.isLeft(facts)) {
       sink.refuse(facts.left);
       return;
     }
-    const route = table.findRoute(message.headers.host ?? '', message.url ?? '');
+    const route = table.findRoute(target.host, target.path);
     if (route === undefined) {
       sink.refuse(new LimeleadError('not-found', 'no route takes this host and path'));
       return;
@@ -269,7 +271,7 @@
   }
 
   private admit(
-    { message, sink, receivedAtMs }: RoutedArrival,
+    { message, target, sink, receivedAtMs }: RoutedArrival,
     facts: IngressFacts,
     route: ServingRoute,
     admission: { body: Buffer; organisation?: string; rank: number },
@@ -288,8 +290,8 @@
       request: {
         requestId: facts.requestId,
         method: message.method ?? 'GET',
-        path: message.url ?? '/',
-        rawHeaders: message.rawHeaders,
+        path: target.path,
+        rawHeaders: target.rawHeaders,
         body: admission.body,
         deadlineAtMs,
         lastPiece: facts.lastPiece,
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -81,7 +81,7 @@
     if (answer.mayRetry && answer.execution === 'not-run') {
       headers.push('Retry-After', String(answer.retryAfterMs / MILLISECONDS_A_SECOND));
     }
-    const isBodyRead = this.message.complete;
+    const isBodyRead = this.message.complete || isBodyEmpty(this.message);
     if (this.events.isStopping() || !isBodyRead) {
       headers.push('Connection', 'close');
     }
@@ -128,3 +128,9 @@
     this.response.destroy();
   }
 }
+
+/** A request is told when its head is read; one without a body is only then about to be complete. */
+function isBodyEmpty({ headers }: IncomingMessage): boolean {
+  const hasLength = Number(headers['content-length'] ?? 0) > 0;
+  return !hasLength && headers['transfer-encoding'] === undefined;
+}
