A test that fails: requests that come to a door of ours that is not the callers'

Cause: two fleets on one machine; a port that one VM lost while it was down was taken as the readiness port of another fleet's VM, which answers 404 without a line to all but its own path.

--- a/packages/gateway/src/knowledge.test.ts
+++ b/packages/gateway/src/knowledge.test.ts
@@ -251,6 +251,18 @@
   assert.is(knowledge.revision, 200);
 });
 
+test('what a peer told before the store answered goes also where its revisions lie further back', () => {
+  const { knowledge, versions } = create();
+  const stranger = create();
+  const theirs = item('c', 9, '5000');
+  stranger.knowledge.takeList({ items: [theirs], revision: 10 });
+  knowledge.takePeerUpdate({ items: [theirs], gone: [], present: ['c'], revision: 10 }, PEER);
+  knowledge.takeList({ items: [item('c', 150, '12')], revision: 200 });
+  assert.equal(versions, [5_000, 12]);
+  const marks = new Set(knowledge.readMarks());
+  assert.not.ok(stranger.knowledge.readMarks().some((mark) => marks.has(mark)));
+});
+
 test('what a peer told ahead of the list stays, since the store may have moved on meanwhile', () => {
   const { knowledge, versions } = create();
   knowledge.takeList({ items: [item('c', 5)], revision: 6 });
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -237,12 +237,23 @@
     if (items.some((item) => this.isContradicted(item, revision))) {
       this.forgetAll('contradicts-list', revision);
     }
-    this.isConfirmed = true;
     this.forgetExcept(new Set(items.map(({ key }) => key)));
     items.forEach((item) => this.read(item, STORE));
+    if (!this.isConfirmed) {
+      this.isConfirmed = true;
+      this.markListed(items);
+    }
     this.takeAll(revision);
   }
 
+  /** Only what the store listed proves anything; what peers told before it may be of anywhere. */
+  private markListed(items: StoreItem[]): void {
+    this.marks.forget();
+    items
+      .filter(({ key }) => this.known.get(key)?.fact.kind === 'configuration')
+      .forEach((item) => this.marks.noteConfiguration(item));
+  }
+
   /** Whether what is known of an item can't be of the store that listed it so. */
   private isContradicted(item: StoreItem, listRevision: number): boolean {
     const known = this.known.get(item.key);
@@ -391,7 +402,9 @@
   ): void {
     const { clock, log, readAgeMs } = this.options;
     const previous = this.table?.version;
-    if (previous !== undefined && configuration.version <= previous) {
+    // Written behind what only peers told, the store's own counts also with a lower version.
+    const isFirstOwn = source === STORE && !this.isConfirmed;
+    if (previous !== undefined && configuration.version <= previous && !isFirstOwn) {
       return;
     }
     const now = clock.now();
