Tell a request at a door that is not the callers' that it was not run, and wait for a taken address

Cause: readiness, figures and peers answered 404 or 426 without a line to what is not their own, so that a caller whose address led there was refused as wrong; and a VM whose address was taken ended with an exception, again behind each start. Change: such a request gets 421, a line request-misdirected with its id, and a figure; a VM tries a taken address again each second and says address-taken.

--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -8,6 +8,7 @@
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import { systemRandom, systemTimers, type Clock } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
 import type EngineLoad from './engine-load.js';
 import formatAddress from './format-address.js';
 import type Knowledge from './knowledge.js';
@@ -29,6 +30,7 @@
   storeAddress: string;
   onStranger(peer: PeerId): void;
   onFault(): void;
+  onMisdirected(message: IncomingMessage): void;
   onRepeats(service: string, repeats: number): void;
   onReport(peer: PeerId, report: PeerReport): void;
 }
@@ -66,6 +68,7 @@
     readMarks: () => knowledge.readMarks(),
     onStranger: parts.onStranger,
     onFault: parts.onFault,
+    onMisdirected: parts.onMisdirected,
     readUpdate: (since) => knowledge.readUpdate(since),
     readLoad: () => engineLoad.read(),
     onLoad: (peer, load) => directory.takePeerLoad(peer, load),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,9 @@
 /** One process of the HTTP front door. */
-import createDecisionLog, { type DecisionLog } from '@limelead/decision-log';
+import createDecisionLog, {
+  createLineLimit,
+  type DecisionLog,
+  type LimitedLines,
+} from '@limelead/decision-log';
 import { StoreFollower, type StorePort } from '@limelead/follow-store';
 import {
   KeptPrompts,
@@ -26,7 +30,8 @@
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
-import type { Server } from 'node:http';
+import * as E from 'fp-ts/lib/Either.js';
+import type { IncomingMessage, Server } from 'node:http';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
 import EngineLoad from './engine-load.js';
@@ -34,6 +39,7 @@
 import createFollowerEvents from './follower-events.js';
 import Knowledge, { type StoreDialect } from './knowledge.js';
 import formatAddress from './format-address.js';
+import listenUntilFree from './listen-until-free.js';
 import { startMetricsServer, startReadinessServer } from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
 
@@ -59,6 +65,12 @@
 /** Pause between two looks whether anything is still under way, in milliseconds. */
 const STOP_CHECK_MS = 50;
 
+/** Enough to see who comes to a wrong door; many of them must not push out other lines. */
+const MOST_MISDIRECTED_LINES_PER_SECOND = 20;
+
+/** What this VM listens for. */
+type Door = 'front-door' | 'readiness' | 'metrics' | 'peers';
+
 /** What a gateway needs from the platform. */
 export interface GatewayPlatform {
   store: StorePort;
@@ -78,6 +90,7 @@
 /** Runs one process. */
 export default class Gateway {
   readonly log: DecisionLog;
+  private readonly noteMisdirected: LimitedLines;
   private readonly metrics: Metrics = createMetrics();
   private readonly directory: TargetDirectory;
   private readonly locality: Locality;
@@ -100,6 +113,12 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
+    this.noteMisdirected = createLineLimit(
+      this.log,
+      steadyClock,
+      MOST_MISDIRECTED_LINES_PER_SECOND,
+      'request-misdirected',
+    );
     this.locality = createLocality({ ...settings, prices: settings.localityPrices });
     this.retries = new RetryBudgets({
       budget: settings.retryBudget,
@@ -175,6 +194,7 @@
       retries: this.retries,
       gate: this.gate,
       storeAddress: platform.storeAddress,
+      onMisdirected: (message) => this.onMisdirected('peers', message),
       onFault: () => this.metrics.count('limelead_faults_total', 1, { boundary: 'peer' }),
       onStranger: () => this.metrics.count('limelead_strangers_total'),
       onRepeats: (service, repeats) => this.onRepeats(service, repeats),
@@ -184,19 +204,11 @@
 
   /** Listens, then learns what there is to know; resolves when it listens. */
   async start(): Promise<void> {
-    const { settings, platform } = this;
-    await this.frontDoor.listen();
-    this.servers.push(
-      await startReadinessServer(settings.readiness, platform.readinessPath, () => this.isReady),
-    );
-    if (settings.metrics !== undefined) {
-      this.servers.push(
-        await startMetricsServer(settings.metrics, platform.metricsPath, () =>
-          this.metrics.render(),
-        ),
-      );
-    }
-    await this.exchange?.start();
+    const { settings } = this;
+    await this.listen('front-door', () => this.frontDoor.listen());
+    await this.listen('readiness', () => this.startReadiness());
+    await this.listen('metrics', () => this.startMetrics());
+    await this.listen('peers', async () => this.exchange?.start());
     this.log.write('started', {
       failureDomain: settings.failureDomain,
       region: this.locality.region,
@@ -207,6 +219,37 @@
     this.parts.forEach((part) => part.start());
   }
 
+  private listen<Listening>(door: Door, open: () => Promise<Listening>): Promise<Listening> {
+    return listenUntilFree({ log: this.log, timers: systemTimers }, door, open);
+  }
+
+  private async startReadiness(): Promise<void> {
+    const { readinessPath } = this.platform;
+    const isReady = (): boolean => this.isReady;
+    const note = (message: IncomingMessage): void => this.onMisdirected('readiness', message);
+    const server = startReadinessServer(this.settings.readiness, readinessPath, isReady, note);
+    this.servers.push(await server);
+  }
+
+  private async startMetrics(): Promise<void> {
+    const { metrics } = this.settings;
+    if (metrics === undefined) {
+      return;
+    }
+    const render = (): string => this.metrics.render();
+    const note = (message: IncomingMessage): void => this.onMisdirected('metrics', message);
+    const server = startMetricsServer(metrics, this.platform.metricsPath, render, note);
+    this.servers.push(await server);
+  }
+
+  /** A request at a door that is not the callers'; it was told that it was not run. */
+  private onMisdirected(door: Door, { method, url, rawHeaders }: IncomingMessage): void {
+    const facts = this.platform.ingressDialect.readFacts(rawHeaders);
+    const requestId = E.isRight(facts) ? facts.right.requestId : '';
+    this.metrics.count('limelead_misdirected_total', 1, { door });
+    this.noteMisdirected({ door, requestId, method, path: url });
+  }
+
   /** Whether new connections are welcome. */
   get isReady(): boolean {
     return !this.isStopping && this.knowledge.isComplete;
--- a/packages/gateway/src/readiness-server.ts
+++ b/packages/gateway/src/readiness-server.ts
@@ -1,9 +1,9 @@
 /** Small HTTP servers beside the front door: whether this VM is ready, and its figures. */
-import { createServer, type Server } from 'node:http';
+import { answerMisdirected } from '@limelead/peer-links';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
 
 const OK = 200;
 const NOT_READY = 503;
-const NOT_FOUND = 404;
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -11,15 +11,18 @@
   port: number;
 }
 
+/** Told of a request that came here and belongs elsewhere. */
+export type NoteMisdirected = (message: IncomingMessage) => void;
+
 /** Answers `path` with 200 while the VM is ready, else with 503. */
 export function startReadinessServer(
   address: ListenAddress,
   path: string,
   isReady: () => boolean,
+  noteMisdirected: NoteMisdirected,
 ): Promise<Server> {
-  return start(address, (url) =>
-    url === path ? { status: isReady() ? OK : NOT_READY, body: '' } : undefined,
-  );
+  const answer = (): Answer => ({ status: isReady() ? OK : NOT_READY, body: '' });
+  return start(address, path, answer, noteMisdirected);
 }
 
 /** Answers `path` with the page of figures. */
@@ -27,17 +30,30 @@
   address: ListenAddress,
   path: string,
   render: () => string,
+  noteMisdirected: NoteMisdirected,
 ): Promise<Server> {
-  return start(address, (url) => (url === path ? { status: OK, body: render() } : undefined));
+  return start(address, path, () => ({ status: OK, body: render() }), noteMisdirected);
+}
+
+interface Answer {
+  status: number;
+  body: string;
 }
 
 function start(
   { host, port }: ListenAddress,
-  answer: (url: string | undefined) => { status: number; body: string } | undefined,
+  path: string,
+  answer: () => Answer,
+  noteMisdirected: NoteMisdirected,
 ): Promise<Server> {
   const server = createServer((request, response) => {
+    if (request.url !== path) {
+      noteMisdirected(request);
+      answerMisdirected(request, response);
+      return;
+    }
     request.resume();
-    const { status, body } = answer(request.url) ?? { status: NOT_FOUND, body: '' };
+    const { status, body } = answer();
     response.writeHead(status, { 'Content-Type': 'text/plain; version=0.0.4' }).end(body);
   });
   return new Promise((resolve, reject) => {
--- a/packages/peer-links/src/index.ts
+++ b/packages/peer-links/src/index.ts
@@ -2,3 +2,4 @@
 export { default as createPeerLinks } from './peer-links.js';
 export type { PeerLinks, PeerLinksOptions, PeerAddress } from './peer-links.js';
 export * from './messages.js';
+export { default as answerMisdirected } from './misdirected.js';
--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -1,8 +1,10 @@
 /** All links of one VM: accepts peers, opens links to chosen ones, opens them again when they break. */
 import type { Timers, VmId } from '@limelead/types';
+import { createServer, type IncomingMessage } from 'node:http';
 import { WebSocket, WebSocketServer } from 'ws';
 import connectWithin from './connect-within.js';
 import type { MessageFormat } from './messages.js';
+import answerMisdirected from './misdirected.js';
 import PeerLink, { type PeerLinkEvents } from './peer-link.js';
 
 /** Largest message: an item of the store, 1 MiB at most, with what is told beside it. */
@@ -31,6 +33,8 @@
   onMessage(peer: VmId, message: Message): void;
   onLost(peer: VmId): void;
   onDropped(): void;
+  /** A plain request came to the peers' address; it was told that it was not run. */
+  onMisdirected?(message: IncomingMessage): void;
 }
 
 /** The links of one VM. */
@@ -54,15 +58,18 @@
 export default async function createPeerLinks<Message>(
   options: PeerLinksOptions<Message>,
 ): Promise<PeerLinks<Message>> {
+  const http = createServer((message, response) => {
+    options.onMisdirected?.(message);
+    answerMisdirected(message, response);
+  });
   const server = new WebSocketServer({
-    host: options.host,
-    port: options.port,
+    server: http,
     maxPayload: MAX_MESSAGE_BYTES,
     perMessageDeflate: false,
   });
   await new Promise<void>((resolve, reject) => {
-    server.once('listening', resolve);
     server.once('error', reject);
+    http.listen({ host: options.host, port: options.port }, resolve);
   });
   const ready = new Map<VmId, PeerLink<Message>>();
   const opening = new Set<VmId>();
@@ -140,7 +147,9 @@
     async close() {
       isClosed = true;
       all.forEach((link) => link.close());
-      await new Promise<void>((resolve) => server.close(() => resolve()));
+      server.close();
+      http.closeAllConnections();
+      await new Promise<void>((resolve) => http.close(() => resolve()));
     },
   };
 }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -182,6 +182,7 @@
       onMessage: (peer, message) => this.onMessage(peer, message),
       onLost: (peer) => this.onPeerLost(peer),
       onDropped: () => undefined,
+      onMisdirected: (message) => this.options.onMisdirected?.(message),
     });
     const onRegion = (notice: RegionNotice): void =>
       this.options.log.write(notice.isInSight ? 'region-in-sight' : 'region-away', {
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -3,6 +3,7 @@
 import type { StoreItem } from '@limelead/follow-store';
 import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
+import type { IncomingMessage } from 'node:http';
 import type { PeerReport } from './report-messages.js';
 
 /** An address on which VMs reach each other, as "host:port". */
@@ -96,6 +97,8 @@
   readMarks(): readonly number[];
   /** A peer follows another store; the link to it is ended. */
   onStranger(peer: PeerId): void;
+  /** A plain request came to the peers' address, where nothing of it is run. */
+  onMisdirected?(message: IncomingMessage): void;
   /** A message of a peer could not be taken by a fault of this program. */
   onFault(): void;
   /** Requests of this VM under way, target by target. */
