Give what peers tell of their store a name of its own, and mend a comment that said the opposite

Cause: StoreMarks named a class of the gateway and a message's part; isPossible was described as its contrary.

--- a/packages/share-evidence/src/gossip.ts
+++ b/packages/share-evidence/src/gossip.ts
@@ -7,7 +7,7 @@
 import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
 import type { HiddenRegion } from './region-sizes.js';
 import type PeerTable from './peer-table.js';
-import type { StoreMarks } from './same-store.js';
+import type { ToldMarks } from './same-store.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
 /** What gossip needs. */
@@ -24,7 +24,7 @@
   /** Regions that this VM can't see. */
   listHidden(): HiddenRegion[];
   /** What to tell a peer of the store that this VM follows; undefined where both are sure. */
-  composeMarks(peer: PeerId): StoreMarks | undefined;
+  composeMarks(peer: PeerId): ToldMarks | undefined;
   broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -40,7 +40,7 @@
   hidden: t.array(t.type({ region: t.string, vms: t.number, ageMs: t.number })),
 });
 
-/** Left out where both ends know that they follow the same store; see `StoreMarks`. */
+/** Left out where both ends know that they follow the same store; see `ToldMarks`. */
 const heartbeatMarks = t.partial({
   storeMarks: t.type({ store: t.string, marks: t.array(t.number), isUnsure: t.boolean }),
 });
--- a/packages/share-evidence/src/same-store.test.ts
+++ b/packages/share-evidence/src/same-store.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import SameStore, { type StoreMarks } from './same-store.js';
+import SameStore, { type ToldMarks } from './same-store.js';
 
 const SEEDS = ['s1', 's2', 's3'];
 
@@ -60,7 +60,7 @@
 
 test('marks are told until both ends are sure, and again when one of them is not any more', () => {
   const ends = { a: create([1]).sameStore, b: create([1]).sameStore };
-  const tell = (from: SameStore, to: SameStore): StoreMarks | undefined => {
+  const tell = (from: SameStore, to: SameStore): ToldMarks | undefined => {
     const told = from.compose('s1');
     to.hear('s1', told);
     to.isTrusted('s1');
--- a/packages/share-evidence/src/same-store.ts
+++ b/packages/share-evidence/src/same-store.ts
@@ -16,7 +16,7 @@
 const AVOID_MS: Millis = 30_000;
 
 /** What a VM tells of its store. */
-export interface StoreMarks {
+export interface ToldMarks {
   /** Address of the store, as the sender's settings name it. */
   store: string;
   /** None before the store answered the sender itself. */
@@ -38,7 +38,7 @@
 }
 
 interface Claim {
-  told: StoreMarks | undefined;
+  told: ToldMarks | undefined;
   isProven: boolean;
   /** Since when both ends have marks and share none; undefined while that is not so. */
   differsSinceMs: Millis | undefined;
@@ -71,7 +71,7 @@
   }
 
   /** What to tell a peer; undefined where both ends are sure. */
-  compose(peer: PeerId): StoreMarks | undefined {
+  compose(peer: PeerId): ToldMarks | undefined {
     const claim = this.claims.get(peer);
     const isUnsure = claim?.isProven !== true;
     if (!isUnsure && claim.told?.isUnsure !== true) {
@@ -82,7 +82,7 @@
   }
 
   /** A peer told marks, or nothing where it is sure, or of a release that knows none. */
-  hear(peer: PeerId, told: StoreMarks | undefined): void {
+  hear(peer: PeerId, told: ToldMarks | undefined): void {
     const claim = this.claims.get(peer);
     if (claim === undefined) {
       return;
@@ -113,7 +113,7 @@
     return claim.isProven;
   }
 
-  /** Whether a peer is certainly not of another store, as far as can be told by now. */
+  /** Whether a peer may follow the same store, as far as can be told by now. */
   isPossible(peer: PeerId): boolean {
     return this.isTrusted(peer) || !this.differs(peer);
   }
@@ -158,7 +158,7 @@
     return own.length > 0 && marks.length > 0 && !shareMark(own, marks);
   }
 
-  private isBackedBySeed(peer: PeerId, { marks }: StoreMarks): boolean {
+  private isBackedBySeed(peer: PeerId, { marks }: ToldMarks): boolean {
     const { seeds } = this.options;
     return (
       seeds.includes(peer) &&
