Write once what the change had written again, and hash a target's mark once

Cause: the limit of 20 lines a second and its reason stood in three packages, the id of a request was read from raw headers in two, host and port were a type in three, the events that tests pass over in two files; a target's mark was hashed again at each of its heartbeats. Change: a default of createLineLimit, readRequestId beside the dialect, Address in types, one fixture; the known mark stays while creation and address do.

--- a/packages/call-json/src/json-caller.ts
+++ b/packages/call-json/src/json-caller.ts
@@ -1,8 +1,9 @@
 /** Single calls with JSON bodies to one service. Nothing is sent twice. */
 import { PortFault } from '@limelead/errors';
 import type { PortCall } from '@limelead/ports';
+import type { Address } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
-import createSingleConnection, { type ServiceAddress } from './single-connection.js';
+import createSingleConnection from './single-connection.js';
 
 /**
  * Time after which an idle connection is closed, in milliseconds. Calls are a second or
@@ -36,7 +37,7 @@
 export type JsonCaller = (call: JsonCall) => PortCall<JsonReply>;
 
 /** @param timeoutMs time from the call to the end of its answer, in milliseconds */
-export default function createJsonCaller(address: ServiceAddress, timeoutMs: number): JsonCaller {
+export default function createJsonCaller(address: Address, timeoutMs: number): JsonCaller {
   const client = createSingleConnection(address, IDLE_CONNECTION_MS);
   return (call) => async () => {
     const silence = new AbortController();
--- a/packages/call-json/src/single-connection.ts
+++ b/packages/call-json/src/single-connection.ts
@@ -1,24 +1,16 @@
 /** One connection to a service of the platform, opened anew where it rested for too long. */
 import { createConnector } from '@limelead/target-connections';
+import type { Address } from '@limelead/types';
 import { Client } from 'undici';
 
 /** Time for a connection, in milliseconds; one within the region takes some. */
 const CONNECT_TIMEOUT_MS = 400;
 
-/** Where a service listens. */
-export interface ServiceAddress {
-  host: string;
-  port: number;
-}
-
 /**
  * Creates a client that sends one request at a time; callers bound the time of each.
  * @param idleMs time after which an idle connection is closed, in milliseconds
  */
-export default function createSingleConnection(
-  { host, port }: ServiceAddress,
-  idleMs: number,
-): Client {
+export default function createSingleConnection({ host, port }: Address, idleMs: number): Client {
   return new Client(`http://${host}:${port}`, {
     pipelining: 1,
     connect: createConnector(CONNECT_TIMEOUT_MS),
--- a/packages/decision-log/src/line-limit.ts
+++ b/packages/decision-log/src/line-limit.ts
@@ -3,6 +3,8 @@
 import type { DecisionLog, LogFields } from './index.js';
 
 const SECOND_MS: Millis = 1_000;
+/** Enough to see who or what is meant; more of the same would push out other lines. */
+const MOST_LINES_PER_SECOND = 20;
 
 /** Takes the lines of one event. */
 export type LimitedLines = (fields: LogFields) => void;
@@ -11,8 +13,8 @@
 export default function createLineLimit(
   log: Pick<DecisionLog, 'write'>,
   clock: Clock,
-  mostPerSecond: number,
   event: string,
+  mostPerSecond = MOST_LINES_PER_SECOND,
 ): LimitedLines {
   let begunAtMs: Millis = -Infinity;
   let written = 0;
--- a/packages/decode-with-lines/src/address.ts
+++ b/packages/decode-with-lines/src/address.ts
@@ -1,17 +1,11 @@
 /** "HOST:PORT" as text, an address in the program. */
+import type { Address } from '@limelead/types';
 import * as t from 'io-ts';
 
 const MAX_PORT = 65_535;
 /** A name, an IPv4 address, or an IPv6 address in brackets. */
 const ADDRESS = /^([\w.-]+|\[[\da-fA-F:.]+\]):(\d{1,5})$/;
 
-/** Where something listens. */
-export interface Address {
-  host: string;
-  /** From 1 to 65535. */
-  port: number;
-}
-
 /** Reads and writes addresses; a text that can't be called is none. */
 export const addressCodec = new t.Type<Address, string>(
   'HOST:PORT',
--- a/packages/follow-store/src/notice-in-time.test.ts
+++ b/packages/follow-store/src/notice-in-time.test.ts
@@ -17,6 +17,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { IGNORED } from './ignored-events.fixture.js';
 import {
   STORE_ANSWER_MS,
   StoreFollower,
@@ -152,16 +153,7 @@
     readRevision: () => noticed.revision,
     othersTry: () => false,
     startWaitMs: () => 0,
-    events: {
-      onList: note,
-      onChanges: note,
-      onStepFailed: (thrown) => assert.unreachable(String(thrown)),
-      onBehind: () => undefined,
-      onLost: () => undefined,
-      onCallFailed: () => undefined,
-      onRegained: () => undefined,
-      onFollowing: () => undefined,
-    },
+    events: { ...IGNORED, onList: note, onChanges: note },
   });
   void follower.run();
   return { follower, noticed };
--- a/packages/follow-store/src/store-follower.test.ts
+++ b/packages/follow-store/src/store-follower.test.ts
@@ -2,6 +2,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { IGNORED } from './ignored-events.fixture.js';
 import {
   StoreFollower,
   type StoreCallFailure,
@@ -23,18 +24,6 @@
   startWaitMs: () => 0,
 };
 
-/** Events that a test does not look at. */
-const IGNORED = {
-  onStepFailed: (thrown: unknown) => assert.unreachable(String(thrown)),
-  onBehind: () => undefined,
-  onList: () => undefined,
-  onChanges: () => undefined,
-  onLost: () => undefined,
-  onCallFailed: () => undefined,
-  onRegained: () => undefined,
-  onFollowing: () => undefined,
-};
-
 type Answer = E.Either<StoreFault, StoreChanges>;
 
 /** Timers that are due at once; time passes by what they were set to. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
   type TargetDialect,
   type TargetGate,
 } from '@limelead/forward-request';
-import { HttpFrontDoor, type IngressDialect } from '@limelead/http-front-door';
+import { HttpFrontDoor, readRequestId, type IngressDialect } from '@limelead/http-front-door';
 import { createLocality, type Locality } from '@limelead/locality';
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
@@ -30,7 +30,6 @@
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
-import * as E from 'fp-ts/lib/Either.js';
 import type { IncomingMessage, Server } from 'node:http';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
@@ -65,9 +64,6 @@
 /** Pause between two looks whether anything is still under way, in milliseconds. */
 const STOP_CHECK_MS = 50;
 
-/** Enough to see who comes to a wrong door; many of them must not push out other lines. */
-const MOST_MISDIRECTED_LINES_PER_SECOND = 20;
-
 /** What this VM listens for. */
 type Door = 'front-door' | 'readiness' | 'metrics' | 'peers';
 
@@ -113,12 +109,7 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
-    this.noteMisdirected = createLineLimit(
-      this.log,
-      steadyClock,
-      MOST_MISDIRECTED_LINES_PER_SECOND,
-      'request-misdirected',
-    );
+    this.noteMisdirected = createLineLimit(this.log, steadyClock, 'request-misdirected');
     this.locality = createLocality({ ...settings, prices: settings.localityPrices });
     this.retries = new RetryBudgets({
       budget: settings.retryBudget,
@@ -244,8 +235,7 @@
 
   /** A request at a door that is not the callers'; it was told that it was not run. */
   private onMisdirected(door: Door, { method, url, rawHeaders }: IncomingMessage): void {
-    const facts = this.platform.ingressDialect.readFacts(rawHeaders);
-    const requestId = E.isRight(facts) ? facts.right.requestId : '';
+    const requestId = readRequestId(this.platform.ingressDialect, rawHeaders);
     this.metrics.count('limelead_misdirected_total', 1, { door });
     this.noteMisdirected({ door, requestId, method, path: url });
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,4 +5,3 @@
 export type { GatewayPlatform } from './gateway.js';
 export type { StoreDialect, StoreFact } from './knowledge.js';
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
-export type { ListenAddress } from './readiness-server.js';
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -60,8 +60,6 @@
 }
 
 const DUTY: StoreFact = { kind: 'duty' };
-/** Enough to see what a writer spoils; thousands of spoilt items must not push out other lines. */
-const MOST_UNREADABLE_LINES_PER_SECOND = 20;
 
 interface KnownItem {
   item: StoreItem;
@@ -109,12 +107,7 @@
 
   constructor(private readonly options: KnowledgeOptions) {
     const { clock, timers, leavingTargetMs, directory, log } = options;
-    this.noteUnreadable = createLineLimit(
-      log,
-      clock,
-      MOST_UNREADABLE_LINES_PER_SECOND,
-      'store-item-unreadable',
-    );
+    this.noteUnreadable = createLineLimit(log, clock, 'store-item-unreadable');
     this.lapsed = new LapsedTargets({
       clock,
       timers,
@@ -368,8 +361,7 @@
     }
     this.unreadable.delete(item.key);
     if (fact.kind !== 'other') {
-      const mark = fact.kind === 'target' ? markTarget(item, fact.target) : undefined;
-      this.known.set(item.key, { item, fact, mark });
+      this.known.set(item.key, { item, fact, mark: markOf(item, fact, known) });
     }
     if (fact.kind === 'configuration') {
       this.marks.noteConfiguration(item);
@@ -431,6 +423,18 @@
   return fact.kind === 'unreadable' ? fact.left : undefined;
 }
 
+/** A target's heartbeats leave its creation and its address as they are, and so its mark. */
+function markOf(item: StoreItem, fact: StoreFact, before?: KnownItem): number | undefined {
+  if (fact.kind !== 'target') {
+    return undefined;
+  }
+  const { host, port } = fact.target;
+  const known = before?.item.made === item.made ? before : undefined;
+  const at = known && targetOf(known.fact);
+  const isSame = at?.host === host && at.port === port;
+  return (isSame ? known?.mark : undefined) ?? markTarget(item, fact.target);
+}
+
 /** Items that this system writes for itself; undefined for others. */
 function readOwnItem({ key, value }: StoreItem): StoreFact | undefined {
   if (key === DUTY_KEY || key === ROLL_OUT_DUTY_KEY) {
--- a/packages/gateway/src/readiness-server.ts
+++ b/packages/gateway/src/readiness-server.ts
@@ -1,22 +1,17 @@
 /** Small HTTP servers beside the front door: whether this VM is ready, and its figures. */
 import { answerMisdirected } from '@limelead/peer-links';
+import type { Address } from '@limelead/types';
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 
 const OK = 200;
 const NOT_READY = 503;
 
-/** An address to listen on. */
-export interface ListenAddress {
-  host: string;
-  port: number;
-}
-
 /** Told of a request that came here and belongs elsewhere. */
 export type NoteMisdirected = (message: IncomingMessage) => void;
 
 /** Answers `path` with 200 while the VM is ready, else with 503. */
 export function startReadinessServer(
-  address: ListenAddress,
+  address: Address,
   path: string,
   isReady: () => boolean,
   noteMisdirected: NoteMisdirected,
@@ -27,7 +22,7 @@
 
 /** Answers `path` with the page of figures. */
 export function startMetricsServer(
-  address: ListenAddress,
+  address: Address,
   path: string,
   render: () => string,
   noteMisdirected: NoteMisdirected,
@@ -41,7 +36,7 @@
 }
 
 function start(
-  { host, port }: ListenAddress,
+  { host, port }: Address,
   path: string,
   answer: () => Answer,
   noteMisdirected: NoteMisdirected,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -3,7 +3,7 @@
 import type { LocalityPrices } from '@limelead/locality';
 import type { RollOutBounds } from '@limelead/run-roll-outs';
 import type { RetryBudget } from '@limelead/spend-retries';
-import type { ListenAddress } from './readiness-server.js';
+import type { Address } from '@limelead/types';
 
 /** Calls to the platform that only one VM at a time may make, and the bounds on them. */
 export interface DutySettings {
@@ -26,13 +26,13 @@
 export interface GatewaySettings {
   vm: string;
   failureDomain: string;
-  frontDoor: ListenAddress;
-  readiness: ListenAddress;
-  metrics?: ListenAddress;
+  frontDoor: Address;
+  readiness: Address;
+  metrics?: Address;
   /** Where other VMs reach this one; undefined where it has no peers. */
-  peers?: ListenAddress;
+  peers?: Address;
   /** Some addresses of other VMs, which may be old. */
-  seeds: ListenAddress[];
+  seeds: Address[];
   /** Shared by the VMs of a fleet; empty where links prove nothing. */
   peerSecret: string;
   /** Time after which a target that leaves may get no work any more, in milliseconds. */
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -15,7 +15,7 @@
 import checkHead from './check-head.js';
 import describeMalformed, { readBrokenHead, type ParserError } from './describe-malformed.js';
 import HeldArrivals, { shareOf } from './held-arrivals.js';
-import type { IngressDialect, IngressFacts } from './ingress-dialect.js';
+import { readRequestId, type IngressDialect, type IngressFacts } from './ingress-dialect.js';
 import readTarget, { type RequestTarget } from './request-target.js';
 import readBody, { BodyBudget } from './read-body.js';
 import ResponseSink from './response-sink.js';
@@ -23,8 +23,6 @@
 /** Largest head that the parser takes; the configured limit is checked behind it. */
 const PARSER_MAX_HEADER_BYTES = 64 * 1024;
 const CHECK_INTERVAL_MS = 500;
-/** Enough to see who sends what is no request; a flood of it must not push out other lines. */
-const MOST_MALFORMED_LINES_PER_SECOND = 20;
 /** Waiting connections that the system keeps for this process. */
 const BACKLOG = 511;
 /** Bytes of bodies that one VM holds at once, unless its owner says otherwise. */
@@ -74,12 +72,7 @@
 
   constructor(private readonly options: HttpFrontDoorOptions) {
     const { log, clock } = options.context;
-    this.noteMalformed = createLineLimit(
-      log,
-      clock,
-      MOST_MALFORMED_LINES_PER_SECOND,
-      'request-malformed',
-    );
+    this.noteMalformed = createLineLimit(log, clock, 'request-malformed');
     this.held = new HeldArrivals(options.context.timers);
     this.bodies = new BodyBudget(options.maxHeldBytes ?? DEFAULT_MAX_HELD_BYTES);
     this.server = createServer(
@@ -314,23 +307,17 @@
     const heldMs = Math.round(clock.now() - receivedAtMs);
     metrics.recordMs('limelead_held_for_configuration_ms', heldMs);
     log.write('request-held', {
-      requestId: this.readRequestId(message.rawHeaders),
+      requestId: readRequestId(this.options.dialect, message.rawHeaders),
       heldMs,
       configuration: readTable()?.version,
     });
   }
 
-  /** The id of a request; empty where its head can't be read. */
-  private readRequestId(rawHeaders: string[]): string {
-    const facts = this.options.dialect.readFacts(rawHeaders);
-    return E.isRight(facts) ? facts.right.requestId : '';
-  }
-
   private noteRefusal(message: IncomingMessage, error: LimeleadError, status: number): void {
     const { log, metrics } = this.options.context;
     metrics.count('limelead_refused_total', 1, { kind: error.kind });
     log.write('request-refused', {
-      requestId: this.readRequestId(message.rawHeaders),
+      requestId: readRequestId(this.options.dialect, message.rawHeaders),
       kind: error.kind,
       status,
       reason: error.message,
@@ -354,7 +341,7 @@
     this.options.context.metrics.count('limelead_malformed_total', 1, { status: String(status) });
     const { firstLine, rawHeaders } = readBrokenHead(error.rawPacket);
     this.noteMalformed({
-      requestId: this.readRequestId(rawHeaders),
+      requestId: readRequestId(this.options.dialect, rawHeaders),
       status,
       reason: error.code,
       firstLine,
--- a/packages/http-front-door/src/ingress-dialect.ts
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -1,6 +1,6 @@
 /** What callers' requests say, without the names on the wire. */
 import type { LimeleadError } from '@limelead/errors';
-import type * as E from 'fp-ts/lib/Either.js';
+import * as E from 'fp-ts/lib/Either.js';
 
 /** Facts of a request that stand in its headers. */
 export interface IngressFacts {
@@ -19,3 +19,9 @@
 export interface IngressDialect {
   readFacts(rawHeaders: string[]): E.Either<LimeleadError, IngressFacts>;
 }
+
+/** The id of a request, for a line; empty where its head can't be read. */
+export function readRequestId(dialect: IngressDialect, rawHeaders: string[]): string {
+  const facts = dialect.readFacts(rawHeaders);
+  return E.isRight(facts) ? facts.right.requestId : '';
+}
--- a/packages/share-evidence/src/store-exchange.ts
+++ b/packages/share-evidence/src/store-exchange.ts
@@ -90,9 +90,12 @@
   hear(peer: PeerId, message: EvidenceMessageOf<'store-news' | 'want-items' | 'items'>): void {
     if (message.kind === 'want-items') {
       this.answer(peer, message);
-    } else if (!this.options.isTrusted(peer)) {
       return;
-    } else if (message.kind === 'store-news') {
+    }
+    if (!this.options.isTrusted(peer)) {
+      return;
+    }
+    if (message.kind === 'store-news') {
       this.hearNews(peer, message);
     } else {
       this.hearItems(peer, message);
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 /** Shapes that several packages share. */
+export * from './address.js';
 export * from './advice.js';
 export * from './configuration.js';
 export * from './engine.js';
