Lines of failed sends name the request by what stays the same, and the run that failed

A caller sends the same request again under another id, at another VM; no line told that two of them are one, how old the run was, whether it had written anything, or what stood beside it. `identity` is a hash of caller, host, method, path and body; computed for failed sends only.

--- a/packages/forward-request/src/call-report.ts
+++ b/packages/forward-request/src/call-report.ts
@@ -3,6 +3,7 @@
 import type CallAttempt from './call-attempt.js';
 import type { ForwardContext } from './context.js';
 import countSend from './count-send.js';
+import identifyAdmitted from './identify-admitted.js';
 
 /** How a call ended. */
 export interface CallEnd {
@@ -32,8 +33,15 @@
     this.write('call-sent', facts);
   }
 
-  failed({ number, target }: CallAttempt, notSent: boolean, reason: string): void {
-    this.write('call-failed', { target: target.id, attempt: number, notSent, reason });
+  failed({ number, target, sentAtMs }: CallAttempt, notSent: boolean, reason: string): void {
+    this.write('call-failed', {
+      identity: identifyAdmitted(this.admitted),
+      target: target.id,
+      attempt: number,
+      notSent,
+      runMs: Math.round(this.context.clock.now() - sentAtMs),
+      reason,
+    });
   }
 
   turnedAway({ target }: CallAttempt, isOtherTarget: boolean): void {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -56,6 +56,12 @@
   }
 }
 
+/** Requests at the target of a send, this one aside. */
+function countOthers({ place }: LiveAttempt): number {
+  const { inFlight, peerRequests } = place.tracked;
+  return Math.max(0, inFlight + peerRequests - 1);
+}
+
 class StreamForwarder {
   private state: SessionState;
   private readonly live: LiveAttempts;
@@ -310,6 +316,9 @@
       reason,
       delivered: this.state.delivered,
       sinceLastPieceMs: clock.now() - this.state.lastDeliveredAtMs,
+      runMs: clock.now() - live.hearing.startedAtMs,
+      wrote: live.firstPieceAfterMs !== undefined,
+      beside: countOthers(live),
       copyAt: live.copy?.keeper.id,
     });
     live.attempt.cancel();
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -4,6 +4,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import countSend from './count-send.js';
+import identifyAdmitted from './identify-admitted.js';
 import type { TargetOrder } from './dialect.js';
 
 /** How an attempt was lost. */
@@ -15,6 +16,12 @@
   /** Pieces that the caller has. */
   delivered: number;
   sinceLastPieceMs: number;
+  /** Time since the send. */
+  runMs: Millis;
+  /** Whether this run wrote any piece. */
+  wrote: boolean;
+  /** Other requests of this VM and of its peers at the target. */
+  beside: number;
   /** Where a copy of the run stands. */
   copyAt?: string;
 }
@@ -48,9 +55,14 @@
     });
   }
 
-  lost({ sinceLastPieceMs, ...facts }: LossFacts): void {
+  lost({ sinceLastPieceMs, runMs, ...facts }: LossFacts): void {
     this.context.metrics.count('limelead_streams_broken_total', 1, { cause: facts.cause });
-    this.write('stream-broken', { ...facts, sinceLastPieceMs: Math.round(sinceLastPieceMs) });
+    this.write('stream-broken', {
+      identity: identifyAdmitted(this.admitted),
+      ...facts,
+      runMs: Math.round(runMs),
+      sinceLastPieceMs: Math.round(sinceLastPieceMs),
+    });
   }
 
   turnedAway(attempt: number, target: string, cause: string, reason: string): void {
