Keep a request that ends each target that runs it from further ones

Cause: only targets that are still there counted against a request, so each one that ended under it made room for the next; what it had done was forgotten with it, and no VM told another.

Change: a strike is the end of an incarnation under a run that had not written anything. Three in succession, each run begun behind the end before, prove it at all VMs; two ends make a suspect, which is tried alone. Strikes pass with the news of lost targets, in a field that older builds pass over; what is proved stands in the store for ten minutes. Answered at once by 503 with Retry-After, 502 where it ran in that try. A piece or an answer absolves; from the second break on a target is asked whether it ended.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Locality } from '@limelead/locality';
 import type { Metrics } from '@limelead/metrics';
+import type { RequestGuard } from '@limelead/quarantine-requests';
 import type { RouteTable } from '@limelead/route-requests';
 import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
@@ -27,6 +28,8 @@
   dialect: TargetDialect;
   places: PlaceQueue;
   gate: TargetGate;
+  /** Keeps requests that end targets from further ones. */
+  guard: RequestGuard;
   /** Asks the scheduler of a large fleet where a stream should go. */
   askTarget: AskTarget;
   silence: SilenceWatch;
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -9,6 +9,8 @@
 export interface StreamPlaceSearch {
   /** True before anything was sent to any target. */
   isFirstSend: boolean;
+  /** A suspect: goes where the fewest others stand, whatever is advised. */
+  avoidsOthers: boolean;
   /** Targets that already failed this request. */
   exclude: string[];
   /** Told once, also with no place where none came in time. */
@@ -77,7 +79,7 @@
     search.refuse();
     return () => undefined;
   }
-  if (context.gate.decidesAlone(service)) {
+  if (search.avoidsOthers || context.gate.decidesAlone(service)) {
     return takeAnyPlace(context, admitted, search);
   }
   let stopWaiting = (): void => undefined;
@@ -135,11 +137,11 @@
 function takeAnyPlace(
   context: ForwardContext,
   { service, request, rank, dueAtMs }: AdmittedRequest,
-  { exclude, receive }: StreamPlaceSearch,
+  { exclude, avoidsOthers, receive }: StreamPlaceSearch,
 ): () => void {
   const { affinityKey } = request;
   return context.places.take(
-    { service, affinityKey, exclude: new Set(exclude), rank, untilMs: dueAtMs },
+    { service, affinityKey, exclude: new Set(exclude), rank, avoidsOthers, untilMs: dueAtMs },
     receive,
   );
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -5,6 +5,7 @@
  * a second time beside the first; the first good answer is taken.
  */
 import { LimeleadError } from '@limelead/errors';
+import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { CancelTimer } from '@limelead/types';
 import {
@@ -17,7 +18,8 @@
 import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
 import CallReport, { type CallEnd } from './call-report.js';
 import type { ForwardContext } from './context.js';
-import { MAX_TURNED_AWAY, SERVER_ERROR_STATUS } from './limits.js';
+import { describeIdentity } from './identify-admitted.js';
+import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
 import SendPayments from './send-payments.js';
 
@@ -63,6 +65,8 @@
   };
   private readonly payments: SendPayments;
   private readonly report: CallReport;
+  private readonly guarded: GuardedRequest;
+  private isQuarantined = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -71,6 +75,12 @@
   ) {
     this.payments = new SendPayments(context, admitted);
     this.report = new CallReport(context, admitted);
+    this.guarded = context.guard.begin({
+      request: describeIdentity(admitted),
+      requestId: admitted.request.requestId,
+      service: admitted.service,
+      onQuarantined: () => this.onQuarantined(),
+    });
   }
 
   begin(): void {
@@ -87,11 +97,32 @@
     this.giveUp();
   }
 
+  private onQuarantined(): void {
+    this.isQuarantined = true;
+    this.giveUp();
+  }
+
   private openAttempt(): void {
-    const { service, request, rank, dueAtMs } = this.admitted;
     this.isWaiting = true;
+    let isAnswered = false;
+    const stopAsking = this.guarded.ask((admission) => {
+      isAnswered = true;
+      if (admission === 'refuse') {
+        this.onQuarantined();
+      } else {
+        this.takePlace(admission === 'go-alone');
+      }
+    });
+    if (!isAnswered) {
+      this.stopWaiting = stopAsking;
+    }
+  }
+
+  private takePlace(avoidsOthers: boolean): void {
+    const { service, request, rank, dueAtMs } = this.admitted;
+    const affinityKey = request.requestId;
     this.stopWaiting = this.context.places.take(
-      { service, affinityKey: request.requestId, exclude: this.tried, rank, untilMs: dueAtMs },
+      { service, affinityKey, exclude: this.tried, rank, avoidsOthers, untilMs: dueAtMs },
       (place) => this.onPlace(place),
     );
   }
@@ -103,6 +134,7 @@
       return;
     }
     if (place === undefined) {
+      this.guarded.noteOver();
       this.giveUp();
       return;
     }
@@ -141,7 +173,8 @@
 
   private hedge(): void {
     const isUnderWay = this.attempts.some(({ isOver }) => !isOver);
-    if (!this.isDone && !this.isWaiting && isUnderWay && this.streaming === undefined) {
+    const mayHedge = !this.isWaiting && isUnderWay && !this.guarded.isSuspected;
+    if (!this.isDone && mayHedge && this.streaming === undefined) {
       this.tryAgain();
     }
   }
@@ -149,6 +182,7 @@
   /** A long answer is passed on as it comes; from here on no other can take its place. */
   private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
+    this.guarded.noteHarmless();
     this.tellUnanswered('answered', attempt);
     this.cancelOthers(attempt);
     const length = head.headers.get('content-length');
@@ -165,6 +199,7 @@
     const isGood = status < SERVER_ERROR_STATUS;
     const kind = isGood ? 'answered' : 'failed';
     this.context.directory.observe(attempt.target.id, { kind });
+    this.guarded.noteHarmless();
     this.context.observer.onBegun?.(this.admitted, attempt.target);
     this.tellSendEnd(attempt, isGood);
     if (this.streaming === attempt) {
@@ -188,7 +223,12 @@
     if (!notSent) {
       // A call that may have been sent was most likely begun: usage was 107 of 589 too low without.
       this.context.observer.onBegun?.(this.admitted, attempt.target);
-      this.tellSendEnd(attempt, false);
+      if (!this.guarded.isSuspected) {
+        this.tellSendEnd(attempt, false);
+      }
+      this.guarded.noteBroken(attempt.target.id, attempt.sentAtMs, this.context.clock.now());
+    } else {
+      this.guarded.noteOver();
     }
     if (this.streaming === attempt) {
       this.sink.abort(new LimeleadError('outcome-unknown', 'the answer broke off'));
@@ -200,7 +240,7 @@
       this.ran -= 1;
       this.afterNotRun();
     } else {
-      this.afterFailure();
+      this.guarded.whenKnown(() => this.afterFailure());
     }
   }
 
@@ -219,6 +259,7 @@
       isOtherTarget ? { kind: 'replaced' } : { kind: 'full', pauseMs: FULL_PAUSE_MS },
     );
     this.report.turnedAway(attempt, isOtherTarget);
+    this.guarded.noteOver();
     if (!isOtherTarget) {
       this.tried.delete(id);
     }
@@ -280,6 +321,12 @@
   }
 
   private describeRefusal(): LimeleadError {
+    if (this.isQuarantined) {
+      return new LimeleadError('quarantined', QUARANTINED_MESSAGE, {
+        execution: this.ran === 0 ? undefined : 'unknown',
+        retryAfterMs: this.guarded.quarantineLeftMs,
+      });
+    }
     if (this.ran === 0) {
       return new LimeleadError('no-target', 'no target took the request');
     }
@@ -317,6 +364,7 @@
     this.timers.forEach((cancel) => cancel());
     this.tellUnanswered(outcome, attempt);
     this.cancelOthers();
+    this.guarded.close();
     this.report.finished({
       outcome,
       status,
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -10,6 +10,7 @@
   type SessionEvent,
   type SessionState,
 } from '@limelead/generation-session';
+import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause, TargetObservation } from '@limelead/track-service-targets';
 import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
@@ -17,7 +18,8 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
-import { SERVER_ERROR_STATUS } from './limits.js';
+import { describeIdentity } from './identify-admitted.js';
+import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
 import type { Place } from './place-queue.js';
 import RunCopies from './run-copies.js';
@@ -72,6 +74,7 @@
   private readonly sends: StreamSends;
   private readonly cleanups: (() => void)[] = [];
   private readonly report: StreamReport;
+  private readonly guarded: GuardedRequest;
 
   constructor(
     private readonly context: ForwardContext,
@@ -82,6 +85,12 @@
     this.report = new StreamReport(context, admitted);
     this.copies = new RunCopies(context, admitted);
     this.sends = new StreamSends(context, admitted);
+    this.guarded = context.guard.begin({
+      request: describeIdentity(admitted),
+      requestId: admitted.request.requestId,
+      service: admitted.service,
+      onQuarantined: () => this.fail(this.createQuarantined()),
+    });
     this.live = new LiveAttempts(context, admitted, this.copies, {
       createEvents: (number) => this.createEvents(number),
       onSending: (number, order) => this.report.sent(number, order),
@@ -170,12 +179,25 @@
       this.fail(end);
       return;
     }
+    const stopAsking = this.guarded.ask((admission) => {
+      if (admission === 'refuse') {
+        this.fail(this.createQuarantined());
+      } else {
+        this.findPlace(attempt, exclude, admission === 'go-alone');
+      }
+    });
+    this.cleanups.push(stopAsking);
+  }
+
+  private findPlace(attempt: number, exclude: string[], avoidsOthers: boolean): void {
     if (!this.sends.tryPay()) {
+      this.guarded.noteOver();
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
     const stopWaiting = findStreamPlace(this.context, this.admitted, this.copies, {
       isFirstSend: this.sends.count === 0,
+      avoidsOthers,
       exclude,
       receive: (place) => this.onPlace(attempt, place),
       refuse: () => this.refuseLate(),
@@ -183,6 +205,12 @@
     this.cleanups.push(stopWaiting);
   }
 
+  private createQuarantined(): LimeleadError {
+    return this.sends.createError('quarantined', QUARANTINED_MESSAGE, {
+      retryAfterMs: this.guarded.quarantineLeftMs,
+    });
+  }
+
   private refuseLate(): void {
     const message = 'the prompt could not be read before the deadline';
     this.fail(this.sends.createError('deadline-unreachable', message));
@@ -194,6 +222,7 @@
       return;
     }
     if (place === undefined) {
+      this.guarded.noteOver();
       this.advance({ kind: 'no-target', attempt, error: 'no-target' });
       return;
     }
@@ -264,6 +293,7 @@
     const { clock, reading, observer } = this.context;
     const { isSending, startedAtMs } = live.hearing;
     live.firstPieceAfterMs = clock.now() - startedAtMs;
+    this.guarded.noteHarmless();
     if (!isSending) {
       reading.note(this.admitted, live.firstPieceAfterMs);
     }
@@ -283,6 +313,7 @@
     }
     this.answer.noteTrailer(trailer);
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
+    this.guarded.noteHarmless();
     this.tellSendEnd(live, true);
     this.live.release(attempt);
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
@@ -322,11 +353,26 @@
       copyAt: live.copy?.keeper.id,
     });
     live.attempt.cancel();
-    this.tellSendEnd(live, false);
+    const { isSuspected } = this.guarded;
+    if (!isSuspected) {
+      this.tellSendEnd(live, false);
+    }
     this.live.release(attempt);
-    // A connection that ends with a run on it is a sign of a lost target, as silence is.
-    directory.observe(target, { kind: 'lost' });
+    // A connection that ends with a run on it is a sign of a lost target, as silence is. What ends
+    // under a suspect is its doing: that incarnation is over, and its failure domain not in doubt.
+    directory.observe(target, { kind: isSuspected ? 'replaced' : 'lost' });
     silence.noteLost(target);
+    this.noteEvidence(live, cause);
+  }
+
+  /** Only a connection that ends before the run wrote anything says something of the request. */
+  private noteEvidence({ attempt, hearing }: LiveAttempt, cause: LossCause): void {
+    if (cause === 'broken') {
+      const { startedAtMs } = hearing;
+      this.guarded.noteBroken(attempt.target.id, startedAtMs, this.context.clock.now());
+    } else {
+      this.guarded.noteOver();
+    }
   }
 
   private onTurnedAway(attempt: number, cause: TurnedAwayCause, reason: string): void {
@@ -337,6 +383,7 @@
     const { directory } = this.context;
     const { target } = live.attempt;
     this.sends.noteTurnedAway(target.id, cause);
+    this.guarded.noteOver();
     directory.observe(target.id, observeTurnedAway(cause));
     this.report.turnedAway(attempt, target.id, cause, reason);
     this.live.release(attempt);
@@ -350,6 +397,7 @@
       return;
     }
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
+    this.guarded.noteHarmless();
     this.tellSendEnd(live, false);
     this.live.release(attempt);
     const mayGoOn = this.admitted.route.repeatable && !this.sends.hasUsedItsTargets;
@@ -382,6 +430,7 @@
     this.isDone = true;
     this.cleanups.forEach((cleanup) => cleanup());
     this.live.dropAll();
+    this.guarded.close();
     tell();
     this.context.observer.onFinished?.(this.admitted);
     this.report.finished(outcome, this.state.delivered, this.sends.count);
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -13,3 +13,4 @@
 export { OPEN_GATE, type TargetGate } from './target-gate.js';
 export { default as TargetPace } from './target-pace.js';
 export { tellAll, type SendEnd, type TrafficObserver } from './traffic-observer.js';
+export { default as askTarget } from './ask-target.js';
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -4,7 +4,11 @@
  */
 import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
 import type { Locality } from '@limelead/locality';
-import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
+import {
+  isSuspected,
+  type TargetDirectory,
+  type TrackedServiceTarget,
+} from '@limelead/track-service-targets';
 import type { CancelTimer, Clock, Millis, Timers } from '@limelead/types';
 import type { TargetGate } from './target-gate.js';
 
@@ -17,6 +21,8 @@
   affinityKey: string;
   exclude: ReadonlySet<string>;
   rank: number;
+  /** The target may end under the request: only those with the fewest others are looked at. */
+  avoidsOthers?: boolean;
   /** Steady time at which waiting ends. */
   untilMs: Millis;
 }
@@ -104,7 +110,8 @@
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
-    const usable = directory.listUsable(request.service);
+    const all = directory.listUsable(request.service);
+    const usable = request.avoidsOthers === true ? keepLeastBusy(all, choice) : all;
     for (const group of gate.arrange(request.service, usable, request.exclude.size > 0)) {
       const tracked = chooseServiceTarget(group, choice);
       if (tracked !== undefined) {
@@ -146,6 +153,19 @@
   }
 }
 
+/** Those of the targets that are up which have the fewest requests of all VMs. */
+function keepLeastBusy(
+  targets: TrackedServiceTarget[],
+  { now, exclude }: ServiceChoiceRequest,
+): TrackedServiceTarget[] {
+  const up = targets.filter(
+    ({ target, evidence }) => !exclude.has(target.id) && !isSuspected(evidence, now),
+  );
+  const requestsAt = (one: TrackedServiceTarget): number => one.inFlight + one.peerRequests;
+  const fewest = Math.min(...up.map(requestsAt));
+  return up.filter((one) => requestsAt(one) === fewest);
+}
+
 function compareWaiters(a: Waiter, b: Waiter): number {
   return a.request.rank - b.request.rank || a.request.untilMs - b.request.untilMs;
 }
--- a/packages/forward-request/src/stream-sends.ts
+++ b/packages/forward-request/src/stream-sends.ts
@@ -1,5 +1,5 @@
 /** The sends of one streamed request: where it may have run, and whether it may be sent once more. */
-import { LimeleadError } from '@limelead/errors';
+import { LimeleadError, type AnswerOverrides } from '@limelead/errors';
 import type { LossCause } from '@limelead/track-service-targets';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -83,7 +83,12 @@
   }
 
   /** An error that promises no more than is known of the request's runs. */
-  createError(kind: LimeleadError['kind'], message: string): LimeleadError {
-    return new LimeleadError(kind, message, this.mayHaveRun ? { execution: 'unknown' } : {});
+  createError(
+    kind: LimeleadError['kind'],
+    message: string,
+    overrides: AnswerOverrides = {},
+  ): LimeleadError {
+    const execution = this.mayHaveRun ? ('unknown' as const) : undefined;
+    return new LimeleadError(kind, message, { ...overrides, execution });
   }
 }
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -3,6 +3,7 @@
 import type { StoreFollower } from '@limelead/follow-store';
 import type { Locality } from '@limelead/locality';
 import type { TargetGate } from '@limelead/forward-request';
+import type { RequestGuard } from '@limelead/quarantine-requests';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
 import type { TargetDirectory } from '@limelead/track-service-targets';
@@ -26,6 +27,7 @@
   follower: StoreFollower;
   engineLoad: EngineLoad;
   retries: RetryBudgets;
+  guard: RequestGuard;
   gate: TargetGate;
   storeAddress: string;
   onStranger(peer: PeerId): void;
@@ -74,6 +76,8 @@
     onLoad: (peer, load) => directory.takePeerLoad(peer, load),
     adviseTarget: (peer, question) => scheduler.advise(peer, question),
     onLost: (target, loss) => directory.takePeerLoss(target, loss),
+    readGuardNews: () => parts.guard.listNews(),
+    onGuardNews: (news, peer) => parts.guard.hear(news, peer),
     lendRepeats: (service, wanted) => retries.lend(service, wanted),
     onRepeats: parts.onRepeats,
     onReport: parts.onReport,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,11 +34,12 @@
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
 import EngineLoad from './engine-load.js';
-import type { FleetPart } from './fleet-part.js';
+import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import createFollowerEvents from './follower-events.js';
 import Knowledge, { type StoreDialect } from './knowledge.js';
 import formatAddress from './format-address.js';
 import listenUntilFree from './listen-until-free.js';
+import createQuarantinePart, { type QuarantinePart } from './quarantine-part.js';
 import { startMetricsServer, startReadinessServer } from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
 
@@ -101,6 +102,7 @@
   private readonly retries: RetryBudgets;
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
+  private readonly quarantine: QuarantinePart;
   private readonly servers: Server[] = [];
   private isStopping = false;
 
@@ -150,7 +152,7 @@
       onForgotten: () => this.exchange?.forgetStore(),
       onChange: () => this.onKnowledge(),
     });
-    this.parts = createFleetParts({
+    const partContext: FleetPartContext = {
       settings,
       platform,
       clock: steadyClock,
@@ -162,7 +164,12 @@
       knowledge: this.knowledge,
       readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       readExchange: () => this.exchange,
+    };
+    this.quarantine = createQuarantinePart(partContext, {
+      connections: this.connections,
+      countVms: () => this.countVms(),
     });
+    this.parts = [this.quarantine, ...createFleetParts(partContext)];
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
       context: this.createContext(),
@@ -183,6 +190,7 @@
       follower: this.follower,
       engineLoad: this.engineLoad,
       retries: this.retries,
+      guard: this.quarantine.guard,
       gate: this.gate,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
@@ -301,6 +309,7 @@
     const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
     return {
       ...shared,
+      guard: this.quarantine.guard,
       failureDomain,
       locality,
       connections,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -25,7 +25,8 @@
   Timers,
 } from '@limelead/types';
 import LapsedTargets from './lapsed-targets.js';
-import { DUTY_KEY, ROLL_OUT_DUTY_KEY } from './own-keys.js';
+import { DUTY_KEY, QUARANTINE_KEYS, ROLL_OUT_DUTY_KEY } from './own-keys.js';
+import { readQuarantine } from './quarantine-item.js';
 import RemovedKeys from './removed-keys.js';
 import StoreMarks, { markTarget } from './store-marks.js';
 
@@ -41,6 +42,8 @@
   | { kind: 'roll-out'; order: RollOutOrder }
   /** Written by this system: how far a roll-out is. */
   | { kind: 'roll-out-step'; service: string; agreed: AgreedStep }
+  /** Written by this system: a request of that identity is kept from targets. */
+  | { kind: 'quarantine'; identity: string; service: string }
   /** Written by this system: somebody holds the duties. */
   | { kind: 'duty' }
   /**
@@ -192,6 +195,15 @@
     );
   }
 
+  /** Services of requests that are kept from targets, by the identity of the request. */
+  readQuarantines(): ReadonlyMap<string, string> {
+    return new Map(
+      [...this.known.values()].flatMap(({ fact }): [string, string][] =>
+        fact.kind === 'quarantine' ? [[fact.identity, fact.service]] : [],
+      ),
+    );
+  }
+
   /** Whether an item that means something is there. */
   has(key: string): boolean {
     return this.known.has(key);
@@ -440,6 +452,12 @@
   if (key === DUTY_KEY || key === ROLL_OUT_DUTY_KEY) {
     return DUTY;
   }
+  if (key.startsWith(QUARANTINE_KEYS)) {
+    const quarantine = readQuarantine(value);
+    return quarantine === undefined
+      ? { kind: 'unreadable', reason: 'names no service' }
+      : { kind: 'quarantine', identity: key.slice(QUARANTINE_KEYS.length), ...quarantine };
+  }
   if (!key.startsWith(STEP_KEYS)) {
     return undefined;
   }
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -16,6 +16,7 @@
   'meter-usage',
   'order-capacity',
   'judge-version',
+  'quarantine-requests',
   'run-roll-outs',
   'share-evidence',
 ];
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -5,9 +5,11 @@
  */
 import { describeThrown } from '@limelead/errors';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
+import type { GuardNews } from '@limelead/quarantine-requests';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
 import Gossip from './gossip.js';
+import { composeGuardNews, readGuardNews } from './guard-messages.js';
 import LoadExchange from './load-exchange.js';
 import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
@@ -232,6 +234,14 @@
     this.lossNews.take(target, loss);
   }
 
+  /** Tells peers of requests that may end targets, the one that told it aside. */
+  tellGuardNews(news: GuardNews, from?: PeerId): void {
+    this.sendGuardNews(
+      news,
+      this.gossip.listPeers().filter((peer) => peer !== from),
+    );
+  }
+
   /** This VM has few repeats left for a service. */
   wantRepeats(service: string): void {
     this.loans.want(service);
@@ -305,6 +315,13 @@
     this.options.timers.after(nextMs, () => this.beat());
   }
 
+  private sendGuardNews(news: GuardNews, peers: PeerId[]): void {
+    const requests = composeGuardNews(news, this.options.clock.now());
+    if (requests !== undefined) {
+      this.links?.broadcast({ kind: 'lost', targets: [], replaced: [], requests }, peers);
+    }
+  }
+
   private drop(peer: PeerId): void {
     this.links?.drop(peer);
     this.onPeerLost(peer);
@@ -326,6 +343,7 @@
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.gossip.beat([peer], []);
+    this.sendGuardNews(this.options.readGuardNews(), [peer]);
     this.load.noteLinked(peer);
   }
 
@@ -386,7 +404,10 @@
     }
   }
 
-  private onLost(peer: PeerId, { targets, replaced }: EvidenceMessageOf<'lost'>): void {
+  private onLost(peer: PeerId, { targets, replaced, requests }: EvidenceMessageOf<'lost'>): void {
+    if (requests !== undefined && this.sameStore.isPossible(peer)) {
+      this.options.onGuardNews(readGuardNews(requests, this.options.clock.now()), peer);
+    }
     this.passOnLost(peer, targets, 'lost');
     this.passOnLost(peer, replaced, 'replaced');
   }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between VMs of the HTTP front door. */
 import { createMessageFormat, type MessageFormat } from '@limelead/peer-links';
 import * as t from 'io-ts';
+import { guardNewsCodec } from './guard-messages.js';
 import { memberListCodec } from './member-codec.js';
 import { demand, timeOfDay, usage, versionEvidence, versionTotal } from './report-messages.js';
 
@@ -77,11 +78,15 @@
 });
 
 /** The sender, or VMs that told it, found these targets lost just now; see `LostTargets`. */
-const lost = t.type({
-  kind: t.literal('lost'),
-  targets: t.array(t.string),
-  replaced: t.array(t.string),
-});
+const lost = t.intersection([
+  t.type({
+    kind: t.literal('lost'),
+    targets: t.array(t.string),
+    replaced: t.array(t.string),
+  }),
+  /** Left out where there is none, and by VMs of a release that knows nothing of it. */
+  t.partial({ requests: guardNewsCodec }),
+]);
 
 /** Told by VMs that follow the store, and passed on; see `NewsOfStore`. */
 const storeNews = t.type({
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -1,6 +1,7 @@
 /** Shapes that the parts of the exchange share. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
+import type { GuardNews } from '@limelead/quarantine-requests';
 import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
 import type { IncomingMessage } from 'node:http';
@@ -108,6 +109,10 @@
   /** A peer asks where a stream should go; undefined where no target has a place. */
   adviseTarget(peer: PeerId, question: TargetQuestion): TargetAnswer | undefined;
   onLost(target: string, loss: TargetLoss): void;
+  /** What this VM knows of requests that may end targets, for a peer that has just met it. */
+  readGuardNews(): GuardNews;
+  /** A peer told of such requests. */
+  onGuardNews(news: GuardNews, peer: PeerId): void;
   /** A peer told what the store held at a later revision than this VM knows. */
   onUpdate(update: StoreUpdate, peer: PeerId): void;
   /** A peer asks for repeats of a retry budget; gives how many it gets. */
