A caller whose requests all end targets ends fewer with each; messages of later releases pass by

Strikes that prove it fall by one with each two requests that are kept from a service's targets for the same caller and route (3, 3, 2, 2, 1, 1 ends). A message of a kind that a VM does not know ended its link; it is passed over now.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -77,6 +77,7 @@
     this.report = new CallReport(context, admitted);
     this.guarded = context.guard.begin({
       request: describeIdentity(admitted),
+      route: admitted.route.name,
       requestId: admitted.request.requestId,
       service: admitted.service,
       onQuarantined: () => this.onQuarantined(),
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -87,6 +87,7 @@
     this.sends = new StreamSends(context, admitted);
     this.guarded = context.guard.begin({
       request: describeIdentity(admitted),
+      route: admitted.route.name,
       requestId: admitted.request.requestId,
       service: admitted.service,
       onQuarantined: () => this.fail(this.createQuarantined()),
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -5,6 +5,7 @@
  */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
+import type { Quarantine } from '@limelead/quarantine-requests';
 import type { StoreUpdate } from '@limelead/share-evidence';
 import {
   readStep,
@@ -43,7 +44,7 @@
   /** Written by this system: how far a roll-out is. */
   | { kind: 'roll-out-step'; service: string; agreed: AgreedStep }
   /** Written by this system: a request of that identity is kept from targets. */
-  | { kind: 'quarantine'; identity: string; service: string }
+  | { kind: 'quarantine'; identity: string; quarantine: Quarantine }
   /** Written by this system: somebody holds the duties. */
   | { kind: 'duty' }
   /**
@@ -195,11 +196,11 @@
     );
   }
 
-  /** Services of requests that are kept from targets, by the identity of the request. */
-  readQuarantines(): ReadonlyMap<string, string> {
+  /** Requests that are kept from targets, by their identities. */
+  readQuarantines(): ReadonlyMap<string, Quarantine> {
     return new Map(
-      [...this.known.values()].flatMap(({ fact }): [string, string][] =>
-        fact.kind === 'quarantine' ? [[fact.identity, fact.service]] : [],
+      [...this.known.values()].flatMap(({ fact }): [string, Quarantine][] =>
+        fact.kind === 'quarantine' ? [[fact.identity, fact.quarantine]] : [],
       ),
     );
   }
@@ -456,7 +457,7 @@
     const quarantine = readQuarantine(value);
     return quarantine === undefined
       ? { kind: 'unreadable', reason: 'names no service' }
-      : { kind: 'quarantine', identity: key.slice(QUARANTINE_KEYS.length), ...quarantine };
+      : { kind: 'quarantine', identity: key.slice(QUARANTINE_KEYS.length), quarantine };
   }
   if (!key.startsWith(STEP_KEYS)) {
     return undefined;
--- a/packages/gateway/src/quarantine-item.ts
+++ b/packages/gateway/src/quarantine-item.ts
@@ -1,11 +1,13 @@
 /** A request that is kept from targets, as an item of the store, in the product's own shape. */
+import type { Quarantine } from '@limelead/quarantine-requests';
 import * as E from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
 
-const quarantineCodec = t.type({ service: t.string });
-
 /** What the item says; its key names the request. */
-export type Quarantine = t.TypeOf<typeof quarantineCodec>;
+const quarantineCodec: t.Type<Quarantine, unknown> = t.type({
+  service: t.string,
+  caller: t.string,
+});
 
 /** The item's value. */
 export default function writeQuarantine(quarantine: Quarantine): Buffer {
--- a/packages/gateway/src/quarantine-part.ts
+++ b/packages/gateway/src/quarantine-part.ts
@@ -3,7 +3,12 @@
  * stands in the platform's store, one write for each such request: a VM that starts learns it before
  * it is ready, and so does a fleet that lost power at once.
  */
-import { QUARANTINE_MS, RequestGuard, type RequestIdentity } from '@limelead/quarantine-requests';
+import {
+  QUARANTINE_MS,
+  RequestGuard,
+  type Quarantine,
+  type RequestIdentity,
+} from '@limelead/quarantine-requests';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { Millis } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
@@ -52,7 +57,8 @@
       hasEnded: (target, brokeAtMs) => ends.hasEnded(target, brokeAtMs),
       wasHeardSince: (target, sinceMs) => ends.wasHeardSince(target, sinceMs),
       tell: (news, from) => context.readExchange()?.tellGuardNews(news, from),
-      onProved: (request, service) => this.keep(request, service, clock.now() + QUARANTINE_MS),
+      onProved: (request, quarantine) =>
+        this.keep(request, quarantine, clock.now() + QUARANTINE_MS),
       onRefuted: (request) => void this.forget(request),
     });
     metrics.gauge('limelead_quarantined_requests', () => this.guard.quarantined);
@@ -71,9 +77,9 @@
     }
     this.knownRevision = knowledge.revision;
     const stored = knowledge.readQuarantines();
-    for (const [request, service] of stored) {
+    for (const [request, quarantine] of stored) {
       if (!this.stored.has(request)) {
-        this.guard.quarantine(request, service);
+        this.guard.quarantine(request, quarantine);
       }
     }
     for (const request of this.stored) {
@@ -92,21 +98,29 @@
    * Writes it, again and again where it can't be written; resolves after the first time. The item
    * goes by itself when its lease ends.
    */
-  private async keep(request: RequestIdentity, service: string, untilMs: Millis): Promise<void> {
+  private async keep(
+    request: RequestIdentity,
+    quarantine: Quarantine,
+    untilMs: Millis,
+  ): Promise<void> {
     const { clock, timers, log } = this.context;
-    const reason = await this.write(request, service);
+    const { service } = quarantine;
+    const reason = await this.write(request, quarantine);
     if (reason === undefined) {
       log.write('quarantine-stored', { identity: request, service });
       return;
     }
     log.write('quarantine-write-failed', { identity: request, service, reason });
     if (clock.now() + WRITE_AGAIN_MS < untilMs) {
-      timers.after(WRITE_AGAIN_MS, () => void this.keep(request, service, untilMs));
+      timers.after(WRITE_AGAIN_MS, () => void this.keep(request, quarantine, untilMs));
     }
   }
 
   /** Why it does not stand there; undefined where it does. */
-  private async write(request: RequestIdentity, service: string): Promise<string | undefined> {
+  private async write(
+    request: RequestIdentity,
+    quarantine: Quarantine,
+  ): Promise<string | undefined> {
     const { storeItems } = this.context.platform;
     const key = quarantineKeyOf(request);
     if (this.context.knowledge.has(key)) {
@@ -116,7 +130,7 @@
     if (E.isLeft(granted)) {
       return granted.left.message;
     }
-    const value = writeQuarantine({ service });
+    const value = writeQuarantine(quarantine);
     const { lease } = granted.right;
     const written = await storeItems.write(
       [{ key, revision: 0 }],
--- a/packages/quarantine-requests/src/case-book.ts
+++ b/packages/quarantine-requests/src/case-book.ts
@@ -4,16 +4,21 @@
  * how often they are told make no difference.
  */
 import { RecentTimes, type Millis } from '@limelead/types';
-import countInSuccession from './count-in-succession.js';
-import type { RequestIdentity } from './identify-request.js';
+import findSuccession from './find-succession.js';
+import type { CallerIdentity, RequestIdentity } from './identify-request.js';
 
 /**
  * Strikes in succession that prove it. One may be chance, and two where a target was about to
  * go; a third run that began when the second had ended its target is none.
  */
 export const PROVING_STRIKES = 3;
-/** Targets ended with which a request is suspected, in succession or not. */
-const SUSPICIOUS_ENDS = 2;
+/**
+ * With each of so many requests of a caller that are kept from targets of a service, its others
+ * there need one strike less: one whose requests all do it, each in other words, ends few targets.
+ */
+const QUARANTINES_PER_STRIKE = 2;
+/** Ends of targets by which a request is suspected: so many fewer than those that prove it. */
+const SUSPECTED_BEFORE = 1;
 /**
  * Time without another one for which a strike counts, in milliseconds: callers that send a
  * request again do so within seconds, or minutes where they were told when to come back.
@@ -31,7 +36,7 @@
 const REFUTED_MS = 30_000;
 /** An absolution this close to the one before is the same, told by another way, in milliseconds. */
 const SAME_ABSOLUTION_MS = 1_000;
-/** Strikes kept of one request; more would prove no more. */
+/** Strikes kept of one request: three in succession, and some that stand beside them. */
 const MOST_STRIKES = 16;
 /** Requests that evidence is kept of; 1 KB each. */
 const MOST_CASES = 2_000;
@@ -43,6 +48,7 @@
 export interface Strike {
   request: RequestIdentity;
   service: string;
+  caller: CallerIdentity;
   /** The incarnation. */
   target: string;
   /** When the run was sent there, and when it broke; steady time. */
@@ -50,8 +56,13 @@
   endedAtMs: Millis;
 }
 
-interface Case {
+/** What the store holds of a request that is kept from targets. */
+export interface Quarantine {
   service: string;
+  caller: CallerIdentity;
+}
+
+interface Case extends Quarantine {
   /** By target. */
   strikes: Map<string, Strike>;
   quarantinedAtMs: Millis | undefined;
@@ -90,22 +101,25 @@
     return this.cases.has(request);
   }
 
-  /** Takes a strike; false where it was known or is refuted. */
+  /** Takes a strike; false where it is no news, or proves nothing more. */
   take(strike: Strike, now: Millis): boolean {
     this.forgetOld(now);
-    const { request, target, service } = strike;
+    const { request, target, service, caller } = strike;
     const isRefuted = this.refuted.ageMs(nameStrike(request, target), now) !== undefined;
     if (isRefuted || strike.endedAtMs <= (this.absolvedAtMs.get(request) ?? -Infinity)) {
       return false;
     }
-    const known = this.cases.get(request)?.strikes;
-    if (known?.has(target) === true || (known?.size ?? 0) >= MOST_STRIKES) {
+    const known = this.cases.get(request);
+    if (known?.strikes.has(target) === true || known?.quarantinedAtMs !== undefined) {
       return false;
     }
-    const one = this.open(request, service, now);
+    const one = this.open(request, { service, caller }, now);
     one.strikes.set(target, strike);
-    if (one.quarantinedAtMs === undefined && countInSuccession(one.strikes) >= PROVING_STRIKES) {
+    const series = findSuccession(one.strikes.values());
+    if (series.length >= this.neededOf(one)) {
       one.quarantinedAtMs = now;
+    } else if (one.strikes.size > MOST_STRIKES) {
+      return this.dropSurplusStrike(one, series, now) !== strike;
     }
     return true;
   }
@@ -137,11 +151,11 @@
   }
 
   /** Another VM proved it, or this one in an earlier life. */
-  quarantine(request: RequestIdentity, service: string, now: Millis): boolean {
+  quarantine(request: RequestIdentity, quarantine: Quarantine, now: Millis): boolean {
     if (this.judge(request, now) === 'quarantined') {
       return false;
     }
-    this.open(request, service, now).quarantinedAtMs = now;
+    this.open(request, quarantine, now).quarantinedAtMs = now;
     return true;
   }
 
@@ -152,7 +166,7 @@
       return;
     }
     one.quarantinedAtMs = undefined;
-    one.strikes = new Map(createPriors(request, one.service, now));
+    one.strikes = new Map(createPriors(request, one, now));
     this.touch(request, one, now);
   }
 
@@ -167,7 +181,8 @@
       }
       this.release(request, now);
     }
-    return one.strikes.size >= SUSPICIOUS_ENDS ? 'suspected' : 'clear';
+    const suspicious = Math.max(1, this.neededOf(one) - SUSPECTED_BEFORE);
+    return one.strikes.size >= suspicious ? 'suspected' : 'clear';
   }
 
   /** Time until the quarantine of a request is over, in milliseconds; 0 for none. */
@@ -191,9 +206,19 @@
     return [...this.cases.values()].reverse().flatMap(({ strikes }) => [...strikes.values()]);
   }
 
-  private open(request: RequestIdentity, service: string, now: Millis): Case {
+  /** Strikes in succession that prove it of a caller's request. */
+  private neededOf({ caller, service }: Case): number {
+    const kept = [...this.cases.values()].filter(
+      (one) =>
+        one.quarantinedAtMs !== undefined && one.caller === caller && one.service === service,
+    );
+    return Math.max(1, PROVING_STRIKES - Math.floor(kept.length / QUARANTINES_PER_STRIKE));
+  }
+
+  private open(request: RequestIdentity, { service, caller }: Quarantine, now: Millis): Case {
     const one = this.cases.get(request) ?? {
       service,
+      caller,
       strikes: new Map<string, Strike>(),
       quarantinedAtMs: undefined,
       changedAtMs: now,
@@ -227,6 +252,17 @@
     }
   }
 
+  /** The newest of those that stand beside others goes; told again, it is no news. */
+  private dropSurplusStrike({ strikes }: Case, series: Strike[], now: Millis): Strike | undefined {
+    const surplus = [...strikes.values()].filter((strike) => !series.includes(strike)).at(-1);
+    if (surplus !== undefined) {
+      const { request, target } = surplus;
+      strikes.delete(target);
+      this.refuted.note(nameStrike(request, target), now);
+    }
+    return surplus;
+  }
+
   /** What is only suspected goes before what is proved, the oldest first. */
   private dropSurplus(): void {
     if (this.cases.size <= MOST_CASES) {
@@ -246,10 +282,14 @@
 }
 
 /** What stands for the strikes before a quarantine that is over. */
-function createPriors(request: RequestIdentity, service: string, now: Millis): [string, Strike][] {
+function createPriors(
+  request: RequestIdentity,
+  { service, caller }: Quarantine,
+  now: Millis,
+): [string, Strike][] {
   return Array.from({ length: PROVING_STRIKES - 1 }, (_, index) => {
     const atMs = now - (PROVING_STRIKES - 1 - index);
     const target = `before-${index + 1}`;
-    return [target, { request, service, target, startedAtMs: atMs, endedAtMs: atMs }];
+    return [target, { request, service, caller, target, startedAtMs: atMs, endedAtMs: atMs }];
   });
 }
--- a/packages/quarantine-requests/src/count-in-succession.ts
+++ b/packages/quarantine-requests/src/find-succession.ts
@@ -1,4 +1,4 @@
-/** How many of a request's strikes followed one another. */
+/** Which of a request's strikes followed one another. */
 import type { Millis } from '@limelead/types';
 import type { Strike } from './case-book.js';
 
@@ -11,24 +11,23 @@
 const MOST_OVERLAP = 0.5;
 
 /**
- * The largest number of runs of which each began when the one before had ended its target.
+ * The longest series of strikes of which each run began when the one before had ended its target.
  *
  * When a failure domain goes, all runs of a much-used request that stand there end at once;
  * they were begun before the first of them ended and count as one. A request that ends its
  * targets does it again each time that it is begun.
  */
-export default function countInSuccession(strikes: ReadonlyMap<string, Strike>): number {
-  let count = 0;
-  let lastEndedAtMs = -Infinity;
+export default function findSuccession(strikes: Iterable<Strike>): Strike[] {
+  const series: Strike[] = [];
   // Of intervals, always taking the one that ends first leaves room for the most.
-  const inOrder = [...strikes.values()].sort((a, b) => a.endedAtMs - b.endedAtMs);
+  const inOrder = [...strikes].sort((a, b) => a.endedAtMs - b.endedAtMs);
   for (const strike of inOrder) {
+    const lastEndedAtMs = series.at(-1)?.endedAtMs ?? -Infinity;
     if (lastEndedAtMs - strike.startedAtMs <= computeLeeway(strike)) {
-      count += 1;
-      lastEndedAtMs = strike.endedAtMs;
+      series.push(strike);
     }
   }
-  return count;
+  return series;
 }
 
 function computeLeeway({ startedAtMs, endedAtMs }: Strike): Millis {
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -2,6 +2,7 @@
 import type { CancelTimer, Millis } from '@limelead/types';
 import type { Strike, Verdict } from './case-book.js';
 import identifyRequest, {
+  identifyCaller,
   type IdentifiedRequest,
   type RequestIdentity,
 } from './identify-request.js';
@@ -10,6 +11,8 @@
 /** What is known of the request. */
 export interface GuardedFacts {
   request: IdentifiedRequest;
+  /** Name of the route. */
+  route: string;
   /** Of this sending; for lines only. */
   requestId: string;
   service: string;
@@ -79,8 +82,9 @@
     if (this.isHarmless) {
       return;
     }
-    const { service } = this.facts;
-    const strike = { request: this.name, service, target, startedAtMs, endedAtMs };
+    const { service, route, request } = this.facts;
+    const caller = identifyCaller(request.organisation, route);
+    const strike = { request: this.name, service, caller, target, startedAtMs, endedAtMs };
     this.looking += 1;
     const looked = this.link.noteBroken(strike, this.facts).then(() => {
       this.looking -= 1;
--- a/packages/quarantine-requests/src/identify-request.ts
+++ b/packages/quarantine-requests/src/identify-request.ts
@@ -7,6 +7,9 @@
 /** Same for two sendings of one request; a text of 32 hexadecimal digits. */
 export type RequestIdentity = string;
 
+/** Same for all requests of one caller on one route; a text of the same form. */
+export type CallerIdentity = string;
+
 /** What a request is known by. Ids, deadlines and where to resume differ from one sending to the next. */
 export interface IdentifiedRequest {
   /** Organisation of the caller; undefined where the route is open to all. */
@@ -22,13 +25,18 @@
 /** Hashes the request. */
 export default function identifyRequest(request: IdentifiedRequest): RequestIdentity {
   const { organisation = '', host, method, path, body } = request;
+  return hashParts([organisation, host, method, path], body);
+}
+
+/** Names a caller on one route, whatever it sends there. */
+export function identifyCaller(organisation: string | undefined, route: string): CallerIdentity {
+  return hashParts([organisation ?? '', route], Buffer.alloc(0));
+}
+
+/** Lengths keep the parts apart, so that none can pass for the end of another. */
+function hashParts(parts: string[], rest: Buffer): string {
   const hash = createHash('sha256');
-  // Lengths keep the parts apart, so that none can pass for the end of another.
-  for (const part of [organisation, host, method, path]) {
-    hash.update(`${part.length}:${part}`);
-  }
-  return hash
-    .update(body)
-    .digest('hex')
-    .slice(0, IDENTITY_BYTES * 2);
+  parts.forEach((part) => hash.update(`${part.length}:${part}`));
+  const digest = hash.update(rest).digest('hex');
+  return digest.slice(0, IDENTITY_BYTES * 2);
 }
--- a/packages/quarantine-requests/src/index.ts
+++ b/packages/quarantine-requests/src/index.ts
@@ -2,7 +2,7 @@
 export { default as RequestGuard, type RequestGuardOptions } from './request-guard.js';
 export { default as GuardedRequest } from './guarded-request.js';
 export { default as createLoneGuard } from './lone-guard.js';
-export { QUARANTINE_MS, type Strike } from './case-book.js';
+export { QUARANTINE_MS, type Quarantine, type Strike } from './case-book.js';
 export { composeNews, isEmptyNews, type GuardNews } from './news.js';
 export {
   default as identifyRequest,
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -6,7 +6,7 @@
 import { describeThrown } from '@limelead/errors';
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, Millis, Random, Timers } from '@limelead/types';
-import CaseBook, { type Strike, type Verdict } from './case-book.js';
+import CaseBook, { type Quarantine, type Strike, type Verdict } from './case-book.js';
 import GuardedRequest, { type GuardedFacts } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
 import { composeNews, type GuardNews, type TrialNotice } from './news.js';
@@ -30,7 +30,7 @@
   /** Tells other VMs, the one that told it aside. */
   tell(news: GuardNews, from?: string): void;
   /** This VM proved a request to end its targets; resolves when that is kept, or can't be now. */
-  onProved(request: RequestIdentity, service: string): Promise<void>;
+  onProved(request: RequestIdentity, quarantine: Quarantine): Promise<void>;
   /** A target of this VM's ran a request that was kept from targets. */
   onRefuted(request: RequestIdentity): void;
 }
@@ -96,9 +96,9 @@
   }
 
   /** The store holds that a request ends its targets. */
-  quarantine(request: RequestIdentity, service: string): void {
-    if (this.book.quarantine(request, service, this.now)) {
-      this.onQuarantined(request, service, 'store');
+  quarantine(request: RequestIdentity, quarantine: Quarantine): void {
+    if (this.book.quarantine(request, quarantine, this.now)) {
+      this.onQuarantined(request, quarantine.service, 'store');
     }
   }
 
@@ -156,7 +156,8 @@
     }
     this.options.tell(composeNews({ strikes: [strike] }));
     if (before !== 'quarantined' && this.judge(request) === 'quarantined') {
-      await this.options.onProved(request, strike.service);
+      const { service, caller } = strike;
+      await this.options.onProved(request, { service, caller });
     }
   }
 
@@ -228,8 +229,9 @@
 
   private clear(request: RequestIdentity, atMs: Millis, source: string): boolean {
     const targets = this.book.listTargets(request);
+    const before = this.judge(request);
     const isNews = this.book.absolve(request, atMs, this.now);
-    if (isNews && targets.length > 0) {
+    if (before !== 'clear' || (source === 'own' && targets.length > 0)) {
       this.options.log.write('request-absolved', { identity: request, source, targets });
       this.trials.wake(request);
     }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -398,6 +398,8 @@
       case 'lend-repeats':
         this.options.onRepeats(message.service, message.repeats);
         break;
+      case 'unknown':
+        break;
       default:
         this.options.onReport?.(peer, message);
         break;
--- a/packages/share-evidence/src/guard-messages.ts
+++ b/packages/share-evidence/src/guard-messages.ts
@@ -9,6 +9,7 @@
     t.type({
       request: t.string,
       service: t.string,
+      caller: t.string,
       target: t.string,
       startedAgoMs: t.number,
       endedAgoMs: t.number,
--- a/packages/share-evidence/src/messages.test.ts
+++ b/packages/share-evidence/src/messages.test.ts
@@ -34,4 +34,21 @@
   );
 });
 
+test('a message of a kind that a later release brings keeps its link', () => {
+  const packr = new Packr({ useRecords: false });
+  const decode = (value: unknown) => evidenceMessageFormat.decode(packr.pack(value));
+  assert.equal(decode({ kind: 'of-tomorrow', more: [1] }), { kind: 'unknown' });
+  assert.is(decode({ kind: 'lost', targets: 7, replaced: [] }), undefined);
+  assert.is(decode({ targets: [] }), undefined);
+});
+
+test('news of lost targets hold with and without those of requests, and with more than is known', () => {
+  const packr = new Packr({ useRecords: false });
+  const lost = { kind: 'lost', targets: ['t1'], replaced: [] };
+  const requests = { strikes: [], withdrawn: [], absolved: [], trials: [] };
+  for (const value of [lost, { ...lost, requests }, { ...lost, ofTomorrow: 1 }]) {
+    assert.equal(evidenceMessageFormat.decode(packr.pack(value)), value);
+  }
+});
+
 test.run();
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -146,7 +146,7 @@
   copyTo: t.union([t.string, t.null]),
 });
 
-const evidenceMessageCodec = t.union([
+const knownMessageCodec = t.union([
   heartbeat,
   pulse,
   load,
@@ -166,6 +166,45 @@
   versionTotal,
 ]);
 
+type KnownMessage = t.TypeOf<typeof knownMessageCodec>;
+
+/** Whether a later message makes one needless, so that a slow link may drop it. */
+const IS_DROPPABLE: Readonly<Record<KnownMessage['kind'], boolean>> = {
+  heartbeat: true,
+  pulse: true,
+  load: true,
+  'region-load': true,
+  'want-target': true,
+  'advise-target': true,
+  lost: false,
+  'store-news': true,
+  'want-items': false,
+  items: false,
+  'want-repeats': true,
+  'lend-repeats': false,
+  'time-of-day': true,
+  usage: false,
+  demand: true,
+  'version-evidence': true,
+  'version-total': true,
+};
+
+/** A message of a kind that only a later release knows: it is passed over, and the link stays. */
+const unknownMessage = t.type({ kind: t.literal('unknown') });
+const anyMessage = t.type({ kind: t.string });
+
+const unknownMessageCodec = new t.Type<t.TypeOf<typeof unknownMessage>, unknown, unknown>(
+  'a message of a later release',
+  unknownMessage.is,
+  (value, context) =>
+    anyMessage.is(value) && !(value.kind in IS_DROPPABLE)
+      ? t.success({ kind: 'unknown' })
+      : t.failure(value, context),
+  (value) => value,
+);
+
+const evidenceMessageCodec = t.union([knownMessageCodec, unknownMessageCodec]);
+
 /** A message from one VM to another. */
 export type EvidenceMessage = t.TypeOf<typeof evidenceMessageCodec>;
 
@@ -175,25 +214,9 @@
   { kind: Kind }
 >;
 
-/** Messages that a later one makes needless; a slow link may drop them. */
-const DROPPABLE_KINDS: ReadonlySet<EvidenceMessage['kind']> = new Set([
-  'heartbeat',
-  'pulse',
-  'load',
-  'region-load',
-  'want-target',
-  'advise-target',
-  'store-news',
-  'want-repeats',
-  'time-of-day',
-  'demand',
-  'version-evidence',
-  'version-total',
-]);
-
 /** Format of the messages on the wire. */
 export const evidenceMessageFormat: MessageFormat<EvidenceMessage> = createMessageFormat(
   evidenceMessageCodec as t.Type<EvidenceMessage, unknown>,
-  ({ kind }) => DROPPABLE_KINDS.has(kind),
+  ({ kind }) => kind === 'unknown' || IS_DROPPABLE[kind],
   (message) => evidenceMessageCodec.encode(message),
 );
