--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -21,7 +21,12 @@
 import SameStore from './same-store.js';
 import type { RegionNotice } from './region-sizes.js';
 import StoreExchange from './store-exchange.js';
-import { evidenceMessageFormat, type EvidenceMessage, type EvidenceMessageOf } from './messages.js';
+import {
+  evidenceMessageFormat,
+  type EvidenceMessage,
+  type EvidenceMessageOf,
+  type KnownMessage,
+} from './messages.js';
 import type { PeerReport } from './report-messages.js';
 import type { EvidenceExchangeOptions, LinkedPeer, PeerId } from './types.js';
 
@@ -360,6 +365,9 @@
       return;
     }
     this.members?.hearFrom(peer);
+    if (message.kind === 'unknown') {
+      return;
+    }
     try {
       this.dispatch(peer, message);
     } catch (thrown) {
@@ -370,7 +378,7 @@
     }
   }
 
-  private dispatch(peer: PeerId, message: EvidenceMessage): void {
+  private dispatch(peer: PeerId, message: KnownMessage): void {
     switch (message.kind) {
       case 'heartbeat':
         this.onHeartbeat(peer, message);
@@ -398,8 +406,6 @@
       case 'lend-repeats':
         this.options.onRepeats(message.service, message.repeats);
         break;
-      case 'unknown':
-        break;
       default:
         this.options.onReport?.(peer, message);
         break;
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -166,7 +166,8 @@
   versionTotal,
 ]);
 
-type KnownMessage = t.TypeOf<typeof knownMessageCodec>;
+/** A message of a kind that this release knows. */
+export type KnownMessage = t.TypeOf<typeof knownMessageCodec>;
 
 /** Whether a later message makes one needless, so that a slow link may drop it. */
 const IS_DROPPABLE: Readonly<Record<KnownMessage['kind'], boolean>> = {
