Act under no lease that a suspension may have ended

Cause: a lease was reckoned on the steady clock alone, which stands still while a VM is suspended; its holder still permitted calls beside the next one. The time of day goes on, but may be set, and the clock that tells the two apart can't be read from here (os.uptime is that of the machine, not of the VM, where the VM is played). So a time of day that gets ahead withholds permits until a renewal sent behind it is answered; it ends no lease.

--- a/packages/apply-placement-plan/src/placement-doer.ts
+++ b/packages/apply-placement-plan/src/placement-doer.ts
@@ -89,6 +89,8 @@
   const duty = new HeldDuty({
     holder: incarnation,
     clock,
+    // The clock of this interface is the time of day, which counts a suspension by itself.
+    timeOfDay: clock,
     quietMs: NO_QUIET_MS,
     marginMs: LEASE_MARGIN_MS,
     onTaken(token) {
@@ -99,6 +101,7 @@
       tell(token, 'held');
     },
     onLost: (token) => tell(token, 'lost'),
+    onLostTime: () => undefined,
   });
 
   const tell = (token: number, state: 'held' | 'lost'): void =>
--- a/packages/gateway/src/duty-part.ts
+++ b/packages/gateway/src/duty-part.ts
@@ -1,5 +1,6 @@
 /** The part that stands for the duties of one VM at a time, and holds them where it can. */
 import { ConditionalSeat, DutyKeeper, HeldDuty, type Duty } from '@limelead/hold-duty';
+import { systemClock } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import formatAddress from './format-address.js';
@@ -36,6 +37,7 @@
   const duty = new HeldDuty({
     holder: settings.vm,
     clock,
+    timeOfDay: systemClock,
     quietMs: leaseMs,
     marginMs: LEASE_MARGIN_MS,
     onTaken(token, mayActInMs) {
@@ -46,6 +48,10 @@
       metrics.count('limelead_duty_changes_total', 1, { change: loss });
       log.write('duty-lost', { token, loss, leaseAgeMs: Math.round(leaseAgeMs) });
     },
+    onLostTime(lostMs) {
+      metrics.count('limelead_time_lost_total');
+      log.write('time-lost', { lostMs: Math.round(lostMs) });
+    },
   });
   const readPlace = (): number | undefined => {
     const candidates = context.readExchange()?.dutyCandidates;
--- a/packages/hold-duty/src/duty-keeper.test.ts
+++ b/packages/hold-duty/src/duty-keeper.test.ts
@@ -33,10 +33,12 @@
   const duty = new HeldDuty({
     holder: 'a',
     clock,
+    timeOfDay: clock,
     quietMs: 0,
     marginMs: 100,
     onTaken: () => undefined,
     onLost: () => undefined,
+    onLostTime: () => undefined,
   });
   const answer = (): E.Either<never, SeatAnswer> => {
     const { seat, token } = scene;
--- a/packages/hold-duty/src/held-duty.test.ts
+++ b/packages/hold-duty/src/held-duty.test.ts
@@ -9,10 +9,12 @@
   const duty = new HeldDuty({
     holder: 'a',
     clock,
+    timeOfDay: clock,
     quietMs: 3_000,
     marginMs: 0,
     onTaken: (_token, mayActInMs) => void waits.push(mayActInMs),
     onLost: () => undefined,
+    onLostTime: () => undefined,
   });
   jump(3_000);
   duty.noteAnswer({ kind: 'ours', token: 1, sentAtMs: 3_000, ttlMs: 10_000 });
--- a/packages/hold-duty/src/held-duty.ts
+++ b/packages/hold-duty/src/held-duty.ts
@@ -2,6 +2,7 @@
 import type { Clock, Millis } from '@limelead/types';
 import type { Duty, DutyPermit } from './duty.js';
 import type { SeatAnswer } from './lease-seat.js';
+import LostTime from './lost-time.js';
 
 /** Why a duty was lost. */
 export type DutyLoss =
@@ -19,6 +20,8 @@
   holder: string;
   /** Steady. */
   clock: Clock;
+  /** Goes on while the VM is suspended, and may be set. */
+  timeOfDay: Clock;
   /**
    * Time that has to lie between what this VM did under an earlier token, or may have done
    * before this process started, and what it does next: holders never act in the order
@@ -29,6 +32,8 @@
   marginMs: Millis;
   onTaken(token: number, mayActInMs: Millis): void;
   onLost(token: number, loss: DutyLoss, leaseAgeMs: Millis): void;
+  /** The steady clock may not have counted so much; nothing is done until the lease is confirmed. */
+  onLostTime(lostMs: Millis): void;
 }
 
 interface Hold extends DutyPermit {
@@ -46,8 +51,11 @@
   private outdatedToken = 0;
   /** When the last call that was permitted has arrived or is lost; at first that of the process before. */
   private quietSinceMs: Millis;
+  private readonly lostTime: LostTime;
 
   constructor(private readonly options: HeldDutyOptions) {
+    const { clock, timeOfDay, onLostTime } = options;
+    this.lostTime = new LostTime(clock, timeOfDay, onLostTime);
     this.holder = options.holder;
     this.quietSinceMs = options.clock.now();
   }
@@ -70,7 +78,12 @@
   permit(arrivalMs: Millis): DutyPermit | undefined {
     const { hold } = this;
     const now = this.options.clock.now();
-    if (hold === undefined || now < hold.actsFromMs || now + arrivalMs > this.validUntilMs(hold)) {
+    if (hold === undefined || now < hold.actsFromMs) {
+      return undefined;
+    }
+    // By the steady clock alone a VM that was suspended acted beside the next holder.
+    const arrivesAtMs = now + arrivalMs + this.lostTime.since(hold.sentAtMs);
+    if (arrivesAtMs > this.validUntilMs(hold)) {
       return undefined;
     }
     if (arrivalMs > 0) {
@@ -107,6 +120,7 @@
 
   /** Time went by; the duty is lost where nothing renewed it. */
   noteTime(): void {
+    this.lostTime.look();
     if (this.hold !== undefined && this.options.clock.now() >= this.validUntilMs(this.hold)) {
       this.lose('lapsed');
     }
--- a/packages/hold-duty/src/world.fixture.ts
+++ b/packages/hold-duty/src/world.fixture.ts
@@ -168,10 +168,12 @@
     const duty = options.createDuty({
       holder: `vm-${this.number}`,
       clock,
+      timeOfDay: clock,
       quietMs: LEASE_MS,
       marginMs: 100,
       onTaken: () => undefined,
       onLost: () => undefined,
+      onLostTime: () => undefined,
     });
     this.duty = duty;
     this.keeper = new DutyKeeper({
--- a/packages/meter-usage/src/usage-reporter.test.ts
+++ b/packages/meter-usage/src/usage-reporter.test.ts
@@ -125,10 +125,12 @@
   const duty = new HeldDuty({
     holder: 'a',
     clock: { now: () => reporting.now },
+    timeOfDay: { now: () => reporting.now },
     quietMs: 0,
     marginMs: 100,
     onTaken: () => undefined,
     onLost: () => undefined,
+    onLostTime: () => undefined,
   });
   reporting.now = WINDOW_MS + SETTLE_AFTER_MS;
   duty.noteAnswer({ kind: 'ours', token: 1, sentAtMs: reporting.now, ttlMs: 3_000 });
