--- a/packages/apply-placement-plan/src/placement-doer.ts
+++ b/packages/apply-placement-plan/src/placement-doer.ts
@@ -87,12 +87,9 @@
     clock,
   });
   const duty = new HeldDuty({
-    holder: incarnation,
-    clock,
     // The clock of this interface is the time of day, which counts a suspension by itself.
-    timeOfDay: clock,
-    quietMs: NO_QUIET_MS,
-    marginMs: LEASE_MARGIN_MS,
+    ...{ holder: incarnation, clock, timeOfDay: clock },
+    ...{ quietMs: NO_QUIET_MS, marginMs: LEASE_MARGIN_MS },
     onTaken(token) {
       if (token !== epoch) {
         epoch = token;
