--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -354,14 +354,14 @@
       copyAt: live.copy?.keeper.id,
     });
     live.attempt.cancel();
-    const { isSuspected } = this.guarded;
-    if (!isSuspected) {
+    const isOwnDoing = cause === 'broken' && this.guarded.isSuspected;
+    if (!isOwnDoing) {
       this.tellSendEnd(live, false);
     }
     this.live.release(attempt);
     // A connection that ends with a run on it is a sign of a lost target, as silence is. What ends
     // under a suspect is its doing: that incarnation is over, and its failure domain not in doubt.
-    directory.observe(target, { kind: isSuspected ? 'replaced' : 'lost' });
+    directory.observe(target, { kind: isOwnDoing ? 'replaced' : 'lost' });
     silence.noteLost(target);
     this.noteEvidence(live, cause);
   }
--- a/packages/quarantine-requests/src/case-book.ts
+++ b/packages/quarantine-requests/src/case-book.ts
@@ -13,10 +13,12 @@
  */
 export const PROVING_STRIKES = 3;
 /**
- * With each of so many requests of a caller that are kept from targets of a service, its others
- * there need one strike less: one whose requests all do it, each in other words, ends few targets.
+ * So many requests of a caller that are kept from targets of a service make its others there need
+ * one strike less: one whose requests all do it, each in other words, ends fewer targets.
  */
-const QUARANTINES_PER_STRIKE = 2;
+const QUARANTINES_OF_KNOWN_CALLER = 2;
+/** Strikes in succession that prove it then. With one, each chance loss held one more. */
+const PROVING_STRIKES_OF_KNOWN_CALLER = 2;
 /** Ends of targets by which a request is suspected: so many fewer than those that prove it. */
 const SUSPECTED_BEFORE = 1;
 /**
@@ -181,8 +183,7 @@
       }
       this.release(request, now);
     }
-    const suspicious = Math.max(1, this.neededOf(one) - SUSPECTED_BEFORE);
-    return one.strikes.size >= suspicious ? 'suspected' : 'clear';
+    return one.strikes.size >= this.neededOf(one) - SUSPECTED_BEFORE ? 'suspected' : 'clear';
   }
 
   /** Time until the quarantine of a request is over, in milliseconds; 0 for none. */
@@ -212,7 +213,9 @@
       (one) =>
         one.quarantinedAtMs !== undefined && one.caller === caller && one.service === service,
     );
-    return Math.max(1, PROVING_STRIKES - Math.floor(kept.length / QUARANTINES_PER_STRIKE));
+    return kept.length < QUARANTINES_OF_KNOWN_CALLER
+      ? PROVING_STRIKES
+      : PROVING_STRIKES_OF_KNOWN_CALLER;
   }
 
   private open(request: RequestIdentity, { service, caller }: Quarantine, now: Millis): Case {
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -154,6 +154,7 @@
     if (!this.enter(strike, 'own', facts)) {
       return;
     }
+    this.options.metrics.count('limelead_strikes_total', 1, { service: strike.service });
     this.options.tell(composeNews({ strikes: [strike] }));
     if (before !== 'quarantined' && this.judge(request) === 'quarantined') {
       const { service, caller } = strike;
@@ -188,7 +189,6 @@
       return false;
     }
     const verdict = this.judge(request);
-    this.options.metrics.count('limelead_strikes_total', 1, { service });
     // Of most requests there is one strike and no other: its line stands on the VM that saw it.
     if (source === 'own' || verdict !== 'clear') {
       this.options.log.write('strike', {
--- a/packages/quarantine-requests/src/trials.ts
+++ b/packages/quarantine-requests/src/trials.ts
@@ -90,7 +90,6 @@
 
   /** Another VM tells of a trial; true where that is news. */
   hear({ request, trial, isOver }: TrialNotice): boolean {
-    this.forgetLapsed();
     const known = this.known.get(trial);
     if (known !== undefined && (known.isOver || !isOver)) {
       return false;
@@ -107,6 +106,7 @@
   }
 
   private begin(name: string, trial: Omit<Trial, 'beganAtMs'>): void {
+    this.forgetLapsed();
     this.known.set(name, { ...trial, beganAtMs: this.options.clock.now() });
   }
 
