Lines for limits that targets name, change and lift

No line told that a target names the requests a second that it takes from all VMs together, so that a limit that nobody reads could not be told from one that comes late or is lifted by an old answer. Read in the adapter as a decimal number (anything else is no limit, with a bounded line), held for one incarnation, ordered by when the request was sent. Nothing follows it yet.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -3,8 +3,9 @@
 import type { Millis, ServiceTarget } from '@limelead/types';
 import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
-import type { TargetOrder } from './dialect.js';
+import type { AnswerFacts, TargetOrder } from './dialect.js';
 import type { Place } from './place-queue.js';
+import readAnswer from './read-answer.js';
 import type { NoteUnreached } from './send-payments.js';
 
 /** Longest answer that is held back until it is whole, in bytes; the users' are 0.8 KB on the mean. */
@@ -60,18 +61,15 @@
   }
 
   /** @param maxIdleMs longest rest of a connection that may be used */
-  send(
-    { connections, dialect, clock }: ForwardContext,
-    order: TargetOrder,
-    maxIdleMs: number,
-  ): void {
+  send(context: ForwardContext, order: TargetOrder, maxIdleMs: number): void {
+    const { connections, dialect, clock } = context;
     this.sentAtMs = clock.now();
     this.open = connections.send(
       this.target,
       dialect.composeCall(order),
       { maxIdleMs },
       {
-        onHead: (head) => this.onHead(dialect.readAnswer(order.request, head), head),
+        onHead: (head) => this.onHead(readAnswer(context, order, head, this.sentAtMs), head),
         onData: (chunk) => this.onData(chunk),
         onEnd: () => this.onEnd(),
         onFault: (fault) =>
@@ -95,7 +93,7 @@
     }
   }
 
-  private onHead(facts: ReturnType<ForwardContext['dialect']['readAnswer']>, head: AnswerHead) {
+  private onHead(facts: AnswerFacts, head: AnswerHead): void {
     if (!facts.isForRequest) {
       this.open?.cancel();
       this.over(() => this.events.onFault(this, false, 'answer of another request'));
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -53,6 +53,9 @@
     isForRequest: headers.has('not-run') || headers.get('id') === request.requestId,
     notRun: headers.has('not-run'),
     isOtherTarget: status === 421,
+    limit: headers.has('limit')
+      ? { kind: 'rate', perSecond: Number(headers.get('limit')) }
+      : { kind: 'none' },
   }),
   composeProbe: () => ({
     method: 'GET',
@@ -219,6 +222,7 @@
         gate: OPEN_GATE,
       }),
       gate: OPEN_GATE,
+      limits: { hearAnswer: () => undefined },
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
--- a/packages/forward-request/src/stream-attempt.ts
+++ b/packages/forward-request/src/stream-attempt.ts
@@ -1,9 +1,10 @@
 /** One send of a streamed request to one target: reads its pieces and knows how it ends. */
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
-import type { ServiceTarget } from '@limelead/types';
+import type { Millis, ServiceTarget } from '@limelead/types';
 import createPieceSplitter, { type PieceSplitter } from '@limelead/split-pieces';
 import type { ForwardContext } from './context.js';
 import type { TargetOrder } from './dialect.js';
+import readAnswer from './read-answer.js';
 
 /** Streams take a connection that rested only briefly. */
 const STREAM_MAX_IDLE_MS = 1_000;
@@ -39,6 +40,7 @@
   private head: AnswerHead | undefined;
   private otherBody: Buffer[] | undefined;
   private isOver = false;
+  private sentAtMs: Millis = 0;
 
   constructor(
     private readonly context: ForwardContext,
@@ -51,7 +53,8 @@
   }
 
   send(): void {
-    const { connections, dialect } = this.context;
+    const { clock, connections, dialect } = this.context;
+    this.sentAtMs = clock.now();
     this.open = connections.send(
       this.target,
       dialect.composeCall(this.order),
@@ -77,7 +80,7 @@
   }
 
   private onHead(head: AnswerHead): void {
-    const facts = this.context.dialect.readAnswer(this.order.request, head);
+    const facts = readAnswer(this.context, this.order, head, this.sentAtMs);
     if (!facts.isForRequest) {
       this.open?.cancel();
       this.over(() => this.events.onBroken('answer of another request'));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { createLocality, type Locality } from '@limelead/locality';
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
+import { TargetLimits } from '@limelead/permit-sends';
 import type { EvidenceExchange } from '@limelead/share-evidence';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
@@ -102,6 +103,7 @@
   private readonly retries: RetryBudgets;
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
+  private readonly limits: TargetLimits;
   private readonly quarantine: QuarantinePart;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -134,6 +136,7 @@
       isEngine: (service) => this.knowledge.routes?.findService(service)?.engine !== undefined,
       onChange: () => this.exchange?.noteLoad(),
     });
+    this.limits = new TargetLimits({ clock: steadyClock, log: this.log, metrics: this.metrics });
     this.connections = new TargetConnections({
       clock: steadyClock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -310,6 +313,7 @@
     return {
       ...shared,
       guard: this.quarantine.guard,
+      limits: this.limits,
       failureDomain,
       locality,
       connections,
@@ -390,6 +394,9 @@
       leavesInMs: target.leavesInMs,
       version: target.version,
     });
+    if (kind === 'gone') {
+      this.limits.forget(target.id);
+    }
     if (kind !== 'joined') {
       this.connections.release(target.id);
       this.pace.forget(target.id);
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -16,6 +16,7 @@
   'meter-usage',
   'order-capacity',
   'judge-version',
+  'permit-sends',
   'quarantine-requests',
   'run-roll-outs',
   'share-evidence',
