Grant the sends to a target that names its rate by one VM for all

What callers and targets saw: targets that named how many requests a second they take from all VMs together got up to thirty times as many, and were sent them by VMs that each had heard of it.

Cause: nothing read what a target named, and no part of the product bounds what the whole fleet sends to one target in a while. A VM knows what others have under way there, not what they sent.

Change: the newest word of each target is kept by every VM, ordered by when its request was sent. Every send takes its place at one queue, which takes a target with a limit only with a permit. One VM for each service grants them to all: the most urgent first, and what can't be served in time is refused at once with a Retry-After of its own. Where the grantor can't be reached, each VM keeps to its own part of the rate. A spare permit now and then shows that a need is over.

Why it holds: all sends pass one point, and the sum of what is granted is one bucket's, or parts of the rate that add up to it.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -7,22 +7,17 @@
 import type { RetrySpender } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { AskTarget, Clock, Millis, Timers, ToldLimit } from '@limelead/types';
+import type { AskTarget, Clock, Millis, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
 import type PlaceQueue from './place-queue.js';
 import type ReadingTime from './reading-time.js';
+import type { SendPermits } from './send-permits.js';
 import type SilenceWatch from './silence-watch.js';
 import type { TargetGate } from './target-gate.js';
 import type TargetPace from './target-pace.js';
 import type { TrafficObserver } from './traffic-observer.js';
 
-/** Hears what targets say of the requests a second that they take. */
-export interface LimitListener {
-  /** An answer came to a request that was sent then; steady time. */
-  hearAnswer(targetId: string, told: ToldLimit, askedAtMs: Millis): void;
-}
-
 /** Everything that requests of one VM share. */
 export interface ForwardContext {
   clock: Clock;
@@ -36,7 +31,7 @@
   gate: TargetGate;
   /** Keeps requests that end targets from further ones. */
   guard: RequestGuard;
-  limits: LimitListener;
+  permits: SendPermits;
   /** Asks the scheduler of a large fleet where a stream should go. */
   askTarget: AskTarget;
   silence: SilenceWatch;
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -2,7 +2,7 @@
 import type { Advice } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { Place } from './place-queue.js';
+import type { Place, PlaceRefusal } from './place-queue.js';
 import type RunCopies from './run-copies.js';
 
 /** What a place is looked for. */
@@ -13,8 +13,8 @@
   avoidsOthers: boolean;
   /** Targets that already failed this request. */
   exclude: string[];
-  /** Told once, also with no place where none came in time. */
-  receive(place: Place | undefined): void;
+  /** Told once, also with no place where none came in time, with why where that is certain. */
+  receive(place: Place | undefined, refusal?: PlaceRefusal): void;
   /** Told in place of `receive` where the prompt can't be read before its caller leaves. */
   refuse(): void;
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -19,8 +19,13 @@
 import CallReport, { type CallEnd } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { describeIdentity } from './identify-admitted.js';
-import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
-import type { Place } from './place-queue.js';
+import {
+  MAX_TURNED_AWAY,
+  NO_PERMIT_MESSAGE,
+  QUARANTINED_MESSAGE,
+  SERVER_ERROR_STATUS,
+} from './limits.js';
+import type { Place, PlaceRefusal } from './place-queue.js';
 import SendPayments from './send-payments.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
@@ -67,6 +72,7 @@
   private readonly report: CallReport;
   private readonly guarded: GuardedRequest;
   private isQuarantined = false;
+  private refusal: PlaceRefusal | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -103,7 +109,7 @@
     this.giveUp();
   }
 
-  private openAttempt(): void {
+  private openAttempt(isExtra = false): void {
     this.isWaiting = true;
     let isAnswered = false;
     const stopAsking = this.guarded.ask((admission) => {
@@ -111,7 +117,7 @@
       if (admission === 'refuse') {
         this.onQuarantined();
       } else {
-        this.takePlace(admission === 'go-alone');
+        this.takePlace(admission === 'go-alone', isExtra);
       }
     });
     if (!isAnswered) {
@@ -119,22 +125,23 @@
     }
   }
 
-  private takePlace(avoidsOthers: boolean): void {
+  private takePlace(avoidsOthers: boolean, isExtra: boolean): void {
     const { service, request, rank, dueAtMs } = this.admitted;
     const affinityKey = request.requestId;
     this.stopWaiting = this.context.places.take(
-      { service, affinityKey, exclude: this.tried, rank, avoidsOthers, untilMs: dueAtMs },
-      (place) => this.onPlace(place),
+      { service, affinityKey, exclude: this.tried, rank, avoidsOthers, isExtra, untilMs: dueAtMs },
+      (place, refusal) => this.onPlace(place, refusal),
     );
   }
 
-  private onPlace(place: Place | undefined): void {
+  private onPlace(place: Place | undefined, refusal?: PlaceRefusal): void {
     this.isWaiting = false;
     if (this.isDone) {
       place?.release();
       return;
     }
     if (place === undefined) {
+      this.refusal = refusal;
       this.guarded.noteOver();
       this.giveUp();
       return;
@@ -176,7 +183,7 @@
     const isUnderWay = this.attempts.some(({ isOver }) => !isOver);
     const mayHedge = !this.isWaiting && isUnderWay && !this.guarded.isSuspected;
     if (!this.isDone && mayHedge && this.streaming === undefined) {
-      this.tryAgain();
+      this.tryAgain(true);
     }
   }
 
@@ -287,12 +294,12 @@
     }
   }
 
-  private tryAgain(): boolean {
+  private tryAgain(isExtra = false): boolean {
     const { route } = this.admitted;
     if (!route.repeatable || this.ran >= route.maxTargets || !this.payments.tryPay()) {
       return false;
     }
-    this.openAttempt();
+    this.openAttempt(isExtra);
     return true;
   }
 
@@ -328,6 +335,12 @@
         retryAfterMs: this.guarded.quarantineLeftMs,
       });
     }
+    if (this.refusal !== undefined) {
+      return new LimeleadError('overloaded', NO_PERMIT_MESSAGE, {
+        execution: this.ran === 0 ? undefined : 'unknown',
+        retryAfterMs: this.refusal.retryAfterMs,
+      });
+    }
     if (this.ran === 0) {
       return new LimeleadError('no-target', 'no target took the request');
     }
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -19,9 +19,9 @@
 import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
 import { describeIdentity } from './identify-admitted.js';
-import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
+import { NO_PERMIT_MESSAGE, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
-import type { Place } from './place-queue.js';
+import type { Place, PlaceRefusal } from './place-queue.js';
 import RunCopies from './run-copies.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
@@ -200,7 +200,7 @@
       isFirstSend: this.sends.count === 0,
       avoidsOthers,
       exclude,
-      receive: (place) => this.onPlace(attempt, place),
+      receive: (place, refusal) => this.onPlace(attempt, place, refusal),
       refuse: () => this.refuseLate(),
     });
     this.cleanups.push(stopWaiting);
@@ -217,11 +217,16 @@
     this.fail(this.sends.createError('deadline-unreachable', message));
   }
 
-  private onPlace(attempt: number, place: Place | undefined): void {
+  private onPlace(attempt: number, place: Place | undefined, refusal?: PlaceRefusal): void {
     if (this.isDone) {
       place?.release();
       return;
     }
+    if (refusal !== undefined) {
+      this.guarded.noteOver();
+      this.fail(this.sends.createError('overloaded', NO_PERMIT_MESSAGE, refusal));
+      return;
+    }
     if (place === undefined) {
       this.guarded.noteOver();
       this.advance({ kind: 'no-target', attempt, error: 'no-target' });
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -25,6 +25,8 @@
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
+import readToldLimit from './read-told-limit.js';
+import { NO_LIMITS } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import TargetPace from './target-pace.js';
 import SilenceWatch from './silence-watch.js';
@@ -53,9 +55,7 @@
     isForRequest: headers.has('not-run') || headers.get('id') === request.requestId,
     notRun: headers.has('not-run'),
     isOtherTarget: status === 421,
-    limit: headers.has('limit')
-      ? { kind: 'rate', perSecond: Number(headers.get('limit')) }
-      : { kind: 'none' },
+    limit: readToldLimit(headers.get('limit')),
   }),
   composeProbe: () => ({
     method: 'GET',
@@ -220,9 +220,10 @@
         failureDomain: 'north',
         limit: ({ target }) => target.slots,
         gate: OPEN_GATE,
+        permits: NO_LIMITS,
       }),
       gate: OPEN_GATE,
-      limits: { hearAnswer: () => undefined },
+      permits: NO_LIMITS,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -10,6 +10,8 @@
 export { default as ReadingTime } from './reading-time.js';
 export { default as PlaceQueue } from './place-queue.js';
 export { default as SilenceWatch } from './silence-watch.js';
+export { default as readToldLimit } from './read-told-limit.js';
+export { NO_LIMITS, type SendPermits } from './send-permits.js';
 export { OPEN_GATE, type TargetGate } from './target-gate.js';
 export { default as TargetPace } from './target-pace.js';
 export { tellAll, type SendEnd, type TrafficObserver } from './traffic-observer.js';
--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import PlaceQueue, { type Place, type PlaceRequest } from './place-queue.js';
+import { NO_LIMITS } from './send-permits.js';
 import { OPEN_GATE, type TargetGate } from './target-gate.js';
 
 const clock = { now: () => 0 };
@@ -43,6 +44,7 @@
     locality: createLocality({ failureDomain: 'd', regionOf: {} }),
     limit: ({ target }) => target.slots,
     gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
+    permits: NO_LIMITS,
   });
   const places: (Place | undefined)[] = [];
   const take = (exclude: string[] = []): void => {
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -9,7 +9,8 @@
   type TargetDirectory,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import type { CancelTimer, Clock, Millis, Timers } from '@limelead/types';
+import type { CancelTimer, Clock, Millis, Timers, Want } from '@limelead/types';
+import type { SendPermits } from './send-permits.js';
 import type { TargetGate } from './target-gate.js';
 
 /** Suspicion and pauses end with time, without any event; so waiters are tried again. */
@@ -23,6 +24,8 @@
   rank: number;
   /** The target may end under the request: only those with the fewest others are looked at. */
   avoidsOthers?: boolean;
+  /** A second send beside the first: takes no permit that another request could have. */
+  isExtra?: boolean;
   /** Steady time at which waiting ends. */
   untilMs: Millis;
 }
@@ -35,12 +38,20 @@
   release(): void;
 }
 
-/** Gives a place, or undefined where none came in time. */
-type Receive = (place: Place | undefined) => void;
+/** No place comes in time: the targets take no more requests before that. */
+export interface PlaceRefusal {
+  retryAfterMs: Millis;
+}
+
+/** Gives a place, or undefined where none came in time, with why where that is certain at once. */
+type Receive = (place: Place | undefined, refusal?: PlaceRefusal) => void;
 
 interface Waiter {
+  id: number;
   request: PlaceRequest;
   receive: Receive;
+  /** It was served, refused or given up. */
+  isOver: boolean;
 }
 
 /** What the queue needs. */
@@ -53,31 +64,38 @@
   /** Requests of this VM that one target takes at once. */
   limit: (tracked: TrackedServiceTarget) => number;
   gate: TargetGate;
+  permits: SendPermits;
 }
 
 /** Hands out places at targets. */
 export default class PlaceQueue {
   private waiters: Waiter[] = [];
   private cancelTimer: CancelTimer | undefined;
+  private lastId = 0;
 
   constructor(private readonly options: PlaceQueueOptions) {
     options.directory.subscribe(() => this.serveWaiters());
+    options.permits.attach({
+      list: (service) => this.listWaiting(service),
+      serve: () => this.serveWaiters(),
+      refuse: (id, retryAfterMs) => this.refuse(id, retryAfterMs),
+      isAvoided: (targetId) => this.isAvoided(targetId),
+    });
   }
 
   /** Takes a place at one target where it takes work and has one free. */
   takeAt(targetId: string, copyTo?: string): Place | undefined {
-    const { clock, directory, limit, gate } = this.options;
-    const tracked = directory.get(targetId);
-    const isFree =
-      tracked !== undefined &&
-      !tracked.target.leaving &&
-      !directory.isSuspected(targetId) &&
-      tracked.evidence.fullUntilMs <= clock.now() &&
-      tracked.inFlight < limit(tracked) &&
-      gate.mayTake(tracked.target);
+    const tracked = this.options.directory.get(targetId);
+    const isFree = tracked !== undefined && this.hasRoom(tracked) && this.takesWork(tracked);
     return isFree ? this.begin(tracked, copyTo) : undefined;
   }
 
+  /** Takes a place at the target that keeps a copy of the run, which has its memory there already. */
+  takeKeeper(targetId: string): Place | undefined {
+    const tracked = this.options.directory.get(targetId);
+    return tracked !== undefined && this.takesWork(tracked) ? this.begin(tracked) : undefined;
+  }
+
   /** Requests that wait now. */
   get waiting(): number {
     return this.waiters.length;
@@ -85,22 +103,70 @@
 
   /** Takes a place at once or waits for one; the result gives up waiting. */
   take(request: PlaceRequest, receive: Receive): () => void {
+    const { permits } = this.options;
     const place = this.tryTake(request);
     if (place !== undefined) {
       receive(place);
       return () => undefined;
     }
-    const waiter: Waiter = { request, receive };
+    this.lastId += 1;
+    const waiter: Waiter = { id: this.lastId, request, receive, isOver: false };
     this.waiters.push(waiter);
     this.waiters.sort(compareWaiters);
     this.schedule();
+    permits.noteWaiting(request.service);
     return () => {
-      this.waiters = this.waiters.filter((other) => other !== waiter);
+      if (this.remove(waiter)) {
+        permits.noteWaiting(request.service);
+      }
     };
   }
 
+  private hasRoom(tracked: TrackedServiceTarget): boolean {
+    const { clock, limit } = this.options;
+    return tracked.evidence.fullUntilMs <= clock.now() && tracked.inFlight < limit(tracked);
+  }
+
+  private isOpen({ target }: TrackedServiceTarget): boolean {
+    const { directory, gate } = this.options;
+    return !target.leaving && !directory.isSuspected(target.id) && gate.mayTake(target);
+  }
+
+  private isAvoided(targetId: string): boolean {
+    const tracked = this.options.directory.get(targetId);
+    return tracked === undefined || !this.hasRoom(tracked) || !this.isOpen(tracked);
+  }
+
+  private takesWork(tracked: TrackedServiceTarget): boolean {
+    return this.isOpen(tracked) && this.options.permits.maySend(tracked.target.id);
+  }
+
+  /** Those that may take a permit, in the order in which they are served. */
+  private listWaiting(service: string): Want[] {
+    return this.waiters
+      .filter(({ request }) => request.service === service && request.isExtra !== true)
+      .map(({ id, request }) => ({ id, rank: request.rank, untilMs: request.untilMs }));
+  }
+
+  private refuse(id: number, retryAfterMs: Millis): void {
+    const waiter = this.waiters.find((other) => other.id === id);
+    if (waiter !== undefined && this.remove(waiter)) {
+      waiter.receive(undefined, { retryAfterMs });
+    }
+  }
+
+  /** False where the waiter was gone already. */
+  private remove(waiter: Waiter): boolean {
+    if (waiter.isOver) {
+      return false;
+    }
+    waiter.isOver = true;
+    this.waiters = this.waiters.filter((other) => other !== waiter);
+    return true;
+  }
+
   private tryTake(request: PlaceRequest): Place | undefined {
-    const { directory, clock, failureDomain, locality, limit, gate } = this.options;
+    const { directory, clock, failureDomain, locality, limit, gate, permits } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
       failureDomain,
@@ -110,9 +176,12 @@
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
-    const all = directory.listUsable(request.service);
-    const usable = request.avoidsOthers === true ? keepLeastBusy(all, choice) : all;
-    for (const group of gate.arrange(request.service, usable, request.exclude.size > 0)) {
+    const usable = directory.listUsable(request.service);
+    const all = permits.isLimiting
+      ? usable.filter(({ target }) => permits.maySend(target.id, request.isExtra))
+      : usable;
+    const candidates = request.avoidsOthers === true ? keepLeastBusy(all, choice) : all;
+    for (const group of gate.arrange(request.service, candidates, request.exclude.size > 0)) {
       const tracked = chooseServiceTarget(group, choice);
       if (tracked !== undefined) {
         return this.begin(tracked);
@@ -121,9 +190,14 @@
     return undefined;
   }
 
+  /**
+   * Each send to a target passes here, whatever brought it: what a target names is for all requests
+   * of all VMs together, and one way round it would spend what others were granted.
+   */
   private begin(tracked: TrackedServiceTarget, copyTo?: string): Place {
-    const { directory, gate } = this.options;
+    const { directory, gate, permits } = this.options;
     gate.noteSent(tracked.target);
+    permits.noteSent(tracked.target.id, tracked.target.service);
     return { tracked, copyTo, release: directory.begin(tracked.target.id) };
   }
 
@@ -133,9 +207,12 @@
     }
     const now = this.options.clock.now();
     for (const waiter of [...this.waiters]) {
+      if (waiter.isOver) {
+        continue;
+      }
       const place = this.tryTake(waiter.request);
       if (place !== undefined || waiter.request.untilMs <= now) {
-        this.waiters = this.waiters.filter((other) => other !== waiter);
+        this.remove(waiter);
         waiter.receive(place);
       }
     }
--- a/packages/forward-request/src/read-answer.ts
+++ b/packages/forward-request/src/read-answer.ts
@@ -6,14 +6,14 @@
 
 /** Reads the head of an answer; `sentAtMs` is when its request was sent. */
 export default function readAnswer(
-  { dialect, limits }: Pick<ForwardContext, 'dialect' | 'limits'>,
+  { dialect, permits }: Pick<ForwardContext, 'dialect' | 'permits'>,
   { request, target }: Pick<TargetOrder, 'request' | 'target'>,
   head: AnswerHead,
   sentAtMs: Millis,
 ): AnswerFacts {
   const facts = dialect.readAnswer(request, head);
   if (facts.isForRequest && !facts.isOtherTarget) {
-    limits.hearAnswer(target.id, facts.limit, sentAtMs);
+    permits.hearAnswer(target.id, facts.limit, sentAtMs);
   }
   return facts;
 }
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -23,19 +23,11 @@
 
   /** A place at the target that keeps a usable copy, where it takes work. */
   takeKeeper(): Place | undefined {
-    const { directory, gate } = this.context;
-    const tracked = this.usable && directory.get(this.usable.keeper.id);
-    if (
-      tracked === undefined ||
-      tracked.target.leaving ||
-      directory.isSuspected(tracked.target.id) ||
-      !gate.mayTake(tracked.target)
-    ) {
+    const place = this.usable && this.context.places.takeKeeper(this.usable.keeper.id);
+    if (place === undefined) {
       this.usable = undefined;
-      return undefined;
     }
-    gate.noteSent(tracked.target);
-    return { tracked, release: directory.begin(tracked.target.id) };
+    return place;
   }
 
   /** The usable copy at that target; a copy serves once. */
--- /dev/null
+++ b/packages/forward-request/src/send-permits.ts
@@ -0,0 +1,31 @@
+/** Permits to send to targets that name the requests a second that they take from all VMs together. */
+import type { Millis, ToldLimit, WaitingRequests } from '@limelead/types';
+
+/** Is asked on the path of requests, so it may not take long. */
+export interface SendPermits {
+  /** Requests that wait are asked about, and told what became of it. */
+  attach(waiting: WaitingRequests): void;
+  /** Whether any target names a limit; while none does, every request may go anywhere. */
+  readonly isLimiting: boolean;
+  /**
+   * Whether a request may go to a target now.
+   * @param isExtra a second send beside the first, which takes no permit from another request
+   */
+  maySend(targetId: string, isExtra?: boolean): boolean;
+  /** A request goes there now. */
+  noteSent(targetId: string, service: string): void;
+  /** Requests for a service wait for a place, or no longer. */
+  noteWaiting(service: string): void;
+  /** An answer came to a request that was sent then; steady time. */
+  hearAnswer(targetId: string, told: ToldLimit, askedAtMs: Millis): void;
+}
+
+/** Lets every request through to every target. */
+export const NO_LIMITS: SendPermits = {
+  attach: () => undefined,
+  isLimiting: false,
+  maySend: () => true,
+  noteSent: () => undefined,
+  noteWaiting: () => undefined,
+  hearAnswer: () => undefined,
+};
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -3,6 +3,7 @@
 import type { StoreFollower } from '@limelead/follow-store';
 import type { Locality } from '@limelead/locality';
 import type { TargetGate } from '@limelead/forward-request';
+import type { SendPermits } from '@limelead/permit-sends';
 import type { RequestGuard } from '@limelead/quarantine-requests';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
@@ -28,6 +29,7 @@
   engineLoad: EngineLoad;
   retries: RetryBudgets;
   guard: RequestGuard;
+  permits: SendPermits;
   gate: TargetGate;
   storeAddress: string;
   onStranger(peer: PeerId): void;
@@ -78,6 +80,10 @@
     onLost: (target, loss) => directory.takePeerLoss(target, loss),
     readGuardNews: () => parts.guard.listNews(),
     onGuardNews: (news, peer) => parts.guard.hear(news, peer),
+    readLimits: () => parts.permits.listLimits(),
+    onLimits: (facts, peer) => parts.permits.hearLimits(peer, facts),
+    onPermits: (message, peer) => parts.permits.hear(peer, message),
+    onPermitPeerLost: (peer) => parts.permits.noteVmLost(peer),
     lendRepeats: (service, wanted) => retries.lend(service, wanted),
     onRepeats: parts.onRepeats,
     onReport: parts.onReport,
--- /dev/null
+++ b/packages/gateway/src/create-permits.ts
@@ -0,0 +1,40 @@
+/** Joins the permits to send with the targets that are known and the conversation with peers. */
+import { SendPermits } from '@limelead/permit-sends';
+import type { FleetPartContext } from './fleet-part.js';
+
+/** A VM that has no address for peers grants its permits itself. */
+const ALONE = 'this VM';
+
+/** Creates them. */
+export default function createPermits({
+  clock,
+  timers,
+  random,
+  log,
+  metrics,
+  directory,
+  readExchange,
+}: FleetPartContext): SendPermits {
+  const readFleet = () => readExchange()?.permits;
+  return new SendPermits({
+    ...{ clock, timers, random, log, metrics },
+    fleet: {
+      get self() {
+        return readFleet()?.self ?? ALONE;
+      },
+      countVms: () => readFleet()?.vmCount ?? 1,
+      countReached: () => readFleet()?.reachedCount ?? 1,
+      chooseGrantor: (service) => {
+        const fleet = readFleet();
+        return fleet === undefined ? ALONE : fleet.chooseGrantor(service);
+      },
+      send: (vm, message) => readFleet()?.send(vm, message),
+      tellLimits: (facts, from) => readFleet()?.tellLimits(facts, from),
+      correctLimits: (vm, facts) => readFleet()?.correctLimits(vm, facts),
+    },
+    targets: {
+      serviceOf: (target) => directory.get(target)?.target.service,
+      listUsable: (service) => directory.listUsable(service).map(({ target }) => target.id),
+    },
+  });
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,7 +21,7 @@
 import { createLocality, type Locality } from '@limelead/locality';
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
-import { TargetLimits } from '@limelead/permit-sends';
+import type { SendPermits } from '@limelead/permit-sends';
 import type { EvidenceExchange } from '@limelead/share-evidence';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
@@ -34,6 +34,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
+import createPermits from './create-permits.js';
 import EngineLoad from './engine-load.js';
 import type { FleetPart, FleetPartContext } from './fleet-part.js';
 import createFollowerEvents from './follower-events.js';
@@ -103,7 +104,7 @@
   private readonly retries: RetryBudgets;
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
-  private readonly limits: TargetLimits;
+  private readonly permits: SendPermits;
   private readonly quarantine: QuarantinePart;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -136,7 +137,6 @@
       isEngine: (service) => this.knowledge.routes?.findService(service)?.engine !== undefined,
       onChange: () => this.exchange?.noteLoad(),
     });
-    this.limits = new TargetLimits({ clock: steadyClock, log: this.log, metrics: this.metrics });
     this.connections = new TargetConnections({
       clock: steadyClock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -168,6 +168,7 @@
       readKnowledgeAgeMs: () => this.knowledgeAgeMs,
       readExchange: () => this.exchange,
     };
+    this.permits = createPermits(partContext);
     this.quarantine = createQuarantinePart(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -194,6 +195,7 @@
       engineLoad: this.engineLoad,
       retries: this.retries,
       guard: this.quarantine.guard,
+      permits: this.permits,
       gate: this.gate,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
@@ -309,16 +311,17 @@
     const { directory, locality, connections, log } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
+    const { permits } = this;
     const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
     return {
       ...shared,
       guard: this.quarantine.guard,
-      limits: this.limits,
+      permits,
       failureDomain,
       locality,
       connections,
       dialect,
-      places: new PlaceQueue({ ...shared, failureDomain, locality, limit: limitOf }),
+      places: new PlaceQueue({ ...shared, failureDomain, locality, limit: limitOf, permits }),
       askTarget: (request, receive) =>
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
@@ -395,7 +398,7 @@
       version: target.version,
     });
     if (kind === 'gone') {
-      this.limits.forget(target.id);
+      this.permits.forget(target.id);
     }
     if (kind !== 'joined') {
       this.connections.release(target.id);
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,6 +3,7 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import {
   KeptPrompts,
+  NO_LIMITS,
   OPEN_GATE,
   PlaceQueue,
   ReadingTime,
@@ -201,9 +202,10 @@
         ...{ ...shared, failureDomain: 'north', locality },
         limit: () => 4,
         gate: OPEN_GATE,
+        permits: NO_LIMITS,
       }),
       gate: OPEN_GATE,
-      limits: { hearAnswer: () => undefined },
+      permits: NO_LIMITS,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
--- a/packages/permit-sends/src/index.ts
+++ b/packages/permit-sends/src/index.ts
@@ -1,3 +1,5 @@
-/** Limits that targets name on the requests of all VMs together. */
-export { default as TargetLimits } from './target-limits.js';
-export type { TargetLimitsOptions } from './target-limits.js';
+/** Keeps the sends of all VMs to a target within the rate that the target named. */
+export { default as SendPermits } from './send-permits.js';
+export type { LimitFleet, PermitTargets, SendPermitsOptions } from './send-permits.js';
+export type { LimitFact } from './limit-book.js';
+export type { AskPermits, GivePermits, PermitMessage, ReturnPermit } from './permit-messages.js';
--- a/packages/permit-sends/src/limit-book.test.ts
+++ b/packages/permit-sends/src/limit-book.test.ts
@@ -36,7 +36,7 @@
 test('an incarnation that is over takes its limit with it', () => {
   const book = new LimitBook();
   book.take({ target, perSecond: 0, askedAtMs: 1 });
-  assert.is(book.limited, 1);
+  assert.equal([...book.limited], [[target, 0]]);
   book.forget(target);
   assert.is(book.read(target), undefined);
 });
--- a/packages/permit-sends/src/limit-book.ts
+++ b/packages/permit-sends/src/limit-book.ts
@@ -25,10 +25,12 @@
 /** Holds the newest word of each target that ever named a limit. */
 export default class LimitBook {
   private readonly facts = new Map<string, LimitFact>();
+  /** Those that name a limit now, with the requests a second. */
+  private readonly rates = new Map<string, number>();
 
   /** Requests a second that a target takes; undefined where it names no limit. */
   read(target: string): number | undefined {
-    return this.facts.get(target)?.perSecond;
+    return this.rates.get(target);
   }
 
   /** All words that are held, those that lifted a limit included. */
@@ -36,9 +38,9 @@
     return [...this.facts.values()];
   }
 
-  /** Targets that name a limit now. */
-  get limited(): number {
-    return this.list().filter(({ perSecond }) => perSecond !== undefined).length;
+  /** Targets that name a limit now, with the requests a second. */
+  get limited(): ReadonlyMap<string, number> {
+    return this.rates;
   }
 
   /** Takes a word of a target. */
@@ -52,7 +54,7 @@
         ? { kind: 'known' }
         : { kind: 'outdated', newest: known };
     }
-    this.facts.set(fact.target, fact);
+    this.hold(fact);
     return fact.perSecond === known?.perSecond
       ? { kind: 'known' }
       : { kind: 'changed', from: known?.perSecond };
@@ -61,5 +63,15 @@
   /** That incarnation is over. */
   forget(target: string): void {
     this.facts.delete(target);
+    this.rates.delete(target);
+  }
+
+  private hold(fact: LimitFact): void {
+    this.facts.set(fact.target, fact);
+    if (fact.perSecond === undefined) {
+      this.rates.delete(fact.target);
+    } else {
+      this.rates.set(fact.target, fact.perSecond);
+    }
   }
 }
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -79,6 +79,10 @@
       onLost: (target) => vm.note(() => vm.lost.push(target)),
       readGuardNews: () => composeNews({}),
       onGuardNews: () => undefined,
+      readLimits: () => [],
+      onLimits: () => undefined,
+      onPermits: () => undefined,
+      onPermitPeerLost: () => undefined,
       lendRepeats: (_, wanted) => Math.min(wanted, vm.spare),
       onRepeats: (service, repeats) => vm.note(() => vm.borrowed.set(service, repeats)),
       onUpdate: (update) =>
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -5,6 +5,7 @@
  */
 import { describeThrown } from '@limelead/errors';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
+import type { PermitMessage } from '@limelead/permit-sends';
 import type { GuardNews } from '@limelead/quarantine-requests';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
@@ -17,6 +18,7 @@
 import Membership from './membership.js';
 import { readNamedMembers } from './named-members.js';
 import PeerTable from './peer-table.js';
+import PermitExchange from './permit-exchange.js';
 import RepeatLoans from './repeat-loans.js';
 import SameStore from './same-store.js';
 import type { RegionNotice } from './region-sizes.js';
@@ -56,6 +58,8 @@
   private readonly loans: RepeatLoans;
   private readonly store: StoreExchange;
   private readonly sameStore: SameStore;
+  /** Limits that targets name, and permits. */
+  readonly permits: PermitExchange;
   /** Version of the configuration that peers were told last. */
   private toldConfiguration = 0;
   private isStopped = false;
@@ -114,6 +118,16 @@
       send,
       broadcast,
     });
+    this.permits = new PermitExchange({
+      ...options,
+      self: options.id,
+      peers: this.peers,
+      listPeers,
+      isPossible: (peer) => this.sameStore.isPossible(peer),
+      readMembership: () => this.members,
+      send,
+      broadcast,
+    });
     this.lossNews = new LossNews({
       clock,
       timers,
@@ -349,6 +363,7 @@
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.gossip.beat([peer], []);
     this.sendGuardNews(this.options.readGuardNews(), [peer]);
+    this.permits.noteLinked(peer);
     this.load.noteLinked(peer);
   }
 
@@ -357,6 +372,7 @@
       this.sameStore.remove(peer);
       this.options.log.write('peer-lost', { peer, peers: this.peers.size });
       this.load.noteLost(peer);
+      this.permits.noteLost(peer);
     }
   }
 
@@ -406,13 +422,29 @@
       case 'lend-repeats':
         this.options.onRepeats(message.service, message.repeats);
         break;
+      default:
+        this.passOn(peer, message);
+        break;
+    }
+  }
+
+  /** What the exchange carries and does not read. */
+  private passOn(peer: PeerId, message: PermitMessage | PeerReport): void {
+    switch (message.kind) {
+      case 'ask-permits':
+      case 'give-permits':
+      case 'return-permit':
+        this.permits.hear(peer, message);
+        break;
       default:
         this.options.onReport?.(peer, message);
         break;
     }
   }
 
-  private onLost(peer: PeerId, { targets, replaced, requests }: EvidenceMessageOf<'lost'>): void {
+  private onLost(peer: PeerId, message: EvidenceMessageOf<'lost'>): void {
+    const { targets, replaced, requests } = message;
+    this.permits.hearLimits(peer, message);
     if (requests !== undefined && this.sameStore.isPossible(peer)) {
       this.options.onGuardNews(readGuardNews(requests, this.options.clock.now()), peer);
     }
--- a/packages/share-evidence/src/member-book.ts
+++ b/packages/share-evidence/src/member-book.ts
@@ -106,6 +106,12 @@
     return this.listLocated().map(({ id }) => id);
   }
 
+  /** The other VMs that spoke within that time, as far as anybody told. */
+  listSpoken(withinMs: Millis): PeerId[] {
+    const sinceMs = this.clock.now() - withinMs;
+    return [...this.members].flatMap(([id, { spokeAtMs }]) => (spokeAtMs >= sinceMs ? [id] : []));
+  }
+
   /** The same, with their regions. */
   listLocated(): LocatedVm[] {
     this.forgetOld();
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -15,6 +15,12 @@
 import RegionSizes, { type HiddenRegion, type RegionNotice } from './region-sizes.js';
 import type { PeerId } from './types.js';
 
+/**
+ * A VM of which nobody heard for this long decides nothing for others. Each speaks about once a second,
+ * and what one hears is passed on in the next.
+ */
+const SPEAKS_WITHIN_MS: Millis = 2_500;
+
 /** What a membership needs. */
 export interface MembershipOptions {
   self: PeerId;
@@ -91,6 +97,14 @@
     return this.candidates.list;
   }
 
+  /** VMs one of which decides for all: those that spoke lately, in a large fleet those that stand for duties. */
+  listDeciders(): PeerId[] {
+    const { self } = this.options;
+    return this.isLarge
+      ? [...this.candidates.list]
+      : [self, ...this.book.listSpoken(SPEAKS_WITHIN_MS)];
+  }
+
   /** Since when this VM has no links to most of the others that it knows; undefined where it has. */
   get cutOffSinceMs(): Millis | undefined {
     return this.candidates.cutOffSinceMs;
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -2,6 +2,7 @@
 import { createMessageFormat, type MessageFormat } from '@limelead/peer-links';
 import * as t from 'io-ts';
 import { guardNewsCodec } from './guard-messages.js';
+import { askPermits, givePermits, limitNewsCodec, returnPermit } from './permit-codecs.js';
 import { memberListCodec } from './member-codec.js';
 import { demand, timeOfDay, usage, versionEvidence, versionTotal } from './report-messages.js';
 
@@ -85,7 +86,7 @@
     replaced: t.array(t.string),
   }),
   /** Left out where there is none, and by VMs of a release that knows nothing of it. */
-  t.partial({ requests: guardNewsCodec }),
+  t.partial({ requests: guardNewsCodec, limits: limitNewsCodec }),
 ]);
 
 /** Told by VMs that follow the store, and passed on; see `NewsOfStore`. */
@@ -164,6 +165,9 @@
   demand,
   versionEvidence,
   versionTotal,
+  askPermits,
+  givePermits,
+  returnPermit,
 ]);
 
 /** A message of a kind that this release knows. */
@@ -188,6 +192,9 @@
   demand: true,
   'version-evidence': true,
   'version-total': true,
+  'ask-permits': true,
+  'give-permits': false,
+  'return-permit': false,
 };
 
 /** A message of a kind that only a later release knows: it is passed over, and the link stays. */
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -1,6 +1,7 @@
 /** Shapes that the parts of the exchange share. */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
+import type { LimitFact, PermitMessage } from '@limelead/permit-sends';
 import type { GuardNews } from '@limelead/quarantine-requests';
 import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
@@ -113,6 +114,14 @@
   readGuardNews(): GuardNews;
   /** A peer told of such requests. */
   onGuardNews(news: GuardNews, peer: PeerId): void;
+  /** Limits that targets named, for a peer that has just met this one. */
+  readLimits(): LimitFact[];
+  /** A peer told such limits. */
+  onLimits(facts: LimitFact[], peer: PeerId): void;
+  /** A peer asks, gives or returns permits to send. */
+  onPermits(message: PermitMessage, peer: PeerId): void;
+  /** The link to a peer that may have asked or given some is lost. */
+  onPermitPeerLost(peer: PeerId): void;
   /** A peer told what the store held at a later revision than this VM knows. */
   onUpdate(update: StoreUpdate, peer: PeerId): void;
   /** A peer asks for repeats of a retry budget; gives how many it gets. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,6 +6,7 @@
 export * from './events.js';
 export * from './generation.js';
 export { hashText, mixHashes } from './hash.js';
+export * from './permits.js';
 export * from './serving.js';
 export * from './targets.js';
 export * from './time.js';
--- a/packages/types/src/targets.ts
+++ b/packages/types/src/targets.ts
@@ -74,10 +74,3 @@
 export function describeModelVersion(version: ModelVersion): string {
   return `${version.model}/${version.adapter || '-'}@${version.version}`;
 }
-
-/** What an answer says of the requests a second that its target takes from all VMs together. */
-export type ToldLimit =
-  | { kind: 'none' }
-  | { kind: 'rate'; perSecond: number }
-  /** Something stands where a rate should; it limits nothing. */
-  | { kind: 'unreadable'; text: string };
