Refusals for lack of a permit name the VM that counted; advice leaves limited targets out

A line from a caller's refusal led to no VM that had decided it: permit-refused names it, the time that was left and when there is room. A scheduler took a target with a limit for idle and advised it to VMs that had no permit. Limits of targets that a VM does not know are forgotten after a minute, and a VM that learned limits before the list of targets asks for permits too.

--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -1,8 +1,8 @@
 /** Finds the place where a stream begins or goes on: the cheapest way that is open comes first. */
-import type { Advice } from '@limelead/types';
+import type { Advice, PermitRefusal } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { Place, PlaceRefusal } from './place-queue.js';
+import type { Place } from './place-queue.js';
 import type RunCopies from './run-copies.js';
 
 /** What a place is looked for. */
@@ -14,7 +14,7 @@
   /** Targets that already failed this request. */
   exclude: string[];
   /** Told once, also with no place where none came in time, with why where that is certain. */
-  receive(place: Place | undefined, refusal?: PlaceRefusal): void;
+  receive(place: Place | undefined, refusal?: PermitRefusal): void;
   /** Told in place of `receive` where the prompt can't be read before its caller leaves. */
   refuse(): void;
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -7,7 +7,7 @@
 import { LimeleadError } from '@limelead/errors';
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
-import type { CancelTimer } from '@limelead/types';
+import type { CancelTimer, PermitRefusal } from '@limelead/types';
 import {
   keepAnswerHeaders,
   passWholeAnswer,
@@ -19,13 +19,9 @@
 import CallReport, { type CallEnd } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { describeIdentity } from './identify-admitted.js';
-import {
-  MAX_TURNED_AWAY,
-  NO_PERMIT_MESSAGE,
-  QUARANTINED_MESSAGE,
-  SERVER_ERROR_STATUS,
-} from './limits.js';
-import type { Place, PlaceRefusal } from './place-queue.js';
+import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
+import type { Place } from './place-queue.js';
+import reportRefusal, { NO_PERMIT_MESSAGE } from './report-refusal.js';
 import SendPayments from './send-payments.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
@@ -72,7 +68,7 @@
   private readonly report: CallReport;
   private readonly guarded: GuardedRequest;
   private isQuarantined = false;
-  private refusal: PlaceRefusal | undefined;
+  private refusal: PermitRefusal | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -134,7 +130,7 @@
     );
   }
 
-  private onPlace(place: Place | undefined, refusal?: PlaceRefusal): void {
+  private onPlace(place: Place | undefined, refusal?: PermitRefusal): void {
     this.isWaiting = false;
     if (this.isDone) {
       place?.release();
@@ -337,8 +333,8 @@
     }
     if (this.refusal !== undefined) {
       return new LimeleadError('overloaded', NO_PERMIT_MESSAGE, {
+        ...reportRefusal(this.context, this.admitted, this.refusal),
         execution: this.ran === 0 ? undefined : 'unknown',
-        retryAfterMs: this.refusal.retryAfterMs,
       });
     }
     if (this.ran === 0) {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -13,15 +13,16 @@
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause, TargetObservation } from '@limelead/track-service-targets';
-import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
+import type { AnswerMessage, PermitRefusal, RecoveryPolicy } from '@limelead/types';
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import findStreamPlace from './find-stream-place.js';
 import { describeIdentity } from './identify-admitted.js';
-import { NO_PERMIT_MESSAGE, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
+import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
-import type { Place, PlaceRefusal } from './place-queue.js';
+import type { Place } from './place-queue.js';
+import reportRefusal, { NO_PERMIT_MESSAGE } from './report-refusal.js';
 import RunCopies from './run-copies.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
@@ -217,14 +218,15 @@
     this.fail(this.sends.createError('deadline-unreachable', message));
   }
 
-  private onPlace(attempt: number, place: Place | undefined, refusal?: PlaceRefusal): void {
+  private onPlace(attempt: number, place: Place | undefined, refusal?: PermitRefusal): void {
     if (this.isDone) {
       place?.release();
       return;
     }
     if (refusal !== undefined) {
       this.guarded.noteOver();
-      this.fail(this.sends.createError('overloaded', NO_PERMIT_MESSAGE, refusal));
+      const overrides = reportRefusal(this.context, this.admitted, refusal);
+      this.fail(this.sends.createError('overloaded', NO_PERMIT_MESSAGE, overrides));
       return;
     }
     if (place === undefined) {
--- a/packages/forward-request/src/limits.ts
+++ b/packages/forward-request/src/limits.ts
@@ -9,7 +9,5 @@
 /** Statuses from this one on say that the target failed. */
 export const SERVER_ERROR_STATUS = 500;
 
-/** What callers are told where no permit comes in time. */
-export const NO_PERMIT_MESSAGE = 'the targets take no more requests before the deadline';
 /** What callers are told of a request that is kept from targets. */
 export const QUARANTINED_MESSAGE = 'targets ended each time that they began to run the request';
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -9,7 +9,7 @@
   type TargetDirectory,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import type { CancelTimer, Clock, Millis, Timers, Want } from '@limelead/types';
+import type { CancelTimer, Clock, Millis, PermitRefusal, Timers, Want } from '@limelead/types';
 import type { SendPermits } from './send-permits.js';
 import type { TargetGate } from './target-gate.js';
 
@@ -38,13 +38,8 @@
   release(): void;
 }
 
-/** No place comes in time: the targets take no more requests before that. */
-export interface PlaceRefusal {
-  retryAfterMs: Millis;
-}
-
 /** Gives a place, or undefined where none came in time, with why where that is certain at once. */
-type Receive = (place: Place | undefined, refusal?: PlaceRefusal) => void;
+type Receive = (place: Place | undefined, refusal?: PermitRefusal) => void;
 
 interface Waiter {
   id: number;
@@ -78,7 +73,7 @@
     options.permits.attach({
       list: (service) => this.listWaiting(service),
       serve: () => this.serveWaiters(),
-      refuse: (id, retryAfterMs) => this.refuse(id, retryAfterMs),
+      refuse: (id, refusal) => this.refuse(id, refusal),
       isAvoided: (targetId) => this.isAvoided(targetId),
     });
   }
@@ -148,10 +143,10 @@
       .map(({ id, request }) => ({ id, rank: request.rank, untilMs: request.untilMs }));
   }
 
-  private refuse(id: number, retryAfterMs: Millis): void {
+  private refuse(id: number, refusal: PermitRefusal): void {
     const waiter = this.waiters.find((other) => other.id === id);
     if (waiter !== undefined && this.remove(waiter)) {
-      waiter.receive(undefined, { retryAfterMs });
+      waiter.receive(undefined, refusal);
     }
   }
 
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -48,7 +48,8 @@
     return undefined;
   }
   const id = formatAddress(peers);
-  const scheduler = new TargetScheduler({ self: id, clock, directory, locality, gate: parts.gate });
+  const { gate, permits } = parts;
+  const scheduler = new TargetScheduler({ self: id, clock, directory, locality, gate, permits });
   return new EvidenceExchange({
     ...peers,
     id,
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -8,7 +8,7 @@
   KEEPER_DOUBT_MS,
 } from '@limelead/choose-service-target';
 import type { Locality } from '@limelead/locality';
-import type { TargetGate } from '@limelead/forward-request';
+import type { SendPermits, TargetGate } from '@limelead/forward-request';
 import {
   choosePart,
   type PeerId,
@@ -26,6 +26,7 @@
   directory: TargetDirectory;
   locality: Locality;
   gate: TargetGate;
+  permits: Pick<SendPermits, 'isLimiting' | 'maySend'>;
 }
 
 /** Chooses targets for other VMs, and for this one. */
@@ -37,7 +38,7 @@
     const { self, clock, directory, locality } = this.options;
     const { service, number, part, parts } = question;
     const now = clock.now();
-    const targets = this.listAdvisable(service).filter(
+    const targets = this.listOpen(service).filter(
       ({ target }) => parts <= 1 || choosePart(target.id, parts) === part,
     );
     const chosen = chooseServiceTarget(targets, {
@@ -58,6 +59,15 @@
     return answer;
   }
 
+  /** A target that names a limit looks idle, and the VM that asks has no permit for it. */
+  private listOpen(service: string): TrackedServiceTarget[] {
+    const { permits } = this.options;
+    const targets = this.listAdvisable(service);
+    return permits.isLimiting
+      ? targets.filter(({ target }) => permits.maySend(target.id, true))
+      : targets;
+  }
+
   /** Versions under trial are each VM's own matter. */
   private listAdvisable(service: string): TrackedServiceTarget[] {
     const { directory, gate } = this.options;
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -161,7 +161,7 @@
       ...{ ...shared, failureDomain: 'd1', locality },
       limit: () => 1_000,
       gate: OPEN_GATE,
-        permits: NO_LIMITS,
+      permits: NO_LIMITS,
     }),
     gate: OPEN_GATE,
     permits: NO_LIMITS,
--- a/packages/permit-sends/src/fleet.fixture.ts
+++ b/packages/permit-sends/src/fleet.fixture.ts
@@ -1,9 +1,10 @@
 /** A whole fleet on a clock of its own, before targets that name limits, for the tests of this package. */
-import type { ToldLimit, WaitingRequests } from '@limelead/types';
+import type { PermitRefusal, ToldLimit, WaitingRequests } from '@limelead/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { PermitMessage } from './permit-messages.js';
-import SendPermits, { type LimitFleet, type PermitTargets } from './send-permits.js';
+import type { LimitFleet, PermitTargets } from './permit-ports.js';
+import SendPermits from './send-permits.js';
 
 const SERVICE = 'api';
 const ANSWER_MS = 20;
@@ -82,7 +83,7 @@
     const waiting: WaitingRequests = {
       list: () => [...this.waiting],
       serve: () => this.serve(),
-      refuse: (want, retryAfterMs) => this.refuse(want, retryAfterMs),
+      refuse: (want, refusal) => this.refuse(want, refusal),
       isAvoided: () => false,
     };
     this.permits.attach(waiting);
@@ -112,7 +113,7 @@
     return this.waiting.length < before;
   }
 
-  private refuse(id: number, retryAfterMs: number): void {
+  private refuse(id: number, { retryAfterMs }: PermitRefusal): void {
     const waiter = this.waiting.find((one) => one.id === id);
     if (waiter !== undefined && this.remove(id)) {
       this.fleet.onRefused(waiter, retryAfterMs);
--- a/packages/permit-sends/src/send-permits.ts
+++ b/packages/permit-sends/src/send-permits.ts
@@ -7,29 +7,27 @@
  */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
-import type { Clock, Millis, Random, Timers, ToldLimit, WaitingRequests } from '@limelead/types';
+import {
+  RecentTimes,
+  type Clock,
+  type Millis,
+  type Random,
+  type Timers,
+  type ToldLimit,
+  type WaitingRequests,
+} from '@limelead/types';
 import type { LimitFact } from './limit-book.js';
 import OwnParts from './own-parts.js';
 import type { PermitMessage } from './permit-messages.js';
 import PermitsAtHand from './permits-at-hand.js';
-import ServicePermits, { type PermitFleet } from './service-permits.js';
+import type { LimitFleet, PermitTargets } from './permit-ports.js';
+import ServicePermits from './service-permits.js';
 import TargetLimits from './target-limits.js';
 
-/** The VMs of the fleet, and how news of limits reach them. */
-export interface LimitFleet extends PermitFleet {
-  /** Tells other VMs, the one that told it aside. */
-  tellLimits(facts: LimitFact[], from?: string): void;
-  /** Tells one VM. */
-  correctLimits(vm: string, facts: LimitFact[]): void;
-}
-
-/** The targets, as this VM knows them. */
-export interface PermitTargets {
-  /** Service of a target; undefined where it is not known. */
-  serviceOf(target: string): string | undefined;
-  /** Targets of a service that take work. */
-  listUsable(service: string): readonly string[];
-}
+/** A target whose permit no request here could use is not asked for again so soon. */
+const UNUSED_PAUSE_MS: Millis = 200;
+/** What is known of a target that this VM does not know is kept so long: it may be listed yet. */
+const KEEP_UNKNOWN_MS: Millis = 60_000;
 
 /** What is needed. */
 export interface SendPermitsOptions {
@@ -54,6 +52,7 @@
   private readonly limits: TargetLimits;
   private readonly services = new Map<string, ServicePermits>();
   private readonly atHand = new PermitsAtHand();
+  private readonly unused = new RecentTimes(UNUSED_PAUSE_MS);
   private readonly parts: OwnParts;
   private readonly noteAlone: LimitedLines;
   private waiting: WaitingRequests = NOBODY;
@@ -101,7 +100,7 @@
       return;
     }
     if (this.limits.read(target) === undefined) {
-      this.services.get(service)?.noteSentElsewhere();
+      this.open(service).noteSentElsewhere();
     } else if (!this.parts.take(target, this.now)) {
       this.atHand.take(target, this.now);
     }
@@ -110,7 +109,7 @@
   /** Requests for a service wait for a place, or no longer. */
   noteWaiting(service: string): void {
     if (this.isLimiting) {
-      this.services.get(service)?.noteWaiting();
+      this.open(service).noteWaiting();
     }
   }
 
@@ -122,6 +121,7 @@
   /** Another VM told limits. */
   hearLimits(vm: string, facts: LimitFact[]): void {
     this.limits.hearVm(vm, facts);
+    this.forgetUnknown();
   }
 
   /** All limits that are known, for a VM that has just met this one. */
@@ -184,24 +184,26 @@
     const isLimited = (target: string): boolean => this.limits.read(target) !== undefined;
     const created = new ServicePermits({
       ...{ service, fleet, clock, timers, random, noteAlone: this.noteAlone },
-      readRates: () => this.readRates(service),
+      takeRates: () => this.takeRates(service),
       listWants: () => this.waiting.list(service),
       listAvoided: () =>
-        new Set(
-          targets.listUsable(service).filter((id) => isLimited(id) && this.waiting.isAvoided(id)),
-        ),
+        new Set(targets.listUsable(service).filter((id) => isLimited(id) && this.isAvoided(id))),
       isAllLimited: () => targets.listUsable(service).every(isLimited),
-      onGranted: (target, untilMs) => this.useNow(target, untilMs),
+      onGranted: (target, untilMs) => this.useNow(service, target, untilMs),
       onSpare: (target, untilMs) => this.atHand.add(target, untilMs),
-      onRefused: (want, retryAfterMs) => this.waiting.refuse(want, retryAfterMs),
+      onRefused: (want, refusal) => this.waiting.refuse(want, refusal),
       count: (outcome) => metrics.count('limelead_permits_total', 1, { outcome }),
     });
     this.services.set(service, created);
     return created;
   }
 
-  /** What is granted to those who ask, of the targets that take work. */
-  private readRates(service: string): Map<string, number> {
+  private isAvoided(target: string): boolean {
+    return this.waiting.isAvoided(target) || this.unused.ageMs(target, this.now) !== undefined;
+  }
+
+  /** Puts the own parts aside; gives what is granted to those who ask, of the targets that take work. */
+  private takeRates(service: string): Map<string, number> {
     const { fleet, targets } = this.options;
     const vms = fleet.countVms();
     const rates = new Map<string, number>();
@@ -215,9 +217,26 @@
   }
 
   /** A request that waits takes the permit; false where none did. */
-  private useNow(target: string, untilMs: Millis): boolean {
+  private useNow(service: string, target: string, untilMs: Millis): boolean {
     this.atHand.add(target, untilMs);
     this.waiting.serve();
-    return !this.atHand.take(target, this.now);
+    const isUsed = !this.atHand.take(target, this.now);
+    if (!isUsed && this.waiting.list(service).length > 0) {
+      this.unused.note(target, this.now);
+    }
+    return isUsed;
+  }
+
+  /** Targets that are not listed, and were not for long. */
+  private forgetUnknown(): void {
+    const sinceMs = this.now - KEEP_UNKNOWN_MS;
+    this.limits
+      .list()
+      .filter(({ target, askedAtMs }) => askedAtMs < sinceMs && !this.isKnown(target))
+      .forEach(({ target }) => this.forget(target));
+  }
+
+  private isKnown(target: string): boolean {
+    return this.options.targets.serviceOf(target) !== undefined;
   }
 }
--- a/packages/permit-sends/src/service-permits.ts
+++ b/packages/permit-sends/src/service-permits.ts
@@ -3,17 +3,20 @@
  * where that is this one, and keeps to its own part of the rates where nobody answers.
  */
 import type { LimitedLines } from '@limelead/decision-log';
-import {
-  RecentTimes,
-  type CancelTimer,
-  type Clock,
-  type Millis,
-  type Random,
-  type Timers,
-  type Want,
+import type {
+  CancelTimer,
+  Clock,
+  Millis,
+  PermitRefusal,
+  Random,
+  Timers,
+  Want,
 } from '@limelead/types';
-import PermitGrantor, { type PermitDecision } from './permit-grantor.js';
-import type { AskPermits, GivePermits, PermitMessage } from './permit-messages.js';
+import AskBook from './ask-book.js';
+import type { PermitAsk, PermitDecision } from './permit-grantor.js';
+import type { AskPermits, GivePermits } from './permit-messages.js';
+import type { PermitFleet } from './permit-ports.js';
+import TimedGrantor from './timed-grantor.js';
 
 /** A VM that waits asks anew this often, so that what got lost is noticed. */
 const REFRESH_MS: Millis = 200;
@@ -21,10 +24,6 @@
 const ASK_PAUSE_PER_VM_MS: Millis = 0.5;
 /** Time for an answer: several round trips between failure domains. */
 const ANSWER_MS: Millis = 150;
-/** Grants that answer an older ask stood still somewhere; their time has passed. */
-const ASK_VALID_MS: Millis = 500;
-/** A target whose permit nobody here could use is not asked for again so soon. */
-const UNUSED_PAUSE_MS: Millis = 200;
 /** Requests that one ask names at most; those behind them wait until these are served. */
 const MOST_WANTS = 50;
 /** A permit for the next request that comes, behind all that wait. */
@@ -35,17 +34,7 @@
 /** A spare permit lapses, so that its send is not moved into another span of time. */
 const SPARE_LIFE_MS: Millis = 250;
 
-/** The VMs of the fleet. */
-export interface PermitFleet {
-  self: string;
-  /** VMs that are believed to run, this one included. */
-  countVms(): number;
-  /** Those of them that can ask this one, itself included. */
-  countReached(): number;
-  /** The VM that grants the permits of a service for all; undefined where it can't be reached. */
-  chooseGrantor(service: string): string | undefined;
-  send(vm: string, message: PermitMessage): void;
-}
+const NOTHING = { grants: [], refusals: [] };
 
 /** What one service's permits need. */
 export interface ServicePermitsOptions {
@@ -54,8 +43,8 @@
   clock: Clock;
   timers: Timers;
   random: Random;
-  /** Targets of the service that name limits, with the requests a second of all VMs together. */
-  readRates(): ReadonlyMap<string, number>;
+  /** Targets that name limits, with the permits a second that are granted to those of all VMs who ask. */
+  takeRates(): ReadonlyMap<string, number>;
   /** Requests that wait at this VM, in the order in which they are served. */
   listWants(): readonly Want[];
   /** Targets that this VM can't send to now, of those that name limits. */
@@ -66,7 +55,7 @@
   onGranted(target: string, untilMs: Millis): boolean;
   /** A spare permit came. */
   onSpare(target: string, untilMs: Millis): void;
-  onRefused(want: number, retryAfterMs: Millis): void;
+  onRefused(want: number, refusal: PermitRefusal): void;
   count(outcome: 'granted' | 'returned' | 'stale' | 'refused'): void;
   noteAlone: LimitedLines;
 }
@@ -74,32 +63,34 @@
 /** Asks, grants and keeps to the own part. */
 export default class ServicePermits {
   /** Serves all VMs while this one grants. */
-  private readonly forAll: PermitGrantor;
+  private readonly forAll: TimedGrantor;
   /** Serves this VM alone, with its part of the rates, while no grantor answers. */
-  private readonly alone: PermitGrantor;
+  private readonly alone: TimedGrantor;
   private isGrantor = false;
   private isAlone = false;
-  /** Numbers of the last asks, with their times. */
-  private asked: { number: number; atMs: Millis }[] = [];
+  private readonly asks: AskBook;
   /** Number of the last ask of each VM. */
   private readonly heard = new Map<string, number>();
-  /** Grants received from each grantor. */
-  private readonly received = new Map<string, number>();
-  private readonly unused = new RecentTimes(UNUSED_PAUSE_MS);
-  private lastNumber = 0;
   private lastAskAtMs: Millis = -Infinity;
   private unansweredSinceMs: Millis | undefined;
   private wantedSpareAtMs: Millis = -Infinity;
   private hasAsked = false;
   private askDueAtMs: Millis = Infinity;
   private cancelAsk: CancelTimer | undefined;
-  private cancelDecide: CancelTimer | undefined;
-  private cancelDecideAlone: CancelTimer | undefined;
 
   constructor(private readonly options: ServicePermitsOptions) {
     const { random } = options;
-    this.forAll = new PermitGrantor({ random, drawFirst: () => 1 });
-    this.alone = new PermitGrantor({ random, drawFirst: () => random.next() });
+    this.asks = new AskBook(options.clock);
+    this.forAll = new TimedGrantor({
+      ...options,
+      drawFirst: () => 1,
+      onDecision: (decision) => this.share(decision),
+    });
+    this.alone = new TimedGrantor({
+      ...options,
+      drawFirst: () => random.next(),
+      onDecision: (decision) => this.takeOwn(decision, this.alone),
+    });
   }
 
   /** Requests that wait at this VM for all others. */
@@ -124,7 +115,7 @@
   /** A target names another rate. */
   onRates(): void {
     this.applyRates();
-    this.decideForAll();
+    this.forAll.decide();
     this.noteWaiting();
   }
 
@@ -138,17 +129,15 @@
     this.heard.set(vm, number);
     const now = this.now;
     const told = wants.map(({ id, rank, leftMs }) => ({ id, rank, untilMs: now + leftMs }));
-    this.forAll.take({ vm, wants: told, avoid: new Set(avoid), mayRefuse, received }, now);
-    this.decideForAll(vm);
+    this.forAll.take({ vm, wants: told, avoid: new Set(avoid), mayRefuse, received });
+    // The asker has to see that its ask was heard, also where there is nothing to give.
+    this.give(vm, NOTHING);
+    this.forAll.decide();
   }
 
   /** The grantor answered. */
   onGiven(vm: string, { number, grants, refusals }: GivePermits): void {
-    this.received.set(vm, (this.received.get(vm) ?? 0) + grants.length);
-    const isValid = this.asked.some(
-      (ask) => ask.number === number && this.now - ask.atMs <= ASK_VALID_MS,
-    );
-    if (!isValid) {
+    if (!this.asks.receive(vm, number, grants.length)) {
       grants.forEach(() => this.options.count('stale'));
       return;
     }
@@ -157,20 +146,21 @@
     grants.forEach(({ want, target }) =>
       this.use(want, target, (unused) => this.return(vm, unused)),
     );
-    refusals.forEach(({ want, retryAfterMs }) => this.refuse(want, retryAfterMs));
+    refusals.forEach(({ want, retryAfterMs }) =>
+      this.refuse(want, { retryAfterMs, grantedBy: vm }),
+    );
   }
 
   /** A VM had no use for a permit. */
   onReturned(vm: string, target: string): void {
     this.forAll.giveBack(vm, target);
-    this.decideForAll();
   }
 
   /** The link to a VM is lost. */
   onVmLost(vm: string): void {
     this.forAll.forget(vm);
     this.heard.delete(vm);
-    this.received.delete(vm);
+    this.asks.forget(vm);
   }
 
   private get now(): Millis {
@@ -192,7 +182,7 @@
 
   /** Asks for all that wait, and goes on while some do. */
   private ask(): void {
-    const wants = this.readRates().size === 0 ? [] : this.listWants();
+    const wants = this.options.takeRates().size === 0 ? [] : this.listWants();
     if (wants.length === 0 && !this.hasAsked) {
       return;
     }
@@ -212,13 +202,6 @@
       : wants;
   }
 
-  private listAvoided(): Set<string> {
-    const unused = [...this.readRates().keys()].filter(
-      (target) => this.unused.ageMs(target, this.now) !== undefined,
-    );
-    return new Set([...this.options.listAvoided(), ...unused]);
-  }
-
   private route(wants: Want[]): void {
     const { service, fleet } = this.options;
     const grantor = fleet.chooseGrantor(service);
@@ -228,7 +211,6 @@
       this.leaveAlone();
       this.unansweredSinceMs = undefined;
       this.askOwn(this.forAll, wants);
-      this.decideForAll();
       return;
     }
     if (grantor !== undefined) {
@@ -239,37 +221,36 @@
     }
   }
 
-  private askOwn(grantor: PermitGrantor, wants: Want[]): void {
-    const { fleet, isAllLimited } = this.options;
-    const avoid = this.listAvoided();
-    const mayRefuse = isAllLimited();
-    const received = Infinity;
-    grantor.take({ vm: fleet.self, wants, avoid, mayRefuse, received }, this.now);
+  private askOwn(grantor: TimedGrantor, wants: Want[]): void {
+    grantor.take({ ...this.describeAsk(wants), vm: this.options.fleet.self, received: Infinity });
+    grantor.decide();
+  }
+
+  private describeAsk(wants: Want[]): Pick<PermitAsk, 'wants' | 'avoid' | 'mayRefuse'> {
+    const { listAvoided, isAllLimited } = this.options;
+    return { wants, avoid: listAvoided(), mayRefuse: isAllLimited() };
   }
 
   private askPeer(grantor: string, wants: Want[]): void {
-    const { service, fleet, timers, isAllLimited } = this.options;
+    const { service, fleet, timers } = this.options;
     const now = this.now;
-    this.lastNumber += 1;
-    const number = this.lastNumber;
-    this.asked = this.asked.filter(({ atMs }) => now - atMs <= ASK_VALID_MS);
-    this.asked.push({ number, atMs: now });
     if (this.unansweredSinceMs === undefined) {
       this.unansweredSinceMs = now;
       timers.after(ANSWER_MS, () => this.checkAnswer(grantor));
     }
+    const { avoid, mayRefuse } = this.describeAsk(wants);
     fleet.send(grantor, {
       kind: 'ask-permits',
       service,
-      number,
+      number: this.asks.begin(),
       wants: wants.map(({ id, rank, untilMs }) => ({
         id,
         rank,
         leftMs: Math.round(untilMs - now),
       })),
-      avoid: [...this.listAvoided()],
-      mayRefuse: isAllLimited(),
-      received: this.received.get(grantor) ?? 0,
+      avoid: [...avoid],
+      mayRefuse,
+      received: this.asks.countFrom(grantor),
     });
   }
 
@@ -286,11 +267,10 @@
       const { service, fleet, noteAlone } = this.options;
       this.isAlone = true;
       this.applyRates();
-      this.alone.restart(this.now);
+      this.alone.restart();
       noteAlone({ service, grantor, isAlone: true, vms: fleet.countVms() });
     }
     this.askOwn(this.alone, wants);
-    this.decideAlone();
   }
 
   private leaveAlone(): void {
@@ -305,35 +285,24 @@
     this.applyRates();
     if (!this.isGrantor) {
       this.isGrantor = true;
-      this.forAll.restart(this.now);
+      this.forAll.restart();
     }
   }
 
-  private readRates(): ReadonlyMap<string, number> {
-    return this.options.readRates();
-  }
-
   /** VMs that can't ask this one may be granted permits by another. */
   private applyRates(): void {
     const { fleet } = this.options;
     const vms = Math.max(1, fleet.countVms());
-    const rates = this.readRates();
-    this.forAll.setRates(scale(rates, Math.min(1, fleet.countReached() / vms)), this.now);
-    this.alone.setRates(scale(rates, 1 / vms), this.now);
+    const rates = this.options.takeRates();
+    this.forAll.setRates(scale(rates, Math.min(1, fleet.countReached() / vms)));
+    this.alone.setRates(scale(rates, 1 / vms));
   }
 
-  /** @param asker is answered also where there is nothing to give */
-  private decideForAll(asker?: string): void {
-    const { fleet } = this.options;
-    const decision = this.forAll.decide(this.now);
+  /** Gives each VM its part of what was decided for all. */
+  private share(decision: PermitDecision): void {
     const vms = new Set([...decision.grants, ...decision.refusals].map(({ vm }) => vm));
-    if (asker !== undefined) {
-      vms.add(asker);
-    }
-    this.cancelDecide?.();
-    this.cancelDecide = this.wakeAt(decision.nextAtMs, () => this.decideForAll());
     for (const vm of vms) {
-      if (vm === fleet.self) {
+      if (vm === this.options.fleet.self) {
         this.takeOwn(decision, this.forAll);
       } else {
         this.give(vm, decision);
@@ -341,23 +310,7 @@
     }
   }
 
-  private decideAlone(): void {
-    if (!this.isAlone) {
-      return;
-    }
-    const decision = this.alone.decide(this.now);
-    this.cancelDecideAlone?.();
-    this.cancelDecideAlone = this.wakeAt(decision.nextAtMs, () => this.decideAlone());
-    this.takeOwn(decision, this.alone);
-  }
-
-  private wakeAt(atMs: Millis, run: () => void): CancelTimer | undefined {
-    return Number.isFinite(atMs)
-      ? this.options.timers.after(Math.max(1, Math.ceil(atMs - this.now)), run)
-      : undefined;
-  }
-
-  private give(vm: string, { grants, refusals }: PermitDecision): void {
+  private give(vm: string, { grants, refusals }: Omit<PermitDecision, 'nextAtMs'>): void {
     const { service, fleet } = this.options;
     fleet.send(vm, {
       kind: 'give-permits',
@@ -372,7 +325,7 @@
     });
   }
 
-  private takeOwn({ grants, refusals }: PermitDecision, from: PermitGrantor): void {
+  private takeOwn({ grants, refusals }: PermitDecision, from: TimedGrantor): void {
     const { self } = this.options.fleet;
     for (const { vm, want, target } of grants) {
       if (vm === self) {
@@ -381,7 +334,7 @@
     }
     refusals
       .filter(({ vm }) => vm === self)
-      .forEach(({ want, retryAfterMs }) => this.refuse(want, retryAfterMs));
+      .forEach(({ want, retryAfterMs }) => this.refuse(want, { retryAfterMs, grantedBy: self }));
   }
 
   private use(want: number, target: string, giveBack: (target: string) => void): void {
@@ -392,17 +345,14 @@
       onSpare(target, this.now + SPARE_LIFE_MS);
     } else if (!onGranted(target, this.now + SPARE_LIFE_MS)) {
       count('returned');
-      if (this.options.listWants().length > 0) {
-        this.unused.note(target, this.now);
-      }
       giveBack(target);
     }
     this.noteWaiting();
   }
 
-  private refuse(want: number, retryAfterMs: Millis): void {
+  private refuse(want: number, refusal: PermitRefusal): void {
     this.options.count('refused');
-    this.options.onRefused(want, retryAfterMs);
+    this.options.onRefused(want, refusal);
   }
 
   private return(vm: string, target: string): void {
--- a/packages/types/src/permits.ts
+++ b/packages/types/src/permits.ts
@@ -18,14 +18,21 @@
   untilMs: Millis;
 }
 
+/** No permit comes in time for a request that waits. */
+export interface PermitRefusal {
+  /** When there is room for the request. */
+  retryAfterMs: Millis;
+  /** The VM that counted what all VMs ask for. */
+  grantedBy: string;
+}
+
 /** The requests of one VM that wait for a target. */
 export interface WaitingRequests {
   /** Those for a service, in the order in which they are served. */
   list(service: string): readonly Want[];
   /** Some may find a place now. */
   serve(): void;
-  /** No permit comes in time for that request. */
-  refuse(want: number, retryAfterMs: Millis): void;
+  refuse(want: number, refusal: PermitRefusal): void;
   /** Whether nothing can be sent to a target now, for another reason than its limit. */
   isAvoided(target: string): boolean;
 }
