Let a second send that waits become the repeat once the first failed

What callers would see: a repeatable call to targets that all name limits waited to its deadline and failed, although there were permits. Cause: a second send takes no permit from other requests, so it waits; when the first send failed, what waited was taken for the way on and never could be one. The test fails on the code before (one target asked of two).

--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import forwardCall from './forward-call.js';
+import { NO_LIMITS } from './send-permits.js';
 import { admit, begin, RecordingSink, TestBed, type Behaviour } from './forwarding.fixture.js';
 
 const answer: Behaviour = (request, response) => {
@@ -149,6 +150,19 @@
   assert.is(repeatable.sink.body, 'done');
 });
 
+test('a second send that waits for a permit gives way to a repeat once the first failed', async () => {
+  const slowFailure: Behaviour = (request, response, seen) =>
+    void setTimeout(() => fail(request, response, seen), 200);
+  const bed = await TestBed.start(slowFailure, answer);
+  bed.usePermits({ ...NO_LIMITS, isLimiting: true, maySend: (_, isExtra) => isExtra !== true });
+  const sink = new RecordingSink();
+  forwardCall(bed.context, admit({ ...REPEATABLE, objectiveMs: 100 }), sink);
+  await sink.done;
+  await bed.stop();
+  assert.equal(bed.asked, ['t1', 't2']);
+  assert.is(sink.body, 'done');
+});
+
 test('a slow repeatable call is sent a second time, and the first good answer is taken', async () => {
   let onClosed = (): void => undefined;
   const closed = new Promise<void>((resolve) => (onClosed = resolve));
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -56,6 +56,8 @@
   private failure: WholeAnswer | undefined;
   private stopWaiting: () => void = () => undefined;
   private isWaiting = false;
+  /** What waits is a second send beside the first. */
+  private isExtra = false;
   private readonly timers: CancelTimer[] = [];
   private readonly events: CallAttemptEvents = {
     onLong: (attempt, head) => this.beginStreaming(attempt, head),
@@ -107,13 +109,14 @@
 
   private openAttempt(isExtra = false): void {
     this.isWaiting = true;
+    this.isExtra = isExtra;
     let isAnswered = false;
     const stopAsking = this.guarded.ask((admission) => {
       isAnswered = true;
       if (admission === 'refuse') {
         this.onQuarantined();
       } else {
-        this.takePlace(admission === 'go-alone', isExtra);
+        this.takePlace(admission === 'go-alone');
       }
     });
     if (!isAnswered) {
@@ -121,8 +124,9 @@
     }
   }
 
-  private takePlace(avoidsOthers: boolean, isExtra: boolean): void {
+  private takePlace(avoidsOthers: boolean): void {
     const { service, request, rank, dueAtMs } = this.admitted;
+    const { isExtra } = this;
     const affinityKey = request.requestId;
     this.stopWaiting = this.context.places.take(
       { service, affinityKey, exclude: this.tried, rank, avoidsOthers, isExtra, untilMs: dueAtMs },
@@ -176,8 +180,7 @@
   }
 
   private hedge(): void {
-    const isUnderWay = this.attempts.some(({ isOver }) => !isOver);
-    const mayHedge = !this.isWaiting && isUnderWay && !this.guarded.isSuspected;
+    const mayHedge = !this.isWaiting && this.isUnderWay && !this.guarded.isSuspected;
     if (!this.isDone && mayHedge && this.streaming === undefined) {
       this.tryAgain(true);
     }
@@ -271,7 +274,7 @@
   }
 
   private afterNotRun(): void {
-    if (this.isDone || this.hasLive()) {
+    if (this.isDone || this.goOnAsRepeat() || this.hasLive()) {
       return;
     }
     if (this.turnedAway > MAX_TURNED_AWAY || !this.payments.tryPay()) {
@@ -282,7 +285,7 @@
   }
 
   private afterFailure(): void {
-    if (this.isDone || this.hasLive()) {
+    if (this.isDone || this.goOnAsRepeat() || this.hasLive()) {
       return;
     }
     if (!this.tryAgain()) {
@@ -299,8 +302,22 @@
     return true;
   }
 
+  /** A second send that still waits, and is paid for, is all that is left: it may take a permit now. */
+  private goOnAsRepeat(): boolean {
+    const isOnlyOne = this.isWaiting && this.isExtra && !this.isUnderWay;
+    if (isOnlyOne) {
+      this.stopWaiting();
+      this.openAttempt();
+    }
+    return isOnlyOne;
+  }
+
   private hasLive(): boolean {
-    return this.isWaiting || this.attempts.some(({ isOver }) => !isOver);
+    return this.isWaiting || this.isUnderWay;
+  }
+
+  private get isUnderWay(): boolean {
+    return this.attempts.some(({ isOver }) => !isOver);
   }
 
   private deliver(answer: WholeAnswer, attempt?: CallAttempt): void {
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -26,7 +26,7 @@
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
 import readToldLimit from './read-told-limit.js';
-import { NO_LIMITS } from './send-permits.js';
+import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import TargetPace from './target-pace.js';
 import SilenceWatch from './silence-watch.js';
@@ -214,14 +214,7 @@
       failureDomain: 'north',
       connections: this.connections,
       dialect,
-      places: new PlaceQueue({
-        ...shared,
-        locality,
-        failureDomain: 'north',
-        limit: ({ target }) => target.slots,
-        gate: OPEN_GATE,
-        permits: NO_LIMITS,
-      }),
+      places: this.createPlaces(NO_LIMITS),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
@@ -241,6 +234,26 @@
     };
   }
 
+  /** From now on sends need these permits. */
+  usePermits(permits: SendPermits): void {
+    this.context.permits = permits;
+    this.context.places = this.createPlaces(permits);
+  }
+
+  private createPlaces(permits: SendPermits): PlaceQueue {
+    const failureDomain = 'north';
+    return new PlaceQueue({
+      clock,
+      timers: systemTimers,
+      directory: this.directory,
+      locality: createLocality({ failureDomain, regionOf: {} }),
+      failureDomain,
+      limit: ({ target }) => target.slots,
+      gate: OPEN_GATE,
+      permits,
+    });
+  }
+
   /** Starts one target for each behaviour, named t1, t2 and so on; t1 is in this VM's domain. */
   static async start(...behaviours: Behaviour[]): Promise<TestBed> {
     const bed = new TestBed();
