A request that a target failed waits for a permit elsewhere rather than go back there

With permits at hand for the target that failed it only, a repeat went back to it: the choice sees no other target that may be sent anything. Found by reading; the new test of the queue fails on the code before (sent to the target that failed).

--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import PlaceQueue, { type Place, type PlaceRequest } from './place-queue.js';
-import { NO_LIMITS } from './send-permits.js';
+import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE, type TargetGate } from './target-gate.js';
 
 const clock = { now: () => 0 };
@@ -32,7 +32,7 @@
 }
 
 /** A queue before a target of each of two versions; v2 is tried first. */
-function create(gate: Partial<TargetGate>) {
+function create(gate: Partial<TargetGate>, permits: Partial<SendPermits> = {}) {
   const directory = new TargetDirectory(clock);
   directory.replaceAll([toTarget('v1', 0), toTarget('v2', 0)]);
   const sent: string[] = [];
@@ -44,7 +44,7 @@
     locality: createLocality({ failureDomain: 'd', regionOf: {} }),
     limit: ({ target }) => target.slots,
     gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
-    permits: NO_LIMITS,
+    permits: { ...NO_LIMITS, ...permits },
   });
   const places: (Place | undefined)[] = [];
   const take = (exclude: string[] = []): void => {
@@ -88,6 +88,25 @@
   assert.equal(repeats, [false, true]);
 });
 
+test('a target without a permit is not taken, whichever way leads to it', () => {
+  const permits = { isLimiting: true, maySend: (id: string) => id === 'v1-0' };
+  const { queue, sent, take } = create({}, permits);
+  assert.is(queue.takeAt('v2-0'), undefined);
+  assert.is(queue.takeKeeper('v2-0'), undefined);
+  take();
+  take();
+  assert.equal(sent, ['v1-0']);
+  assert.is(queue.waiting, 1);
+});
+
+test('a request waits for a permit rather than go back to the target that failed it', () => {
+  const permits = { isLimiting: true, maySend: (id: string) => id === 'v1-0' };
+  const { queue, sent, take } = create({}, permits);
+  take(['v1-0']);
+  assert.equal(sent, []);
+  assert.is(queue.waiting, 1);
+});
+
 test('a certain target is taken only where the gate lets it', () => {
   const { queue, sent } = create({ mayTake: ({ version }) => version === 'v1' });
   assert.is(queue.takeAt('v2-0'), undefined);
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -161,7 +161,7 @@
   }
 
   private tryTake(request: PlaceRequest): Place | undefined {
-    const { directory, clock, failureDomain, locality, limit, gate, permits } = this.options;
+    const { directory, clock, failureDomain, locality, limit, gate } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
       failureDomain,
@@ -171,10 +171,7 @@
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
-    const usable = directory.listUsable(request.service);
-    const all = permits.isLimiting
-      ? usable.filter(({ target }) => permits.maySend(target.id, request.isExtra))
-      : usable;
+    const all = this.listPermitted(request);
     const candidates = request.avoidsOthers === true ? keepLeastBusy(all, choice) : all;
     for (const group of gate.arrange(request.service, candidates, request.exclude.size > 0)) {
       const tracked = chooseServiceTarget(group, choice);
@@ -185,6 +182,21 @@
     return undefined;
   }
 
+  /**
+   * Targets that take work and may be sent some now. One that failed the request is no way
+   * out while the others only wait for permits.
+   */
+  private listPermitted({ service, exclude, isExtra }: PlaceRequest): TrackedServiceTarget[] {
+    const { directory, permits } = this.options;
+    const usable = directory.listUsable(service);
+    if (!permits.isLimiting) {
+      return usable;
+    }
+    const permitted = usable.filter(({ target }) => permits.maySend(target.id, isExtra));
+    const hasFailed = ({ target }: TrackedServiceTarget): boolean => exclude.has(target.id);
+    return permitted.every(hasFailed) && !usable.every(hasFailed) ? [] : permitted;
+  }
+
   /**
    * Each send to a target passes here, whatever brought it: what a target names is for all requests
    * of all VMs together, and one way round it would spend what others were granted.
