Look at each word of a target's limit once, so that two of them don't go round for ever

What would have been seen: VMs that heard different limits of one target at the same moment told them to each other without end, more with each hop; the package's test with three such words did not come to an end within two minutes.

Cause: a word travels with the age of the request behind it, and each hop adds its time on the way, so that it seems younger than when it was told; two words overtake each other at every VM. Change: each word has a mark, and a VM looks at it once. Why it holds: the words are as many as the answers that said something new, and each is passed on once by each VM.

Also: a permit that nobody took in time is not made up for (the part of half an interval never counted, since rates are set at each ask), and a clearer name.

--- a/packages/permit-sends/src/limit-book.ts
+++ b/packages/permit-sends/src/limit-book.ts
@@ -12,6 +12,8 @@
   perSecond: number | undefined;
   /** When the request was sent whose answer said it; steady time. */
   askedAtMs: Millis;
+  /** Names this word wherever it is told. */
+  mark: string;
 }
 
 /** What became of a fact. */
--- a/packages/permit-sends/src/other-ways.fixture.ts
+++ b/packages/permit-sends/src/other-ways.fixture.ts
@@ -53,7 +53,7 @@
       this.buckets.delete(target);
     } else if (!this.buckets.has(target)) {
       this.open(target, told.perSecond);
-      this.parts.fleet.tellLimits([{ target, perSecond: told.perSecond, askedAtMs: 0 }]);
+      this.parts.fleet.tellLimits([{ target, perSecond: told.perSecond, askedAtMs: 0, mark: '' }]);
     }
   }
 
@@ -61,7 +61,7 @@
     for (const { target, perSecond } of facts) {
       if (perSecond !== undefined && !this.buckets.has(target)) {
         this.open(target, perSecond);
-        this.parts.fleet.tellLimits([{ target, perSecond, askedAtMs: 0 }], vm);
+        this.parts.fleet.tellLimits([{ target, perSecond, askedAtMs: 0, mark: '' }], vm);
       }
     }
   }
--- a/packages/permit-sends/src/rate-bucket.ts
+++ b/packages/permit-sends/src/rate-bucket.ts
@@ -2,8 +2,6 @@
 import type { Millis } from '@limelead/types';
 
 const SECOND_MS: Millis = 1_000;
-/** Part of the time between two permits that one which is taken late may be made up for. */
-const CATCH_UP = 0.5;
 /**
  * A target that takes nothing is tried this rarely, in requests a second: only the answer to a
  * request can tell that its need is over.
@@ -34,10 +32,9 @@
     return SECOND_MS / this.intervalMs;
   }
 
-  /** Takes one. */
+  /** Takes one; what was not taken in time is not made up for. */
   take(now: Millis): void {
-    const earliestMs = now - this.intervalMs * CATCH_UP;
-    this.nextAtMs = Math.max(this.nextAtMs, earliestMs) + this.intervalMs;
+    this.nextAtMs = Math.max(this.nextAtMs, now) + this.intervalMs;
   }
 
   /** One that was taken was not used. */
--- a/packages/permit-sends/src/send-permits.test.ts
+++ b/packages/permit-sends/src/send-permits.test.ts
@@ -83,6 +83,20 @@
   assert.ok(sentLate > 150, `${sentLate} sent once the need was over`);
 });
 
+test('words of a target that VMs heard at the same moment do not go round for ever', () => {
+  for (const seed of SEEDS) {
+    const fleet = create(6, 0, seed);
+    const hear = (vm: number, perSecond: number): void =>
+      fleet.vms[vm]!.permits.hearAnswer('t0', { kind: 'rate', perSecond }, fleet.now);
+    fleet.at(1_000, () => hear(0, 5));
+    fleet.at(2_000, () => [0, 1, 2].forEach((vm) => hear(vm, vm)));
+    fleet.playUntil(3_000);
+    const told = fleet.messages;
+    fleet.playUntil(10_000);
+    assert.is(fleet.messages, told);
+  }
+});
+
 const FAULTS: Readonly<Record<string, (fleet: Fleet) => void>> = {
   'the VM that grants is killed and comes back': (fleet) => {
     fleet.at(8_000, () => fleet.kill(0));
--- a/packages/permit-sends/src/send-permits.ts
+++ b/packages/permit-sends/src/send-permits.ts
@@ -63,6 +63,7 @@
     this.noteAlone = createLineLimit(log, clock, 'permits-alone');
     this.limits = new TargetLimits({
       clock,
+      random,
       log,
       metrics,
       tell: (facts, from) => fleet.tellLimits(facts, from),
--- a/packages/permit-sends/src/target-limits.ts
+++ b/packages/permit-sends/src/target-limits.ts
@@ -4,12 +4,16 @@
  */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
-import type { Clock, Millis, ToldLimit } from '@limelead/types';
+import { RecentTimes, type Clock, type Millis, type Random, type ToldLimit } from '@limelead/types';
 import LimitBook, { type LimitFact } from './limit-book.js';
 
+/** Time in which a word is on its way between VMs, at most. */
+const NEWS_TRAVEL_MS: Millis = 60_000;
+
 /** What is needed. */
 export interface TargetLimitsOptions {
   clock: Clock;
+  random: Random;
   log: Pick<DecisionLog, 'write'>;
   metrics: Pick<Metrics, 'count' | 'gauge'>;
   /** Tells other VMs, the one that told it aside. */
@@ -23,11 +27,19 @@
 /** Hears answers and other VMs. */
 export default class TargetLimits {
   private readonly book = new LimitBook();
+  /**
+   * Words that were looked at. Each hop makes a word seem younger by its time on the way: two that were
+   * heard at the same moment would overtake each other from VM to VM without end.
+   */
+  private readonly seen = new RecentTimes(NEWS_TRAVEL_MS);
+  private readonly ownMarks: string;
+  private lastMark = 0;
   private readonly noteUnreadable: LimitedLines;
   private readonly noteChange: LimitedLines;
 
   constructor(private readonly options: TargetLimitsOptions) {
-    const { clock, log, metrics } = options;
+    const { clock, random, log, metrics } = options;
+    this.ownMarks = String(random.next());
     this.noteUnreadable = createLineLimit(log, clock, 'target-limit-unreadable');
     this.noteChange = createLineLimit(log, clock, 'target-limit-changed');
     metrics.gauge('limelead_limited_targets', () => this.book.limited.size);
@@ -54,12 +66,16 @@
       this.noteUnreadable({ target, text: told.text });
     }
     const perSecond = told.kind === 'rate' ? told.perSecond : undefined;
-    this.take({ target, perSecond, askedAtMs });
+    this.lastMark += 1;
+    this.take({ target, perSecond, askedAtMs, mark: `${this.ownMarks}.${this.lastMark}` });
   }
 
   /** Another VM told what it knows. */
   hearVm(vm: string, facts: LimitFact[]): void {
-    facts.forEach((fact) => this.take(fact, vm));
+    const now = this.options.clock.now();
+    for (const fact of facts.filter(({ mark }) => this.seen.ageMs(mark, now) === undefined)) {
+      this.take(fact, vm);
+    }
   }
 
   /** That incarnation is over. */
@@ -69,6 +85,9 @@
 
   private take(fact: LimitFact, vm?: string): void {
     const outcome = this.book.take(fact);
+    if (outcome.kind !== 'known') {
+      this.seen.note(fact.mark, this.options.clock.now());
+    }
     if (outcome.kind === 'changed') {
       this.onChanged(fact, outcome.from, vm);
     } else if (outcome.kind === 'outdated' && vm !== undefined) {
--- a/packages/share-evidence/src/permit-codecs.ts
+++ b/packages/share-evidence/src/permit-codecs.ts
@@ -10,6 +10,8 @@
     /** Null where the target names no limit any more. */
     perSecond: t.union([t.number, t.null]),
     askedAgoMs: t.number,
+    /** Names the word wherever it is told. */
+    mark: t.string,
   }),
 );
 
@@ -44,18 +46,20 @@
 
 /** Composes the news. */
 export function composeLimitNews(facts: LimitFact[], now: Millis): LimitNews {
-  return facts.map(({ target, perSecond, askedAtMs }) => ({
+  return facts.map(({ target, perSecond, askedAtMs, mark }) => ({
     target,
     perSecond: perSecond ?? null,
     askedAgoMs: Math.round(now - askedAtMs),
+    mark,
   }));
 }
 
 /** Reads the news. */
 export function readLimitNews(news: LimitNews, now: Millis): LimitFact[] {
-  return news.map(({ target, perSecond, askedAgoMs }) => ({
+  return news.map(({ target, perSecond, askedAgoMs, mark }) => ({
     target,
     perSecond: perSecond ?? undefined,
     askedAtMs: now - askedAgoMs,
+    mark,
   }));
 }
--- a/packages/share-evidence/src/permit-exchange.ts
+++ b/packages/share-evidence/src/permit-exchange.ts
@@ -53,11 +53,11 @@
   chooseGrantor(service: string): PeerId | undefined {
     const { self, peers } = this.options;
     const candidates = this.options.readMembership()?.listDeciders() ?? [self];
-    const isSilentRelease = (peer: PeerId): boolean =>
+    const isOfOlderRelease = (peer: PeerId): boolean =>
       peer !== self && peers.get(peer) !== undefined && !this.speakers.has(peer);
     const grantor = chooseGrantor(
       service,
-      candidates.filter((peer) => !isSilentRelease(peer)),
+      candidates.filter((peer) => !isOfOlderRelease(peer)),
     );
     const isReached = grantor === self || (grantor !== undefined && this.speakers.has(grantor));
     return isReached ? grantor : undefined;
