Decode what an answer asks for in one place, and write lines for it

Cause of the gap: call-turned-away names neither the status nor what the target asked for, so the lines could not tell apart a header that nobody reads, ways that pass the pause by, and a longer pause that a shorter one replaces.

Change: track-backpressure decodes the limit, Retry-After of a 503 and the leaving header of an answer into one value; target-cooldown tells what was asked for, unwanted-send which request went to a target during its cooldown. Nothing is followed yet.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -13,6 +13,7 @@
 import type PlaceQueue from './place-queue.js';
 import type ReadingTime from './reading-time.js';
 import type { SendPermits } from './send-permits.js';
+import type { TargetBackpressure } from './target-backpressure.js';
 import type SilenceWatch from './silence-watch.js';
 import type { TargetGate } from './target-gate.js';
 import type TargetPace from './target-pace.js';
@@ -32,6 +33,7 @@
   /** Keeps requests that end targets from further ones. */
   guard: RequestGuard;
   permits: SendPermits;
+  backpressure: TargetBackpressure;
   /** Asks the scheduler of a large fleet where a stream should go. */
   askTarget: AskTarget;
   silence: SilenceWatch;
--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -1,5 +1,5 @@
 /** What targets are told and what their answers say, without the names on the wire. */
-import type { IncomingRequest, ServiceTarget, ToldLimit } from '@limelead/types';
+import type { IncomingRequest, ServiceTarget, TargetDirectives } from '@limelead/types';
 import type { AnswerHead, TargetCall } from '@limelead/target-connections';
 
 /** A copy of a run's memory at a target. */
@@ -36,8 +36,8 @@
   notRun: boolean;
   /** True where another incarnation than the expected one has the address. */
   isOtherTarget: boolean;
-  /** Requests a second that the target takes from all VMs together. */
-  limit: ToldLimit;
+  /** What the answer asks for beside its own request. */
+  directives: TargetDirectives;
 }
 
 /** What a target says of its work, as of some hundred milliseconds ago. */
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -7,6 +7,7 @@
 import compileRoutes from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
+import { readDirectives } from '@limelead/track-backpressure';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   askNobody,
@@ -25,7 +26,7 @@
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
-import readToldLimit from './read-told-limit.js';
+import { NO_BACKPRESSURE } from './target-backpressure.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import TargetPace from './target-pace.js';
@@ -33,6 +34,8 @@
 
 const clock = { now: () => performance.now() };
 
+const DIRECTIVE_HEADERS = { limit: 'limit', retryAfter: 'retry-after', leaving: 'leaving' };
+
 /** Plain names for a dialect that only the tests speak. */
 const dialect: TargetDialect = {
   composeCall: ({ request, target, lastPiece, copyTo, continueFrom }) => ({
@@ -55,7 +58,7 @@
     isForRequest: headers.has('not-run') || headers.get('id') === request.requestId,
     notRun: headers.has('not-run'),
     isOtherTarget: status === 421,
-    limit: readToldLimit(headers.get('limit')),
+    directives: readDirectives({ status, headers }, DIRECTIVE_HEADERS, Date.now()),
   }),
   composeProbe: () => ({
     method: 'GET',
@@ -217,6 +220,7 @@
       places: this.createPlaces(NO_LIMITS),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
+      backpressure: NO_BACKPRESSURE,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
--- a/packages/forward-request/src/read-answer.ts
+++ b/packages/forward-request/src/read-answer.ts
@@ -6,14 +6,21 @@
 
 /** Reads the head of an answer; `sentAtMs` is when its request was sent. */
 export default function readAnswer(
-  { dialect, permits }: Pick<ForwardContext, 'dialect' | 'permits'>,
+  { backpressure, dialect, permits }: Pick<ForwardContext, 'backpressure' | 'dialect' | 'permits'>,
   { request, target }: Pick<TargetOrder, 'request' | 'target'>,
   head: AnswerHead,
   sentAtMs: Millis,
 ): AnswerFacts {
   const facts = dialect.readAnswer(request, head);
   if (facts.isForRequest && !facts.isOtherTarget) {
-    permits.hearAnswer(target.id, facts.limit, sentAtMs);
+    const { directives } = facts;
+    permits.hearAnswer(target.id, directives.limit, sentAtMs);
+    backpressure.onResponse({
+      target: target.id,
+      requestId: request.requestId,
+      sentAtMs,
+      directives,
+    });
   }
   return facts;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
+import { Backpressure } from '@limelead/track-backpressure';
 import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
 import type { IncomingMessage, Server } from 'node:http';
 import createExchange from './create-exchange.js';
@@ -105,6 +106,7 @@
   /** Parts that look at the whole fleet; those that nothing asks for are not there. */
   private readonly parts: FleetPart[];
   private readonly permits: SendPermits;
+  private readonly backpressure: Backpressure;
   private readonly quarantine: QuarantinePart;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -169,6 +171,7 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
+    this.backpressure = new Backpressure(partContext);
     this.quarantine = createQuarantinePart(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -311,11 +314,12 @@
     const { directory, locality, connections, log } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
-    const { permits } = this;
+    const { backpressure, permits } = this;
     const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
     return {
       ...shared,
       guard: this.quarantine.guard,
+      backpressure,
       permits,
       failureDomain,
       locality,
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -20,6 +20,7 @@
   'quarantine-requests',
   'run-roll-outs',
   'share-evidence',
+  'track-backpressure',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
 const TARGET_EVENTS = ['target-joined', 'target-leaving', 'target-gone'];
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -3,6 +3,7 @@
 import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
 import {
   KeptPrompts,
+  NO_BACKPRESSURE,
   NO_LIMITS,
   OPEN_GATE,
   PlaceQueue,
@@ -19,6 +20,7 @@
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   askNobody,
+  NO_DIRECTIVES,
   systemTimers,
   type ServingConfiguration,
   type ServingRoute,
@@ -57,7 +59,7 @@
     isForRequest: headers.get('id') === request.requestId,
     notRun: false,
     isOtherTarget: false,
-    limit: { kind: 'none' },
+    directives: NO_DIRECTIVES,
   }),
   composeProbe: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
   readProbe: () => undefined,
@@ -206,6 +208,7 @@
       }),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
+      backpressure: NO_BACKPRESSURE,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -2,6 +2,7 @@
 import {
   KeptPrompts,
   keepEndToEnd,
+  NO_BACKPRESSURE,
   NO_LIMITS,
   OPEN_GATE,
   PlaceQueue,
@@ -20,7 +21,7 @@
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
-import { askNobody, systemTimers, type ServingRoute } from '@limelead/types';
+import { askNobody, NO_DIRECTIVES, systemTimers, type ServingRoute } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { fork, type ChildProcess } from 'node:child_process';
 import { createServer, request as sendRequest, Agent, type IncomingMessage } from 'node:http';
@@ -165,6 +166,7 @@
     }),
     gate: OPEN_GATE,
     permits: NO_LIMITS,
+    backpressure: NO_BACKPRESSURE,
     guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
@@ -224,7 +226,7 @@
     isForRequest: headers.get('id') === request.requestId,
     notRun: false,
     isOtherTarget: false,
-    limit: { kind: 'none' },
+    directives: NO_DIRECTIVES,
   }),
   composeProbe: () => ({ method: 'GET', path: '/call/1', headers: [], body: Buffer.alloc(0) }),
   readProbe: () => undefined,
--- /dev/null
+++ b/packages/track-backpressure/src/index.ts
@@ -0,0 +1,9 @@
+/** What targets ask for in the headers of their answers, and whether this VM may send to them now. */
+export { default as Backpressure, type BackpressureOptions } from './backpressure.js';
+export { default as parseRateLimit } from './parse-rate-limit.js';
+export { default as parseRetryAfter } from './parse-retry-after.js';
+export {
+  default as readDirectives,
+  type DirectiveHead,
+  type DirectiveHeaders,
+} from './read-directives.js';
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,6 +2,7 @@
 export * from './address.js';
 export * from './advice.js';
 export * from './configuration.js';
+export * from './directives.js';
 export * from './engine.js';
 export * from './events.js';
 export * from './generation.js';
