Follow the cooldown that a target asks for with Retry-After

What callers saw: nothing was lost, but each call that met such a target paid a repeat from the retry budget, and the target that asked for 3 s of quiet got 12 requests of one VM in that time.

Cause: no code read Retry-After of an answer. A 503 that says "not run" set a pause of 25 ms for calls and 60 ms for streams, whatever the target named; places at the keeper of a copy looked at no pause at all.

Why this works: track-backpressure keeps until when each incarnation wants nothing from this VM, by id, apart from its entry, and only the end of that time lifts it. All ways of sending ask one place (target-availability) before the queue hands out a place. Where all targets of a service cool down, a request waits for the first one that can serve it in time, or is refused at once with a Retry-After behind the first end. A VM comes back by a slow start, with a jitter of its own.

--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-place.ts
@@ -1,8 +1,9 @@
 /** Finds the place where a stream begins or goes on: the cheapest way that is open comes first. */
-import type { Advice, PermitRefusal } from '@limelead/types';
+import type { Advice } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { Place } from './place-queue.js';
+import type { PlaceRefusal } from './place-refusal.js';
 import type RunCopies from './run-copies.js';
 
 /** What a place is looked for. */
@@ -14,7 +15,7 @@
   /** Targets that already failed this request. */
   exclude: string[];
   /** Told once, also with no place where none came in time, with why where that is certain. */
-  receive(place: Place | undefined, refusal?: PermitRefusal): void;
+  receive(place: Place | undefined, refusal?: PlaceRefusal): void;
   /** Told in place of `receive` where the prompt can't be read before its caller leaves. */
   refuse(): void;
 }
@@ -136,12 +137,17 @@
 
 function takeAnyPlace(
   context: ForwardContext,
-  { service, request, rank, dueAtMs }: AdmittedRequest,
+  admitted: AdmittedRequest,
   { exclude, avoidsOthers, receive }: StreamPlaceSearch,
 ): () => void {
-  const { affinityKey } = request;
+  const { service, request, rank, dueAtMs } = admitted;
+  const { requestId, affinityKey } = request;
+  const serviceMs = context.reading.leastMs(admitted);
   return context.places.take(
-    { service, affinityKey, exclude: new Set(exclude), rank, avoidsOthers, untilMs: dueAtMs },
+    {
+      ...{ requestId, service, affinityKey, exclude: new Set(exclude) },
+      ...{ rank, avoidsOthers, untilMs: dueAtMs, serviceMs },
+    },
     receive,
   );
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -7,7 +7,7 @@
 import { LimeleadError } from '@limelead/errors';
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
-import type { CancelTimer, PermitRefusal } from '@limelead/types';
+import type { CancelTimer } from '@limelead/types';
 import {
   keepAnswerHeaders,
   passWholeAnswer,
@@ -21,7 +21,8 @@
 import { describeIdentity } from './identify-admitted.js';
 import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import type { Place } from './place-queue.js';
-import reportRefusal, { NO_PERMIT_MESSAGE } from './report-refusal.js';
+import type { PlaceRefusal } from './place-refusal.js';
+import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import SendPayments from './send-payments.js';
 
 /** Rest of a connection that a call may use, in milliseconds. */
@@ -70,7 +71,7 @@
   private readonly report: CallReport;
   private readonly guarded: GuardedRequest;
   private isQuarantined = false;
-  private refusal: PermitRefusal | undefined;
+  private refusal: PlaceRefusal | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -127,14 +128,17 @@
   private takePlace(avoidsOthers: boolean): void {
     const { service, request, rank, dueAtMs } = this.admitted;
     const { isExtra } = this;
-    const affinityKey = request.requestId;
+    const { requestId } = request;
     this.stopWaiting = this.context.places.take(
-      { service, affinityKey, exclude: this.tried, rank, avoidsOthers, isExtra, untilMs: dueAtMs },
+      {
+        ...{ requestId, service, affinityKey: requestId, exclude: this.tried },
+        ...{ rank, avoidsOthers, isExtra, untilMs: dueAtMs },
+      },
       (place, refusal) => this.onPlace(place, refusal),
     );
   }
 
-  private onPlace(place: Place | undefined, refusal?: PermitRefusal): void {
+  private onPlace(place: Place | undefined, refusal?: PlaceRefusal): void {
     this.isWaiting = false;
     if (this.isDone) {
       place?.release();
@@ -349,7 +353,7 @@
       });
     }
     if (this.refusal !== undefined) {
-      return new LimeleadError('overloaded', NO_PERMIT_MESSAGE, {
+      return new LimeleadError('overloaded', REFUSED_MESSAGE, {
         ...reportRefusal(this.context, this.admitted, this.refusal),
         execution: this.ran === 0 ? undefined : 'unknown',
       });
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -13,7 +13,7 @@
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause, TargetObservation } from '@limelead/track-service-targets';
-import type { AnswerMessage, PermitRefusal, RecoveryPolicy } from '@limelead/types';
+import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -22,7 +22,8 @@
 import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
 import type { Place } from './place-queue.js';
-import reportRefusal, { NO_PERMIT_MESSAGE } from './report-refusal.js';
+import type { PlaceRefusal } from './place-refusal.js';
+import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import RunCopies from './run-copies.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
@@ -218,7 +219,7 @@
     this.fail(this.sends.createError('deadline-unreachable', message));
   }
 
-  private onPlace(attempt: number, place: Place | undefined, refusal?: PermitRefusal): void {
+  private onPlace(attempt: number, place: Place | undefined, refusal?: PlaceRefusal): void {
     if (this.isDone) {
       place?.release();
       return;
@@ -226,7 +227,7 @@
     if (refusal !== undefined) {
       this.guarded.noteOver();
       const overrides = reportRefusal(this.context, this.admitted, refusal);
-      this.fail(this.sends.createError('overloaded', NO_PERMIT_MESSAGE, overrides));
+      this.fail(this.sends.createError('overloaded', REFUSED_MESSAGE, overrides));
       return;
     }
     if (place === undefined) {
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -7,10 +7,11 @@
 import compileRoutes from '@limelead/route-requests';
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
-import { readDirectives } from '@limelead/track-backpressure';
+import { Backpressure, readDirectives } from '@limelead/track-backpressure';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   askNobody,
+  systemRandom,
   systemTimers,
   type AskTarget,
   type IncomingRequest,
@@ -26,7 +27,6 @@
 import KeptPrompts from './kept-prompts.js';
 import PlaceQueue from './place-queue.js';
 import ReadingTime from './reading-time.js';
-import { NO_BACKPRESSURE } from './target-backpressure.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import TargetPace from './target-pace.js';
@@ -189,6 +189,7 @@
   readonly directory = new TargetDirectory(clock);
   readonly connections = new TargetConnections({ clock, connectTimeoutMs: 300, maxIdle: 4 });
   readonly context: ForwardContext;
+  private readonly backpressure: Backpressure;
   /** What a scheduler would say; by default there is none. */
   askTarget: AskTarget = askNobody;
   private readonly servers: Server[] = [];
@@ -197,7 +198,12 @@
 
   private constructor() {
     const log = createDecisionLog({ vm: 'test', clock, output: (_, done) => done() });
-    const shared = { clock, timers: systemTimers, directory: this.directory };
+    const metrics = createMetrics();
+    this.backpressure = new Backpressure({
+      ...{ clock, timers: systemTimers, random: { next: () => 0 }, log, metrics },
+    });
+    const { backpressure } = this;
+    const shared = { clock, timers: systemTimers, directory: this.directory, backpressure };
     const table = compileRoutes({
       version: 1,
       routes: [],
@@ -220,7 +226,6 @@
       places: this.createPlaces(NO_LIMITS),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
-      backpressure: NO_BACKPRESSURE,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       askTarget: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceWatch({ ...shared, connections: this.connections, dialect, log }),
@@ -228,7 +233,7 @@
       pace: new TargetPace(() => undefined),
       kept: new KeptPrompts({ ...shared, connections: this.connections, dialect, log }),
       log,
-      metrics: createMetrics(),
+      metrics,
       observer: {},
       readTable: () => table,
       readKnowledgeAgeMs: () => 0,
@@ -255,6 +260,8 @@
       limit: ({ target }) => target.slots,
       gate: OPEN_GATE,
       permits,
+      backpressure: this.backpressure,
+      random: systemRandom,
     });
   }
 
--- a/packages/forward-request/src/kept-prompts.ts
+++ b/packages/forward-request/src/kept-prompts.ts
@@ -10,6 +10,7 @@
 import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
 import askTarget from './ask-target.js';
 import type { TargetDialect } from './dialect.js';
+import type { TargetBackpressure } from './target-backpressure.js';
 
 /** Time for the answers, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 150;
@@ -29,6 +30,7 @@
   directory: TargetDirectory;
   connections: TargetConnections;
   dialect: TargetDialect;
+  backpressure: Pick<TargetBackpressure, 'coolingUntilMs'>;
   log: DecisionLog;
 }
 
@@ -45,11 +47,12 @@
 
   /** The target of the service that keeps the session's prompt, where one answers in time. */
   async find(service: string, affinityKey: string): Promise<string | undefined> {
-    const { clock, directory, log } = this.options;
+    const { backpressure, clock, directory, log } = this.options;
     const askedAtMs = clock.now();
     const present = directory
       .listUsable(service)
-      .filter(({ evidence }) => !isSuspected(evidence, askedAtMs));
+      .filter(({ evidence }) => !isSuspected(evidence, askedAtMs))
+      .filter(({ target }) => backpressure.coolingUntilMs(target.id) === undefined);
     const targets = listLikelyTargets(present, affinityKey, MOST_ASKED).map(({ target }) => target);
     const kept = await Promise.all(targets.map((target) => this.ask(target)));
     const found = targets.find((_, index) => kept[index]?.has(affinityKey));
--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -3,12 +3,15 @@
 import type { ServiceTarget } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { PlaceRefusal } from './place-refusal.js';
 import PlaceQueue, { type Place, type PlaceRequest } from './place-queue.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
+import { NO_BACKPRESSURE, type TargetBackpressure } from './target-backpressure.js';
 import { OPEN_GATE, type TargetGate } from './target-gate.js';
 
 const clock = { now: () => 0 };
 const REQUEST: PlaceRequest = {
+  requestId: 'r',
   service: 's',
   affinityKey: 'k',
   exclude: new Set(),
@@ -32,7 +35,11 @@
 }
 
 /** A queue before a target of each of two versions; v2 is tried first. */
-function create(gate: Partial<TargetGate>, permits: Partial<SendPermits> = {}) {
+function create(
+  gate: Partial<TargetGate>,
+  permits: Partial<SendPermits> = {},
+  backpressure: Partial<TargetBackpressure> = {},
+) {
   const directory = new TargetDirectory(clock);
   directory.replaceAll([toTarget('v1', 0), toTarget('v2', 0)]);
   const sent: string[] = [];
@@ -45,12 +52,18 @@
     limit: ({ target }) => target.slots,
     gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
     permits: { ...NO_LIMITS, ...permits },
+    backpressure: { ...NO_BACKPRESSURE, ...backpressure },
+    random: { next: () => 0 },
   });
   const places: (Place | undefined)[] = [];
+  const refusals: (PlaceRefusal | undefined)[] = [];
   const take = (exclude: string[] = []): void => {
-    queue.take({ ...REQUEST, exclude: new Set(exclude) }, (place) => places.push(place));
+    queue.take({ ...REQUEST, exclude: new Set(exclude) }, (place, refusal) => {
+      places.push(place);
+      refusals.push(refusal);
+    });
   };
-  return { queue, sent, places, take };
+  return { queue, sent, places, refusals, take };
 }
 
 test('groups are tried in their order, and what is in none is not taken', () => {
@@ -114,4 +127,35 @@
   assert.equal(sent, ['v1-0']);
 });
 
+test('a target in a cooldown is reached by no way', () => {
+  const cooling = new Map([['v1-0', 5_000]]);
+  const { queue, sent, take } = create({}, {}, { coolingUntilMs: (id) => cooling.get(id) });
+  take();
+  assert.equal(sent, ['v2-0']);
+  assert.is(queue.takeAt('v1-0'), undefined);
+  assert.is(queue.takeKeeper('v1-0'), undefined);
+  cooling.clear();
+  assert.ok(queue.takeKeeper('v1-0'));
+});
+
+test('where all targets cool down, a request waits for the first one or is refused at once', () => {
+  const held: string[] = [];
+  let endMs = 900;
+  const backpressure = {
+    coolingUntilMs: () => endMs,
+    onHeld: ({ requestId }: Pick<PlaceRequest, 'requestId'>) => void held.push(requestId),
+  };
+  const { queue, places, refusals, take } = create({}, {}, backpressure);
+  take();
+  assert.equal([places.length, queue.waiting, held], [0, 1, ['r']]);
+  endMs = 1_000;
+  take();
+  assert.equal(refusals, [{ kind: 'cooling', retryAfterMs: 1_000, targets: 2 }]);
+});
+
+test('requests behind a cooldown are bounded by the slow start', () => {
+  const { queue } = create({}, {}, { limitSlots: () => 0 });
+  assert.is(queue.takeAt('v1-0'), undefined);
+});
+
 test.run();
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -9,8 +9,19 @@
   type TargetDirectory,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import type { CancelTimer, Clock, Millis, PermitRefusal, Timers, Want } from '@limelead/types';
+import type {
+  CancelTimer,
+  Clock,
+  Millis,
+  PermitRefusal,
+  Random,
+  Timers,
+  Want,
+} from '@limelead/types';
+import type { PlaceRefusal } from './place-refusal.js';
 import type { SendPermits } from './send-permits.js';
+import TargetAvailability from './target-availability.js';
+import type { TargetBackpressure } from './target-backpressure.js';
 import type { TargetGate } from './target-gate.js';
 
 /** Suspicion and pauses end with time, without any event; so waiters are tried again. */
@@ -18,6 +29,7 @@
 
 /** What a place is wanted for. */
 export interface PlaceRequest {
+  requestId: string;
   service: string;
   affinityKey: string;
   exclude: ReadonlySet<string>;
@@ -28,6 +40,8 @@
   isExtra?: boolean;
   /** Steady time at which waiting ends. */
   untilMs: Millis;
+  /** Least time that the target needs for an answer, in milliseconds. */
+  serviceMs?: Millis;
 }
 
 /** A place at a target; `release` gives it back. */
@@ -39,7 +53,7 @@
 }
 
 /** Gives a place, or undefined where none came in time, with why where that is certain at once. */
-type Receive = (place: Place | undefined, refusal?: PermitRefusal) => void;
+type Receive = (place: Place | undefined, refusal?: PlaceRefusal) => void;
 
 interface Waiter {
   id: number;
@@ -60,6 +74,8 @@
   limit: (tracked: TrackedServiceTarget) => number;
   gate: TargetGate;
   permits: SendPermits;
+  backpressure: TargetBackpressure;
+  random: Random;
 }
 
 /** Hands out places at targets. */
@@ -67,28 +83,35 @@
   private waiters: Waiter[] = [];
   private cancelTimer: CancelTimer | undefined;
   private lastId = 0;
+  private readonly availability: TargetAvailability;
 
   constructor(private readonly options: PlaceQueueOptions) {
+    this.availability = new TargetAvailability(options);
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
       list: (service) => this.listWaiting(service),
       serve: () => this.serveWaiters(),
       refuse: (id, refusal) => this.refuse(id, refusal),
-      isAvoided: (targetId) => this.isAvoided(targetId),
+      isAvoided: (targetId) => this.availability.isAvoided(targetId),
     });
   }
 
   /** Takes a place at one target where it takes work and has one free. */
   takeAt(targetId: string, copyTo?: string): Place | undefined {
     const tracked = this.options.directory.get(targetId);
-    const isFree = tracked !== undefined && this.hasRoom(tracked) && this.takesWork(tracked);
+    const isFree =
+      tracked !== undefined &&
+      this.availability.hasRoom(tracked) &&
+      this.availability.isAvailable(tracked);
     return isFree ? this.begin(tracked, copyTo) : undefined;
   }
 
   /** Takes a place at the target that keeps a copy of the run, which has its memory there already. */
   takeKeeper(targetId: string): Place | undefined {
     const tracked = this.options.directory.get(targetId);
-    return tracked !== undefined && this.takesWork(tracked) ? this.begin(tracked) : undefined;
+    return tracked !== undefined && this.availability.isAvailable(tracked)
+      ? this.begin(tracked)
+      : undefined;
   }
 
   /** Requests that wait now. */
@@ -98,12 +121,24 @@
 
   /** Takes a place at once or waits for one; the result gives up waiting. */
   take(request: PlaceRequest, receive: Receive): () => void {
-    const { permits } = this.options;
     const place = this.tryTake(request);
     if (place !== undefined) {
       receive(place);
       return () => undefined;
     }
+    const refusal = this.availability.findRefusal(request);
+    if (refusal !== undefined) {
+      receive(undefined, refusal);
+      return () => undefined;
+    }
+    return this.wait(request, receive);
+  }
+
+  private wait(request: PlaceRequest, receive: Receive): () => void {
+    const { permits, backpressure } = this.options;
+    if (this.availability.isAllCooling(request.service)) {
+      backpressure.onHeld(request);
+    }
     this.lastId += 1;
     const waiter: Waiter = { id: this.lastId, request, receive, isOver: false };
     this.waiters.push(waiter);
@@ -117,25 +152,6 @@
     };
   }
 
-  private hasRoom(tracked: TrackedServiceTarget): boolean {
-    const { clock, limit } = this.options;
-    return tracked.evidence.fullUntilMs <= clock.now() && tracked.inFlight < limit(tracked);
-  }
-
-  private isOpen({ target }: TrackedServiceTarget): boolean {
-    const { directory, gate } = this.options;
-    return !target.leaving && !directory.isSuspected(target.id) && gate.mayTake(target);
-  }
-
-  private isAvoided(targetId: string): boolean {
-    const tracked = this.options.directory.get(targetId);
-    return tracked === undefined || !this.hasRoom(tracked) || !this.isOpen(tracked);
-  }
-
-  private takesWork(tracked: TrackedServiceTarget): boolean {
-    return this.isOpen(tracked) && this.options.permits.maySend(tracked.target.id);
-  }
-
   /** Those that may take a permit, in the order in which they are served. */
   private listWaiting(service: string): Want[] {
     return this.waiters
@@ -146,7 +162,7 @@
   private refuse(id: number, refusal: PermitRefusal): void {
     const waiter = this.waiters.find((other) => other.id === id);
     if (waiter !== undefined && this.remove(waiter)) {
-      waiter.receive(undefined, refusal);
+      waiter.receive(undefined, { kind: 'no-permit', ...refusal });
     }
   }
 
@@ -161,17 +177,17 @@
   }
 
   private tryTake(request: PlaceRequest): Place | undefined {
-    const { directory, clock, failureDomain, locality, limit, gate } = this.options;
+    const { directory, clock, failureDomain, locality, gate } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
       failureDomain,
       locality,
       exclude: request.exclude,
-      limit,
+      limit: (tracked) => this.availability.slotsAt(tracked),
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(request.service, domain),
       now: clock.now(),
     };
-    const all = this.listPermitted(request);
+    const all = this.availability.listPermitted(request);
     const candidates = request.avoidsOthers === true ? keepLeastBusy(all, choice) : all;
     for (const group of gate.arrange(request.service, candidates, request.exclude.size > 0)) {
       const tracked = chooseServiceTarget(group, choice);
@@ -182,25 +198,7 @@
     return undefined;
   }
 
-  /**
-   * Targets that take work and may be sent some now. One that failed the request is no way
-   * out while the others only wait for permits.
-   */
-  private listPermitted({ service, exclude, isExtra }: PlaceRequest): TrackedServiceTarget[] {
-    const { directory, permits } = this.options;
-    const usable = directory.listUsable(service);
-    if (!permits.isLimiting) {
-      return usable;
-    }
-    const permitted = usable.filter(({ target }) => permits.maySend(target.id, isExtra));
-    const hasFailed = ({ target }: TrackedServiceTarget): boolean => exclude.has(target.id);
-    return permitted.every(hasFailed) && !usable.every(hasFailed) ? [] : permitted;
-  }
-
-  /**
-   * Each send to a target passes here, whatever brought it: what a target names is for all requests
-   * of all VMs together, and one way round it would spend what others were granted.
-   */
+  /** Single entry point for sends: what targets ask for is enforced before it. */
   private begin(tracked: TrackedServiceTarget, copyTo?: string): Place {
     const { directory, gate, permits } = this.options;
     gate.noteSent(tracked.target);
@@ -218,9 +216,11 @@
         continue;
       }
       const place = this.tryTake(waiter.request);
-      if (place !== undefined || waiter.request.untilMs <= now) {
+      const refusal =
+        place === undefined ? this.availability.findRefusal(waiter.request) : undefined;
+      if (place !== undefined || refusal !== undefined || waiter.request.untilMs <= now) {
         this.remove(waiter);
-        waiter.receive(place);
+        waiter.receive(place, refusal);
       }
     }
   }
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -1,24 +1,30 @@
-/** Says why a request got no permit for any target that could serve it in time. */
+/** Says why no target could serve a request in time. */
 import type { AnswerOverrides } from '@limelead/errors';
-import type { PermitRefusal } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
+import type { PlaceRefusal } from './place-refusal.js';
 
 /** What callers are told. */
-export const NO_PERMIT_MESSAGE = 'the targets take no more requests before the deadline';
+export const REFUSED_MESSAGE = 'the targets take no more requests before the deadline';
 
 /** Writes the line; gives what the answer says beside its kind. */
 export default function reportRefusal(
-  { clock, log }: Pick<ForwardContext, 'clock' | 'log'>,
+  { clock, log, metrics }: Pick<ForwardContext, 'clock' | 'log' | 'metrics'>,
   { request, service, dueAtMs }: AdmittedRequest,
-  { retryAfterMs, grantedBy }: PermitRefusal,
+  refusal: PlaceRefusal,
 ): AnswerOverrides {
-  log.write('permit-refused', {
+  const { retryAfterMs } = refusal;
+  const facts = {
     requestId: request.requestId,
     service,
-    grantedBy,
     leftMs: Math.round(dueAtMs - clock.now()),
     retryAfterMs: Math.round(retryAfterMs),
-  });
+  };
+  if (refusal.kind === 'cooling') {
+    metrics.count('limelead_refused_for_cooldown_total');
+    log.write('cooldown-refused', { ...facts, targets: refusal.targets });
+  } else {
+    log.write('permit-refused', { ...facts, grantedBy: refusal.grantedBy });
+  }
   return { retryAfterMs };
 }
--- a/packages/forward-request/src/target-backpressure.ts
+++ b/packages/forward-request/src/target-backpressure.ts
@@ -1,12 +1,22 @@
-/** What targets ask for in their answers. */
-import type { DirectiveResponse } from '@limelead/types';
+/** What targets ask for in their answers, and what follows for sends to them. */
+import type { DirectiveResponse, Millis } from '@limelead/types';
+import type { PlaceRequest } from './place-queue.js';
 
-/** Is told of each answer. */
+/** Is asked on the path of requests, so it may not take long. */
 export interface TargetBackpressure {
   onResponse(response: DirectiveResponse): void;
+  /** Steady time until which a target wants nothing from this VM; undefined where it takes work. */
+  coolingUntilMs(targetId: string): Millis | undefined;
+  /** Requests that this VM may have at a target at once, of those that the target takes. */
+  limitSlots(targetId: string, slots: number): number;
+  /** A request waits, since all targets of its service have cooldowns. */
+  onHeld(request: Pick<PlaceRequest, 'requestId' | 'service'>): void;
 }
 
 /** Follows nothing. */
 export const NO_BACKPRESSURE: TargetBackpressure = {
   onResponse: () => undefined,
+  coolingUntilMs: () => undefined,
+  limitSlots: (_, slots) => slots,
+  onHeld: () => undefined,
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,14 @@
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { Backpressure } from '@limelead/track-backpressure';
-import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
+import {
+  askNobody,
+  backgroundTimers,
+  delay,
+  steadyClock,
+  systemRandom,
+  systemTimers,
+} from '@limelead/types';
 import type { IncomingMessage, Server } from 'node:http';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
@@ -171,7 +178,7 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
-    this.backpressure = new Backpressure(partContext);
+    this.backpressure = new Backpressure({ ...partContext, timers: backgroundTimers });
     this.quarantine = createQuarantinePart(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -315,11 +322,17 @@
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
     const { backpressure, permits } = this;
-    const shared = { clock: steadyClock, timers: systemTimers, directory, gate: this.gate };
+    const shared = {
+      clock: steadyClock,
+      timers: systemTimers,
+      random: systemRandom,
+      directory,
+      backpressure,
+      gate: this.gate,
+    };
     return {
       ...shared,
       guard: this.quarantine.guard,
-      backpressure,
       permits,
       failureDomain,
       locality,
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -21,6 +21,7 @@
 import {
   askNobody,
   NO_DIRECTIVES,
+  systemRandom,
   systemTimers,
   type ServingConfiguration,
   type ServingRoute,
@@ -190,7 +191,13 @@
       done();
     };
     const log = createDecisionLog({ vm: 'test', clock, output });
-    const shared = { clock, timers: systemTimers, directory };
+    const shared = {
+      clock,
+      timers: systemTimers,
+      directory,
+      random: systemRandom,
+      backpressure: NO_BACKPRESSURE,
+    };
     const { connections, metrics } = this;
     const locality = createLocality({ failureDomain: 'north', regionOf: {} });
     return {
@@ -208,7 +215,6 @@
       }),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
-      backpressure: NO_BACKPRESSURE,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics }),
       silence: new SilenceWatch({ ...shared, connections, dialect: targets, log }),
       reading: new ReadingTime(),
--- a/packages/load/src/replay-load.fixture.ts
+++ b/packages/load/src/replay-load.fixture.ts
@@ -3,7 +3,7 @@
  * own. VMs and their knowledge of targets are the product's; targets are a few lines:
  * they read one prompt after another, and then write at their pace.
  */
-import { NO_LIMITS, OPEN_GATE, PlaceQueue } from '@limelead/forward-request';
+import { NO_BACKPRESSURE, NO_LIMITS, OPEN_GATE, PlaceQueue } from '@limelead/forward-request';
 import { createLocality } from '@limelead/locality';
 import { TargetDirectory, type PacedLoad } from '@limelead/track-service-targets';
 import { hashText, type Millis, type ServiceTarget } from '@limelead/types';
@@ -127,6 +127,8 @@
       limit: ({ target }) => target.slots,
       gate: OPEN_GATE,
       permits: NO_LIMITS,
+      backpressure: NO_BACKPRESSURE,
+      random: { next: () => 0 },
     });
     return { id: `vm${index}`, directory, places };
   }
@@ -150,6 +152,7 @@
     const untilMs = atMs + this.fleet.deadlineMs;
     vm.places.take(
       {
+        requestId,
         service: 'replay',
         affinityKey: requestId,
         exclude: new Set(),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -21,7 +21,13 @@
 import { RetrySpender } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
-import { askNobody, NO_DIRECTIVES, systemTimers, type ServingRoute } from '@limelead/types';
+import {
+  askNobody,
+  NO_DIRECTIVES,
+  systemRandom,
+  systemTimers,
+  type ServingRoute,
+} from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { fork, type ChildProcess } from 'node:child_process';
 import { createServer, request as sendRequest, Agent, type IncomingMessage } from 'node:http';
@@ -135,7 +141,13 @@
 
 function createContext(directory: TargetDirectory): ForwardContext {
   const log = createDecisionLog({ vm: 'vm-1', clock, output: (_, done) => done() });
-  const shared = { clock, timers: systemTimers, directory };
+  const shared = {
+    clock,
+    timers: systemTimers,
+    directory,
+    random: systemRandom,
+    backpressure: NO_BACKPRESSURE,
+  };
   const connections = new TargetConnections({ clock, connectTimeoutMs: 1_000, maxIdle: 64 });
   const table = compileRoutes({
     version: 1,
@@ -166,7 +178,6 @@
     }),
     gate: OPEN_GATE,
     permits: NO_LIMITS,
-    backpressure: NO_BACKPRESSURE,
     guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
     silence: new SilenceWatch({ ...shared, connections, dialect, log }),
     reading: new ReadingTime(),
--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -1,5 +1,7 @@
 /** What targets ask for in the headers of their answers, and whether this VM may send to them now. */
 export { default as Backpressure, type BackpressureOptions } from './backpressure.js';
+export { default as refuseCooling, type CoolingRefusal } from './refuse-cooling.js';
+export { SLOW_START_MS } from './slow-start.js';
 export { default as parseRateLimit } from './parse-rate-limit.js';
 export { default as parseRetryAfter } from './parse-retry-after.js';
 export {
