Send nothing to a target whose answers say that it leaves

What callers saw: their calls were served, by a target about to end; where it ends sooner than its entry says, calls break off or pay repeats.

Cause: the leaving header of an answer was read by nobody. Only the entry in the store counted, which may call the target ready until it is gone.

Why this works: the first answer with the header marks the incarnation at this VM at once and goes to all others with the news of lost targets, in a field that older releases pass over. Knowledge of it stands apart from the entry, so that neither a later entry nor a lapse lifts it; the next incarnation has another id. The directory then treats the target as one that drains: no new work, no copies, idle connections closed. Part of evidence-exchange is now target-news, which it had grown into.

--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -186,7 +186,9 @@
   readonly seen: SeenRequest[] = [];
   /** Sessions whose prompts a target keeps, divided by blanks. */
   readonly kept = new Map<string, string>();
-  readonly directory = new TargetDirectory(clock);
+  readonly directory = new TargetDirectory(clock, {
+    hasAnnouncedLeaving: (id) => this.backpressure.isLeaving(id),
+  });
   readonly connections = new TargetConnections({ clock, connectTimeoutMs: 300, maxIdle: 4 });
   readonly context: ForwardContext;
   private readonly backpressure: Backpressure;
@@ -201,6 +203,9 @@
     const metrics = createMetrics();
     this.backpressure = new Backpressure({
       ...{ clock, timers: systemTimers, random: { next: () => 0 }, log, metrics },
+      isListed: (id) => this.directory.get(id) !== undefined,
+      onLeaving: (id) => this.directory.onAnnouncedLeaving(id),
+      publish: () => undefined,
     });
     const { backpressure } = this;
     const shared = { clock, timers: systemTimers, directory: this.directory, backpressure };
--- /dev/null
+++ b/packages/gateway/src/create-backpressure.ts
@@ -0,0 +1,21 @@
+/** Joins what targets ask for with the targets that are known and the conversation with peers. */
+import { Backpressure } from '@limelead/track-backpressure';
+import { backgroundTimers } from '@limelead/types';
+import type { FleetPartContext } from './fleet-part.js';
+
+/** Creates it. */
+export default function createBackpressure({
+  clock,
+  random,
+  log,
+  metrics,
+  directory,
+  readExchange,
+}: FleetPartContext): Backpressure {
+  return new Backpressure({
+    ...{ clock, timers: backgroundTimers, random, log, metrics },
+    isListed: (target) => directory.get(target) !== undefined,
+    onLeaving: (target) => directory.onAnnouncedLeaving(target),
+    publish: (facts, from) => readExchange()?.publishLeaving(facts, from),
+  });
+}
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -7,6 +7,7 @@
 import type { RequestGuard } from '@limelead/quarantine-requests';
 import { EvidenceExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
+import type { Backpressure } from '@limelead/track-backpressure';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import { systemRandom, systemTimers, type Clock } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
@@ -30,6 +31,7 @@
   retries: RetryBudgets;
   guard: RequestGuard;
   permits: SendPermits;
+  backpressure: Backpressure;
   gate: TargetGate;
   storeAddress: string;
   onStranger(peer: PeerId): void;
@@ -83,6 +85,8 @@
     onGuardNews: (news, peer) => parts.guard.hear(news, peer),
     readLimits: () => parts.permits.listLimits(),
     onLimits: (facts, peer) => parts.permits.hearLimits(peer, facts),
+    readLeaving: () => parts.backpressure.listLeaving(),
+    onLeaving: (facts, peer) => parts.backpressure.onPeerUpdate(peer, facts),
     onPermits: (message, peer) => parts.permits.hear(peer, message),
     onPermitPeerLost: (peer) => parts.permits.noteVmLost(peer),
     lendRepeats: (service, wanted) => retries.lend(service, wanted),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,16 +30,10 @@
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import { Backpressure } from '@limelead/track-backpressure';
-import {
-  askNobody,
-  backgroundTimers,
-  delay,
-  steadyClock,
-  systemRandom,
-  systemTimers,
-} from '@limelead/types';
+import type { Backpressure } from '@limelead/track-backpressure';
+import { askNobody, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
 import type { IncomingMessage, Server } from 'node:http';
+import createBackpressure from './create-backpressure.js';
 import createExchange from './create-exchange.js';
 import createFleetParts from './create-fleet-parts.js';
 import createPermits from './create-permits.js';
@@ -135,6 +129,7 @@
       onNotice: (notice) => this.onNotice(notice),
       onLost: (id, loss) => this.exchange?.noteLost(id, loss),
       onLoad: (tracked) => this.engineLoad.note(tracked),
+      hasAnnouncedLeaving: (id) => this.backpressure.isLeaving(id),
     });
     this.pace = new TargetPace((id, slowness) => {
       this.directory.notePace(id, slowness);
@@ -178,7 +173,7 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
-    this.backpressure = new Backpressure({ ...partContext, timers: backgroundTimers });
+    this.backpressure = createBackpressure(partContext);
     this.quarantine = createQuarantinePart(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -206,6 +201,7 @@
       retries: this.retries,
       guard: this.quarantine.guard,
       permits: this.permits,
+      backpressure: this.backpressure,
       gate: this.gate,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
--- a/packages/share-evidence/src/evidence-exchange.test.ts
+++ b/packages/share-evidence/src/evidence-exchange.test.ts
@@ -81,6 +81,8 @@
       onGuardNews: () => undefined,
       readLimits: () => [],
       onLimits: () => undefined,
+      readLeaving: () => [],
+      onLeaving: () => undefined,
       onPermits: () => undefined,
       onPermitPeerLost: () => undefined,
       lendRepeats: (_, wanted) => Math.min(wanted, vm.spare),
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -7,12 +7,11 @@
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { PermitMessage } from '@limelead/permit-sends';
 import type { GuardNews } from '@limelead/quarantine-requests';
+import type { LeavingFact } from '@limelead/track-backpressure';
 import type { TargetLoss } from '@limelead/track-service-targets';
 import type { Advice, AdviceRequest, Millis } from '@limelead/types';
 import Gossip from './gossip.js';
-import { composeGuardNews, readGuardNews } from './guard-messages.js';
 import LoadExchange from './load-exchange.js';
-import LossNews from './loss-news.js';
 import type { MemberAge } from './member-book.js';
 import mayLeaveTries from './may-leave-tries.js';
 import Membership from './membership.js';
@@ -23,6 +22,7 @@
 import SameStore from './same-store.js';
 import type { RegionNotice } from './region-sizes.js';
 import StoreExchange from './store-exchange.js';
+import TargetNews from './target-news.js';
 import {
   evidenceMessageFormat,
   type EvidenceMessage,
@@ -54,7 +54,7 @@
   private members: Membership | undefined;
   private readonly gossip: Gossip;
   private readonly load: LoadExchange;
-  private readonly lossNews: LossNews;
+  private readonly targetNews: TargetNews;
   private readonly loans: RepeatLoans;
   private readonly store: StoreExchange;
   private readonly sameStore: SameStore;
@@ -65,7 +65,7 @@
   private isStopped = false;
 
   constructor(private readonly options: EvidenceExchangeOptions) {
-    const { clock, timers, random } = options;
+    const { clock, random } = options;
     this.peers = new PeerTable(clock);
     const listPeers = (): PeerId[] => this.gossip.listPeers();
     const send = (peer: PeerId, message: EvidenceMessage): void => {
@@ -128,11 +128,12 @@
       send,
       broadcast,
     });
-    this.lossNews = new LossNews({
-      clock,
-      timers,
+    this.targetNews = new TargetNews({
+      ...options,
       listPeers,
-      tell: (peer, lost) => send(peer, { kind: 'lost', ...lost }),
+      isPossible: (peer) => this.sameStore.isPossible(peer),
+      send,
+      broadcast,
     });
   }
 
@@ -250,15 +251,17 @@
 
   /** This VM found a target lost. */
   noteLost(target: string, loss: TargetLoss): void {
-    this.lossNews.take(target, loss);
+    this.targetNews.onLost(target, loss);
   }
 
   /** Tells peers of requests that may end targets, the one that told it aside. */
   tellGuardNews(news: GuardNews, from?: PeerId): void {
-    this.sendGuardNews(
-      news,
-      this.gossip.listPeers().filter((peer) => peer !== from),
-    );
+    this.targetNews.publishGuardNews(news, from);
+  }
+
+  /** Tells peers of targets that said that they leave, the one that told it aside. */
+  publishLeaving(facts: LeavingFact[], from?: PeerId): void {
+    this.targetNews.publishLeaving(facts, from);
   }
 
   /** This VM has few repeats left for a service. */
@@ -334,13 +337,6 @@
     this.options.timers.after(nextMs, () => this.beat());
   }
 
-  private sendGuardNews(news: GuardNews, peers: PeerId[]): void {
-    const requests = composeGuardNews(news, this.options.clock.now());
-    if (requests !== undefined) {
-      this.links?.broadcast({ kind: 'lost', targets: [], replaced: [], requests }, peers);
-    }
-  }
-
   private drop(peer: PeerId): void {
     this.links?.drop(peer);
     this.onPeerLost(peer);
@@ -362,7 +358,7 @@
     this.members?.hearFrom(peer);
     this.options.log.write('peer-linked', { peer, peers: this.peers.size });
     this.gossip.beat([peer], []);
-    this.sendGuardNews(this.options.readGuardNews(), [peer]);
+    this.targetNews.onLinked(peer);
     this.permits.noteLinked(peer);
     this.load.noteLinked(peer);
   }
@@ -409,7 +405,8 @@
         this.load.hear(peer, message);
         break;
       case 'lost':
-        this.onLost(peer, message);
+        this.permits.hearLimits(peer, message);
+        this.targetNews.onMessage(peer, message);
         break;
       case 'store-news':
       case 'want-items':
@@ -442,22 +439,6 @@
     }
   }
 
-  private onLost(peer: PeerId, message: EvidenceMessageOf<'lost'>): void {
-    const { targets, replaced, requests } = message;
-    this.permits.hearLimits(peer, message);
-    if (requests !== undefined && this.sameStore.isPossible(peer)) {
-      this.options.onGuardNews(readGuardNews(requests, this.options.clock.now()), peer);
-    }
-    this.passOnLost(peer, targets, 'lost');
-    this.passOnLost(peer, replaced, 'replaced');
-  }
-
-  private passOnLost(peer: PeerId, targets: string[], loss: TargetLoss): void {
-    targets
-      .filter((target) => this.lossNews.take(target, loss, peer))
-      .forEach((target) => this.options.onLost(target, loss));
-  }
-
   private lendRepeats(
     peer: PeerId,
     { service, repeats: wanted }: EvidenceMessageOf<'want-repeats'>,
--- /dev/null
+++ b/packages/share-evidence/src/leaving-exchange.ts
@@ -0,0 +1,52 @@
+/** What VMs tell each other of targets that said in their answers that they leave. */
+import type { LeavingFact } from '@limelead/track-backpressure';
+import type { Clock } from '@limelead/types';
+import { composeLeavingNews, readLeavingNews } from './leaving-messages.js';
+import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
+import type { EvidenceExchangeOptions, PeerId } from './types.js';
+
+/** What it needs. */
+export interface LeavingExchangeOptions extends Pick<
+  EvidenceExchangeOptions,
+  'readLeaving' | 'onLeaving'
+> {
+  clock: Clock;
+  /** Peers with which gossip is shared. */
+  listPeers(): PeerId[];
+  /** Whether a peer may follow the same store. */
+  isPossible(peer: PeerId): boolean;
+  broadcast(message: EvidenceMessage, peers: PeerId[]): void;
+}
+
+/** Tells and hears; who knew a fact does not pass it on again. */
+export default class LeavingExchange {
+  constructor(private readonly options: LeavingExchangeOptions) {}
+
+  /** Tells the peers of gossip, the one that told it aside. */
+  publish(facts: LeavingFact[], from?: PeerId): void {
+    this.send(
+      facts,
+      this.options.listPeers().filter((peer) => peer !== from),
+    );
+  }
+
+  /** A link came up: the peer is told all. */
+  onLinked(peer: PeerId): void {
+    const facts = this.options.readLeaving();
+    if (facts.length > 0) {
+      this.send(facts, [peer]);
+    }
+  }
+
+  /** A peer told something. */
+  onMessage(peer: PeerId, { leaving }: EvidenceMessageOf<'lost'>): void {
+    if (leaving !== undefined && this.options.isPossible(peer)) {
+      this.options.onLeaving(readLeavingNews(leaving, this.options.clock.now()), peer);
+    }
+  }
+
+  private send(facts: LeavingFact[], peers: PeerId[]): void {
+    const leaving = composeLeavingNews(facts, this.options.clock.now());
+    this.options.broadcast({ kind: 'lost', targets: [], replaced: [], leaving }, peers);
+  }
+}
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -3,6 +3,7 @@
 import * as t from 'io-ts';
 import { guardNewsCodec } from './guard-messages.js';
 import { askPermits, givePermits, limitNewsCodec, returnPermit } from './permit-codecs.js';
+import { leavingNewsCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
 import { demand, timeOfDay, usage, versionEvidence, versionTotal } from './report-messages.js';
 
@@ -86,7 +87,7 @@
     replaced: t.array(t.string),
   }),
   /** Left out where there is none, and by VMs of a release that knows nothing of it. */
-  t.partial({ requests: guardNewsCodec, limits: limitNewsCodec }),
+  t.partial({ requests: guardNewsCodec, limits: limitNewsCodec, leaving: leavingNewsCodec }),
 ]);
 
 /** Told by VMs that follow the store, and passed on; see `NewsOfStore`. */
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -4,6 +4,7 @@
 import type { LimitFact, PermitMessage } from '@limelead/permit-sends';
 import type { GuardNews } from '@limelead/quarantine-requests';
 import type { PacedLoad, TargetLoss, ToldLoad } from '@limelead/track-service-targets';
+import type { LeavingFact } from '@limelead/track-backpressure';
 import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
 import type { IncomingMessage } from 'node:http';
 import type { PeerReport } from './report-messages.js';
@@ -118,6 +119,10 @@
   readLimits(): LimitFact[];
   /** A peer told such limits. */
   onLimits(facts: LimitFact[], peer: PeerId): void;
+  /** Targets that said that they leave, for a peer that has just met this one. */
+  readLeaving(): LeavingFact[];
+  /** A peer told of such targets. */
+  onLeaving(facts: LeavingFact[], peer: PeerId): void;
   /** A peer asks, gives or returns permits to send. */
   onPermits(message: PermitMessage, peer: PeerId): void;
   /** The link to a peer that may have asked or given some is lost. */
--- a/packages/track-backpressure/src/backpressure.test.ts
+++ b/packages/track-backpressure/src/backpressure.test.ts
@@ -10,6 +10,9 @@
   let now = 0;
   let timers: { atMs: number; run: () => void }[] = [];
   const lines: string[] = [];
+  const listed = new Set(['t']);
+  const left: string[] = [];
+  const published: { targets: string[]; from: string | undefined }[] = [];
   const backpressure = new Backpressure({
     clock: { now: () => now },
     timers: {
@@ -21,6 +24,11 @@
     random: { next: () => jitter },
     log: { write: (event) => void lines.push(event) },
     metrics: createMetrics(),
+    isListed: (target) => listed.has(target),
+    onLeaving: (target) => void left.push(target),
+    publish: (facts, from) => {
+      published.push({ targets: facts.map(({ target }) => target), from });
+    },
   });
   const respond = (cooldown: RequestedCooldown, sentAtMs = now): void =>
     backpressure.onResponse({
@@ -30,6 +38,14 @@
   return {
     backpressure,
     lines,
+    listed,
+    left,
+    published,
+    leave: (sentAtMs = now) =>
+      backpressure.onResponse({
+        ...{ target: 't', requestId: 'r', sentAtMs },
+        directives: { ...NO_DIRECTIVES, isLeaving: true },
+      }),
     respond,
     ask: (delayMs: number, sentAtMs = now) => respond({ kind: 'delay', delayMs }, sentAtMs),
     passTo: (atMs: number) => {
@@ -106,4 +122,45 @@
   assert.ok(lines.includes('unwanted-send'));
 });
 
+test('a target that says that it leaves is told to all once', () => {
+  const { backpressure, leave, left, published, lines } = create();
+  assert.not(backpressure.isLeaving('t'));
+  leave();
+  leave();
+  assert.ok(backpressure.isLeaving('t'));
+  assert.equal([left, published], [['t'], [{ targets: ['t'], from: undefined }]]);
+  assert.equal(lines, ['target-leaving-announced']);
+  assert.equal(backpressure.listLeaving(), [{ target: 't', heardAtMs: 0 }]);
+});
+
+test('what a VM tells of leaving targets is passed on to the others, where it is new', () => {
+  const { backpressure, left, published } = create();
+  backpressure.onPeerUpdate('vm2', [{ target: 't', heardAtMs: -5 }]);
+  backpressure.onPeerUpdate('vm3', [{ target: 't', heardAtMs: -9 }]);
+  assert.equal([left, published], [['t'], [{ targets: ['t'], from: 'vm2' }]]);
+});
+
+test('an answer to a request from behind the first word of leaving is an alarm', () => {
+  const { leave, passTo, lines } = create();
+  leave();
+  passTo(100);
+  leave(50);
+  assert.not(lines.includes('unwanted-send'));
+  leave(51);
+  assert.ok(lines.includes('unwanted-send'));
+});
+
+test('a leaving target is known while it is listed, and ten minutes behind that', () => {
+  const { backpressure, leave, listed, passTo } = create();
+  leave();
+  passTo(3_600_000);
+  backpressure.onPeerUpdate('vm2', [{ target: 'other', heardAtMs: 3_600_000 }]);
+  assert.ok(backpressure.isLeaving('t'));
+  listed.delete('t');
+  backpressure.onPeerUpdate('vm2', [{ target: 'third', heardAtMs: 3_600_000 }]);
+  assert.not(backpressure.isLeaving('t'));
+  backpressure.onPeerUpdate('vm2', [{ target: 't', heardAtMs: 0 }]);
+  assert.not(backpressure.isLeaving('t'));
+});
+
 test.run();
--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -1,5 +1,6 @@
 /** What targets ask for in the headers of their answers, and whether this VM may send to them now. */
 export { default as Backpressure, type BackpressureOptions } from './backpressure.js';
+export type { LeavingFact } from './leaving-book.js';
 export { default as refuseCooling, type CoolingRefusal } from './refuse-cooling.js';
 export { SLOW_START_MS } from './slow-start.js';
 export { default as parseRateLimit } from './parse-rate-limit.js';
--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -30,14 +30,20 @@
   const time = { now: 1_000 };
   const notices: TargetNotice[] = [];
   const lost: string[] = [];
+  const announced = new Set<string>();
   const directory = new TargetDirectory(
     { now: () => time.now },
     {
       onNotice: (notice) => notices.push(notice),
       onLost: (id) => lost.push(id),
+      hasAnnouncedLeaving: (id) => announced.has(id),
     },
   );
-  return { time, notices, lost, directory };
+  const announce = (id: string): void => {
+    announced.add(id);
+    directory.onAnnouncedLeaving(id);
+  };
+  return { time, notices, lost, announce, directory };
 }
 
 test('a leaving target takes no new work at once, and keeps what it has', () => {
@@ -55,6 +61,25 @@
   assert.is(directory.get('t1')?.inFlight, 0);
 });
 
+test('what a target itself said of its leaving is lifted by no entry, but by its end', () => {
+  const { directory, notices, announce } = createDirectory();
+  const listUsable = (): string[] => directory.listUsable('briefs').map(({ target }) => target.id);
+  directory.replaceAll([createTarget('t1'), createTarget('t2')]);
+  announce('t1');
+  assert.equal(listUsable(), ['t2']);
+  directory.apply([{ kind: 'put', target: createTarget('t1') }]);
+  directory.apply([{ kind: 'gone', id: 't1' }]);
+  directory.apply([{ kind: 'put', target: createTarget('t1') }]);
+  assert.equal(listUsable(), ['t2']);
+  directory.apply([{ kind: 'put', target: createTarget('t3', { port: 2 }) }]);
+  assert.equal(listUsable(), ['t2', 't3']);
+  const leaving = notices.filter(({ kind }) => kind === 'leaving');
+  assert.equal(
+    leaving.map(({ target }) => target.id),
+    ['t1', 't1'],
+  );
+});
+
 test('a new incarnation at the same address replaces the old one with all suspicion', () => {
   const { directory, notices } = createDirectory();
   directory.replaceAll([createTarget('t1')]);
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -88,6 +88,14 @@
     return this.all().filter(({ target }) => target.service === service && !target.leaving);
   }
 
+  /** A target itself said that it leaves. */
+  onAnnouncedLeaving(id: string): void {
+    const known = this.tracked.get(id);
+    if (known !== undefined) {
+      this.put(known.target);
+    }
+  }
+
   /** Notes that a request of this VM began there, and gives what ends it. */
   begin(id: string): () => void {
     const tracked = this.tracked.get(id);
@@ -233,7 +241,9 @@
     }
   }
 
-  private put(target: ServiceTarget): void {
+  private put(entry: ServiceTarget): void {
+    const isLeaving = entry.leaving || this.events.hasAnnouncedLeaving?.(entry.id) === true;
+    const target = { ...entry, leaving: isLeaving };
     const known = this.tracked.get(target.id);
     if (known === undefined) {
       this.removeReplaced(target);
--- a/packages/track-service-targets/src/tracked-target.ts
+++ b/packages/track-service-targets/src/tracked-target.ts
@@ -39,11 +39,13 @@
 /** What one VM tells others of a target: it seems down, or another incarnation took its address. */
 export type TargetLoss = Extract<TargetObservation['kind'], 'lost' | 'replaced'>;
 
-/** What the owner of a directory is told. */
+/** What the owner of a directory is told and asked. */
 export interface TargetDirectoryEvents {
   onNotice(notice: TargetNotice): void;
   /** This VM itself found a target lost. */
   onLost(id: string, loss: TargetLoss): void;
   /** The number of this VM's requests at a target changed. */
   onLoad(tracked: TrackedServiceTarget): void;
+  /** Whether an incarnation itself said that it leaves; its entries don't lift that. */
+  hasAnnouncedLeaving(id: string): boolean;
 }
