Keep the longer pause of a target that is full

What callers saw: nothing by itself; a target that said "full" to a stream got the next call 25 ms later in place of 60.

Cause: a refusal replaced the pause of an earlier one, also where it was shorter.

The later end of both counts.

--- a/packages/track-service-targets/src/evidence.ts
+++ b/packages/track-service-targets/src/evidence.ts
@@ -87,7 +87,11 @@
     case 'paced':
       return { ...evidence, slowness: observation.slowness, slownessAtMs: now };
     case 'full':
-      return { ...evidence, heardAtMs: now, fullUntilMs: now + observation.pauseMs };
+      return {
+        ...evidence,
+        heardAtMs: now,
+        fullUntilMs: Math.max(evidence.fullUntilMs, now + observation.pauseMs),
+      };
   }
 }
 
