Refuse a call whose first target would get under 50 ms for it

Cause: waiting counted as of use up to the deadline itself. Streams already kept the time that reading their prompt takes. Now a call keeps 50 ms.

Evidence: the lines held-for-cooldown and call-sent with remainingMs 1 and -2. The new test fails without the bound. A second test shows that no permit is asked for while its target cools down; that held before.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -31,6 +31,8 @@
 const ONCE_MAX_IDLE_MS = 0;
 /** Part of the objective after which a repeatable call is sent a second time. */
 const HEDGE_SHARE = 0.5;
+/** Least time that is worth a send behind a cooldown, in milliseconds. */
+const LEAST_CALL_MS = 50;
 /** How long a target that said it is full is left alone, in milliseconds. */
 const FULL_PAUSE_MS = 25;
 
@@ -132,7 +134,7 @@
     this.stopWaiting = this.context.places.take(
       {
         ...{ requestId, service, affinityKey: requestId, exclude: this.tried },
-        ...{ rank, avoidsOthers, isExtra, untilMs: dueAtMs },
+        ...{ rank, avoidsOthers, isExtra, untilMs: dueAtMs, serviceMs: LEAST_CALL_MS },
       },
       (place, refusal) => this.onPlace(place, refusal),
     );
--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/place-queue.test.ts
@@ -1,6 +1,6 @@
 import { createLocality } from '@limelead/locality';
 import { TargetDirectory } from '@limelead/track-service-targets';
-import type { ServiceTarget } from '@limelead/types';
+import type { ServiceTarget, WaitingRequests } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { PlaceRefusal } from './place-refusal.js';
@@ -153,6 +153,24 @@
   assert.equal(refusals, [{ kind: 'cooling', retryAfterMs: 1_000, targets: 2 }]);
 });
 
+test('a request is refused where the first target would have too little time for it', () => {
+  const { queue } = create({}, {}, { coolingUntilMs: () => 960 });
+  const refused: boolean[] = [];
+  const receive = (_: unknown, refusal?: PlaceRefusal): void =>
+    void refused.push(refusal !== undefined);
+  queue.take({ ...REQUEST, serviceMs: 50 }, receive);
+  queue.take({ ...REQUEST, serviceMs: 30 }, receive);
+  assert.equal([refused, queue.waiting], [[true], 1]);
+});
+
+test('no permit is asked for while its target cools down', () => {
+  let waiting: WaitingRequests | undefined;
+  const cooling = new Map([['v1-0', 5_000]]);
+  const attach = (attached: WaitingRequests): void => void (waiting = attached);
+  create({}, { attach }, { coolingUntilMs: (id) => cooling.get(id) });
+  assert.equal([waiting?.isAvoided('v1-0'), waiting?.isAvoided('v2-0')], [true, false]);
+});
+
 test('requests behind a cooldown are bounded by the slow start', () => {
   const { queue } = create({}, {}, { limitSlots: () => 0 });
   assert.is(queue.takeAt('v1-0'), undefined);
