Rename in permit-sends: handlers, updates and what is published

ToldLimit is AdvertisedLimit, hearAnswer onResponse, hearVm and hearLimits onPeerUpdate, tellLimits publishLimits, correctLimits sendLimitCorrection, noteWaiting onQueueChanged, noteVmLost onPeerLost, noteSent recordSend; a word is an update. Behaviour is unchanged; the tests of the package and of share-evidence pass.

--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/place-queue.ts
@@ -144,10 +144,10 @@
     this.waiters.push(waiter);
     this.waiters.sort(compareWaiters);
     this.schedule();
-    permits.noteWaiting(request.service);
+    permits.onQueueChanged(request.service);
     return () => {
       if (this.remove(waiter)) {
-        permits.noteWaiting(request.service);
+        permits.onQueueChanged(request.service);
       }
     };
   }
@@ -202,7 +202,7 @@
   private begin(tracked: TrackedServiceTarget, copyTo?: string): Place {
     const { directory, gate, permits } = this.options;
     gate.noteSent(tracked.target);
-    permits.noteSent(tracked.target.id, tracked.target.service);
+    permits.recordSend(tracked.target.id, tracked.target.service);
     return { tracked, copyTo, release: directory.begin(tracked.target.id) };
   }
 
--- a/packages/forward-request/src/read-answer.ts
+++ b/packages/forward-request/src/read-answer.ts
@@ -14,7 +14,7 @@
   const facts = dialect.readAnswer(request, head);
   if (facts.isForRequest && !facts.isOtherTarget) {
     const { directives } = facts;
-    permits.hearAnswer(target.id, directives.limit, sentAtMs);
+    permits.onResponse(target.id, directives.limit, sentAtMs);
     backpressure.onResponse({
       target: target.id,
       requestId: request.requestId,
--- a/packages/forward-request/src/send-permits.ts
+++ b/packages/forward-request/src/send-permits.ts
@@ -1,5 +1,5 @@
 /** Permits to send to targets that name the requests a second that they take from all VMs together. */
-import type { Millis, ToldLimit, WaitingRequests } from '@limelead/types';
+import type { Millis, AdvertisedLimit, WaitingRequests } from '@limelead/types';
 
 /** Is asked on the path of requests, so it may not take long. */
 export interface SendPermits {
@@ -13,11 +13,11 @@
    */
   maySend(targetId: string, isExtra?: boolean): boolean;
   /** A request goes there now. */
-  noteSent(targetId: string, service: string): void;
+  recordSend(targetId: string, service: string): void;
   /** Requests for a service wait for a place, or no longer. */
-  noteWaiting(service: string): void;
+  onQueueChanged(service: string): void;
   /** An answer came to a request that was sent then; steady time. */
-  hearAnswer(targetId: string, told: ToldLimit, askedAtMs: Millis): void;
+  onResponse(targetId: string, told: AdvertisedLimit, askedAtMs: Millis): void;
 }
 
 /** Lets every request through to every target. */
@@ -25,7 +25,7 @@
   attach: () => undefined,
   isLimiting: false,
   maySend: () => true,
-  noteSent: () => undefined,
-  noteWaiting: () => undefined,
-  hearAnswer: () => undefined,
+  recordSend: () => undefined,
+  onQueueChanged: () => undefined,
+  onResponse: () => undefined,
 };
--- a/packages/gateway/src/create-permits.ts
+++ b/packages/gateway/src/create-permits.ts
@@ -29,8 +29,8 @@
         return fleet === undefined ? ALONE : fleet.chooseGrantor(service);
       },
       send: (vm, message) => readFleet()?.send(vm, message),
-      tellLimits: (facts, from) => readFleet()?.tellLimits(facts, from),
-      correctLimits: (vm, facts) => readFleet()?.correctLimits(vm, facts),
+      publishLimits: (facts, from) => readFleet()?.publishLimits(facts, from),
+      sendLimitCorrection: (vm, facts) => readFleet()?.sendLimitCorrection(vm, facts),
     },
     targets: {
       serviceOf: (target) => directory.get(target)?.target.service,
--- a/packages/permit-sends/src/fleet.fixture.ts
+++ b/packages/permit-sends/src/fleet.fixture.ts
@@ -1,5 +1,5 @@
 /** A whole fleet on a clock of its own, before targets that name limits, for the tests of this package. */
-import type { PermitRefusal, ToldLimit, WaitingRequests } from '@limelead/types';
+import type { PermitRefusal, AdvertisedLimit, WaitingRequests } from '@limelead/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { PermitMessage } from './permit-messages.js';
@@ -24,12 +24,12 @@
   SendPermits,
   | 'attach'
   | 'maySend'
-  | 'noteSent'
-  | 'noteWaiting'
-  | 'hearAnswer'
-  | 'hearLimits'
+  | 'recordSend'
+  | 'onQueueChanged'
+  | 'onResponse'
+  | 'onPeerUpdate'
   | 'hear'
-  | 'noteVmLost'
+  | 'onPeerLost'
   | 'listLimits'
 >;
 
@@ -93,7 +93,7 @@
     this.waiting.push(waiter);
     this.serve();
     if (this.waiting.includes(waiter)) {
-      this.permits.noteWaiting(SERVICE);
+      this.permits.onQueueChanged(SERVICE);
     }
   }
 
@@ -101,7 +101,7 @@
     for (const waiter of [...this.waiting].sort((a, b) => a.rank - b.rank)) {
       const target = this.fleet.targets.find((id) => this.permits.maySend(id));
       if (target !== undefined && this.remove(waiter.id)) {
-        this.permits.noteSent(target, SERVICE);
+        this.permits.recordSend(target, SERVICE);
         this.fleet.onSent(this, target, waiter);
       }
     }
@@ -189,7 +189,7 @@
     vm.isUp = false;
     vm.waiting = [];
     vm.goneAtMs = this.now;
-    this.vms.forEach((other) => other.permits.noteVmLost(vm.name));
+    this.vms.forEach((other) => other.permits.onPeerLost(vm.name));
   }
 
   restart(index: number): void {
@@ -200,7 +200,7 @@
     vm.goneAtMs = Infinity;
     for (const other of this.vms.filter((one) => one.isUp && one !== vm)) {
       this.transmit(other.name, vm.name, () =>
-        vm.permits.hearLimits(other.name, this.age(other.permits.listLimits())),
+        vm.permits.onPeerUpdate(other.name, this.age(other.permits.listLimits())),
       );
     }
   }
@@ -212,11 +212,11 @@
   onSent(vm: Vm, target: string, { rank, arrivedAtMs }: Waiter): void {
     const atMs = this.now;
     this.sends.push({ target, vm: vm.name, atMs, rank, waitedMs: atMs - arrivedAtMs });
-    const told: ToldLimit =
+    const told: AdvertisedLimit =
       this.perSecond === undefined ? { kind: 'none' } : { kind: 'rate', perSecond: this.perSecond };
     this.inTime(vm.name, ANSWER_MS, () => {
       this.namedAtMs = Math.min(this.namedAtMs, told.kind === 'rate' ? this.now : Infinity);
-      vm.permits.hearAnswer(target, told, atMs);
+      vm.permits.onResponse(target, told, atMs);
       vm.serve();
     });
   }
@@ -301,11 +301,11 @@
         return grantor !== undefined && reaches(grantor) ? grantor.name : undefined;
       },
       send: (vm, message) => this.carry(self, vm, message),
-      tellLimits: (facts, from) =>
+      publishLimits: (facts, from) =>
         this.listGossip(self)
           .filter((peer) => peer !== from)
           .forEach((peer) => this.tell(self, peer, facts)),
-      correctLimits: (vm, facts) => this.tell(self, vm, facts),
+      sendLimitCorrection: (vm, facts) => this.tell(self, vm, facts),
     };
   }
 
@@ -316,12 +316,12 @@
     return others.slice(1).filter((_, place) => place % step === 0);
   }
 
-  private tell(from: string, to: string, facts: Parameters<Permits['hearLimits']>[1]): void {
-    this.transmit(from, to, (vm) => vm.permits.hearLimits(from, this.age(facts)));
+  private tell(from: string, to: string, facts: Parameters<Permits['onPeerUpdate']>[1]): void {
+    this.transmit(from, to, (vm) => vm.permits.onPeerUpdate(from, this.age(facts)));
   }
 
   /** Spans are rounded on their way. */
-  private age(facts: Parameters<Permits['hearLimits']>[1]) {
+  private age(facts: Parameters<Permits['onPeerUpdate']>[1]) {
     return facts.map((fact) => ({ ...fact, askedAtMs: Math.round(fact.askedAtMs) }));
   }
 
--- a/packages/permit-sends/src/limit-book.ts
+++ b/packages/permit-sends/src/limit-book.ts
@@ -1,6 +1,6 @@
 /**
- * Which rate each target names now. Answers overtake each other, and so does what VMs tell:
- * of two words of a target that one counts whose request was sent later.
+ * The rate limit of each target. Answers and updates of peers may arrive out of order: of two
+ * updates of a target the one whose request was sent later is the newer.
  */
 import type { Millis } from '@limelead/types';
 
@@ -12,7 +12,7 @@
   perSecond: number | undefined;
   /** When the request was sent whose answer said it; steady time. */
   askedAtMs: Millis;
-  /** Names this word wherever it is told. */
+  /** Id of the update, the same at every VM. */
   mark: string;
 }
 
@@ -21,10 +21,10 @@
   | { kind: 'changed'; from: number | undefined }
   /** The same as was known, or what nobody has to know. */
   | { kind: 'known' }
-  /** A later word of the target says something else. */
+  /** A later update of the target says something else. */
   | { kind: 'outdated'; newest: LimitFact };
 
-/** Holds the newest word of each target that ever named a limit. */
+/** Holds the newest update of each target that ever advertised a limit. */
 export default class LimitBook {
   private readonly facts = new Map<string, LimitFact>();
   /** Those that name a limit now, with the requests a second. */
@@ -35,7 +35,7 @@
     return this.rates.get(target);
   }
 
-  /** All words that are held, those that lifted a limit included. */
+  /** All updates, those that lifted a limit included. */
   list(): LimitFact[] {
     return [...this.facts.values()];
   }
@@ -45,7 +45,7 @@
     return this.rates;
   }
 
-  /** Takes a word of a target. */
+  /** Takes an update. */
   take(fact: LimitFact): LimitOutcome {
     const known = this.facts.get(fact.target);
     if (known === undefined && fact.perSecond === undefined) {
--- a/packages/permit-sends/src/other-ways.fixture.ts
+++ b/packages/permit-sends/src/other-ways.fixture.ts
@@ -1,5 +1,5 @@
 /** Two other ways to keep the sends of a fleet within one rate, to compare with. */
-import type { ToldLimit, WaitingRequests } from '@limelead/types';
+import type { AdvertisedLimit, WaitingRequests } from '@limelead/types';
 import type { Permits, PermitParts } from './fleet.fixture.js';
 import RateBucket from './rate-bucket.js';
 
@@ -32,7 +32,7 @@
     return (this.buckets.get(target)?.readyAtMs ?? 0) <= this.parts.clock.now();
   }
 
-  noteSent(target: string): void {
+  recordSend(target: string): void {
     this.buckets.get(target)?.take(this.parts.clock.now());
     if (this.tells && this.buckets.has(target)) {
       const told = { kind: 'return-permit' as const, service: '', target };
@@ -44,24 +44,26 @@
     }
   }
 
-  noteWaiting(): void {
+  onQueueChanged(): void {
     // Whoever waits is looked after by the clock.
   }
 
-  hearAnswer(target: string, told: ToldLimit): void {
+  onResponse(target: string, told: AdvertisedLimit): void {
     if (told.kind !== 'rate') {
       this.buckets.delete(target);
     } else if (!this.buckets.has(target)) {
       this.open(target, told.perSecond);
-      this.parts.fleet.tellLimits([{ target, perSecond: told.perSecond, askedAtMs: 0, mark: '' }]);
+      this.parts.fleet.publishLimits([
+        { target, perSecond: told.perSecond, askedAtMs: 0, mark: '' },
+      ]);
     }
   }
 
-  hearLimits(vm: string, facts: { target: string; perSecond: number | undefined }[]): void {
+  onPeerUpdate(vm: string, facts: { target: string; perSecond: number | undefined }[]): void {
     for (const { target, perSecond } of facts) {
       if (perSecond !== undefined && !this.buckets.has(target)) {
         this.open(target, perSecond);
-        this.parts.fleet.tellLimits([{ target, perSecond, askedAtMs: 0, mark: '' }], vm);
+        this.parts.fleet.publishLimits([{ target, perSecond, askedAtMs: 0, mark: '' }], vm);
       }
     }
   }
@@ -70,7 +72,7 @@
     this.buckets.get(message.target ?? '')?.take(this.parts.clock.now());
   }
 
-  noteVmLost(): void {
+  onPeerLost(): void {
     // Neither way asks another VM.
   }
 
--- a/packages/permit-sends/src/permit-ports.ts
+++ b/packages/permit-sends/src/permit-ports.ts
@@ -17,9 +17,9 @@
 /** The VMs of the fleet, and how news of limits reach them. */
 export interface LimitFleet extends PermitFleet {
   /** Tells other VMs, the one that told it aside. */
-  tellLimits(facts: LimitFact[], from?: string): void;
+  publishLimits(facts: LimitFact[], from?: string): void;
   /** Tells one VM. */
-  correctLimits(vm: string, facts: LimitFact[]): void;
+  sendLimitCorrection(vm: string, facts: LimitFact[]): void;
 }
 
 /** The targets, as this VM knows them. */
--- a/packages/permit-sends/src/send-permits.test.ts
+++ b/packages/permit-sends/src/send-permits.test.ts
@@ -87,7 +87,7 @@
   for (const seed of SEEDS) {
     const fleet = create(6, 0, seed);
     const hear = (vm: number, perSecond: number): void =>
-      fleet.vms[vm]!.permits.hearAnswer('t0', { kind: 'rate', perSecond }, fleet.now);
+      fleet.vms[vm]!.permits.onResponse('t0', { kind: 'rate', perSecond }, fleet.now);
     fleet.at(1_000, () => hear(0, 5));
     fleet.at(2_000, () => [0, 1, 2].forEach((vm) => hear(vm, vm)));
     fleet.playUntil(3_000);
--- a/packages/permit-sends/src/send-permits.ts
+++ b/packages/permit-sends/src/send-permits.ts
@@ -13,7 +13,7 @@
   type Millis,
   type Random,
   type Timers,
-  type ToldLimit,
+  type AdvertisedLimit,
   type WaitingRequests,
 } from '@limelead/types';
 import type { LimitFact } from './limit-book.js';
@@ -66,8 +66,8 @@
       random,
       log,
       metrics,
-      tell: (facts, from) => fleet.tellLimits(facts, from),
-      correct: (vm, facts) => fleet.correctLimits(vm, facts),
+      publish: (facts, from) => fleet.publishLimits(facts, from),
+      sendCorrection: (vm, facts) => fleet.sendLimitCorrection(vm, facts),
       onChange: (target) => this.onChange(target),
     });
     metrics.gauge('limelead_requests_waiting_for_permits', () => this.countWaiting());
@@ -96,32 +96,32 @@
   }
 
   /** A request goes there now. */
-  noteSent(target: string, service: string): void {
+  recordSend(target: string, service: string): void {
     if (!this.isLimiting) {
       return;
     }
     if (this.limits.read(target) === undefined) {
-      this.open(service).noteSentElsewhere();
+      this.open(service).recordSendElsewhere();
     } else if (!this.parts.take(target, this.now)) {
       this.atHand.take(target, this.now);
     }
   }
 
   /** Requests for a service wait for a place, or no longer. */
-  noteWaiting(service: string): void {
+  onQueueChanged(service: string): void {
     if (this.isLimiting) {
-      this.open(service).noteWaiting();
+      this.open(service).onQueueChanged();
     }
   }
 
   /** An answer came to a request that was sent then. */
-  hearAnswer(target: string, told: ToldLimit, askedAtMs: Millis): void {
-    this.limits.hearAnswer(target, told, askedAtMs);
+  onResponse(target: string, told: AdvertisedLimit, askedAtMs: Millis): void {
+    this.limits.onResponse(target, told, askedAtMs);
   }
 
   /** Another VM told limits. */
-  hearLimits(vm: string, facts: LimitFact[]): void {
-    this.limits.hearVm(vm, facts);
+  onPeerUpdate(vm: string, facts: LimitFact[]): void {
+    this.limits.onPeerUpdate(vm, facts);
     this.forgetUnknown();
   }
 
@@ -147,7 +147,7 @@
   }
 
   /** The link to a VM is lost. */
-  noteVmLost(vm: string): void {
+  onPeerLost(vm: string): void {
     this.services.forEach((service) => service.onVmLost(vm));
   }
 
--- a/packages/permit-sends/src/service-permits.ts
+++ b/packages/permit-sends/src/service-permits.ts
@@ -99,16 +99,16 @@
   }
 
   /** Requests of this VM wait, or no longer. */
-  noteWaiting(): void {
+  onQueueChanged(): void {
     const pauseMs = this.options.fleet.countVms() * ASK_PAUSE_PER_VM_MS;
     this.askAt(Math.max(this.now, this.lastAskAtMs + pauseMs));
   }
 
   /** A request went to a target without a limit, while others of the service name some. */
-  noteSentElsewhere(): void {
+  recordSendElsewhere(): void {
     if (this.now - this.wantedSpareAtMs >= SPARE_PAUSE_MS) {
       this.wantedSpareAtMs = this.now;
-      this.noteWaiting();
+      this.onQueueChanged();
     }
   }
 
@@ -116,7 +116,7 @@
   onRates(): void {
     this.applyRates();
     this.forAll.decide();
-    this.noteWaiting();
+    this.onQueueChanged();
   }
 
   /** A VM asks this one, which answers only where it grants for all. */
@@ -347,7 +347,7 @@
       count('returned');
       giveBack(target);
     }
-    this.noteWaiting();
+    this.onQueueChanged();
   }
 
   private refuse(want: number, refusal: PermitRefusal): void {
--- a/packages/permit-sends/src/target-limits.ts
+++ b/packages/permit-sends/src/target-limits.ts
@@ -1,13 +1,19 @@
 /**
- * What targets name, as one VM heard it from their answers and from other VMs. A change is told to
- * the others, each of which passes it on once; a VM that tells an outdated word is corrected.
+ * Rate limits that targets advertise, from their answers and from peers. A change is gossiped to
+ * the other VMs, each of which forwards it once; a peer with an outdated update is sent the newest.
  */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
-import { RecentTimes, type Clock, type Millis, type Random, type ToldLimit } from '@limelead/types';
+import {
+  RecentTimes,
+  type Clock,
+  type Millis,
+  type Random,
+  type AdvertisedLimit,
+} from '@limelead/types';
 import LimitBook, { type LimitFact } from './limit-book.js';
 
-/** Time in which a word is on its way between VMs, at most. */
+/** Longest time for an update to reach every VM. */
 const NEWS_TRAVEL_MS: Millis = 60_000;
 
 /** What is needed. */
@@ -17,9 +23,9 @@
   log: Pick<DecisionLog, 'write'>;
   metrics: Pick<Metrics, 'count' | 'gauge'>;
   /** Tells other VMs, the one that told it aside. */
-  tell(facts: LimitFact[], from?: string): void;
+  publish(facts: LimitFact[], from?: string): void;
   /** Tells one VM. */
-  correct(vm: string, facts: LimitFact[]): void;
+  sendCorrection(vm: string, facts: LimitFact[]): void;
   /** A target takes another rate than before. */
   onChange(target: string): void;
 }
@@ -28,8 +34,8 @@
 export default class TargetLimits {
   private readonly book = new LimitBook();
   /**
-   * Words that were looked at. Each hop makes a word seem younger by its time on the way: two that were
-   * heard at the same moment would overtake each other from VM to VM without end.
+   * Updates that were handled. Each hop makes an update seem younger by its time in transit: two of
+   * the same moment would overtake each other from VM to VM without end.
    */
   private readonly seen = new RecentTimes(NEWS_TRAVEL_MS);
   private readonly ownMarks: string;
@@ -61,7 +67,7 @@
   }
 
   /** An answer came to a request that was sent then. */
-  hearAnswer(target: string, told: ToldLimit, askedAtMs: Millis): void {
+  onResponse(target: string, told: AdvertisedLimit, askedAtMs: Millis): void {
     if (told.kind === 'unreadable') {
       this.noteUnreadable({ target, text: told.text });
     }
@@ -71,7 +77,7 @@
   }
 
   /** Another VM told what it knows. */
-  hearVm(vm: string, facts: LimitFact[]): void {
+  onPeerUpdate(vm: string, facts: LimitFact[]): void {
     const now = this.options.clock.now();
     for (const fact of facts.filter(({ mark }) => this.seen.ageMs(mark, now) === undefined)) {
       this.take(fact, vm);
@@ -91,12 +97,12 @@
     if (outcome.kind === 'changed') {
       this.onChanged(fact, outcome.from, vm);
     } else if (outcome.kind === 'outdated' && vm !== undefined) {
-      this.options.correct(vm, [outcome.newest]);
+      this.options.sendCorrection(vm, [outcome.newest]);
     }
   }
 
   private onChanged(fact: LimitFact, from: number | undefined, vm: string | undefined): void {
-    const { clock, metrics, tell, onChange } = this.options;
+    const { clock, metrics, publish, onChange } = this.options;
     metrics.count('limelead_limit_changes_total');
     this.noteChange({
       target: fact.target,
@@ -106,6 +112,6 @@
       askedAgoMs: Math.round(clock.now() - fact.askedAtMs),
     });
     onChange(fact.target);
-    tell([fact], vm);
+    publish([fact], vm);
   }
 }
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -405,7 +405,7 @@
         this.load.hear(peer, message);
         break;
       case 'lost':
-        this.permits.hearLimits(peer, message);
+        this.permits.onPeerUpdate(peer, message);
         this.targetNews.onMessage(peer, message);
         break;
       case 'store-news':
--- a/packages/share-evidence/src/permit-exchange.ts
+++ b/packages/share-evidence/src/permit-exchange.ts
@@ -64,13 +64,13 @@
   }
 
   /** Tells limits to the peers of gossip, the one that told them aside. */
-  tellLimits(facts: LimitFact[], from?: PeerId): void {
+  publishLimits(facts: LimitFact[], from?: PeerId): void {
     const peers = this.options.listPeers().filter((peer) => peer !== from);
     this.options.broadcast(this.compose(facts), peers);
   }
 
   /** Tells limits to one peer. */
-  correctLimits(peer: PeerId, facts: LimitFact[]): void {
+  sendLimitCorrection(peer: PeerId, facts: LimitFact[]): void {
     this.options.send(peer, this.compose(facts));
   }
 
@@ -81,7 +81,7 @@
 
   /** A link came up: the peer is told all limits, and by that, that this release knows of them. */
   noteLinked(peer: PeerId): void {
-    this.correctLimits(peer, this.options.readLimits());
+    this.sendLimitCorrection(peer, this.options.readLimits());
   }
 
   /** A link is lost. */
@@ -91,7 +91,7 @@
   }
 
   /** A peer told limits. */
-  hearLimits(peer: PeerId, { limits }: EvidenceMessageOf<'lost'>): void {
+  onPeerUpdate(peer: PeerId, { limits }: EvidenceMessageOf<'lost'>): void {
     if (limits === undefined) {
       return;
     }
--- a/packages/types/src/directives.ts
+++ b/packages/types/src/directives.ts
@@ -1,5 +1,5 @@
 /** What the headers of an answer say of how its target wants to be treated. */
-import type { ToldLimit } from './permits.js';
+import type { AdvertisedLimit } from './permits.js';
 import type { Millis } from './time.js';
 
 /** For how long a target that turned a request away wants nothing from this VM. */
@@ -9,7 +9,7 @@
 /** Everything that one answer asks for. */
 export interface TargetDirectives {
   /** Requests a second from all VMs together. */
-  limit: ToldLimit;
+  limit: AdvertisedLimit;
   cooldown: RequestedCooldown;
   /** True where the target takes no new work from any VM from now on. */
   isLeaving: boolean;
--- a/packages/types/src/permits.ts
+++ b/packages/types/src/permits.ts
@@ -2,7 +2,7 @@
 import type { Millis } from './time.js';
 
 /** What an answer says of the requests a second that its target takes from all VMs together. */
-export type ToldLimit =
+export type AdvertisedLimit =
   | { kind: 'none' }
   | { kind: 'rate'; perSecond: number }
   /** Something stands where a rate should; it limits nothing. */
