Rename in forward-request: slots are acquired and released

Place is Slot, PlaceQueue SlotQueue with acquire, acquireAt and acquireAtReplica, findStreamPlace findStreamSlot; their files follow.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -4,7 +4,7 @@
 import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
 import type { AnswerFacts, TargetOrder } from './dialect.js';
-import type { Place } from './place-queue.js';
+import type { Slot } from './slot-queue.js';
 import readAnswer from './read-answer.js';
 import type { NoteUnreached } from './send-payments.js';
 
@@ -28,7 +28,7 @@
 /** What an attempt is made with. */
 export interface CallAttemptOptions {
   number: number;
-  place: Place;
+  slot: Slot;
   noteUnreached: NoteUnreached;
   events: CallAttemptEvents;
 }
@@ -41,7 +41,7 @@
   isOver = false;
   /** When the request was sent; 0 before that. */
   sentAtMs: Millis = 0;
-  private readonly place: Place;
+  private readonly slot: Slot;
   private readonly events: CallAttemptEvents;
   private open: OpenCall | undefined;
   private head: AnswerHead | undefined;
@@ -49,15 +49,15 @@
   private heldBytes = 0;
   private isPassedOn = false;
 
-  constructor({ number, place, noteUnreached, events }: CallAttemptOptions) {
+  constructor({ number, slot, noteUnreached, events }: CallAttemptOptions) {
     this.number = number;
-    this.place = place;
+    this.slot = slot;
     this.noteUnreached = noteUnreached;
     this.events = events;
   }
 
   get target(): ServiceTarget {
-    return this.place.tracked.target;
+    return this.slot.tracked.target;
   }
 
   /** @param maxIdleMs longest rest of a connection that may be used */
@@ -84,12 +84,12 @@
     return this.chunks.splice(0);
   }
 
-  /** Ends the send and gives its place back; the target stops the run. */
+  /** Ends the send and gives its slot back; the target stops the run. */
   cancel(): void {
     if (!this.isOver) {
       this.isOver = true;
       this.open?.cancel();
-      this.place.release();
+      this.slot.release();
     }
   }
 
@@ -131,7 +131,7 @@
   private over(tell: () => void): void {
     if (!this.isOver) {
       this.isOver = true;
-      this.place.release();
+      this.slot.release();
       tell();
     }
   }
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -10,7 +10,7 @@
 import type { AskTarget, Clock, Millis, Timers } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
 import type KeptPrompts from './kept-prompts.js';
-import type PlaceQueue from './place-queue.js';
+import type SlotQueue from './slot-queue.js';
 import type ReadingTime from './reading-time.js';
 import type { SendPermits } from './send-permits.js';
 import type { TargetBackpressure } from './target-backpressure.js';
@@ -28,7 +28,7 @@
   directory: TargetDirectory;
   connections: TargetConnections;
   dialect: TargetDialect;
-  places: PlaceQueue;
+  slots: SlotQueue;
   gate: TargetGate;
   /** Keeps requests that end targets from further ones. */
   guard: RequestGuard;
--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -44,7 +44,7 @@
 export interface ProbeFacts {
   /** Ids of the requests that it works on. */
   runs: ReadonlySet<string>;
-  /** Requests that wait there for a place. */
+  /** Requests that wait there for a slot. */
   waiting: number;
 }
 
--- a/packages/forward-request/src/find-stream-place.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -1,21 +1,21 @@
-/** Finds the place where a stream begins or goes on: the cheapest way that is open comes first. */
+/** Finds the slot where a stream begins or goes on: the cheapest way that is open comes first. */
 import type { Advice } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { Place } from './place-queue.js';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { Slot } from './slot-queue.js';
+import type { SlotRefusal } from './slot-refusal.js';
 import type RunCopies from './run-copies.js';
 
-/** What a place is looked for. */
-export interface StreamPlaceSearch {
+/** What a slot is looked for. */
+export interface StreamSlotSearch {
   /** True before anything was sent to any target. */
   isFirstSend: boolean;
   /** A suspect: goes where the fewest others stand, whatever is advised. */
   avoidsOthers: boolean;
   /** Targets that already failed this request. */
   exclude: string[];
-  /** Told once, also with no place where none came in time, with why where that is certain. */
-  receive(place: Place | undefined, refusal?: PlaceRefusal): void;
+  /** Told once, also with no slot where none came in time, with why where that is certain. */
+  receive(slot: Slot | undefined, refusal?: SlotRefusal): void;
   /** Told in place of `receive` where the prompt can't be read before its caller leaves. */
   refuse(): void;
 }
@@ -23,15 +23,15 @@
 /**
  * Goes on from a copy of the run; else, for a caller that comes back, where its
  * prompt is kept; else where a scheduler advises, if there is one; else at any target
- * with a free place. Gives what ends waiting.
+ * with a free slot. Gives what ends waiting.
  */
-export default function findStreamPlace(
+export default function findStreamSlot(
   context: ForwardContext,
   admitted: AdmittedRequest,
   copies: RunCopies,
-  search: StreamPlaceSearch,
+  search: StreamSlotSearch,
 ): () => void {
-  const keeper = copies.takeKeeper();
+  const keeper = copies.acquireAtReplica();
   if (keeper !== undefined) {
     search.receive(keeper);
     return () => undefined;
@@ -39,14 +39,14 @@
   if (search.isFirstSend && admitted.request.lastPiece > 0) {
     return findKeptPrompt(context, admitted, search);
   }
-  return takeAdvisedPlace(context, admitted, search);
+  return acquireAdvisedSlot(context, admitted, search);
 }
 
 /** The caller's earlier entry VM is gone; its prompt may still stand at the target that ran it. */
 function findKeptPrompt(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  search: StreamPlaceSearch,
+  search: StreamSlotSearch,
 ): () => void {
   const { service, request } = admitted;
   let isOver = false;
@@ -55,11 +55,11 @@
     if (isOver) {
       return;
     }
-    const place = found === undefined ? undefined : context.places.takeAt(found);
-    if (place === undefined) {
-      stopWaiting = takeAdvisedPlace(context, admitted, search);
+    const slot = found === undefined ? undefined : context.slots.acquireAt(found);
+    if (slot === undefined) {
+      stopWaiting = acquireAdvisedSlot(context, admitted, search);
     } else {
-      search.receive(place);
+      search.receive(slot);
     }
   });
   return () => {
@@ -68,11 +68,11 @@
   };
 }
 
-/** Where the scheduler of a large fleet says; a place that this VM doubts is not taken. */
-function takeAdvisedPlace(
+/** Where the scheduler of a large fleet says; a slot that this VM doubts is not taken. */
+function acquireAdvisedSlot(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  search: StreamPlaceSearch,
+  search: StreamSlotSearch,
 ): () => void {
   const { service, request } = admitted;
   const { exclude, receive } = search;
@@ -81,21 +81,21 @@
     return () => undefined;
   }
   if (search.avoidsOthers || context.gate.decidesAlone(service)) {
-    return takeAnyPlace(context, admitted, search);
+    return acquireAnySlot(context, admitted, search);
   }
   let stopWaiting = (): void => undefined;
   const stopAsking = context.askTarget(
     { service, affinityKey: request.affinityKey, exclude },
     (advice) => {
-      const place =
+      const slot =
         advice.outcome === 'advised'
-          ? context.places.takeAt(advice.target, advice.copyTo)
+          ? context.slots.acquireAt(advice.target, advice.copyTo)
           : undefined;
-      reportAdvice(context, request.requestId, advice, place !== undefined);
-      if (place === undefined) {
-        stopWaiting = takeAnyPlace(context, admitted, search);
+      reportAdvice(context, request.requestId, advice, slot !== undefined);
+      if (slot === undefined) {
+        stopWaiting = acquireAnySlot(context, admitted, search);
       } else {
-        receive(place);
+        receive(slot);
       }
     },
   );
@@ -135,15 +135,15 @@
   });
 }
 
-function takeAnyPlace(
+function acquireAnySlot(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  { exclude, avoidsOthers, receive }: StreamPlaceSearch,
+  { exclude, avoidsOthers, receive }: StreamSlotSearch,
 ): () => void {
   const { service, request, rank, dueAtMs } = admitted;
   const { requestId, affinityKey } = request;
   const serviceMs = context.reading.leastMs(admitted);
-  return context.places.take(
+  return context.slots.acquire(
     {
       ...{ requestId, service, affinityKey, exclude: new Set(exclude) },
       ...{ rank, avoidsOthers, untilMs: dueAtMs, serviceMs },
--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -173,7 +173,7 @@
   await closed;
 });
 
-test('a call that waited in vain for a place was not run; one that was sent may have been', async () => {
+test('a call that waited in vain for a slot was not run; one that was sent may have been', async () => {
   const mute: Behaviour = () => undefined;
   const sent = await play([mute], { ...ONCE, timeoutMs: 80 });
   assert.is(statusOf(sent.sink), 504);
@@ -185,7 +185,7 @@
   assert.ok((sink.error?.answer.retryAfterMs ?? 0) > 0);
 });
 
-test('a call that finds all places taken is sent as soon as one is free, the urgent one first', async () => {
+test('a call that finds all slots taken is sent as soon as one is free, the urgent one first', async () => {
   const open: (() => void)[] = [];
   const held: Behaviour = (request, response) => {
     open.push(() => {
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -20,8 +20,8 @@
 import type { ForwardContext } from './context.js';
 import { describeIdentity } from './identify-admitted.js';
 import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
-import type { Place } from './place-queue.js';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { Slot } from './slot-queue.js';
+import type { SlotRefusal } from './slot-refusal.js';
 import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import SendPayments from './send-payments.js';
 
@@ -73,7 +73,7 @@
   private readonly report: CallReport;
   private readonly guarded: GuardedRequest;
   private isQuarantined = false;
-  private refusal: PlaceRefusal | undefined;
+  private refusal: SlotRefusal | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -119,7 +119,7 @@
       if (admission === 'refuse') {
         this.onQuarantined();
       } else {
-        this.takePlace(admission === 'go-alone');
+        this.acquireSlot(admission === 'go-alone');
       }
     });
     if (!isAnswered) {
@@ -127,36 +127,36 @@
     }
   }
 
-  private takePlace(avoidsOthers: boolean): void {
+  private acquireSlot(avoidsOthers: boolean): void {
     const { service, request, rank, dueAtMs } = this.admitted;
     const { isExtra } = this;
     const { requestId } = request;
-    this.stopWaiting = this.context.places.take(
+    this.stopWaiting = this.context.slots.acquire(
       {
         ...{ requestId, service, affinityKey: requestId, exclude: this.tried },
         ...{ rank, avoidsOthers, isExtra, untilMs: dueAtMs, serviceMs: LEAST_CALL_MS },
       },
-      (place, refusal) => this.onPlace(place, refusal),
+      (slot, refusal) => this.onSlot(slot, refusal),
     );
   }
 
-  private onPlace(place: Place | undefined, refusal?: PlaceRefusal): void {
+  private onSlot(slot: Slot | undefined, refusal?: SlotRefusal): void {
     this.isWaiting = false;
     if (this.isDone) {
-      place?.release();
+      slot?.release();
       return;
     }
-    if (place === undefined) {
+    if (slot === undefined) {
       this.refusal = refusal;
       this.guarded.noteOver();
       this.giveUp();
       return;
     }
-    this.send(place);
+    this.send(slot);
   }
 
-  private send(place: Place): void {
-    const attempt = this.createAttempt(place);
+  private send(slot: Slot): void {
+    const attempt = this.createAttempt(slot);
     this.attempts.push(attempt);
     this.tried.add(attempt.target.id);
     this.ran += 1;
@@ -172,10 +172,10 @@
     }
   }
 
-  private createAttempt(place: Place): CallAttempt {
+  private createAttempt(slot: Slot): CallAttempt {
     return new CallAttempt({
       number: this.attempts.length + 1,
-      place,
+      slot,
       noteUnreached: this.payments.noteSent(),
       events: this.events,
     });
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -1,7 +1,7 @@
 /**
  * Carries one streamed request. The session core decides: it fences attempts,
  * lets each piece pass once and chooses how a broken stream goes on. This module
- * carries out its commands on HTTP targets, where a piece takes a token's place.
+ * carries out its commands on HTTP targets, where a piece stands for a token.
  */
 import type { LimeleadError } from '@limelead/errors';
 import advanceSession, {
@@ -17,12 +17,12 @@
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import findStreamPlace from './find-stream-place.js';
+import findStreamSlot from './find-stream-slot.js';
 import { describeIdentity } from './identify-admitted.js';
 import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
-import type { Place } from './place-queue.js';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { Slot } from './slot-queue.js';
+import type { SlotRefusal } from './slot-refusal.js';
 import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import RunCopies from './run-copies.js';
 import type { NumberedPiece, StreamAttemptEvents, TurnedAwayCause } from './stream-attempt.js';
@@ -61,15 +61,15 @@
 }
 
 /** Requests at the target of a send, this one aside. */
-function countOthers({ place }: LiveAttempt): number {
-  const { inFlight, peerRequests } = place.tracked;
+function countOthers({ slot }: LiveAttempt): number {
+  const { inFlight, peerRequests } = slot.tracked;
   return Math.max(0, inFlight + peerRequests - 1);
 }
 
 class StreamForwarder {
   private state: SessionState;
   private readonly live: LiveAttempts;
-  private readonly chosen = new Map<number, Place>();
+  private readonly chosen = new Map<number, Slot>();
   private readonly copies: RunCopies;
   private readonly answer: StreamAnswer;
   private isDone = false;
@@ -186,23 +186,23 @@
       if (admission === 'refuse') {
         this.fail(this.createQuarantined());
       } else {
-        this.findPlace(attempt, exclude, admission === 'go-alone');
+        this.findSlot(attempt, exclude, admission === 'go-alone');
       }
     });
     this.cleanups.push(stopAsking);
   }
 
-  private findPlace(attempt: number, exclude: string[], avoidsOthers: boolean): void {
+  private findSlot(attempt: number, exclude: string[], avoidsOthers: boolean): void {
     if (!this.sends.tryPay()) {
       this.guarded.noteOver();
       this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
       return;
     }
-    const stopWaiting = findStreamPlace(this.context, this.admitted, this.copies, {
+    const stopWaiting = findStreamSlot(this.context, this.admitted, this.copies, {
       isFirstSend: this.sends.count === 0,
       avoidsOthers,
       exclude,
-      receive: (place, refusal) => this.onPlace(attempt, place, refusal),
+      receive: (slot, refusal) => this.onSlot(attempt, slot, refusal),
       refuse: () => this.refuseLate(),
     });
     this.cleanups.push(stopWaiting);
@@ -219,9 +219,9 @@
     this.fail(this.sends.createError('deadline-unreachable', message));
   }
 
-  private onPlace(attempt: number, place: Place | undefined, refusal?: PlaceRefusal): void {
+  private onSlot(attempt: number, slot: Slot | undefined, refusal?: SlotRefusal): void {
     if (this.isDone) {
-      place?.release();
+      slot?.release();
       return;
     }
     if (refusal !== undefined) {
@@ -230,25 +230,25 @@
       this.fail(this.sends.createError('overloaded', REFUSED_MESSAGE, overrides));
       return;
     }
-    if (place === undefined) {
+    if (slot === undefined) {
       this.guarded.noteOver();
       this.advance({ kind: 'no-target', attempt, error: 'no-target' });
       return;
     }
-    this.chosen.set(attempt, place);
-    const targetId = place.tracked.target.id;
+    this.chosen.set(attempt, slot);
+    const targetId = slot.tracked.target.id;
     this.advance({ kind: 'target-chosen', attempt, targetId, binding: OPAQUE_BINDING });
   }
 
   private start(number: number, lastPiece: number): void {
-    const place = this.chosen.get(number);
+    const slot = this.chosen.get(number);
     this.chosen.delete(number);
-    if (place === undefined) {
+    if (slot === undefined) {
       return;
     }
-    this.sends.noteSent(place.tracked.target.id);
+    this.sends.noteSent(slot.tracked.target.id);
     const { policy } = this;
-    this.live.start(number, { place, lastPiece, policy });
+    this.live.start(number, { slot, lastPiece, policy });
   }
 
   /** How much is paid to go on sooner. */
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -25,7 +25,7 @@
 import type { ForwardContext } from './context.js';
 import type { TargetDialect } from './dialect.js';
 import KeptPrompts from './kept-prompts.js';
-import PlaceQueue from './place-queue.js';
+import SlotQueue from './slot-queue.js';
 import ReadingTime from './reading-time.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
@@ -228,7 +228,7 @@
       failureDomain: 'north',
       connections: this.connections,
       dialect,
-      places: this.createPlaces(NO_LIMITS),
+      slots: this.createSlots(NO_LIMITS),
       gate: OPEN_GATE,
       permits: NO_LIMITS,
       guard: createLoneGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
@@ -251,12 +251,12 @@
   /** From now on sends need these permits. */
   usePermits(permits: SendPermits): void {
     this.context.permits = permits;
-    this.context.places = this.createPlaces(permits);
+    this.context.slots = this.createSlots(permits);
   }
 
-  private createPlaces(permits: SendPermits): PlaceQueue {
+  private createSlots(permits: SendPermits): SlotQueue {
     const failureDomain = 'north';
-    return new PlaceQueue({
+    return new SlotQueue({
       clock,
       timers: systemTimers,
       directory: this.directory,
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -3,7 +3,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy, TargetOrder } from './dialect.js';
-import type { Place } from './place-queue.js';
+import type { Slot } from './slot-queue.js';
 import type RunCopies from './run-copies.js';
 import RunHearing from './run-hearing.js';
 import type { RunPace } from './target-pace.js';
@@ -12,7 +12,7 @@
 /** One send with what belongs to it. */
 export interface LiveAttempt {
   attempt: StreamAttempt;
-  place: Place;
+  slot: Slot;
   /** Where the run's memory is copied to. */
   copy?: RunCopy;
   hearing: RunHearing;
@@ -27,7 +27,7 @@
 
 /** What a send begins with. */
 export interface AttemptStart {
-  place: Place;
+  slot: Slot;
   /** Number of the last piece that the caller has; 0 is none. */
   lastPiece: number;
   policy: RecoveryPolicy;
@@ -56,9 +56,9 @@
     return this.live.get(number);
   }
 
-  /** Sends the request to the target of the place. */
-  start(number: number, { place, lastPiece, policy }: AttemptStart): void {
-    const order = this.composeOrder(place, lastPiece);
+  /** Sends the request to the target of the slot. */
+  start(number: number, { slot, lastPiece, policy }: AttemptStart): void {
+    const order = this.composeOrder(slot, lastPiece);
     const { copyTo, continueFrom, target } = order;
     const { directory, silence } = this.context;
     const attempt = new StreamAttempt(this.context, order, this.events.createEvents(number));
@@ -67,7 +67,7 @@
     this.live.set(number, {
       pace,
       attempt,
-      place,
+      slot,
       copy: copyTo && { keeper: copyTo, runId: order.request.requestId },
       hearing,
       endReading: continueFrom ? () => undefined : directory.beginReading(target.id),
@@ -86,7 +86,7 @@
       live.unwatch();
       live.endReading();
       live.forgetCopy();
-      live.place.release();
+      live.slot.release();
     }
   }
 
@@ -100,9 +100,9 @@
     [...this.live.keys()].forEach((number) => this.drop(number));
   }
 
-  private composeOrder(place: Place, lastPiece: number): TargetOrder {
+  private composeOrder(slot: Slot, lastPiece: number): TargetOrder {
     const { request, organisation, rank, dueAtMs } = this.admitted;
-    const { target } = place.tracked;
+    const { target } = slot.tracked;
     return {
       request,
       target,
@@ -110,7 +110,7 @@
       remainingMs: dueAtMs - this.context.clock.now(),
       lastPiece,
       continueFrom: this.copies.use(target),
-      copyTo: this.copies.chooseKeeper(place),
+      copyTo: this.copies.chooseKeeper(slot),
       rank,
     };
   }
--- a/packages/forward-request/src/one-way.test.ts
+++ b/packages/forward-request/src/one-way.test.ts
@@ -1,4 +1,4 @@
-/** Every request to a target begins at the queue of places, where what targets name is kept. */
+/** Every request to a target begins at the queue of slots, where what targets name is kept. */
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -19,11 +19,11 @@
   return modules.sort();
 }
 
-test('places at targets are made by their queue alone', () => {
-  assert.equal(findModules(/directory\.begin\(/), ['forward-request/place-queue.ts']);
+test('slots at targets are made by their queue alone', () => {
+  assert.equal(findModules(/directory\.begin\(/), ['forward-request/slot-queue.ts']);
 });
 
-test('calls to targets are sent for a place, or are small questions beside the work', () => {
+test('calls to targets are sent for a slot, or are small questions beside the work', () => {
   assert.equal(findModules(/\bconnections\.send\(/), [
     'forward-request/ask-target.ts',
     'forward-request/call-attempt.ts',
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -2,7 +2,7 @@
 import type { AnswerOverrides } from '@limelead/errors';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { SlotRefusal } from './slot-refusal.js';
 
 /** What callers are told. */
 export const REFUSED_MESSAGE = 'the targets take no more requests before the deadline';
@@ -11,7 +11,7 @@
 export default function reportRefusal(
   { clock, log, metrics }: Pick<ForwardContext, 'clock' | 'log' | 'metrics'>,
   { request, service, dueAtMs }: AdmittedRequest,
-  refusal: PlaceRefusal,
+  refusal: SlotRefusal,
 ): AnswerOverrides {
   const { retryAfterMs } = refusal;
   const facts = {
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -4,7 +4,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy } from './dialect.js';
-import type { Place } from './place-queue.js';
+import type { Slot } from './slot-queue.js';
 
 /** The copies of one request's runs. */
 export default class RunCopies {
@@ -21,13 +21,13 @@
     this.usable = copy;
   }
 
-  /** A place at the target that keeps a usable copy, where it takes work. */
-  takeKeeper(): Place | undefined {
-    const place = this.usable && this.context.places.takeKeeper(this.usable.keeper.id);
-    if (place === undefined) {
+  /** A slot at the target that keeps a usable copy, where it takes work. */
+  acquireAtReplica(): Slot | undefined {
+    const slot = this.usable && this.context.slots.acquireAtReplica(this.usable.keeper.id);
+    if (slot === undefined) {
       this.usable = undefined;
     }
-    return place;
+    return slot;
   }
 
   /** The usable copy at that target; a copy serves once. */
@@ -37,33 +37,33 @@
     return copy?.keeper.id === target.id ? copy : undefined;
   }
 
-  /** Where the copies of a run at that place go; undefined where the engines make none. */
-  chooseKeeper(place: Place): ServiceTarget | undefined {
+  /** Where the copies of a run at that slot go; undefined where the engines make none. */
+  chooseKeeper(slot: Slot): ServiceTarget | undefined {
     const { clock, directory, gate } = this.context;
     const { service, request, route } = this.admitted;
     const engine = this.context.readTable()?.findService(service)?.engine;
     if (!route.repeatable || engine?.copiesRuns !== true) {
       return undefined;
     }
-    const advised = this.findAdvised(place);
+    const advised = this.findAdvised(slot);
     if (advised !== undefined) {
       return advised;
     }
     return chooseCopyKeeper(gate.listAdvisable(service, directory.listUsable(service)), {
       affinityKey: request.affinityKey,
-      running: place.tracked,
+      running: slot.tracked,
       isDomainDoubtful: (domain) => directory.isDomainDoubtful(service, domain, KEEPER_DOUBT_MS),
       now: clock.now(),
     })?.target;
   }
 
   /**
-   * The keeper that the scheduler advised with the place, where this VM knows nothing
+   * The keeper that the scheduler advised with the slot, where this VM knows nothing
    * against it. VMs that spread their own copies only met at few keepers, which had no
    * room: with a third of the engines gone 877,000 prompt tokens of a minute were read
    * again, 693,000 with advice (one play each, beside other changes).
    */
-  private findAdvised({ copyTo }: Place): ServiceTarget | undefined {
+  private findAdvised({ copyTo }: Slot): ServiceTarget | undefined {
     const { directory } = this.context;
     const target = copyTo === undefined ? undefined : directory.get(copyTo)?.target;
     const isUsable = target !== undefined && !target.leaving && !directory.isSuspected(target.id);
--- a/packages/forward-request/src/send-permits.ts
+++ b/packages/forward-request/src/send-permits.ts
@@ -14,7 +14,7 @@
   maySend(targetId: string, isExtra?: boolean): boolean;
   /** A request goes there now. */
   recordSend(targetId: string, service: string): void;
-  /** Requests for a service wait for a place, or no longer. */
+  /** Requests for a service wait for a slot, or no longer. */
   onQueueChanged(service: string): void;
   /** An answer came to a request that was sent then; steady time. */
   onResponse(targetId: string, told: AdvertisedLimit, askedAtMs: Millis): void;
--- a/packages/forward-request/src/place-queue.test.ts
+++ b/packages/forward-request/src/slot-queue.test.ts
@@ -3,14 +3,14 @@
 import type { ServiceTarget, WaitingRequests } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { PlaceRefusal } from './place-refusal.js';
-import PlaceQueue, { type Place, type PlaceRequest } from './place-queue.js';
+import type { SlotRefusal } from './slot-refusal.js';
+import SlotQueue, { type Slot, type SlotRequest } from './slot-queue.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { NO_BACKPRESSURE, type TargetBackpressure } from './target-backpressure.js';
 import { OPEN_GATE, type TargetGate } from './target-gate.js';
 
 const clock = { now: () => 0 };
-const REQUEST: PlaceRequest = {
+const REQUEST: SlotRequest = {
   requestId: 'r',
   service: 's',
   affinityKey: 'k',
@@ -43,7 +43,7 @@
   const directory = new TargetDirectory(clock);
   directory.replaceAll([toTarget('v1', 0), toTarget('v2', 0)]);
   const sent: string[] = [];
-  const queue = new PlaceQueue({
+  const queue = new SlotQueue({
     clock,
     timers: { after: () => () => undefined },
     directory,
@@ -55,15 +55,15 @@
     backpressure: { ...NO_BACKPRESSURE, ...backpressure },
     random: { next: () => 0 },
   });
-  const places: (Place | undefined)[] = [];
-  const refusals: (PlaceRefusal | undefined)[] = [];
+  const slots: (Slot | undefined)[] = [];
+  const refusals: (SlotRefusal | undefined)[] = [];
   const take = (exclude: string[] = []): void => {
-    queue.take({ ...REQUEST, exclude: new Set(exclude) }, (place, refusal) => {
-      places.push(place);
+    queue.acquire({ ...REQUEST, exclude: new Set(exclude) }, (slot, refusal) => {
+      slots.push(slot);
       refusals.push(refusal);
     });
   };
-  return { queue, sent, places, refusals, take };
+  return { queue, sent, slots, refusals, take };
 }
 
 test('groups are tried in their order, and what is in none is not taken', () => {
@@ -76,7 +76,7 @@
   assert.is(queue.waiting, 1);
 });
 
-test('the next group serves where the first has no place', () => {
+test('the next group serves where the first has no slot', () => {
   const of =
     (version: string): TargetGate['arrange'] =>
     (_, targets) => [targets.filter(({ target }) => target.version === version)];
@@ -104,8 +104,8 @@
 test('a target without a permit is not taken, whichever way leads to it', () => {
   const permits = { isLimiting: true, maySend: (id: string) => id === 'v1-0' };
   const { queue, sent, take } = create({}, permits);
-  assert.is(queue.takeAt('v2-0'), undefined);
-  assert.is(queue.takeKeeper('v2-0'), undefined);
+  assert.is(queue.acquireAt('v2-0'), undefined);
+  assert.is(queue.acquireAtReplica('v2-0'), undefined);
   take();
   take();
   assert.equal(sent, ['v1-0']);
@@ -122,8 +122,8 @@
 
 test('a certain target is taken only where the gate lets it', () => {
   const { queue, sent } = create({ mayTake: ({ version }) => version === 'v1' });
-  assert.is(queue.takeAt('v2-0'), undefined);
-  assert.is(queue.takeAt('v1-0')?.tracked.target.id, 'v1-0');
+  assert.is(queue.acquireAt('v2-0'), undefined);
+  assert.is(queue.acquireAt('v1-0')?.tracked.target.id, 'v1-0');
   assert.equal(sent, ['v1-0']);
 });
 
@@ -132,10 +132,10 @@
   const { queue, sent, take } = create({}, {}, { coolingUntilMs: (id) => cooling.get(id) });
   take();
   assert.equal(sent, ['v2-0']);
-  assert.is(queue.takeAt('v1-0'), undefined);
-  assert.is(queue.takeKeeper('v1-0'), undefined);
+  assert.is(queue.acquireAt('v1-0'), undefined);
+  assert.is(queue.acquireAtReplica('v1-0'), undefined);
   cooling.clear();
-  assert.ok(queue.takeKeeper('v1-0'));
+  assert.ok(queue.acquireAtReplica('v1-0'));
 });
 
 test('where all targets cool down, a request waits for the first one or is refused at once', () => {
@@ -143,11 +143,11 @@
   let endMs = 900;
   const backpressure = {
     coolingUntilMs: () => endMs,
-    onHeld: ({ requestId }: Pick<PlaceRequest, 'requestId'>) => void held.push(requestId),
+    onHeld: ({ requestId }: Pick<SlotRequest, 'requestId'>) => void held.push(requestId),
   };
-  const { queue, places, refusals, take } = create({}, {}, backpressure);
+  const { queue, slots, refusals, take } = create({}, {}, backpressure);
   take();
-  assert.equal([places.length, queue.waiting, held], [0, 1, ['r']]);
+  assert.equal([slots.length, queue.waiting, held], [0, 1, ['r']]);
   endMs = 1_000;
   take();
   assert.equal(refusals, [{ kind: 'cooling', retryAfterMs: 1_000, targets: 2 }]);
@@ -156,10 +156,10 @@
 test('a request is refused where the first target would have too little time for it', () => {
   const { queue } = create({}, {}, { coolingUntilMs: () => 960 });
   const refused: boolean[] = [];
-  const receive = (_: unknown, refusal?: PlaceRefusal): void =>
+  const receive = (_: unknown, refusal?: SlotRefusal): void =>
     void refused.push(refusal !== undefined);
-  queue.take({ ...REQUEST, serviceMs: 50 }, receive);
-  queue.take({ ...REQUEST, serviceMs: 30 }, receive);
+  queue.acquire({ ...REQUEST, serviceMs: 50 }, receive);
+  queue.acquire({ ...REQUEST, serviceMs: 30 }, receive);
   assert.equal([refused, queue.waiting], [[true], 1]);
 });
 
@@ -173,7 +173,7 @@
 
 test('requests behind a cooldown are bounded by the slow start', () => {
   const { queue } = create({}, {}, { limitSlots: () => 0 });
-  assert.is(queue.takeAt('v1-0'), undefined);
+  assert.is(queue.acquireAt('v1-0'), undefined);
 });
 
 test.run();
--- a/packages/forward-request/src/place-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that wait for a target with a free place. The most urgent are served
+ * Requests that wait for a target with a free slot. The most urgent are served
  * first, then those whose time ends first.
  */
 import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
@@ -18,7 +18,7 @@
   Timers,
   Want,
 } from '@limelead/types';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { SlotRefusal } from './slot-refusal.js';
 import type { SendPermits } from './send-permits.js';
 import TargetAvailability from './target-availability.js';
 import type { TargetBackpressure } from './target-backpressure.js';
@@ -27,8 +27,8 @@
 /** Suspicion and pauses end with time, without any event; so waiters are tried again. */
 const RETRY_INTERVAL_MS = 20;
 
-/** What a place is wanted for. */
-export interface PlaceRequest {
+/** What a slot is wanted for. */
+export interface SlotRequest {
   requestId: string;
   service: string;
   affinityKey: string;
@@ -44,27 +44,27 @@
   serviceMs?: Millis;
 }
 
-/** A place at a target; `release` gives it back. */
-export interface Place {
+/** A slot at a target; `release` gives it back. */
+export interface Slot {
   tracked: TrackedServiceTarget;
   /** Where the scheduler would keep a copy of the run. */
   copyTo?: string;
   release(): void;
 }
 
-/** Gives a place, or undefined where none came in time, with why where that is certain at once. */
-type Receive = (place: Place | undefined, refusal?: PlaceRefusal) => void;
+/** Gives a slot, or undefined where none came in time, with why where that is certain at once. */
+type Receive = (slot: Slot | undefined, refusal?: SlotRefusal) => void;
 
 interface Waiter {
   id: number;
-  request: PlaceRequest;
+  request: SlotRequest;
   receive: Receive;
   /** It was served, refused or given up. */
   isOver: boolean;
 }
 
 /** What the queue needs. */
-export interface PlaceQueueOptions {
+export interface SlotQueueOptions {
   clock: Clock;
   timers: Timers;
   directory: TargetDirectory;
@@ -78,14 +78,14 @@
   random: Random;
 }
 
-/** Hands out places at targets. */
-export default class PlaceQueue {
+/** Hands out slots at targets. */
+export default class SlotQueue {
   private waiters: Waiter[] = [];
   private cancelTimer: CancelTimer | undefined;
   private lastId = 0;
   private readonly availability: TargetAvailability;
 
-  constructor(private readonly options: PlaceQueueOptions) {
+  constructor(private readonly options: SlotQueueOptions) {
     this.availability = new TargetAvailability(options);
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
@@ -96,8 +96,8 @@
     });
   }
 
-  /** Takes a place at one target where it takes work and has one free. */
-  takeAt(targetId: string, copyTo?: string): Place | undefined {
+  /** Takes a slot at one target where it takes work and has one free. */
+  acquireAt(targetId: string, copyTo?: string): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     const isFree =
       tracked !== undefined &&
@@ -106,8 +106,8 @@
     return isFree ? this.begin(tracked, copyTo) : undefined;
   }
 
-  /** Takes a place at the target that keeps a copy of the run, which has its memory there already. */
-  takeKeeper(targetId: string): Place | undefined {
+  /** Takes a slot at the target that keeps a copy of the run, which has its memory there already. */
+  acquireAtReplica(targetId: string): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     return tracked !== undefined && this.availability.isAvailable(tracked)
       ? this.begin(tracked)
@@ -119,11 +119,11 @@
     return this.waiters.length;
   }
 
-  /** Takes a place at once or waits for one; the result gives up waiting. */
-  take(request: PlaceRequest, receive: Receive): () => void {
-    const place = this.tryTake(request);
-    if (place !== undefined) {
-      receive(place);
+  /** Takes a slot at once or waits for one; the result gives up waiting. */
+  acquire(request: SlotRequest, receive: Receive): () => void {
+    const slot = this.tryAcquire(request);
+    if (slot !== undefined) {
+      receive(slot);
       return () => undefined;
     }
     const refusal = this.availability.findRefusal(request);
@@ -134,7 +134,7 @@
     return this.wait(request, receive);
   }
 
-  private wait(request: PlaceRequest, receive: Receive): () => void {
+  private wait(request: SlotRequest, receive: Receive): () => void {
     const { permits, backpressure } = this.options;
     if (this.availability.isAllCooling(request.service)) {
       backpressure.onHeld(request);
@@ -176,7 +176,7 @@
     return true;
   }
 
-  private tryTake(request: PlaceRequest): Place | undefined {
+  private tryAcquire(request: SlotRequest): Slot | undefined {
     const { directory, clock, failureDomain, locality, gate } = this.options;
     const choice: ServiceChoiceRequest = {
       affinityKey: request.affinityKey,
@@ -199,7 +199,7 @@
   }
 
   /** Single entry point for sends: what targets ask for is enforced before it. */
-  private begin(tracked: TrackedServiceTarget, copyTo?: string): Place {
+  private begin(tracked: TrackedServiceTarget, copyTo?: string): Slot {
     const { directory, gate, permits } = this.options;
     gate.noteSent(tracked.target);
     permits.recordSend(tracked.target.id, tracked.target.service);
@@ -215,12 +215,12 @@
       if (waiter.isOver) {
         continue;
       }
-      const place = this.tryTake(waiter.request);
+      const slot = this.tryAcquire(waiter.request);
       const refusal =
-        place === undefined ? this.availability.findRefusal(waiter.request) : undefined;
-      if (place !== undefined || refusal !== undefined || waiter.request.untilMs <= now) {
+        slot === undefined ? this.availability.findRefusal(waiter.request) : undefined;
+      if (slot !== undefined || refusal !== undefined || waiter.request.untilMs <= now) {
         this.remove(waiter);
-        waiter.receive(place, refusal);
+        waiter.receive(slot, refusal);
       }
     }
   }
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -1,12 +1,12 @@
 /** Whether this VM may send to a target now, and if it may not, whether waiting is of use. */
 import { refuseCooling, SLOW_START_MS } from '@limelead/track-backpressure';
 import type { TrackedServiceTarget } from '@limelead/track-service-targets';
-import type { PlaceQueueOptions, PlaceRequest } from './place-queue.js';
-import type { PlaceRefusal } from './place-refusal.js';
+import type { SlotQueueOptions, SlotRequest } from './slot-queue.js';
+import type { SlotRefusal } from './slot-refusal.js';
 
 /** What the answer depends on. */
 export type TargetAvailabilityOptions = Pick<
-  PlaceQueueOptions,
+  SlotQueueOptions,
   'backpressure' | 'clock' | 'directory' | 'gate' | 'limit' | 'permits' | 'random'
 >;
 
@@ -39,12 +39,7 @@
    * Why waiting is in vain; undefined where it is not. A second send beside the first waits: nothing
    * is refused while the first may be answered.
    */
-  findRefusal({
-    service,
-    untilMs,
-    serviceMs = 0,
-    isExtra,
-  }: PlaceRequest): PlaceRefusal | undefined {
+  findRefusal({ service, untilMs, serviceMs = 0, isExtra }: SlotRequest): SlotRefusal | undefined {
     const { backpressure, clock, directory, random } = this.options;
     if (isExtra === true) {
       return undefined;
@@ -81,7 +76,7 @@
    * Targets that take work and may be sent some now. One that failed the request is no way
    * out while the others only wait for permits.
    */
-  listPermitted({ service, exclude, isExtra }: PlaceRequest): TrackedServiceTarget[] {
+  listPermitted({ service, exclude, isExtra }: SlotRequest): TrackedServiceTarget[] {
     const { directory, permits } = this.options;
     const usable = directory.listUsable(service).filter((tracked) => !this.isCooling(tracked));
     if (!permits.isLimiting) {
--- a/packages/forward-request/src/target-backpressure.ts
+++ b/packages/forward-request/src/target-backpressure.ts
@@ -1,6 +1,6 @@
 /** What targets ask for in their answers, and what follows for sends to them. */
 import type { DirectiveResponse, Millis } from '@limelead/types';
-import type { PlaceRequest } from './place-queue.js';
+import type { SlotRequest } from './slot-queue.js';
 
 /** Is asked on the path of requests, so it may not take long. */
 export interface TargetBackpressure {
@@ -10,7 +10,7 @@
   /** Requests that this VM may have at a target at once, of those that the target takes. */
   limitSlots(targetId: string, slots: number): number;
   /** A request waits, since all targets of its service have cooldowns. */
-  onHeld(request: Pick<PlaceRequest, 'requestId' | 'service'>): void;
+  onHeld(request: Pick<SlotRequest, 'requestId' | 'service'>): void;
 }
 
 /** Follows nothing. */
--- a/packages/forward-request/src/to-generation.ts
+++ b/packages/forward-request/src/to-generation.ts
@@ -19,7 +19,7 @@
   seed: 0,
 };
 
-/** Translates a request; its prompt stays opaque, and pieces take the place of tokens. */
+/** Translates a request; its prompt stays opaque, and pieces stand for tokens. */
 export default function toGeneration(admitted: AdmittedRequest): GenerationRequest {
   const { request, route, organisation, service, rank } = admitted;
   return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import {
   KeptPrompts,
   OPEN_GATE,
-  PlaceQueue,
+  SlotQueue,
   ReadingTime,
   SilenceWatch,
   TargetPace,
@@ -334,7 +334,7 @@
       locality,
       connections,
       dialect,
-      places: new PlaceQueue({ ...shared, failureDomain, locality, limit: limitOf, permits }),
+      slots: new SlotQueue({ ...shared, failureDomain, locality, limit: limitOf, permits }),
       askTarget: (request, receive) =>
         this.exchange?.askTarget(request, receive) ?? askNobody(request, receive),
       silence: new SilenceWatch({ ...shared, connections, dialect, log }),
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -6,7 +6,7 @@
   NO_BACKPRESSURE,
   NO_LIMITS,
   OPEN_GATE,
-  PlaceQueue,
+  SlotQueue,
   ReadingTime,
   SilenceWatch,
   TargetPace,
@@ -207,7 +207,7 @@
       connections,
       dialect: targets,
       askTarget: askNobody,
-      places: new PlaceQueue({
+      slots: new SlotQueue({
         ...{ ...shared, failureDomain: 'north', locality },
         limit: () => 4,
         gate: OPEN_GATE,
--- a/packages/load/src/replay-load.fixture.ts
+++ b/packages/load/src/replay-load.fixture.ts
@@ -3,7 +3,7 @@
  * own. VMs and their knowledge of targets are the product's; targets are a few lines:
  * they read one prompt after another, and then write at their pace.
  */
-import { NO_BACKPRESSURE, NO_LIMITS, OPEN_GATE, PlaceQueue } from '@limelead/forward-request';
+import { NO_BACKPRESSURE, NO_LIMITS, OPEN_GATE, SlotQueue } from '@limelead/forward-request';
 import { createLocality } from '@limelead/locality';
 import { TargetDirectory, type PacedLoad } from '@limelead/track-service-targets';
 import { hashText, type Millis, type ServiceTarget } from '@limelead/types';
@@ -54,7 +54,7 @@
 interface ReplayVm {
   id: string;
   directory: TargetDirectory;
-  places: PlaceQueue;
+  slots: SlotQueue;
 }
 
 /** Plays arrivals, and tells what became of them. */
@@ -118,7 +118,7 @@
     const directory = new TargetDirectory(this.time);
     directory.replaceAll(this.targets);
     const failureDomain = this.domainOf(index);
-    const places = new PlaceQueue({
+    const slots = new SlotQueue({
       clock: this.time,
       timers: this.time,
       directory,
@@ -130,7 +130,7 @@
       backpressure: NO_BACKPRESSURE,
       random: { next: () => 0 },
     });
-    return { id: `vm${index}`, directory, places };
+    return { id: `vm${index}`, directory, slots };
   }
 
   private planOutage({ fromMs, toMs, failureDomain }: ReplayOutage): void {
@@ -150,7 +150,7 @@
     }
     this.result.arrived += 1;
     const untilMs = atMs + this.fleet.deadlineMs;
-    vm.places.take(
+    vm.slots.acquire(
       {
         requestId,
         service: 'replay',
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -5,7 +5,7 @@
   NO_BACKPRESSURE,
   NO_LIMITS,
   OPEN_GATE,
-  PlaceQueue,
+  SlotQueue,
   ReadingTime,
   SilenceWatch,
   TargetPace,
@@ -170,7 +170,7 @@
     connections,
     dialect,
     askTarget: askNobody,
-    places: new PlaceQueue({
+    slots: new SlotQueue({
       ...{ ...shared, failureDomain: 'd1', locality },
       limit: () => 1_000,
       gate: OPEN_GATE,
