--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -8,7 +8,7 @@
 export { default as judgeSilence } from './judge-silence.js';
 export { default as KeptPrompts } from './kept-prompts.js';
 export { default as ReadingTime } from './reading-time.js';
-export { default as SlotQueue } from './slot-queue.js';
+export { default as SlotQueue, type Slot } from './slot-queue.js';
 export { default as SilenceWatch } from './silence-watch.js';
 export { NO_LIMITS, type SendPermits } from './send-permits.js';
 export { NO_BACKPRESSURE, type TargetBackpressure } from './target-backpressure.js';
