Name the targets of a hold or a refusal; ask for cooldowns only while there are any

What operators saw: held-for-cooldown for requests of a service that has no target at all, and refusals that gave a number of targets in place of their names.

Cause: "every target cools down" holds for none.

While no target has a cooldown, and a minute behind the last one, nothing is looked up for each target and waiter. The types of slots have a file of their own, so that slot-queue and target-availability no longer import each other.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -4,7 +4,7 @@
 import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
 import type { AnswerFacts, TargetOrder } from './dialect.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 import readAnswer from './read-answer.js';
 import type { NoteUnreached } from './send-payments.js';
 
--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -2,7 +2,7 @@
 import type { Advice } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import type RunCopies from './run-copies.js';
 
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -20,7 +20,7 @@
 import type { ForwardContext } from './context.js';
 import { describeIdentity } from './identify-admitted.js';
 import { MAX_TURNED_AWAY, QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import SendPayments from './send-payments.js';
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -21,7 +21,7 @@
 import { describeIdentity } from './identify-admitted.js';
 import { QUARANTINED_MESSAGE, SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import reportRefusal, { REFUSED_MESSAGE } from './report-refusal.js';
 import RunCopies from './run-copies.js';
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -3,7 +3,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy, TargetOrder } from './dialect.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 import type RunCopies from './run-copies.js';
 import RunHearing from './run-hearing.js';
 import type { RunPace } from './target-pace.js';
--- a/packages/forward-request/src/run-copies.ts
+++ b/packages/forward-request/src/run-copies.ts
@@ -4,7 +4,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunCopy } from './dialect.js';
-import type { Slot } from './slot-queue.js';
+import type { Slot } from './slot-request.js';
 
 /** The copies of one request's runs. */
 export default class RunCopies {
--- a/packages/forward-request/src/slot-queue.test.ts
+++ b/packages/forward-request/src/slot-queue.test.ts
@@ -1,10 +1,12 @@
 import { createLocality } from '@limelead/locality';
+import type { HeldRequest } from '@limelead/track-backpressure';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget, WaitingRequests } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { SlotRefusal } from './slot-refusal.js';
-import SlotQueue, { type Slot, type SlotRequest } from './slot-queue.js';
+import SlotQueue from './slot-queue.js';
+import type { Slot, SlotRequest } from './slot-request.js';
 import { NO_LIMITS, type SendPermits } from './send-permits.js';
 import { NO_BACKPRESSURE, type TargetBackpressure } from './target-backpressure.js';
 import { OPEN_GATE, type TargetGate } from './target-gate.js';
@@ -52,7 +54,7 @@
     limit: ({ target }) => target.slots,
     gate: { ...OPEN_GATE, noteSent: ({ id }) => sent.push(id), ...gate },
     permits: { ...NO_LIMITS, ...permits },
-    backpressure: { ...NO_BACKPRESSURE, ...backpressure },
+    backpressure: { ...NO_BACKPRESSURE, isCoolingAny: true, ...backpressure },
     random: { next: () => 0 },
   });
   const slots: (Slot | undefined)[] = [];
@@ -143,14 +145,14 @@
   let endMs = 900;
   const backpressure = {
     coolingUntilMs: () => endMs,
-    onHeld: ({ requestId }: Pick<SlotRequest, 'requestId'>) => void held.push(requestId),
+    onHeld: ({ requestId, waitMs }: HeldRequest) => void held.push(`${requestId} ${waitMs}`),
   };
   const { queue, slots, refusals, take } = create({}, {}, backpressure);
   take();
-  assert.equal([slots.length, queue.waiting, held], [0, 1, ['r']]);
+  assert.equal([slots.length, queue.waiting, held], [0, 1, ['r 900']]);
   endMs = 1_000;
   take();
-  assert.equal(refusals, [{ kind: 'cooling', retryAfterMs: 1_000, targets: 2 }]);
+  assert.equal(refusals, [{ kind: 'cooling', retryAfterMs: 1_000, targets: ['v1-0', 'v2-0'] }]);
 });
 
 test('a request is refused where the first target would have too little time for it', () => {
@@ -163,6 +165,14 @@
   assert.equal([refused, queue.waiting], [[true], 1]);
 });
 
+test('a request that waits for want of targets is not held for a cooldown', () => {
+  const held: string[] = [];
+  const onHeld = ({ requestId }: HeldRequest): void => void held.push(requestId);
+  const { queue } = create({}, {}, { coolingUntilMs: () => 900, onHeld });
+  queue.acquire({ ...REQUEST, service: 'other' }, () => undefined);
+  assert.equal([queue.waiting, held], [1, []]);
+});
+
 test('no permit is asked for while its target cools down', () => {
   let waiting: WaitingRequests | undefined;
   const cooling = new Map([['v1-0', 5_000]]);
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -4,54 +4,15 @@
  */
 import { chooseServiceTarget, type ServiceChoiceRequest } from '@limelead/choose-service-target';
 import type { Locality } from '@limelead/locality';
-import {
-  isSuspected,
-  type TargetDirectory,
-  type TrackedServiceTarget,
-} from '@limelead/track-service-targets';
-import type {
-  CancelTimer,
-  Clock,
-  Millis,
-  PermitRefusal,
-  Random,
-  Timers,
-  Want,
-} from '@limelead/types';
+import { isSuspected, type TrackedServiceTarget } from '@limelead/track-service-targets';
+import type { CancelTimer, PermitRefusal, Timers, Want } from '@limelead/types';
 import type { SlotRefusal } from './slot-refusal.js';
-import type { SendPermits } from './send-permits.js';
-import TargetAvailability from './target-availability.js';
-import type { TargetBackpressure } from './target-backpressure.js';
-import type { TargetGate } from './target-gate.js';
+import type { Slot, SlotRequest } from './slot-request.js';
+import TargetAvailability, { type TargetAvailabilityOptions } from './target-availability.js';
 
 /** Suspicion and pauses end with time, without any event; so waiters are tried again. */
 const RETRY_INTERVAL_MS = 20;
 
-/** What a slot is wanted for. */
-export interface SlotRequest {
-  requestId: string;
-  service: string;
-  affinityKey: string;
-  exclude: ReadonlySet<string>;
-  rank: number;
-  /** The target may end under the request: only those with the fewest others are looked at. */
-  avoidsOthers?: boolean;
-  /** A second send beside the first: takes no permit that another request could have. */
-  isExtra?: boolean;
-  /** Steady time at which waiting ends. */
-  untilMs: Millis;
-  /** Least time that the target needs for an answer, in milliseconds. */
-  serviceMs?: Millis;
-}
-
-/** A slot at a target; `release` gives it back. */
-export interface Slot {
-  tracked: TrackedServiceTarget;
-  /** Where the scheduler would keep a copy of the run. */
-  copyTo?: string;
-  release(): void;
-}
-
 /** Gives a slot, or undefined where none came in time, with why where that is certain at once. */
 type Receive = (slot: Slot | undefined, refusal?: SlotRefusal) => void;
 
@@ -64,18 +25,10 @@
 }
 
 /** What the queue needs. */
-export interface SlotQueueOptions {
-  clock: Clock;
+export interface SlotQueueOptions extends TargetAvailabilityOptions {
   timers: Timers;
-  directory: TargetDirectory;
   failureDomain: string;
   locality: Locality;
-  /** Requests of this VM that one target takes at once. */
-  limit: (tracked: TrackedServiceTarget) => number;
-  gate: TargetGate;
-  permits: SendPermits;
-  backpressure: TargetBackpressure;
-  random: Random;
 }
 
 /** Hands out slots at targets. */
@@ -135,10 +88,8 @@
   }
 
   private wait(request: SlotRequest, receive: Receive): () => void {
-    const { permits, backpressure } = this.options;
-    if (this.availability.isAllCooling(request.service)) {
-      backpressure.onHeld(request);
-    }
+    const { permits } = this.options;
+    this.availability.reportHeld(request);
     this.lastId += 1;
     const waiter: Waiter = { id: this.lastId, request, receive, isOver: false };
     this.waiters.push(waiter);
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -1,14 +1,29 @@
 /** Whether this VM may send to a target now, and if it may not, whether waiting is of use. */
-import { refuseCooling, SLOW_START_MS } from '@limelead/track-backpressure';
-import type { TrackedServiceTarget } from '@limelead/track-service-targets';
-import type { SlotQueueOptions, SlotRequest } from './slot-queue.js';
+import {
+  findFirstEnd,
+  refuseCooling,
+  SLOW_START_MS,
+  type TargetCooldown,
+} from '@limelead/track-backpressure';
+import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
+import type { Clock, Random } from '@limelead/types';
+import type { SendPermits } from './send-permits.js';
 import type { SlotRefusal } from './slot-refusal.js';
+import type { SlotRequest } from './slot-request.js';
+import type { TargetBackpressure } from './target-backpressure.js';
+import type { TargetGate } from './target-gate.js';
 
 /** What the answer depends on. */
-export type TargetAvailabilityOptions = Pick<
-  SlotQueueOptions,
-  'backpressure' | 'clock' | 'directory' | 'gate' | 'limit' | 'permits' | 'random'
->;
+export interface TargetAvailabilityOptions {
+  clock: Clock;
+  random: Random;
+  directory: TargetDirectory;
+  /** Requests of this VM that one target takes at once. */
+  limit: (tracked: TrackedServiceTarget) => number;
+  gate: TargetGate;
+  permits: SendPermits;
+  backpressure: TargetBackpressure;
+}
 
 /** Asks everything that has a say. */
 export default class TargetAvailability {
@@ -30,9 +45,14 @@
     return this.options.backpressure.coolingUntilMs(target.id) !== undefined;
   }
 
-  /** Whether nothing of a service takes requests from this VM for a while. */
-  isAllCooling(service: string): boolean {
-    return this.options.directory.listUsable(service).every((tracked) => this.isCooling(tracked));
+  /** A request waits: says so where all targets of its service cool down. */
+  reportHeld({ requestId, service }: SlotRequest): void {
+    const { backpressure, clock } = this.options;
+    const first = findFirstEnd(this.listCooldowns(service));
+    if (first !== undefined) {
+      const { target, untilMs } = first;
+      backpressure.onHeld({ requestId, service, target, waitMs: untilMs - clock.now() });
+    }
   }
 
   /**
@@ -40,20 +60,30 @@
    * is refused while the first may be answered.
    */
   findRefusal({ service, untilMs, serviceMs = 0, isExtra }: SlotRequest): SlotRefusal | undefined {
-    const { backpressure, clock, directory, random } = this.options;
+    const { clock, random } = this.options;
     if (isExtra === true) {
       return undefined;
     }
     return refuseCooling({
-      endsMs: directory
-        .listUsable(service)
-        .map(({ target }) => backpressure.coolingUntilMs(target.id)),
+      cooldowns: this.listCooldowns(service),
       untilMs: untilMs - serviceMs,
       now: clock.now(),
       spreadMs: random.next() * SLOW_START_MS,
     });
   }
 
+  /** One for each target of a service; none while no target of any service has one. */
+  private listCooldowns(service: string): TargetCooldown[] {
+    const { backpressure, directory } = this.options;
+    if (!backpressure.isCoolingAny) {
+      return [];
+    }
+    return directory.listUsable(service).map(({ target: { id } }) => ({
+      target: id,
+      untilMs: backpressure.coolingUntilMs(id),
+    }));
+  }
+
   private isOpen(tracked: TrackedServiceTarget): boolean {
     const { directory, gate } = this.options;
     const { target } = tracked;
@@ -77,8 +107,8 @@
    * out while the others only wait for permits.
    */
   listPermitted({ service, exclude, isExtra }: SlotRequest): TrackedServiceTarget[] {
-    const { directory, permits } = this.options;
-    const usable = directory.listUsable(service).filter((tracked) => !this.isCooling(tracked));
+    const { permits } = this.options;
+    const usable = this.listUsable(service);
     if (!permits.isLimiting) {
       return usable;
     }
@@ -86,4 +116,12 @@
     const hasFailed = ({ target }: TrackedServiceTarget): boolean => exclude.has(target.id);
     return permitted.every(hasFailed) && !usable.every(hasFailed) ? [] : permitted;
   }
+
+  private listUsable(service: string): TrackedServiceTarget[] {
+    const { backpressure, directory } = this.options;
+    const usable = directory.listUsable(service);
+    return backpressure.isCoolingAny
+      ? usable.filter((tracked) => !this.isCooling(tracked))
+      : usable;
+  }
 }
--- a/packages/track-backpressure/src/backpressure.test.ts
+++ b/packages/track-backpressure/src/backpressure.test.ts
@@ -101,6 +101,16 @@
   assert.equal(lines, ['target-cooldown', 'target-cooldown-over']);
 });
 
+test('a cooldown is forgotten a minute behind its end', () => {
+  const { backpressure, ask, passTo } = create();
+  assert.not(backpressure.isCoolingAny);
+  ask(1_000);
+  passTo(1_000);
+  assert.ok(backpressure.isCoolingAny);
+  passTo(61_000);
+  assert.not(backpressure.isCoolingAny);
+});
+
 test('requests grow from one to all slots behind a cooldown', () => {
   const { backpressure, ask, passTo } = create();
   assert.is(backpressure.limitSlots('t', 6), 6);
--- a/packages/track-backpressure/src/backpressure.ts
+++ b/packages/track-backpressure/src/backpressure.ts
@@ -18,6 +18,9 @@
 export interface HeldRequest {
   requestId: string;
   service: string;
+  /** The target whose cooldown ends first, and the time until then. */
+  target: string;
+  waitMs: Millis;
 }
 
 /** One VM's view of what targets ask for. */
@@ -57,6 +60,11 @@
     return this.leaving.knownSinceMs(target) !== undefined;
   }
 
+  /** Whether any target has a cooldown, or had one a minute ago. */
+  get isCoolingAny(): boolean {
+    return this.cooldowns.size > 0;
+  }
+
   /** Steady time until which a target wants nothing from this VM; undefined where it takes work. */
   coolingUntilMs(target: string): Millis | undefined {
     return this.cooldowns.activeUntilMs(target);
@@ -68,9 +76,9 @@
   }
 
   /** A request waits, since all targets of its service have cooldowns. */
-  onHeld({ requestId, service }: HeldRequest): void {
+  onHeld({ waitMs, ...request }: HeldRequest): void {
     this.options.metrics.count('limelead_held_for_cooldown_total');
-    this.noteHeld({ requestId, service });
+    this.noteHeld({ ...request, waitMs: Math.round(waitMs) });
   }
 
   /** An answer shows what a target got although it had asked this VM not to send. */
--- a/packages/track-backpressure/src/cooldown-book.ts
+++ b/packages/track-backpressure/src/cooldown-book.ts
@@ -14,6 +14,10 @@
 export default class CooldownBook {
   private readonly cooldowns = new Map<string, Cooldown>();
 
+  get size(): number {
+    return this.cooldowns.size;
+  }
+
   /** The last cooldown of a target. */
   find(target: string): Cooldown | undefined {
     return this.cooldowns.get(target);
@@ -44,10 +48,10 @@
     return 'prolonged';
   }
 
-  /** Forgets the cooldowns that ended before that time. */
-  prune(endedBeforeMs: Millis): void {
+  /** Forgets the cooldowns that ended by that time. */
+  prune(endedByMs: Millis): void {
     for (const [target, { untilMs }] of this.cooldowns) {
-      if (untilMs < endedBeforeMs) {
+      if (untilMs <= endedByMs) {
         this.cooldowns.delete(target);
       }
     }
--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -1,7 +1,16 @@
 /** What targets ask for in the headers of their answers, and whether this VM may send to them now. */
-export { default as Backpressure, type BackpressureOptions } from './backpressure.js';
+export {
+  default as Backpressure,
+  type BackpressureOptions,
+  type HeldRequest,
+} from './backpressure.js';
 export type { LeavingFact } from './leaving-book.js';
-export { default as refuseCooling, type CoolingRefusal } from './refuse-cooling.js';
+export {
+  default as refuseCooling,
+  findFirstEnd,
+  type CoolingRefusal,
+  type TargetCooldown,
+} from './refuse-cooling.js';
 export { SLOW_START_MS } from './slow-start.js';
 export { default as parseRateLimit } from './parse-rate-limit.js';
 export { default as parseRetryAfter } from './parse-retry-after.js';
--- a/packages/track-backpressure/src/target-cooldowns.ts
+++ b/packages/track-backpressure/src/target-cooldowns.ts
@@ -45,6 +45,11 @@
     }
   }
 
+  /** Cooldowns that are known, also some that are over. */
+  get size(): number {
+    return this.cooldowns.size;
+  }
+
   /** Steady time until which a target wants nothing from this VM; undefined where it takes work. */
   activeUntilMs(target: string): Millis | undefined {
     return this.cooldowns.findActive(target, this.now)?.untilMs;
@@ -70,7 +75,6 @@
     const { now } = this;
     const untilMs = drawCooldownEnd(delayMs, now, this.options.random);
     const outcome = this.cooldowns.extend(target, untilMs, now);
-    this.cooldowns.prune(now - KEEP_ENDED_MS);
     this.options.metrics.count('limelead_cooldowns_total', 1, { outcome });
     if (outcome !== 'covered') {
       this.noteCooldown({ target, requestId, outcome, requestedMs: Math.round(delayMs) });
@@ -90,8 +94,13 @@
     const { sinceMs, untilMs } = cooldown;
     if (untilMs <= now) {
       this.noteCooldownOver({ target, lastedMs: Math.round(untilMs - sinceMs) });
+      this.options.timers.after(KEEP_ENDED_MS, () => this.prune());
       return;
     }
     this.options.timers.after(Math.min(untilMs - now, MAX_TIMER_MS), () => this.watchEnd(target));
   }
+
+  private prune(): void {
+    this.cooldowns.prune(this.now - KEEP_ENDED_MS);
+  }
 }
