Plain terms in the comments of the new code

Read as a newcomer: handlers, gossip, announcements and limits are named as elsewhere in the field. The bundled program is the same but for these comments.

--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -1,4 +1,4 @@
-/** Whether this VM may send to a target now, and if it may not, whether waiting is of use. */
+/** Whether this VM may send to a target now, and if not, whether waiting can help. */
 import {
   findFirstEnd,
   refuseCooling,
@@ -13,7 +13,7 @@
 import type { TargetBackpressure } from './target-backpressure.js';
 import type { TargetGate } from './target-gate.js';
 
-/** What the answer depends on. */
+/** Dependencies of the availability checks. */
 export interface TargetAvailabilityOptions {
   clock: Clock;
   random: Random;
@@ -25,17 +25,17 @@
   backpressure: TargetBackpressure;
 }
 
-/** Asks everything that has a say. */
+/** Combines cooldowns, draining, suspicion, roll-outs, rate limits and free slots. */
 export default class TargetAvailability {
   constructor(private readonly options: TargetAvailabilityOptions) {}
 
-  /** Whether this VM has fewer requests there than it may. */
+  /** Whether this VM has a free slot at the target. */
   hasRoom(tracked: TrackedServiceTarget): boolean {
     const { clock } = this.options;
     return tracked.evidence.fullUntilMs <= clock.now() && tracked.inFlight < this.slotsAt(tracked);
   }
 
-  /** Requests that this VM may have there at once. */
+  /** Concurrency limit of this VM at the target. */
   slotsAt(tracked: TrackedServiceTarget): number {
     const { backpressure, limit } = this.options;
     return backpressure.limitSlots(tracked.target.id, limit(tracked));
@@ -45,7 +45,7 @@
     return this.options.backpressure.coolingUntilMs(target.id) !== undefined;
   }
 
-  /** A request waits: says so where all targets of its service cool down. */
+  /** Logs a request that waits because all targets of its service are in a cooldown. */
   reportHeld({ requestId, service }: SlotRequest): void {
     const { backpressure, clock } = this.options;
     const first = findFirstEnd(this.listCooldowns(service));
@@ -56,8 +56,8 @@
   }
 
   /**
-   * Why waiting is in vain; undefined where it is not. A second send beside the first waits: nothing
-   * is refused while the first may be answered.
+   * Why the request can't be served in time; undefined while it may be. A hedge is never refused,
+   * since the first attempt may still be answered.
    */
   findRefusal({ service, untilMs, serviceMs = 0, isExtra }: SlotRequest): SlotRefusal | undefined {
     const { clock, random } = this.options;
@@ -72,7 +72,7 @@
     });
   }
 
-  /** One for each target of a service; none while no target of any service has one. */
+  /** Empty while no target of any service has a cooldown, to keep the common case cheap. */
   private listCooldowns(service: string): TargetCooldown[] {
     const { backpressure, directory } = this.options;
     if (!backpressure.isCoolingAny) {
@@ -91,20 +91,20 @@
     return isUp && !this.isCooling(tracked) && gate.mayTake(target);
   }
 
-  /** Whether nothing can be sent to a target now, for another reason than its limit. */
+  /** Whether a target is unavailable for another reason than its rate limit. */
   isAvoided(targetId: string): boolean {
     const tracked = this.options.directory.get(targetId);
     return tracked === undefined || !this.hasRoom(tracked) || !this.isOpen(tracked);
   }
 
-  /** Whether a target takes requests of this VM now, its slots aside. */
+  /** Whether a target accepts requests from this VM now; free slots are not checked. */
   isAvailable(tracked: TrackedServiceTarget): boolean {
     return this.isOpen(tracked) && this.options.permits.maySend(tracked.target.id);
   }
 
   /**
-   * Targets that take work and may be sent some now. One that failed the request is no way
-   * out while the others only wait for permits.
+   * Targets that may be sent the request now. A target that failed the request is not retried while
+   * the others only wait for permits.
    */
   listPermitted({ service, exclude, isExtra }: SlotRequest): TrackedServiceTarget[] {
     const { permits } = this.options;
--- a/packages/gateway/src/create-backpressure.ts
+++ b/packages/gateway/src/create-backpressure.ts
@@ -1,9 +1,9 @@
-/** Joins what targets ask for with the targets that are known and the conversation with peers. */
+/** Connects backpressure to the target directory and to the exchange with peers. */
 import { Backpressure } from '@limelead/track-backpressure';
 import { backgroundTimers } from '@limelead/types';
 import type { FleetPartContext } from './fleet-part.js';
 
-/** Creates it. */
+/** Creates the backpressure of one VM. */
 export default function createBackpressure({
   clock,
   random,
--- a/packages/share-evidence/src/evidence-exchange.ts
+++ b/packages/share-evidence/src/evidence-exchange.ts
@@ -259,7 +259,7 @@
     this.targetNews.publishGuardNews(news, from);
   }
 
-  /** Tells peers of targets that said that they leave, the one that told it aside. */
+  /** Publishes leaving targets to all peers except the one that they came from. */
   publishLeaving(facts: LeavingFact[], from?: PeerId): void {
     this.targetNews.publishLeaving(facts, from);
   }
--- a/packages/share-evidence/src/leaving-exchange.ts
+++ b/packages/share-evidence/src/leaving-exchange.ts
@@ -1,11 +1,11 @@
-/** What VMs tell each other of targets that said in their answers that they leave. */
+/** Gossip about targets that announced in their answers that they leave. */
 import type { LeavingFact } from '@limelead/track-backpressure';
 import type { Clock } from '@limelead/types';
 import { composeLeavingNews, readLeavingNews } from './leaving-messages.js';
 import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
-/** What it needs. */
+/** Dependencies of the exchange. */
 export interface LeavingExchangeOptions extends Pick<
   EvidenceExchangeOptions,
   'readLeaving' | 'onLeaving'
@@ -18,11 +18,11 @@
   broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
-/** Tells and hears; who knew a fact does not pass it on again. */
+/** Publishes and receives announcements; forwarding known ones is left to the receiver's filter. */
 export default class LeavingExchange {
   constructor(private readonly options: LeavingExchangeOptions) {}
 
-  /** Tells the peers of gossip, the one that told it aside. */
+  /** Publishes to the gossip peers, except the one that it came from. */
   publish(facts: LeavingFact[], from?: PeerId): void {
     this.send(
       facts,
@@ -30,7 +30,7 @@
     );
   }
 
-  /** A link came up: the peer is told all. */
+  /** A new link: the peer gets everything that is known. */
   onLinked(peer: PeerId): void {
     const facts = this.options.readLeaving();
     if (facts.length > 0) {
@@ -38,7 +38,7 @@
     }
   }
 
-  /** A peer told something. */
+  /** A message of a peer arrived. */
   onMessage(peer: PeerId, { leaving }: EvidenceMessageOf<'lost'>): void {
     if (leaving !== undefined && this.options.isPossible(peer)) {
       this.options.onLeaving(readLeavingNews(leaving, this.options.clock.now()), peer);
--- a/packages/share-evidence/src/leaving-messages.ts
+++ b/packages/share-evidence/src/leaving-messages.ts
@@ -1,14 +1,14 @@
-/** How news of leaving targets travel: ages in place of times, since each VM's clock is its own. */
+/** Wire format of leaving announcements; ages replace times, since VMs share no clock. */
 import type { LeavingFact } from '@limelead/track-backpressure';
 import type { Millis } from '@limelead/types';
 import * as t from 'io-ts';
 
-/** Rides on news of lost targets, so that VMs of a release that does not know it pass it over. */
+/** An optional field of the message of lost targets, which older releases ignore. */
 export const leavingNewsCodec = t.array(t.type({ target: t.string, heardAgoMs: t.number }));
 
 type LeavingNews = t.TypeOf<typeof leavingNewsCodec>;
 
-/** Composes the news. */
+/** Encodes announcements. */
 export function composeLeavingNews(facts: LeavingFact[], now: Millis): LeavingNews {
   return facts.map(({ target, heardAtMs }) => ({
     target,
@@ -16,7 +16,7 @@
   }));
 }
 
-/** Reads the news. */
+/** Decodes announcements. */
 export function readLeavingNews(news: LeavingNews, now: Millis): LeavingFact[] {
   return news.map(({ target, heardAgoMs }) => ({ target, heardAtMs: now - heardAgoMs }));
 }
--- a/packages/share-evidence/src/target-news.ts
+++ b/packages/share-evidence/src/target-news.ts
@@ -1,6 +1,6 @@
 /**
- * What spreads with the message of lost targets: losses, targets that leave, and requests that may end
- * targets. VMs of a release that does not know a field pass it over.
+ * Gossip that shares the message of lost targets: losses, leaving targets, and requests that may crash
+ * targets. Older releases ignore the fields that they don't know.
  */
 import type { GuardNews } from '@limelead/quarantine-requests';
 import type { LeavingFact } from '@limelead/track-backpressure';
@@ -11,7 +11,7 @@
 import type { EvidenceMessage, EvidenceMessageOf } from './messages.js';
 import type { EvidenceExchangeOptions, PeerId } from './types.js';
 
-/** What the news need. */
+/** Dependencies of the gossip. */
 export interface TargetNewsOptions extends Pick<
   EvidenceExchangeOptions,
   'clock' | 'timers' | 'onLost' | 'readGuardNews' | 'onGuardNews' | 'readLeaving' | 'onLeaving'
@@ -24,7 +24,7 @@
   broadcast(message: EvidenceMessage, peers: PeerId[]): void;
 }
 
-/** Tells and hears them. */
+/** Publishes and receives news of targets. */
 export default class TargetNews {
   private readonly losses: LossNews;
   private readonly leaving: LeavingExchange;
@@ -45,12 +45,12 @@
     this.losses.take(target, loss);
   }
 
-  /** Tells peers of targets that leave, the one that told it aside. */
+  /** Publishes leaving targets to all peers except the one that they came from. */
   publishLeaving(facts: LeavingFact[], from?: PeerId): void {
     this.leaving.publish(facts, from);
   }
 
-  /** Tells peers of requests that may end targets, the one that told it aside. */
+  /** Publishes evidence about requests to all peers except the one that it came from. */
   publishGuardNews(news: GuardNews, from?: PeerId): void {
     this.sendGuardNews(
       news,
@@ -58,13 +58,13 @@
     );
   }
 
-  /** A link came up: the peer is told what may be news to it. */
+  /** A new link: the peer gets everything that is known. */
   onLinked(peer: PeerId): void {
     this.sendGuardNews(this.options.readGuardNews(), [peer]);
     this.leaving.onLinked(peer);
   }
 
-  /** A peer told some. */
+  /** A message of a peer arrived. */
   onMessage(peer: PeerId, message: EvidenceMessageOf<'lost'>): void {
     const { targets, replaced, requests } = message;
     this.leaving.onMessage(peer, message);
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -119,9 +119,9 @@
   readLimits(): LimitFact[];
   /** A peer told such limits. */
   onLimits(facts: LimitFact[], peer: PeerId): void;
-  /** Targets that said that they leave, for a peer that has just met this one. */
+  /** All targets that announced that they leave, for a newly linked peer. */
   readLeaving(): LeavingFact[];
-  /** A peer told of such targets. */
+  /** A peer published leaving targets. */
   onLeaving(facts: LeavingFact[], peer: PeerId): void;
   /** A peer asks, gives or returns permits to send. */
   onPermits(message: PermitMessage, peer: PeerId): void;
--- a/packages/track-backpressure/src/backpressure.ts
+++ b/packages/track-backpressure/src/backpressure.ts
@@ -1,20 +1,20 @@
-/** Takes what targets ask for in their answers, and answers whether this VM may send to them. */
+/** Backpressure that targets signal in their answers, and what it means for sends of this VM. */
 import { createLineLimit, type LimitedLines } from '@limelead/decision-log';
 import type { DirectiveResponse, Millis } from '@limelead/types';
 import type { LeavingFact } from './leaving-book.js';
 import LeavingTargets, { type LeavingTargetsOptions } from './leaving-targets.js';
 import TargetCooldowns, { type TargetCooldownsOptions } from './target-cooldowns.js';
 
-/** Requests that cross the answer which asks for something are no fault. */
+/** Requests already in flight when the directive arrives are not counted as unwanted. */
 const CROSSING_MS: Millis = 50;
 
-/** What is needed. */
+/** Dependencies of the backpressure. */
 export type BackpressureOptions = TargetCooldownsOptions & LeavingTargetsOptions;
 
-/** What a target asked for and did not get. */
+/** A directive that a send ignored. */
 type Directive = 'cooldown' | 'leaving';
 
-/** A request that waits until a target's cooldown is over. */
+/** A request that waits for the end of a cooldown. */
 export interface HeldRequest {
   requestId: string;
   service: string;
@@ -23,7 +23,7 @@
   waitMs: Millis;
 }
 
-/** One VM's view of what targets ask for. */
+/** Tracks the directives of all targets, as one VM knows them. */
 export default class Backpressure {
   private readonly cooldowns: TargetCooldowns;
   private readonly leaving: LeavingTargets;
@@ -38,50 +38,50 @@
     this.noteHeld = createLineLimit(log, clock, 'held-for-cooldown');
   }
 
-  /** A target answered. */
+  /** An answer arrived. */
   onResponse(response: DirectiveResponse): void {
     this.checkSend(response);
     this.cooldowns.onResponse(response);
     this.leaving.onResponse(response);
   }
 
-  /** Another VM told which targets leave. */
+  /** A peer published leaving targets. */
   onPeerUpdate(vm: string, facts: LeavingFact[]): void {
     this.leaving.onPeerUpdate(vm, facts);
   }
 
-  /** All targets that leave, for a VM that has just met this one. */
+  /** All leaving targets, for a newly linked peer. */
   listLeaving(): LeavingFact[] {
     return this.leaving.list();
   }
 
-  /** Whether an incarnation said that it leaves, whatever its entry says. */
+  /** Whether an incarnation announced that it leaves, regardless of its registry entry. */
   isLeaving(target: string): boolean {
     return this.leaving.knownSinceMs(target) !== undefined;
   }
 
-  /** Whether any target has a cooldown, or had one a minute ago. */
+  /** Whether any target is in a cooldown, or left one in the last minute. */
   get isCoolingAny(): boolean {
     return this.cooldowns.size > 0;
   }
 
-  /** Steady time until which a target wants nothing from this VM; undefined where it takes work. */
+  /** End of a target's cooldown for this VM, in steady time; undefined where there is none. */
   coolingUntilMs(target: string): Millis | undefined {
     return this.cooldowns.activeUntilMs(target);
   }
 
-  /** Requests that this VM may have at a target at once, of those that the target takes. */
+  /** Concurrency limit at a target, reduced during the slow start after a cooldown. */
   limitSlots(target: string, slots: number): number {
     return this.cooldowns.limitSlots(target, slots);
   }
 
-  /** A request waits, since all targets of its service have cooldowns. */
+  /** A request waits because all targets of its service are in a cooldown. */
   onHeld({ waitMs, ...request }: HeldRequest): void {
     this.options.metrics.count('limelead_held_for_cooldown_total');
     this.noteHeld({ ...request, waitMs: Math.round(waitMs) });
   }
 
-  /** An answer shows what a target got although it had asked this VM not to send. */
+  /** Reports sends that violated a directive which was in force when they began. */
   private checkSend(response: DirectiveResponse): void {
     const { target, sentAtMs } = response;
     this.reportUnwanted('cooldown', response, this.cooldowns.findBeginAt(target, sentAtMs));
--- a/packages/track-backpressure/src/cooldown-book.ts
+++ b/packages/track-backpressure/src/cooldown-book.ts
@@ -1,16 +1,16 @@
-/** Until when each target wants nothing from this VM. */
+/** The cooldown of each target. */
 import type { Millis } from '@limelead/types';
 
-/** A span in which a target wants nothing from this VM. */
+/** A span in which this VM sends nothing to a target. */
 export interface Cooldown {
   sinceMs: Millis;
   untilMs: Millis;
 }
 
-/** What a request for a cooldown did; one that ends sooner than the present one changes nothing. */
+/** Effect of a requested cooldown; one that ends before the present one has none. */
 export type CooldownOutcome = 'begun' | 'prolonged' | 'covered';
 
-/** Holds the last cooldown of each target, also where it is over. */
+/** Keeps the latest cooldown of each target, expired ones included. */
 export default class CooldownBook {
   private readonly cooldowns = new Map<string, Cooldown>();
 
@@ -18,23 +18,23 @@
     return this.cooldowns.size;
   }
 
-  /** The last cooldown of a target. */
+  /** The latest cooldown of a target, which may have expired. */
   find(target: string): Cooldown | undefined {
     return this.cooldowns.get(target);
   }
 
-  /** The cooldown of a target that is in force now. */
+  /** The cooldown of a target, unless it has expired. */
   findActive(target: string, now: Millis): Cooldown | undefined {
     const cooldown = this.cooldowns.get(target);
     return cooldown !== undefined && cooldown.untilMs > now ? cooldown : undefined;
   }
 
-  /** Targets whose cooldowns are in force now. */
+  /** Number of targets in a cooldown. */
   countActive(now: Millis): number {
     return [...this.cooldowns.values()].filter(({ untilMs }) => untilMs > now).length;
   }
 
-  /** A target asked for a cooldown that ends at that time. */
+  /** Begins or prolongs a cooldown; never shortens it. */
   extend(target: string, untilMs: Millis, now: Millis): CooldownOutcome {
     const active = this.findActive(target, now);
     if (active === undefined) {
@@ -48,7 +48,7 @@
     return 'prolonged';
   }
 
-  /** Forgets the cooldowns that ended by that time. */
+  /** Removes cooldowns that expired by the given time. */
   prune(endedByMs: Millis): void {
     for (const [target, { untilMs }] of this.cooldowns) {
       if (untilMs <= endedByMs) {
--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -1,4 +1,4 @@
-/** What targets ask for in the headers of their answers, and whether this VM may send to them now. */
+/** Backpressure that targets signal in the headers of their answers. */
 export {
   default as Backpressure,
   type BackpressureOptions,
--- a/packages/track-backpressure/src/leaving-book.ts
+++ b/packages/track-backpressure/src/leaving-book.ts
@@ -1,24 +1,24 @@
-/** Which targets said that they leave. */
+/** Targets that announced that they leave. */
 import type { Millis } from '@limelead/types';
 
-/** A target said in an answer that it takes no more work. */
+/** Announcement of a target that it accepts no new work. */
 export interface LeavingFact {
-  /** Id of the incarnation, whose end alone lifts it. */
+  /** Id of the incarnation; the announcement holds until it ends. */
   target: string;
-  /** When the answer came; steady time. */
+  /** Steady time at which the answer arrived. */
   heardAtMs: Millis;
 }
 
 interface KnownFact extends LeavingFact {
-  /** Since when this VM knows it. */
+  /** Steady time at which this VM learned of it. */
   knownSinceMs: Millis;
 }
 
-/** Holds the first word of each target. */
+/** Keeps the first announcement of each target. */
 export default class LeavingBook {
   private readonly facts = new Map<string, KnownFact>();
 
-  /** Since when this VM knows that a target leaves; undefined where it does not. */
+  /** Steady time at which this VM learned of the announcement; undefined without one. */
   knownSinceMs(target: string): Millis | undefined {
     return this.facts.get(target)?.knownSinceMs;
   }
@@ -27,7 +27,7 @@
     return [...this.facts.values()].map(({ target, heardAtMs }) => ({ target, heardAtMs }));
   }
 
-  /** False where it was known. */
+  /** Adds an announcement; false if the target already has one. */
   add(fact: LeavingFact, now: Millis): boolean {
     if (this.facts.has(fact.target)) {
       return false;
@@ -36,7 +36,7 @@
     return true;
   }
 
-  /** Forgets what was heard before that time of targets that are not listed. */
+  /** Removes announcements older than the given time of targets that are not listed. */
   prune(heardBeforeMs: Millis, isListed: (target: string) => boolean): void {
     for (const { target, heardAtMs } of [...this.facts.values()]) {
       if (heardAtMs < heardBeforeMs && !isListed(target)) {
--- a/packages/track-backpressure/src/leaving-targets.ts
+++ b/packages/track-backpressure/src/leaving-targets.ts
@@ -1,29 +1,29 @@
 /**
- * Targets that said in their answers that they leave. Every VM is told, since the store may go on
- * calling them ready.
+ * Leaving announcements from answers and from peers. They are gossiped, since the registry may
+ * list a leaving target as ready until it is gone.
  */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, DirectiveResponse, Millis } from '@limelead/types';
 import LeavingBook, { type LeavingFact } from './leaving-book.js';
 
-/** A target whose entry lapsed may be listed again within this time. */
+/** A lapsed registry entry may come back within this time. */
 const KEEP_UNLISTED_MS: Millis = 600_000;
 
-/** What is needed. */
+/** Dependencies. */
 export interface LeavingTargetsOptions {
   clock: Clock;
   log: Pick<DecisionLog, 'write'>;
   metrics: Pick<Metrics, 'count'>;
-  /** Whether the store lists that incarnation. */
+  /** Whether the registry lists the incarnation. */
   isListed(target: string): boolean;
-  /** A target takes no more work from this VM. */
+  /** An announcement is new to this VM. */
   onLeaving(target: string): void;
-  /** Tells other VMs, the one that told it aside. */
+  /** Publishes to all peers except the one that it came from. */
   publish(facts: LeavingFact[], from?: string): void;
 }
 
-/** Takes answers and what other VMs tell. */
+/** Collects announcements. */
 export default class LeavingTargets {
   private readonly book = new LeavingBook();
   private readonly noteAnnounced: LimitedLines;
@@ -33,24 +33,24 @@
     this.noteAnnounced = createLineLimit(log, clock, 'target-leaving-announced');
   }
 
-  /** Since when this VM knows that a target leaves; undefined where it does not. */
+  /** Steady time at which this VM learned of the announcement; undefined without one. */
   knownSinceMs(target: string): Millis | undefined {
     return this.book.knownSinceMs(target);
   }
 
-  /** All that is known, for a VM that has just met this one. */
+  /** All announcements, for a newly linked peer. */
   list(): LeavingFact[] {
     return this.book.list();
   }
 
-  /** A target answered. */
+  /** An answer arrived. */
   onResponse({ target, directives }: DirectiveResponse): void {
     if (directives.isLeaving) {
       this.take([{ target, heardAtMs: this.options.clock.now() }]);
     }
   }
 
-  /** Another VM told what it knows. */
+  /** A peer published announcements. */
   onPeerUpdate(vm: string, facts: LeavingFact[]): void {
     this.take(facts, vm);
   }
--- a/packages/track-backpressure/src/parse-decimal.ts
+++ b/packages/track-backpressure/src/parse-decimal.ts
@@ -1,7 +1,7 @@
-/** Reads a plain decimal number, as headers carry it. */
+/** Parses a plain decimal number from a header. */
 const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
 
-/** Undefined for signs, exponents, words, nothing, and what is too large for a number. */
+/** Undefined for signs, exponents, words, empty text, and numbers that are not finite. */
 export default function parseDecimal(text: string): number | undefined {
   const value = DECIMAL.test(text) ? Number(text) : Infinity;
   return Number.isFinite(value) ? value : undefined;
--- a/packages/track-backpressure/src/parse-retry-after.ts
+++ b/packages/track-backpressure/src/parse-retry-after.ts
@@ -1,4 +1,4 @@
-/** Reads `Retry-After` (RFC 9110, 10.2.3), with fractions of seconds besides. */
+/** Parses `Retry-After` (RFC 9110, 10.2.3); fractions of seconds are accepted as well. */
 import type { Millis, RequestedCooldown } from '@limelead/types';
 import parseDecimal from './parse-decimal.js';
 import createUnreadable from './unreadable.js';
--- a/packages/track-backpressure/src/read-directives.ts
+++ b/packages/track-backpressure/src/read-directives.ts
@@ -1,4 +1,4 @@
-/** Decodes all that the head of an answer asks for, in one place. */
+/** Decodes all backpressure headers of an answer. */
 import type { Millis, TargetDirectives } from '@limelead/types';
 import parseRateLimit from './parse-rate-limit.js';
 import parseRetryAfter from './parse-retry-after.js';
--- a/packages/track-backpressure/src/refuse-cooling.ts
+++ b/packages/track-backpressure/src/refuse-cooling.ts
@@ -1,7 +1,7 @@
-/** Whether waiting for the first target whose cooldown ends is in vain. */
+/** Refuses requests that no cooldown ends early enough for. */
 import type { Millis } from '@limelead/types';
 
-/** Targets that a refusal names at most. */
+/** Limit on the targets that a refusal lists. */
 const MAX_NAMED_TARGETS = 8;
 
 /** A target of a service; `untilMs` is the end of its cooldown, undefined where it has none. */
@@ -10,12 +10,12 @@
   untilMs: Millis | undefined;
 }
 
-/** No target of the service takes anything from this VM in time. */
+/** All targets of the service are in a cooldown until it is too late. */
 export interface CoolingRefusal {
   kind: 'cooling';
-  /** When the first of them does, in milliseconds from now. */
+  /** Time until the first cooldown ends, spread included, in milliseconds. */
   retryAfterMs: Millis;
-  /** Some of the targets, all of which have a cooldown. */
+  /** Ids of some of the targets. */
   targets: readonly string[];
 }
 
@@ -26,11 +26,11 @@
   /** Steady time at which the answer has to begin to come. */
   untilMs: Millis;
   now: Millis;
-  /** Added to the time that the caller is told, in milliseconds. */
+  /** Jitter added to the Retry-After of the caller, in milliseconds. */
   spreadMs: Millis;
 }
 
-/** The cooldown that ends first; undefined while a target has none, or there is no target. */
+/** The cooldown that ends first; undefined if any target has none, or there are no targets. */
 export function findFirstEnd(
   cooldowns: readonly TargetCooldown[],
 ): { target: string; untilMs: Millis } | undefined {
@@ -46,7 +46,7 @@
   return first;
 }
 
-/** Undefined while a target is available, or one will be in time. */
+/** Undefined if a target is available, or will be in time. */
 export default function refuseCooling({
   cooldowns,
   untilMs,
--- a/packages/track-backpressure/src/slow-start.ts
+++ b/packages/track-backpressure/src/slow-start.ts
@@ -1,7 +1,7 @@
-/** Slow start: the requests that a VM may have at a target grow once a cooldown there is over. */
+/** Slow start: concurrency at a target ramps up after a cooldown. */
 import type { Millis } from '@limelead/types';
 
-/** Time after a cooldown in which the requests grow from one to all that the target takes. */
+/** Length of the ramp from one request to all slots. */
 export const SLOW_START_MS: Millis = 1_000;
 
 /** @param sinceEndMs time since the end of the cooldown, in milliseconds */
--- a/packages/track-backpressure/src/target-cooldowns.ts
+++ b/packages/track-backpressure/src/target-cooldowns.ts
@@ -1,4 +1,4 @@
-/** The cooldowns that targets asked this VM for with `Retry-After`. */
+/** Cooldowns that targets request from this VM with `Retry-After`. */
 import { createLineLimit, type DecisionLog, type LimitedLines } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, DirectiveResponse, Millis, Random, Timers } from '@limelead/types';
@@ -6,22 +6,22 @@
 import drawCooldownEnd from './cooldown-end.js';
 import rampSlots from './slow-start.js';
 
-/** A cooldown that is over is remembered this long. */
+/** Expired cooldowns are kept this long, for the slow start and the alarm. */
 const KEEP_ENDED_MS: Millis = 60_000;
-/** Longest single timer; the runtime ends longer ones at once. */
+/** Longest single timer; the runtime fires longer ones immediately. */
 const MAX_TIMER_MS: Millis = 3_600_000;
 
-/** What is needed. */
+/** Dependencies. */
 export interface TargetCooldownsOptions {
   clock: Clock;
-  /** Has to leave the process free to end: a cooldown may last for hours. */
+  /** Must not keep the process alive: a cooldown may last for hours. */
   timers: Timers;
   random: Random;
   log: Pick<DecisionLog, 'write'>;
   metrics: Pick<Metrics, 'count' | 'gauge'>;
 }
 
-/** Takes cooldowns from answers, and tells when they are over. */
+/** Applies requested cooldowns and logs their begin and end. */
 export default class TargetCooldowns {
   private readonly cooldowns = new CooldownBook();
   private readonly noteCooldown: LimitedLines;
@@ -36,7 +36,7 @@
     metrics.gauge('limelead_cooling_targets', () => this.cooldowns.countActive(this.now));
   }
 
-  /** A target answered. */
+  /** An answer arrived. */
   onResponse({ target, requestId, directives: { cooldown } }: DirectiveResponse): void {
     if (cooldown.kind === 'unreadable') {
       this.noteUnreadable({ target, requestId, text: cooldown.text });
@@ -45,23 +45,23 @@
     }
   }
 
-  /** Cooldowns that are known, also some that are over. */
+  /** Number of cooldowns, recently expired ones included. */
   get size(): number {
     return this.cooldowns.size;
   }
 
-  /** Steady time until which a target wants nothing from this VM; undefined where it takes work. */
+  /** End of a target's cooldown, in steady time; undefined where there is none. */
   activeUntilMs(target: string): Millis | undefined {
     return this.cooldowns.findActive(target, this.now)?.untilMs;
   }
 
-  /** Requests that this VM may have at a target at once, of those that the target takes. */
+  /** Concurrency limit at a target, reduced during the slow start. */
   limitSlots(target: string, slots: number): number {
     const cooldown = this.cooldowns.find(target);
     return cooldown === undefined ? slots : rampSlots(slots, this.now - cooldown.untilMs);
   }
 
-  /** When the cooldown began in which a request was sent; undefined where there was none. */
+  /** Begin of the cooldown that was in force at the given time; undefined if there was none. */
   findBeginAt(target: string, sentAtMs: Millis): Millis | undefined {
     const cooldown = this.cooldowns.find(target);
     return cooldown !== undefined && cooldown.untilMs > sentAtMs ? cooldown.sinceMs : undefined;
@@ -84,7 +84,7 @@
     }
   }
 
-  /** Writes the line at the end, which later answers may put off. */
+  /** Logs the end of a cooldown, which later answers may postpone. */
   private watchEnd(target: string): void {
     const { now } = this;
     const cooldown = this.cooldowns.find(target);
--- a/packages/track-backpressure/src/unreadable.ts
+++ b/packages/track-backpressure/src/unreadable.ts
@@ -1,13 +1,13 @@
-/** A header's value that can't be read, cut for the log: a target may send any length. */
+/** A header value that can't be parsed, truncated for the log. */
 const MAX_LOGGED_CHARACTERS = 40;
 
-/** What stands in place of a value. */
+/** Result of a failed parse. */
 export interface UnreadableValue {
   kind: 'unreadable';
   text: string;
 }
 
-/** Keeps the beginning of the text. */
+/** Truncates the text. */
 export default function createUnreadable(text: string): UnreadableValue {
   return { kind: 'unreadable', text: text.slice(0, MAX_LOGGED_CHARACTERS) };
 }
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -88,7 +88,7 @@
     return this.all().filter(({ target }) => target.service === service && !target.leaving);
   }
 
-  /** A target itself said that it leaves. */
+  /** A target announced in an answer that it leaves. */
   onAnnouncedLeaving(id: string): void {
     const known = this.tracked.get(id);
     if (known !== undefined) {
