Drop exports of track-backpressure that nobody uses

The parsers of single headers and three types were public since the adapter called them itself; it calls readDirectives alone. The parser's test names its own module. The bundle has the same lines in another order; tests of the package pass.

--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -1,10 +1,7 @@
 /** Backpressure that targets signal in the headers of their answers. */
-export {
-  default as Backpressure,
-  type BackpressureOptions,
-  type HeldRequest,
-} from './backpressure.js';
+export { default as Backpressure, type HeldRequest } from './backpressure.js';
 export type { LeavingFact } from './leaving-book.js';
+export { default as readDirectives } from './read-directives.js';
 export {
   default as refuseCooling,
   findFirstEnd,
@@ -12,10 +9,3 @@
   type TargetCooldown,
 } from './refuse-cooling.js';
 export { SLOW_START_MS } from './slow-start.js';
-export { default as parseRateLimit } from './parse-rate-limit.js';
-export { default as parseRetryAfter } from './parse-retry-after.js';
-export {
-  default as readDirectives,
-  type DirectiveHead,
-  type DirectiveHeaders,
-} from './read-directives.js';
--- a/packages/track-backpressure/src/parse-retry-after.test.ts
+++ b/packages/track-backpressure/src/parse-retry-after.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { parseRetryAfter } from './index.js';
+import parseRetryAfter from './parse-retry-after.js';
 
 const NOW = Date.UTC(2026, 0, 2, 3, 4, 5);
 const parse = (text?: string) => parseRetryAfter(text, NOW);
