Serve retries of the retry budget by priority

Cause: streams asked for a retry again every 50 to 150 ms, in the order in which timers fired; attempts that reached no target each took a new retry; peers lent at most 1.5 retries in 100 ms.

Change: requests for retries wait in one queue per service and VM, ordered by class, rank and time left, and are served by events and one timer. A retry whose attempt reached no target stays with its request. Peers are asked for what the waiting requests lack, by class, in rounds of 20 ms. Retries count from their attempt, first attempts only if surely within the window, borrowed ones also after their lender's count ended, and the slack is divided by the most VMs known within the window, so that 0.95 instead of 0.8 of the budget can be used.

Tests of spend-retries name the larger usable share (16 -> 19, 32 -> 38, 11 -> 14).

--- a/packages/forward-request/src/call-report.ts
+++ b/packages/forward-request/src/call-report.ts
@@ -22,7 +22,7 @@
   constructor(
     private readonly context: Pick<
       ForwardContext,
-      'clock' | 'failureDomain' | 'locality' | 'log' | 'metrics'
+      'clock' | 'failureDomain' | 'locality' | 'log' | 'metrics' | 'observer'
     >,
     private readonly admitted: AdmittedRequest,
   ) {}
@@ -48,6 +48,19 @@
     this.write('call-turned-away', { target: target.id, isOtherTarget });
   }
 
+  /** Reports to the observer that an attempt ended. */
+  attemptEnded({ target, sentAtMs }: CallAttempt, isGood: boolean): void {
+    const { clock, observer } = this.context;
+    const afterMs = clock.now() - sentAtMs;
+    observer.onAttemptEnded?.(this.admitted, target, { isGood, afterMs });
+  }
+
+  /** Reports to the observer that an attempt is cancelled before its answer. */
+  attemptAbandoned({ target, sentAtMs }: CallAttempt): void {
+    const { clock, observer } = this.context;
+    observer.onAttemptAbandoned?.(this.admitted, target, clock.now() - sentAtMs);
+  }
+
   finished(end: CallOutcome): void {
     const durationMs = Math.round(this.context.clock.now() - this.admitted.receivedAtMs);
     this.write('call-finished', { ...end, durationMs });
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from '@limelead/metrics';
 import type { RequestGuard } from '@limelead/quarantine-requests';
 import type { RouteTable } from '@limelead/route-requests';
-import type { RetryBudgetTracker } from '@limelead/spend-retries';
+import type { PrioritisedRetryBudget } from '@limelead/spend-retries';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { RequestTargetAdvice, Clock, Millis, Timers } from '@limelead/types';
@@ -50,7 +50,5 @@
   readStoreViewAgeMs(): Millis;
   /** Source of the current configuration: "store" or the address of a peer. */
   readConfigurationSource(): string | undefined;
-  retryBudgetOf(service: string): RetryBudgetTracker;
-  /** Number of VMs that share the retry budget, including this one. */
-  countVms(): number;
+  retryBudgetOf(service: string): PrioritisedRetryBudget;
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -18,11 +18,12 @@
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
-import { MAX_REJECTED_ATTEMPTS, QUARANTINED_MESSAGE, MIN_SERVER_ERROR_STATUS } from './limits.js';
+import { MAX_REJECTED_ATTEMPTS, MIN_CALL_MS, MIN_SERVER_ERROR_STATUS } from './limits.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
-import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
+import describeCallRefusal from './describe-call-refusal.js';
 import AttemptBudget from './attempt-budget.js';
+import requestCallRetry from './request-call-retry.js';
 
 /** Longest idle time of a connection that a repeatable call reuses. */
 const REPEATABLE_MAX_IDLE_MS = 10_000;
@@ -30,8 +31,6 @@
 const ONCE_MAX_IDLE_MS = 0;
 /** Share of the objective after which a repeatable call is hedged. */
 const HEDGE_DELAY_SHARE = 0.5;
-/** Shortest time for a call after a cooldown; with less it is refused. */
-const MIN_CALL_MS = 50;
 /** Time without new requests for a target that reported that it is full. */
 const FULL_TARGET_PAUSE_MS = 25;
 
@@ -200,6 +199,7 @@
   /** Streams an answer that is too long to buffer and cancels the other attempts. */
   private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
+    this.stopWaiting();
     this.guarded.recordHarmlessRun();
     this.reportUnanswered('answered', attempt);
     this.cancelOthers(attempt);
@@ -219,7 +219,7 @@
     this.context.directory.observe(attempt.target.id, { kind });
     this.guarded.recordHarmlessRun();
     this.context.observer.onRunStarted?.(this.admitted, attempt.target);
-    this.reportAttemptEnded(attempt, isGood);
+    this.report.attemptEnded(attempt, isGood);
     if (this.streaming === attempt) {
       this.sink.end();
       this.finish('answered', attempt, status);
@@ -242,7 +242,7 @@
       // A call that may have been sent counts as started, so that usage is not undercounted.
       this.context.observer.onRunStarted?.(this.admitted, attempt.target);
       if (!this.guarded.isSuspected) {
-        this.reportAttemptEnded(attempt, false);
+        this.report.attemptEnded(attempt, false);
       }
       this.guarded.recordBrokenRun(attempt.target.id, attempt.sentAtMs, this.context.clock.now());
     } else {
@@ -262,12 +262,6 @@
     }
   }
 
-  private reportAttemptEnded(attempt: CallAttempt, isGood: boolean): void {
-    const { clock, observer } = this.context;
-    const afterMs = clock.now() - attempt.sentAtMs;
-    observer.onAttemptEnded?.(this.admitted, attempt.target, { isGood, afterMs });
-  }
-
   private onRejected(attempt: CallAttempt, isOtherTarget: boolean): void {
     const { id } = attempt.target;
     this.possibleRuns -= 1;
@@ -288,11 +282,11 @@
     if (this.isDone || this.replaceHedgeByRetry() || this.hasPendingAttempt()) {
       return;
     }
-    if (this.rejectedAttempts > MAX_REJECTED_ATTEMPTS || !this.budget.trySpend()) {
+    if (this.rejectedAttempts > MAX_REJECTED_ATTEMPTS) {
       this.giveUp();
-      return;
+    } else {
+      this.requestRetry();
     }
-    this.openAttempt();
   }
 
   private retryFailed(): void {
@@ -306,19 +300,36 @@
 
   private tryRetry(isHedge = false): boolean {
     const { route } = this.admitted;
-    if (!route.repeatable || this.possibleRuns >= route.maxTargets || !this.budget.trySpend()) {
+    if (!route.repeatable || this.possibleRuns >= route.maxTargets) {
       return false;
     }
-    this.openAttempt(isHedge);
+    this.requestRetry(isHedge);
     return true;
   }
 
+  private requestRetry(isHedge = false): void {
+    this.isWaiting = true;
+    this.isHedge = isHedge;
+    const withdraw = requestCallRetry(this.budget, this.admitted, isHedge, (refusal) =>
+      refusal === undefined ? this.openAttempt(isHedge) : this.onRetryRefused(refusal),
+    );
+    this.stopWaiting = withdraw ?? this.stopWaiting;
+  }
+
+  private onRetryRefused(refusal: SlotRefusal): void {
+    this.isWaiting = false;
+    if (!this.hasOpenAttempt) {
+      this.refusal = this.possibleRuns === 0 ? refusal : undefined;
+      this.giveUp();
+    }
+  }
+
   /** Turns a waiting hedge into a retry if no other attempt is left, so that it may use a permit. */
   private replaceHedgeByRetry(): boolean {
     const isOnlyOne = this.isWaiting && this.isHedge && !this.hasOpenAttempt;
     if (isOnlyOne) {
       this.stopWaiting();
-      this.openAttempt();
+      this.requestRetry();
     }
     return isOnlyOne;
   }
@@ -355,24 +366,12 @@
   }
 
   private describeRefusal(): LimeleadError {
-    if (this.isQuarantined) {
-      return new LimeleadError('quarantined', QUARANTINED_MESSAGE, {
-        execution: this.possibleRuns === 0 ? undefined : 'unknown',
-        retryAfterMs: this.guarded.quarantineLeftMs,
-      });
-    }
-    if (this.refusal !== undefined) {
-      return new LimeleadError('overloaded', REFUSAL_MESSAGE, {
-        ...reportRefusal(this.context, this.admitted, this.refusal),
-        execution: this.possibleRuns === 0 ? undefined : 'unknown',
-      });
-    }
-    if (this.possibleRuns === 0) {
-      return new LimeleadError('no-target', 'no target accepted the request');
-    }
-    return this.isOverdue
-      ? new LimeleadError('deadline-passed', 'no answer arrived before the deadline')
-      : new LimeleadError('outcome-unknown', 'the answer of the target was lost');
+    return describeCallRefusal(this.context, this.admitted, {
+      quarantineLeftMs: this.isQuarantined ? this.guarded.quarantineLeftMs : undefined,
+      refusal: this.refusal,
+      mayHaveRun: this.possibleRuns > 0,
+      isOverdue: this.isOverdue,
+    });
   }
 
   private cancelOthers(kept?: CallAttempt): void {
@@ -384,23 +383,19 @@
   private reportUnanswered(outcome: CallOutcome['outcome'], answered?: CallAttempt): void {
     const open = this.attempts.filter((attempt) => attempt !== answered && !attempt.isOver);
     if (this.isOverdue) {
-      open.forEach((attempt) => this.reportAttemptEnded(attempt, false));
+      open.forEach((attempt) => this.report.attemptEnded(attempt, false));
     } else if (outcome !== 'caller-left') {
-      open.forEach((attempt) => this.reportAbandoned(attempt));
+      open.forEach((attempt) => this.report.attemptAbandoned(attempt));
     }
   }
 
-  private reportAbandoned({ target, sentAtMs }: CallAttempt): void {
-    const { clock, observer } = this.context;
-    observer.onAttemptAbandoned?.(this.admitted, target, clock.now() - sentAtMs);
-  }
-
   private finish(outcome: CallOutcome['outcome'], attempt?: CallAttempt, status?: number): void {
     if (this.isDone) {
       return;
     }
     this.isDone = true;
     this.stopWaiting();
+    this.budget.close();
     this.timers.forEach((cancel) => cancel());
     this.reportUnanswered(outcome, attempt);
     this.cancelOthers();
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -12,7 +12,7 @@
 } from '@limelead/generation-session';
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
-import type { LossCause, TargetObservation } from '@limelead/track-service-targets';
+import type { LossCause } from '@limelead/track-service-targets';
 import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -29,12 +29,11 @@
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
 import StreamAttemptTracker from './stream-attempt-tracker.js';
+import { countOthers, toObservation } from './stream-observation.js';
 import toGenerationRequest, { PLACEHOLDER_BINDING } from './to-generation-request.js';
 
-/** Longest wait before a retry; short, since peers lend retries within milliseconds. */
+/** Longest wait before targets are tried again after none was available. */
 const MAX_RETRY_DELAY_MS = 150;
-/** Time without new requests for a target that reported that it is full. */
-const FULL_TARGET_PAUSE_MS = 60;
 
 /** Starts to forward a stream. The sink receives the answer or an error. */
 export default function forwardStream(
@@ -45,24 +44,6 @@
   new StreamForwarder(context, admitted, sink).begin();
 }
 
-/** Observation of a target that follows from a rejection. */
-function toObservation(cause: RejectionCause): TargetObservation {
-  switch (cause) {
-    case 'full':
-      return { kind: 'full', pauseMs: FULL_TARGET_PAUSE_MS };
-    case 'other-target':
-      return { kind: 'replaced' };
-    case 'unreachable':
-      return { kind: 'lost' };
-  }
-}
-
-/** Number of other requests at the target of an attempt. */
-function countOthers({ slot }: LiveAttempt): number {
-  const { inFlight, peerRequests } = slot.tracked;
-  return Math.max(0, inFlight + peerRequests - 1);
-}
-
 class StreamForwarder {
   private state: SessionState;
   private readonly live: LiveAttempts;
@@ -179,6 +160,15 @@
       this.fail(end);
       return;
     }
+    const { delivered, lastDeliveredAtMs } = this.state;
+    const progress = { delivered, lastDeliveredAtMs, hasReplica: this.replicas.hasUsable };
+    const stopWaiting = this.attempts.requestRetry(progress, (refusal) =>
+      refusal === undefined ? this.requestAdmission(attempt, exclude) : this.fail(refusal),
+    );
+    this.cleanups.push(stopWaiting);
+  }
+
+  private requestAdmission(attempt: number, exclude: string[]): void {
     const stopAsking = this.guarded.requestAdmission((admission) => {
       if (admission === 'refuse') {
         this.fail(this.createQuarantined());
@@ -190,11 +180,6 @@
   }
 
   private findSlot(attempt: number, exclude: string[], onlyLeastLoaded: boolean): void {
-    if (!this.attempts.trySpendRetry()) {
-      this.guarded.recordInconclusiveRun();
-      this.advance({ kind: 'no-target', attempt, error: 'overloaded' });
-      return;
-    }
     const stopWaiting = findStreamSlot(this.context, this.admitted, this.replicas, {
       isFirstAttempt: this.attempts.count === 0,
       onlyLeastLoaded,
@@ -438,6 +423,7 @@
     this.isDone = true;
     this.cleanups.forEach((cleanup) => cleanup());
     this.live.dropAll();
+    this.attempts.close();
     this.guarded.close();
     notify();
     this.context.observer.onFinished?.(this.admitted);
--- a/packages/forward-request/src/limits.ts
+++ b/packages/forward-request/src/limits.ts
@@ -5,6 +5,8 @@
  * broken attempts, so that a request which never ran is reported as not run.
  */
 export const MAX_REJECTED_ATTEMPTS = 15;
+/** Shortest time for a call after a cooldown or a wait for a retry; with less it is refused. */
+export const MIN_CALL_MS = 50;
 /** Lowest HTTP status that counts as a failure of the target. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -14,6 +14,9 @@
   refusal: SlotRefusal,
 ): ErrorAnswerOverrides {
   const { retryAfterMs } = refusal;
+  if (refusal.kind === 'no-retry') {
+    return { retryAfterMs };
+  }
   const fields = {
     requestId: request.requestId,
     service,
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -24,6 +24,12 @@
     this.usable = replica;
   }
 
+  /** Whether the next attempt can resume from a replica, as far as is known. */
+  get hasUsable(): boolean {
+    const target = this.usable?.target.id;
+    return target !== undefined && !this.context.directory.isSuspected(target);
+  }
+
   /** Acquires a slot at the target of the usable replica; undefined if it accepts no request. */
   acquireAtReplica(): Slot | undefined {
     const slot = this.usable && this.context.slots.acquireAtReplica(this.usable.target.id);
--- a/packages/forward-request/src/slot-refusal.ts
+++ b/packages/forward-request/src/slot-refusal.ts
@@ -1,5 +1,9 @@
 /** Reason why a request is refused at once because it cannot get a slot before its deadline. */
 import type { CooldownRefusal } from '@limelead/track-backpressure';
-import type { PermitRefusal } from '@limelead/types';
+import type { Millis, PermitRefusal } from '@limelead/types';
 
-export type SlotRefusal = CooldownRefusal | ({ kind: 'no-permit' } & PermitRefusal);
+export type SlotRefusal =
+  | CooldownRefusal
+  | ({ kind: 'no-permit' } & PermitRefusal)
+  /** The retry budget has no retry in time; already logged. */
+  | { kind: 'no-retry'; retryAfterMs: Millis };
--- a/packages/forward-request/src/stream-attempt-tracker.ts
+++ b/packages/forward-request/src/stream-attempt-tracker.ts
@@ -1,11 +1,30 @@
 /** Tracks the attempts of one streamed request and decides whether another one is allowed. */
 import { LimeleadError, type ErrorAnswerOverrides } from '@limelead/errors';
+import type { RetryClass } from '@limelead/spend-retries';
 import type { LossCause } from '@limelead/track-service-targets';
+import type { Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import { MAX_REJECTED_ATTEMPTS } from './limits.js';
-import AttemptBudget, { type RefundAttempt } from './attempt-budget.js';
+import AttemptBudget, { type AttemptDecision, type RefundAttempt } from './attempt-budget.js';
 import type { RejectionCause } from './stream-attempt.js';
+import { DEFAULT_MAX_PAUSE_MS } from './to-generation-request.js';
+
+/** Progress of a stream that determines the priority of its next attempt. */
+export interface StreamProgress {
+  /** Number of the last piece that the caller has received; 0 for none. */
+  delivered: number;
+  /** Steady time of the last piece; of the start if there is none. */
+  lastDeliveredAtMs: Millis;
+  hasReplica: boolean;
+}
+
+function classOf({ delivered, hasReplica }: StreamProgress): RetryClass {
+  if (delivered === 0) {
+    return 'stream-unwritten';
+  }
+  return hasReplica ? 'stream-with-replica' : 'stream-written';
+}
 
 /** Counts attempts and enforces their limits. */
 export default class StreamAttemptTracker {
@@ -22,7 +41,7 @@
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
   ) {
-    this.budget = new AttemptBudget(context, admitted);
+    this.budget = new AttemptBudget(context, admitted, true);
   }
 
   get count(): number {
@@ -79,9 +98,43 @@
     return present.length >= this.admitted.route.maxTargets;
   }
 
-  /** Takes the next attempt from the retry budget; false if the budget is exhausted. */
-  trySpendRetry(): boolean {
-    return this.budget.trySpend();
+  /**
+   * Requests the next attempt from the retry budget. A stream that may have run waits until its
+   * deadline, since its target may be the only other one that could complete it; one that has not
+   * run is refused as soon as no retry is expected in time. `onDecision` gets the error if it is
+   * refused. Returns a function that withdraws the request.
+   */
+  requestRetry(
+    progress: StreamProgress,
+    onDecision: (refusal: LimeleadError | undefined) => void,
+  ): () => void {
+    const { mayHaveRun, admitted } = this;
+    const { route, rank, receivedAtMs, dueAtMs } = admitted;
+    const pauseEndsAtMs = progress.lastDeliveredAtMs + (route.maxPauseMs ?? DEFAULT_MAX_PAUSE_MS);
+    return this.budget.requestAttempt(
+      {
+        class: classOf(progress),
+        rank,
+        lateAtMs: progress.delivered > 0 ? pauseEndsAtMs : receivedAtMs + route.objectiveMs,
+        untilMs: mayHaveRun ? dueAtMs : dueAtMs - this.context.prefill.minMs(admitted),
+        refusesEarly: !mayHaveRun,
+      },
+      (decision) => onDecision(this.toRefusal(decision)),
+    );
+  }
+
+  /** Returns an unused retry; the stream makes no further attempt. */
+  close(): void {
+    this.budget.close();
+  }
+
+  private toRefusal(decision: AttemptDecision): LimeleadError | undefined {
+    if (decision.outcome === 'granted') {
+      return undefined;
+    }
+    const kind = this.mayHaveRun ? 'recovery-exhausted' : 'overloaded';
+    const { retryAfterMs } = decision;
+    return this.createError(kind, 'no retry was available in time', { retryAfterMs });
   }
 
   /** Creates an error with execution "unknown" if the request may have run. */
--- a/packages/forward-request/src/to-generation-request.ts
+++ b/packages/forward-request/src/to-generation-request.ts
@@ -10,7 +10,8 @@
 const MIN_SILENCE_MS = 240;
 /** Share of the longest acceptable pause that silence detection may use. */
 const MAX_SILENCE_SHARE_OF_PAUSE = 0.5;
-const DEFAULT_MAX_PAUSE_MS = 800;
+/** Longest acceptable pause of a route that sets none. */
+export const DEFAULT_MAX_PAUSE_MS = 800;
 const SUSPICION_FACTOR = 6;
 
 /** Placeholder for the model version, which HTTP targets do not expose. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,7 @@
 import createMetrics, { type Metrics } from '@limelead/metrics';
 import type { SendLimiter } from '@limelead/permit-sends';
 import type { PeerExchange } from '@limelead/share-evidence';
-import { RetryBudgets } from '@limelead/spend-retries';
+import type { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import {
   TargetDirectory,
@@ -37,6 +37,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createRetryBudgets from './create-retry-budgets.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
 import createFollowerEvents from './follower-events.js';
@@ -51,7 +52,7 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Idle connections kept per target. Low, because a target's connection limit is shared by all VMs. */
 const MAX_IDLE_CONNECTIONS = 4;
-/** Minimum number of VMs assumed to share the retry budget, until peers report more. */
+/** Minimum number of VMs assumed, until peers report more. */
 const MIN_VMS = 6;
 /** Time for the load balancer to remove a VM that reports not ready. */
 const BALANCER_REMOVAL_MS = 2_500;
@@ -110,11 +111,10 @@
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
     this.logMisdirected = createRateLimitedLog(this.log, steadyClock, 'request-misdirected');
     this.locality = createLocality({ ...settings, prices: settings.localityPrices });
-    this.retryBudgets = new RetryBudgets({
+    this.retryBudgets = createRetryBudgets({
       limits: settings.retryBudget,
-      clock: steadyClock,
-      countVms: () => this.countVms(),
-      onLow: (service) => this.exchange?.borrowRetries(service),
+      ...{ clock: steadyClock, timers: systemTimers, random: systemRandom },
+      ...{ log: this.log, metrics: this.metrics, readExchange: () => this.exchange },
     });
     this.directory = new TargetDirectory(steadyClock, {
       onNotice: (notice) => this.onTargetNotice(notice),
@@ -356,7 +356,6 @@
       readStoreViewAgeMs: () => this.storeViewAgeMs,
       readConfigurationSource: () => this.storeView.configurationSource,
       retryBudgetOf: (service) => this.retryBudgets.forService(service),
-      countVms: () => this.countVms(),
     };
   }
 
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -10,6 +10,7 @@
 } from './permit-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
+import { lendRepeatsCodec, wantRepeatsCodec } from './retry-messages.js';
 import {
   demandCodec,
   timeOfDayCodec,
@@ -132,20 +133,6 @@
   revision: t.number,
 });
 
-/** Requests retries of the service's retry budget; the sender has few left. */
-const wantRepeats = t.type({
-  kind: t.literal('want-repeats'),
-  service: t.string,
-  repeats: t.number,
-});
-
-/** Retries of the service's retry budget that the sender counts as spent. */
-const lendRepeats = t.type({
-  kind: t.literal('lend-repeats'),
-  service: t.string,
-  repeats: t.number,
-});
-
 /** Requests advice from a scheduler; see `SchedulerRequest`. */
 const wantTarget = t.type({
   kind: t.literal('want-target'),
@@ -180,8 +167,8 @@
   storeNews,
   wantItems,
   items,
-  wantRepeats,
-  lendRepeats,
+  wantRepeatsCodec,
+  lendRepeatsCodec,
   timeOfDayCodec,
   usageCodec,
   demandCodec,
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -17,7 +17,7 @@
 import { fromHeartbeatMembers } from './heartbeat-members.js';
 import PeerTable from './peer-table.js';
 import PermitExchange from './permit-exchange.js';
-import RetryBorrower from './retry-borrower.js';
+import RetryExchange from './retry-exchange.js';
 import PeerStoreVerifier from './peer-store-verifier.js';
 import type { RegionChange } from './region-size-tracker.js';
 import StoreExchange from './store-exchange.js';
@@ -54,9 +54,10 @@
   private readonly gossip: Gossip;
   private readonly load: LoadExchange;
   private readonly targetUpdates: TargetUpdateExchange;
-  private readonly retryBorrower: RetryBorrower;
   private readonly store: StoreExchange;
   private readonly storeVerifier: PeerStoreVerifier;
+  /** Borrows retries from peers and lends them. */
+  readonly retries: RetryExchange;
   /** Limits reported by targets, and permits. */
   readonly permits: PermitExchange;
   /** Version of the configuration that was last sent to peers. */
@@ -64,7 +65,7 @@
   private isStopped = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
-    const { clock, random } = options;
+    const { clock } = options;
     this.peers = new PeerTable(clock);
     const listPeers = (): PeerId[] => this.gossip.listPeers();
     const send = (peer: PeerId, message: ExchangeMessage): void => {
@@ -91,13 +92,7 @@
       composeMarks: (peer) => this.storeVerifier.composeMarks(peer),
       broadcast,
     });
-    this.retryBorrower = new RetryBorrower({
-      clock,
-      random,
-      listPeers,
-      sendRequest: (peer, service, retries) =>
-        send(peer, { kind: 'want-repeats', service, repeats: retries }),
-    });
+    this.retries = new RetryExchange({ ...options, listPeers, send });
     this.store = new StoreExchange({
       ...options,
       peers: this.peers,
@@ -246,6 +241,7 @@
   /** Closes all links. */
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.retries.stop();
     await this.links?.close();
   }
 
@@ -279,11 +275,6 @@
     this.targetUpdates.publishLeaving(updates, from);
   }
 
-  /** Borrows retries from peers for a service that has few left. */
-  borrowRetries(service: string): void {
-    this.retryBorrower.requestRetries(service);
-  }
-
   /** Candidates for duties that one VM at a time performs; may include this VM. */
   get dutyCandidates(): readonly PeerId[] {
     return this.members?.dutyCandidates ?? [];
@@ -434,10 +425,8 @@
         this.store.onMessage(peer, message);
         break;
       case 'want-repeats':
-        this.lendRetries(peer, message);
-        break;
       case 'lend-repeats':
-        this.options.onRetriesBorrowed(message.service, message.repeats);
+        this.retries.onMessage(peer, message);
         break;
       default:
         this.dispatchForwarded(peer, message);
@@ -459,16 +448,6 @@
     }
   }
 
-  private lendRetries(
-    peer: PeerId,
-    { service, repeats: wanted }: ExchangeMessageOf<'want-repeats'>,
-  ): void {
-    const retries = this.options.lendRetries(service, wanted);
-    if (retries > 0) {
-      this.links?.send(peer, { kind: 'lend-repeats', service, repeats: retries });
-    }
-  }
-
   private withoutForeignPeers(members: GossipedMember[]): GossipedMember[] {
     return members.filter(({ id }) => !this.storeVerifier.isKnownForeign(id));
   }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -9,7 +9,7 @@
   PeerLoadUpdate,
 } from '@limelead/track-service-targets';
 import type { LeavingUpdate } from '@limelead/track-backpressure';
-import type { AdviceRequest, Clock, Millis, Random, Timers } from '@limelead/types';
+import type { AdviceRequest, Clock, Millis, Random, RetryNeed, Timers } from '@limelead/types';
 import type { IncomingMessage } from 'node:http';
 import type { PeerReport } from './report-messages.js';
 
@@ -136,8 +136,13 @@
   onPermitPeerLost(peer: PeerId): void;
   /** Called with store changes of a peer that is at a later revision. */
   onStoreUpdate(update: StoreUpdate, peer: PeerId): void;
-  /** Returns how many retries of the service's budget to lend to a peer. */
-  lendRetries(service: string, wanted: number): number;
+  /** Returns the retries that waiting requests of a service lack, by class; empty if none wait. */
+  listRetryNeeds(service: string): RetryNeed[];
+  /**
+   * Returns how many retries of the service's budget to lend to a peer.
+   * @param needs the same by class; undefined if the peer is of an older release
+   */
+  lendRetries(service: string, wanted: number, needs?: RetryNeed[]): number;
   /** Called with the retries that a peer lent. */
   onRetriesBorrowed(service: string, retries: number): void;
   /** Called with a report of a peer; undefined if nothing in this VM handles reports. */
--- /dev/null
+++ b/packages/spend-retries/src/attempt-window.ts
@@ -0,0 +1,136 @@
+/**
+ * Counts attempts in a sliding window, in buckets. Where a bucket lies partly within the window, its
+ * retries count and its first attempts do not, so that the counts never allow too much.
+ */
+import type { Millis } from '@limelead/types';
+
+/** Buckets per window. */
+const BUCKETS = 20;
+
+interface Bucket {
+  startMs: Millis;
+  firstAttempts: number;
+  /** Retries spent or lent. */
+  retries: number;
+  /** Largest number of VMs that was known during the bucket. */
+  vms: number;
+}
+
+/** Retries that count during a given time only. */
+interface DeferredCount {
+  retries: number;
+  fromMs: Millis;
+  untilMs: Millis;
+}
+
+/** Counts of one VM and service. */
+export default class AttemptWindow {
+  private readonly buckets: Bucket[] = [];
+  private deferred: DeferredCount[] = [];
+
+  /** @param readWindowMs returns the length of the window, which settings may change */
+  constructor(private readonly readWindowMs: () => Millis) {}
+
+  get bucketMs(): Millis {
+    return this.readWindowMs() / BUCKETS;
+  }
+
+  recordFirstAttempt(now: Millis): void {
+    this.bucketAt(now).firstAttempts += 1;
+  }
+
+  /** Adds retries that count from now on; negative for retries that were returned. */
+  recordRetries(now: Millis, retries: number): void {
+    this.bucketAt(now).retries += retries;
+  }
+
+  /** Removes retries that were recorded at a time, if they still count. */
+  removeRetries(recordedAtMs: Millis, retries: number): void {
+    const startMs = this.startOf(recordedAtMs);
+    const bucket = this.buckets.find((other) => other.startMs === startMs);
+    if (bucket !== undefined) {
+      bucket.retries -= retries;
+    }
+  }
+
+  recordVms(now: Millis, vms: number): void {
+    const current = this.bucketAt(now);
+    current.vms = Math.max(current.vms, vms);
+  }
+
+  /**
+   * Counts a borrowed retry that was sent now, after the end of its lender's count. Returns a
+   * function that removes the count.
+   */
+  recordBorrowed(now: Millis, retries: number, receivedAtMs: Millis): () => void {
+    const count = {
+      retries,
+      // One bucket early, since the lender counted the retry before it arrived here.
+      fromMs: receivedAtMs + this.readWindowMs() - this.bucketMs,
+      untilMs: now + this.countedMs,
+    };
+    this.deferred = [...this.deferred.filter(({ untilMs }) => untilMs > now), count];
+    return () => {
+      this.deferred = this.deferred.filter((other) => other !== count);
+    };
+  }
+
+  /** First attempts whose bucket lies wholly within the window that ends at a time. */
+  countFirstAttempts(atMs: Millis): number {
+    const sinceMs = atMs - this.readWindowMs();
+    const counted = this.buckets.filter(({ startMs }) => startMs > sinceMs);
+    return counted.reduce((total, { firstAttempts }) => total + firstAttempts, 0);
+  }
+
+  /** Retries that count at a time, if no more are recorded until then. */
+  countRetries(atMs: Millis): number {
+    const deferred = this.deferred.filter(
+      ({ fromMs, untilMs }) => fromMs <= atMs && atMs < untilMs,
+    );
+    return [...this.listCounted(atMs), ...deferred].reduce(
+      (total, { retries }) => total + retries,
+      0,
+    );
+  }
+
+  /** Largest number of VMs known within the window that ends at a time; at least 1. */
+  countVms(atMs: Millis): number {
+    const counted = [...this.listCounted(atMs), ...this.buckets.slice(-1)];
+    return Math.max(1, ...counted.map(({ vms }) => vms));
+  }
+
+  /** Times after now at which counts change, up to the end of the window. */
+  listBoundaries(now: Millis): Millis[] {
+    const startMs = this.startOf(now);
+    return Array.from({ length: BUCKETS + 1 }, (_, step) => startMs + (step + 1) * this.bucketMs);
+  }
+
+  /** Retries count for one bucket longer than the window. */
+  private get countedMs(): Millis {
+    return this.readWindowMs() + this.bucketMs;
+  }
+
+  /** Buckets of which any part lies within the window that ends at a time. */
+  private listCounted(atMs: Millis): Bucket[] {
+    const sinceMs = this.startOf(atMs) - this.countedMs;
+    return this.buckets.filter(({ startMs }) => startMs > sinceMs);
+  }
+
+  private startOf(atMs: Millis): Millis {
+    return Math.floor(atMs / this.bucketMs) * this.bucketMs;
+  }
+
+  private bucketAt(now: Millis): Bucket {
+    const startMs = this.startOf(now);
+    const last = this.buckets.at(-1);
+    if (last !== undefined && last.startMs >= startMs) {
+      return last;
+    }
+    const bucket = { startMs, firstAttempts: 0, retries: 0, vms: 0 };
+    this.buckets.push(bucket);
+    while ((this.buckets[0]?.startMs ?? startMs) <= startMs - this.countedMs) {
+      this.buckets.shift();
+    }
+    return bucket;
+  }
+}
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -1,9 +1,8 @@
 /** Counts the attempts of one VM for one service against the retry budget that all VMs share. */
 import type { Millis } from '@limelead/types';
+import AttemptWindow from './attempt-window.js';
 
-/** Buckets per window; the counted time is one bucket longer than the window. */
-const BUCKETS = 20;
-/** Share of the budget that is used; the rest is a reserve, since each VM counts on its own. */
+/** Default share of the budget that is used; the rest is a reserve, since each VM counts on its own. */
 const USABLE_SHARE = 0.8;
 /** With fewer retries left, a VM asks its peers to lend some. */
 const LOW_RETRIES = 1;
@@ -23,27 +22,35 @@
   windowMs: number;
 }
 
-interface Bucket {
-  startMs: Millis;
-  firstAttempts: number;
-  /** Retries spent or lent. */
-  retries: number;
-}
-
 interface BorrowedRetries {
   retries: number;
+  receivedAtMs: Millis;
   expiresAtMs: Millis;
 }
 
+/** One retry that was taken from the budget: a fraction of the own part, and borrowed fractions. */
+export interface HeldRetry {
+  own: number;
+  borrowed: BorrowedRetries[];
+  /** Set while the retry counts as sent; holds it again. */
+  undoSent?: () => void;
+}
+
 /** Retry budget of one VM for one service. */
 export default class RetryBudgetTracker {
-  private readonly buckets: Bucket[] = [];
+  private readonly window = new AttemptWindow(() => this.limits.windowMs);
   private borrowed: BorrowedRetries[] = [];
+  /** Own fractions of retries that were taken and not sent. */
+  private held = 0;
 
-  /** @param onLow called when few or no retries are left */
+  /**
+   * @param onLow called when few or no retries are left
+   * @param usableShare share of the allowed retries that is used
+   */
   constructor(
-    private limits: RetryBudgetLimits,
+    protected limits: RetryBudgetLimits,
     private readonly onLow: () => void = () => undefined,
+    private readonly usableShare = USABLE_SHARE,
   ) {}
 
   /** Changes the limits. Attempts and retries so far still count. */
@@ -53,7 +60,7 @@
 
   /** Records the first attempt of a request. */
   recordFirstAttempt(now: Millis): void {
-    this.bucketAt(now).firstAttempts += 1;
+    this.window.recordFirstAttempt(now);
   }
 
   /**
@@ -61,16 +68,58 @@
    * @param vms number of VMs that share the slack
    */
   trySpend(now: Millis, vms: number): boolean {
-    const isSpent = this.spendOne(now, vms);
-    if (this.countAvailable(now, vms) < LOW_RETRIES) {
-      this.onLow();
+    const retry = this.take(now, vms);
+    if (retry !== undefined) {
+      this.recordSent(retry, now);
+    }
+    this.reportIfLow(now, vms);
+    return retry !== undefined;
+  }
+
+  /**
+   * Takes one retry, first from borrowed fractions, since they expire, then from the own part. It
+   * counts as spent until it is released. Undefined if the budget is exhausted.
+   */
+  take(now: Millis, vms: number): HeldRetry | undefined {
+    const fromBorrowed = Math.min(1, this.countBorrowed(now));
+    const own = 1 - fromBorrowed;
+    if (own > ROUNDING_TOLERANCE && this.countOwnAvailable(now, vms) < own - ROUNDING_TOLERANCE) {
+      return undefined;
     }
-    return isSpent;
+    this.held += own;
+    return { own, borrowed: this.takeBorrowed(fromBorrowed) };
+  }
+
+  /** Counts a held retry for a whole window from now on, since its attempt is sent. */
+  recordSent(retry: HeldRetry, now: Millis): void {
+    const { own, borrowed } = retry;
+    this.held -= own;
+    this.window.recordRetries(now, own);
+    const undoBorrowed = borrowed.map(({ retries, receivedAtMs }) =>
+      this.window.recordBorrowed(now, retries, receivedAtMs),
+    );
+    retry.undoSent = () => {
+      this.window.removeRetries(now, own);
+      undoBorrowed.forEach((undo) => undo());
+      this.held += own;
+      retry.undoSent = undefined;
+    };
+  }
+
+  /** Holds a sent retry again, because its attempt reached no target. */
+  recordUnsent(retry: HeldRetry): void {
+    retry.undoSent?.();
+  }
+
+  /** Returns a held retry that is not needed to the budget. */
+  release(retry: HeldRetry): void {
+    this.held -= retry.own;
+    this.borrowed.push(...retry.borrowed);
   }
 
   /** Returns a spent retry that reached no target to the budget. */
   refund(now: Millis): void {
-    this.bucketAt(now).retries -= 1;
+    this.window.recordRetries(now, -1);
   }
 
   /**
@@ -82,16 +131,14 @@
     if (lent < MIN_LENT_RETRIES) {
       return 0;
     }
-    this.bucketAt(now).retries += lent;
+    this.window.recordRetries(now, lent);
     return lent;
   }
 
   /** Adds retries that another VM lent. */
   borrow(now: Millis, retries: number): void {
-    this.borrowed.push({
-      retries,
-      expiresAtMs: now + this.limits.windowMs * BORROWED_TTL_SHARE,
-    });
+    const expiresAtMs = now + this.limits.windowMs * BORROWED_TTL_SHARE;
+    this.borrowed.push({ retries, receivedAtMs: now, expiresAtMs });
   }
 
   /** Retries that this VM may still spend, including borrowed ones. */
@@ -101,69 +148,65 @@
 
   /** Retries left in the current window, without borrowed ones. */
   countOwnAvailable(now: Millis, vms: number): number {
-    const current = this.bucketAt(now);
-    const counted = this.buckets.filter(
-      ({ startMs }) => startMs > current.startMs - this.countedMs,
-    );
-    const firstAttempts = sum(counted, ({ firstAttempts }) => firstAttempts);
-    const retries = sum(counted, ({ retries }) => retries);
-    const allowed = this.limits.ratio * firstAttempts + this.limits.slack / Math.max(1, vms);
-    return USABLE_SHARE * allowed - retries;
+    return this.countAllowed(now, vms) - this.window.countRetries(now) - this.held;
   }
 
-  /** Takes one retry, first from borrowed fractions, since they expire, then from the own part. */
-  private spendOne(now: Millis, vms: number): boolean {
-    const borrowed = Math.min(1, this.countBorrowed(now));
-    const own = 1 - borrowed;
-    if (own > ROUNDING_TOLERANCE && this.countOwnAvailable(now, vms) < own - ROUNDING_TOLERANCE) {
-      return false;
-    }
-    this.spendBorrowed(borrowed);
-    this.bucketAt(now).retries += own;
-    return true;
-  }
-
-  /** Takes retries from the borrowed ones, the oldest first. */
-  private spendBorrowed(retries: number): void {
-    let missing = retries;
-    for (const borrowed of this.borrowed) {
-      const taken = Math.min(missing, borrowed.retries);
-      borrowed.retries -= taken;
-      missing -= taken;
-    }
+  /** Retries that this VM may spend in the current window, without borrowed ones. */
+  countAllowed(now: Millis, vms: number): number {
+    this.window.recordVms(now, vms);
+    return this.countAllowedAt(now);
   }
 
   /** Counts the borrowed retries and drops spent and expired ones. */
-  private countBorrowed(now: Millis): number {
+  countBorrowed(now: Millis): number {
     this.borrowed = this.borrowed.filter(
       ({ retries, expiresAtMs }) => retries > 0 && expiresAtMs > now,
     );
-    return sum(this.borrowed, ({ retries }) => retries);
+    return this.borrowed.reduce((total, { retries }) => total + retries, 0);
   }
 
-  private get bucketMs(): number {
-    return this.limits.windowMs / BUCKETS;
+  /**
+   * First time from which `wanted` own retries are available, at bucket boundaries, if no more are
+   * spent; undefined if the moving window alone does not make them available.
+   * @param isSteady true if the number of first attempts per window is assumed to stay
+   */
+  protected findAvailableAt(
+    now: Millis,
+    vms: number,
+    { wanted, isSteady }: { wanted: number; isSteady: boolean },
+  ): Millis | undefined {
+    const allowedNow = this.countAllowed(now, vms);
+    return this.window.listBoundaries(now).find((atMs) => {
+      const allowed = isSteady ? allowedNow : this.countAllowedAt(atMs);
+      const available = allowed - this.window.countRetries(atMs) - this.held;
+      return available >= wanted - ROUNDING_TOLERANCE;
+    });
   }
 
-  private get countedMs(): number {
-    return this.limits.windowMs + this.bucketMs;
+  /** Reports if few retries are left. */
+  protected reportIfLow(now: Millis, vms: number): void {
+    if (this.countAvailable(now, vms) < LOW_RETRIES) {
+      this.onLow();
+    }
   }
 
-  private bucketAt(now: Millis): Bucket {
-    const startMs = Math.floor(now / this.bucketMs) * this.bucketMs;
-    const last = this.buckets.at(-1);
-    if (last !== undefined && last.startMs >= startMs) {
-      return last;
-    }
-    const bucket = { startMs, firstAttempts: 0, retries: 0 };
-    this.buckets.push(bucket);
-    while ((this.buckets[0]?.startMs ?? startMs) <= startMs - this.countedMs) {
-      this.buckets.shift();
-    }
-    return bucket;
+  /** Retries allowed in the window that ends at a time, if no first attempts follow. */
+  private countAllowedAt(atMs: Millis): number {
+    const { ratio, slack } = this.limits;
+    // A VM that was lost may have spent its part of the slack within the window, so the parts of
+    // the others do not grow before the window has passed.
+    const slackPart = slack / this.window.countVms(atMs);
+    return this.usableShare * (ratio * this.window.countFirstAttempts(atMs) + slackPart);
   }
-}
 
-function sum<Item>(items: Item[], read: (item: Item) => number): number {
-  return items.reduce((total, item) => total + read(item), 0);
+  /** Takes fractions from the borrowed retries, the oldest first. */
+  private takeBorrowed(retries: number): BorrowedRetries[] {
+    let missing = retries;
+    return this.borrowed.flatMap((borrowed) => {
+      const taken = Math.min(missing, borrowed.retries);
+      borrowed.retries -= taken;
+      missing -= taken;
+      return taken > 0 ? [{ ...borrowed, retries: taken }] : [];
+    });
+  }
 }
