Probe targets of silent runs before they are abandoned

Cause: a writing run was abandoned and its target marked as lost after 240 to 380 ms of silence, although a slow target or a concurrent prefill explains the gap.

A failed probe loses the target and all its runs at this VM; an answer keeps them. A kept run moves only close to its allowed pause and only to a good replica, and is given up without a loss when two answers do not list it or at twice the pause. Answers are shared in the optional field "probed" of the message "lost". Gap estimates survive a move, scaled by the new `directory.paceOf`, and limits allow for the gaps that the service shows beside prefills.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -21,6 +21,7 @@
 import { selectIdentityFields } from './identify-admitted-request.js';
 import { QUARANTINED_MESSAGE, MIN_SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
+import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
@@ -94,7 +95,8 @@
     this.live = new LiveAttempts(context, admitted, this.replicas, {
       createEvents: (number) => this.createEvents(number),
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
-      onSilent: (number) => this.onSilent(number),
+      onSilent: (number, cause) => this.onSilent(number, cause),
+      canMove: () => this.attempts.findFinalError() === undefined,
     });
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGenerationRequest(admitted), requestId, context.clock.now());
@@ -332,13 +334,13 @@
     this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
   }
 
-  private onSilent(attempt: number): void {
-    this.lose(attempt, 'silent', 'no data from the target');
+  private onSilent(attempt: number, cause: GiveUpCause): void {
+    this.lose(attempt, 'silent', SILENCE_REASONS[cause], cause === 'target-lost');
     this.advance({ kind: 'silent', attempt });
   }
 
   /** Handles an attempt whose target broke off or is silent; the next one resumes from its replica. */
-  private lose(attempt: number, cause: LossCause, reason: string): void {
+  private lose(attempt: number, cause: LossCause, reason: string, isTargetLost = true): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
       return;
@@ -368,8 +370,10 @@
     this.live.release(attempt);
     // If the request is suspected of crashes, only this incarnation of the target is over, and its
     // failure domain is not in doubt. Otherwise a broken connection counts as a lost target.
-    directory.observe(target, { kind: isLikelyCrash ? 'replaced' : 'lost' });
-    silence.onTargetLost(target);
+    if (isTargetLost) {
+      directory.observe(target, { kind: isLikelyCrash ? 'replaced' : 'lost' });
+      silence.onTargetLost(target);
+    }
     this.recordCrashEvidence(live, cause);
   }
 
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -237,7 +237,10 @@
       permits: NO_RATE_LIMITS,
       guard: createIsolatedGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       requestAdvice: (request, receive) => this.askTarget(request, receive),
-      silence: new SilenceMonitor({ ...shared, connections: this.connections, dialect, log }),
+      silence: new SilenceMonitor({
+        ...{ ...shared, connections: this.connections, dialect, log, metrics },
+        random: systemRandom,
+      }),
       prefill: new PrefillEstimator(),
       slowness: new SlownessTracker(() => undefined),
       cachedPrompts: new CachedPromptFinder({
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -1,13 +1,15 @@
 /** Attempts in progress of one stream and the resources that each of them holds. */
-import type { Millis, RecoveryPolicy } from '@limelead/types';
+import type { Millis, RecoveryPolicy, ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunReplica, AttemptRequest } from './dialect.js';
 import type { Slot } from './slot-request.js';
 import type RunReplicas from './run-replicas.js';
-import RunActivity from './run-activity.js';
+import RunActivity, { type CarriedActivity } from './run-activity.js';
+import type { GiveUpCause } from './monitored-run.js';
 import type { RunPaceMeter } from './slowness-tracker.js';
 import StreamAttempt, { type StreamAttemptEvents } from './stream-attempt.js';
+import { maxPauseOf } from './to-generation-request.js';
 
 /** An attempt with its resources. */
 export interface LiveAttempt {
@@ -38,12 +40,16 @@
   createEvents(number: number): StreamAttemptEvents;
   /** Called right before the request is sent. */
   onSending(number: number, attemptRequest: AttemptRequest): void;
-  onSilent(number: number): void;
+  onSilent(number: number, cause: GiveUpCause): void;
+  /** Whether the request may run at another target. */
+  canMove(): boolean;
 }
 
 /** Holds attempts by their numbers. */
 export default class LiveAttempts {
   private readonly live = new Map<number, LiveAttempt>();
+  /** Activity of the last run that ended. */
+  private carried: CarriedActivity | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -67,7 +73,7 @@
       this.events.createEvents(number),
     );
     const activity = this.createActivity(number, attemptRequest, policy);
-    const paceMeter = this.context.slowness.createMeter(target);
+    const paceMeter = this.createPaceMeter(target);
     this.live.set(number, {
       paceMeter,
       attempt,
@@ -87,6 +93,7 @@
     const live = this.live.get(number);
     if (live !== undefined) {
       this.live.delete(number);
+      this.carried = live.activity.carry();
       live.stopMonitoring();
       live.endPrefill();
       live.releaseReplica();
@@ -119,19 +126,37 @@
     };
   }
 
+  /** Measures the slowness that peers receive, and the present pace of the target. */
+  private createPaceMeter(target: ServiceTarget): RunPaceMeter {
+    const meters = [
+      this.context.slowness.createMeter(target),
+      this.context.directory.pace.createMeter(target),
+    ];
+    return {
+      recordPieces: (count, now) => meters.forEach((meter) => meter.recordPieces(count, now)),
+    };
+  }
+
   private createActivity(
     number: number,
-    { request, target, resumeFrom }: AttemptRequest,
+    { request, target, replicaTarget, resumeFrom }: AttemptRequest,
     policy: RecoveryPolicy,
   ): RunActivity {
+    const { clock, directory, silence } = this.context;
     return new RunActivity({
       requestId: request.requestId,
       target,
+      replicaTarget,
       resumesFromReplica: resumeFrom !== undefined,
       policy,
       maxPrefillMs: this.context.prefill.maxMs(this.admitted),
-      clock: this.context.clock,
-      onSilent: () => this.events.onSilent(number),
+      maxPauseMs: maxPauseOf(this.admitted.route),
+      carried: this.carried,
+      clock,
+      directory,
+      canMove: () => this.events.canMove(),
+      onResumed: (tookMs) => silence.recordResume(target.service, tookMs),
+      onSilent: (cause) => this.events.onSilent(number, cause),
     });
   }
 }
--- /dev/null
+++ b/packages/forward-request/src/run-activity.test.ts
@@ -0,0 +1,107 @@
+import { createManualTime } from '@limelead/stand-ins';
+import { TargetDirectory } from '@limelead/track-service-targets';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import RunActivity, { type RunActivityOptions } from './run-activity.js';
+import { createTarget } from './silence.fixture.js';
+
+const policy = {
+  suspicionFactor: 6,
+  minSilenceMs: 140,
+  maxSilenceMs: 233,
+  hedge: false,
+  probeFirst: false,
+};
+
+function create() {
+  const { clock, jump } = createManualTime();
+  const directory = new TargetDirectory(clock);
+  directory.replaceAll([createTarget('t1'), createTarget('t2')]);
+  const resumed: number[] = [];
+  const startRun = (overrides: Partial<RunActivityOptions> = {}): RunActivity =>
+    new RunActivity({
+      requestId: 'r1',
+      target: createTarget('t1'),
+      resumesFromReplica: false,
+      policy,
+      maxPrefillMs: 5_000,
+      maxPauseMs: 700,
+      ...{ clock, directory },
+      canMove: () => true,
+      onResumed: (tookMs) => resumed.push(tookMs),
+      onSilent: () => undefined,
+      ...overrides,
+    });
+  const sendPieces = (run: RunActivity, gapMs: number): void => {
+    for (let piece = 0; piece < 60; piece += 1) {
+      jump(gapMs);
+      run.recordActivity();
+    }
+  };
+  return { directory, jump, startRun, sendPieces, resumed };
+}
+
+test('a run with steady gaps has a low limit, and a run that resumes it starts with the same gaps', () => {
+  const { startRun, sendPieces } = create();
+  const run = startRun();
+  assert.is(run.maxSilenceMs(), 5_000);
+  sendPieces(run, 30);
+  assert.is(run.maxSilenceMs(), policy.minSilenceMs);
+  const next = startRun({ resumesFromReplica: true, carried: run.carry() });
+  assert.is(Math.round(next.expectedGapMs()), 30);
+  next.recordActivity();
+  assert.is(next.maxSilenceMs(), policy.minSilenceMs, 'the limit does not start anew');
+});
+
+test('the gaps of a moved run are scaled by the pace of the next target relative to the old one', () => {
+  const { directory, startRun, sendPieces } = create();
+  const slow = startRun();
+  sendPieces(slow, 75);
+  directory.recordAdvertisedPace('t1', 2.5);
+  const carried = slow.carry();
+  assert.is(Math.round(startRun({ target: createTarget('t2'), carried }).expectedGapMs()), 30);
+  directory.recordAdvertisedPace('t2', 2);
+  assert.is(Math.round(startRun({ target: createTarget('t2'), carried }).expectedGapMs()), 60);
+});
+
+test('a prefill of another run raises the limit by the gaps that the service showed beside prefills', () => {
+  const { directory, startRun, sendPieces } = create();
+  const run = startRun();
+  const meter = directory.pace.createMeter(createTarget('t1'));
+  sendPieces(run, 30);
+  const endPrefill = directory.startReadingPrompt('t1');
+  assert.is(run.maxSilenceMs(), policy.minSilenceMs, 'no such gap was seen yet');
+  for (let at = 0; at <= 1_800; at += 180) {
+    meter.recordPieces(1, at);
+  }
+  assert.is(run.maxSilenceMs(), 180 * 1.25);
+  assert.is(run.expectedGapMs(), 180);
+  endPrefill();
+  assert.is(run.maxSilenceMs(), policy.minSilenceMs);
+});
+
+test('the pause of a resumed run began with the last piece of the run before it', () => {
+  const { jump, startRun, resumed } = create();
+  const run = startRun();
+  run.recordActivity();
+  const { pausedSinceMs } = run;
+  jump(300);
+  const next = startRun({ resumesFromReplica: true, carried: run.carry() });
+  assert.is(next.pausedSinceMs, pausedSinceMs);
+  jump(90);
+  next.recordActivity();
+  assert.equal(resumed, [90]);
+  assert.is(next.pausedSinceMs, pausedSinceMs + 390);
+});
+
+test('a replica counts only once the run has sent a piece, and a piece ends a row of missing entries', () => {
+  const { startRun } = create();
+  const run = startRun({ resumesFromReplica: true, replicaTarget: createTarget('t2') });
+  assert.is(run.replicaTarget, undefined);
+  run.missedProbes = 1;
+  run.recordActivity();
+  assert.is(run.replicaTarget?.id, 't2');
+  assert.is(run.missedProbes, 0);
+});
+
+test.run();
--- a/packages/forward-request/src/run-activity.ts
+++ b/packages/forward-request/src/run-activity.ts
@@ -1,25 +1,42 @@
 /** Tracks when a run last sent a piece and how long it may be silent. */
-import computeSilenceTimeout, {
+import {
+  computeSilenceTimeoutBesidePrefill,
   INITIAL_GAP_ESTIMATE,
+  scaleGapEstimate,
   updateGapEstimate,
   type GapEstimate,
 } from '@limelead/suspect-silence';
+import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, RecoveryPolicy, ServiceTarget } from '@limelead/types';
-import type { MonitoredRun } from './silence-monitor.js';
+import type { GiveUpCause, MonitoredRun } from './monitored-run.js';
 
-/** Longest time to the first piece of a run that resumes from a replica. */
-const MAX_RESUMED_FIRST_PIECE_MS = 500;
+/** What a run leaves to the next run of its request. */
+export interface CarriedActivity {
+  /** Gaps at the usual pace. */
+  gaps: GapEstimate;
+  /** Time of the last piece that the caller got. */
+  pausedSinceMs: Millis;
+}
 
 export interface RunActivityOptions {
   requestId: string;
   target: ServiceTarget;
+  replicaTarget?: ServiceTarget;
   /** True if the run resumes from a replica, which skips nearly all of the prefill. */
   resumesFromReplica: boolean;
   policy: RecoveryPolicy;
   /** Longest time to the first piece of a run that reads its prompt, in milliseconds. */
   maxPrefillMs: number;
+  /** Longest pause that the route allows. */
+  maxPauseMs: Millis;
+  /** Activity of the request's previous run; undefined for its first one. */
+  carried?: CarriedActivity;
   clock: Clock;
-  onSilent(): void;
+  directory: Pick<TargetDirectory, 'pace' | 'paceOf'>;
+  canMove(): boolean;
+  /** Called with the time to the first piece of a run that resumed from a replica. */
+  onResumed(tookMs: Millis): void;
+  onSilent(cause: GiveUpCause): void;
 }
 
 /** Activity of one monitored run. */
@@ -27,39 +44,79 @@
   readonly requestId: string;
   readonly target: ServiceTarget;
   readonly startedAtMs: Millis;
+  readonly maxPauseMs: Millis;
   lastActivityAtMs: Millis;
+  pausedSinceMs: Millis;
   isWriting: boolean;
   missedProbes = 0;
-  private gaps: GapEstimate = INITIAL_GAP_ESTIMATE;
+  private gaps: GapEstimate;
   private hasSentPieces = false;
 
   constructor(private readonly options: RunActivityOptions) {
+    const { carried, clock, directory, target } = options;
     this.requestId = options.requestId;
-    this.target = options.target;
-    this.startedAtMs = options.clock.now();
+    this.target = target;
+    this.maxPauseMs = options.maxPauseMs;
+    this.startedAtMs = clock.now();
     this.lastActivityAtMs = this.startedAtMs;
+    this.pausedSinceMs = carried?.pausedSinceMs ?? this.startedAtMs;
     this.isWriting = options.resumesFromReplica;
+    this.gaps = carried
+      ? scaleGapEstimate(carried.gaps, directory.paceOf(target.id))
+      : INITIAL_GAP_ESTIMATE;
+  }
+
+  /** The replica's target; engines replicate only runs that have sent a piece. */
+  get replicaTarget(): ServiceTarget | undefined {
+    return this.hasSentPieces ? this.options.replicaTarget : undefined;
   }
 
   recordActivity(): void {
     const now = this.options.clock.now();
     if (this.hasSentPieces) {
       this.gaps = updateGapEstimate(this.gaps, now - this.lastActivityAtMs);
+    } else if (this.options.resumesFromReplica) {
+      this.options.onResumed(now - this.startedAtMs);
     }
     this.hasSentPieces = true;
     this.isWriting = true;
+    this.missedProbes = 0;
     this.lastActivityAtMs = now;
+    this.pausedSinceMs = now;
   }
 
   maxSilenceMs(): number {
     const { resumesFromReplica, maxPrefillMs, policy } = this.options;
     if (this.hasSentPieces) {
-      return computeSilenceTimeout(this.gaps, policy);
+      return computeSilenceTimeoutBesidePrefill(this.gaps, this.prefillGapMs, policy);
     }
-    return resumesFromReplica ? MAX_RESUMED_FIRST_PIECE_MS : maxPrefillMs;
+    return resumesFromReplica ? policy.maxSilenceMs : maxPrefillMs;
+  }
+
+  expectedGapMs(): Millis {
+    return Math.max(this.gaps.meanMs, this.prefillGapMs);
+  }
+
+  canMove(): boolean {
+    return this.options.canMove();
+  }
+
+  onSilent(cause: GiveUpCause): void {
+    this.options.onSilent(cause);
+  }
+
+  /** What the next run of the request starts with. */
+  carry(): CarriedActivity {
+    const { directory, target } = this.options;
+    const gaps = scaleGapEstimate(this.gaps, 1 / directory.paceOf(target.id));
+    return { gaps, pausedSinceMs: this.pausedSinceMs };
   }
 
-  onSilent(): void {
-    this.options.onSilent();
+  /** Longest usual gap while a prompt is prefilled at the target; 0 while none is. */
+  private get prefillGapMs(): Millis {
+    const { directory, target } = this.options;
+    return directory.pace.hasPrefill(target.id)
+      ? directory.pace.prefillGapMs(target.service) * directory.paceOf(target.id)
+      : 0;
   }
 }
--- a/packages/forward-request/src/to-generation-request.ts
+++ b/packages/forward-request/src/to-generation-request.ts
@@ -2,14 +2,21 @@
 import type {
   AnswerBinding,
   GenerationRequest,
+  Millis,
   RecoveryPolicy,
   ServingRoute,
 } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 
+/** Highest lower limit: routes that allow long pauses gain nothing from earlier probes. */
 const MIN_SILENCE_MS = 240;
-/** Share of the longest acceptable pause that silence detection may use. */
-const MAX_SILENCE_SHARE_OF_PAUSE = 0.5;
+/** The same as a share of the longest acceptable pause. */
+const MIN_SILENCE_SHARE_OF_PAUSE = 0.2;
+/**
+ * Share of the longest acceptable pause after which the target is probed at the latest. With the
+ * probe, detection takes about half of the pause.
+ */
+const MAX_SILENCE_SHARE_OF_PAUSE = 1 / 3;
 const DEFAULT_MAX_PAUSE_MS = 800;
 const SUSPICION_FACTOR = 6;
 
@@ -40,13 +47,18 @@
   };
 }
 
+/** Longest pause that a route allows in a stream. */
+export function maxPauseOf({ maxPauseMs = DEFAULT_MAX_PAUSE_MS }: ServingRoute): Millis {
+  return maxPauseMs;
+}
+
 /** Limits silence so that a run can resume at another target within the acceptable pause. */
-function toRecoveryPolicy({ maxPauseMs = DEFAULT_MAX_PAUSE_MS }: ServingRoute): RecoveryPolicy {
-  const maxSilenceMs = maxPauseMs * MAX_SILENCE_SHARE_OF_PAUSE;
+function toRecoveryPolicy(route: ServingRoute): RecoveryPolicy {
+  const maxPauseMs = maxPauseOf(route);
   return {
     suspicionFactor: SUSPICION_FACTOR,
-    minSilenceMs: Math.min(MIN_SILENCE_MS, maxSilenceMs),
-    maxSilenceMs,
+    minSilenceMs: Math.min(MIN_SILENCE_MS, maxPauseMs * MIN_SILENCE_SHARE_OF_PAUSE),
+    maxSilenceMs: maxPauseMs * MAX_SILENCE_SHARE_OF_PAUSE,
     hedge: false,
     probeFirst: false,
   };
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -83,6 +83,7 @@
     onPeerLoad: (peer, load) => directory.onPeerLoad(peer, load),
     adviseTarget: (peer, question) => scheduler.advise(peer, question),
     onTargetLost: (target, loss) => directory.onPeerLoss(target, loss),
+    onProbeAnswers: (answers) => directory.onPeerProbeAnswers(answers),
     readQuarantineState: () => dependencies.guard.createSnapshot(),
     onQuarantineUpdate: (quarantineUpdate, peer) =>
       dependencies.guard.onPeerUpdate(quarantineUpdate, peer),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,7 +345,11 @@
       }),
       requestAdvice: (request, receive) =>
         this.exchange?.requestTargetAdvice(request, receive) ?? noTargetAdvice(request, receive),
-      silence: new SilenceMonitor({ ...shared, connections, dialect, log }),
+      silence: new SilenceMonitor({
+        ...{ ...shared, connections, dialect, log, metrics: this.metrics },
+        onProbeAnswered: (target, atMs) =>
+          this.exchange?.targetUpdates.probeAnswers.publish({ target, atMs }),
+      }),
       prefill: new PrefillEstimator(),
       slowness: this.slowness,
       cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -184,7 +184,7 @@
     gate: OPEN_GATE,
     permits: NO_RATE_LIMITS,
     guard: createIsolatedGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
-    silence: new SilenceMonitor({ ...shared, connections, dialect, log }),
+    silence: new SilenceMonitor({ ...shared, connections, dialect, log, metrics: createMetrics() }),
     prefill: new PrefillEstimator(),
     slowness: new SlownessTracker(() => undefined),
     cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -10,6 +10,7 @@
 } from './permit-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
+import { probeAnswersCodec } from './probe-messages.js';
 import {
   demandCodec,
   timeOfDayCodec,
@@ -105,6 +106,7 @@
     requests: quarantineUpdateCodec,
     limits: limitUpdateCodec,
     leaving: leavingUpdateCodec,
+    probed: probeAnswersCodec,
   }),
 ]);
 
--- a/packages/share-evidence/src/peer-exchange.test.ts
+++ b/packages/share-evidence/src/peer-exchange.test.ts
@@ -1,7 +1,7 @@
 import createDecisionLog from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
 import { createQuarantineUpdate } from '@limelead/quarantine-requests';
-import type { ReportedTargetLoad } from '@limelead/track-service-targets';
+import type { PeerProbeAnswer, ReportedTargetLoad } from '@limelead/track-service-targets';
 import { backgroundTimers, systemRandom, type Advice } from '@limelead/types';
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
@@ -23,6 +23,7 @@
 class Vm {
   readonly loads = new Map<string, ReadonlyMap<string, ReportedTargetLoad>>();
   readonly lost: string[] = [];
+  readonly probed: PeerProbeAnswer[] = [];
   readonly updates: StoreUpdate[] = [];
   readonly foreignPeers: string[] = [];
   /** All VMs follow the same store unless a test sets other marks. */
@@ -72,6 +73,7 @@
       onPeerLoad: (peer, { targets }) => vm.note(() => vm.loads.set(peer, targets)),
       adviseTarget: () => ({ target: `advised by ${port}` }),
       onTargetLost: (target) => vm.note(() => vm.lost.push(target)),
+      onProbeAnswers: (answers) => vm.note(() => vm.probed.push(...answers)),
       readQuarantineState: () => createQuarantineUpdate({}),
       onQuarantineUpdate: () => undefined,
       readLimits: () => [],
@@ -172,6 +174,24 @@
   await Promise.all([first, second].map(({ exchange }) => exchange.stop()));
 });
 
+test('an answer to a probe reaches a linked peer with its age', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const first = await Vm.start(a, 'north', []);
+  const second = await Vm.start(b, 'south', [a]);
+  await first.until(() => first.exchange.totalVmCount === 2);
+  const atMs = clock.now() - 5;
+  await first.until(() => {
+    first.exchange.targetUpdates.probeAnswers.publish({ target: 't1', atMs });
+    return second.probed.length > 0;
+  });
+  const [answer] = second.probed;
+  assert.is(answer?.target, 't1');
+  assert.ok(answer !== undefined && answer.atMs <= clock.now() - 5);
+  assert.equal(first.probed, []);
+  assert.equal(second.lost, [], 'a target that answers is no lost one');
+  await Promise.all([first, second].map(({ exchange }) => exchange.stop()));
+});
+
 test('a VM that the store does not answer gets its items from a peer', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -53,7 +53,7 @@
   private members: Membership | undefined;
   private readonly gossip: Gossip;
   private readonly load: LoadExchange;
-  private readonly targetUpdates: TargetUpdateExchange;
+  readonly targetUpdates: TargetUpdateExchange;
   private readonly retryBorrower: RetryBorrower;
   private readonly store: StoreExchange;
   private readonly storeVerifier: PeerStoreVerifier;
@@ -130,7 +130,7 @@
     });
     this.targetUpdates = new TargetUpdateExchange({
       ...options,
-      listPeers,
+      ...{ listPeers, listLinkedPeers: () => this.peers.list() },
       isPossiblySameStore: (peer) => this.storeVerifier.isPossiblySameStore(peer),
       send,
       broadcast,
--- a/packages/share-evidence/src/target-update-exchange.ts
+++ b/packages/share-evidence/src/target-update-exchange.ts
@@ -1,5 +1,6 @@
 /**
- * Gossip that shares the message of lost targets: losses, leaving targets, and quarantine updates.
+ * Gossip that shares the message of lost targets: losses, leaving targets, answers to probes, and
+ * quarantine updates.
  * Older releases ignore fields that they do not know.
  */
 import type { QuarantineUpdate } from '@limelead/quarantine-requests';
@@ -8,6 +9,7 @@
 import { encodeQuarantineUpdate, decodeQuarantineUpdate } from './quarantine-messages.js';
 import LeavingTargetExchange from './leaving-target-exchange.js';
 import LossPublisher from './loss-publisher.js';
+import ProbeAnswerExchange from './probe-answer-exchange.js';
 import type { ExchangeMessage, ExchangeMessageOf } from './messages.js';
 import type { PeerExchangeOptions, PeerId } from './types.js';
 
@@ -17,6 +19,7 @@
   | 'clock'
   | 'timers'
   | 'onTargetLost'
+  | 'onProbeAnswers'
   | 'readQuarantineState'
   | 'onQuarantineUpdate'
   | 'readLeaving'
@@ -24,6 +27,7 @@
 > {
   /** Peers with which gossip is shared. */
   listPeers(): PeerId[];
+  listLinkedPeers(): PeerId[];
   /** Whether a peer may follow the same store. */
   isPossiblySameStore(peer: PeerId): boolean;
   send(peer: PeerId, message: ExchangeMessage): void;
@@ -34,10 +38,13 @@
 export default class TargetUpdateExchange {
   private readonly lossPublisher: LossPublisher;
   private readonly leaving: LeavingTargetExchange;
+  /** Answers of targets to probes. */
+  readonly probeAnswers: ProbeAnswerExchange;
 
   constructor(private readonly options: TargetUpdateExchangeOptions) {
     const { clock, timers, listPeers, send } = options;
     this.leaving = new LeavingTargetExchange(options);
+    this.probeAnswers = new ProbeAnswerExchange(options);
     this.lossPublisher = new LossPublisher({
       clock,
       timers,
@@ -74,6 +81,7 @@
   onMessage(peer: PeerId, message: ExchangeMessageOf<'lost'>): void {
     const { targets, replaced, requests } = message;
     this.leaving.onMessage(peer, message);
+    this.probeAnswers.onMessage(message);
     if (requests !== undefined && this.options.isPossiblySameStore(peer)) {
       this.options.onQuarantineUpdate(
         decodeQuarantineUpdate(requests, this.options.clock.now()),
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -5,6 +5,7 @@
 import type { QuarantineUpdate } from '@limelead/quarantine-requests';
 import type {
   ReportedTargetLoad,
+  PeerProbeAnswer,
   TargetLoss,
   PeerLoadUpdate,
 } from '@limelead/track-service-targets';
@@ -118,6 +119,8 @@
   /** Chooses a target for a stream of a peer; undefined if no target has a free slot. */
   adviseTarget(peer: PeerId, request: SchedulerRequest): SchedulerAnswer | undefined;
   onTargetLost(target: string, loss: TargetLoss): void;
+  /** Called with targets that answered probes of a peer. */
+  onProbeAnswers(answers: PeerProbeAnswer[]): void;
   /** Returns all known suspected and quarantined requests, for a newly linked peer. */
   readQuarantineState(): QuarantineUpdate;
   /** Called with the quarantine update of a peer. */
--- a/packages/suspect-silence/src/index.test.ts
+++ b/packages/suspect-silence/src/index.test.ts
@@ -1,7 +1,12 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import computeSilenceTimeout, { INITIAL_GAP_ESTIMATE, updateGapEstimate } from './index.js';
+import computeSilenceTimeout, {
+  computeSilenceTimeoutBesidePrefill,
+  INITIAL_GAP_ESTIMATE,
+  scaleGapEstimate,
+  updateGapEstimate,
+} from './index.js';
 
 const policy = {
   suspicionFactor: 4,
@@ -38,4 +43,20 @@
   assert.ok(computeSilenceTimeout(slow, policy) > 330);
 });
 
+test('gaps beside a prefill raise the timeout, within the limits of the policy', () => {
+  const steady = estimateGaps(Array.from({ length: 200 }, () => 30));
+  const usual = computeSilenceTimeout(steady, policy);
+  assert.is(computeSilenceTimeoutBesidePrefill(steady, 0, policy), usual);
+  assert.is(computeSilenceTimeoutBesidePrefill(steady, 180, policy), 225);
+  assert.is(computeSilenceTimeoutBesidePrefill(steady, 9_000, policy), policy.maxSilenceMs);
+});
+
+test('a scaled estimate is the one of a target whose gaps take that multiple', () => {
+  const gaps = Array.from({ length: 300 }, (_, index) => 30 + (index % 5));
+  const scaled = scaleGapEstimate(estimateGaps(gaps), 2.5);
+  const slow = estimateGaps(gaps.map((gap) => gap * 2.5));
+  assert.ok(Math.abs(scaled.meanMs - slow.meanMs) < 0.01);
+  assert.ok(Math.abs(scaled.deviationMs - slow.deviationMs) < 0.01);
+});
+
 test.run();
--- a/packages/suspect-silence/src/index.ts
+++ b/packages/suspect-silence/src/index.ts
@@ -8,6 +8,8 @@
 const DEVIATION_SMOOTHING = 1 / 4;
 const INITIAL_MEAN_MS = 60;
 const INITIAL_DEVIATION_MS = 60;
+/** Margin over the longest usual gap beside a prefill. */
+const PREFILL_GAP_MARGIN = 1.25;
 
 /** Moving mean and mean deviation of the gaps between messages. */
 export interface GapEstimate {
@@ -31,6 +33,14 @@
   };
 }
 
+/**
+ * Returns the estimate for a target whose pieces take that multiple of the time. A run that moves
+ * keeps its estimate this way, so that its limit does not start anew at the next target.
+ */
+export function scaleGapEstimate(estimate: GapEstimate, factor: number): GapEstimate {
+  return { meanMs: estimate.meanMs * factor, deviationMs: estimate.deviationMs * factor };
+}
+
 /** Returns the silence in milliseconds after which the target of a running stream is suspected. */
 export default function computeSilenceTimeout(
   estimate: GapEstimate,
@@ -40,6 +50,19 @@
   return clamp(timeoutMs, policy.minSilenceMs, policy.maxSilenceMs);
 }
 
+/**
+ * Returns the timeout while another prompt is prefilled at the target, where gaps up to
+ * `prefillGapMs` are usual; 0 if no such gap was seen.
+ */
+export function computeSilenceTimeoutBesidePrefill(
+  estimate: GapEstimate,
+  prefillGapMs: number,
+  policy: RecoveryPolicy,
+): number {
+  const timeoutMs = computeSilenceTimeout(estimate, policy);
+  return Math.max(timeoutMs, Math.min(prefillGapMs * PREFILL_GAP_MARGIN, policy.maxSilenceMs));
+}
+
 /**
  * Returns the timeout for the first token in milliseconds. `lateness` estimates how much later
  * than expected recent first tokens arrived, so that long prompts and queues raise the timeout.
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -22,3 +22,5 @@
   getSlowness,
 } from './target-health.js';
 export type { TargetHealth, TargetObservation } from './target-health.js';
+export type { PeerProbeAnswer } from './probe-answer-table.js';
+export type { PieceMeter } from './target-pace.js';
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -1,6 +1,8 @@
 /** Targets known to this VM, with their load and health. */
 import { hashText, type Clock, type Millis, type ServiceTarget } from '@limelead/types';
 import DomainLossTracker from './domain-loss-tracker.js';
+import once from './once.js';
+import ProbeAnswerTable, { type PeerProbeAnswer } from './probe-answer-table.js';
 import {
   isSuspected,
   INITIAL_HEALTH,
@@ -12,6 +14,7 @@
   type PeerLoad,
   type PeerLoadUpdate,
 } from './peer-load-table.js';
+import TargetPaceTable from './target-pace.js';
 import type {
   LossCause,
   TargetChange,
@@ -39,12 +42,15 @@
   private readonly lossesByService = new Map<string, DomainLossTracker>();
   private readonly listeners = new Set<() => void>();
   private readonly peerLoads: PeerLoadTable;
+  readonly pace: TargetPaceTable;
+  readonly probeAnswers = new ProbeAnswerTable();
 
   constructor(
     private readonly clock: Clock,
     private readonly events: Partial<TargetDirectoryEvents> = {},
   ) {
     this.peerLoads = new PeerLoadTable(clock, (id, total) => this.setPeerLoad(id, total));
+    this.pace = new TargetPaceTable(clock, (id) => this.tracked.get(id));
   }
 
   /** Number of known incarnations. */
@@ -188,6 +194,23 @@
     }
   }
 
+  /** Present time per piece as a multiple of the usual one; 1 if usual or unknown. */
+  paceOf(id: string): number {
+    return this.pace.paceOf(id);
+  }
+
+  /** Records the pace that a target advertised; see `TargetPaceTable.recordAdvertisedPace`. */
+  recordAdvertisedPace(id: string, multiple: number): void {
+    this.pace.recordAdvertisedPace(id, multiple);
+  }
+
+  /** Applies answers to probes of a peer. */
+  onPeerProbeAnswers(answers: PeerProbeAnswer[]): void {
+    answers
+      .filter(({ target }) => this.tracked.has(target))
+      .forEach((answer) => this.probeAnswers.recordPeer(answer));
+  }
+
   /** Counts a request that a peer was advised to send. */
   recordAdvisedRequest(request: AdvisedRequest): void {
     this.peerLoads.recordAdvisedRequest(request);
@@ -302,6 +325,8 @@
     if (known !== undefined) {
       const { target } = known;
       this.tracked.delete(id);
+      this.pace.forget(id);
+      this.probeAnswers.forget(id);
       this.getLosses(target.service).removeTarget(target.failureDomain, id);
       this.events.onNotice?.({ kind: 'gone', target });
     }
@@ -323,13 +348,3 @@
     }
   }
 }
-
-function once(run: () => void): () => void {
-  let done = false;
-  return () => {
-    if (!done) {
-      done = true;
-      run();
-    }
-  };
-}
