--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -10,6 +10,7 @@
 } from './permit-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
+import { probeAnswersCodec } from './probe-messages.js';
 import { lendRepeatsCodec, wantRepeatsCodec } from './retry-messages.js';
 import {
   demandCodec,
@@ -106,6 +107,7 @@
     requests: quarantineUpdateCodec,
     limits: limitUpdateCodec,
     leaving: leavingUpdateCodec,
+    probed: probeAnswersCodec,
   }),
 ]);
 
