Share one queue between the VMs for a service with little capacity

Cause: with 30 VMs and 3 targets each target holds 30 to 40 calls, because every VM fills the slots that it knows of.

Change: package queue-calls. The queue VM of a service, chosen by rendezvous hashing, counts the calls in progress from batched reports, switches queueing on at 0.7 of the slots and off below 0.5 for 2 s, and gives places at targets to the waiting calls of all VMs: those that can be in time first, by rank, fair share, repeats last and objective, then the late ones by deadline. Calls that can't be answered before their deadline are refused with a jittered Retry-After. The slot queue asks for a place before each send to a queued service; without a queue nothing changes. A queued service gets no hedges.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a call at one target. Buffers the answer until it is complete or too long. */
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
-import type { Millis, ServiceTarget } from '@limelead/types';
+import type { Millis, PlaceOutcome, ServiceTarget } from '@limelead/types';
 import type { WholeAnswer } from './answer-sink.js';
 import type { ForwardContext } from './context.js';
 import type { AnswerInfo, AttemptRequest } from './dialect.js';
@@ -102,7 +102,7 @@
     this.head = head;
     if (info.notRun) {
       this.open?.cancel();
-      this.finish(() => this.events.onRejected(this, info.isOtherTarget));
+      this.finish(() => this.events.onRejected(this, info.isOtherTarget), 'rejected');
     }
   }
 
@@ -124,14 +124,15 @@
   private onEnd(): void {
     const { head } = this;
     if (head !== undefined) {
-      this.finish(() => this.events.onEnd(this, { head, body: Buffer.concat(this.chunks) }));
+      const body = Buffer.concat(this.chunks);
+      this.finish(() => this.events.onEnd(this, { head, body }), 'answered');
     }
   }
 
-  private finish(notify: () => void): void {
+  private finish(notify: () => void, outcome?: PlaceOutcome): void {
     if (!this.isOver) {
       this.isOver = true;
-      this.slot.release();
+      this.slot.release(outcome);
       notify();
     }
   }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -17,11 +17,11 @@
 import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
+import describeCallRefusal from './describe-call-refusal.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
-import { MAX_REJECTED_ATTEMPTS, QUARANTINED_MESSAGE, MIN_SERVER_ERROR_STATUS } from './limits.js';
+import { MAX_REJECTED_ATTEMPTS, MIN_SERVER_ERROR_STATUS } from './limits.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
-import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
 import AttemptBudget from './attempt-budget.js';
 
 /** Longest idle time of a connection that a repeatable call reuses. */
@@ -127,14 +127,15 @@
   }
 
   private acquireSlot(onlyLeastLoaded: boolean): void {
-    const { service, request, rank, dueAtMs } = this.admitted;
+    const { service, request, organisation, rank, dueAtMs, receivedAtMs, route } = this.admitted;
     const { isHedge } = this;
     const { requestId } = request;
+    const objectiveAtMs = receivedAtMs + route.objectiveMs;
     this.stopWaiting = this.context.slots.acquire(
       {
         ...{ requestId, service, affinityKey: requestId, exclude: this.triedTargets },
         ...{
-          rank,
+          ...{ organisation, rank, objectiveAtMs },
           onlyLeastLoaded,
           isHedge,
           untilMs: dueAtMs,
@@ -192,7 +193,9 @@
 
   private hedge(): void {
     const canHedge = !this.isWaiting && this.hasOpenAttempt && !this.guarded.isSuspected;
-    if (!this.isDone && canHedge && this.streaming === undefined) {
+    // A hedge would take the place of a call that waits.
+    const isQueued = this.context.slots.isQueued(this.admitted.service);
+    if (!this.isDone && canHedge && !isQueued && this.streaming === undefined) {
       this.tryRetry(true);
     }
   }
@@ -349,32 +352,13 @@
       this.deliver(this.failure);
       return;
     } else {
-      this.sink.refuse(this.describeRefusal());
+      const { admitted, guarded, isQuarantined, isOverdue, possibleRuns, refusal } = this;
+      const unanswered = { admitted, guarded, isQuarantined, isOverdue, possibleRuns, refusal };
+      this.sink.refuse(describeCallRefusal(this.context, unanswered));
     }
     this.finish('given-up');
   }
 
-  private describeRefusal(): LimeleadError {
-    if (this.isQuarantined) {
-      return new LimeleadError('quarantined', QUARANTINED_MESSAGE, {
-        execution: this.possibleRuns === 0 ? undefined : 'unknown',
-        retryAfterMs: this.guarded.quarantineLeftMs,
-      });
-    }
-    if (this.refusal !== undefined) {
-      return new LimeleadError('overloaded', REFUSAL_MESSAGE, {
-        ...reportRefusal(this.context, this.admitted, this.refusal),
-        execution: this.possibleRuns === 0 ? undefined : 'unknown',
-      });
-    }
-    if (this.possibleRuns === 0) {
-      return new LimeleadError('no-target', 'no target accepted the request');
-    }
-    return this.isOverdue
-      ? new LimeleadError('deadline-passed', 'no answer arrived before the deadline')
-      : new LimeleadError('outcome-unknown', 'the answer of the target was lost');
-  }
-
   private cancelOthers(kept?: CallAttempt): void {
     const others = this.attempts.filter((attempt) => attempt !== kept);
     others.forEach((attempt) => attempt.cancel());
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -11,6 +11,7 @@
 export { default as SlotQueue } from './slot-queue.js';
 export type { Slot } from './slot-request.js';
 export { default as SilenceMonitor } from './silence-monitor.js';
+export { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
 export { NO_RATE_LIMITS, type SendPermits } from './send-permits.js';
 export { NO_BACKPRESSURE, type TargetBackpressure } from './target-backpressure.js';
 export { OPEN_GATE, type TargetGate } from './target-gate.js';
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -24,7 +24,8 @@
     metrics.count('limelead_refused_for_cooldown_total');
     log.write('cooldown-refused', { ...fields, targets: refusal.targets });
   } else {
-    log.write('permit-refused', { ...fields, grantedBy: refusal.grantedBy });
+    const event = refusal.kind === 'no-place' ? 'queue-refused' : 'permit-refused';
+    log.write(event, { ...fields, grantedBy: refusal.grantedBy });
   }
   return { retryAfterMs };
 }
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -5,7 +5,15 @@
 import { chooseServiceTarget, type ServiceTargetCriteria } from '@limelead/choose-service-target';
 import type { Locality } from '@limelead/locality';
 import { isSuspected, type TrackedServiceTarget } from '@limelead/track-service-targets';
-import type { CancelTimer, PermitRefusal, Timers, WaitingRequest } from '@limelead/types';
+import type {
+  CancelTimer,
+  PermitRefusal,
+  ReleasePlace,
+  Timers,
+  WaitingCall,
+  WaitingRequest,
+} from '@limelead/types';
+import { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import type { Slot, SlotRequest } from './slot-request.js';
 import TargetAvailability, { type TargetAvailabilityOptions } from './target-availability.js';
@@ -24,8 +32,10 @@
   isOver: boolean;
 }
 
-export interface SlotQueueOptions extends TargetAvailabilityOptions {
+export interface SlotQueueOptions extends Omit<TargetAvailabilityOptions, 'places'> {
   timers: Timers;
+  /** Places of queued services; without it no service is queued. */
+  places?: CallPlaces;
   failureDomain: string;
   locality: Locality;
 }
@@ -36,9 +46,11 @@
   private cancelTimer: CancelTimer | undefined;
   private lastId = 0;
   private readonly availability: TargetAvailability;
+  private readonly places: CallPlaces;
 
   constructor(private readonly options: SlotQueueOptions) {
-    this.availability = new TargetAvailability(options);
+    this.places = options.places ?? NO_CALL_QUEUES;
+    this.availability = new TargetAvailability({ ...options, places: this.places });
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
       list: (service) => this.listWaiting(service),
@@ -46,6 +58,13 @@
       refuse: (id, refusal) => this.refuse(id, refusal),
       isAvoided: (targetId) => this.availability.isAvoided(targetId),
     });
+    this.places.attach({
+      list: (service) => this.listWaitingCalls(service),
+      serve: () => this.serveWaiters(),
+      serveAt: (id, targetId) => this.serveAt(id, targetId),
+      refuse: (id, refusal) => this.refuse(id, refusal, 'no-place'),
+      isAvoided: (targetId) => !this.availability.canUsePlace(targetId),
+    });
   }
 
   /** Acquires a slot at the target if it is available and has a free slot. */
@@ -55,7 +74,7 @@
       tracked !== undefined &&
       this.availability.hasFreeSlot(tracked) &&
       this.availability.isAvailable(tracked);
-    return isFree ? this.occupySlot(tracked, replicaTargetId) : undefined;
+    return isFree ? this.occupySlot(tracked, undefined, replicaTargetId) : undefined;
   }
 
   /** Acquires a slot at the target of a replica, which already holds the run's memory. */
@@ -66,6 +85,11 @@
       : undefined;
   }
 
+  /** Whether requests of a service wait in the queue of all VMs. */
+  isQueued(service: string): boolean {
+    return this.places.isQueued(service);
+  }
+
   /** Number of waiting requests. */
   get waiting(): number {
     return this.waiters.length;
@@ -87,17 +111,16 @@
   }
 
   private wait(request: SlotRequest, onSlot: OnSlot): () => void {
-    const { permits } = this.options;
     this.availability.reportHeld(request);
     this.lastId += 1;
     const waiter: Waiter = { id: this.lastId, request, onSlot, isOver: false };
     this.waiters.push(waiter);
     this.waiters.sort(compareWaiters);
     this.schedule();
-    permits.onQueueChanged(request.service);
+    this.onQueueChanged(request.service);
     return () => {
       if (this.remove(waiter)) {
-        permits.onQueueChanged(request.service);
+        this.onQueueChanged(request.service);
       }
     };
   }
@@ -109,10 +132,38 @@
       .map(({ id, request }) => ({ id, rank: request.rank, untilMs: request.untilMs }));
   }
 
-  private refuse(id: number, refusal: PermitRefusal): void {
+  private onQueueChanged(service: string): void {
+    this.options.permits.onQueueChanged(service);
+    this.places.onQueueChanged(service);
+  }
+
+  /** Waiting requests that may use a place, in the order of service. */
+  private listWaitingCalls(service: string): WaitingCall[] {
+    return this.waiters
+      .filter(({ request }) => request.service === service && request.isHedge !== true)
+      .map(({ id, request }) => toWaitingCall(id, request));
+  }
+
+  /** Sends a waiting request to the target at which it was granted a place. */
+  private serveAt(id: number, targetId: string): boolean {
+    const waiter = this.waiters.find((other) => other.id === id);
+    const tracked = this.options.directory.get(targetId);
+    if (waiter === undefined || tracked === undefined || !this.availability.canUsePlace(targetId)) {
+      return false;
+    }
+    this.remove(waiter);
+    waiter.onSlot(this.occupySlot(tracked, waiter.request));
+    return true;
+  }
+
+  private refuse(
+    id: number,
+    refusal: PermitRefusal,
+    kind: 'no-permit' | 'no-place' = 'no-permit',
+  ): void {
     const waiter = this.waiters.find((other) => other.id === id);
     if (waiter !== undefined && this.remove(waiter)) {
-      waiter.onSlot(undefined, { kind: 'no-permit', ...refusal });
+      waiter.onSlot(undefined, { kind, ...refusal });
     }
   }
 
@@ -146,18 +197,30 @@
     )) {
       const tracked = chooseServiceTarget(group, choice);
       if (tracked !== undefined) {
-        return this.occupySlot(tracked);
+        return this.occupySlot(tracked, request);
       }
     }
     return undefined;
   }
 
   /** The only place that occupies slots; the limits of targets are checked before. */
-  private occupySlot(tracked: TrackedServiceTarget, replicaTargetId?: string): Slot {
+  private occupySlot(
+    tracked: TrackedServiceTarget,
+    request?: SlotRequest,
+    replicaTargetId?: string,
+  ): Slot {
     const { directory, gate, permits } = this.options;
+    const { id, service } = tracked.target;
     gate.recordSend(tracked.target);
-    permits.recordSend(tracked.target.id, tracked.target.service);
-    return { tracked, replicaTargetId, release: directory.startRequest(tracked.target.id) };
+    permits.recordSend(id, service);
+    const endRequest = directory.startRequest(id);
+    const { objectiveAtMs = Infinity } = request ?? {};
+    const releasePlace = this.places.recordSend(id, service, { objectiveAtMs });
+    const release: ReleasePlace = (outcome) => {
+      endRequest();
+      releasePlace(outcome);
+    };
+    return { tracked, replicaTargetId, release };
   }
 
   private serveWaiters(): void {
@@ -204,6 +267,16 @@
   return up.filter((one) => requestsAt(one) === fewest);
 }
 
+function toWaitingCall(id: number, request: SlotRequest): WaitingCall {
+  const { requestId, organisation, rank, untilMs, exclude } = request;
+  return {
+    ...{ id, requestId, organisation, rank, untilMs },
+    isRepeat: request.isRepeat ?? false,
+    objectiveAtMs: request.objectiveAtMs ?? untilMs,
+    avoid: exclude,
+  };
+}
+
 function compareWaiters(a: Waiter, b: Waiter): number {
   return a.request.rank - b.request.rank || a.request.untilMs - b.request.untilMs;
 }
--- a/packages/forward-request/src/slot-refusal.ts
+++ b/packages/forward-request/src/slot-refusal.ts
@@ -2,4 +2,4 @@
 import type { CooldownRefusal } from '@limelead/track-backpressure';
 import type { PermitRefusal } from '@limelead/types';
 
-export type SlotRefusal = CooldownRefusal | ({ kind: 'no-permit' } & PermitRefusal);
+export type SlotRefusal = CooldownRefusal | ({ kind: 'no-permit' | 'no-place' } & PermitRefusal);
--- a/packages/forward-request/src/slot-request.ts
+++ b/packages/forward-request/src/slot-request.ts
@@ -1,6 +1,6 @@
 /** Slots at targets and requests for them. */
 import type { TrackedServiceTarget } from '@limelead/track-service-targets';
-import type { Millis } from '@limelead/types';
+import type { Millis, ReleasePlace } from '@limelead/types';
 
 /** A request for a slot. */
 export interface SlotRequest {
@@ -15,6 +15,11 @@
   isHedge?: boolean;
   /** Steady time until which the request may wait. */
   untilMs: Millis;
+  organisation?: string;
+  /** True if the same organisation sent the same request shortly before. */
+  isRepeat?: boolean;
+  /** Steady time of the objective for the complete answer; undefined if only the wait is bounded. */
+  objectiveAtMs?: Millis;
   /** Shortest time in milliseconds that the target needs for the answer. */
   minServiceMs?: Millis;
 }
@@ -24,5 +29,5 @@
   tracked: TrackedServiceTarget;
   /** Replica target that the scheduler advised. */
   replicaTargetId?: string;
-  release(): void;
+  release: ReleasePlace;
 }
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -7,6 +7,7 @@
 } from '@limelead/track-backpressure';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { Clock, Random } from '@limelead/types';
+import type { CallPlaces } from './call-places.js';
 import type { SendPermits } from './send-permits.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import type { SlotRequest } from './slot-request.js';
@@ -21,6 +22,7 @@
   limit: (tracked: TrackedServiceTarget) => number;
   gate: TargetGate;
   permits: SendPermits;
+  places: CallPlaces;
   backpressure: TargetBackpressure;
 }
 
@@ -103,9 +105,27 @@
     return tracked === undefined || !this.hasFreeSlot(tracked) || !this.isOpen(tracked);
   }
 
+  /**
+   * Whether a request may be sent to a target at which it was granted a place. The place may be one
+   * beyond the target's slots.
+   */
+  canUsePlace(targetId: string): boolean {
+    const { backpressure, clock, directory, limit, permits } = this.options;
+    const tracked = directory.get(targetId);
+    return (
+      tracked !== undefined &&
+      tracked.health.fullUntilMs <= clock.now() &&
+      tracked.inFlight < backpressure.limitSlots(targetId, limit(tracked) + 1) &&
+      this.isOpen(tracked) &&
+      permits.canSend(targetId)
+    );
+  }
+
   /** Whether a target accepts requests from this VM now; free slots are not checked. */
   isAvailable(tracked: TrackedServiceTarget): boolean {
-    return this.isOpen(tracked) && this.options.permits.canSend(tracked.target.id);
+    const { permits, places } = this.options;
+    const { id, service } = tracked.target;
+    return this.isOpen(tracked) && permits.canSend(id) && places.canSend(service);
   }
 
   /**
@@ -113,7 +133,10 @@
    * the others only wait for permits.
    */
   listPermitted({ service, exclude, isHedge }: SlotRequest): TrackedServiceTarget[] {
-    const { permits } = this.options;
+    const { permits, places } = this.options;
+    if (!places.canSend(service)) {
+      return [];
+    }
     const usable = this.listUsable(service);
     if (!permits.hasLimits) {
       return usable;
--- /dev/null
+++ b/packages/gateway/src/create-call-queue.ts
@@ -0,0 +1,42 @@
+/** Connects the queues of services with few slots to the target directory and to the peers. */
+import { CallQueue } from '@limelead/queue-calls';
+import type { FleetComponentContext } from './fleet-component.js';
+
+/** Queue VM of a VM without a peer address: it queues only its own calls. */
+const LOCAL_QUEUE_VM = 'this VM';
+
+/** Creates the call queue of one VM. */
+export default function createCallQueue({
+  clock,
+  timers,
+  random,
+  log,
+  metrics,
+  directory,
+  storeView,
+  readExchange,
+}: FleetComponentContext): CallQueue {
+  const readFleet = () => readExchange()?.queues;
+  return new CallQueue({
+    ...{ clock, timers, random, log, metrics },
+    fleet: {
+      get self() {
+        return readFleet()?.self ?? LOCAL_QUEUE_VM;
+      },
+      countVms: () => readFleet()?.totalVmCount ?? 1,
+      chooseQueueVm: (service) => {
+        const fleet = readFleet();
+        return fleet === undefined ? LOCAL_QUEUE_VM : fleet.chooseQueueVm(service);
+      },
+      send: (vm, message) => readFleet()?.send(vm, message),
+    },
+    targets: {
+      isEngine: (service) => storeView.routes?.findService(service)?.engine !== undefined,
+      list: (service) =>
+        directory.listUsable(service).map(({ target: { id, slots }, inFlight }) => ({
+          ...{ id, slots, inFlight },
+          isSuspected: directory.isSuspected(id),
+        })),
+    },
+  });
+}
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -4,6 +4,7 @@
 import type { Locality } from '@limelead/locality';
 import type { TargetGate } from '@limelead/forward-request';
 import type { SendLimiter } from '@limelead/permit-sends';
+import type { CallQueue } from '@limelead/queue-calls';
 import type { RequestGuard } from '@limelead/quarantine-requests';
 import { PeerExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
@@ -31,6 +32,7 @@
   retryBudgets: RetryBudgets;
   guard: RequestGuard;
   permits: SendLimiter;
+  callQueue: CallQueue;
   backpressure: Backpressure;
   gate: TargetGate;
   storeAddress: string;
@@ -92,6 +94,8 @@
     onLeaving: (updates, peer) => dependencies.backpressure.onPeerUpdate(peer, updates),
     onPermitMessage: (message, peer) => dependencies.permits.onMessage(peer, message),
     onPermitPeerLost: (peer) => dependencies.permits.onPeerLost(peer),
+    onQueueMessage: (message, peer) => dependencies.callQueue.onMessage(peer, message),
+    onQueuePeerLost: (peer) => dependencies.callQueue.onVmLost(peer),
     lendRetries: (service, wanted) => retryBudgets.lend(service, wanted),
     onRetriesBorrowed: dependencies.onBorrowedRetries,
     onReport: dependencies.onReport,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import type { ConditionalStore, DutyPlatform } from '@limelead/ports';
 import createMetrics, { type Metrics } from '@limelead/metrics';
 import type { SendLimiter } from '@limelead/permit-sends';
+import type { CallQueue } from '@limelead/queue-calls';
 import type { PeerExchange } from '@limelead/share-evidence';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
@@ -34,6 +35,7 @@
 import { noTargetAdvice, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
 import type { IncomingMessage, Server } from 'node:http';
 import createBackpressure from './create-backpressure.js';
+import createCallQueue from './create-call-queue.js';
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
@@ -98,6 +100,7 @@
   /** Fleet-wide components that the settings enable. */
   private readonly components: FleetComponent[];
   private readonly permits: SendLimiter;
+  private readonly callQueue: CallQueue;
   private readonly backpressure: Backpressure;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: Server[] = [];
@@ -164,6 +167,7 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
+    this.callQueue = createCallQueue(partContext);
     this.backpressure = createBackpressure(partContext);
     this.quarantine = createQuarantineComponent(partContext, {
       connections: this.connections,
@@ -180,20 +184,12 @@
     this.metrics.gauge('limelead_log_lines_dropped', () => this.log.dropped);
     this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.storeViewAgeMs);
     this.follower = this.createFollower();
+    const { log, directory, locality, storeView, follower, engineLoad, retryBudgets } = this;
+    const { permits, callQueue, backpressure, gate } = this;
     this.exchange = createExchange({
-      settings,
-      clock: steadyClock,
-      log: this.log,
-      directory: this.directory,
-      locality: this.locality,
-      storeView: this.storeView,
-      follower: this.follower,
-      engineLoad: this.engineLoad,
-      retryBudgets: this.retryBudgets,
+      ...{ settings, clock: steadyClock, log, directory, locality, storeView, follower },
+      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate },
       guard: this.quarantine.guard,
-      permits: this.permits,
-      backpressure: this.backpressure,
-      gate: this.gate,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
       onFault: () => this.metrics.count('limelead_faults_total', 1, { boundary: 'peer' }),
@@ -342,6 +338,7 @@
         locality,
         limit: concurrencyLimitOf,
         permits,
+        places: this.callQueue,
       }),
       requestAdvice: (request, receive) =>
         this.exchange?.requestTargetAdvice(request, receive) ?? noTargetAdvice(request, receive),
--- /dev/null
+++ b/packages/queue-calls/src/call-dispatcher.ts
@@ -0,0 +1,214 @@
+/**
+ * Decides which waiting call of any VM gets which place at a target, and which calls are refused
+ * because they can't be answered before their deadline. Addresses a service whose demand reaches
+ * what its few slots serve.
+ */
+import type { Millis, Random } from '@limelead/types';
+import {
+  canBeInTime,
+  type CompareCalls,
+  type OrderContext,
+  type QueuedCall,
+} from './order-calls.js';
+import type { ShareOrder } from './share-order.js';
+
+/** Shortest range of the jitter of a refusal, so that returning callers come spread out. */
+const MIN_RETRY_JITTER_MS: Millis = 1_000;
+
+/** A target as the dispatcher sees it. */
+export interface DispatchTarget {
+  id: string;
+  /** Calls that it may get now. */
+  free: number;
+  /** Calls that it may have at once. */
+  limit: number;
+  /** Time that an answer takes at most as a rule. */
+  expectedMs: Millis;
+  /** Mean time of an answer. */
+  meanMs: Millis;
+}
+
+/** A call that gets a place. */
+export interface PlaceGrant {
+  vm: string;
+  want: number;
+  target: string;
+}
+
+/** A call that is refused. */
+export interface CallRefusal {
+  vm: string;
+  want: number;
+  retryAfterMs: Millis;
+}
+
+/** Dependencies of `CallDispatcher`. */
+export interface CallDispatcherOptions {
+  random: Random;
+  shares: ShareOrder;
+  compare: CompareCalls;
+}
+
+/** The waiting calls of one service. */
+export default class CallDispatcher {
+  private waiting: QueuedCall[] = [];
+  /** Targets that a VM can't use. */
+  private readonly avoidedByVm = new Map<string, ReadonlySet<string>>();
+
+  constructor(private readonly options: CallDispatcherOptions) {}
+
+  /** Number of waiting calls. */
+  get length(): number {
+    return this.waiting.length;
+  }
+
+  /**
+   * Adds calls of a VM, or replaces them.
+   * @param isWhole true if the VM's calls that are not listed wait no more
+   */
+  setWaiting(vm: string, calls: readonly QueuedCall[], isWhole: boolean, now: Millis): void {
+    const ids = new Set(calls.map(({ id }) => id));
+    const known = new Set<number>();
+    this.waiting = this.waiting.filter((call) => {
+      if (call.vm !== vm) {
+        return true;
+      }
+      known.add(call.id);
+      return !isWhole && !ids.has(call.id);
+    });
+    for (const call of calls) {
+      if (!known.has(call.id)) {
+        this.options.shares.recordArrival(call.organisation, now);
+      }
+      this.waiting.push(call);
+    }
+  }
+
+  /** Sets the targets that a VM can't use now. */
+  setAvoided(vm: string, targets: readonly string[]): void {
+    if (targets.length === 0) {
+      this.avoidedByVm.delete(vm);
+    } else {
+      this.avoidedByVm.set(vm, new Set(targets));
+    }
+  }
+
+  /** Forgets the calls of a VM. */
+  forget(vm: string): void {
+    this.waiting = this.waiting.filter((call) => call.vm !== vm);
+    this.avoidedByVm.delete(vm);
+  }
+
+  /** Forgets all calls. */
+  clear(): void {
+    this.waiting = [];
+    this.avoidedByVm.clear();
+  }
+
+  /** Gives free places to waiting calls. Calls past their deadline are dropped, since their VM ends them. */
+  grant(targets: readonly DispatchTarget[], now: Millis): PlaceGrant[] {
+    const grants: PlaceGrant[] = [];
+    const open = targets.filter(({ limit }) => limit > 0);
+    const fastestMs = Math.min(...open.map(({ expectedMs }) => expectedMs));
+    const free = new Map(open.map(({ id, free: places }) => [id, places]));
+    // The fastest target first, and among equal ones that with most free places.
+    const listFree = (): DispatchTarget[] =>
+      open
+        .filter(({ id }) => (free.get(id) ?? 0) > 0)
+        .sort(
+          (a, b) => a.expectedMs - b.expectedMs || (free.get(b.id) ?? 0) - (free.get(a.id) ?? 0),
+        );
+    let isDone = this.waiting.length === 0;
+    while (!isDone) {
+      isDone = true;
+      for (const target of listFree()) {
+        const call = this.chooseCall(target, open, fastestMs, now);
+        if (call !== undefined) {
+          this.waiting = this.waiting.filter((other) => other !== call);
+          grants.push({ vm: call.vm, want: call.id, target: target.id });
+          free.set(target.id, (free.get(target.id) ?? 0) - 1);
+          isDone = false;
+          break;
+        }
+      }
+    }
+    return grants;
+  }
+
+  /**
+   * Refuses calls that can't be answered before their deadline even if all targets serve the calls
+   * ahead of them at their present pace without a break.
+   */
+  refuseHopeless(targets: readonly DispatchTarget[], now: Millis): CallRefusal[] {
+    const open = targets.filter(({ limit }) => limit > 0);
+    const meanMs = Math.min(...open.map((target) => target.meanMs));
+    const perMs = open.reduce((sum, target) => sum + target.limit / Math.max(1, target.meanMs), 0);
+    if (open.length === 0 || this.waiting.length === 0) {
+      return [];
+    }
+    const expectedMs = Math.min(...open.map((target) => target.expectedMs));
+    const context = this.createContext(expectedMs, now);
+    const kept: QueuedCall[] = [];
+    const refused: QueuedCall[] = [];
+    for (const call of [...this.waiting].sort((a, b) => this.options.compare(a, b, context))) {
+      const startsAtMs = now + kept.length / perMs;
+      const isHopeless = startsAtMs + meanMs > call.untilMs;
+      (isHopeless ? refused : kept).push(call);
+    }
+    this.waiting = kept;
+    const drainMs = kept.length / perMs;
+    return refused.map(({ vm, id }) => ({
+      vm,
+      want: id,
+      retryAfterMs: drainMs + this.options.random.next() * Math.max(MIN_RETRY_JITTER_MS, drainMs),
+    }));
+  }
+
+  /** The first call that may use a place at the target. */
+  private chooseCall(
+    target: DispatchTarget,
+    open: readonly DispatchTarget[],
+    fastestMs: Millis,
+    now: Millis,
+  ): QueuedCall | undefined {
+    const context = this.createContext(target.expectedMs, now);
+    let best: QueuedCall | undefined;
+    for (const call of this.waiting) {
+      const isBetter = best === undefined || this.options.compare(call, best, context) < 0;
+      if (isBetter && this.canUse(call, target, open, fastestMs, now)) {
+        best = call;
+      }
+    }
+    return best;
+  }
+
+  /** A call that can be in time at the fastest target only waits for a place there. */
+  private canUse(
+    call: QueuedCall,
+    target: DispatchTarget,
+    open: readonly DispatchTarget[],
+    fastestMs: Millis,
+    now: Millis,
+  ): boolean {
+    const avoided = this.avoidedByVm.get(call.vm);
+    if (avoided?.has(target.id) === true || call.untilMs - now < target.meanMs) {
+      return false;
+    }
+    const usable = avoided === undefined ? open : open.filter(({ id }) => !avoided.has(id));
+    if (call.avoid.includes(target.id) && usable.some(({ id }) => !call.avoid.includes(id))) {
+      return false;
+    }
+    return (
+      canBeInTime(call, { now, expectedMs: target.expectedMs }) ||
+      !canBeInTime(call, { now, expectedMs: fastestMs })
+    );
+  }
+
+  private createContext(expectedMs: Millis, now: Millis): OrderContext {
+    return {
+      now,
+      expectedMs,
+      excessOf: (organisation) => this.options.shares.excessOf(organisation, now),
+    };
+  }
+}
--- /dev/null
+++ b/packages/queue-calls/src/place-limits.ts
@@ -0,0 +1,64 @@
+/**
+ * Number of calls that a target gets at once: its slots, and one more that waits at the target so
+ * that it need not idle for a round trip between VMs; fewer at a target that rejects calls or
+ * stopped answering.
+ */
+import type { Millis } from '@limelead/types';
+import type { QueueTarget } from './queue-ports.js';
+
+/** Time for which a target that rejected a call gets no call beyond its slots. */
+const NO_EXTRA_MS: Millis = 10_000;
+/** Time after which a target that rejected a call gets one more call than then. */
+const RECOVERY_MS: Millis = 100;
+/** Shortest silence of a target with calls in progress after which it gets one call at most. */
+const MIN_SILENCE_MS: Millis = 200;
+/** The same silence as a multiple of the usual time of an answer; work slowed by 2.5 stays below. */
+const SILENCE_FACTOR = 4;
+
+interface Rejection {
+  atMs: Millis;
+  /** Calls that the target had accepted. */
+  limit: number;
+}
+
+/** Present use of a target. */
+export interface TargetUse {
+  silenceMs: Millis;
+  usualMs: Millis;
+}
+
+/** Limits of the targets of one service. */
+export default class PlaceLimits {
+  private readonly rejections = new Map<string, Rejection>();
+
+  /** @param extra calls beyond the slots of a target that has accepted all calls */
+  constructor(private readonly extra: number) {}
+
+  /** Records that a target did not accept a call beside others. */
+  recordRejection(target: string, others: number, now: Millis): void {
+    this.rejections.set(target, { atMs: now, limit: Math.max(1, others) });
+  }
+
+  /** Calls that a target may have at once. */
+  limitOf({ id, slots, isSuspected }: QueueTarget, use: TargetUse, now: Millis): number {
+    if (isSuspected) {
+      return 0;
+    }
+    if (use.silenceMs > Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * use.usualMs)) {
+      return 1;
+    }
+    const rejection = this.rejections.get(id);
+    if (rejection === undefined || now - rejection.atMs > NO_EXTRA_MS) {
+      return slots + this.extra;
+    }
+    const recovered = Math.floor((now - rejection.atMs) / RECOVERY_MS);
+    return Math.min(slots, rejection.limit + recovered);
+  }
+
+  /** Forgets all targets except the listed ones. */
+  retain(targets: ReadonlySet<string>): void {
+    [...this.rejections.keys()]
+      .filter((target) => !targets.has(target))
+      .forEach((target) => this.rejections.delete(target));
+  }
+}
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -8,6 +8,13 @@
   limitUpdateCodec,
   returnPermitCodec,
 } from './permit-codecs.js';
+import {
+  askPlacesCodec,
+  givePlacesCodec,
+  queueStateCodec,
+  releasePlaceCodec,
+  reportCallsCodec,
+} from './queue-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
 import {
@@ -190,6 +197,11 @@
   askPermitsCodec,
   givePermitsCodec,
   returnPermitCodec,
+  reportCallsCodec,
+  queueStateCodec,
+  askPlacesCodec,
+  givePlacesCodec,
+  releasePlaceCodec,
 ]);
 
 /** A message of a kind that this release knows. */
@@ -217,6 +229,11 @@
   'ask-permits': true,
   'give-permits': false,
   'return-permit': false,
+  'report-calls': true,
+  'queue-state': true,
+  'ask-places': false,
+  'give-places': false,
+  'release-place': false,
 };
 
 /** A message of a kind that only later releases know. It is ignored, and the link remains open. */
--- a/packages/share-evidence/src/peer-exchange.test.ts
+++ b/packages/share-evidence/src/peer-exchange.test.ts
@@ -1,5 +1,6 @@
 import createDecisionLog from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
+import type { QueueMessage } from '@limelead/queue-calls';
 import { createQuarantineUpdate } from '@limelead/quarantine-requests';
 import type { ReportedTargetLoad } from '@limelead/track-service-targets';
 import { backgroundTimers, systemRandom, type Advice } from '@limelead/types';
@@ -29,6 +30,8 @@
   marks = [1];
   readonly borrowed = new Map<string, number>();
   spare = 0;
+  readonly queueMessages: { peer: string; message: QueueMessage }[] = [];
+  readonly lostQueuePeers: string[] = [];
   syncState: StoreSyncState = EMPTY;
   items: StoreItem[] = [];
   load: TargetLoad[] = [];
@@ -80,6 +83,8 @@
       onLeaving: () => undefined,
       onPermitMessage: () => undefined,
       onPermitPeerLost: () => undefined,
+      onQueueMessage: (message, peer) => vm.note(() => vm.queueMessages.push({ peer, message })),
+      onQueuePeerLost: (peer) => vm.note(() => vm.lostQueuePeers.push(peer)),
       lendRetries: (_, wanted) => Math.min(wanted, vm.spare),
       onRetriesBorrowed: (service, retries) => vm.note(() => vm.borrowed.set(service, retries)),
       onStoreUpdate: (update) =>
@@ -172,6 +177,44 @@
   await Promise.all([first, second].map(({ exchange }) => exchange.stop()));
 });
 
+test('messages about places reach the queue VM unchanged, and its loss is noticed', async () => {
+  const [a = 0, b = 0] = await findPorts(2);
+  const first = await Vm.start(a, 'north', []);
+  const second = await Vm.start(b, 'south', [a]);
+  await first.until(() =>
+    [first, second].every(({ exchange }) => exchange.queues.totalVmCount === 2),
+  );
+  const service = 'briefs';
+  const queueVm = first.exchange.queues.chooseQueueVm(service);
+  assert.is(second.exchange.queues.chooseQueueVm(service), queueVm);
+  const [host, guest] = queueVm === `127.0.0.1:${a}` ? [first, second] : [second, first];
+  const messages: QueueMessage[] = [
+    { kind: 'report-calls', service, inFlight: [['t1', 2]], received: 3 },
+    {
+      kind: 'ask-places',
+      ...{ service, isWhole: true, avoid: ['t2'], received: 3 },
+      wants: [
+        [1, 2, 300, 4_000, {}],
+        [2, 0, -10, 900, { organisation: 'o', isRepeat: true, avoid: ['t1'] }],
+      ],
+    },
+    { kind: 'release-place', service, target: 't1', tookMs: 61, isRejected: false },
+    { kind: 'release-place', service, target: 't1', tookMs: null, isRejected: true },
+    { kind: 'queue-state', service, isQueued: true, ttlMs: 2_000 },
+    { kind: 'give-places', service, number: 4, grants: [[1, 't1']], refusals: [[2, 700]] },
+  ];
+  messages.forEach((message) => guest.exchange.queues.send(queueVm ?? '', message));
+  await host.until(() => host.queueMessages.length === messages.length);
+  assert.equal(
+    host.queueMessages,
+    messages.map((message) => ({ peer: guest.exchange.queues.self, message })),
+  );
+  await host.exchange.stop();
+  await guest.until(() => guest.lostQueuePeers.includes(queueVm ?? ''));
+  assert.is(guest.exchange.queues.chooseQueueVm(service), guest.exchange.queues.self);
+  await guest.exchange.stop();
+});
+
 test('a VM that the store does not answer gets its items from a peer', async () => {
   const [a = 0, b = 0] = await findPorts(2);
   const item = { key: 'k', value: Buffer.from('v'), revision: 7 };
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -5,6 +5,7 @@
 import { describeThrown } from '@limelead/errors';
 import { createPeerLinks, type PeerLinks } from '@limelead/peer-links';
 import type { PermitMessage } from '@limelead/permit-sends';
+import type { QueueMessage } from '@limelead/queue-calls';
 import type { QuarantineUpdate } from '@limelead/quarantine-requests';
 import type { LeavingUpdate } from '@limelead/track-backpressure';
 import type { TargetLoss } from '@limelead/track-service-targets';
@@ -17,8 +18,10 @@
 import { fromHeartbeatMembers } from './heartbeat-members.js';
 import PeerTable from './peer-table.js';
 import PermitExchange from './permit-exchange.js';
+import QueueExchange from './queue-exchange.js';
 import RetryBorrower from './retry-borrower.js';
 import PeerStoreVerifier from './peer-store-verifier.js';
+import skipForeignPeers from './skip-foreign-peers.js';
 import type { RegionChange } from './region-size-tracker.js';
 import StoreExchange from './store-exchange.js';
 import TargetUpdateExchange from './target-update-exchange.js';
@@ -59,6 +62,8 @@
   private readonly storeVerifier: PeerStoreVerifier;
   /** Limits reported by targets, and permits. */
   readonly permits: PermitExchange;
+  /** Places at the targets of queued services. */
+  readonly queues: QueueExchange;
   /** Version of the configuration that was last sent to peers. */
   private announcedConfiguration = 0;
   private isStopped = false;
@@ -72,6 +77,16 @@
     };
     const broadcast = (message: ExchangeMessage, peers: PeerId[]): void =>
       this.links?.broadcast(message, peers);
+    const shared = {
+      ...options,
+      self: options.id,
+      peers: this.peers,
+      listPeers,
+      isPossiblySameStore: (peer: PeerId) => this.storeVerifier.isPossiblySameStore(peer),
+      readMembership: () => this.members,
+      send,
+      broadcast,
+    };
     this.storeVerifier = new PeerStoreVerifier({
       clock,
       store: options.storeAddress,
@@ -99,42 +114,20 @@
         send(peer, { kind: 'want-repeats', service, repeats: retries }),
     });
     this.store = new StoreExchange({
-      ...options,
-      peers: this.peers,
-      listPeers,
+      ...shared,
       isTrusted: (peer) => this.storeVerifier.isTrusted(peer),
       isLargeFleet: () => this.isLargeFleet,
       isStoreFollower: () => this.isStoreFollower,
-      send,
-      broadcast,
     });
     this.load = new LoadExchange({
-      ...options,
-      self: options.id,
-      peers: this.peers,
+      ...shared,
       listSchedulers: () => this.members?.schedulers ?? [],
       listRemoteSchedulers: () => this.members?.remoteSchedulers ?? [],
       isInOtherRegion: (peer) => this.members?.isInOtherRegion(peer) ?? false,
-      send,
-      broadcast,
-    });
-    this.permits = new PermitExchange({
-      ...options,
-      self: options.id,
-      peers: this.peers,
-      listPeers,
-      isPossiblySameStore: (peer) => this.storeVerifier.isPossiblySameStore(peer),
-      readMembership: () => this.members,
-      send,
-      broadcast,
-    });
-    this.targetUpdates = new TargetUpdateExchange({
-      ...options,
-      listPeers,
-      isPossiblySameStore: (peer) => this.storeVerifier.isPossiblySameStore(peer),
-      send,
-      broadcast,
     });
+    this.permits = new PermitExchange(shared);
+    this.queues = new QueueExchange(shared);
+    this.targetUpdates = new TargetUpdateExchange(shared);
   }
 
   /**
@@ -213,7 +206,7 @@
         region: change.region,
         vms: change.vms,
       });
-    const links = this.skipForeignPeers(this.links);
+    const links = skipForeignPeers(this.links, this.storeVerifier);
     this.members = new Membership({
       self: id,
       region,
@@ -227,16 +220,6 @@
     this.runRound(SECOND_ROUND_MS);
   }
 
-  /**
-   * Prevents links to VMs that follow another store, even if they are seeds or listed as members.
-   */
-  private skipForeignPeers(links: PeerLinks<ExchangeMessage>): PeerLinks<ExchangeMessage> {
-    return {
-      ...links,
-      open: (peers) => links.open(peers.filter(({ id }) => !this.storeVerifier.isKnownForeign(id))),
-    };
-  }
-
   /** Handles a store that was replaced or reset; peers have to be verified again. */
   onStoreReplaced(): void {
     this.announcedConfiguration = 0;
@@ -389,6 +372,7 @@
       this.options.log.write('peer-lost', { peer, peers: this.peers.size });
       this.load.onPeerLost(peer);
       this.permits.onPeerLost(peer);
+      this.queues.onPeerLost(peer);
     }
   }
 
@@ -446,13 +430,23 @@
   }
 
   /** Passes on messages that the exchange itself does not use. */
-  private dispatchForwarded(peer: PeerId, message: PermitMessage | PeerReport): void {
+  private dispatchForwarded(
+    peer: PeerId,
+    message: PermitMessage | QueueMessage | PeerReport,
+  ): void {
     switch (message.kind) {
       case 'ask-permits':
       case 'give-permits':
       case 'return-permit':
         this.permits.onMessage(peer, message);
         break;
+      case 'report-calls':
+      case 'queue-state':
+      case 'ask-places':
+      case 'give-places':
+      case 'release-place':
+        this.queues.onMessage(peer, message);
+        break;
       default:
         this.options.onReport?.(peer, message);
         break;
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { StoreItem } from '@limelead/follow-store';
 import type { LimitUpdate, PermitMessage } from '@limelead/permit-sends';
+import type { QueueMessage } from '@limelead/queue-calls';
 import type { QuarantineUpdate } from '@limelead/quarantine-requests';
 import type {
   ReportedTargetLoad,
@@ -134,6 +135,10 @@
   onPermitMessage(message: PermitMessage, peer: PeerId): void;
   /** Called when the link to a peer is lost that may have open permits or requests for permits. */
   onPermitPeerLost(peer: PeerId): void;
+  /** Called with a message of a peer about places at the targets of queued services. */
+  onQueueMessage(message: QueueMessage, peer: PeerId): void;
+  /** Called when the link to a peer is lost that may use or give places. */
+  onQueuePeerLost(peer: PeerId): void;
   /** Called with store changes of a peer that is at a later revision. */
   onStoreUpdate(update: StoreUpdate, peer: PeerId): void;
   /** Returns how many retries of the service's budget to lend to a peer. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -8,6 +8,7 @@
 export * from './generation.js';
 export { hashText, mixHashes } from './hash.js';
 export * from './permits.js';
+export * from './places.js';
 export * from './serving.js';
 export * from './targets.js';
 export * from './time.js';
