--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -17,11 +17,11 @@
 import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
+import describeCallRefusal from './describe-call-refusal.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
 import { MAX_REJECTED_ATTEMPTS, MIN_CALL_MS, MIN_SERVER_ERROR_STATUS } from './limits.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
-import describeCallRefusal from './describe-call-refusal.js';
 import AttemptBudget from './attempt-budget.js';
 import requestCallRetry from './request-call-retry.js';
 
@@ -126,14 +126,15 @@
   }
 
   private acquireSlot(onlyLeastLoaded: boolean): void {
-    const { service, request, rank, dueAtMs } = this.admitted;
+    const { service, request, organisation, rank, dueAtMs, receivedAtMs, route } = this.admitted;
     const { isHedge } = this;
     const { requestId } = request;
+    const objectiveAtMs = receivedAtMs + route.objectiveMs;
     this.stopWaiting = this.context.slots.acquire(
       {
         ...{ requestId, service, affinityKey: requestId, exclude: this.triedTargets },
         ...{
-          rank,
+          ...{ organisation, rank, objectiveAtMs },
           onlyLeastLoaded,
           isHedge,
           untilMs: dueAtMs,
@@ -191,7 +192,9 @@
 
   private hedge(): void {
     const canHedge = !this.isWaiting && this.hasOpenAttempt && !this.guarded.isSuspected;
-    if (!this.isDone && canHedge && this.streaming === undefined) {
+    // A hedge would take the place of a call that waits.
+    const isQueued = this.context.slots.isQueued(this.admitted.service);
+    if (!this.isDone && canHedge && !isQueued && this.streaming === undefined) {
       this.tryRetry(true);
     }
   }
--- a/packages/forward-request/src/slot-refusal.ts
+++ b/packages/forward-request/src/slot-refusal.ts
@@ -4,6 +4,6 @@
 
 export type SlotRefusal =
   | CooldownRefusal
-  | ({ kind: 'no-permit' } & PermitRefusal)
+  | ({ kind: 'no-permit' | 'no-place' } & PermitRefusal)
   /** The retry budget has no retry in time; already logged. */
   | { kind: 'no-retry'; retryAfterMs: Millis };
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -8,6 +8,13 @@
   limitUpdateCodec,
   returnPermitCodec,
 } from './permit-codecs.js';
+import {
+  askPlacesCodec,
+  givePlacesCodec,
+  queueStateCodec,
+  releasePlaceCodec,
+  reportCallsCodec,
+} from './queue-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
 import { probeAnswersCodec } from './probe-messages.js';
@@ -179,6 +186,11 @@
   askPermitsCodec,
   givePermitsCodec,
   returnPermitCodec,
+  reportCallsCodec,
+  queueStateCodec,
+  askPlacesCodec,
+  givePlacesCodec,
+  releasePlaceCodec,
 ]);
 
 /** A message of a kind that this release knows. */
@@ -206,6 +218,11 @@
   'ask-permits': true,
   'give-permits': false,
   'return-permit': false,
+  'report-calls': true,
+  'queue-state': true,
+  'ask-places': false,
+  'give-places': false,
+  'release-place': false,
 };
 
 /** A message of a kind that only later releases know. It is ignored, and the link remains open. */
