Read an answer that arrived during a stall before a probe times out

Cause: timers run before sockets are read, so after a stall shorter than 40 ms an answer that waits in the socket came after the timeout, and a target that is up was lost with all its runs. Change: a probe ends 2 ms after its timeout, and the query behind it stays open until then.

--- a/packages/forward-request/src/silence-monitor.test.ts
+++ b/packages/forward-request/src/silence-monitor.test.ts
@@ -205,6 +205,17 @@
   assert.equal(state.probed, ['t1', 't1']);
 });
 
+test('an answer that a stall of the process hid until the timeout is read before runs are given up', async () => {
+  const { advance, causes, state } = create();
+  // Timers run before sockets are read, so such an answer comes right after the timeout of 105 ms.
+  state.answerMs = 106;
+  await advance(600);
+  assert.equal(causes, []);
+  state.answerMs = 108;
+  await advance(400);
+  assert.equal(causes, ['target-lost']);
+});
+
 test('each decision leaves a line with its inputs and a count by outcome', async () => {
   const { advance, lines, metrics } = create({ behaviour: 'dark' });
   await advance(400);
--- a/packages/forward-request/src/silence.fixture.ts
+++ b/packages/forward-request/src/silence.fixture.ts
@@ -9,8 +9,6 @@
 import type { TargetDialect } from './dialect.js';
 import SilenceMonitor from './silence-monitor.js';
 
-const ANSWER_MS = 3;
-
 export type ProbeBehaviour = 'answers' | 'dark' | 'refuses';
 
 /** Creates a target of the service "briefs". */
@@ -33,6 +31,8 @@
     /** Runs that the targets list. */
     listed: new Set<string>(),
     waiting: 0,
+    /** Time to the answer of a probe. */
+    answerMs: 3,
     /** Targets in the order of the probes that reached them. */
     probed: [] as string[],
     /** Targets whose answers were published. */
@@ -48,7 +48,7 @@
       }
       return behaviour === 'dark'
         ? { cancel: () => undefined }
-        : { cancel: timers.after(ANSWER_MS, () => events.onEnd()) };
+        : { cancel: timers.after(state.answerMs, () => events.onEnd()) };
     },
   };
   const dialect: Pick<TargetDialect, 'composeProbe' | 'readProbe'> = {
--- a/packages/forward-request/src/target-prober.ts
+++ b/packages/forward-request/src/target-prober.ts
@@ -17,6 +17,8 @@
 const MIN_REPEAT_MS = 10;
 /** A timeout that is noticed this much late says nothing: the process was stalled. */
 const MAX_TIMER_DELAY_MS = 40;
+/** Time after a timeout for reading an answer that arrived during a shorter stall. */
+const READ_MS = 2;
 
 /** An answer to a probe; the result is undefined if it does not list runs. */
 export interface AnsweredProbe {
@@ -106,30 +108,46 @@
       cancelDeadline: () => undefined,
     };
     this.pending.set(target.id, probe);
-    const answer = (await this.query(probe, timeoutMs)) ?? (await this.repeat(probe, timeoutMs));
+    this.startDeadline(probe);
+    const answer = (await this.query(probe)) ?? (await this.repeat(probe, timeoutMs));
     this.finish(probe, answer);
   }
 
   /** Repeats a probe that failed before its timeout, or whose timeout a stall delayed. */
   private async repeat(probe: PendingProbe, timeoutMs: Millis): Promise<Buffer | undefined> {
-    const leftMs = probe.deadlineAtMs - this.options.clock.now();
-    if (leftMs < -MAX_TIMER_DELAY_MS) {
-      return this.query(probe, timeoutMs);
+    if (this.pending.get(probe.target.id) !== probe) {
+      return undefined;
     }
-    return leftMs >= MIN_REPEAT_MS ? this.query(probe, leftMs) : undefined;
+    const now = this.options.clock.now();
+    if (now >= probe.deadlineAtMs + MAX_TIMER_DELAY_MS) {
+      probe.deadlineAtMs = now + timeoutMs;
+      this.startDeadline(probe);
+    }
+    return probe.deadlineAtMs >= now + MIN_REPEAT_MS ? this.query(probe) : undefined;
   }
 
-  private query({ target }: PendingProbe, timeoutMs: Millis): Promise<Buffer | undefined> {
-    const { connections, dialect, timers } = this.options;
+  /** Queries the target; the deadline of the probe ends before the timeout of the query. */
+  private query({ target, deadlineAtMs }: PendingProbe): Promise<Buffer | undefined> {
+    const { clock, connections, dialect, timers } = this.options;
+    const timeoutMs = deadlineAtMs + MAX_TIMER_DELAY_MS - clock.now();
     return queryTarget({ connections, timers, timeoutMs }, target, dialect.composeProbe(target));
   }
 
+  /** Ends the probe at its deadline, unless a stall delays the notice; see `repeat`. */
+  private startDeadline(probe: PendingProbe): void {
+    const { clock, timers } = this.options;
+    probe.cancelDeadline();
+    probe.cancelDeadline = timers.after(probe.deadlineAtMs - clock.now(), () => {
+      if (clock.now() < probe.deadlineAtMs + MAX_TIMER_DELAY_MS) {
+        probe.cancelDeadline = timers.after(READ_MS, () => this.finish(probe, undefined));
+      }
+    });
+  }
+
   private limitTo(probe: PendingProbe, deadlineAtMs: Millis): void {
     if (deadlineAtMs < probe.deadlineAtMs) {
       probe.deadlineAtMs = deadlineAtMs;
-      probe.cancelDeadline();
-      const leftMs = deadlineAtMs - this.options.clock.now();
-      probe.cancelDeadline = this.options.timers.after(leftMs, () => this.finish(probe, undefined));
+      this.startDeadline(probe);
     }
   }
 
