--- a/packages/forward-request/src/silence-monitor.test.ts
+++ b/packages/forward-request/src/silence-monitor.test.ts
@@ -101,6 +101,18 @@
   assert.equal(lost, []);
 });
 
+test('a run that wrote while the probe was in progress is not missing from its answer', async () => {
+  const { advance, causes, state, run, clock } = create();
+  state.listed.clear();
+  state.answerMs = 50;
+  run.missedProbes = 1;
+  await advance(240);
+  run.lastActivityAtMs = clock.now();
+  await advance(60);
+  assert.equal(state.probed, ['t1']);
+  assert.equal(causes, []);
+});
+
 test('a target with waiting requests may have preempted the run, so a missing entry says nothing', async () => {
   const { advance, causes, state } = create();
   state.listed.clear();
@@ -167,11 +179,20 @@
   assert.not(directory.isSuspected('t1'));
 });
 
-test('a run does not move to a replica whose target is slow, prefills a prompt or is suspected', async () => {
+test('a run does not move to a replica whose target is slow, prefills, leaves, is full or suspected', async () => {
   const spoil: ((bed: ReturnType<typeof create>) => void)[] = [
     ({ directory, clock }) => directory.pace.recordAdvertisedPace('t2', 2.5, clock.now() + 600),
     ({ directory }) => void directory.startReadingPrompt('t2'),
     ({ directory }) => directory.onPeerLoss('t2', 'replaced'),
+    ({ directory }) => {
+      const leaving = { ...createTarget('t2', 'south'), leaving: true };
+      directory.apply([{ kind: 'put', target: leaving }]);
+    },
+    ({ directory }) => {
+      for (let request = 0; request < createTarget('t2').slots; request += 1) {
+        directory.startRequest('t2');
+      }
+    },
     ({ run }) => (run.canMove = () => false),
   ];
   for (const spoilReplica of spoil) {
