--- a/packages/share-evidence/src/messages.test.ts
+++ b/packages/share-evidence/src/messages.test.ts
@@ -51,4 +51,15 @@
   }
 });
 
+// Guards against links that close between releases: older VMs name no needs, later ones more classes.
+test('a request for retries is valid without needs, and with needs of unknown classes', () => {
+  const packr = new Packr({ useRecords: false });
+  const request = { kind: 'want-repeats', service: 's', repeats: 0.5 };
+  const needs = [{ class: 'of-tomorrow', repeats: 0.5 }];
+  for (const value of [request, { ...request, needs }]) {
+    assert.equal(exchangeMessageFormat.decode(packr.pack(value)), value);
+  }
+  assert.is(exchangeMessageFormat.decode(packr.pack({ ...request, needs: 1 })), undefined);
+});
+
 test.run();
--- a/packages/share-evidence/src/retry-replay.fixture.ts
+++ b/packages/share-evidence/src/retry-replay.fixture.ts
@@ -7,6 +7,7 @@
   RetryBudgetTracker,
   type RetryRequest,
 } from '@limelead/spend-retries';
+import { chooseLinks } from '@limelead/track-members';
 import type { Millis, Random, RetryNeed } from '@limelead/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -75,6 +76,7 @@
   private nowMs = 0;
   private pending: { atMs: Millis; run: () => void }[] = [];
   private streams = new Set<Stream>();
+  private readonly links: string[][] = [];
   private readonly first: Millis[] = [];
   private readonly retries: Millis[] = [];
   private readonly traffic: Random;
@@ -143,8 +145,16 @@
     });
   }
 
-  listOthers(vm: number): string[] {
-    return this.vms.flatMap((_, id) => (id === vm ? [] : [String(id)]));
+  /** Linked peers of a VM: those that it chose, and those that chose it. */
+  listPeers(vm: number): string[] {
+    const self = String(vm);
+    const members = this.vms.map((_, id) => String(id));
+    this.links[vm] ??= members.filter(
+      (peer) =>
+        peer !== self &&
+        (chooseLinks(self, members).includes(peer) || chooseLinks(peer, members).includes(self)),
+    );
+    return this.links[vm];
   }
 
   recordRefusal(): void {
@@ -275,7 +285,7 @@
     }
     this.askedAtMs = clock.now();
     const needs = [{ class: 'stream-unwritten', retries: 0.5 }];
-    pickRandomEntries(this.replay.listOthers(this.id), 3, this.replay).forEach((peer) =>
+    pickRandomEntries(this.replay.listPeers(this.id), 3, this.replay).forEach((peer) =>
       this.replay.lendFrom(Number(peer), needs, (retries) =>
         this.budget.borrow(clock.now(), retries),
       ),
@@ -296,7 +306,7 @@
     const shared = { clock, timers: replay, random: replay };
     this.borrower = new RetryBorrower({
       ...shared,
-      listPeers: () => replay.listOthers(id),
+      listPeers: () => replay.listPeers(id),
       listNeeds: () => this.budget.needs,
       sendRequest: (peer, _, needs) =>
         replay.lendFrom(Number(peer), needs, (retries) => this.budget.borrow(clock.now(), retries)),
