--- a/packages/queue-calls/src/fleet.fixture.ts
+++ b/packages/queue-calls/src/fleet.fixture.ts
@@ -74,10 +74,10 @@
   }
 
   /** The first VM that is up is the queue VM; there is none where each VM is on its own. */
-  chooseQueueVm(): string | undefined {
+  chooseQueueVm: (asking?: Vm) => string | undefined = () => {
     const { policy = 'queue' } = this.options;
     return policy !== 'queue' ? undefined : this.vms.find(({ isUp }) => isUp)?.name;
-  }
+  };
 
   send(from: Vm, to: string, message: QueueMessage): void {
     this.messages.push({ from: from.name, to, message });
--- a/packages/queue-calls/src/simulated-vm.fixture.ts
+++ b/packages/queue-calls/src/simulated-vm.fixture.ts
@@ -76,7 +76,7 @@
       fleet: {
         self: this.name,
         countVms: () => fleet.upCount,
-        chooseQueueVm: () => fleet.chooseQueueVm(),
+        chooseQueueVm: () => fleet.chooseQueueVm(this),
         send: (vm, message) => fleet.send(this, vm, message),
       },
       targets: {
