--- a/packages/queue-calls/src/call-queue.test.ts
+++ b/packages/queue-calls/src/call-queue.test.ts
@@ -201,6 +201,17 @@
   assert.ok(fleet.calls.filter(({ outcome }) => outcome === 'answered').length > 0.9 * fleet.calls.length); // prettier-ignore
 });
 
+test('an older release as queue VM ignores the reports, and calls are sent as before', () => {
+  const fleet = create();
+  fleet.isLost = (_, to) => to === 'vm0';
+  for (let count = 0; count < 600; count += 1) {
+    fleet.clock.after(count * 5, () => fleet.arrive(vmAt(fleet, 1 + (count % 9))));
+  }
+  fleet.clock.runUntil(9_000);
+  assert.equal([...new Set(fleet.messages.map(({ message }) => message.kind))], ['report-calls']);
+  assert.ok(fleet.calls.every(({ sentAtMs, arrivedAtMs }) => sentAtMs === arrivedAtMs));
+});
+
 test('two queue VMs for a moment give at most twice the places, and one of them resigns', () => {
   const fleet = createQueued();
   const second = vmAt(fleet, 1);
