--- a/packages/queue-calls/src/call-queue.test.ts
+++ b/packages/queue-calls/src/call-queue.test.ts
@@ -119,6 +119,20 @@
   assert.ok(shareInTime(callsBetween(fleet, 2_500, 7_000)) > 0.6);
 });
 
+test('a queue VM without state continues the queue of another one instead of ending it', () => {
+  const fleet = createQueued();
+  const next = vmAt(fleet, 1);
+  // As a VM that has just started, it has no calls and was not told that the service is queued.
+  next.waiting = [];
+  const end = { service: SERVICE, isQueued: false, ttlMs: 0 };
+  next.queue.onMessage('vm0', { kind: 'queue-state', ...end });
+  fleet.chooseQueueVm = () => 'vm1';
+  fleet.vms.filter((vm) => vm !== next).forEach(({ queue }) => queue.onVmLost('vm0'));
+  fleet.clock.runUntil(2_500);
+  assert.ok(fleet.vms.every(({ queue }) => queue.isQueued(SERVICE)));
+  assert.ok(fleet.messages.every(({ message }) => !isEnd(message)));
+});
+
 test('lost messages: every tenth of each kind is lost, and places are neither lost nor given twice', () => {
   const fleet = createQueued();
   fleet.isLost = () => fleet.draw() < 0.1;
@@ -253,6 +267,10 @@
   return numbers.reduce((total, number) => total + number, 0);
 }
 
+function isEnd(message: { kind: string; isQueued?: boolean }): boolean {
+  return message.kind === 'queue-state' && message.isQueued === false;
+}
+
 function hasGrants(message: { kind: string; grants?: unknown[] }): boolean {
   return message.kind === 'give-places' && (message.grants?.length ?? 0) > 0;
 }
--- a/packages/queue-calls/src/queue-audience.ts
+++ b/packages/queue-calls/src/queue-audience.ts
@@ -4,7 +4,7 @@
 import type { QueueFleet } from './queue-ports.js';
 
 /** Time for which an announcement holds, and the interval of its renewal. */
-const STATE_TTL_MS: Millis = 2_000;
+export const STATE_TTL_MS: Millis = 2_000;
 const RENEWAL_MS: Millis = 1_000;
 /** Time for which a VM is told the state of the queue after its last message. */
 const HEARD_TTL_MS: Millis = 10_000;
--- a/packages/queue-calls/src/queue-host.ts
+++ b/packages/queue-calls/src/queue-host.ts
@@ -10,7 +10,7 @@
 import PlaceLimits from './place-limits.js';
 import PlacesInUse from './places-in-use.js';
 import type { AskPlaces, GivePlaces, PlaceReleased, ReportCalls } from './queue-messages.js';
-import QueueAudience from './queue-audience.js';
+import QueueAudience, { STATE_TTL_MS } from './queue-audience.js';
 import { countSlots, type QueueFleet, type QueueTargets } from './queue-ports.js';
 import QueueSwitch from './queue-switch.js';
 import type { ShareOrder } from './share-order.js';
@@ -52,6 +52,8 @@
   /** Number of the last message of grants to each VM. */
   private readonly numbers = new Map<string, number>();
   private learnsUntilMs: Millis = -Infinity;
+  /** Time at which this VM switched queueing off. */
+  private endedAtMs: Millis = -Infinity;
   private cancelCheck: CancelTimer | undefined;
   private isDeciding = false;
   private mustDecideAgain = false;
@@ -106,11 +108,13 @@
     if (vm !== self) {
       this.audience.hear(vm, this.state.isOn);
     }
-    if (!this.state.isOn) {
-      this.announce(vm);
+    const now = this.now;
+    if (!this.state.isOn && now - this.endedAtMs < STATE_TTL_MS) {
+      this.audience.announce(vm, false);
       return;
     }
-    const now = this.now;
+    // A VM asks only if another queue VM announced that the service is queued.
+    this.takeOver();
     const calls = wants
       .filter(([id]) => !this.places.isGranted(vm, id, received))
       .map((want) => toQueuedCall(vm, want, now));
@@ -148,14 +152,6 @@
     return this.options.clock.now();
   }
 
-  private announce(vm: string): void {
-    if (vm === this.options.fleet.self) {
-      this.options.onState(this.state.isOn);
-    } else {
-      this.audience.announce(vm, this.state.isOn);
-    }
-  }
-
   private scheduleCheck(): void {
     this.cancelCheck ??= this.options.timers.after(CHECK_INTERVAL_MS, () => {
       this.cancelCheck = undefined;
@@ -187,6 +183,7 @@
     if (this.state.update(slots, fleet.countVms(), this.countInProgress(), this.now)) {
       this.logState();
       if (!this.state.isOn) {
+        this.endedAtMs = this.now;
         this.dispatcher.clear();
       }
       this.audience.announceToAll(this.state.isOn);
