--- a/packages/queue-calls/src/queue-host.ts
+++ b/packages/queue-calls/src/queue-host.ts
@@ -10,7 +10,7 @@
 import PlaceLimits from './place-limits.js';
 import PlacesInUse from './places-in-use.js';
 import type { AskPlaces, GivePlaces, PlaceReleased, ReportCalls } from './queue-messages.js';
-import QueueAudience from './queue-audience.js';
+import QueueAudience, { STATE_TTL_MS } from './queue-audience.js';
 import { countSlots, type QueueFleet, type QueueTargets } from './queue-ports.js';
 import QueueSwitch from './queue-switch.js';
 import type { ShareOrder } from './share-order.js';
@@ -52,6 +52,8 @@
   /** Number of the last message of grants to each VM. */
   private readonly numbers = new Map<string, number>();
   private learnsUntilMs: Millis = -Infinity;
+  /** Time at which this VM switched queueing off. */
+  private endedAtMs: Millis = -Infinity;
   private cancelCheck: CancelTimer | undefined;
   private isDeciding = false;
   private mustDecideAgain = false;
@@ -62,10 +64,6 @@
     this.audience = new QueueAudience(options);
   }
 
-  get isQueued(): boolean {
-    return this.state.isOn;
-  }
-
   /** Number of waiting calls of all VMs. */
   get length(): number {
     return this.dispatcher.length;
@@ -110,11 +108,13 @@
     if (vm !== self) {
       this.audience.hear(vm, this.state.isOn);
     }
-    if (!this.state.isOn) {
-      this.announce(vm);
+    const now = this.now;
+    if (!this.state.isOn && now - this.endedAtMs < STATE_TTL_MS) {
+      this.audience.announce(vm, false);
       return;
     }
-    const now = this.now;
+    // A VM asks only if another queue VM announced that the service is queued.
+    this.takeOver();
     const calls = wants
       .filter(([id]) => !this.places.isGranted(vm, id, received))
       .map((want) => toQueuedCall(vm, want, now));
@@ -152,14 +152,6 @@
     return this.options.clock.now();
   }
 
-  private announce(vm: string): void {
-    if (vm === this.options.fleet.self) {
-      this.options.onState(this.state.isOn);
-    } else {
-      this.audience.announce(vm, this.state.isOn);
-    }
-  }
-
   private scheduleCheck(): void {
     this.cancelCheck ??= this.options.timers.after(CHECK_INTERVAL_MS, () => {
       this.cancelCheck = undefined;
@@ -191,6 +183,7 @@
     if (this.state.update(slots, fleet.countVms(), this.countInProgress(), this.now)) {
       this.logState();
       if (!this.state.isOn) {
+        this.endedAtMs = this.now;
         this.dispatcher.clear();
       }
       this.audience.announceToAll(this.state.isOn);
@@ -219,12 +212,15 @@
     const ids = new Set(listed.map(({ id }) => id));
     [this.places, this.paces, this.limits].forEach((state) => state.retain(ids));
     const counts = this.places.countByTarget();
+    // If all targets seem to be down, each gets one call as a trial.
+    const isTrial = listed.every(({ isSuspected }) => isSuspected);
     return listed.map((target) => {
       const { id } = target;
       const used = counts.get(id) ?? 0;
       this.paces.recordUse(id, used > 0, now);
       const silenceMs = this.paces.silenceMs(id, now);
-      const limit = this.limits.limitOf(target, { silenceMs, usualMs: this.paces.usualMs }, now);
+      const use = { silenceMs, usualMs: this.paces.usualMs };
+      const limit = isTrial ? 1 : this.limits.limitOf(target, use, now);
       const expectedMs = this.paces.expectedMs(id, now);
       const meanMs = this.paces.meanMs(id, now);
       return { id, limit, free: Math.max(0, limit - used), expectedMs, meanMs };
