Bound the answers that wait for slow callers, and pause reading from targets

Cause: each caller could buffer 1 MB in `ResponseSink`, targets were read at full speed, and an answer destroyed for its size left its run at the target.

Change: all answers of a VM share one limit (`AnswerBufferBudget`), which drops the largest answer and cancels its run. Bytes of whole answers that are still buffered count as well. Reading from a target pauses behind 64 KB of backlog for 1 s at most (`decideReading`, `PacedSink`); meanwhile the run counts as active. The limit follows the VM's memory or the setting `maxBufferedAnswerBytes`. A request body is kept once in memory, not twice.

--- a/packages/forward-request/src/answer-sink.ts
+++ b/packages/forward-request/src/answer-sink.ts
@@ -13,7 +13,19 @@
   abort(error: LimeleadError): void;
   /** Sends an error in place of an answer that has not started. */
   refuse(error: LimeleadError): void;
-  /** Registers a callback that runs once if the caller disconnects before the answer ends. */
+  /** Bytes that waited for the caller before the last write; those that the kernel took are left out. */
+  readonly waitingBytes: number;
+  /** Registers a callback that runs whenever the caller has taken bytes. */
+  onFlushed(callback: () => void): void;
+  /**
+   * Counts bytes of the answer that are in memory and not written yet, negative when they are
+   * released. The sink gives up the answer if too many bytes are in memory.
+   */
+  addHeldBytes(bytes: number): void;
+  /**
+   * Registers a callback that runs once if the caller disconnects before the answer ends, or
+   * if the sink gives up the answer.
+   */
   onCallerLeft(callback: () => void): void;
 }
 
--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -15,6 +15,8 @@
 export interface CallAttemptEvents {
   /** The answer is too long to buffer; `startStreaming` returns the buffered part. */
   onTooLongToBuffer(attempt: CallAttempt, head: AnswerHead): void;
+  /** Bytes of the answer were buffered, or released if negative. */
+  onBuffered(bytes: number): void;
   /** A chunk of an answer that is streamed. */
   onData(attempt: CallAttempt, chunk: Buffer): void;
   /** The answer is complete; its body is empty if it was streamed. */
@@ -81,6 +83,7 @@
   /** Streams the rest of the answer through `onData` and returns the buffered chunks. */
   startStreaming(): Buffer[] {
     this.isStreaming = true;
+    this.releaseBuffered();
     return this.chunks.splice(0);
   }
 
@@ -89,10 +92,20 @@
     if (!this.isOver) {
       this.isOver = true;
       this.open?.cancel();
+      this.releaseBuffered();
       this.slot.release();
     }
   }
 
+  /** Pauses or continues reading the answer. */
+  setReadPaused(isPaused: boolean): void {
+    if (isPaused) {
+      this.open?.pause();
+    } else {
+      this.open?.resume();
+    }
+  }
+
   private onHead(info: AnswerInfo, head: AnswerHead): void {
     if (!info.isForRequest) {
       this.open?.cancel();
@@ -116,6 +129,7 @@
     }
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
+    this.events.onBuffered(chunk.length);
     if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
       this.events.onTooLongToBuffer(this, this.head);
     }
@@ -131,8 +145,16 @@
   private finish(notify: () => void): void {
     if (!this.isOver) {
       this.isOver = true;
+      this.releaseBuffered();
       this.slot.release();
       notify();
     }
   }
+
+  private releaseBuffered(): void {
+    if (this.bufferedBytes > 0) {
+      this.events.onBuffered(-this.bufferedBytes);
+      this.bufferedBytes = 0;
+    }
+  }
 }
--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -14,6 +14,7 @@
 import type PrefillEstimator from './prefill-estimator.js';
 import type { SendPermits } from './send-permits.js';
 import type { TargetBackpressure } from './target-backpressure.js';
+import type ReadPauses from './read-pauses.js';
 import type SilenceMonitor from './silence-monitor.js';
 import type { TargetGate } from './target-gate.js';
 import type SlownessTracker from './slowness-tracker.js';
@@ -40,6 +41,7 @@
   cachedPrompts: CachedPromptFinder;
   prefill: PrefillEstimator;
   slowness: SlownessTracker;
+  readPauses: ReadPauses;
   log: DecisionLog;
   metrics: Metrics;
   /** Receives the events of each request; empty if no part observes traffic. */
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -15,6 +15,7 @@
 } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
+import PacedSink from './paced-sink.js';
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
@@ -41,7 +42,7 @@
   admitted: AdmittedRequest,
   sink: AnswerSink,
 ): void {
-  new CallForwarder(context, admitted, sink).begin();
+  new CallForwarder(context, admitted, new PacedSink(context, admitted, sink)).begin();
 }
 
 class CallForwarder {
@@ -63,6 +64,7 @@
   private readonly timers: CancelTimer[] = [];
   private readonly events: CallAttemptEvents = {
     onTooLongToBuffer: (attempt, head) => this.beginStreaming(attempt, head),
+    onBuffered: (bytes) => this.sink.addHeldBytes(bytes),
     onData: (_, chunk) => this.sink.write(chunk),
     onEnd: (attempt, answer) => this.onEnd(attempt, answer),
     onFault: (attempt, notSent, reason) => this.onFault(attempt, notSent, reason),
@@ -77,7 +79,7 @@
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
-    private readonly sink: AnswerSink,
+    private readonly sink: PacedSink,
   ) {
     this.budget = new AttemptBudget(context, admitted);
     this.report = new CallReport(context, admitted);
@@ -173,7 +175,8 @@
     const maxIdleMs = route.repeatable ? REPEATABLE_MAX_IDLE_MS : ONCE_MAX_IDLE_MS;
     attempt.send(this.context, attemptRequest, maxIdleMs);
     if (route.repeatable && attempt.number === 1) {
-      this.hedgeAfter(route.objectiveMs * HEDGE_DELAY_SHARE);
+      const delayMs = route.objectiveMs * HEDGE_DELAY_SHARE;
+      this.timers.push(this.context.timers.after(delayMs, () => this.hedge()));
     }
   }
 
@@ -186,10 +189,6 @@
     });
   }
 
-  private hedgeAfter(delayMs: number): void {
-    this.timers.push(this.context.timers.after(delayMs, () => this.hedge()));
-  }
-
   private hedge(): void {
     const canHedge = !this.isWaiting && this.hasOpenAttempt && !this.guarded.isSuspected;
     if (!this.isDone && canHedge && this.streaming === undefined) {
@@ -200,6 +199,7 @@
   /** Streams an answer that is too long to buffer and cancels the other attempts. */
   private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
+    this.sink.readFrom(attempt);
     this.guarded.recordHarmlessRun();
     this.reportUnanswered('answered', attempt);
     this.cancelOthers(attempt);
@@ -230,6 +230,7 @@
       return;
     }
     this.report.failed(attempt, false, `status ${status}`);
+    this.sink.addHeldBytes(answer.body.length - (this.failure?.body.length ?? 0));
     this.failure = answer;
     this.retryFailed();
   }
@@ -376,8 +377,7 @@
   }
 
   private cancelOthers(kept?: CallAttempt): void {
-    const others = this.attempts.filter((attempt) => attempt !== kept);
-    others.forEach((attempt) => attempt.cancel());
+    this.attempts.filter((attempt) => attempt !== kept).forEach((attempt) => attempt.cancel());
   }
 
   /** Reports open attempts: as failed after the deadline, as abandoned unless the caller left. */
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -1,6 +1,7 @@
 import type { RequestTargetAdvice } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { HIGH_WATER_BYTES } from './decide-reading.js';
 import forwardStream from './forward-stream.js';
 import {
   createAdmittedRequest,
@@ -313,4 +314,60 @@
   await bed.stop();
 });
 
+// Guards against a run that is moved, or a target that is taken for slow, because this VM itself did
+// not read: the caller takes longer than the run may be silent, and gets each piece once, in order.
+test('a stream whose caller reads slowly is paused, keeps its target and is complete', async () => {
+  const padding = 'x'.repeat(16 * 1024);
+  const last = 400;
+  const large = (number: number): string => `id: ${number}\ndata: ${padding}\n\n`;
+  const writeAll: Behaviour = (request, response) => {
+    beginAnswer(request, response);
+    for (let number = 1; number <= last; number += 1) {
+      response.write(large(number));
+    }
+    response.end();
+  };
+  const bed = await TestBed.start(writeAll, writeAll);
+  const sink = new RecordingSink();
+  sink.waitingBytes = HIGH_WATER_BYTES;
+  forwardStream(bed.context, createAdmittedRequest(), sink);
+  await sink.until(() => sink.body !== '');
+  assert.is(bed.context.readPauses.pausedReads, 1);
+  const before = sink.body.length;
+  await new Promise((resolve) => setTimeout(resolve, 700));
+  assert.is(sink.outcome, 'open');
+  // What was read before the pause may still arrive, but not the whole answer.
+  assert.ok(sink.body.length < before + 2 * HIGH_WATER_BYTES);
+  sink.setWaitingBytes(0);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.outcome, 'ended');
+  assert.equal(bed.askedTargets, ['t1']);
+  const numbers = Array.from({ length: last }, (_, index) => large(index + 1)).join('');
+  assert.ok(sink.body === numbers);
+  assert.is(bed.context.readPauses.pausedReads, 0);
+});
+
+// Guards against a failed answer of a target that is buffered without a limit.
+test('a complete answer in place of a stream is counted while it is buffered', async () => {
+  const body = 'x'.repeat(100_000);
+  const counted: number[] = [];
+  class CountingSink extends RecordingSink {
+    override addHeldBytes(bytes: number): void {
+      super.addHeldBytes(bytes);
+      counted.push(this.heldBytes);
+    }
+  }
+  const bed = await TestBed.start((request, response) => {
+    response.writeHead(404, { id: String(request.headers['id']) }).end(body);
+  });
+  const sink = new CountingSink();
+  forwardStream(bed.context, createAdmittedRequest(), sink);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.body, body);
+  assert.is(Math.max(...counted), body.length);
+  assert.is(sink.heldBytes, 0);
+});
+
 test.run();
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -13,7 +13,7 @@
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause, TargetObservation } from '@limelead/track-service-targets';
-import type { AnswerMessage, RecoveryPolicy } from '@limelead/types';
+import type { AnswerMessage } from '@limelead/types';
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -23,6 +23,7 @@
 import LiveAttempts, { type LiveAttempt } from './live-attempts.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
+import PacedSink from './paced-sink.js';
 import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
 import RunReplicas from './run-replicas.js';
 import type { NumberedPiece, StreamAttemptEvents, RejectionCause } from './stream-attempt.js';
@@ -42,7 +43,7 @@
   admitted: AdmittedRequest,
   sink: AnswerSink,
 ): void {
-  new StreamForwarder(context, admitted, sink).begin();
+  new StreamForwarder(context, admitted, new PacedSink(context, admitted, sink)).begin();
 }
 
 /** Observation of a target that follows from a rejection. */
@@ -78,7 +79,7 @@
   constructor(
     private readonly context: ForwardContext,
     private readonly admitted: AdmittedRequest,
-    private readonly sink: AnswerSink,
+    private readonly sink: PacedSink,
   ) {
     this.answer = new StreamAnswer(sink);
     this.report = new StreamReport(context, admitted);
@@ -96,6 +97,7 @@
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
       onSilent: (number) => this.onSilent(number),
     });
+    sink.readFrom(this.live);
     const { requestId, lastPiece } = admitted.request;
     const session = createSession(toGenerationRequest(admitted), requestId, context.clock.now());
     this.state = { ...session, delivered: lastPiece };
@@ -244,12 +246,8 @@
       return;
     }
     this.attempts.recordAttempt(slot.tracked.target.id);
-    const { policy } = this;
-    this.live.start(number, { slot, lastPiece, policy });
-  }
-
-  private get policy(): RecoveryPolicy {
-    return this.state.request.priority.recovery;
+    const { recovery } = this.state.request.priority;
+    this.live.start(number, { slot, lastPiece, policy: recovery });
   }
 
   private createEvents(number: number): StreamAttemptEvents {
@@ -260,6 +258,7 @@
       onBroken: (reason) => this.onBroken(number, reason),
       onRejected: (cause, reason) => this.onRejected(number, cause, reason),
       onOtherAnswer: (head, body) => this.onOtherAnswer(number, head, body),
+      onBuffered: (bytes) => this.sink.addHeldBytes(bytes),
     };
   }
 
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -27,6 +27,7 @@
 import CachedPromptFinder from './cached-prompt-finder.js';
 import SlotQueue from './slot-queue.js';
 import PrefillEstimator from './prefill-estimator.js';
+import ReadPauses from './read-pauses.js';
 import { NO_RATE_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import SlownessTracker from './slowness-tracker.js';
@@ -127,9 +128,13 @@
 export class RecordingSink implements AnswerSink {
   status = 0;
   body = '';
+  waitingBytes = 0;
+  /** Bytes of the answer that are held before they are written. */
+  heldBytes = 0;
   outcome: 'open' | 'ended' | 'aborted' | 'refused' = 'open';
   error: LimeleadError | undefined;
   private onLeft: () => void = () => undefined;
+  private notifyFlushed: () => void = () => undefined;
   private wake: (() => void)[] = [];
 
   begin(status: number): void {
@@ -155,6 +160,20 @@
     this.finish('refused');
   }
 
+  onFlushed(callback: () => void): void {
+    this.notifyFlushed = callback;
+  }
+
+  addHeldBytes(bytes: number): void {
+    this.heldBytes += bytes;
+  }
+
+  /** Simulates a caller that leaves so many bytes unread. */
+  setWaitingBytes(bytes: number): void {
+    this.waitingBytes = bytes;
+    this.notifyFlushed();
+  }
+
   onCallerLeft(callback: () => void): void {
     this.onLeft = callback;
   }
@@ -240,6 +259,7 @@
       silence: new SilenceMonitor({ ...shared, connections: this.connections, dialect, log }),
       prefill: new PrefillEstimator(),
       slowness: new SlownessTracker(() => undefined),
+      readPauses: new ReadPauses(log, clock),
       cachedPrompts: new CachedPromptFinder({
         ...shared,
         connections: this.connections,
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -8,6 +8,7 @@
 export { default as assessSilence } from './assess-silence.js';
 export { default as CachedPromptFinder } from './cached-prompt-finder.js';
 export { default as PrefillEstimator } from './prefill-estimator.js';
+export { default as ReadPauses } from './read-pauses.js';
 export { default as SlotQueue } from './slot-queue.js';
 export type { Slot } from './slot-request.js';
 export { default as SilenceMonitor } from './silence-monitor.js';
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -100,6 +100,20 @@
     this.release(number);
   }
 
+  /**
+   * Pauses or continues reading from the targets. An attempt that can't be paused, or that starts
+   * later, is read on.
+   */
+  setReadPaused(isPaused: boolean): void {
+    for (const { attempt, activity, paceMeter } of this.live.values()) {
+      paceMeter.restart();
+      activity.setReadPaused(isPaused && attempt.pauseReading());
+      if (!isPaused) {
+        attempt.resumeReading();
+      }
+    }
+  }
+
   dropAll(): void {
     [...this.live.keys()].forEach((number) => this.drop(number));
   }
--- a/packages/forward-request/src/run-activity.ts
+++ b/packages/forward-request/src/run-activity.ts
@@ -27,28 +27,42 @@
   readonly requestId: string;
   readonly target: ServiceTarget;
   readonly startedAtMs: Millis;
-  lastActivityAtMs: Millis;
   isWriting: boolean;
   missedProbes = 0;
   private gaps: GapEstimate = INITIAL_GAP_ESTIMATE;
   private hasSentPieces = false;
+  private lastPieceAtMs: Millis;
+  private isReadPaused = false;
 
   constructor(private readonly options: RunActivityOptions) {
     this.requestId = options.requestId;
     this.target = options.target;
     this.startedAtMs = options.clock.now();
-    this.lastActivityAtMs = this.startedAtMs;
+    this.lastPieceAtMs = this.startedAtMs;
     this.isWriting = options.resumesFromReplica;
   }
 
+  /** Time of the last piece, or now while this VM itself pauses reading. */
+  get lastActivityAtMs(): Millis {
+    return this.isReadPaused ? this.options.clock.now() : this.lastPieceAtMs;
+  }
+
+  /** While reading is paused, the run counts as active; afterwards its silence starts anew. */
+  setReadPaused(isPaused: boolean): void {
+    if (this.isReadPaused && !isPaused) {
+      this.lastPieceAtMs = this.options.clock.now();
+    }
+    this.isReadPaused = isPaused;
+  }
+
   recordActivity(): void {
     const now = this.options.clock.now();
     if (this.hasSentPieces) {
-      this.gaps = updateGapEstimate(this.gaps, now - this.lastActivityAtMs);
+      this.gaps = updateGapEstimate(this.gaps, now - this.lastPieceAtMs);
     }
     this.hasSentPieces = true;
     this.isWriting = true;
-    this.lastActivityAtMs = now;
+    this.lastPieceAtMs = now;
   }
 
   maxSilenceMs(): number {
--- a/packages/forward-request/src/slowness-tracker.ts
+++ b/packages/forward-request/src/slowness-tracker.ts
@@ -22,6 +22,8 @@
 export interface RunPaceMeter {
   /** Records pieces that arrived together. */
   recordPieces(count: number, now: Millis): void;
+  /** Discards the current sample, for example after this VM paused reading. */
+  restart(): void;
 }
 
 /** Tracks the slowness of targets from the pace of this VM's runs. */
@@ -55,6 +57,10 @@
           sinceMs = now;
         }
       },
+      restart: () => {
+        pieces = 0;
+        sinceMs = undefined;
+      },
     };
   }
 
--- a/packages/forward-request/src/stream-attempt.ts
+++ b/packages/forward-request/src/stream-attempt.ts
@@ -30,6 +30,8 @@
   onRejected(cause: RejectionCause, reason: string): void;
   /** The target sent a complete answer that is not a stream. */
   onOtherAnswer(head: AnswerHead, body: Buffer): void;
+  /** Bytes of such an answer were buffered, or released if negative. */
+  onBuffered(bytes: number): void;
 }
 
 /** One attempt at one target. */
@@ -39,6 +41,7 @@
   private open: OpenCall | undefined;
   private head: AnswerHead | undefined;
   private otherBody: Buffer[] | undefined;
+  private otherBytes = 0;
   private isOver = false;
   private sentAtMs: Millis = 0;
 
@@ -77,6 +80,16 @@
   cancel(): void {
     this.isOver = true;
     this.open?.cancel();
+    this.releaseBuffered();
+  }
+
+  /** Pauses reading; returns false if that is not possible. */
+  pauseReading(): boolean {
+    return this.open?.pause() ?? false;
+  }
+
+  resumeReading(): void {
+    this.open?.resume();
   }
 
   private onHead(head: AnswerHead): void {
@@ -106,6 +119,8 @@
     }
     if (this.otherBody !== undefined) {
       this.otherBody.push(chunk);
+      this.otherBytes += chunk.length;
+      this.events.onBuffered(chunk.length);
       return;
     }
     const pieces = this.numberPieces(chunk);
@@ -146,7 +161,15 @@
   private finish(notify: () => void): void {
     if (!this.isOver) {
       this.isOver = true;
+      this.releaseBuffered();
       notify();
     }
   }
+
+  private releaseBuffered(): void {
+    if (this.otherBytes > 0) {
+      this.events.onBuffered(-this.otherBytes);
+      this.otherBytes = 0;
+    }
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createReadPauses from './create-read-pauses.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
 import createFollowerEvents from './follower-events.js';
@@ -172,6 +173,7 @@
     this.components = [this.quarantine, ...createFleetComponents(partContext)];
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
+      maxBufferedAnswerBytes: settings.maxBufferedAnswerBytes,
       context: this.createContext(),
       dialect: platform.ingressDialect,
     });
@@ -348,6 +350,7 @@
       silence: new SilenceMonitor({ ...shared, connections, dialect, log }),
       prefill: new PrefillEstimator(),
       slowness: this.slowness,
+      readPauses: createReadPauses(log, this.metrics, steadyClock),
       cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -42,6 +42,8 @@
   /** Time between the stop signal and the kill of the process. */
   stopGraceMs: number;
   retryBudget: RetryBudgetLimits;
+  /** Limit on bytes of answers that wait for their callers; follows the VM's memory by default. */
+  maxBufferedAnswerBytes?: number;
   rollOut: RollOutBounds;
   /** Region of this VM; undefined if no regions are configured. */
   region?: string;
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -8,6 +8,7 @@
   OPEN_GATE,
   SlotQueue,
   PrefillEstimator,
+  ReadPauses,
   SilenceMonitor,
   SlownessTracker,
 } from '@limelead/forward-request';
@@ -219,6 +220,7 @@
       silence: new SilenceMonitor({ ...shared, connections, dialect: targets, log }),
       prefill: new PrefillEstimator(),
       slowness: new SlownessTracker(() => undefined),
+      readPauses: new ReadPauses(log, clock),
       cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect: targets, log }),
       log,
       metrics,
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -12,16 +12,18 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import AnswerBuffers from './answer-buffers.js';
 import checkHead from './check-head.js';
 import createMalformedAnswer, {
   parseMalformedHead,
   type ParserError,
 } from './malformed-request.js';
+import estimateAnswerMs from './estimate-answer.js';
 import HeldRequests, { computeHoldMs } from './held-requests.js';
 import { readRequestId, type IngressDialect, type IngressHeaders } from './ingress-dialect.js';
 import parseRequestTarget, { type RequestTarget } from './request-target.js';
 import readBody, { BodyBudget } from './read-body.js';
-import ResponseSink from './response-sink.js';
+import type ResponseSink from './response-sink.js';
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_MAX_HEADER_BYTES = 64 * 1024;
@@ -30,8 +32,6 @@
 const BACKLOG = 511;
 /** Default limit on request bodies in memory. */
 const DEFAULT_MAX_BUFFERED_BODY_BYTES = 64 * 1024 * 1024;
-/** Expected duration of a stream. While draining, requests expected to exceed the deadline are refused. */
-const EXPECTED_STREAM_MS = 5_500;
 
 /** Options of `HttpFrontDoor`. */
 export interface HttpFrontDoorOptions {
@@ -41,6 +41,8 @@
   dialect: IngressDialect;
   /** Limit on request bodies in memory. */
   maxBufferedBodyBytes?: number;
+  /** Limit on bytes of answers that wait for their callers; follows the VM's memory by default. */
+  maxBufferedAnswerBytes?: number;
 }
 
 /** A request that is not checked yet. */
@@ -67,12 +69,15 @@
   /** Called when the last open request ends. */
   private onIdle: () => void = () => undefined;
   private readonly bodyBudget: BodyBudget;
+  private readonly answerBuffers: AnswerBuffers;
   private readonly heldRequests: HeldRequests;
   private readonly logMalformed: RateLimitedLog;
 
   constructor(private readonly options: HttpFrontDoorOptions) {
     const { log, clock } = options.context;
     this.logMalformed = createRateLimitedLog(log, clock, 'request-malformed');
+    const { context, dialect, maxBufferedAnswerBytes } = options;
+    this.answerBuffers = new AnswerBuffers(context, dialect, maxBufferedAnswerBytes);
     this.heldRequests = new HeldRequests(options.context.timers);
     this.bodyBudget = new BodyBudget(
       options.maxBufferedBodyBytes ?? DEFAULT_MAX_BUFFERED_BODY_BYTES,
@@ -154,7 +159,7 @@
     const { context } = this.options;
     this.openRequestCount += 1;
     response.once('close', () => this.onResponseClosed());
-    const sink = new ResponseSink(message, response, {
+    const sink = this.answerBuffers.createSink(message, response, {
       isStopping: () => this.isStopping,
       onRefused: (error, status) => this.recordRefusal(message, error, status),
     });
@@ -358,8 +363,3 @@
     }
   }
 }
-
-/** Expected time until an answer on that route is complete. */
-function estimateAnswerMs({ streaming, timeoutMs }: ServingRoute): Millis {
-  return streaming ? EXPECTED_STREAM_MS : Math.min(timeoutMs, EXPECTED_STREAM_MS);
-}
--- a/packages/http-front-door/src/read-body.ts
+++ b/packages/http-front-door/src/read-body.ts
@@ -94,7 +94,8 @@
     cancelTimer();
     cancelTimer = startTimer();
   });
-  message.on('end', () => finish(() => events.onBody(Buffer.concat(chunks))));
+  // The chunks are removed, since the listeners would keep a second copy of the body in memory.
+  message.on('end', () => finish(() => events.onBody(Buffer.concat(chunks.splice(0)))));
   message.on('error', () => finish(() => undefined));
   message.on('close', () => finish(() => undefined));
   return () => {
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -1,10 +1,20 @@
 /** Writes the answer to one request. */
-import { toHttpStatus, type LimeleadError } from '@limelead/errors';
+import { LimeleadError, toHttpStatus } from '@limelead/errors';
 import type { AnswerSink } from '@limelead/forward-request';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type AnswerBufferBudget from './answer-buffer-budget.js';
+import type { BufferedAnswer } from './answer-buffer-budget.js';
 
-/** Limit on bytes buffered for a slow caller; beyond it the connection is destroyed. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
+/**
+ * Memory of a write that waits, beside its bytes. The stream keeps four entries for the frame of a
+ * chunk; 370 bytes of heap were measured for a piece of 100 bytes.
+ */
+const WRITE_OVERHEAD_BYTES = 512;
+/**
+ * Waiting bytes from which a write is copied. A small piece is a slice of memory that it shares with
+ * pieces of other answers, and a slice that waits keeps all of it.
+ */
+const COPY_FROM_BYTES = 1_024;
 /** Longest wait of a refusal for the end of the request body. */
 const BODY_END_TIMEOUT_MS = 1_000;
 const MS_PER_SECOND = 1_000;
@@ -14,18 +24,45 @@
   /** Whether this VM is stopping; answers then close their connections. */
   isStopping(): boolean;
   onRefused(error: LimeleadError, status: number): void;
+  /** The answer was dropped because too many bytes wait for callers. */
+  onDropped(drop: AnswerDrop): void;
 }
 
-/** The response to one request, with refusals and keep-alive handling. */
-export default class ResponseSink implements AnswerSink {
+/** What was dropped, and how the caller learns of it. */
+export interface AnswerDrop {
+  bytes: number;
+  /** Bytes of all answers before the drop. */
+  totalBytes: number;
+  outcome: 'broken-off' | 'refused';
+}
+
+/** The response to one request, with refusals, keep-alive handling and a count of waiting bytes. */
+export default class ResponseSink implements AnswerSink, BufferedAnswer {
+  countedBytes = 0;
+  waitingBytes = 0;
   private isOver = false;
+  private pendingWrites = 0;
+  private heldBytes = 0;
+  private notifyFlushed: () => void = () => undefined;
+  private notifyLeft: () => void = () => undefined;
+  /** One callback for all writes, so that a piece allocates none. */
+  private readonly onWritten = (): void => {
+    this.pendingWrites -= 1;
+    this.waitingBytes = this.response.writableLength;
+    if (this.countedBytes > 0) {
+      this.countBytes();
+    }
+    this.notifyFlushed();
+  };
 
   constructor(
     private readonly message: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly budget: AnswerBufferBudget<ResponseSink>,
     private readonly events: ResponseSinkEvents,
   ) {
     response.on('error', () => undefined);
+    response.once('close', () => this.releaseBytes());
   }
 
   begin(status: number, rawHeaders: string[], length?: number): void {
@@ -46,21 +83,42 @@
     if (this.isOver) {
       return;
     }
-    this.response.write(bytes);
-    if (this.response.writableLength > MAX_BUFFERED_BYTES) {
-      this.destroy();
+    if (this.response.socket === null && this.countedBytes === 0) {
+      // An answer that waits behind another one of its connection emits no `close`.
+      this.message.socket.once('close', () => this.releaseBytes());
     }
+    this.waitingBytes = this.response.writableLength;
+    this.pendingWrites += 1;
+    const isBehind = this.waitingBytes >= COPY_FROM_BYTES;
+    this.response.write(isBehind ? copyUnshared(bytes) : bytes, this.onWritten);
+    this.countBytes();
   }
 
+  /** Completes the answer. Bytes that still wait for the caller stay counted. */
   end(): void {
     if (!this.isOver) {
       this.isOver = true;
+      this.heldBytes = 0;
       this.response.end();
+      this.countBytes();
+    }
+  }
+
+  onFlushed(callback: () => void): void {
+    this.notifyFlushed = callback;
+  }
+
+  addHeldBytes(bytes: number): void {
+    if (!this.isOver) {
+      this.heldBytes += bytes;
+      this.countBytes();
     }
   }
 
   abort(): void {
-    this.destroy();
+    if (!this.isOver) {
+      this.destroy();
+    }
   }
 
   refuse(error: LimeleadError): void {
@@ -68,6 +126,7 @@
       return;
     }
     this.isOver = true;
+    this.releaseBytes();
     const { answer } = error;
     const status = toHttpStatus(error.kind, answer.execution);
     this.events.onRefused(error, status);
@@ -98,6 +157,7 @@
         callback();
       }
     };
+    this.notifyLeft = callback;
     if (this.response.closed) {
       notify();
     } else {
@@ -105,6 +165,37 @@
     }
   }
 
+  private countBytes(): void {
+    const bytes =
+      this.response.writableLength + this.pendingWrites * WRITE_OVERHEAD_BYTES + this.heldBytes;
+    for (const { answer, ...drop } of this.budget.record(this, bytes)) {
+      answer.drop(drop);
+    }
+  }
+
+  private releaseBytes(): void {
+    this.heldBytes = 0;
+    this.budget.release(this);
+  }
+
+  /**
+   * Gives up the answer to free its memory. The caller of a stream can resume it. The forwarder is
+   * told afterwards, since it may be about to write this or another answer.
+   */
+  private drop(drop: Omit<AnswerDrop, 'outcome'>): void {
+    const hasBegun = this.response.headersSent;
+    this.events.onDropped({ ...drop, outcome: hasBegun ? 'broken-off' : 'refused' });
+    if (!this.isOver) {
+      process.nextTick(() => this.notifyLeft());
+    }
+    if (hasBegun) {
+      this.destroy();
+    } else {
+      const message = 'too many answers wait in memory';
+      this.refuse(new LimeleadError('overloaded', message, { execution: 'unknown' }));
+    }
+  }
+
   /**
    * Discards the rest of the body before the answer ends: closing a connection with unread
    * bytes resets it, and the caller might lose the answer.
@@ -125,10 +216,22 @@
 
   private destroy(): void {
     this.isOver = true;
-    this.response.destroy();
+    this.releaseBytes();
+    if (this.response.socket !== null) {
+      this.response.destroy();
+    } else if (!this.response.writableFinished) {
+      // The answer waits behind another one of its connection and would keep its bytes until then.
+      this.message.socket.destroy();
+    }
   }
 }
 
+function copyUnshared(bytes: Buffer): Buffer {
+  const copy = Buffer.allocUnsafeSlow(bytes.length);
+  bytes.copy(copy);
+  return copy;
+}
+
 /** Whether a request has no body. `complete` may still be false when its head has been read. */
 function isBodyEmpty({ headers }: IncomingMessage): boolean {
   const hasLength = Number(headers['content-length'] ?? 0) > 0;
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -41,6 +41,14 @@
 export interface OpenCall {
   /** Cancels the call and closes its connection; no further event is emitted. */
   cancel(): void;
+  /**
+   * Stops reading the answer, apart from a chunk that was read before. Returns false and has no
+   * effect if the answer can't be paused: before its head, after its end, or if its connection
+   * closes at its end.
+   */
+  pause(): boolean;
+  /** Continues to read a paused answer. Must not be called from an event of a call. */
+  resume(): void;
 }
 
 /** A connection that opens when its first request is sent. */
@@ -88,7 +96,7 @@
       },
       handler,
     );
-    return { cancel: () => handler.cancel() };
+    return handler;
   }
 
   /** Closes the connection and fails the call that runs on it. */
@@ -116,10 +124,11 @@
 }
 
 /** Converts the events of the HTTP library to `CallEvents` and records whether the request was sent. */
-class CallHandler implements Dispatcher.DispatchHandler {
+class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
   private sent: RequestSent = 'no';
   private isOver = false;
   private controller: Dispatcher.DispatchController | undefined;
+  private canPause = false;
 
   constructor(
     private readonly events: CallEvents,
@@ -141,12 +150,12 @@
       return;
     }
     const rawHeaders = (controller.rawHeaders ?? []) as unknown as (Buffer | string)[];
-    this.events.onHead(
-      parseHead(
-        status,
-        rawHeaders.map((part) => part.toString('latin1')),
-      ),
+    const head = parseHead(
+      status,
+      rawHeaders.map((part) => part.toString('latin1')),
     );
+    this.canPause = staysOpen(head);
+    this.events.onHead(head);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -184,6 +193,37 @@
     this.controller?.abort(new Error('cancelled'));
     this.connection.close();
   }
+
+  pause(): boolean {
+    const isPaused = this.canPause && !this.isOver;
+    if (isPaused) {
+      this.controller?.pause();
+    }
+    return isPaused;
+  }
+
+  resume(): void {
+    if (!this.isOver) {
+      this.controller?.resume();
+    }
+  }
+}
+
+/**
+ * Whether the connection certainly stays open after the answer. If it closes while such an answer
+ * is paused, the HTTP library reports a fault; otherwise an assertion of the library fails in an
+ * event of the socket, which would end the process.
+ */
+function staysOpen({ headers, rawHeaders }: AnswerHead): boolean {
+  const isConnectionHeader = (index: number): boolean =>
+    index % 2 === 0 && rawHeaders[index]?.toLowerCase() === 'connection';
+  const options = rawHeaders.filter((_, index) => isConnectionHeader(index - 1)).join();
+  if (/\bclose\b/i.test(options)) {
+    return false;
+  }
+  // Without a header, an answer with a length may be of HTTP/1.0, whose connections close.
+  const isChunked = headers.get('transfer-encoding')?.toLowerCase() === 'chunked';
+  return isChunked || (headers.has('content-length') && /\bkeep-alive\b/i.test(options));
 }
 
 function parseHead(status: number, rawHeaders: string[]): AnswerHead {
--- a/packages/target-connections/src/target-connections.test.ts
+++ b/packages/target-connections/src/target-connections.test.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { TargetConnections, type AnswerHead } from './index.js';
+import { TargetConnections, type AnswerHead, type OpenCall } from './index.js';
 
 const clock = { now: () => performance.now() };
 const ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
@@ -189,4 +189,96 @@
   await target.stop();
 });
 
+/** Sends a call whose answer is paused at its head. Resolves when the target has written it. */
+async function openPaused(head: string, chunk: string) {
+  const target = await startTarget((socket) => socket.write(`${head}\r\n\r\n${chunk}`));
+  const connections = createConnections();
+  let onHead = (): void => undefined;
+  const received: string[] = [];
+  const opened = new Promise<void>((resolve) => (onHead = resolve));
+  let isPaused = false;
+  let finish = (_: string): void => undefined;
+  const finished = new Promise<string>((resolve) => (finish = resolve));
+  const call = { method: 'POST', path: '/a/1', headers: ['Host', 'x'], body: Buffer.from('in') };
+  const open: OpenCall = connections.send(
+    target.target,
+    call,
+    { maxIdleMs: 0 },
+    {
+      onHead: () => {
+        isPaused = open.pause();
+        onHead();
+      },
+      onData: (data) => received.push(data.toString()),
+      onEnd: () => finish('ended'),
+      onFault: ({ reason }) => finish(reason),
+    },
+  );
+  await opened;
+  return { target, connections, open, received, finished, isPaused: () => isPaused };
+}
+
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked';
+
+// Guards against a target that is read on although its caller does not read.
+test('a paused answer is not read until it is resumed, and then arrives in order', async () => {
+  const paused = await openPaused(CHUNKED, '3\r\none\r\n');
+  const { target, open, received } = paused;
+  assert.is(paused.isPaused(), true);
+  const chunk = Buffer.alloc(64 * 1024, 'x').toString();
+  const socket = target.sockets[0] as Socket;
+  for (let index = 0; index < 400; index += 1) {
+    socket.write(`10000\r\n${chunk}\r\n`);
+  }
+  socket.write('3\r\ntwo\r\n0\r\n\r\n');
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  assert.equal(received, []);
+  assert.ok(socket.writableLength > 0);
+  open.resume();
+  assert.is(await paused.finished, 'ended');
+  const text = received.join('');
+  assert.is(text.length, 6 + 400 * chunk.length);
+  assert.ok(text.startsWith('onex') && text.endsWith('xtwo'));
+  paused.connections.closeAll();
+  await target.stop();
+});
+
+// Guards against a process that ends because the library meets the close of a paused connection.
+test('an answer whose connection closes at its end is not paused', async () => {
+  const heads = [
+    `${CHUNKED}\r\nConnection: close`,
+    'HTTP/1.1 200 OK\r\nConnection: keep-alive',
+    'HTTP/1.1 200 OK\r\nContent-Length: 3',
+    'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\nConnection: keep-alive',
+  ];
+  for (const head of heads) {
+    const paused = await openPaused(head, head.includes('Length') ? 'one' : '3\r\none\r\n');
+    assert.is(paused.isPaused(), false, head);
+    paused.target.sockets[0]?.resetAndDestroy();
+    await paused.finished;
+    paused.connections.closeAll();
+    await paused.target.stop();
+  }
+});
+
+// Guards against a lost target that goes unnoticed, or ends the process, while it is paused.
+test('a paused answer reports the reset of its connection, and nothing after it is cancelled', async () => {
+  for (const head of [CHUNKED, 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: keep-alive']) {
+    const reset = await openPaused(head, head === CHUNKED ? '3\r\none\r\n' : 'one');
+    assert.is(reset.isPaused(), true);
+    reset.target.sockets[0]?.resetAndDestroy();
+    reset.open.resume();
+    assert.is(await reset.finished, 'broken');
+    reset.open.resume();
+    assert.is(reset.open.pause(), false);
+    await reset.target.stop();
+  }
+  const cancelled = await openPaused(CHUNKED, '3\r\none\r\n');
+  cancelled.open.cancel();
+  cancelled.open.resume();
+  assert.is(cancelled.open.pause(), false);
+  await cancelled.target.stop();
+  assert.equal(cancelled.received, []);
+});
+
 test.run();
--- a/packages/target-connections/src/target-connections.ts
+++ b/packages/target-connections/src/target-connections.ts
@@ -60,7 +60,11 @@
         }
       },
     });
-    return { cancel: () => open.cancel() };
+    return {
+      cancel: () => open.cancel(),
+      pause: () => open.pause(),
+      resume: () => open.resume(),
+    };
   }
 
   /** Reports an exception as a fault of this call, because it must not reach the caller of `send`. */
@@ -75,7 +79,11 @@
       const fault = new PortFault('unreachable', 'no', String(thrown));
       let isCancelled = false;
       queueMicrotask(() => isCancelled || events.onFault(fault));
-      return { cancel: () => (isCancelled = true) };
+      return {
+        cancel: () => (isCancelled = true),
+        pause: () => false,
+        resume: () => undefined,
+      };
     }
   }
 
