Test and describe slow readers; keep waiting pieces out of shared memory

Cause: a small piece that waits is a slice of an 8 KB block that it shares with pieces of other answers, so buffers in memory exceeded the counted bytes. A resume from within an event of a call would fail an assertion of the HTTP library.

Change: a write of a caller that is behind is copied if it keeps more than twice its bytes; the write path only pauses and never resumes; the range of the setting lives beside the limit.

--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -1,6 +1,7 @@
 import { toHttpStatus } from '@limelead/errors';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { HIGH_WATER_BYTES } from './decide-reading.js';
 import forwardCall from './forward-call.js';
 import { NO_RATE_LIMITS } from './send-permits.js';
 import {
@@ -234,4 +235,69 @@
   await bed.stop();
 });
 
+/** Answers with so many bytes in chunks of 64 KB. */
+const answerWith =
+  (bytes: number, status = 200): Behaviour =>
+  (request, response) => {
+    response.writeHead(status, { id: String(request.headers['id']) });
+    for (let left = bytes; left > 0; left -= 65_536) {
+      response.write(Buffer.alloc(Math.min(left, 65_536), 'x'));
+    }
+    response.end();
+  };
+
+/** Records the largest number of bytes that were held. */
+class CountingSink extends RecordingSink {
+  mostHeldBytes = 0;
+
+  override addHeldBytes(bytes: number): void {
+    super.addHeldBytes(bytes);
+    this.mostHeldBytes = Math.max(this.mostHeldBytes, this.heldBytes);
+  }
+}
+
+// Guards against whole answers that fill the memory of a VM before their callers get a byte.
+test('the bytes of an answer are counted while it is buffered, and released when it is written', async () => {
+  for (const bytes of [200_000, 1_000_000]) {
+    const bed = await TestBed.start(answerWith(bytes));
+    const sink = new CountingSink();
+    forwardCall(bed.context, createAdmittedRequest(ONCE), sink);
+    await sink.done;
+    await bed.stop();
+    assert.is(sink.body.length, bytes);
+    assert.ok(sink.mostHeldBytes >= 200_000);
+    assert.ok(sink.mostHeldBytes < 256 * 1024 + 2 * 65_536);
+    assert.is(sink.heldBytes, 0);
+  }
+});
+
+// Guards against an error answer that is kept for the caller and no longer counted.
+test('the bytes of a failed answer are counted while another target is tried', async () => {
+  const bed = await TestBed.start(answerWith(100_000, 500), reset, reset);
+  const sink = new CountingSink();
+  forwardCall(bed.context, createAdmittedRequest(REPEATABLE), sink);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.body.length, 100_000);
+  assert.is(sink.heldBytes, 100_000);
+});
+
+// Guards against a long answer that is read into memory while its caller reads slowly.
+test('a long answer is paused while its caller reads slowly, and complete afterwards', async () => {
+  const bytes = 20_000_000;
+  const bed = await TestBed.start(answerWith(bytes));
+  const sink = new RecordingSink();
+  sink.waitingBytes = HIGH_WATER_BYTES;
+  forwardCall(bed.context, createAdmittedRequest(ONCE), sink);
+  await sink.until(() => sink.body !== '');
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  assert.is(bed.context.readPauses.pausedReads, 1);
+  assert.ok(sink.body.length < bytes / 2);
+  sink.setWaitingBytes(0);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.outcome, 'ended');
+  assert.is(sink.body.length, bytes);
+});
+
 test.run();
--- a/packages/forward-request/src/paced-sink.ts
+++ b/packages/forward-request/src/paced-sink.ts
@@ -47,7 +47,10 @@
 
   write(bytes: Buffer): void {
     this.sink.write(bytes);
-    this.update();
+    // Written in an event of a call, where reading must not be resumed.
+    if (this.state === 'reading') {
+      this.update();
+    }
   }
 
   end(): void {
--- a/packages/http-front-door/src/answer-buffer-limit.ts
+++ b/packages/http-front-door/src/answer-buffer-limit.ts
@@ -2,9 +2,13 @@
 
 const MEBIBYTE = 1024 * 1024;
 /** Lowest limit; a single caller may use a quarter of it. */
-export const MIN_BUFFERED_ANSWER_BYTES = 4 * MEBIBYTE;
-/** Highest limit. */
-export const MAX_BUFFERED_ANSWER_BYTES = 64 * MEBIBYTE;
+const MIN_BUFFERED_ANSWER_BYTES = 4 * MEBIBYTE;
+const MAX_BUFFERED_ANSWER_BYTES = 64 * MEBIBYTE;
+/** Lowest and highest limit in bytes. */
+export const BUFFERED_ANSWER_RANGE = [
+  MIN_BUFFERED_ANSWER_BYTES,
+  MAX_BUFFERED_ANSWER_BYTES,
+] as const;
 /** Part of a VM's memory that the process may use. */
 const USABLE_MEMORY_SHARE = 0.5;
 /** Part of the usable memory for answers that wait. */
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -1,6 +1,5 @@
 import createDecisionLog from '@limelead/decision-log';
-import { LimeleadError } from '@limelead/errors';
-import type { ForwardContext, TargetDialect } from '@limelead/forward-request';
+import type { ForwardContext } from '@limelead/forward-request';
 import {
   CachedPromptFinder,
   NO_BACKPRESSURE,
@@ -21,81 +20,19 @@
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   noTargetAdvice,
-  NO_DIRECTIVES,
   systemRandom,
   systemTimers,
   type ServingConfiguration,
-  type ServingRoute,
 } from '@limelead/types';
-import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { HttpFrontDoor, type IngressDialect } from './index.js';
+import { configuration, ingress, targets } from './front-door.fixture.js';
+import { HttpFrontDoor } from './index.js';
 
 const clock = { now: () => performance.now() };
 
-const ingress: IngressDialect = {
-  parseHeaders(rawHeaders) {
-    const read = (name: string): string | undefined => {
-      const index = rawHeaders.findIndex((part, at) => at % 2 === 0 && part.toLowerCase() === name);
-      return index < 0 ? undefined : rawHeaders[index + 1];
-    };
-    const requestId = read('id');
-    if (requestId === undefined) {
-      return E.left(new LimeleadError('invalid-request', 'no id'));
-    }
-    return E.right({ requestId, key: read('key'), lastPiece: 0, affinityKey: '', promptTokens: 0 });
-  },
-};
-
-const targets: TargetDialect = {
-  composeCall: ({ request, organisation }) => ({
-    method: request.method,
-    path: request.path,
-    headers: ['host', 'test', 'id', request.requestId, 'organisation', organisation ?? ''],
-    body: request.body,
-  }),
-  readAnswer: (request, { headers }) => ({
-    isForRequest: headers.get('id') === request.requestId,
-    notRun: false,
-    isOtherTarget: false,
-    directives: NO_DIRECTIVES,
-  }),
-  composeProbe: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
-  readProbe: () => undefined,
-  composeCacheQuery: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
-  readCachedPrompts: () => new Set(),
-};
-
-const route: ServingRoute = {
-  name: 'calls',
-  host: 'vans.example',
-  pathPrefix: '/call/',
-  shares: [{ service: 'calls', weight: 1 }],
-  streaming: false,
-  repeatable: false,
-  timeoutMs: 2_000,
-  objectiveMs: 500,
-  maxTargets: 1,
-  rank: 1,
-  open: false,
-};
-
-const configuration: ServingConfiguration = {
-  version: 1,
-  routes: [route],
-  services: [{ name: 'calls', maxConnections: 10 }],
-  organisations: [{ name: 'north', keys: ['good'] }],
-  limits: {
-    maxHeaderBytes: 2_000,
-    maxBodyBytes: 1_000,
-    headerTimeoutMs: 300,
-    idleTimeoutMs: 400,
-  },
-};
-
 /** Starts a VM that has no configuration yet. */
 const NO_CONFIGURATION = 'no-configuration';
 
@@ -111,6 +48,11 @@
 /** A front door with one target that echoes the body. */
 class TestBed {
   readonly arrived: Arrived[] = [];
+  /** Heads that the target has received. */
+  arrivals = 0;
+  /** The target reads bodies once this resolves. */
+  mayRead = Promise.resolve();
+  readOn = (): void => undefined;
   readonly metrics = createMetrics();
   door!: HttpFrontDoor;
   /** The configuration in force. */
@@ -130,8 +72,9 @@
     const bed = new TestBed();
     bed.table = known === NO_CONFIGURATION ? undefined : compileRoutes(known);
     bed.target = createServer((request, response) => {
+      bed.arrivals += 1;
       let body = '';
-      request.on('data', (chunk) => (body += String(chunk)));
+      void bed.mayRead.then(() => request.on('data', (chunk) => (body += String(chunk))));
       request.on('end', () => {
         const organisation = String(request.headers['organisation']);
         bed.arrived.push({ path: request.url ?? '', body, organisation });
@@ -155,6 +98,11 @@
     return bed;
   }
 
+  /** Makes the target read no body until `readOn` is called. */
+  holdBodies(): void {
+    this.mayRead = new Promise((resolve) => (this.readOn = resolve));
+  }
+
   /** The parsed log lines so far. */
   readLines(): Record<string, unknown>[] {
     const lines = this.text.split('\n').filter((line) => line !== '');
@@ -358,6 +306,27 @@
   await bed.stop();
 });
 
+// Guards against bodies that are no longer counted while a target that reads slowly has yet to take them.
+test('a body counts until its answer ends, however slowly its target reads', async () => {
+  const bed = await TestBed.start();
+  bed.holdBodies();
+  const whole = head(['Content-Length: 900']) + `\r\n${'x'.repeat(900)}`;
+  const first = bed.exchange(whole, ANSWERED);
+  const second = bed.exchange(whole, ANSWERED);
+  while (bed.arrivals < 2) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.is(bed.door.bufferedBodyBytes, 1_800);
+  assert.is(await statusOf(bed, whole), '503');
+  bed.readOn();
+  await Promise.all([first, second]);
+  while (bed.door.bufferedBodyBytes > 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.is(await statusOf(bed, whole), '200');
+  await bed.stop();
+});
+
 test('a request inside the body of another is not parsed as a request', async () => {
   const bed = await TestBed.start();
   const inner = head(['Content-Length: 0'], '/call/inner') + '\r\n';
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -50,7 +50,7 @@
     this.pendingWrites -= 1;
     this.waitingBytes = this.response.writableLength;
     if (this.countedBytes > 0) {
-      this.countBytes();
+      this.countBytes(this.waitingBytes);
     }
     this.notifyFlushed();
   };
@@ -90,7 +90,7 @@
     this.waitingBytes = this.response.writableLength;
     this.pendingWrites += 1;
     const isBehind = this.waitingBytes >= COPY_FROM_BYTES;
-    this.response.write(isBehind ? copyUnshared(bytes) : bytes, this.onWritten);
+    this.response.write(isBehind ? toUnshared(bytes) : bytes, this.onWritten);
     this.countBytes();
   }
 
@@ -165,9 +165,8 @@
     }
   }
 
-  private countBytes(): void {
-    const bytes =
-      this.response.writableLength + this.pendingWrites * WRITE_OVERHEAD_BYTES + this.heldBytes;
+  private countBytes(writableBytes = this.response.writableLength): void {
+    const bytes = writableBytes + this.pendingWrites * WRITE_OVERHEAD_BYTES + this.heldBytes;
     for (const { answer, ...drop } of this.budget.record(this, bytes)) {
       answer.drop(drop);
     }
@@ -226,7 +225,11 @@
   }
 }
 
-function copyUnshared(bytes: Buffer): Buffer {
+/** Returns the bytes, as a copy if they are less than half of the memory that they keep. */
+function toUnshared(bytes: Buffer): Buffer {
+  if (bytes.length * 2 > bytes.buffer.byteLength) {
+    return bytes;
+  }
   const copy = Buffer.allocUnsafeSlow(bytes.length);
   bytes.copy(copy);
   return copy;
