--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -107,6 +107,20 @@
     this.release(number);
   }
 
+  /**
+   * Pauses or continues reading from the targets. An attempt that can't be paused, or that starts
+   * later, is read on.
+   */
+  setReadPaused(isPaused: boolean): void {
+    for (const { attempt, activity, paceMeter } of this.live.values()) {
+      paceMeter.restart();
+      activity.setReadPaused(isPaused && attempt.pauseReading());
+      if (!isPaused) {
+        attempt.resumeReading();
+      }
+    }
+  }
+
   dropAll(): void {
     [...this.live.keys()].forEach((number) => this.drop(number));
   }
@@ -134,6 +148,7 @@
     ];
     return {
       recordPieces: (count, now) => meters.forEach((meter) => meter.recordPieces(count, now)),
+      restart: () => meters.forEach((meter) => meter.restart()),
     };
   }
 
--- a/packages/forward-request/src/run-activity.test.ts
+++ b/packages/forward-request/src/run-activity.test.ts
@@ -38,7 +38,7 @@
       run.recordActivity();
     }
   };
-  return { directory, jump, startRun, sendPieces, resumed };
+  return { clock, directory, jump, startRun, sendPieces, resumed };
 }
 
 test('a run with steady gaps has a low limit, and a run that resumes it starts with the same gaps', () => {
@@ -104,4 +104,22 @@
   assert.is(run.missedProbes, 0);
 });
 
+// Guards against a run that is taken for silent because this VM itself did not read it.
+test('a run whose reading is paused counts as active, and its silence starts anew afterwards', () => {
+  const { clock, jump, startRun } = create();
+  const activity = startRun();
+  activity.recordActivity();
+  const silentMs = (): number => clock.now() - activity.lastActivityAtMs;
+  jump(40);
+  assert.is(silentMs(), 40);
+  activity.setReadPaused(false);
+  assert.is(silentMs(), 40);
+  activity.setReadPaused(true);
+  jump(900);
+  assert.is(silentMs(), 0);
+  activity.setReadPaused(false);
+  jump(30);
+  assert.is(silentMs(), 30);
+});
+
 test.run();
--- a/packages/forward-request/src/run-activity.ts
+++ b/packages/forward-request/src/run-activity.ts
@@ -45,12 +45,13 @@
   readonly target: ServiceTarget;
   readonly startedAtMs: Millis;
   readonly maxPauseMs: Millis;
-  lastActivityAtMs: Millis;
-  pausedSinceMs: Millis;
   isWriting: boolean;
   missedProbes = 0;
   private gaps: GapEstimate;
   private hasSentPieces = false;
+  private lastPieceAtMs: Millis;
+  private pauseStartedAtMs: Millis;
+  private isReadPaused = false;
 
   constructor(private readonly options: RunActivityOptions) {
     const { carried, clock, directory, target } = options;
@@ -58,8 +59,8 @@
     this.target = target;
     this.maxPauseMs = options.maxPauseMs;
     this.startedAtMs = clock.now();
-    this.lastActivityAtMs = this.startedAtMs;
-    this.pausedSinceMs = carried?.pausedSinceMs ?? this.startedAtMs;
+    this.lastPieceAtMs = this.startedAtMs;
+    this.pauseStartedAtMs = carried?.pausedSinceMs ?? this.startedAtMs;
     this.isWriting = options.resumesFromReplica;
     this.gaps = carried
       ? scaleGapEstimate(carried.gaps, directory.paceOf(target.id))
@@ -71,18 +72,37 @@
     return this.hasSentPieces ? this.options.replicaTarget : undefined;
   }
 
+  /** Time of the last piece, or now while this VM itself pauses reading. */
+  get lastActivityAtMs(): Millis {
+    return this.isReadPaused ? this.options.clock.now() : this.lastPieceAtMs;
+  }
+
+  /** Start of the present pause of the answer, or now while this VM itself pauses reading. */
+  get pausedSinceMs(): Millis {
+    return this.isReadPaused ? this.options.clock.now() : this.pauseStartedAtMs;
+  }
+
+  /** While reading is paused, the run counts as active; afterwards its silence starts anew. */
+  setReadPaused(isPaused: boolean): void {
+    if (this.isReadPaused && !isPaused) {
+      this.lastPieceAtMs = this.options.clock.now();
+      this.pauseStartedAtMs = this.lastPieceAtMs;
+    }
+    this.isReadPaused = isPaused;
+  }
+
   recordActivity(): void {
     const now = this.options.clock.now();
     if (this.hasSentPieces) {
-      this.gaps = updateGapEstimate(this.gaps, now - this.lastActivityAtMs);
+      this.gaps = updateGapEstimate(this.gaps, now - this.lastPieceAtMs);
     } else if (this.options.resumesFromReplica) {
       this.options.onResumed(now - this.startedAtMs);
     }
     this.hasSentPieces = true;
     this.isWriting = true;
     this.missedProbes = 0;
-    this.lastActivityAtMs = now;
-    this.pausedSinceMs = now;
+    this.lastPieceAtMs = now;
+    this.pauseStartedAtMs = now;
   }
 
   maxSilenceMs(): number {
--- a/packages/forward-request/src/silence.fixture.ts
+++ b/packages/forward-request/src/silence.fixture.ts
@@ -3,7 +3,7 @@
 import { PortFault } from '@limelead/errors';
 import createMetrics from '@limelead/metrics';
 import { createManualTime } from '@limelead/stand-ins';
-import type { TargetConnections } from '@limelead/target-connections';
+import type { OpenCall, TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import type { ServiceTarget } from '@limelead/types';
 import type { TargetDialect } from './dialect.js';
@@ -40,15 +40,20 @@
   };
   const connections: Pick<TargetConnections, 'send'> = {
     send: ({ id }, _call, _options, events) => {
+      const createCall = (cancel: () => void): OpenCall => ({
+        cancel,
+        pause: () => false,
+        resume: () => undefined,
+      });
       state.probed.push(id);
       const behaviour = state.behaviours.get(id) ?? 'answers';
       if (behaviour === 'refuses') {
         const fault = new PortFault('unreachable', 'no', 'refused');
-        return { cancel: timers.after(1, () => events.onFault(fault)) };
+        return createCall(timers.after(1, () => events.onFault(fault)));
       }
       return behaviour === 'dark'
-        ? { cancel: () => undefined }
-        : { cancel: timers.after(state.answerMs, () => events.onEnd()) };
+        ? createCall(() => undefined)
+        : createCall(timers.after(state.answerMs, () => events.onEnd()));
     },
   };
   const dialect: Pick<TargetDialect, 'composeProbe' | 'readProbe'> = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createReadPauses from './create-read-pauses.js';
 import createRetryBudgets from './create-retry-budgets.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
@@ -176,6 +177,7 @@
     this.components = [this.quarantine, ...createFleetComponents(partContext)];
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
+      maxBufferedAnswerBytes: settings.maxBufferedAnswerBytes,
       context: this.createContext(),
       dialect: platform.ingressDialect,
     });
@@ -349,6 +351,7 @@
       }),
       prefill: new PrefillEstimator(),
       slowness: this.slowness,
+      readPauses: createReadPauses(log, this.metrics, steadyClock),
       cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
       log,
       metrics: this.metrics,
--- a/packages/track-service-targets/src/target-pace.ts
+++ b/packages/track-service-targets/src/target-pace.ts
@@ -29,6 +29,8 @@
 export interface PieceMeter {
   /** Records pieces that arrived together. */
   recordPieces(count: number, now: Millis): void;
+  /** Ignores the time since the last piece, in which this VM did not read the run. */
+  restart(): void;
 }
 
 /** A gap between pieces and the time that is usual for them. */
@@ -66,6 +68,9 @@
         }
         lastAtMs = now;
       },
+      restart: () => {
+        lastAtMs = undefined;
+      },
     };
   }
 
