--- a/packages/share-evidence/src/retry-replay.fixture.ts
+++ b/packages/share-evidence/src/retry-replay.fixture.ts
@@ -1,32 +1,24 @@
 /**
  * Replays domain losses on the retry budgets of a whole fleet, with the rules before and after
- * priorities. Prints a table: node packages/share-evidence/dist/retry-replay.fixture.js
+ * priorities.
  */
-import {
-  PrioritisedRetryBudget,
-  RetryBudgetTracker,
-  type RetryRequest,
-} from '@limelead/spend-retries';
 import { chooseLinks } from '@limelead/track-members';
 import type { Millis, Random, RetryNeed } from '@limelead/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { pathToFileURL } from 'node:url';
-import pickRandomEntries from './pick-random-entries.js';
-import RetryBorrower from './retry-borrower.js';
+import { PollingVm, PriorityVm } from './retry-replay-vms.fixture.js';
 
-const LIMITS = { ratio: 0.8, slack: 150, windowMs: 10_000 };
+/** Limits of the retry budget. */
+export const LIMITS = { ratio: 0.8, slack: 150, windowMs: 10_000 };
 const STREAM_MS = 6_000;
 /** Time from the start of a stream to its first piece; also that of a resume without replica. */
 const PREFILL_MS = 1_030;
 const REPLICA_RESUME_MS = 50;
-const MAX_PAUSE_MS = 700;
-const DEADLINE_MS = 25_000;
+export const MAX_PAUSE_MS = 700;
 const LOSSES_AT_MS = [14_000, 17_300, 20_600];
 const END_MS = 34_000;
-/** Share of attempts at a target that refuses connections; it takes 10 ms to find out. */
+/** Share of attempts at a target that refuses connections. */
 const UNREACHABLE_SHARE = 0.3;
-const UNREACHABLE_MS = 10;
 const LOST_MESSAGES = 0.02;
 
 export interface ReplayPlan {
@@ -56,14 +48,16 @@
   maxUse: number;
 }
 
-interface Stream {
+/** A stream and where it runs. */
+export interface Stream {
   vm: number;
   domain: number;
   startedAtMs: Millis;
   hasReplica: boolean;
 }
 
-interface Break {
+/** A broken stream that needs a retry. */
+export interface Break {
   stream: Stream;
   lastPieceAtMs: Millis;
   hasWritten: boolean;
@@ -74,7 +68,8 @@
   return new Replay(plan).run();
 }
 
-class Replay {
+/** A fleet on a simulated clock. */
+export class Replay {
   private nowMs = 0;
   private pending: { atMs: Millis; run: () => void }[] = [];
   private streams = new Set<Stream>();
@@ -248,169 +243,7 @@
   }
 }
 
-/** The rule before: each stream polls, and VMs with less than one retry left ask three peers. */
-class PollingVm {
-  // First attempts were counted for one bucket more than now.
-  private readonly budget = new RetryBudgetTracker({ ...LIMITS, ratio: LIMITS.ratio * 1.05 }, () =>
-    this.borrow(),
-  );
-  private askedAtMs = -Infinity;
-
-  constructor(
-    private readonly replay: Replay,
-    private readonly id: number,
-  ) {}
-
-  recordFirst(): void {
-    this.budget.recordFirstAttempt(this.replay.clock.now());
-  }
-
-  lend(needs: RetryNeed[]): number {
-    const { clock, plan } = this.replay;
-    return this.budget.lend(clock.now(), plan.vms, needs[0]?.retries ?? 0);
-  }
-
-  resume(broken: Break, failures = 0, sinceMs = this.replay.clock.now()): void {
-    const { clock, plan } = this.replay;
-    if (!this.budget.trySpend(clock.now(), plan.vms)) {
-      this.replay.recordRefusal();
-      const delayMs = Math.min(150, 50 * 2 ** failures);
-      this.replay.after(delayMs, () => this.resume(broken, failures + 1, sinceMs));
-    } else if (this.replay.isUnreachable()) {
-      this.replay.after(UNREACHABLE_MS, () => {
-        this.budget.refund(clock.now());
-        this.resume(broken);
-      });
-    } else {
-      if (failures > 0) {
-        this.replay.recordWait(sinceMs);
-      }
-      this.replay.recordRetry();
-      this.replay.onResumed(broken);
-    }
-  }
-
-  private borrow(): void {
-    const { clock } = this.replay;
-    if (clock.now() - this.askedAtMs < 100) {
-      return;
-    }
-    this.askedAtMs = clock.now();
-    const needs = [{ class: 'stream-unwritten', retries: 0.5 }];
-    pickRandomEntries(this.replay.listPeers(this.id), 3, this.replay).forEach((peer) =>
-      this.replay.lendFrom(Number(peer), needs, (retries) =>
-        this.budget.borrow(clock.now(), retries),
-      ),
-    );
-  }
-}
-
-/** The rule after: one queue by priority, and peers are asked for what it lacks. */
-class PriorityVm {
-  private readonly borrower: RetryBorrower;
-  private readonly budget: PrioritisedRetryBudget;
-
-  constructor(
-    private readonly replay: Replay,
-    id: number,
-  ) {
-    const { clock } = replay;
-    const shared = { clock, timers: replay, random: replay };
-    this.borrower = new RetryBorrower({
-      ...shared,
-      listPeers: () => replay.listPeers(id),
-      listNeeds: () => this.budget.needs,
-      sendRequest: (peer, _, needs) =>
-        replay.lendFrom(Number(peer), needs, (retries) => this.budget.borrow(clock.now(), retries)),
-    });
-    this.budget = new PrioritisedRetryBudget({
-      ...shared,
-      limits: LIMITS,
-      countVms: () => replay.plan.vms + 1,
-      onLow: () => this.borrower.requestRetries('s'),
-      borrowForWaiters: () => this.borrower.requestForWaiters('s'),
-      onRequestEnded: ({ hasWaited, outcome, waitedMs }) => {
-        if (hasWaited && outcome === 'granted') {
-          replay.recordRefusal();
-          replay.recordWait(clock.now() - waitedMs);
-        }
-      },
-    });
-  }
-
-  recordFirst(): void {
-    this.budget.recordFirstAttempt(this.replay.clock.now(), true);
-  }
-
-  lend(needs: RetryNeed[]): number {
-    return this.budget.lendForNeeds(needs);
-  }
-
-  resume(broken: Break): void {
-    const { stream, lastPieceAtMs, hasWritten } = broken;
-    const written = stream.hasReplica ? 'stream-with-replica' : 'stream-written';
-    const request: RetryRequest = {
-      class: hasWritten ? written : 'stream-unwritten',
-      rank: 1,
-      lateAtMs: hasWritten ? lastPieceAtMs + MAX_PAUSE_MS : stream.startedAtMs + 4_506,
-      untilMs: stream.startedAtMs + DEADLINE_MS,
-    };
-    this.budget.requestRetry(request, (decision) => {
-      if (decision.outcome === 'granted') {
-        this.send(broken, () => this.budget.recordSent(decision.retry, this.replay.clock.now()));
-      }
-    });
-  }
-
-  private send(broken: Break, recordSent: () => void): void {
-    if (this.replay.isUnreachable()) {
-      this.replay.after(UNREACHABLE_MS, () => this.send(broken, recordSent));
-    } else {
-      recordSent();
-      this.replay.recordRetry();
-      this.replay.onResumed(broken);
-    }
-  }
-}
-
 function createRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
   return { next: () => uniformFloat64(generator) };
 }
-
-function printTable(): void {
-  const fleets = [
-    { vms: 30, domains: 4, streamsPerSecond: 33.5, oneWayMs: 0.5 },
-    { vms: 71, domains: 3, streamsPerSecond: 19.6, oneWayMs: 1.4 },
-  ];
-  console.log(
-    '| VMs | Other moves per s | Rule | Written breaks | In time | With replica | ' +
-      'of them in time | Waits or refusals | Median wait, ms | Messages | Largest use |',
-  );
-  for (const fleet of fleets) {
-    for (const otherMovesPerSecond of [2, 15, 25, 40]) {
-      for (const rule of ['polling', 'priority'] as const) {
-        const results = [1, 2, 3].map((seed) =>
-          replayDomainLosses({ ...fleet, otherMovesPerSecond, seed, rule }),
-        );
-        const total = (key: keyof ReplayResult): number =>
-          results.reduce((sum, result) => sum + result[key], 0);
-        const cells = [
-          ...[fleet.vms, otherMovesPerSecond, rule, total('writtenBreaks')],
-          (total('inTime') / total('writtenBreaks')).toFixed(3),
-          total('replicaBreaks'),
-          (total('replicaInTime') / total('replicaBreaks')).toFixed(3),
-          total('refusals'),
-          results.map(({ medianWaitMs }) => Math.round(medianWaitMs)).join(' '),
-          total('messages'),
-          Math.max(...results.map(({ maxUse }) => maxUse)).toFixed(3),
-        ];
-        console.log(`| ${cells.join(' | ')} |`);
-      }
-    }
-  }
-}
-
-if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
-  printTable();
-}
