Check the operations page against the lines and metrics of queue-calls

Cause: the test of the operations page reads the sources of listed packages, and queue-calls was not among them, so its new rows were unknown.

Change: the package is in the list.

--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -18,6 +18,7 @@
   'judge-version',
   'permit-sends',
   'quarantine-requests',
+  'queue-calls',
   'run-roll-outs',
   'share-evidence',
   'track-backpressure',
