--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -11,6 +11,15 @@
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import { hashText, mixHashes, type Millis } from '@limelead/types';
+import {
+  findEmptiest,
+  getTightness,
+  hasRoom,
+  hasRoomForReplica,
+  type MemoryCriteria,
+} from './memory-fit.js';
+
+export { hasRoom, hasRoomForReplica, type MemoryCriteria } from './memory-fit.js';
 
 /*
  * Costs are expected delays of a run in milliseconds. Costs up to that of a request weigh targets
@@ -38,11 +47,24 @@
 /** Delay per replica at a target, which takes memory but no compute time. */
 const REPLICA_DELAY_MS = 500;
 
+/** Delay of a run at a target whose memory is full, where the run may be preempted. */
+const FULL_MEMORY_DELAY_MS = 2_000;
+/** Pace up to which a target gets replicas; a replica at a slow target delays the run's own target. */
+const MAX_REPLICA_PACE = 1.5;
+
 /** A failure domain that lost targets within this time gets no new replicas, in milliseconds. */
 export const REPLICA_DOMAIN_LOSS_WINDOW_MS = 2_500;
 
+/** Present state of targets beyond their counts; the counts and the health apply where undefined. */
+export interface TargetStateCriteria {
+  /** Present duration of work as a multiple of the usual one, at least 1. */
+  paceOf?: (tracked: TrackedServiceTarget) => number;
+  /** Undefined if the memory of the targets or the size of the request is unknown. */
+  memory?: MemoryCriteria;
+}
+
 /** Criteria for the target of a request. */
-export interface ServiceTargetCriteria {
+export interface ServiceTargetCriteria extends TargetStateCriteria {
   affinityKey: string;
   /** Failure domain of this VM. */
   failureDomain: string;
@@ -52,11 +74,13 @@
   /** Maximum number of concurrent requests of this VM at a target. */
   limit: (target: TrackedServiceTarget) => number;
   isDomainSuspected: (failureDomain: string) => boolean;
+  /** Expected requests of all VMs at a target. */
+  requestsAt?: (tracked: TrackedServiceTarget) => number;
   now: Millis;
 }
 
 /** Criteria for the target of a replica. */
-export interface ReplicaTargetCriteria {
+export interface ReplicaTargetCriteria extends TargetStateCriteria {
   affinityKey: string;
   /** The target that runs the request. */
   running: TrackedServiceTarget;
@@ -64,7 +88,11 @@
   now: Millis;
 }
 
-/** Chooses a target; returns undefined if all are full or there is none. */
+/**
+ * Chooses a target; returns undefined if all are full or there is none. A run that fits nowhere
+ * waits rather than go to a suspected or already tried target, whose memory is only empty because
+ * it lost its runs.
+ */
 export function chooseServiceTarget(
   targets: readonly TrackedServiceTarget[],
   criteria: ServiceTargetCriteria,
@@ -74,34 +102,50 @@
       tracked.inFlight < criteria.limit(tracked) && tracked.health.fullUntilMs <= criteria.now,
   );
   const choice = { ...criteria, isDomainSuspected: memoizeByDomain(criteria.isDomainSuspected) };
-  return chooseLeastDelayed(available, criteria.affinityKey, (tracked) =>
-    estimateDelayMs(tracked, choice),
-  );
+  const chooseFrom = (candidates: TrackedServiceTarget[]): TrackedServiceTarget | undefined =>
+    chooseLeastDelayed(candidates, criteria.affinityKey, (tracked) =>
+      estimateDelayMs(tracked, choice),
+    );
+  const { memory } = criteria;
+  const trusted =
+    memory === undefined ? [] : available.filter((tracked) => isTrusted(tracked, choice));
+  if (memory === undefined || trusted.length === 0) {
+    return chooseFrom(available);
+  }
+  const roomy = trusted.filter((tracked) => hasRoom(memory, tracked));
+  return roomy.length === 0 && memory.isLastResort
+    ? findEmptiest(memory, trusted)
+    : chooseFrom(roomy);
 }
 
-/** Chooses a target for a replica, in another failure domain if there is one. */
+/**
+ * Chooses a target for a replica, in another failure domain if there is one. Returns undefined if
+ * no target of good pace has room.
+ */
 export function chooseReplicaTarget(
   targets: TrackedServiceTarget[],
   criteria: ReplicaTargetCriteria,
 ): TrackedServiceTarget | undefined {
   const { running, now } = criteria;
   const isDomainSuspected = memoizeByDomain(criteria.isDomainSuspected);
-  const others = targets.filter(({ target }) => target.id !== running.target.id);
-  return chooseLeastDelayed(
-    others,
-    `copy ${criteria.affinityKey}`,
-    ({ target, health, ...work }) => {
-      const isSameDomain = target.failureDomain === running.target.failureDomain;
-      return (
-        (isSameDomain ? SUSPECTED_DOMAIN_DELAY_MS : 0) +
-        (isSuspected(health, now) ? SUSPECTED_TARGET_DELAY_MS : 0) +
-        (isDomainSuspected(target.failureDomain) ? SUSPECTED_DOMAIN_DELAY_MS : 0) +
-        (getSlowness(health, now) - 1) * SLOW_RUN_DELAY_MS +
-        (work.inFlight + work.peerRequests) * REQUEST_DELAY_MS +
-        (work.replicas + work.peerReplicas) * REPLICA_DELAY_MS
-      );
-    },
-  );
+  const paceOf = (tracked: TrackedServiceTarget): number => getPace(tracked, criteria);
+  const { memory } = criteria;
+  const others = targets
+    .filter(({ target }) => target.id !== running.target.id)
+    .filter((tracked) => paceOf(tracked) <= MAX_REPLICA_PACE)
+    .filter((tracked) => memory === undefined || hasRoomForReplica(memory, tracked));
+  return chooseLeastDelayed(others, `copy ${criteria.affinityKey}`, (tracked) => {
+    const { target, health, ...work } = tracked;
+    const isSameDomain = target.failureDomain === running.target.failureDomain;
+    return (
+      (isSameDomain ? SUSPECTED_DOMAIN_DELAY_MS : 0) +
+      (isSuspected(health, now) ? SUSPECTED_TARGET_DELAY_MS : 0) +
+      (isDomainSuspected(target.failureDomain) ? SUSPECTED_DOMAIN_DELAY_MS : 0) +
+      (paceOf(tracked) - 1) * SLOW_RUN_DELAY_MS +
+      (work.inFlight + work.peerRequests) * REQUEST_DELAY_MS +
+      (work.replicas + work.peerReplicas) * REPLICA_DELAY_MS
+    );
+  });
 }
 
 /**
@@ -141,12 +185,16 @@
 /** Expected delay of a run at the target. */
 function estimateDelayMs(tracked: TrackedServiceTarget, criteria: ServiceTargetCriteria): Millis {
   const { target, health, inFlight, reading, peerRequests, peerReading } = tracked;
+  const { memory } = criteria;
+  const requests = criteria.requestsAt?.(tracked) ?? inFlight + peerRequests;
+  const prompts = reading + peerReading + (tracked.extraReading ?? 0);
   const failureRate = getFailureRate(health, criteria.now);
   return (
-    (inFlight + peerRequests) * REQUEST_DELAY_MS +
-    (reading + peerReading) * PROMPT_READING_DELAY_MS +
+    requests * REQUEST_DELAY_MS +
+    prompts * PROMPT_READING_DELAY_MS +
+    (memory === undefined ? 0 : getTightness(memory, tracked) * FULL_MEMORY_DELAY_MS) +
     criteria.locality.readPriceMs(criteria.failureDomain, target.failureDomain) +
-    (getSlowness(health, criteria.now) - 1) * SLOW_RUN_DELAY_MS +
+    (getPace(tracked, criteria) - 1) * SLOW_RUN_DELAY_MS +
     (failureRate > TOLERATED_FAILURE_RATE ? failureRate * FAILURE_DELAY_MS : 0) +
     (isSuspected(health, criteria.now) ? SUSPECTED_TARGET_DELAY_MS : 0) +
     (criteria.isDomainSuspected(target.failureDomain) ? SUSPECTED_DOMAIN_DELAY_MS : 0) +
@@ -154,6 +202,23 @@
   );
 }
 
+function getPace(
+  tracked: TrackedServiceTarget,
+  { paceOf, now }: Pick<ServiceTargetCriteria, 'paceOf' | 'now'>,
+): number {
+  return paceOf?.(tracked) ?? getSlowness(tracked.health, now);
+}
+
+/** Whether a target is neither suspected nor already tried by the request. */
+function isTrusted(
+  { target, health }: TrackedServiceTarget,
+  { exclude, isDomainSuspected, now }: ServiceTargetCriteria,
+): boolean {
+  return (
+    !exclude.has(target.id) && !isSuspected(health, now) && !isDomainSuspected(target.failureDomain)
+  );
+}
+
 function chooseLeastDelayed(
   targets: TrackedServiceTarget[],
   affinityKey: string,
--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -1,6 +1,7 @@
 /** Requests to targets and their answers, independent of the protocol. */
 import type { IncomingRequest, ServiceTarget, TargetDirectives } from '@limelead/types';
 import type { AnswerHead, TargetCall } from '@limelead/target-connections';
+import type { ReportedMemory } from '@limelead/track-service-targets';
 
 /** A copy of a run's memory (KV cache) at another target. */
 export interface RunReplica {
@@ -46,6 +47,8 @@
   runs: ReadonlySet<string>;
   /** Number of requests that wait for a slot at the target. */
   waiting: number;
+  /** Undefined if the target does not report its memory. */
+  memory?: ReportedMemory;
 }
 
 /** Encodes requests and decodes answers for one kind of target. */
--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -1,15 +1,20 @@
 /** Finds a slot at which a stream starts or resumes; the cheapest option comes first. */
-import type { Advice } from '@limelead/types';
+import { hashText, type Advice, type AdviceRequest, type Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
+import describeRunMemory, { type RunMemory, type RunProgress } from './run-memory.js';
+import type { TargetNeed } from './target-placement.js';
 import type RunReplicas from './run-replicas.js';
 
+/** Interval at which a scheduler that knows no target with room is asked again; a few round trips. */
+const ASK_AGAIN_MS: Millis = 50;
+/** Shortest Retry-After of a request that is too large; up to twice that, spread by its id. */
+const TOO_LARGE_RETRY_MS: Millis = 1_000;
+
 /** Parameters of the search for a slot. */
-export interface StreamSlotSearch {
-  /** True if no attempt was made yet. */
-  isFirstAttempt: boolean;
+export interface StreamSlotSearch extends RunProgress {
   /** True for a request suspected of crashes: use only the least loaded targets, without advice. */
   onlyLeastLoaded: boolean;
   /** Targets that already failed this request. */
@@ -20,6 +25,8 @@
   onTooLate(): void;
 }
 
+type SearchWithNeed = StreamSlotSearch & { need: TargetNeed };
+
 /**
  * Tries the target of the replica; for a resumed stream the target that caches its prompt;
  * the target that the scheduler advises; and then any target with a free slot. Returns a
@@ -31,22 +38,33 @@
   replicas: RunReplicas,
   search: StreamSlotSearch,
 ): () => void {
-  const replicaSlot = replicas.acquireAtReplica();
+  const need = describeNeed(context, admitted, search);
+  const replicaSlot = replicas.acquireAtReplica(need);
   if (replicaSlot !== undefined) {
     search.onSlot(replicaSlot);
     return () => undefined;
   }
   if (search.isFirstAttempt && admitted.request.lastPiece > 0) {
-    return acquireAtCachedPrompt(context, admitted, search);
+    return acquireAtCachedPrompt(context, admitted, { ...search, need });
   }
-  return acquireAdvisedSlot(context, admitted, search);
+  return acquireAdvisedSlot(context, admitted, { ...search, need });
+}
+
+function describeNeed(
+  context: ForwardContext,
+  admitted: AdmittedRequest,
+  progress: RunProgress,
+): TargetNeed {
+  const { requestId, body } = admitted.request;
+  const memory = describeRunMemory(context, admitted, progress);
+  return { requestId, bodyBytes: body.length, memory };
 }
 
 /** For callers whose earlier entry VM was lost: the target may still cache their prompt. */
 function acquireAtCachedPrompt(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  search: StreamSlotSearch,
+  search: SearchWithNeed,
 ): () => void {
   const { service, request } = admitted;
   let isOver = false;
@@ -55,7 +73,8 @@
     if (isOver) {
       return;
     }
-    const slot = found === undefined ? undefined : context.slots.acquireAt(found);
+    const slot =
+      found === undefined ? undefined : context.slots.acquireAt(found, undefined, search.need);
     if (slot === undefined) {
       stopWaiting = acquireAdvisedSlot(context, admitted, search);
     } else {
@@ -68,14 +87,23 @@
   };
 }
 
-/** Acquires a slot at the advised target, or at any target if the advised one is unavailable. */
+/**
+ * Acquires a slot at the advised target, or at any target if the advised one is unavailable. While
+ * the scheduler knows no target with room for the run, it is asked again until waiting would miss
+ * the objective.
+ */
 function acquireAdvisedSlot(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  search: StreamSlotSearch,
+  search: SearchWithNeed,
 ): () => void {
   const { service, request } = admitted;
-  const { exclude, onSlot } = search;
+  const { exclude, onSlot, need } = search;
+  const { memory } = need;
+  if (memory !== undefined && memory.promptTokens > memory.capacityTokens) {
+    onSlot(undefined, refuseTooLarge(memory));
+    return () => undefined;
+  }
   if (search.isFirstAttempt && isTooLate(context, admitted)) {
     search.onTooLate();
     return () => undefined;
@@ -83,26 +111,56 @@
   if (search.onlyLeastLoaded || context.gate.ignoresAdvice(service)) {
     return acquireAnySlot(context, admitted, search);
   }
-  let stopWaiting = (): void => undefined;
-  const stopAsking = context.requestAdvice(
-    { service, affinityKey: request.affinityKey, exclude },
-    (advice) => {
-      const slot =
-        advice.outcome === 'advised'
-          ? context.slots.acquireAt(advice.target, advice.copyTo)
-          : undefined;
-      reportAdvice(context, request.requestId, advice, slot !== undefined);
-      if (slot === undefined) {
-        stopWaiting = acquireAnySlot(context, admitted, search);
-      } else {
-        onSlot(slot);
-      }
-    },
-  );
-  return () => {
-    stopAsking();
-    stopWaiting();
+  let stop = (): void => undefined;
+  let isReported = false;
+  const ask = (): void => {
+    const canWait = memory !== undefined && context.clock.now() < memory.lastResortAtMs;
+    let isAnswered = false;
+    const stopAsking = context.requestAdvice(
+      { service, affinityKey: request.affinityKey, exclude, ...describeSize(memory, canWait) },
+      (advice) => {
+        isAnswered = true;
+        const slot =
+          advice.outcome === 'advised'
+            ? context.slots.acquireAt(advice.target, advice.copyTo, need)
+            : undefined;
+        reportAdvice(context, request.requestId, advice, slot !== undefined);
+        if (slot !== undefined) {
+          onSlot(slot);
+        } else if (advice.outcome === 'no-room' && canWait) {
+          if (!isReported) {
+            const candidates = context.directory.listUsable(service).length;
+            context.slots.placement.reportNoRoom(request.requestId, candidates);
+          }
+          isReported = true;
+          stop = context.timers.after(ASK_AGAIN_MS, ask);
+        } else {
+          stop = acquireAnySlot(context, admitted, search);
+        }
+      },
+    );
+    if (!isAnswered) {
+      stop = stopAsking;
+    }
   };
+  ask();
+  return () => stop();
+}
+
+/** Fields of a request for advice that depend on the size of the run; none if it is unknown. */
+function describeSize(
+  memory: RunMemory | undefined,
+  canWait: boolean,
+): Pick<AdviceRequest, 'tokens' | 'isLastResort'> {
+  return memory === undefined
+    ? {}
+    : { tokens: memory.tokens, ...(canWait ? {} : { isLastResort: true }) };
+}
+
+/** A run whose prompt exceeds the memory of a target is rejected by every target. */
+function refuseTooLarge({ requestId, promptTokens, capacityTokens }: RunMemory): SlotRefusal {
+  const retryAfterMs = TOO_LARGE_RETRY_MS + (hashText(requestId) % TOO_LARGE_RETRY_MS);
+  return { kind: 'too-large', retryAfterMs, promptTokens, capacityTokens };
 }
 
 /** Whether the prompt cannot be read before the deadline; reading it would waste target time. */
@@ -134,7 +192,7 @@
 function acquireAnySlot(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  { exclude, onlyLeastLoaded, onSlot }: StreamSlotSearch,
+  { exclude, onlyLeastLoaded, onSlot, need }: SearchWithNeed,
 ): () => void {
   const { service, request, rank, dueAtMs } = admitted;
   const { requestId, affinityKey } = request;
@@ -143,6 +201,7 @@
     {
       ...{ requestId, service, affinityKey, exclude: new Set(exclude) },
       ...{ rank, onlyLeastLoaded, untilMs: dueAtMs, minServiceMs },
+      ...need,
     },
     onSlot,
   );
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -139,6 +139,7 @@
           isHedge,
           untilMs: dueAtMs,
           minServiceMs: MIN_CALL_MS,
+          bodyBytes: request.body.length,
         },
       },
       (slot, refusal) => this.onSlot(slot, refusal),
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -197,6 +197,7 @@
     }
     const stopWaiting = findStreamSlot(this.context, this.admitted, this.replicas, {
       isFirstAttempt: this.attempts.count === 0,
+      hasWritten: this.state.delivered > 0,
       onlyLeastLoaded,
       exclude,
       onSlot: (slot, refusal) => this.onSlot(attempt, slot, refusal),
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -74,8 +74,10 @@
       slot,
       replica: replicaTarget && { target: replicaTarget, runId: attemptRequest.request.requestId },
       activity,
-      endPrefill: resumeFrom ? () => undefined : directory.startReadingPrompt(target.id),
-      releaseReplica: replicaTarget ? directory.addReplica(replicaTarget.id) : () => undefined,
+      endPrefill: resumeFrom ? () => undefined : this.startReadingPrompt(slot),
+      releaseReplica: replicaTarget
+        ? directory.addReplica(replicaTarget.id, slot.memory)
+        : () => undefined,
       stopMonitoring: silence.monitor(activity),
     });
     this.events.onSending(number, attemptRequest);
@@ -104,6 +106,13 @@
     [...this.live.keys()].forEach((number) => this.drop(number));
   }
 
+  private startReadingPrompt({ tracked: { target } }: Slot): () => void {
+    const { directory } = this.context;
+    const { promptTokens } = this.admitted.request;
+    const extraReading = directory.tokens.recordPrompt(target.service, promptTokens);
+    return directory.startReadingPrompt(target.id, extraReading);
+  }
+
   private composeRequest(slot: Slot, lastPiece: number): AttemptRequest {
     const { request, organisation, rank, dueAtMs } = this.admitted;
     const { target } = slot.tracked;
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -23,6 +23,10 @@
   if (refusal.kind === 'cooling') {
     metrics.count('limelead_refused_for_cooldown_total');
     log.write('cooldown-refused', { ...fields, targets: refusal.targets });
+  } else if (refusal.kind === 'too-large') {
+    const { promptTokens, capacityTokens } = refusal;
+    metrics.count('limelead_refused_too_large_total');
+    log.write('too-large-refused', { ...fields, promptTokens, capacityTokens });
   } else {
     log.write('permit-refused', { ...fields, grantedBy: refusal.grantedBy });
   }
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -8,6 +8,7 @@
 import type { ForwardContext } from './context.js';
 import type { RunReplica } from './dialect.js';
 import type { Slot } from './slot-request.js';
+import type { TargetNeed } from './target-placement.js';
 
 /** Replicas of the runs of one request. */
 export default class RunReplicas {
@@ -25,8 +26,8 @@
   }
 
   /** Acquires a slot at the target of the usable replica; undefined if it accepts no request. */
-  acquireAtReplica(): Slot | undefined {
-    const slot = this.usable && this.context.slots.acquireAtReplica(this.usable.target.id);
+  acquireAtReplica(need?: TargetNeed): Slot | undefined {
+    const slot = this.usable && this.context.slots.acquireAtReplica(this.usable.target.id, need);
     if (slot === undefined) {
       this.usable = undefined;
     }
@@ -52,24 +53,34 @@
     if (advised !== undefined) {
       return advised;
     }
-    return chooseReplicaTarget(gate.listAdvisable(service, directory.listUsable(service)), {
+    const { placement } = this.context.slots;
+    const targets = gate.listAdvisable(service, directory.listUsable(service));
+    const chosen = chooseReplicaTarget(targets, {
+      ...placement.createReplicaCriteria(slot.memory),
       affinityKey: request.affinityKey,
       running: slot.tracked,
       isDomainSuspected: (domain) =>
         directory.isDomainSuspected(service, domain, REPLICA_DOMAIN_LOSS_WINDOW_MS),
       now: clock.now(),
-    })?.target;
+    });
+    if (chosen === undefined) {
+      placement.reportNoReplica(request.requestId, slot.memory, targets.length - 1);
+    }
+    return chosen?.target;
   }
 
   /**
    * The replica target that the scheduler advised with the slot, unless it is leaving or
    * suspected. The scheduler spreads the replicas of all VMs over the targets.
    */
-  private findAdvisedTarget({ replicaTargetId }: Slot): ServiceTarget | undefined {
-    const { directory } = this.context;
-    const target =
-      replicaTargetId === undefined ? undefined : directory.get(replicaTargetId)?.target;
-    const isUsable = target !== undefined && !target.leaving && !directory.isSuspected(target.id);
-    return isUsable ? target : undefined;
+  private findAdvisedTarget({ replicaTargetId, memory }: Slot): ServiceTarget | undefined {
+    const { directory, slots } = this.context;
+    const tracked = replicaTargetId === undefined ? undefined : directory.get(replicaTargetId);
+    const isUsable =
+      tracked !== undefined &&
+      !tracked.target.leaving &&
+      !directory.isSuspected(tracked.target.id) &&
+      slots.placement.isReplicaAllowedAt(tracked, memory);
+    return isUsable ? tracked.target : undefined;
   }
 }
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -143,6 +143,9 @@
     const { clock, directory, log } = this.options;
     directory.observe(target.id, { kind: 'answered' });
     log.write('target-asked', { target: target.id, isThere: true, runs: result?.runs.size });
+    if (result?.memory !== undefined) {
+      directory.tokens.recordReport(target.id, target.service, result.memory, result.waiting);
+    }
     if (result === undefined || result.waiting > 0) {
       return;
     }
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -8,6 +8,10 @@
 import type { CancelTimer, PermitRefusal, Timers, WaitingRequest } from '@limelead/types';
 import type { SlotRefusal } from './slot-refusal.js';
 import type { Slot, SlotRequest } from './slot-request.js';
+import TargetPlacement, {
+  type TargetNeed,
+  type TargetPlacementOptions,
+} from './target-placement.js';
 import TargetAvailability, { type TargetAvailabilityOptions } from './target-availability.js';
 
 /** Interval of retries for waiting requests: suspicion and pauses expire without an event. */
@@ -24,7 +28,7 @@
   isOver: boolean;
 }
 
-export interface SlotQueueOptions extends TargetAvailabilityOptions {
+export interface SlotQueueOptions extends TargetAvailabilityOptions, TargetPlacementOptions {
   timers: Timers;
   failureDomain: string;
   locality: Locality;
@@ -36,9 +40,11 @@
   private cancelTimer: CancelTimer | undefined;
   private lastId = 0;
   private readonly availability: TargetAvailability;
+  readonly placement: TargetPlacement;
 
   constructor(private readonly options: SlotQueueOptions) {
     this.availability = new TargetAvailability(options);
+    this.placement = new TargetPlacement(options);
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
       list: (service) => this.listWaiting(service),
@@ -48,21 +54,26 @@
     });
   }
 
-  /** Acquires a slot at the target if it is available and has a free slot. */
-  acquireAt(targetId: string, replicaTargetId?: string): Slot | undefined {
+  /** Acquires a slot at the target if it is available and has a free slot and room. */
+  acquireAt(
+    targetId: string,
+    replicaTargetId?: string,
+    need: Partial<TargetNeed> = {},
+  ): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     const isFree =
       tracked !== undefined &&
       this.availability.hasFreeSlot(tracked) &&
-      this.availability.isAvailable(tracked);
-    return isFree ? this.occupySlot(tracked, replicaTargetId) : undefined;
+      this.availability.isAvailable(tracked) &&
+      this.placement.isAllowedAt(tracked, need);
+    return isFree ? this.occupySlot(tracked, need, replicaTargetId) : undefined;
   }
 
   /** Acquires a slot at the target of a replica, which already holds the run's memory. */
-  acquireAtReplica(targetId: string): Slot | undefined {
+  acquireAtReplica(targetId: string, need: Partial<TargetNeed> = {}): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     return tracked !== undefined && this.availability.isAvailable(tracked)
-      ? this.occupySlot(tracked)
+      ? this.occupySlot(tracked, need)
       : undefined;
   }
 
@@ -89,6 +100,7 @@
   private wait(request: SlotRequest, onSlot: OnSlot): () => void {
     const { permits } = this.options;
     this.availability.reportHeld(request);
+    this.placement.reportWaiting(request, this.availability.listPermitted(request));
     this.lastId += 1;
     const waiter: Waiter = { id: this.lastId, request, onSlot, isOver: false };
     this.waiters.push(waiter);
@@ -135,9 +147,11 @@
       exclude: request.exclude,
       limit: (tracked) => this.availability.slotLimitAt(tracked),
       isDomainSuspected: (domain) => directory.isDomainSuspected(request.service, domain),
+      ...this.placement.createCriteria(request.memory),
       now: clock.now(),
     };
-    const all = this.availability.listPermitted(request);
+    const permitted = this.availability.listPermitted(request);
+    const all = this.placement.filterByBodies(permitted, request);
     const candidates = request.onlyLeastLoaded === true ? filterLeastLoaded(all, choice) : all;
     for (const group of gate.groupByPreference(
       request.service,
@@ -146,18 +160,29 @@
     )) {
       const tracked = chooseServiceTarget(group, choice);
       if (tracked !== undefined) {
-        return this.occupySlot(tracked);
+        return this.occupySlot(tracked, request);
       }
     }
     return undefined;
   }
 
   /** The only place that occupies slots; the limits of targets are checked before. */
-  private occupySlot(tracked: TrackedServiceTarget, replicaTargetId?: string): Slot {
+  private occupySlot(
+    tracked: TrackedServiceTarget,
+    need: Partial<TargetNeed>,
+    replicaTargetId?: string,
+  ): Slot {
     const { directory, gate, permits } = this.options;
+    const { memory } = need;
     gate.recordSend(tracked.target);
     permits.recordSend(tracked.target.id, tracked.target.service);
-    return { tracked, replicaTargetId, release: directory.startRequest(tracked.target.id) };
+    const releaseBody = this.placement.recordPlaced(tracked, need);
+    const endRequest = directory.startRequest(tracked.target.id, memory);
+    const release = (): void => {
+      releaseBody();
+      endRequest();
+    };
+    return { tracked, replicaTargetId, memory, release };
   }
 
   private serveWaiters(): void {
--- a/packages/forward-request/src/slot-refusal.ts
+++ b/packages/forward-request/src/slot-refusal.ts
@@ -1,5 +1,14 @@
 /** Reason why a request is refused at once because it cannot get a slot before its deadline. */
 import type { CooldownRefusal } from '@limelead/track-backpressure';
-import type { PermitRefusal } from '@limelead/types';
+import type { Millis, PermitRefusal } from '@limelead/types';
 
-export type SlotRefusal = CooldownRefusal | ({ kind: 'no-permit' } & PermitRefusal);
+/** The prompt exceeds the memory of a target, both in tokens. */
+export interface TooLargeRefusal {
+  kind: 'too-large';
+  retryAfterMs: Millis;
+  promptTokens: number;
+  capacityTokens: number;
+}
+
+export type SlotRefusal =
+  CooldownRefusal | ({ kind: 'no-permit' } & PermitRefusal) | TooLargeRefusal;
--- a/packages/forward-request/src/slot-request.ts
+++ b/packages/forward-request/src/slot-request.ts
@@ -1,10 +1,11 @@
 /** Slots at targets and requests for them. */
 import type { TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { Millis } from '@limelead/types';
+import type { RunMemory } from './run-memory.js';
+import type { TargetNeed } from './target-placement.js';
 
 /** A request for a slot. */
-export interface SlotRequest {
-  requestId: string;
+export interface SlotRequest extends TargetNeed {
   service: string;
   affinityKey: string;
   exclude: ReadonlySet<string>;
@@ -24,5 +25,7 @@
   tracked: TrackedServiceTarget;
   /** Replica target that the scheduler advised. */
   replicaTargetId?: string;
+  /** Memory that the run holds there; undefined if unknown. */
+  memory?: RunMemory;
   release(): void;
 }
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -99,6 +99,10 @@
 
   finished(outcome: string, delivered: number, sends: number): void {
     const durationMs = Math.round(this.elapsedMs());
+    const { service, request } = this.admitted;
+    if (outcome === 'answered' && request.lastPiece === 0 && delivered > 0) {
+      this.context.directory.tokens.recordOutput(service, delivered);
+    }
     this.context.metrics.count('limelead_streams_total', 1, { outcome });
     this.context.metrics.recordMs('limelead_stream_ms', durationMs);
     this.write('stream-finished', {
--- a/packages/gateway/src/create-backpressure.ts
+++ b/packages/gateway/src/create-backpressure.ts
@@ -17,5 +17,11 @@
     isListed: (target) => directory.get(target) !== undefined,
     onLeaving: (target) => directory.onAnnouncedLeaving(target),
     publish: (updates, from) => readExchange()?.publishLeaving(updates, from),
+    onLoad: (target, load) => {
+      const tracked = directory.get(target);
+      if (tracked !== undefined) {
+        directory.advertisedLoads.record(tracked, load);
+      }
+    },
   });
 }
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -53,7 +53,10 @@
   }
   const id = formatAddress(peers);
   const { gate, permits } = dependencies;
-  const scheduler = new TargetScheduler({ self: id, clock, directory, locality, gate, permits });
+  const scheduler = new TargetScheduler({
+    ...{ self: id, clock, directory, locality, gate, permits },
+    memoryTokensOf: (service) => storeView.routes?.findService(service)?.engine?.memoryTokens ?? 0,
+  });
   return new PeerExchange({
     ...peers,
     id,
--- a/packages/gateway/src/engine-load.ts
+++ b/packages/gateway/src/engine-load.ts
@@ -1,6 +1,6 @@
 /** This VM's load on engines, as peers receive it. Plain services are left out: their calls are short. */
 import type { SlownessTracker } from '@limelead/forward-request';
-import type { TargetLoad } from '@limelead/share-evidence';
+import { roundTokens, type TargetLoad } from '@limelead/share-evidence';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
 
 /** What the engine load is computed from. */
@@ -30,9 +30,16 @@
         reading,
         copies: replicas,
         slowness: slowness.slownessOf(target.id),
+        ...this.readTokens(target.id),
       }));
   }
 
+  /** Omitted if the requests there state no size. */
+  private readTokens(target: string): Pick<TargetLoad, 'tokens'> {
+    const tokens = roundTokens(this.options.directory.tokens.ownAt(target));
+    return tokens === undefined ? {} : { tokens };
+  }
+
   /** Handles a change of this VM's load at a target. */
   onTargetLoadChange({ target }: TrackedServiceTarget): void {
     if (this.options.isEngine(target.service)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createPlacement from './create-placement.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
 import createFollowerEvents from './follower-events.js';
@@ -99,6 +100,7 @@
   private readonly components: FleetComponent[];
   private readonly permits: SendLimiter;
   private readonly backpressure: Backpressure;
+  private readonly placement: ReturnType<typeof createPlacement>;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -165,6 +167,10 @@
     };
     this.permits = createPermits(partContext);
     this.backpressure = createBackpressure(partContext);
+    this.placement = createPlacement(partContext, {
+      countVms: () => this.countVms(),
+      readMaxTargetBodyBytes: () => this.settings.maxTargetBodyBytes,
+    });
     this.quarantine = createQuarantineComponent(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -338,6 +344,7 @@
       dialect,
       slots: new SlotQueue({
         ...shared,
+        ...this.placement,
         failureDomain,
         locality,
         limit: concurrencyLimitOf,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,4 @@
 export type { GatewayPlatform } from './gateway.js';
 export type { StoreDialect, DecodedStoreItem } from './store-view.js';
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
+export { default as TargetScheduler } from './target-scheduler.js';
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -53,6 +53,11 @@
   duties?: DutySettings;
   /** Settings for ordering targets. */
   capacity: CapacitySettings;
+  /**
+   * Bound on the request bodies in progress at one target, of all VMs together, in bytes; undefined
+   * for the default.
+   */
+  maxTargetBodyBytes?: number;
   /** Duties that the platform names and limelead doesn't support. */
   unknownDuties?: readonly string[];
 }
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -5,6 +5,8 @@
 import {
   chooseReplicaTarget,
   chooseServiceTarget,
+  type MemoryCriteria,
+  type ServiceTargetCriteria,
   REPLICA_DOMAIN_LOSS_WINDOW_MS,
 } from '@limelead/choose-service-target';
 import type { Locality } from '@limelead/locality';
@@ -15,7 +17,11 @@
   type SchedulerAnswer,
   type SchedulerRequest,
 } from '@limelead/share-evidence';
-import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
+import {
+  getPresentPace,
+  type TargetDirectory,
+  type TrackedServiceTarget,
+} from '@limelead/track-service-targets';
 import type { Clock } from '@limelead/types';
 
 /** Options of `TargetScheduler`. */
@@ -27,6 +33,8 @@
   locality: Locality;
   gate: TargetGate;
   permits: Pick<SendPermits, 'hasLimits' | 'canSend'>;
+  /** Memory of one target of a service in tokens; 0 if unknown, as by default. */
+  memoryTokensOf?: (service: string) => number;
 }
 
 /** Chooses targets for other VMs and for this one. */
@@ -41,24 +49,52 @@
     const targets = this.listCandidates(service).filter(
       ({ target }) => parts <= 1 || choosePartition(target.id, parts) === part,
     );
-    const chosen = chooseServiceTarget(targets, {
+    const memory = this.createMemoryCriteria(question);
+    const criteria: ServiceTargetCriteria = {
       ...question,
+      memory,
+      paceOf: (tracked) => getPresentPace(directory, tracked),
       locality,
       exclude: new Set(question.exclude),
       limit: ({ target, peerRequests }) => target.slots - peerRequests,
       isDomainSuspected: (domain) => directory.isDomainSuspected(service, domain),
       now,
-    });
+    };
+    const chosen = chooseServiceTarget(targets, criteria);
     if (chosen === undefined) {
-      return undefined;
+      const hasSlots =
+        memory !== undefined &&
+        chooseServiceTarget(targets, { ...criteria, memory: undefined }) !== undefined;
+      return hasSlots ? { noRoom: true } : undefined;
     }
-    const answer = { target: chosen.target.id, copyTo: this.chooseReplicaTarget(chosen, question) };
+    const copyTo = this.chooseReplicaTarget(chosen, question, memory);
+    const answer = { target: chosen.target.id, copyTo };
     if (peer !== self) {
-      directory.recordAdvisedRequest({ peer, advice: number, ...answer });
+      const { tokens } = question;
+      directory.recordAdvisedRequest({ peer, advice: number, ...answer, tokens });
     }
     return answer;
   }
 
+  /** Undefined if the size of the run or of the targets is unknown. */
+  private createMemoryCriteria({
+    service,
+    tokens = 0,
+    isLastResort = false,
+  }: SchedulerRequest): MemoryCriteria | undefined {
+    const { directory, memoryTokensOf } = this.options;
+    const capacityTokens = memoryTokensOf?.(service) ?? 0;
+    if (capacityTokens <= 0 || tokens <= 0) {
+      return undefined;
+    }
+    directory.tokens.recordRunTokens(service, tokens);
+    return {
+      ...{ capacityTokens, needTokens: tokens, isLastResort },
+      marginTokens: directory.tokens.usualRunTokens(service) || tokens,
+      heldAt: ({ target }) => directory.tokens.at(target.id, target.service),
+    };
+  }
+
   /** Leaves out rate-limited targets without permits: they look idle but can't be sent to. */
   private listCandidates(service: string): TrackedServiceTarget[] {
     const { permits } = this.options;
@@ -78,11 +114,14 @@
   private chooseReplicaTarget(
     running: TrackedServiceTarget,
     { service, affinityKey }: SchedulerRequest,
+    memory: MemoryCriteria | undefined,
   ): string | undefined {
     const { clock, directory } = this.options;
     return chooseReplicaTarget(this.listAdvisable(service), {
       affinityKey,
       running,
+      memory,
+      paceOf: (tracked) => getPresentPace(directory, tracked),
       isDomainSuspected: (domain) =>
         directory.isDomainSuspected(service, domain, REPLICA_DOMAIN_LOSS_WINDOW_MS),
       now: clock.now(),
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -294,6 +294,7 @@
         lastPiece: headers.lastPiece,
         affinityKey: headers.affinityKey === '' ? headers.requestId : headers.affinityKey,
         promptTokens: headers.promptTokens,
+        maxOutputTokens: headers.maxOutputTokens,
       },
       route,
       service,
--- a/packages/http-front-door/src/ingress-dialect.ts
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -13,6 +13,8 @@
   /** Identifies the caller's session or prompt; empty for none. */
   affinityKey: string;
   promptTokens: number;
+  /** Highest number of tokens of the answer; undefined if the caller does not state it. */
+  maxOutputTokens?: number;
 }
 
 /** Parses the headers of one caller protocol. */
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,14 +8,20 @@
 /** Labels of a series: values by name. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** A value of a gauge with labels that change from one rendering to the next. */
+export interface LabelledValue {
+  labels: Labels;
+  value: number;
+}
+
 /** The metrics of a process. */
 export interface Metrics {
   /** Increases a counter by `by`, 1 by default. */
   count(name: string, by?: number, labels?: Labels): void;
   /** Adds a duration to a summary. */
   recordMs(name: string, milliseconds: number, labels?: Labels): void;
-  /** Registers a gauge whose value is read at each rendering. */
-  gauge(name: string, read: () => number, labels?: Labels): void;
+  /** Registers a gauge whose value, or values by labels, are read at each rendering. */
+  gauge(name: string, read: () => number | readonly LabelledValue[], labels?: Labels): void;
   /** The value of a counter; 0 if it was never increased. */
   counterValue(name: string, labels?: Labels): number;
   /** Renders all series in the Prometheus text format. */
@@ -31,7 +37,7 @@
 interface GaugeSeries {
   name: string;
   labels: Labels;
-  read: () => number;
+  read: () => number | readonly LabelledValue[];
 }
 
 interface SummarySeries {
@@ -78,7 +84,11 @@
     }
     for (const { name, labels, read } of sortByName(gauges.values())) {
       addType(name, 'gauge');
-      lines.push(`${seriesKey(name, labels)} ${read()}`);
+      const value = read();
+      const values = typeof value === 'number' ? [{ labels: {}, value }] : value;
+      values.forEach((one) =>
+        lines.push(`${seriesKey(name, { ...labels, ...one.labels })} ${one.value}`),
+      );
     }
     for (const series of sortByName(summaries.values())) {
       addType(series.name, 'summary');
--- a/packages/share-evidence/src/index.ts
+++ b/packages/share-evidence/src/index.ts
@@ -2,6 +2,7 @@
 export { default as PeerExchange } from './peer-exchange.js';
 export { choosePartition } from './choose-schedulers.js';
 export type { PeerReport } from './report-messages.js';
+export { roundTokens } from './load-tokens.js';
 export type {
   PeerExchangeOptions,
   PeerId,
--- a/packages/share-evidence/src/load-exchange.ts
+++ b/packages/share-evidence/src/load-exchange.ts
@@ -10,7 +10,7 @@
 import type PeerTable from './peer-table.js';
 import RegionLoadPublisher, { fromColumns } from './region-load-publisher.js';
 import TargetAdviceClient from './target-advice-client.js';
-import type { PeerExchangeOptions, PeerId, TargetLoad } from './types.js';
+import type { PeerExchangeOptions, PeerId, SchedulerAnswer, TargetLoad } from './types.js';
 
 /** Dependencies of `LoadExchange`. */
 export interface LoadExchangeOptions extends Pick<
@@ -147,15 +147,17 @@
       number: request.number,
       target: answer?.target ?? null,
       copyTo: answer?.copyTo ?? null,
+      ...(answer?.noRoom ? { noRoom: true } : {}),
     });
   }
 
   /** Passes the advice of a scheduler on. */
   private onAdvice(
     peer: PeerId,
-    { number, target, copyTo }: ExchangeMessageOf<'advise-target'>,
+    { number, target, copyTo, noRoom }: ExchangeMessageOf<'advise-target'>,
   ): void {
-    const answer = target === null ? undefined : { target, copyTo: copyTo ?? undefined };
+    const none: SchedulerAnswer | undefined = noRoom === true ? { noRoom } : undefined;
+    const answer = target === null ? none : { target, copyTo: copyTo ?? undefined };
     this.adviceClient.onAnswer(peer, number, answer);
   }
 
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -9,6 +9,12 @@
   returnPermitCodec,
 } from './permit-codecs.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
+import {
+  advisedRunCodec,
+  noRoomCodec,
+  regionTokensCodec,
+  targetTokensCodec,
+} from './load-tokens.js';
 import { memberListCodec } from './member-codec.js';
 import {
   demandCodec,
@@ -70,13 +76,16 @@
   /** Number of the receiver's last advice that this load follows; 0 for none. */
   advice: t.number,
   targets: t.array(
-    t.type({
-      id: t.string,
-      requests: t.number,
-      reading: t.number,
-      copies: t.number,
-      slowness: t.number,
-    }),
+    t.intersection([
+      t.type({
+        id: t.string,
+        requests: t.number,
+        reading: t.number,
+        copies: t.number,
+        slowness: t.number,
+      }),
+      targetTokensCodec,
+    ]),
   ),
 });
 
@@ -84,14 +93,17 @@
  * Open requests of a whole region at each target, sent by one of its schedulers; see
  * `RegionLoadPublisher`.
  */
-const regionLoad = t.type({
-  kind: t.literal('region-load'),
-  targets: t.array(t.string),
-  requests: t.array(t.number),
-  reading: t.array(t.number),
-  copies: t.array(t.number),
-  slowness: t.array(t.number),
-});
+const regionLoad = t.intersection([
+  t.type({
+    kind: t.literal('region-load'),
+    targets: t.array(t.string),
+    requests: t.array(t.number),
+    reading: t.array(t.number),
+    copies: t.array(t.number),
+    slowness: t.array(t.number),
+  }),
+  regionTokensCodec,
+]);
 
 /** Targets that the sender or another VM detected as lost; see `LostTargets`. */
 const lost = t.intersection([
@@ -147,27 +159,33 @@
 });
 
 /** Requests advice from a scheduler; see `SchedulerRequest`. */
-const wantTarget = t.type({
-  kind: t.literal('want-target'),
-  number: t.number,
-  service: t.string,
-  affinityKey: t.string,
-  failureDomain: t.string,
-  exclude: t.array(t.string),
-  part: t.number,
-  parts: t.number,
-});
+const wantTarget = t.intersection([
+  t.type({
+    kind: t.literal('want-target'),
+    number: t.number,
+    service: t.string,
+    affinityKey: t.string,
+    failureDomain: t.string,
+    exclude: t.array(t.string),
+    part: t.number,
+    parts: t.number,
+  }),
+  advisedRunCodec,
+]);
 
 /**
  * Answers the request of that number. `target` is null if none has a free slot, `copyTo` if there
  * is no replica target.
  */
-const adviseTarget = t.type({
-  kind: t.literal('advise-target'),
-  number: t.number,
-  target: t.union([t.string, t.null]),
-  copyTo: t.union([t.string, t.null]),
-});
+const adviseTarget = t.intersection([
+  t.type({
+    kind: t.literal('advise-target'),
+    number: t.number,
+    target: t.union([t.string, t.null]),
+    copyTo: t.union([t.string, t.null]),
+  }),
+  noRoomCodec,
+]);
 
 const knownMessageCodec = t.union([
   heartbeat,
--- a/packages/share-evidence/src/region-load-publisher.ts
+++ b/packages/share-evidence/src/region-load-publisher.ts
@@ -1,5 +1,6 @@
 /** Sends the load of all VMs of a region, as sums, to the schedulers of other regions. */
 import type { Millis, Timers } from '@limelead/types';
+import { addTokens, fromTokensColumn, toTokensColumn } from './load-tokens.js';
 import type { PeerId, TargetLoad } from './types.js';
 
 /**
@@ -17,6 +18,8 @@
   copies: number[];
   /** The highest that any VM reported. */
   slowness: number[];
+  /** Tokens of memory, 0 where unknown; undefined if none are known. */
+  tokens?: number[];
 }
 
 /** Dependencies of `RegionLoadPublisher`. */
@@ -103,6 +106,7 @@
     reading: columns.reading[index] ?? 0,
     copies: columns.copies[index] ?? 0,
     slowness: columns.slowness[index] ?? 1,
+    ...fromTokensColumn(columns.tokens, index),
   }));
 }
 
@@ -113,6 +117,7 @@
     reading: loads.map(({ reading }) => reading),
     copies: loads.map(({ copies }) => copies),
     slowness: loads.map(({ slowness }) => slowness),
+    ...toTokensColumn(loads),
   };
 }
 
@@ -123,5 +128,6 @@
     reading: a.reading + b.reading,
     copies: a.copies + b.copies,
     slowness: Math.max(a.slowness, b.slowness),
+    ...addTokens(a, b),
   };
 }
--- a/packages/share-evidence/src/target-advice-client.ts
+++ b/packages/share-evidence/src/target-advice-client.ts
@@ -157,7 +157,9 @@
   answer: SchedulerAnswer | undefined,
   { scheduler, afterMs }: { scheduler: PeerId; afterMs: Millis },
 ): Advice {
-  return answer === undefined
-    ? { outcome: 'no-target', scheduler, afterMs }
-    : { outcome: 'advised', ...answer, scheduler, afterMs };
+  if (answer?.target === undefined) {
+    return { outcome: answer?.noRoom ? 'no-room' : 'no-target', scheduler, afterMs };
+  }
+  const { noRoom: _, ...advised } = answer;
+  return { outcome: 'advised', ...advised, scheduler, afterMs };
 }
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -73,11 +73,15 @@
 }
 
 /** Advice of a scheduler. */
-export interface SchedulerAnswer {
-  target: string;
-  /** Replica target for the run's memory. */
-  copyTo?: string;
-}
+export type SchedulerAnswer =
+  | {
+      target: string;
+      /** Replica target for the run's memory. */
+      copyTo?: string;
+      noRoom?: undefined;
+    }
+  /** No target has enough free memory for the run now; it may wait and ask again. */
+  | { target?: undefined; copyTo?: undefined; noRoom: true };
 
 /** Settings, dependencies and event handlers of a `PeerExchange`. */
 export interface PeerExchangeOptions {
--- a/packages/track-backpressure/src/backpressure.ts
+++ b/packages/track-backpressure/src/backpressure.ts
@@ -5,6 +5,7 @@
 import type { DirectiveResponse, Millis } from '@limelead/types';
 import type { LeavingUpdate } from './leaving-table.js';
 import LeavingTargets, { type LeavingTargetsOptions } from './leaving-targets.js';
+import LoadReader, { type LoadReaderOptions } from './load-reader.js';
 import TargetCooldowns, { type TargetCooldownsOptions } from './target-cooldowns.js';
 
 /**
@@ -14,7 +15,9 @@
 const IN_FLIGHT_TOLERANCE_MS: Millis = 50;
 
 /** Dependencies of `Backpressure`. */
-export type BackpressureOptions = TargetCooldownsOptions & LeavingTargetsOptions;
+export type BackpressureOptions = TargetCooldownsOptions &
+  LeavingTargetsOptions &
+  LoadReaderOptions;
 
 /** A directive that a request violated. */
 type Directive = 'cooldown' | 'leaving';
@@ -32,6 +35,7 @@
 export default class Backpressure {
   private readonly cooldowns: TargetCooldowns;
   private readonly leaving: LeavingTargets;
+  private readonly loads: LoadReader;
   private readonly logUnwanted: RateLimitedLog;
   private readonly logHeld: RateLimitedLog;
 
@@ -39,6 +43,7 @@
     const { clock, log } = options;
     this.cooldowns = new TargetCooldowns(options);
     this.leaving = new LeavingTargets(options);
+    this.loads = new LoadReader(options);
     this.logUnwanted = createRateLimitedLog(log, clock, 'unwanted-send');
     this.logHeld = createRateLimitedLog(log, clock, 'held-for-cooldown');
   }
@@ -48,6 +53,7 @@
     this.checkSend(response);
     this.cooldowns.onResponse(response);
     this.leaving.onResponse(response);
+    this.loads.onResponse(response);
   }
 
   /** Applies leaving announcements of a peer. */
--- a/packages/track-backpressure/src/index.ts
+++ b/packages/track-backpressure/src/index.ts
@@ -8,4 +8,5 @@
   type CooldownRefusal,
   type TargetCooldown,
 } from './refuse-during-cooldown.js';
+export type { FollowedLoad } from './load-reader.js';
 export { SLOW_START_MS } from './slow-start.js';
--- a/packages/track-backpressure/src/read-directives.ts
+++ b/packages/track-backpressure/src/read-directives.ts
@@ -1,5 +1,6 @@
 /** Decodes all back pressure headers of a response. */
 import type { Millis, TargetDirectives } from '@limelead/types';
+import parseLoad from './parse-load.js';
 import parseRateLimit from './parse-rate-limit.js';
 import parseRetryAfter from './parse-retry-after.js';
 
@@ -11,6 +12,8 @@
   limit: string;
   retryAfter: string;
   leaving: string;
+  /** Undefined if the targets state no load. */
+  load?: string;
 }
 
 /** Status and headers of a response; header names in lower case. */
@@ -30,5 +33,6 @@
     limit: parseRateLimit(headers.get(names.limit)),
     cooldown: parseRetryAfter(retryAfter, timeOfDayMs),
     isLeaving: headers.get(names.leaving)?.trim() === LEAVING_VALUE,
+    load: parseLoad(names.load === undefined ? undefined : headers.get(names.load)),
   };
 }
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -21,4 +21,6 @@
   getFailureRate,
   getSlowness,
 } from './target-health.js';
+export { default as getPresentPace } from './present-pace.js';
+export type { HeldRun, ReportedMemory } from './held-tokens.js';
 export type { TargetHealth, TargetObservation } from './target-health.js';
--- a/packages/track-service-targets/src/peer-load-table.ts
+++ b/packages/track-service-targets/src/peer-load-table.ts
@@ -4,6 +4,7 @@
  * sent to the same target.
  */
 import type { Clock, Millis } from '@limelead/types';
+import type { PeerTokens } from './held-tokens.js';
 
 /** An advised request that its VM never reports stops counting after this time, in milliseconds. */
 const ADVISED_REQUEST_TTL_MS = 1_000;
@@ -16,6 +17,8 @@
   reading: number;
   /** Replicas kept there. */
   copies: number;
+  /** Tokens of memory that they hold; undefined if a VM does not report them. */
+  tokens?: number;
 }
 
 /** Load of one VM at one target, with the slowness that its runs measured. */
@@ -39,8 +42,11 @@
   target: string;
   /** Target that may keep a replica of the run. */
   copyTo?: string;
+  /** Tokens of memory that the run needs, and its replica. */
+  tokens?: number;
 }
 
+const NO_TOKENS: PeerTokens = { tokens: 0, uncounted: 0 };
 const NO_LOAD: PeerLoad = { requests: 0, reading: 0, copies: 0 };
 /** Load of an advised request at its target, and of its replica. */
 const ADVISED_REQUEST_LOAD: PeerLoad = { requests: 1, reading: 1, copies: 0 };
@@ -50,6 +56,7 @@
 export default class PeerLoadTable {
   private readonly loadsByPeer = new Map<string, ReadonlyMap<string, PeerLoad>>();
   private readonly totals = new Map<string, PeerLoad>();
+  private readonly tokens = new Map<string, PeerTokens>();
   private advised: (AdvisedRequest & { atMs: Millis })[] = [];
 
   /** @param onChange called with each target whose total changed */
@@ -63,6 +70,11 @@
     return this.totals.get(target) ?? NO_LOAD;
   }
 
+  /** Tokens that all other VMs hold at a target. */
+  getTokens(target: string): PeerTokens {
+    return this.tokens.get(target) ?? NO_TOKENS;
+  }
+
   /** Replaces the load that a VM reported; empty once the VM is gone. */
   applyUpdate(peer: string, { targets, advice }: PeerLoadUpdate): void {
     const before = this.loadsByPeer.get(peer);
@@ -92,14 +104,15 @@
     }
   }
 
-  private addAdvised({ target, copyTo }: AdvisedRequest, sign: 1 | -1): void {
-    this.add(target, ADVISED_REQUEST_LOAD, sign);
+  private addAdvised({ target, copyTo, tokens }: AdvisedRequest, sign: 1 | -1): void {
+    this.add(target, { ...ADVISED_REQUEST_LOAD, tokens }, sign);
     if (copyTo !== undefined) {
-      this.add(copyTo, ADVISED_REPLICA_LOAD, sign);
+      this.add(copyTo, { ...ADVISED_REPLICA_LOAD, tokens }, sign);
     }
   }
 
   private add(target: string, load: PeerLoad, sign: 1 | -1): void {
+    this.addTokens(target, load, sign);
     const total = this.getTotal(target);
     const next: PeerLoad = {
       requests: total.requests + sign * load.requests,
@@ -113,4 +126,18 @@
     }
     this.onChange(target, next);
   }
+
+  private addTokens(target: string, load: PeerLoad, sign: 1 | -1): void {
+    const total = this.getTokens(target);
+    const uncounted = load.tokens === undefined ? load.requests + load.copies : 0;
+    const next: PeerTokens = {
+      tokens: total.tokens + sign * (load.tokens ?? 0),
+      uncounted: total.uncounted + sign * uncounted,
+    };
+    if (next.tokens === 0 && next.uncounted === 0) {
+      this.tokens.delete(target);
+    } else {
+      this.tokens.set(target, next);
+    }
+  }
 }
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -1,5 +1,6 @@
 /** Targets known to this VM, with their load and health. */
 import { hashText, type Clock, type Millis, type ServiceTarget } from '@limelead/types';
+import AdvertisedLoadTable from './advertised-load-table.js';
 import DomainLossTracker from './domain-loss-tracker.js';
 import {
   isSuspected,
@@ -7,6 +8,7 @@
   applyObservation,
   type TargetObservation,
 } from './target-health.js';
+import HeldTokens, { type HeldRun } from './held-tokens.js';
 import PeerLoadTable, {
   type AdvisedRequest,
   type PeerLoad,
@@ -39,12 +41,17 @@
   private readonly lossesByService = new Map<string, DomainLossTracker>();
   private readonly listeners = new Set<() => void>();
   private readonly peerLoads: PeerLoadTable;
+  /** Tokens of memory that runs and replicas hold at the targets. */
+  readonly tokens: HeldTokens;
+  readonly advertisedLoads: AdvertisedLoadTable;
 
   constructor(
     private readonly clock: Clock,
     private readonly events: Partial<TargetDirectoryEvents> = {},
   ) {
     this.peerLoads = new PeerLoadTable(clock, (id, total) => this.setPeerLoad(id, total));
+    this.tokens = new HeldTokens(clock, (id) => this.peerLoads.getTokens(id));
+    this.advertisedLoads = new AdvertisedLoadTable(clock);
   }
 
   /** Number of known incarnations. */
@@ -111,43 +118,52 @@
   }
 
   /** Counts a request of this VM in flight; returns a function that ends it. */
-  startRequest(id: string): () => void {
+  startRequest(id: string, run?: HeldRun): () => void {
     const tracked = this.tracked.get(id);
     if (tracked === undefined) {
       return () => undefined;
     }
     tracked.inFlight += 1;
+    const releaseTokens = run && this.tokens.hold(id, run);
     this.events.onLoad?.(tracked);
     return once(() => {
       tracked.inFlight -= 1;
+      releaseTokens?.();
       this.events.onLoad?.(tracked);
       this.notifyListeners();
     });
   }
 
-  /** Counts a request of this VM whose prompt is read; returns a function that ends it. */
-  startReadingPrompt(id: string): () => void {
+  /**
+   * Counts a request of this VM whose prompt is read; returns a function that ends it.
+   * @param extraReading usual prompts by which the prompt is longer than a usual one
+   */
+  startReadingPrompt(id: string, extraReading = 0): () => void {
     const tracked = this.tracked.get(id);
     if (tracked === undefined) {
       return () => undefined;
     }
     tracked.reading += 1;
+    tracked.extraReading = (tracked.extraReading ?? 0) + extraReading;
     return once(() => {
       tracked.reading -= 1;
+      tracked.extraReading = (tracked.extraReading ?? 0) - extraReading;
       tracked.lastReadingAtMs = this.clock.now();
       this.events.onLoad?.(tracked);
     });
   }
 
   /** Counts a replica of a run of this VM; returns a function that ends it. */
-  addReplica(id: string): () => void {
+  addReplica(id: string, run?: HeldRun): () => void {
     const tracked = this.tracked.get(id);
     if (tracked === undefined) {
       return () => undefined;
     }
     tracked.replicas += 1;
+    const releaseTokens = run && this.tokens.hold(id, run);
     return once(() => {
       tracked.replicas -= 1;
+      releaseTokens?.();
       this.events.onLoad?.(tracked);
     });
   }
@@ -302,6 +318,8 @@
     if (known !== undefined) {
       const { target } = known;
       this.tracked.delete(id);
+      this.tokens.forget(id);
+      this.advertisedLoads.forget(id);
       this.getLosses(target.service).removeTarget(target.failureDomain, id);
       this.events.onNotice?.({ kind: 'gone', target });
     }
--- a/packages/track-service-targets/src/tracked-target.ts
+++ b/packages/track-service-targets/src/tracked-target.ts
@@ -12,6 +12,10 @@
   inFlight: number;
   /** Number of them whose prompts are being read. */
   reading: number;
+  /**
+   * Usual prompts by which those of this VM are longer: a prompt of three usual lengths adds two.
+   */
+  extraReading?: number;
   /** Requests of other VMs in flight, reported or advised. */
   peerRequests: number;
   /** Number of them whose prompts are being read. */
--- a/packages/types/src/advice.ts
+++ b/packages/types/src/advice.ts
@@ -7,6 +7,10 @@
   affinityKey: string;
   /** Targets that already failed the request. */
   exclude: string[];
+  /** Tokens of target memory that the run needs; undefined if unknown. */
+  tokens?: number;
+  /** True if the run can't wait for memory; the emptiest target is advised then. */
+  isLastResort?: boolean;
 }
 
 /** Result of a request for advice. */
@@ -19,8 +23,10 @@
       scheduler: string;
       afterMs: Millis;
     }
-  /** The scheduler knows no target with a free slot, or does not answer. */
-  | { outcome: 'no-target' | 'late' | 'link-lost'; scheduler: string; afterMs: Millis }
+  /**
+   * The scheduler knows no target with a free slot, or none with enough memory, or does not answer.
+   */
+  | { outcome: 'no-target' | 'no-room' | 'late' | 'link-lost'; scheduler: string; afterMs: Millis }
   /** The fleet is small, or no scheduler is linked. */
   | { outcome: 'nobody-to-ask' };
 
--- a/packages/types/src/directives.ts
+++ b/packages/types/src/directives.ts
@@ -6,6 +6,19 @@
 export type RequestedCooldown =
   { kind: 'none' } | { kind: 'delay'; delayMs: Millis } | { kind: 'unreadable'; text: string };
 
+/** Work at a target as it states in its responses; changes many times per second. */
+export interface StatedLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+  /** Present duration of work there, 100 is usual; undefined if the target does not state it. */
+  pacePercent?: number;
+}
+
+/** The load in one response. */
+export type AdvertisedLoad =
+  { kind: 'none' } | ({ kind: 'load' } & StatedLoad) | { kind: 'unreadable'; text: string };
+
 /** All directives of one response. */
 export interface TargetDirectives {
   /** Rate limit for all VMs together. */
@@ -13,6 +26,7 @@
   cooldown: RequestedCooldown;
   /** Whether the target accepts no new requests from any VM from now on. */
   isLeaving: boolean;
+  load: AdvertisedLoad;
 }
 
 /** A response without directives. */
@@ -20,6 +34,7 @@
   limit: { kind: 'none' },
   cooldown: { kind: 'none' },
   isLeaving: false,
+  load: { kind: 'none' },
 };
 
 /** The directives of a response and the request that it answered. */
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -146,4 +146,6 @@
   affinityKey: string;
   /** Number of tokens of the prompt; 0 if unknown. */
   promptTokens: number;
+  /** Highest number of tokens of the answer; undefined if unknown. */
+  maxOutputTokens?: number;
 }
