Leave replicas to the scheduler's advice, and replay placements

Cause: a VM of a large fleet knows its own load only. Where the scheduler advised a target and no replica, since none fits, the VM still chose a replica target blindly, and full targets preempted runs. The name of a platform header in packages/http-front-door failed the test of names.

Change: no replica without advice where the size of the run is known; the replay of placements uses a real scheduler, slot queue and replicas on engines with bounded memory; the function is renamed.

--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -126,7 +126,7 @@
             : undefined;
         reportAdvice(context, request.requestId, advice, slot !== undefined);
         if (slot !== undefined) {
-          onSlot(slot);
+          onSlot({ ...slot, isAdvised: true });
         } else if (advice.outcome === 'no-room' && canWait) {
           if (!isReported) {
             const candidates = context.directory.listUsable(service).length;
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -54,6 +54,10 @@
       return advised;
     }
     const { placement } = this.context.slots;
+    if (slot.isAdvised === true && slot.replicaTargetId === undefined && slot.memory) {
+      // The scheduler knows the memory of all targets, of which this VM knows only its own part.
+      return undefined;
+    }
     const targets = gate.listAdvisable(service, directory.listUsable(service));
     const chosen = chooseReplicaTarget(targets, {
       ...placement.createReplicaCriteria(slot.memory),
--- a/packages/forward-request/src/slot-request.ts
+++ b/packages/forward-request/src/slot-request.ts
@@ -25,6 +25,8 @@
   tracked: TrackedServiceTarget;
   /** Replica target that the scheduler advised. */
   replicaTargetId?: string;
+  /** True if a scheduler advised the target, with or without a replica target. */
+  isAdvised?: boolean;
   /** Memory that the run holds there; undefined if unknown. */
   memory?: RunMemory;
   release(): void;
--- a/packages/http-front-door/src/index.ts
+++ b/packages/http-front-door/src/index.ts
@@ -1,5 +1,5 @@
 /** The HTTP server for callers: checks, routing, authentication, body, and the answer. */
 export { default as HttpFrontDoor, type HttpFrontDoorOptions } from './http-front-door.js';
 export { default as collectHeaders } from './collect-headers.js';
-export { default as parseTokenCounts } from './parse-token-counts.js';
+export { default as parseRequestSize } from './parse-request-size.js';
 export { readRequestId, type IngressDialect, type IngressHeaders } from './ingress-dialect.js';
--- a/packages/load/src/compare-placements.fixture.ts
+++ b/packages/load/src/compare-placements.fixture.ts
@@ -25,7 +25,12 @@
   'H, domain losses': { ...H, hasDomainLosses: true },
   'H, domain losses, a tenth of long prompts': { ...H, hasDomainLosses: true, longShare: 0.1 },
   'H with 72 engines, domain losses': { ...H, engines: 72, hasDomainLosses: true },
+  'H, a tenth of long prompts': { ...H, longShare: 0.1 },
   'H, half of the demand in one domain': { ...H, firstDomainShare: 0.5 },
+  'H with 72 engines': { ...H, engines: 72 },
+  'H with 72 engines, half of the demand in one domain': {
+    ...{ ...H, engines: 72, firstDomainShare: 0.5 },
+  },
   'Q, domain losses': Q,
 };
 
--- a/packages/load/src/placement-replay.fixture.ts
+++ b/packages/load/src/placement-replay.fixture.ts
@@ -4,24 +4,18 @@
  */
 import {
   findStreamSlot,
-  NO_BACKPRESSURE,
-  NO_RATE_LIMITS,
-  OPEN_GATE,
-  PrefillEstimator,
   RunReplicas,
-  SlotQueue,
   type AdmittedRequest,
-  type ForwardContext,
   type Slot,
 } from '@limelead/forward-request';
-import { TargetScheduler } from '@limelead/gateway';
-import { createLocality } from '@limelead/locality';
-import { TargetDirectory, type ReportedTargetLoad } from '@limelead/track-service-targets';
-import type { Millis, RequestTargetAdvice, ServiceTarget } from '@limelead/types';
+import { TargetDirectory } from '@limelead/track-service-targets';
+import type { Millis, ServiceTarget } from '@limelead/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import SimulatedEngine from './engine-memory.fixture.js';
 import type { PlacementPlan, PlacementResult } from './placement-plan.fixture.js';
+import createReplayVm, { type ReplayVm } from './replay-vm.fixture.js';
+import SchedulerLink from './scheduler-link.fixture.js';
 import SimulatedTime from './simulated-time.fixture.js';
 
 const SERVICE = 'replay';
@@ -30,20 +24,17 @@
 const BURST = 3;
 const RUN_MS: Millis = 34_000;
 const DRAIN_MS: Millis = 25_000;
-const MESSAGE_DELAY_MS: Millis = 1;
-const LOAD_UPDATE_DELAY_MS: Millis = 15;
 const SLOW_PACE = 2.5;
 const SLOW_MS: Millis = 500;
 const SLOW_SHARE = 0.15;
 const PACE_INTERVAL_MS: Millis = 100;
 const DOMAIN_LOSS_INTERVAL_MS: Millis = 6_500;
 const DOMAIN_LOSS_MS: Millis = 1_200;
-const SCHEDULER = 'scheduler';
 
 interface Stream {
   admitted: AdmittedRequest;
   replicas: RunReplicas;
-  vm: Vm;
+  vm: ReplayVm;
   isPrefilled: boolean;
   isInTime: boolean;
   /** Preempted after its first piece. */
@@ -51,14 +42,6 @@
   attempts: number;
 }
 
-interface Vm {
-  id: string;
-  domain: string;
-  context: ForwardContext;
-  /** Number of the last advice. */
-  advice: number;
-}
-
 interface Attempt {
   target: ServiceTarget;
   lose(): void;
@@ -76,10 +59,9 @@
   private readonly targets: ServiceTarget[];
   private readonly engines = new Map<string, SimulatedEngine>();
   private readonly attempts = new Set<Attempt>();
-  private readonly vms: Vm[];
-  private readonly scheduler: TargetScheduler;
+  private readonly vms: ReplayVm[];
+  private readonly scheduler: SchedulerLink;
   private readonly schedulerDirectory: TargetDirectory;
-  private readonly publishing = new Set<Vm>();
   private readonly result: PlacementResult = {
     ...{
       streams: 0,
@@ -108,12 +90,7 @@
       this.engines.set(id, engine);
     }
     this.schedulerDirectory = this.createDirectory();
-    this.scheduler = new TargetScheduler({
-      ...{ self: SCHEDULER, clock: this.time, directory: this.schedulerDirectory },
-      locality: createLocality({ failureDomain: 'd0', regionOf: {} }),
-      ...{ gate: OPEN_GATE, permits: NO_RATE_LIMITS },
-      memoryTokensOf: () => this.memoryTokens,
-    });
+    this.scheduler = new SchedulerLink(this.time, this.schedulerDirectory, this.memoryTokens);
     this.vms = Array.from({ length: plan.vms }, (_, index) => this.createVm(index));
   }
 
@@ -141,58 +118,14 @@
     return directory;
   }
 
-  private createVm(index: number): Vm {
-    const clock = this.time;
-    const id = `vm${index}`;
-    const directory = this.createDirectory();
-    const domain = `d${index % this.plan.domains}`;
-    const slots = new SlotQueue({
-      ...{ clock, timers: clock, directory, failureDomain: domain, random: { next: () => 0 } },
-      locality: createLocality({ failureDomain: domain, regionOf: {} }),
-      limit: ({ target }) => target.slots,
-      ...{ gate: OPEN_GATE, permits: NO_RATE_LIMITS, backpressure: NO_BACKPRESSURE },
-      onPlacementLimited: () => void (this.result.limited += 1),
+  private createVm(index: number): ReplayVm {
+    return createReplayVm({
+      ...{ time: this.time, id: `vm${index}`, directory: this.createDirectory() },
+      failureDomain: `d${index % this.plan.domains}`,
+      engine: { slots: this.plan.slots, memoryTokens: this.memoryTokens, copiesRuns: true },
+      onLimited: () => void (this.result.limited += 1),
+      requestAdvice: (vm, ...parameters) => this.scheduler.requestAdvice(vm, ...parameters),
     });
-    const engine = { slots: this.plan.slots, memoryTokens: this.memoryTokens, copiesRuns: true };
-    const context = {
-      ...{ clock, timers: clock, directory, slots, gate: OPEN_GATE },
-      ...{ prefill: new PrefillEstimator(), log: { write: () => undefined } },
-      metrics: { count: () => undefined },
-      readRouteTable: () => ({ findService: () => ({ engine }) }),
-      requestAdvice: this.createAdvice(() => vm),
-    } as unknown as ForwardContext;
-    const vm: Vm = { id, domain, context, advice: 0 };
-    return vm;
-  }
-
-  private createAdvice(readVm: () => Vm): RequestTargetAdvice {
-    return (request, receive) => {
-      const vm = readVm();
-      let isCancelled = false;
-      const number = vm.advice + 1;
-      this.time.after(MESSAGE_DELAY_MS, () => {
-        const question = { ...request, failureDomain: vm.domain, number, part: 0, parts: 1 };
-        const answer = this.scheduler.advise(vm.id, question);
-        this.time.after(MESSAGE_DELAY_MS, () => {
-          vm.advice = Math.max(vm.advice, number);
-          const timing = { scheduler: SCHEDULER, afterMs: 2 * MESSAGE_DELAY_MS };
-          if (isCancelled) {
-            return;
-          }
-          if (answer?.target === undefined) {
-            receive({ outcome: answer?.noRoom === true ? 'no-room' : 'no-target', ...timing });
-          } else {
-            receive({
-              outcome: 'advised',
-              target: answer.target,
-              copyTo: answer.copyTo,
-              ...timing,
-            });
-          }
-        });
-      });
-      return () => void (isCancelled = true);
-    };
   }
 
   /** Bursts of a Poisson process whose rate rises and falls by half. */
@@ -211,7 +144,7 @@
   private arrive(): void {
     const { firstDomainShare, longShare, objectiveMs, outputTokens } = this.plan;
     const isFirst = this.arrivals() < firstDomainShare;
-    const vms = this.vms.filter(({ domain }) => (domain === 'd0') === isFirst);
+    const vms = this.vms.filter(({ failureDomain }) => (failureDomain === 'd0') === isFirst);
     const vm = vms[Math.floor(this.arrivals() * vms.length)]!;
     const promptTokens = this.arrivals() < longShare ? 40_000 : 8_200;
     this.result.streams += 1;
@@ -255,12 +188,12 @@
     const endReading = isResumed ? () => undefined : directory.startReadingPrompt(target.id);
     const releaseReplica = replica && directory.addReplica(replica.id, slot.memory);
     const cleanups = [slot.release, endReading, releaseReplica ?? (() => undefined)];
-    this.result.elsewhere += target.failureDomain === vm.domain ? 0 : 1;
+    this.result.elsewhere += target.failureDomain === vm.failureDomain ? 0 : 1;
     this.result.replicas += replica === undefined ? 0 : 1;
     const end = (): void => {
       this.attempts.delete(attempt);
       cleanups.forEach((cleanup) => cleanup());
-      this.publish(vm);
+      this.scheduler.publish(vm);
     };
     const onPrefilled = (): void => {
       endReading();
@@ -271,7 +204,7 @@
       if (replica !== undefined) {
         cleanups.push(this.engines.get(replica.id)!.addReplica(promptTokens + outputTokens));
       }
-      this.publish(vm);
+      this.scheduler.publish(vm);
     };
     const attempt: Attempt = {
       target,
@@ -285,7 +218,7 @@
       },
     };
     this.attempts.add(attempt);
-    this.publish(vm);
+    this.scheduler.publish(vm);
     const onPreempted = (): void => void (stream.isInterrupted ||= stream.isPrefilled);
     const onEnded = (): void => {
       end();
@@ -346,29 +279,6 @@
     const directories = this.vms.map(({ context }) => context.directory);
     [...directories, this.schedulerDirectory].forEach((one) => one.replaceAll(targets));
   }
-
-  private publish(vm: Vm): void {
-    if (this.publishing.has(vm)) {
-      return;
-    }
-    this.publishing.add(vm);
-    this.time.after(LOAD_UPDATE_DELAY_MS, () => {
-      this.publishing.delete(vm);
-      const { directory } = vm.context;
-      const targets = new Map<string, ReportedTargetLoad>();
-      for (const { target, inFlight, reading, replicas } of directory.all()) {
-        if (inFlight + replicas > 0) {
-          const tokens = directory.tokens.ownAt(target.id) || undefined;
-          const load = { requests: inFlight, reading, copies: replicas, slowness: 1, tokens };
-          targets.set(target.id, load);
-        }
-      }
-      const { advice } = vm;
-      this.time.after(MESSAGE_DELAY_MS, () =>
-        this.schedulerDirectory.onPeerLoad(vm.id, { targets, advice }),
-      );
-    });
-  }
 }
 
 function createRandom(seed: number): () => number {
