--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -112,7 +112,7 @@
     return acquireAnySlot(context, admitted, search);
   }
   let stop = (): void => undefined;
-  let isReported = false;
+  let isWaiting = false;
   const ask = (): void => {
     const canWait = memory !== undefined && context.clock.now() < memory.lastResortAtMs;
     let isAnswered = false;
@@ -124,15 +124,18 @@
           advice.outcome === 'advised'
             ? context.slots.acquireAt(advice.target, advice.copyTo, need)
             : undefined;
-        reportAdvice(context, request.requestId, advice, slot !== undefined);
+        const isRepeated = isWaiting && advice.outcome === 'no-room';
+        if (!isRepeated) {
+          reportAdvice(context, request.requestId, advice, slot !== undefined);
+        }
         if (slot !== undefined) {
           onSlot({ ...slot, isAdvised: true });
         } else if (advice.outcome === 'no-room' && canWait) {
-          if (!isReported) {
+          if (!isWaiting) {
             const candidates = context.directory.listUsable(service).length;
             context.slots.placement.reportNoRoom(request.requestId, candidates);
           }
-          isReported = true;
+          isWaiting = true;
           stop = context.timers.after(ASK_AGAIN_MS, ask);
         } else {
           stop = acquireAnySlot(context, admitted, search);
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -54,11 +54,12 @@
       return advised;
     }
     const { placement } = this.context.slots;
+    const targets = gate.listAdvisable(service, directory.listUsable(service));
     if (slot.isAdvised === true && slot.replicaTargetId === undefined && slot.memory) {
       // The scheduler knows the memory of all targets, of which this VM knows only its own part.
+      placement.reportNoAdvisedReplica(request.requestId, targets.length - 1);
       return undefined;
     }
-    const targets = gate.listAdvisable(service, directory.listUsable(service));
     const chosen = chooseReplicaTarget(targets, {
       ...placement.createReplicaCriteria(slot.memory),
       affinityKey: request.affinityKey,
@@ -68,7 +69,8 @@
       now: clock.now(),
     });
     if (chosen === undefined) {
-      placement.reportNoReplica(request.requestId, slot.memory, targets.length - 1);
+      const others = targets.filter((one) => one !== slot.tracked);
+      placement.reportNoReplica(request.requestId, slot.memory, others);
     }
     return chosen?.target;
   }
--- a/packages/forward-request/src/target-placement.ts
+++ b/packages/forward-request/src/target-placement.ts
@@ -140,13 +140,25 @@
   }
 
   /** Reports a run without a replica, if memory or pace is the reason. */
-  reportNoReplica(requestId: string, memory: RunMemory | undefined, candidates: number): void {
-    if (candidates > 0) {
-      const reason = memory === undefined ? 'pace' : 'memory';
-      this.report({ requestId, reason, outcome: 'no-replica', candidates });
+  reportNoReplica(
+    requestId: string,
+    memory: RunMemory | undefined,
+    targets: TrackedServiceTarget[],
+  ): void {
+    const criteria = this.createReplicaCriteria(memory).memory;
+    const hasRoomAnywhere =
+      criteria === undefined || targets.some((one) => hasRoomForReplica(criteria, one));
+    if (targets.length > 0) {
+      const reason = hasRoomAnywhere ? 'pace' : 'memory';
+      this.report({ requestId, reason, outcome: 'no-replica', candidates: targets.length });
     }
   }
 
+  /** Reports a run whose target a scheduler advised without a replica target. */
+  reportNoAdvisedReplica(requestId: string, candidates: number): void {
+    this.report({ requestId, reason: 'memory', outcome: 'no-replica', candidates });
+  }
+
   private report(limit: PlacementLimit): void {
     this.options.onPlacementLimited?.(limit);
   }
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -69,6 +69,9 @@
     }
     const copyTo = this.chooseReplicaTarget(chosen, question, memory);
     const answer = { target: chosen.target.id, copyTo };
+    if (memory !== undefined) {
+      directory.tokens.recordRunTokens(service, memory.needTokens);
+    }
     if (peer !== self) {
       const { tokens } = question;
       directory.recordAdvisedRequest({ peer, advice: number, ...answer, tokens });
@@ -87,7 +90,6 @@
     if (capacityTokens <= 0 || tokens <= 0) {
       return undefined;
     }
-    directory.tokens.recordRunTokens(service, tokens);
     return {
       ...{ capacityTokens, needTokens: tokens, isLastResort },
       marginTokens: directory.tokens.usualRunTokens(service) || tokens,
--- a/packages/metrics/src/index.test.ts
+++ b/packages/metrics/src/index.test.ts
@@ -23,6 +23,17 @@
   ]);
 });
 
+test('a gauge may have values whose labels change from one rendering to the next', () => {
+  const metrics = createMetrics();
+  let targets = ['a', 'b'];
+  metrics.gauge('limelead_tokens', () =>
+    targets.map((target, index) => ({ labels: { target }, value: index })),
+  );
+  assert.match(metrics.render(), 'limelead_tokens{target="a"} 0\nlimelead_tokens{target="b"} 1\n');
+  targets = [];
+  assert.is(metrics.render(), '# TYPE limelead_tokens gauge\n');
+});
+
 test('a counter that was never increased is zero', () => {
   assert.is(createMetrics().counterValue('limelead_errors_total'), 0);
 });
--- a/packages/track-service-targets/src/held-tokens.ts
+++ b/packages/track-service-targets/src/held-tokens.ts
@@ -7,6 +7,11 @@
 
 /** Age up to which a report of a target corrects the count, in milliseconds. */
 const REPORT_TTL_MS: Millis = 1_000;
+/**
+ * Added where requests wait for room, in tokens: more than any memory, and finite, so that such
+ * targets are still ordered by what they hold.
+ */
+export const WAITING_TOKENS = 1e9;
 /** Weight of the latest run in the means of its service. */
 const SMOOTHING = 0.1;
 /** Fewer pieces say too little about the tokens of a piece. */
@@ -75,14 +80,17 @@
     return sumTokens(this.runs.get(target));
   }
 
-  /** Tokens that runs and replicas of all VMs hold at a target; infinite if requests wait for memory there. */
+  /**
+   * Tokens that runs and replicas of all VMs hold at a target; beyond any memory if requests wait
+   * there.
+   */
   at(target: string, service: string): number {
     const counted = this.countAt(target, service);
     const correction = this.corrections.get(target);
     if (correction === undefined || this.clock.now() - correction.atMs > REPORT_TTL_MS) {
       return counted;
     }
-    return correction.hasWaiting ? Infinity : counted + correction.extraTokens;
+    return counted + correction.extraTokens + (correction.hasWaiting ? WAITING_TOKENS : 0);
   }
 
   /** Records the tokens that a new run of the service needs, for the mean. */
