--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -186,6 +186,7 @@
   private findSlot(attempt: number, exclude: string[], onlyLeastLoaded: boolean): void {
     const stopWaiting = findStreamSlot(this.context, this.admitted, this.replicas, {
       isFirstAttempt: this.attempts.count === 0,
+      hasWritten: this.state.delivered > 0,
       onlyLeastLoaded,
       exclude,
       onSlot: (slot, refusal) => this.onSlot(attempt, slot, refusal),
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -202,6 +202,9 @@
     directory.observe(target.id, { kind: 'answered' });
     directory.probeAnswers.recordOwn(target.id, sentAtMs);
     log.write('target-asked', { target: target.id, isThere: true, runs: result?.runs.size });
+    if (result?.memory !== undefined) {
+      directory.tokens.recordReport(target.id, target.service, result.memory, result.waiting);
+    }
     if (this.countPeerRequests(target.id) > 0) {
       onProbeAnswered?.(target.id, sentAtMs);
     }
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -16,6 +16,10 @@
 import { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import type { Slot, SlotRequest } from './slot-request.js';
+import TargetPlacement, {
+  type TargetNeed,
+  type TargetPlacementOptions,
+} from './target-placement.js';
 import TargetAvailability, { type TargetAvailabilityOptions } from './target-availability.js';
 
 /** Interval of retries for waiting requests: suspicion and pauses expire without an event. */
@@ -32,7 +36,8 @@
   isOver: boolean;
 }
 
-export interface SlotQueueOptions extends Omit<TargetAvailabilityOptions, 'places'> {
+export interface SlotQueueOptions
+  extends Omit<TargetAvailabilityOptions, 'places'>, TargetPlacementOptions {
   timers: Timers;
   /** Places of queued services; without it no service is queued. */
   places?: CallPlaces;
@@ -47,10 +52,12 @@
   private lastId = 0;
   private readonly availability: TargetAvailability;
   private readonly places: CallPlaces;
+  readonly placement: TargetPlacement;
 
   constructor(private readonly options: SlotQueueOptions) {
     this.places = options.places ?? NO_CALL_QUEUES;
     this.availability = new TargetAvailability({ ...options, places: this.places });
+    this.placement = new TargetPlacement(options);
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
       list: (service) => this.listWaiting(service),
@@ -67,21 +74,26 @@
     });
   }
 
-  /** Acquires a slot at the target if it is available and has a free slot. */
-  acquireAt(targetId: string, replicaTargetId?: string): Slot | undefined {
+  /** Acquires a slot at the target if it is available and has a free slot and room. */
+  acquireAt(
+    targetId: string,
+    replicaTargetId?: string,
+    need: Partial<TargetNeed> = {},
+  ): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     const isFree =
       tracked !== undefined &&
       this.availability.hasFreeSlot(tracked) &&
-      this.availability.isAvailable(tracked);
-    return isFree ? this.occupySlot(tracked, undefined, replicaTargetId) : undefined;
+      this.availability.isAvailable(tracked) &&
+      this.placement.isAllowedAt(tracked, need);
+    return isFree ? this.occupySlot(tracked, need, replicaTargetId) : undefined;
   }
 
   /** Acquires a slot at the target of a replica, which already holds the run's memory. */
-  acquireAtReplica(targetId: string): Slot | undefined {
+  acquireAtReplica(targetId: string, need: Partial<TargetNeed> = {}): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     return tracked !== undefined && this.availability.isAvailable(tracked)
-      ? this.occupySlot(tracked)
+      ? this.occupySlot(tracked, need)
       : undefined;
   }
 
@@ -112,6 +124,7 @@
 
   private wait(request: SlotRequest, onSlot: OnSlot): () => void {
     this.availability.reportHeld(request);
+    this.placement.reportWaiting(request, this.availability.listPermitted(request));
     this.lastId += 1;
     const waiter: Waiter = { id: this.lastId, request, onSlot, isOver: false };
     this.waiters.push(waiter);
@@ -186,9 +199,11 @@
       exclude: request.exclude,
       limit: (tracked) => this.availability.slotLimitAt(tracked),
       isDomainSuspected: (domain) => directory.isDomainSuspected(request.service, domain),
+      ...this.placement.createCriteria(request.memory),
       now: clock.now(),
     };
-    const all = this.availability.listPermitted(request);
+    const permitted = this.availability.listPermitted(request);
+    const all = this.placement.filterByBodies(permitted, request);
     const candidates = request.onlyLeastLoaded === true ? filterLeastLoaded(all, choice) : all;
     for (const group of gate.groupByPreference(
       request.service,
@@ -206,21 +221,23 @@
   /** The only place that occupies slots; the limits of targets are checked before. */
   private occupySlot(
     tracked: TrackedServiceTarget,
-    request?: SlotRequest,
+    need: Partial<TargetNeed> & Pick<Partial<SlotRequest>, 'objectiveAtMs'>,
     replicaTargetId?: string,
   ): Slot {
     const { directory, gate, permits } = this.options;
+    const { memory, objectiveAtMs = Infinity } = need;
     const { id, service } = tracked.target;
     gate.recordSend(tracked.target);
     permits.recordSend(id, service);
-    const endRequest = directory.startRequest(id);
-    const { objectiveAtMs = Infinity } = request ?? {};
+    const releaseBody = this.placement.recordPlaced(tracked, need);
+    const endRequest = directory.startRequest(id, memory);
     const releasePlace = this.places.recordSend(id, service, { objectiveAtMs });
     const release: ReleasePlace = (outcome) => {
+      releaseBody();
       endRequest();
       releasePlace(outcome);
     };
-    return { tracked, replicaTargetId, release };
+    return { tracked, replicaTargetId, memory, release };
   }
 
   private serveWaiters(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createPlacement from './create-placement.js';
 import createReadPauses from './create-read-pauses.js';
 import createRetryBudgets from './create-retry-budgets.js';
 import EngineLoad from './engine-load.js';
@@ -104,6 +105,7 @@
   private readonly permits: SendLimiter;
   private readonly callQueue: CallQueue;
   private readonly backpressure: Backpressure;
+  private readonly placement: ReturnType<typeof createPlacement>;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: Server[] = [];
   private isStopping = false;
@@ -170,6 +172,10 @@
     this.permits = createPermits(partContext);
     this.callQueue = createCallQueue(partContext);
     this.backpressure = createBackpressure(partContext);
+    this.placement = createPlacement(partContext, {
+      countVms: () => this.countVms(),
+      readMaxTargetBodyBytes: () => this.settings.maxTargetBodyBytes,
+    });
     this.quarantine = createQuarantineComponent(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
@@ -336,6 +342,7 @@
       dialect,
       slots: new SlotQueue({
         ...shared,
+        ...this.placement,
         failureDomain,
         locality,
         limit: concurrencyLimitOf,
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -299,6 +299,7 @@
         lastPiece: headers.lastPiece,
         affinityKey: headers.affinityKey === '' ? headers.requestId : headers.affinityKey,
         promptTokens: headers.promptTokens,
+        maxOutputTokens: headers.maxOutputTokens,
       },
       route,
       service,
--- a/packages/http-front-door/src/index.ts
+++ b/packages/http-front-door/src/index.ts
@@ -1,4 +1,6 @@
 /** The HTTP server for callers: checks, routing, authentication, body, and the answer. */
 export { default as HttpFrontDoor, type HttpFrontDoorOptions } from './http-front-door.js';
 export { BUFFERED_ANSWER_RANGE } from './answer-buffer-limit.js';
+export { default as collectHeaders } from './collect-headers.js';
+export { default as parseRequestSize } from './parse-request-size.js';
 export { readRequestId, type IngressDialect, type IngressHeaders } from './ingress-dialect.js';
--- a/packages/track-service-targets/src/index.ts
+++ b/packages/track-service-targets/src/index.ts
@@ -21,6 +21,8 @@
   getFailureRate,
   getSlowness,
 } from './target-health.js';
+export { default as getPresentPace } from './present-pace.js';
+export type { HeldRun, ReportedMemory } from './held-tokens.js';
 export type { TargetHealth, TargetObservation } from './target-health.js';
 export type { PeerProbeAnswer } from './probe-answer-table.js';
 export type { PieceMeter } from './target-pace.js';
