--- a/packages/forward-request/src/run-memory.test.ts
+++ b/packages/forward-request/src/run-memory.test.ts
@@ -7,8 +7,11 @@
 
 async function withBed(run: (bed: TestBed) => void): Promise<void> {
   const bed = await TestBed.start(streamTo(1));
-  run(bed);
-  await bed.stop();
+  try {
+    run(bed);
+  } finally {
+    await bed.stop();
+  }
 }
 
 // Guards against memory limits where nothing is known, as in deployments without sizes.
--- a/packages/load/src/scheduler-link.fixture.ts
+++ b/packages/load/src/scheduler-link.fixture.ts
@@ -22,6 +22,7 @@
   private readonly scheduler: TargetScheduler;
   /** Numbers of the last advice, by VM. */
   private readonly advice = new Map<string, number>();
+  private lastNumber = 0;
   private readonly publishing = new Set<string>();
 
   /** @param memoryTokens memory of a target; 0 if unknown */
@@ -43,7 +44,8 @@
     ...[request, receive]: Parameters<RequestTargetAdvice>
   ): () => void {
     let isCancelled = false;
-    const number = (this.advice.get(id) ?? 0) + 1;
+    this.lastNumber += 1;
+    const number = this.lastNumber;
     this.time.after(MESSAGE_DELAY_MS, () => {
       const question = { ...request, failureDomain, number, part: 0, parts: 1 };
       const answer = this.scheduler.advise(id, question);
