Order waiting requests by the fair shares of organisations

Cause: an organisation that sends ten times its usual load, and callers that repeat at once, made the calls of all others late.

Change: FairShares (admit-request) counts the demand per organisation and divides the served rate by water-filling. The queue VM and the slot queue of each VM order the requests of one rank by first requests before repeats, then by share. VMs report their demand in the heartbeat. RepeatDetector finds repeats by hashes that are computed only for requests that wait, also across VMs.

--- a/packages/admit-request/src/admission-controller.ts
+++ b/packages/admit-request/src/admission-controller.ts
@@ -2,13 +2,13 @@
 import { LimeleadError } from '@limelead/errors';
 import type { Millis, Organisation } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
+import DecayedCount from './decayed-count.js';
 
 /** Size of a burst, in seconds of the organisation's rate. */
 const BURST_SECONDS = 2;
 /** Share of the VM's open requests that each rank leaves to more urgent ranks. */
 const RESERVED_SHARE_PER_RANK = 0.1;
 const MAX_RESERVED_SHARE = 0.5;
-const DEMAND_HALF_LIFE_MS = 2_000;
 /** Ratio of the expected to the allowed wait from which requests are shed. */
 const MIN_SHEDDING_PRESSURE = 0.75;
 /** Ratio from which all requests are refused. */
@@ -57,9 +57,7 @@
   weight: number;
   tokens: number;
   refilledAtMs: Millis;
-  /** Exponentially decaying count of requests, as of `decayedAtMs`. */
-  recentRequests: number;
-  decayedAtMs: Millis;
+  demand: DecayedCount;
 }
 
 /**
@@ -77,7 +75,7 @@
     const { organisation } = request;
     const use = uses.get(organisation.name) ?? createUse(organisation, shareOf, now);
     uses.set(organisation.name, use);
-    recordDemand(use, now);
+    use.demand.record(now);
     const refusal = request.isResumed
       ? undefined
       : findRefusal(request, { use, uses, open, limits, shareOf }, now);
@@ -108,13 +106,13 @@
     countOpen: () => open,
     demandOf: (organisation, now) => {
       const use = uses.get(organisation);
-      return use === undefined ? 0 : computeDemand(use, now);
+      return use === undefined ? 0 : use.demand.perSecond(now);
     },
     listDemands: (now) => {
       evictIdle(uses, now);
       return [...uses].map(([organisation, use]) => ({
         organisation,
-        requestsPerSecond: computeDemand(use, now),
+        requestsPerSecond: use.demand.perSecond(now),
       }));
     },
   };
@@ -150,7 +148,7 @@
 ): OrganisationUse {
   const tokens = computeBurst(organisation, shareOf(organisation.name));
   const { weight } = organisation;
-  return { open: 0, weight, tokens, refilledAtMs: now, recentRequests: 0, decayedAtMs: now };
+  return { open: 0, weight, tokens, refilledAtMs: now, demand: new DecayedCount(now) };
 }
 
 function findDeadlineRefusal(request: AdmissionRequest, now: Millis): LimeleadError | undefined {
@@ -237,23 +235,9 @@
   return Math.max(1, organisation.requestsPerSecond * share * BURST_SECONDS);
 }
 
-function recordDemand(use: OrganisationUse, now: Millis): void {
-  use.recentRequests = computeDecayedRequests(use, now) + 1;
-  use.decayedAtMs = now;
-}
-
-function computeDemand(use: OrganisationUse, now: Millis): number {
-  const meanLifeSeconds = DEMAND_HALF_LIFE_MS / Math.LN2 / 1000;
-  return computeDecayedRequests(use, now) / meanLifeSeconds;
-}
-
-function computeDecayedRequests(use: OrganisationUse, now: Millis): number {
-  return use.recentRequests * 0.5 ** ((now - use.decayedAtMs) / DEMAND_HALF_LIFE_MS);
-}
-
 function evictIdle(uses: Map<string, OrganisationUse>, now: Millis): void {
   for (const [organisation, use] of uses) {
-    if (use.open === 0 && computeDecayedRequests(use, now) < 0.01) {
+    if (use.open === 0 && use.demand.countAt(now) < 0.01) {
       uses.delete(organisation);
     }
   }
--- a/packages/admit-request/src/index.ts
+++ b/packages/admit-request/src/index.ts
@@ -7,3 +7,11 @@
   AdmissionTicket,
 } from './admission-controller.js';
 export { default as computeLimitShare, type PeerDemand } from './compute-limit-share.js';
+export {
+  default as FairShares,
+  type ExceededShare,
+  type FairSharesOptions,
+} from './fair-shares.js';
+export { default as RepeatDetector } from './repeat-detector.js';
+export { default as ReportedShares, type ReportedSharesOptions } from './reported-shares.js';
+export { compareShareRanks, EQUAL_SHARES, type ShareOrder, type ShareRank } from './share-order.js';
--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -55,7 +55,8 @@
     if (isOver) {
       return;
     }
-    const slot = found === undefined ? undefined : context.slots.acquireAt(found);
+    const slot =
+      found === undefined ? undefined : context.slots.acquireAt(found, undefined, { admitted });
     if (slot === undefined) {
       stopWaiting = acquireAdvisedSlot(context, admitted, search);
     } else {
@@ -89,7 +90,7 @@
     (advice) => {
       const slot =
         advice.outcome === 'advised'
-          ? context.slots.acquireAt(advice.target, advice.copyTo)
+          ? context.slots.acquireAt(advice.target, advice.copyTo, { admitted })
           : undefined;
       reportAdvice(context, request.requestId, advice, slot !== undefined);
       if (slot === undefined) {
@@ -142,7 +143,7 @@
   return context.slots.acquire(
     {
       ...{ requestId, service, affinityKey, exclude: new Set(exclude) },
-      ...{ rank, onlyLeastLoaded, untilMs: dueAtMs, minServiceMs },
+      ...{ admitted, rank, onlyLeastLoaded, untilMs: dueAtMs, minServiceMs },
     },
     onSlot,
   );
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -126,20 +126,15 @@
   }
 
   private acquireSlot(onlyLeastLoaded: boolean): void {
-    const { service, request, organisation, rank, dueAtMs, receivedAtMs, route } = this.admitted;
-    const { isHedge } = this;
+    const { isHedge, admitted } = this;
+    const { service, request, rank, dueAtMs, receivedAtMs, route } = admitted;
     const { requestId } = request;
     const objectiveAtMs = receivedAtMs + route.objectiveMs;
     this.stopWaiting = this.context.slots.acquire(
       {
         ...{ requestId, service, affinityKey: requestId, exclude: this.triedTargets },
-        ...{
-          ...{ organisation, rank, objectiveAtMs },
-          onlyLeastLoaded,
-          isHedge,
-          untilMs: dueAtMs,
-          minServiceMs: MIN_CALL_MS,
-        },
+        ...{ admitted, rank, objectiveAtMs, onlyLeastLoaded, isHedge },
+        ...{ untilMs: dueAtMs, minServiceMs: MIN_CALL_MS },
       },
       (slot, refusal) => this.onSlot(slot, refusal),
     );
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -17,4 +17,5 @@
 export { OPEN_GATE, type TargetGate } from './target-gate.js';
 export { default as SlownessTracker } from './slowness-tracker.js';
 export { combineObservers, type AttemptOutcome, type TrafficObserver } from './traffic-observer.js';
+export { NO_SHARES, type RequestShares } from './request-shares.js';
 export { default as queryTarget } from './query-target.js';
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -1,5 +1,5 @@
 /**
- * Queue of the requests that wait for a slot, ordered by rank and then by deadline.
+ * Queue of the requests that wait for a slot, ordered by rank, fair share and deadline.
  * All slots at targets are acquired here.
  */
 import { chooseServiceTarget, type ServiceTargetCriteria } from '@limelead/choose-service-target';
@@ -7,6 +7,7 @@
 import { isSuspected, type TrackedServiceTarget } from '@limelead/track-service-targets';
 import type {
   CancelTimer,
+  Millis,
   PermitRefusal,
   ReleasePlace,
   Timers,
@@ -14,42 +15,38 @@
   WaitingRequest,
 } from '@limelead/types';
 import { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
-import type { SlotRefusal } from './slot-refusal.js';
+import RepeatMarker from './repeat-marker.js';
+import { NO_SHARES, type RequestShares } from './request-shares.js';
 import type { Slot, SlotRequest } from './slot-request.js';
+import { sortWaiters, toWaitingCall, type OnSlot, type SlotWaiter } from './slot-waiter.js';
 import TargetAvailability, { type TargetAvailabilityOptions } from './target-availability.js';
 
 /** Interval of retries for waiting requests: suspicion and pauses expire without an event. */
 const RETRY_INTERVAL_MS = 20;
 
-/** Called with a slot, or with undefined and possibly a reason if none was available in time. */
-type OnSlot = (slot: Slot | undefined, refusal?: SlotRefusal) => void;
-
-interface Waiter {
-  id: number;
-  request: SlotRequest;
-  onSlot: OnSlot;
-  /** True once the request was served, refused or cancelled. */
-  isOver: boolean;
-}
-
 export interface SlotQueueOptions extends Omit<TargetAvailabilityOptions, 'places'> {
   timers: Timers;
   /** Places of queued services; without it no service is queued. */
   places?: CallPlaces;
+  /** Without it all organisations are alike. */
+  shares?: RequestShares;
   failureDomain: string;
   locality: Locality;
 }
 
 /** Assigns slots at targets to requests. */
 export default class SlotQueue {
-  private waiters: Waiter[] = [];
+  private waiters: SlotWaiter[] = [];
   private cancelTimer: CancelTimer | undefined;
   private lastId = 0;
   private readonly availability: TargetAvailability;
   private readonly places: CallPlaces;
+  private readonly shares: RequestShares;
+  private readonly repeats = new RepeatMarker();
 
   constructor(private readonly options: SlotQueueOptions) {
     this.places = options.places ?? NO_CALL_QUEUES;
+    this.shares = options.shares ?? NO_SHARES;
     this.availability = new TargetAvailability({ ...options, places: this.places });
     options.directory.subscribe(() => this.serveWaiters());
     options.permits.attach({
@@ -68,13 +65,17 @@
   }
 
   /** Acquires a slot at the target if it is available and has a free slot. */
-  acquireAt(targetId: string, replicaTargetId?: string): Slot | undefined {
+  acquireAt(
+    targetId: string,
+    replicaTargetId?: string,
+    request?: Pick<SlotRequest, 'admitted'>,
+  ): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
     const isFree =
       tracked !== undefined &&
       this.availability.hasFreeSlot(tracked) &&
       this.availability.isAvailable(tracked);
-    return isFree ? this.occupySlot(tracked, undefined, replicaTargetId) : undefined;
+    return isFree ? this.occupySlot(tracked, request, replicaTargetId) : undefined;
   }
 
   /** Acquires a slot at the target of a replica, which already holds the run's memory. */
@@ -113,9 +114,18 @@
   private wait(request: SlotRequest, onSlot: OnSlot): () => void {
     this.availability.reportHeld(request);
     this.lastId += 1;
-    const waiter: Waiter = { id: this.lastId, request, onSlot, isOver: false };
+    const waiter: SlotWaiter = { id: this.lastId, request, onSlot, isOver: false };
+    const { admitted, service } = request;
+    if (admitted !== undefined) {
+      const now = this.options.clock.now();
+      waiter.marked = this.repeats.mark(admitted, now);
+      // The queue VM reports waits for its places.
+      if (request.isHedge !== true && !this.places.isQueued(service)) {
+        this.shares.recordWait(admitted, now);
+      }
+    }
     this.waiters.push(waiter);
-    this.waiters.sort(compareWaiters);
+    this.sort();
     this.schedule();
     this.onQueueChanged(request.service);
     return () => {
@@ -141,7 +151,7 @@
   private listWaitingCalls(service: string): WaitingCall[] {
     return this.waiters
       .filter(({ request }) => request.service === service && request.isHedge !== true)
-      .map(({ id, request }) => toWaitingCall(id, request));
+      .map(toWaitingCall);
   }
 
   /** Sends a waiting request to the target at which it was granted a place. */
@@ -156,6 +166,10 @@
     return true;
   }
 
+  private sort(): void {
+    this.waiters = sortWaiters(this.waiters, this.shares, this.options.clock.now());
+  }
+
   private refuse(
     id: number,
     refusal: PermitRefusal,
@@ -168,7 +182,7 @@
   }
 
   /** Returns false if the waiter was already removed. */
-  private remove(waiter: Waiter): boolean {
+  private remove(waiter: SlotWaiter): boolean {
     if (waiter.isOver) {
       return false;
     }
@@ -206,11 +220,14 @@
   /** The only place that occupies slots; the limits of targets are checked before. */
   private occupySlot(
     tracked: TrackedServiceTarget,
-    request?: SlotRequest,
+    request?: Partial<SlotRequest>,
     replicaTargetId?: string,
   ): Slot {
-    const { directory, gate, permits } = this.options;
+    const { directory, gate, permits, clock } = this.options;
     const { id, service } = tracked.target;
+    if (request?.admitted !== undefined) {
+      this.shares.recordServed(request.admitted, clock.now());
+    }
     gate.recordSend(tracked.target);
     permits.recordSend(id, service);
     const endRequest = directory.startRequest(id);
@@ -237,17 +254,29 @@
         slot === undefined ? this.availability.findRefusal(waiter.request) : undefined;
       if (slot !== undefined || refusal !== undefined || waiter.request.untilMs <= now) {
         this.remove(waiter);
+        this.countRefusal(slot, waiter.request, now);
         waiter.onSlot(slot, refusal);
       }
     }
   }
 
+  private countRefusal(
+    slot: Slot | undefined,
+    { admitted, service }: SlotRequest,
+    now: Millis,
+  ): void {
+    if (slot === undefined && admitted !== undefined && !this.places.isQueued(service)) {
+      this.shares.recordRefusal(admitted, now);
+    }
+  }
+
   private schedule(): void {
     if (this.cancelTimer !== undefined || this.waiters.length === 0) {
       return;
     }
     this.cancelTimer = this.options.timers.after(RETRY_INTERVAL_MS, () => {
       this.cancelTimer = undefined;
+      this.sort();
       this.serveWaiters();
       this.schedule();
     });
@@ -266,17 +295,3 @@
   const fewest = Math.min(...up.map(requestsAt));
   return up.filter((one) => requestsAt(one) === fewest);
 }
-
-function toWaitingCall(id: number, request: SlotRequest): WaitingCall {
-  const { requestId, organisation, rank, untilMs, exclude } = request;
-  return {
-    ...{ id, requestId, organisation, rank, untilMs },
-    isRepeat: request.isRepeat ?? false,
-    objectiveAtMs: request.objectiveAtMs ?? untilMs,
-    avoid: exclude,
-  };
-}
-
-function compareWaiters(a: Waiter, b: Waiter): number {
-  return a.request.rank - b.request.rank || a.request.untilMs - b.request.untilMs;
-}
--- a/packages/forward-request/src/slot-request.ts
+++ b/packages/forward-request/src/slot-request.ts
@@ -1,6 +1,7 @@
 /** Slots at targets and requests for them. */
 import type { TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { Millis, ReleasePlace } from '@limelead/types';
+import type { AdmittedRequest } from './admitted-request.js';
 
 /** A request for a slot. */
 export interface SlotRequest {
@@ -15,9 +16,8 @@
   isHedge?: boolean;
   /** Steady time until which the request may wait. */
   untilMs: Millis;
-  organisation?: string;
-  /** True if the same organisation sent the same request shortly before. */
-  isRepeat?: boolean;
+  /** The request, for fair shares and the detection of repeats; without it neither applies. */
+  admitted?: AdmittedRequest;
   /** Steady time of the objective for the complete answer; undefined if only the wait is bounded. */
   objectiveAtMs?: Millis;
   /** Shortest time in milliseconds that the target needs for the answer. */
--- a/packages/gateway/src/create-call-queue.ts
+++ b/packages/gateway/src/create-call-queue.ts
@@ -1,24 +1,21 @@
 /** Connects the queues of services with few slots to the target directory and to the peers. */
 import { CallQueue } from '@limelead/queue-calls';
+import type FairSharesComponent from './fair-shares-component.js';
 import type { FleetComponentContext } from './fleet-component.js';
 
 /** Queue VM of a VM without a peer address: it queues only its own calls. */
 const LOCAL_QUEUE_VM = 'this VM';
 
 /** Creates the call queue of one VM. */
-export default function createCallQueue({
-  clock,
-  timers,
-  random,
-  log,
-  metrics,
-  directory,
-  storeView,
-  readExchange,
-}: FleetComponentContext): CallQueue {
+export default function createCallQueue(
+  context: FleetComponentContext,
+  shares: Pick<FairSharesComponent, 'createQueueShares'>,
+): CallQueue {
+  const { clock, timers, random, log, metrics, directory, storeView, readExchange } = context;
   const readFleet = () => readExchange()?.queues;
   return new CallQueue({
     ...{ clock, timers, random, log, metrics },
+    createShares: (service) => shares.createQueueShares(service),
     fleet: {
       get self() {
         return readFleet()?.self ?? LOCAL_QUEUE_VM;
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -14,6 +14,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import type EngineLoad from './engine-load.js';
+import type FairSharesComponent from './fair-shares-component.js';
 import formatAddress from './format-address.js';
 import type StoreView from './store-view.js';
 import type { GatewaySettings } from './settings.js';
@@ -35,6 +36,7 @@
   callQueue: CallQueue;
   backpressure: Backpressure;
   gate: TargetGate;
+  shares: FairSharesComponent;
   storeAddress: string;
   onPeerOfOtherStore(peer: PeerId): void;
   onFault(): void;
@@ -99,6 +101,8 @@
     onQueuePeerLost: (peer) => dependencies.callQueue.onVmLost(peer),
     listRetryNeeds: (service) => retryBudgets.listNeeds(service),
     lendRetries: (service, wanted, needs) => retryBudgets.lend(service, wanted, needs),
+    readDemand: () => dependencies.shares.readDemand(),
+    onPeerDemand: (demands, peer) => dependencies.shares.onPeerDemand(peer, demands),
     onRetriesBorrowed: dependencies.onBorrowedRetries,
     onReport: dependencies.onReport,
     onStoreUpdate: (update, peer) => storeView.applyPeerUpdate(update, peer),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import createRetryBudgets from './create-retry-budgets.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
+import FairSharesComponent from './fair-shares-component.js';
 import createFollowerEvents from './follower-events.js';
 import StoreView, { type StoreDialect } from './store-view.js';
 import formatAddress from './format-address.js';
@@ -102,6 +103,7 @@
   private readonly components: FleetComponent[];
   private readonly permits: SendLimiter;
   private readonly callQueue: CallQueue;
+  private readonly shares: FairSharesComponent;
   private readonly backpressure: Backpressure;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: Server[] = [];
@@ -167,13 +169,14 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
-    this.callQueue = createCallQueue(partContext);
+    this.shares = new FairSharesComponent(partContext);
+    this.callQueue = createCallQueue(partContext, this.shares);
     this.backpressure = createBackpressure(partContext);
     this.quarantine = createQuarantineComponent(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
     });
-    this.components = [this.quarantine, ...createFleetComponents(partContext)];
+    this.components = [this.quarantine, this.shares, ...createFleetComponents(partContext)];
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
       context: this.createContext(),
@@ -185,10 +188,10 @@
     this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.storeViewAgeMs);
     this.follower = this.createFollower();
     const { log, directory, locality, storeView, follower, engineLoad, retryBudgets } = this;
-    const { permits, callQueue, backpressure, gate } = this;
+    const { permits, callQueue, backpressure, gate, shares } = this;
     this.exchange = createExchange({
       ...{ settings, clock: steadyClock, log, directory, locality, storeView, follower },
-      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate },
+      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate, shares },
       guard: this.quarantine.guard,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
@@ -312,10 +315,9 @@
   }
 
   private createContext(): ForwardContext {
-    const { directory, locality, connections, log } = this;
+    const { directory, locality, connections, log, backpressure, permits } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
-    const { backpressure, permits } = this;
     const shared = {
       clock: steadyClock,
       timers: systemTimers,
@@ -333,11 +335,8 @@
       connections,
       dialect,
       slots: new SlotQueue({
-        ...shared,
-        failureDomain,
-        locality,
+        ...{ ...shared, failureDomain, locality, permits, shares: this.shares },
         limit: concurrencyLimitOf,
-        permits,
         places: this.callQueue,
       }),
       requestAdvice: (request, receive) =>
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -7,6 +7,7 @@
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
 const PACKAGES = [
+  'admit-request',
   'decision-log',
   'estimate-time',
   'forward-request',
--- a/packages/queue-calls/src/call-dispatcher.ts
+++ b/packages/queue-calls/src/call-dispatcher.ts
@@ -3,6 +3,7 @@
  * because they can't be answered before their deadline. Addresses a service whose demand reaches
  * what its few slots serve.
  */
+import { RepeatDetector } from '@limelead/admit-request';
 import type { Millis, Random } from '@limelead/types';
 import {
   canBeInTime,
@@ -52,6 +53,10 @@
 /** The waiting calls of one service. */
 export default class CallDispatcher {
   private waiting: QueuedCall[] = [];
+  /** Calls of which it is not yet known whether they wait. */
+  private arrived = new Set<QueuedCall>();
+  /** Detects repeats that arrive at different VMs. */
+  private readonly repeats = new RepeatDetector();
   /** Targets that a VM can't use. */
   private readonly avoidedByVm = new Map<string, ReadonlySet<string>>();
 
@@ -68,22 +73,33 @@
    */
   setWaiting(vm: string, calls: readonly QueuedCall[], isWhole: boolean, now: Millis): void {
     const ids = new Set(calls.map(({ id }) => id));
-    const known = new Set<number>();
+    const known = new Map<number, QueuedCall>();
     this.waiting = this.waiting.filter((call) => {
       if (call.vm !== vm) {
         return true;
       }
-      known.add(call.id);
+      known.set(call.id, call);
       return !isWhole && !ids.has(call.id);
     });
     for (const call of calls) {
-      if (!known.has(call.id)) {
-        this.options.shares.recordArrival(call.organisation, now);
+      const last = known.get(call.id);
+      const isRepeat = last?.isRepeat ?? this.isRepeat(call, now);
+      const added = { ...call, isRepeat };
+      if (last === undefined) {
+        if (!isRepeat) {
+          this.options.shares.recordArrival(call.organisation, now);
+        }
+        this.arrived.add(added);
       }
-      this.waiting.push(call);
+      this.waiting.push(added);
     }
   }
 
+  private isRepeat({ isRepeat, mark, vm }: QueuedCall, now: Millis): boolean {
+    const isKnown = mark !== undefined && this.repeats.isRepeat(mark, vm, now);
+    return isRepeat || isKnown;
+  }
+
   /** Sets the targets that a VM can't use now. */
   setAvoided(vm: string, targets: readonly string[]): void {
     if (targets.length === 0) {
@@ -102,6 +118,7 @@
   /** Forgets all calls. */
   clear(): void {
     this.waiting = [];
+    this.arrived.clear();
     this.avoidedByVm.clear();
   }
 
@@ -126,15 +143,28 @@
         if (call !== undefined) {
           this.waiting = this.waiting.filter((other) => other !== call);
           grants.push({ vm: call.vm, want: call.id, target: target.id });
+          if (!call.isRepeat) {
+            this.options.shares.recordServed?.(now);
+          }
           free.set(target.id, (free.get(target.id) ?? 0) - 1);
           isDone = false;
           break;
         }
       }
     }
+    this.reportWaits(now);
     return grants;
   }
 
+  private reportWaits(now: Millis): void {
+    if (this.arrived.size > 0) {
+      this.waiting
+        .filter((call) => this.arrived.has(call))
+        .forEach(({ organisation }) => this.options.shares.recordWait?.(organisation, now));
+      this.arrived.clear();
+    }
+  }
+
   /**
    * Refuses calls that can't be answered before their deadline even if all targets serve the calls
    * ahead of them at their present pace without a break.
@@ -156,6 +186,7 @@
       (isHopeless ? refused : kept).push(call);
     }
     this.waiting = kept;
+    refused.forEach(({ organisation }) => this.options.shares.recordRefusal?.(organisation, now));
     const drainMs = kept.length / perMs;
     return refused.map(({ vm, id }) => ({
       vm,
--- a/packages/queue-calls/src/call-queue.ts
+++ b/packages/queue-calls/src/call-queue.ts
@@ -37,7 +37,8 @@
   metrics: Pick<Metrics, 'count' | 'gauge' | 'recordMs'>;
   fleet: QueueFleet;
   targets: QueueTargets;
-  shares?: ShareOrder;
+  /** Creates the fair shares of a service; all organisations are alike if omitted. */
+  createShares?(service: string): ShareOrder;
   compare?: CompareCalls;
   extraCalls?: number;
 }
@@ -174,7 +175,7 @@
     const host: QueueHost = new QueueHost({
       ...options,
       service,
-      shares: options.shares ?? EQUAL_SHARES,
+      shares: options.createShares?.(service) ?? EQUAL_SHARES,
       compare: options.compare ?? compareInTimeFirst,
       extraCalls: options.extraCalls ?? EXTRA_CALLS,
       onState: (isQueued) => client.onState(fleet.self, toQueueState(service, isQueued)),
--- a/packages/queue-calls/src/order-calls.ts
+++ b/packages/queue-calls/src/order-calls.ts
@@ -3,7 +3,8 @@
  * is served at the moment when it just misses its objective; calls that can still meet theirs come
  * first here.
  */
-import type { Millis } from '@limelead/types';
+import type { Millis, RequestMark } from '@limelead/types';
+import { compareShareRanks } from './share-order.js';
 
 /** A waiting call of any VM. */
 export interface QueuedCall {
@@ -14,6 +15,8 @@
   rank: number;
   organisation?: string;
   isRepeat: boolean;
+  /** Undefined if the asking VM sends none. */
+  mark?: RequestMark;
   objectiveAtMs: Millis;
   /** Deadline. */
   untilMs: Millis;
@@ -41,8 +44,9 @@
 }
 
 /**
- * Calls that can be in time by rank, excess over the fair share, repeats last, and objective; then
- * the late ones by deadline.
+ * Calls that can be in time by rank, fair share (see `compareShareRanks`) and objective; then the
+ * late ones, of organisations within their shares first, by deadline. The last ones are refused
+ * first where calls have to be refused.
  */
 export const compareInTimeFirst: CompareCalls = (a, b, context) => {
   const isAInTime = canBeInTime(a, context);
@@ -50,18 +54,19 @@
     return isAInTime ? -1 : 1;
   }
   if (!isAInTime) {
-    return a.untilMs - b.untilMs;
+    return compareShareClasses(a, b, context) || a.untilMs - b.untilMs;
   }
   return (
     a.rank - b.rank ||
-    compareExcess(a, b, context) ||
-    Number(a.isRepeat) - Number(b.isRepeat) ||
+    compareShareRanks(toShareRank(a, context), toShareRank(b, context)) ||
     a.objectiveAtMs - b.objectiveAtMs
   );
 };
 
-function compareExcess(a: QueuedCall, b: QueuedCall, { excessOf }: OrderContext): number {
-  return a.organisation === b.organisation
-    ? 0
-    : excessOf(a.organisation) - excessOf(b.organisation);
+function compareShareClasses(a: QueuedCall, b: QueuedCall, { excessOf }: OrderContext): number {
+  return Number(excessOf(a.organisation) > 0) - Number(excessOf(b.organisation) > 0);
+}
+
+function toShareRank({ organisation, isRepeat }: QueuedCall, { excessOf }: OrderContext) {
+  return { excess: excessOf(organisation), isRepeat };
 }
--- a/packages/queue-calls/src/queue-messages.ts
+++ b/packages/queue-calls/src/queue-messages.ts
@@ -13,6 +13,8 @@
   isRepeat?: boolean;
   /** Targets that failed the call. */
   avoid?: string[];
+  /** Hash of the request and its number at the asking VM; see `RequestMark`. */
+  mark?: [hash: string, number: number];
 }
 
 /** A waiting call; `id` identifies it at its VM. */
--- a/packages/queue-calls/src/to-queued-call.ts
+++ b/packages/queue-calls/src/to-queued-call.ts
@@ -6,7 +6,7 @@
 /** Converts a call in a message that arrives now. */
 export default function toQueuedCall(
   vm: string,
-  [id, rank, objectiveLeftMs, leftMs, { organisation, isRepeat, avoid }]: Want,
+  [id, rank, objectiveLeftMs, leftMs, { organisation, isRepeat, avoid, mark }]: Want,
   now: Millis,
 ): QueuedCall {
   return {
@@ -15,6 +15,7 @@
     objectiveAtMs: now + objectiveLeftMs,
     untilMs: now + leftMs,
     avoid: avoid ?? [],
+    ...(mark === undefined ? {} : { mark: { hash: mark[0], number: mark[1] } }),
   };
 }
 
@@ -23,6 +24,7 @@
   const details: WantDetails = {
     ...(call.organisation === undefined ? {} : { organisation: call.organisation }),
     ...(call.isRepeat ? { isRepeat: true } : {}),
+    ...(call.mark === undefined ? {} : { mark: [call.mark.hash, call.mark.number] }),
     ...(call.avoid.size > 0 ? { avoid: [...call.avoid] } : {}),
   };
   return [
--- a/packages/share-evidence/src/gossip.ts
+++ b/packages/share-evidence/src/gossip.ts
@@ -11,7 +11,10 @@
 import type { PeerExchangeOptions, PeerId } from './types.js';
 
 /** Dependencies of `Gossip`. */
-export interface GossipOptions extends Pick<PeerExchangeOptions, 'readSyncState' | 'region'> {
+export interface GossipOptions extends Pick<
+  PeerExchangeOptions,
+  'readSyncState' | 'region' | 'readDemand'
+> {
   peers: PeerTable;
   /** Whether this VM chose a peer for gossip. */
   isChosenPeer(peer: PeerId): boolean;
@@ -99,6 +102,7 @@
     const { readSyncState, region, isChosenPeer, listUnreachableRegions } = this.options;
     const { revision, configuration, configurationBytes } = readSyncState();
     const syncState = { revision, configuration, configurationBytes };
+    const demand = this.options.readDemand?.() ?? [];
     for (const isChosen of [true, false]) {
       const addressed = peers.filter((peer) => isChosenPeer(peer) === isChosen);
       const hidden = listUnreachableRegions();
@@ -111,6 +115,7 @@
         wanted: isChosen,
         ...regionFields,
         ...syncState,
+        ...(demand.length === 0 ? {} : { demand }),
       } as const;
       this.sendWithStoreMarks(heartbeat, addressed);
     }
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -15,6 +15,7 @@
   releasePlaceCodec,
   reportCallsCodec,
 } from './queue-codecs.js';
+import { serviceDemandsCodec } from './demand-codec.js';
 import { leavingUpdateCodec } from './leaving-messages.js';
 import { memberListCodec } from './member-codec.js';
 import { probeAnswersCodec } from './probe-messages.js';
@@ -68,7 +69,15 @@
   storeMarks: t.type({ store: t.string, marks: t.array(t.number), isUnsure: t.boolean }),
 });
 
-const heartbeat = t.intersection([heartbeatBase, heartbeatRegions, heartbeatMarks]);
+/** Omitted without requests, and by older releases. */
+const heartbeatDemand = t.partial({ demand: serviceDemandsCodec });
+
+const heartbeat = t.intersection([
+  heartbeatBase,
+  heartbeatRegions,
+  heartbeatMarks,
+  heartbeatDemand,
+]);
 
 /** Sent instead of a heartbeat on links without gossip. */
 const pulse = t.type({ kind: t.literal('pulse') });
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -97,8 +97,7 @@
     });
     this.gossip = new Gossip({
       peers: this.peers,
-      readSyncState: options.readSyncState,
-      region: options.region,
+      ...options,
       isChosenPeer: (peer) => this.members?.isChosenPeer(peer) ?? false,
       isInOtherRegion: (peer) => this.members?.isInOtherRegion(peer) ?? false,
       listUnreachableRegions: () => this.members?.listUnreachableRegions() ?? [],
@@ -458,6 +457,7 @@
         this.withoutForeignPeers(fromHeartbeatMembers(message)),
         message.hidden,
       );
+      this.options.onPeerDemand?.(message.demand ?? [], peer);
     }
     this.gossip.onPeerChoice(peer, message.wanted);
     this.store.requestItemsIfDue();
--- a/packages/share-evidence/src/queue-codecs.ts
+++ b/packages/share-evidence/src/queue-codecs.ts
@@ -33,7 +33,12 @@
       t.number,
       t.number,
       t.number,
-      t.partial({ organisation: t.string, isRepeat: t.boolean, avoid: t.array(t.string) }),
+      t.partial({
+        organisation: t.string,
+        isRepeat: t.boolean,
+        avoid: t.array(t.string),
+        mark: t.tuple([t.string, t.number]),
+      }),
     ]),
   ),
   avoid: t.array(t.string),
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -11,7 +11,15 @@
   PeerLoadUpdate,
 } from '@limelead/track-service-targets';
 import type { LeavingUpdate } from '@limelead/track-backpressure';
-import type { AdviceRequest, Clock, Millis, Random, RetryNeed, Timers } from '@limelead/types';
+import type {
+  AdviceRequest,
+  Clock,
+  Millis,
+  Random,
+  RetryNeed,
+  ServiceDemand,
+  Timers,
+} from '@limelead/types';
 import type { IncomingMessage } from 'node:http';
 import type { PeerReport } from './report-messages.js';
 
@@ -142,6 +150,10 @@
   onQueueMessage(message: QueueMessage, peer: PeerId): void;
   /** Called when the link to a peer is lost that may use or give places. */
   onQueuePeerLost(peer: PeerId): void;
+  /** Returns the demand of organisations at this VM; undefined if no part counts it. */
+  readDemand?(): ServiceDemand[];
+  /** Called with the demand of organisations at a peer. */
+  onPeerDemand?(demands: ServiceDemand[], peer: PeerId): void;
   /** Called with store changes of a peer that is at a later revision. */
   onStoreUpdate(update: StoreUpdate, peer: PeerId): void;
   /** Returns the retries that waiting requests of a service lack, by class; empty if none wait. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -7,6 +7,7 @@
 export * from './events.js';
 export * from './generation.js';
 export { hashText, mixHashes } from './hash.js';
+export * from './demand.js';
 export * from './permits.js';
 export * from './places.js';
 export * from './retries.js';
--- a/packages/types/src/places.ts
+++ b/packages/types/src/places.ts
@@ -1,4 +1,5 @@
 /** Calls that wait for a place at a target of a service whose waiting calls all VMs share. */
+import type { RequestMark } from './demand.js';
 import type { PermitRefusal, WaitingRequest } from './permits.js';
 import type { Millis } from './time.js';
 
@@ -8,6 +9,8 @@
   organisation?: string;
   /** True if the same organisation sent the same call shortly before. */
   isRepeat: boolean;
+  /** By which the queue of all VMs detects repeats that arrive at different VMs. */
+  mark?: RequestMark;
   /** Steady time of the objective for the complete answer. */
   objectiveAtMs: Millis;
   /** Targets that failed the call; used only if the service has no others. */
