--- a/packages/share-evidence/src/messages.test.ts
+++ b/packages/share-evidence/src/messages.test.ts
@@ -42,6 +42,20 @@
   assert.is(decode({ targets: [] }), undefined);
 });
 
+test('a heartbeat is valid with the demand of organisations and without it, as of older releases', () => {
+  const packr = new Packr({ useRecords: false });
+  const base = { kind: 'heartbeat', wanted: true, members: [], revision: 1 };
+  const heartbeat = { ...base, configuration: 1, configurationBytes: 9 };
+  const demand = [{ service: 's', arrivals: 3.5, served: 3, organisations: [['o', 3.5]] }];
+  for (const value of [heartbeat, { ...heartbeat, demand }]) {
+    const packed = packr.pack({ ...value, members: Buffer.alloc(0) });
+    assert.equal(exchangeMessageFormat.decode(packed), value);
+  }
+  const invalid = [{ ...demand[0], served: -1 }];
+  const packed = packr.pack({ ...heartbeat, members: Buffer.alloc(0), demand: invalid });
+  assert.is(exchangeMessageFormat.decode(packed), undefined);
+});
+
 test('a message of lost targets is valid without quarantine updates, with them, and with unknown fields', () => {
   const packr = new Packr({ useRecords: false });
   const lost = { kind: 'lost', targets: ['t1'], replaced: [] };
@@ -51,4 +65,13 @@
   }
 });
 
+test('a waiting call is valid with a mark for repeats and without it, as of older releases', () => {
+  const packr = new Packr({ useRecords: false });
+  const ask = { kind: 'ask-places', service: 's', isWhole: true, avoid: [], received: 0 };
+  for (const details of [{}, { isRepeat: true, mark: ['0123456789abcdef', 7] }]) {
+    const value = { ...ask, wants: [[1, 0, 300, 4_000, details]] };
+    assert.equal(exchangeMessageFormat.decode(packr.pack(value)), value);
+  }
+});
+
 test.run();
