--- a/packages/forward-request/src/repeat-marker.ts
+++ b/packages/forward-request/src/repeat-marker.ts
@@ -26,8 +26,14 @@
   private readonly marks = new WeakMap<AdmittedRequest, MarkedRequest>();
   private lastNumber = 0;
 
-  /** Marks a request that has to wait. */
-  mark(admitted: AdmittedRequest, now: Millis): MarkedRequest {
+  /**
+   * Marks a request that has to wait. Undefined for a request of an open route, where equal requests
+   * may come from different callers.
+   */
+  mark(admitted: AdmittedRequest, now: Millis): MarkedRequest | undefined {
+    if (admitted.organisation === undefined) {
+      return undefined;
+    }
     const known = this.marks.get(admitted);
     if (known !== undefined) {
       return known;
--- a/packages/forward-request/src/slot-queue-shares.test.ts
+++ b/packages/forward-request/src/slot-queue-shares.test.ts
@@ -107,6 +107,20 @@
   assert.match(listWaiting()[0]?.mark?.hash ?? '', /^[0-9a-f]{16}$/);
 });
 
+test('equal requests of open routes, whose callers are unknown, are no repeats', () => {
+  const { acquire, listWaiting } = create();
+  for (let count = 0; count < 3; count += 1) {
+    acquire({ ...admit('', 'same'), organisation: undefined });
+  }
+  assert.equal(
+    listWaiting().map(({ isRepeat, mark }) => [isRepeat, mark]),
+    [
+      [false, undefined],
+      [false, undefined],
+    ],
+  );
+});
+
 test('a further attempt of a request is no repeat of itself', () => {
   const { acquire, listWaiting } = create();
   acquire(admit('a', 'first'));
