--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -74,7 +74,9 @@
       return;
     }
     const slot =
-      found === undefined ? undefined : context.slots.acquireAt(found, undefined, search.need);
+      found === undefined
+        ? undefined
+        : context.slots.acquireAt(found, undefined, { ...search.need, admitted });
     if (slot === undefined) {
       stopWaiting = acquireAdvisedSlot(context, admitted, search);
     } else {
@@ -122,7 +124,7 @@
         isAnswered = true;
         const slot =
           advice.outcome === 'advised'
-            ? context.slots.acquireAt(advice.target, advice.copyTo, need)
+            ? context.slots.acquireAt(advice.target, advice.copyTo, { ...need, admitted })
             : undefined;
         const isRepeated = isWaiting && advice.outcome === 'no-room';
         if (!isRepeated) {
@@ -203,7 +205,7 @@
   return context.slots.acquire(
     {
       ...{ requestId, service, affinityKey, exclude: new Set(exclude) },
-      ...{ rank, onlyLeastLoaded, untilMs: dueAtMs, minServiceMs },
+      ...{ admitted, rank, onlyLeastLoaded, untilMs: dueAtMs, minServiceMs },
       ...need,
     },
     onSlot,
--- a/packages/forward-request/src/slot-queue-places.test.ts
+++ b/packages/forward-request/src/slot-queue-places.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
+import { createAdmittedRequest } from './forwarding.fixture.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import SlotQueue from './slot-queue.js';
 import type { Slot, SlotRequest } from './slot-request.js';
@@ -17,7 +18,7 @@
   service: 's',
   affinityKey: 'k',
   exclude: new Set(['t1']),
-  organisation: 'o',
+  admitted: { ...createAdmittedRequest(), organisation: 'o', service: 's' },
   rank: 1,
   objectiveAtMs: 300,
   untilMs: 1_000,
@@ -81,12 +82,17 @@
   const { calls, acquire } = create();
   acquire();
   acquire({ isHedge: true });
-  assert.equal(calls.list('s'), [
-    {
-      ...{ id: 1, requestId: 'r', organisation: 'o', rank: 1, untilMs: 1_000 },
-      ...{ isRepeat: false, objectiveAtMs: 300, avoid: new Set(['t1']) },
-    },
-  ]);
+  const [{ mark, ...call } = {}, ...others] = calls.list('s');
+  assert.match(mark?.hash ?? '', /^[0-9a-f]{16}$/);
+  assert.equal(
+    [call, ...others],
+    [
+      {
+        ...{ id: 1, requestId: 'r', organisation: 'o', rank: 1, untilMs: 1_000 },
+        ...{ isRepeat: false, objectiveAtMs: 300, avoid: new Set(['t1']) },
+      },
+    ],
+  );
 });
 
 test('a place is for the call and the target that it names, and ends with the call', () => {
--- a/packages/forward-request/src/slot-request.ts
+++ b/packages/forward-request/src/slot-request.ts
@@ -1,6 +1,7 @@
 /** Slots at targets and requests for them. */
 import type { TrackedServiceTarget } from '@limelead/track-service-targets';
 import type { Millis, ReleasePlace } from '@limelead/types';
+import type { AdmittedRequest } from './admitted-request.js';
 import type { RunMemory } from './run-memory.js';
 import type { TargetNeed } from './target-placement.js';
 
@@ -16,15 +17,17 @@
   isHedge?: boolean;
   /** Steady time until which the request may wait. */
   untilMs: Millis;
-  organisation?: string;
-  /** True if the same organisation sent the same request shortly before. */
-  isRepeat?: boolean;
+  /** The request, for fair shares and the detection of repeats; without it neither applies. */
+  admitted?: AdmittedRequest;
   /** Steady time of the objective for the complete answer; undefined if only the wait is bounded. */
   objectiveAtMs?: Millis;
   /** Shortest time in milliseconds that the target needs for the answer. */
   minServiceMs?: Millis;
 }
 
+/** What the choice and the accounting of a slot need to know of its request. */
+export type SlotNeed = Partial<TargetNeed> & Pick<SlotRequest, 'admitted' | 'objectiveAtMs'>;
+
 /** An acquired slot; `release` must be called once. */
 export interface Slot {
   tracked: TrackedServiceTarget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
 import createRetryBudgets from './create-retry-budgets.js';
 import EngineLoad from './engine-load.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
+import FairSharesComponent from './fair-shares-component.js';
 import createFollowerEvents from './follower-events.js';
 import StoreView, { type StoreDialect } from './store-view.js';
 import formatAddress from './format-address.js';
@@ -104,6 +105,7 @@
   private readonly components: FleetComponent[];
   private readonly permits: SendLimiter;
   private readonly callQueue: CallQueue;
+  private readonly shares: FairSharesComponent;
   private readonly backpressure: Backpressure;
   private readonly placement: ReturnType<typeof createPlacement>;
   private readonly quarantine: QuarantineComponent;
@@ -170,7 +172,8 @@
       readExchange: () => this.exchange,
     };
     this.permits = createPermits(partContext);
-    this.callQueue = createCallQueue(partContext);
+    this.shares = new FairSharesComponent(partContext);
+    this.callQueue = createCallQueue(partContext, this.shares);
     this.backpressure = createBackpressure(partContext);
     this.placement = createPlacement(partContext, {
       countVms: () => this.countVms(),
@@ -180,7 +183,7 @@
       connections: this.connections,
       countVms: () => this.countVms(),
     });
-    this.components = [this.quarantine, ...createFleetComponents(partContext)];
+    this.components = [this.quarantine, this.shares, ...createFleetComponents(partContext)];
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
       maxBufferedAnswerBytes: settings.maxBufferedAnswerBytes,
@@ -193,10 +196,10 @@
     this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.storeViewAgeMs);
     this.follower = this.createFollower();
     const { log, directory, locality, storeView, follower, engineLoad, retryBudgets } = this;
-    const { permits, callQueue, backpressure, gate } = this;
+    const { permits, callQueue, backpressure, gate, shares } = this;
     this.exchange = createExchange({
       ...{ settings, clock: steadyClock, log, directory, locality, storeView, follower },
-      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate },
+      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate, shares },
       guard: this.quarantine.guard,
       storeAddress: platform.storeAddress,
       onMisdirected: (message) => this.onMisdirected('peers', message),
@@ -320,10 +323,9 @@
   }
 
   private createContext(): ForwardContext {
-    const { directory, locality, connections, log } = this;
+    const { directory, locality, connections, log, backpressure, permits } = this;
     const { failureDomain } = this.settings;
     const dialect = this.platform.targetDialect;
-    const { backpressure, permits } = this;
     const shared = {
       clock: steadyClock,
       timers: systemTimers,
@@ -341,12 +343,8 @@
       connections,
       dialect,
       slots: new SlotQueue({
-        ...shared,
-        ...this.placement,
-        failureDomain,
-        locality,
+        ...{ ...shared, ...this.placement, failureDomain, locality, permits, shares: this.shares },
         limit: concurrencyLimitOf,
-        permits,
         places: this.callQueue,
       }),
       requestAdvice: (request, receive) =>
