Bound the work of a first attempt while requests wait for retries

Cause: each first attempt of a service serves the queue of waiting requests, and the expected wait of each waiting request sorted the whole queue and read the window again. Change: the queue is ordered once per decision and only where a retry is available, and the forecast of the window is computed once for all requests. The order and the decisions are the same. canGrant says whether a retry would be granted at once.

--- a/packages/spend-retries/src/order-waiters.ts
+++ b/packages/spend-retries/src/order-waiters.ts
@@ -28,21 +28,37 @@
 }
 
 /**
- * Sorts by class, then by rank. Within a rank, requests that can still be in time precede those
+ * Orders by class, then by rank. Within a rank, requests that can still be in time precede those
  * that are late already, which lose nothing more; among both, the one that is due first is first.
  */
+function compareWaiters(a: OrderedWaiter, b: OrderedWaiter, now: Millis): number {
+  const isLate = ({ request }: OrderedWaiter): number => (request.lateAtMs <= now ? 1 : 0);
+  return (
+    orderOfClass(a.request.class) - orderOfClass(b.request.class) ||
+    a.request.rank - b.request.rank ||
+    isLate(a) - isLate(b) ||
+    a.request.lateAtMs - b.request.lateAtMs ||
+    a.id - b.id
+  );
+}
+
+/** Sorts the waiting requests, the one to serve first at the front. */
 export function orderWaiters<Waiter extends OrderedWaiter>(
   waiters: readonly Waiter[],
   now: Millis,
 ): Waiter[] {
-  const isLate = ({ request }: Waiter): number => (request.lateAtMs <= now ? 1 : 0);
-  return [...waiters].sort(
-    (a, b) =>
-      orderOfClass(a.request.class) - orderOfClass(b.request.class) ||
-      a.request.rank - b.request.rank ||
-      isLate(a) - isLate(b) ||
-      a.request.lateAtMs - b.request.lateAtMs ||
-      a.id - b.id,
+  return [...waiters].sort((a, b) => compareWaiters(a, b, now));
+}
+
+/** The first of the ordered requests, without sorting; undefined if none waits. */
+export function findFirstWaiter<Waiter extends OrderedWaiter>(
+  waiters: readonly Waiter[],
+  now: Millis,
+): Waiter | undefined {
+  return waiters.reduce<Waiter | undefined>(
+    (first, waiter) =>
+      first === undefined || compareWaiters(waiter, first, now) < 0 ? waiter : first,
+    undefined,
   );
 }
 
--- a/packages/spend-retries/src/prioritised-retry-budget.test.ts
+++ b/packages/spend-retries/src/prioritised-retry-budget.test.ts
@@ -13,6 +13,7 @@
   const timers: { atMs: number; run: () => void; isCancelled: boolean }[] = [];
   const ends: RetryRequestEnd[] = [];
   const rounds: number[] = [];
+  let vmsReads = 0;
   const budget = new PrioritisedRetryBudget({
     limits: { ratio, slack, windowMs: 10_000 },
     clock: { now: () => time.now },
@@ -24,7 +25,10 @@
       },
     },
     random: { next: () => 0.5 },
-    countVms: () => 1,
+    countVms: () => {
+      vmsReads += 1;
+      return 1;
+    },
     onLow: () => undefined,
     borrowForWaiters: () => {
       rounds.push(time.now);
@@ -54,7 +58,11 @@
     next!.isCancelled = true;
     next!.run();
   };
-  return { budget, time, decisions, request, listTimers, runTimer, spendAll, ends, rounds };
+  const countVmsReads = (): number => vmsReads;
+  return {
+    ...{ budget, time, decisions, request, listTimers, runTimer, spendAll, ends, rounds },
+    countVmsReads,
+  };
 }
 
 // Guards against other deployments that would wait where budget is plentiful.
@@ -251,4 +259,36 @@
   assert.equal(granted, ['a granted', 'b granted']);
 });
 
+// Guards against first attempts that take milliseconds while a hundred streams wait for a retry.
+test('the work of a first attempt does not grow with the number of waiting requests', () => {
+  const countReads = (waiting: number): number => {
+    const { budget, request, spendAll, time, countVmsReads } = create({ slack: 40, ratio: 0.5 });
+    spendAll();
+    for (let index = 0; index < waiting; index += 1) {
+      request(`r${index}`, 'call-repeat', { refusesEarly: true });
+    }
+    assert.is(budget.waiting, waiting);
+    const before = countVmsReads();
+    budget.recordFirstAttempt(time.now);
+    return countVmsReads() - before;
+  };
+  assert.is(countReads(30), countReads(3));
+});
+
+// Guards against moves of runs that would then wait without a target.
+test('a retry can be granted only where one is available beyond the reserve of its class', () => {
+  const { budget, spendAll, time } = create({ slack: 10 / 0.95 });
+  budget.recordFirstAttempt(time.now, true);
+  assert.ok(budget.canGrant('hedge'));
+  for (let spent = 0; spent < 8; spent += 1) {
+    assert.ok(budget.trySpend(time.now, 1));
+  }
+  assert.not(budget.canGrant('call-repeat'), 'two are left of the reserve of three');
+  assert.ok(budget.canGrant('stream-with-replica'));
+  spendAll();
+  assert.not(budget.canGrant('stream-with-replica'));
+  budget.borrow(time.now, 1);
+  assert.ok(budget.canGrant('stream-with-replica'));
+});
+
 test.run();
--- a/packages/spend-retries/src/prioritised-retry-budget.ts
+++ b/packages/spend-retries/src/prioritised-retry-budget.ts
@@ -6,17 +6,20 @@
 import type { CancelTimer, Clock, Millis, Random, RetryNeed, Timers } from '@limelead/types';
 import {
   countRequired,
+  findFirstWaiter,
   listNeeds,
   orderWaiters,
   planLoan,
   type AvailableRetries,
 } from './order-waiters.js';
 import RetryBudgetTracker, {
+  findAvailableAt,
   type HeldRetry,
   type RetryBudgetLimits,
 } from './retry-budget-tracker.js';
 import {
   isStreamClass,
+  type RetryClass,
   type RetryDecision,
   type RetryRequest,
   type RetryRequestEnd,
@@ -148,6 +151,14 @@
     this.serve();
   }
 
+  /** Whether a request of the class would get a retry at once. */
+  canGrant(retryClass: RetryClass): boolean {
+    const now = this.options.clock.now();
+    const vms = this.options.countVms();
+    const required = countRequired(retryClass, this.countReserve(now));
+    return this.canTake(now, vms) && (required === 1 || this.countAvailable(now, vms) >= required);
+  }
+
   /** Lends retries for the needs of a peer and returns their number, which may be 0. */
   lendForNeeds(needs: readonly RetryNeed[]): number {
     const { clock, countVms } = this.options;
@@ -169,8 +180,9 @@
     try {
       while (this.grantFirst());
       const canBorrow = this.waiters.length > 0 && (this.options.borrowForWaiters?.() ?? false);
-      while (this.grantFirst());
-      while (this.refuseOne(canBorrow));
+      do {
+        while (this.grantFirst());
+      } while (this.refuseOne(canBorrow));
     } finally {
       this.isServing = false;
     }
@@ -180,15 +192,15 @@
   private grantFirst(): boolean {
     const { clock, countVms } = this.options;
     const now = clock.now();
-    const inTime = this.waiters.filter(({ request }) => request.untilMs >= now);
-    const [first] = orderWaiters(inTime, now);
-    if (first === undefined) {
+    // Checked before the order is formed: each first attempt of the service passes here.
+    if (!this.canTake(now, countVms())) {
       return false;
     }
-    const required = countRequired(first.request.class, this.countReserve(now));
-    const isEnough = required === 1 || this.countAvailable(now, countVms()) >= required;
-    const retry = isEnough ? this.take(now, countVms()) : undefined;
-    if (retry === undefined) {
+    const inTime = this.waiters.filter(({ request }) => request.untilMs >= now);
+    const first = findFirstWaiter(inTime, now);
+    const retry =
+      first && this.canGrant(first.request.class) ? this.take(now, countVms()) : undefined;
+    if (first === undefined || retry === undefined) {
       return false;
     }
     this.remove(first);
@@ -200,42 +212,47 @@
   /** Refuses one request whose time is over or that is expected to get no retry in time. */
   private refuseOne(canBorrow: boolean): boolean {
     const now = this.options.clock.now();
-    const hopeless = this.waiters.find(
-      (waiter) => waiter.request.untilMs <= now || this.isHopeless(waiter, now, canBorrow),
+    const couldBeRefused = this.waiters.filter(
+      ({ request, sinceMs }) =>
+        request.untilMs <= now ||
+        (request.refusesEarly === true && !(canBorrow && now < sinceMs + BORROW_WAIT_MS)),
     );
-    return hopeless !== undefined && this.refuse(hopeless, now);
-  }
-
-  private isHopeless(waiter: Waiter, now: Millis, canBorrow: boolean): boolean {
-    const { request, sinceMs } = waiter;
-    if (request.refusesEarly !== true || (canBorrow && now < sinceMs + BORROW_WAIT_MS)) {
+    if (couldBeRefused.length === 0) {
       return false;
     }
-    return now + this.expectWaitMs(waiter, now) > request.untilMs;
+    const waits = this.expectWaits(now);
+    const refused = couldBeRefused.find(
+      ({ id, request }) => request.untilMs <= now || now + (waits.get(id) ?? 0) > request.untilMs,
+    );
+    if (refused !== undefined) {
+      this.refuse(refused, waits.get(refused.id) ?? 0);
+    }
+    return refused !== undefined;
   }
 
-  private refuse(waiter: Waiter, now: Millis): boolean {
+  private refuse(waiter: Waiter, expectedWaitMs: Millis): void {
     const jitterMs = this.options.random.next() * MAX_RETRY_AFTER_JITTER_MS;
-    const retryAfterMs = this.expectWaitMs(waiter, now) + jitterMs;
     this.remove(waiter);
     this.reportEnd(waiter, 'refused');
-    waiter.onDecision({ outcome: 'refused', retryAfterMs });
-    return true;
-  }
-
-  /** Time until the request is expected to get a retry if first attempts keep coming as now. */
-  private expectWaitMs(waiter: Waiter, now: Millis): Millis {
-    const ahead = orderWaiters(this.waiters, now).indexOf(waiter);
-    const wanted = this.countMissing(waiter, ahead, now);
-    const vms = this.options.countVms();
-    const atMs = this.findAvailableAt(now, vms, { wanted, isSteady: true });
-    return atMs === undefined ? this.limits.windowMs : Math.max(0, atMs - now);
+    waiter.onDecision({ outcome: 'refused', retryAfterMs: expectedWaitMs + jitterMs });
   }
 
-  /** Own retries that have to be available before the request gets one. */
-  private countMissing({ request }: Waiter, ahead: number, now: Millis): number {
-    const required = countRequired(request.class, this.countReserve(now));
-    return ahead + required - this.countBorrowed(now);
+  /**
+   * Times by id until each waiting request is expected to get a retry if first attempts keep coming as
+   * now. Computed for all at once, since many wait after the loss of a failure domain.
+   */
+  private expectWaits(now: Millis): Map<number, Millis> {
+    const forecast = this.forecast(now, this.options.countVms(), true);
+    const reserve = this.countReserve(now);
+    const borrowed = this.countBorrowed(now);
+    const ordered = orderWaiters(this.waiters, now);
+    return new Map(
+      ordered.map(({ id, request }, ahead) => {
+        const wanted = ahead + countRequired(request.class, reserve) - borrowed;
+        const atMs = findAvailableAt(forecast, wanted);
+        return [id, atMs === undefined ? this.limits.windowMs : Math.max(0, atMs - now)];
+      }),
+    );
   }
 
   /** Sets the timer for the next moment at which a request can be decided without another event. */
@@ -244,12 +261,13 @@
     this.cancelTimer = () => undefined;
     const { clock, timers, countVms } = this.options;
     const now = clock.now();
-    const [first] = orderWaiters(this.waiters, now);
+    const first = findFirstWaiter(this.waiters, now);
     if (first === undefined) {
       return;
     }
-    const wanted = this.countMissing(first, 0, now);
-    const budgetAtMs = this.findAvailableAt(now, countVms(), { wanted, isSteady: false });
+    const required = countRequired(first.request.class, this.countReserve(now));
+    const wanted = required - this.countBorrowed(now);
+    const budgetAtMs = findAvailableAt(this.forecast(now, countVms(), false), wanted);
     const borrowedAtMs = this.waiters
       .filter(({ request, sinceMs }) => request.refusesEarly && sinceMs + BORROW_WAIT_MS > now)
       .map(({ sinceMs }) => sinceMs + BORROW_WAIT_MS);
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -22,6 +22,20 @@
   windowMs: number;
 }
 
+/** Own retries of a VM that are available at a time. */
+export interface AvailableAt {
+  atMs: Millis;
+  available: number;
+}
+
+/** First time from which `wanted` retries are available; undefined if the forecast has none. */
+export function findAvailableAt(
+  forecast: readonly AvailableAt[],
+  wanted: number,
+): Millis | undefined {
+  return forecast.find(({ available }) => available >= wanted - ROUNDING_TOLERANCE)?.atMs;
+}
+
 interface BorrowedRetries {
   retries: number;
   receivedAtMs: Millis;
@@ -81,15 +95,21 @@
    * counts as spent until it is released. Undefined if the budget is exhausted.
    */
   take(now: Millis, vms: number): HeldRetry | undefined {
-    const fromBorrowed = Math.min(1, this.countBorrowed(now));
-    const own = 1 - fromBorrowed;
-    if (own > ROUNDING_TOLERANCE && this.countOwnAvailable(now, vms) < own - ROUNDING_TOLERANCE) {
+    if (!this.canTake(now, vms)) {
       return undefined;
     }
+    const fromBorrowed = Math.min(1, this.countBorrowed(now));
+    const own = 1 - fromBorrowed;
     this.held += own;
     return { own, borrowed: this.takeBorrowed(fromBorrowed) };
   }
 
+  /** Whether `take` would return a retry. */
+  protected canTake(now: Millis, vms: number): boolean {
+    const own = 1 - Math.min(1, this.countBorrowed(now));
+    return own <= ROUNDING_TOLERANCE || this.countOwnAvailable(now, vms) >= own - ROUNDING_TOLERANCE;
+  }
+
   /** Counts a held retry for a whole window from now on, since its attempt is sent. */
   recordSent(retry: HeldRetry, now: Millis): void {
     const { own, borrowed } = retry;
@@ -166,20 +186,14 @@
   }
 
   /**
-   * First time from which `wanted` own retries are available, at bucket boundaries, if no more are
-   * spent; undefined if the moving window alone does not make them available.
+   * Own retries that are available at the next bucket boundaries, if no more are spent.
    * @param isSteady true if the number of first attempts per window is assumed to stay
    */
-  protected findAvailableAt(
-    now: Millis,
-    vms: number,
-    { wanted, isSteady }: { wanted: number; isSteady: boolean },
-  ): Millis | undefined {
+  protected forecast(now: Millis, vms: number, isSteady: boolean): AvailableAt[] {
     const allowedNow = this.countAllowed(now, vms);
-    return this.window.listBoundaries(now).find((atMs) => {
+    return this.window.listBoundaries(now).map((atMs) => {
       const allowed = isSteady ? allowedNow : this.countAllowedAt(atMs);
-      const available = allowed - this.window.countRetries(atMs) - this.held;
-      return available >= wanted - ROUNDING_TOLERANCE;
+      return { atMs, available: allowed - this.window.countRetries(atMs) - this.held };
     });
   }
 
