Move a silent run only where its retry is available now

Cause: a run could leave a target that is up although the retry budget was empty, and then waited without a target. A retry held by a hedge was also spent if the first attempt reached no target. Change: canMove reads the retry budget. A retry that is held while no attempt has reached a target is returned.

--- a/packages/forward-request/src/attempt-budget.test.ts
+++ b/packages/forward-request/src/attempt-budget.test.ts
@@ -141,4 +141,33 @@
   assert.is(retryBudget.countOwnAvailable(0, 1), before);
 });
 
+// Guards against a retry that is spent by a call whose hedge waits for a slot when the call fails.
+test('a retry that is held when the first attempt proves to have reached no target is returned', () => {
+  const { budget, retryBudget } = createBudget();
+  const before = retryBudget.countOwnAvailable(0, 1);
+  const refundFirst = budget.recordAttempt();
+  request(budget, { ...REPEAT, class: 'hedge' });
+  refundFirst();
+  assert.is(request(budget), 'granted');
+  budget.recordAttempt();
+  assert.is(retryBudget.countOwnAvailable(0, 1), before);
+});
+
+// Guards against a run that moves away from a target which is up and then waits for a retry.
+test('an attempt can be made now if it is free, has its retry already or the budget has one', () => {
+  const { budget, create } = createBudget();
+  assert.ok(budget.canAttempt('stream-with-replica'), 'the first one is free');
+  budget.recordAttempt();
+  assert.ok(budget.canAttempt('stream-with-replica'));
+  const other = create('r2');
+  other.recordAttempt();
+  for (let attempt = 0; attempt < 2; attempt += 1) {
+    request(other);
+    other.recordAttempt();
+  }
+  assert.not(budget.canAttempt('stream-with-replica'));
+  const third = create('r3');
+  assert.ok(third.canAttempt('stream-with-replica'));
+});
+
 test.run();
--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -3,7 +3,7 @@
  * each later one takes a retry from the retry budget that all VMs share. Attempts that
  * reach no target are free: their retry stays with the request for its next attempt.
  */
-import type { HeldRetry, RetryRequest } from '@limelead/spend-retries';
+import type { HeldRetry, RetryClass, RetryRequest } from '@limelead/spend-retries';
 import type { Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -63,6 +63,15 @@
     });
   }
 
+  /** Whether the next attempt would get the retry that it needs at once. */
+  canAttempt(retryClass: RetryClass): boolean {
+    return (
+      this.arrivedAttempts === 0 ||
+      this.held !== undefined ||
+      this.retryBudget.canGrant(retryClass)
+    );
+  }
+
   /** Records an attempt and returns the function that refunds it. */
   recordAttempt(): RefundAttempt {
     const { clock } = this.context;
@@ -99,6 +108,16 @@
       this.retryBudget.recordUnsent(unneeded);
       this.hold(unneeded);
     }
+    this.releaseIfFree();
+  }
+
+  /** Returns a retry that was held for an attempt which has become the first to reach a target. */
+  private releaseIfFree(): void {
+    const { held } = this;
+    if (this.arrivedAttempts === 0 && held !== undefined) {
+      this.held = undefined;
+      this.retryBudget.release(held);
+    }
   }
 
   /** Keeps a retry for the next attempt if it needs one. */
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -78,7 +78,7 @@
       createEvents: (number) => this.createEvents(number),
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
       onSilent: (number, cause) => this.onSilent(number, cause),
-      canMove: () => this.attempts.findFinalError() === undefined,
+      canMove: () => this.attempts.canMove(),
     });
     sink.readFrom(this.live);
     const { requestId, lastPiece } = admitted.request;
--- a/packages/forward-request/src/wait-for-retry.test.ts
+++ b/packages/forward-request/src/wait-for-retry.test.ts
@@ -7,6 +7,7 @@
 import type { ForwardContext } from './context.js';
 import forwardCall from './forward-call.js';
 import forwardStream from './forward-stream.js';
+import type { MonitoredRun } from './monitored-run.js';
 import {
   beginAnswer,
   createAdmittedRequest,
@@ -119,6 +120,26 @@
   await bed.stop();
 });
 
+// Guards against a run that leaves a target which is up for a retry that the budget does not have.
+test('a silent run may move only while the retry budget pays for the move', async () => {
+  const { bed, budget } = await startWithoutBudget(streamThen(3, () => undefined));
+  const runs: MonitoredRun[] = [];
+  const { monitor } = bed.context.silence;
+  bed.context.silence.monitor = (monitored) => {
+    runs.push(monitored);
+    return monitor.call(bed.context.silence, monitored);
+  };
+  const sink = run(bed, forwardStream);
+  while (runs[0]?.isWriting !== true) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.not(runs[0].canMove());
+  budget.borrow(performance.now(), 1);
+  assert.ok(runs[0].canMove());
+  sink.leave();
+  await bed.stop();
+});
+
 test('a stream whose caller leaves while it waits withdraws its request', async () => {
   const { bed, budget } = await startWithoutBudget(streamThen(3, destroy), streamTo(5));
   const sink = run(bed, forwardStream);
