Keep sums and sorted samples for the pace of targets

Cause: each piece filtered all gaps of its target in the last half second, and beside a prefill each piece and each check of a run sorted 101 samples. A run that sent nothing also divided the gaps it had inherited by the pace that its target had reached meanwhile, which shrank or grew its limit. Change: GapWindow keeps sums, LatestSamples keeps its samples sorted, and a run without pieces passes its inherited gaps on unchanged. No timing was measured.

--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -66,9 +66,7 @@
   /** Whether the next attempt would get the retry that it needs at once. */
   canAttempt(retryClass: RetryClass): boolean {
     return (
-      this.arrivedAttempts === 0 ||
-      this.held !== undefined ||
-      this.retryBudget.canGrant(retryClass)
+      this.arrivedAttempts === 0 || this.held !== undefined || this.retryBudget.canGrant(retryClass)
     );
   }
 
--- a/packages/forward-request/src/run-activity.test.ts
+++ b/packages/forward-request/src/run-activity.test.ts
@@ -1,4 +1,5 @@
 import { createManualTime } from '@limelead/stand-ins';
+import { INITIAL_GAP_ESTIMATE } from '@limelead/suspect-silence';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -122,4 +123,17 @@
   assert.is(silentMs(), 30);
 });
 
+// Guards against limits that shrink or grow with each target that is tried and sends nothing.
+test('a run without pieces passes on the gaps that it began with, whatever the pace of its target became', () => {
+  const { directory, startRun, sendPieces } = create();
+  const first = startRun();
+  sendPieces(first, 30);
+  const carried = first.carry();
+  const second = startRun({ target: createTarget('t2'), resumesFromReplica: true, carried });
+  const unstarted = startRun({ target: createTarget('t2') });
+  directory.recordAdvertisedPace('t2', 5);
+  assert.equal(second.carry().gaps, carried.gaps);
+  assert.equal(unstarted.carry().gaps, INITIAL_GAP_ESTIMATE);
+});
+
 test.run();
--- a/packages/forward-request/src/run-activity.ts
+++ b/packages/forward-request/src/run-activity.ts
@@ -127,9 +127,13 @@
 
   /** What the next run of the request starts with. */
   carry(): CarriedActivity {
-    const { directory, target } = this.options;
-    const gaps = scaleGapEstimate(this.gaps, 1 / directory.paceOf(target.id));
-    return { gaps, pausedSinceMs: this.pausedSinceMs };
+    const { carried, directory, target } = this.options;
+    const { pausedSinceMs } = this;
+    if (!this.hasSentPieces) {
+      // Its gaps are those that it began with; the pace of its target may have changed since.
+      return { gaps: carried?.gaps ?? INITIAL_GAP_ESTIMATE, pausedSinceMs };
+    }
+    return { gaps: scaleGapEstimate(this.gaps, 1 / directory.paceOf(target.id)), pausedSinceMs };
   }
 
   /** Longest usual gap while a prompt is prefilled at the target; 0 while none is. */
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -107,7 +107,9 @@
   /** Whether `take` would return a retry. */
   protected canTake(now: Millis, vms: number): boolean {
     const own = 1 - Math.min(1, this.countBorrowed(now));
-    return own <= ROUNDING_TOLERANCE || this.countOwnAvailable(now, vms) >= own - ROUNDING_TOLERANCE;
+    return (
+      own <= ROUNDING_TOLERANCE || this.countOwnAvailable(now, vms) >= own - ROUNDING_TOLERANCE
+    );
   }
 
   /** Counts a held retry for a whole window from now on, since its attempt is sent. */
--- a/packages/track-service-targets/src/service-pace.ts
+++ b/packages/track-service-targets/src/service-pace.ts
@@ -7,51 +7,72 @@
 const MIN_SAMPLES = 5;
 /** Quantile of the gaps beside a prefill that a run is allowed. */
 const LONG_GAP_QUANTILE = 0.9;
+const MEDIAN = 0.5;
 
 /** Learns the usual times of one service; robust against the slow part of its targets. */
 export default class ServicePace {
-  private readonly pieceTimes: Millis[] = [];
-  private readonly prefillGaps: Millis[] = [];
-  private pieceMs: Millis = 0;
+  private readonly pieceTimes = new LatestSamples();
+  private readonly prefillGaps = new LatestSamples();
 
   /** Median time per piece without a prefill; 0 with too few samples. */
   get usualPieceMs(): Millis {
-    return this.pieceMs;
+    return this.pieceTimes.quantile(MEDIAN);
   }
 
   /** Median gap beside a prefill; 0 with too few samples. */
   get usualPrefillGapMs(): Millis {
-    return quantileOf(this.prefillGaps, 0.5);
+    return this.prefillGaps.quantile(MEDIAN);
   }
 
   /** Gap that nine in ten gaps beside a prefill do not exceed; 0 with too few samples. */
   get prefillGapMs(): Millis {
-    return quantileOf(this.prefillGaps, LONG_GAP_QUANTILE);
+    return this.prefillGaps.quantile(LONG_GAP_QUANTILE);
   }
 
   /** Records the mean time per piece of one target for some time. */
   recordPieceTime(pieceMs: Millis): void {
-    push(this.pieceTimes, pieceMs);
-    this.pieceMs = quantileOf(this.pieceTimes, 0.5);
+    this.pieceTimes.record(pieceMs);
   }
 
   /** Records the gap of a run beside a prefill. */
   recordPrefillGap(gapMs: Millis): void {
-    push(this.prefillGaps, gapMs);
+    this.prefillGaps.record(gapMs);
   }
 }
 
-function push(samples: Millis[], sample: Millis): void {
-  samples.push(sample);
-  if (samples.length > MAX_SAMPLES) {
-    samples.shift();
+/** The latest samples, kept in order, since each piece and each check of a run reads a quantile. */
+class LatestSamples {
+  private readonly latest: Millis[] = [];
+  private readonly sorted: Millis[] = [];
+
+  record(sample: Millis): void {
+    this.latest.push(sample);
+    this.sorted.splice(findPosition(this.sorted, sample), 0, sample);
+    const oldest = this.latest.length > MAX_SAMPLES ? this.latest.shift() : undefined;
+    if (oldest !== undefined) {
+      this.sorted.splice(findPosition(this.sorted, oldest), 1);
+    }
+  }
+
+  quantile(quantile: number): Millis {
+    const { sorted } = this;
+    return sorted.length < MIN_SAMPLES
+      ? 0
+      : (sorted[Math.floor((sorted.length - 1) * quantile)] ?? 0);
   }
 }
 
-function quantileOf(samples: readonly Millis[], quantile: number): Millis {
-  if (samples.length < MIN_SAMPLES) {
-    return 0;
+/** Index of the first sorted sample that is not lower. */
+function findPosition(sorted: readonly Millis[], sample: Millis): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if ((sorted[middle] ?? 0) < sample) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
   }
-  const sorted = [...samples].sort((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) * quantile)] ?? 0;
+  return low;
 }
--- a/packages/track-service-targets/src/target-pace.ts
+++ b/packages/track-service-targets/src/target-pace.ts
@@ -4,12 +4,11 @@
  * time, and prefills that delay the pieces of other runs at the same target.
  */
 import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import GapWindow, { type MeasuredGap } from './gap-window.js';
 import ServicePace from './service-pace.js';
 import { getSlowness } from './target-health.js';
 import type { TrackedServiceTarget } from './tracked-target.js';
 
-/** Age at which a gap between pieces no longer counts. */
-const WINDOW_MS: Millis = 500;
 /** Measured time below which the gaps of a target give no pace. */
 const MIN_MEASURED_MS: Millis = 150;
 /** Age at which an advertised pace no longer counts. */
@@ -33,15 +32,8 @@
   restart(): void;
 }
 
-/** A gap between pieces and the time that is usual for them. */
-interface MeasuredGap {
-  atMs: Millis;
-  gapMs: Millis;
-  usualMs: Millis;
-}
-
 interface TargetState {
-  gaps: MeasuredGap[];
+  gaps: GapWindow;
   advertised?: { pace: number; atMs: Millis };
   /** Gaps since the last contribution to the usual pace. */
   usual: { sinceMs: Millis; gapMs: Millis; pieces: number };
@@ -121,10 +113,10 @@
   }
 
   private measuredPace(id: string, now: Millis): number | undefined {
-    const gaps = this.targets.get(id)?.gaps.filter(({ atMs }) => now - atMs < WINDOW_MS) ?? [];
-    const gapMs = gaps.reduce((sum, gap) => sum + gap.gapMs, 0);
-    const usualMs = gaps.reduce((sum, gap) => sum + gap.usualMs, 0);
-    return gapMs < MIN_MEASURED_MS ? undefined : gapMs / usualMs;
+    const sums = this.targets.get(id)?.gaps.sumAt(now);
+    return sums === undefined || sums.gapMs < MIN_MEASURED_MS
+      ? undefined
+      : sums.gapMs / sums.usualMs;
   }
 
   private advertisedPace(id: string, now: Millis): number | undefined {
@@ -158,8 +150,7 @@
 
   private addGap(state: TargetState, gap: MeasuredGap): void {
     if (gap.usualMs > 0) {
-      state.gaps = state.gaps.filter(({ atMs }) => gap.atMs - atMs < WINDOW_MS);
-      state.gaps.push(gap);
+      state.gaps.add(gap);
     }
   }
 
@@ -181,7 +172,8 @@
     if (known !== undefined) {
       return known;
     }
-    const state: TargetState = { gaps: [], usual: { sinceMs: now, gapMs: 0, pieces: 0 } };
+    const usual = { sinceMs: now, gapMs: 0, pieces: 0 };
+    const state: TargetState = { gaps: new GapWindow(), usual };
     this.targets.set(id, state);
     return state;
   }
