Keep no state of a target that was removed during its probe

Cause: the answer of a probe recorded its time and the reported memory after the directory had dropped the target, and these entries were never dropped again. Change: answers of unlisted targets are not recorded. Result: a new test, which failed before, and the tests of silence-monitor pass.

--- a/packages/forward-request/src/silence-monitor.test.ts
+++ b/packages/forward-request/src/silence-monitor.test.ts
@@ -260,4 +260,14 @@
   assert.is(metrics.counterValue('limelead_silences_total', { outcome: 'target-lost' }), 1);
 });
 
+// Guards against state that grows with each target which is replaced while it is probed.
+test('the answer of a target that was removed during its probe leaves no state', async () => {
+  const { advance, directory, state, clock } = create();
+  await advance(211);
+  assert.equal(state.probed, ['t1']);
+  directory.replaceAll([createTarget('t2', 'south')]);
+  await advance(10);
+  assert.is(directory.probeAnswers.ownAgeMs('t1', clock.now()), Infinity);
+});
+
 test.run();
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -200,10 +200,13 @@
   private onProbeAnswered(target: ServiceTarget, { sentAtMs, result }: AnsweredProbe): void {
     const { directory, log, onProbeAnswered } = this.options;
     directory.observe(target.id, { kind: 'answered' });
-    directory.probeAnswers.recordOwn(target.id, sentAtMs);
     log.write('target-asked', { target: target.id, isThere: true, runs: result?.runs.size });
-    if (result?.memory !== undefined) {
-      directory.tokens.recordReport(target.id, target.service, result.memory, result.waiting);
+    // State of a target that was removed during the probe would never be dropped.
+    if (directory.get(target.id) !== undefined) {
+      directory.probeAnswers.recordOwn(target.id, sentAtMs);
+      if (result?.memory !== undefined) {
+        directory.tokens.recordReport(target.id, target.service, result.memory, result.waiting);
+      }
     }
     if (this.countPeerRequests(target.id) > 0) {
       onProbeAnswered?.(target.id, sentAtMs);
