Connect the pace that targets state to paceOf

Cause: recordAdvertisedPace was called by tests only, so the fourth value of Server-Load had no effect on the present pace. Change: each followed load also records its pace.

--- a/packages/gateway/src/create-backpressure.ts
+++ b/packages/gateway/src/create-backpressure.ts
@@ -3,6 +3,14 @@
 import { backgroundTimers } from '@limelead/types';
 import type { FleetComponentContext } from './fleet-component.js';
 
+/** Stated pace of a target whose work takes the usual time. */
+const USUAL_PERCENT = 100;
+
+type BackpressureContext = Pick<
+  FleetComponentContext,
+  'clock' | 'random' | 'log' | 'metrics' | 'directory' | 'readExchange'
+>;
+
 /** Creates the backpressure of one VM. */
 export default function createBackpressure({
   clock,
@@ -11,7 +19,7 @@
   metrics,
   directory,
   readExchange,
-}: FleetComponentContext): Backpressure {
+}: BackpressureContext): Backpressure {
   return new Backpressure({
     ...{ clock, timers: backgroundTimers, random, log, metrics },
     isListed: (target) => directory.get(target) !== undefined,
@@ -21,6 +29,7 @@
       const tracked = directory.get(target);
       if (tracked !== undefined) {
         directory.advertisedLoads.record(tracked, load);
+        directory.recordAdvertisedPace(target, load.pacePercent / USUAL_PERCENT);
       }
     },
   });
