Count a borrowed retry that is held beyond the count of its lender

Cause: a request that got a borrowed retry may hold it for seconds while it waits for a slot. Change: held borrowed fractions are taken from the own part from the end of the lender's count on. The classes of retries are no longer exported, since no other package reads them.

--- a/packages/spend-retries/src/attempt-window.ts
+++ b/packages/spend-retries/src/attempt-window.ts
@@ -65,8 +65,7 @@
   recordBorrowed(now: Millis, retries: number, receivedAtMs: Millis): () => void {
     const count = {
       retries,
-      // One bucket early, since the lender counted the retry before it arrived here.
-      fromMs: receivedAtMs + this.readWindowMs() - this.bucketMs,
+      fromMs: this.lenderCountEndsAtMs(receivedAtMs),
       untilMs: now + this.countedMs,
     };
     this.deferred = [...this.deferred.filter(({ untilMs }) => untilMs > now), count];
@@ -75,6 +74,11 @@
     };
   }
 
+  /** End of the lender's count of a borrowed retry, one bucket early, since it began before its arrival. */
+  lenderCountEndsAtMs(receivedAtMs: Millis): Millis {
+    return receivedAtMs + this.readWindowMs() - this.bucketMs;
+  }
+
   /** First attempts whose bucket lies wholly within the window that ends at a time. */
   countFirstAttempts(atMs: Millis): number {
     const sinceMs = atMs - this.readWindowMs();
--- a/packages/spend-retries/src/index.ts
+++ b/packages/spend-retries/src/index.ts
@@ -10,10 +10,4 @@
 export type { PrioritisedRetryBudgetOptions } from './prioritised-retry-budget.js';
 export { default as RetryBudgetTracker } from './retry-budget-tracker.js';
 export type { HeldRetry, RetryBudgetLimits } from './retry-budget-tracker.js';
-export {
-  RETRY_CLASSES,
-  type RetryClass,
-  type RetryDecision,
-  type RetryRequest,
-  type RetryRequestEnd,
-} from './retry-request.js';
+export type { RetryClass, RetryDecision, RetryRequest, RetryRequestEnd } from './retry-request.js';
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -56,6 +56,8 @@
   private borrowed: BorrowedRetries[] = [];
   /** Own fractions of retries that were taken and not sent. */
   private held = 0;
+  /** Borrowed fractions of such retries. */
+  private readonly heldBorrowed = new Set<BorrowedRetries>();
 
   /**
    * @param onLow called when few or no retries are left
@@ -101,7 +103,9 @@
     const fromBorrowed = Math.min(1, this.countBorrowed(now));
     const own = 1 - fromBorrowed;
     this.held += own;
-    return { own, borrowed: this.takeBorrowed(fromBorrowed) };
+    const borrowed = this.takeBorrowed(fromBorrowed);
+    borrowed.forEach((fraction) => this.heldBorrowed.add(fraction));
+    return { own, borrowed };
   }
 
   /** Whether `take` would return a retry. */
@@ -117,12 +121,14 @@
     const { own, borrowed } = retry;
     this.held -= own;
     this.window.recordRetries(now, own);
+    borrowed.forEach((fraction) => this.heldBorrowed.delete(fraction));
     const undoBorrowed = borrowed.map(({ retries, receivedAtMs }) =>
       this.window.recordBorrowed(now, retries, receivedAtMs),
     );
     retry.undoSent = () => {
       this.window.removeRetries(now, own);
       undoBorrowed.forEach((undo) => undo());
+      borrowed.forEach((fraction) => this.heldBorrowed.add(fraction));
       this.held += own;
       retry.undoSent = undefined;
     };
@@ -136,6 +142,7 @@
   /** Returns a held retry that is not needed to the budget. */
   release(retry: HeldRetry): void {
     this.held -= retry.own;
+    retry.borrowed.forEach((fraction) => this.heldBorrowed.delete(fraction));
     this.borrowed.push(...retry.borrowed);
   }
 
@@ -170,7 +177,7 @@
 
   /** Retries left in the current window, without borrowed ones. */
   countOwnAvailable(now: Millis, vms: number): number {
-    return this.countAllowed(now, vms) - this.window.countRetries(now) - this.held;
+    return this.countAllowed(now, vms) - this.window.countRetries(now) - this.countHeld(now);
   }
 
   /** Retries that this VM may spend in the current window, without borrowed ones. */
@@ -195,7 +202,7 @@
     const allowedNow = this.countAllowed(now, vms);
     return this.window.listBoundaries(now).map((atMs) => {
       const allowed = isSteady ? allowedNow : this.countAllowedAt(atMs);
-      return { atMs, available: allowed - this.window.countRetries(atMs) - this.held };
+      return { atMs, available: allowed - this.window.countRetries(atMs) - this.countHeld(atMs) };
     });
   }
 
@@ -206,6 +213,15 @@
     }
   }
 
+  /** Retries that are held and that no lender counts any more at a time. */
+  private countHeld(atMs: Millis): number {
+    let held = this.held;
+    for (const { retries, receivedAtMs } of this.heldBorrowed) {
+      held += this.window.lenderCountEndsAtMs(receivedAtMs) <= atMs ? retries : 0;
+    }
+    return held;
+  }
+
   /** Retries allowed in the window that ends at a time, if no first attempts follow. */
   private countAllowedAt(atMs: Millis): number {
     const { ratio, slack } = this.limits;
--- a/packages/spend-retries/src/retry-window.test.ts
+++ b/packages/spend-retries/src/retry-window.test.ts
@@ -158,4 +158,18 @@
   assert.ok(Math.abs(after - before - 1) < 1e-9, `${before} then ${after}`);
 });
 
+// Guards against borrowed retries that nobody counts while a request holds them for a slot.
+test('a borrowed retry that is held beyond the count of its lender is taken from the own part', () => {
+  const fleet = new Fleet(6);
+  const [lender, borrower] = fleet.vms as [Vm, Vm];
+  borrower.budget.borrow(0, lender.budget.lendForNeeds([{ class: 'stream-written', retries: 1 }]));
+  const whole = borrower.budget.countOwnAvailable(0, 7);
+  const retry = borrower.budget.take(0, 7)!;
+  assert.is(retry.own, 0);
+  assert.is(borrower.budget.countOwnAvailable(900, 7), whole);
+  assert.ok(Math.abs(whole - borrower.budget.countOwnAvailable(1_000, 7) - 1) < 1e-9);
+  borrower.budget.release(retry);
+  assert.is(borrower.budget.countOwnAvailable(1_000, 7), whole);
+});
+
 test.run();
