Use one type for the meter of the pieces of a run

Cause: slowness-tracker and target-pace declared the same shape. Change: slowness-tracker uses the type of track-service-targets. Result: the tests of forward-request pass.

--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -1,4 +1,5 @@
 /** Attempts in progress of one stream and the resources that each of them holds. */
+import type { PieceMeter } from '@limelead/track-service-targets';
 import type { Millis, RecoveryPolicy, ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -7,7 +8,6 @@
 import type RunReplicas from './run-replicas.js';
 import RunActivity, { type CarriedActivity } from './run-activity.js';
 import type { GiveUpCause } from './monitored-run.js';
-import type { RunPaceMeter } from './slowness-tracker.js';
 import StreamAttempt, { type StreamAttemptEvents } from './stream-attempt.js';
 import { maxPauseOf } from './to-generation-request.js';
 
@@ -18,7 +18,7 @@
   /** Replica that the target writes during the run. */
   replica?: RunReplica;
   activity: RunActivity;
-  paceMeter: RunPaceMeter;
+  paceMeter: PieceMeter;
   /** Time from the start to the first piece; undefined before it. */
   firstPieceAfterMs?: Millis;
   /** Called when the run has read its prompt. */
@@ -150,7 +150,7 @@
   }
 
   /** Measures the slowness that peers receive, and the present pace of the target. */
-  private createPaceMeter(target: ServiceTarget): RunPaceMeter {
+  private createPaceMeter(target: ServiceTarget): PieceMeter {
     const meters = [
       this.context.slowness.createMeter(target),
       this.context.directory.pace.createMeter(target),
--- a/packages/forward-request/src/slowness-tracker.ts
+++ b/packages/forward-request/src/slowness-tracker.ts
@@ -2,6 +2,7 @@
  * Detects slow targets by the time per piece, compared with the other targets of the
  * service. A slow target answers all requests, so it causes no failures.
  */
+import type { PieceMeter } from '@limelead/track-service-targets';
 import type { Millis, ServiceTarget } from '@limelead/types';
 
 /** Pieces per sample; several, so that one delayed piece has little effect. */
@@ -18,14 +19,6 @@
 /** Called when the slowness of a target changes. */
 export type OnSlownessChanged = (target: string, slowness: number) => void;
 
-/** Measures the pace of one run. */
-export interface RunPaceMeter {
-  /** Records pieces that arrived together. */
-  recordPieces(count: number, now: Millis): void;
-  /** Discards the current sample, for example after this VM paused reading. */
-  restart(): void;
-}
-
 /** Tracks the slowness of targets from the pace of this VM's runs. */
 export default class SlownessTracker {
   /** Latest samples per service, in milliseconds per piece. */
@@ -44,7 +37,7 @@
     this.slowness.delete(target);
   }
 
-  createMeter(target: ServiceTarget): RunPaceMeter {
+  createMeter(target: ServiceTarget): PieceMeter {
     let pieces = 0;
     let sinceMs: Millis | undefined;
     return {
