Return the retry of a hedge once if no attempt reached a target

Cause: if the first attempt and its hedge both reached no target, the retry of the hedge was returned for the first attempt and again for its own. The budget stayed one retry too large for good. Change: an attempt whose retry was already returned returns another one that was sent, if any.

--- a/packages/forward-request/src/attempt-budget.test.ts
+++ b/packages/forward-request/src/attempt-budget.test.ts
@@ -153,6 +153,19 @@
   assert.is(retryBudget.countOwnAvailable(0, 1), before);
 });
 
+// Guards against a retry that is returned twice and raises the budget for good.
+test('if neither the first attempt nor its hedge reached a target, the retry is returned once', () => {
+  const { budget, retryBudget } = createBudget();
+  const before = retryBudget.countOwnAvailable(0, 1);
+  const refundFirst = budget.recordAttempt();
+  request(budget, { ...REPEAT, class: 'hedge' });
+  const refundHedge = budget.recordAttempt();
+  refundFirst();
+  refundHedge();
+  budget.close();
+  assert.is(retryBudget.countOwnAvailable(0, 1), before);
+});
+
 // Guards against a run that moves away from a target which is up and then waits for a retry.
 test('an attempt can be made now if it is free, has its retry already or the budget has one', () => {
   const { budget, create } = createBudget();
--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -100,7 +100,9 @@
   /** @param retry undefined if the attempt was free; then another attempt needed none */
   private refund(retry: HeldRetry | undefined): void {
     this.arrivedAttempts -= 1;
-    const unneeded = retry ?? this.sent.at(-1);
+    // The retry of this attempt may have been returned for a free one that reached no target either.
+    const isSent = retry !== undefined && this.sent.includes(retry);
+    const unneeded = isSent ? retry : this.sent.at(-1);
     if (unneeded !== undefined) {
       this.sent = this.sent.filter((other) => other !== unneeded);
       this.retryBudget.recordUnsent(unneeded);
