Test that a request spends the retries of its arrived attempts in any order of faults

Cause: two orders of faults spent or returned a retry wrongly, and only chosen orders were tested. Change: a property over random orders of attempts and refunds.

--- a/packages/forward-request/src/attempt-budget.test.ts
+++ b/packages/forward-request/src/attempt-budget.test.ts
@@ -1,8 +1,13 @@
 import createDecisionLog from '@limelead/decision-log';
 import { PrioritisedRetryBudget } from '@limelead/spend-retries';
+import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import AttemptBudget, { type AttemptDecision, type AttemptPurpose } from './attempt-budget.js';
+import AttemptBudget, {
+  type AttemptDecision,
+  type AttemptPurpose,
+  type RefundAttempt,
+} from './attempt-budget.js';
 
 const STREAM: AttemptPurpose = { class: 'stream-written', rank: 1, lateAtMs: 700, untilMs: 20_000 };
 const REPEAT: AttemptPurpose = {
@@ -13,8 +18,8 @@
   refusesEarly: true,
 };
 
-/** A budget of two retries on a manual clock. */
-function createBudget() {
+/** A budget on a manual clock, of two retries by default. */
+function createBudget(slack = 2.5) {
   const time = { now: 0 };
   const clock = { now: () => time.now };
   const lines: string[] = [];
@@ -27,7 +32,7 @@
     },
   });
   const retryBudget = new PrioritisedRetryBudget({
-    limits: { ratio: 0, slack: 2.5, windowMs: 10_000 },
+    limits: { ratio: 0, slack, windowMs: 10_000 },
     clock,
     timers: { after: () => () => undefined },
     random: { next: () => 0.5 },
@@ -183,4 +188,34 @@
   assert.ok(third.canAttempt('stream-with-replica'));
 });
 
+// Guards against retries that are spent and never counted, or returned twice, in any order of faults.
+test('a request spends one retry for each attempt beyond the first that may have reached a target', () => {
+  const step = fc.record({
+    kind: fc.constantFrom('attempt' as const, 'refund' as const),
+    index: fc.nat(3),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 12 }), (steps) => {
+      const { budget, retryBudget } = createBudget(100);
+      const before = retryBudget.countOwnAvailable(0, 1);
+      const inFlight: RefundAttempt[] = [];
+      let arrived = 0;
+      for (const { kind, index } of steps) {
+        if (kind === 'attempt') {
+          assert.is(request(budget), 'granted');
+          inFlight.push(budget.recordAttempt());
+          arrived += 1;
+        } else if (inFlight.length > 0) {
+          inFlight.splice(index % inFlight.length, 1).forEach((refund) => refund());
+          arrived -= 1;
+        }
+      }
+      budget.close();
+      const spent = before - retryBudget.countOwnAvailable(0, 1);
+      assert.is(spent, Math.max(0, arrived - 1));
+    }),
+    { seed: 20_261_203, numRuns: 300 },
+  );
+});
+
 test.run();
