--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -3,7 +3,7 @@
  * each later one takes a retry from the retry budget that all VMs share. Attempts that
  * reach no target are free: their retry stays with the request for its next attempt.
  */
-import type { HeldRetry, RetryRequest } from '@limelead/spend-retries';
+import type { HeldRetry, RetryClass, RetryRequest } from '@limelead/spend-retries';
 import type { Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -63,6 +63,13 @@
     });
   }
 
+  /** Whether the next attempt would get the retry that it needs at once. */
+  canAttempt(retryClass: RetryClass): boolean {
+    return (
+      this.arrivedAttempts === 0 || this.held !== undefined || this.retryBudget.canGrant(retryClass)
+    );
+  }
+
   /** Records an attempt and returns the function that refunds it. */
   recordAttempt(): RefundAttempt {
     const { clock } = this.context;
@@ -93,12 +100,24 @@
   /** @param retry undefined if the attempt was free; then another attempt needed none */
   private refund(retry: HeldRetry | undefined): void {
     this.arrivedAttempts -= 1;
-    const unneeded = retry ?? this.sent.at(-1);
+    // The retry of this attempt may have been returned for a free one that reached no target either.
+    const isSent = retry !== undefined && this.sent.includes(retry);
+    const unneeded = isSent ? retry : this.sent.at(-1);
     if (unneeded !== undefined) {
       this.sent = this.sent.filter((other) => other !== unneeded);
       this.retryBudget.recordUnsent(unneeded);
       this.hold(unneeded);
     }
+    this.releaseIfFree();
+  }
+
+  /** Returns a retry that was held for an attempt which has become the first to reach a target. */
+  private releaseIfFree(): void {
+    const { held } = this;
+    if (this.arrivedAttempts === 0 && held !== undefined) {
+      this.held = undefined;
+      this.retryBudget.release(held);
+    }
   }
 
   /** Keeps a retry for the next attempt if it needs one. */
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -22,6 +22,20 @@
   windowMs: number;
 }
 
+/** Own retries of a VM that are available at a time. */
+export interface AvailableAt {
+  atMs: Millis;
+  available: number;
+}
+
+/** First time from which `wanted` retries are available; undefined if the forecast has none. */
+export function findAvailableAt(
+  forecast: readonly AvailableAt[],
+  wanted: number,
+): Millis | undefined {
+  return forecast.find(({ available }) => available >= wanted - ROUNDING_TOLERANCE)?.atMs;
+}
+
 interface BorrowedRetries {
   retries: number;
   receivedAtMs: Millis;
@@ -42,6 +56,8 @@
   private borrowed: BorrowedRetries[] = [];
   /** Own fractions of retries that were taken and not sent. */
   private held = 0;
+  /** Borrowed fractions of such retries. */
+  private readonly heldBorrowed = new Set<BorrowedRetries>();
 
   /**
    * @param onLow called when few or no retries are left
@@ -81,13 +97,23 @@
    * counts as spent until it is released. Undefined if the budget is exhausted.
    */
   take(now: Millis, vms: number): HeldRetry | undefined {
-    const fromBorrowed = Math.min(1, this.countBorrowed(now));
-    const own = 1 - fromBorrowed;
-    if (own > ROUNDING_TOLERANCE && this.countOwnAvailable(now, vms) < own - ROUNDING_TOLERANCE) {
+    if (!this.canTake(now, vms)) {
       return undefined;
     }
+    const fromBorrowed = Math.min(1, this.countBorrowed(now));
+    const own = 1 - fromBorrowed;
     this.held += own;
-    return { own, borrowed: this.takeBorrowed(fromBorrowed) };
+    const borrowed = this.takeBorrowed(fromBorrowed);
+    borrowed.forEach((fraction) => this.heldBorrowed.add(fraction));
+    return { own, borrowed };
+  }
+
+  /** Whether `take` would return a retry. */
+  protected canTake(now: Millis, vms: number): boolean {
+    const own = 1 - Math.min(1, this.countBorrowed(now));
+    return (
+      own <= ROUNDING_TOLERANCE || this.countOwnAvailable(now, vms) >= own - ROUNDING_TOLERANCE
+    );
   }
 
   /** Counts a held retry for a whole window from now on, since its attempt is sent. */
@@ -95,12 +121,14 @@
     const { own, borrowed } = retry;
     this.held -= own;
     this.window.recordRetries(now, own);
+    borrowed.forEach((fraction) => this.heldBorrowed.delete(fraction));
     const undoBorrowed = borrowed.map(({ retries, receivedAtMs }) =>
       this.window.recordBorrowed(now, retries, receivedAtMs),
     );
     retry.undoSent = () => {
       this.window.removeRetries(now, own);
       undoBorrowed.forEach((undo) => undo());
+      borrowed.forEach((fraction) => this.heldBorrowed.add(fraction));
       this.held += own;
       retry.undoSent = undefined;
     };
@@ -114,6 +142,7 @@
   /** Returns a held retry that is not needed to the budget. */
   release(retry: HeldRetry): void {
     this.held -= retry.own;
+    retry.borrowed.forEach((fraction) => this.heldBorrowed.delete(fraction));
     this.borrowed.push(...retry.borrowed);
   }
 
@@ -148,7 +177,7 @@
 
   /** Retries left in the current window, without borrowed ones. */
   countOwnAvailable(now: Millis, vms: number): number {
-    return this.countAllowed(now, vms) - this.window.countRetries(now) - this.held;
+    return this.countAllowed(now, vms) - this.window.countRetries(now) - this.countHeld(now);
   }
 
   /** Retries that this VM may spend in the current window, without borrowed ones. */
@@ -166,20 +195,14 @@
   }
 
   /**
-   * First time from which `wanted` own retries are available, at bucket boundaries, if no more are
-   * spent; undefined if the moving window alone does not make them available.
+   * Own retries that are available at the next bucket boundaries, if no more are spent.
    * @param isSteady true if the number of first attempts per window is assumed to stay
    */
-  protected findAvailableAt(
-    now: Millis,
-    vms: number,
-    { wanted, isSteady }: { wanted: number; isSteady: boolean },
-  ): Millis | undefined {
+  protected forecast(now: Millis, vms: number, isSteady: boolean): AvailableAt[] {
     const allowedNow = this.countAllowed(now, vms);
-    return this.window.listBoundaries(now).find((atMs) => {
+    return this.window.listBoundaries(now).map((atMs) => {
       const allowed = isSteady ? allowedNow : this.countAllowedAt(atMs);
-      const available = allowed - this.window.countRetries(atMs) - this.held;
-      return available >= wanted - ROUNDING_TOLERANCE;
+      return { atMs, available: allowed - this.window.countRetries(atMs) - this.countHeld(atMs) };
     });
   }
 
@@ -190,6 +213,15 @@
     }
   }
 
+  /** Retries that are held and that no lender counts any more at a time. */
+  private countHeld(atMs: Millis): number {
+    let held = this.held;
+    for (const { retries, receivedAtMs } of this.heldBorrowed) {
+      held += this.window.lenderCountEndsAtMs(receivedAtMs) <= atMs ? retries : 0;
+    }
+    return held;
+  }
+
   /** Retries allowed in the window that ends at a time, if no first attempts follow. */
   private countAllowedAt(atMs: Millis): number {
     const { ratio, slack } = this.limits;
