Give places only at targets that a call and its VM can use

Cause: a call that its VM's usable targets could not serve in time waited for the fastest target even if the VM avoids that target or it failed the call, while other places were free. A VM that does not know a target of the queue VM returned each place there and asked again at once, so that one call caused messages at the rate of the link. A VM that became the queue VM while an answer of the earlier one was missing went on as if it were alone.

Change: the fastest target is taken among those that the call may use. A VM names targets at which a place could not be used among those that it avoids. A VM that asks itself ends its watch for an answer. QueueAudience.list, which had no caller, is removed.

--- a/packages/queue-calls/src/call-dispatcher.test.ts
+++ b/packages/queue-calls/src/call-dispatcher.test.ts
@@ -49,6 +49,20 @@
   assert.equal(listOrder(create([late, laterLate, inTime])), [3, 2, 1]);
 });
 
+// Guards against a call that waits for a target which its VM can't use while other places are free.
+test('a call does not wait for a fast target that it may not use', () => {
+  const fast = toTarget('fast', 1);
+  const slow = toTarget('slow', 1, { expectedMs: 350, meanMs: 150 });
+  const grantTo = (call: QueuedCall, avoided: string[] = []): string[] => {
+    const dispatcher = create([call]);
+    dispatcher.setAvoided('a', avoided);
+    return dispatcher.grant([{ ...fast, free: 0 }, slow], NOW).map(({ target }) => target);
+  };
+  assert.equal(grantTo(toCall(1)), []);
+  assert.equal(grantTo(toCall(1), ['fast']), ['slow']);
+  assert.equal(grantTo(toCall(1, { avoid: ['fast'] })), ['slow']);
+});
+
 test('calls in time are ordered by rank, fair share, repeats and objective', () => {
   const shares: ShareOrder = {
     excessOf: (organisation) => (organisation === 'large' ? 4 : 0),
--- a/packages/queue-calls/src/call-dispatcher.ts
+++ b/packages/queue-calls/src/call-dispatcher.ts
@@ -109,7 +109,6 @@
   grant(targets: readonly DispatchTarget[], now: Millis): PlaceGrant[] {
     const grants: PlaceGrant[] = [];
     const open = targets.filter(({ limit }) => limit > 0);
-    const fastestMs = Math.min(...open.map(({ expectedMs }) => expectedMs));
     const free = new Map(open.map(({ id, free: places }) => [id, places]));
     // The fastest target first, and among equal ones that with most free places.
     const listFree = (): DispatchTarget[] =>
@@ -122,7 +121,7 @@
     while (!isDone) {
       isDone = true;
       for (const target of listFree()) {
-        const call = this.chooseCall(target, open, fastestMs, now);
+        const call = this.chooseCall(target, open, now);
         if (call !== undefined) {
           this.waiting = this.waiting.filter((other) => other !== call);
           grants.push({ vm: call.vm, want: call.id, target: target.id });
@@ -168,39 +167,38 @@
   private chooseCall(
     target: DispatchTarget,
     open: readonly DispatchTarget[],
-    fastestMs: Millis,
     now: Millis,
   ): QueuedCall | undefined {
     const context = this.createContext(target.expectedMs, now);
     let best: QueuedCall | undefined;
     for (const call of this.waiting) {
       const isBetter = best === undefined || this.options.compare(call, best, context) < 0;
-      if (isBetter && this.canUse(call, target, open, fastestMs, now)) {
+      if (isBetter && this.canUse(call, target, open, now)) {
         best = call;
       }
     }
     return best;
   }
 
-  /** A call that can be in time at the fastest target only waits for a place there. */
+  /**
+   * A call that can be in time only at a faster target waits for a place there, if its VM may use
+   * that target.
+   */
   private canUse(
     call: QueuedCall,
     target: DispatchTarget,
     open: readonly DispatchTarget[],
-    fastestMs: Millis,
     now: Millis,
   ): boolean {
     const avoided = this.avoidedByVm.get(call.vm);
     if (avoided?.has(target.id) === true || call.untilMs - now < target.meanMs) {
       return false;
     }
-    const usable = avoided === undefined ? open : open.filter(({ id }) => !avoided.has(id));
-    if (call.avoid.includes(target.id) && usable.some(({ id }) => !call.avoid.includes(id))) {
-      return false;
-    }
+    const usable = listUsable(call, open, avoided);
     return (
-      canBeInTime(call, { now, expectedMs: target.expectedMs }) ||
-      !canBeInTime(call, { now, expectedMs: fastestMs })
+      usable.includes(target) &&
+      (canBeInTime(call, { now, expectedMs: target.expectedMs }) ||
+        !usable.some(({ expectedMs }) => canBeInTime(call, { now, expectedMs })))
     );
   }
 
@@ -212,3 +210,17 @@
     };
   }
 }
+
+/** Targets that a call may use; those that failed it only if its VM can use no others. */
+function listUsable(
+  call: QueuedCall,
+  open: readonly DispatchTarget[],
+  avoided: ReadonlySet<string> | undefined,
+): readonly DispatchTarget[] {
+  const allowed = avoided === undefined ? open : open.filter(({ id }) => !avoided.has(id));
+  if (call.avoid.length === 0) {
+    return allowed;
+  }
+  const untried = allowed.filter(({ id }) => !call.avoid.includes(id));
+  return untried.length > 0 ? untried : allowed;
+}
--- a/packages/queue-calls/src/queue-audience.ts
+++ b/packages/queue-calls/src/queue-audience.ts
@@ -28,11 +28,6 @@
 
   constructor(private readonly options: QueueAudienceOptions) {}
 
-  /** VMs that reported calls lately. */
-  list(): string[] {
-    return [...this.vms.keys()];
-  }
-
   /** Records a message of a VM, and tells it that the service is queued unless it knows. */
   hear(vm: string, isQueued: boolean): void {
     const toldAtMs = this.vms.get(vm)?.toldAtMs ?? -Infinity;
--- a/packages/queue-calls/src/queue-client.ts
+++ b/packages/queue-calls/src/queue-client.ts
@@ -17,6 +17,7 @@
 } from '@limelead/types';
 import AnswerWatch from './answer-watch.js';
 import AskedCalls from './asked-calls.js';
+import AvoidedTargets from './avoided-targets.js';
 import CallReporter from './call-reporter.js';
 import type QueueHost from './queue-host.js';
 import type { CallsInProgress, GivePlaces, QueueMessage, QueueState } from './queue-messages.js';
@@ -56,6 +57,7 @@
   private namedAllAtMs: Millis = -Infinity;
   /** Number of the last message of grants of each VM. */
   private readonly received = new Map<string, number>();
+  private readonly avoided = new AvoidedTargets();
   private readonly asked: AskedCalls;
   private readonly reporter: CallReporter;
   private readonly answers: AnswerWatch;
@@ -135,6 +137,7 @@
     for (const [want, target] of grants) {
       const wasAsked = this.asked.end(want, 'granted');
       if (!queue.serveAt(want, target)) {
+        this.avoided.recordUnusable(target);
         this.options.metrics.count('limelead_places_unused_total');
         this.sendRelease(target, null, false, vm);
         if (wasAsked) {
@@ -194,6 +197,7 @@
     this.queuedUntilMs = -Infinity;
     this.cancelExpiry?.();
     this.answers.reset();
+    this.avoided.clear();
     this.asked.endAll('unqueued');
     this.options.queue().serve();
   }
@@ -234,7 +238,9 @@
       this.answers.onUnanswered(vm);
       return;
     }
-    if (vm !== fleet.self) {
+    if (vm === fleet.self) {
+      this.answers.onAnswered();
+    } else {
       this.answers.onAsked(vm);
     }
     this.send(vm, {
@@ -242,9 +248,7 @@
       service,
       isWhole: isForAll,
       wants: calls.map((call) => toWant(call, this.now)),
-      avoid: this.listTargets()
-        .filter(({ id }) => queue().isAvoided(id))
-        .map(({ id }) => id),
+      avoid: this.avoided.list(this.listTargets(), queue()),
       received: this.received.get(vm) ?? 0,
     });
   }
--- a/packages/queue-calls/src/simulated-vm.fixture.ts
+++ b/packages/queue-calls/src/simulated-vm.fixture.ts
@@ -31,6 +31,8 @@
   readonly inFlight = new Map<string, number>();
   queue: CallQueue;
   isUp = true;
+  /** Targets that the other VMs know and this one does not. */
+  readonly unknownTargets = new Set<string>();
   private readonly pausedUntilMs = new Map<string, number>();
 
   constructor(
@@ -65,7 +67,7 @@
       serve: () => this.serve(),
       serveAt: (id, target) => this.serveAt(id, target),
       refuse: (id, refusal) => this.refuse(id, refusal),
-      isAvoided: (target) => this.isPaused(target),
+      isAvoided: (target) => this.isAvoided(target),
     };
     const queue = new CallQueue({
       clock: fleet.clock,
@@ -83,7 +85,7 @@
         isEngine: () => false,
         list: () =>
           fleet.targets
-            .filter(({ isListed }) => isListed)
+            .filter((target) => this.isKnown(target))
             .map(({ id }) => ({
               ...{ id, slots: SLOTS, isSuspected: false },
               inFlight: this.inFlight.get(id) ?? 0,
@@ -95,6 +97,15 @@
     return queue;
   }
 
+  private isKnown({ id, isListed }: SimulatedTarget): boolean {
+    return isListed && !this.unknownTargets.has(id);
+  }
+
+  private isAvoided(targetId: string): boolean {
+    const target = this.fleet.targets.find(({ id }) => id === targetId);
+    return target === undefined || !this.isKnown(target) || this.isPaused(targetId);
+  }
+
   private isPaused(target: string): boolean {
     return (this.pausedUntilMs.get(target) ?? -Infinity) > this.fleet.now;
   }
@@ -119,7 +130,7 @@
     const callsAt = ({ id }: SimulatedTarget): number =>
       (this.inFlight.get(id) ?? 0) + (call.avoid.has(id) ? 100 : 0);
     return this.fleet.targets
-      .filter(({ id, isListed }) => isListed && !this.isPaused(id))
+      .filter((target) => this.isKnown(target) && !this.isPaused(target.id))
       .filter(({ id }) => (this.inFlight.get(id) ?? 0) < SLOTS)
       .map((target) => ({ target, order: callsAt(target) + this.fleet.draw() }))
       .sort((a, b) => a.order - b.order)[0]?.target;
@@ -127,8 +138,8 @@
 
   private serveAt(id: number, targetId: string): boolean {
     const call = this.waiting.find((other) => other.id === id);
-    const target = this.fleet.targets.find((other) => other.id === targetId && other.isListed);
-    if (call === undefined || target === undefined || this.isPaused(targetId)) {
+    const target = this.fleet.targets.find(({ id: known }) => known === targetId);
+    if (call === undefined || target === undefined || this.isAvoided(targetId)) {
       return false;
     }
     this.send(call, target);
