--- a/packages/queue-calls/src/answer-watch.ts
+++ b/packages/queue-calls/src/answer-watch.ts
@@ -9,7 +9,7 @@
 /** Dependencies of `AnswerWatch`. */
 export interface AnswerWatchOptions {
   service: string;
-  fleet: Pick<QueueFleet, 'countVms'>;
+  fleet: Pick<QueueFleet, 'self' | 'countVms'>;
   timers: Timers;
   logIsolation: RateLimitedLog;
   /** The VM is on its own from now on. */
@@ -29,8 +29,12 @@
     return this.isIsolated || this.cancelTimeout !== undefined;
   }
 
-  /** A request was sent to another VM. */
+  /** A request was sent. This VM answers itself at once, also if it just became the queue VM. */
   onAsked(vm: string): void {
+    if (vm === this.options.fleet.self) {
+      this.onAnswered();
+      return;
+    }
     this.cancelTimeout ??= this.options.timers.after(ANSWER_TIMEOUT_MS, () => {
       this.cancelTimeout = undefined;
       this.onUnanswered(vm);
--- a/packages/queue-calls/src/queue-client.ts
+++ b/packages/queue-calls/src/queue-client.ts
@@ -226,7 +226,7 @@
 
   /** Asks for places for the calls that were not named yet, or for all. */
   private ask(isWhole: boolean): void {
-    const { service, queue, fleet } = this.options;
+    const { service, queue } = this.options;
     const before = this.queueVm;
     const vm = this.contactQueueVm();
     const isForAll = isWhole || vm !== before;
@@ -238,11 +238,7 @@
       this.answers.onUnanswered(vm);
       return;
     }
-    if (vm === fleet.self) {
-      this.answers.onAnswered();
-    } else {
-      this.answers.onAsked(vm);
-    }
+    this.answers.onAsked(vm);
     this.send(vm, {
       kind: 'ask-places',
       service,
