--- a/packages/gateway/src/create-backpressure.ts
+++ b/packages/gateway/src/create-backpressure.ts
@@ -3,6 +3,8 @@
 import { backgroundTimers } from '@limelead/types';
 import type { FleetComponentContext } from './fleet-component.js';
 
+const WHOLE_PERCENT = 100;
+
 /** Creates the backpressure of one VM. */
 export default function createBackpressure({
   clock,
@@ -21,6 +23,7 @@
       const tracked = directory.get(target);
       if (tracked !== undefined) {
         directory.advertisedLoads.record(tracked, load);
+        directory.recordAdvertisedPace(target, load.pacePercent / WHOLE_PERCENT);
       }
     },
   });
