Resign from a queue that another VM holds, also without a message

Cause: an earlier queue VM noticed that another VM is chosen only by a message or a call of its own. Without either it announced the queue and gave places for 10 s, and kept checking every 50 ms. Change: the check asks which VM is the queue VM, and resigns.

--- a/packages/queue-calls/src/queue-client.test.ts
+++ b/packages/queue-calls/src/queue-client.test.ts
@@ -53,4 +53,23 @@
   );
 });
 
+// Guards against an earlier queue VM without calls of its own, which nobody tells that it is replaced.
+test('an earlier queue VM stops to announce the queue and to give places', () => {
+  const fleet = new Fleet({ vms: 10, targets: 2, seed: 3 });
+  for (let index = 0; index < 1_200; index += 1) {
+    fleet.clock.after(index * 4, () => fleet.arrive(vmAt(fleet, 2 + (index % 8))));
+  }
+  fleet.clock.runUntil(1_500);
+  assert.ok(vmAt(fleet, 5).queue.isQueued(SERVICE));
+  fleet.isLost = (_, to) => to === 'vm0';
+  fleet.clock.runUntil(1_510);
+  fleet.chooseQueueVm = () => 'vm1';
+  fleet.clock.runUntil(1_600);
+  const from = fleet.messages.length;
+  fleet.clock.runUntil(5_000);
+  const sent = fleet.messages.slice(from);
+  assert.ok(sent.some((message) => message.from === 'vm1'));
+  assert.not(sent.some((message) => message.from === 'vm0'));
+});
+
 test.run();
--- a/packages/queue-calls/src/queue-host.ts
+++ b/packages/queue-calls/src/queue-host.ts
@@ -160,6 +160,11 @@
   }
 
   private check(): void {
+    const { fleet, service } = this.options;
+    if (fleet.chooseQueueVm(service) !== fleet.self) {
+      this.resign();
+      return;
+    }
     const now = this.now;
     this.places.reclaim(now);
     this.checkState();
