Leave idle VMs out of the decisions of the queue VM

Cause: each message to the queue VM passed over all VMs that had ever reported, with an allocation for each, and copied the waiting calls for each grant. Change: a VM without places in use is not kept; loops and a splice replace the copies.

--- a/packages/queue-calls/src/call-dispatcher.ts
+++ b/packages/queue-calls/src/call-dispatcher.ts
@@ -123,7 +123,7 @@
       for (const target of listFree()) {
         const call = this.chooseCall(target, open, now);
         if (call !== undefined) {
-          this.waiting = this.waiting.filter((other) => other !== call);
+          this.waiting.splice(this.waiting.indexOf(call), 1);
           grants.push({ vm: call.vm, want: call.id, target: target.id });
           free.set(target.id, (free.get(target.id) ?? 0) - 1);
           isDone = false;
--- a/packages/queue-calls/src/places-in-use.ts
+++ b/packages/queue-calls/src/places-in-use.ts
@@ -30,11 +30,13 @@
   /** Number of places in use at each target. */
   countByTarget(): Map<string, number> {
     const counts = new Map<string, number>();
-    const add = (target: string, calls: number): void =>
-      void counts.set(target, (counts.get(target) ?? 0) + calls);
     for (const { known, grants } of this.vms.values()) {
-      known.forEach((calls, target) => add(target, calls));
-      grants.forEach(({ target }) => add(target, 1));
+      for (const [target, calls] of known) {
+        counts.set(target, (counts.get(target) ?? 0) + calls);
+      }
+      for (const { target } of grants) {
+        counts.set(target, (counts.get(target) ?? 0) + 1);
+      }
     }
     return counts;
   }
@@ -60,14 +62,17 @@
       return;
     }
     const calls = places.known.get(target) ?? 0;
-    if (calls > 0) {
+    if (calls > 1) {
       places.known.set(target, calls - 1);
       return;
     }
-    const index = places.grants.findIndex((grant) => grant.target === target);
-    if (index >= 0) {
-      places.grants.splice(index, 1);
+    if (!places.known.delete(target)) {
+      const index = places.grants.findIndex((grant) => grant.target === target);
+      if (index >= 0) {
+        places.grants.splice(index, 1);
+      }
     }
+    this.dropIfIdle(vm, places);
   }
 
   /**
@@ -79,6 +84,7 @@
     places.known = new Map(inFlight);
     this.recordReceived(vm, received);
     places.grants = places.grants.filter(({ atMs }) => now - atMs < RECLAIM_MS);
+    this.dropIfIdle(vm, places);
   }
 
   /** Drops grants that no report of their VM included in time. */
@@ -98,8 +104,10 @@
   /** Ends all places at targets that are not listed. */
   retain(targets: ReadonlySet<string>): void {
     for (const places of this.vms.values()) {
-      for (const target of [...places.known.keys()].filter((id) => !targets.has(id))) {
-        places.known.delete(target);
+      for (const target of places.known.keys()) {
+        if (!targets.has(target)) {
+          places.known.delete(target);
+        }
       }
       if (places.grants.some(({ target }) => !targets.has(target))) {
         places.grants = places.grants.filter(({ target }) => targets.has(target));
@@ -107,6 +115,13 @@
     }
   }
 
+  /** Each decision passes over all VMs, so idle ones are left out. */
+  private dropIfIdle(vm: string, { known, grants }: VmPlaces): void {
+    if (known.size === 0 && grants.length === 0) {
+      this.vms.delete(vm);
+    }
+  }
+
   private recordReceived(vm: string, received: number): void {
     const places = this.open(vm);
     places.grants = places.grants.filter(({ number }) => number > received);
