Keep no probe answers of removed targets

Cause: a run may outlive the entry of its target in the store; the answer to a probe then left its memory report and its time in the tables for good, since only the removal drops them. Change: answers of targets that are not listed are not recorded. Result: the new test fails without the change; 21 tests of the silence monitor and of reported memory pass.

--- a/packages/forward-request/src/reported-memory.test.ts
+++ b/packages/forward-request/src/reported-memory.test.ts
@@ -15,8 +15,8 @@
   leaving: false,
 };
 
-// Guards against placement that ignores the memory in a report that is read for silence anyway.
-test('the answer to a probe for silence corrects the tokens that count at the target', async () => {
+/** Monitors a silent run whose target answers probes with its memory. */
+function create() {
   const { clock, timers, advance } = createManualTime();
   const directory = new TargetDirectory(clock);
   directory.replaceAll([target]);
@@ -42,12 +42,28 @@
     canMove: () => true,
     onSilent: () => undefined,
   });
+  return { clock, directory, advance, stop };
+}
+
+// Guards against placement that ignores the memory in a report that is read for silence anyway.
+test('the answer to a probe for silence corrects the tokens that count at the target', async () => {
+  const { directory, advance, stop } = create();
   assert.is(directory.tokens.at('t1', 's'), 0);
   await advance(1_700);
   assert.is(directory.tokens.at('t1', 's'), 30_000);
   stop();
 });
 
+// Guards against state of removed targets that nothing drops.
+test('an answer of a removed target is not kept', async () => {
+  const { clock, directory, advance, stop } = create();
+  directory.replaceAll([]);
+  await advance(1_700);
+  assert.is(directory.tokens.at('t1', 's'), 0);
+  assert.is(directory.probeAnswers.ownAgeMs('t1', clock.now()), Infinity);
+  stop();
+});
+
 test('a report without memory corrects nothing', () => {
   const report = { waiting: 2, runs: [['r1', 9_000, 1]] };
   assert.equal(toProbeResult(report, undefined), { waiting: 2, runs: new Set(['r1']) });
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -200,9 +200,12 @@
   private onProbeAnswered(target: ServiceTarget, { sentAtMs, result }: AnsweredProbe): void {
     const { directory, log, onProbeAnswered } = this.options;
     directory.observe(target.id, { kind: 'answered' });
-    directory.probeAnswers.recordOwn(target.id, sentAtMs);
+    const isListed = directory.get(target.id) !== undefined;
+    if (isListed) {
+      directory.probeAnswers.recordOwn(target.id, sentAtMs);
+    }
     log.write('target-asked', { target: target.id, isThere: true, runs: result?.runs.size });
-    if (result?.memory !== undefined) {
+    if (result?.memory !== undefined && isListed) {
       directory.tokens.recordReport(target.id, target.service, result.memory, result.waiting);
     }
     if (this.countPeerRequests(target.id) > 0) {
