--- a/packages/gateway/src/create-backpressure.test.ts
+++ b/packages/gateway/src/create-backpressure.test.ts
@@ -27,6 +27,8 @@
     directives: { ...NO_DIRECTIVES, load },
   });
   assert.is(directory.paceOf('t1'), 2.5);
+  const tracked = directory.get('t1');
+  assert.is(tracked && directory.advertisedLoads.requestsAt(tracked), 3);
   time.now += 300;
   assert.is(directory.paceOf('t1'), 1);
 });
