Explain why a request waited, was refused or was moved

Cause: limelead explain listed the fields of each line, and the lines of the call queue that name no request were left out, so the cause of a wait or refusal under load was left to the reader.

The explanation has the new field reasons.

--- a/packages/cli/src/commands/explain/explain-request.ts
+++ b/packages/cli/src/commands/explain/explain-request.ts
@@ -1,14 +1,7 @@
 /** Explains how one request was served from the gateway's log lines. */
-import * as E from 'fp-ts/lib/Either.js';
-import * as t from 'io-ts';
-
-/** The fields that every log line has; other fields depend on the event. */
-const lineCodec = t.intersection([
-  t.type({ steadyMs: t.number, vm: t.string, event: t.string }),
-  t.UnknownRecord,
-]);
-
-type LogLine = t.TypeOf<typeof lineCodec>;
+import describeReason from './describe-reason.js';
+import findServiceStates, { isServiceState } from './find-service-state.js';
+import parseLogLine, { type LogLine } from './log-line.js';
 
 /** Fields that are left out of the list of fields of a step. */
 const COMMON_FIELDS: ReadonlySet<string> = new Set([
@@ -19,14 +12,21 @@
   'requestId',
 ]);
 
-/** The steps and the outcome of one request. */
+/** The steps, reasons and the outcome of one request. */
 export interface RequestExplanation {
   /** One description per log line, in the order of the lines. */
   steps: string[];
+  /** Why the request waited, was refused or was moved, without repeats; states of its service first. */
+  reasons: string[];
   /** Outcome from the last line that ends the request; undefined if there is none. */
   outcome?: string;
 }
 
+/** Whether a log line may be needed to explain a request. */
+export function isRelevantLine(requestId: string, text: string): boolean {
+  return text.includes(requestId) || isServiceState(text);
+}
+
 /**
  * Explains a request from the log lines of several VMs.
  * @returns an explanation without steps if no line belongs to the request
@@ -35,29 +35,21 @@
   requestId: string,
   lines: Iterable<string>,
 ): RequestExplanation {
-  const found = [...lines].flatMap((text) => parseLine(text, requestId));
+  const parsed = [...lines]
+    .filter((text) => isRelevantLine(requestId, text))
+    .flatMap((text) => parseLogLine(text) ?? []);
+  const found = parsed.filter((line) => line['requestId'] === requestId);
+  const states = findServiceStates(found, parsed);
+  const reasons = [...states, ...found].flatMap((line) => describeReason(line) ?? []);
   const startedAtMs = found[0]?.steadyMs ?? 0;
   const end = found.filter(({ event }) => isEnd(event)).at(-1);
   return {
     steps: found.map((line) => describeStep(line, startedAtMs)),
+    reasons: [...new Set(reasons)],
     outcome: end && describeOutcome(end),
   };
 }
 
-/** Parses a log line; returns an empty list for lines of other programs and requests. */
-function parseLine(text: string, requestId: string): LogLine[] {
-  const start = text.indexOf('{');
-  if (start < 0 || !text.includes(requestId)) {
-    return [];
-  }
-  try {
-    const decoded = lineCodec.decode(JSON.parse(text.slice(start)));
-    return E.isRight(decoded) && decoded.right['requestId'] === requestId ? [decoded.right] : [];
-  } catch {
-    return [];
-  }
-}
-
 function describeStep(line: LogLine, startedAtMs: number): string {
   const fields = Object.entries(line)
     .filter(([name, value]) => !COMMON_FIELDS.has(name) && value !== '')
--- a/packages/cli/src/commands/explain/index.ts
+++ b/packages/cli/src/commands/explain/index.ts
@@ -2,7 +2,7 @@
 import { createInterface } from 'node:readline';
 import { EXIT_CODES } from '../../exit-codes.js';
 import { printLine } from '../../output.js';
-import explainRequest from './explain-request.js';
+import explainRequest, { isRelevantLine } from './explain-request.js';
 
 /** Options of the command. */
 export interface ExplainOptions {
@@ -14,7 +14,7 @@
   const lines: string[] = [];
   for await (const line of createInterface({ input: process.stdin })) {
     // Skip the lines of other requests to limit memory use.
-    if (line.includes(requestId)) {
+    if (isRelevantLine(requestId, line)) {
       lines.push(line);
     }
   }
@@ -25,6 +25,7 @@
     printLine(`no log line found for request ${requestId}`);
   } else {
     explanation.steps.forEach((step) => printLine(step));
+    explanation.reasons.forEach((reason) => printLine(`reason: ${reason}`));
     printLine(`outcome: ${explanation.outcome ?? 'unknown, no log line ends the request'}`);
   }
   return explanation.steps.length === 0 ? EXIT_CODES.failed : EXIT_CODES.done;
