--- a/packages/queue-calls/src/index.ts
+++ b/packages/queue-calls/src/index.ts
@@ -2,14 +2,5 @@
 export { default as CallQueue } from './call-queue.js';
 export type { CallQueueOptions } from './call-queue.js';
 export type { QueueFleet, QueueTarget, QueueTargets } from './queue-ports.js';
-export type {
-  AskPlaces,
-  CallsInProgress,
-  GivePlaces,
-  PlaceReleased,
-  QueueMessage,
-  QueueState,
-  ReportCalls,
-  Want,
-} from './queue-messages.js';
+export type { QueueMessage } from './queue-messages.js';
 export { EQUAL_SHARES, type ShareOrder } from './share-order.js';
