Restore the reasons and measurements behind constants and rules in comments

Left out: comments whose rule or value changed since, such as parts of the silence detection, and those that the present comments already cover.

Result: only comment lines differ. Tests were not run.

--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -26,11 +26,17 @@
  * of similar load. The larger ones are penalties that exceed any load, in ascending order.
  */
 
-/** Delay per request in flight at the target, whose prompt must be read first. */
+/**
+ * Delay per request in flight at the target, whose prompt must be read first. The engines of users
+ * read a prompt in about a second, which delays every other run for that long.
+ */
 const REQUEST_DELAY_MS = 1_000;
 /** Additional delay per prompt that is being read, since concurrent reading is slower. */
 const PROMPT_READING_DELAY_MS = 1_000;
-/** Delay of a run that takes twice the usual duration. */
+/**
+ * Delay of a run that takes twice the usual duration. The runs of users last four to five times as
+ * long as their prompts are read.
+ */
 const SLOW_RUN_DELAY_MS = 4_500;
 /** Delay of a target whose answers all fail; scaled by the failure rate. */
 const FAILURE_DELAY_MS = 12_000;
@@ -40,7 +46,11 @@
 const SUSPECTED_TARGET_DELAY_MS = 100_000;
 /** Delay of a target that already failed this request, which is chosen only as the last resort. */
 const EXCLUDED_DELAY_MS = 1_000_000;
-/** Failure rates (0 to 1) up to this add no delay, since services have failures of their own. */
+/**
+ * Failure rates (0 to 1) up to this add no delay, since services have failures of their own. Some
+ * fail a tenth of their calls in normal operation, and a moving average over few answers is at
+ * times three times that.
+ */
 const TOLERATED_FAILURE_RATE = 0.35;
 /** Delays closer than this count as equal; less than the delay of one request. */
 const EQUAL_DELAY_TOLERANCE_MS = 500;
@@ -52,7 +62,10 @@
 /** Pace up to which a target gets replicas; a replica at a slow target delays the run's own target. */
 const MAX_REPLICA_PACE = 1.5;
 
-/** A failure domain that lost targets within this time gets no new replicas, in milliseconds. */
+/**
+ * A failure domain that lost targets within this time gets no new replicas, in milliseconds.
+ * Targets that return there are reported as lost or new only one by one.
+ */
 export const REPLICA_DOMAIN_LOSS_WINDOW_MS = 2_500;
 
 /** Present state of targets beyond their counts; the counts and the health apply where undefined. */
--- a/packages/decision-log/src/file-output.ts
+++ b/packages/decision-log/src/file-output.ts
@@ -2,7 +2,7 @@
 import { write } from 'node:fs';
 import type { LogOutput } from './log-output.js';
 
-/** Delay before a write to a full pipe is retried. */
+/** Delay before a write to a full pipe is retried; a reader empties 64 KB in about that time. */
 const PIPE_FULL_RETRY_MS = 10;
 
 /** The signature of `fs.write` that is used. */
--- a/packages/follow-store/src/store-follower.ts
+++ b/packages/follow-store/src/store-follower.ts
@@ -1,9 +1,11 @@
 /**
  * Follows the store: reads a list, then watches from its revision. After a gap in the history
- * the list is read again. While the store is unavailable, calls are retried with backoff.
+ * the list is read again. While the store is unavailable, calls are retried with backoff, since
+ * refused calls are billed like others.
  *
  * A watch returns every version of an item, a list only the newest. While a large item
- * changes, lists replace watches to save network bandwidth.
+ * changes, lists replace watches: a quick succession of versions would saturate the network link
+ * of a small VM for longer than each version is valid.
  */
 import { delay, type Clock, type Millis, type Random, type Timers } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
@@ -29,7 +31,10 @@
 const BATCH_DELAY_MS_PER_VM = 10;
 /** Interval between lists while a large item changes. */
 const LARGE_ITEM_LIST_INTERVAL_MS = 800;
-/** Retry delay while many peers retry, too, and report when the store answers again. */
+/**
+ * Retry delay while many peers retry, too, and report when the store answers again. With 195 VMs,
+ * one of them still retries about every 15 ms.
+ */
 const SHARED_RETRY_DELAY_MS = 3_000;
 /** Delay after an answer that could not be processed; it causes a new list and may recur. */
 const FAILED_STEP_DELAY_MS = 1_000;
--- a/packages/follow-store/src/store-port.ts
+++ b/packages/follow-store/src/store-port.ts
@@ -2,7 +2,10 @@
 import type { Millis } from '@limelead/types';
 import type * as E from 'fp-ts/lib/Either.js';
 
-/** Timeout of a call to the store, added to the wait that the call requests. */
+/**
+ * Timeout of a call to the store, added to the wait that the call requests. The store answers
+ * within 4 ms, and within 320 ms when slow. A lost call is noticed only after this time.
+ */
 export const STORE_RESPONSE_TIMEOUT_MS: Millis = 800;
 
 /** The current version of an item. */
--- a/packages/forward-request/src/cached-prompt-finder.ts
+++ b/packages/forward-request/src/cached-prompt-finder.ts
@@ -15,7 +15,10 @@
 const ANSWER_TIMEOUT_MS = 150;
 /** Time for which an answer is reused for other sessions. */
 const ANSWER_TTL_MS = 250;
-/** Limits the queries per session in large fleets. */
+/**
+ * Limits the queries per session in large fleets. With 196 queried targets, the callers that
+ * returned after a power loss of all VMs caused 26,000 queries.
+ */
 const MAX_QUERIED_TARGETS = 24;
 const NO_PROMPTS: ReadonlySet<string> = new Set();
 
--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -8,7 +8,7 @@
 import readAnswer from './read-answer.js';
 import type { RefundAttempt } from './attempt-budget.js';
 
-/** Longer answers are streamed to the caller. */
+/** Longer answers are streamed to the caller. The answers of users have 0.8 KB on average. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
 /** Callbacks of an attempt. It ends with one call of `onEnd`, `onFault` or `onRejected`. */
--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -168,7 +168,11 @@
   return { kind: 'too-large', retryAfterMs, promptTokens, capacityTokens };
 }
 
-/** Whether the prompt cannot be read before the deadline; reading it would waste target time. */
+/**
+ * Whether the prompt cannot be read before the deadline; reading it would waste target time.
+ * Callers that noticed the power loss of their VM after 18 s returned in their last second: 9 of 32
+ * such streams occupied a target and received nothing.
+ */
 function isTooLate({ clock, prefill }: ForwardContext, admitted: AdmittedRequest): boolean {
   return admitted.dueAtMs - clock.now() < prefill.minMs(admitted);
 }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -238,7 +238,7 @@
     this.context.directory.observe(attempt.target.id, { kind });
     this.report.failed(attempt, notSent, reason);
     if (!notSent) {
-      // A call that may have been sent counts as started, so that usage is not undercounted.
+      // A call that may have been sent counts as started; usage was too low by 107 of 589 without.
       this.context.observer.onRunStarted?.(this.admitted, attempt.target);
       if (!this.guarded.isSuspected) {
         this.report.attemptEnded(attempt, false);
--- a/packages/forward-request/src/prefill-estimator.ts
+++ b/packages/forward-request/src/prefill-estimator.ts
@@ -11,7 +11,10 @@
 const MAX_BOUND_OBJECTIVES = 3;
 /** Ratio of the prefill timeout to the expected time. */
 const BOUND_FACTOR = 2.5;
-/** Ratio of the shortest to the expected time, which includes the prompts of concurrent runs. */
+/**
+ * Ratio of the shortest to the expected time, which includes the prompts of concurrent runs. A
+ * prompt that was read alone took 0.8 of the expected time.
+ */
 const MIN_TIME_FACTOR = 0.7;
 /** Weight of the latest observation in the moving average. */
 const SMOOTHING = 0.1;
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -82,8 +82,9 @@
   }
 
   /**
-   * The replica target that the scheduler advised with the slot, unless it is leaving or
-   * suspected. The scheduler spreads the replicas of all VMs over the targets.
+   * The replica target that the scheduler advised with the slot, unless it is leaving or suspected.
+   * The scheduler spreads the replicas of all VMs over the targets. VMs that each spread only their
+   * own replicas chose the same few targets, which had no room.
    */
   private findAdvisedTarget({ replicaTargetId, memory }: Slot): ServiceTarget | undefined {
     const { directory, slots } = this.context;
--- a/packages/forward-request/src/slowness-tracker.ts
+++ b/packages/forward-request/src/slowness-tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Detects slow targets by the time per piece, compared with the other targets of the
- * service. A slow target answers all requests, so it causes no failures.
+ * Detects slow targets by the time per piece, compared with the other targets of the service. A
+ * slow target answers all requests, so it causes no failures, and its own usual pace is not known.
  */
 import type { PieceMeter } from '@limelead/track-service-targets';
 import type { Millis, ServiceTarget } from '@limelead/types';
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -4,7 +4,10 @@
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { Millis, Timers } from '@limelead/types';
 
-/** Timeout of a probe. Short, because the request whose run failed waits for the result. */
+/**
+ * Timeout of a probe. Short, because the request whose run failed waits for the result. A target
+ * whose process ended refuses the connection within a round trip.
+ */
 const PROBE_TIMEOUT_MS = 250;
 
 /** What the detector uses. */
--- a/packages/gateway/src/duty-component.ts
+++ b/packages/gateway/src/duty-component.ts
@@ -12,7 +12,10 @@
  * peers, every VM of a starting fleet would see itself as the only candidate.
  */
 const CANDIDACY_DELAY_MS = 2_500;
-/** Unused end of a lease; covers clock drift and the delay between the lease check and the call. */
+/**
+ * Unused end of a lease; covers clock drift and the delay between the lease check and the call.
+ * Clocks drift by up to a thousandth, 3 ms of a lease; the rest is for a busy process.
+ */
 const LEASE_MARGIN_MS = 200;
 
 /** A component with a duty that this VM may hold. */
--- a/packages/gateway/src/engine-load.ts
+++ b/packages/gateway/src/engine-load.ts
@@ -1,4 +1,7 @@
-/** This VM's load on engines, as peers receive it. Plain services are left out: their calls are short. */
+/**
+ * This VM's load on engines, as peers receive it. Plain services are left out: their calls are
+ * short, whereas runs of engines last and slow each other down.
+ */
 import type { SlownessTracker } from '@limelead/forward-request';
 import { roundTokens, type TargetLoad } from '@limelead/share-evidence';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,13 +53,23 @@
 import { startMetricsServer, startReadinessServer } from './readiness-server.js';
 import type { GatewaySettings } from './settings.js';
 
-/** Timeout for opening a connection to a target; short, so that another target can be tried. */
+/**
+ * Timeout for opening a connection to a target; short, so that another target can be tried. A
+ * connection takes 2 to 6 ms within a region, and a stream may pause for 700 ms.
+ */
 const CONNECT_TIMEOUT_MS = 250;
-/** Idle connections kept per target. Low, because a target's connection limit is shared by all VMs. */
+/**
+ * Idle connections kept per target. Low, because a target's connection limit is shared by all VMs:
+ * the targets of users accept 90 to 640 connections, from up to 410 VMs. Calls of one VM seldom
+ * overlap at a target.
+ */
 const MAX_IDLE_CONNECTIONS = 4;
 /** Minimum number of VMs assumed, until peers report more. */
 const MIN_VMS = 6;
-/** Time for the load balancer to remove a VM that reports not ready. */
+/**
+ * Time for the load balancer to remove a VM that reports not ready. It checks once a second and
+ * removes a VM after the second failed check.
+ */
 const BALANCER_REMOVAL_MS = 2_500;
 /** Part of the stop grace period that is kept for closing connections and flushing the log. */
 const STOP_RESERVE_MS = 150;
--- a/packages/gateway/src/quarantine-component.ts
+++ b/packages/gateway/src/quarantine-component.ts
@@ -17,7 +17,10 @@
 import encodeQuarantine from './quarantine-item.js';
 import CrashDetector from './crash-detector.js';
 
-/** Delay before a failed write is retried. */
+/**
+ * Delay before a failed write is retried. The store answers within milliseconds or is unavailable
+ * for longer.
+ */
 const WRITE_RETRY_DELAY_MS: Millis = 2_000;
 
 /** A component whose guard decides before each attempt whether a request may be sent. */
--- a/packages/gateway/src/removal-history.ts
+++ b/packages/gateway/src/removal-history.ts
@@ -1,6 +1,7 @@
 /**
- * Recently removed keys with the store revision of each removal. A peer that lacks only
- * recent changes receives the removed keys instead of the much longer list of present keys.
+ * Recently removed keys with the store revision of each removal. A peer that lacks only recent
+ * changes receives the removed keys instead of the much longer list of present keys: with 3,000
+ * targets that list has 60 KB, and 300 VMs would request it at each change.
  */
 
 /** Number of removals that are kept. */
--- a/packages/hold-duty/src/clock-jump-detector.ts
+++ b/packages/hold-duty/src/clock-jump-detector.ts
@@ -4,7 +4,10 @@
  */
 import type { Clock, Millis } from '@limelead/types';
 
-/** Minimum difference that counts as a jump; smaller ones are clock drift and corrections. */
+/**
+ * Minimum difference that counts as a jump; smaller ones are clock drift and corrections. Both
+ * clocks drift by a thousandth at most, and leases keep a margin of similar size.
+ */
 const MIN_JUMP_MS = 150;
 
 /** Number of jumps kept; a lease is renewed several times before as many can occur. */
--- a/packages/hold-duty/src/duty-elector.ts
+++ b/packages/hold-duty/src/duty-elector.ts
@@ -16,7 +16,10 @@
 const MIN_BACKOFF_MS = 500;
 /** Maximum backoff between attempts. */
 const MAX_BACKOFF_MS = 2_000;
-/** Time for which a VM that cannot carry a duty out leaves it to others. */
+/**
+ * Time for which a VM that cannot carry a duty out leaves it to others. By then one of them has
+ * acquired the duty and tried.
+ */
 const YIELD_MS = 10_000;
 /** Share of a backoff that is random, so that VMs do not retry together. */
 const JITTER_SHARE = 0.3;
--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -11,7 +11,10 @@
   otherRegionMs: Millis;
 }
 
-/** Links between regions cost about three times as much as links between failure domains. */
+/**
+ * Links between regions cost about three times as much as links between failure domains. A region
+ * is left once its targets are three requests behind.
+ */
 const DEFAULT_PRICES: LocalityPrices = { otherDomainMs: 750, otherRegionMs: 2_250 };
 
 /** Location of a VM, the regions of the fleet, and prices. */
--- a/packages/measure/src/capacity/front-door-rows.ts
+++ b/packages/measure/src/capacity/front-door-rows.ts
@@ -1,4 +1,8 @@
-/** Capacity rows of the HTTP front door, extrapolated from a sweep over fleet sizes. */
+/**
+ * Capacity rows of the HTTP front door, extrapolated from a sweep over fleet sizes: 30, 100 and 300
+ * VMs with 300, 999 and 3,000 targets (journal entry 0c573e23). The figures are those of the middle
+ * VM and of the busiest, and include the requests.
+ */
 import { createCapacityRow, type CapacityRow } from './rows.js';
 import { CONTROL_BUDGET, SERVICE_BUDGET, type SystemSize } from './sizes.js';
 
@@ -21,6 +25,7 @@
   },
 } as const;
 
+/** Lists and watches of the store, measured with 195 VMs (journal entry e059878e). */
 const STORE_CALLS_PER_VM_SECOND = 0.069;
 /** Fleet sizes of the sweep, in VMs. */
 const SWEEP_VMS = { small: 100, large: 300 } as const;
--- a/packages/measure/src/capacity/sizes.ts
+++ b/packages/measure/src/capacity/sizes.ts
@@ -40,7 +40,10 @@
 /** Resources of one VM available for control traffic and state. */
 export const CONTROL_BUDGET = { cpuMsPerSecond: 29, memoryMb: 128, kbPerSecond: 30 } as const;
 
-/** Rate limits of the platform's service for the whole fleet. */
+/**
+ * Rate limits of the platform's service for the whole fleet, as specified for 7 VMs. Those for 88
+ * VMs are three times as high; none are specified for the target size, so the lower ones apply.
+ */
 export const SERVICE_BUDGET = { writesPerSecond: 400, readsPerSecond: 2_000 } as const;
 
 /** Intervals and limits of a fleet, as in examples/limelead.jsonc. */
--- a/packages/meter-usage/src/usage-publisher.ts
+++ b/packages/meter-usage/src/usage-publisher.ts
@@ -5,7 +5,10 @@
 import type { WindowCounts } from './types.js';
 import type UsageCounter from './usage-counter.js';
 
-/** Maximum number of counts per message; the rest follows in the next one. */
+/**
+ * Maximum number of counts per message, 20 KB with names of 16 characters; the rest follows in the
+ * next one.
+ */
 const MAX_COUNTS_PER_MESSAGE = 1_000;
 
 /** A VM that receives counts, for as long as one link to it lasts. */
--- a/packages/order-capacity/src/demand-tracker.ts
+++ b/packages/order-capacity/src/demand-tracker.ts
@@ -41,7 +41,7 @@
 }
 
 const SECOND_MS = 1_000;
-/** Seconds of load used for forecasts; longer than the usual swings of the load. */
+/** Seconds of load used for forecasts; longer than the swings of the load of users, 11 s. */
 export const FORECAST_WINDOW_SECONDS = 15;
 /** Seconds searched for the best prefill time; long enough to include a time of low load. */
 const PREFILL_WINDOW_SECONDS = 60;
--- a/packages/peer-links/src/connect-with-timeout.ts
+++ b/packages/peer-links/src/connect-with-timeout.ts
@@ -3,8 +3,10 @@
 
 /**
  * Timeout of a connection attempt in milliseconds. It is shorter than the second after which the
- * operating system retransmits a lost packet. The handshake that follows has its own, longer
- * timeout.
+ * operating system retransmits a lost packet; without it, VMs that restarted after a power loss
+ * reached their seeds 1.0 s late and received load reports 2.4 s after the first process started.
+ * The most distant VMs of a fleet are a tenth of the timeout apart. The handshake that follows has
+ * its own, longer timeout.
  */
 const CONNECT_TIMEOUT_MS = 300;
 
--- a/packages/plan-capacity/src/forecast.ts
+++ b/packages/plan-capacity/src/forecast.ts
@@ -1,4 +1,4 @@
-/** Load forecasts from the last seconds of load. */
+/** Load forecasts from the last seconds of load, compared in `docs/design/05-capacity.md`. */
 
 /** Returns the load to be prepared for, given the load of each second, oldest first. */
 export type Forecast = (loads: readonly number[]) => number;
@@ -7,7 +7,7 @@
 const AVERAGING_SECONDS = 3;
 /** Share of the seconds whose load may exceed the forecast before headroom. */
 const EXCEEDED_SHARE = 0.1;
-/** Weight of the newest second in the moving mean and deviation. */
+/** Weight of the newest second in the moving mean and deviation; 0.2 covers about ten seconds. */
 const SMOOTHING_FACTOR = 0.2;
 /** Mean deviations added to the mean; the peak of a wave lies about 1.6 above it. */
 const DEVIATION_FACTOR = 2;
--- a/packages/plan-capacity/src/limit-scale-down.ts
+++ b/packages/plan-capacity/src/limit-scale-down.ts
@@ -2,8 +2,8 @@
 import type { Millis } from '@limelead/types';
 
 /**
- * Time that a higher need keeps the plan up; long enough that periodic swings of the load do not
- * cause scale-downs.
+ * Time that a higher need keeps the plan up; longer than the periodic swings of the load of users,
+ * 11 s, so that these do not cause scale-downs.
  */
 export const SCALE_DOWN_DELAY_MS = 20_000;
 /** Time between two scale-down steps; about the time a new target takes to serve. */
--- a/packages/run-roll-outs/src/validate-order.ts
+++ b/packages/run-roll-outs/src/validate-order.ts
@@ -2,7 +2,9 @@
 import type { Millis } from '@limelead/types';
 import type { StoredOrder } from './types.js';
 
-/** Longer durations are rejected as mistakes of unit. */
+/**
+ * Longer durations are rejected as mistakes of unit: nobody watches a roll-out for more than a day.
+ */
 const MAX_DURATION_MS = 86_400_000;
 
 /** Reason for which an order is rejected. */
--- a/packages/run-roll-outs/src/version-table.ts
+++ b/packages/run-roll-outs/src/version-table.ts
@@ -12,7 +12,8 @@
 const UNORDERED_ACTIVATION_DELAY_MS = 5_000;
 
 /**
- * Time for which a version stays blocked after its roll-out ends, while its targets stop or drain.
+ * Time for which a version stays blocked after its roll-out ends. Replaced targets stop at once;
+ * those of a version that was rolled back drain within this time.
  */
 const BLOCK_AFTER_END_MS = 30_000;
 
--- a/packages/share-evidence/src/choose-schedulers.ts
+++ b/packages/share-evidence/src/choose-schedulers.ts
@@ -1,12 +1,16 @@
 /**
  * Selects the schedulers of a large fleet. A scheduler receives the load of all VMs at its
  * partition of the targets and advises where streams go. It holds soft state only: if that is lost
- * or wrong, streams are only slower.
+ * or wrong, streams are only slower. With 90 VMs and 126 engines, 34% of first attempts reached a
+ * busy engine, compared with 64% when each VM received the load of 12 peers.
  */
 import { hashText } from '@limelead/types';
 import type { PeerId } from './types.js';
 
-/** Approximate number of VMs that one scheduler serves. */
+/**
+ * Approximate number of VMs that one scheduler serves. Each has about two streams in five seconds,
+ * with one request for advice and three load changes per stream: about 150 messages a second.
+ */
 const VMS_PER_SCHEDULER = 100;
 /** Schedulers of each partition of the targets: the first is asked, the other is a standby. */
 const SCHEDULERS_PER_PARTITION = 2;
--- a/packages/share-evidence/src/duty-candidate-tracker.ts
+++ b/packages/share-evidence/src/duty-candidate-tracker.ts
@@ -10,7 +10,8 @@
 const SMALL_FLEET_CANDIDATES = 2;
 /**
  * Time without a link in milliseconds after which the next VM of the ranking replaces a candidate.
- * It spans two rounds of opening links, and is shorter than the expiry of members.
+ * It spans two rounds of opening links. Members expire only after 12 s, and a fleet that lost all
+ * candidates would have no VM to report to until then.
  */
 const UNREACHABLE_AFTER_MS = 2_000;
 /**
--- a/packages/share-evidence/src/member-codec.ts
+++ b/packages/share-evidence/src/member-codec.ts
@@ -1,4 +1,7 @@
-/** Compact wire format of the members in a heartbeat, eight bytes each. */
+/**
+ * Compact wire format of the members in a heartbeat, eight bytes each instead of about thirty. In a
+ * fleet of 195 VMs the members were two thirds of the traffic between VMs.
+ */
 import * as t from 'io-ts';
 import { isIPv4 } from 'node:net';
 import type { GossipedMember } from './member-registry.js';
--- a/packages/share-evidence/src/member-registry.ts
+++ b/packages/share-evidence/src/member-registry.ts
@@ -11,18 +11,24 @@
 const EVICT_AFTER_MS = 12_000;
 /** Maximum age of a member that is still sent to peers. */
 const GOSSIP_MAX_AGE_MS = 9_000;
-/** Factor on both times for VMs of other regions, whose messages arrive over few bridges. */
+/**
+ * Factor on both times for VMs of other regions, whose messages arrive over few bridges. With 12 s,
+ * half of a region temporarily lost running VMs of other regions.
+ */
 const OTHER_REGION_FACTOR = 2;
 /** Minimum number of already known VMs in a heartbeat. */
 const MIN_SAMPLE = 16;
 /**
  * Share of all VMs in a heartbeat. With a dozen links each VM learns of every other about once a
- * second.
+ * second, so that no running VM expires. With 16 of 410 VMs per heartbeat, some VMs knew only 355.
  */
 const SAMPLE_SHARE = 1 / 12;
-/** The same share in a fleet of several regions, whose VMs learn of each other over few bridges. */
+/**
+ * The same share in a fleet of several regions, whose VMs learn of each other over few bridges.
+ * With one twelfth, some of 410 VMs in seven regions knew only 325.
+ */
 const MULTI_REGION_SAMPLE_SHARE = 1 / 5;
-/** Maximum number of VMs in one message, 4 KB. */
+/** Maximum number of VMs in one message, 4 KB; more than the largest planned fleet has. */
 const MAX_GOSSIPED_MEMBERS = 512;
 
 /** A VM with the time since its last message. */
--- a/packages/share-evidence/src/membership.ts
+++ b/packages/share-evidence/src/membership.ts
@@ -63,7 +63,7 @@
 
   /**
    * Number of VMs including those of unreachable regions, which continue to spend their part of the
-   * retry budget.
+   * retry budget. Otherwise three regions that lose each other would spend three budgets.
    */
   get totalVmCount(): number {
     return this.count + this.unreachableVms;
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -37,13 +37,13 @@
 /** Interval of heartbeats and of updates of links and members. */
 const ROUND_MS = 1_000;
 /**
- * Delay of the second round. It is short, since by then the seeds know all VMs that started
- * together.
+ * Delay of the second round. VMs that start together do so within 0.3 s, so by then the seeds know
+ * all of them.
  */
 const SECOND_ROUND_MS = 400;
 /**
  * Time in milliseconds for which a VM that has listed the store waits to learn from its seeds
- * whether the fleet is large.
+ * whether the fleet is large. The links to the seeds are open within 50 ms.
  */
 const FIRST_WATCH_DELAY_MS = 100;
 /** The same in a large fleet, until the third round determines the VMs that follow the store. */
--- a/packages/share-evidence/src/peer-store-verifier.ts
+++ b/packages/share-evidence/src/peer-store-verifier.ts
@@ -1,6 +1,7 @@
 /**
  * Verifies which peers follow the same store as this VM, since revisions and versions of two stores
- * cannot be compared. VMs exchange marks: short hashes of data that only their store can hold, such
+ * cannot be compared: a VM that took those of another fleet for changes of its own store refused
+ * all valid requests. VMs exchange marks: short hashes of data that only their store can hold, such
  * as its last configurations with their revisions.
  */
 import type { Clock, Millis } from '@limelead/types';
--- a/packages/share-evidence/src/region-size-tracker.ts
+++ b/packages/share-evidence/src/region-size-tracker.ts
@@ -7,7 +7,7 @@
 
 /**
  * Time in milliseconds for which a shrinking region keeps its size, since the VMs of a region that
- * becomes unreachable expire one by one.
+ * becomes unreachable expire one by one, 24 s after the last message of each.
  */
 const SHRINK_HOLD_MS = 30_000;
 
--- a/packages/share-evidence/src/retry-borrower.ts
+++ b/packages/share-evidence/src/retry-borrower.ts
@@ -32,7 +32,8 @@
 const OVERBOOKING = 1.5;
 /**
  * Smallest number of retries requested from a peer; also that of a VM with few retries left and no
- * waiting request. It is small, because a borrowed retry that is not needed is lost to all VMs.
+ * waiting request. It is small, because a borrowed retry that is not needed is lost to all VMs:
+ * requests for a whole one exhausted the budgets of 195 VMs during the loss of a failure domain.
  */
 const MIN_RETRIES_PER_REQUEST = 0.5;
 /** Needs of a VM that has few retries left: it must not take what waiting requests need. */
--- a/packages/share-evidence/src/store-catch-up.ts
+++ b/packages/share-evidence/src/store-catch-up.ts
@@ -6,8 +6,8 @@
 /** Interval between two requests for items while the store is unavailable, in milliseconds. */
 const REQUEST_INTERVAL_MS = 400;
 /**
- * Time after which a request counts as lost; it covers the transfer of a large configuration over a
- * slow link.
+ * Time after which a request counts as lost. A configuration of 1,500 routes takes half a second on
+ * a link of 7 Mbit/s; a repeated request in that time would transfer it twice.
  */
 const ANSWER_TIMEOUT_MS = 1_500;
 /**
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -94,7 +94,9 @@
 
   /**
    * Takes one retry, first from borrowed fractions, since they expire, then from the own part. It
-   * counts as spent until it is released. Undefined if the budget is exhausted.
+   * counts as spent until it is released. Undefined if the budget is exhausted. Fractions are
+   * combined because requests waited up to 5 s while 0.6 of an own and 0.5 of a borrowed retry were
+   * unused.
    */
   take(now: Millis, vms: number): HeldRetry | undefined {
     if (!this.canTake(now, vms)) {
--- a/packages/track-service-targets/src/peer-load-table.ts
+++ b/packages/track-service-targets/src/peer-load-table.ts
@@ -6,7 +6,10 @@
 import type { Clock, Millis } from '@limelead/types';
 import type { PeerTokens } from './held-tokens.js';
 
-/** An advised request that its VM never reports stops counting after this time, in milliseconds. */
+/**
+ * An advised request that its VM never reports stops counting after this time, in milliseconds. A
+ * VM reports its load within 0.1 s of the advice unless the message is lost.
+ */
 const ADVISED_REQUEST_TTL_MS = 1_000;
 
 /** Load of one or more VMs at one target. */
--- a/packages/track-service-targets/src/target-health.ts
+++ b/packages/track-service-targets/src/target-health.ts
@@ -10,7 +10,9 @@
 const SLOWNESS_HALF_LIFE_MS = 3_000;
 /**
  * How long an incarnation is suspected after another one answered at its address, in milliseconds.
- * It never returns, but its registry entry remains until its heartbeats are missed.
+ * It never returns, but its registry entry remains until its heartbeats are missed, or longer while
+ * the store is unavailable. Tried again after 0.4 s, restarted engines of one failure domain caused
+ * 150 retries in an outage of the store of 8 s.
  */
 const REPLACED_SUSPICION_MS = 10_000;
 
