--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,3 +6,4 @@
 export type { StoreDialect, DecodedStoreItem } from './store-view.js';
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
 export { default as TargetScheduler } from './target-scheduler.js';
+export { default as toPlacementSettings } from './to-placement-settings.js';
