Log the version that each stream is sent to, and who began a stream that is taken up

Cause: the lines of the incident could not tell whether a stream that a caller took up had begun at another version, nor name the version of a send without the line of the target's start. Change: the header by which callers name the attempt that brought the first piece is read; `stream-taken-up` has it, and `stream-sent` the version of the target. No logic uses either.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -90,6 +90,9 @@
   begin(): void {
     const { clock, timers } = this.context;
     reportAdmitted(this.context, this.admitted);
+    if (this.admitted.request.lastPiece > 0) {
+      this.report.takenUp();
+    }
     const remainingMs = Math.max(0, this.admitted.dueAtMs - clock.now());
     this.cleanups.push(timers.after(remainingMs, () => this.advance({ kind: 'deadline-passed' })));
     this.sink.onCallerLeft(() => this.advance({ kind: 'cancelled' }));
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -38,6 +38,12 @@
     private readonly admitted: AdmittedRequest,
   ) {}
 
+  /** Reports that a caller takes up a stream that it has received in part. */
+  takenUp(): void {
+    const { resumes, lastPiece } = this.admitted.request;
+    this.write('stream-taken-up', { resumes, lastPiece, service: this.admitted.service });
+  }
+
   sent(
     attempt: number,
     { target, lastPiece, replicaTarget, resumeFrom, remainingMs }: AttemptRequest,
@@ -46,6 +52,7 @@
     this.write('stream-sent', {
       attempt,
       target: target.id,
+      version: target.version,
       nearness: countAttempt(this.context, target),
       lastPiece,
       copyTo: replicaTarget?.id,
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -321,6 +321,7 @@
         body: admission.body,
         deadlineAtMs,
         lastPiece: headers.lastPiece,
+        resumes: headers.resumes,
         affinityKey: headers.affinityKey === '' ? headers.requestId : headers.affinityKey,
         promptTokens: headers.promptTokens,
         maxOutputTokens: headers.maxOutputTokens,
--- a/packages/http-front-door/src/ingress-dialect.ts
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -10,6 +10,8 @@
   key?: string;
   /** Number of the last piece that the caller received; 0 for none. */
   lastPiece: number;
+  /** Id of the caller's attempt that brought the first piece; undefined if it names none. */
+  resumes?: string;
   /** Identifies the caller's session or prompt; empty for none. */
   affinityKey: string;
   promptTokens: number;
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -142,6 +142,8 @@
   deadlineAtMs: Millis;
   /** Number of the last piece that the caller already has; 0 for none. */
   lastPiece: number;
+  /** Id of the caller's attempt that brought the first piece; undefined if it names none. */
+  resumes?: string;
   /**
    * Identifies the caller's session or prompt, to find a target that has it cached; empty for none.
    */
