Keep a stream to the version that wrote its first piece within an answer

Cause: the next attempt behind a break, the target of a replica, a move, the search for a cached prompt and the scheduler's advice chose among the targets of all versions; a target's version was known and not asked for. Change: the version of the target that wrote the first piece goes with the need of each later attempt, and the only place that gives out slots checks it. Replicas go to targets of the same version. A stream whose version has no target left is refused at once, also while it waits for a slot. Why it works: no attempt is sent without a slot, whatever chose its target.

--- a/packages/choose-service-target/src/index.test.ts
+++ b/packages/choose-service-target/src/index.test.ts
@@ -57,6 +57,21 @@
 
 const lost = applyObservation(INITIAL_HEALTH, { kind: 'lost' }, 900);
 
+test('a replica goes to a target of the same software version, or nowhere', () => {
+  const trackVersion = (id: string, version: string): TrackedServiceTarget => {
+    const tracked = track(id, 'north');
+    return { ...tracked, target: { ...tracked.target, version } };
+  };
+  const running = trackVersion('a', 'v1');
+  const criteria = {
+    ...{ affinityKey: 'session', running, now: 1_000, isDomainSuspected: () => false },
+  };
+  const others = [trackVersion('b', 'v2'), track('c', 'south')];
+  assert.is(chooseReplicaTarget([running, ...others], criteria), undefined);
+  const same = trackVersion('d', 'v1');
+  assert.is(chooseReplicaTarget([running, ...others, same], criteria), same);
+});
+
 test('the own failure domain is preferred until it is clearly busier', () => {
   const idle = [track('a', 'north'), track('b', 'south')];
   assert.is(chooseServiceTarget(idle, createRequest())?.target.id, 'a');
--- a/packages/choose-service-target/src/index.ts
+++ b/packages/choose-service-target/src/index.ts
@@ -10,7 +10,13 @@
   getSlowness,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import { hashText, mixHashes, type Millis } from '@limelead/types';
+import {
+  hashText,
+  mixHashes,
+  runsSoftwareVersion,
+  softwareVersionOf,
+  type Millis,
+} from '@limelead/types';
 import {
   findEmptiest,
   getTightness,
@@ -132,8 +138,8 @@
 }
 
 /**
- * Chooses a target for a replica, in another failure domain if there is one. Returns undefined if
- * no target of good pace has room.
+ * Chooses a target for a replica, in another failure domain if there is one. Only targets of the
+ * same software version can go on with it. Returns undefined if none of good pace has room.
  */
 export function chooseReplicaTarget(
   targets: TrackedServiceTarget[],
@@ -143,8 +149,10 @@
   const isDomainSuspected = memoizeByDomain(criteria.isDomainSuspected);
   const paceOf = (tracked: TrackedServiceTarget): number => getPace(tracked, criteria);
   const { memory } = criteria;
+  const softwareVersion = softwareVersionOf(running.target);
   const others = targets
     .filter(({ target }) => target.id !== running.target.id)
+    .filter(({ target }) => runsSoftwareVersion(target, softwareVersion))
     .filter((tracked) => paceOf(tracked) <= MAX_REPLICA_PACE)
     .filter((tracked) => memory === undefined || hasRoomForReplica(memory, tracked));
   return chooseLeastDelayed(others, `copy ${criteria.affinityKey}`, (tracked) => {
--- a/packages/forward-request/src/cached-prompt-finder.ts
+++ b/packages/forward-request/src/cached-prompt-finder.ts
@@ -6,7 +6,13 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { TargetConnections } from '@limelead/target-connections';
 import { isSuspected, type TargetDirectory } from '@limelead/track-service-targets';
-import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
+import {
+  runsSoftwareVersion,
+  type Clock,
+  type Millis,
+  type ServiceTarget,
+  type Timers,
+} from '@limelead/types';
 import queryTarget from './query-target.js';
 import type { TargetDialect } from './dialect.js';
 import type { TargetBackpressure } from './target-backpressure.js';
@@ -43,12 +49,20 @@
 
   constructor(private readonly options: CachedPromptFinderOptions) {}
 
-  /** Returns the id of the target that caches the prompt, or undefined if none reports it in time. */
-  async find(service: string, affinityKey: string): Promise<string | undefined> {
+  /**
+   * Returns the id of the target that caches the prompt, or undefined if none reports it in time.
+   * @param softwareVersion the only version to consider; undefined for all
+   */
+  async find(
+    service: string,
+    affinityKey: string,
+    softwareVersion?: string,
+  ): Promise<string | undefined> {
     const { backpressure, clock, directory, log } = this.options;
     const askedAtMs = clock.now();
     const present = directory
       .listUsable(service)
+      .filter(({ target }) => runsSoftwareVersion(target, softwareVersion))
       .filter(({ health }) => !isSuspected(health, askedAtMs))
       .filter(({ target }) => backpressure.cooldownUntilMs(target.id) === undefined);
     const targets = listLikelyTargets(present, affinityKey, MAX_QUERIED_TARGETS).map(
--- a/packages/forward-request/src/find-move.ts
+++ b/packages/forward-request/src/find-move.ts
@@ -1,6 +1,6 @@
 /** Finds out whether a silent run could move to its replica. */
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { Millis } from '@limelead/types';
+import { runsSoftwareVersion, softwareVersionOf, type Millis } from '@limelead/types';
 import type { PossibleMove } from './assess-silence.js';
 import type { MonitoredRun } from './monitored-run.js';
 
@@ -33,11 +33,12 @@
 
 function hasGoodReplica({ replicaTarget }: MonitoredRun, directory: TargetDirectory): boolean {
   const tracked = replicaTarget && directory.get(replicaTarget.id);
-  if (tracked === undefined) {
+  if (tracked === undefined || replicaTarget === undefined) {
     return false;
   }
   const { id, service, failureDomain, leaving, slots } = tracked.target;
   return (
+    runsSoftwareVersion(tracked.target, softwareVersionOf(replicaTarget)) &&
     !leaving &&
     !directory.isSuspected(id) &&
     !directory.isDomainSuspected(service, failureDomain) &&
--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -15,6 +15,8 @@
 
 /** Parameters of the search for a slot. */
 export interface StreamSlotSearch extends RunProgress {
+  /** Software version to which the stream keeps; undefined before its first piece. */
+  softwareVersion?: string;
   /** True for a request suspected of crashes: use only the least loaded targets, without advice. */
   onlyLeastLoaded: boolean;
   /** Targets that already failed this request. */
@@ -53,11 +55,12 @@
 function describeNeed(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  progress: RunProgress,
+  search: StreamSlotSearch,
 ): TargetNeed {
   const { requestId, body } = admitted.request;
-  const memory = describeRunMemory(context, admitted, progress);
-  return { requestId, bodyBytes: body.length, memory };
+  const memory = describeRunMemory(context, admitted, search);
+  const { softwareVersion } = search;
+  return { requestId, bodyBytes: body.length, memory, softwareVersion };
 }
 
 /** For callers whose earlier entry VM was lost: the target may still cache their prompt. */
@@ -69,20 +72,22 @@
   const { service, request } = admitted;
   let isOver = false;
   let stopWaiting = (): void => undefined;
-  void context.cachedPrompts.find(service, request.affinityKey).then((found) => {
-    if (isOver) {
-      return;
-    }
-    const slot =
-      found === undefined
-        ? undefined
-        : context.slots.acquireAt(found, undefined, { ...search.need, admitted });
-    if (slot === undefined) {
-      stopWaiting = acquireAdvisedSlot(context, admitted, search);
-    } else {
-      search.onSlot(slot);
-    }
-  });
+  void context.cachedPrompts
+    .find(service, request.affinityKey, search.softwareVersion)
+    .then((found) => {
+      if (isOver) {
+        return;
+      }
+      const slot =
+        found === undefined
+          ? undefined
+          : context.slots.acquireAt(found, undefined, { ...search.need, admitted });
+      if (slot === undefined) {
+        stopWaiting = acquireAdvisedSlot(context, admitted, search);
+      } else {
+        search.onSlot(slot);
+      }
+    });
   return () => {
     isOver = true;
     stopWaiting();
@@ -101,7 +106,7 @@
 ): () => void {
   const { service, request } = admitted;
   const { exclude, onSlot, need } = search;
-  const { memory } = need;
+  const { memory, softwareVersion } = need;
   if (memory !== undefined && memory.promptTokens > memory.capacityTokens) {
     onSlot(undefined, refuseTooLarge(memory));
     return () => undefined;
@@ -119,7 +124,11 @@
     const canWait = memory !== undefined && context.clock.now() < memory.lastResortAtMs;
     let isAnswered = false;
     const stopAsking = context.requestAdvice(
-      { service, affinityKey: request.affinityKey, exclude, ...describeSize(memory, canWait) },
+      {
+        ...{ service, affinityKey: request.affinityKey, exclude },
+        ...(softwareVersion === undefined ? {} : { softwareVersion }),
+        ...describeSize(memory, canWait),
+      },
       (advice) => {
         isAnswered = true;
         const slot =
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -19,20 +19,21 @@
 import type { ForwardContext } from './context.js';
 import findStreamSlot from './find-stream-slot.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
-import { MIN_SERVER_ERROR_STATUS, OUT_OF_REACH_MESSAGE, QUARANTINED_MESSAGE } from './limits.js';
+import { MIN_SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { isRelayed, type LiveAttempt } from './live-attempts.js';
 import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
 import PacedSink from './paced-sink.js';
 import reportAdmitted from './report-admitted.js';
-import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
 import RunReplicas from './run-replicas.js';
 import type { NumberedPiece, StreamAttemptEvents, RejectionCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
 import StreamAttemptTracker from './stream-attempt-tracker.js';
-import { countOthers, toObservation } from './stream-observation.js';
+import { describeLostRun, toObservation } from './stream-observation.js';
+import StreamRefusals from './stream-refusals.js';
+import StreamVersion from './stream-version.js';
 import toGenerationRequest, { PLACEHOLDER_BINDING } from './to-generation-request.js';
 
 /** Longest wait before targets are tried again after none was available. */
@@ -53,6 +54,8 @@
   private readonly chosenSlots = new Map<number, Slot>();
   private readonly replicas: RunReplicas;
   private readonly answer: StreamAnswer;
+  private readonly version: StreamVersion;
+  private readonly refusals: StreamRefusals;
   private isDone = false;
   private readonly attempts: StreamAttemptTracker;
   private readonly cleanups: (() => void)[] = [];
@@ -68,12 +71,14 @@
     this.report = new StreamReport(context, admitted);
     this.replicas = new RunReplicas(context, admitted);
     this.attempts = new StreamAttemptTracker(context, admitted);
+    this.refusals = new StreamRefusals(context, admitted, this.attempts);
+    this.version = new StreamVersion(context, admitted);
     this.guarded = context.guard.guardRequest({
       request: selectIdentityFields(admitted),
       route: admitted.route.name,
       requestId: admitted.request.requestId,
       service: admitted.service,
-      onQuarantined: () => this.fail(this.createQuarantined()),
+      onQuarantined: () => this.failQuarantined(),
     });
     this.live = new LiveAttempts(context, admitted, this.replicas, {
       createEvents: (number) => this.createEvents(number),
@@ -163,7 +168,7 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    const end = this.attempts.findFinalError() ?? this.findReturn();
+    const end = this.attempts.findFinalError() ?? this.findDeadEnd();
     if (end !== undefined) {
       this.fail(end);
       return;
@@ -176,11 +181,12 @@
     this.cleanups.push(stopWaiting);
   }
 
-  /** Error with which a stream that was relayed to this VM goes back; undefined if it stays. */
-  private findReturn(): LimeleadError | undefined {
-    return this.context.relay.mustDecline(this.admitted)
-      ? this.attempts.createError('no-target', OUT_OF_REACH_MESSAGE)
-      : undefined;
+  /** Error of a stream that no target in reach of this VM can go on with. */
+  private findDeadEnd(): LimeleadError | undefined {
+    if (this.context.relay.mustDecline(this.admitted)) {
+      return this.refusals.outOfReach();
+    }
+    return this.version.isGone ? this.refusals.versionGone() : undefined;
   }
 
   private requestAdmission(attempt: number, exclude: string[]): void {
@@ -191,7 +197,7 @@
     }
     const stopAsking = this.guarded.requestAdmission((admission) => {
       if (admission === 'refuse') {
-        this.fail(this.createQuarantined());
+        this.failQuarantined();
       } else {
         this.findSlot(attempt, exclude, admission === 'send-trial');
       }
@@ -203,23 +209,17 @@
     const stopWaiting = findStreamSlot(this.context, this.admitted, this.replicas, {
       isFirstAttempt: this.attempts.count === 0,
       hasWritten: this.state.delivered > 0,
+      softwareVersion: this.version.current,
       onlyLeastLoaded,
       exclude,
       onSlot: (slot, refusal) => this.onSlot(attempt, slot, refusal),
-      onTooLate: () => this.failTooLate(),
+      onTooLate: () => this.fail(this.refusals.tooLate()),
     });
     this.cleanups.push(stopWaiting);
   }
 
-  private createQuarantined(): LimeleadError {
-    return this.attempts.createError('quarantined', QUARANTINED_MESSAGE, {
-      retryAfterMs: this.guarded.quarantineLeftMs,
-    });
-  }
-
-  private failTooLate(): void {
-    const message = 'the prompt could not be read before the deadline';
-    this.fail(this.attempts.createError('deadline-unreachable', message));
+  private failQuarantined(): void {
+    this.fail(this.refusals.quarantined(this.guarded.quarantineLeftMs));
   }
 
   private onSlot(attempt: number, slot: Slot | undefined, refusal?: SlotRefusal): void {
@@ -229,8 +229,7 @@
     }
     if (refusal !== undefined) {
       this.guarded.recordInconclusiveRun();
-      const overrides = reportRefusal(this.context, this.admitted, refusal);
-      this.fail(this.attempts.createError('overloaded', REFUSAL_MESSAGE, overrides));
+      this.fail(this.refusals.withoutSlot(refusal));
       return;
     }
     if (slot === undefined) {
@@ -282,6 +281,7 @@
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
     this.recordFirstPiece(live);
+    this.version.onPiece(live.attempt.target);
     live.activity.recordActivity();
     live.paceMeter.recordPieces(pieces.length, this.context.clock.now());
     for (const { number, bytes } of pieces) {
@@ -349,16 +349,8 @@
     // Engines replicate only runs that have started to write.
     this.replicas.onRunLost(live.activity.isWriting ? live.replica : undefined);
     this.report.lost({
-      attempt,
-      target,
-      cause,
-      reason,
-      delivered: this.state.delivered,
-      sinceLastPieceMs: clock.now() - this.state.lastDeliveredAtMs,
-      runMs: clock.now() - live.activity.startedAtMs,
-      wrote: live.firstPieceAfterMs !== undefined,
-      beside: countOthers(live),
-      copyAt: live.replica?.target.id,
+      ...{ attempt, cause, reason },
+      ...describeLostRun(live, this.state, clock.now()),
     });
     live.attempt.cancel();
     const isLikelyCrash = cause === 'broken' && this.guarded.isSuspected && !isRelayed(live);
--- a/packages/forward-request/src/report-refusal.ts
+++ b/packages/forward-request/src/report-refusal.ts
@@ -30,6 +30,9 @@
     const { promptTokens, capacityTokens } = refusal;
     metrics.count('limelead_refused_too_large_total');
     log.write('too-large-refused', { ...fields, promptTokens, capacityTokens });
+  } else if (refusal.kind === 'no-version') {
+    metrics.count('limelead_streams_without_version_total', 1, { reason: 'gone' });
+    log.write('version-gone', fields);
   } else {
     const event = refusal.kind === 'no-place' ? 'queue-refused' : 'permit-refused';
     log.write(event, { ...fields, grantedBy: refusal.grantedBy });
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -3,7 +3,7 @@
   chooseReplicaTarget,
   REPLICA_DOMAIN_LOSS_WINDOW_MS,
 } from '@limelead/choose-service-target';
-import type { ServiceTarget } from '@limelead/types';
+import { runsSoftwareVersion, softwareVersionOf, type ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type { RunReplica } from './dialect.js';
@@ -87,11 +87,16 @@
    * The scheduler spreads the replicas of all VMs over the targets. VMs that each spread only their
    * own replicas chose the same few targets, which had no room.
    */
-  private findAdvisedTarget({ replicaTargetId, memory }: Slot): ServiceTarget | undefined {
+  private findAdvisedTarget({
+    tracked: running,
+    replicaTargetId,
+    memory,
+  }: Slot): ServiceTarget | undefined {
     const { directory, slots } = this.context;
     const tracked = replicaTargetId === undefined ? undefined : directory.get(replicaTargetId);
     const isUsable =
       tracked !== undefined &&
+      runsSoftwareVersion(tracked.target, softwareVersionOf(running.target)) &&
       !tracked.target.leaving &&
       !directory.isSuspected(tracked.target.id) &&
       slots.placement.isReplicaAllowedAt(tracked, memory);
--- a/packages/forward-request/src/slot-queue.test.ts
+++ b/packages/forward-request/src/slot-queue.test.ts
@@ -65,7 +65,7 @@
       refusals.push(refusal);
     });
   };
-  return { queue, sent, slots, refusals, acquire };
+  return { queue, directory, sent, slots, refusals, acquire };
 }
 
 test('groups are tried in order, and targets outside of them are not used', () => {
@@ -140,6 +140,36 @@
   assert.ok(queue.acquireAtReplica('v1-0'));
 });
 
+test('a stream that a version began gets no slot at another version', () => {
+  const { queue, sent } = create({});
+  const need = { softwareVersion: 'v1' };
+  assert.is(queue.acquireAt('v2-0', undefined, need), undefined);
+  assert.is(queue.acquireAtReplica('v2-0', need), undefined);
+  const slots: (Slot | undefined)[] = [];
+  for (const requestId of ['a', 'b']) {
+    queue.acquire({ ...REQUEST, ...need, requestId }, (slot) => slots.push(slot));
+  }
+  assert.equal(sent, ['v1-0']);
+  assert.is(queue.waiting, 1);
+  slots[0]?.release();
+  assert.equal(sent, ['v1-0', 'v1-0']);
+});
+
+test('a stream whose version has no target left is refused, also while it waits', () => {
+  const { queue, directory } = create({});
+  const refusals: (SlotRefusal | undefined)[] = [];
+  const acquire = (softwareVersion: string): void =>
+    void queue.acquire({ ...REQUEST, softwareVersion }, (_, refusal) => refusals.push(refusal));
+  acquire('v0');
+  assert.equal(refusals, [{ kind: 'no-version', retryAfterMs: 1_000 }]);
+  assert.ok(queue.acquireAt('v1-0'));
+  acquire('v1');
+  assert.is(queue.waiting, 1);
+  directory.apply([{ kind: 'gone', id: 'v1-0' }]);
+  assert.is(refusals[1]?.kind, 'no-version');
+  assert.is(queue.waiting, 0);
+});
+
 test('if all targets are in a cooldown, a request waits for the first end or is refused at once', () => {
   const held: string[] = [];
   let endMs = 900;
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -75,7 +75,7 @@
     const isFree =
       tracked !== undefined &&
       this.availability.hasFreeSlot(tracked) &&
-      this.availability.isAvailable(tracked) &&
+      this.availability.isAvailable(tracked, need) &&
       this.placement.isAllowedAt(tracked, need);
     return isFree ? this.occupySlot(tracked, need, replicaTargetId) : undefined;
   }
@@ -83,11 +83,16 @@
   /** Acquires a slot at the target of a replica, which already holds the run's memory. */
   acquireAtReplica(targetId: string, need: SlotNeed = {}): Slot | undefined {
     const tracked = this.options.directory.get(targetId);
-    return tracked !== undefined && this.availability.isAvailable(tracked)
+    return tracked !== undefined && this.availability.isAvailable(tracked, need)
       ? this.occupySlot(tracked, need)
       : undefined;
   }
 
+  /** Whether a target of the version to which the stream keeps takes requests, now or later. */
+  hasSoftwareVersion(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
+    return this.availability.hasSoftwareVersion(request);
+  }
+
   /** Whether requests of a service wait in the queue of all VMs. */
   isQueued(service: string): boolean {
     return this.places.isQueued(service);
@@ -161,7 +166,11 @@
   private serveAt(id: number, targetId: string): boolean {
     const waiter = this.waiters.find((other) => other.id === id);
     const tracked = this.options.directory.get(targetId);
-    if (waiter === undefined || tracked === undefined || !this.availability.canUsePlace(targetId)) {
+    if (
+      waiter === undefined ||
+      tracked === undefined ||
+      !this.availability.canUsePlace(targetId, waiter.request)
+    ) {
       return false;
     }
     this.remove(waiter);
--- a/packages/forward-request/src/slot-refusal.ts
+++ b/packages/forward-request/src/slot-refusal.ts
@@ -14,5 +14,10 @@
   | CooldownRefusal
   | TooLargeRefusal
   | ({ kind: 'no-permit' | 'no-place' } & PermitRefusal)
+  /** No target runs the software version to which the stream keeps. */
+  | { kind: 'no-version'; retryAfterMs: Millis }
   /** The retry budget has no retry in time; already logged. */
   | { kind: 'no-retry'; retryAfterMs: Millis };
+
+/** The targets of a version may be back after a restart. */
+export const NO_VERSION_REFUSAL: SlotRefusal = { kind: 'no-version', retryAfterMs: 1_000 };
--- a/packages/forward-request/src/stream-observation.ts
+++ b/packages/forward-request/src/stream-observation.ts
@@ -1,7 +1,10 @@
 /** Conclusions from the attempts of a stream about their targets. */
+import type { SessionState } from '@limelead/generation-session';
 import type { TargetObservation } from '@limelead/track-service-targets';
+import type { Millis } from '@limelead/types';
 import type { LiveAttempt } from './live-attempts.js';
 import type { RejectionCause } from './stream-attempt.js';
+import type { LostAttempt } from './stream-report.js';
 
 /** Time without new requests for a target that reported that it is full. */
 const FULL_TARGET_PAUSE_MS = 60;
@@ -19,7 +22,24 @@
 }
 
 /** Number of other requests at the target of an attempt. */
-export function countOthers({ slot }: LiveAttempt): number {
+function countOthers({ slot }: LiveAttempt): number {
   const { inFlight, peerRequests } = slot.tracked;
   return Math.max(0, inFlight + peerRequests - 1);
 }
+
+/** What the line of a lost attempt says of its run. */
+export function describeLostRun(
+  live: LiveAttempt,
+  { delivered, lastDeliveredAtMs }: Pick<SessionState, 'delivered' | 'lastDeliveredAtMs'>,
+  now: Millis,
+): Omit<LostAttempt, 'attempt' | 'cause' | 'reason'> {
+  return {
+    target: live.attempt.target.id,
+    delivered,
+    sinceLastPieceMs: now - lastDeliveredAtMs,
+    runMs: now - live.activity.startedAtMs,
+    wrote: live.firstPieceAfterMs !== undefined,
+    beside: countOthers(live),
+    copyAt: live.replica?.target.id,
+  };
+}
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -6,11 +6,12 @@
   type TargetCooldown,
 } from '@limelead/track-backpressure';
 import type { TargetDirectory, TrackedServiceTarget } from '@limelead/track-service-targets';
-import type { Clock, Random } from '@limelead/types';
+import { runsSoftwareVersion, type Clock, type Random } from '@limelead/types';
 import type { CallPlaces } from './call-places.js';
 import type { SendPermits } from './send-permits.js';
-import type { SlotRefusal } from './slot-refusal.js';
+import { NO_VERSION_REFUSAL, type SlotRefusal } from './slot-refusal.js';
 import type { SlotRequest } from './slot-request.js';
+import type { TargetNeed } from './target-placement.js';
 import type { TargetBackpressure } from './target-backpressure.js';
 import type { TargetGate } from './target-gate.js';
 
@@ -49,9 +50,10 @@
   }
 
   /** Logs a request that waits because all targets of its service are in a cooldown. */
-  reportHeld({ requestId, service }: SlotRequest): void {
+  reportHeld(request: SlotRequest): void {
+    const { requestId, service } = request;
     const { backpressure, clock } = this.options;
-    const first = findEarliestCooldownEnd(this.listCooldowns(service));
+    const first = findEarliestCooldownEnd(this.listCooldowns(request));
     if (first !== undefined) {
       const { target, untilMs } = first;
       backpressure.onHeld({ requestId, service, target, waitMs: untilMs - clock.now() });
@@ -62,31 +64,45 @@
    * Returns why the request cannot be served in time, or undefined if it can. A hedge is never
    * refused, since the first attempt may still be answered.
    */
-  findRefusal({
-    service,
-    untilMs,
-    minServiceMs = 0,
-    isHedge,
-  }: SlotRequest): SlotRefusal | undefined {
+  findRefusal(request: SlotRequest): SlotRefusal | undefined {
+    const { untilMs, minServiceMs = 0, isHedge } = request;
     const { clock, random } = this.options;
     if (isHedge === true) {
       return undefined;
     }
+    if (!this.hasSoftwareVersion(request)) {
+      return NO_VERSION_REFUSAL;
+    }
     return refuseDuringCooldown({
-      cooldowns: this.listCooldowns(service),
+      cooldowns: this.listCooldowns(request),
       untilMs: untilMs - minServiceMs,
       now: clock.now(),
       jitterMs: random.next() * SLOW_START_MS,
     });
   }
 
+  /** Whether a target of the version to which the stream keeps takes requests, now or later. */
+  hasSoftwareVersion(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
+    return request.softwareVersion === undefined || this.listOfVersion(request).length > 0;
+  }
+
+  private listOfVersion({
+    service,
+    softwareVersion,
+  }: Pick<SlotRequest, 'service' | 'softwareVersion'>): TrackedServiceTarget[] {
+    const usable = this.options.directory.listUsable(service);
+    return softwareVersion === undefined
+      ? usable
+      : usable.filter(({ target }) => runsSoftwareVersion(target, softwareVersion));
+  }
+
   /** Empty while no target of any service has a cooldown, to keep the common case cheap. */
-  private listCooldowns(service: string): TargetCooldown[] {
-    const { backpressure, directory } = this.options;
+  private listCooldowns(request: SlotRequest): TargetCooldown[] {
+    const { backpressure } = this.options;
     if (!backpressure.hasCooldowns) {
       return [];
     }
-    return directory.listUsable(service).map(({ target: { id } }) => ({
+    return this.listOfVersion(request).map(({ target: { id } }) => ({
       target: id,
       untilMs: backpressure.cooldownUntilMs(id),
     }));
@@ -117,11 +133,12 @@
    * Whether a request may be sent to a target at which it was granted a place. The place may be one
    * beyond the target's slots, and at a suspected target if all are suspected.
    */
-  canUsePlace(targetId: string): boolean {
+  canUsePlace(targetId: string, { softwareVersion }: Partial<TargetNeed> = {}): boolean {
     const { backpressure, clock, directory, limit, permits } = this.options;
     const tracked = directory.get(targetId);
     return (
       tracked !== undefined &&
+      runsSoftwareVersion(tracked.target, softwareVersion) &&
       tracked.health.fullUntilMs <= clock.now() &&
       tracked.inFlight < backpressure.limitSlots(targetId, limit(tracked) + 1) &&
       (this.isOpen(tracked) || this.areAllSuspected(tracked.target.service)) &&
@@ -130,23 +147,32 @@
     );
   }
 
-  /** Whether a target accepts requests from this VM now; free slots are not checked. */
-  isAvailable(tracked: TrackedServiceTarget): boolean {
+  /** Whether a target accepts such a request of this VM now; free slots are not checked. */
+  isAvailable(
+    tracked: TrackedServiceTarget,
+    { softwareVersion }: Partial<TargetNeed> = {},
+  ): boolean {
     const { permits, places } = this.options;
     const { id, service } = tracked.target;
-    return this.isOpen(tracked) && permits.canSend(id) && places.canSend(service);
+    return (
+      runsSoftwareVersion(tracked.target, softwareVersion) &&
+      this.isOpen(tracked) &&
+      permits.canSend(id) &&
+      places.canSend(service)
+    );
   }
 
   /**
    * Targets that may be sent the request now. A target that failed the request is not retried while
    * the others only wait for permits.
    */
-  listPermitted({ service, exclude, isHedge }: SlotRequest): TrackedServiceTarget[] {
+  listPermitted(request: SlotRequest): TrackedServiceTarget[] {
+    const { service, exclude, isHedge } = request;
     const { permits, places } = this.options;
     if (!places.canSend(service)) {
       return [];
     }
-    const usable = this.listUsable(service);
+    const usable = this.listUsable(request);
     if (!permits.hasLimits) {
       return usable;
     }
@@ -155,9 +181,9 @@
     return permitted.every(hasFailed) && !usable.every(hasFailed) ? [] : permitted;
   }
 
-  private listUsable(service: string): TrackedServiceTarget[] {
-    const { backpressure, directory } = this.options;
-    const usable = directory.listUsable(service);
+  private listUsable(request: SlotRequest): TrackedServiceTarget[] {
+    const { backpressure } = this.options;
+    const usable = this.listOfVersion(request);
     return backpressure.hasCooldowns
       ? usable.filter((tracked) => !this.isCooling(tracked))
       : usable;
--- a/packages/forward-request/src/target-placement.ts
+++ b/packages/forward-request/src/target-placement.ts
@@ -21,6 +21,8 @@
   memory?: RunMemory;
   /** Length of the request body; 0 by default. */
   bodyBytes?: number;
+  /** Software version to which a stream keeps; undefined while any version may run it. */
+  softwareVersion?: string;
 }
 
 /** A request or replica that memory, pace or bodies kept from its targets. */
--- a/packages/gateway/src/target-scheduler.test.ts
+++ b/packages/gateway/src/target-scheduler.test.ts
@@ -70,6 +70,18 @@
   assert.is(ask('vm-b'), 't0');
 });
 
+test('a stream that a version began is advised to that version, and its replica too', () => {
+  const { directory, advise } = create(0);
+  const versions = ['v1', 'v2', 'v1', 'v2'];
+  directory.replaceAll(
+    versions.map((version, index) => ({ ...createTarget(index), version, failureDomain: version })),
+  );
+  for (let number = 1; number <= 6; number += 1) {
+    const answer = advise('vm', { ...QUESTION, number, softwareVersion: 'v2' });
+    assert.equal([answer?.target, answer?.copyTo].sort(), ['t1', 't3']);
+  }
+});
+
 test('only targets of the requested part are advised', () => {
   const { ask } = create(40);
   const even = new Set(Array.from({ length: 20 }, () => ask('vm', { part: 0, parts: 2 })));
--- a/packages/gateway/src/target-scheduler.ts
+++ b/packages/gateway/src/target-scheduler.ts
@@ -22,7 +22,7 @@
   type TargetDirectory,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
-import type { Clock } from '@limelead/types';
+import { runsSoftwareVersion, type Clock } from '@limelead/types';
 
 /** Options of `TargetScheduler`. */
 export interface TargetSchedulerOptions {
@@ -48,9 +48,9 @@
     const { self, clock, directory, locality } = this.options;
     const { service, number, part, parts } = question;
     const now = clock.now();
-    const targets = this.listCandidates(service).filter(
-      ({ target }) => parts <= 1 || choosePartition(target.id, parts) === part,
-    );
+    const targets = this.listCandidates(service)
+      .filter(({ target }) => runsSoftwareVersion(target, question.softwareVersion))
+      .filter(({ target }) => parts <= 1 || choosePartition(target.id, parts) === part);
     const memory = this.createMemoryCriteria(question);
     const criteria: ServiceTargetCriteria = {
       ...question,
--- a/packages/run-roll-outs/src/roll-out-controller.ts
+++ b/packages/run-roll-outs/src/roll-out-controller.ts
@@ -5,11 +5,17 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { RouteTest } from '@limelead/judge-version';
 import type { Metrics } from '@limelead/metrics';
-import type { Clock, Millis, Random, ServiceTarget } from '@limelead/types';
+import {
+  softwareVersionOf,
+  type Clock,
+  type Millis,
+  type Random,
+  type ServiceTarget,
+} from '@limelead/types';
 import validateOrder from './validate-order.js';
 import planStep, { type StepInputs } from './plan-step.js';
 import type StepWriter from './step-writer.js';
-import VersionTable, { versionOf } from './version-table.js';
+import VersionTable from './version-table.js';
 import VersionTrial from './version-trial.js';
 import type {
   AgreedStep,
@@ -117,7 +123,8 @@
     }
     const of = (eligibility: string): Item[] =>
       items.filter(
-        ({ target }) => this.versions.eligibilityOf(service, versionOf(target)) === eligibility,
+        ({ target }) =>
+          this.versions.eligibilityOf(service, softwareVersionOf(target)) === eligibility,
       );
     const trial = this.trials.get(service);
     const active = of('active');
@@ -140,7 +147,7 @@
     if (this.versions.get(service)?.hasSingleVersion ?? true) {
       return true;
     }
-    const eligibility = this.versions.eligibilityOf(service, versionOf(target));
+    const eligibility = this.versions.eligibilityOf(service, softwareVersionOf(target));
     const trial = this.trials.get(service);
     if (eligibility === 'under-trial') {
       return trial?.shouldSendTrial(this.options.isUpToDate()) === true;
@@ -165,7 +172,8 @@
     const mustLeave = trial !== undefined && this.mustAvoidReplaced(trial, items);
     const eligibility = mustLeave ? 'under-trial' : 'active';
     return items.filter(
-      ({ target }) => this.versions.eligibilityOf(service, versionOf(target)) === eligibility,
+      ({ target }) =>
+        this.versions.eligibilityOf(service, softwareVersionOf(target)) === eligibility,
     );
   }
 
@@ -179,7 +187,7 @@
     trial.recordAttempt(isTrial);
     this.options.metrics.count('limelead_roll_out_sends_total', 1, {
       service: target.service,
-      version: versionOf(target),
+      version: softwareVersionOf(target),
     });
   }
 
@@ -195,7 +203,7 @@
     if (!isGood) {
       this.options.metrics.count('limelead_roll_out_bad_answers_total', 1, {
         service: target.service,
-        version: versionOf(target),
+        version: softwareVersionOf(target),
       });
     }
   }
@@ -290,7 +298,7 @@
     const targets = this.options
       .listTargets()
       .filter(({ target }) => target.service === order.service && !target.leaving);
-    const ordered = targets.filter(({ target }) => versionOf(target) === order.version);
+    const ordered = targets.filter(({ target }) => softwareVersionOf(target) === order.version);
     return {
       step: trial.step,
       fault: validateOrder(trial.storedOrder, (name) => this.options.isService(name)),
@@ -390,17 +398,17 @@
     const { service, version } = trial.storedOrder.order;
     return this.options
       .listTargets()
-      .filter(({ target }) => target.service === service && versionOf(target) !== version);
+      .filter(({ target }) => target.service === service && softwareVersionOf(target) !== version);
   }
 
   private listReplacedVersions(trial: VersionTrial): string[] {
     const { service } = trial.storedOrder.order;
     const present = this.listReplacedTargets(trial).filter(
-      ({ target }) => this.versions.eligibilityOf(service, versionOf(target)) === 'active',
+      ({ target }) => this.versions.eligibilityOf(service, softwareVersionOf(target)) === 'active',
     );
     const agreed = this.versions.get(service)?.agreed;
     const earlier = agreed?.order === trial.storedOrder.revision ? agreed.replaces : [];
-    return [...new Set([...earlier, ...present.map(({ target }) => versionOf(target))])];
+    return [...new Set([...earlier, ...present.map(({ target }) => softwareVersionOf(target))])];
   }
 
   private findTrial({
@@ -415,7 +423,7 @@
   }
 
   private isTrialVersion({ storedOrder }: VersionTrial, target: ServiceTarget): boolean {
-    return versionOf(target) === storedOrder.order.version;
+    return softwareVersionOf(target) === storedOrder.order.version;
   }
 
   private recordWarmUps(targets: readonly ServiceTarget[]): void {
--- a/packages/run-roll-outs/src/version-table.ts
+++ b/packages/run-roll-outs/src/version-table.ts
@@ -2,7 +2,7 @@
  * Tracks which versions of a service are active. A new version is under trial if an order names it;
  * a replacement without an order keeps the version.
  */
-import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import { softwareVersionOf, type Clock, type Millis, type ServiceTarget } from '@limelead/types';
 import type { AgreedStep, StoredOrder } from './types.js';
 
 /**
@@ -34,11 +34,6 @@
   hasSingleVersion: boolean;
 }
 
-/** Version of a target; empty if it reports none. */
-export function versionOf({ version }: ServiceTarget): string {
-  return version ?? '';
-}
-
 /** Holds the versions of all services. */
 export default class VersionTable {
   private readonly services = new Map<string, ServiceVersions>();
@@ -60,7 +55,7 @@
     const versions = new Map<string, Set<string>>();
     for (const target of targets) {
       const present = versions.get(target.service) ?? new Set();
-      versions.set(target.service, present.add(versionOf(target)));
+      versions.set(target.service, present.add(softwareVersionOf(target)));
     }
     for (const { order } of orders) {
       versions.set(order.service, versions.get(order.service) ?? new Set());
--- a/packages/share-evidence/src/load-tokens.ts
+++ b/packages/share-evidence/src/load-tokens.ts
@@ -12,7 +12,11 @@
 export const targetTokensCodec = t.partial({ tokens: t.number });
 
 /** The run that wants a target; see `AdviceRequest`. */
-export const advisedRunCodec = t.partial({ tokens: t.number, isLastResort: t.boolean });
+export const advisedRunCodec = t.partial({
+  tokens: t.number,
+  isLastResort: t.boolean,
+  softwareVersion: t.string,
+});
 
 /** Set if no target has enough memory, and true then. */
 export const noRoomCodec = t.partial({ noRoom: t.boolean });
--- a/packages/types/src/advice.ts
+++ b/packages/types/src/advice.ts
@@ -7,6 +7,8 @@
   affinityKey: string;
   /** Targets that already failed the request. */
   exclude: string[];
+  /** Software version to which the stream keeps; undefined before its first piece. */
+  softwareVersion?: string;
   /** Tokens of target memory that the run needs; undefined if unknown. */
   tokens?: number;
   /** True if the run can't wait for memory; the emptiest target is advised then. */
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -121,6 +121,19 @@
   leavesInMs?: Millis;
 }
 
+/** Version of a target's software; empty if its entry states none, which counts as one version. */
+export function softwareVersionOf({ version }: Pick<ServiceTarget, 'version'>): string {
+  return version ?? '';
+}
+
+/** Whether a stream of a software version may run at the target; undefined for any version. */
+export function runsSoftwareVersion(
+  target: Pick<ServiceTarget, 'version'>,
+  softwareVersion: string | undefined,
+): boolean {
+  return softwareVersion === undefined || softwareVersionOf(target) === softwareVersion;
+}
+
 /** An operator's order to move a service's traffic to another version of its targets. */
 export interface RollOutOrder {
   service: string;
