Find out at any VM which version began a stream that a caller takes up

Cause: a VM knew only of streams that it served itself, and read no header that names the attempt that brought the first piece. A VM that does not know a stream asks. What nobody knows goes on only where there has been one version, by recent lists; else it is refused as not run. Why it works: what one VM knows at the first piece is at others before the caller can have that piece, and no stream goes on without an answer.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -16,6 +16,7 @@
 import type { SendPermits } from './send-permits.js';
 import type { TargetBackpressure } from './target-backpressure.js';
 import type ReadPauses from './read-pauses.js';
+import type { StreamOrigins } from './stream-origins.js';
 import type SilenceMonitor from './silence-monitor.js';
 import type { TargetGate } from './target-gate.js';
 import type SlownessTracker from './slowness-tracker.js';
@@ -36,6 +37,7 @@
   guard: RequestGuard;
   permits: SendPermits;
   relay: RequestRelay;
+  origins: StreamOrigins;
   backpressure: TargetBackpressure;
   /** Asks the scheduler of a large fleet for a target for a stream. */
   requestAdvice: RequestTargetAdvice;
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -31,7 +31,7 @@
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
 import StreamAttemptTracker from './stream-attempt-tracker.js';
-import { describeLostRun, toObservation } from './stream-observation.js';
+import { describeLostRun, recordFirstPiece, toObservation } from './stream-observation.js';
 import StreamRefusals from './stream-refusals.js';
 import StreamVersion from './stream-version.js';
 import toGenerationRequest, { PLACEHOLDER_BINDING } from './to-generation-request.js';
@@ -150,6 +150,7 @@
     if (message.kind === 'tokens') {
       this.deliver(message.tokens);
     } else if (message.kind === 'finished') {
+      this.version.onWhole();
       this.finish('answered', () => this.answer.end());
     }
   }
@@ -174,6 +175,10 @@
       return;
     }
     const { delivered, lastDeliveredAtMs } = this.state;
+    if (this.version.isToBeFound(delivered)) {
+      this.findVersion(attempt, exclude);
+      return;
+    }
     const progress = { delivered, lastDeliveredAtMs, hasReplica: this.replicas.hasUsable };
     const stopWaiting = this.attempts.requestRetry(progress, (refusal) =>
       refusal === undefined ? this.requestAdmission(attempt, exclude) : this.fail(refusal),
@@ -189,6 +194,17 @@
     return this.version.isGone ? this.refusals.versionGone() : undefined;
   }
 
+  private findVersion(attempt: number, exclude: string[]): void {
+    const stopSearch = this.version.find((isKnown) => {
+      if (isKnown) {
+        this.chooseTarget(attempt, exclude);
+      } else {
+        this.fail(this.refusals.originUnknown());
+      }
+    });
+    this.cleanups.push(stopSearch);
+  }
+
   private requestAdmission(attempt: number, exclude: string[]): void {
     const relaySlot = this.context.relay.acquire(this.admitted, new Set(exclude));
     if (relaySlot !== undefined) {
@@ -280,7 +296,9 @@
     }
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
-    this.recordFirstPiece(live);
+    if (recordFirstPiece(this.context, this.admitted, live)) {
+      this.guarded.recordHarmlessRun();
+    }
     this.version.onPiece(live.attempt.target);
     live.activity.recordActivity();
     live.paceMeter.recordPieces(pieces.length, this.context.clock.now());
@@ -294,24 +312,6 @@
     }
   }
 
-  /** Records the time to the first piece; it updates the prefill estimate if the prompt was read. */
-  private recordFirstPiece(live: LiveAttempt): void {
-    if (live.firstPieceAfterMs !== undefined) {
-      return;
-    }
-    const { clock, prefill, observer } = this.context;
-    const { isWriting, startedAtMs } = live.activity;
-    live.firstPieceAfterMs = clock.now() - startedAtMs;
-    if (isRelayed(live)) {
-      return;
-    }
-    this.guarded.recordHarmlessRun();
-    if (!isWriting) {
-      prefill.record(this.admitted, live.firstPieceAfterMs);
-    }
-    observer.onRunStarted?.(this.admitted, live.attempt.target);
-  }
-
   private onEnded(attempt: number, trailer: Buffer): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -29,6 +29,7 @@
 import PrefillEstimator from './prefill-estimator.js';
 import ReadPauses from './read-pauses.js';
 import { NO_RELAY } from './request-relay.js';
+import { NO_VERSIONS } from './stream-origins.js';
 import { NO_RATE_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import SlownessTracker from './slowness-tracker.js';
@@ -262,6 +263,7 @@
       gate: OPEN_GATE,
       permits: NO_RATE_LIMITS,
       relay: NO_RELAY,
+      origins: NO_VERSIONS,
       guard: createIsolatedGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
       requestAdvice: (request, receive) => this.askTarget(request, receive),
       silence: new SilenceMonitor({
--- a/packages/forward-request/src/index.ts
+++ b/packages/forward-request/src/index.ts
@@ -17,6 +17,7 @@
 export type { RunMemory } from './run-memory.js';
 export type { Slot } from './slot-request.js';
 export { default as SilenceMonitor } from './silence-monitor.js';
+export { NO_VERSIONS, type StreamOrigins } from './stream-origins.js';
 export { NO_RELAY, type RequestRelay } from './request-relay.js';
 export { NO_CALL_QUEUES, type CallPlaces } from './call-places.js';
 export { NO_RATE_LIMITS, type SendPermits } from './send-permits.js';
--- a/packages/forward-request/src/stream-observation.ts
+++ b/packages/forward-request/src/stream-observation.ts
@@ -2,7 +2,9 @@
 import type { SessionState } from '@limelead/generation-session';
 import type { TargetObservation } from '@limelead/track-service-targets';
 import type { Millis } from '@limelead/types';
-import type { LiveAttempt } from './live-attempts.js';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
+import { isRelayed, type LiveAttempt } from './live-attempts.js';
 import type { RejectionCause } from './stream-attempt.js';
 import type { LostAttempt } from './stream-report.js';
 
@@ -43,3 +45,27 @@
     copyAt: live.replica?.target.id,
   };
 }
+
+/**
+ * Records the time to the first piece of a run; it updates the prefill estimate if the prompt was
+ * read. Returns whether this piece is the first one of a target, not of another VM.
+ */
+export function recordFirstPiece(
+  { clock, prefill, observer }: Pick<ForwardContext, 'clock' | 'prefill' | 'observer'>,
+  admitted: AdmittedRequest,
+  live: LiveAttempt,
+): boolean {
+  if (live.firstPieceAfterMs !== undefined) {
+    return false;
+  }
+  const { isWriting, startedAtMs } = live.activity;
+  live.firstPieceAfterMs = clock.now() - startedAtMs;
+  if (isRelayed(live)) {
+    return false;
+  }
+  if (!isWriting) {
+    prefill.record(admitted, live.firstPieceAfterMs);
+  }
+  observer.onRunStarted?.(admitted, live.attempt.target);
+  return true;
+}
--- a/packages/forward-request/src/stream-refusals.ts
+++ b/packages/forward-request/src/stream-refusals.ts
@@ -8,6 +8,9 @@
 import { NO_VERSION_REFUSAL, type SlotRefusal } from './slot-refusal.js';
 import type StreamAttemptTracker from './stream-attempt-tracker.js';
 
+/** Retry-After of a stream whose origin is unknown; the caller comes back to another VM. */
+const UNKNOWN_ORIGIN_RETRY_MS: Millis = 250;
+
 /** Creates the errors of one stream; each tells whether the request may have run. */
 export default class StreamRefusals {
   constructor(
@@ -38,6 +41,15 @@
     return this.attempts.createError('overloaded', REFUSAL_MESSAGE, overrides);
   }
 
+  /** Another VM may know it. */
+  originUnknown(): LimeleadError {
+    this.context.metrics.count('limelead_streams_without_version_total', 1, { reason: 'unknown' });
+    const message = 'it is not known here which software version began the stream';
+    return this.attempts.createError('no-target', message, {
+      retryAfterMs: UNKNOWN_ORIGIN_RETRY_MS,
+    });
+  }
+
   versionGone(): LimeleadError {
     return this.attempts.createError(
       'version-not-live',
--- a/packages/gateway/src/create-exchange.ts
+++ b/packages/gateway/src/create-exchange.ts
@@ -9,6 +9,7 @@
 import { PeerExchange, type PeerId, type PeerReport } from '@limelead/share-evidence';
 import type { RetryBudgets } from '@limelead/spend-retries';
 import type { Backpressure } from '@limelead/track-backpressure';
+import type { OriginTracker } from '@limelead/track-origins';
 import type { ReachTracker } from '@limelead/track-reach';
 import type { TargetDirectory, TargetLoss } from '@limelead/track-service-targets';
 import { systemRandom, systemTimers, type Clock } from '@limelead/types';
@@ -44,6 +45,7 @@
   permits: SendLimiter;
   callQueue: CallQueue;
   backpressure: Backpressure;
+  origins: OriginTracker;
   gate: TargetGate;
   shares: FairSharesComponent;
   storeAddress: string;
@@ -113,6 +115,9 @@
     onLimits: (updates, peer) => dependencies.permits.onPeerUpdate(peer, updates),
     readLeaving: () => dependencies.backpressure.listLeaving(),
     onLeaving: (updates, peer) => dependencies.backpressure.onPeerUpdate(peer, updates),
+    readOrigins: () => dependencies.origins.listOwn(),
+    onOrigins: (origins) => dependencies.origins.onPeerOrigins(origins),
+    readOriginEvidence: (stream) => dependencies.origins.readEvidence(stream),
     readBrittle: () => dependencies.backpressure.listBrittle(),
     onBrittle: (updates, peer) => dependencies.backpressure.onPeerBrittle(peer, updates),
     onPermitMessage: (message, peer) => dependencies.permits.onMessage(peer, message),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
+import type { OriginTracker } from '@limelead/track-origins';
 import type { Backpressure } from '@limelead/track-backpressure';
 import { noTargetAdvice, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
 import acceptRelayed from './accept-relayed.js';
@@ -47,6 +48,7 @@
 import formatAddress from './format-address.js';
 import GatewayServers from './gateway-servers.js';
 import createPeerLossHandler from './peer-losses.js';
+import createOrigins from './create-origins.js';
 import createQuarantineComponent, { type QuarantineComponent } from './quarantine-component.js';
 import type { GatewaySettings } from './settings.js';
 
@@ -111,6 +113,7 @@
   private readonly callQueue: CallQueue;
   private readonly shares: FairSharesComponent;
   private readonly backpressure: Backpressure;
+  private readonly origins: OriginTracker;
   private readonly placement: ReturnType<typeof createPlacement>;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: GatewayServers;
@@ -183,6 +186,7 @@
       this.backpressure.rejectionsPerSecond(target),
     );
     this.backpressure = createBackpressure(partContext);
+    this.origins = createOrigins(partContext);
     this.placement = createPlacement(partContext, {
       countVms: () => this.countVms(),
       readMaxTargetBodyBytes: () => this.settings.maxTargetBodyBytes,
@@ -206,10 +210,10 @@
     this.metrics.gauge('limelead_store_knowledge_age_ms', () => this.storeViewAgeMs);
     this.follower = this.createFollower();
     const { log, directory, locality, storeView, follower, engineLoad, retryBudgets } = this;
-    const { permits, callQueue, backpressure, gate, shares } = this;
+    const { permits, callQueue, backpressure, gate, shares, origins } = this;
     this.exchange = createExchange({
       ...{ settings, clock: steadyClock, log, directory, locality, storeView, follower },
-      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate, shares },
+      ...{ engineLoad, retryBudgets, permits, callQueue, backpressure, gate, shares, origins },
       reach: this.relaying.reach,
       guard: this.quarantine.guard,
       storeAddress: platform.storeAddress,
@@ -298,7 +302,7 @@
   }
 
   private createContext(): ForwardContext {
-    const { directory, locality, connections, log, backpressure, permits } = this;
+    const { directory, locality, connections, log, backpressure, permits, origins } = this;
     const { failureDomain, placesByMemoryAndPace = false } = this.settings;
     const { dialect, relay } = this.relaying;
     const shared = {
@@ -315,6 +319,7 @@
       guard: this.quarantine.guard,
       permits,
       relay,
+      origins,
       failureDomain,
       locality,
       connections,
@@ -403,7 +408,11 @@
       leavesInMs: target.leavesInMs,
       version: target.version,
     });
+    if (kind === 'joined') {
+      this.origins.onTargetJoined(target);
+    }
     if (kind === 'gone') {
+      this.origins.onTargetGone(target);
       this.permits.forget(target.id);
     }
     if (kind !== 'joined') {
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -24,6 +24,7 @@
   'run-roll-outs',
   'share-evidence',
   'track-backpressure',
+  'track-origins',
   'track-reach',
 ];
 /** Written as `target-${kind}`, with the kinds of a `TargetNotice`. */
--- a/packages/http-front-door/src/front-door.fixture.ts
+++ b/packages/http-front-door/src/front-door.fixture.ts
@@ -17,7 +17,7 @@
     }
     return E.right({ requestId, key: read('key'), lastPiece: 0, affinityKey: '', promptTokens: 0 });
   },
-  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last' },
+  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', resumes: 'resumes' },
 };
 
 export const targets: TargetDialect = {
--- a/packages/http-front-door/src/ingress-dialect.ts
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -25,6 +25,8 @@
   timeoutMs: string;
   /** Number of the last piece that the caller has received. */
   lastPiece: string;
+  /** Id of the caller's attempt that brought the first piece. */
+  resumes: string;
 }
 
 /** Parses the headers of one caller protocol. */
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -5,6 +5,7 @@
   NO_BACKPRESSURE,
   NO_RATE_LIMITS,
   NO_RELAY,
+  NO_VERSIONS,
   OPEN_GATE,
   SlotQueue,
   PrefillEstimator,
@@ -195,6 +196,7 @@
     prefill: new PrefillEstimator(),
     slowness: new SlownessTracker(() => undefined),
     relay: NO_RELAY,
+      origins: NO_VERSIONS,
     readPauses: new ReadPauses(log, clock),
     cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
     log,
@@ -235,7 +237,7 @@
       promptTokens: 0,
     });
   },
-  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last' },
+  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', resumes: 'resumes' },
 };
 
 const REMOVED_HEADERS: ReadonlySet<string> = new Set(['key', 'content-length']);
--- a/packages/share-evidence/src/messages.ts
+++ b/packages/share-evidence/src/messages.ts
@@ -25,6 +25,7 @@
   targetTokensCodec,
 } from './load-tokens.js';
 import { memberListCodec } from './member-codec.js';
+import { giveOriginCodec, originsCodec, wantOriginCodec } from './origin-messages.js';
 import { probeAnswersCodec } from './probe-messages.js';
 import { lendRepeatsCodec, wantRepeatsCodec } from './retry-messages.js';
 import {
@@ -222,6 +223,9 @@
   askPlacesCodec,
   givePlacesCodec,
   releasePlaceCodec,
+  originsCodec,
+  wantOriginCodec,
+  giveOriginCodec,
 ]);
 
 /** A message of a kind that this release knows. */
@@ -254,6 +258,9 @@
   'ask-places': false,
   'give-places': false,
   'release-place': false,
+  origins: false,
+  'want-origin': true,
+  'give-origin': true,
 };
 
 /** A message of a kind that only later releases know. It is ignored, and the link remains open. */
--- a/packages/share-evidence/src/peer-exchange.ts
+++ b/packages/share-evidence/src/peer-exchange.ts
@@ -16,6 +16,7 @@
 import canDelegateStoreRetries from './can-delegate-store-retries.js';
 import Membership from './membership.js';
 import { fromHeartbeatMembers } from './heartbeat-members.js';
+import OriginExchange, { type OriginMessage } from './origin-exchange.js';
 import PeerTable from './peer-table.js';
 import PermitExchange from './permit-exchange.js';
 import QueueExchange from './queue-exchange.js';
@@ -68,6 +69,8 @@
   readonly permits: PermitExchange;
   /** Places at the targets of queued services. */
   readonly queues: QueueExchange;
+  /** Software versions that began streams. */
+  readonly origins: OriginExchange;
   /** Version of the configuration that was last sent to peers. */
   private announcedConfiguration = 0;
   private isStopped = false;
@@ -124,6 +127,7 @@
       listRemoteSchedulers: () => this.members?.remoteSchedulers ?? [],
       isInOtherRegion: (peer) => this.members?.isInOtherRegion(peer) ?? false,
     });
+    this.origins = new OriginExchange(shared);
     this.permits = new PermitExchange(shared);
     this.queues = new QueueExchange({ ...shared, reach: this.reach });
     this.targetUpdates = new TargetUpdateExchange({
@@ -371,6 +375,7 @@
     this.targetUpdates.onLinked(peer);
     this.reach.onLinked(peer);
     this.permits.onLinked(peer);
+    this.origins.onLinked(peer);
     this.load.onLinked(peer);
   }
 
@@ -382,6 +387,7 @@
       this.load.onPeerLost(peer);
       this.permits.onPeerLost(peer);
       this.queues.onPeerLost(peer);
+      this.origins.onPeerLost(peer);
     }
   }
 
@@ -440,7 +446,7 @@
   /** Passes on messages that the exchange itself does not use. */
   private dispatchForwarded(
     peer: PeerId,
-    message: PermitMessage | QueueMessage | PeerReport,
+    message: PermitMessage | QueueMessage | OriginMessage | PeerReport,
   ): void {
     switch (message.kind) {
       case 'ask-permits':
@@ -455,6 +461,11 @@
       case 'release-place':
         this.queues.onMessage(peer, message);
         break;
+      case 'origins':
+      case 'want-origin':
+      case 'give-origin':
+        this.origins.onMessage(peer, message);
+        break;
       default:
         this.options.onReport?.(peer, message);
         break;
--- a/packages/share-evidence/src/types.ts
+++ b/packages/share-evidence/src/types.ts
@@ -15,9 +15,12 @@
   AdviceRequest,
   Clock,
   Millis,
+  OriginEvidence,
   Random,
   RetryNeed,
   ServiceDemand,
+  StreamKey,
+  StreamOrigin,
   Timers,
 } from '@limelead/types';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -163,6 +166,12 @@
   onQueueMessage(message: QueueMessage, peer: PeerId): void;
   /** Called when the link to a peer is lost that may use or give places. */
   onQueuePeerLost(peer: PeerId): void;
+  /** Returns the streams that this VM served and that a newly linked peer has to know. */
+  readOrigins(): StreamOrigin[];
+  /** Called with streams that a peer served. */
+  onOrigins(origins: StreamOrigin[]): void;
+  /** Returns what this VM knows of the version that began a stream. */
+  readOriginEvidence(stream: StreamKey): OriginEvidence;
   /** Returns the demand of organisations at this VM; undefined if no part counts it. */
   readDemand?(): ServiceDemand[];
   /** Called with the demand of organisations at a peer. */
--- /dev/null
+++ b/packages/track-origins/src/index.ts
@@ -0,0 +1,2 @@
+/** Tracks which software version began each stream. */
+export { default as OriginTracker, type OriginTrackerOptions } from './origin-tracker.js';
--- /dev/null
+++ b/packages/track-origins/src/origin-table.ts
@@ -0,0 +1,72 @@
+/** The streams whose software version this VM knows. */
+import type { Clock, Millis, StreamKey, StreamOrigin } from '@limelead/types';
+
+/** Bounds the memory; the streams that were recorded first are forgotten first. */
+const MAX_STREAMS = 50_000;
+/** Time beyond the deadline of a stream for which it is kept, since attempts may be under way. */
+const GRACE_MS: Millis = 2_000;
+
+interface KnownStream {
+  service: string;
+  softwareVersion: string;
+  expiresAtMs: Millis;
+  /** Whether this VM served the stream. */
+  isOwn: boolean;
+}
+
+/** Origins by stream id. */
+export default class OriginTable {
+  private readonly streams = new Map<string, KnownStream>();
+
+  constructor(private readonly clock: Clock) {}
+
+  get size(): number {
+    return this.streams.size;
+  }
+
+  /** @param isOwn whether this VM served the stream */
+  record({ streamId, service, softwareVersion, leftMs }: StreamOrigin, isOwn: boolean): void {
+    const wasOwn = this.streams.get(streamId)?.isOwn ?? false;
+    this.streams.delete(streamId);
+    this.forgetOldest();
+    this.streams.set(streamId, {
+      ...{ service, softwareVersion },
+      expiresAtMs: this.clock.now() + leftMs + GRACE_MS,
+      isOwn: isOwn || wasOwn,
+    });
+  }
+
+  forget(streamId: string): void {
+    this.streams.delete(streamId);
+  }
+
+  /** The version that began a stream; undefined if unknown. */
+  find({ streamId, service }: StreamKey): string | undefined {
+    const known = this.streams.get(streamId);
+    const isValid = known?.service === service && known.expiresAtMs > this.clock.now();
+    return isValid ? known.softwareVersion : undefined;
+  }
+
+  /** The streams that this VM served and that may still be taken up. */
+  listOwn(isIncluded: (service: string) => boolean): StreamOrigin[] {
+    const now = this.clock.now();
+    return [...this.streams].flatMap(([streamId, known]) => {
+      const { service, softwareVersion, isOwn, expiresAtMs } = known;
+      const leftMs = expiresAtMs - GRACE_MS - now;
+      return isOwn && leftMs > 0 && isIncluded(service)
+        ? [{ streamId, service, softwareVersion, leftMs }]
+        : [];
+    });
+  }
+
+  /** Removes expired streams from the old end, and the oldest one if the table is full. */
+  private forgetOldest(): void {
+    const now = this.clock.now();
+    for (const [streamId, { expiresAtMs }] of this.streams) {
+      if (expiresAtMs > now && this.streams.size < MAX_STREAMS) {
+        return;
+      }
+      this.streams.delete(streamId);
+    }
+  }
+}
--- /dev/null
+++ b/packages/track-origins/src/origin-tracker.test.ts
@@ -0,0 +1,139 @@
+import createDecisionLog from '@limelead/decision-log';
+import createMetrics from '@limelead/metrics';
+import type { OriginEvidence, OriginLookup, ServiceTarget, StreamOrigin } from '@limelead/types';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { OriginTracker } from './index.js';
+import { VERSION_TTL_MS } from './version-history.js';
+
+const STREAM: StreamOrigin = {
+  streamId: 'r1',
+  service: 'llm',
+  softwareVersion: 'v1',
+  leftMs: 10_000,
+};
+
+/** Creates the tracker of a VM whose service has targets of the given versions. */
+function create(...versions: string[]) {
+  const state = { now: 0, versions, ageMs: 0, peers: 2, isLinkedToMost: true };
+  const told: string[][] = [];
+  const asked: string[] = [];
+  let answers: OriginEvidence[] = [];
+  const delayed: (() => void)[] = [];
+  const toTarget = (version: string): ServiceTarget => ({
+    ...{ id: version, service: 'llm', host: 'h', port: 1, failureDomain: 'd', slots: 1 },
+    ...{ leaving: false, version },
+  });
+  const clock = { now: () => state.now };
+  const tracker = new OriginTracker({
+    clock,
+    timers: {
+      after(_, run) {
+        delayed.push(run);
+        return () => undefined;
+      },
+    },
+    log: createDecisionLog({ vm: 'test', clock, output: (_, done) => done() }),
+    metrics: createMetrics(),
+    listTargets: () => state.versions.map(toTarget),
+    readAgeMs: () => state.ageMs,
+    maxAgeMs: () => 2_000,
+    isLinkedToMost: () => state.isLinkedToMost,
+    publish(origins) {
+      told.push(origins.map(({ streamId }) => streamId));
+      return state.peers;
+    },
+    ask({ streamId }, receive) {
+      asked.push(streamId);
+      receive(answers);
+      return () => undefined;
+    },
+  });
+  const find = (streamId = 'r1'): OriginLookup | undefined => {
+    let found: OriginLookup | undefined;
+    tracker.find({ requestId: 'r2', streamId, service: 'llm' }, (lookup) => (found = lookup));
+    return found;
+  };
+  const answer = (evidence: OriginEvidence[]): void => void (answers = evidence);
+  return { tracker, state, told, asked, delayed, find, answer, toTarget };
+}
+
+test('peers are told of streams while the service has several versions', () => {
+  const { tracker, state, told, toTarget } = create('v1');
+  tracker.record(STREAM);
+  assert.equal(told, []);
+  state.versions = ['v1', 'v2'];
+  tracker.onTargetJoined(toTarget('v2'));
+  tracker.record({ ...STREAM, streamId: 'r2' });
+  assert.equal(told, [['r1'], ['r2']]);
+});
+
+test('a version whose targets are gone counts until no stream of it can be left', () => {
+  const { tracker, state, told, toTarget } = create('v1');
+  tracker.onTargetGone(toTarget('v2'));
+  tracker.record(STREAM);
+  assert.is(told.length, 1);
+  state.now = VERSION_TTL_MS;
+  tracker.record(STREAM);
+  assert.is(told.length, 1);
+});
+
+test('a stream that this VM served, or that a peer told, is known until its deadline', () => {
+  const { tracker, state, find, asked } = create('v1', 'v2');
+  tracker.record(STREAM);
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r9', softwareVersion: 'v2' }]);
+  assert.equal(find('r1'), { outcome: 'known', softwareVersion: 'v1' });
+  assert.equal(find('r9'), { outcome: 'known', softwareVersion: 'v2' });
+  assert.equal(asked, []);
+  state.now = 13_000;
+  assert.equal(find('r1'), { outcome: 'unknown' });
+  assert.equal(asked, ['r1']);
+});
+
+test('a stream that ended well is forgotten', () => {
+  const { tracker, state, find } = create('v1', 'v2');
+  state.now = 2_000;
+  tracker.record(STREAM);
+  tracker.forget('r1');
+  assert.equal(find(), { outcome: 'unknown' });
+});
+
+test('with one version no peer is asked, unless this VM may not have seen all versions', () => {
+  const { state, find, asked, answer } = create('v1');
+  const known: OriginEvidence = { softwareVersion: 'v2', versions: ['v1', 'v2'], isFresh: true };
+  answer([known]);
+  assert.equal(find(), { outcome: 'known', softwareVersion: 'v2' });
+  state.now = VERSION_TTL_MS;
+  assert.equal(find(), { outcome: 'only-version', softwareVersion: 'v1' });
+  assert.is(asked.length, 1);
+  state.ageMs = 2_001;
+  assert.equal(find(), { outcome: 'known', softwareVersion: 'v2' });
+});
+
+test('a VM that has just started waits for its links', () => {
+  const { find, asked, answer, delayed, state } = create('v1');
+  assert.is(find(), undefined);
+  answer([{ versions: ['v2'], isFresh: true }]);
+  state.now = 80;
+  delayed[0]?.();
+  assert.is(asked.length, 2);
+});
+
+test('a VM that reaches neither the store nor its peers refuses what it does not know', () => {
+  const { state, find } = create('v1');
+  state.now = VERSION_TTL_MS;
+  state.ageMs = 5_000;
+  state.isLinkedToMost = false;
+  assert.equal(find(), { outcome: 'unknown' });
+});
+
+test('a VM that is behind learns of a second version from what its peers tell', () => {
+  const { tracker, state, find, told } = create('v1');
+  state.now = VERSION_TTL_MS;
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r9', softwareVersion: 'v2' }]);
+  tracker.record({ ...STREAM, streamId: 'r3' });
+  assert.is(told.length, 1);
+  assert.equal(find('r5'), { outcome: 'unknown' });
+});
+
+test.run();
--- /dev/null
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -0,0 +1,190 @@
+/**
+ * Knows which software version began each stream. While a service has several versions, each VM
+ * tells its peers of the streams that it begins, so that a caller can take a stream up at any VM.
+ */
+import type { DecisionLog } from '@limelead/decision-log';
+import type { Metrics } from '@limelead/metrics';
+import type {
+  Clock,
+  Millis,
+  OriginEvidence,
+  OriginLookup,
+  ServiceTarget,
+  StreamKey,
+  StreamOrigin,
+  Timers,
+} from '@limelead/types';
+import { softwareVersionOf } from '@limelead/types';
+import decideOrigin from './decide-origin.js';
+import OriginTable from './origin-table.js';
+import VersionHistory from './version-history.js';
+
+/** Time in which the links to peers open after the start of a VM. */
+const LINKING_MS: Millis = 1_000;
+/** Time after which a VM without links asks its peers once more in that time. */
+const ASK_AGAIN_MS: Millis = 80;
+
+/** Dependencies of `OriginTracker`. */
+export interface OriginTrackerOptions {
+  clock: Clock;
+  timers: Timers;
+  log: DecisionLog;
+  metrics: Pick<Metrics, 'count' | 'gauge'>;
+  /** All known targets of a service, including those that leave. */
+  listTargets(service: string): ServiceTarget[];
+  /** Age of this VM's list of targets, in milliseconds. */
+  readAgeMs(): Millis;
+  /** Highest age of a list that counts as recent. */
+  maxAgeMs(): Millis;
+  /** Whether this VM is linked to most of the VMs that it knows. */
+  isLinkedToMost(): boolean;
+  /** Tells peers; returns the number of peers that were told. */
+  publish(origins: StreamOrigin[]): number;
+  /** Asks peers; `receive` is called once, with the answers that came in time. */
+  ask(stream: StreamKey, receive: (answers: OriginEvidence[]) => void): () => void;
+}
+
+/** A search for the origin of a stream. */
+export interface OriginQuery extends StreamKey {
+  /** Id of the present request, for the log. */
+  requestId: string;
+}
+
+/** The origins that one VM knows. */
+export default class OriginTracker {
+  private readonly table: OriginTable;
+  private readonly history: VersionHistory;
+  private readonly startedAtMs: Millis;
+  /** Services with several versions, whose streams peers were told of. */
+  private readonly published = new Set<string>();
+
+  constructor(private readonly options: OriginTrackerOptions) {
+    const { clock, metrics, listTargets } = options;
+    this.startedAtMs = clock.now();
+    this.table = new OriginTable(clock);
+    this.history = new VersionHistory(clock, (service) =>
+      listTargets(service).map(softwareVersionOf),
+    );
+    metrics.gauge('limelead_known_stream_origins', () => this.table.size);
+  }
+
+  /** Records that this VM passed on the first piece of a stream. */
+  record(origin: StreamOrigin): void {
+    this.table.record(origin, true);
+    if (this.hasSeveralVersions(origin.service)) {
+      this.publishOwn(origin.service, [origin]);
+    }
+  }
+
+  /** Forgets a stream that ended well, which nobody takes up. */
+  forget(streamId: string): void {
+    this.table.forget(streamId);
+  }
+
+  /** Handles a new target: its version may be the second one of its service. */
+  onTargetJoined({ service }: ServiceTarget): void {
+    if (this.hasSeveralVersions(service)) {
+      this.publishOwn(service, []);
+    }
+  }
+
+  /** Handles the end of a target. */
+  onTargetGone(target: ServiceTarget): void {
+    this.history.record(target.service, softwareVersionOf(target));
+  }
+
+  /** Handles what a peer told. */
+  onPeerOrigins(origins: readonly StreamOrigin[]): void {
+    origins.forEach((origin) => {
+      this.history.record(origin.service, origin.softwareVersion);
+      this.table.record(origin, false);
+    });
+  }
+
+  /** What this VM knows of a stream, for a peer that asks. */
+  readEvidence(stream: StreamKey): OriginEvidence {
+    return {
+      softwareVersion: this.table.find(stream),
+      versions: this.history.list(stream.service),
+      isFresh: this.options.readAgeMs() <= this.options.maxAgeMs(),
+    };
+  }
+
+  /** The streams of this VM that a newly linked peer has to know. */
+  listOwn(): StreamOrigin[] {
+    return this.table.listOwn((service) => this.hasSeveralVersions(service));
+  }
+
+  /**
+   * Finds the version that began a stream; asks peers only if this VM cannot tell.
+   * @returns a function that cancels the search
+   */
+  find(query: OriginQuery, receive: (lookup: OriginLookup) => void): () => void {
+    const own = this.readEvidence(query);
+    const isOnlyVersion = own.versions.length === 1 && own.isFresh && this.history.isComplete;
+    if (own.softwareVersion !== undefined || isOnlyVersion) {
+      receive(this.decide(query, [], 0));
+      return () => undefined;
+    }
+    return this.askPeers(query, receive);
+  }
+
+  private askPeers(query: OriginQuery, receive: (lookup: OriginLookup) => void): () => void {
+    const { clock, timers } = this.options;
+    const askedAtMs = clock.now();
+    const stops: (() => void)[] = [];
+    const ask = (): void => {
+      stops.push(
+        this.options.ask(query, (answers) => {
+          const mayLink = answers.length === 0 && clock.now() - this.startedAtMs < LINKING_MS;
+          if (mayLink && clock.now() - askedAtMs < ASK_AGAIN_MS) {
+            stops.push(timers.after(ASK_AGAIN_MS, ask));
+          } else {
+            receive(this.decide(query, answers, clock.now() - askedAtMs));
+          }
+        }),
+      );
+    };
+    ask();
+    return () => stops.forEach((stop) => stop());
+  }
+
+  private decide(
+    { requestId, streamId, service }: OriginQuery,
+    peers: OriginEvidence[],
+    afterMs: Millis,
+  ): OriginLookup {
+    const { log, metrics, isLinkedToMost, readAgeMs } = this.options;
+    const own = this.readEvidence({ streamId, service });
+    const lookup = decideOrigin({ own, peers, isLinkedToMost: isLinkedToMost() });
+    metrics.count('limelead_stream_origins_total', 1, { outcome: lookup.outcome });
+    log.write('stream-origin', {
+      ...{ requestId, streamId, service, ...lookup },
+      source: own.softwareVersion === undefined && lookup.outcome === 'known' ? 'peer' : 'own',
+      versions: own.versions,
+      answers: peers.length,
+      afterMs: Math.round(afterMs),
+      knowledgeAgeMs: readAgeMs(),
+    });
+    return lookup;
+  }
+
+  private hasSeveralVersions(service: string): boolean {
+    const hasSeveral = this.history.list(service).length > 1;
+    if (!hasSeveral) {
+      this.published.delete(service);
+    }
+    return hasSeveral;
+  }
+
+  /** Tells peers of new streams, and of all others of the service if it had one version so far. */
+  private publishOwn(service: string, origins: StreamOrigin[]): void {
+    const isFirst = !this.published.has(service);
+    this.published.add(service);
+    const told = isFirst ? this.table.listOwn((other) => other === service) : origins;
+    if (told.length > 0) {
+      const peers = this.options.publish(told);
+      this.options.metrics.count('limelead_stream_origins_told_total', told.length * peers);
+    }
+  }
+}
--- /dev/null
+++ b/packages/track-origins/src/version-history.ts
@@ -0,0 +1,43 @@
+/** The software versions of each service's targets that ran lately. */
+import type { Clock, Millis } from '@limelead/types';
+
+/** Time after which a version without targets is forgotten; longer than any stream lasts. */
+export const VERSION_TTL_MS: Millis = 600_000;
+
+/** Versions by service. */
+export default class VersionHistory {
+  private readonly seenAtMs = new Map<string, Map<string, Millis>>();
+  private readonly startedAtMs: Millis;
+
+  /** @param listPresent the versions of the targets that a service has now, with repeats */
+  constructor(
+    private readonly clock: Clock,
+    private readonly listPresent: (service: string) => string[],
+  ) {
+    this.startedAtMs = clock.now();
+  }
+
+  /** Whether the history began long enough ago to hold all versions that matter. */
+  get isComplete(): boolean {
+    return this.clock.now() - this.startedAtMs >= VERSION_TTL_MS;
+  }
+
+  /** Records a version that a target ran until now. */
+  record(service: string, version: string): void {
+    const versions = this.seenAtMs.get(service) ?? new Map<string, Millis>();
+    this.seenAtMs.set(service, versions.set(version, this.clock.now()));
+  }
+
+  /** The versions of a service that run now or ran lately. */
+  list(service: string): string[] {
+    this.listPresent(service).forEach((version) => this.record(service, version));
+    const versions = this.seenAtMs.get(service) ?? new Map<string, Millis>();
+    const oldestMs = this.clock.now() - VERSION_TTL_MS;
+    for (const [version, seenAtMs] of versions) {
+      if (seenAtMs <= oldestMs) {
+        versions.delete(version);
+      }
+    }
+    return [...versions.keys()];
+  }
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,6 +6,7 @@
 export * from './engine.js';
 export * from './events.js';
 export * from './generation.js';
+export * from './origins.js';
 export { hashText, mixHashes } from './hash.js';
 export * from './demand.js';
 export * from './permits.js';
--- /dev/null
+++ b/packages/types/src/origins.ts
@@ -0,0 +1,32 @@
+/** The software version at which a stream began, as VMs tell each other. */
+import type { Millis } from './time.js';
+
+/** Which software version wrote the first piece of a stream. */
+export interface StreamOrigin {
+  /** Id of the caller's attempt that brought the first piece; see `streamIdOf`. */
+  streamId: string;
+  service: string;
+  softwareVersion: string;
+  /** Time for which the stream may still be taken up, in milliseconds. */
+  leftMs: Millis;
+}
+
+/** A stream whose origin is wanted. */
+export type StreamKey = Pick<StreamOrigin, 'streamId' | 'service'>;
+
+/** What one VM knows of the origin of a stream. */
+export interface OriginEvidence {
+  /** Version that began the stream; undefined if the VM does not know it. */
+  softwareVersion?: string;
+  /** Versions of the service that ran lately. */
+  versions: string[];
+  /** Whether the VM's list of targets is recent. */
+  isFresh: boolean;
+}
+
+/** Result of a search for the version that began a stream. */
+export type OriginLookup =
+  | { outcome: 'known'; softwareVersion: string }
+  /** Nobody knows it, but the service has had no other version. */
+  | { outcome: 'only-version'; softwareVersion: string }
+  | { outcome: 'unknown' };
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -166,3 +166,12 @@
   /** Highest number of tokens of the answer; undefined if unknown. */
   maxOutputTokens?: number;
 }
+
+/** Id under which the VMs know a stream: that of the caller's attempt that brought its first piece. */
+export function streamIdOf({
+  requestId,
+  lastPiece,
+  resumes,
+}: Pick<IncomingRequest, 'requestId' | 'lastPiece' | 'resumes'>): string {
+  return lastPiece > 0 ? (resumes ?? requestId) : requestId;
+}
