Take a target whose entry changes its software version for another incarnation

Cause: an entry without a start time that named another version under the same id kept the health, loads and replicas of the software before, and a replica there would have passed for one of the stream's version. Change: another version replaces the incarnation. Measured: the test failed before (no new incarnation), passes now. Found by reading.

--- a/packages/track-service-targets/src/target-directory.test.ts
+++ b/packages/track-service-targets/src/target-directory.test.ts
@@ -46,6 +46,20 @@
   return { time, notices, lost, announce, directory };
 }
 
+test('an entry that changes its software version under its id is another incarnation', () => {
+  const { directory, notices } = createDirectory();
+  directory.replaceAll([createTarget('t1', { version: 'v1' })]);
+  directory.startRequest('t1');
+  directory.observe('t1', { kind: 'lost' });
+  directory.apply([{ kind: 'put', target: createTarget('t1', { version: 'v2' }) }]);
+  assert.equal(
+    notices.map(({ kind, target }) => `${kind} ${target.version}`),
+    ['joined v1', 'gone v1', 'joined v2'],
+  );
+  assert.is(directory.get('t1')?.inFlight, 0);
+  assert.not.ok(directory.isSuspected('t1'));
+});
+
 test('a leaving target gets no new requests at once, and keeps its requests in flight', () => {
   const { directory } = createDirectory();
   directory.replaceAll([createTarget('t1'), createTarget('t2')]);
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -305,7 +305,7 @@
   private put(entry: ServiceTarget): void {
     const isLeaving = entry.leaving || this.events.hasAnnouncedLeaving?.(entry.id) === true;
     const target = { ...entry, leaving: isLeaving };
-    const known = this.tracked.get(target.id);
+    const known = this.findIncarnation(target);
     if (known === undefined) {
       this.removeReplaced(target);
       this.getLosses(target.service).addTarget(target.failureDomain);
@@ -331,10 +331,16 @@
     known.target = target;
   }
 
-  /** Removes earlier incarnations at the same address. */
-  private removeReplaced({ host, port }: ServiceTarget): void {
+  /** Streams began at the software of an incarnation, so that another version is another one. */
+  private findIncarnation({ id, version }: ServiceTarget): TrackedServiceTarget | undefined {
+    const known = this.tracked.get(id);
+    return known?.target.version === version ? known : undefined;
+  }
+
+  /** Removes earlier incarnations at the same address or of the same id. */
+  private removeReplaced({ id, host, port }: ServiceTarget): void {
     for (const { target } of this.all()) {
-      if (target.host === host && target.port === port) {
+      if (target.id === id || (target.host === host && target.port === port)) {
         this.remove(target.id);
       }
     }
