Let a stream that a version under trial began go on there within the trial's bound

Cause: a retry never goes to the version under trial, and a stream that it began now has no other targets, so such a stream waited until its deadline. Change: where no target of an active version may take the request, a retry may use the trial's share, which the bound on exposure still limits. Measured: the test failed before (no group of targets), passes now.

--- a/packages/run-roll-outs/src/roll-out-controller.ts
+++ b/packages/run-roll-outs/src/roll-out-controller.ts
@@ -131,7 +131,9 @@
     if (trial !== undefined && this.mustAvoidReplaced(trial, active)) {
       return [of('under-trial')];
     }
-    if (!isRetry && trial?.shouldSendTrial(this.options.isUpToDate()) === true) {
+    // A stream that the version under trial began has no other targets.
+    const mayTry = !isRetry || active.length === 0;
+    if (mayTry && trial?.shouldSendTrial(this.options.isUpToDate()) === true) {
       return [of('under-trial'), active];
     }
     if (active.some(({ target }) => !this.options.isSuspected(target.id))) {
--- a/packages/run-roll-outs/src/run-roll-outs.test.ts
+++ b/packages/run-roll-outs/src/run-roll-outs.test.ts
@@ -263,6 +263,16 @@
   assert.equal(vm.rollOuts.groupByPreference('s', usable, true), [usable.slice(0, 1)]);
 });
 
+test('a stream that the version under trial began goes on there while the bound allows it', async () => {
+  const vm = createSingleVm();
+  const targets = [target('v1'), target('v2')];
+  vm.take({ targets: [target('v1')] });
+  vm.take({ orders: [order()], targets });
+  await vm.runFor(2_000);
+  const ofTrial = [{ target: target('v2') }];
+  assert.equal(vm.rollOuts.groupByPreference('s', ofTrial, true), [ofTrial, []]);
+});
+
 test('a VM that starts after the order gets no share of the slack', async () => {
   const vm = createSingleVm();
   vm.take({ orders: [order()], targets: [target('v1'), target('v2')] });
