Keep a stream that a caller takes up at the service of its first attempt

Cause: a route with several services chooses one by the id of the request, and a caller that takes a stream up sends a new id; the stream could go on at another service, whose versions nobody compares with the one that began it. Change: the id of the attempt that brought the first piece chooses. Measured: the test failed before (5 of 8 streams changed the service), passes now. Found by reading.

--- a/packages/http-front-door/src/front-door.fixture.ts
+++ b/packages/http-front-door/src/front-door.fixture.ts
@@ -15,7 +15,11 @@
     if (requestId === undefined) {
       return E.left(new LimeleadError('invalid-request', 'no id'));
     }
-    return E.right({ requestId, key: read('key'), lastPiece: 0, affinityKey: '', promptTokens: 0 });
+    return E.right({
+      ...{ requestId, key: read('key'), affinityKey: '', promptTokens: 0 },
+      lastPiece: Number(read('last') ?? 0),
+      resumes: read('resumes'),
+    });
   },
   progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', resumes: 'resumes' },
 };
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -16,7 +16,7 @@
 import { createLocality } from '@limelead/locality';
 import createMetrics from '@limelead/metrics';
 import { createIsolatedGuard } from '@limelead/quarantine-requests';
-import compileRoutes, { type RouteTable } from '@limelead/route-requests';
+import compileRoutes, { chooseService, type RouteTable } from '@limelead/route-requests';
 import { RetryBudgets } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
 import { TargetDirectory } from '@limelead/track-service-targets';
@@ -201,6 +201,25 @@
   return (await bed.exchange(bytes, /\r\n\r\n/)).slice(9, 12);
 }
 
+test('a stream that a caller takes up goes to the service of its first attempt', async () => {
+  const [calls] = configuration.routes;
+  const shares = ['a', 'b', 'c', 'd'].map((service) => ({ service, weight: 1 }));
+  const streams = { ...calls!, streaming: true, repeatable: true, pathPrefix: '/stream/', shares };
+  const bed = await TestBed.start({ ...configuration, routes: [streams] });
+  const ids = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6', 'r7', 'r8'];
+  for (const id of ids) {
+    const fields = [`Id: ${id}b`, 'Key: good', 'Last: 3', `Resumes: ${id}`, 'Content-Length: 0'];
+    const lines = ['POST /stream/1 HTTP/1.1', 'Host: vans.example', ...fields];
+    await bed.exchange(`${lines.join('\r\n')}\r\n\r\n`, /HTTP/);
+  }
+  await bed.stop();
+  const taken = bed.readLines().filter(({ event }) => event === 'stream-taken-up');
+  assert.equal(
+    taken.map(({ service }) => service),
+    ids.map((id) => chooseService(streams, id)),
+  );
+});
+
 test('a valid request reaches its target unchanged, with its organisation instead of the key', async () => {
   const bed = await TestBed.start();
   const text = await bed.exchange(GOOD, ANSWERED);
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -9,7 +9,7 @@
   type ForwardContext,
 } from '@limelead/forward-request';
 import { chooseService, type RouteTable } from '@limelead/route-requests';
-import type { CallerLimits, Millis, ServingRoute } from '@limelead/types';
+import { streamIdOf, type CallerLimits, type Millis, type ServingRoute } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -306,7 +306,7 @@
       );
       return;
     }
-    const service = chooseService(route, headers.requestId);
+    const service = chooseService(route, streamIdOf(headers));
     if (service === undefined) {
       sink.refuse(new LimeleadError('no-target', 'the route has no service'));
       return;
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -69,11 +69,11 @@
 
 /**
  * Chooses the service of a request by the weights of the route's shares. The choice depends only
- * on the request id, so that every attempt of a request uses the same service.
+ * on the id, so that every attempt of a request or stream uses the same service.
  */
-export function chooseService(route: ServingRoute, requestId: string): string | undefined {
+export function chooseService(route: ServingRoute, id: string): string | undefined {
   const totalWeight = route.shares.reduce((sum, { weight }) => sum + weight, 0);
-  const point = (hashText(requestId) / HASH_RANGE) * totalWeight;
+  const point = (hashText(id) / HASH_RANGE) * totalWeight;
   let cumulativeWeight = 0;
   for (const { service, weight } of route.shares) {
     cumulativeWeight += weight;
