--- a/packages/cli/src/commands/explain/describe-reason.ts
+++ b/packages/cli/src/commands/explain/describe-reason.ts
@@ -32,6 +32,12 @@
   'no-replica': 'runs without a replica',
 };
 
+const ORIGIN_OUTCOMES: Record<string, string> = {
+  known: 'goes on at software version',
+  'only-version': 'nobody knows who began it; goes on at the only software version there has been,',
+  unknown: 'refused: nobody that answered knows which software version began it',
+};
+
 const PAUSE_ENDS: Record<string, string> = {
   drained: 'the caller caught up',
   overdue: 'the longest allowed pause was reached',
@@ -58,12 +64,23 @@
     `${PLACEMENT_OUTCOMES[text(outcome)] ?? text(outcome)}: ${SHORTAGES[text(reason)] ?? text(reason)} at ${text(candidates)} candidates`,
   'too-large-refused': ({ promptTokens, capacityTokens }) =>
     `refused: the prompt of ${text(promptTokens)} tokens exceeds the memory of a target, ${text(capacityTokens)} tokens`,
+  'stream-taken-up': ({ resumes, lastPiece }) =>
+    `takes up the stream that request ${text(resumes)} began, behind piece ${text(lastPiece)}`,
+  'stream-origin': ({ outcome, softwareVersion, source, versions, answers }) =>
+    `${[ORIGIN_OUTCOMES[text(outcome)] ?? text(outcome), softwareVersion].join(' ').trimEnd()} (by ${text(source)}, versions ${text(versions)}, ${text(answers)} answers of peers)`,
+  'version-gone': ({ service }) =>
+    `refused: no target of service ${text(service)} runs the software version that began the stream`,
   'answer-buffer-full': ({ bytes, totalBytes, outcome }) =>
     `${text(outcome)}: ${text(bytes)} bytes waited for the caller, ${text(totalBytes)} for all callers of the VM`,
   'reading-paused': ({ pausedMs, waitingBytes, outcome }) =>
     `waited: the caller read slowly, so the target was not read for ${text(pausedMs)} ms until ${PAUSE_ENDS[text(outcome)] ?? text(outcome)} (${text(waitingBytes)} bytes waiting)`,
 };
 
+/** Describes that a caller took up, at any VM, a stream that the explained request began. */
+export function describeTakenUp({ vm, requestId, lastPiece }: LogLine): string {
+  return `taken up as request ${text(requestId)} at VM ${vm}, behind piece ${text(lastPiece)}`;
+}
+
 /** Returns the reason that a log line states; undefined if its event states none. */
 export default function describeReason(line: LogLine): string | undefined {
   return Object.hasOwn(DESCRIPTIONS, line.event) ? DESCRIPTIONS[line.event]?.(line) : undefined;
--- a/packages/cli/src/commands/explain/explain-request.test.ts
+++ b/packages/cli/src/commands/explain/explain-request.test.ts
@@ -35,8 +35,35 @@
   assert.is(explainRequest('r1', [line(1, 'call-sent', {})]).outcome, undefined);
 });
 
+test('the attempts that took a stream up are named with their VMs', () => {
+  const taken = line(900, 'stream-taken-up', { resumes: 'r1', lastPiece: 7 }, 'r2');
+  const explanation = explainRequest('r1', [line(1, 'stream-sent', { attempt: 1 }), taken]);
+  assert.equal(explanation.reasons, ['taken up as request r2 at VM vm-1, behind piece 7']);
+  assert.is(explanation.steps.length, 1);
+});
+
 // Guards against a wait, refusal or move whose cause only a reader of the design notes can tell.
 const REASONS: [event: string, fields: object, reason: string][] = [
+  [
+    'stream-taken-up',
+    { resumes: 'r0', lastPiece: 12 },
+    'takes up the stream that request r0 began, behind piece 12',
+  ],
+  [
+    'stream-origin',
+    { outcome: 'known', softwareVersion: 'v2', source: 'peer', versions: ['v1', 'v2'], answers: 3 },
+    'goes on at software version v2 (by peer, versions ["v1","v2"], 3 answers of peers)',
+  ],
+  [
+    'stream-origin',
+    { outcome: 'unknown', source: 'own', versions: ['v1', 'v2'], answers: 5 },
+    'refused: nobody that answered knows which software version began it (by own, versions ["v1","v2"], 5 answers of peers)',
+  ],
+  [
+    'version-gone',
+    { service: 'llm' },
+    'refused: no target of service llm runs the software version that began the stream',
+  ],
   [
     'call-queued',
     { service: 'api', waitMs: 45, position: 3, outcome: 'granted' },
