Ask peers only once while a service has one version

Change: the first answers bring the versions that ended before the VM's start, with their ages, so that what peers say does not prolong them; from then on the VM decides alone while its list is recent.

--- a/packages/share-evidence/src/choose-origin-holders.ts
+++ b/packages/share-evidence/src/choose-origin-holders.ts
@@ -1,7 +1,7 @@
 import { hashText, mixHashes } from '@limelead/types';
 import type { PeerId } from './types.js';
 
-/** VMs that are told of a stream, so that it survives the loss of any two VMs. */
+/** VMs that are told of a stream, so that any two of them may be lost. */
 const HOLDERS = 3;
 
 /** Chooses the VMs that are told which version began a stream, the same ones at every VM. */
--- a/packages/share-evidence/src/origin-exchange.test.ts
+++ b/packages/share-evidence/src/origin-exchange.test.ts
@@ -42,7 +42,7 @@
     onOrigins: (origins) => told.push(...origins),
     readOriginEvidence: ({ streamId }) => ({
       softwareVersion: streamId === 'r1' ? 'v1' : undefined,
-      ...{ versions: ['v1', 'v2'], isFresh: true },
+      ...{ versions: [{ softwareVersion: 'v1', agoMs: 3 }], isFresh: true },
     }),
   });
   return { exchange, sent, told, timers, peers };
@@ -52,7 +52,13 @@
   version: string | null,
   number = 1,
 ): ExchangeMessage & { kind: 'give-origin' } => ({
-  ...{ kind: 'give-origin', number, version, versions: ['v1'], isFresh: true },
+  ...{
+    kind: 'give-origin',
+    number,
+    version,
+    versions: [{ version: 'v1', agoMs: 0 }],
+    isFresh: true,
+  },
 });
 
 test('all VMs of a small fleet are told, and a VM that links later', () => {
@@ -109,7 +115,8 @@
   const { exchange, sent } = create(['b']);
   exchange.onMessage('b', { kind: 'want-origin', number: 7, id: 'r2', service: 'llm' });
   assert.equal(sent[0]?.message, {
-    ...{ kind: 'give-origin', number: 7, version: null, versions: ['v1', 'v2'], isFresh: true },
+    ...{ kind: 'give-origin', number: 7, version: null, isFresh: true },
+    versions: [{ version: 'v1', agoMs: 3 }],
   });
 });
 
--- a/packages/share-evidence/src/origin-exchange.ts
+++ b/packages/share-evidence/src/origin-exchange.ts
@@ -118,8 +118,13 @@
   private answer(peer: PeerId, { number, id, service }: ExchangeMessageOf<'want-origin'>): void {
     const evidence = this.options.readOriginEvidence({ streamId: id, service });
     const { softwareVersion, versions, isFresh } = evidence;
-    const version = softwareVersion ?? null;
-    this.options.send(peer, { kind: 'give-origin', number, version, versions, isFresh });
+    this.options.send(peer, {
+      ...{ kind: 'give-origin', number, version: softwareVersion ?? null, isFresh },
+      versions: versions.map((seen) => ({
+        version: seen.softwareVersion,
+        agoMs: Math.round(seen.agoMs),
+      })),
+    });
   }
 
   private onAnswer(peer: PeerId, message: ExchangeMessageOf<'give-origin'>): void {
@@ -128,7 +133,10 @@
     if (question?.asked.has(peer) !== true) {
       return;
     }
-    question.answers.push({ softwareVersion: version ?? undefined, versions, isFresh });
+    question.answers.push({
+      ...{ softwareVersion: version ?? undefined, isFresh },
+      versions: versions.map((seen) => ({ softwareVersion: seen.version, agoMs: seen.agoMs })),
+    });
     if (version === null) {
       this.onNoAnswerLeft(number, peer);
     } else {
--- a/packages/share-evidence/src/origin-messages.ts
+++ b/packages/share-evidence/src/origin-messages.ts
@@ -23,6 +23,6 @@
   number: t.number,
   version: t.union([t.string, t.null]),
   /** Versions of the service that ran lately, as far as the sender knows. */
-  versions: t.array(t.string),
+  versions: t.array(t.type({ version: t.string, agoMs: t.number })),
   isFresh: t.boolean,
 });
--- a/packages/track-origins/src/decide-origin.test.ts
+++ b/packages/track-origins/src/decide-origin.test.ts
@@ -1,11 +1,14 @@
-import type { OriginEvidence } from '@limelead/types';
+import type { OriginEvidence, SeenVersion } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import decideOrigin from './decide-origin.js';
 
-const ONE: OriginEvidence = { versions: ['v1'], isFresh: true };
-const TWO: OriginEvidence = { versions: ['v1', 'v2'], isFresh: true };
-const BEHIND: OriginEvidence = { versions: ['v1'], isFresh: false };
+const seen = (...versions: string[]): SeenVersion[] =>
+  versions.map((softwareVersion) => ({ softwareVersion, agoMs: 0 }));
+
+const ONE: OriginEvidence = { versions: seen('v1'), isFresh: true };
+const TWO: OriginEvidence = { versions: seen('v1', 'v2'), isFresh: true };
+const BEHIND: OriginEvidence = { versions: seen('v1'), isFresh: false };
 
 function decide(own: OriginEvidence, peers: OriginEvidence[] = [], isLinkedToMost = true) {
   const lookup = decideOrigin({ own, peers, isLinkedToMost });
--- a/packages/track-origins/src/decide-origin.ts
+++ b/packages/track-origins/src/decide-origin.ts
@@ -20,7 +20,9 @@
   if (known !== undefined) {
     return { outcome: 'known', softwareVersion: known };
   }
-  const [only, ...others] = new Set(all.flatMap(({ versions }) => versions));
+  const [only, ...others] = new Set(
+    all.flatMap(({ versions }) => versions.map(({ softwareVersion }) => softwareVersion)),
+  );
   const isCertain = all.some(({ isFresh }) => isFresh) || (peers.length > 0 && isLinkedToMost);
   return only !== undefined && others.length === 0 && isCertain
     ? { outcome: 'only-version', softwareVersion: only }
--- a/packages/track-origins/src/origin-tracker.test.ts
+++ b/packages/track-origins/src/origin-tracker.test.ts
@@ -1,11 +1,20 @@
 import createDecisionLog from '@limelead/decision-log';
 import createMetrics from '@limelead/metrics';
-import type { OriginEvidence, OriginLookup, ServiceTarget, StreamOrigin } from '@limelead/types';
+import type {
+  OriginEvidence,
+  OriginLookup,
+  SeenVersion,
+  ServiceTarget,
+  StreamOrigin,
+} from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { OriginTracker } from './index.js';
 import { VERSION_TTL_MS } from './version-history.js';
 
+const seen = (...versions: string[]): SeenVersion[] =>
+  versions.map((softwareVersion) => ({ softwareVersion, agoMs: 0 }));
+
 const STREAM: StreamOrigin = {
   streamId: 'r1',
   service: 'llm',
@@ -100,7 +109,11 @@
 
 test('with one version no peer is asked, unless this VM may not have seen all versions', () => {
   const { state, find, asked, answer } = create('v1');
-  const known: OriginEvidence = { softwareVersion: 'v2', versions: ['v1', 'v2'], isFresh: true };
+  const known: OriginEvidence = {
+    softwareVersion: 'v2',
+    versions: seen('v1', 'v2'),
+    isFresh: true,
+  };
   answer([known]);
   assert.equal(find(), { outcome: 'known', softwareVersion: 'v2' });
   state.now = VERSION_TTL_MS;
@@ -110,10 +123,48 @@
   assert.equal(find(), { outcome: 'known', softwareVersion: 'v2' });
 });
 
+test('a VM that has started lately asks its peers once for the versions before', () => {
+  const { state, find, asked, answer } = create('v1');
+  answer([{ versions: seen('v1'), isFresh: true }]);
+  state.isLinkedToMost = false;
+  assert.is(find()?.outcome, 'only-version');
+  state.isLinkedToMost = true;
+  assert.is(find()?.outcome, 'only-version');
+  assert.is(asked.length, 2);
+  assert.is(find()?.outcome, 'only-version');
+  assert.is(asked.length, 2);
+  state.versions = ['v1', 'v2'];
+  assert.is(find()?.outcome, 'unknown');
+});
+
+test('a version that ended before the start of a VM counts, by the word of its peers', () => {
+  const { find, asked, answer } = create('v1');
+  answer([{ versions: seen('v1', 'v2'), isFresh: true }]);
+  assert.is(find()?.outcome, 'unknown');
+  answer([]);
+  assert.is(find()?.outcome, undefined);
+  assert.is(asked.length, 2);
+});
+
+test('what peers say of an ended version does not make it last longer', () => {
+  const { state, find, answer } = create('v1');
+  const tell = (agoMs: number): void => {
+    const versions = [...seen('v1'), { softwareVersion: 'v2', agoMs }];
+    answer([{ versions, isFresh: true }]);
+  };
+  tell(VERSION_TTL_MS - 1_000);
+  assert.is(find()?.outcome, 'unknown');
+  state.now = 999;
+  tell(VERSION_TTL_MS - 1);
+  assert.is(find()?.outcome, 'unknown');
+  state.now = 1_000;
+  assert.is(find()?.outcome, 'only-version');
+});
+
 test('a VM that has just started waits for its links', () => {
   const { find, asked, answer, delayed, state } = create('v1');
   assert.is(find(), undefined);
-  answer([{ versions: ['v2'], isFresh: true }]);
+  answer([{ versions: seen('v2'), isFresh: true }]);
   state.now = 80;
   delayed[0]?.();
   assert.is(asked.length, 2);
--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -55,6 +55,8 @@
   private readonly table: OriginTable;
   private readonly history: VersionHistory;
   private readonly startedAtMs: Millis;
+  /** Services of whose earlier versions peers have told. */
+  private readonly caughtUp = new Set<string>();
   /** Services with several versions, whose streams peers were told of. */
   private readonly published = new Set<string>();
 
@@ -90,13 +92,15 @@
 
   /** Handles the end of a target. */
   onTargetGone(target: ServiceTarget): void {
-    this.history.record(target.service, softwareVersionOf(target));
+    const softwareVersion = softwareVersionOf(target);
+    this.history.record(target.service, { softwareVersion, agoMs: 0 });
   }
 
   /** Handles what a peer told. */
   onPeerOrigins(origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => {
-      this.history.record(origin.service, origin.softwareVersion);
+      const { service, softwareVersion } = origin;
+      this.history.record(service, { softwareVersion, agoMs: 0 });
       this.table.record(origin, false);
     });
   }
@@ -121,7 +125,8 @@
    */
   find(query: OriginQuery, receive: (lookup: OriginLookup) => void): () => void {
     const own = this.readEvidence(query);
-    const isOnlyVersion = own.versions.length === 1 && own.isFresh && this.history.isComplete;
+    const hasAllVersions = this.history.isComplete || this.caughtUp.has(query.service);
+    const isOnlyVersion = own.versions.length === 1 && own.isFresh && hasAllVersions;
     if (own.softwareVersion !== undefined || isOnlyVersion) {
       receive(this.decide(query, [], 0));
       return () => undefined;
@@ -140,6 +145,7 @@
           if (mayLink && clock.now() - askedAtMs < ASK_AGAIN_MS) {
             stops.push(timers.after(ASK_AGAIN_MS, ask));
           } else {
+            this.learnVersions(query.service, answers);
             receive(this.decide(query, answers, clock.now() - askedAtMs));
           }
         }),
@@ -149,6 +155,15 @@
     return () => stops.forEach((stop) => stop());
   }
 
+  /** Versions that ended before this VM started are known to its peers. */
+  private learnVersions(service: string, answers: OriginEvidence[]): void {
+    const versions = answers.flatMap((answer) => answer.versions);
+    versions.forEach((version) => this.history.record(service, version));
+    if (answers.length > 0 && this.options.isLinkedToMost()) {
+      this.caughtUp.add(service);
+    }
+  }
+
   private decide(
     { requestId, streamId, service }: OriginQuery,
     peers: OriginEvidence[],
@@ -161,7 +176,7 @@
     log.write('stream-origin', {
       ...{ requestId, streamId, service, ...lookup },
       source: own.softwareVersion === undefined && lookup.outcome === 'known' ? 'peer' : 'own',
-      versions: own.versions,
+      versions: own.versions.map(({ softwareVersion }) => softwareVersion),
       answers: peers.length,
       afterMs: Math.round(afterMs),
       knowledgeAgeMs: readAgeMs(),
--- a/packages/track-origins/src/version-history.ts
+++ b/packages/track-origins/src/version-history.ts
@@ -1,5 +1,5 @@
 /** The software versions of each service's targets that ran lately. */
-import type { Clock, Millis } from '@limelead/types';
+import type { Clock, Millis, SeenVersion } from '@limelead/types';
 
 /** Time after which a version without targets is forgotten; longer than any stream lasts. */
 export const VERSION_TTL_MS: Millis = 600_000;
@@ -22,22 +22,29 @@
     return this.clock.now() - this.startedAtMs >= VERSION_TTL_MS;
   }
 
-  /** Records a version that a target ran until now. */
-  record(service: string, version: string): void {
+  /** Records that a target ran a version, now or so long ago. */
+  record(service: string, { softwareVersion, agoMs }: SeenVersion): void {
     const versions = this.seenAtMs.get(service) ?? new Map<string, Millis>();
-    this.seenAtMs.set(service, versions.set(version, this.clock.now()));
+    const seenAtMs = Math.max(this.clock.now() - agoMs, versions.get(softwareVersion) ?? -Infinity);
+    this.seenAtMs.set(service, versions.set(softwareVersion, seenAtMs));
   }
 
   /** The versions of a service that run now or ran lately. */
-  list(service: string): string[] {
-    this.listPresent(service).forEach((version) => this.record(service, version));
+  list(service: string): SeenVersion[] {
+    this.listPresent(service).forEach((softwareVersion) =>
+      this.record(service, { softwareVersion, agoMs: 0 }),
+    );
     const versions = this.seenAtMs.get(service) ?? new Map<string, Millis>();
-    const oldestMs = this.clock.now() - VERSION_TTL_MS;
+    const now = this.clock.now();
+    const oldestMs = now - VERSION_TTL_MS;
     for (const [version, seenAtMs] of versions) {
       if (seenAtMs <= oldestMs) {
         versions.delete(version);
       }
     }
-    return [...versions.keys()];
+    return [...versions].map(([softwareVersion, seenAtMs]) => ({
+      softwareVersion,
+      agoMs: now - seenAtMs,
+    }));
   }
 }
--- a/packages/types/src/origins.ts
+++ b/packages/types/src/origins.ts
@@ -14,12 +14,18 @@
 /** A stream whose origin is wanted. */
 export type StreamKey = Pick<StreamOrigin, 'streamId' | 'service'>;
 
+/** A software version of a service's targets, and how long ago one of them was last seen. */
+export interface SeenVersion {
+  softwareVersion: string;
+  agoMs: Millis;
+}
+
 /** What one VM knows of the origin of a stream. */
 export interface OriginEvidence {
   /** Version that began the stream; undefined if the VM does not know it. */
   softwareVersion?: string;
   /** Versions of the service that ran lately. */
-  versions: string[];
+  versions: SeenVersion[];
   /** Whether the VM's list of targets is recent. */
   isFresh: boolean;
 }
