Ask any linked VM who began a stream, also in a large fleet

Cause: in a fleet of 14 VMs only the two that are told were asked; while one of them was down and the other had just taken its place, six of 329 taken-up streams were refused as unknown though the VM that served them was linked. Change: those that are told are asked first, then other linked VMs, sixteen at most.

--- a/packages/share-evidence/src/origin-exchange.test.ts
+++ b/packages/share-evidence/src/origin-exchange.test.ts
@@ -120,17 +120,21 @@
   });
 });
 
-test('in a large fleet a few VMs are told that all VMs ask', () => {
+test('in a large fleet a few VMs are told, and they are asked before other linked ones', () => {
   const holders = ['b', 'c', 'd', 'e'];
-  const linked = [...holders, 'x', 'y'];
-  const { exchange, sent } = create(linked, { schedulers: [holders], dutyCandidates: ['b'] });
+  const others = Array.from({ length: 20 }, (_, index) => `x${index}`);
+  const linked = [...holders, ...others.slice(0, 12)];
+  const { exchange, sent } = create([...others, ...holders], {
+    schedulers: [holders],
+    dutyCandidates: ['b'],
+  });
   assert.is(exchange.publish([ORIGIN]), 3);
   const toldPeers = sent.map(({ peer }) => peer);
   assert.equal(new Set(toldPeers), new Set(chooseOriginHolders('r1', holders)));
   exchange.ask(ORIGIN, () => undefined);
   assert.equal(
     sent.slice(3).map(({ peer }) => peer),
-    holders,
+    linked,
   );
 });
 
--- a/packages/share-evidence/src/origin-exchange.ts
+++ b/packages/share-evidence/src/origin-exchange.ts
@@ -17,6 +17,9 @@
 /** Time for the answers of all peers; the first one that knows the stream ends it. */
 const ANSWER_TIMEOUT_MS: Millis = 60;
 
+/** Bounds the questions of a VM with many links. */
+const MAX_ASKED_PEERS = 16;
+
 /** Dependencies of `OriginExchange`. */
 export interface OriginExchangeOptions extends Pick<
   PeerExchangeOptions,
@@ -71,7 +74,7 @@
    * @returns a function that cancels the question
    */
   ask({ streamId, service }: StreamKey, receive: (answers: OriginEvidence[]) => void): () => void {
-    const peers = this.listLinkedHolders();
+    const peers = this.listInformed();
     if (peers.length === 0) {
       receive([]);
       return () => undefined;
@@ -171,11 +174,10 @@
     return holders.filter((peer) => peer !== self && this.isLinked(peer));
   }
 
-  /** The linked peers that may know any stream. */
-  private listLinkedHolders(): PeerId[] {
-    const { self } = this.options;
-    const candidates = this.listCandidates() ?? this.listLinked();
-    return candidates.filter((peer) => peer !== self && this.isLinked(peer));
+  /** Linked peers that may know a stream: the holders of a large fleet first, then any other. */
+  private listInformed(): PeerId[] {
+    const peers = new Set([...(this.listCandidates() ?? []), ...this.listLinked()]);
+    return [...peers].filter((peer) => this.isLinked(peer)).slice(0, MAX_ASKED_PEERS);
   }
 
   /** The VMs to which all VMs of a large fleet are linked; undefined in a small one. */
