Let a stream wait while its service has no target at all

Cause: the refusal of streams whose version is gone also struck a service that lost all its targets for a moment, where a stream used to wait for the next one. Change: only a service that has targets, all of other versions, refuses. Measured: the test failed before (refused), passes now. Found by reading.

--- a/packages/forward-request/src/slot-queue.test.ts
+++ b/packages/forward-request/src/slot-queue.test.ts
@@ -170,6 +170,17 @@
   assert.is(queue.waiting, 0);
 });
 
+test('a stream waits while its service has no target at all', () => {
+  const { queue, directory, sent } = create({});
+  directory.replaceAll([]);
+  const refusals: (SlotRefusal | undefined)[] = [];
+  queue.acquire({ ...REQUEST, softwareVersion: 'v1' }, (_, refusal) => refusals.push(refusal));
+  assert.is(queue.waiting, 1);
+  directory.replaceAll([toTarget('v1', 0)]);
+  assert.equal(sent, ['v1-0']);
+  assert.equal(refusals, [undefined]);
+});
+
 test('if all targets are in a cooldown, a request waits for the first end or is refused at once', () => {
   const held: string[] = [];
   let endMs = 900;
--- a/packages/forward-request/src/slot-queue.ts
+++ b/packages/forward-request/src/slot-queue.ts
@@ -88,9 +88,9 @@
       : undefined;
   }
 
-  /** Whether a target of the version to which the stream keeps takes requests, now or later. */
-  hasSoftwareVersion(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
-    return this.availability.hasSoftwareVersion(request);
+  /** Whether the service has only targets at which the stream cannot go on. */
+  hasOnlyOtherVersions(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
+    return this.availability.hasOnlyOtherVersions(request);
   }
 
   /** Whether requests of a service wait in the queue of all VMs. */
--- a/packages/forward-request/src/stream-version.ts
+++ b/packages/forward-request/src/stream-version.ts
@@ -20,10 +20,10 @@
     return this.version;
   }
 
-  /** Whether no target of the version is left. */
+  /** Whether only targets of other versions are left. */
   get isGone(): boolean {
     const { service } = this.admitted;
-    return !this.context.slots.hasSoftwareVersion({ service, softwareVersion: this.version });
+    return this.context.slots.hasOnlyOtherVersions({ service, softwareVersion: this.version });
   }
 
   /** Handles a piece of a target; the first one decides. Another VM records what it relays. */
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -70,7 +70,7 @@
     if (isHedge === true) {
       return undefined;
     }
-    if (!this.hasSoftwareVersion(request)) {
+    if (this.hasOnlyOtherVersions(request)) {
       return NO_VERSION_REFUSAL;
     }
     return refuseDuringCooldown({
@@ -81,9 +81,16 @@
     });
   }
 
-  /** Whether a target of the version to which the stream keeps takes requests, now or later. */
-  hasSoftwareVersion(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
-    return request.softwareVersion === undefined || this.listOfVersion(request).length > 0;
+  /**
+   * Whether the service has targets, and only of other versions than that to which the stream keeps.
+   * Without any target the next one may be of that version.
+   */
+  hasOnlyOtherVersions(request: Pick<SlotRequest, 'service' | 'softwareVersion'>): boolean {
+    return (
+      request.softwareVersion !== undefined &&
+      this.listOfVersion(request).length === 0 &&
+      this.options.directory.listUsable(request.service).length > 0
+    );
   }
 
   private listOfVersion({
