Tell of the streams under way also when a peer saw the second version first

Cause: a VM that heard of a second version from a peer's streams, and not from the registry, told of its own streams only with the next one that it began. Change: a version that is new to this VM counts wherever it comes from. Measured: the test failed before (nothing told), passes now. Found by reading.

--- a/packages/track-origins/src/origin-tracker.test.ts
+++ b/packages/track-origins/src/origin-tracker.test.ts
@@ -80,6 +80,13 @@
   assert.equal(told, [['r1'], ['r2']]);
 });
 
+test('a second version that only a peer has seen makes a VM tell of its streams', () => {
+  const { tracker, told } = create('v1');
+  tracker.record(STREAM);
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r9', softwareVersion: 'v2' }]);
+  assert.equal(told, [['r1']]);
+});
+
 test('a version whose targets are gone counts until no stream of it can be left', () => {
   const { tracker, state, told, toTarget } = create('v1');
   tracker.onTargetGone(toTarget('v2'));
--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -85,11 +85,7 @@
 
   /** Handles a new target: its version may be the second one of its service. */
   onTargetJoined(target: ServiceTarget): void {
-    const { service } = target;
-    const isKnown = this.history.has(service, softwareVersionOf(target));
-    if (!isKnown && this.hasSeveralVersions(service)) {
-      this.publishOwn(service, []);
-    }
+    this.onVersionSeen(target.service, softwareVersionOf(target));
   }
 
   /** Handles the end of a target. */
@@ -101,8 +97,7 @@
   /** Handles what a peer told. */
   onPeerOrigins(origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => {
-      const { service, softwareVersion } = origin;
-      this.history.record(service, { softwareVersion, agoMs: 0 });
+      this.onVersionSeen(origin.service, origin.softwareVersion);
       this.table.record(origin, false);
     });
   }
@@ -157,6 +152,14 @@
     return () => stops.forEach((stop) => stop());
   }
 
+  private onVersionSeen(service: string, softwareVersion: string): void {
+    const isKnown = this.history.has(service, softwareVersion);
+    this.history.record(service, { softwareVersion, agoMs: 0 });
+    if (!isKnown && this.hasSeveralVersions(service)) {
+      this.publishOwn(service, []);
+    }
+  }
+
   /** Versions that ended before this VM started are known to its peers. */
   private learnVersions(service: string, answers: OriginEvidence[]): void {
     const versions = answers.flatMap((answer) => answer.versions);
