--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -4,17 +4,17 @@
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
-import type {
-  Clock,
-  Millis,
-  OriginEvidence,
-  OriginLookup,
-  ServiceTarget,
-  StreamKey,
-  StreamOrigin,
-  Timers,
+import {
+  softwareVersionOf,
+  type Clock,
+  type Millis,
+  type OriginEvidence,
+  type OriginLookup,
+  type ServiceTarget,
+  type StreamKey,
+  type StreamOrigin,
+  type Timers,
 } from '@limelead/types';
-import { softwareVersionOf } from '@limelead/types';
 import decideOrigin from './decide-origin.js';
 import OriginTable from './origin-table.js';
 import VersionHistory from './version-history.js';
@@ -197,7 +197,7 @@
     return hasSeveral;
   }
 
-  /** Tells peers of new streams, and of all others of the service if it had one version so far. */
+  /** Tells peers of new streams, and first of all others if the service had one version so far. */
   private publishOwn(service: string, origins: StreamOrigin[]): void {
     const isFirst = !this.published.has(service);
     this.published.add(service);
