--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -196,7 +196,7 @@
     prefill: new PrefillEstimator(),
     slowness: new SlownessTracker(() => undefined),
     relay: NO_RELAY,
-      origins: NO_VERSIONS,
+    origins: NO_VERSIONS,
     readPauses: new ReadPauses(log, clock),
     cachedPrompts: new CachedPromptFinder({ ...shared, connections, dialect, log }),
     log,
