Say resume where a caller asks for the rest of a stream

The project says resume for a stream that goes on; the header, the log line and the names of this change said it in the words of the users' pages. The line is now `stream-resume-requested`, its field `firstAttemptId`. No logic changes.

--- a/packages/cli/src/commands/explain/describe-reason.ts
+++ b/packages/cli/src/commands/explain/describe-reason.ts
@@ -64,8 +64,8 @@
     `${PLACEMENT_OUTCOMES[text(outcome)] ?? text(outcome)}: ${SHORTAGES[text(reason)] ?? text(reason)} at ${text(candidates)} candidates`,
   'too-large-refused': ({ promptTokens, capacityTokens }) =>
     `refused: the prompt of ${text(promptTokens)} tokens exceeds the memory of a target, ${text(capacityTokens)} tokens`,
-  'stream-taken-up': ({ resumes, lastPiece }) =>
-    `takes up the stream that request ${text(resumes)} began, behind piece ${text(lastPiece)}`,
+  'stream-resume-requested': ({ firstAttemptId, lastPiece }) =>
+    `resumes the stream that request ${text(firstAttemptId)} began, behind piece ${text(lastPiece)}`,
   'stream-origin': ({ outcome, softwareVersion, source, versions, answers }) =>
     `${[ORIGIN_OUTCOMES[text(outcome)] ?? text(outcome), softwareVersion].join(' ').trimEnd()} (by ${text(source)}, versions ${text(versions)}, ${text(answers)} answers of peers)`,
   'version-gone': ({ service }) =>
@@ -76,9 +76,9 @@
     `waited: the caller read slowly, so the target was not read for ${text(pausedMs)} ms until ${PAUSE_ENDS[text(outcome)] ?? text(outcome)} (${text(waitingBytes)} bytes waiting)`,
 };
 
-/** Describes that a caller took up, at any VM, a stream that the explained request began. */
-export function describeTakenUp({ vm, requestId, lastPiece }: LogLine): string {
-  return `taken up as request ${text(requestId)} at VM ${vm}, behind piece ${text(lastPiece)}`;
+/** Describes that a caller resumed, at any VM, a stream that the explained request began. */
+export function describeResume({ vm, requestId, lastPiece }: LogLine): string {
+  return `resumed as request ${text(requestId)} at VM ${vm}, behind piece ${text(lastPiece)}`;
 }
 
 /** Returns the reason that a log line states; undefined if its event states none. */
--- a/packages/cli/src/commands/explain/explain-request.test.ts
+++ b/packages/cli/src/commands/explain/explain-request.test.ts
@@ -35,19 +35,19 @@
   assert.is(explainRequest('r1', [line(1, 'call-sent', {})]).outcome, undefined);
 });
 
-test('the attempts that took a stream up are named with their VMs', () => {
-  const taken = line(900, 'stream-taken-up', { resumes: 'r1', lastPiece: 7 }, 'r2');
-  const explanation = explainRequest('r1', [line(1, 'stream-sent', { attempt: 1 }), taken]);
-  assert.equal(explanation.reasons, ['taken up as request r2 at VM vm-1, behind piece 7']);
+test('the requests that resumed a stream are named with their VMs', () => {
+  const resume = line(900, 'stream-resume-requested', { firstAttemptId: 'r1', lastPiece: 7 }, 'r2');
+  const explanation = explainRequest('r1', [line(1, 'stream-sent', { attempt: 1 }), resume]);
+  assert.equal(explanation.reasons, ['resumed as request r2 at VM vm-1, behind piece 7']);
   assert.is(explanation.steps.length, 1);
 });
 
 // Guards against a wait, refusal or move whose cause only a reader of the design notes can tell.
 const REASONS: [event: string, fields: object, reason: string][] = [
   [
-    'stream-taken-up',
-    { resumes: 'r0', lastPiece: 12 },
-    'takes up the stream that request r0 began, behind piece 12',
+    'stream-resume-requested',
+    { firstAttemptId: 'r0', lastPiece: 12 },
+    'resumes the stream that request r0 began, behind piece 12',
   ],
   [
     'stream-origin',
--- a/packages/cli/src/commands/explain/explain-request.ts
+++ b/packages/cli/src/commands/explain/explain-request.ts
@@ -1,5 +1,5 @@
 /** Explains how one request was served from the gateway's log lines. */
-import describeReason, { describeTakenUp } from './describe-reason.js';
+import describeReason, { describeResume } from './describe-reason.js';
 import findServiceStates, { isServiceState } from './find-service-state.js';
 import parseLogLine, { type LogLine } from './log-line.js';
 
@@ -40,10 +40,10 @@
     .flatMap((text) => parseLogLine(text) ?? []);
   const found = parsed.filter((line) => line['requestId'] === requestId);
   const states = findServiceStates(found, parsed);
-  const takenUp = parsed.filter((line) => isTakenUp(line, requestId));
+  const resumes = parsed.filter((line) => isResume(line, requestId));
   const reasons = [
     ...[...states, ...found].flatMap((line) => describeReason(line) ?? []),
-    ...takenUp.map(describeTakenUp),
+    ...resumes.map(describeResume),
   ];
   const startedAtMs = found[0]?.steadyMs ?? 0;
   const end = found.filter(({ event }) => isEnd(event)).at(-1);
@@ -62,10 +62,13 @@
   return [afterMs.padStart(10), line.vm, line.event, fields.join(', ')].join('  ').trimEnd();
 }
 
-/** Whether a caller took up the stream that the request began. */
-function isTakenUp({ event, ...fields }: LogLine, requestId: string): boolean {
-  const { resumes } = fields;
-  return event === 'stream-taken-up' && resumes === requestId && fields['requestId'] !== requestId;
+/** Whether another request resumes the stream that this one began. */
+function isResume({ event, ...fields }: LogLine, requestId: string): boolean {
+  return (
+    event === 'stream-resume-requested' &&
+    fields['firstAttemptId'] === requestId &&
+    fields['requestId'] !== requestId
+  );
 }
 
 function isEnd(event: string): boolean {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -96,7 +96,7 @@
     const { clock, timers } = this.context;
     reportAdmitted(this.context, this.admitted);
     if (this.admitted.request.lastPiece > 0) {
-      this.report.takenUp();
+      this.report.resumeRequested();
     }
     const remainingMs = Math.max(0, this.admitted.dueAtMs - clock.now());
     this.cleanups.push(timers.after(remainingMs, () => this.advance({ kind: 'deadline-passed' })));
--- a/packages/forward-request/src/stream-origins.ts
+++ b/packages/forward-request/src/stream-origins.ts
@@ -1,4 +1,4 @@
-/** Which software versions began the streams that callers take up. */
+/** Which software versions began the streams that callers resume. */
 import type { OriginLookup, StreamKey, StreamOrigin } from '@limelead/types';
 
 /** What forwarding asks of the origins of streams. */
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -38,10 +38,14 @@
     private readonly admitted: AdmittedRequest,
   ) {}
 
-  /** Reports that a caller takes up a stream that it has received in part. */
-  takenUp(): void {
-    const { resumes, lastPiece } = this.admitted.request;
-    this.write('stream-taken-up', { resumes, lastPiece, service: this.admitted.service });
+  /** Reports that a caller resumes a stream that it has received in part. */
+  resumeRequested(): void {
+    const { firstAttemptId, lastPiece } = this.admitted.request;
+    this.write('stream-resume-requested', {
+      firstAttemptId,
+      lastPiece,
+      service: this.admitted.service,
+    });
   }
 
   sent(
--- a/packages/http-front-door/src/front-door.fixture.ts
+++ b/packages/http-front-door/src/front-door.fixture.ts
@@ -18,10 +18,10 @@
     return E.right({
       ...{ requestId, key: read('key'), affinityKey: '', promptTokens: 0 },
       lastPiece: Number(read('last') ?? 0),
-      resumes: read('resumes'),
+      firstAttemptId: read('first-attempt'),
     });
   },
-  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', resumes: 'resumes' },
+  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', firstAttemptId: 'first-attempt' },
 };
 
 export const targets: TargetDialect = {
--- a/packages/http-front-door/src/http-front-door.test.ts
+++ b/packages/http-front-door/src/http-front-door.test.ts
@@ -201,28 +201,22 @@
   return (await bed.exchange(bytes, /\r\n\r\n/)).slice(9, 12);
 }
 
-test('a stream that a caller takes up goes to the service of its first attempt', async () => {
+test('a stream that a caller resumes goes to the service of its first attempt', async () => {
   const [calls] = configuration.routes;
   const shares = ['a', 'b', 'c', 'd'].map((service) => ({ service, weight: 1 }));
-  const streams = {
-    ...calls!,
-    streaming: true,
-    repeatable: true,
-    pathPrefix: '/stream/',
-    timeoutMs: 40,
-    shares,
-  };
+  const changes = { streaming: true, repeatable: true, pathPrefix: '/stream/', timeoutMs: 40 };
+  const streams = { ...calls!, ...changes, shares };
   const bed = await TestBed.start({ ...configuration, routes: [streams] });
   const ids = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6', 'r7', 'r8'];
   for (const id of ids) {
-    const fields = [`Id: ${id}b`, 'Key: good', 'Last: 3', `Resumes: ${id}`, 'Content-Length: 0'];
-    const lines = ['POST /stream/1 HTTP/1.1', 'Host: vans.example', ...fields];
+    const fields = [`Id: ${id}b`, `First-Attempt: ${id}`, 'Last: 3', 'Key: good'];
+    const lines = ['POST /stream/1 HTTP/1.1', 'Host: vans.example', ...fields, 'Content-Length: 0'];
     await bed.exchange(`${lines.join('\r\n')}\r\n\r\n`, /HTTP/);
   }
   await bed.stop();
-  const taken = bed.readLines().filter(({ event }) => event === 'stream-taken-up');
+  const resumed = bed.readLines().filter(({ event }) => event === 'stream-resume-requested');
   assert.equal(
-    taken.map(({ service }) => service),
+    resumed.map(({ service }) => service),
     ids.map((id) => chooseService(streams, id)),
   );
 });
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -321,7 +321,7 @@
         body: admission.body,
         deadlineAtMs,
         lastPiece: headers.lastPiece,
-        resumes: headers.resumes,
+        firstAttemptId: headers.firstAttemptId,
         affinityKey: headers.affinityKey === '' ? headers.requestId : headers.affinityKey,
         promptTokens: headers.promptTokens,
         maxOutputTokens: headers.maxOutputTokens,
--- a/packages/http-front-door/src/ingress-dialect.ts
+++ b/packages/http-front-door/src/ingress-dialect.ts
@@ -11,7 +11,7 @@
   /** Number of the last piece that the caller received; 0 for none. */
   lastPiece: number;
   /** Id of the caller's attempt that brought the first piece; undefined if it names none. */
-  resumes?: string;
+  firstAttemptId?: string;
   /** Identifies the caller's session or prompt; empty for none. */
   affinityKey: string;
   promptTokens: number;
@@ -26,7 +26,7 @@
   /** Number of the last piece that the caller has received. */
   lastPiece: string;
   /** Id of the caller's attempt that brought the first piece. */
-  resumes: string;
+  firstAttemptId: string;
 }
 
 /** Parses the headers of one caller protocol. */
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -237,7 +237,7 @@
       promptTokens: 0,
     });
   },
-  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', resumes: 'resumes' },
+  progressHeaders: { timeoutMs: 'timeout', lastPiece: 'last', firstAttemptId: 'first-attempt' },
 };
 
 const REMOVED_HEADERS: ReadonlySet<string> = new Set(['key', 'content-length']);
--- a/packages/relay-requests/src/compose-relay-headers.test.ts
+++ b/packages/relay-requests/src/compose-relay-headers.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import composeRelayHeaders from './compose-relay-headers.js';
 
-const NAMES = { timeoutMs: 'Timeout', lastPiece: 'Last', resumes: 'First' };
+const NAMES = { timeoutMs: 'Timeout', lastPiece: 'Last', firstAttemptId: 'First' };
 
 function compose(
   rawHeaders: string[],
@@ -25,9 +25,9 @@
 
 test('a relayed stream names the attempt that brought its first piece', () => {
   const received = ['First', 'r1', 'Last', '3'];
-  const taken = compose(received, 7, { lastPiece: 3, resumes: 'r1' });
-  assert.is(taken[taken.indexOf('First') + 1], 'r1');
-  assert.is(taken.filter((name) => name === 'First').length, 1);
+  const relayed = compose(received, 7, { lastPiece: 3, firstAttemptId: 'r1' });
+  assert.is(relayed[relayed.indexOf('First') + 1], 'r1');
+  assert.is(relayed.filter((name) => name === 'First').length, 1);
 });
 
 test('headers of the connection of the caller are not relayed', () => {
--- a/packages/relay-requests/src/compose-relay-headers.ts
+++ b/packages/relay-requests/src/compose-relay-headers.ts
@@ -19,14 +19,14 @@
   }: Pick<AttemptRequest, 'request' | 'remainingMs' | 'lastPiece'>,
   names: ProgressHeaders,
 ): string[] {
-  const replaced = [names.timeoutMs, names.lastPiece, names.resumes].map((name) =>
+  const replaced = [names.timeoutMs, names.lastPiece, names.firstAttemptId].map((name) =>
     name.toLowerCase(),
   );
   const without = new Set([...CALLER_HEADERS, ...replaced]);
   const headers = filterEndToEndHeaders(request.rawHeaders, without);
   headers.push(names.timeoutMs, String(Math.max(1, Math.floor(remainingMs))));
   if (lastPiece > 0) {
-    headers.push(names.lastPiece, String(lastPiece), names.resumes, streamIdOf(request));
+    headers.push(names.lastPiece, String(lastPiece), names.firstAttemptId, streamIdOf(request));
   }
   return markRelayed(headers, 'request');
 }
--- a/packages/track-origins/src/origin-table.ts
+++ b/packages/track-origins/src/origin-table.ts
@@ -48,7 +48,7 @@
     return isValid ? known.softwareVersion : undefined;
   }
 
-  /** The streams that this VM served and that may still be taken up. */
+  /** The streams that this VM served and that may still be resumed. */
   listOwn(isIncluded: (service: string) => boolean): StreamOrigin[] {
     const now = this.clock.now();
     return [...this.streams].flatMap(([streamId, known]) => {
--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -1,6 +1,6 @@
 /**
  * Knows which software version began each stream. While a service has several versions, each VM
- * tells its peers of the streams that it begins, so that a caller can take a stream up at any VM.
+ * tells its peers of the streams that it begins, so that a caller can resume a stream at any VM.
  */
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Forgets a stream that ended well, which nobody takes up. */
+  /** Forgets a stream that ended well, which nobody resumes. */
   forget(streamId: string): void {
     this.table.forget(streamId);
   }
--- a/packages/types/src/origins.ts
+++ b/packages/types/src/origins.ts
@@ -7,7 +7,7 @@
   streamId: string;
   service: string;
   softwareVersion: string;
-  /** Time for which the stream may still be taken up, in milliseconds. */
+  /** Time for which the stream may still be resumed, in milliseconds. */
   leftMs: Millis;
 }
 
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -156,7 +156,7 @@
   /** Number of the last piece that the caller already has; 0 for none. */
   lastPiece: number;
   /** Id of the caller's attempt that brought the first piece; undefined if it names none. */
-  resumes?: string;
+  firstAttemptId?: string;
   /**
    * Identifies the caller's session or prompt, to find a target that has it cached; empty for none.
    */
@@ -171,7 +171,7 @@
 export function streamIdOf({
   requestId,
   lastPiece,
-  resumes,
-}: Pick<IncomingRequest, 'requestId' | 'lastPiece' | 'resumes'>): string {
-  return lastPiece > 0 ? (resumes ?? requestId) : requestId;
+  firstAttemptId,
+}: Pick<IncomingRequest, 'requestId' | 'lastPiece' | 'firstAttemptId'>): string {
+  return lastPiece > 0 ? (firstAttemptId ?? requestId) : requestId;
 }
