Log the runs at a target that ended without counting against a request

The lines could not tell whether runs that fell silent, were abandoned or had written a piece stood on targets that ended shortly after, nor on what ground a request was cleared. A ledger of runs by target joins both, and names each run that did not count when the registry removes its target (run-not-counted); request-absolved names the target and the evidence. No decision changes.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a call at one target. Buffers the answer until it is complete or too long. */
+import type { GuardedRun } from '@limelead/quarantine-requests';
 import type { AnswerHead, OpenCall } from '@limelead/target-connections';
 import type { Millis, PlaceOutcome, ServiceTarget } from '@limelead/types';
 import type { WholeAnswer } from './answer-sink.js';
@@ -32,12 +33,15 @@
   slot: Slot;
   refund: RefundAttempt;
   events: CallAttemptEvents;
+  /** Undefined if the attempt goes through another VM, which tracks the run itself. */
+  run: GuardedRun | undefined;
 }
 
 /** One attempt at one target. */
 export default class CallAttempt {
   readonly number: number;
   readonly refund: RefundAttempt;
+  readonly run: GuardedRun | undefined;
   /** True once the attempt has ended or was cancelled; no callbacks follow. */
   isOver = false;
   /** Steady time at which the request was sent; 0 before. */
@@ -50,10 +54,11 @@
   private bufferedBytes = 0;
   private isStreaming = false;
 
-  constructor({ number, slot, refund, events }: CallAttemptOptions) {
+  constructor({ number, slot, refund, events, run }: CallAttemptOptions) {
     this.number = number;
     this.slot = slot;
     this.refund = refund;
+    this.run = run;
     this.events = events;
   }
 
@@ -97,6 +102,7 @@
     if (!this.isOver) {
       this.isOver = true;
       this.open?.cancel();
+      this.run?.abandon();
       this.releaseBuffered();
       this.slot.release();
     }
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -160,7 +160,7 @@
     }
     if (slot === undefined) {
       this.refusal = refusal;
-      this.guarded.recordInconclusiveRun();
+      this.guarded.onNoTarget();
       this.giveUp();
       return;
     }
@@ -186,11 +186,13 @@
   }
 
   private createAttempt(slot: Slot): CallAttempt {
+    const { target } = slot.tracked;
     return new CallAttempt({
       number: this.attempts.length + 1,
       slot,
-      refund: this.budget.recordAttempt(slot.tracked.target.isHelper),
+      refund: this.budget.recordAttempt(target.isHelper),
       events: this.events,
+      run: target.isHelper === true ? undefined : this.guarded.startRun(target),
     });
   }
 
@@ -208,7 +210,7 @@
     this.streaming = attempt;
     this.stopWaiting();
     this.sink.readFrom(attempt);
-    this.recordHarmlessRun(attempt);
+    attempt.run?.recordOutput();
     this.reportUnanswered('answered', attempt);
     this.cancelOthers(attempt);
     const length = head.headers.get('content-length');
@@ -225,7 +227,7 @@
     const isGood = status < MIN_SERVER_ERROR_STATUS;
     const kind = isGood ? 'answered' : 'failed';
     this.context.directory.observe(attempt.target.id, { kind });
-    this.recordHarmlessRun(attempt);
+    attempt.run?.recordAnswer(isGood);
     this.report.runStarted(attempt);
     this.report.attemptEnded(attempt, isGood);
     if (this.streaming === attempt) {
@@ -254,9 +256,10 @@
       if (!this.guarded.isSuspected) {
         this.report.attemptEnded(attempt, false);
       }
-      this.recordBrokenRun(attempt);
+      // A VM that relays and ends is no evidence against the request.
+      attempt.run?.recordBroken();
     } else {
-      this.guarded.recordInconclusiveRun();
+      attempt.run?.recordNotRun();
     }
     if (this.streaming === attempt) {
       this.sink.abort(new LimeleadError('outcome-unknown', 'the target broke off its answer'));
@@ -282,7 +285,7 @@
       isOtherTarget ? { kind: 'replaced' } : { kind: 'full', pauseMs: FULL_TARGET_PAUSE_MS },
     );
     this.report.rejected(attempt, isOtherTarget);
-    this.guarded.recordInconclusiveRun();
+    attempt.run?.recordNotRun();
     if (attempt.isRelayed) {
       // Nothing arrived at a target.
       attempt.refund();
@@ -292,21 +295,6 @@
     this.retryRejected();
   }
 
-  private recordHarmlessRun({ isRelayed }: CallAttempt): void {
-    if (!isRelayed) {
-      this.guarded.recordHarmlessRun();
-    }
-  }
-
-  /** A VM that relays and ends is no evidence against the request. */
-  private recordBrokenRun({ isRelayed, target, sentAtMs }: CallAttempt): void {
-    if (isRelayed) {
-      this.guarded.recordInconclusiveRun();
-    } else {
-      this.guarded.recordBrokenRun(target.id, sentAtMs, this.context.clock.now());
-    }
-  }
-
   private retryRejected(): void {
     if (this.isDone || this.replaceHedgeByRetry() || this.hasPendingAttempt()) {
       return;
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -20,7 +20,7 @@
 import findStreamSlot from './find-stream-slot.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
 import { MIN_SERVER_ERROR_STATUS } from './limits.js';
-import LiveAttempts, { isRelayed, type LiveAttempt } from './live-attempts.js';
+import LiveAttempts, { isRelayed } from './live-attempts.js';
 import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
@@ -84,6 +84,7 @@
       createEvents: (number) => this.createEvents(number),
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
       onSilent: (number, cause) => this.onSilent(number, cause),
+      startRun: (target) => this.guarded.startRun(target),
       canMove: () => this.attempts.canMove(),
     });
     sink.readFrom(this.live);
@@ -244,12 +245,12 @@
       return;
     }
     if (refusal !== undefined) {
-      this.guarded.recordInconclusiveRun();
+      this.guarded.onNoTarget();
       this.fail(this.refusals.withoutSlot(refusal));
       return;
     }
     if (slot === undefined) {
-      this.guarded.recordInconclusiveRun();
+      this.guarded.onNoTarget();
       this.advance({ kind: 'no-target', attempt, error: 'no-target' });
       return;
     }
@@ -296,9 +297,8 @@
     }
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
-    if (recordFirstPiece(this.context, this.admitted, live)) {
-      this.guarded.recordHarmlessRun();
-    }
+    recordFirstPiece(this.context, this.admitted, live);
+    live.run?.recordOutput();
     this.version.onPiece(live.attempt.target);
     live.activity.recordActivity();
     live.paceMeter.recordPieces(pieces.length, this.context.clock.now());
@@ -319,9 +319,7 @@
     }
     this.answer.setTrailer(trailer);
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
-    if (!isRelayed(live)) {
-      this.guarded.recordHarmlessRun();
-    }
+    live.run?.recordAnswer(true);
     this.report.attemptEnded(live, true);
     this.live.release(attempt, 'answered');
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
@@ -357,6 +355,9 @@
     if (!isLikelyCrash) {
       this.report.attemptEnded(live, false);
     }
+    if (cause === 'broken') {
+      live.run?.recordBroken();
+    }
     this.live.release(attempt);
     // If the request is suspected of crashes, only this incarnation of the target is over, and its
     // failure domain is not in doubt. Otherwise a broken connection counts as a lost target.
@@ -364,18 +365,6 @@
       directory.observe(target, { kind: isLikelyCrash ? 'replaced' : 'lost' });
       silence.onTargetLost(target);
     }
-    this.recordCrashEvidence(live, cause);
-  }
-
-  /** Only a broken connection is evidence against the request; silence is not. */
-  private recordCrashEvidence(live: LiveAttempt, cause: LossCause): void {
-    if (cause === 'broken' && !isRelayed(live)) {
-      const { attempt, activity } = live;
-      const { startedAtMs } = activity;
-      this.guarded.recordBrokenRun(attempt.target.id, startedAtMs, this.context.clock.now());
-    } else {
-      this.guarded.recordInconclusiveRun();
-    }
   }
 
   private onRejected(attempt: number, cause: RejectionCause, reason: string): void {
@@ -386,7 +375,7 @@
     const { directory } = this.context;
     const { target } = live.attempt;
     this.attempts.recordRejection(target.id, cause, target.isHelper);
-    this.guarded.recordInconclusiveRun();
+    live.run?.recordNotRun();
     directory.observe(target.id, toObservation(cause));
     this.report.rejected(attempt, target.id, cause, reason);
     this.live.release(attempt, 'rejected');
@@ -400,9 +389,7 @@
       return;
     }
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
-    if (!isRelayed(live)) {
-      this.guarded.recordHarmlessRun();
-    }
+    live.run?.recordAnswer(head.status < MIN_SERVER_ERROR_STATUS);
     this.report.attemptEnded(live, false);
     this.live.release(attempt);
     // A VM that relays has retried already.
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -1,4 +1,5 @@
 /** Attempts in progress of one stream and the resources that each of them holds. */
+import type { GuardedRun } from '@limelead/quarantine-requests';
 import type { PieceMeter } from '@limelead/track-service-targets';
 import type { Millis, PlaceOutcome, RecoveryPolicy, ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -15,6 +16,8 @@
 export interface LiveAttempt {
   attempt: StreamAttempt;
   slot: Slot;
+  /** Undefined if the attempt goes through another VM, which tracks the run itself. */
+  run: GuardedRun | undefined;
   /** Replica that the target writes during the run. */
   replica?: RunReplica;
   activity: RunActivity;
@@ -46,6 +49,7 @@
   /** Called right before the request is sent. */
   onSending(number: number, attemptRequest: AttemptRequest): void;
   onSilent(number: number, cause: GiveUpCause): void;
+  startRun(target: ServiceTarget): GuardedRun;
   /** Whether the request may run at another target. */
   canMove(): boolean;
 }
@@ -83,6 +87,7 @@
       paceMeter,
       attempt,
       slot,
+      run: target.isHelper === true ? undefined : this.events.startRun(target),
       replica: replicaTarget && { target: replicaTarget, runId: attemptRequest.request.requestId },
       activity,
       endPrefill: resumeFrom ? () => undefined : this.startReadingPrompt(slot),
@@ -105,6 +110,7 @@
       live.endPrefill();
       live.releaseReplica();
       live.slot.release(outcome);
+      live.run?.abandon();
     }
   }
 
--- a/packages/forward-request/src/stream-observation.ts
+++ b/packages/forward-request/src/stream-observation.ts
@@ -48,24 +48,23 @@
 
 /**
  * Records the time to the first piece of a run; it updates the prefill estimate if the prompt was
- * read. Returns whether this piece is the first one of a target, not of another VM.
+ * read.
  */
 export function recordFirstPiece(
   { clock, prefill, observer }: Pick<ForwardContext, 'clock' | 'prefill' | 'observer'>,
   admitted: AdmittedRequest,
   live: LiveAttempt,
-): boolean {
+): void {
   if (live.firstPieceAfterMs !== undefined) {
-    return false;
+    return;
   }
   const { isWriting, startedAtMs } = live.activity;
   live.firstPieceAfterMs = clock.now() - startedAtMs;
   if (isRelayed(live)) {
-    return false;
+    return;
   }
   if (!isWriting) {
     prefill.record(admitted, live.firstPieceAfterMs);
   }
   observer.onRunStarted?.(admitted, live.attempt.target);
-  return true;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -413,6 +413,7 @@
     }
     if (kind === 'gone') {
       this.origins.onTargetGone(target);
+      this.quarantine.onTargetGone(target);
       this.permits.forget(target.id);
     }
     if (kind !== 'joined') {
--- a/packages/gateway/src/quarantine-component.ts
+++ b/packages/gateway/src/quarantine-component.ts
@@ -10,7 +10,7 @@
   type RequestIdentity,
 } from '@limelead/quarantine-requests';
 import type { TargetConnections } from '@limelead/target-connections';
-import type { Millis } from '@limelead/types';
+import type { Millis, ServiceTarget } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import type { FleetComponent, FleetComponentContext } from './fleet-component.js';
 import { quarantineKeyOf } from './store-keys.js';
@@ -26,6 +26,8 @@
 /** A component whose guard decides before each attempt whether a request may be sent. */
 export interface QuarantineComponent extends FleetComponent {
   guard: RequestGuard;
+  /** Handles that the registry removed a target. */
+  onTargetGone(target: ServiceTarget): void;
 }
 
 /** What the component needs besides its context. */
@@ -76,6 +78,12 @@
     this.onStoreViewChange();
   }
 
+  onTargetGone({ id, leaving }: ServiceTarget): void {
+    if (!leaving) {
+      this.guard.onTargetEnded(id);
+    }
+  }
+
   /** Applies added and removed quarantines to the guard. */
   onStoreViewChange(): void {
     const { storeView } = this.context;
--- /dev/null
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -0,0 +1,204 @@
+/**
+ * Collects the crashes of one VM and of its peers, logs what counts and what does not, and tells
+ * peers and the store.
+ */
+import { createRateLimitedLog, type DecisionLog } from '@limelead/decision-log';
+import { describeThrown } from '@limelead/errors';
+import type { Metrics } from '@limelead/metrics';
+import type { Clock, Millis } from '@limelead/types';
+import CrashTable, {
+  type CrashRecord,
+  type Quarantine,
+  type RequestStatus,
+} from './crash-table.js';
+import type { ClearanceGround } from './guarded-request.js';
+import type { RequestIdentity } from './identify-request.js';
+import { createQuarantineUpdate, type QuarantineUpdate } from './quarantine-update.js';
+import type { RequestSummary } from './request-summary.js';
+
+/** Dependencies of `CrashEvidence`. */
+export interface CrashEvidenceOptions {
+  clock: Clock;
+  log: Pick<DecisionLog, 'write'>;
+  metrics: Pick<Metrics, 'count'>;
+  /**
+   * Whether an incarnation on which a run broke at that time has ended; probes it if that is
+   * unknown.
+   */
+  hasCrashed(target: string, brokeAtMs: Millis): Promise<boolean>;
+  /** Whether this VM received anything from an incarnation since that time. */
+  hasRespondedSince(target: string, sinceMs: Millis): boolean;
+  /** Sends an update to all peers. */
+  publish(update: QuarantineUpdate): void;
+  /** Stores a quarantine that this VM decided; resolves after the first attempt to write it. */
+  storeQuarantine(request: RequestIdentity, quarantine: Quarantine): Promise<void>;
+  /** A target of this VM ran a quarantined request without a crash. */
+  onQuarantineRefuted(request: RequestIdentity): void;
+  onQuarantined(request: RequestIdentity, service: string): void;
+  /** The status of a request may have changed otherwise. */
+  onStatusChanged(request: RequestIdentity): void;
+}
+
+/** The evidence known to one VM. */
+export default class CrashEvidence {
+  readonly crashTable: CrashTable;
+
+  constructor(private readonly options: CrashEvidenceOptions) {
+    const { clock, log, metrics } = options;
+    const logDropped = createRateLimitedLog(log, clock, 'evidence-dropped');
+    this.crashTable = new CrashTable((identity) => {
+      metrics.count('limelead_evidence_dropped_total');
+      logDropped({ identity });
+    });
+  }
+
+  getStatus(request: RequestIdentity): RequestStatus {
+    return this.crashTable.getStatus(request, this.now);
+  }
+
+  /**
+   * Checks a run of this VM that broke before any output. From a request's second such run on, the
+   * target is probed, since a broken link or a reset connection is no crash.
+   */
+  async checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<void> {
+    try {
+      await this.checkTarget(crash, request);
+    } catch (thrown) {
+      this.options.log.write('strike-failed', { reason: describeThrown(thrown) });
+    }
+  }
+
+  /** Records a crash that a peer reported; returns false if it has no effect. */
+  recordPeerCrash(crash: CrashRecord, peer: string): boolean {
+    return this.recordCrash(crash, peer);
+  }
+
+  withdrawCrash(request: RequestIdentity, target: string): boolean {
+    const isNew = this.crashTable.withdrawCrash(request, target, this.now);
+    if (isNew) {
+      this.options.log.write('strike-withdrawn', { identity: request, target });
+      this.options.onStatusChanged(request);
+    }
+    return isNew;
+  }
+
+  /** Clears a request that a target of this VM ran without a crash. */
+  clearRequest(request: RequestIdentity, ground: ClearanceGround): void {
+    const atMs = this.now;
+    const wasQuarantined = this.getStatus(request) === 'quarantined';
+    if (this.crashTable.hasEntry(request) && this.applyClearance(request, atMs, 'own', ground)) {
+      this.options.publish(createQuarantineUpdate({ cleared: [{ request, atMs }] }));
+    }
+    if (wasQuarantined) {
+      this.options.onQuarantineRefuted(request);
+    }
+  }
+
+  /** Clears a request by decision of a peer; returns false if it has no effect. */
+  applyPeerClearance(request: RequestIdentity, atMs: Millis, peer: string): boolean {
+    return this.applyClearance(request, atMs, peer);
+  }
+
+  /** Quarantines a request that the store lists as quarantined. */
+  quarantine(request: RequestIdentity, quarantine: Quarantine): void {
+    if (this.crashTable.quarantine(request, quarantine, this.now)) {
+      this.reportQuarantine(request, quarantine.service, 'store');
+    }
+  }
+
+  /** Ends the quarantine of a request that the store does not list any more. */
+  release(request: RequestIdentity): void {
+    this.crashTable.release(request, this.now);
+    this.options.log.write('request-released', { identity: request });
+    this.options.onStatusChanged(request);
+  }
+
+  private get now(): Millis {
+    return this.options.clock.now();
+  }
+
+  private async checkTarget(crash: CrashRecord, summary: RequestSummary): Promise<void> {
+    const { request, target, endedAtMs } = crash;
+    if (this.crashTable.hasEntry(request)) {
+      this.withdrawRefutedCrashes(request);
+      if (!(await this.options.hasCrashed(target, endedAtMs))) {
+        const { requestId } = summary;
+        this.options.log.write('strike-refuted', { requestId, identity: request, target });
+        return;
+      }
+    }
+    const before = this.getStatus(request);
+    if (!this.recordCrash(crash, 'own', summary)) {
+      return;
+    }
+    this.options.metrics.count('limelead_strikes_total', 1, { service: crash.service });
+    this.options.publish(createQuarantineUpdate({ crashes: [crash] }));
+    if (before !== 'quarantined' && this.getStatus(request) === 'quarantined') {
+      const { service, caller } = crash;
+      await this.options.storeQuarantine(request, { service, caller });
+    }
+  }
+
+  /** Withdraws crashes whose targets responded later. */
+  private withdrawRefutedCrashes(request: RequestIdentity): void {
+    const refuted = this.crashTable
+      .listCrashes(request)
+      .filter(({ target, endedAtMs }) => this.options.hasRespondedSince(target, endedAtMs))
+      .filter(({ target }) => this.withdrawCrash(request, target));
+    if (refuted.length > 0) {
+      this.options.publish(createQuarantineUpdate({ withdrawn: refuted }));
+    }
+  }
+
+  private recordCrash(crash: CrashRecord, source: string, summary?: RequestSummary): boolean {
+    const { request, service, target, startedAtMs, endedAtMs } = crash;
+    const before = this.getStatus(request);
+    if (!this.crashTable.recordCrash(crash, this.now)) {
+      return false;
+    }
+    const verdict = this.getStatus(request);
+    // A first crash is logged only at the VM that saw it, since most requests have no second one.
+    if (source === 'own' || verdict !== 'clear') {
+      this.options.log.write('strike', {
+        requestId: summary?.requestId,
+        organisation: summary?.organisation,
+        path: summary?.path,
+        ...{ identity: request, service, target, source, verdict },
+        runMs: Math.round(endedAtMs - startedAtMs),
+        targets: this.crashTable.listCrashedTargets(request),
+      });
+    }
+    if (verdict === 'quarantined' && before !== 'quarantined') {
+      this.reportQuarantine(request, service, source);
+    }
+    return true;
+  }
+
+  private reportQuarantine(request: RequestIdentity, service: string, source: string): void {
+    const targets = this.crashTable.listCrashedTargets(request);
+    this.options.metrics.count('limelead_quarantines_total', 1, { service });
+    this.options.log.write('request-quarantined', { identity: request, service, source, targets });
+    this.options.onStatusChanged(request);
+    this.options.onQuarantined(request, service);
+  }
+
+  private applyClearance(
+    request: RequestIdentity,
+    atMs: Millis,
+    source: string,
+    ground?: ClearanceGround,
+  ): boolean {
+    const targets = this.crashTable.listCrashedTargets(request);
+    const before = this.getStatus(request);
+    const isNew = this.crashTable.clearRequest(request, atMs, this.now);
+    if (before !== 'clear' || (source === 'own' && targets.length > 0)) {
+      const { id, service, version } = ground?.run.target ?? {};
+      const evidence = ground?.evidence;
+      this.options.log.write('request-absolved', {
+        ...{ identity: request, source, targets, evidence, by: id, service, version },
+      });
+      this.options.onStatusChanged(request);
+    }
+    return isNew;
+  }
+}
--- a/packages/quarantine-requests/src/fleet.fixture.ts
+++ b/packages/quarantine-requests/src/fleet.fixture.ts
@@ -116,12 +116,12 @@
     onBroken: () => void,
     finish: (outcome: string) => void,
   ): void {
-    const startedAtMs = this.now;
     const target = `t${(this.targetCount += 1)}`;
-    this.arrivals.push({ path, atMs: startedAtMs });
+    this.arrivals.push({ path, atMs: this.now });
+    const run = guarded.startRun({ id: target, service: SERVICE });
     this.schedule(this.now + afterMs, () => {
       if (kind === 'answers') {
-        guarded.recordHarmlessRun();
+        run.recordAnswer(true);
         finish('answered');
         return;
       }
@@ -129,7 +129,7 @@
         this.crashedTargets.add(target);
         this.crashes.push({ path, atMs: this.now });
       }
-      guarded.recordBrokenRun(target, startedAtMs, this.now);
+      run.recordBroken();
       onBroken();
     });
   }
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -1,11 +1,14 @@
 /** Crash tracking of one request of this VM, from its first attempt to its final answer. */
 import type { CancelTimer, Millis } from '@limelead/types';
 import type { CrashRecord, RequestStatus } from './crash-table.js';
+import GuardedRun, { type RunEnd, type RunOwner, type RunTarget } from './guarded-run.js';
 import identifyRequest, {
   identifyCaller,
   type IdentifiedRequest,
   type RequestIdentity,
 } from './identify-request.js';
+import type { RequestSummary } from './request-summary.js';
+import type { UnsettledRun } from './run-ledger.js';
 import type { Admission } from './trial-queue.js';
 
 /** A request and how it is identified. */
@@ -22,6 +25,7 @@
 
 /** The parts of the VM's guard that a guarded request uses. */
 export interface GuardAccess {
+  readNow(): Millis;
   hasEntriesFor(service: string): boolean;
   getStatus(request: RequestIdentity): RequestStatus;
   quarantineLeftMs(request: RequestIdentity): Millis;
@@ -30,13 +34,23 @@
     onAdmission: (admission: Admission) => void,
   ): CancelTimer;
   endTrial(request: RequestIdentity): void;
-  checkBrokenRun(crash: CrashRecord, details: GuardedRequestDetails): Promise<void>;
-  clearRequest(request: RequestIdentity): void;
+  onRunStarted(run: GuardedRun): void;
+  onRunEnded(run: GuardedRun): void;
+  /** A run ended without an answer, and it is not known whether its target ended. */
+  addUnsettledRun(run: UnsettledRun): void;
+  checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<void>;
+  clearRequest(request: RequestIdentity, ground: ClearanceGround): void;
   onClosed(): void;
 }
 
+/** What showed that a request is harmless. */
+export interface ClearanceGround {
+  run: GuardedRun;
+  evidence: 'output' | RunEnd;
+}
+
 /** Tracks the attempts of one request. */
-export default class GuardedRequest {
+export default class GuardedRequest implements RunOwner {
   private identity: RequestIdentity | undefined;
   /** Whether a target ran the request to its first piece or its answer. */
   private isHarmless = false;
@@ -83,23 +97,41 @@
     });
   }
 
-  /**
-   * Records an attempt that broke before the target wrote any output.
-   * @param startedAtMs when it was sent; steady time, as is endedAtMs
-   */
-  recordBrokenRun(target: string, startedAtMs: Millis, endedAtMs: Millis): void {
-    if (this.isHarmless) {
-      return;
+  get now(): Millis {
+    return this.guard.readNow();
+  }
+
+  /** Starts to track a run; the caller reports its end. */
+  startRun(target: RunTarget): GuardedRun {
+    const run = new GuardedRun(target, this.now, this);
+    this.guard.onRunStarted(run);
+    return run;
+  }
+
+  onOutput(run: GuardedRun): void {
+    if (!run.hasOutput) {
+      this.recordHarmlessRun(run, 'output');
+    }
+  }
+
+  onRunEnded(run: GuardedRun, end: RunEnd): void {
+    this.guard.onRunEnded(run);
+    switch (end) {
+      case 'answered':
+      case 'failed':
+        this.recordHarmlessRun(run, end);
+        break;
+      case 'broken':
+        this.recordBrokenRun(run);
+        break;
+      case 'abandoned':
+        this.addUnsettledRun(run, end);
+        this.endTrial();
+        break;
+      case 'not-run':
+        this.endTrial();
+        break;
     }
-    const { service, route, request } = this.details;
-    const caller = identifyCaller(request.organisation, route);
-    const crash = { request: this.name, service, caller, target, startedAtMs, endedAtMs };
-    this.openCheckCount += 1;
-    const check = this.guard.checkBrokenRun(crash, this.details).then(() => {
-      this.openCheckCount -= 1;
-      this.endTrial();
-    });
-    this.openChecks = Promise.all([this.openChecks, check]);
   }
 
   /**
@@ -115,22 +147,8 @@
     }
   }
 
-  /** Records the end of an attempt that shows neither a crash nor that the request is harmless. */
-  recordInconclusiveRun(): void {
-    this.endTrial();
-  }
-
-  /**
-   * Records that a target ran the request to its first piece or its answer and is still running.
-   */
-  recordHarmlessRun(): void {
-    if (this.isHarmless) {
-      return;
-    }
-    this.isHarmless = true;
-    if (this.mayBeSuspected) {
-      this.guard.clearRequest(this.name);
-    }
+  /** Ends the trial of an attempt that found no target. */
+  onNoTarget(): void {
     this.endTrial();
   }
 
@@ -155,6 +173,14 @@
     this.guard.onClosed();
   }
 
+  /** The request as evidence and log lines name it. */
+  summarize(): RequestSummary {
+    const { route, requestId, request } = this.details;
+    const { organisation, path } = request;
+    const caller = identifyCaller(organisation, route);
+    return { identity: this.name, caller, requestId, organisation, path };
+  }
+
   /**
    * Identity of the request; hashed only on demand, since it is not needed while no request has
    * crashes.
@@ -168,6 +194,43 @@
     return this.guard.hasEntriesFor(this.details.service);
   }
 
+  /** Checks a run that broke before the target wrote any output. */
+  private recordBrokenRun(run: GuardedRun): void {
+    if (this.isHarmless) {
+      this.addUnsettledRun(run, 'broken');
+      return;
+    }
+    const { target, startedAtMs, endedAtMs = this.now } = run;
+    const summary = this.summarize();
+    const { identity, caller } = summary;
+    const { service } = this.details;
+    const crash = { request: identity, service, caller, target: target.id, startedAtMs, endedAtMs };
+    this.openCheckCount += 1;
+    const check = this.guard.checkBrokenRun(crash, summary).then(() => {
+      this.openCheckCount -= 1;
+      this.endTrial();
+    });
+    this.openChecks = Promise.all([this.openChecks, check]);
+  }
+
+  private addUnsettledRun(run: GuardedRun, end: UnsettledRun['end']): void {
+    const { target, startedAtMs, endedAtMs = this.now, hasOutput } = run;
+    const request = this.summarize();
+    this.guard.addUnsettledRun({ target, startedAtMs, endedAtMs, end, hasOutput, request });
+  }
+
+  /** Records that a target ran the request to its first piece or its answer and is still running. */
+  private recordHarmlessRun(run: GuardedRun, evidence: ClearanceGround['evidence']): void {
+    if (this.isHarmless) {
+      return;
+    }
+    this.isHarmless = true;
+    if (this.mayBeSuspected) {
+      this.guard.clearRequest(this.name, { run, evidence });
+    }
+    this.endTrial();
+  }
+
   private requestAdmissionAfterChecks(onAdmission: (admission: Admission) => void): CancelTimer {
     let isCancelled = false;
     let cancel = (): void => undefined;
--- a/packages/quarantine-requests/src/index.ts
+++ b/packages/quarantine-requests/src/index.ts
@@ -1,6 +1,7 @@
 /** Finds requests that end the targets that run them, and keeps them from further ones. */
 export { default as RequestGuard, type RequestGuardOptions } from './request-guard.js';
 export { default as GuardedRequest } from './guarded-request.js';
+export type { default as GuardedRun } from './guarded-run.js';
 export { default as createIsolatedGuard } from './isolated-guard.js';
 export { QUARANTINE_MS, type Quarantine, type CrashRecord } from './crash-table.js';
 export {
