Clear a request only for the software that ran it

Callers saw targets of one version end again and again: an answer of a target of another version, or of another service, cleared the request for all of them on all VMs, and its ends counted from one again. A clearance now names the service and version of the target that ran the request, and drops the ends of that software only. VMs of earlier releases ignore the field and clear all, as before.

--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -6,14 +6,15 @@
 import { describeThrown } from '@limelead/errors';
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, Millis } from '@limelead/types';
-import CrashTable, {
-  type CrashRecord,
-  type Quarantine,
-  type RequestStatus,
-} from './crash-table.js';
+import type { CrashRecord, Quarantine } from './crash-record.js';
+import CrashTable, { type RequestStatus } from './crash-table.js';
 import type { ClearanceGround } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
-import { createQuarantineUpdate, type QuarantineUpdate } from './quarantine-update.js';
+import {
+  createQuarantineUpdate,
+  type ClearedRequest,
+  type QuarantineUpdate,
+} from './quarantine-update.js';
 import type { RequestSummary } from './request-summary.js';
 
 /** Dependencies of `CrashEvidence`. */
@@ -84,19 +85,20 @@
 
   /** Clears a request that a target of this VM ran without a crash. */
   clearRequest(request: RequestIdentity, ground: ClearanceGround): void {
-    const atMs = this.now;
+    const { service, version } = ground.run.target;
+    const cleared = { request, scope: { service, version }, atMs: this.now };
     const wasQuarantined = this.getStatus(request) === 'quarantined';
-    if (this.crashTable.hasEntry(request) && this.applyClearance(request, atMs, 'own', ground)) {
-      this.options.publish(createQuarantineUpdate({ cleared: [{ request, atMs }] }));
+    if (this.crashTable.hasEntry(request) && this.applyClearance(cleared, 'own', ground)) {
+      this.options.publish(createQuarantineUpdate({ cleared: [cleared] }));
     }
-    if (wasQuarantined) {
+    if (wasQuarantined && !this.crashTable.hasEntry(request)) {
       this.options.onQuarantineRefuted(request);
     }
   }
 
   /** Clears a request by decision of a peer; returns false if it has no effect. */
-  applyPeerClearance(request: RequestIdentity, atMs: Millis, peer: string): boolean {
-    return this.applyClearance(request, atMs, peer);
+  applyPeerClearance(cleared: ClearedRequest, peer: string): boolean {
+    return this.applyClearance(cleared, peer);
   }
 
   /** Quarantines a request that the store lists as quarantined. */
@@ -183,19 +185,18 @@
   }
 
   private applyClearance(
-    request: RequestIdentity,
-    atMs: Millis,
+    { request, scope, atMs }: ClearedRequest,
     source: string,
     ground?: ClearanceGround,
   ): boolean {
     const targets = this.crashTable.listCrashedTargets(request);
     const before = this.getStatus(request);
-    const isNew = this.crashTable.clearRequest(request, atMs, this.now);
+    const isNew = this.crashTable.clearRequest(request, scope, atMs, this.now);
     if (before !== 'clear' || (source === 'own' && targets.length > 0)) {
-      const { id, service, version } = ground?.run.target ?? {};
-      const evidence = ground?.evidence;
+      const left = this.crashTable.listCrashedTargets(request);
       this.options.log.write('request-absolved', {
-        ...{ identity: request, source, targets, evidence, by: id, service, version },
+        ...{ identity: request, source, targets, left, evidence: ground?.evidence },
+        ...{ by: ground?.run.target.id, service: scope?.service, version: scope?.version },
       });
       this.options.onStatusChanged(request);
     }
--- a/packages/quarantine-requests/src/crash-table.test.ts
+++ b/packages/quarantine-requests/src/crash-table.test.ts
@@ -1,8 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import CrashTable, { QUARANTINE_MS, type CrashRecord } from './crash-table.js';
+import type { CrashRecord } from './crash-record.js';
+import CrashTable, { QUARANTINE_MS } from './crash-table.js';
 
 const SERVICE = 'llm';
+const SCOPE = { service: SERVICE, version: undefined };
 
 function crash(number: number, startedAtMs: number, endedAtMs: number): CrashRecord {
   const target = `t${number}`;
@@ -58,13 +60,22 @@
 
 test('a harmless run clears a request, and crashes from before it have no effect any more', () => {
   const table = createTable(consecutive);
-  assert.ok(table.clearRequest('r', 310, 310));
-  assert.not(table.clearRequest('r', 311, 311));
+  assert.ok(table.clearRequest('r', SCOPE, 310, 310));
+  assert.not(table.clearRequest('r', SCOPE, 311, 311));
   assert.is(table.getStatus('r', 310), 'clear');
   assert.not(table.recordCrash(crash(3, 200, 320), 320));
   assert.ok(table.recordCrash(crash(4, 320, 350), 350));
 });
 
+test('a harmless run of other software does not clear a request', () => {
+  const table = createTable(consecutive.map((one) => ({ ...one, version: 'v1' })).slice(0, 2));
+  assert.not(table.clearRequest('r', { service: SERVICE, version: 'v2' }, 310, 310));
+  assert.not(table.clearRequest('r', { service: 'other', version: 'v1' }, 310, 310));
+  assert.is(table.getStatus('r', 310), 'suspected');
+  assert.ok(table.clearRequest('r', { service: SERVICE, version: 'v1' }, 310, 310));
+  assert.is(table.getStatus('r', 310), 'clear');
+});
+
 test('a withdrawn crash is not restored by a repeated update', () => {
   const table = createTable(consecutive.slice(0, 2));
   assert.ok(table.withdrawCrash('r', 't1', 300));
--- a/packages/quarantine-requests/src/crash-table.ts
+++ b/packages/quarantine-requests/src/crash-table.ts
@@ -4,8 +4,11 @@
  * merge like a set: their order and repetitions make no difference.
  */
 import { RecentTimes, type Millis } from '@limelead/types';
+import ClearanceTable, { isInScope } from './clearance-table.js';
+import type { CrashRecord, Quarantine, RunScope } from './crash-record.js';
 import findConsecutiveCrashes from './find-consecutive-crashes.js';
-import type { CallerIdentity, RequestIdentity } from './identify-request.js';
+import createPlaceholderCrashes from './create-placeholder-crashes.js';
+import type { RequestIdentity } from './identify-request.js';
 
 /** Number of consecutive crashes that quarantine a request. Fewer may be coincidence. */
 export const CRASHES_TO_QUARANTINE = 3;
@@ -22,16 +25,8 @@
 const CRASH_TTL_MS = 600_000;
 /** Duration of a quarantine, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
-/**
- * How long refuted crashes and cleared requests are remembered, in milliseconds. Longer than any
- * update is in transit.
- */
+/** How long refuted crashes are remembered, in milliseconds. Longer than any update is in transit. */
 const REFUTED_CRASH_TTL_MS = 30_000;
-/**
- * Clearances of a request within this time of each other count as the same one, in
- * milliseconds.
- */
-const SAME_CLEARANCE_MS = 1_000;
 /** Maximum number of crashes kept per request. */
 const MAX_CRASHES_PER_REQUEST = 16;
 /** Maximum number of requests with crashes; an entry takes about 1 KB. */
@@ -40,24 +35,6 @@
 /** Whether a request may be sent: freely, in a trial of its own, or not at all. */
 export type RequestStatus = 'clear' | 'suspected' | 'quarantined';
 
-/** The end of one incarnation of a target during a run of a request. */
-export interface CrashRecord {
-  request: RequestIdentity;
-  service: string;
-  caller: CallerIdentity;
-  /** Id of the target's incarnation. */
-  target: string;
-  /** When the run was sent and when it broke; steady time. */
-  startedAtMs: Millis;
-  endedAtMs: Millis;
-}
-
-/** A quarantined request as stored. */
-export interface Quarantine {
-  service: string;
-  caller: CallerIdentity;
-}
-
 interface RequestEntry extends Quarantine {
   /** By target. */
   crashes: Map<string, CrashRecord>;
@@ -69,8 +46,7 @@
 export default class CrashTable {
   /** Least recently changed first. */
   private readonly entries = new Map<RequestIdentity, RequestEntry>();
-  /** When each request last proved harmless. */
-  private readonly clearedAtMs = new Map<RequestIdentity, Millis>();
+  private readonly clearances = new ClearanceTable();
   /** Crashes that do not count any more, so that repeated updates do not restore them. */
   private readonly refutedCrashes = new RecentTimes(REFUTED_CRASH_TTL_MS);
 
@@ -105,7 +81,7 @@
     this.forgetExpired(now);
     const { request, target, service, caller } = crash;
     const isRefuted = this.refutedCrashes.ageMs(crashKey(request, target), now) !== undefined;
-    if (isRefuted || crash.endedAtMs <= (this.clearedAtMs.get(request) ?? -Infinity)) {
+    if (isRefuted || this.clearances.covers(crash)) {
       return false;
     }
     const known = this.entries.get(request);
@@ -140,17 +116,33 @@
     return true;
   }
 
-  /** Clears a request that a target ran without a crash; returns false if that is known. */
-  clearRequest(request: RequestIdentity, atMs: Millis, now: Millis): boolean {
-    const before = this.clearedAtMs.get(request) ?? -Infinity;
+  /**
+   * Drops the crashes of the software that ran a request without a crash; returns false if that
+   * has no effect.
+   * @param scope undefined if it holds for all software
+   */
+  clearRequest(
+    request: RequestIdentity,
+    scope: RunScope | undefined,
+    atMs: Millis,
+    now: Millis,
+  ): boolean {
+    const isNew = this.clearances.record(request, scope, atMs);
     const entry = this.entries.get(request);
-    if (entry === undefined && atMs <= before + SAME_CLEARANCE_MS) {
+    if (entry === undefined) {
+      return isNew;
+    }
+    if (entry.crashes.size === 0 && !isInScope(scope, { service: entry.service })) {
       return false;
     }
-    this.clearedAtMs.set(request, Math.max(before, atMs));
-    entry?.crashes.forEach(({ target }) =>
-      this.refutedCrashes.record(crashKey(request, target), now),
-    );
+    const cleared = [...entry.crashes.values()].filter((crash) => isInScope(scope, crash));
+    for (const { target } of cleared) {
+      this.refutedCrashes.record(crashKey(request, target), now);
+      entry.crashes.delete(target);
+    }
+    if (entry.crashes.size > 0) {
+      return cleared.length > 0;
+    }
     this.entries.delete(request);
     return true;
   }
@@ -174,7 +166,8 @@
       return;
     }
     entry.quarantinedAtMs = undefined;
-    entry.crashes = new Map(createPlaceholderCrashes(request, entry, now));
+    const placeholders = createPlaceholderCrashes(request, entry, CRASHES_TO_QUARANTINE - 1, now);
+    entry.crashes = new Map(placeholders.map((crash) => [crash.target, crash]));
     this.moveToEnd(request, entry, now);
   }
 
@@ -260,11 +253,7 @@
         this.release(request, now);
       }
     }
-    for (const [request, atMs] of this.clearedAtMs) {
-      if (now - atMs > REFUTED_CRASH_TTL_MS) {
-        this.clearedAtMs.delete(request);
-      }
-    }
+    this.clearances.forgetExpired(now);
   }
 
   /**
@@ -302,16 +291,3 @@
 function crashKey(request: RequestIdentity, target: string): string {
   return `${request} ${target}`;
 }
-
-/** Placeholders for the crashes before a quarantine that ended. */
-function createPlaceholderCrashes(
-  request: RequestIdentity,
-  { service, caller }: Quarantine,
-  now: Millis,
-): [string, CrashRecord][] {
-  return Array.from({ length: CRASHES_TO_QUARANTINE - 1 }, (_, index) => {
-    const atMs = now - (CRASHES_TO_QUARANTINE - 1 - index);
-    const target = `before-${index + 1}`;
-    return [target, { request, service, caller, target, startedAtMs: atMs, endedAtMs: atMs }];
-  });
-}
--- a/packages/quarantine-requests/src/find-consecutive-crashes.ts
+++ b/packages/quarantine-requests/src/find-consecutive-crashes.ts
@@ -1,6 +1,6 @@
 /** Finds the crashes of a request that followed one another. */
 import type { Millis } from '@limelead/types';
-import type { CrashRecord } from './crash-table.js';
+import type { CrashRecord } from './crash-record.js';
 
 /**
  * A crash reported by another VM seems to end later than it did by the time its update is in
--- a/packages/quarantine-requests/src/fleet.fixture.ts
+++ b/packages/quarantine-requests/src/fleet.fixture.ts
@@ -17,6 +17,8 @@
 export interface Outcome {
   kind: 'crashes-target' | 'resets' | 'answers';
   afterMs: number;
+  /** Software version of the target. */
+  version?: string;
 }
 
 /** A VM's guard and its gossip peers. */
@@ -112,13 +114,13 @@
   private run(
     guarded: GuardedRequest,
     path: string,
-    { kind, afterMs }: Outcome,
+    { kind, afterMs, version }: Outcome,
     onBroken: () => void,
     finish: (outcome: string) => void,
   ): void {
     const target = `t${(this.targetCount += 1)}`;
     this.arrivals.push({ path, atMs: this.now });
-    const run = guarded.startRun({ id: target, service: SERVICE });
+    const run = guarded.startRun({ id: target, service: SERVICE, version });
     this.schedule(this.now + afterMs, () => {
       if (kind === 'answers') {
         run.recordAnswer(true);
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -1,6 +1,7 @@
 /** Crash tracking of one request of this VM, from its first attempt to its final answer. */
 import type { CancelTimer, Millis } from '@limelead/types';
-import type { CrashRecord, RequestStatus } from './crash-table.js';
+import type { CrashRecord } from './crash-record.js';
+import type { RequestStatus } from './crash-table.js';
 import GuardedRun, { type RunEnd, type RunOwner, type RunTarget } from './guarded-run.js';
 import identifyRequest, {
   identifyCaller,
@@ -200,11 +201,11 @@
       this.addUnsettledRun(run, 'broken');
       return;
     }
-    const { target, startedAtMs, endedAtMs = this.now } = run;
+    const { startedAtMs, endedAtMs = this.now } = run;
+    const { id: target, service, version } = run.target;
     const summary = this.summarize();
-    const { identity, caller } = summary;
-    const { service } = this.details;
-    const crash = { request: identity, service, caller, target: target.id, startedAtMs, endedAtMs };
+    const { identity: request, caller } = summary;
+    const crash = { request, service, version, caller, target, startedAtMs, endedAtMs };
     this.openCheckCount += 1;
     const check = this.guard.checkBrokenRun(crash, summary).then(() => {
       this.openCheckCount -= 1;
--- a/packages/quarantine-requests/src/index.ts
+++ b/packages/quarantine-requests/src/index.ts
@@ -3,7 +3,8 @@
 export { default as GuardedRequest } from './guarded-request.js';
 export type { default as GuardedRun } from './guarded-run.js';
 export { default as createIsolatedGuard } from './isolated-guard.js';
-export { QUARANTINE_MS, type Quarantine, type CrashRecord } from './crash-table.js';
+export { QUARANTINE_MS } from './crash-table.js';
+export type { CrashRecord, Quarantine } from './crash-record.js';
 export {
   createQuarantineUpdate,
   isEmptyQuarantineUpdate,
--- a/packages/quarantine-requests/src/quarantine-update.ts
+++ b/packages/quarantine-requests/src/quarantine-update.ts
@@ -3,7 +3,7 @@
  * steady time.
  */
 import type { Millis } from '@limelead/types';
-import type { CrashRecord } from './crash-table.js';
+import type { CrashRecord, RunScope } from './crash-record.js';
 import type { RequestIdentity } from './identify-request.js';
 
 /** A reported crash whose target is still running. */
@@ -15,6 +15,8 @@
 /** A request that a target ran without a crash. */
 export interface ClearedRequest {
   request: RequestIdentity;
+  /** The software that ran it; undefined in updates of earlier releases. */
+  scope: RunScope | undefined;
   atMs: Millis;
 }
 
--- a/packages/quarantine-requests/src/request-guard.test.ts
+++ b/packages/quarantine-requests/src/request-guard.test.ts
@@ -77,6 +77,21 @@
   assert.equal(fleet.quarantined, []);
 });
 
+test('a request that crashes only one of two software versions is quarantined', async () => {
+  for (let seed = 1; seed <= 5; seed += 1) {
+    const fleet = new Fleet(6, seed);
+    const decide = (): Outcome =>
+      fleet.draw(2) === 0
+        ? { kind: 'crashes-target', afterMs: 60, version: 'v1' }
+        : { kind: 'answers', afterMs: 30, version: 'v2' };
+    for (let atMs = 0; atMs < 8_000; atMs += 200) {
+      fleet.schedule(atMs, () => void fleet.send(fleet.draw(fleet.size), DEADLY, decide));
+    }
+    await fleet.runUntil(9_000);
+    assert.ok(fleet.crashes.length <= 6, `${fleet.crashes.length} crashes with seed ${seed}`);
+  }
+});
+
 test('updates about a request reach each VM a bounded number of times, then stop', async () => {
   const fleet = new Fleet(50, 2);
   void fleet.send(0, DEADLY, deadly);
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, Millis, Random, Timers } from '@limelead/types';
 import CrashEvidence, { type CrashEvidenceOptions } from './crash-evidence.js';
-import type { Quarantine } from './crash-table.js';
+import type { Quarantine } from './crash-record.js';
 import GuardedRequest, { type GuardedRequestDetails } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
 import logRunsAtEndedTarget from './log-runs-at-ended-target.js';
@@ -102,9 +102,7 @@
         withdrawn: update.withdrawn.filter(({ request, target }) =>
           evidence.withdrawCrash(request, target),
         ),
-        cleared: update.cleared.filter(({ request, atMs }) =>
-          evidence.applyPeerClearance(request, atMs, from),
-        ),
+        cleared: update.cleared.filter((cleared) => evidence.applyPeerClearance(cleared, from)),
         trials: update.trials.filter((notice) => trials.onPeerNotice(notice)),
       },
       from,
--- a/packages/share-evidence/src/quarantine-messages.ts
+++ b/packages/share-evidence/src/quarantine-messages.ts
@@ -12,17 +12,27 @@
 /** An optional field of the message of lost targets; older releases ignore it. */
 export const quarantineUpdateCodec = t.type({
   strikes: t.array(
-    t.type({
-      request: t.string,
-      service: t.string,
-      caller: t.string,
-      target: t.string,
-      startedAgoMs: t.number,
-      endedAgoMs: t.number,
-    }),
+    t.intersection([
+      t.type({
+        request: t.string,
+        service: t.string,
+        caller: t.string,
+        target: t.string,
+        startedAgoMs: t.number,
+        endedAgoMs: t.number,
+      }),
+      t.partial({ version: t.string }),
+    ]),
   ),
   withdrawn: t.array(t.type({ request: t.string, target: t.string })),
-  absolved: t.array(t.type({ request: t.string, agoMs: t.number })),
+  absolved: t.array(
+    t.intersection([
+      t.type({ request: t.string, agoMs: t.number }),
+      t.partial({
+        scope: t.intersection([t.type({ service: t.string }), t.partial({ version: t.string })]),
+      }),
+    ]),
+  ),
   trials: t.array(t.type({ request: t.string, trial: t.string, isOver: t.boolean })),
 });
 
@@ -45,8 +55,8 @@
   return {
     strikes: update.crashes.map(encodeCrash),
     withdrawn: update.withdrawn.map(({ request, target }) => ({ request, target })),
-    absolved: update.cleared.map(({ request, atMs }) => ({
-      request,
+    absolved: update.cleared.map(({ request, scope, atMs }) => ({
+      ...{ request, scope },
       agoMs: Math.round(now - atMs),
     })),
     trials: update.trials,
@@ -69,7 +79,10 @@
   return {
     crashes: message.strikes.map(decodeCrash),
     withdrawn: message.withdrawn,
-    cleared: message.absolved.map(({ request, agoMs }) => ({ request, atMs: now - agoMs })),
+    cleared: message.absolved.map(({ request, scope, agoMs }) => ({
+      ...{ request, scope },
+      atMs: now - agoMs,
+    })),
     trials: message.trials,
   };
 }
