Hold evidence against a request at every service that it is sent to

Callers of a route with two services lost the targets of the second one: an entry of the crash table named the service at which it was first seen, requests for another service were not looked up at all, and their ends there were recorded for the first. What a request did is now looked up by its identity alone, and so are the callers whose requests are flagged.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -90,7 +90,6 @@
       request: selectIdentityFields(admitted),
       route: admitted.route.name,
       requestId: admitted.request.requestId,
-      service: admitted.service,
       onQuarantined: () => this.onQuarantined(),
     });
   }
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -77,7 +77,6 @@
       request: selectIdentityFields(admitted),
       route: admitted.route.name,
       requestId: admitted.request.requestId,
-      service: admitted.service,
       onQuarantined: () => this.failQuarantined(),
     });
     this.live = new LiveAttempts(context, admitted, this.replicas, {
--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -35,7 +35,7 @@
   storeQuarantine(request: RequestIdentity, quarantine: Quarantine): Promise<void>;
   /** A target of this VM ran a quarantined request without a crash. */
   onQuarantineRefuted(request: RequestIdentity): void;
-  onQuarantined(request: RequestIdentity, service: string): void;
+  onQuarantined(request: RequestIdentity): void;
   /** The status of a request may have changed otherwise. */
   onStatusChanged(request: RequestIdentity): void;
 }
@@ -181,7 +181,7 @@
     this.options.metrics.count('limelead_quarantines_total', 1, { service });
     this.options.log.write('request-quarantined', { identity: request, service, source, targets });
     this.options.onStatusChanged(request);
-    this.options.onQuarantined(request, service);
+    this.options.onQuarantined(request);
   }
 
   private applyClearance(
--- a/packages/quarantine-requests/src/crash-table.ts
+++ b/packages/quarantine-requests/src/crash-table.ts
@@ -13,7 +13,7 @@
 /** Number of consecutive crashes that quarantine a request. Fewer may be coincidence. */
 export const CRASHES_TO_QUARANTINE = 3;
 /**
- * A caller with this many quarantined requests for a service is flagged: its other requests there
+ * A caller with this many quarantined requests on a route is flagged: its other requests there
  * need fewer crashes, so that a caller whose requests all crash targets ends fewer of them.
  */
 const QUARANTINES_TO_FLAG_CALLER = 2;
@@ -64,11 +64,9 @@
     ).length;
   }
 
-  /** Whether any request for that service has crashes or a quarantine. */
-  hasEntriesFor(service: string): boolean {
-    return (
-      this.entries.size > 0 && [...this.entries.values()].some((entry) => entry.service === service)
-    );
+  /** Whether any request has crashes or a quarantine. */
+  get hasEntries(): boolean {
+    return this.entries.size > 0;
   }
 
   /** Whether a request has crashes or a quarantine. */
@@ -209,10 +207,9 @@
   }
 
   /** Number of consecutive crashes that quarantine a request of this caller. */
-  private countCrashesNeeded({ caller, service }: RequestEntry): number {
+  private countCrashesNeeded({ caller }: RequestEntry): number {
     const quarantined = [...this.entries.values()].filter(
-      (entry) =>
-        entry.quarantinedAtMs !== undefined && entry.caller === caller && entry.service === service,
+      (entry) => entry.quarantinedAtMs !== undefined && entry.caller === caller,
     );
     return quarantined.length < QUARANTINES_TO_FLAG_CALLER
       ? CRASHES_TO_QUARANTINE
--- a/packages/quarantine-requests/src/fleet.fixture.ts
+++ b/packages/quarantine-requests/src/fleet.fixture.ts
@@ -73,7 +73,7 @@
     return new Promise((resolve) => {
       const guarded = this.guardOf(vm).guardRequest({
         request: { organisation: 'o', host: 'h', method: 'POST', path, body: Buffer.alloc(0) },
-        ...{ route: 'r', requestId: 'id', service: SERVICE },
+        ...{ route: 'r', requestId: 'id' },
         onQuarantined: () => finish('quarantined'),
       });
       let runs = 0;
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -19,7 +19,6 @@
   route: string;
   /** Caller's id of this request; used in log lines only. */
   requestId: string;
-  service: string;
   /** Called when the request is quarantined while it is open. */
   onQuarantined(): void;
 }
@@ -27,7 +26,7 @@
 /** The parts of the VM's guard that a guarded request uses. */
 export interface GuardAccess {
   readNow(): Millis;
-  hasEntriesFor(service: string): boolean;
+  hasEntries(): boolean;
   getStatus(request: RequestIdentity): RequestStatus;
   quarantineLeftMs(request: RequestIdentity): Millis;
   requestAdmission(
@@ -157,10 +156,8 @@
    * Handles the quarantine of any request; ends this one if it has the same identity and no open
    * check.
    */
-  onQuarantined(request: RequestIdentity, service: string): void {
-    const isOpen =
-      service === this.details.service && !this.isHarmless && this.openCheckCount === 0;
-    if (isOpen && request === this.name) {
+  onQuarantined(request: RequestIdentity): void {
+    if (!this.isHarmless && this.openCheckCount === 0 && request === this.name) {
       this.details.onQuarantined();
     }
   }
@@ -192,7 +189,7 @@
   }
 
   private get mayBeSuspected(): boolean {
-    return this.guard.hasEntriesFor(this.details.service);
+    return this.guard.hasEntries();
   }
 
   /** Checks a run that broke before the target wrote any output. */
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -47,7 +47,7 @@
       ...options,
       publish: (update) => options.publish(update),
       onStatusChanged: (request) => this.trials.reevaluate(request),
-      onQuarantined: (request, service) => this.endOpenRequests(request, service),
+      onQuarantined: (request) => this.endOpenRequests(request),
     });
     this.trials = new TrialQueue({
       ...{ clock, timers, random, countVms },
@@ -71,7 +71,7 @@
     const { crashTable } = this.evidence;
     const guarded = new GuardedRequest(details, {
       readNow: () => this.now,
-      hasEntriesFor: (service) => crashTable.hasEntriesFor(service),
+      hasEntries: () => crashTable.hasEntries,
       getStatus: (request) => this.evidence.getStatus(request),
       quarantineLeftMs: (request) => crashTable.quarantineLeftMs(request, this.now),
       requestAdmission: (request, receive) => this.trials.requestAdmission(request, receive),
@@ -141,9 +141,9 @@
     this.options.publish(createQuarantineUpdate({ trials: [notice] }));
   }
 
-  private endOpenRequests(request: RequestIdentity, service: string): void {
+  private endOpenRequests(request: RequestIdentity): void {
     for (const guarded of [...this.openRequests]) {
-      guarded.onQuarantined(request, service);
+      guarded.onQuarantined(request);
     }
   }
 }
