Count ends of targets against runs that saw no broken connection

Callers of a request that ends its targets left after 45 ms, or its targets kept their connections open when they ended: each repetition ended one more target, since evidence was what an attempt saw of its own end, and silence, a cancel or a caller that left leave none. The ledger of runs is now joined with the end of the target, whoever learned of it: the registry, or a check of a target that this VM or a peer found lost. A run that had been abandoned before counts only if chance is unlikely, by the service's own rate of ends. The trial of an abandoned run lasts until its target is known to go on.

--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -54,6 +54,15 @@
     return answer;
   }
 
+  /**
+   * Whether a target that is in the directory and did not announce that it leaves has ended since
+   * that time.
+   */
+  async hasEnded(id: string, sinceMs: Millis): Promise<boolean> {
+    const target = this.options.directory.get(id)?.target;
+    return target?.leaving === false && (await this.hasCrashed(id, sinceMs));
+  }
+
   private async check(target: ServiceTarget, failedAtMs: Millis): Promise<boolean> {
     if (await this.probe(target)) {
       return false;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,12 +24,20 @@
 import { TargetConnections } from '@limelead/target-connections';
 import {
   TargetDirectory,
+  type TargetLoss,
   type TargetNotice,
   type TrackedServiceTarget,
 } from '@limelead/track-service-targets';
 import type { OriginTracker } from '@limelead/track-origins';
 import type { Backpressure } from '@limelead/track-backpressure';
-import { noTargetAdvice, delay, steadyClock, systemRandom, systemTimers } from '@limelead/types';
+import {
+  noTargetAdvice,
+  delay,
+  steadyClock,
+  systemRandom,
+  systemTimers,
+  type ServiceTarget,
+} from '@limelead/types';
 import acceptRelayed from './accept-relayed.js';
 import createBackpressure from './create-backpressure.js';
 import createCallQueue from './create-call-queue.js';
@@ -132,7 +140,7 @@
     });
     this.directory = new TargetDirectory(steadyClock, {
       onNotice: (notice) => this.onTargetNotice(notice),
-      onLost: (target, loss) => this.relaying.onLost(target, loss),
+      onLost: (target, loss) => this.onTargetLost(target, loss),
       onLoad: (tracked) => this.engineLoad.onTargetLoadChange(tracked),
       hasAnnouncedLeaving: (id) => this.backpressure.isLeaving(id),
     });
@@ -221,7 +229,7 @@
         acceptRelayed(message, response, this.frontDoor, this.metrics),
       onMisdirected: (message) => this.servers.onMisdirected('peers', message),
       onFault: () => this.metrics.count('limelead_faults_total', 1, { boundary: 'peer' }),
-      onPeerLoss: createPeerLossHandler(partContext),
+      onPeerLoss: createPeerLossHandler(partContext, this.quarantine),
       onPeerOfOtherStore: () => this.metrics.count('limelead_strangers_total'),
       onBorrowedRetries: (service, repeats) => this.onBorrowedRetries(service, repeats),
       onReport: (peer, report) =>
@@ -399,6 +407,11 @@
     this.log.write('repeats-borrowed', { service, repeats });
   }
 
+  private onTargetLost(target: ServiceTarget, loss: TargetLoss): void {
+    this.relaying.onLost(target, loss);
+    this.quarantine.onTargetDoubted(target.id);
+  }
+
   private onTargetNotice({ kind, target }: TargetNotice): void {
     this.log.write(`target-${kind}`, {
       target: target.id,
--- a/packages/gateway/src/quarantine-component.ts
+++ b/packages/gateway/src/quarantine-component.ts
@@ -28,6 +28,8 @@
   guard: RequestGuard;
   /** Handles that the registry removed a target. */
   onTargetGone(target: ServiceTarget): void;
+  /** Handles that this VM or a peer found a target lost. */
+  onTargetDoubted(id: string): void;
 }
 
 /** What the component needs besides its context. */
@@ -64,6 +66,8 @@
     this.guard = new RequestGuard({
       ...{ clock, timers, random, log, metrics, countVms },
       hasCrashed: (target, brokeAtMs) => crashDetector.hasCrashed(target, brokeAtMs),
+      hasEnded: (target, sinceMs) => crashDetector.hasEnded(target, sinceMs),
+      countTargets: (service) => directory.listUsable(service).length,
       hasRespondedSince: (target, sinceMs) => crashDetector.hasAnsweredSince(target, sinceMs),
       publish: (update, from) => context.readExchange()?.publishQuarantineUpdate(update, from),
       storeQuarantine: (request, quarantine) =>
@@ -78,9 +82,16 @@
     this.onStoreViewChange();
   }
 
-  onTargetGone({ id, leaving }: ServiceTarget): void {
-    if (!leaving) {
-      this.guard.onTargetEnded(id);
+  onTargetGone(target: ServiceTarget): void {
+    if (!target.leaving) {
+      this.guard.onTargetEnded(target);
+    }
+  }
+
+  onTargetDoubted(id: string): void {
+    const target = this.context.directory.get(id)?.target;
+    if (target !== undefined) {
+      this.guard.onTargetDoubted(target);
     }
   }
 
--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -8,6 +8,7 @@
 import type { Clock, Millis } from '@limelead/types';
 import type { CrashRecord, Quarantine } from './crash-record.js';
 import CrashTable, { type RequestStatus } from './crash-table.js';
+import EndRates from './end-rates.js';
 import type { ClearanceGround } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
 import {
@@ -35,6 +36,8 @@
   storeQuarantine(request: RequestIdentity, quarantine: Quarantine): Promise<void>;
   /** A target of this VM ran a quarantined request without a crash. */
   onQuarantineRefuted(request: RequestIdentity): void;
+  /** Number of targets of a service. */
+  countTargets(service: string): number;
   onQuarantined(request: RequestIdentity): void;
   /** The status of a request may have changed otherwise. */
   onStatusChanged(request: RequestIdentity): void;
@@ -43,11 +46,15 @@
 /** The evidence known to one VM. */
 export default class CrashEvidence {
   readonly crashTable: CrashTable;
+  readonly endRates: EndRates;
 
   constructor(private readonly options: CrashEvidenceOptions) {
     const { clock, log, metrics } = options;
     const logDropped = createRateLimitedLog(log, clock, 'evidence-dropped');
-    this.crashTable = new CrashTable((identity) => {
+    this.endRates = new EndRates((service) => options.countTargets(service));
+    const chanceOf = ({ service, startedAtMs, endedAtMs }: CrashRecord): number =>
+      this.endRates.chanceOfEnd(service, endedAtMs - startedAtMs, this.now);
+    this.crashTable = new CrashTable(chanceOf, (identity) => {
       metrics.count('limelead_evidence_dropped_total');
       logDropped({ identity });
     });
@@ -129,6 +136,15 @@
         return;
       }
     }
+    await this.recordOwnCrash(crash, summary);
+  }
+
+  /**
+   * Records a crash whose target is known to have ended. Resolves when a quarantine that follows
+   * is stored.
+   */
+  async recordOwnCrash(crash: CrashRecord, summary: RequestSummary): Promise<void> {
+    const { request } = crash;
     const before = this.getStatus(request);
     if (!this.recordCrash(crash, 'own', summary)) {
       return;
--- a/packages/quarantine-requests/src/crash-record.ts
+++ b/packages/quarantine-requests/src/crash-record.ts
@@ -14,6 +14,8 @@
   /** When the run was sent and when it broke; steady time. */
   startedAtMs: Millis;
   endedAtMs: Millis;
+  /** Whether the run had written output, or was abandoned, before the target ended. */
+  mayBeCoincidence?: boolean;
 }
 
 /** A quarantined request as stored. */
--- a/packages/quarantine-requests/src/crash-table.test.ts
+++ b/packages/quarantine-requests/src/crash-table.test.ts
@@ -4,6 +4,7 @@
 import CrashTable, { QUARANTINE_MS } from './crash-table.js';
 
 const SERVICE = 'llm';
+const never = (): number => 0;
 const SCOPE = { service: SERVICE, version: undefined };
 
 function crash(number: number, startedAtMs: number, endedAtMs: number): CrashRecord {
@@ -14,7 +15,7 @@
 const consecutive = [crash(1, 0, 100), crash(2, 100, 200), crash(3, 200, 300)];
 
 function createTable(crashes: CrashRecord[]): CrashTable {
-  const table = new CrashTable();
+  const table = new CrashTable(never);
   crashes.forEach((one) => table.recordCrash(one, 300));
   return table;
 }
@@ -100,7 +101,7 @@
 });
 
 test('later requests of a caller whose requests all crash targets need fewer crashes', () => {
-  const table = new CrashTable();
+  const table = new CrashTable(never);
   const crashCounts = Array.from({ length: 8 }, (_, index) => {
     const request = `r${index}`;
     let count = 0;
@@ -118,7 +119,7 @@
 
 test('suspected requests are evicted before quarantined ones, and evictions are reported', () => {
   const dropped: string[] = [];
-  const table = new CrashTable((request) => dropped.push(request));
+  const table = new CrashTable(never, (request) => dropped.push(request));
   consecutive.forEach((one) => table.recordCrash(one, 300));
   for (let index = 0; index < 2_010; index += 1) {
     table.recordCrash({ ...crash(1, 0, 100), request: `one-${index}` }, 300);
--- a/packages/quarantine-requests/src/crash-table.ts
+++ b/packages/quarantine-requests/src/crash-table.ts
@@ -7,6 +7,7 @@
 import ClearanceTable, { isInScope } from './clearance-table.js';
 import type { CrashRecord, Quarantine, RunScope } from './crash-record.js';
 import findConsecutiveCrashes from './find-consecutive-crashes.js';
+import isCoincidence, { type ChanceOf } from './is-coincidence.js';
 import createPlaceholderCrashes from './create-placeholder-crashes.js';
 import type { RequestIdentity } from './identify-request.js';
 
@@ -21,6 +22,10 @@
 const CRASHES_TO_QUARANTINE_FLAGGED = 2;
 /** A request is suspected this many crashes before its quarantine. */
 const SUSPICION_MARGIN = 1;
+/** Highest probability of a chance at which crashes that may be coincidence quarantine a request. */
+const MAX_QUARANTINE_CHANCE = 0.001;
+/** The same for a suspicion. */
+const MAX_SUSPICION_CHANCE = 0.05;
 /** A request's crashes are forgotten after this time without another one, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
 /** Duration of a quarantine, in milliseconds. */
@@ -51,7 +56,10 @@
   private readonly refutedCrashes = new RecentTimes(REFUTED_CRASH_TTL_MS);
 
   /** @param onDropped called with a request whose crashes are evicted for lack of space */
-  constructor(private readonly onDropped: (request: RequestIdentity) => void = () => undefined) {}
+  constructor(
+    private readonly chanceOf: ChanceOf,
+    private readonly onDropped: (request: RequestIdentity) => void = () => undefined,
+  ) {}
 
   get size(): number {
     return this.entries.size;
@@ -89,7 +97,8 @@
     const entry = this.openEntry(request, { service, caller }, now);
     entry.crashes.set(target, crash);
     const series = findConsecutiveCrashes(entry.crashes.values());
-    if (series.length >= this.countCrashesNeeded(entry)) {
+    const isEnough = series.length >= this.countCrashesNeeded(entry);
+    if (isEnough && !isCoincidence(series, this.chanceOf, MAX_QUARANTINE_CHANCE)) {
       entry.quarantinedAtMs = now;
     } else if (entry.crashes.size > MAX_CRASHES_PER_REQUEST) {
       return this.evictCrash(entry, series, now) !== crash;
@@ -180,7 +189,9 @@
       }
       this.release(request, now);
     }
-    return entry.crashes.size >= this.countCrashesNeeded(entry) - SUSPICION_MARGIN
+    const isEnough = entry.crashes.size >= this.countCrashesNeeded(entry) - SUSPICION_MARGIN;
+    const crashes = [...entry.crashes.values()];
+    return isEnough && !isCoincidence(crashes, this.chanceOf, MAX_SUSPICION_CHANCE)
       ? 'suspected'
       : 'clear';
   }
--- a/packages/quarantine-requests/src/fleet.fixture.ts
+++ b/packages/quarantine-requests/src/fleet.fixture.ts
@@ -10,6 +10,8 @@
 const MIN_LINK_DELAY_MS = 1;
 const MAX_LINK_DELAY_MS = 5;
 const SERVICE = 'llm';
+/** Number of targets, as far as rates of their ends are concerned. */
+const TARGETS = 17;
 /** Time until a check of a target finds whether it crashed. */
 const CRASH_CHECK_MS = 3;
 
@@ -165,10 +167,12 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       countVms: () => this.size,
+      countTargets: () => TARGETS,
       hasCrashed: (target) =>
         new Promise((resolve) =>
           this.schedule(this.now + CRASH_CHECK_MS, () => resolve(this.crashedTargets.has(target))),
         ),
+      hasEnded: (target) => Promise.resolve(this.crashedTargets.has(target)),
       hasRespondedSince: (target) => !this.crashedTargets.has(target),
       publish: (update, from) => {
         if (isEmptyQuarantineUpdate(update)) {
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -38,6 +38,7 @@
   onRunEnded(run: GuardedRun): void;
   /** A run ended without an answer, and it is not known whether its target ended. */
   addUnsettledRun(run: UnsettledRun): void;
+  onRunAbandoned(run: UnsettledRun, isOnTrial: boolean): void;
   checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<void>;
   clearRequest(request: RequestIdentity, ground: ClearanceGround): void;
   onClosed(): void;
@@ -125,8 +126,7 @@
         this.recordBrokenRun(run);
         break;
       case 'abandoned':
-        this.addUnsettledRun(run, end);
-        this.endTrial();
+        this.recordAbandonedRun(run);
         break;
       case 'not-run':
         this.endTrial();
@@ -195,7 +195,7 @@
   /** Checks a run that broke before the target wrote any output. */
   private recordBrokenRun(run: GuardedRun): void {
     if (this.isHarmless) {
-      this.addUnsettledRun(run, 'broken');
+      this.guard.addUnsettledRun(this.toUnsettledRun(run, 'broken'));
       return;
     }
     const { startedAtMs, endedAtMs = this.now } = run;
@@ -211,10 +211,19 @@
     this.openChecks = Promise.all([this.openChecks, check]);
   }
 
-  private addUnsettledRun(run: GuardedRun, end: UnsettledRun['end']): void {
+  /** Keeps a run whose target may end yet; a trial ends only when that is known. */
+  private recordAbandonedRun(run: GuardedRun): void {
+    const { isOnTrial } = this;
+    this.isOnTrial = false;
+    if (this.isHarmless) {
+      return;
+    }
+    this.guard.onRunAbandoned(this.toUnsettledRun(run, 'abandoned'), isOnTrial);
+  }
+
+  private toUnsettledRun(run: GuardedRun, end: UnsettledRun['end']): UnsettledRun {
     const { target, startedAtMs, endedAtMs = this.now, hasOutput } = run;
-    const request = this.summarize();
-    this.guard.addUnsettledRun({ target, startedAtMs, endedAtMs, end, hasOutput, request });
+    return { target, startedAtMs, endedAtMs, end, hasOutput, request: this.summarize() };
   }
 
   /** Records that a target ran the request to its first piece or its answer and is still running. */
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -5,8 +5,9 @@
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, Millis, Random, Timers } from '@limelead/types';
 import CrashEvidence, { type CrashEvidenceOptions } from './crash-evidence.js';
-import type { Quarantine } from './crash-record.js';
+import type { CrashRecord, Quarantine } from './crash-record.js';
 import GuardedRequest, { type GuardedRequestDetails } from './guarded-request.js';
+import type { RunTarget } from './guarded-run.js';
 import type { RequestIdentity } from './identify-request.js';
 import logRunsAtEndedTarget from './log-runs-at-ended-target.js';
 import {
@@ -14,12 +15,20 @@
   type QuarantineUpdate,
   type TrialNotice,
 } from './quarantine-update.js';
-import RunLedger from './run-ledger.js';
+import RunLedger, { type RunAtTarget, type UnsettledRun } from './run-ledger.js';
 import TrialQueue from './trial-queue.js';
 
 /** Maximum number of crashes in the snapshot for a newly linked VM. */
 const MAX_SNAPSHOT_CRASHES = 500;
 
+/** Delay until the target of an abandoned run, or one in doubt, is checked, in milliseconds. */
+const CHECK_DELAY_MS: Millis = 100;
+/**
+ * How long the trial of an abandoned run lasts if its target goes on, in milliseconds: the run may
+ * end the target after its caller has left.
+ */
+const ABANDONED_TRIAL_MS: Millis = 3_000;
+
 /** Dependencies of `RequestGuard`. */
 export interface RequestGuardOptions extends Omit<
   CrashEvidenceOptions,
@@ -30,6 +39,8 @@
   random: Random;
   metrics: Pick<Metrics, 'count'>;
   countVms(): number;
+  /** Whether an incarnation ended without a notice that it leaves; probes it if needed. */
+  hasEnded(target: string, sinceMs: Millis): Promise<boolean>;
   /** Sends an update to all peers except the one that it came from. */
   publish(update: QuarantineUpdate, from?: string): void;
 }
@@ -79,6 +90,7 @@
       onRunStarted: (run) => this.runs.addOpen(run),
       onRunEnded: (run) => this.runs.removeOpen(run),
       addUnsettledRun: (run) => this.runs.addUnsettled(run),
+      onRunAbandoned: (run, isOnTrial) => this.onRunAbandoned(run, isOnTrial),
       checkBrokenRun: (crash, request) => this.evidence.checkBrokenRun(crash, request),
       clearRequest: (request, ground) => this.evidence.clearRequest(request, ground),
       onClosed: () => this.openRequests.delete(guarded),
@@ -87,10 +99,25 @@
     return guarded;
   }
 
-  /** The registry removed a target that had not announced that it leaves. */
-  onTargetEnded(target: string): void {
-    const runs = this.runs.takeRunsAt(target, this.now);
-    logRunsAtEndedTarget(this.options, target, runs);
+  /** A target ended that had not announced that it leaves; counts its end against the runs there. */
+  onTargetEnded({ id, service }: Pick<RunTarget, 'id' | 'service'>): void {
+    const { now } = this;
+    this.evidence.endRates.recordEnd(service, id, now);
+    const runs = this.runs.takeRunsAt(id, now);
+    logRunsAtEndedTarget(
+      this.options,
+      runs.filter(({ hasOutput }) => hasOutput),
+    );
+    for (const run of runs.filter(({ hasOutput }) => !hasOutput)) {
+      void this.evidence.recordOwnCrash(toCrash(run, now), run.request);
+    }
+  }
+
+  /** Checks a target that this VM or a peer found lost, if runs there may have ended it. */
+  onTargetDoubted(target: Pick<RunTarget, 'id' | 'service'>): void {
+    if (this.runs.hasRunsAt(target.id)) {
+      this.checkLater(target);
+    }
   }
 
   /** Applies a peer's update and forwards the changes that were new here. */
@@ -130,6 +157,39 @@
     return this.options.clock.now();
   }
 
+  private onRunAbandoned(run: UnsettledRun, isOnTrial: boolean): void {
+    const { target, request } = run;
+    this.runs.addUnsettled(run);
+    if (isOnTrial) {
+      const endTrial = (): void => this.trials.endTrial(request.identity);
+      const cancel = this.options.timers.after(ABANDONED_TRIAL_MS, endTrial);
+      this.checkLater(target, () => {
+        cancel();
+        endTrial();
+      });
+    } else if (this.evidence.crashTable.hasEntry(request.identity)) {
+      this.checkLater(target);
+    }
+  }
+
+  private checkLater(target: Pick<RunTarget, 'id' | 'service'>, onEnded?: () => void): void {
+    this.options.timers.after(CHECK_DELAY_MS, () => {
+      if (this.runs.hasRunsAt(target.id)) {
+        void this.check(target, onEnded);
+      }
+    });
+  }
+
+  private async check(
+    target: Pick<RunTarget, 'id' | 'service'>,
+    onEnded?: () => void,
+  ): Promise<void> {
+    if (await this.options.hasEnded(target.id, this.now)) {
+      this.onTargetEnded(target);
+      onEnded?.();
+    }
+  }
+
   private publishTrial(notice: TrialNotice): void {
     const { request } = notice;
     if (!notice.isOver) {
@@ -147,3 +207,13 @@
     }
   }
 }
+
+/** The crash of a run at a target that ended at that time. */
+function toCrash(run: RunAtTarget, endedAtMs: Millis): CrashRecord {
+  const { id: target, service, version } = run.target;
+  const { identity: request, caller } = run.request;
+  const { startedAtMs } = run;
+  const mayBeCoincidence = run.hasOutput || run.end === 'abandoned';
+  const crash = { request, service, version, caller, target, startedAtMs, endedAtMs };
+  return mayBeCoincidence ? { ...crash, mayBeCoincidence } : crash;
+}
--- a/packages/quarantine-requests/src/run-ledger.ts
+++ b/packages/quarantine-requests/src/run-ledger.ts
@@ -22,11 +22,12 @@
   request: RequestSummary;
 }
 
-/** Runs at a target that ended. */
-export interface RunsAtTarget {
-  open: GuardedRun[];
-  unsettled: UnsettledRun[];
-}
+/** A run at a target that ended. */
+export type RunAtTarget = Omit<UnsettledRun, 'endedAtMs' | 'end'> & {
+  /** Undefined while the run is open. */
+  endedAtMs: Millis | undefined;
+  end: UnsettledRun['end'] | 'open';
+};
 
 /** The runs of one VM. */
 export default class RunLedger {
@@ -68,11 +69,11 @@
   }
 
   /** Returns the runs at a target that ended; those without an answer are removed. */
-  takeRunsAt(target: string, now: Millis): RunsAtTarget {
+  takeRunsAt(target: string, now: Millis): RunAtTarget[] {
     this.forgetExpired(now);
     const unsettled = this.findUnsettled(target);
     unsettled.forEach((run) => this.unsettled.delete(run));
-    return { open: [...(this.open.get(target) ?? [])], unsettled };
+    return [...[...(this.open.get(target) ?? [])].map(toRunAtTarget), ...unsettled];
   }
 
   private findUnsettled(target: string): UnsettledRun[] {
@@ -89,3 +90,8 @@
     }
   }
 }
+
+function toRunAtTarget({ target, startedAtMs, hasOutput, owner }: GuardedRun): RunAtTarget {
+  const request = owner.summarize();
+  return { target, startedAtMs, endedAtMs: undefined, end: 'open', hasOutput, request };
+}
--- a/packages/share-evidence/src/quarantine-messages.ts
+++ b/packages/share-evidence/src/quarantine-messages.ts
@@ -21,7 +21,7 @@
         startedAgoMs: t.number,
         endedAgoMs: t.number,
       }),
-      t.partial({ version: t.string }),
+      t.partial({ version: t.string, mayBeCoincidence: t.boolean }),
     ]),
   ),
   withdrawn: t.array(t.type({ request: t.string, target: t.string })),
