Do not hold a request for ends that another one explains

Two rules tell it apart. The end of a target at which a quarantined request stood is explained, and is dropped from the evidence against all others. A request that the same software ran without a crash within two minutes needs one more round of crashes, six in place of three. The decision is a pure function now (judge-crashes).

--- a/packages/quarantine-requests/src/clearance-table.ts
+++ b/packages/quarantine-requests/src/clearance-table.ts
@@ -3,8 +3,8 @@
 import type { CrashRecord, RunScope } from './crash-record.js';
 import type { RequestIdentity } from './identify-request.js';
 
-/** How long a clearance is remembered, in milliseconds. Longer than any update is in transit. */
-const CLEARANCE_TTL_MS = 30_000;
+/** How long a clearance is remembered, in milliseconds. */
+const CLEARANCE_TTL_MS = 120_000;
 /**
  * Clearances of a request within this time of each other count as the same one, in
  * milliseconds.
@@ -27,10 +27,16 @@
   }
 
   /** Whether the request was cleared after that crash, for the software that crashed. */
-  covers({ request, service, version, endedAtMs }: CrashRecord): boolean {
-    return [{ service, version }, undefined].some(
-      (scope) => endedAtMs <= (this.clearedAtMs.get(keyOf(request, scope)) ?? -Infinity),
+  covers(crash: CrashRecord): boolean {
+    return crash.endedAtMs <= (this.lastClearedAtMs(crash) ?? -Infinity);
+  }
+
+  /** When the software that crashed last ran the request without a crash; undefined if unknown. */
+  lastClearedAtMs({ request, service, version }: CrashRecord): Millis | undefined {
+    const times = [{ service, version }, undefined].flatMap(
+      (scope) => this.clearedAtMs.get(keyOf(request, scope)) ?? [],
     );
+    return times.length === 0 ? undefined : Math.max(...times);
   }
 
   forgetExpired(now: Millis): void {
--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from '@limelead/metrics';
 import type { Clock, Millis } from '@limelead/types';
 import type { CrashRecord, Quarantine } from './crash-record.js';
-import CrashTable, { type RequestStatus } from './crash-table.js';
+import CrashTable from './crash-table.js';
 import EndRates from './end-rates.js';
 import type { ClearanceGround } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
@@ -16,6 +16,7 @@
   type ClearedRequest,
   type QuarantineUpdate,
 } from './quarantine-update.js';
+import type { RequestStatus } from './judge-crashes.js';
 import type { RequestSummary } from './request-summary.js';
 
 /** Dependencies of `CrashEvidence`. */
--- a/packages/quarantine-requests/src/crash-table.ts
+++ b/packages/quarantine-requests/src/crash-table.ts
@@ -3,13 +3,15 @@
  * a target's incarnation ended during a run of the request that had not written any output. Records
  * merge like a set: their order and repetitions make no difference.
  */
-import { RecentTimes, type Millis } from '@limelead/types';
+import type { Millis } from '@limelead/types';
 import ClearanceTable, { isInScope } from './clearance-table.js';
 import type { CrashRecord, Quarantine, RunScope } from './crash-record.js';
-import findConsecutiveCrashes from './find-consecutive-crashes.js';
-import isCoincidence, { type ChanceOf } from './is-coincidence.js';
 import createPlaceholderCrashes from './create-placeholder-crashes.js';
+import ExplainedEnds from './explained-ends.js';
+import findConsecutiveCrashes from './find-consecutive-crashes.js';
+import judgeCrashes, { type ChanceOf, type RequestStatus } from './judge-crashes.js';
 import type { RequestIdentity } from './identify-request.js';
+import RefutedCrashes from './refuted-crashes.js';
 
 /** Number of consecutive crashes that quarantine a request. Fewer may be coincidence. */
 export const CRASHES_TO_QUARANTINE = 3;
@@ -20,26 +22,17 @@
 const QUARANTINES_TO_FLAG_CALLER = 2;
 /** Number of consecutive crashes that quarantine a request of a flagged caller. */
 const CRASHES_TO_QUARANTINE_FLAGGED = 2;
-/** A request is suspected this many crashes before its quarantine. */
-const SUSPICION_MARGIN = 1;
-/** Highest probability of a chance at which crashes that may be coincidence quarantine a request. */
-const MAX_QUARANTINE_CHANCE = 0.001;
-/** The same for a suspicion. */
-const MAX_SUSPICION_CHANCE = 0.05;
+/** The same for a request that the software ran without a crash before, which others may crash. */
+const CRASHES_TO_QUARANTINE_CLEARED = 6;
 /** A request's crashes are forgotten after this time without another one, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
 /** Duration of a quarantine, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
-/** How long refuted crashes are remembered, in milliseconds. Longer than any update is in transit. */
-const REFUTED_CRASH_TTL_MS = 30_000;
 /** Maximum number of crashes kept per request. */
 const MAX_CRASHES_PER_REQUEST = 16;
 /** Maximum number of requests with crashes; an entry takes about 1 KB. */
 const MAX_REQUESTS = 2_000;
 
-/** Whether a request may be sent: freely, in a trial of its own, or not at all. */
-export type RequestStatus = 'clear' | 'suspected' | 'quarantined';
-
 interface RequestEntry extends Quarantine {
   /** By target. */
   crashes: Map<string, CrashRecord>;
@@ -52,8 +45,8 @@
   /** Least recently changed first. */
   private readonly entries = new Map<RequestIdentity, RequestEntry>();
   private readonly clearances = new ClearanceTable();
-  /** Crashes that do not count any more, so that repeated updates do not restore them. */
-  private readonly refutedCrashes = new RecentTimes(REFUTED_CRASH_TTL_MS);
+  private readonly explainedEnds = new ExplainedEnds();
+  private readonly refutedCrashes = new RefutedCrashes();
 
   /** @param onDropped called with a request whose crashes are evicted for lack of space */
   constructor(
@@ -86,22 +79,25 @@
   recordCrash(crash: CrashRecord, now: Millis): boolean {
     this.forgetExpired(now);
     const { request, target, service, caller } = crash;
-    const isRefuted = this.refutedCrashes.ageMs(crashKey(request, target), now) !== undefined;
-    if (isRefuted || this.clearances.covers(crash)) {
+    const isRefuted = this.refutedCrashes.has(request, target, now);
+    const isExplained = this.explainedEnds.isByAnother(target, request);
+    if (isRefuted || isExplained || this.clearances.covers(crash)) {
       return false;
     }
     const known = this.entries.get(request);
-    if (known?.crashes.has(target) === true || known?.quarantinedAtMs !== undefined) {
+    if (known?.quarantinedAtMs !== undefined) {
+      return this.explainEnd(target, request, now);
+    }
+    if (known?.crashes.has(target) === true) {
       return false;
     }
     const entry = this.openEntry(request, { service, caller }, now);
     entry.crashes.set(target, crash);
-    const series = findConsecutiveCrashes(entry.crashes.values());
-    const isEnough = series.length >= this.countCrashesNeeded(entry);
-    if (isEnough && !isCoincidence(series, this.chanceOf, MAX_QUARANTINE_CHANCE)) {
+    if (this.judge(entry) === 'quarantined') {
       entry.quarantinedAtMs = now;
+      [...entry.crashes.keys()].forEach((ended) => this.explainEnd(ended, request, now));
     } else if (entry.crashes.size > MAX_CRASHES_PER_REQUEST) {
-      return this.evictCrash(entry, series, now) !== crash;
+      return this.evictCrash(entry, now) !== crash;
     }
     return true;
   }
@@ -109,7 +105,7 @@
   /** Removes a crash because its target is still running; returns false if that has no effect. */
   withdrawCrash(request: RequestIdentity, target: string, now: Millis): boolean {
     const entry = this.entries.get(request);
-    this.refutedCrashes.record(crashKey(request, target), now);
+    this.refutedCrashes.record(request, target, now);
     if (
       entry === undefined ||
       entry.quarantinedAtMs !== undefined ||
@@ -117,9 +113,7 @@
     ) {
       return false;
     }
-    if (entry.crashes.size === 0) {
-      this.entries.delete(request);
-    }
+    this.deleteIfEmpty(request, entry);
     return true;
   }
 
@@ -144,7 +138,7 @@
     }
     const cleared = [...entry.crashes.values()].filter((crash) => isInScope(scope, crash));
     for (const { target } of cleared) {
-      this.refutedCrashes.record(crashKey(request, target), now);
+      this.refutedCrashes.record(request, target, now);
       entry.crashes.delete(target);
     }
     if (entry.crashes.size > 0) {
@@ -189,11 +183,7 @@
       }
       this.release(request, now);
     }
-    const isEnough = entry.crashes.size >= this.countCrashesNeeded(entry) - SUSPICION_MARGIN;
-    const crashes = [...entry.crashes.values()];
-    return isEnough && !isCoincidence(crashes, this.chanceOf, MAX_SUSPICION_CHANCE)
-      ? 'suspected'
-      : 'clear';
+    return this.judge(entry) === 'clear' ? 'clear' : 'suspected';
   }
 
   /** Time until the quarantine of a request ends, in milliseconds; 0 if it is not quarantined. */
@@ -217,8 +207,14 @@
     return [...this.entries.values()].reverse().flatMap(({ crashes }) => [...crashes.values()]);
   }
 
-  /** Number of consecutive crashes that quarantine a request of this caller. */
-  private countCrashesNeeded({ caller }: RequestEntry): number {
+  /** Number of consecutive crashes that quarantine a request. */
+  private countCrashesNeeded({ caller, crashes }: RequestEntry): number {
+    const wasCleared = [...crashes.values()].some(
+      (crash) => this.clearances.lastClearedAtMs(crash) !== undefined,
+    );
+    if (wasCleared) {
+      return CRASHES_TO_QUARANTINE_CLEARED;
+    }
     const quarantined = [...this.entries.values()].filter(
       (entry) => entry.quarantinedAtMs !== undefined && entry.caller === caller,
     );
@@ -227,6 +223,31 @@
       : CRASHES_TO_QUARANTINE_FLAGGED;
   }
 
+  private judge(entry: RequestEntry): RequestStatus {
+    const crashes = [...entry.crashes.values()];
+    return judgeCrashes(crashes, this.countCrashesNeeded(entry), this.chanceOf);
+  }
+
+  /** Drops the end of a target from the evidence against all requests but the one that caused it. */
+  private explainEnd(target: string, request: RequestIdentity, now: Millis): boolean {
+    for (const [other, entry] of this.entries) {
+      if (
+        other !== request &&
+        entry.quarantinedAtMs === undefined &&
+        entry.crashes.delete(target)
+      ) {
+        this.deleteIfEmpty(other, entry);
+      }
+    }
+    return this.explainedEnds.record(target, request, now);
+  }
+
+  private deleteIfEmpty(request: RequestIdentity, { crashes }: RequestEntry): void {
+    if (crashes.size === 0) {
+      this.entries.delete(request);
+    }
+  }
+
   private openEntry(
     request: RequestIdentity,
     { service, caller }: Quarantine,
@@ -255,10 +276,9 @@
       if (now - changedAtMs < CRASH_TTL_MS) {
         break;
       }
+      this.release(request, now);
       if (quarantinedAtMs === undefined) {
         this.entries.delete(request);
-      } else {
-        this.release(request, now);
       }
     }
     this.clearances.forgetExpired(now);
@@ -268,16 +288,13 @@
    * Evicts the newest crash outside the series, and marks it as refuted so that a repeated update
    * does not restore it.
    */
-  private evictCrash(
-    { crashes }: RequestEntry,
-    series: CrashRecord[],
-    now: Millis,
-  ): CrashRecord | undefined {
+  private evictCrash({ crashes }: RequestEntry, now: Millis): CrashRecord | undefined {
+    const series = findConsecutiveCrashes(crashes.values());
     const surplus = [...crashes.values()].filter((crash) => !series.includes(crash)).at(-1);
     if (surplus !== undefined) {
       const { request, target } = surplus;
       crashes.delete(target);
-      this.refutedCrashes.record(crashKey(request, target), now);
+      this.refutedCrashes.record(request, target, now);
     }
     return surplus;
   }
@@ -295,7 +312,3 @@
     }
   }
 }
-
-function crashKey(request: RequestIdentity, target: string): string {
-  return `${request} ${target}`;
-}
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -1,7 +1,7 @@
 /** Crash tracking of one request of this VM, from its first attempt to its final answer. */
 import type { CancelTimer, Millis } from '@limelead/types';
 import type { CrashRecord } from './crash-record.js';
-import type { RequestStatus } from './crash-table.js';
+import type { RequestStatus } from './judge-crashes.js';
 import GuardedRun, { type RunEnd, type RunOwner, type RunTarget } from './guarded-run.js';
 import identifyRequest, {
   identifyCaller,
--- a/packages/quarantine-requests/src/trial-queue.ts
+++ b/packages/quarantine-requests/src/trial-queue.ts
@@ -4,7 +4,7 @@
  */
 import type { CancelTimer, Clock, Millis, Random, Timers } from '@limelead/types';
 import { randomUUID } from 'node:crypto';
-import type { RequestStatus } from './crash-table.js';
+import type { RequestStatus } from './judge-crashes.js';
 import type { RequestIdentity } from './identify-request.js';
 import type { TrialNotice } from './quarantine-update.js';
 
