Confirm the end of a target by targets of any service, or later by the registry

Callers of a service with three targets lost each one that returned: an end counted only if another target of the service answered, and these may have ended by the same request; the end was then dropped for good, and one that had counted was taken back when answers were read that had been in flight. A target of any service, or a connection to one, now shows that this VM's links work. An end that stays unknown waits for the registry's word, with the time at which the run broke. Answers read within 50 ms of the break show nothing, and a crash is taken back only if the target still answers. The targets of a trial are checked while it lasts, and those of all runs of a request once it is suspected.

--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -7,8 +7,16 @@
 import * as assert from 'uvu/assert';
 import CrashDetector from './crash-detector.js';
 
+interface StartOptions {
+  /** Whether the VM connected to another target after the failure. */
+  hasConnected?: boolean;
+  /** Service of a target by its number. */
+  serviceOf?(index: number): string;
+}
+
 /** Starts targets in two failure domains and stops those that are down. */
-async function start(isUp: readonly boolean[], hasConnected = false) {
+async function start(isUp: readonly boolean[], options: StartOptions = {}) {
+  const { hasConnected = false, serviceOf = () => 'api' } = options;
   const servers: Server[] = [];
   const targets: ServiceTarget[] = [];
   for (const [index, stays] of isUp.entries()) {
@@ -19,7 +27,7 @@
     const address = { host: '127.0.0.1', port };
     targets.push({
       id: `t${index}`,
-      ...{ service: 'api', failureDomain, slots: 1, leaving: false, ...address },
+      ...{ service: serviceOf(index), failureDomain, slots: 1, leaving: false, ...address },
     });
     if (stays) {
       servers.push(server);
@@ -47,28 +55,41 @@
     connections.closeAll();
     servers.forEach((server) => server.close());
   };
-  return { detector, stop };
+  return { detector, directory, stop };
 }
 
-async function hasCrashed(isUp: readonly boolean[], hasConnected = false): Promise<boolean> {
-  const { detector, stop } = await start(isUp, hasConnected);
-  const result = await detector.hasCrashed('t0', clock.now());
+async function check(isUp: readonly boolean[], options?: StartOptions): Promise<string> {
+  const { detector, stop } = await start(isUp, options);
+  const result = await detector.checkTarget('t0', clock.now());
   stop();
   return result;
 }
 
-test('a target that does not answer has crashed if a target of another failure domain answers', async () => {
-  assert.is(await hasCrashed([false, false, true]), true);
-  assert.is(await hasCrashed([true, true, true]), false);
+test('a target that does not answer has ended if a target of another failure domain answers', async () => {
+  assert.is(await check([false, false, true]), 'ended');
+  assert.is(await check([true, true, true]), 'running');
+});
+
+test('a VM that reaches no target does not know what ended', async () => {
+  assert.is(await check([false, false, false]), 'unknown');
 });
 
-test('a VM that reaches no target has seen no crash', async () => {
-  assert.is(await hasCrashed([false, false, false]), false);
+test('a target has ended if the VM has connected to others meanwhile, or knows no other', async () => {
+  assert.is(await check([false, false, false], { hasConnected: true }), 'ended');
+  assert.is(await check([false]), 'ended');
 });
 
-test('a target has crashed if the VM has connected to others meanwhile, or knows no other', async () => {
-  assert.is(await hasCrashed([false, false, false], true), true);
-  assert.is(await hasCrashed([false]), true);
+test('a target of a service that is all down has ended if a target of another service answers', async () => {
+  const serviceOf = (index: number): string => (index < 4 ? 'api' : 'llm');
+  assert.is(await check([false, false, false, false, true], { serviceOf }), 'ended');
+});
+
+test('an answer that was read right after a run broke does not show that its target is running', async () => {
+  const { detector, directory, stop } = await start([false, true, true]);
+  const brokeAtMs = clock.now();
+  directory.recordActivity('t0');
+  assert.is(await detector.checkTarget('t0', brokeAtMs), 'ended');
+  stop();
 });
 
 test.run();
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -1,6 +1,7 @@
 /** Distinguishes the crash of a target from a broken link and from reset connections. */
 import type { DecisionLog } from '@limelead/decision-log';
 import { queryTarget, type TargetDialect } from '@limelead/forward-request';
+import type { TargetState } from '@limelead/quarantine-requests';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { Millis, ServiceTarget, Timers } from '@limelead/types';
@@ -12,6 +13,8 @@
 const PROBE_TIMEOUT_MS = 250;
 /** Other targets that are probed if the target does not answer; some of them may be down, too. */
 const MAX_OTHERS = 3;
+/** Answers may still be read for this time after the target ended, in milliseconds. */
+const MAX_ANSWER_DELAY_MS: Millis = 50;
 
 /** What the detector uses. */
 export interface CrashDetectorOptions {
@@ -20,30 +23,31 @@
   connections: TargetConnections;
   dialect: Pick<TargetDialect, 'composeProbe'>;
   log: Pick<DecisionLog, 'write'>;
-  /** Whether this VM connected to any target of the service after that time. */
-  hasConnectedSince(service: string, sinceMs: Millis): boolean;
+  /** Whether this VM connected to any target after that time. */
+  hasConnectedSince(sinceMs: Millis): boolean;
 }
 
-/** Decides from the directory whether a target crashed, and probes it if the directory can't tell. */
+/** Decides from the directory whether a target ended, and probes it if the directory can't tell. */
 export default class CrashDetector {
   /** Probes in progress by target: many runs on one target fail at the same time. */
-  private readonly pendingProbes = new Map<string, Promise<boolean>>();
+  private readonly pendingProbes = new Map<string, Promise<TargetState>>();
 
   constructor(private readonly options: CrashDetectorOptions) {}
 
-  /** Whether the target answered after that time of the monotonic clock. */
+  /** Whether an answer of the target, sent after that time of the monotonic clock, was read. */
   hasAnsweredSince(id: string, sinceMs: Millis): boolean {
-    return (this.options.directory.get(id)?.health.lastResponseAtMs ?? 0) > sinceMs;
+    const { lastResponseAtMs } = this.options.directory.get(id)?.health ?? { lastResponseAtMs: 0 };
+    return lastResponseAtMs > sinceMs + MAX_ANSWER_DELAY_MS;
   }
 
-  /** Whether the target has crashed since a run on it failed. */
-  hasCrashed(id: string, failedAtMs: Millis): Promise<boolean> {
+  /** Finds whether the target has ended since a run on it failed. */
+  checkTarget(id: string, failedAtMs: Millis): Promise<TargetState> {
     const target = this.options.directory.get(id)?.target;
     if (target === undefined) {
-      return Promise.resolve(true);
+      return Promise.resolve('ended');
     }
     if (this.hasAnsweredSince(id, failedAtMs)) {
-      return Promise.resolve(false);
+      return Promise.resolve('running');
     }
     const pending = this.pendingProbes.get(id);
     if (pending !== undefined) {
@@ -60,37 +64,41 @@
    */
   async hasEnded(id: string, sinceMs: Millis): Promise<boolean> {
     const target = this.options.directory.get(id)?.target;
-    return target?.leaving === false && (await this.hasCrashed(id, sinceMs));
+    return target?.leaving === false && (await this.checkTarget(id, sinceMs)) === 'ended';
   }
 
-  private async check(target: ServiceTarget, failedAtMs: Millis): Promise<boolean> {
+  private async check(target: ServiceTarget, failedAtMs: Millis): Promise<TargetState> {
     if (await this.probe(target)) {
-      return false;
+      return 'running';
     }
     // A VM that has lost its own links reaches no other target either.
-    const { service, id } = target;
     const others = this.chooseOthers(target);
-    if (this.options.hasConnectedSince(service, failedAtMs) || others.length === 0) {
-      return true;
+    if (this.options.hasConnectedSince(failedAtMs) || others.length === 0) {
+      return 'ended';
     }
     const answers = await Promise.all(others.map((other) => this.probe(other)));
-    const isCrash = answers.includes(true);
-    if (!isCrash) {
-      const tried = others.map((other) => other.id);
-      this.options.log.write('crash-unconfirmed', { target: id, others: tried });
+    if (answers.includes(true)) {
+      return 'ended';
     }
-    return isCrash;
+    const tried = others.map((other) => other.id);
+    this.options.log.write('crash-unconfirmed', { target: target.id, others: tried });
+    return 'unknown';
   }
 
-  /** Other targets of the service, first those that are not suspected, then of other domains. */
+  /**
+   * Other targets, first those that are not suspected, then of other services, whose targets the
+   * same request has hardly ended, then of other domains.
+   */
   private chooseOthers({ id, service, failureDomain }: ServiceTarget): ServiceTarget[] {
     const { directory } = this.options;
     const others = directory
-      .listUsable(service)
+      .all()
       .map(({ target }) => target)
-      .filter((other) => other.id !== id);
+      .filter((other) => other.id !== id && !other.leaving);
     const rank = (other: ServiceTarget): number =>
-      (directory.isSuspected(other.id) ? 2 : 0) + (other.failureDomain === failureDomain ? 1 : 0);
+      (directory.isSuspected(other.id) ? 4 : 0) +
+      (other.service === service ? 2 : 0) +
+      (other.failureDomain === failureDomain ? 1 : 0);
     return others.sort((a, b) => rank(a) - rank(b)).slice(0, MAX_OTHERS);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,8 +202,7 @@
     this.quarantine = createQuarantineComponent(partContext, {
       connections: this.connections,
       countVms: () => this.countVms(),
-      hasConnectedSince: (service, sinceMs) =>
-        this.relaying.reach.hasConnectedSince(service, sinceMs),
+      hasConnectedSince: (sinceMs) => this.relaying.reach.hasConnectedSince(sinceMs),
     });
     this.components = [this.quarantine, this.shares, ...createFleetComponents(partContext)];
     this.frontDoor = new HttpFrontDoor({
--- a/packages/gateway/src/quarantine-component.ts
+++ b/packages/gateway/src/quarantine-component.ts
@@ -36,8 +36,8 @@
 export interface QuarantineComponentOptions {
   connections: TargetConnections;
   countVms(): number;
-  /** Whether this VM connected to any target of the service after that time. */
-  hasConnectedSince(service: string, sinceMs: Millis): boolean;
+  /** Whether this VM connected to any target after that time. */
+  hasConnectedSince(sinceMs: Millis): boolean;
 }
 
 /** Creates the component. While no request is suspected, it makes no calls and sends nothing. */
@@ -65,7 +65,7 @@
     });
     this.guard = new RequestGuard({
       ...{ clock, timers, random, log, metrics, countVms },
-      hasCrashed: (target, brokeAtMs) => crashDetector.hasCrashed(target, brokeAtMs),
+      checkTarget: (target, brokeAtMs) => crashDetector.checkTarget(target, brokeAtMs),
       hasEnded: (target, sinceMs) => crashDetector.hasEnded(target, sinceMs),
       countTargets: (service) => directory.listUsable(service).length,
       hasRespondedSince: (target, sinceMs) => crashDetector.hasAnsweredSince(target, sinceMs),
--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -8,6 +8,7 @@
 import type { Clock, Millis } from '@limelead/types';
 import type { CrashRecord, Quarantine } from './crash-record.js';
 import CrashTable from './crash-table.js';
+import type { RequestStatus } from './judge-crashes.js';
 import EndRates from './end-rates.js';
 import type { ClearanceGround } from './guarded-request.js';
 import type { RequestIdentity } from './identify-request.js';
@@ -16,19 +17,18 @@
   type ClearedRequest,
   type QuarantineUpdate,
 } from './quarantine-update.js';
-import type { RequestStatus } from './judge-crashes.js';
 import type { RequestSummary } from './request-summary.js';
 
+/** What is known of an incarnation; unknown if this VM may have lost its own links. */
+export type TargetState = 'running' | 'ended' | 'unknown';
+
 /** Dependencies of `CrashEvidence`. */
 export interface CrashEvidenceOptions {
   clock: Clock;
   log: Pick<DecisionLog, 'write'>;
   metrics: Pick<Metrics, 'count'>;
-  /**
-   * Whether an incarnation on which a run broke at that time has ended; probes it if that is
-   * unknown.
-   */
-  hasCrashed(target: string, brokeAtMs: Millis): Promise<boolean>;
+  /** Finds whether an incarnation on which a run broke at that time has ended; may probe it. */
+  checkTarget(target: string, brokeAtMs: Millis): Promise<TargetState>;
   /** Whether this VM received anything from an incarnation since that time. */
   hasRespondedSince(target: string, sinceMs: Millis): boolean;
   /** Sends an update to all peers. */
@@ -40,6 +40,8 @@
   /** Number of targets of a service. */
   countTargets(service: string): number;
   onQuarantined(request: RequestIdentity): void;
+  /** A crash was recorded of a request that is suspected. */
+  onSuspected(request: RequestIdentity): void;
   /** The status of a request may have changed otherwise. */
   onStatusChanged(request: RequestIdentity): void;
 }
@@ -68,12 +70,14 @@
   /**
    * Checks a run of this VM that broke before any output. From a request's second such run on, the
    * target is probed, since a broken link or a reset connection is no crash.
+   * @returns whether it is settled if the target ended
    */
-  async checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<void> {
+  async checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<boolean> {
     try {
-      await this.checkTarget(crash, request);
+      return await this.checkTarget(crash, request);
     } catch (thrown) {
       this.options.log.write('strike-failed', { reason: describeThrown(thrown) });
+      return true;
     }
   }
 
@@ -127,17 +131,21 @@
     return this.options.clock.now();
   }
 
-  private async checkTarget(crash: CrashRecord, summary: RequestSummary): Promise<void> {
+  private async checkTarget(crash: CrashRecord, summary: RequestSummary): Promise<boolean> {
     const { request, target, endedAtMs } = crash;
     if (this.crashTable.hasEntry(request)) {
-      this.withdrawRefutedCrashes(request);
-      if (!(await this.options.hasCrashed(target, endedAtMs))) {
+      const [state] = await Promise.all([
+        this.options.checkTarget(target, endedAtMs),
+        this.withdrawRefutedCrashes(request),
+      ]);
+      if (state !== 'ended') {
         const { requestId } = summary;
-        this.options.log.write('strike-refuted', { requestId, identity: request, target });
-        return;
+        this.options.log.write('strike-refuted', { requestId, identity: request, target, state });
+        return state === 'running';
       }
     }
     await this.recordOwnCrash(crash, summary);
+    return true;
   }
 
   /**
@@ -158,11 +166,17 @@
     }
   }
 
-  /** Withdraws crashes whose targets responded later. */
-  private withdrawRefutedCrashes(request: RequestIdentity): void {
-    const refuted = this.crashTable
+  /** Withdraws crashes whose targets responded later and still do. */
+  private async withdrawRefutedCrashes(request: RequestIdentity): Promise<void> {
+    const { now } = this;
+    const responded = this.crashTable
       .listCrashes(request)
-      .filter(({ target, endedAtMs }) => this.options.hasRespondedSince(target, endedAtMs))
+      .filter(({ target, endedAtMs }) => this.options.hasRespondedSince(target, endedAtMs));
+    const states = await Promise.all(
+      responded.map(({ target }) => this.options.checkTarget(target, now)),
+    );
+    const refuted = responded
+      .filter((_, index) => states[index] === 'running')
       .filter(({ target }) => this.withdrawCrash(request, target));
     if (refuted.length > 0) {
       this.options.publish(createQuarantineUpdate({ withdrawn: refuted }));
@@ -189,6 +203,8 @@
     }
     if (verdict === 'quarantined' && before !== 'quarantined') {
       this.reportQuarantine(request, service, source);
+    } else if (verdict === 'suspected') {
+      this.options.onSuspected(request);
     }
     return true;
   }
--- a/packages/quarantine-requests/src/fleet.fixture.ts
+++ b/packages/quarantine-requests/src/fleet.fixture.ts
@@ -168,9 +168,11 @@
       metrics: { count: () => undefined },
       countVms: () => this.size,
       countTargets: () => TARGETS,
-      hasCrashed: (target) =>
+      checkTarget: (target) =>
         new Promise((resolve) =>
-          this.schedule(this.now + CRASH_CHECK_MS, () => resolve(this.crashedTargets.has(target))),
+          this.schedule(this.now + CRASH_CHECK_MS, () =>
+            resolve(this.crashedTargets.has(target) ? 'ended' : 'running'),
+          ),
         ),
       hasEnded: (target) => Promise.resolve(this.crashedTargets.has(target)),
       hasRespondedSince: (target) => !this.crashedTargets.has(target),
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -34,12 +34,13 @@
     onAdmission: (admission: Admission) => void,
   ): CancelTimer;
   endTrial(request: RequestIdentity): void;
-  onRunStarted(run: GuardedRun): void;
+  onRunStarted(run: GuardedRun, isOnTrial: boolean): void;
   onRunEnded(run: GuardedRun): void;
   /** A run ended without an answer, and it is not known whether its target ended. */
   addUnsettledRun(run: UnsettledRun): void;
   onRunAbandoned(run: UnsettledRun, isOnTrial: boolean): void;
-  checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<void>;
+  /** @returns whether the run is settled if its target ended */
+  checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<boolean>;
   clearRequest(request: RequestIdentity, ground: ClearanceGround): void;
   onClosed(): void;
 }
@@ -105,7 +106,7 @@
   /** Starts to track a run; the caller reports its end. */
   startRun(target: RunTarget): GuardedRun {
     const run = new GuardedRun(target, this.now, this);
-    this.guard.onRunStarted(run);
+    this.guard.onRunStarted(run, this.isOnTrial);
     return run;
   }
 
@@ -115,6 +116,10 @@
     }
   }
 
+  onTargetEnded(): void {
+    this.endTrial();
+  }
+
   onRunEnded(run: GuardedRun, end: RunEnd): void {
     this.guard.onRunEnded(run);
     switch (end) {
@@ -204,7 +209,10 @@
     const { identity: request, caller } = summary;
     const crash = { request, service, version, caller, target, startedAtMs, endedAtMs };
     this.openCheckCount += 1;
-    const check = this.guard.checkBrokenRun(crash, summary).then(() => {
+    const check = this.guard.checkBrokenRun(crash, summary).then((isSettled) => {
+      if (!isSettled) {
+        this.guard.addUnsettledRun(this.toUnsettledRun(run, 'broken'));
+      }
       this.openCheckCount -= 1;
       this.endTrial();
     });
--- a/packages/quarantine-requests/src/guarded-run.ts
+++ b/packages/quarantine-requests/src/guarded-run.ts
@@ -17,6 +17,8 @@
   summarize(): RequestSummary;
   /** Called for each output of a run. */
   onOutput(run: GuardedRun): void;
+  /** Called when the target of an open run has ended. */
+  onTargetEnded(): void;
   /** Called once. */
   onRunEnded(run: GuardedRun, end: RunEnd): void;
 }
--- a/packages/quarantine-requests/src/index.ts
+++ b/packages/quarantine-requests/src/index.ts
@@ -3,6 +3,7 @@
 export { default as GuardedRequest } from './guarded-request.js';
 export type { default as GuardedRun } from './guarded-run.js';
 export { default as createIsolatedGuard } from './isolated-guard.js';
+export type { TargetState } from './crash-evidence.js';
 export { QUARANTINE_MS } from './crash-table.js';
 export type { CrashRecord, Quarantine } from './crash-record.js';
 export {
--- a/packages/quarantine-requests/src/isolated-guard.ts
+++ b/packages/quarantine-requests/src/isolated-guard.ts
@@ -10,7 +10,7 @@
     random: { next: () => 0 },
     countVms: () => 1,
     countTargets: () => 1,
-    hasCrashed: () => Promise.resolve(true),
+    checkTarget: () => Promise.resolve('ended'),
     hasEnded: () => Promise.resolve(false),
     hasRespondedSince: () => false,
     publish: () => undefined,
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -7,6 +7,7 @@
 import CrashEvidence, { type CrashEvidenceOptions } from './crash-evidence.js';
 import type { CrashRecord, Quarantine } from './crash-record.js';
 import GuardedRequest, { type GuardedRequestDetails } from './guarded-request.js';
+import type GuardedRun from './guarded-run.js';
 import type { RunTarget } from './guarded-run.js';
 import type { RequestIdentity } from './identify-request.js';
 import logRunsAtEndedTarget from './log-runs-at-ended-target.js';
@@ -23,6 +24,8 @@
 
 /** Delay until the target of an abandoned run, or one in doubt, is checked, in milliseconds. */
 const CHECK_DELAY_MS: Millis = 100;
+/** Interval at which the target of a trial is checked, in milliseconds. */
+const TRIAL_CHECK_INTERVAL_MS: Millis = 250;
 /**
  * How long the trial of an abandoned run lasts if its target goes on, in milliseconds: the run may
  * end the target after its caller has left.
@@ -32,7 +35,7 @@
 /** Dependencies of `RequestGuard`. */
 export interface RequestGuardOptions extends Omit<
   CrashEvidenceOptions,
-  'onQuarantined' | 'onStatusChanged' | 'publish'
+  'onQuarantined' | 'onSuspected' | 'onStatusChanged' | 'publish'
 > {
   clock: Clock;
   timers: Timers;
@@ -59,6 +62,7 @@
       publish: (update) => options.publish(update),
       onStatusChanged: (request) => this.trials.reevaluate(request),
       onQuarantined: (request) => this.endOpenRequests(request),
+      onSuspected: (request) => this.checkTargetsOf(request),
     });
     this.trials = new TrialQueue({
       ...{ clock, timers, random, countVms },
@@ -87,7 +91,7 @@
       quarantineLeftMs: (request) => crashTable.quarantineLeftMs(request, this.now),
       requestAdmission: (request, receive) => this.trials.requestAdmission(request, receive),
       endTrial: (request) => this.trials.endTrial(request),
-      onRunStarted: (run) => this.runs.addOpen(run),
+      onRunStarted: (run, isOnTrial) => this.onRunStarted(run, isOnTrial),
       onRunEnded: (run) => this.runs.removeOpen(run),
       addUnsettledRun: (run) => this.runs.addUnsettled(run),
       onRunAbandoned: (run, isOnTrial) => this.onRunAbandoned(run, isOnTrial),
@@ -111,6 +115,7 @@
     for (const run of runs.filter(({ hasOutput }) => !hasOutput)) {
       void this.evidence.recordOwnCrash(toCrash(run, now), run.request);
     }
+    this.runs.listOpenAt(id).forEach(({ owner }) => owner.onTargetEnded());
   }
 
   /** Checks a target that this VM or a peer found lost, if runs there may have ended it. */
@@ -157,6 +162,27 @@
     return this.options.clock.now();
   }
 
+  /** Watches the target of a trial, since its connections may stay open when it ends. */
+  private onRunStarted(run: GuardedRun, isOnTrial: boolean): void {
+    this.runs.addOpen(run);
+    if (isOnTrial) {
+      this.watchTrial(run);
+    }
+  }
+
+  private watchTrial(run: GuardedRun): void {
+    this.options.timers.after(TRIAL_CHECK_INTERVAL_MS, () => {
+      if (run.endedAtMs === undefined) {
+        void this.check(run.target).then((hasEnded) => hasEnded || this.watchTrial(run));
+      }
+    });
+  }
+
+  /** Checks where else a suspected request is under way. */
+  private checkTargetsOf(request: RequestIdentity): void {
+    this.runs.listTargetsOf(request).forEach((target) => void this.check(target));
+  }
+
   private onRunAbandoned(run: UnsettledRun, isOnTrial: boolean): void {
     const { target, request } = run;
     this.runs.addUnsettled(run);
@@ -175,19 +201,18 @@
   private checkLater(target: Pick<RunTarget, 'id' | 'service'>, onEnded?: () => void): void {
     this.options.timers.after(CHECK_DELAY_MS, () => {
       if (this.runs.hasRunsAt(target.id)) {
-        void this.check(target, onEnded);
+        void this.check(target).then((hasEnded) => hasEnded && onEnded?.());
       }
     });
   }
 
-  private async check(
-    target: Pick<RunTarget, 'id' | 'service'>,
-    onEnded?: () => void,
-  ): Promise<void> {
-    if (await this.options.hasEnded(target.id, this.now)) {
+  /** Finds whether a target has ended; if so, counts its end against the runs there. */
+  private async check(target: Pick<RunTarget, 'id' | 'service'>): Promise<boolean> {
+    const hasEnded = await this.options.hasEnded(target.id, this.now);
+    if (hasEnded) {
       this.onTargetEnded(target);
-      onEnded?.();
     }
+    return hasEnded;
   }
 
   private publishTrial(notice: TrialNotice): void {
@@ -213,7 +238,10 @@
   const { id: target, service, version } = run.target;
   const { identity: request, caller } = run.request;
   const { startedAtMs } = run;
+  // A broken connection tells the time of the end better than what confirmed it later.
+  const crashedAtMs = run.end === 'broken' ? (run.endedAtMs ?? endedAtMs) : endedAtMs;
   const mayBeCoincidence = run.hasOutput || run.end === 'abandoned';
-  const crash = { request, service, version, caller, target, startedAtMs, endedAtMs };
+  const times = { startedAtMs, endedAtMs: crashedAtMs };
+  const crash = { request, service, version, caller, target, ...times };
   return mayBeCoincidence ? { ...crash, mayBeCoincidence } : crash;
 }
--- a/packages/quarantine-requests/src/run-ledger.ts
+++ b/packages/quarantine-requests/src/run-ledger.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@limelead/types';
 import type GuardedRun from './guarded-run.js';
 import type { RunTarget } from './guarded-run.js';
+import type { RequestIdentity } from './identify-request.js';
 import type { RequestSummary } from './request-summary.js';
 
 /**
@@ -73,7 +74,21 @@
     this.forgetExpired(now);
     const unsettled = this.findUnsettled(target);
     unsettled.forEach((run) => this.unsettled.delete(run));
-    return [...[...(this.open.get(target) ?? [])].map(toRunAtTarget), ...unsettled];
+    return [...this.listOpenAt(target).map(toRunAtTarget), ...unsettled];
+  }
+
+  /** Targets at which a request is under way, or may have been when they ended. */
+  listTargetsOf(request: RequestIdentity): RunTarget[] {
+    const open = [...this.open.values()].flatMap((runs) => [...runs]);
+    return [
+      ...open.filter(({ owner }) => owner.summarize().identity === request),
+      ...[...this.unsettled].filter((run) => run.request.identity === request),
+    ].map(({ target }) => target);
+  }
+
+  /** Open runs at a target. */
+  listOpenAt(target: string): GuardedRun[] {
+    return [...(this.open.get(target) ?? [])];
   }
 
   private findUnsettled(target: string): UnsettledRun[] {
--- a/packages/track-reach/src/reach-tracker.ts
+++ b/packages/track-reach/src/reach-tracker.ts
@@ -67,9 +67,9 @@
     return this.services.get(service)?.failures.ageMs(id, this.now) !== undefined;
   }
 
-  /** Whether a connection to any target of the service is known to have opened after that time. */
-  hasConnectedSince(service: string, sinceMs: Millis): boolean {
-    return (this.services.get(service)?.lastConnectedAtMs ?? -Infinity) > sinceMs;
+  /** Whether a connection to any target is known to have opened after that time. */
+  hasConnectedSince(sinceMs: Millis): boolean {
+    return [...this.services.values()].some(({ lastConnectedAtMs }) => lastConnectedAtMs > sinceMs);
   }
 
   /** Records a request for a service; a service out of reach is probed while there are any. */
