--- a/packages/quarantine-requests/src/run-ledger.ts
+++ b/packages/quarantine-requests/src/run-ledger.ts
@@ -10,8 +10,8 @@
  * target that ended after three missed heartbeats.
  */
 export const UNSETTLED_RUN_TTL_MS = 8_000;
-/** Maximum number of such runs; an entry takes about 300 bytes. */
-const MAX_UNSETTLED_RUNS = 5_000;
+/** Maximum number of such runs; an entry takes about 1 KB. */
+const MAX_UNSETTLED_RUNS = 2_000;
 
 /** A run that ended without an answer, whose target was not known to have ended. */
 export interface UnsettledRun {
@@ -60,8 +60,8 @@
   }
 
   addUnsettled(run: UnsettledRun): void {
-    this.forgetExpired(run.endedAtMs);
     this.unsettled.add(run);
+    this.forgetExpired(run.endedAtMs);
   }
 
   /** Whether any run may have ended the target. */
@@ -98,7 +98,7 @@
   private forgetExpired(now: Millis): void {
     for (const run of this.unsettled) {
       const isExpired = now - run.endedAtMs > UNSETTLED_RUN_TTL_MS;
-      if (!isExpired && this.unsettled.size < MAX_UNSETTLED_RUNS) {
+      if (!isExpired && this.unsettled.size <= MAX_UNSETTLED_RUNS) {
         return;
       }
       this.unsettled.delete(run);
