Check the targets of a suspected request once, and without hashing its caller

Each crash of a suspected request made every VM probe all targets at which the request was under way, and hash caller and route of all open runs. Now only the crash that makes it suspected does, and runs are compared by identity. Found by reading; no fault was seen in a run.

--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -44,7 +44,7 @@
   /** Number of targets of a service. */
   countTargets(service: string): number;
   onQuarantined(request: RequestIdentity): void;
-  /** A crash was recorded of a request that is suspected. */
+  /** A crash made a request suspected. */
   onSuspected(request: RequestIdentity): void;
   /** The status of a request may have changed otherwise. */
   onStatusChanged(request: RequestIdentity): void;
@@ -217,7 +217,7 @@
     }
     if (verdict === 'quarantined' && before !== 'quarantined') {
       this.reportQuarantine(request, service, source);
-    } else if (verdict === 'suspected') {
+    } else if (verdict === 'suspected' && before === 'clear') {
       this.options.onSuspected(request);
     }
     return true;
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -57,7 +57,7 @@
 
 /** Tracks the attempts of one request. */
 export default class GuardedRequest implements RunOwner {
-  private identity: RequestIdentity | undefined;
+  private knownIdentity: RequestIdentity | undefined;
   /** Whether a target ran the request to its answer. */
   private isHarmless = false;
   private readonly openRuns = new Set<GuardedRun>();
@@ -78,12 +78,12 @@
    * are not held against targets.
    */
   get isSuspected(): boolean {
-    return this.mayBeSuspected && this.guard.getStatus(this.name) !== 'clear';
+    return this.mayBeSuspected && this.guard.getStatus(this.identity) !== 'clear';
   }
 
   /** Time until targets may run the request again, in milliseconds. */
   get quarantineLeftMs(): Millis {
-    return this.guard.quarantineLeftMs(this.name);
+    return this.guard.quarantineLeftMs(this.identity);
   }
 
   /**
@@ -98,7 +98,7 @@
       onAdmission('send');
       return () => undefined;
     }
-    return this.guard.requestAdmission(this.name, (admission) => {
+    return this.guard.requestAdmission(this.identity, (admission) => {
       this.isOnTrial = admission === 'send-trial';
       onAdmission(admission);
     });
@@ -118,15 +118,15 @@
 
   /** A run that goes on for longer than those that crashed shows that the request is harmless. */
   onOutput(run: GuardedRun): void {
-    if (!this.mayBeSuspected || !this.guard.hasEntry(this.name)) {
+    if (!this.mayBeSuspected || !this.guard.hasEntry(this.identity)) {
       return;
     }
     const minMs = Math.max(
       MIN_HARMLESS_RUN_MS,
-      this.guard.longestCrashMs(this.name) * HARMLESS_RUN_FACTOR,
+      this.guard.longestCrashMs(this.identity) * HARMLESS_RUN_FACTOR,
     );
     if (this.now - run.startedAtMs > minMs) {
-      this.guard.clearRequest(this.name, { run, evidence: 'output' });
+      this.guard.clearRequest(this.identity, { run, evidence: 'output' });
       this.endTrial();
     }
   }
@@ -179,7 +179,7 @@
    */
   onQuarantined(request: RequestIdentity): void {
     const isWriting = [...this.openRuns].some(({ hasOutput }) => hasOutput);
-    if (!this.isHarmless && !isWriting && this.openCheckCount === 0 && request === this.name) {
+    if (!this.isHarmless && !isWriting && this.openCheckCount === 0 && request === this.identity) {
       this.details.onQuarantined();
     }
   }
@@ -198,16 +198,16 @@
     const { route, requestId, request } = this.details;
     const { organisation, path } = request;
     const caller = identifyCaller(organisation, route);
-    return { identity: this.name, caller, requestId, organisation, path };
+    return { identity: this.identity, caller, requestId, organisation, path };
   }
 
   /**
    * Identity of the request; hashed only on demand, since it is not needed while no request has
    * crashes.
    */
-  private get name(): RequestIdentity {
-    this.identity ??= identifyRequest(this.details.request);
-    return this.identity;
+  get identity(): RequestIdentity {
+    this.knownIdentity ??= identifyRequest(this.details.request);
+    return this.knownIdentity;
   }
 
   private get mayBeSuspected(): boolean {
@@ -256,7 +256,7 @@
     }
     this.isHarmless = true;
     if (this.mayBeSuspected) {
-      this.guard.clearRequest(this.name, { run, evidence: 'answered' });
+      this.guard.clearRequest(this.identity, { run, evidence: 'answered' });
     }
     this.endTrial();
   }
@@ -278,7 +278,7 @@
   private endTrial(): void {
     if (this.isOnTrial) {
       this.isOnTrial = false;
-      this.guard.endTrial(this.name);
+      this.guard.endTrial(this.identity);
     }
   }
 }
--- a/packages/quarantine-requests/src/guarded-run.ts
+++ b/packages/quarantine-requests/src/guarded-run.ts
@@ -1,5 +1,6 @@
 /** One run of a guarded request at one target, from its sending to the end of the attempt. */
 import type { Millis, ServiceTarget } from '@limelead/types';
+import type { RequestIdentity } from './identify-request.js';
 import type { RequestSummary } from './request-summary.js';
 
 /** The parts of a target that tell where a run took place. */
@@ -14,6 +15,7 @@
 /** What a run reports to its request. */
 export interface RunOwner {
   readonly now: Millis;
+  readonly identity: RequestIdentity;
   summarize(): RequestSummary;
   /** Called for each output of a run. */
   onOutput(run: GuardedRun): void;
--- a/packages/quarantine-requests/src/run-ledger.test.ts
+++ b/packages/quarantine-requests/src/run-ledger.test.ts
@@ -7,6 +7,7 @@
 const request = { identity: 'r', caller: 'c', requestId: 'id', path: '/' };
 const owner: RunOwner = {
   now: 0,
+  identity: 'r',
   summarize: () => request,
   onOutput: () => undefined,
   onTargetEnded: () => undefined,
--- a/packages/quarantine-requests/src/run-ledger.ts
+++ b/packages/quarantine-requests/src/run-ledger.ts
@@ -81,7 +81,7 @@
   listTargetsOf(request: RequestIdentity): RunTarget[] {
     const open = [...this.open.values()].flatMap((runs) => [...runs]);
     return [
-      ...open.filter(({ owner }) => owner.summarize().identity === request),
+      ...open.filter(({ owner }) => owner.identity === request),
       ...[...this.unsettled].filter((run) => run.request.identity === request),
     ].map(({ target }) => target);
   }
