Remember which requests targets answered before their first crash

Targets in doubt are checked once a second at most and crash-unconfirmed is bounded: one lost service gave a line for each failed connection.

The new package test failed before. The entries of the crash table stand in a file of their own.

--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -39,7 +39,7 @@
   directory.replaceAll(targets);
   const connections = new TargetConnections({ clock, connectTimeoutMs: 200, maxIdlePerTarget: 1 });
   const detector = new CrashDetector({
-    ...{ timers, directory, connections },
+    ...{ clock, timers, directory, connections },
     dialect: {
       composeProbe: () => ({
         method: 'GET',
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -1,10 +1,14 @@
 /** Distinguishes the crash of a target from a broken link and from reset connections. */
-import type { DecisionLog } from '@limelead/decision-log';
+import {
+  createRateLimitedLog,
+  type DecisionLog,
+  type RateLimitedLog,
+} from '@limelead/decision-log';
 import { queryTarget, type TargetDialect } from '@limelead/forward-request';
 import type { TargetState } from '@limelead/quarantine-requests';
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
-import type { Millis, ServiceTarget, Timers } from '@limelead/types';
+import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
 
 /**
  * Timeout of a probe. Short, because the request whose run failed waits for the result. A target
@@ -18,6 +22,7 @@
 
 /** What the detector uses. */
 export interface CrashDetectorOptions {
+  clock: Clock;
   timers: Timers;
   directory: TargetDirectory;
   connections: TargetConnections;
@@ -32,7 +37,12 @@
   /** Probes in progress by target: many runs on one target fail at the same time. */
   private readonly pendingProbes = new Map<string, Promise<TargetState>>();
 
-  constructor(private readonly options: CrashDetectorOptions) {}
+  private readonly logUnconfirmed: RateLimitedLog;
+
+  constructor(private readonly options: CrashDetectorOptions) {
+    const { log, clock } = options;
+    this.logUnconfirmed = createRateLimitedLog(log, clock, 'crash-unconfirmed');
+  }
 
   /** Whether an answer of the target, sent after that time of the monotonic clock, was read. */
   hasAnsweredSince(id: string, sinceMs: Millis): boolean {
@@ -81,7 +91,7 @@
       return 'ended';
     }
     const tried = others.map((other) => other.id);
-    this.options.log.write('crash-unconfirmed', { target: target.id, others: tried });
+    this.logUnconfirmed({ target: target.id, others: tried });
     return 'unknown';
   }
 
--- a/packages/gateway/src/quarantine-component.ts
+++ b/packages/gateway/src/quarantine-component.ts
@@ -61,7 +61,7 @@
     const { clock, timers, random, log, metrics, directory, platform } = context;
     const dialect = platform.targetDialect;
     const crashDetector = new CrashDetector({
-      ...{ timers, directory, connections, dialect, log, hasConnectedSince },
+      ...{ clock, timers, directory, connections, dialect, log, hasConnectedSince },
     });
     this.guard = new RequestGuard({
       ...{ clock, timers, random, log, metrics, countVms },
--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -21,6 +21,7 @@
   type ClearedRequest,
   type QuarantineUpdate,
 } from './quarantine-update.js';
+import RecentAnswers from './recent-answers.js';
 import type { RequestSummary } from './request-summary.js';
 
 /** What is known of an incarnation; unknown if this VM may have lost its own links. */
@@ -54,6 +55,7 @@
 export default class CrashEvidence {
   readonly crashTable: CrashTable;
   readonly endRates: EndRates;
+  readonly answers = new RecentAnswers();
   private readonly logNotCounted: RateLimitedLog;
 
   constructor(private readonly options: CrashEvidenceOptions) {
@@ -160,6 +162,7 @@
   async recordOwnCrash(crash: CrashRecord, summary: RequestSummary): Promise<void> {
     const { request } = crash;
     const before = this.getStatus(request);
+    this.recallAnswer(crash, summary);
     const objection = this.crashTable.findObjection(crash, this.now);
     if (objection !== undefined) {
       const { target, startedAtMs, endedAtMs } = crash;
@@ -179,6 +182,17 @@
     }
   }
 
+  /** Tells all VMs if this one saw the same software answer the request before its first crash. */
+  private recallAnswer(crash: CrashRecord, { sample }: RequestSummary): void {
+    const atMs = this.answers.lastAnsweredAtMs(sample, crash, this.now);
+    if (atMs !== undefined && !this.crashTable.wasCleared(crash)) {
+      const { request, service, version } = crash;
+      const cleared = { request, scope: { service, version }, atMs };
+      this.applyClearance(cleared, 'own');
+      this.options.publish(createQuarantineUpdate({ cleared: [cleared] }));
+    }
+  }
+
   /** Withdraws crashes whose targets responded later and still do. */
   private async withdrawRefutedCrashes(request: RequestIdentity): Promise<void> {
     const { now } = this;
--- a/packages/quarantine-requests/src/crash-table.ts
+++ b/packages/quarantine-requests/src/crash-table.ts
@@ -16,6 +16,7 @@
 } from './judge-crashes.js';
 import type { RequestIdentity } from './identify-request.js';
 import RefutedCrashes from './refuted-crashes.js';
+import RequestEntries, { type RequestEntry } from './request-entries.js';
 
 /** A caller with this many quarantined requests on a route is flagged. */
 const QUARANTINES_TO_FLAG_CALLER = 2;
@@ -25,15 +26,6 @@
 export const QUARANTINE_MS = 600_000;
 /** Maximum number of crashes kept per request. */
 const MAX_CRASHES_PER_REQUEST = 16;
-/** Maximum number of requests with crashes; an entry takes about 1 KB. */
-const MAX_REQUESTS = 2_000;
-
-interface RequestEntry extends Quarantine {
-  /** By target. */
-  crashes: Map<string, CrashRecord>;
-  quarantinedAtMs: Millis | undefined;
-  changedAtMs: Millis;
-}
 
 /**
  * Why a crash does not count: its target answered later, another request ended it, or the request
@@ -43,8 +35,7 @@
 
 /** Crashes and quarantines known to one VM. */
 export default class CrashTable {
-  /** Least recently changed first. */
-  private readonly entries = new Map<RequestIdentity, RequestEntry>();
+  private readonly entries: RequestEntries;
   private readonly clearances = new ClearanceTable();
   private readonly explainedEnds = new ExplainedEnds();
   private readonly refutedCrashes = new RefutedCrashes();
@@ -52,8 +43,10 @@
   /** @param onDropped called with a request whose crashes are evicted for lack of space */
   constructor(
     private readonly chanceOf: ChanceOf,
-    private readonly onDropped: (request: RequestIdentity) => void = () => undefined,
-  ) {}
+    onDropped: (request: RequestIdentity) => void = () => undefined,
+  ) {
+    this.entries = new RequestEntries(onDropped);
+  }
 
   get size(): number {
     return this.entries.size;
@@ -76,6 +69,11 @@
     return this.entries.has(request);
   }
 
+  /** Whether the software is known to have run the request without a crash lately. */
+  wasCleared(crash: CrashRecord): boolean {
+    return this.clearances.lastClearedAtMs(crash) !== undefined;
+  }
+
   /** Why a crash does not count; undefined if it does, or is known. */
   findObjection(crash: CrashRecord, now: Millis): CrashObjection | undefined {
     const { request, target } = crash;
@@ -102,7 +100,7 @@
     if (known?.crashes.has(target) === true) {
       return false;
     }
-    const entry = this.openEntry(request, { service, caller }, now);
+    const entry = this.entries.open(request, { service, caller }, now);
     entry.crashes.set(target, crash);
     if (this.judge(entry) === 'quarantined') {
       entry.quarantinedAtMs = now;
@@ -124,7 +122,7 @@
     ) {
       return false;
     }
-    this.deleteIfEmpty(request, entry);
+    this.entries.deleteIfEmpty(request);
     return true;
   }
 
@@ -144,10 +142,14 @@
     if (entry === undefined) {
       return isNew;
     }
-    if (entry.crashes.size === 0 && !isInScope(scope, { service: entry.service })) {
+    const isOlder = entry.quarantinedAtMs !== undefined && atMs < entry.quarantinedAtMs;
+    const isElsewhere = entry.crashes.size === 0 && !isInScope(scope, { service: entry.service });
+    if (isOlder || isElsewhere) {
       return false;
     }
-    const cleared = [...entry.crashes.values()].filter((crash) => isInScope(scope, crash));
+    const cleared = [...entry.crashes.values()].filter(
+      (crash) => isInScope(scope, crash) && crash.endedAtMs <= atMs,
+    );
     for (const { target } of cleared) {
       this.refutedCrashes.record(request, target, now);
       entry.crashes.delete(target);
@@ -167,7 +169,7 @@
     if (this.getStatus(request, now) === 'quarantined') {
       return false;
     }
-    this.openEntry(request, quarantine, now).quarantinedAtMs = now;
+    this.entries.open(request, quarantine, now).quarantinedAtMs = now;
     return true;
   }
 
@@ -180,7 +182,7 @@
     entry.quarantinedAtMs = undefined;
     const placeholders = createPlaceholderCrashes(request, entry, CRASHES_TO_QUARANTINE - 1, now);
     entry.crashes = new Map(placeholders.map((crash) => [crash.target, crash]));
-    this.moveToEnd(request, entry, now);
+    this.entries.moveToEnd(request, entry, now);
   }
 
   getStatus(request: RequestIdentity, now: Millis): RequestStatus {
@@ -230,7 +232,7 @@
       (entry) => entry.quarantinedAtMs !== undefined && entry.caller === caller,
     );
     const needed = countCrashesNeeded({
-      hasRun: records.some((crash) => this.clearances.lastClearedAtMs(crash) !== undefined),
+      hasRun: records.some((crash) => this.wasCleared(crash)),
       isCallerFlagged: quarantined.length >= QUARANTINES_TO_FLAG_CALLER,
     });
     return judgeCrashes(records, needed, this.chanceOf);
@@ -244,41 +246,12 @@
         entry.quarantinedAtMs === undefined &&
         entry.crashes.delete(target)
       ) {
-        this.deleteIfEmpty(other, entry);
+        this.entries.deleteIfEmpty(other);
       }
     }
     return this.explainedEnds.record(target, request, now);
   }
 
-  private deleteIfEmpty(request: RequestIdentity, { crashes }: RequestEntry): void {
-    if (crashes.size === 0) {
-      this.entries.delete(request);
-    }
-  }
-
-  private openEntry(
-    request: RequestIdentity,
-    { service, caller }: Quarantine,
-    now: Millis,
-  ): RequestEntry {
-    const entry = this.entries.get(request) ?? {
-      service,
-      caller,
-      crashes: new Map<string, CrashRecord>(),
-      quarantinedAtMs: undefined,
-      changedAtMs: now,
-    };
-    this.moveToEnd(request, entry, now);
-    this.evictEntry();
-    return entry;
-  }
-
-  private moveToEnd(request: RequestIdentity, entry: RequestEntry, now: Millis): void {
-    entry.changedAtMs = now;
-    this.entries.delete(request);
-    this.entries.set(request, entry);
-  }
-
   private forgetExpired(now: Millis): void {
     for (const [request, { changedAtMs, quarantinedAtMs }] of this.entries) {
       if (now - changedAtMs < CRASH_TTL_MS) {
@@ -304,17 +277,4 @@
     }
     return surplus;
   }
-
-  /** Evicts requests that are not quarantined first, the least recently changed first. */
-  private evictEntry(): void {
-    if (this.entries.size <= MAX_REQUESTS) {
-      return;
-    }
-    const all = [...this.entries];
-    const [surplus] = all.find(([, entry]) => entry.quarantinedAtMs === undefined) ?? all[0] ?? [];
-    if (surplus !== undefined) {
-      this.entries.delete(surplus);
-      this.onDropped(surplus);
-    }
-  }
 }
--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -7,6 +7,7 @@
   type IdentifiedRequest,
   type RequestIdentity,
 } from './identify-request.js';
+import { sampleRequest } from './recent-answers.js';
 import type { RequestSummary } from './request-summary.js';
 import type { UnsettledRun } from './run-ledger.js';
 import type { Admission } from './trial-queue.js';
@@ -40,6 +41,7 @@
   /** A run was given up, and it is not known whether its target ended. */
   onRunAbandoned(run: UnsettledRun, isOnTrial: boolean): void;
   checkBrokenRun(run: UnsettledRun): Promise<void>;
+  onAnswered(sample: string, target: RunTarget): void;
   clearRequest(request: RequestIdentity, ground: ClearanceGround): void;
   onClosed(): void;
 }
@@ -198,7 +200,8 @@
     const { route, requestId, request } = this.details;
     const { organisation, path } = request;
     const caller = identifyCaller(organisation, route);
-    return { identity: this.identity, caller, requestId, organisation, path };
+    const sample = sampleRequest(request);
+    return { identity: this.identity, caller, requestId, organisation, path, sample };
   }
 
   /**
@@ -255,6 +258,7 @@
       return;
     }
     this.isHarmless = true;
+    this.guard.onAnswered(sampleRequest(this.details.request), run.target);
     if (this.mayBeSuspected) {
       this.guard.clearRequest(this.identity, { run, evidence: 'answered' });
     }
--- a/packages/quarantine-requests/src/request-guard.test.ts
+++ b/packages/quarantine-requests/src/request-guard.test.ts
@@ -92,6 +92,21 @@
   }
 });
 
+test('a request that was answered before is not held after three crashes in succession', async () => {
+  const fleet = new Fleet(3, 4);
+  const answers = fleet.send(0, '/hot', () => ({ kind: 'answers', afterMs: 5 }));
+  await fleet.runUntil(10);
+  assert.is(await answers, 'answered');
+  const outcome = fleet.send(0, '/hot', () =>
+    fleet.crashes.length < 3
+      ? { kind: 'crashes-target', afterMs: 30 }
+      : { kind: 'answers', afterMs: 5 },
+  );
+  await fleet.runUntil(2_000);
+  assert.is(await outcome, 'answered');
+  assert.equal(fleet.quarantined, []);
+});
+
 test('updates about a request reach each VM a bounded number of times, then stop', async () => {
   const fleet = new Fleet(50, 2);
   void fleet.send(0, DEADLY, deadly);
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -3,7 +3,7 @@
  * this VM and from peers, and decides before each attempt whether a request may be sent.
  */
 import type { Metrics } from '@limelead/metrics';
-import type { Clock, Millis, Random, Timers } from '@limelead/types';
+import { RecentTimes, type Clock, type Millis, type Random, type Timers } from '@limelead/types';
 import CrashEvidence, { type CrashEvidenceOptions } from './crash-evidence.js';
 import type { CrashRecord, Quarantine } from './crash-record.js';
 import GuardedRequest, { type GuardedRequestDetails } from './guarded-request.js';
@@ -23,6 +23,8 @@
 
 /** Delay until the target of an abandoned run, or one in doubt, is checked, in milliseconds. */
 const CHECK_DELAY_MS: Millis = 100;
+/** Shortest interval at which a target in doubt is checked, in milliseconds. */
+const DOUBT_INTERVAL_MS: Millis = 1_000;
 /** Interval at which the target of a trial is checked, in milliseconds. */
 const TRIAL_CHECK_INTERVAL_MS: Millis = 250;
 /**
@@ -53,6 +55,8 @@
   private readonly trials: TrialQueue;
   private readonly openRequests = new Set<GuardedRequest>();
   private readonly runs = new RunLedger();
+  /** Targets in doubt that were checked lately. */
+  private readonly doubtedTargets = new RecentTimes(DOUBT_INTERVAL_MS);
 
   constructor(private readonly options: RequestGuardOptions) {
     const { clock, timers, random, countVms } = options;
@@ -96,6 +100,7 @@
       onRunAbandoned: (run, isOnTrial) => this.onRunAbandoned(run, isOnTrial),
       checkBrokenRun: (run) => this.checkBrokenRun(run),
       longestCrashMs: (request) => crashTable.longestCrashMs(request),
+      onAnswered: (sample, target) => this.evidence.answers.record(sample, target, this.now),
       clearRequest: (request, ground) => this.evidence.clearRequest(request, ground),
       onClosed: () => this.openRequests.delete(guarded),
     });
@@ -116,7 +121,9 @@
 
   /** Checks a target that this VM or a peer found lost, if runs there may have ended it. */
   onTargetDoubted(target: Pick<RunTarget, 'id' | 'service'>): void {
-    if (this.runs.hasRunsAt(target.id)) {
+    const isChecked = this.doubtedTargets.ageMs(target.id, this.now) !== undefined;
+    if (!isChecked && this.runs.hasRunsAt(target.id)) {
+      this.doubtedTargets.record(target.id, this.now);
       this.checkLater(target);
     }
   }
--- a/packages/quarantine-requests/src/request-summary.ts
+++ b/packages/quarantine-requests/src/request-summary.ts
@@ -8,4 +8,6 @@
   /** Organisation of the caller; undefined on routes that are open to all. */
   organisation?: string;
   path: string;
+  /** See `sampleRequest`. */
+  sample: string;
 }
--- a/packages/quarantine-requests/src/run-ledger.test.ts
+++ b/packages/quarantine-requests/src/run-ledger.test.ts
@@ -4,7 +4,7 @@
 import RunLedger, { UNSETTLED_RUN_TTL_MS, type UnsettledRun } from './run-ledger.js';
 
 const target = { id: 't1', service: 'api', version: 'v1' };
-const request = { identity: 'r', caller: 'c', requestId: 'id', path: '/' };
+const request = { identity: 'r', caller: 'c', requestId: 'id', path: '/', sample: '' };
 const owner: RunOwner = {
   now: 0,
   identity: 'r',
