--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -1,4 +1,4 @@
-import { createIsolatedGuard } from '@limelead/quarantine-requests';
+import { createIsolatedGuard, type TargetState } from '@limelead/quarantine-requests';
 import { steadyClock, systemTimers, type RequestTargetAdvice } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -214,7 +214,8 @@
   assert.is(bed.seen.length, 2);
 });
 
-test('lost targets do not count against the targets that a route allows', async () => {
+/** Forwards a stream that breaks behind its first, second and third piece. */
+async function forwardOverBreaks(state: TargetState): Promise<RecordingSink> {
   const bed = await TestBed.start(
     streamThen(1, destroy),
     streamThen(2, destroy),
@@ -222,30 +223,25 @@
     streamTo(5),
   );
   const sink = new RecordingSink();
-  // The targets break connections but keep running.
+  const { log, metrics } = bed.context;
   const guard = createIsolatedGuard({
-    ...{ clock: steadyClock, timers: systemTimers, log: bed.context.log },
-    metrics: bed.context.metrics,
-    checkTarget: () => Promise.resolve('running'),
+    ...{ clock: steadyClock, timers: systemTimers, log, metrics },
+    checkTarget: () => Promise.resolve(state),
   });
   forwardStream({ ...bed.context, guard }, createAdmittedRequest({ maxTargets: 2 }), sink);
   await sink.done;
   await bed.stop();
+  return sink;
+}
+
+test('lost targets do not count against the targets that a route allows', async () => {
+  const sink = await forwardOverBreaks('running');
   assert.is(sink.outcome, 'ended');
   assert.is(sink.body, pieces(1, 5));
 });
 
 test('a stream whose targets end behind their first pieces is quarantined', async () => {
-  const bed = await TestBed.start(
-    streamThen(1, destroy),
-    streamThen(2, destroy),
-    streamThen(3, destroy),
-    streamTo(5),
-  );
-  const sink = new RecordingSink();
-  forwardStream(bed.context, createAdmittedRequest({ maxTargets: 2 }), sink);
-  await sink.done;
-  await bed.stop();
+  const sink = await forwardOverBreaks('ended');
   assert.is(sink.outcome, 'aborted');
   assert.is(sink.body, pieces(1, 3));
 });
