Log faults of checks of targets instead of leaving them unhandled

A check or a record of a crash that was not awaited could end in an unhandled rejection. Found by reading. The methods of the evidence stand in the order of their use.

--- a/packages/quarantine-requests/src/crash-evidence.ts
+++ b/packages/quarantine-requests/src/crash-evidence.ts
@@ -76,15 +76,48 @@
   }
 
   /**
-   * Checks a run of this VM that broke. From a request's second such run on, the target is probed, since a broken link or a reset connection is no crash.
+   * Checks a run of this VM that broke. From a request's second such run on, the target is probed,
+   * since a broken link or a reset connection is no crash.
    * @returns whether it is settled if the target ended
    */
   async checkBrokenRun(crash: CrashRecord, request: RequestSummary): Promise<boolean> {
+    return (await this.attempt(() => this.checkTarget(crash, request))) ?? true;
+  }
+
+  /** Returns the result of a step, or undefined if it throws, which is logged. */
+  async attempt<Result>(step: () => Promise<Result>): Promise<Result | undefined> {
     try {
-      return await this.checkTarget(crash, request);
+      return await step();
     } catch (thrown) {
       this.options.log.write('strike-failed', { reason: describeThrown(thrown) });
-      return true;
+      return undefined;
+    }
+  }
+
+  /**
+   * Records a crash whose target is known to have ended. Resolves when a quarantine that follows
+   * is stored.
+   */
+  async recordOwnCrash(crash: CrashRecord, summary: RequestSummary): Promise<void> {
+    const { request } = crash;
+    const before = this.getStatus(request);
+    this.recallAnswer(crash, summary);
+    const objection = this.crashTable.findObjection(crash, this.now);
+    if (objection !== undefined) {
+      const { target, startedAtMs, endedAtMs } = crash;
+      const { requestId, path } = summary;
+      const runMs = Math.round(endedAtMs - startedAtMs);
+      this.logNotCounted({ requestId, identity: request, path, target, runMs, reason: objection });
+      return;
+    }
+    if (!this.recordCrash(crash, 'own', summary)) {
+      return;
+    }
+    this.options.metrics.count('limelead_strikes_total', 1, { service: crash.service });
+    this.options.publish(createQuarantineUpdate({ crashes: [crash] }));
+    if (before !== 'quarantined' && this.getStatus(request) === 'quarantined') {
+      const { service, caller } = crash;
+      await this.options.storeQuarantine(request, { service, caller });
     }
   }
 
@@ -155,33 +188,6 @@
     return true;
   }
 
-  /**
-   * Records a crash whose target is known to have ended. Resolves when a quarantine that follows
-   * is stored.
-   */
-  async recordOwnCrash(crash: CrashRecord, summary: RequestSummary): Promise<void> {
-    const { request } = crash;
-    const before = this.getStatus(request);
-    this.recallAnswer(crash, summary);
-    const objection = this.crashTable.findObjection(crash, this.now);
-    if (objection !== undefined) {
-      const { target, startedAtMs, endedAtMs } = crash;
-      const { requestId, path } = summary;
-      const runMs = Math.round(endedAtMs - startedAtMs);
-      this.logNotCounted({ requestId, identity: request, path, target, runMs, reason: objection });
-      return;
-    }
-    if (!this.recordCrash(crash, 'own', summary)) {
-      return;
-    }
-    this.options.metrics.count('limelead_strikes_total', 1, { service: crash.service });
-    this.options.publish(createQuarantineUpdate({ crashes: [crash] }));
-    if (before !== 'quarantined' && this.getStatus(request) === 'quarantined') {
-      const { service, caller } = crash;
-      await this.options.storeQuarantine(request, { service, caller });
-    }
-  }
-
   /** Tells all VMs if this one saw the same software answer the request before its first crash. */
   private recallAnswer(crash: CrashRecord, { sample }: RequestSummary): void {
     const atMs = this.answers.lastAnsweredAtMs(sample, crash, this.now);
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -114,7 +114,8 @@
     this.evidence.endRates.recordEnd(service, id, now);
     const runs = this.runs.takeRunsAt(id, now);
     for (const run of runs) {
-      void this.evidence.recordOwnCrash(toCrash(run, now), run.request);
+      const crash = toCrash(run, now);
+      void this.evidence.attempt(() => this.evidence.recordOwnCrash(crash, run.request));
     }
     this.runs.listOpenAt(id).forEach(({ owner }) => owner.onTargetEnded());
   }
@@ -218,11 +219,12 @@
 
   /** Finds whether a target has ended; if so, counts its end against the runs there. */
   private async check(target: Pick<RunTarget, 'id' | 'service'>): Promise<boolean> {
-    const hasEnded = await this.options.hasEnded(target.id, this.now);
-    if (hasEnded) {
+    const { evidence, options, now } = this;
+    const hasEnded = await evidence.attempt(() => options.hasEnded(target.id, now));
+    if (hasEnded === true) {
       this.onTargetEnded(target);
     }
-    return hasEnded;
+    return hasEnded === true;
   }
 
   private publishTrial(notice: TrialNotice): void {
