Take only a refused connection, not silence, for the end of a target without a broken run

A check of a target that was found lost, of an abandoned run or of a trial took a probe without an answer for the end if other targets answered; a frozen target, or one that this VM alone does not reach, would have ended for all runs there. Such a check now opens a new connection and counts only its refusal; the registry decides the rest. Found by reading; the test of a silent target failed before.

--- a/packages/errors/src/classes.ts
+++ b/packages/errors/src/classes.ts
@@ -85,6 +85,8 @@
     /** 'no' only if certainly no byte of the request was sent. */
     readonly sent: RequestSent,
     message: string,
+    /** Whether the address refused the connection, so that no process listens there. */
+    readonly isRefused = false,
   ) {
     super(message);
   }
--- a/packages/forward-request/src/query-target.ts
+++ b/packages/forward-request/src/query-target.ts
@@ -1,4 +1,5 @@
 /** Sends a small query to a target, outside of any request. */
+import type { PortFault } from '@limelead/errors';
 import type { TargetCall, TargetConnections } from '@limelead/target-connections';
 import type { Millis, ServiceTarget, Timers } from '@limelead/types';
 
@@ -10,11 +11,14 @@
   timers: Timers;
   /** Timeout for the complete answer. */
   timeoutMs: Millis;
+  /** Longest idle time of a connection to reuse; 0 for a new one. Default: 2 s. */
+  maxIdleMs?: Millis;
+  onFault?(fault: PortFault): void;
 }
 
 /** Returns the body of the answer, or undefined on a fault or timeout. */
 export default function queryTarget(
-  { connections, timers, timeoutMs }: QueryOptions,
+  { connections, timers, timeoutMs, maxIdleMs = MAX_IDLE_MS, onFault }: QueryOptions,
   target: ServiceTarget,
   call: TargetCall,
 ): Promise<Buffer | undefined> {
@@ -27,12 +31,15 @@
     const open = connections.send(
       target,
       call,
-      { maxIdleMs: MAX_IDLE_MS },
+      { maxIdleMs },
       {
         onHead: () => undefined,
         onData: (chunk) => chunks.push(chunk),
         onEnd: () => finish(Buffer.concat(chunks)),
-        onFault: () => finish(undefined),
+        onFault: (fault) => {
+          onFault?.(fault);
+          finish(undefined);
+        },
       },
     );
     const cancelTimer = timers.after(timeoutMs, () => {
--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -55,7 +55,7 @@
     connections.closeAll();
     servers.forEach((server) => server.close());
   };
-  return { detector, directory, stop };
+  return { detector, directory, targets, stop };
 }
 
 async function check(isUp: readonly boolean[], options?: StartOptions): Promise<string> {
@@ -92,4 +92,27 @@
   stop();
 });
 
+test('a target that is silent has not ended, one that refuses connections has', async () => {
+  const { detector, directory, targets, stop } = await start([false, true, true]);
+  const answers = await Promise.all(['t0', 't1'].map((id) => detector.hasEnded(id, clock.now())));
+  const silent = createServer(() => undefined);
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+  const { port } = silent.address() as AddressInfo;
+  directory.replaceAll(
+    targets.map((target) => (target.id === 't0' ? { ...target, port } : target)),
+  );
+  const hasEnded = await detector.hasEnded('t0', clock.now());
+  silent.closeAllConnections();
+  silent.close();
+  stop();
+  assert.equal([...answers, hasEnded], [true, false, false]);
+});
+
+test('a target that announced that it leaves has not ended', async () => {
+  const { detector, directory, targets, stop } = await start([false, true, true]);
+  directory.replaceAll(targets.map((target) => ({ ...target, leaving: true })));
+  assert.is(await detector.hasEnded('t0', clock.now()), false);
+  stop();
+});
+
 test.run();
--- a/packages/gateway/src/crash-detector.ts
+++ b/packages/gateway/src/crash-detector.ts
@@ -4,6 +4,7 @@
   type DecisionLog,
   type RateLimitedLog,
 } from '@limelead/decision-log';
+import type { PortFault } from '@limelead/errors';
 import { queryTarget, type TargetDialect } from '@limelead/forward-request';
 import type { TargetState } from '@limelead/quarantine-requests';
 import type { TargetConnections } from '@limelead/target-connections';
@@ -70,11 +71,14 @@
 
   /**
    * Whether a target that is in the directory and did not announce that it leaves has ended since
-   * that time.
+   * that time. One that is only silent may be frozen or cut off.
    */
   async hasEnded(id: string, sinceMs: Millis): Promise<boolean> {
     const target = this.options.directory.get(id)?.target;
-    return target?.leaving === false && (await this.checkTarget(id, sinceMs)) === 'ended';
+    if (target === undefined || target.leaving || !(await this.isRefused(target))) {
+      return false;
+    }
+    return (await this.checkTarget(id, sinceMs)) === 'ended';
   }
 
   private async check(target: ServiceTarget, failedAtMs: Millis): Promise<TargetState> {
@@ -112,6 +116,16 @@
     return others.sort((a, b) => rank(a) - rank(b)).slice(0, MAX_OTHERS);
   }
 
+  /** Whether the target's address refuses a new connection. */
+  private async isRefused(target: ServiceTarget): Promise<boolean> {
+    const { connections, timers, dialect } = this.options;
+    let isRefused = false;
+    const onFault = (fault: PortFault): void => void ({ isRefused } = fault);
+    const options = { connections, timers, timeoutMs: PROBE_TIMEOUT_MS, maxIdleMs: 0, onFault };
+    await queryTarget(options, target, dialect.composeProbe(target));
+    return isRefused;
+  }
+
   /** Whether the target answers. */
   private async probe(target: ServiceTarget): Promise<boolean> {
     const { connections, timers, dialect } = this.options;
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -240,5 +240,6 @@
 
 function toFault(error: Error, sent: RequestSent): PortFault {
   const reason = sent === 'no' ? 'unreachable' : 'broken';
-  return new PortFault(reason, sent, error.message);
+  const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+  return new PortFault(reason, sent, error.message, isRefused);
 }
