Keep the memory of quarantines that ended apart by request

A quarantine that ends leaves placeholders for its crashes, so that one more crash restores it. They had the same names for all requests, and since an end that a quarantined request explains counts against no other, the first one that was restored took the placeholders of all others: these could end three targets anew. Found by reading; the unit test failed before.

--- a/packages/quarantine-requests/src/crash-table.test.ts
+++ b/packages/quarantine-requests/src/crash-table.test.ts
@@ -120,6 +120,21 @@
   assert.is(table.getStatus('r', overAtMs + 60), 'quarantined');
 });
 
+test('a quarantine that is restored leaves other expired ones one crash away from theirs', () => {
+  const table = createTable(consecutive);
+  consecutive.forEach(({ target, ...rest }) =>
+    table.recordCrash({ ...rest, request: 'other', target: `other-${target}` }, 300),
+  );
+  const overAtMs = 300 + QUARANTINE_MS;
+  assert.equal(
+    [table.getStatus('r', overAtMs), table.getStatus('other', overAtMs)],
+    ['suspected', 'suspected'],
+  );
+  table.recordCrash(crash(4, overAtMs + 10, overAtMs + 60), overAtMs + 60);
+  assert.is(table.getStatus('r', overAtMs + 60), 'quarantined');
+  assert.is(table.getStatus('other', overAtMs + 60), 'suspected');
+});
+
 test('crashes expire', () => {
   const table = createTable(consecutive.slice(0, 2));
   table.recordCrash({ ...crash(1, 0, 1), request: 'other' }, QUARANTINE_MS + 300);
--- a/packages/quarantine-requests/src/create-placeholder-crashes.ts
+++ b/packages/quarantine-requests/src/create-placeholder-crashes.ts
@@ -11,7 +11,8 @@
 ): CrashRecord[] {
   return Array.from({ length: count }, (_, index) => {
     const atMs = now - (count - index);
-    const target = `before-${index + 1}`;
+    // Named by the request, since the end of a target may count for several requests.
+    const target = `before-${index + 1}-${request}`;
     return { request, service, caller, target, startedAtMs: atMs, endedAtMs: atMs };
   });
 }
