--- a/packages/quarantine-requests/src/recent-answers.ts
+++ b/packages/quarantine-requests/src/recent-answers.ts
@@ -8,7 +8,7 @@
 
 /** How long an answer is remembered, in milliseconds. */
 const ANSWER_TTL_MS: Millis = 120_000;
-/** Maximum number of requests; an entry takes about 0.5 KB. */
+/** Maximum number of requests; an entry takes about 0.7 KB. */
 const MAX_ANSWERS = 2_000;
 /** Bytes of the body that are compared at its start, middle and end. */
 const SAMPLE_BYTES = 32;
