--- a/review/lib/documents.js
+++ b/review/lib/documents.js
@@ -68,7 +68,7 @@
       socket.write(`HTTP/1.1 200 OK\r\n${common}\r\nContent-Length: 2\r\n\r\nok`);
       return;
     }
-    const breakAt = this.nextBreak();
+    const breakAt = this.nextBreak(this);
     this.spoiled += breakAt > 0 ? 1 : 0;
     const version = breakAt > 0 ? '1.0' : '1.1';
     socket.write(`HTTP/${version} 200 OK\r\n${common}\r\nTransfer-Encoding: chunked\r\n\r\n`);
