Log which answers this VM itself ends before they are whole

The lines could not tell a request that the VM cut at its own end from a caller who left: both were `caller-left` (`cancelled` for streams), and an answer that was broken off had no line of the front door. `request-cut` names each request that is open when the VM closes its connections, and `answer-broken-off` the kind and reason of an answer that ends after its head, with a counter each.

No decision changes.

--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -74,7 +74,7 @@
   private isStopping = false;
   /** Time by which all requests must finish once this VM drains. */
   private drainDeadlineMs: Millis = Infinity;
-  private openRequestCount = 0;
+  private readonly open = new Set<PendingRequest>();
   /** Called when the last open request ends. */
   private onIdle: () => void = () => undefined;
   private readonly bodyBudget: BodyBudget;
@@ -116,7 +116,7 @@
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.openRequestCount;
+    return this.open.size;
   }
 
   /** Bytes of request bodies in memory. */
@@ -160,8 +160,9 @@
   close(): Promise<void> {
     const ended = new Promise<void>((resolve) => (this.onIdle = resolve));
     this.server.close();
+    this.open.forEach((pending) => this.logCutByStop(pending));
     this.server.closeAllConnections();
-    return this.openRequestCount === 0 ? Promise.resolve() : ended;
+    return this.open.size === 0 ? Promise.resolve() : ended;
   }
 
   /** Handles a request that another VM relays, on a connection of another server. */
@@ -179,15 +180,16 @@
     relayed?: RelayedTreatment,
   ): void {
     const { context } = this.options;
-    this.openRequestCount += 1;
-    response.once('close', () => this.onResponseClosed());
     const sink = this.answerBuffers.createSink(message, response, {
       isStopping: () => this.isStopping,
       onRefused: (error, status) => this.recordRefusal(message, error, status),
+      onBrokenOff: (error) => this.recordBrokenOff(message, error),
       composeRefusalHeaders: relayed?.composeRefusalHeaders,
     });
     const receivedAtMs = context.clock.now();
     const pending: PendingRequest = { message, response, sink, receivedAtMs, relayed };
+    this.open.add(pending);
+    response.once('close', () => this.onResponseClosed(pending));
     this.runGuarded(pending, () => {
       if (context.readRouteTable() === undefined && !this.isStopping) {
         this.hold(pending);
@@ -209,9 +211,9 @@
     }
   }
 
-  private onResponseClosed(): void {
-    this.openRequestCount -= 1;
-    if (this.openRequestCount === 0) {
+  private onResponseClosed(pending: PendingRequest): void {
+    this.open.delete(pending);
+    if (this.open.size === 0) {
       this.onIdle();
     }
   }
@@ -366,6 +368,28 @@
     });
   }
 
+  private recordBrokenOff(message: IncomingMessage, error: LimeleadError): void {
+    const { log, metrics } = this.options.context;
+    metrics.count('limelead_answers_broken_off_total', 1, { kind: error.kind });
+    log.write('answer-broken-off', {
+      requestId: readRequestId(this.options.dialect, message.rawHeaders),
+      kind: error.kind,
+      reason: error.message,
+    });
+  }
+
+  /** A request that is open when the VM closes its connections; without the line its caller seems to have left. */
+  private logCutByStop({ message, response, receivedAtMs }: PendingRequest): void {
+    const { clock, log, metrics } = this.options.context;
+    metrics.count('limelead_requests_cut_total');
+    log.write('request-cut', {
+      requestId: readRequestId(this.options.dialect, message.rawHeaders),
+      isBodyRead: message.complete,
+      hasBegun: response.headersSent,
+      openMs: Math.round(clock.now() - receivedAtMs),
+    });
+  }
+
   /** Log fields of the configuration in force: version, source and age of the store view. */
   private describeConfiguration(): LogFields {
     const { readRouteTable, readConfigurationSource, readStoreViewAgeMs } = this.options.context;
--- a/packages/http-front-door/src/response-sink.test.ts
+++ b/packages/http-front-door/src/response-sink.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
+import { LimeleadError } from '@limelead/errors';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import AnswerBufferBudget from './answer-buffer-budget.js';
@@ -26,6 +27,7 @@
   const sink = new ResponseSink(message, response, new AnswerBufferBudget(1_000), {
     isStopping: () => false,
     onRefused: () => undefined,
+    onBrokenOff: () => undefined,
     onDropped: () => undefined,
   });
   let calls = 0;
@@ -61,6 +63,7 @@
           new ResponseSink(message, response, this.budget, {
             isStopping: () => false,
             onRefused: () => undefined,
+            onBrokenOff: () => undefined,
             onDropped: (drop) => this.drops.push(drop),
           }),
         ),
@@ -188,7 +191,7 @@
     sink.begin(200, []);
     await fill(sink, 200_000);
   }
-  aborted.abort();
+  aborted.abort(new LimeleadError('outcome-unknown', 'the target broke off its answer'));
   assert.is(bed.budget.bufferedBytes, leaving.countedBytes);
   bed.callers[0]?.destroy();
   while (bed.budget.bufferedBytes > 0) {
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -24,6 +24,8 @@
   /** Whether this VM is stopping; answers then close their connections. */
   isStopping(): boolean;
   onRefused(error: LimeleadError, status: number): void;
+  /** The answer was broken off after its head was sent. */
+  onBrokenOff(error: LimeleadError): void;
   /** Additional headers of a refusal. */
   composeRefusalHeaders?(error: LimeleadError): string[];
   /** The answer was dropped because too many bytes wait for callers. */
@@ -117,8 +119,9 @@
     }
   }
 
-  abort(): void {
+  abort(error: LimeleadError): void {
     if (!this.isOver) {
+      this.events.onBrokenOff(error);
       this.destroy();
     }
   }
