Show that streams are cut while their target is silent for a second

A target answers no probe for a second, or pauses one run for longer than two allowed pauses, and goes on.

--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -217,6 +217,8 @@
   });
   readonly context: ForwardContext;
   private readonly backpressure: Backpressure;
+  /** False while the targets answer no probes. */
+  answersProbes = true;
   /** Advice of a scheduler; none by default. */
   askTarget: RequestTargetAdvice = noTargetAdvice;
   private readonly servers: Server[] = [];
@@ -350,7 +352,9 @@
   private async listen(id: string): Promise<number> {
     const server = createServer((request, response) => {
       if (request.url === '/probe') {
-        response.end('');
+        if (this.answersProbes) {
+          response.end('');
+        }
         return;
       }
       if (request.url === '/kept') {
