Leave a silent run only for a slot that is held

Cause: a run was given up for silence before it was known whether the request could go on anywhere. The connection was closed first, and the next step found that the stream may not be resumed, that its route allows no further target, or that no retry or target was to be had.

Evidence: each cut stream has `silence-judged` with `target-lost` or `too-long` for its last attempt and no line of its connection.

Change: a silent run starts the search for another target (`RunRelocation`) and stays until a slot is held at one that is not suspected itself; then it is cancelled and sent there as before. If it writes first, the search ends and the run is monitored again. The steps of the search move from `forward-stream` to `SlotSearch`, which the first attempt and broken runs use as well. Real breaks are handled as before.

--- a/packages/forward-request/src/find-stream-slot.ts
+++ b/packages/forward-request/src/find-stream-slot.ts
@@ -21,6 +21,8 @@
   onlyLeastLoaded: boolean;
   /** Targets that already failed this request. */
   exclude: string[];
+  /** Id of the target whose silent run the slot is to replace; undefined without one. */
+  replaces?: string;
   /** Called once; without a slot if none was available in time, and with the reason if known. */
   onSlot(slot: Slot | undefined, refusal?: SlotRefusal): void;
   /** Called in place of `onSlot` if the prompt cannot be read before the deadline. */
@@ -59,8 +61,8 @@
 ): TargetNeed {
   const { requestId, body } = admitted.request;
   const memory = describeRunMemory(context, admitted, search);
-  const { softwareVersion } = search;
-  return { requestId, bodyBytes: body.length, memory, softwareVersion };
+  const { softwareVersion, replaces } = search;
+  return { requestId, bodyBytes: body.length, memory, softwareVersion, replaces };
 }
 
 /** For callers whose earlier entry VM was lost: the target may still cache their prompt. */
--- a/packages/forward-request/src/forward-stream-silence.test.ts
+++ b/packages/forward-request/src/forward-stream-silence.test.ts
@@ -41,6 +41,38 @@
   assert.is(bed.askedTargets.length, 1);
 });
 
+test('a run that goes on while another target is sought stays, and is judged anew afterwards', async () => {
+  const pausing: Behaviour = streamThen(2, (response) => {
+    setTimeout(() => response.write(formatPiece(3)), 900);
+    setTimeout(() => response.end(formatPiece(4)), 1_000);
+  });
+  const bed = await TestBed.start(pausing);
+  bed.answersProbes = false;
+  const sink = new RecordingSink();
+  forwardStream(bed.context, createAdmittedRequest(), sink);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.outcome, 'ended');
+  assert.equal(bed.askedTargets, ['t1']);
+  const { metrics } = bed.context;
+  assert.is(metrics.counterValue('limelead_silent_runs_total', { outcome: 'returned' }), 1);
+  assert.is(bed.directory.get('t1')?.inFlight, 0);
+});
+
+test('a dark target is left for one that is up', async () => {
+  const bed = await TestBed.start(
+    streamThen(2, () => undefined),
+    streamTo(4),
+  );
+  bed.answersProbes = false;
+  const sink = new RecordingSink();
+  forwardStream(bed.context, createAdmittedRequest(), sink);
+  await sink.done;
+  await bed.stop();
+  assert.is(sink.outcome, 'ended');
+  assert.equal(bed.askedTargets, ['t1', 't2']);
+});
+
 test('the limit of a run survives a move, so that a first pause at the next target is judged by known gaps', async () => {
   const steady: Behaviour = (request, response, seen) =>
     streamThen(seen.lastPiece + 1, (open) => {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -6,6 +6,7 @@
 import type { LimeleadError } from '@limelead/errors';
 import advanceSession, {
   createSession,
+  hasBreaksLeft,
   type SessionCommand,
   type SessionEvent,
   type SessionState,
@@ -13,20 +14,20 @@
 import type { GuardedRequest } from '@limelead/quarantine-requests';
 import type { AnswerHead } from '@limelead/target-connections';
 import type { LossCause } from '@limelead/track-service-targets';
-import type { AnswerMessage } from '@limelead/types';
+import type { AnswerMessage, PlaceOutcome } from '@limelead/types';
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import findStreamSlot from './find-stream-slot.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
 import { MIN_SERVER_ERROR_STATUS } from './limits.js';
-import LiveAttempts, { isRelayed } from './live-attempts.js';
+import LiveAttempts, { findReplica, isRelayed, type LiveAttempt } from './live-attempts.js';
 import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
 import type { Slot } from './slot-request.js';
-import type { SlotRefusal } from './slot-refusal.js';
 import PacedSink from './paced-sink.js';
 import reportAdmitted from './report-admitted.js';
+import RunRelocation from './run-relocation.js';
 import RunReplicas from './run-replicas.js';
+import SlotSearch, { type SlotSearchEvents, type SlotSearchStart } from './slot-search.js';
 import type { NumberedPiece, StreamAttemptEvents, RejectionCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
@@ -59,6 +60,12 @@
   private isDone = false;
   private readonly attempts: StreamAttemptTracker;
   private readonly cleanups: (() => void)[] = [];
+  /** Search for the slot of the next attempt. */
+  private search: SlotSearch | undefined;
+  /** Search for another target while a run is silent. */
+  private relocation: RunRelocation | undefined;
+  /** Slot that the relocation of a silent run holds for the next attempt. */
+  private reserved: Slot | undefined;
   private readonly report: StreamReport;
   private readonly guarded: GuardedRequest;
 
@@ -169,90 +176,41 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    const end = this.attempts.findFinalError() ?? this.findDeadEnd();
-    if (end !== undefined) {
-      this.fail(end);
+    const { reserved } = this;
+    this.reserved = undefined;
+    if (reserved !== undefined) {
+      this.onSlot(attempt, reserved);
       return;
     }
-    const { delivered, lastDeliveredAtMs } = this.state;
-    if (this.version.isToBeFound(delivered)) {
-      this.findVersion(attempt, exclude);
-      return;
-    }
-    const progress = { delivered, lastDeliveredAtMs, hasReplica: this.replicas.hasUsable };
-    const stopWaiting = this.attempts.requestRetry(progress, (refusal) =>
-      refusal === undefined ? this.requestAdmission(attempt, exclude) : this.fail(refusal),
+    this.search = this.createSearch(
+      { exclude },
+      {
+        onSlot: (slot) => this.onSlot(attempt, slot),
+        onNoTarget: () => this.advance({ kind: 'no-target', attempt, error: 'no-target' }),
+        onRefused: (error) => this.fail(error),
+      },
     );
-    this.cleanups.push(stopWaiting);
+    this.search.begin();
   }
 
-  /** Error of a stream that no target in reach of this VM can go on with. */
-  private findDeadEnd(): LimeleadError | undefined {
-    if (this.context.relay.mustDecline(this.admitted)) {
-      return this.refusals.outOfReach();
-    }
-    return this.version.isGone ? this.refusals.versionGone() : undefined;
-  }
-
-  private findVersion(attempt: number, exclude: string[]): void {
-    const stopSearch = this.version.find((isKnown) => {
-      if (isKnown) {
-        this.chooseTarget(attempt, exclude);
-      } else {
-        this.fail(this.refusals.originUnknown());
-      }
-    });
-    this.cleanups.push(stopSearch);
-  }
-
-  private requestAdmission(attempt: number, exclude: string[]): void {
-    const relaySlot = this.context.relay.acquire(this.admitted, new Set(exclude));
-    if (relaySlot !== undefined) {
-      this.onSlot(attempt, relaySlot);
-      return;
-    }
-    const stopAsking = this.guarded.requestAdmission((admission) => {
-      if (admission === 'refuse') {
-        this.failQuarantined();
-      } else {
-        this.findSlot(attempt, exclude, admission === 'send-trial');
-      }
-    });
-    this.cleanups.push(stopAsking);
-  }
-
-  private findSlot(attempt: number, exclude: string[], onlyLeastLoaded: boolean): void {
-    const stopWaiting = findStreamSlot(this.context, this.admitted, this.replicas, {
-      isFirstAttempt: this.attempts.count === 0,
-      hasWritten: this.state.delivered > 0,
-      softwareVersion: this.version.current,
-      onlyLeastLoaded,
-      exclude,
-      onSlot: (slot, refusal) => this.onSlot(attempt, slot, refusal),
-      onTooLate: () => this.fail(this.refusals.tooLate()),
-    });
-    this.cleanups.push(stopWaiting);
+  private createSearch(
+    where: Pick<SlotSearchStart, 'exclude' | 'replaces'>,
+    events: SlotSearchEvents,
+  ): SlotSearch {
+    const { admitted, attempts, context, guarded, refusals, replicas, version } = this;
+    const { delivered, lastDeliveredAtMs } = this.state;
+    return new SlotSearch(
+      { admitted, attempts, context, guarded, refusals, replicas, version },
+      { delivered, lastDeliveredAtMs, ...where },
+      events,
+    );
   }
 
   private failQuarantined(): void {
     this.fail(this.refusals.quarantined(this.guarded.quarantineLeftMs));
   }
 
-  private onSlot(attempt: number, slot: Slot | undefined, refusal?: SlotRefusal): void {
-    if (this.isDone) {
-      slot?.release();
-      return;
-    }
-    if (refusal !== undefined) {
-      this.guarded.onNoTarget();
-      this.fail(this.refusals.withoutSlot(refusal));
-      return;
-    }
-    if (slot === undefined) {
-      this.guarded.onNoTarget();
-      this.advance({ kind: 'no-target', attempt, error: 'no-target' });
-      return;
-    }
+  private onSlot(attempt: number, slot: Slot): void {
     this.chosenSlots.set(attempt, slot);
     const targetId = slot.tracked.target.id;
     this.advance({ kind: 'target-chosen', attempt, targetId, binding: PLACEHOLDER_BINDING });
@@ -294,6 +252,9 @@
     if (live === undefined) {
       return;
     }
+    if (this.relocation !== undefined) {
+      this.onRunReturned(attempt, live);
+    }
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
     recordFirstPiece(this.context, this.admitted, live);
@@ -320,34 +281,85 @@
     this.context.directory.observe(live.attempt.target.id, { kind: 'answered' });
     live.run?.recordAnswer(true);
     this.report.attemptEnded(live, true);
-    this.live.release(attempt, 'answered');
+    this.release(attempt, 'answered');
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
   }
 
-  private onBroken(attempt: number, reason: string): void {
-    this.lose(attempt, 'broken', reason);
-    this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+  /** Looks for another target. The silent run stays until one is found, since it may go on. */
+  private onSilent(attempt: number, cause: GiveUpCause): void {
+    const live = this.live.get(attempt);
+    if (live === undefined || !hasBreaksLeft(this.state)) {
+      return;
+    }
+    const { directory, silence, timers } = this.context;
+    const { id } = live.attempt.target;
+    this.attempts.recordLoss(id, 'silent');
+    this.replicas.onRunLost(findReplica(live));
+    if (cause === 'target-lost') {
+      directory.observe(id, { kind: 'lost' });
+      silence.onTargetLost(id);
+    }
+    this.relocation = new RunRelocation({
+      timers,
+      createSearch: (events) => {
+        const exclude = [...this.state.excludedTargets, id];
+        return this.createSearch({ exclude, replaces: id }, events);
+      },
+      onSlot: (slot) => this.relocate(attempt, cause, slot),
+      onKept: (error) => this.report.runKept(attempt, id, error),
+    });
+    this.relocation.begin();
   }
 
-  private onSilent(attempt: number, cause: GiveUpCause): void {
-    this.lose(attempt, 'silent', SILENCE_REASONS[cause], cause === 'target-lost');
+  private relocate(attempt: number, cause: GiveUpCause, slot: Slot): void {
+    this.relocation = undefined;
+    this.reserved = slot;
+    this.lose(attempt, 'silent', SILENCE_REASONS[cause]);
     this.advance({ kind: 'silent', attempt });
   }
 
-  /** Handles an attempt whose target broke off or is silent; the next one resumes from its replica. */
-  private lose(attempt: number, cause: LossCause, reason: string, isTargetLost = true): void {
+  private endRelocation(): void {
+    this.relocation?.cancel();
+    this.relocation = undefined;
+  }
+
+  /** Keeps a run that has written although it was reported silent. */
+  private onRunReturned(attempt: number, { activity, attempt: { target } }: LiveAttempt): void {
+    const silentMs = this.context.clock.now() - activity.lastActivityAtMs;
+    this.endRelocation();
+    this.attempts.recordReturn(target.id);
+    this.replicas.onRunLost(undefined);
+    this.live.watchAgain(attempt);
+    this.report.runReturned(attempt, target.id, silentMs);
+  }
+
+  private onBroken(attempt: number, reason: string): void {
+    const live = this.live.get(attempt);
+    const { isSuspected } = this.guarded;
+    this.lose(attempt, 'broken', reason);
+    // A broken connection counts as a lost target, unless another VM relays the run. If the request
+    // is suspected of crashes, only this incarnation of the target is over, and its failure domain is
+    // not in doubt.
+    if (live !== undefined && !isRelayed(live)) {
+      const { directory, silence } = this.context;
+      const { id } = live.attempt.target;
+      directory.observe(id, { kind: isSuspected ? 'replaced' : 'lost' });
+      silence.onTargetLost(id);
+    }
+    this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+  }
+
+  /** Ends an attempt whose target broke off or is silent; the next one resumes from its replica. */
+  private lose(attempt: number, cause: LossCause, reason: string): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
       return;
     }
-    const { clock, directory, silence } = this.context;
-    const target = live.attempt.target.id;
-    this.attempts.recordLoss(target, cause);
-    // Engines replicate only runs that have started to write.
-    this.replicas.onRunLost(live.activity.isWriting ? live.replica : undefined);
+    this.attempts.recordLoss(live.attempt.target.id, cause);
+    this.replicas.onRunLost(findReplica(live));
     this.report.lost({
       ...{ attempt, cause, reason },
-      ...describeLostRun(live, this.state, clock.now()),
+      ...describeLostRun(live, this.state, this.context.clock.now()),
     });
     live.attempt.cancel();
     const isLikelyCrash = cause === 'broken' && this.guarded.isSuspected && !isRelayed(live);
@@ -357,13 +369,7 @@
     if (cause === 'broken') {
       live.run?.recordBroken();
     }
-    this.live.release(attempt);
-    // If the request is suspected of crashes, only this incarnation of the target is over, and its
-    // failure domain is not in doubt. Otherwise a broken connection counts as a lost target.
-    if (isTargetLost && !(isRelayed(live) && cause === 'broken')) {
-      directory.observe(target, { kind: isLikelyCrash ? 'replaced' : 'lost' });
-      silence.onTargetLost(target);
-    }
+    this.release(attempt);
   }
 
   private onRejected(attempt: number, cause: RejectionCause, reason: string): void {
@@ -377,7 +383,7 @@
     live.run?.recordNotRun();
     directory.observe(target.id, toObservation(cause));
     this.report.rejected(attempt, target.id, cause, reason);
-    this.live.release(attempt, 'rejected');
+    this.release(attempt, 'rejected');
     this.advance({ kind: 'broken', attempt, cause: 'refused' });
   }
 
@@ -390,7 +396,7 @@
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
     live.run?.recordAnswer(head.status < MIN_SERVER_ERROR_STATUS);
     this.report.attemptEnded(live, false);
-    this.live.release(attempt);
+    this.release(attempt);
     // A VM that relays has retried already.
     const canRetry =
       this.admitted.route.repeatable && !isRelayed(live) && !this.attempts.hasReachedMaxTargets;
@@ -410,6 +416,11 @@
     this.finish(error.kind, () => this.answer.fail(error));
   }
 
+  private release(attempt: number, outcome?: PlaceOutcome): void {
+    this.endRelocation();
+    this.live.release(attempt, outcome);
+  }
+
   private drop(attempt: number): void {
     this.live.drop(attempt);
     this.chosenSlots.get(attempt)?.release();
@@ -422,6 +433,9 @@
     }
     this.isDone = true;
     this.cleanups.forEach((cleanup) => cleanup());
+    this.search?.cancel();
+    this.endRelocation();
+    this.reserved?.release();
     this.live.dropAll();
     this.attempts.close();
     this.guarded.close();
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -35,6 +35,11 @@
   return attempt.target.isHelper === true;
 }
 
+/** The replica from which the next attempt can resume; engines replicate only runs that write. */
+export function findReplica({ activity, replica }: LiveAttempt): RunReplica | undefined {
+  return activity.isWriting ? replica : undefined;
+}
+
 /** Parameters of a new attempt. */
 export interface AttemptStart {
   slot: Slot;
@@ -100,6 +105,15 @@
     attempt.send();
   }
 
+  /** Monitors a run for silence again after it was reported silent. */
+  watchAgain(number: number): void {
+    const live = this.live.get(number);
+    if (live !== undefined) {
+      live.stopMonitoring();
+      live.stopMonitoring = this.context.silence.monitor(live.activity);
+    }
+  }
+
   /** Releases the resources of an attempt that has ended. */
   release(number: number, outcome?: PlaceOutcome): void {
     const live = this.live.get(number);
--- a/packages/forward-request/src/monitored-run.ts
+++ b/packages/forward-request/src/monitored-run.ts
@@ -1,7 +1,10 @@
 /** A run as the silence monitor sees it, and why it is given up. */
 import type { Millis, ServiceTarget } from '@limelead/types';
 
-/** Why a run is given up. The target is lost only in the first case. */
+/**
+ * Why a run is given up: it is left as soon as another target has a slot for it. The target is lost
+ * only in the first case.
+ */
 export type GiveUpCause = 'target-lost' | 'moved' | 'not-listed' | 'too-long';
 
 /** The causes as the line of a broken stream states them. */
@@ -35,6 +38,6 @@
   expectedGapMs(): Millis;
   /** Whether the request may run at another target. */
   canMove(): boolean;
-  /** Called when the run is given up. */
+  /** Called when the run is given up; it is not monitored any more. */
   onSilent(cause: GiveUpCause): void;
 }
--- a/packages/forward-request/src/stream-attempt-tracker.ts
+++ b/packages/forward-request/src/stream-attempt-tracker.ts
@@ -67,6 +67,11 @@
     this.possibleRunTargets.set(targetId, cause);
   }
 
+  /** A run that was counted as lost has written again. */
+  recordReturn(targetId: string): void {
+    this.possibleRunTargets.set(targetId, undefined);
+  }
+
   /**
    * The target did not run the request.
    * @param isRelayed true if another VM declined it, so that it arrived at no target
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -1,4 +1,5 @@
 /** Log lines and metrics of one streamed request. */
+import type { LimeleadError } from '@limelead/errors';
 import type { LossCause } from '@limelead/track-service-targets';
 import type { EventDetail, Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -77,6 +78,19 @@
     });
   }
 
+  /** Reports that a silent run stays, since the stream cannot go on elsewhere now. */
+  runKept(attempt: number, target: string, error: LimeleadError | undefined): void {
+    const reason = error?.message ?? 'no other target is available';
+    this.context.metrics.count('limelead_silent_runs_total', 1, { outcome: 'kept' });
+    this.write('silent-run-kept', { attempt, target, reason });
+  }
+
+  /** Reports that a run has written again during the search for another target. */
+  runReturned(attempt: number, target: string, silentMs: Millis): void {
+    this.context.metrics.count('limelead_silent_runs_total', 1, { outcome: 'returned' });
+    this.write('silent-run-returned', { attempt, target, silentMs: Math.round(silentMs) });
+  }
+
   /** Reports to the observer that an attempt ended; the VM that relays a stream reports its runs. */
   attemptEnded(live: LiveAttempt, isGood: boolean): void {
     const { attempt, activity, firstPieceAfterMs } = live;
--- a/packages/forward-request/src/target-availability.ts
+++ b/packages/forward-request/src/target-availability.ts
@@ -140,12 +140,13 @@
    * Whether a request may be sent to a target at which it was granted a place. The place may be one
    * beyond the target's slots, and at a suspected target if all are suspected.
    */
-  canUsePlace(targetId: string, { softwareVersion }: Partial<TargetNeed> = {}): boolean {
+  canUsePlace(targetId: string, { softwareVersion, replaces }: Partial<TargetNeed> = {}): boolean {
     const { backpressure, clock, directory, limit, permits } = this.options;
     const tracked = directory.get(targetId);
     return (
       tracked !== undefined &&
       runsSoftwareVersion(tracked.target, softwareVersion) &&
+      this.canReplace(tracked, replaces) &&
       tracked.health.fullUntilMs <= clock.now() &&
       tracked.inFlight < backpressure.limitSlots(targetId, limit(tracked) + 1) &&
       (this.isOpen(tracked) || this.areAllSuspected(tracked.target.service)) &&
@@ -157,12 +158,13 @@
   /** Whether a target accepts such a request of this VM now; free slots are not checked. */
   isAvailable(
     tracked: TrackedServiceTarget,
-    { softwareVersion }: Partial<TargetNeed> = {},
+    { softwareVersion, replaces }: Partial<TargetNeed> = {},
   ): boolean {
     const { permits, places } = this.options;
     const { id, service } = tracked.target;
     return (
       runsSoftwareVersion(tracked.target, softwareVersion) &&
+      this.canReplace(tracked, replaces) &&
       this.isOpen(tracked) &&
       permits.canSend(id) &&
       places.canSend(service)
@@ -190,9 +192,17 @@
 
   private listUsable(request: SlotRequest): TrackedServiceTarget[] {
     const { backpressure } = this.options;
-    const usable = this.listOfVersion(request);
+    const { replaces } = request;
+    const usable = this.listOfVersion(request).filter((tracked) =>
+      this.canReplace(tracked, replaces),
+    );
     return backpressure.hasCooldowns
       ? usable.filter((tracked) => !this.isCooling(tracked))
       : usable;
   }
+
+  /** Whether a request whose silent run is at the given target, if any, is better off here. */
+  private canReplace({ target: { id } }: TrackedServiceTarget, replaced?: string): boolean {
+    return replaced === undefined || (id !== replaced && !this.options.directory.isSuspected(id));
+  }
 }
--- a/packages/forward-request/src/target-placement.ts
+++ b/packages/forward-request/src/target-placement.ts
@@ -23,6 +23,11 @@
   bodyBytes?: number;
   /** Software version to which a stream keeps; undefined while any version may run it. */
   softwareVersion?: string;
+  /**
+   * Id of the target whose silent run the slot is to replace; undefined without one. The run is not
+   * moved to a target that is suspected as well.
+   */
+  replaces?: string;
 }
 
 /** A request or replica that memory, pace or bodies kept from its targets. */
--- a/packages/generation-session/src/index.ts
+++ b/packages/generation-session/src/index.ts
@@ -2,3 +2,4 @@
 export * from './messages.js';
 export * from './state.js';
 export { default } from './advance-session.js';
+export { default as hasBreaksLeft } from './has-breaks-left.js';
