Answer the requests that are open when a VM stops

What callers saw: a request that waited in a stopping VM's queue got neither an answer nor a refusal; its connection closed 7.9 s after SIGTERM without a byte.

Cause: at the end of the grace the front door closed all connections, without asking the forwarders, which know whether a target may have run the request.

Why it works: at its end the front door asks the sink of each open request to shut down. The forwarder withdraws the request and ends it: `shutting-down` (503, Retry-After) if no target may have run it, `outcome-unknown` (502) if one may have; an answer that has begun is broken off. A request that is still read is refused and goes no further. `request-cut` is left for whole answers that their callers do not read.

--- a/packages/forward-request/src/answer-sink.ts
+++ b/packages/forward-request/src/answer-sink.ts
@@ -27,6 +27,11 @@
    * if the sink gives up the answer.
    */
   onCallerLeft(callback: () => void): void;
+  /**
+   * Registers a callback that runs once if this VM shuts down before the answer ends. The callback
+   * ends the answer; without one the sink refuses the request as not run.
+   */
+  onShutdown(callback: () => void): void;
 }
 
 /** A complete answer of a target. */
--- a/packages/forward-request/src/describe-call-refusal.ts
+++ b/packages/forward-request/src/describe-call-refusal.ts
@@ -2,6 +2,7 @@
 import { LimeleadError } from '@limelead/errors';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
+import createShutdownError from './create-shutdown-error.js';
 import { QUARANTINED_MESSAGE } from './limits.js';
 import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
 import type { SlotRefusal } from './slot-refusal.js';
@@ -15,14 +16,18 @@
   /** Whether a target may have run the call; then it is never reported as not run. */
   mayHaveRun: boolean;
   isOverdue: boolean;
+  isShuttingDown: boolean;
 }
 
 /** Returns the error and logs a refusal. */
 export default function describeCallRefusal(
   context: ForwardContext,
   admitted: AdmittedRequest,
-  { quarantineLeftMs, refusal, mayHaveRun, isOverdue }: UnansweredCall,
+  { quarantineLeftMs, refusal, mayHaveRun, isOverdue, isShuttingDown }: UnansweredCall,
 ): LimeleadError {
+  if (isShuttingDown) {
+    return createShutdownError(mayHaveRun);
+  }
   const execution = mayHaveRun ? ('unknown' as const) : undefined;
   if (quarantineLeftMs !== undefined) {
     return new LimeleadError('quarantined', QUARANTINED_MESSAGE, {
--- a/packages/forward-request/src/forward-call.test.ts
+++ b/packages/forward-request/src/forward-call.test.ts
@@ -51,6 +51,46 @@
   assert.is(statusOf(sink), 502);
 });
 
+/** Shuts down while the targets have begun a call, or while it waits if there are none. */
+async function shutDownDuring(
+  behaviours: Behaviour[],
+  isUnderWay?: (sink: RecordingSink) => boolean,
+) {
+  const bed = await TestBed.start(...behaviours);
+  const sink = new RecordingSink();
+  forwardCall(bed.context, createAdmittedRequest(ONCE), sink);
+  while (isUnderWay?.(sink) === false || bed.seen.length < behaviours.length) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  sink.shutDown();
+  await bed.stop();
+  return sink;
+}
+
+test('a call that waits when its VM shuts down is refused as not run', async () => {
+  const sink = await shutDownDuring([]);
+  assert.is(sink.outcome, 'refused');
+  assert.is(sink.error?.kind, 'shutting-down');
+  assert.is(statusOf(sink), 503);
+});
+
+test('a call that may run when its VM shuts down is not reported as not run', async () => {
+  const sink = await shutDownDuring([() => undefined]);
+  assert.is(sink.outcome, 'refused');
+  assert.is(sink.error?.answer.execution, 'unknown');
+  assert.is(statusOf(sink), 502);
+});
+
+test('a call whose answer has begun when its VM shuts down is broken off', async () => {
+  const long: Behaviour = (request, response) => {
+    beginAnswer(request, response);
+    response.write(Buffer.alloc(8 * HIGH_WATER_BYTES));
+  };
+  const sink = await shutDownDuring([long], ({ status }) => status === 200);
+  assert.is(sink.outcome, 'aborted');
+  assert.is(sink.error?.kind, 'outcome-unknown');
+});
+
 /** Forwards a call by a VM that relays to the targets of the bed as if they were VMs. */
 async function relay(behaviours: Behaviour[], route: typeof ONCE) {
   const bed = await TestBed.start(...behaviours);
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -18,6 +18,7 @@
 import PacedSink from './paced-sink.js';
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
+import createShutdownError from './create-shutdown-error.js';
 import describeCallRefusal from './describe-call-refusal.js';
 import { selectIdentityFields } from './identify-admitted-request.js';
 import { MAX_REJECTED_ATTEMPTS, MIN_CALL_MS, MIN_SERVER_ERROR_STATUS } from './limits.js';
@@ -56,6 +57,7 @@
   private unsentAttempts = 0;
   private isDone = false;
   private isOverdue = false;
+  private isShuttingDown = false;
   /** The attempt whose answer is streamed to the caller. */
   private streaming: CallAttempt | undefined;
   /** Error answer of the service; returned to the caller if no attempt succeeds. */
@@ -100,6 +102,7 @@
     const remainingMs = this.admitted.dueAtMs - clock.now();
     this.timers.push(timers.after(Math.max(0, remainingMs), () => this.onOverdue()));
     this.sink.onCallerLeft(() => this.finish('caller-left'));
+    this.sink.onShutdown(() => this.onShutdown());
     this.openAttempt();
   }
 
@@ -108,6 +111,11 @@
     this.giveUp();
   }
 
+  private onShutdown(): void {
+    this.isShuttingDown = true;
+    this.giveUp();
+  }
+
   private onQuarantined(): void {
     this.isQuarantined = true;
     this.giveUp();
@@ -381,9 +389,7 @@
       return;
     }
     if (this.streaming !== undefined) {
-      this.sink.abort(
-        new LimeleadError('deadline-passed', 'the deadline passed before the answer was complete'),
-      );
+      this.sink.abort(this.describeBreak());
     } else if (this.failure !== undefined) {
       this.deliver(this.failure);
       return;
@@ -393,12 +399,19 @@
     this.finish('given-up');
   }
 
+  private describeBreak(): LimeleadError {
+    return this.isShuttingDown
+      ? createShutdownError(true)
+      : new LimeleadError('deadline-passed', 'the deadline passed before the answer was complete');
+  }
+
   private describeRefusal(): LimeleadError {
     return describeCallRefusal(this.context, this.admitted, {
       quarantineLeftMs: this.isQuarantined ? this.guarded.quarantineLeftMs : undefined,
       refusal: this.refusal,
       mayHaveRun: this.possibleRuns > 0,
       isOverdue: this.isOverdue,
+      isShuttingDown: this.isShuttingDown,
     });
   }
 
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -50,6 +50,42 @@
   ]);
 });
 
+/** Shuts down while the targets have begun a stream, or while it waits if there are none. */
+async function shutDownDuring(
+  behaviours: Behaviour[],
+  isUnderWay?: (sink: RecordingSink) => boolean,
+) {
+  const bed = await TestBed.start(...behaviours);
+  const sink = new RecordingSink();
+  forwardStream(bed.context, createAdmittedRequest(), sink);
+  while (isUnderWay?.(sink) === false || bed.seen.length < behaviours.length) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  sink.shutDown();
+  await bed.stop();
+  return sink;
+}
+
+test('a stream that waits when its VM shuts down is refused as not run', async () => {
+  const sink = await shutDownDuring([]);
+  assert.is(sink.outcome, 'refused');
+  assert.is(sink.error?.kind, 'shutting-down');
+  assert.is(sink.error?.answer.execution, 'not-run');
+});
+
+test('a stream that may run when its VM shuts down is not reported as not run', async () => {
+  const sink = await shutDownDuring([() => undefined]);
+  assert.is(sink.outcome, 'refused');
+  assert.is(sink.error?.kind, 'outcome-unknown');
+  assert.is(sink.error?.answer.execution, 'unknown');
+});
+
+test('a stream that has begun when its VM shuts down is broken off', async () => {
+  const sink = await shutDownDuring([streamThen(2, () => undefined)], ({ body }) => body !== '');
+  assert.is(sink.outcome, 'aborted');
+  assert.is(sink.error?.kind, 'outcome-unknown');
+});
+
 test('an incomplete piece is not delivered; the next target sends it again', async () => {
   const cutInside: Behaviour = (request, response) => {
     beginAnswer(request, response);
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -108,6 +108,7 @@
     const remainingMs = Math.max(0, this.admitted.dueAtMs - clock.now());
     this.cleanups.push(timers.after(remainingMs, () => this.advance({ kind: 'deadline-passed' })));
     this.sink.onCallerLeft(() => this.advance({ kind: 'cancelled' }));
+    this.sink.onShutdown(() => this.fail(this.refusals.shuttingDown()));
     this.advance({ kind: 'begin', tries: 0, delivered: this.state.delivered });
   }
 
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -136,6 +136,7 @@
   outcome: 'open' | 'ended' | 'aborted' | 'refused' = 'open';
   error: LimeleadError | undefined;
   private onLeft: () => void = () => undefined;
+  private notifyShutdown: () => void = () => undefined;
   private notifyFlushed: () => void = () => undefined;
   private wake: (() => void)[] = [];
 
@@ -185,6 +186,15 @@
     this.onLeft();
   }
 
+  onShutdown(callback: () => void): void {
+    this.notifyShutdown = callback;
+  }
+
+  /** Simulates a VM that shuts down. */
+  shutDown(): void {
+    this.notifyShutdown();
+  }
+
   /** Resolves when the condition holds; checked after each write. */
   async until(holds: () => boolean): Promise<void> {
     while (!holds()) {
--- a/packages/forward-request/src/paced-sink.ts
+++ b/packages/forward-request/src/paced-sink.ts
@@ -83,6 +83,10 @@
     });
   }
 
+  onShutdown(callback: () => void): void {
+    this.sink.onShutdown(callback);
+  }
+
   private update(): void {
     if (this.source === undefined) {
       return;
--- a/packages/forward-request/src/stream-refusals.ts
+++ b/packages/forward-request/src/stream-refusals.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
+import createShutdownError from './create-shutdown-error.js';
 import { OUT_OF_REACH_MESSAGE, QUARANTINED_MESSAGE } from './limits.js';
 import reportRefusal, { REFUSAL_MESSAGE } from './report-refusal.js';
 import { NO_VERSION_REFUSAL, type SlotRefusal } from './slot-refusal.js';
@@ -23,6 +24,10 @@
     return this.attempts.createError('quarantined', QUARANTINED_MESSAGE, { retryAfterMs });
   }
 
+  shuttingDown(): LimeleadError {
+    return createShutdownError(this.attempts.mayHaveRun);
+  }
+
   tooLate(): LimeleadError {
     const message = 'the prompt could not be read before the deadline';
     return this.attempts.createError('deadline-unreachable', message);
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -22,9 +22,9 @@
 import estimateAnswerMs from './estimate-answer.js';
 import HeldRequests, { computeHoldMs } from './held-requests.js';
 import { readRequestId, type IngressDialect, type IngressHeaders } from './ingress-dialect.js';
+import OpenRequests, { type OpenRequest } from './open-requests.js';
 import parseRequestTarget, { type RequestTarget } from './request-target.js';
 import readBody, { BodyBudget } from './read-body.js';
-import type ResponseSink from './response-sink.js';
 
 /** Largest head that the parser accepts; the configured limit is checked afterwards. */
 const PARSER_MAX_HEADER_BYTES = 64 * 1024;
@@ -53,11 +53,7 @@
 }
 
 /** A request that is not checked yet. */
-interface PendingRequest {
-  message: IncomingMessage;
-  response: ServerResponse;
-  sink: ResponseSink;
-  receivedAtMs: Millis;
+interface PendingRequest extends OpenRequest {
   /** Undefined for a request of a caller. */
   relayed: RelayedTreatment | undefined;
 }
@@ -74,9 +70,7 @@
   private isStopping = false;
   /** Time by which all requests must finish once this VM drains. */
   private drainDeadlineMs: Millis = Infinity;
-  private readonly open = new Set<PendingRequest>();
-  /** Called when the last open request ends. */
-  private onIdle: () => void = () => undefined;
+  private readonly open: OpenRequests;
   private readonly bodyBudget: BodyBudget;
   private readonly answerBuffers: AnswerBuffers;
   private readonly heldRequests: HeldRequests;
@@ -86,6 +80,7 @@
     const { log, clock } = options.context;
     this.logMalformed = createRateLimitedLog(log, clock, 'request-malformed');
     const { context, dialect, maxBufferedAnswerBytes } = options;
+    this.open = new OpenRequests(context, dialect);
     this.answerBuffers = new AnswerBuffers(context, dialect, maxBufferedAnswerBytes);
     this.heldRequests = new HeldRequests(options.context.timers);
     this.bodyBudget = new BodyBudget(
@@ -156,13 +151,12 @@
     this.heldRequests.releaseAll();
   }
 
-  /** Closes all connections; resolves when all requests have ended. */
-  close(): Promise<void> {
-    const ended = new Promise<void>((resolve) => (this.onIdle = resolve));
+  /** Ends all requests and closes all connections. */
+  async close(): Promise<void> {
+    this.startDraining(this.options.context.clock.now());
     this.server.close();
-    this.open.forEach((pending) => this.logCutByStop(pending));
+    await this.open.shutDown();
     this.server.closeAllConnections();
-    return this.open.size === 0 ? Promise.resolve() : ended;
   }
 
   /** Handles a request that another VM relays, on a connection of another server. */
@@ -189,7 +183,6 @@
     const receivedAtMs = context.clock.now();
     const pending: PendingRequest = { message, response, sink, receivedAtMs, relayed };
     this.open.add(pending);
-    response.once('close', () => this.onResponseClosed(pending));
     this.runGuarded(pending, () => {
       if (context.readRouteTable() === undefined && !this.isStopping) {
         this.hold(pending);
@@ -199,9 +192,15 @@
     });
   }
 
-  /** Runs a step of a request; an unexpected exception fails this request only. */
+  /**
+   * Runs a step of a request, unless the request has ended; an unexpected exception fails this
+   * request only.
+   */
   private runGuarded({ sink }: PendingRequest, run: () => void): void {
     const { log, metrics } = this.options.context;
+    if (sink.isOver) {
+      return;
+    }
     try {
       run();
     } catch (thrown) {
@@ -211,13 +210,6 @@
     }
   }
 
-  private onResponseClosed(pending: PendingRequest): void {
-    this.open.delete(pending);
-    if (this.open.size === 0) {
-      this.onIdle();
-    }
-  }
-
   private hold(pending: PendingRequest): void {
     const cancelHold = this.heldRequests.hold(this.readTimeoutMs(pending), () => {
       this.logHeld(pending);
@@ -378,18 +370,6 @@
     });
   }
 
-  /** A request that is open when the VM closes its connections; without the line its caller seems to have left. */
-  private logCutByStop({ message, response, receivedAtMs }: PendingRequest): void {
-    const { clock, log, metrics } = this.options.context;
-    metrics.count('limelead_requests_cut_total');
-    log.write('request-cut', {
-      requestId: readRequestId(this.options.dialect, message.rawHeaders),
-      isBodyRead: message.complete,
-      hasBegun: response.headersSent,
-      openMs: Math.round(clock.now() - receivedAtMs),
-    });
-  }
-
   /** Log fields of the configuration in force: version, source and age of the store view. */
   private describeConfiguration(): LogFields {
     const { readRouteTable, readConfigurationSource, readStoreViewAgeMs } = this.options.context;
--- /dev/null
+++ b/packages/http-front-door/src/open-requests.ts
@@ -0,0 +1,89 @@
+/** The requests of a front door that have no complete answer yet. */
+import type { ForwardContext } from '@limelead/forward-request';
+import type { Millis } from '@limelead/types';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { readRequestId, type IngressDialect } from './ingress-dialect.js';
+import type ResponseSink from './response-sink.js';
+
+/** Longest wait until answers are flushed; a part of what a stop keeps of its grace period. */
+const FLUSH_TIMEOUT_MS: Millis = 75;
+
+/** One request and its answer. */
+export interface OpenRequest {
+  message: IncomingMessage;
+  response: ServerResponse;
+  sink: ResponseSink;
+  receivedAtMs: Millis;
+}
+
+/** Tracks open requests and ends them on shutdown. */
+export default class OpenRequests {
+  private readonly requests = new Set<OpenRequest>();
+  /** Called when the last open request ends. */
+  private onNone: () => void = () => undefined;
+
+  constructor(
+    private readonly context: Pick<ForwardContext, 'clock' | 'timers' | 'log' | 'metrics'>,
+    private readonly dialect: IngressDialect,
+  ) {}
+
+  get size(): number {
+    return this.requests.size;
+  }
+
+  /** Adds a request until its response closes. */
+  add(request: OpenRequest): void {
+    this.requests.add(request);
+    request.response.once('close', () => this.remove(request));
+  }
+
+  /**
+   * Ends all open requests, each with an answer that tells whether it may have run; answers that
+   * have begun are broken off. Resolves when the answers are flushed. The connections of callers
+   * that do not read theirs are closed after a short time.
+   */
+  async shutDown(): Promise<void> {
+    this.requests.forEach(({ sink }) => sink.shutDown());
+    await this.waitForFlush();
+    for (const request of this.requests) {
+      this.logCut(request);
+      request.message.socket.destroy();
+      this.remove(request);
+    }
+  }
+
+  private remove(request: OpenRequest): void {
+    this.requests.delete(request);
+    if (this.requests.size === 0) {
+      this.onNone();
+    }
+  }
+
+  private async waitForFlush(): Promise<void> {
+    if (this.requests.size === 0) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const cancelTimer = this.context.timers.after(FLUSH_TIMEOUT_MS, resolve);
+      this.onNone = () => {
+        cancelTimer();
+        resolve();
+      };
+    });
+  }
+
+  /** Logs an answer that is not flushed; without the line its caller seems to have left. */
+  private logCut({ message, response, receivedAtMs }: OpenRequest): void {
+    if (response.writableLength === 0) {
+      return;
+    }
+    const { clock, log, metrics } = this.context;
+    metrics.count('limelead_requests_cut_total');
+    log.write('request-cut', {
+      requestId: readRequestId(this.dialect, message.rawHeaders),
+      isBodyRead: message.complete,
+      hasBegun: response.headersSent,
+      openMs: Math.round(clock.now() - receivedAtMs),
+    });
+  }
+}
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -44,11 +44,16 @@
 export default class ResponseSink implements AnswerSink, BufferedAnswer {
   countedBytes = 0;
   waitingBytes = 0;
-  private isOver = false;
+  /** Whether the answer has been completed, refused or broken off, or the caller has left. */
+  isOver = false;
   private pendingWrites = 0;
   private heldBytes = 0;
   private notifyFlushed: () => void = () => undefined;
   private notifyLeft: () => void = () => undefined;
+  private notifyShutdown = (): void =>
+    this.refuse(
+      new LimeleadError('shutting-down', 'this VM stops before the request is forwarded'),
+    );
   /** One callback for all writes, so that a piece allocates none. */
   private readonly onWritten = (): void => {
     this.pendingWrites -= 1;
@@ -171,6 +176,17 @@
     }
   }
 
+  onShutdown(callback: () => void): void {
+    this.notifyShutdown = callback;
+  }
+
+  /** Ends the answer because this VM shuts down; one that is complete stays as it is. */
+  shutDown(): void {
+    if (!this.isOver) {
+      this.notifyShutdown();
+    }
+  }
+
   private countBytes(writableBytes = this.response.writableLength): void {
     const bytes = writableBytes + this.pendingWrites * WRITE_OVERHEAD_BYTES + this.heldBytes;
     for (const { answer, ...drop } of this.budget.record(this, bytes)) {
