Close the front door before a stopping VM awaits anything else

What callers saw: a request on a kept connection that came when the drain was over, but before the connections were closed, was taken, sent to a target, and got no whole answer.

Cause: between the last check for open requests and the closing, the stop waited until duties were handed over and the links to peers were closed.

With the program's own client of the store, whose calls end after 0.8 s, the hand-over is mostly done by then; the window then is the closing of the links.

Why it works: the listener, idle connections and, when nothing is open, all others close in the same turn as the last check, before anything is awaited. A relayed request that comes later is refused as not run. Requests have as long as before: until 0.15 s before the end of the grace. The check no longer oversleeps that time by up to 50 ms.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -281,24 +281,25 @@
     const { stopGraceMs } = this.settings;
     const handedOver = Promise.all(this.components.map((component) => component.handOver()));
     this.log.write('stopping', { underWay: this.frontDoor.openRequests, graceMs: stopGraceMs });
-    this.frontDoor.startDraining(startedAtMs + stopGraceMs - STOP_RESERVE_MS);
+    const drainMs = stopGraceMs - STOP_RESERVE_MS;
+    this.frontDoor.startDraining(startedAtMs + drainMs);
     const elapsed = (): number => steadyClock.now() - startedAtMs;
     while (
-      elapsed() < stopGraceMs - STOP_RESERVE_MS &&
+      elapsed() < drainMs &&
       (elapsed() < BALANCER_REMOVAL_MS || this.frontDoor.openRequests > 0)
     ) {
-      await delay(systemTimers, STOP_CHECK_INTERVAL_MS);
+      await delay(systemTimers, Math.min(STOP_CHECK_INTERVAL_MS, drainMs - elapsed()));
     }
     this.log.write('stopped', {
       underWay: this.frontDoor.openRequests,
       afterMs: Math.round(elapsed()),
     });
+    // Nothing is awaited since the last check: a request that came meanwhile would be cut.
+    await this.frontDoor.close();
     await handedOver;
     this.components.forEach((component) => component.onDrained?.());
     this.follower.stop();
     await this.exchange?.stop();
-    // Callers' connections close first: a stream whose target is lost while its caller is connected is retried.
-    await this.frontDoor.close();
     this.connections.closeAll();
     this.servers.close();
     await this.log.flush();
--- a/packages/http-front-door/src/shutdown.test.ts
+++ b/packages/http-front-door/src/shutdown.test.ts
@@ -1,4 +1,5 @@
-import { connect } from 'node:net';
+import { createServer } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { configuration } from './front-door.fixture.js';
@@ -60,4 +61,20 @@
   await bed.stop();
 });
 
+test('a request that another VM relays to a closed front door is refused as not run', async () => {
+  const bed = await TestBed.start();
+  const peers = createServer((message, response) =>
+    bed.door.acceptRelayed(message, response, { composeRefusalHeaders: () => [] }),
+  );
+  await new Promise<void>((resolve) => peers.listen(0, '127.0.0.1', resolve));
+  await bed.door.close();
+  const socket = connect((peers.address() as AddressInfo).port, '127.0.0.1');
+  const answer = new Promise((resolve) => socket.once('data', (chunk) => resolve(String(chunk))));
+  socket.write(GOOD);
+  assert.match(String(await answer), /^HTTP\/1.1 503[^]*"shutting-down"/);
+  assert.is(bed.arrivals, 0);
+  peers.close();
+  await bed.stop();
+});
+
 test.run();
