Return the retry of a silent run that has written again

What callers saw: behind a silence of targets, streams and calls that had really broken waited for a retry.

Cause: the search for a silent run takes a retry from the budget that all VMs share. A run that wrote again ended the search and kept the retry for as long as its stream lasted.

Change: the unused retry is returned when the run writes again.

--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -93,6 +93,11 @@
   /** Returns an unused retry to the budget; the request makes no further attempt. */
   close(): void {
     this.isClosed = true;
+    this.releaseRetry();
+  }
+
+  /** Returns an unused retry to the budget. */
+  releaseRetry(): void {
     const { held } = this;
     this.held = undefined;
     if (held !== undefined) {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -329,6 +329,7 @@
     const silentMs = this.context.clock.now() - activity.lastActivityAtMs;
     this.endRelocation();
     this.attempts.recordReturn(target.id);
+    this.attempts.releaseRetry();
     this.replicas.onRunLost(undefined);
     this.live.watchAgain(attempt);
     this.report.runReturned(attempt, target.id, silentMs);
--- a/packages/forward-request/src/stream-attempt-tracker.ts
+++ b/packages/forward-request/src/stream-attempt-tracker.ts
@@ -143,6 +143,11 @@
     );
   }
 
+  /** Returns an unused retry: the next attempt is not needed now. */
+  releaseRetry(): void {
+    this.budget.releaseRetry();
+  }
+
   /** Returns an unused retry; the stream makes no further attempt. */
   close(): void {
     this.budget.close();
