Give up a silent run only once the next target has accepted the request

What callers saw: a resumable stream was cut, or read its whole prompt again, although its target went on after a second: it had been taken from there for a target that turned it away.

Cause: a slot is this VM's own count of a target that all VMs share. With the slot held, the silent run was cancelled first, and a rejection (full, no connection, a VM without targets) left the stream without any run.

Change: the next attempt starts beside the silent run, which is cancelled when the target answers with a head, writes, or has not rejected the request for 200 ms (two targets may work on a request for 400 ms). If it rejects, the silent run stays and the search goes on. The session keeps the silent attempt beside the next one, as it does for a hedge.

--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -20,7 +20,7 @@
 import type { ForwardContext } from './context.js';
 import createShutdownError from './create-shutdown-error.js';
 import describeCallRefusal from './describe-call-refusal.js';
-import { selectIdentityFields } from './identify-admitted-request.js';
+import guardAdmittedRequest from './guard-admitted-request.js';
 import { MAX_REJECTED_ATTEMPTS, MIN_CALL_MS, MIN_SERVER_ERROR_STATUS } from './limits.js';
 import type { Slot } from './slot-request.js';
 import type { SlotRefusal } from './slot-refusal.js';
@@ -88,12 +88,7 @@
   ) {
     this.budget = new AttemptBudget(context, admitted);
     this.report = new CallReport(context, admitted);
-    this.guarded = context.guard.guardRequest({
-      request: selectIdentityFields(admitted),
-      route: admitted.route.name,
-      requestId: admitted.request.requestId,
-      onQuarantined: () => this.onQuarantined(),
-    });
+    this.guarded = guardAdmittedRequest(context, admitted, () => this.onQuarantined());
   }
 
   begin(): void {
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -18,7 +18,7 @@
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import { selectIdentityFields } from './identify-admitted-request.js';
+import guardAdmittedRequest from './guard-admitted-request.js';
 import { MIN_SERVER_ERROR_STATUS } from './limits.js';
 import LiveAttempts, { findReplica, isRelayed, type LiveAttempt } from './live-attempts.js';
 import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
@@ -27,12 +27,18 @@
 import reportAdmitted from './report-admitted.js';
 import RunRelocation from './run-relocation.js';
 import RunReplicas from './run-replicas.js';
-import SlotSearch, { type SlotSearchEvents, type SlotSearchStart } from './slot-search.js';
+import SlotSearch, { type SlotSearchEvents } from './slot-search.js';
 import type { NumberedPiece, StreamAttemptEvents, RejectionCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
 import StreamReport from './stream-report.js';
 import StreamAttemptTracker from './stream-attempt-tracker.js';
-import { describeLostRun, recordFirstPiece, toObservation } from './stream-observation.js';
+import {
+  describeLostRun,
+  observeBrokenTarget,
+  observeLostTarget,
+  recordFirstPiece,
+  toObservation,
+} from './stream-observation.js';
 import StreamRefusals from './stream-refusals.js';
 import StreamVersion from './stream-version.js';
 import toGenerationRequest, { PLACEHOLDER_BINDING } from './to-generation-request.js';
@@ -52,6 +58,7 @@
 class StreamForwarder {
   private state: SessionState;
   private readonly live: LiveAttempts;
+  /** Slots of attempts that have not started. */
   private readonly chosenSlots = new Map<number, Slot>();
   private readonly replicas: RunReplicas;
   private readonly answer: StreamAnswer;
@@ -64,8 +71,6 @@
   private search: SlotSearch | undefined;
   /** Search for another target while a run is silent. */
   private relocation: RunRelocation | undefined;
-  /** Slot that the relocation of a silent run holds for the next attempt. */
-  private reserved: Slot | undefined;
   private readonly report: StreamReport;
   private readonly guarded: GuardedRequest;
 
@@ -80,12 +85,9 @@
     this.attempts = new StreamAttemptTracker(context, admitted);
     this.refusals = new StreamRefusals(context, admitted, this.attempts);
     this.version = new StreamVersion(context, admitted);
-    this.guarded = context.guard.guardRequest({
-      request: selectIdentityFields(admitted),
-      route: admitted.route.name,
-      requestId: admitted.request.requestId,
-      onQuarantined: () => this.failQuarantined(),
-    });
+    this.guarded = guardAdmittedRequest(context, admitted, () =>
+      this.fail(this.refusals.quarantined(this.guarded.quarantineLeftMs)),
+    );
     this.live = new LiveAttempts(context, admitted, this.replicas, {
       createEvents: (number) => this.createEvents(number),
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
@@ -156,7 +158,8 @@
 
   private send(message: AnswerMessage): void {
     if (message.kind === 'tokens') {
-      this.deliver(message.tokens);
+      this.answer.write(message.tokens);
+      this.report.pieceDelivered();
     } else if (message.kind === 'finished') {
       this.version.onWhole();
       this.finish('answered', () => this.answer.end());
@@ -177,40 +180,29 @@
   }
 
   private chooseTarget(attempt: number, exclude: string[]): void {
-    const { reserved } = this;
-    this.reserved = undefined;
-    if (reserved !== undefined) {
-      this.onSlot(attempt, reserved);
-      return;
+    const chosen = this.chosenSlots.get(attempt);
+    if (chosen !== undefined) {
+      return this.onSlot(attempt, chosen);
     }
-    this.search = this.createSearch(
-      { exclude },
-      {
-        onSlot: (slot) => this.onSlot(attempt, slot),
-        onNoTarget: () => this.advance({ kind: 'no-target', attempt, error: 'no-target' }),
-        onRefused: (error) => this.fail(error),
-      },
-    );
+    this.search = this.createSearch(exclude, {
+      onSlot: (slot) => this.onSlot(attempt, slot),
+      onNoTarget: () => this.advance({ kind: 'no-target', attempt, error: 'no-target' }),
+      onRefused: (error) => this.fail(error),
+    });
     this.search.begin();
   }
 
-  private createSearch(
-    where: Pick<SlotSearchStart, 'exclude' | 'replaces'>,
-    events: SlotSearchEvents,
-  ): SlotSearch {
+  /** @param replaces target whose silent run the slot is to replace */
+  private createSearch(exclude: string[], events: SlotSearchEvents, replaces?: string): SlotSearch {
     const { admitted, attempts, context, guarded, refusals, replicas, version } = this;
     const { delivered, lastDeliveredAtMs } = this.state;
     return new SlotSearch(
       { admitted, attempts, context, guarded, refusals, replicas, version },
-      { delivered, lastDeliveredAtMs, ...where },
+      { delivered, lastDeliveredAtMs, exclude, replaces },
       events,
     );
   }
 
-  private failQuarantined(): void {
-    this.fail(this.refusals.quarantined(this.guarded.quarantineLeftMs));
-  }
-
   private onSlot(attempt: number, slot: Slot): void {
     this.chosenSlots.set(attempt, slot);
     const targetId = slot.tracked.target.id;
@@ -243,6 +235,7 @@
 
   private onOpened(attempt: number, head: AnswerHead): void {
     if (this.live.get(attempt) !== undefined) {
+      this.relocation?.onAccepted(attempt);
       this.answer.setHead(head);
       this.advance({ kind: 'opened', attempt, promptTokens: 0 });
     }
@@ -253,9 +246,10 @@
     if (live === undefined) {
       return;
     }
-    if (this.relocation !== undefined) {
+    if (this.relocation?.attempt === attempt) {
       this.onRunReturned(attempt, live);
     }
+    this.relocation?.onAccepted(attempt);
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
     recordFirstPiece(this.context, this.admitted, live);
@@ -286,37 +280,44 @@
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
   }
 
-  /** Looks for another target. The silent run stays until one is found, since it may go on. */
+  /** Looks for another target. The silent run stays until one has accepted the request. */
   private onSilent(attempt: number, cause: GiveUpCause): void {
     const live = this.live.get(attempt);
-    if (live === undefined || !hasBreaksLeft(this.state)) {
+    if (live === undefined) {
       return;
     }
-    const { directory, silence, timers } = this.context;
+    this.relocation?.onAccepted(attempt);
     const { id } = live.attempt.target;
     this.attempts.recordLoss(id, 'silent');
-    this.replicas.onRunLost(findReplica(live));
     if (cause === 'target-lost') {
-      directory.observe(id, { kind: 'lost' });
-      silence.onTargetLost(id);
+      observeLostTarget(this.context, id, 'lost');
     }
     this.relocation = new RunRelocation({
-      timers,
+      ...{ timers: this.context.timers, attempt },
       createSearch: (events) => {
-        const exclude = [...this.state.excludedTargets, id];
-        return this.createSearch({ exclude, replaces: id }, events);
+        this.replicas.onRunLost(findReplica(live));
+        return this.createSearch([...this.state.excludedTargets, id], events, id);
       },
-      onSlot: (slot) => this.relocate(attempt, cause, slot),
+      onSlot: (slot) => this.startBeside(attempt, slot),
       onKept: (error) => this.report.runKept(attempt, id, error),
+      onAccepted: () => {
+        this.relocation = undefined;
+        this.lose(attempt, 'silent', SILENCE_REASONS[cause]);
+        this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+      },
     });
     this.relocation.begin();
   }
 
-  private relocate(attempt: number, cause: GiveUpCause, slot: Slot): void {
-    this.relocation = undefined;
-    this.reserved = slot;
-    this.lose(attempt, 'silent', SILENCE_REASONS[cause]);
-    this.advance({ kind: 'silent', attempt });
+  /** Starts the next attempt beside a silent run. */
+  private startBeside(silentAttempt: number, slot: Slot): void {
+    if (hasBreaksLeft(this.state)) {
+      this.chosenSlots.set(this.state.lastAttempt + 1, slot);
+      this.advance({ kind: 'silent', attempt: silentAttempt });
+    } else {
+      slot.release();
+      this.endRelocation();
+    }
   }
 
   private endRelocation(): void {
@@ -337,17 +338,13 @@
 
   private onBroken(attempt: number, reason: string): void {
     const live = this.live.get(attempt);
+    if (live === undefined) {
+      return;
+    }
     const { isSuspected } = this.guarded;
+    this.replicas.onRunLost(findReplica(live));
     this.lose(attempt, 'broken', reason);
-    // A broken connection counts as a lost target, unless another VM relays the run. If the request
-    // is suspected of crashes, only this incarnation of the target is over, and its failure domain is
-    // not in doubt.
-    if (live !== undefined && !isRelayed(live)) {
-      const { directory, silence } = this.context;
-      const { id } = live.attempt.target;
-      directory.observe(id, { kind: isSuspected ? 'replaced' : 'lost' });
-      silence.onTargetLost(id);
-    }
+    observeBrokenTarget(this.context, live, isSuspected);
     this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
   }
 
@@ -358,7 +355,6 @@
       return;
     }
     this.attempts.recordLoss(live.attempt.target.id, cause);
-    this.replicas.onRunLost(findReplica(live));
     this.report.lost({
       ...{ attempt, cause, reason },
       ...describeLostRun(live, this.state, this.context.clock.now()),
@@ -409,18 +405,17 @@
     this.finish('answered', () => this.answer.replace({ head, body }));
   }
 
-  private deliver(pieces: string[]): void {
-    this.answer.write(pieces);
-    this.report.pieceDelivered();
-  }
-
   private fail(error: LimeleadError): void {
     this.finish(error.kind, () => this.answer.fail(error));
   }
 
   private release(attempt: number, outcome?: PlaceOutcome): void {
-    this.endRelocation();
     this.live.release(attempt, outcome);
+    if (this.relocation?.attempt === attempt) {
+      this.endRelocation();
+    } else {
+      this.relocation?.onNextFailed();
+    }
   }
 
   private drop(attempt: number): void {
@@ -437,7 +432,7 @@
     this.cleanups.forEach((cleanup) => cleanup());
     this.search?.cancel();
     this.endRelocation();
-    this.reserved?.release();
+    this.chosenSlots.forEach((slot) => slot.release());
     this.live.dropAll();
     this.attempts.close();
     this.guarded.close();
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -86,6 +86,8 @@
       attemptRequest,
       this.events.createEvents(number),
     );
+    // A silent run may still be there.
+    this.carried = [...this.live.values()].at(-1)?.activity.carry() ?? this.carried;
     const activity = this.createActivity(number, attemptRequest, policy);
     const paceMeter = this.createPaceMeter(target);
     this.live.set(number, {
--- a/packages/forward-request/src/stream-observation.ts
+++ b/packages/forward-request/src/stream-observation.ts
@@ -29,6 +29,31 @@
   return Math.max(0, inFlight + peerRequests - 1);
 }
 
+/** Records that a target is down or was replaced; its silent runs are given up. */
+export function observeLostTarget(
+  { directory, silence }: Pick<ForwardContext, 'directory' | 'silence'>,
+  target: string,
+  kind: 'lost' | 'replaced',
+): void {
+  directory.observe(target, { kind });
+  silence.onTargetLost(target);
+}
+
+/**
+ * A broken connection counts as a lost target, unless another VM relays the run. If the request is
+ * suspected of crashes, only this incarnation of the target is over, and its failure domain is not
+ * in doubt.
+ */
+export function observeBrokenTarget(
+  context: Pick<ForwardContext, 'directory' | 'silence'>,
+  live: LiveAttempt,
+  isSuspected: boolean,
+): void {
+  if (!isRelayed(live)) {
+    observeLostTarget(context, live.attempt.target.id, isSuspected ? 'replaced' : 'lost');
+  }
+}
+
 /** What the line of a lost attempt says of its run. */
 export function describeLostRun(
   live: LiveAttempt,
--- a/packages/forward-request/src/to-generation-request.ts
+++ b/packages/forward-request/src/to-generation-request.ts
@@ -60,7 +60,8 @@
     suspicionFactor: SUSPICION_FACTOR,
     minSilenceMs: Math.min(MIN_SILENCE_MS, maxPauseMs * MIN_SILENCE_SHARE_OF_PAUSE),
     maxSilenceMs: maxPauseMs * MAX_SILENCE_SHARE_OF_PAUSE,
-    hedge: false,
+    // A silent run stays beside the next attempt until that is accepted.
+    hedge: true,
     probeFirst: false,
   };
 }
