--- a/packages/run-generation/src/generation.test.ts
+++ b/packages/run-generation/src/generation.test.ts
@@ -1,40 +1,11 @@
-import chooseTarget from '@limelead/choose-target';
-import { LimeleadError, PortFault } from '@limelead/errors';
-import createMetrics from '@limelead/metrics';
-import createEventBus from '@limelead/observe-events';
-import createRecoveryPacer from '@limelead/pace-recoveries';
+import { PortFault } from '@limelead/errors';
 import type { EngineStream, ModelEngine, PortCall } from '@limelead/ports';
 import { createManualTime, flushPromises } from '@limelead/stand-ins';
-import { createTargetTable } from '@limelead/track-targets';
-import type { AnswerMessage, EngineMessage, GenerationRequest, StartOrder } from '@limelead/types';
+import type { AnswerMessage, EngineMessage, StartOrder } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import Generation, { createTokenGapTable, type GenerationDependencies } from './index.js';
-
-const VERSION = { model: 'm', adapter: '', version: '1' };
-const REQUEST: GenerationRequest = {
-  requestId: 'r1',
-  organisation: 'haneul',
-  service: 'feedback-sheet',
-  prompt: 'bar by bar',
-  maxTokens: 100,
-  priority: {
-    name: 'urgent',
-    rank: 0,
-    deadlineMs: 0,
-    maxQueueMs: 1_000,
-    recovery: {
-      suspicionFactor: 4,
-      minSilenceMs: 100,
-      maxSilenceMs: 500,
-      hedge: true,
-      probeFirst: false,
-    },
-  },
-  paceTokensPerSecond: 0,
-  resumable: true,
-};
+import { begin, collect, createDependencies } from './generation.fixture.js';
 
 /** Engine whose stream messages are supplied by the test. */
 class FakeEngine {
@@ -84,65 +55,7 @@
 function createSystem(engineCount: number) {
   const time = createManualTime();
   const engines = Array.from({ length: engineCount }, () => new FakeEngine());
-  const targets = createTargetTable({ maxListAgeMs: Number.MAX_SAFE_INTEGER });
-  const vms = engines.map((_, index) => ({
-    id: `e${index}`,
-    role: 'engine' as const,
-    host: '127.0.0.1',
-    port: index,
-    failureDomain: 'suwon',
-    leaving: false,
-    services: [],
-  }));
-  targets.applyList({ version: 1, vms }, 0);
-  for (const { id } of vms) {
-    const report = { takenAtMs: 0, running: 0, waiting: 0, slots: 8, tokenGapMs: 10, fence: 0 };
-    const now = time.clock.now();
-    targets.applyReport(id, { ...report, prefillTokensPerSecond: 1e6, loaded: [VERSION] }, now);
-  }
-  let randomValue = 0;
-  const dependencies: GenerationDependencies = {
-    clock: time.clock,
-    timers: time.timers,
-    random: { next: () => (randomValue = (randomValue + 0.37) % 1) },
-    metrics: createMetrics(),
-    bus: createEventBus('vm-1', time.clock),
-    targets,
-    gaps: createTokenGapTable(),
-    connector: {
-      engine: (_, port) => engines[port]?.port as ModelEngine,
-      plainService: () => {
-        throw new Error('not used');
-      },
-      hashPrompt: () => [],
-    },
-    pacer: createRecoveryPacer(() => 10),
-    chooseTarget,
-    failureDomain: 'suwon',
-    incarnation: 'vm-1.a',
-    currentVersion: () => VERSION,
-    abandonedGraceMs: 5_000,
-    onBreakerOpened: () => undefined,
-  };
-  return { time, engines, dependencies };
-}
-
-/** Collects the messages of a generation. */
-function collect(generation: Generation) {
-  const messages: AnswerMessage[] = [];
-  const ended = (async () => {
-    try {
-      for await (const message of generation.messages()) {
-        messages.push(message);
-      }
-      return 'complete';
-    } catch (thrown) {
-      return thrown instanceof LimeleadError ? thrown.kind : 'unexpected';
-    }
-  })();
-  const tokens = () =>
-    messages.flatMap((message) => (message.kind === 'tokens' ? message.tokens : []));
-  return { messages, ended, tokens };
+  return { time, engines, dependencies: createDependencies(time, engines) };
 }
 
 async function nextKind(messages: AsyncGenerator<AnswerMessage>): Promise<string> {
@@ -150,10 +63,6 @@
   return next.done === true ? 'done' : next.value.kind;
 }
 
-function begin(dependencies: GenerationDependencies, change: Partial<GenerationRequest> = {}) {
-  return new Generation(dependencies, { ...REQUEST, ...change }, { tries: 0, delivered: [] });
-}
-
 function findStartedEngine(engines: FakeEngine[], index = 0): FakeEngine {
   const started = engines.filter((engine) => engine.started.length > 0);
   const engine = started[index];
--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -1,5 +1,4 @@
 /** Runs one generation: passes events to its session and executes the resulting commands. */
-import { estimateCost, type RoutingCriteria } from '@limelead/choose-target';
 import { LimeleadError, type ErrorKind } from '@limelead/errors';
 import advanceSession, {
   createSession,
@@ -7,20 +6,15 @@
   type SessionEvent,
   type SessionState,
 } from '@limelead/generation-session';
-import type { TrackedTarget } from '@limelead/track-targets';
-import type { AnswerMessage, CancelTimer, GenerationRequest } from '@limelead/types';
-import AttemptReader, { type AttemptContext } from './attempt-reader.js';
-import cancelWithRetries from './cancel-with-retries.js';
+import type { AnswerMessage, GenerationRequest } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
+import AnswerTimers from './answer-timers.js';
+import Attempts from './attempts.js';
 import type { GenerationDependencies, GenerationStart } from './dependencies.js';
 import EventQueue from './event-queue.js';
 import recordObservation from './record-observation.js';
-
-const CHARACTERS_PER_TOKEN = 4;
-const MAX_SEED = 2 ** 32;
-/** Longest time that a recovery holds its slot. */
-const MAX_RECOVERY_SLOT_MS = 1_000;
-/** Time without a message after which a keep-alive is sent to the caller. */
-const KEEP_ALIVE_INTERVAL_MS = 500;
+import RecoverySlots from './recovery-slots.js';
+import TargetSelector, { type SelectedTarget } from './target-selector.js';
 
 /** Event of the session, or a due keep-alive. */
 type GenerationEvent = SessionEvent | { kind: 'keep-alive' };
@@ -30,16 +24,13 @@
 /** Runs one generation on this VM. */
 export default class Generation {
   private readonly events = new EventQueue<GenerationEvent>();
-  private readonly readers = new Map<number, AttemptReader>();
-  /** Release functions of the slots of recoveries that have not delivered yet, by attempt. */
-  private readonly recoverySlotReleases = new Map<number, () => void>();
-  private readonly prefixHashes: string[];
   private readonly delivered: string[];
   private readonly startedAtMs: number;
+  private readonly selector: TargetSelector;
+  private readonly attempts: Attempts;
+  private readonly slots: RecoverySlots;
+  private readonly timers: AnswerTimers;
   private state: SessionState;
-  private cancelDeadline: CancelTimer = () => undefined;
-  private cancelKeepAlive: CancelTimer = () => undefined;
-  private lastSentMs: number;
   private failure: LimeleadError | undefined;
   private isAbandoned = false;
 
@@ -48,11 +39,17 @@
     private readonly request: GenerationRequest,
     start: GenerationStart,
   ) {
-    const { clock, connector, incarnation } = dependencies;
+    const { clock, incarnation } = dependencies;
     this.startedAtMs = clock.now();
-    this.lastSentMs = this.startedAtMs;
     this.delivered = [...start.delivered];
-    this.prefixHashes = connector.hashPrompt(request.prompt);
+    this.selector = new TargetSelector(dependencies, request, this.delivered);
+    const { selector, delivered, events } = this;
+    this.attempts = new Attempts(dependencies, request, selector, delivered, events);
+    this.slots = new RecoverySlots(dependencies, request.priority.rank);
+    this.timers = new AnswerTimers(dependencies, {
+      onDeadline: () => this.events.enqueue({ kind: 'deadline-passed' }),
+      onKeepAliveDue: () => this.events.enqueue({ kind: 'keep-alive' }),
+    });
     const prefix = `${request.organisation}.${request.requestId}.${incarnation}`;
     this.state = createSession(request, prefix, this.startedAtMs);
     const { resume, tries } = start;
@@ -78,28 +75,21 @@
       return;
     }
     this.isAbandoned = true;
-    const { timers, abandonedGraceMs } = this.dependencies;
-    const graceMs = this.request.resumable ? abandonedGraceMs : 0;
-    const readers = [...this.readers.values()];
-    readers.forEach((reader) => reader.close());
-    timers.after(graceMs, () =>
-      readers.forEach((reader) => this.cancelGenerationAt(reader.context)),
-    );
+    const { abandonedGraceMs } = this.dependencies;
+    this.attempts.abandon(this.request.resumable ? abandonedGraceMs : 0);
     this.events.enqueue({ kind: 'cancelled' });
   }
 
   /** Yields the messages of the answer. Throws a LimeleadError if the generation fails. */
   async *messages(): AsyncGenerator<AnswerMessage> {
-    this.startDeadlineTimer();
-    this.scheduleKeepAlive();
+    this.timers.start(this.request.deadlineAtMs);
     try {
       while (this.state.phase !== 'done') {
         yield* this.advance(await this.events.dequeue());
       }
     } finally {
-      this.cancelDeadline();
-      this.cancelKeepAlive();
-      this.releaseRecoverySlots();
+      this.timers.stop();
+      this.slots.releaseAll();
       this.abandon();
     }
     if (this.failure !== undefined) {
@@ -109,7 +99,7 @@
 
   private *advance(event: GenerationEvent): Generator<AnswerMessage> {
     if (event.kind === 'keep-alive') {
-      this.lastSentMs = this.dependencies.clock.now();
+      this.timers.recordSent();
       yield event;
       return;
     }
@@ -130,19 +120,19 @@
       case 'choose-target':
         return this.chooseTarget(command);
       case 'start':
-        return this.start(command);
+        return this.attempts.start(command);
       case 'attach':
-        return this.attach(command);
+        return this.attempts.attach(command);
       case 'probe':
-        return void this.probe(command.attempt);
+        return void this.attempts.probe(command.attempt);
       case 'watch-silence':
-        return this.readers.get(command.attempt)?.restartSilenceTimer();
+        return this.attempts.watchSilence(command.attempt);
       case 'cancel-attempt':
         return this.cancelAttempt(command.attempt);
       case 'detach-attempt':
-        return this.readers.get(command.attempt)?.close();
+        return this.attempts.detach(command.attempt);
       case 'cancel-foreign':
-        return this.cancelForeign(command);
+        return this.attempts.cancelForeign(command);
       case 'wait-for-retry':
         return this.waitForRetry(command);
       case 'fail':
@@ -162,158 +152,39 @@
   }
 
   private async chooseTargetWithSlot(command: CommandOf<'choose-target'>): Promise<void> {
-    const { pacer, timers } = this.dependencies;
-    const { attempt } = command;
-    const release = await pacer.acquire(this.request.priority.rank);
-    this.recoverySlotReleases.get(attempt)?.();
-    this.recoverySlotReleases.set(attempt, release);
-    // A recovery that neither delivers nor breaks must not hold its slot indefinitely.
-    timers.after(MAX_RECOVERY_SLOT_MS, release);
+    const release = await this.slots.acquire();
     if (this.state.phase === 'done') {
       release();
-    } else {
-      this.chooseTargetNow(command);
+      return;
     }
+    this.slots.hold(command.attempt, release);
+    this.chooseTargetNow(command);
   }
 
-  private chooseTargetNow(command: CommandOf<'choose-target'>): void {
-    const { targets, random, clock, currentVersion } = this.dependencies;
-    const { attempt } = command;
-    const version = command.modelVersion ?? currentVersion(this.request.service);
-    const now = clock.now();
-    const usable = version === undefined ? [] : targets.listUsableEngines(now, version);
-    const routing = this.createRoutingCriteria(command.exclude);
-    const choice = this.dependencies.chooseTarget(usable, routing, random);
-    if (version === undefined || choice === undefined) {
-      const isLive = version !== undefined && targets.hasVersion(version, now);
-      const error: ErrorKind = isLive ? 'no-target' : 'version-not-live';
-      this.recoverySlotReleases.get(attempt)?.();
-      this.events.enqueue({ kind: 'no-target', attempt, error });
-      return;
+  private chooseTargetNow({ attempt, modelVersion, exclude }: CommandOf<'choose-target'>): void {
+    const selected = this.selector.select(modelVersion, exclude);
+    if (E.isLeft(selected)) {
+      this.slots.release(attempt);
+      this.events.enqueue({ kind: 'no-target', attempt, error: selected.left });
+    } else {
+      this.announceTarget(attempt, selected.right);
     }
-    const { target, considered } = choice;
-    const reason = 'lowest expected time to the next token';
+  }
+
+  private announceTarget(attempt: number, { targetId, binding, considered }: SelectedTarget): void {
     recordObservation(this.dependencies, this.request.requestId, {
       kind: 'targetChosen',
-      target: target.id,
+      target: targetId,
       attempt,
-      reason,
+      reason: 'lowest expected time to the next token',
       considered,
     });
-    const binding = { modelVersion: version, seed: this.drawSeed() };
-    this.events.enqueue({ kind: 'target-chosen', attempt, targetId: target.id, binding });
-  }
-
-  private createRoutingCriteria(exclude: string[]): RoutingCriteria {
-    const promptTokens = Math.ceil(this.request.prompt.length / CHARACTERS_PER_TOKEN);
-    return {
-      prefixHashes: this.prefixHashes,
-      inputTokens: promptTokens + this.delivered.length,
-      failureDomain: this.dependencies.failureDomain,
-      exclude,
-      meanAnswerTokens: this.dependencies.gaps.readMeanAnswerTokens(),
-      now: this.dependencies.clock.now(),
-    };
-  }
-
-  private start(command: CommandOf<'start'>): void {
-    const { attempt, targetId, generationId, binding, prefixLength } = command;
-    const target = this.dependencies.targets.find(targetId);
-    if (target === undefined) {
-      this.events.enqueue({ kind: 'broken', attempt, cause: 'target-gone' });
-      return;
-    }
-    const reader = this.createReader(attempt, target, generationId, true);
-    const { prompt, maxTokens, priority, paceTokensPerSecond } = this.request;
-    void reader.run((signal) =>
-      reader.context.engine.start(
-        {
-          generationId,
-          attempt,
-          modelVersion: binding.modelVersion,
-          prompt,
-          forcedPrefix: this.delivered.slice(0, prefixLength),
-          seed: binding.seed,
-          maxTokens,
-          rank: priority.rank,
-          paceTokensPerSecond,
-        },
-        signal,
-      ),
-    );
-  }
-
-  private attach(command: CommandOf<'attach'>): void {
-    const { attempt, targetId, generationId, fromOffset } = command;
-    const target = this.dependencies.targets.find(targetId);
-    if (target === undefined) {
-      this.events.enqueue({ kind: 'broken', attempt, cause: 'target-gone' });
-      return;
-    }
-    const reader = this.createReader(attempt, target, generationId, false);
-    void reader.run((signal) =>
-      reader.context.engine.attach({ generationId, attempt, fromOffset }, signal),
-    );
-  }
-
-  private createReader(
-    number: number,
-    target: TrackedTarget,
-    generationId: string,
-    needsPrefill: boolean,
-  ): AttemptReader {
-    const { connector } = this.dependencies;
-    const { priority, paceTokensPerSecond } = this.request;
-    const routing = this.createRoutingCriteria([]);
-    const { costMs, cachedShare } = estimateCost(target, routing);
-    const context: AttemptContext = {
-      number,
-      targetId: target.id,
-      generationId,
-      engine: connector.engine(target.host, target.port),
-      policy: priority.recovery,
-      expectedFirstTokenMs: needsPrefill ? costMs : 0,
-      inputTokens: needsPrefill ? routing.inputTokens * (1 - cachedShare) : 0,
-      paceGapMs: paceTokensPerSecond > 0 ? 1000 / paceTokensPerSecond : 0,
-      prefixHashes: this.prefixHashes,
-    };
-    const reader = new AttemptReader(context, this.dependencies, this.events);
-    this.readers.set(number, reader);
-    return reader;
-  }
-
-  private async probe(attempt: number): Promise<void> {
-    const context = this.readers.get(attempt)?.context;
-    const answer = await context?.engine.probe(context.generationId)();
-    const running = answer?._tag === 'Right' && answer.right;
-    this.events.enqueue({ kind: 'probed', attempt, running });
+    this.events.enqueue({ kind: 'target-chosen', attempt, targetId, binding });
   }
 
   private cancelAttempt(attempt: number): void {
-    const reader = this.readers.get(attempt);
-    if (reader === undefined || this.isAbandoned) {
-      return;
-    }
-    reader.close();
-    this.readers.delete(attempt);
-    this.recoverySlotReleases.get(attempt)?.();
-    this.cancelGenerationAt(reader.context);
-  }
-
-  private releaseRecoverySlots(): void {
-    this.recoverySlotReleases.forEach((release) => release());
-    this.recoverySlotReleases.clear();
-  }
-
-  private cancelGenerationAt(context: AttemptContext): void {
-    void cancelWithRetries(this.dependencies, context.engine, context.generationId, context.number);
-  }
-
-  private cancelForeign(command: CommandOf<'cancel-foreign'>): void {
-    const target = this.dependencies.targets.find(command.targetId);
-    if (target !== undefined && !this.isAbandoned) {
-      const engine = this.dependencies.connector.engine(target.host, target.port);
-      void cancelWithRetries(this.dependencies, engine, command.generationId, command.attempt);
+    if (this.attempts.cancel(attempt)) {
+      this.slots.release(attempt);
     }
   }
 
@@ -326,38 +197,15 @@
     );
   }
 
-  private startDeadlineTimer(): void {
-    const { deadlineAtMs } = this.request;
-    if (deadlineAtMs !== undefined) {
-      const { timers, clock } = this.dependencies;
-      const leftMs = Math.max(0, deadlineAtMs - clock.now());
-      this.cancelDeadline = timers.after(leftMs, () =>
-        this.events.enqueue({ kind: 'deadline-passed' }),
-      );
-    }
-  }
-
-  /** Sends keep-alives from one timer that checks the time of the last message. */
-  private scheduleKeepAlive(): void {
-    const { timers, clock } = this.dependencies;
-    const dueInMs = this.lastSentMs + KEEP_ALIVE_INTERVAL_MS - clock.now();
-    this.cancelKeepAlive = timers.after(Math.max(dueInMs, KEEP_ALIVE_INTERVAL_MS / 2), () => {
-      if (clock.now() - this.lastSentMs >= KEEP_ALIVE_INTERVAL_MS) {
-        this.events.enqueue({ kind: 'keep-alive' });
-      }
-      this.scheduleKeepAlive();
-    });
-  }
-
   private recordSent(message: AnswerMessage): void {
-    this.lastSentMs = this.dependencies.clock.now();
+    this.timers.recordSent();
     if (message.kind === 'finished') {
       this.dependencies.gaps.recordAnswerTokens(message.length);
     }
     if (message.kind !== 'tokens') {
       return;
     }
-    this.releaseRecoverySlots();
+    this.slots.releaseAll();
     const { metrics, clock } = this.dependencies;
     if (this.delivered.length === 0) {
       metrics.recordMs('limelead_first_token_ms', clock.now() - this.startedAtMs);
@@ -369,8 +217,4 @@
   private recordFailure(error: ErrorKind, message: string): void {
     this.failure = new LimeleadError(error, message);
   }
-
-  private drawSeed(): number {
-    return Math.floor(this.dependencies.random.next() * MAX_SEED);
-  }
 }
