Keep a silent engine's answer until another engine is found

Callers of the product's own interface saw an answer end, or computed again, while its engine was silent and went on. The session cancels a silent attempt in the same step in which it asks for another target, so that an answer whose only engine was silent for 1.5 s was cancelled there and started anew three times, and one whose engines were silent for 20 s ended after the search of 10 s, far from its deadline of 120 s. Under hedge=true nothing was cancelled, but a selection without a target ended the search, so that the answer was never hedged and hung at an engine that did not come back. A resumed answer left the generation that it attached to in the same way.

The runner now withholds a silence (or a probe that is not answered, or the last "still running" one) from the session while it searches a target. With one in hand it passes the silence on, and the session cancels the old attempt and starts the next in one go. What the silent attempt writes meanwhile ends the search. A closed connection and a probe that says "not running" reach the session as before, and so does a target that is not listed any more, which bounds answers without a deadline. Excluded targets are tried again once they have reported. The session is unchanged; it exports the type of its steps.

--- a/packages/run-generation/src/attempts.ts
+++ b/packages/run-generation/src/attempts.ts
@@ -2,6 +2,7 @@
 import type { SessionCommand, SessionEvent } from '@limelead/generation-session';
 import type { TrackedTarget } from '@limelead/track-targets';
 import type { GenerationRequest, Millis, TargetId } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
 import AttemptReader, { type AttemptContext } from './attempt-reader.js';
 import cancelWithRetries from './cancel-with-retries.js';
 import type { GenerationDependencies } from './dependencies.js';
@@ -10,6 +11,9 @@
 
 type CommandOf<Kind extends SessionCommand['kind']> = Extract<SessionCommand, { kind: Kind }>;
 
+/** Event of the session, or a probe that the target did not answer. */
+export type AttemptEvent = SessionEvent | { kind: 'probe-unanswered'; attempt: number };
+
 /** Opens, reads and cancels attempts, which report to the event queue. */
 export default class Attempts {
   private readonly readers = new Map<number, AttemptReader>();
@@ -21,7 +25,7 @@
     private readonly request: GenerationRequest,
     private readonly selector: TargetSelector,
     private readonly delivered: readonly string[],
-    private readonly events: Pick<EventQueue<SessionEvent>, 'enqueue' | 'enqueueAndWait'>,
+    private readonly events: Pick<EventQueue<AttemptEvent>, 'enqueue' | 'enqueueAndWait'>,
   ) {}
 
   /** Starts a generation that continues the delivered tokens. */
@@ -64,9 +68,15 @@
   /** Asks the target whether it still runs the generation of an attempt. */
   async probe(attempt: number): Promise<void> {
     const context = this.readers.get(attempt)?.context;
-    const answer = await context?.engine.probe(context.generationId)();
-    const running = answer?._tag === 'Right' && answer.right;
-    this.events.enqueue({ kind: 'probed', attempt, running });
+    if (context === undefined) {
+      return;
+    }
+    const answer = await context.engine.probe(context.generationId)();
+    this.events.enqueue(
+      E.isRight(answer)
+        ? { kind: 'probed', attempt, running: answer.right }
+        : { kind: 'probe-unanswered', attempt },
+    );
   }
 
   /** Stops reading an attempt and cancels it at its target; returns false if none is read. */
--- a/packages/run-generation/src/generation.fixture.ts
+++ b/packages/run-generation/src/generation.fixture.ts
@@ -6,11 +6,12 @@
 import createRecoveryPacer from '@limelead/pace-recoveries';
 import type { ModelEngine } from '@limelead/ports';
 import type { ManualTime } from '@limelead/stand-ins';
-import { createTargetTable } from '@limelead/track-targets';
-import type { AnswerMessage, GenerationRequest } from '@limelead/types';
+import { createTargetTable, type TargetTable } from '@limelead/track-targets';
+import type { AnswerMessage, GenerationRequest, Millis } from '@limelead/types';
 import Generation, { createTokenGapTable, type GenerationDependencies } from './index.js';
 
-const VERSION = { model: 'm', adapter: '', version: '1' };
+/** Version that all engines have loaded. */
+export const VERSION = { model: 'm', adapter: '', version: '1' };
 /** Request of an urgent answer whose silent attempts are hedged. */
 export const REQUEST: GenerationRequest = {
   requestId: 'r1',
@@ -35,6 +36,12 @@
   resumable: true,
 };
 
+/** Applies a load report of an idle engine. */
+export function applyReport(targets: TargetTable, id: string, now: Millis): void {
+  const report = { takenAtMs: 0, running: 0, waiting: 0, slots: 8, tokenGapMs: 10, fence: 0 };
+  targets.applyReport(id, { ...report, prefillTokensPerSecond: 1e6, loaded: [VERSION] }, now);
+}
+
 /** Creates dependencies with one usable target per engine; its port is the engine's index. */
 export function createDependencies(time: ManualTime, engines: { port: Partial<ModelEngine> }[]) {
   const targets = createTargetTable({ maxListAgeMs: Number.MAX_SAFE_INTEGER });
@@ -48,11 +55,7 @@
     services: [],
   }));
   targets.applyList({ version: 1, vms }, 0);
-  for (const { id } of vms) {
-    const report = { takenAtMs: 0, running: 0, waiting: 0, slots: 8, tokenGapMs: 10, fence: 0 };
-    const now = time.clock.now();
-    targets.applyReport(id, { ...report, prefillTokensPerSecond: 1e6, loaded: [VERSION] }, now);
-  }
+  vms.forEach(({ id }) => applyReport(targets, id, time.clock.now()));
   let randomValue = 0;
   const dependencies: GenerationDependencies = {
     clock: time.clock,
--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -5,19 +5,24 @@
   type SessionCommand,
   type SessionEvent,
   type SessionState,
+  type Step,
 } from '@limelead/generation-session';
 import type { AnswerMessage, GenerationRequest } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import AnswerTimers from './answer-timers.js';
-import Attempts from './attempts.js';
+import Attempts, { type AttemptEvent } from './attempts.js';
 import type { GenerationDependencies, GenerationStart } from './dependencies.js';
 import EventQueue from './event-queue.js';
 import recordObservation from './record-observation.js';
-import RecoverySlots from './recovery-slots.js';
+import RecoverySlots, { type ReleaseSlot } from './recovery-slots.js';
+import SuccessorSearch, { type HeldSilence, type SilenceEvent } from './successor-search.js';
 import TargetSelector, { type SelectedTarget } from './target-selector.js';
 
-/** Event of the session, or a due keep-alive. */
-type GenerationEvent = SessionEvent | { kind: 'keep-alive' };
+/** Event of an attempt, a due keep-alive, or a due selection of a successor's target. */
+type GenerationEvent =
+  | AttemptEvent
+  | { kind: 'keep-alive' }
+  | { kind: 'successor-due'; silence: HeldSilence; release: ReleaseSlot };
 
 type CommandOf<Kind extends SessionCommand['kind']> = Extract<SessionCommand, { kind: Kind }>;
 
@@ -29,6 +34,7 @@
   private readonly selector: TargetSelector;
   private readonly attempts: Attempts;
   private readonly slots: RecoverySlots;
+  private readonly successors: SuccessorSearch;
   private readonly timers: AnswerTimers;
   private state: SessionState;
   private failure: LimeleadError | undefined;
@@ -46,6 +52,9 @@
     const { selector, delivered, events } = this;
     this.attempts = new Attempts(dependencies, request, selector, delivered, events);
     this.slots = new RecoverySlots(dependencies, request.priority.rank);
+    this.successors = new SuccessorSearch(dependencies, this.slots, (silence, release) =>
+      this.events.enqueue({ kind: 'successor-due', silence, release }),
+    );
     this.timers = new AnswerTimers(dependencies, {
       onDeadline: () => this.events.enqueue({ kind: 'deadline-passed' }),
       onKeepAliveDue: () => this.events.enqueue({ kind: 'keep-alive' }),
@@ -89,6 +98,7 @@
       }
     } finally {
       this.timers.stop();
+      this.successors.stop();
       this.slots.releaseAll();
       this.abandon();
     }
@@ -98,23 +108,87 @@
   }
 
   private *advance(event: GenerationEvent): Generator<AnswerMessage> {
-    if (event.kind === 'keep-alive') {
-      this.timers.recordSent();
-      yield event;
-      return;
+    switch (event.kind) {
+      case 'keep-alive':
+        this.timers.recordSent();
+        yield event;
+        return;
+      case 'successor-due':
+        yield* this.selectSuccessor(event.silence, event.release);
+        return;
+      case 'silent':
+        yield* this.onSilence(event);
+        return;
+      case 'probe-unanswered':
+        yield* this.onSilence({ kind: 'probed', attempt: event.attempt, running: false });
+        return;
+      case 'probed':
+        // A target that does not know the generation has lost it; the attempt is not just silent.
+        yield* event.running ? this.onSilence(event) : this.apply(event);
+        return;
+      default:
+        yield* this.apply(event);
     }
-    const { state, commands } = advanceSession(this.state, event, this.dependencies.clock.now());
-    this.state = state;
-    for (const command of commands) {
+  }
+
+  /** Passes an event to the session and executes its commands. */
+  private *apply(event: SessionEvent): Generator<AnswerMessage> {
+    yield* this.executeStep(advanceSession(this.state, event, this.dependencies.clock.now()));
+    this.successors.onEvent(event, this.state);
+  }
+
+  /** Executes the commands of a step; with a successor, its target is that of the new attempt. */
+  private *executeStep(step: Step, successor?: SelectedTarget): Generator<AnswerMessage> {
+    this.state = step.state;
+    for (const command of step.commands) {
       if (command.kind === 'send') {
         this.recordSent(command.message);
         yield command.message;
+      } else if (command.kind === 'choose-target' && successor !== undefined) {
+        this.announceTarget(command.attempt, successor);
       } else {
         this.execute(command);
       }
     }
   }
 
+  /** Withholds a silence by which the session would leave the attempt, until a target is found. */
+  private *onSilence(event: SilenceEvent): Generator<AnswerMessage> {
+    const step = advanceSession(this.state, event, this.dependencies.clock.now());
+    if (!this.successors.withhold(event, step, this.state)) {
+      yield* this.executeStep(step);
+    }
+  }
+
+  private *selectSuccessor(silence: HeldSilence, release: ReleaseSlot): Generator<AnswerMessage> {
+    if (!this.successors.isCurrent(silence)) {
+      release();
+      return;
+    }
+    const { attempt, modelVersion } = silence.command;
+    const excluded = this.successors.listExcluded(silence);
+    const selected = this.selector.select(modelVersion, excluded);
+    if (E.isLeft(selected)) {
+      release();
+      yield* this.keepSilentAttempt(silence);
+      return;
+    }
+    this.successors.stop();
+    this.slots.hold(attempt, release);
+    const now = this.dependencies.clock.now();
+    yield* this.executeStep(advanceSession(this.state, silence.event, now), selected.right);
+  }
+
+  /** Goes on with the search while the target of the silent attempt is listed. */
+  private *keepSilentAttempt(silence: HeldSilence): Generator<AnswerMessage> {
+    if (this.successors.isTargetListed(silence)) {
+      this.successors.retryLater(silence);
+    } else {
+      const { attempt } = silence.event;
+      yield* this.apply({ kind: 'broken', attempt, cause: 'target-gone' });
+    }
+  }
+
   private execute(command: Exclude<SessionCommand, { kind: 'send' }>): void {
     switch (command.kind) {
       case 'choose-target':
