Keep a silent attempt at the limit of breaks

Each silence in which another engine takes the answer counts as a break, and the seventeenth ended it.

A silence that would end the answer is withheld like one without a target: the attempt stays, without a successor, and a broken connection or a target that is not listed any more ends it as before.

--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -24,6 +24,12 @@
   | { kind: 'keep-alive' }
   | { kind: 'successor-due'; silence: HeldSilence; release: ReleaseSlot };
 
+/** Target and slot of the attempt that follows a silent one. */
+interface Successor {
+  target: SelectedTarget;
+  release: ReleaseSlot;
+}
+
 type CommandOf<Kind extends SessionCommand['kind']> = Extract<SessionCommand, { kind: Kind }>;
 
 /** Runs one generation on this VM. */
@@ -52,7 +58,7 @@
     const { selector, delivered, events } = this;
     this.attempts = new Attempts(dependencies, request, selector, delivered, events);
     this.slots = new RecoverySlots(dependencies, request.priority.rank);
-    this.successors = new SuccessorSearch(dependencies, this.slots, (silence, release) =>
+    this.successors = new SuccessorSearch(dependencies, selector, this.slots, (silence, release) =>
       this.events.enqueue({ kind: 'successor-due', silence, release }),
     );
     this.timers = new AnswerTimers(dependencies, {
@@ -137,15 +143,16 @@
     this.successors.onEvent(event, this.state);
   }
 
-  /** Executes the commands of a step; with a successor, its target is that of the new attempt. */
-  private *executeStep(step: Step, successor?: SelectedTarget): Generator<AnswerMessage> {
+  /** Executes the commands of a step; a new attempt is that of the successor, if there is one. */
+  private *executeStep(step: Step, successor?: Successor): Generator<AnswerMessage> {
     this.state = step.state;
     for (const command of step.commands) {
       if (command.kind === 'send') {
         this.recordSent(command.message);
         yield command.message;
       } else if (command.kind === 'choose-target' && successor !== undefined) {
-        this.announceTarget(command.attempt, successor);
+        this.slots.hold(command.attempt, successor.release);
+        this.announceTarget(command.attempt, successor.target);
       } else {
         this.execute(command);
       }
@@ -165,18 +172,15 @@
       release();
       return;
     }
-    const { attempt, modelVersion } = silence.command;
-    const excluded = this.successors.listExcluded(silence);
-    const selected = this.selector.select(modelVersion, excluded);
-    if (E.isLeft(selected)) {
+    const target = this.successors.selectTarget(silence);
+    if (target === undefined) {
       release();
       yield* this.keepSilentAttempt(silence);
       return;
     }
     this.successors.stop();
-    this.slots.hold(attempt, release);
-    const now = this.dependencies.clock.now();
-    yield* this.executeStep(advanceSession(this.state, silence.event, now), selected.right);
+    const step = advanceSession(this.state, silence.event, this.dependencies.clock.now());
+    yield* this.executeStep(step, { target, release });
   }
 
   /** Goes on with the search while the target of the silent attempt is listed. */
--- a/packages/run-generation/src/silent-engine.test.ts
+++ b/packages/run-generation/src/silent-engine.test.ts
@@ -141,17 +141,17 @@
       await time.advance(4 * ANSWER_TOKENS * TOKEN_GAP_MS);
       await assertWhole(answer);
     });
-  }
 
-  test(`an answer ends after many silences of its only engine: ${name}`, async () => {
-    const { time, engines, answer } = await startAnswer(1, policy, LONG_ANSWER_TOKENS);
-    for (let silence = 0; silence < SILENCE_COUNT; silence += 1) {
-      await fallSilent(time, engines, SILENCE_MS);
-      await time.advance(10 * TOKEN_GAP_MS);
-    }
-    await time.advance(2 * LONG_ANSWER_TOKENS * TOKEN_GAP_MS);
-    await assertWhole(answer, LONG_ANSWER_TOKENS);
-  });
+    test(`an answer ends after many silences of ${engineCount} engines: ${name}`, async () => {
+      const { time, engines, answer } = await startAnswer(engineCount, policy, LONG_ANSWER_TOKENS);
+      for (let silence = 0; silence < SILENCE_COUNT; silence += 1) {
+        await fallSilent(time, engines, SILENCE_MS);
+        await time.advance(10 * TOKEN_GAP_MS);
+      }
+      await time.advance(2 * LONG_ANSWER_TOKENS * TOKEN_GAP_MS);
+      await assertWhole(answer, LONG_ANSWER_TOKENS);
+    });
+  }
 
   test(`an answer leaves its silent engine before another one takes it: ${name}`, async () => {
     const { time, first, other, blockOther, answer } = await startAnswer(2, policy);
--- a/packages/run-generation/src/successor-search.ts
+++ b/packages/run-generation/src/successor-search.ts
@@ -10,9 +10,12 @@
   Step,
 } from '@limelead/generation-session';
 import type { CancelTimer, Millis, TargetId } from '@limelead/types';
+import * as E from 'fp-ts/lib/Either.js';
 import type { GenerationDependencies } from './dependencies.js';
 import type RecoverySlots from './recovery-slots.js';
 import type { ReleaseSlot } from './recovery-slots.js';
+import type TargetSelector from './target-selector.js';
+import type { SelectedTarget } from './target-selector.js';
 
 /** Event by which the session judges an attempt silent. */
 export type SilenceEvent = Extract<SessionEvent, { kind: 'silent' | 'probed' }>;
@@ -22,8 +25,8 @@
 /** A silence that the session does not know of yet. */
 export interface HeldSilence {
   event: SilenceEvent;
-  /** The command by which the session would choose a target for the successor. */
-  command: ChooseTargetCommand;
+  /** By which the session would choose a target for the successor; undefined at its limit. */
+  command: ChooseTargetCommand | undefined;
   sinceMs: Millis;
   /** Target of the silent attempt. */
   targetId: TargetId;
@@ -43,17 +46,20 @@
       GenerationDependencies,
       'clock' | 'random' | 'targets' | 'timers'
     >,
+    private readonly selector: TargetSelector,
     private readonly slots: RecoverySlots,
     private readonly onDue: (silence: HeldSilence, release: ReleaseSlot) => void,
   ) {}
 
   /**
    * Withholds a silence and starts a search if the session's step would leave the silent attempt.
+   * If that step would end the answer, the attempt stays without a successor.
    * Returns false if the step applies now.
    */
   withhold(event: SilenceEvent, step: Step, state: SessionState): boolean {
     const command = step.commands.find(isChooseTarget);
-    if (command === undefined) {
+    const wouldFail = step.commands.some(({ kind }) => kind === 'fail');
+    if (command === undefined && !wouldFail) {
       return false;
     }
     this.stop();
@@ -84,11 +90,15 @@
     return this.held === silence;
   }
 
-  /** Excludes a target that failed before the silence until it reports again. */
-  listExcluded({ command, busyTargets, sinceMs }: HeldSilence): TargetId[] {
+  /** Selects a target; one that failed before the silence is excluded until it reports again. */
+  selectTarget({ command, busyTargets, sinceMs }: HeldSilence): SelectedTarget | undefined {
+    if (command === undefined) {
+      return undefined;
+    }
     const { targets } = this.dependencies;
     const failed = command.exclude.filter((id) => (targets.find(id)?.reportAtMs ?? 0) <= sinceMs);
-    return [...busyTargets, ...failed];
+    const selected = this.selector.select(command.modelVersion, [...busyTargets, ...failed]);
+    return E.isRight(selected) ? selected.right : undefined;
   }
 
   isTargetListed({ targetId }: HeldSilence): boolean {
