Ignore a probe that is answered after its engine wrote again

An answer with the policy probeFirst was moved although its engine had gone on: an engine that was silent for 400 ms wrote again while the probe was on its way, the probe was given up 300 ms after it was sent, and that result was taken for the present state. The prompt was processed again at the next engine.

The result of a probe counts only if no message has arrived since it was sent. If one has, the timeout of the next silence is running again.

The new case failed before (the other engine started attempt 2) and passes now.

--- a/packages/run-generation/src/attempt-reader.ts
+++ b/packages/run-generation/src/attempt-reader.ts
@@ -32,6 +32,8 @@
 
 /** Reads one attempt, watches for silence and records the target's health and load. */
 export default class AttemptReader {
+  /** Messages read so far. */
+  messageCount = 0;
   private readonly abort = new AbortController();
   private stream: EngineStream | undefined;
   private cancelSilenceTimer: CancelTimer = () => undefined;
@@ -104,6 +106,7 @@
     for (;;) {
       this.restartSilenceTimer();
       const message = await stream.read();
+      this.messageCount += 1;
       this.cancelSilenceTimer();
       if (this.isClosed) {
         return;
--- a/packages/run-generation/src/attempts.ts
+++ b/packages/run-generation/src/attempts.ts
@@ -67,11 +67,16 @@
 
   /** Asks the target whether it still runs the generation of an attempt. */
   async probe(attempt: number): Promise<void> {
-    const context = this.readers.get(attempt)?.context;
-    if (context === undefined) {
+    const reader = this.readers.get(attempt);
+    if (reader === undefined) {
       return;
     }
+    const { context, messageCount } = reader;
     const answer = await context.engine.probe(context.generationId)();
+    // The silence is over if a message has arrived since.
+    if (reader.messageCount !== messageCount) {
+      return;
+    }
     this.events.enqueue(
       E.isRight(answer)
         ? { kind: 'probed', attempt, running: answer.right }
--- a/packages/run-generation/src/silent-engine.test.ts
+++ b/packages/run-generation/src/silent-engine.test.ts
@@ -18,6 +18,8 @@
 /** Tokens delivered before the first silence. */
 const TOKENS_BEFORE_SILENCE = 10;
 const SILENCE_MS = 1_500;
+/** Ends before a probe is given up. */
+const SHORT_SILENCE_MS = 400;
 /** Longer than the waits for a silent run whose engine answers probes. */
 const PREEMPTION_MS = 3_000;
 /** Longer than a silence. */
@@ -197,6 +199,15 @@
   });
 }
 
+test('an answer moves on a late probe although its engine writes again', async () => {
+  const { time, first, other, answer } = await startAnswer(2, { hedge: false, probeFirst: true });
+  await fallSilent(time, [first], SHORT_SILENCE_MS);
+  await time.advance(2 * ANSWER_TOKENS * TOKEN_GAP_MS);
+  await assertWhole(answer);
+  assert.equal(other.started, []);
+  assert.equal(first.cancelled, []);
+});
+
 test('a resumed answer leaves its generation in a silence of the engine', async () => {
   const time = createManualTime();
   const engine = new WritingEngine(time, ANSWER_TOKENS);
