Close the breaker of an engine that writes again after a silence

New requests were refused with "no-target" while their only engine wrote: each silence counts as a failure of the target, but a token counted as a success only if it was the first one of its attempt.

The first token after a silence counts as a success too.

--- a/packages/run-generation/src/attempt-reader.ts
+++ b/packages/run-generation/src/attempt-reader.ts
@@ -39,6 +39,8 @@
   private cancelSilenceTimer: CancelTimer = () => undefined;
   private isClosed = false;
   private hasTokens = false;
+  /** True from a silence to the next token. */
+  private isSilent = false;
   private isPrefilling = true;
   private readonly startedAtMs: number;
   private lastMessageAtMs: number;
@@ -145,14 +147,17 @@
   private recordTokens(): void {
     const { clock, gaps, targets } = this.dependencies;
     const now = clock.now();
+    if (!this.hasTokens || this.isSilent) {
+      targets.recordSuccess(this.context.targetId);
+    }
     if (this.hasTokens) {
       gaps.recordGap(this.context.targetId, now - this.lastMessageAtMs);
     } else {
-      targets.recordSuccess(this.context.targetId);
       this.endPrefill();
       gaps.recordLateness(now - this.startedAtMs - this.context.expectedFirstTokenMs);
     }
     this.hasTokens = true;
+    this.isSilent = false;
     this.lastMessageAtMs = now;
   }
 
@@ -169,6 +174,7 @@
   }
 
   private reportSilence(): void {
+    this.isSilent = true;
     this.recordTargetFailure();
     this.events.enqueue({ kind: 'silent', attempt: this.context.number });
   }
--- a/packages/run-generation/src/silent-engine.test.ts
+++ b/packages/run-generation/src/silent-engine.test.ts
@@ -75,7 +75,7 @@
     const left = vms.filter(({ id }) => id !== `e${engines.indexOf(engine)}`);
     dependencies.targets.applyList({ version: 2, vms: left }, time.clock.now());
   };
-  return { time, engines, first, other, blockOther, unlist, answer };
+  return { time, engines, first, other, blockOther, unlist, answer, dependencies };
 }
 
 /** Reads the load reports of all engines that answer. */
@@ -208,6 +208,18 @@
   assert.equal(first.cancelled, []);
 });
 
+test('a request is refused while its only engine writes after some silences', async () => {
+  const policy = { hedge: false, probeFirst: false };
+  const { time, engines, dependencies } = await startAnswer(1, policy, LONG_ANSWER_TOKENS);
+  for (let silence = 0; silence < 6; silence += 1) {
+    await fallSilent(time, engines, SILENCE_MS);
+    await time.advance(10 * TOKEN_GAP_MS);
+  }
+  const answer = collect(begin(dependencies, { maxTokens: LONG_ANSWER_TOKENS }));
+  await time.advance(2 * LONG_ANSWER_TOKENS * TOKEN_GAP_MS);
+  await assertWhole(answer, LONG_ANSWER_TOKENS);
+});
+
 test('a resumed answer leaves its generation in a silence of the engine', async () => {
   const time = createManualTime();
   const engine = new WritingEngine(time, ANSWER_TOKENS);
