Answer the requests that are open at the end of a VM's drain

At the end of drainMs a stopping VM closed all connections, also those of requests that were still open: an answer that may not be resumed, one that may be but had not started (there is no handle to resume with), and a call. Their callers saw a closed connection, from which they can't tell a stop from a crash. An answer that has started and may be resumed was handed over before, at the start of the drain, and still is.

The VM now ends these requests with an error before it closes, and waits up to 1 s for them: answers with "shutting-down" (execution "run", so that nobody takes it for a refusal; the client library retries it through another VM), repeatable calls with "shutting-down" (execution "unknown"), others with "outcome-unknown". Nothing changes for requests that end within the drain.

--- a/packages/daemon/src/create-context.ts
+++ b/packages/daemon/src/create-context.ts
@@ -21,6 +21,7 @@
 import { randomBytes } from 'node:crypto';
 import Authenticator from './authenticator.js';
 import ConfigurationHolder from './configuration-holder.js';
+import OpenCalls from './open-calls.js';
 import OpenGenerations from './open-generations.js';
 import PeerMessenger from './peer-messenger.js';
 import type { ExternalSystems, Runtime, Strategies, VmContext } from './vm-context.js';
@@ -86,6 +87,7 @@
     authenticator: new Authenticator(settings.operators),
     signer: createHandleSigner(settings.peers.secret),
     openGenerations: new OpenGenerations(),
+    openCalls: new OpenCalls(),
     callRunner: createCallRunner({
       clock,
       random,
--- a/packages/daemon/src/open-generations.ts
+++ b/packages/daemon/src/open-generations.ts
@@ -36,6 +36,13 @@
     }
   }
 
+  /** Ends every generation with an error. */
+  stopAll(): void {
+    for (const generations of this.generations.values()) {
+      generations.forEach((generation) => generation.stop());
+    }
+  }
+
   /** Resolves once no generation is open. */
   whenEmpty(): Promise<void> {
     return this.count === 0
--- a/packages/daemon/src/services/calls-service.ts
+++ b/packages/daemon/src/services/calls-service.ts
@@ -60,13 +60,22 @@
     throw ticket.left;
   }
   try {
-    const { answer, replayed } = await context.callRunner.run(request);
+    const call = context.callRunner.run(request);
+    const createError = (): LimeleadError => createStopError(request);
+    const { answer, replayed } = await context.openCalls.settle(call, createError);
     return create(CallResponseSchema, { status: answer.status, body: answer.body, replayed });
   } finally {
     ticket.right.release();
   }
 }
 
+/** Error of a call that is open when this VM stops. A target may have run it. */
+function createStopError({ repeatable }: CallRequest): LimeleadError {
+  return repeatable
+    ? new LimeleadError('shutting-down', 'this VM stops', { execution: 'unknown' })
+    : new LimeleadError('outcome-unknown', 'this VM stops, and the call may have been sent');
+}
+
 function checkCall(
   context: VmContext,
   organisation: Organisation,
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -4,7 +4,7 @@
 import type { Settings } from '@limelead/read-settings';
 import type { GenerationDependencies } from '@limelead/run-generation';
 import { Administration, Calls, Generation, Observation } from '@limelead/schema';
-import { backgroundTimers, delay, systemClock, systemRandom } from '@limelead/types';
+import { backgroundTimers, delay, systemClock, systemRandom, type Millis } from '@limelead/types';
 import fastify, { type FastifyInstance } from 'fastify';
 import createContext from './create-context.js';
 import type { Loop } from './loop.js';
@@ -20,6 +20,8 @@
 
 const MAX_MESSAGE_BYTES = 1_048_576;
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/** Time for the errors of requests that are open at the end of the drain. */
+const STOP_ERROR_MS = 1_000;
 
 const SYSTEM_RUNTIME: Runtime = {
   clock: systemClock,
@@ -174,17 +176,25 @@
     };
   }
 
-  /** Waits until all open requests end or are handed over, at most for the drain time. */
+  /** Waits for open requests to end or be handed over; ends those open after the drain time. */
   private async waitForOpenRequests(): Promise<void> {
-    const { admission, timers, clock, settings, logger } = this.context;
-    const drainDeadlineMs = clock.now() + settings.timing.drainMs;
-    while (admission.countOpen() > 0 && clock.now() < drainDeadlineMs) {
-      await delay(timers, DRAIN_CHECK_INTERVAL_MS);
-    }
+    const { admission, settings, logger, openGenerations, openCalls } = this.context;
+    await this.waitWhileOpen(settings.timing.drainMs);
     if (admission.countOpen() > 0) {
       logger.error('requests were still open at the end of the drain', {
         open: admission.countOpen(),
       });
+      openGenerations.stopAll();
+      openCalls.stopAll();
+      await this.waitWhileOpen(STOP_ERROR_MS);
+    }
+  }
+
+  private async waitWhileOpen(limitMs: Millis): Promise<void> {
+    const { admission, timers, clock } = this.context;
+    const deadlineMs = clock.now() + limitMs;
+    while (admission.countOpen() > 0 && clock.now() < deadlineMs) {
+      await delay(timers, DRAIN_CHECK_INTERVAL_MS);
     }
   }
 
--- a/packages/daemon/src/vm-context.ts
+++ b/packages/daemon/src/vm-context.ts
@@ -16,6 +16,7 @@
 import type { Clock, Random, Timers } from '@limelead/types';
 import type Authenticator from './authenticator.js';
 import type ConfigurationHolder from './configuration-holder.js';
+import type OpenCalls from './open-calls.js';
 import type OpenGenerations from './open-generations.js';
 
 /** Clients of the external systems that one VM uses. */
@@ -60,6 +61,7 @@
   authenticator: Authenticator;
   signer: HandleSigner;
   openGenerations: OpenGenerations;
+  openCalls: OpenCalls;
   callRunner: CallRunner;
   /** True once a graceful stop refuses new requests. */
   isDraining(): boolean;
--- a/packages/demo/src/demo-cluster.ts
+++ b/packages/demo/src/demo-cluster.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@limelead/client';
 import { startDaemon, type Daemon, type Strategies } from '@limelead/daemon';
+import type { Settings } from '@limelead/read-settings';
 import { ApplyRequestSchema } from '@limelead/schema';
 import {
   startEngine,
@@ -30,6 +31,8 @@
   engine: Partial<EngineOptions>;
   platform: Partial<PlatformOptions>;
   strategies?: Strategies;
+  /** Changes to the timing of the VMs. */
+  timing?: Partial<Settings['timing']>;
   /** Names of the failure domains, assigned to VMs and targets in turn. */
   domains: readonly string[];
 }
@@ -159,7 +162,7 @@
 async function startDemoVm(
   platform: Platform,
   others: DemoVm[],
-  { strategies, domains }: DemoClusterOptions,
+  { strategies, domains, timing }: DemoClusterOptions,
 ): Promise<DemoVm> {
   const index = others.length;
   const id = `vm-${index + 1}`;
@@ -168,6 +171,7 @@
     .map((vm) => ({ id: vm.id, host: HOST, port: vm.daemon.peerPort }));
   const failureDomain = selectDomain(domains, index);
   const settings = createSettings({ id, failureDomain, platformPort: platform.port, seeds });
+  Object.assign(settings.timing, timing);
   const daemon = await startDaemon(settings, undefined, strategies);
   platform.vms.add(createListedVm(id, 'entry', daemon.peerPort, failureDomain));
   return { id, daemon, url: `http://${HOST}:${daemon.rpcPort}`, isUp: true };
--- a/packages/run-generation/src/generation.ts
+++ b/packages/run-generation/src/generation.ts
@@ -1,5 +1,5 @@
 /** Runs one generation: passes events to its session and executes the resulting commands. */
-import { LimeleadError, type ErrorKind } from '@limelead/errors';
+import { LimeleadError } from '@limelead/errors';
 import advanceSession, {
   createSession,
   type SessionCommand,
@@ -10,26 +10,19 @@
 import type { AnswerMessage, GenerationRequest } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import AnswerTimers from './answer-timers.js';
-import Attempts, { type AttemptEvent } from './attempts.js';
+import Attempts from './attempts.js';
 import type { GenerationDependencies, GenerationStart } from './dependencies.js';
 import EventQueue from './event-queue.js';
+import type { GenerationEvent } from './generation-event.js';
 import recordObservation from './record-observation.js';
 import RecoverySlots, { type ReleaseSlot } from './recovery-slots.js';
-import SuccessorSearch, { type HeldSilence, type SilenceEvent } from './successor-search.js';
+import SuccessorSearch, {
+  type HeldSilence,
+  type SilenceEvent,
+  type Successor,
+} from './successor-search.js';
 import TargetSelector, { type SelectedTarget } from './target-selector.js';
 
-/** Event of an attempt, a due keep-alive, or a due selection of a successor's target. */
-type GenerationEvent =
-  | AttemptEvent
-  | { kind: 'keep-alive' }
-  | { kind: 'successor-due'; silence: HeldSilence; release: ReleaseSlot };
-
-/** Target and slot of the attempt that follows a silent one. */
-interface Successor {
-  target: SelectedTarget;
-  release: ReleaseSlot;
-}
-
 type CommandOf<Kind extends SessionCommand['kind']> = Extract<SessionCommand, { kind: Kind }>;
 
 /** Runs one generation on this VM. */
@@ -81,6 +74,11 @@
     this.events.enqueue({ kind: 'drain' });
   }
 
+  /** Ends the generation with an error, because this VM stops. */
+  stop(): void {
+    this.events.enqueue({ kind: 'vm-stopping' });
+  }
+
   /**
    * Stops reading after the connection to the caller is lost. The generation of a resumable
    * caller runs on for a grace period, in which the caller may resume through another VM.
@@ -119,6 +117,10 @@
         this.timers.recordSent();
         yield event;
         return;
+      case 'vm-stopping':
+        yield* this.apply({ kind: 'cancelled' });
+        this.failure = new LimeleadError('shutting-down', 'this VM stops', { execution: 'run' });
+        return;
       case 'successor-due':
         yield* this.selectSuccessor(event.silence, event.release);
         return;
@@ -214,7 +216,8 @@
       case 'wait-for-retry':
         return this.waitForRetry(command);
       case 'fail':
-        return this.recordFailure(command.error, command.message);
+        this.failure = new LimeleadError(command.error, command.message);
+        return undefined;
       case 'observe':
         return recordObservation(this.dependencies, this.request.requestId, command.detail);
     }
@@ -291,8 +294,4 @@
     metrics.count('limelead_tokens_delivered_total', message.tokens.length);
     this.delivered.push(...message.tokens);
   }
-
-  private recordFailure(error: ErrorKind, message: string): void {
-    this.failure = new LimeleadError(error, message);
-  }
 }
--- a/packages/run-generation/src/successor-search.ts
+++ b/packages/run-generation/src/successor-search.ts
@@ -35,6 +35,12 @@
   failedSelections: number;
 }
 
+/** Target and slot of the attempt that follows a silent one. */
+export interface Successor {
+  target: SelectedTarget;
+  release: ReleaseSlot;
+}
+
 /** Search for a target; at most one per generation. */
 export default class SuccessorSearch {
   private held: HeldSilence | undefined;
