Let every SIGTERM await the same stop

What callers saw: five of five calls that may not be repeated, begun at their target, were cut (ECONNRESET) when a stopping VM got a second SIGTERM 1 s after the first; with one SIGTERM all five were answered.

Cause: a second `stop()` returned at once, and the program ends when `stop()` resolves. The lines had `stopping` and neither `stopped` nor `request-cut`.

Change: all calls of `stop()` return the promise of the one stop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,7 +125,8 @@
   private readonly placement: ReturnType<typeof createPlacement>;
   private readonly quarantine: QuarantineComponent;
   private readonly servers: GatewayServers;
-  private isStopping = false;
+  /** Resolves at the end of the stop; undefined before it is requested. */
+  private stopped: Promise<void> | undefined;
 
   constructor(
     private settings: GatewaySettings,
@@ -256,7 +257,7 @@
 
   /** Whether this VM reports ready to the load balancer. */
   get isReady(): boolean {
-    return !this.isStopping && this.storeView.isComplete;
+    return this.stopped === undefined && this.storeView.isComplete;
   }
 
   /** Applies new settings. Addresses take effect at the next start only. */
@@ -271,12 +272,16 @@
     this.log.write('settings-refused', { reason });
   }
 
-  /** Stops gracefully: requests in progress may finish within the grace period. */
-  async stop(): Promise<void> {
-    if (this.isStopping) {
-      return;
-    }
-    this.isStopping = true;
+  /**
+   * Stops gracefully: requests in progress may finish within the grace period. Every call resolves
+   * at the end of the stop.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.drainAndClose();
+    return this.stopped;
+  }
+
+  private async drainAndClose(): Promise<void> {
     const startedAtMs = steadyClock.now();
     const { stopGraceMs } = this.settings;
     const handedOver = Promise.all(this.components.map((component) => component.handOver()));
