--- a/packages/forward-request/src/monitored-run.ts
+++ b/packages/forward-request/src/monitored-run.ts
@@ -2,7 +2,7 @@
 import type { Millis, ServiceTarget } from '@limelead/types';
 
 /**
- * Why a run is given up: it is left as soon as another target has a slot for it. The target is lost
+ * Why a run is given up: it is left once another target has accepted the request. The target is lost
  * only in the first case.
  */
 export type GiveUpCause = 'target-lost' | 'moved' | 'not-listed' | 'too-long';
