--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -69,7 +69,7 @@
   private readonly cleanups: (() => void)[] = [];
   /** Search for the slot of the next attempt. */
   private search: SlotSearch | undefined;
-  /** Search for another target while a run is silent. */
+  /** Move of a silent run to another target. */
   private relocation: RunRelocation | undefined;
   private readonly report: StreamReport;
   private readonly guarded: GuardedRequest;
@@ -298,7 +298,7 @@
         this.replicas.onRunLost(findReplica(live));
         return this.createSearch([...this.state.excludedTargets, id], events, id);
       },
-      onSlot: (slot) => this.startBeside(attempt, slot),
+      onSlot: (slot) => this.startBeside(live, attempt, slot),
       onKept: (error) => this.report.runKept(attempt, id, error),
       onAccepted: () => {
         this.relocation = undefined;
@@ -310,13 +310,14 @@
   }
 
   /** Starts the next attempt beside a silent run. */
-  private startBeside(silentAttempt: number, slot: Slot): void {
+  private startBeside({ attempt: silent }: LiveAttempt, number: number, slot: Slot): void {
     if (hasBreaksLeft(this.state)) {
       this.chosenSlots.set(this.state.lastAttempt + 1, slot);
-      this.advance({ kind: 'silent', attempt: silentAttempt });
+      this.advance({ kind: 'silent', attempt: number });
     } else {
       slot.release();
       this.endRelocation();
+      this.report.runKept(number, silent.target.id, this.refusals.movedTooOften());
     }
   }
 
--- a/packages/forward-request/src/run-relocation.ts
+++ b/packages/forward-request/src/run-relocation.ts
@@ -11,8 +11,8 @@
 /** Time between two searches. */
 const SEARCH_INTERVAL_MS: Millis = 150;
 /**
- * Time after which a target that has not rejected the request counts as having accepted it. Both
- * targets may work on the request meanwhile, which they may for 400 ms.
+ * Time after which a target that has not rejected the request counts as having accepted it: several
+ * round trips, but short, since both targets may work on the request meanwhile.
  */
 const ACCEPTANCE_MS: Millis = 200;
 
--- a/packages/forward-request/src/stream-refusals.ts
+++ b/packages/forward-request/src/stream-refusals.ts
@@ -28,6 +28,10 @@
     return createShutdownError(this.attempts.mayHaveRun);
   }
 
+  movedTooOften(): LimeleadError {
+    return this.attempts.createError('recovery-exhausted', 'the stream was moved too often');
+  }
+
   tooLate(): LimeleadError {
     const message = 'the prompt could not be read before the deadline';
     return this.attempts.createError('deadline-unreachable', message);
--- a/packages/forward-request/src/target-placement.ts
+++ b/packages/forward-request/src/target-placement.ts
@@ -25,7 +25,7 @@
   softwareVersion?: string;
   /**
    * Id of the target whose silent run the slot is to replace; undefined without one. The run is not
-   * moved to a target that is suspected as well.
+   * moved to a target that was lost and has not answered since.
    */
   replaces?: string;
 }
