Hold the rejected moves to one run at the silent target

Read again: three cases of rejected-relocation passed on as well, since a stream with retries left began anew and ended whole.

--- a/packages/forward-request/src/rejected-relocation.test.ts
+++ b/packages/forward-request/src/rejected-relocation.test.ts
@@ -28,6 +28,10 @@
   response.writeHead(503, { 'not-run': '1' }).end();
 };
 
+function countRuns({ askedTargets }: TestBed): number {
+  return askedTargets.filter((id) => id === 't1').length;
+}
+
 async function forward(next: Behaviour, targets: number): Promise<string> {
   const bed = await TestBed.start(pausing, ...Array.from({ length: targets - 1 }, () => next));
   bed.answersProbes = false;
@@ -36,13 +40,13 @@
   await sink.done;
   await bed.stop();
   const whole = sink.body === WHOLE ? 'whole' : `${sink.body.length} bytes`;
-  return `${sink.outcome}, ${whole}, ${sink.error?.message ?? ''} after ${bed.askedTargets.join()}`;
+  return `${sink.outcome}, ${whole}, ${countRuns(bed)} run at its target`;
 }
 
 for (const targets of [2, 3, 8]) {
   test(`a silent run whose next target is full ends whole, ${targets} targets`, async () => {
     const outcome = await forward(full, targets);
-    assert.match(outcome, /^ended, whole/);
+    assert.is(outcome, 'ended, whole, 1 run at its target');
   });
 }
 
@@ -66,6 +70,7 @@
   await sink.done;
   await bed.stop();
   assert.is(`${sink.outcome}: ${sink.error?.message ?? 'whole'}`, 'ended: whole');
+  assert.is(countRuns(bed), 1);
 });
 
 test('a silent run is not left for a target that accepts no connection', async () => {
@@ -121,11 +126,7 @@
   await sink.done;
   await bed.stop();
   assert.is(sink.outcome, 'ended');
-  assert.equal(
-    bed.askedTargets.filter((id) => id === 't1'),
-    ['t1'],
-    'the run at the silent target was not given up',
-  );
+  assert.is(countRuns(bed), 1, 'the run at the silent target was not given up');
 });
 
 test.run();
