Start the demonstration's VMs once its targets are listed

Cause: entries become visible in the list of VMs 300 ms after they are added, each at its own time.

Change: the cluster starts its VMs once all targets are visible.

--- a/packages/demo/src/demo-cluster.ts
+++ b/packages/demo/src/demo-cluster.ts
@@ -21,6 +21,7 @@
 
 const HOST = '127.0.0.1';
 const READY_CHECK_MS = 20;
+const LIST_CHECK_MS = 10;
 
 /** Size and configuration of the cluster. */
 export interface DemoClusterOptions {
@@ -78,6 +79,8 @@
   const engines = await startEngines(settings, platform);
   const plainServices = await startPlainServices(settings, platform);
   const vms: DemoVm[] = [];
+  // A VM is ready as soon as it knows one target, so its first list must have all of them.
+  await waitUntilListed(platform, engines.length + plainServices.length);
 
   async function startVm(): Promise<DemoVm> {
     const vm = await startDemoVm(platform, vms, settings);
@@ -123,6 +126,13 @@
   }
 }
 
+/** Resolves once readers of the list of VMs see `count` entries. */
+async function waitUntilListed(platform: Platform, count: number): Promise<void> {
+  while (platform.vms.read().vms.length < count) {
+    await delay(systemTimers, LIST_CHECK_MS);
+  }
+}
+
 async function startEngines(options: DemoClusterOptions, platform: Platform): Promise<Engine[]> {
   const engines: Engine[] = [];
   for (let index = 0; index < options.engines; index += 1) {
--- a/packages/demo/src/stop.test.ts
+++ b/packages/demo/src/stop.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
+import waitUntil from './wait-until.fixture.js';
 
 const DRAIN_MS = 300;
 const CALL_MS = 3_000;
@@ -40,12 +41,6 @@
   }
 }
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await delay(systemTimers, 10);
-  }
-}
-
 /** Streams an answer that may not be resumed; returns the text of its last messages. */
 async function streamNotResumable(url: string, headers: Record<string, string>): Promise<string> {
   const message = Buffer.from(JSON.stringify({ ...PROMPT, resumable: false }));
--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -8,6 +8,7 @@
 import * as assert from 'uvu/assert';
 import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
 import toOperations from './to-operations.js';
+import waitUntil from './wait-until.fixture.js';
 
 const PROMPT: AnswerRequest = {
   requestId: 'r1',
@@ -38,12 +39,6 @@
   }
 }
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await delay(systemTimers, 10);
-  }
-}
-
 async function getOutcome(run: () => Promise<unknown>): Promise<string> {
   try {
     await run();
