Keep a run that writes at a target that is up

Cause: closing the connection was taken for the end of the run, and not every target drops a run then. Both streams had left a target that answered probes for their replicas ('moved'); runs that were silent for twice the allowed pause ('too-long') left such targets as well.

Change: a run that writes stays at a target that answers and lists it. What decided about moves goes: find-move, resume-estimator, canMove, canAttempt. The relocation of silent runs has a file of its own.

--- a/packages/cli/src/commands/explain/describe-reason.ts
+++ b/packages/cli/src/commands/explain/describe-reason.ts
@@ -15,9 +15,8 @@
   suspected: 'waited: the target is probed',
   kept: 'waited: the target answers and is slow, so the run stays',
   'target-lost': 'moved: the target is lost',
-  moved: 'moved: the replica is expected to write sooner than the target',
   'not-listed': 'moved: the target answered two probes without listing the run',
-  'too-long': 'moved: the silence lasted twice the allowed pause',
+  'too-long': 'moved: the prompt was read for too long',
 };
 
 const SHORTAGES: Record<string, string> = {
--- a/packages/forward-request/src/assess-silence.ts
+++ b/packages/forward-request/src/assess-silence.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether to wait for a silent run, probe its target, move the run or give it up. Pure.
+ * Decides whether to wait for a silent run, probe its target or give it up. Pure.
  * Addresses targets that are slow for about half a second at a time or prefill other prompts: their
  * runs fall silent although the targets are up, beside targets that are dead and send nothing.
  */
@@ -17,8 +17,6 @@
  * shows whether it still has the run.
  */
 const BUSY_TARGET_FACTOR = 2;
-/** Silence, in allowed pauses, after which a run is given up even if its target answers. */
-const MAX_SILENCE_IN_PAUSES = 2;
 /** Minimum time between two probes for silent runs that write, and the age up to which an answer counts. */
 const WRITING_PROBE_INTERVAL_MS = 250;
 /** Silence of a target during prefill after which it is probed; longer than a usual prefill. */
@@ -38,8 +36,6 @@
   targetSilentMs: Millis;
   /** Longest silence that the gaps between pieces or the prefill explain. */
   maxSilenceMs: Millis;
-  /** Longest pause that the route allows. */
-  maxPauseMs: Millis;
   /** True if the target or others of its failure domain were just lost. */
   isSuspected: boolean;
   /** True while a probe of the target is in progress. */
@@ -48,25 +44,10 @@
   probedAgoMs?: Millis;
   /** Time since a peer sent the last probe that the target answered; Infinity without one. */
   peerAnswerAgoMs: Millis;
-  /** The move that is possible; undefined without a suitable replica. */
-  move?: PossibleMove;
 }
 
-/** A move of a run to its replica at a target with good pace. */
-export interface PossibleMove {
-  /** Time since the caller got the last piece. */
-  pauseMs: Millis;
-  /** Expected time from the move to the next piece. */
-  resumeMs: Millis;
-  /** Usual gap of the run at the present pace of its target. */
-  expectedGapMs: Millis;
-}
-
-/**
- * Action for a silent run: "move" and "give-up-run" leave a target that is up, "give-up-target"
- * counts it as lost.
- */
-export type SilenceAssessment = 'wait' | 'probe' | 'move' | 'give-up-run' | 'give-up-target';
+/** Action for a silent run: "give-up-run" leaves a target that is up, "give-up-target" counts it as lost. */
+export type SilenceAssessment = 'wait' | 'probe' | 'give-up-run' | 'give-up-target';
 
 /** Decides the action for one run. */
 export default function assessSilence(silence: RunSilence): SilenceAssessment {
@@ -81,32 +62,14 @@
   return maxSilenceMs * (isSuspected ? SUSPECTED_FACTOR : 1);
 }
 
-function assessWriting(silence: RunSilence): SilenceAssessment {
-  const { runSilentMs, maxPauseMs } = silence;
-  const limitMs = findSilenceLimit(silence);
-  if (runSilentMs < limitMs) {
-    return 'wait';
-  }
-  if (runSilentMs >= maxPauseMs * MAX_SILENCE_IN_PAUSES) {
-    return 'give-up-run';
-  }
-  if (shouldMove(silence)) {
-    return 'move';
-  }
-  return needsProbe(silence, limitMs) ? 'probe' : 'wait';
-}
-
 /**
- * A move pays off only close to the allowed pause, while the pause can still end in time, and if
- * staying is expected to take longer. A gap that is overdue by some time is expected to take about
- * as long again.
+ * A run that writes is never taken from a target that answers and lists it: not every target ends a
+ * run when its connection closes, so two targets would work on the request.
  */
-function shouldMove({ runSilentMs, maxPauseMs, move }: RunSilence): boolean {
-  if (move === undefined || move.pauseMs >= maxPauseMs) {
-    return false;
-  }
-  const stayMs = Math.abs(move.expectedGapMs - runSilentMs);
-  return move.pauseMs >= maxPauseMs - move.resumeMs && stayMs > move.resumeMs;
+function assessWriting(silence: RunSilence): SilenceAssessment {
+  const limitMs = findSilenceLimit(silence);
+  const isSilent = silence.runSilentMs >= limitMs;
+  return isSilent && needsProbe(silence, limitMs) ? 'probe' : 'wait';
 }
 
 function needsProbe(silence: RunSilence, limitMs: Millis): boolean {
--- a/packages/forward-request/src/attempt-budget.ts
+++ b/packages/forward-request/src/attempt-budget.ts
@@ -3,7 +3,7 @@
  * each later one takes a retry from the retry budget that all VMs share. Attempts that
  * reach no target are free: their retry stays with the request for its next attempt.
  */
-import type { HeldRetry, RetryClass, RetryRequest } from '@limelead/spend-retries';
+import type { HeldRetry, RetryRequest } from '@limelead/spend-retries';
 import type { Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
@@ -63,13 +63,6 @@
     });
   }
 
-  /** Whether the next attempt would get the retry that it needs at once. */
-  canAttempt(retryClass: RetryClass): boolean {
-    return (
-      this.arrivedAttempts === 0 || this.held !== undefined || this.retryBudget.canGrant(retryClass)
-    );
-  }
-
   /**
    * Records an attempt and returns the function that refunds it.
    * @param isRelayed true if another VM counts the first attempt
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -6,7 +6,6 @@
 import type { LimeleadError } from '@limelead/errors';
 import advanceSession, {
   createSession,
-  hasBreaksLeft,
   type SessionCommand,
   type SessionEvent,
   type SessionState,
@@ -20,22 +19,20 @@
 import type { ForwardContext } from './context.js';
 import guardAdmittedRequest from './guard-admitted-request.js';
 import { MIN_SERVER_ERROR_STATUS } from './limits.js';
-import LiveAttempts, { findReplica, isRelayed, type LiveAttempt } from './live-attempts.js';
-import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
+import LiveAttempts, { findReplica, isRelayed } from './live-attempts.js';
 import type { Slot } from './slot-request.js';
 import PacedSink from './paced-sink.js';
 import reportAdmitted from './report-admitted.js';
-import RunRelocation from './run-relocation.js';
 import RunReplicas from './run-replicas.js';
 import SlotSearch, { type SlotSearchEvents } from './slot-search.js';
 import type { NumberedPiece, StreamAttemptEvents, RejectionCause } from './stream-attempt.js';
 import StreamAnswer from './stream-answer.js';
+import StreamRelocation from './stream-relocation.js';
 import StreamReport from './stream-report.js';
 import StreamAttemptTracker from './stream-attempt-tracker.js';
 import {
   describeLostRun,
   observeBrokenTarget,
-  observeLostTarget,
   recordFirstPiece,
   toObservation,
 } from './stream-observation.js';
@@ -69,8 +66,7 @@
   private readonly cleanups: (() => void)[] = [];
   /** Search for the slot of the next attempt. */
   private search: SlotSearch | undefined;
-  /** Move of a silent run to another target. */
-  private relocation: RunRelocation | undefined;
+  private readonly relocation: StreamRelocation;
   private readonly report: StreamReport;
   private readonly guarded: GuardedRequest;
 
@@ -91,9 +87,17 @@
     this.live = new LiveAttempts(context, admitted, this.replicas, {
       createEvents: (number) => this.createEvents(number),
       onSending: (number, attemptRequest) => this.report.sent(number, attemptRequest),
-      onSilent: (number, cause) => this.onSilent(number, cause),
+      onSilent: (number, cause) => this.relocation.onSilent(number, cause),
       startRun: (target) => this.guarded.startRun(target),
-      canMove: () => this.attempts.canMove(),
+    });
+    const { attempts, live, refusals, replicas, report } = this;
+    const parts = { context, admitted, attempts, live, refusals, replicas, report };
+    this.relocation = new StreamRelocation(parts, {
+      readState: () => this.state,
+      createSearch: (...search) => this.createSearch(...search),
+      setNextSlot: (slot) => this.chosenSlots.set(this.state.lastAttempt + 1, slot),
+      advance: (event) => this.advance(event),
+      lose: (attempt, reason) => this.lose(attempt, 'silent', reason),
     });
     sink.readFrom(this.live);
     const { requestId, lastPiece } = admitted.request;
@@ -235,7 +239,7 @@
 
   private onOpened(attempt: number, head: AnswerHead): void {
     if (this.live.get(attempt) !== undefined) {
-      this.relocation?.onAccepted(attempt);
+      this.relocation.onAccepted(attempt);
       this.answer.setHead(head);
       this.advance({ kind: 'opened', attempt, promptTokens: 0 });
     }
@@ -246,10 +250,7 @@
     if (live === undefined) {
       return;
     }
-    if (this.relocation?.attempt === attempt) {
-      this.onRunReturned(attempt, live);
-    }
-    this.relocation?.onAccepted(attempt);
+    this.relocation.onPieces(attempt);
     this.context.directory.recordActivity(live.attempt.target.id);
     live.endPrefill();
     recordFirstPiece(this.context, this.admitted, live);
@@ -280,63 +281,6 @@
     this.advance({ kind: 'ended', attempt, length: this.state.delivered, reason: 'stop' });
   }
 
-  /** Looks for another target. The silent run stays until one has accepted the request. */
-  private onSilent(attempt: number, cause: GiveUpCause): void {
-    const live = this.live.get(attempt);
-    if (live === undefined) {
-      return;
-    }
-    this.relocation?.onAccepted(attempt);
-    const { id } = live.attempt.target;
-    this.attempts.recordLoss(id, 'silent');
-    if (cause === 'target-lost') {
-      observeLostTarget(this.context, id, 'lost');
-    }
-    this.relocation = new RunRelocation({
-      ...{ timers: this.context.timers, attempt },
-      createSearch: (events) => {
-        this.replicas.onRunLost(findReplica(live));
-        return this.createSearch([...this.state.excludedTargets, id], events, id);
-      },
-      onSlot: (slot) => this.startBeside(live, attempt, slot),
-      onKept: (error) => this.report.runKept(attempt, id, error),
-      onAccepted: () => {
-        this.relocation = undefined;
-        this.lose(attempt, 'silent', SILENCE_REASONS[cause]);
-        this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
-      },
-    });
-    this.relocation.begin();
-  }
-
-  /** Starts the next attempt beside a silent run. */
-  private startBeside({ attempt: silent }: LiveAttempt, number: number, slot: Slot): void {
-    if (hasBreaksLeft(this.state)) {
-      this.chosenSlots.set(this.state.lastAttempt + 1, slot);
-      this.advance({ kind: 'silent', attempt: number });
-    } else {
-      slot.release();
-      this.endRelocation();
-      this.report.runKept(number, silent.target.id, this.refusals.movedTooOften());
-    }
-  }
-
-  private endRelocation(): void {
-    this.relocation?.cancel();
-    this.relocation = undefined;
-  }
-
-  /** Keeps a run that has written although it was reported silent. */
-  private onRunReturned(attempt: number, { activity, attempt: { target } }: LiveAttempt): void {
-    const silentMs = this.context.clock.now() - activity.lastActivityAtMs;
-    this.endRelocation();
-    this.attempts.recordReturn(target.id);
-    this.attempts.releaseRetry();
-    this.replicas.onRunLost(undefined);
-    this.live.watchAgain(attempt);
-    this.report.runReturned(attempt, target.id, silentMs);
-  }
-
   private onBroken(attempt: number, reason: string): void {
     const live = this.live.get(attempt);
     if (live === undefined) {
@@ -412,11 +356,7 @@
 
   private release(attempt: number, outcome?: PlaceOutcome): void {
     this.live.release(attempt, outcome);
-    if (this.relocation?.attempt === attempt) {
-      this.endRelocation();
-    } else {
-      this.relocation?.onNextFailed();
-    }
+    this.relocation.onReleased(attempt);
   }
 
   private drop(attempt: number): void {
@@ -432,7 +372,7 @@
     this.isDone = true;
     this.cleanups.forEach((cleanup) => cleanup());
     this.search?.cancel();
-    this.endRelocation();
+    this.relocation.cancel();
     this.chosenSlots.forEach((slot) => slot.release());
     this.live.dropAll();
     this.attempts.close();
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -229,6 +229,8 @@
   private readonly backpressure: Backpressure;
   /** False while the targets answer no probes. */
   answersProbes = true;
+  /** Ids of the runs that the targets list, separated by spaces. */
+  listedRuns = '';
   /** Advice of a scheduler; none by default. */
   askTarget: RequestTargetAdvice = noTargetAdvice;
   private readonly servers: Server[] = [];
@@ -363,7 +365,7 @@
     const server = createServer((request, response) => {
       if (request.url === '/probe') {
         if (this.answersProbes) {
-          response.end('');
+          response.end(this.listedRuns);
         }
         return;
       }
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -1,5 +1,6 @@
 /** Attempts in progress of one stream and the resources that each of them holds. */
 import type { GuardedRun } from '@limelead/quarantine-requests';
+import type { GapEstimate } from '@limelead/suspect-silence';
 import type { PieceMeter } from '@limelead/track-service-targets';
 import type { Millis, PlaceOutcome, RecoveryPolicy, ServiceTarget } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -7,7 +8,7 @@
 import type { RunReplica, AttemptRequest } from './dialect.js';
 import type { Slot } from './slot-request.js';
 import type RunReplicas from './run-replicas.js';
-import RunActivity, { type CarriedActivity } from './run-activity.js';
+import RunActivity from './run-activity.js';
 import type { GiveUpCause } from './monitored-run.js';
 import StreamAttempt, { type StreamAttemptEvents } from './stream-attempt.js';
 import { maxPauseOf } from './to-generation-request.js';
@@ -55,15 +56,13 @@
   onSending(number: number, attemptRequest: AttemptRequest): void;
   onSilent(number: number, cause: GiveUpCause): void;
   startRun(target: ServiceTarget): GuardedRun;
-  /** Whether the request may run at another target. */
-  canMove(): boolean;
 }
 
 /** Holds attempts by their numbers. */
 export default class LiveAttempts {
   private readonly live = new Map<number, LiveAttempt>();
-  /** Activity of the last run that ended. */
-  private carried: CarriedActivity | undefined;
+  /** Gaps of the last run that ended. */
+  private carried: GapEstimate | undefined;
 
   constructor(
     private readonly context: ForwardContext,
@@ -190,14 +189,13 @@
 
   private createActivity(
     number: number,
-    { request, target, replicaTarget, resumeFrom }: AttemptRequest,
+    { request, target, resumeFrom }: AttemptRequest,
     policy: RecoveryPolicy,
   ): RunActivity {
-    const { clock, directory, silence } = this.context;
+    const { clock, directory } = this.context;
     return new RunActivity({
       requestId: request.requestId,
       target,
-      replicaTarget,
       resumesFromReplica: resumeFrom !== undefined,
       policy,
       maxPrefillMs: this.context.prefill.maxMs(this.admitted),
@@ -205,8 +203,6 @@
       carried: this.carried,
       clock,
       directory,
-      canMove: () => this.events.canMove(),
-      onResumed: (tookMs) => silence.recordResume(target.service, tookMs),
       onSilent: (cause) => this.events.onSilent(number, cause),
     });
   }
--- a/packages/forward-request/src/monitored-run.ts
+++ b/packages/forward-request/src/monitored-run.ts
@@ -5,26 +5,21 @@
  * Why a run is given up: it is left once another target has accepted the request. The target is lost
  * only in the first case.
  */
-export type GiveUpCause = 'target-lost' | 'moved' | 'not-listed' | 'too-long';
+export type GiveUpCause = 'target-lost' | 'not-listed' | 'too-long';
 
 /** The causes as the line of a broken stream states them. */
 export const SILENCE_REASONS: Readonly<Record<GiveUpCause, string>> = {
   'target-lost': 'no data from the target',
-  moved: 'the target is slow and the replica is expected to write sooner',
   'not-listed': 'the target repeatedly did not list the run',
-  'too-long': 'the run was silent for too long at a target that answers',
+  'too-long': 'the prompt was read for too long at a target that answers',
 };
 
 /** A run that is monitored for silence. */
 export interface MonitoredRun {
   requestId: string;
   target: ServiceTarget;
-  /** Target that holds a replica of the run. */
-  replicaTarget?: ServiceTarget;
   /** Time of the last piece, or of the start. */
   lastActivityAtMs: Millis;
-  /** Time of the last piece that the caller got, at any target. */
-  pausedSinceMs: Millis;
   startedAtMs: Millis;
   /** False while the run reads its prompt. */
   isWriting: boolean;
@@ -34,10 +29,6 @@
   maxPauseMs: Millis;
   /** Longest silence in milliseconds that is normal for the run. */
   maxSilenceMs(): number;
-  /** Usual gap between pieces at the present pace of the target. */
-  expectedGapMs(): Millis;
-  /** Whether the request may run at another target. */
-  canMove(): boolean;
   /** Called when the run is given up; it is not monitored any more. */
   onSilent(cause: GiveUpCause): void;
 }
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -7,13 +7,10 @@
 import type { TargetDialect } from './dialect.js';
 import assessSilence, {
   findSilenceLimit,
-  type PossibleMove,
   type RunSilence,
   type SilenceAssessment,
 } from './assess-silence.js';
-import findMove from './find-move.js';
 import type { GiveUpCause, MonitoredRun } from './monitored-run.js';
-import ResumeEstimator from './resume-estimator.js';
 import SilenceReport, { type SilenceOutcome } from './silence-report.js';
 import TargetProber, { type AnsweredProbe } from './target-prober.js';
 
@@ -54,7 +51,6 @@
   private readonly runs = new Set<MonitoredRun>();
   private readonly prober: TargetProber;
   private readonly report: SilenceReport;
-  private readonly resumes = new ResumeEstimator();
   private cancelTimer: CancelTimer | undefined;
 
   constructor(private readonly options: SilenceMonitorOptions) {
@@ -74,11 +70,6 @@
     return () => this.runs.delete(run);
   }
 
-  /** Records the time to the first piece of a run that resumed from a replica. */
-  recordResume(service: string, tookMs: Millis): void {
-    this.resumes.record(service, tookMs);
-  }
-
   /** Gives up the silent runs of a lost target without waiting for their limits. */
   onTargetLost(targetId: string): void {
     const activeSince = this.options.clock.now() - RECENT_ACTIVITY_MS;
@@ -119,9 +110,6 @@
       case 'probe':
         this.probe(run);
         break;
-      case 'move':
-        this.giveUp(run, 'moved');
-        break;
       case 'give-up-run':
         directory.observe(run.target.id, { kind: 'failed' });
         this.giveUp(run, 'too-long');
@@ -148,20 +136,13 @@
       runSilentMs: now - run.lastActivityAtMs,
       targetSilentMs: now - Math.max(run.lastActivityAtMs, targetLastResponseAtMs),
       maxSilenceMs: run.maxSilenceMs(),
-      maxPauseMs: run.maxPauseMs,
       isSuspected: this.isSuspected(run.target),
       isProbing: this.prober.isProbing(id, this.probeTimeoutMs(run)),
       probedAgoMs: this.prober.sentAgoMs(id),
       peerAnswerAgoMs: directory.probeAnswers.peerAgeMs(id, now),
-      move: this.findMove(run, now),
     };
   }
 
-  private findMove(run: MonitoredRun, now: Millis): PossibleMove | undefined {
-    const resumeMs = this.resumes.expectedMs(run.target.service);
-    return findMove(run, { directory: this.options.directory, now, resumeMs });
-  }
-
   private isSuspected({ id, service, failureDomain }: ServiceTarget): boolean {
     const { directory } = this.options;
     return directory.isSuspected(id) || directory.isDomainSuspected(service, failureDomain);
--- a/packages/forward-request/src/stream-attempt-tracker.ts
+++ b/packages/forward-request/src/stream-attempt-tracker.ts
@@ -20,7 +20,6 @@
 }
 
 /** Class of the retry of a run that moves to its replica. */
-const MOVE_CLASS: RetryClass = 'stream-with-replica';
 
 function classOf({ delivered, hasReplica }: StreamProgress): RetryClass {
   if (delivered === 0) {
@@ -101,14 +100,6 @@
     return undefined;
   }
 
-  /**
-   * Whether a run that writes may move to its replica now. A run whose move had to wait for a retry
-   * would lose a target that is up.
-   */
-  canMove(): boolean {
-    return this.findFinalError() === undefined && this.budget.canAttempt(MOVE_CLASS);
-  }
-
   /** Counts only targets that are still present; lost targets do not count. */
   get hasReachedMaxTargets(): boolean {
     const { directory } = this.context;
--- /dev/null
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -0,0 +1,150 @@
+/** Moves the silent runs of one stream to other targets. */
+import { hasBreaksLeft, type SessionEvent, type SessionState } from '@limelead/generation-session';
+import type { AdmittedRequest } from './admitted-request.js';
+import type { ForwardContext } from './context.js';
+import type LiveAttempts from './live-attempts.js';
+import { findReplica, type LiveAttempt } from './live-attempts.js';
+import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
+import RunRelocation from './run-relocation.js';
+import type RunReplicas from './run-replicas.js';
+import type SlotSearch from './slot-search.js';
+import type { SlotSearchEvents } from './slot-search.js';
+import type { Slot } from './slot-request.js';
+import type StreamAttemptTracker from './stream-attempt-tracker.js';
+import { observeLostTarget } from './stream-observation.js';
+import type StreamRefusals from './stream-refusals.js';
+import type StreamReport from './stream-report.js';
+
+/** Parts of the stream that a relocation uses. */
+export interface RelocatedStream {
+  context: ForwardContext;
+  admitted: AdmittedRequest;
+  live: LiveAttempts;
+  attempts: StreamAttemptTracker;
+  replicas: RunReplicas;
+  refusals: StreamRefusals;
+  report: StreamReport;
+}
+
+/** Callbacks to the stream. */
+export interface StreamRelocationEvents {
+  readState(): SessionState;
+  /** @param replaces target whose silent run the slot is to replace */
+  createSearch(exclude: string[], events: SlotSearchEvents, replaces: string): SlotSearch;
+  /** Sets the slot of the next attempt. */
+  setNextSlot(slot: Slot): void;
+  advance(event: SessionEvent): void;
+  /** Ends a silent attempt. */
+  lose(attempt: number, reason: string): void;
+}
+
+export default class StreamRelocation {
+  private relocation: RunRelocation | undefined;
+
+  constructor(
+    private readonly stream: RelocatedStream,
+    private readonly events: StreamRelocationEvents,
+  ) {}
+
+  /** Looks for another target. */
+  onSilent(attempt: number, cause: GiveUpCause): void {
+    const { attempts, context, live: all } = this.stream;
+    const live = all.get(attempt);
+    if (live === undefined) {
+      return;
+    }
+    this.relocation?.onAccepted(attempt);
+    const { id } = live.attempt.target;
+    attempts.recordLoss(id, 'silent');
+    if (cause === 'target-lost') {
+      observeLostTarget(context, id, 'lost');
+    }
+    this.relocation = this.createRelocation(attempt, live, cause);
+    this.relocation.begin();
+  }
+
+  /** A target has accepted an attempt. */
+  onAccepted(attempt: number): void {
+    this.relocation?.onAccepted(attempt);
+  }
+
+  /** A run has written; if it was reported silent, it is kept. */
+  onPieces(attempt: number): void {
+    if (this.relocation?.attempt === attempt) {
+      this.onRunReturned(attempt);
+    }
+    this.relocation?.onAccepted(attempt);
+  }
+
+  /** An attempt has ended. */
+  onReleased(attempt: number): void {
+    if (this.relocation?.attempt === attempt) {
+      this.cancel();
+    } else {
+      this.relocation?.onNextFailed();
+    }
+  }
+
+  cancel(): void {
+    this.relocation?.cancel();
+    this.relocation = undefined;
+  }
+
+  private createRelocation(attempt: number, live: LiveAttempt, cause: GiveUpCause): RunRelocation {
+    const { context, replicas, report } = this.stream;
+    const { id } = live.attempt.target;
+    return new RunRelocation({
+      ...{ timers: context.timers, attempt },
+      createSearch: (events) => {
+        replicas.onRunLost(findReplica(live));
+        const exclude = [...this.events.readState().excludedTargets, id];
+        return this.events.createSearch(exclude, events, id);
+      },
+      onSlot: (slot) => this.startBeside(attempt, slot),
+      onKept: (error) => report.runKept(attempt, id, error?.message),
+      onAccepted: () => {
+        this.relocation = undefined;
+        this.events.lose(attempt, SILENCE_REASONS[cause]);
+        this.events.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+      },
+    });
+  }
+
+  /** Starts the next attempt beside a silent run. */
+  private startBeside(attempt: number, slot: Slot): void {
+    if (this.hasBreaksLeft(attempt)) {
+      this.events.setNextSlot(slot);
+      this.events.advance({ kind: 'silent', attempt });
+    } else {
+      slot.release();
+    }
+  }
+
+  /** Whether the stream may be moved once more; otherwise the silent run stays for good. */
+  private hasBreaksLeft(attempt: number): boolean {
+    if (hasBreaksLeft(this.events.readState())) {
+      return true;
+    }
+    const { live, refusals, report } = this.stream;
+    this.cancel();
+    const target = live.get(attempt)?.attempt.target.id ?? '';
+    report.runKept(attempt, target, refusals.movedTooOften().message);
+    return false;
+  }
+
+  /** Keeps a run that has written although it was reported silent. */
+  private onRunReturned(attempt: number): void {
+    const { attempts, context, live, replicas, report } = this.stream;
+    const run = live.get(attempt);
+    this.cancel();
+    if (run !== undefined) {
+      const { id } = run.attempt.target;
+      const silentMs = context.clock.now() - run.activity.lastActivityAtMs;
+      attempts.recordReturn(id);
+      attempts.releaseRetry();
+      replicas.onRunLost(undefined);
+      live.watchAgain(attempt);
+      report.runReturned(attempt, id, silentMs);
+    }
+  }
+}
--- a/packages/forward-request/src/stream-report.ts
+++ b/packages/forward-request/src/stream-report.ts
@@ -1,5 +1,4 @@
 /** Log lines and metrics of one streamed request. */
-import type { LimeleadError } from '@limelead/errors';
 import type { LossCause } from '@limelead/track-service-targets';
 import type { EventDetail, Millis } from '@limelead/types';
 import type { AdmittedRequest } from './admitted-request.js';
@@ -79,8 +78,7 @@
   }
 
   /** Reports that a silent run stays, since the stream cannot go on elsewhere now. */
-  runKept(attempt: number, target: string, error: LimeleadError | undefined): void {
-    const reason = error?.message ?? 'no other target is available';
+  runKept(attempt: number, target: string, reason = 'no other target is available'): void {
     this.context.metrics.count('limelead_silent_runs_total', 1, { outcome: 'kept' });
     this.write('silent-run-kept', { attempt, target, reason });
   }
