End a quarantine trial only with its own run

What callers saw: nothing; containment only. While a suspected request was tried at one target, another copy of it ran beside the trial, so that one request could end two targets at a time.

Cause: a request held its trial as a flag. A silent run stays until the next target has accepted the request, so a search can obtain a trial while an earlier run is open, and that run's end, by whatever way, ended the trial of the next one.

Change: the trial belongs to the first run that starts after its admission. Only the end of this run, or of its target, ends it; a search without a target ends a trial that has not started. Evidence that clears the request still ends it at once.

--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -2,6 +2,7 @@
 import type { CancelTimer, Millis } from '@limelead/types';
 import type { RequestStatus } from './judge-crashes.js';
 import GuardedRun, { type RunEnd, type RunOwner, type RunTarget } from './guarded-run.js';
+import HeldTrial from './held-trial.js';
 import identifyRequest, {
   identifyCaller,
   type IdentifiedRequest,
@@ -64,8 +65,7 @@
   private isHarmless = false;
   private readonly openRuns = new Set<GuardedRun>();
   private isClosed = false;
-  /** Whether this request holds the trial of its identity. */
-  private isOnTrial = false;
+  private readonly trial = new HeldTrial(() => this.guard.endTrial(this.identity));
   /** Checks of broken runs; the request is not admitted again before they are done. */
   private openChecks: Promise<unknown> = Promise.resolve();
   private openCheckCount = 0;
@@ -101,7 +101,9 @@
       return () => undefined;
     }
     return this.guard.requestAdmission(this.identity, (admission) => {
-      this.isOnTrial = admission === 'send-trial';
+      if (admission === 'send-trial') {
+        this.trial.begin();
+      }
       onAdmission(admission);
     });
   }
@@ -114,7 +116,7 @@
   startRun(target: RunTarget): GuardedRun {
     const run = new GuardedRun(target, this.now, this);
     this.openRuns.add(run);
-    this.guard.onRunStarted(run, this.isOnTrial);
+    this.guard.onRunStarted(run, this.trial.startRun(run));
     return run;
   }
 
@@ -129,12 +131,12 @@
     );
     if (this.now - run.startedAtMs > minMs) {
       this.guard.clearRequest(this.identity, { run, evidence: 'output' });
-      this.endTrial();
+      this.trial.end();
     }
   }
 
-  onTargetEnded(): void {
-    this.endTrial();
+  onTargetEnded(run: GuardedRun): void {
+    this.trial.endWith(run);
   }
 
   onRunEnded(run: GuardedRun, end: RunEnd): void {
@@ -152,7 +154,7 @@
         break;
       case 'failed':
       case 'not-run':
-        this.endTrial();
+        this.trial.endWith(run);
         break;
     }
   }
@@ -172,7 +174,7 @@
 
   /** Ends the trial of an attempt that found no target. */
   onNoTarget(): void {
-    this.endTrial();
+    this.trial.endUnstarted();
   }
 
   /**
@@ -190,7 +192,9 @@
   close(): void {
     this.isClosed = true;
     if (this.openCheckCount === 0) {
-      this.endTrial();
+      this.trial.end();
+    } else {
+      this.trial.endUnstarted();
     }
     this.guard.onClosed();
   }
@@ -230,7 +234,7 @@
     const unsettled = this.toUnsettledRun(run, 'broken');
     const check = this.guard.checkBrokenRun(unsettled).then(() => {
       this.openCheckCount -= isAwaited ? 1 : 0;
-      this.endTrial();
+      this.trial.endWith(run);
     });
     if (isAwaited) {
       this.openChecks = Promise.all([this.openChecks, check]);
@@ -239,8 +243,7 @@
 
   /** Keeps a run whose target may end yet; a trial ends only when that is known. */
   private recordAbandonedRun(run: GuardedRun): void {
-    const { isOnTrial } = this;
-    this.isOnTrial = false;
+    const isOnTrial = this.trial.passOn(run);
     if (this.isHarmless) {
       return;
     }
@@ -262,7 +265,7 @@
     if (this.mayBeSuspected) {
       this.guard.clearRequest(this.identity, { run, evidence: 'answered' });
     }
-    this.endTrial();
+    this.trial.end();
   }
 
   private requestAdmissionAfterChecks(onAdmission: (admission: Admission) => void): CancelTimer {
@@ -278,11 +281,4 @@
       cancel();
     };
   }
-
-  private endTrial(): void {
-    if (this.isOnTrial) {
-      this.isOnTrial = false;
-      this.guard.endTrial(this.identity);
-    }
-  }
 }
--- a/packages/quarantine-requests/src/guarded-run.ts
+++ b/packages/quarantine-requests/src/guarded-run.ts
@@ -20,7 +20,7 @@
   /** Called for each output of a run. */
   onOutput(run: GuardedRun): void;
   /** Called when the target of an open run has ended. */
-  onTargetEnded(): void;
+  onTargetEnded(run: GuardedRun): void;
   /** Called once. */
   onRunEnded(run: GuardedRun, end: RunEnd): void;
 }
--- a/packages/quarantine-requests/src/request-guard.ts
+++ b/packages/quarantine-requests/src/request-guard.ts
@@ -117,7 +117,7 @@
       const crash = toCrash(run, now);
       void this.evidence.attempt(() => this.evidence.recordOwnCrash(crash, run.request));
     }
-    this.runs.listOpenAt(id).forEach(({ owner }) => owner.onTargetEnded());
+    this.runs.listOpenAt(id).forEach((run) => run.owner.onTargetEnded(run));
   }
 
   /** Checks a target that this VM or a peer found lost, if runs there may have ended it. */
