End a trial whose search is cancelled

What callers saw: copies of a suspected request waited for up to 6 s for a trial that no target ran. A request that searched again waited as long for its own one.

Cause: a trial is granted before a slot is found. A search that was cancelled in between, because its silent run wrote again or because a hedge became a retry, left the trial open until it expired.

Change: cancelling a search, and asking for admission again, end a trial whose run has not started.

Measured: two new cases of `held-trials` failed on the code before and pass; tests of quarantine-requests 37 of 37, the forwarders' 135 of 135, query-of-death 3 of 3.

--- a/packages/quarantine-requests/src/guarded-request.ts
+++ b/packages/quarantine-requests/src/guarded-request.ts
@@ -90,7 +90,7 @@
 
   /**
    * Requests admission before an attempt; answered at once unless the request is suspected. Returns
-   * a function that cancels waiting.
+   * a function that cancels waiting, and the trial if its run has not started.
    */
   requestAdmission(onAdmission: (admission: Admission) => void): CancelTimer {
     if (this.openCheckCount > 0) {
@@ -100,12 +100,17 @@
       onAdmission('send');
       return () => undefined;
     }
-    return this.guard.requestAdmission(this.identity, (admission) => {
+    this.trial.endUnstarted();
+    const cancel = this.guard.requestAdmission(this.identity, (admission) => {
       if (admission === 'send-trial') {
         this.trial.begin();
       }
       onAdmission(admission);
     });
+    return () => {
+      cancel();
+      this.trial.endUnstarted();
+    };
   }
 
   get now(): Millis {
--- a/packages/quarantine-requests/src/held-trials.test.ts
+++ b/packages/quarantine-requests/src/held-trials.test.ts
@@ -92,4 +92,29 @@
   assert.equal(others, ['send-trial']);
 });
 
+test('the trial of a search that was cancelled holds other copies', async () => {
+  const vm = new TestVm();
+  await vm.suspect();
+  const request = vm.guardRequest();
+  let admission: Admission | undefined;
+  const cancel = request.requestAdmission((given) => (admission = given));
+  await vm.advance(1);
+  assert.is(admission, 'send-trial');
+  cancel();
+  const others = vm.requestAdmission();
+  await vm.advance(1);
+  assert.equal(others, ['send-trial']);
+});
+
+test('a request that searches again waits for its own trial, which has not started', async () => {
+  const vm = new TestVm();
+  await vm.suspect();
+  const request = vm.guardRequest();
+  vm.requestAdmission(request);
+  await vm.advance(1);
+  const admissions = vm.requestAdmission(request);
+  await vm.advance(1);
+  assert.equal(admissions, ['send-trial']);
+});
+
 test.run();
