Let every signal of the daemon await the same stop

A second SIGTERM, or a SIGINT, ended a stopping limeleadd at once, with its open answers and calls.

Cause: the handlers were installed with `once`, so a second SIGTERM had its default action; a second `stop()` returned at once, and the program ends when it resolves.

Change: the handlers stay, and all calls of `stop()` return the promise of the one stop.

--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -23,6 +23,8 @@
 } as const;
 
 const READY_CHECK_MS = 50;
+/** Shorter than a daemon takes to leave the balancer. */
+const SIGNAL_INTERVAL_MS = 100;
 const MAX_TOKENS = 200;
 const PROMPT = 'shift route brief';
 
@@ -31,7 +33,7 @@
   readonly process: ChildProcess;
   readonly lines: string[] = [];
   readonly exited: Promise<number>;
-  private stderrText = '';
+  stderrText = '';
   private lineWaiters: (() => void)[] = [];
 
   constructor(name: keyof typeof BINARIES, ...args: string[]) {
@@ -92,7 +94,7 @@
       const settings = createSettings({ id, failureDomain: 'suwon', platformPort, seeds: [] });
       const rpc = { host: '127.0.0.1', port: await findFreePort() };
       const file = join(folder, `${id}.jsonc`);
-      writeFileSync(file, JSON.stringify({ ...settings, rpc }));
+      writeFileSync(file, JSON.stringify({ ...settings, rpc, log: { level: 'info' } }));
       daemons.push(start('limeleadd', '--settings', file));
       urls.push(`http://127.0.0.1:${rpc.port}`);
     }
@@ -201,6 +203,18 @@
     assert.is(await system.daemons[0]?.exited, 0);
   }));
 
+for (const second of ['SIGTERM', 'SIGINT'] as const) {
+  test(`a ${second} after a SIGTERM ends the daemon before its stop is over`, () =>
+    withSystem(async ({ daemons: [daemon] }) => {
+      assert.ok(daemon);
+      daemon.process.kill('SIGTERM');
+      await new Promise((resolve) => setTimeout(resolve, SIGNAL_INTERVAL_MS));
+      daemon.process.kill(second);
+      assert.is(await daemon.exited, 0);
+      assert.match(daemon.stderrText, '"message":"stopped"');
+    }));
+}
+
 test('the exit codes of the commands tell success, refusal and wrong usage apart', () =>
   withSystem(async ({ start, urls }) => {
     const url = urls[0] ?? '';
--- a/packages/daemon/src/run-limeleadd.ts
+++ b/packages/daemon/src/run-limeleadd.ts
@@ -42,8 +42,8 @@
   try {
     const daemon = await startDaemon(settings.right);
     const stop = (): void => void daemon.stop().then(() => process.exit(0));
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
   } catch (thrown) {
     exitWith(EXIT_FAILED, `limeleadd: ${toLimeleadError(thrown).message}`);
   }
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -33,7 +33,10 @@
 export interface Daemon {
   rpcPort: number;
   peerPort: number;
-  /** Stops gracefully: leaves the load balancer, refuses new requests and drains open ones. */
+  /**
+   * Stops gracefully: leaves the load balancer, refuses new requests and drains open ones. Every
+   * call resolves at the end of the stop.
+   */
   stop(): Promise<void>;
   /** Stops immediately and drops open connections, as a crash of the VM does. */
   kill(): Promise<void>;
@@ -63,6 +66,8 @@
   private loops: Loop[] = [];
   private placement: PlacementLoop | undefined;
   private phase: StopPhase = 'serving';
+  /** Resolves at the end of the stop; undefined before it is requested. */
+  private stopped: Promise<void> | undefined;
 
   constructor(settings: Settings, runtime: Runtime, strategies: Strategies) {
     const isDraining = (): boolean => this.phase === 'draining' || this.phase === 'stopped';
@@ -88,21 +93,9 @@
     this.context.logger.info('serving', { rpcPort: this.rpcPort, peerPort: this.peerPort });
   }
 
-  async stop(): Promise<void> {
-    if (this.phase !== 'serving') {
-      return;
-    }
-    const { timers, settings, logger, openGenerations } = this.context;
-    this.phase = 'leaving';
-    logger.info('leaving the balancer');
-    this.peers.announceLeaving();
-    await delay(timers, settings.timing.leaveBalancerMs);
-    this.phase = 'draining';
-    logger.info('draining', { openGenerations: openGenerations.size });
-    openGenerations.drain();
-    await this.waitForOpenRequests();
-    await this.placement?.release();
-    await this.close();
+  stop(): Promise<void> {
+    this.stopped ??= this.drainAndClose();
+    return this.stopped;
   }
 
   async kill(): Promise<void> {
@@ -118,6 +111,20 @@
     return this.context.configuration.configuration.revision;
   }
 
+  private async drainAndClose(): Promise<void> {
+    const { timers, settings, logger, openGenerations } = this.context;
+    this.phase = 'leaving';
+    logger.info('leaving the balancer');
+    this.peers.announceLeaving();
+    await delay(timers, settings.timing.leaveBalancerMs);
+    this.phase = 'draining';
+    logger.info('draining', { openGenerations: openGenerations.size });
+    openGenerations.drain();
+    await this.waitForOpenRequests();
+    await this.placement?.release();
+    await this.close();
+  }
+
   private async registerRoutes(): Promise<void> {
     const { context } = this;
     const generation = createGenerationService(
--- a/packages/demo/src/stop.test.ts
+++ b/packages/demo/src/stop.test.ts
@@ -84,4 +84,15 @@
     await client.close();
   }));
 
+test('a second stop is over before the first one', () =>
+  withVm(async ({ vms: [vm] }) => {
+    assert.ok(vm);
+    vm.isUp = false;
+    const over: string[] = [];
+    const first = vm.daemon.stop().then(() => over.push('first'));
+    const second = vm.daemon.stop().then(() => over.push('second'));
+    await Promise.all([first, second]);
+    assert.equal(over, ['first', 'second']);
+  }));
+
 test.run();
