Go on with no start after a stop was requested

What callers saw: not reported. A VM that was stopped while another process still held its address listened, followed the store and started its components when the address became free, until its stop was over 2.5 s later.

Cause: the start did not ask whether a stop had been requested meanwhile.

Change: a start whose stop was requested ends once the servers listen. Requests that arrive there are refused by the front door, which drains already.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -237,7 +237,10 @@
     });
   }
 
-  /** Opens all servers, then starts to follow the store. Resolves when the servers listen. */
+  /**
+   * Opens all servers, then starts to follow the store, unless a stop was requested meanwhile.
+   * Resolves when the servers listen.
+   */
   async start(): Promise<void> {
     const { settings } = this;
     await this.servers.start({
@@ -245,6 +248,9 @@
       peers: async () => this.exchange?.start(),
       isReady: () => this.isReady,
     });
+    if (this.stopped !== undefined) {
+      return;
+    }
     this.log.write('started', {
       failureDomain: settings.failureDomain,
       region: this.locality.region,
