Remember a stop that is requested while the daemon starts

What callers saw: not reported. A signal in the first part of its life ended limeleadd without a stop, and SIGHUP did so at any time.

Cause: the handlers were added when the daemon served; until then, and for SIGHUP always, a signal had its default action.

Change: the program's first module listens to the signals and then loads the others. A request to stop is remembered until the daemon has started, and then carried out. SIGHUP is ignored, since settings are read at the start only.

What arrives while the runtime itself starts still ends the process.

--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -36,9 +36,11 @@
   stderrText = '';
   private lineWaiters: (() => void)[] = [];
 
-  constructor(name: keyof typeof BINARIES, ...args: string[]) {
+  constructor(name: keyof typeof BINARIES, args: string[], flags: string[] = []) {
     const file = fileURLToPath(new URL(BINARIES[name], import.meta.url));
-    this.process = spawn(process.execPath, [file, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    this.process = spawn(process.execPath, [...flags, file, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     this.process.stderr?.on('data', (data) => (this.stderrText += String(data)));
     const { stdout } = this.process;
     assert.ok(stdout);
@@ -54,6 +56,15 @@
     );
   }
 
+  /** Resolves when a line of the log has the message. Rejects if the process exits before. */
+  async waitForLog(message: string): Promise<void> {
+    while (!this.stderrText.includes(`"message":"${message}"`)) {
+      const { exitCode, signalCode } = this.process;
+      assert.equal([exitCode, signalCode], [null, null], `exited early: ${this.stderrText}`);
+      await new Promise((resolve) => setTimeout(resolve, READY_CHECK_MS));
+    }
+  }
+
   async readLine(index: number): Promise<string> {
     for (;;) {
       const line = this.lines[index];
@@ -76,7 +87,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'limelead-'));
   const programs: Program[] = [];
   const start: TestSystem['start'] = (name, ...args) => {
-    const program = new Program(name, ...args);
+    const program = new Program(name, args);
     programs.push(program);
     return program;
   };
@@ -234,10 +245,31 @@
 
 test('the daemon checks its settings and exits with code 2 if they are invalid', async () => {
   const example = fileURLToPath(new URL('../../../examples/limelead.jsonc', import.meta.url));
-  const good = new Program('limeleadd', '--settings', example, '--check');
+  const good = new Program('limeleadd', ['--settings', example, '--check']);
   assert.is(await good.exited, 0);
-  const bad = new Program('limeleadd', '--settings', '/no/such/file', '--check');
+  const bad = new Program('limeleadd', ['--settings', '/no/such/file', '--check']);
   assert.is(await bad.exited, 2);
 });
 
+for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT'] as const) {
+  test(`a ${signal} ends the daemon while its modules load`, async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'limelead-'));
+    const settings = createSettings({
+      ...{ id: 'vm-1', failureDomain: 'suwon', seeds: [] },
+      platformPort: await findFreePort(),
+    });
+    const file = join(folder, 'vm-1.jsonc');
+    writeFileSync(file, JSON.stringify({ ...settings, log: { level: 'info' } }));
+    const fixture = new URL(`./signal-at-load.fixture.js?${signal}`, import.meta.url);
+    const daemon = new Program('limeleadd', ['--settings', file], ['--import', fixture.href]);
+    if (signal === 'SIGHUP') {
+      await daemon.waitForLog('serving');
+      daemon.process.kill('SIGTERM');
+    }
+    assert.is(await daemon.exited, 0);
+    assert.match(daemon.stderrText, '"message":"stopped"');
+    rmSync(folder, { recursive: true });
+  });
+}
+
 test.run();
--- a/packages/daemon/bin/limeleadd.js
+++ b/packages/daemon/bin/limeleadd.js
@@ -1,4 +1,7 @@
 #!/usr/bin/env node
-import { runLimeleadd } from '@limelead/daemon';
+import { keepSignals } from '../dist/early-signals.js';
 
+keepSignals();
+// A static import would load all modules before the first one runs.
+const { runLimeleadd } = await import('@limelead/daemon');
 runLimeleadd(process.argv);
--- a/packages/daemon/src/run-limeleadd.ts
+++ b/packages/daemon/src/run-limeleadd.ts
@@ -3,6 +3,7 @@
 import readSettings from '@limelead/read-settings';
 import { cac } from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
+import { onStopRequested } from './early-signals.js';
 import startDaemon from './start-daemon.js';
 
 const EXIT_BAD_SETTINGS = 2;
@@ -41,9 +42,7 @@
   }
   try {
     const daemon = await startDaemon(settings.right);
-    const stop = (): void => void daemon.stop().then(() => process.exit(0));
-    process.on('SIGTERM', stop);
-    process.on('SIGINT', stop);
+    onStopRequested(() => void daemon.stop().then(() => process.exit(0)));
   } catch (thrown) {
     exitWith(EXIT_FAILED, `limeleadd: ${toLimeleadError(thrown).message}`);
   }
