End pipelined requests when their caller's connection closes

Callers saw nothing, but their requests stayed: of four requests in one segment whose connection closed, three stayed counted as open with their bodies, and their runs went on at targets. A stopping VM waited for them until its drain deadline, and each kept its memory.

Cause: Node emits `close` only for the answer at the head of a connection; an answer that waits behind it has no socket. All that ends a request listens for that event.

Change: one listener for each connection closes the answers that wait on it. The listener that each such answer added for its buffered bytes goes.

--- a/packages/http-front-door/src/open-requests.test.ts
+++ b/packages/http-front-door/src/open-requests.test.ts
@@ -14,6 +14,7 @@
 const clock = { now: () => performance.now() };
 /** More than the buffers of a connection take. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
+const NOTICE_MS = 1_000;
 
 /** Shuts down during one request; returns what its caller reads and the log. */
 async function shutDownDuring(
@@ -78,4 +79,45 @@
   assert.is(open, 0);
 });
 
+test('callers of pipelined requests are not seen to leave, and listeners add up', async () => {
+  const context = {
+    ...{ clock, timers: systemTimers, metrics: createMetrics() },
+    log: createDecisionLog({ vm: 'test', clock, output: (_text, done) => done() }),
+  };
+  const requests = new OpenRequests(context, ingress);
+  const budget = new AnswerBufferBudget<ResponseSink>(Infinity);
+  const left: number[] = [];
+  const listeners: number[] = [];
+  const server = createServer((message, response) => {
+    const sink = new ResponseSink(message, response, budget, {
+      isStopping: () => false,
+      onRefused: () => undefined,
+      onBrokenOff: () => undefined,
+      onDropped: () => undefined,
+    });
+    requests.add({ message, response, sink, receivedAtMs: clock.now() });
+    const index = requests.size;
+    sink.onCallerLeft(() => left.push(index));
+    sink.begin(200, []);
+    sink.write(Buffer.from('piece'));
+    listeners.push(message.socket.listenerCount('close'));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(5));
+  while (requests.size < 5) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  caller.destroy();
+  const waitedFromMs = clock.now();
+  while (requests.size > 0 && clock.now() - waitedFromMs < NOTICE_MS) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  server.close();
+  assert.equal(left.sort(), [1, 2, 3, 4, 5]);
+  assert.is(requests.size, 0);
+  assert.is(budget.bufferedBytes, 0);
+  assert.equal(new Set(listeners).size, 1);
+});
+
 test.run();
--- a/packages/http-front-door/src/open-requests.ts
+++ b/packages/http-front-door/src/open-requests.ts
@@ -2,6 +2,7 @@
 import type { ForwardContext } from '@limelead/forward-request';
 import type { Millis } from '@limelead/types';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import CallerConnections from './caller-connections.js';
 import { readRequestId, type IngressDialect } from './ingress-dialect.js';
 import type ResponseSink from './response-sink.js';
 
@@ -19,6 +20,7 @@
 /** Tracks open requests and ends them on shutdown. */
 export default class OpenRequests {
   private readonly requests = new Set<OpenRequest>();
+  private readonly connections = new CallerConnections();
   /** Called when the last open request ends. */
   private onNone: () => void = () => undefined;
 
@@ -31,9 +33,10 @@
     return this.requests.size;
   }
 
-  /** Adds a request until its response closes. */
+  /** Adds a request until its answer is complete or its connection closes. */
   add(request: OpenRequest): void {
     this.requests.add(request);
+    this.connections.add(request.message, request.response);
     request.response.once('close', () => this.remove(request));
   }
 
--- a/packages/http-front-door/src/response-sink.ts
+++ b/packages/http-front-door/src/response-sink.ts
@@ -92,10 +92,6 @@
     if (this.isOver) {
       return;
     }
-    if (this.response.socket === null && this.countedBytes === 0) {
-      // An answer that waits behind another one of its connection emits no `close`.
-      this.message.socket.once('close', () => this.releaseBytes());
-    }
     this.waitingBytes = this.response.writableLength;
     this.pendingWrites += 1;
     const isBehind = this.waitingBytes >= COPY_FROM_BYTES;
@@ -169,7 +165,7 @@
       }
     };
     this.notifyLeft = callback;
-    if (this.response.closed) {
+    if (this.response.destroyed) {
       notify();
     } else {
       this.response.on('close', notify);
