Answer malformed bytes after the requests ahead of them

A caller that sent bytes that are no request, or a head too slowly, behind a request under way got 400 or 408 in the place of its answer, while a target ran the request. A 408 promises that it never ran. In the midst of a stream the status line became part of the answer.

Cause: the answer was written to the connection at once, without regard to the requests that were open on it.

Change: it is written once all requests that were read whole are answered. A caller that closes in the middle of a head has left, and its connection ends.

Result: 200 then 400 (408) where 400 (408) alone arrived; a request with `Connection: close` gets 200 where it got 400.

--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -392,9 +392,16 @@
       firstLine,
       ...this.describeConfiguration(),
     });
-    if (socket.writable && error.code !== 'ECONNRESET') {
-      socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    } else {
+    const answer = `HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    if (error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    // At once, it would be taken for the answer to an earlier request, or break into one.
+    const isAnswered = this.open.whenAnswered(socket, () =>
+      socket.writable ? socket.end(answer) : socket.destroy(),
+    );
+    if (!isAnswered && error.code === 'HPE_INVALID_EOF_STATE') {
       socket.destroy();
     }
   }
--- a/packages/http-front-door/src/open-requests.ts
+++ b/packages/http-front-door/src/open-requests.ts
@@ -2,7 +2,8 @@
 import type { ForwardContext } from '@limelead/forward-request';
 import type { Millis } from '@limelead/types';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import CallerConnections from './caller-connections.js';
+import type { Socket } from 'node:net';
+import CallerConnection from './caller-connection.js';
 import { readRequestId, type IngressDialect } from './ingress-dialect.js';
 import type ResponseSink from './response-sink.js';
 
@@ -20,7 +21,7 @@
 /** Tracks open requests and ends them on shutdown. */
 export default class OpenRequests {
   private readonly requests = new Set<OpenRequest>();
-  private readonly connections = new CallerConnections();
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
   /** Called when the last open request ends. */
   private onNone: () => void = () => undefined;
 
@@ -36,10 +37,15 @@
   /** Adds a request until its answer is complete or its connection closes. */
   add(request: OpenRequest): void {
     this.requests.add(request);
-    this.connections.add(request.message, request.response);
+    this.connectionOf(request.message.socket).add(request.message, request.response);
     request.response.once('close', () => this.remove(request));
   }
 
+  /** See `CallerConnection`. */
+  whenAnswered(socket: Socket, run: () => void): boolean {
+    return this.connectionOf(socket).whenAnswered(run);
+  }
+
   /**
    * Ends all open requests, each with an answer that tells whether it may have run; answers that
    * have begun are broken off. Resolves when the answers are flushed. The connections of callers
@@ -55,6 +61,13 @@
     }
   }
 
+  private connectionOf(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    const connection = known ?? new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
   private remove(request: OpenRequest): void {
     this.requests.delete(request);
     if (this.requests.size === 0) {
--- a/packages/http-front-door/src/pipelined-requests.test.ts
+++ b/packages/http-front-door/src/pipelined-requests.test.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import TestBed, { clock, GOOD } from './test-bed.fixture.js';
+import TestBed, { ANSWERED, clock, GOOD, head } from './test-bed.fixture.js';
 
 const NOTICE_MS = 1_000;
 
@@ -33,4 +33,48 @@
   await bed.stop();
 });
 
+for (const [status, bytes, reason] of [
+  ['400', 'no request at all\r\n\r\n', 'bytes that are no request'],
+  ['408', 'POST /call/2 HTTP/1.1\r\n', 'a slow head'],
+] as const) {
+  test(`${reason} behind a request under way are answered in its place`, async () => {
+    const bed = await TestBed.start();
+    bed.holdBodies();
+    const answers = bed.exchange(GOOD + bytes);
+    await until(() => bed.arrivals === 1 && bed.metrics.render().includes('malformed'));
+    await new Promise((resolve) => setImmediate(resolve));
+    bed.readOn();
+    const text = await answers;
+    const statuses = text.match(/(?<=HTTP\/1.1 )\d+/g);
+    assert.equal(statuses, ['200', status]);
+    assert.match(text, ANSWERED);
+    await bed.stop();
+  });
+}
+
+test('bytes behind a request that closes its connection do not cut its answer', async () => {
+  const bed = await TestBed.start();
+  bed.holdBodies();
+  const closing = head(['Connection: close', 'Content-Length: 2']) + '\r\nhi';
+  const answer = bed.exchange(closing + GOOD);
+  await until(() => bed.arrivals === 1);
+  bed.readOn();
+  const text = await answer;
+  assert.equal(text.match(/(?<=HTTP\/1.1 )\d+/g), ['200']);
+  assert.match(text, ANSWERED);
+  await bed.stop();
+});
+
+test('a caller that leaves in the middle of its next head ends the request ahead of it', async () => {
+  const bed = await TestBed.start();
+  bed.holdBodies();
+  const caller = send(bed, `${GOOD}POST /call/2 HTTP/1.1\r\n`);
+  await until(() => bed.arrivals === 1);
+  caller.end();
+  await until(() => bed.door.openRequests === 0);
+  assert.is(bed.door.openRequests, 0);
+  bed.readOn();
+  await bed.stop();
+});
+
 test.run();
