Let the requests of one connection take turns, and limit those that wait

Callers that pipeline had all their requests forwarded beside each other, also those that may run only once and those behind an answer that closes the connection, whose own answers never arrive. Nothing limited how many one connection brought: each had its timers, attempts and answer in memory.

Cause: each request was forwarded as soon as it was read. HTTP allows that for safe methods only (RFC 9112, 9.3.2), and nothing behind `Connection: close` may be processed (9.6).

Change: a request is checked and its body read as before, but forwarded once the answers ahead of it are complete, and not at all if one of them closes the connection. The heads that wait on a connection may take `maxHeaderBytes` together; whatever follows is discarded and counted (`limelead_requests_discarded_total`), and the connection closes after the answers before it.

Trial that was dropped: to pause the connection beyond the limit.

--- a/packages/http-front-door/src/check-head.ts
+++ b/packages/http-front-door/src/check-head.ts
@@ -11,11 +11,7 @@
   { rawHeaders, path }: RequestTarget,
   limits: Pick<CallerLimits, 'maxHeaderBytes'>,
 ): LimeleadError | undefined {
-  const bytes = rawHeaders.reduce(
-    (sum, field, index) => sum + field.length + (index % 2) * HEADER_LINE_OVERHEAD_BYTES,
-    path.length,
-  );
-  if (bytes > limits.maxHeaderBytes) {
+  if (countHeadBytes(rawHeaders, path) > limits.maxHeaderBytes) {
     return new LimeleadError('headers-too-large', 'the request head is too long');
   }
   if (!path.startsWith('/')) {
@@ -27,6 +23,14 @@
   return undefined;
 }
 
+/** Bytes of a request head. */
+export function countHeadBytes(rawHeaders: string[], path: string): number {
+  return rawHeaders.reduce(
+    (sum, field, index) => sum + field.length + (index % 2) * HEADER_LINE_OVERHEAD_BYTES,
+    path.length,
+  );
+}
+
 function countHeader(rawHeaders: string[], name: string): number {
   return rawHeaders.filter((field, index) => index % 2 === 0 && field.toLowerCase() === name)
     .length;
--- a/packages/http-front-door/src/http-front-door.ts
+++ b/packages/http-front-door/src/http-front-door.ts
@@ -80,7 +80,7 @@
     const { log, clock } = options.context;
     this.logMalformed = createRateLimitedLog(log, clock, 'request-malformed');
     const { context, dialect, maxBufferedAnswerBytes } = options;
-    this.open = new OpenRequests(context, dialect);
+    this.open = new OpenRequests(context, dialect, PARSER_MAX_HEADER_BYTES);
     this.answerBuffers = new AnswerBuffers(context, dialect, maxBufferedAnswerBytes);
     this.heldRequests = new HeldRequests(options.context.timers);
     this.bodyBudget = new BodyBudget(
@@ -132,6 +132,7 @@
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.open.maxWaitingBytes = limits.maxHeaderBytes;
   }
 
   /** Continues held requests once a configuration is known. */
@@ -182,7 +183,9 @@
     });
     const receivedAtMs = context.clock.now();
     const pending: PendingRequest = { message, response, sink, receivedAtMs, relayed };
-    this.open.add(pending);
+    if (!this.open.add(pending)) {
+      return;
+    }
     this.runGuarded(pending, () => {
       if (context.readRouteTable() === undefined && !this.isStopping) {
         this.hold(pending);
@@ -275,14 +278,16 @@
       this.options.context.timers,
       {
         onRefused: (error) => pending.sink.refuse(error),
-        onBody: (body) =>
-          this.runGuarded(pending, () =>
-            this.admit(pending, headers, route, {
-              body,
-              organisation: caller?.organisation,
-              rank: caller?.rank ?? route.rank,
-            }),
-          ),
+        onBody: (body) => {
+          const admission = {
+            body,
+            organisation: caller?.organisation,
+            rank: caller?.rank ?? route.rank,
+          };
+          this.open.awaitTurn(pending, () =>
+            this.runGuarded(pending, () => this.admit(pending, headers, route, admission)),
+          );
+        },
       },
     );
     pending.response.once('close', releaseBody);
--- a/packages/http-front-door/src/open-requests.test.ts
+++ b/packages/http-front-door/src/open-requests.test.ts
@@ -15,6 +15,7 @@
 /** More than the buffers of a connection take. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
 const NOTICE_MS = 1_000;
+const MAX_WAITING_BYTES = 1_000;
 
 /** Shuts down during one request; returns what its caller reads and the log. */
 async function shutDownDuring(
@@ -30,7 +31,7 @@
     ...{ clock, timers: systemTimers, metrics: createMetrics() },
     log: createDecisionLog({ vm: 'test', clock, output }),
   };
-  const requests = new OpenRequests(context, ingress);
+  const requests = new OpenRequests(context, ingress, MAX_WAITING_BYTES);
   const budget = new AnswerBufferBudget<ResponseSink>(Infinity);
   const server = createServer((message, response) => {
     const sink = new ResponseSink(message, response, budget, {
@@ -84,7 +85,7 @@
     ...{ clock, timers: systemTimers, metrics: createMetrics() },
     log: createDecisionLog({ vm: 'test', clock, output: (_text, done) => done() }),
   };
-  const requests = new OpenRequests(context, ingress);
+  const requests = new OpenRequests(context, ingress, MAX_WAITING_BYTES);
   const budget = new AnswerBufferBudget<ResponseSink>(Infinity);
   const left: number[] = [];
   const listeners: number[] = [];
--- a/packages/http-front-door/src/open-requests.ts
+++ b/packages/http-front-door/src/open-requests.ts
@@ -28,17 +28,32 @@
   constructor(
     private readonly context: Pick<ForwardContext, 'clock' | 'timers' | 'log' | 'metrics'>,
     private readonly dialect: IngressDialect,
+    /** Limit on the heads of requests that wait on one connection. */
+    public maxWaitingBytes: number,
   ) {}
 
   get size(): number {
     return this.requests.size;
   }
 
-  /** Adds a request until its answer is complete or its connection closes. */
-  add(request: OpenRequest): void {
+  /**
+   * Adds a request until its answer is complete or its connection closes.
+   * @returns whether the request is to be handled; see `CallerConnection`
+   */
+  add(request: OpenRequest): boolean {
+    const { message, response } = request;
+    if (!this.connectionOf(message.socket).add(message, response)) {
+      this.context.metrics.count('limelead_requests_discarded_total');
+      return false;
+    }
     this.requests.add(request);
-    this.connectionOf(request.message.socket).add(request.message, request.response);
-    request.response.once('close', () => this.remove(request));
+    response.once('close', () => this.remove(request));
+    return true;
+  }
+
+  /** See `CallerConnection`. */
+  awaitTurn({ message, response }: OpenRequest, proceed: () => void): void {
+    this.connectionOf(message.socket).awaitTurn(response, proceed);
   }
 
   /** See `CallerConnection`. */
@@ -63,7 +78,7 @@
 
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
-    const connection = known ?? new CallerConnection(socket);
+    const connection = known ?? new CallerConnection(socket, () => this.maxWaitingBytes);
     this.connections.set(socket, connection);
     return connection;
   }
