Ignore answers of the store that are older than the view

Callers could be sent to targets that had left: a list or watch that was under way while peers told newer changes was applied over them. Targets that had gone came back, and new ones were dropped, until their entries changed: the next watch starts at the newer revision. A VM that did so also forgot the removals that it still had to tell its peers.

Cause: `StoreView.applyList` removed every key that the list lacks and added every key that the view lacks, whichever was newer; a removal carries no revision to compare.

Change: the view is complete at its revision, so nothing of an older answer is news, except items of later pages that were written since. A first list is only taken as older if it shares an item with the view; otherwise the view is of another store and is replaced as before. Revisions of single removals need not be kept.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 export { default as formatAddress } from './format-address.js';
 export { default as Gateway } from './gateway.js';
 export type { GatewayPlatform } from './gateway.js';
-export type { StoreDialect, DecodedStoreItem } from './store-view.js';
+export type { StoreDialect, DecodedStoreItem } from './decoded-store-item.js';
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
 export { default as TargetScheduler } from './target-scheduler.js';
 export { default as toPlacementSettings } from './to-placement-settings.js';
--- a/packages/gateway/src/store-view.test.ts
+++ b/packages/gateway/src/store-view.test.ts
@@ -334,4 +334,68 @@
   assert.equal(ids(), []);
 });
 
+/** A view to which peers have told more than the store's answer under way contains. */
+function createAhead(hasList: boolean): ReturnType<typeof create> {
+  const bed = create();
+  const items = [item('c', 5), item('t1', 3), item('t2', 4)];
+  if (hasList) {
+    bed.view.applyList({ items, revision: 6 });
+  } else {
+    bed.view.applyPeerUpdate({ items, gone: [], present: ['c', 't1', 't2'], revision: 6 }, PEER);
+  }
+  bed.view.applyPeerUpdate({ items: [item('t3', 9)], gone: ['t1'], revision: 9 }, PEER);
+  return bed;
+}
+
+for (const hasList of [true, false]) {
+  const which = hasList ? 'a list' : 'the first list';
+  test(`${which} that is older than the view returns gone targets and drops new ones`, () => {
+    const { view, ids, joined } = createAhead(hasList);
+    view.applyList({ items: [item('c', 5), item('t1', 3), item('t2', 4)], revision: 7 });
+    assert.equal(ids().sort(), ['t2', 't3']);
+    assert.equal(joined.sort(), ['t1', 't2', 't3']);
+    assert.is(view.revision, 9);
+    assert.ok(view.listFingerprints().length > 0);
+  });
+}
+
+test('a peer is not told of removals that an older list does not show', () => {
+  const { view } = createAhead(true);
+  view.applyList({ items: [item('c', 5), item('t1', 3), item('t2', 4)], revision: 7 });
+  const update = view.createUpdate(7);
+  assert.equal(update.gone, ['t1']);
+  assert.equal(
+    update.items.map(({ key }) => key),
+    ['t3'],
+  );
+});
+
+test('later pages of an older list are ignored with its first', () => {
+  const { view, ids } = createAhead(true);
+  const items = [item('c', 5), item('t1', 3), item('t2', 4), item('t4', 11)];
+  view.applyList({ items, revision: 7, lastRevision: 11 });
+  assert.equal(ids().sort(), ['t2', 't3', 't4']);
+  assert.is(view.revision, 9);
+});
+
+test('changes that are older than the view return gone targets and drop new ones', () => {
+  const { view, ids, joined } = createAhead(true);
+  view.applyChanges({
+    changes: [
+      { kind: 'put', item: item('t1', 7) },
+      { kind: 'gone', key: 't3' },
+    ],
+    revision: 8,
+  });
+  assert.equal(ids().sort(), ['t2', 't3']);
+  assert.equal(joined, ['t1', 't2', 't3']);
+});
+
+test('a first list of another store is ignored because what peers told is newer', () => {
+  const { view, ids, versions } = createAhead(false);
+  view.applyList({ items: [item('t7', 2)], revision: 7 });
+  assert.equal(ids(), ['t7']);
+  assert.equal(versions, [5]);
+});
+
 test.run();
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -15,20 +15,16 @@
   decodeStep,
   STEP_KEY_PREFIX,
   type AgreedStep,
-  type RollOutState,
-  type StateItem,
   type StoredOrder,
 } from '@limelead/run-roll-outs';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
-import type {
-  Clock,
-  Millis,
-  RollOutOrder,
-  ServiceTarget,
-  ServingConfiguration,
-  Timers,
-} from '@limelead/types';
+import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
+import {
+  getDecodedTarget,
+  type DecodedStoreItem,
+  type StoreDialect,
+} from './decoded-store-item.js';
 import LapsedTargets from './lapsed-targets.js';
 import { DUTY_KEY, QUARANTINE_KEY_PREFIX, ROLL_OUT_DUTY_KEY } from './store-keys.js';
 import { decodeQuarantine } from './quarantine-item.js';
@@ -40,33 +36,6 @@
 
 const STORE: UpdateSource = 'store';
 
-/** A decoded store item. */
-export type DecodedStoreItem =
-  | { kind: 'configuration'; configuration: ServingConfiguration }
-  | { kind: 'target'; target: ServiceTarget }
-  | { kind: 'roll-out'; order: RollOutOrder }
-  /** Written by limelead: the current step of a roll-out. */
-  | { kind: 'roll-out-step'; service: string; step: AgreedStep }
-  /** Written by limelead: requests of that identity are quarantined. */
-  | { kind: 'quarantine'; identity: string; quarantine: Quarantine }
-  /** Written by limelead: a VM holds the duties. */
-  | { kind: 'duty' }
-  /**
-   * An item that can't be decoded. The target that it held before is kept as leaving, so that
-   * it receives no new requests until a valid item is written.
-   */
-  | { kind: 'unreadable'; reason: string; previousTarget?: ServiceTarget }
-  | { kind: 'other' };
-
-/** Translates between the platform's store items and limelead's types. */
-export interface StoreDialect {
-  decode(item: StoreItem): DecodedStoreItem;
-  /** Returns the id of the target stored under a key; undefined for keys of other items. */
-  parseTargetId(key: string): string | undefined;
-  /** Creates the item that shows operators the state of a roll-out. */
-  composeRollOutState(service: string, state: RollOutState, version: string): StateItem;
-}
-
 const DUTY: DecodedStoreItem = { kind: 'duty' };
 
 interface StoreViewItem {
@@ -244,20 +213,41 @@
     return this.routeTable !== undefined && this.currentRevision > 0;
   }
 
-  /** Applies a complete list of the store. */
+  /**
+   * Applies a complete list of the store. Of a list that is older than the view, only items that
+   * were written after the view's revision are applied; the others would return to what was.
+   */
   applyList({ items, revision }: StoreList): void {
     if (items.some((item) => this.contradictsList(item, revision))) {
       this.reset('contradicts-list', revision);
     }
-    this.removeExcept(new Set(items.map(({ key }) => key)));
-    items.forEach((item) => this.applyItem(item, STORE));
+    const isOlder = revision < this.currentRevision && this.isOfSameStore(items);
+    const since = isOlder ? this.currentRevision : -Infinity;
+    if (!isOlder) {
+      this.removeExcept(new Set(items.map(({ key }) => key)));
+    }
+    items.filter((item) => item.revision > since).forEach((item) => this.applyItem(item, STORE));
     if (!this.hasStoreList) {
       this.hasStoreList = true;
       this.fingerprintConfigurations(items);
     }
+    if (!isOlder) {
+      this.removals.reset(revision);
+    }
     this.completeList(revision);
   }
 
+  /** Whether the view is known to be of the store that sent these items. */
+  private isOfSameStore(items: StoreItem[]): boolean {
+    return (
+      this.hasStoreList ||
+      items.some((item) => {
+        const known = this.items.get(item.key)?.item;
+        return known?.revision === item.revision && known.value.equals(item.value);
+      })
+    );
+  }
+
   /** Only items listed by the store identify it; items from peers may be of another store. */
   private fingerprintConfigurations(items: StoreItem[]): void {
     this.fingerprints.reset();
@@ -294,13 +284,13 @@
     }
     this.removeExcept(new Set(present));
     items.forEach((item) => this.applyItem(item, peer));
+    this.removals.reset(revision);
     this.completeList(revision);
   }
 
   /** Completes a full update: the items of the view are now all items of the store. */
   private completeList(revision: number): void {
     this.currentRevision = Math.max(revision, this.currentRevision);
-    this.removals.reset(revision);
     const { directory, onChange } = this.options;
     directory.apply(this.lapsedTargets.filter(directory.listChanges(this.listTargets())));
     onChange();
@@ -327,8 +317,11 @@
     }
   }
 
-  /** Applies changes that follow the view's revision. */
+  /** Applies changes; ignores them if peers have told newer ones since they were requested. */
   applyChanges({ changes, revision }: StoreChanges, source = STORE): void {
+    if (revision < this.currentRevision) {
+      return;
+    }
     const targetChanges = changes.flatMap((change) =>
       this.toTargetChange(change, revision, source),
     );
@@ -440,13 +433,6 @@
   }
 }
 
-function getDecodedTarget(decoded: DecodedStoreItem): ServiceTarget | undefined {
-  if (decoded.kind === 'target') {
-    return decoded.target;
-  }
-  return decoded.kind === 'unreadable' ? decoded.previousTarget : undefined;
-}
-
 /** The fingerprint of a target; reused while its creation revision and address stay the same. */
 function fingerprintOf(
   item: StoreItem,
