Make no promise for a target that made none

A caller got 503, 429 or 408 from a target whose answer lacks `Not-Executed`. These statuses promise that the request has not run and never will, and callers repeat even requests that may run only once after them; only `Not-Executed` or 421 says that the target did not run it.

Cause: such an answer was passed on like any other that is whole.

Change: the head becomes 502 without headers and the body is dropped, where attempts read their answers; retries see a server error. The answer of a VM that relays stays as it is, since it promises by itself.

--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -126,13 +126,18 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const BAD_GATEWAY = 502;
 
+/** Whether a status guarantees to callers that the request was not executed. */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /**
  * Returns the HTTP status for a kind. A request that may have been executed never gets a
  * status that guarantees the opposite.
  */
 export function toHttpStatus(kind: ErrorKind, execution: Execution): number {
   const status = HTTP_STATUS[kind];
-  return execution !== 'not-run' && NOT_RUN_STATUSES.has(status) ? BAD_GATEWAY : status;
+  return execution !== 'not-run' && promisesNotRun(status) ? BAD_GATEWAY : status;
 }
 
 /** Whether a text is an error kind. */
--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -6,7 +6,7 @@
 import type { ForwardContext } from './context.js';
 import type { AnswerInfo, AttemptRequest } from './dialect.js';
 import type { Slot } from './slot-request.js';
-import readAnswer from './read-answer.js';
+import readAnswer, { MAY_HAVE_RUN, withoutFalsePromise } from './read-answer.js';
 import type { RefundAttempt } from './attempt-budget.js';
 
 /** Longer answers are streamed to the caller. The answers of users have 0.8 KB on average. */
@@ -127,11 +127,13 @@
     if (info.notRun) {
       this.open?.cancel();
       this.finish(() => this.events.onRejected(this, info.isOtherTarget), 'rejected');
+      return;
     }
+    this.head = withoutFalsePromise(head, this.target);
   }
 
   private onData(chunk: Buffer): void {
-    if (this.isOver || this.head === undefined) {
+    if (this.isOver || this.head === undefined || this.head === MAY_HAVE_RUN) {
       return;
     }
     if (this.isStreaming) {
--- a/packages/forward-request/src/stream-attempt.ts
+++ b/packages/forward-request/src/stream-attempt.ts
@@ -4,7 +4,7 @@
 import createPieceSplitter, { type PieceSplitter } from '@limelead/split-pieces';
 import type { ForwardContext } from './context.js';
 import type { AttemptRequest } from './dialect.js';
-import readAnswer from './read-answer.js';
+import readAnswer, { MAY_HAVE_RUN, withoutFalsePromise } from './read-answer.js';
 
 /** Longest idle time of a connection that a stream reuses. */
 const STREAM_MAX_IDLE_MS = 1_000;
@@ -105,7 +105,7 @@
       this.finish(() => this.events.onRejected(cause, `status ${head.status}`));
       return;
     }
-    this.head = head;
+    this.head = withoutFalsePromise(head, this.target);
     if (head.status === OK) {
       this.events.onOpened(head);
     } else {
@@ -114,7 +114,7 @@
   }
 
   private onData(chunk: Buffer): void {
-    if (this.isOver) {
+    if (this.isOver || this.head === MAY_HAVE_RUN) {
       return;
     }
     if (this.otherBody !== undefined) {
