Keep a paused answer from ending the process, whatever closes its connection

Cause: the library takes the end or reset of a connection for the end of such an answer, and `assert(!this.paused)` in its `Parser.finish` failed in an event of the socket. `staysOpen` guessed from headers which answers that concerns; the HTTP version isn't among them. Change: connections are `HttpSocket`s. A reset gets an error of its own, which the library reports as a fault of the request, and `end` is emitted only to a reader that reads on. So any answer can be paused, and `staysOpen` goes; the store's and the platform's clients use the same sockets. Tests: `an answer whose connection closes at its end is not paused` demanded the guess. Its heads and three more are now paused at the head with and without data and behind the data, and then reset, half-closed and closed: the call ends once, as it should, and no exception is uncaught. It failed before at the first head (no end of the call, one uncaught assertion).

--- a/packages/target-connections/src/create-connector.ts
+++ b/packages/target-connections/src/create-connector.ts
@@ -1,6 +1,6 @@
 /** Opens TCP connections with a timeout. */
-import { connect, type Socket } from 'node:net';
 import type { buildConnector } from 'undici';
+import HttpSocket from './http-socket.js';
 
 /** Delay of TCP keep-alive probes, which detect peers that disappeared. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
@@ -9,19 +9,23 @@
 export interface ConnectionEvents {
   /** The connection opened, or failed to within the timeout. */
   onOpened?(isOpen: boolean): void;
-  /** The connection ended with an error; called before the HTTP library handles the error. */
+  /** The connection was reset but seems to end; called before the HTTP library handles the end. */
   onBroken?(): void;
 }
 
+/** For errors while the library does not listen. */
+const ignore = (): void => undefined;
+
 /** Creates a connector with a connect timeout. */
 export default function createConnector(
   timeoutMs: number,
   events: ConnectionEvents = {},
 ): buildConnector.connector {
-  const onBroken = (): void => events.onBroken?.();
   return ({ hostname, port }, callback) => {
-    const socket: Socket = connect({ host: hostname, port: Number(port), noDelay: true });
+    const socket = new HttpSocket();
+    socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+    socket.connect({ host: hostname, port: Number(port) });
     const timer = setTimeout(() => socket.destroy(new Error('connect timed out')), timeoutMs);
     const onError = (error: Error): void => {
       clearTimeout(timer);
@@ -33,12 +37,12 @@
       clearTimeout(timer);
       socket.off('error', onError);
       events.onOpened?.(true);
-      socket.on('error', onBroken);
+      socket.on('error', ignore);
       socket.on('end', () => {
         // A reset that arrives together with data is reported as a normal end, but the socket
         // then has no remote address.
         if (socket.remoteAddress === undefined) {
-          onBroken();
+          events.onBroken?.();
         }
       });
       callback(null, socket);
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -42,9 +42,9 @@
   /** Cancels the call and closes its connection; no further event is emitted. */
   cancel(): void;
   /**
-   * Stops reading the answer, apart from a chunk that was read before. Returns false and has no
-   * effect if the answer can't be paused: before its head, after its end, or if its connection
-   * closes at its end.
+   * Stops reading the answer, apart from a chunk that was read before. A reset is noticed while it
+   * is paused, an end only after it is resumed. Returns false and has no effect before the head
+   * and after the end of the answer.
    */
   pause(): boolean;
   /** Continues to read a paused answer. Must not be called from an event of a call. */
@@ -121,7 +121,7 @@
 
 /** The operations of a connection that a call uses. */
 interface ConnectionControl {
-  /** Whether the connection ended with an error. */
+  /** Whether the connection was reset but seems to end. */
   isBroken(): boolean;
   onIdle(): void;
   close(): void;
@@ -154,12 +154,13 @@
       return;
     }
     const rawHeaders = (controller.rawHeaders ?? []) as unknown as (Buffer | string)[];
-    const head = parseHead(
-      status,
-      rawHeaders.map((part) => part.toString('latin1')),
+    this.canPause = true;
+    this.events.onHead(
+      parseHead(
+        status,
+        rawHeaders.map((part) => part.toString('latin1')),
+      ),
     );
-    this.canPause = staysOpen(head);
-    this.events.onHead(head);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -170,7 +171,7 @@
 
   onResponseEnd(controller: Dispatcher.DispatchController): void {
     if (this.connection.isBroken()) {
-      // The library treats an answer without a length as complete even after a reset.
+      // The library treats an answer without a length as complete at any end of its connection.
       this.onResponseError(controller, new Error('reset before the end of the answer'));
       return;
     }
@@ -213,23 +214,6 @@
   }
 }
 
-/**
- * Whether the connection certainly stays open after the answer. If it closes while such an answer
- * is paused, the HTTP library reports a fault; otherwise an assertion of the library fails in an
- * event of the socket, which would end the process.
- */
-function staysOpen({ headers, rawHeaders }: AnswerHead): boolean {
-  const isConnectionHeader = (index: number): boolean =>
-    index % 2 === 0 && rawHeaders[index]?.toLowerCase() === 'connection';
-  const options = rawHeaders.filter((_, index) => isConnectionHeader(index - 1)).join();
-  if (/\bclose\b/i.test(options)) {
-    return false;
-  }
-  // Without a header, an answer with a length may be of HTTP/1.0, whose connections close.
-  const isChunked = headers.get('transfer-encoding')?.toLowerCase() === 'chunked';
-  return isChunked || (headers.has('content-length') && /\bkeep-alive\b/i.test(options));
-}
-
 function parseHead(status: number, rawHeaders: string[]): AnswerHead {
   const headers = new Map<string, string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
