Pass no empty data of an answer on

Callers saw: nothing yet; an answer whose reader pauses at all data never ended. Cause: reading on behind the end of a chunk, the library passes a chunk without bytes; a reader that pauses at it stops the library again, and so on at each resume. Change: `onData` is called for chunks with bytes only. Test: `an answer that is paused when its connection closes ...` now pauses at all data; it failed before at the half-close of `HTTP/1.0 200 OK` (no end of the call).

--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -31,6 +31,7 @@
 /** Events of a call. `onEnd` or `onFault` is the last one. */
 export interface CallEvents {
   onHead(head: AnswerHead): void;
+  /** Called for each chunk of the body; no chunk is empty. */
   onData(chunk: Buffer): void;
   /** Called when the answer is complete. */
   onEnd(): void;
@@ -164,7 +165,8 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.isOver) {
+    // The library passes an empty chunk when it reads on behind the end of a chunk.
+    if (!this.isOver && chunk.length > 0) {
       this.events.onData(chunk);
     }
   }
--- a/packages/target-connections/src/target.fixture.ts
+++ b/packages/target-connections/src/target.fixture.ts
@@ -73,9 +73,20 @@
   });
 }
 
-/** Sends a call whose answer is paused at its head or first data. Resolves when it is paused. */
-export async function openPaused(head: string, chunk: string, pauseAt: 'head' | 'data' = 'head') {
-  const target = await startTarget((socket) => socket.write(`${head}\r\n\r\n${chunk}`));
+/**
+ * Sends a call whose answer is paused at its head, at all data or at both. Resolves when it is paused.
+ * @param onWritten called when the target has written the answer
+ */
+export async function openPaused(
+  head: string,
+  chunk: string,
+  pauseAt: 'head' | 'data' | 'both' = 'head',
+  onWritten: (socket: Socket) => void = () => undefined,
+) {
+  const target = await startTarget((socket) => {
+    socket.write(`${head}\r\n\r\n${chunk}`);
+    onWritten(socket);
+  });
   const connections = createConnections();
   let onPaused = (): void => undefined;
   const received: string[] = [];
@@ -98,10 +109,10 @@
     call,
     { maxIdleMs: 0 },
     {
-      onHead: () => pauseAt === 'head' && pause(),
+      onHead: () => pauseAt !== 'data' && pause(),
       onData: (data) => {
         received.push(data.toString());
-        if (pauseAt === 'data' && received.length === 1) {
+        if (pauseAt !== 'head') {
           pause();
         }
       },
