End a connection only to a reader that has nothing left and does not pause

Cause: a read that returns the last bytes of an ended connection schedules `end` before the library parses them, and so does the read with which the library resumes; if the answer is paused at these bytes, `assert(!this.paused)` fails in the event. Change: once nothing is left, `HttpSocket` asks for a further read by `readable`, and `end` follows only that one. Test: `an end that is known before the last data is read waits ...`, which failed before.

--- a/packages/target-connections/src/http-socket.ts
+++ b/packages/target-connections/src/http-socket.ts
@@ -7,6 +7,7 @@
  */
 export default class HttpSocket extends Socket {
   private hasReceivedEnd = false;
+  private isOfferingEnd = false;
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     this.hasReceivedEnd ||= chunk === null;
@@ -14,11 +15,22 @@
   }
 
   /**
-   * Reads as a `Socket` does, but a read of no bytes, with which the runtime follows an end, does
-   * not emit `end`: that is left to whoever reads on.
+   * Reads as a `Socket` does, but a read never ends the socket by itself: the library may stop
+   * reading at the bytes that it has just read. Once nothing is left, a further `readable` event
+   * asks for a read, and `end` follows that one.
    */
   override read(size?: number): unknown {
-    return size === 0 && this.hasReceivedEnd ? null : super.read(size);
+    if (!this.hasReceivedEnd || this.isOfferingEnd) {
+      return super.read(size);
+    }
+    if (this.readableLength > 0) {
+      // A read of exactly what is left does not emit `end`.
+      return size === 0 ? null : super.read(size ?? this.readableLength);
+    }
+    if (size !== 0) {
+      process.nextTick(() => this.offerEnd());
+    }
+    return null;
   }
 
   /** Destroys the socket. A reset gets an error of its own, without the code `ECONNRESET`. */
@@ -29,4 +41,10 @@
     const isReset = error?.code === 'ECONNRESET';
     super._destroy(isReset ? new Error('connection reset', { cause: error }) : error, callback);
   }
+
+  private offerEnd(): void {
+    this.isOfferingEnd = true;
+    this.emit('readable');
+    this.isOfferingEnd = false;
+  }
 }
--- a/packages/target-connections/src/paused-answers.test.ts
+++ b/packages/target-connections/src/paused-answers.test.ts
@@ -82,6 +82,25 @@
   uncaught.stop();
 });
 
+// Guards against an end that the library meets at the data behind which reading has just paused.
+test('an end that is known before the last data is read waits until the answer is resumed', async () => {
+  const uncaught = collectUncaught();
+  for (const head of ['HTTP/1.0 200 OK', 'HTTP/1.0 200 OK\r\nContent-Length: 3']) {
+    const paused = await openPaused(head, 'one', 'both', (socket) => socket.end());
+    await sleep(CLOSE_MS);
+    paused.open.resume();
+    await sleep(CLOSE_MS);
+    assert.equal(paused.received, ['one']);
+    assert.is(paused.ends(), 0);
+    paused.open.resume();
+    assert.is(await Promise.race([paused.finished, sleep(END_MS, 'none')]), 'ended', head);
+    assert.equal(paused.received, ['one']);
+    await paused.target.stop();
+  }
+  assert.equal(uncaught.exceptions, []);
+  uncaught.stop();
+});
+
 // Guards against a lost target that goes unnoticed, or ends the process, while it is paused.
 test('a paused answer reports the reset of its connection, and nothing after it is cancelled', async () => {
   for (const head of [CHUNKED, 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: keep-alive']) {
