--- /dev/null
+++ b/packages/target-connections/src/faulty-target.fixture.ts
@@ -0,0 +1,87 @@
+/** A target that answers by plans, over plain TCP. */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { AnswerPlan, Ending } from './random-answer.fixture.js';
+
+/** What a faulty target does. */
+export interface TargetPlan {
+  /** How each connection begins; `keep` accepts it. */
+  beginnings: Ending[];
+  /** An answer for each request. */
+  answers: AnswerPlan[];
+}
+
+const REQUEST_START = /^(GET|POST|HEAD) /;
+
+/** Target for a few requests; connections and requests beyond its plan are closed. */
+export default class FaultyTarget {
+  private readonly sockets = new Set<Socket>();
+  private connections = 0;
+  private requests = 0;
+
+  private constructor(
+    private readonly server: Server,
+    private readonly plan: TargetPlan,
+    private readonly onEnding: (ending: Ending) => void,
+  ) {
+    server.on('connection', (socket: Socket) => this.onConnection(socket));
+  }
+
+  /** @param onEnding called just before the target ends a connection */
+  static async start(plan: TargetPlan, onEnding: (ending: Ending) => void): Promise<FaultyTarget> {
+    const server = createServer({ allowHalfOpen: true });
+    const target = new FaultyTarget(server, plan, onEnding);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return target;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  stop(): Promise<void> {
+    this.sockets.forEach((socket) => socket.destroy());
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+
+  private onConnection(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    this.end(socket, this.plan.beginnings[this.connections++] ?? 'close');
+    socket.on('data', (data) => {
+      if (REQUEST_START.test(data.toString('latin1'))) {
+        void this.answer(socket, this.plan.answers[this.requests++]);
+      }
+    });
+  }
+
+  private async answer(socket: Socket, plan: AnswerPlan | undefined): Promise<void> {
+    if (plan?.isDeaf === true) {
+      socket.pause();
+    }
+    for (const { text, delayMs } of plan?.pieces ?? []) {
+      if (delayMs > 0) {
+        await sleep(delayMs);
+      }
+      if (socket.writable) {
+        socket.write(Buffer.from(text, 'latin1'));
+      }
+    }
+    await sleep(plan?.endDelayMs ?? 0);
+    this.end(socket, plan?.ending ?? 'close');
+  }
+
+  private end(socket: Socket, ending: Ending): void {
+    if (ending === 'keep' || socket.destroyed) {
+      return;
+    }
+    this.onEnding(ending);
+    if (ending === 'reset') {
+      socket.resetAndDestroy();
+    } else if (ending === 'close') {
+      socket.destroySoon();
+    } else {
+      socket.end();
+    }
+  }
+}
