--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,7 @@
 import createPeerLossHandler from './peer-losses.js';
 import createOrigins from './create-origins.js';
 import createQuarantineComponent, { type QuarantineComponent } from './quarantine-component.js';
+import createReportUncaught, { type ReportUncaught } from './report-uncaught.js';
 import type { GatewaySettings } from './settings.js';
 
 /**
@@ -103,6 +104,8 @@
 /** One entry VM: accepts requests, follows the store and exchanges state with its peers. */
 export default class Gateway {
   readonly log: DecisionLog;
+  /** For exceptions that nothing caught; this VM's state is then not known to be sound. */
+  readonly reportUncaught: ReportUncaught;
   private readonly metrics: Metrics = createMetrics();
   private readonly directory: TargetDirectory;
   private readonly locality: Locality;
@@ -134,6 +137,7 @@
     private readonly platform: GatewayPlatform,
   ) {
     this.log = createDecisionLog({ vm: settings.vm, clock: steadyClock });
+    this.reportUncaught = createReportUncaught(this.log, this.metrics, steadyClock);
     this.locality = createLocality({ ...settings, prices: settings.localityPrices });
     this.retryBudgets = createRetryBudgets({
       limits: settings.retryBudget,
