Drain and end the daemon in the planned way behind an uncaught exception

Callers saw: any such exception ended the daemon at once, with all its generations. Change: as in the program of the entry VMs: `uncaught exception` in the log with the connection that the error names, `limelead_faults_total{boundary="process"}`, the stop of SIGTERM, exit code 1, at the latest 3 s after the drain time.

--- a/packages/daemon/src/run-limeleadd.ts
+++ b/packages/daemon/src/run-limeleadd.ts
@@ -8,6 +8,8 @@
 
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_FAILED = 1;
+/** Time beside the drain after which a stop behind an uncaught exception ends in any case. */
+const STOP_MARGIN_MS = 3_000;
 
 interface LimeleaddOptions {
   settings?: string;
@@ -42,7 +44,15 @@
   }
   try {
     const daemon = await startDaemon(settings.right);
-    onStopRequested(() => void daemon.stop().then(() => process.exit(0)));
+    const { leaveBalancerMs, drainMs } = settings.right.timing;
+    const stop = (): void => void daemon.stop().finally(() => process.exit());
+    onStopRequested(stop);
+    process.on('uncaughtException', (error) => {
+      daemon.reportUncaught(error);
+      process.exitCode = EXIT_FAILED;
+      setTimeout(() => process.exit(), leaveBalancerMs + drainMs + STOP_MARGIN_MS).unref();
+      stop();
+    });
   } catch (thrown) {
     exitWith(EXIT_FAILED, `limeleadd: ${toLimeleadError(thrown).message}`);
   }
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -1,6 +1,7 @@
 /** Starts the daemon of one entry VM. */
 import { fastifyConnectPlugin } from '@connectrpc/connect-fastify';
 import chooseTarget from '@limelead/choose-target';
+import { describeThrown, findConnection } from '@limelead/errors';
 import type { Settings } from '@limelead/read-settings';
 import type { GenerationDependencies } from '@limelead/run-generation';
 import { Administration, Calls, Generation, Observation } from '@limelead/schema';
@@ -40,6 +41,8 @@
   stop(): Promise<void>;
   /** Stops immediately and drops open connections, as a crash of the VM does. */
   kill(): Promise<void>;
+  /** Logs and counts an exception that nothing caught; the VM's state is then not known to be sound. */
+  reportUncaught(thrown: unknown): void;
   renderMetrics(): string;
   /** Revision of this VM's current configuration. */
   revision(): number;
@@ -103,6 +106,13 @@
     await this.close();
   }
 
+  reportUncaught(thrown: unknown): void {
+    const { metrics, logger } = this.context;
+    metrics.count('limelead_faults_total', 1, { boundary: 'process' });
+    const reason = describeThrown(thrown);
+    logger.error('uncaught exception', { reason, connection: findConnection(thrown) });
+  }
+
   renderMetrics(): string {
     return this.context.metrics.render();
   }
