Keep a silent run when the next target answers with an error

Callers got the 500 of the next target although their own run went on: a run that reads its prompt falls silent, its target answers no probe, and the next target, the last one that the route allows, answers with an error.

Change: an answer that is no stream, of an attempt that was started beside a silent run, counts as a refusal; the silent run stays and the search goes on.

Result: error-beside-silent-run.test failed before (500 instead of the whole stream) and passes.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -339,11 +339,13 @@
     this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
     live.run?.recordAnswer(head.status < MIN_SERVER_ERROR_STATUS);
     this.report.attemptEnded(live, false);
+    const isBesideSilentRun = this.relocation.isBeside(attempt);
     this.release(attempt);
     // A VM that relays has retried already.
     const canRetry =
       this.admitted.route.repeatable && !isRelayed(live) && !this.attempts.hasReachedMaxTargets;
-    if ((head.status >= MIN_SERVER_ERROR_STATUS && canRetry) || this.answer.hasBegun) {
+    const isRetried = head.status >= MIN_SERVER_ERROR_STATUS && canRetry;
+    if (isBesideSilentRun || isRetried || this.answer.hasBegun) {
       this.advance({ kind: 'broken', attempt, cause: 'refused' });
       return;
     }
--- a/packages/forward-request/src/stream-relocation.ts
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -76,6 +76,11 @@
     this.relocation?.onAccepted(attempt);
   }
 
+  /** Whether an attempt was started beside a silent run. */
+  isBeside(attempt: number): boolean {
+    return this.relocation !== undefined && this.relocation.attempt !== attempt;
+  }
+
   /** An attempt has ended. */
   onReleased(attempt: number): void {
     if (this.relocation?.attempt === attempt) {
