Count a relayed attempt as accepted at its first output only

Callers of silent runs lost their streams at the deadline: the run was left 200 ms after the request was sent to another VM, which may only have queued it.

Change: the time without a rejection counts as acceptance at targets only; at a VM that relays, the first output does.

--- a/packages/forward-request/src/run-relocation.test.ts
+++ b/packages/forward-request/src/run-relocation.test.ts
@@ -9,7 +9,7 @@
 
 const SILENT_ATTEMPT = 1;
 const NEXT_ATTEMPT = 2;
-const slot = { release: () => undefined } as unknown as Slot;
+const slot = { tracked: { target: {} }, release: () => undefined } as unknown as Slot;
 const findSlot = (events: SlotSearchEvents): void => events.onSlot(slot);
 
 /** A relocation whose searches do what is given, in turn; the last one is repeated. */
--- a/packages/forward-request/src/run-relocation.ts
+++ b/packages/forward-request/src/run-relocation.ts
@@ -77,7 +77,10 @@
 
   private startNext(slot: Slot): void {
     this.hasNextAttempt = true;
-    this.cancelTimer = this.options.timers.after(ACCEPTANCE_MS, () => this.accept());
+    // A VM that relays may queue the request, which its first output tells apart.
+    if (slot.tracked.target.isHelper !== true) {
+      this.cancelTimer = this.options.timers.after(ACCEPTANCE_MS, () => this.accept());
+    }
     this.options.onSlot(slot);
   }
 
