Draw the fuzz's cases apart, and cover connections that end at their beginning

Change: the first 20 numbers are skipped, in the callers' fuzz, too; `connecting` is a state of its own that a run must cover.

--- a/packages/http-front-door/src/caller-fuzz.test.ts
+++ b/packages/http-front-door/src/caller-fuzz.test.ts
@@ -11,6 +11,7 @@
 const LANES = 12;
 const MAX_PIECES = 4;
 const MAX_DELAY_MS = 4;
+const SKIPPED_DRAWS = 20;
 /** Time in which the VM ends the requests of connections that have closed. */
 const SETTLE_MS = 1_000;
 const ODD_SHARE = 0.3;
@@ -56,6 +57,10 @@
 
 async function playCaller(port: number, number: number): Promise<void> {
   const generator = xoroshiro128plus(SEED * 1_000_003 + number);
+  // The first numbers of close seeds are alike.
+  for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped += 1) {
+    uniformFloat64(generator);
+  }
   const { pieces, delaysMs, reads, close } = planCaller(() => uniformFloat64(generator));
   const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
   const closed = new Promise((resolve) => socket.once('close', resolve));
--- a/packages/target-connections/src/connection-fuzz.test.ts
+++ b/packages/target-connections/src/connection-fuzz.test.ts
@@ -19,7 +19,7 @@
 const BODIES = [0, 2, 2, 2, 500_000].map((bytes) => Buffer.alloc(bytes, 'b'));
 
 /** How a call stands. */
-type State = 'connecting' | 'waiting' | 'body' | 'paused' | 'idle';
+type State = 'waiting' | 'body' | 'paused' | 'idle';
 
 /** Calls with their states, and what their targets did in these. */
 class Fuzz {
@@ -39,14 +39,14 @@
       draws.isWithin(0.1) ? ending : 'keep',
     );
     const answers = Array.from({ length: CALLS_PER_CASE }, () => planAnswer(draws));
-    let state: State = 'connecting';
-    const faulty = await FaultyTarget.start({ beginnings, answers }, (ending) => {
-      const event = `${ending} while ${state}`;
+    let state: State = 'waiting';
+    const faulty = await FaultyTarget.start({ beginnings, answers }, (ending, isNew) => {
+      const event = `${ending} while ${isNew ? 'connecting' : state}`;
       this.seen.set(event, (this.seen.get(event) ?? 0) + 1);
     });
     const target = { ...this.sound, id: `faulty-${number}`, port: faulty.port };
     for (let call = 0; call < CALLS_PER_CASE; call += 1) {
-      state = 'connecting';
+      state = 'waiting';
       await this.call(draws, target, `${number}.${call}`, (next) => (state = next));
       state = 'idle';
       const { body, fault } = await send(this.connections, this.sound, MAX_IDLE_MS);
@@ -108,7 +108,6 @@
         end('cancelled');
       }
     };
-    setState('waiting');
     const timer = setTimeout(cancel, draws.isWithin(0.1) ? draws.below(10) : PATIENCE_MS);
     await finished;
     clearTimeout(timer);
@@ -145,7 +144,7 @@
   assert.equal(fuzz.faults, []);
   assert.ok(Object.values(fuzz.counts).every((count) => count > 0));
   for (const ending of ['reset', 'halfClose', 'close']) {
-    for (const state of ['waiting', 'body', 'paused', 'idle']) {
+    for (const state of ['connecting', 'waiting', 'body', 'paused', 'idle']) {
       assert.ok(fuzz.seen.has(`${ending} while ${state}`), `${ending} while ${state}`);
     }
   }
--- a/packages/target-connections/src/faulty-target.fixture.ts
+++ b/packages/target-connections/src/faulty-target.fixture.ts
@@ -22,13 +22,16 @@
   private constructor(
     private readonly server: Server,
     private readonly plan: TargetPlan,
-    private readonly onEnding: (ending: Ending) => void,
+    private readonly onEnding: (ending: Ending, isNew: boolean) => void,
   ) {
     server.on('connection', (socket: Socket) => this.onConnection(socket));
   }
 
-  /** @param onEnding called just before the target ends a connection */
-  static async start(plan: TargetPlan, onEnding: (ending: Ending) => void): Promise<FaultyTarget> {
+  /** @param onEnding called just before the target ends a connection, a new one or a used one */
+  static async start(
+    plan: TargetPlan,
+    onEnding: (ending: Ending, isNew: boolean) => void,
+  ): Promise<FaultyTarget> {
     const server = createServer({ allowHalfOpen: true });
     const target = new FaultyTarget(server, plan, onEnding);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -47,7 +50,7 @@
   private onConnection(socket: Socket): void {
     this.sockets.add(socket);
     socket.on('error', () => undefined);
-    this.end(socket, this.plan.beginnings[this.connections++] ?? 'close');
+    this.end(socket, this.plan.beginnings[this.connections++] ?? 'close', true);
     socket.on('data', (data) => {
       if (REQUEST_START.test(data.toString('latin1'))) {
         void this.answer(socket, this.plan.answers[this.requests++]);
@@ -71,11 +74,11 @@
     this.end(socket, plan?.ending ?? 'close');
   }
 
-  private end(socket: Socket, ending: Ending): void {
+  private end(socket: Socket, ending: Ending, isNew = false): void {
     if (ending === 'keep' || socket.destroyed) {
       return;
     }
-    this.onEnding(ending);
+    this.onEnding(ending, isNew);
     if (ending === 'reset') {
       socket.resetAndDestroy();
     } else if (ending === 'close') {
--- a/packages/target-connections/src/random-answer.fixture.ts
+++ b/packages/target-connections/src/random-answer.fixture.ts
@@ -46,6 +46,7 @@
 const CUT_SHARE = 0.3;
 const MAX_PIECES = 5;
 const MAX_DELAY_MS = 4;
+const SKIPPED_DRAWS = 20;
 
 /** Draws from a sequence that its seed determines. */
 export class Draws {
@@ -53,6 +54,10 @@
 
   constructor(seed: number) {
     this.generator = xoroshiro128plus(seed);
+    // The first numbers of close seeds are alike.
+    for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped += 1) {
+      uniformFloat64(this.generator);
+    }
   }
 
   /** Returns an integer from 0 to `exclusiveMax`, exclusive. */
