--- a/packages/forward-request/src/stream-relocation.ts
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -38,6 +38,7 @@
   lose(attempt: number, reason: string): void;
 }
 
+/** The relocations of one stream, one at a time. */
 export default class StreamRelocation {
   private relocation: RunRelocation | undefined;
 
@@ -105,7 +106,7 @@
         const exclude = [...this.events.readState().excludedTargets, id];
         return this.events.createSearch(exclude, events, id);
       },
-      onSlot: (slot) => this.startBeside(attempt, slot),
+      onSlot: (slot) => this.startBeside(attempt, id, slot),
       onKept: (error) => report.runKept(attempt, id, error?.message),
       onAccepted: () => {
         this.relocation = undefined;
@@ -115,28 +116,19 @@
     });
   }
 
-  /** Starts the next attempt beside a silent run. */
-  private startBeside(attempt: number, slot: Slot): void {
-    if (this.hasBreaksLeft(attempt)) {
+  /** Starts the next attempt beside a silent run; without breaks left, the run stays for good. */
+  private startBeside(attempt: number, target: string, slot: Slot): void {
+    if (hasBreaksLeft(this.events.readState())) {
       this.events.setNextSlot(slot);
       this.events.advance({ kind: 'silent', attempt });
     } else {
+      const { refusals, report } = this.stream;
       slot.release();
+      this.cancel();
+      report.runKept(attempt, target, refusals.movedTooOften().message);
     }
   }
 
-  /** Whether the stream may be moved once more; otherwise the silent run stays for good. */
-  private hasBreaksLeft(attempt: number): boolean {
-    if (hasBreaksLeft(this.events.readState())) {
-      return true;
-    }
-    const { live, refusals, report } = this.stream;
-    this.cancel();
-    const target = live.get(attempt)?.attempt.target.id ?? '';
-    report.runKept(attempt, target, refusals.movedTooOften().message);
-    return false;
-  }
-
   /** Keeps a run that has written although it was reported silent. */
   private onRunReturned(attempt: number): void {
     const { attempts, context, live, replicas, report } = this.stream;
