Share the seeded draws, outcomes and silent runs of tests

Three fuzzes had their own copy of the seeded draws, two tests of the demonstration their own getOutcome, and three relocation tests the same pausing target. Each stands once now: SeededDraws in stand-ins, get-outcome.fixture and silent-runs.fixture. Seeds and draws are the same.

--- a/packages/demo/src/stop.test.ts
+++ b/packages/demo/src/stop.test.ts
@@ -1,9 +1,10 @@
 /** Tests how a VM ends the requests that are open at the end of its drain. */
-import { createClient, readErrorDetail, type Client } from '@limelead/client';
+import { createClient, type Client } from '@limelead/client';
 import { delay, systemTimers } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
+import getOutcome from './get-outcome.fixture.js';
 import waitUntil from './wait-until.fixture.js';
 
 const DRAIN_MS = 300;
@@ -31,16 +32,6 @@
   await vm.daemon.stop();
 }
 
-async function getOutcome(run: () => Promise<unknown>): Promise<string> {
-  try {
-    await run();
-    return 'answered';
-  } catch (thrown) {
-    const { kind, execution } = readErrorDetail(thrown);
-    return `${kind ?? 'link'}/${execution}`;
-  }
-}
-
 /** Streams an answer that may not be resumed; returns the text of its last messages. */
 async function streamNotResumable(url: string, headers: Record<string, string>): Promise<string> {
   const message = Buffer.from(JSON.stringify({ ...PROMPT, resumable: false }));
--- a/packages/demo/src/system.test.ts
+++ b/packages/demo/src/system.test.ts
@@ -1,6 +1,6 @@
 /** Tests a cluster of three VMs over real sockets. */
 import { create } from '@bufbuild/protobuf';
-import { createClient, readErrorDetail, type AnswerRequest, type Client } from '@limelead/client';
+import { createClient, type AnswerRequest, type Client } from '@limelead/client';
 import { ApplyRequestSchema } from '@limelead/schema';
 import { tokenAt } from '@limelead/stand-ins';
 import { delay, systemTimers, type Resource } from '@limelead/types';
@@ -8,6 +8,7 @@
 import * as assert from 'uvu/assert';
 import { DEMO_KEYS, startDemoCluster, type DemoCluster } from './index.js';
 import toOperations from './to-operations.js';
+import getOutcome from './get-outcome.fixture.js';
 import waitUntil from './wait-until.fixture.js';
 
 const PROMPT: AnswerRequest = {
@@ -39,16 +40,6 @@
   }
 }
 
-async function getOutcome(run: () => Promise<unknown>): Promise<string> {
-  try {
-    await run();
-    return 'answered';
-  } catch (thrown) {
-    const { kind, execution } = readErrorDetail(thrown);
-    return `${kind ?? 'link'}/${execution}`;
-  }
-}
-
 async function readAnswer(client: Client, request: AnswerRequest): Promise<string[]> {
   const tokens: string[] = [];
   for await (const event of client.generate(request)) {
--- a/packages/forward-request/src/error-beside-silent-run.test.ts
+++ b/packages/forward-request/src/error-beside-silent-run.test.ts
@@ -4,13 +4,11 @@
 import {
   beginAnswer,
   createAdmittedRequest,
-  formatPiece,
   RecordingSink,
   TestBed,
   type Behaviour,
 } from './forwarding.fixture.js';
-
-const WHOLE = [1, 2, 3].map(formatPiece).join('');
+import { WHOLE } from './silent-runs.fixture.js';
 
 /** Reads its prompt for longer than a probe of its target is awaited. */
 const reading: Behaviour = (request, response) => {
--- a/packages/forward-request/src/rejected-relocation.test.ts
+++ b/packages/forward-request/src/rejected-relocation.test.ts
@@ -5,24 +5,15 @@
 import * as assert from 'uvu/assert';
 import forwardStream from './forward-stream.js';
 import {
-  beginAnswer,
   createAdmittedRequest,
-  formatPiece,
   RecordingSink,
   streamTo,
   TestBed,
   type Behaviour,
 } from './forwarding.fixture.js';
+import { pauseFor, WHOLE } from './silent-runs.fixture.js';
 
-const WHOLE = [1, 2, 3].map(formatPiece).join('');
-
-const pausing: Behaviour = (request, response, { lastPiece }) => {
-  beginAnswer(request, response);
-  for (let number = lastPiece + 1; number <= 2; number += 1) {
-    response.write(formatPiece(number));
-  }
-  setTimeout(() => response.end(formatPiece(3)), 1_000);
-};
+const pausing = pauseFor(1_000);
 
 const full: Behaviour = (_, response) => {
   response.writeHead(503, { 'not-run': '1' }).end();
--- a/packages/forward-request/src/relayed-silent-run.test.ts
+++ b/packages/forward-request/src/relayed-silent-run.test.ts
@@ -3,25 +3,16 @@
 import * as assert from 'uvu/assert';
 import forwardStream from './forward-stream.js';
 import {
-  beginAnswer,
   createAdmittedRequest,
-  formatPiece,
   RecordingSink,
   TestBed,
   type Behaviour,
 } from './forwarding.fixture.js';
+import { pauseFor, WHOLE } from './silent-runs.fixture.js';
 import type { RequestRelay } from './request-relay.js';
 import type { Slot } from './slot-request.js';
 
-const WHOLE = [1, 2, 3].map(formatPiece).join('');
-
-const pausing: Behaviour = (request, response, { lastPiece }) => {
-  beginAnswer(request, response);
-  for (let number = lastPiece + 1; number <= 2; number += 1) {
-    response.write(formatPiece(number));
-  }
-  setTimeout(() => response.end(formatPiece(3)), 1_500);
-};
+const pausing = pauseFor(1_500);
 
 const queueing: Behaviour = () => undefined;
 
--- a/packages/http-front-door/src/caller-fuzz.test.ts
+++ b/packages/http-front-door/src/caller-fuzz.test.ts
@@ -1,7 +1,6 @@
+import { SeededDraws } from '@limelead/stand-ins';
 import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import TestBed, { ANSWERED, GOOD, head } from './test-bed.fixture.js';
@@ -11,7 +10,6 @@
 const LANES = 12;
 const MAX_PIECES = 4;
 const MAX_DELAY_MS = 4;
-const SKIPPED_DRAWS = 20;
 /** Time in which the VM ends the requests of connections that have closed. */
 const SETTLE_MS = 1_000;
 const ODD_SHARE = 0.3;
@@ -35,33 +33,25 @@
 ];
 
 /** Bytes of a caller in the pieces that it writes, and how it closes its connection. */
-function planCaller(next: () => number) {
-  const pick = <Item>(items: readonly Item[]): Item =>
-    items[Math.floor(next() * items.length)] as Item;
-  const requests = Array.from({ length: 1 + Math.floor(next() * 3) }, () =>
-    next() < ODD_SHARE ? pick(ODD_REQUESTS) : GOOD,
+function planCaller(draws: SeededDraws) {
+  const requests = Array.from({ length: 1 + draws.below(3) }, () =>
+    draws.isWithin(ODD_SHARE) ? draws.pick(ODD_REQUESTS) : GOOD,
   );
   const whole = requests.join('');
-  const text = next() < ODD_SHARE ? whole.slice(0, Math.floor(next() * whole.length)) : whole;
-  const bounds = Array.from({ length: Math.floor(next() * MAX_PIECES) }, () =>
-    Math.floor(next() * text.length),
-  );
+  const text = draws.isWithin(ODD_SHARE) ? whole.slice(0, draws.below(whole.length)) : whole;
+  const bounds = Array.from({ length: draws.below(MAX_PIECES) }, () => draws.below(text.length));
   bounds.sort((a, b) => a - b);
   return {
     pieces: [...bounds, text.length].map((end, index) => text.slice(bounds[index - 1] ?? 0, end)),
-    delaysMs: Array.from({ length: MAX_PIECES + 1 }, () => Math.floor(next() * MAX_DELAY_MS)),
-    reads: next() > ODD_SHARE,
-    close: ENDINGS[pick(['reset', 'halfClose', 'close'] as const)],
+    delaysMs: Array.from({ length: MAX_PIECES + 1 }, () => draws.below(MAX_DELAY_MS)),
+    reads: !draws.isWithin(ODD_SHARE),
+    close: ENDINGS[draws.pick(['reset', 'halfClose', 'close'] as const)],
   };
 }
 
 async function playCaller(port: number, number: number): Promise<void> {
-  const generator = xoroshiro128plus(SEED * 1_000_003 + number);
-  // The first numbers of close seeds are alike.
-  for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped += 1) {
-    uniformFloat64(generator);
-  }
-  const { pieces, delaysMs, reads, close } = planCaller(() => uniformFloat64(generator));
+  const draws = new SeededDraws(SEED * 1_000_003 + number);
+  const { pieces, delaysMs, reads, close } = planCaller(draws);
   const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
   const closed = new Promise((resolve) => socket.once('close', resolve));
   socket.on('error', () => undefined);
--- a/packages/peer-links/src/peer-fuzz.test.ts
+++ b/packages/peer-links/src/peer-fuzz.test.ts
@@ -1,9 +1,8 @@
+import { SeededDraws } from '@limelead/stand-ins';
 import { backgroundTimers } from '@limelead/types';
 import { createHash } from 'node:crypto';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { createPeerLinks, peerMessageFormat, type PeerMessage } from './index.js';
@@ -14,7 +13,6 @@
 const CONNECTIONS = Number(process.env['FUZZ_CASES'] ?? 400);
 const LANES = 12;
 const MAX_DELAY_MS = 15;
-const SKIPPED_DRAWS = 20;
 const SETTLE_MS = 50;
 const HOST = '127.0.0.1';
 const SECRET = 'a-secret-of-all-vms';
@@ -24,26 +22,9 @@
   'Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n';
 
 /** Draws of one connection. */
-class Draws {
+class Draws extends SeededDraws {
   /** Whether the VM answered with its own `hello`. */
   hasHello = false;
-  private readonly generator;
-
-  constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
-    // The first numbers of close seeds are alike.
-    for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped += 1) {
-      uniformFloat64(this.generator);
-    }
-  }
-
-  below(exclusiveMax: number): number {
-    return Math.floor(uniformFloat64(this.generator) * exclusiveMax);
-  }
-
-  pick<Item>(items: readonly Item[]): Item {
-    return items[this.below(items.length)] as Item;
-  }
 
   /** Frames of a peer, right and wrong; `mask` as an opener sends them. */
   frames(isMasked: boolean): Buffer {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,4 +9,5 @@
 export { default as createLaggedVmList, type LaggedVmList } from './lagged-vm-list.js';
 export { default as createInProcessStore, type StoreFaults } from './in-process-store.js';
 export { default as createManualTime, flushPromises, type ManualTime } from './manual-time.js';
+export { default as SeededDraws } from './seeded-draws.js';
 export { default as runStandIns, type StandInsPlan } from './run-stand-ins.js';
--- a/packages/target-connections/src/connection-fuzz.test.ts
+++ b/packages/target-connections/src/connection-fuzz.test.ts
@@ -1,10 +1,11 @@
+import { SeededDraws } from '@limelead/stand-ins';
 import type { ServiceTarget } from '@limelead/types';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import FaultyTarget from './faulty-target.fixture.js';
 import type { OpenCall, TargetConnections } from './index.js';
-import { Draws, planAnswer } from './random-answer.fixture.js';
+import { planAnswer } from './random-answer.fixture.js';
 import { collectUncaught, createConnections, send, startTarget } from './target.fixture.js';
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 1);
@@ -34,7 +35,7 @@
 
   /** Calls one faulty target a few times, and a sound one after each call. */
   async runCase(number: number): Promise<void> {
-    const draws = new Draws(SEED * 1_000_003 + number);
+    const draws = new SeededDraws(SEED * 1_000_003 + number);
     const beginnings = (['reset', 'close', 'halfClose'] as const).map((ending) =>
       draws.isWithin(0.1) ? ending : 'keep',
     );
@@ -59,7 +60,7 @@
   }
 
   private async call(
-    draws: Draws,
+    draws: SeededDraws,
     target: ServiceTarget,
     name: string,
     setState: (state: State) => void,
--- a/packages/target-connections/src/random-answer.fixture.ts
+++ b/packages/target-connections/src/random-answer.fixture.ts
@@ -1,6 +1,5 @@
 /** Answers of faulty targets, drawn from a seed: bytes, the pieces they are sent in, and the end. */
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { SeededDraws } from '@limelead/stand-ins';
 
 /** How a target closes a connection, or that it keeps it open. */
 export type Ending = 'reset' | 'halfClose' | 'close' | 'keep';
@@ -46,36 +45,9 @@
 const CUT_SHARE = 0.3;
 const MAX_PIECES = 5;
 const MAX_DELAY_MS = 4;
-const SKIPPED_DRAWS = 20;
-
-/** Draws from a sequence that its seed determines. */
-export class Draws {
-  private readonly generator;
-
-  constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
-    // The first numbers of close seeds are alike.
-    for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped += 1) {
-      uniformFloat64(this.generator);
-    }
-  }
-
-  /** Returns an integer from 0 to `exclusiveMax`, exclusive. */
-  below(exclusiveMax: number): number {
-    return Math.floor(uniformFloat64(this.generator) * exclusiveMax);
-  }
-
-  isWithin(share: number): boolean {
-    return uniformFloat64(this.generator) < share;
-  }
-
-  pick<Item>(items: readonly Item[]): Item {
-    return items[this.below(items.length)] as Item;
-  }
-}
 
 /** Plans one answer. */
-export function planAnswer(draws: Draws): AnswerPlan {
+export function planAnswer(draws: SeededDraws): AnswerPlan {
   const text = cut(draws, changeByte(draws, composeAnswer(draws)));
   const count = 1 + draws.below(MAX_PIECES);
   const bounds = Array.from({ length: count - 1 }, () => draws.below(text.length + 1));
@@ -91,7 +63,7 @@
   };
 }
 
-function composeAnswer(draws: Draws): string {
+function composeAnswer(draws: SeededDraws): string {
   const pickOdd = (items: readonly string[], usual = ''): string =>
     draws.isWithin(ODD_SHARE) ? draws.pick(items) : usual;
   const version = pickOdd(VERSIONS, draws.pick(['1.1', '1.1', '1.0']));
@@ -107,7 +79,7 @@
 }
 
 /** Returns headers that tell where the body ends, rightly or not, and the body. */
-function composeBody(draws: Draws, data: string): [string, string] {
+function composeBody(draws: SeededDraws, data: string): [string, string] {
   const chunked = composeChunks(draws, data);
   return draws.pick<[string, string]>([
     ['', data],
@@ -126,7 +98,7 @@
   ]);
 }
 
-function composeChunks(draws: Draws, data: string): string {
+function composeChunks(draws: SeededDraws, data: string): string {
   let text = '';
   for (let at = 0; at < data.length;) {
     const size = Math.min(data.length - at, 1 + draws.below(data.length));
@@ -137,7 +109,7 @@
   return `${text}0\r\n${draws.pick(['', '', '', 'Last: 1\r\n', 'Last\r\n', ': \r\n'])}\r\n`;
 }
 
-function changeByte(draws: Draws, text: string): string {
+function changeByte(draws: SeededDraws, text: string): string {
   if (!draws.isWithin(CHANGED_BYTE_SHARE)) {
     return text;
   }
@@ -146,7 +118,7 @@
 }
 
 /** Cuts a text anywhere, or within its first bytes, where most states are. */
-function cut(draws: Draws, text: string): string {
+function cut(draws: SeededDraws, text: string): string {
   if (!draws.isWithin(CUT_SHARE)) {
     return text;
   }
