Share the last handler of both programs

The daemon and the gateway each had a copy of what follows an exception that nothing caught. It stands in a package of its own, stop-on-uncaught.

--- a/packages/daemon/src/run-limeleadd.ts
+++ b/packages/daemon/src/run-limeleadd.ts
@@ -1,6 +1,7 @@
 /** Command line of limeleadd. */
 import { toLimeleadError } from '@limelead/errors';
 import readSettings from '@limelead/read-settings';
+import stopOnUncaught from '@limelead/stop-on-uncaught';
 import { cac } from 'cac';
 import * as E from 'fp-ts/lib/Either.js';
 import { onStopRequested } from './early-signals.js';
@@ -45,14 +46,8 @@
   try {
     const daemon = await startDaemon(settings.right);
     const { leaveBalancerMs, drainMs } = settings.right.timing;
-    const stop = (): void => void daemon.stop().finally(() => process.exit());
-    onStopRequested(stop);
-    process.on('uncaughtException', (error) => {
-      daemon.reportUncaught(error);
-      process.exitCode = EXIT_FAILED;
-      setTimeout(() => process.exit(), leaveBalancerMs + drainMs + STOP_MARGIN_MS).unref();
-      stop();
-    });
+    onStopRequested(() => void daemon.stop().finally(() => process.exit()));
+    stopOnUncaught(daemon, leaveBalancerMs + drainMs + STOP_MARGIN_MS);
   } catch (thrown) {
     exitWith(EXIT_FAILED, `limeleadd: ${toLimeleadError(thrown).message}`);
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,7 @@
 export { default as toRollOutBounds } from './roll-out-bounds.js';
 export { default as formatAddress } from './format-address.js';
 export { default as Gateway } from './gateway.js';
-export { default as stopOnUncaught } from './stop-on-uncaught.js';
+export { default as stopOnUncaught } from '@limelead/stop-on-uncaught';
 export type { GatewayPlatform } from './gateway.js';
 export type { StoreDialect, DecodedStoreItem } from './decoded-store-item.js';
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
