--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,3 +8,4 @@
 export type { DutyName, DutySettings, GatewaySettings } from './settings.js';
 export { default as TargetScheduler } from './target-scheduler.js';
 export { default as toPlacementSettings } from './to-placement-settings.js';
+export { default as toDutySettings } from './to-duty-settings.js';
