Let a stream whose connection broke go on only once its run has ended

Cause: a broken connection was taken for the end of the run and of the target, and the next attempt was sent at once. A target that is up and resets a connection may work on with the run. With the wait taken out, two of the three tests of run-at-two-targets fail (the second target gets the request while the first one works). Change: RunStopper asks the target to stop the run and for its report; assessRunEnd decides. The next attempt starts when the target says that the run has ended, when a report lacks a run that earlier ones listed, or when the target cannot be asked. Runs at other connections of a target that is up are no longer given up for the break of one. Replicas avoid targets that lost a run of the request, since a target that is up is no longer suspected. The test of lost targets makes its targets lost (no answer to probes and stops) instead of only breaking connections; its assertions are the same.

--- a/packages/forward-request/src/context.ts
+++ b/packages/forward-request/src/context.ts
@@ -12,6 +12,7 @@
 import type CachedPromptFinder from './cached-prompt-finder.js';
 import type SlotQueue from './slot-queue.js';
 import type PrefillEstimator from './prefill-estimator.js';
+import type RunStopper from './run-stopper.js';
 import type { RequestRelay } from './request-relay.js';
 import type { SendPermits } from './send-permits.js';
 import type { TargetBackpressure } from './target-backpressure.js';
@@ -42,6 +43,8 @@
   /** Asks the scheduler of a large fleet for a target for a stream. */
   requestAdvice: RequestTargetAdvice;
   silence: SilenceMonitor;
+  /** Ends the runs that leave their targets. */
+  runStopper: RunStopper;
   cachedPrompts: CachedPromptFinder;
   prefill: PrefillEstimator;
   slowness: SlownessTracker;
--- a/packages/forward-request/src/dialect.ts
+++ b/packages/forward-request/src/dialect.ts
@@ -51,8 +51,43 @@
   memory?: ReportedMemory;
 }
 
+/** A call that stops a run. */
+export interface StopOrder {
+  runId: string;
+  /** Target to which the memory of the run is offered. */
+  receiver: ServiceTarget;
+}
+
+/** Answer of a target that was asked to stop a run. */
+export interface StopAnswer {
+  /**
+   * "stopped" and "no-such-run" promise that the run has ended; "busy" asks for a repeat; "unclear"
+   * promises nothing.
+   */
+  outcome: 'stopped' | 'no-such-run' | 'other-target' | 'busy' | 'unclear';
+  /** Id of the memory that the target still holds for the stopped run. */
+  heldMemory?: string;
+}
+
+/** Encodes the calls that stop runs. */
+export interface StopDialect {
+  composeStop(target: ServiceTarget, order: StopOrder): TargetCall;
+  readStopAnswer(head: AnswerHead, body: Buffer): StopAnswer;
+  /** Composes a call that frees the memory of a stopped run. */
+  composeMemoryRelease(target: ServiceTarget, heldMemory: string): TargetCall;
+}
+
+const NO_CALL: TargetCall = { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+
+/** For targets that are never asked to stop a run. */
+export const NO_STOPS: StopDialect = {
+  composeStop: () => NO_CALL,
+  readStopAnswer: () => ({ outcome: 'unclear' }),
+  composeMemoryRelease: () => NO_CALL,
+};
+
 /** Encodes requests and decodes answers for one kind of target. */
-export interface TargetDialect {
+export interface TargetDialect extends StopDialect {
   composeCall(attemptRequest: AttemptRequest): TargetCall;
   readAnswer(request: IncomingRequest, head: AnswerHead, target: ServiceTarget): AnswerInfo;
   /** Composes a cheap call that a healthy target answers at once, even under load. */
--- a/packages/forward-request/src/forward-stream.test.ts
+++ b/packages/forward-request/src/forward-stream.test.ts
@@ -258,6 +258,9 @@
     streamThen(3, destroy),
     streamTo(5),
   );
+  // The targets are lost: a break alone leaves one that is up.
+  bed.answersProbes = false;
+  bed.stopRun = () => undefined;
   const sink = new RecordingSink();
   const { log, metrics } = bed.context;
   const guard = createIsolatedGuard({
--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -19,7 +19,13 @@
 import type { ForwardContext } from './context.js';
 import guardAdmittedRequest from './guard-admitted-request.js';
 import { MIN_SERVER_ERROR_STATUS } from './limits.js';
-import LiveAttempts, { findReplica, isRelayed } from './live-attempts.js';
+import type { RunEnd } from './assess-run-end.js';
+import LiveAttempts, {
+  findReplica,
+  isRelayed,
+  toLeavingRun,
+  type LiveAttempt,
+} from './live-attempts.js';
 import type { Slot } from './slot-request.js';
 import PacedSink from './paced-sink.js';
 import reportAdmitted from './report-admitted.js';
@@ -289,8 +295,29 @@
     const { isSuspected } = this.guarded;
     this.replicas.onRunLost(findReplica(live));
     this.lose(attempt, 'broken', reason);
-    observeBrokenTarget(this.context, live, isSuspected);
-    this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+    const canGoOn = this.admitted.route.repeatable;
+    const goOn = (): void => this.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+    void this.awaitEnd(live, canGoOn).then((end) => {
+      if (end === 'lost') {
+        observeBrokenTarget(this.context, live, isSuspected);
+      } else {
+        this.context.directory.observe(live.attempt.target.id, { kind: 'failed' });
+      }
+      if (canGoOn) {
+        goOn();
+      }
+    });
+    if (!canGoOn) {
+      goOn();
+    }
+  }
+
+  /** Waits until a run whose connection broke has ended, or asks once if nothing depends on it. */
+  private awaitEnd(live: LiveAttempt, isNeeded: boolean): Promise<RunEnd> {
+    const { clock, prefill, runStopper } = this.context;
+    const run = toLeavingRun(this.admitted, live, true);
+    const latestStartMs = this.admitted.dueAtMs - prefill.minMs(this.admitted);
+    return runStopper.awaitEnd(run, isNeeded ? latestStartMs : clock.now());
   }
 
   /** Ends an attempt whose target broke off or is silent; the next one resumes from its replica. */
@@ -299,7 +326,9 @@
     if (live === undefined) {
       return;
     }
-    this.attempts.recordLoss(live.attempt.target.id, cause);
+    const { id } = live.attempt.target;
+    this.attempts.recordLoss(id, cause);
+    this.replicas.avoid(id);
     this.report.lost({
       ...{ attempt, cause, reason },
       ...describeLostRun(live, this.state, this.context.clock.now()),
--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -7,7 +7,7 @@
 import compileRoutes from '@limelead/route-requests';
 import { PrioritisedRetryBudget } from '@limelead/spend-retries';
 import { TargetConnections } from '@limelead/target-connections';
-import { Backpressure, readDirectives } from '@limelead/track-backpressure';
+import { Backpressure } from '@limelead/track-backpressure';
 import { TargetDirectory } from '@limelead/track-service-targets';
 import {
   noTargetAdvice,
@@ -23,7 +23,6 @@
 import type { AnswerSink } from './answer-sink.js';
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
-import type { TargetDialect } from './dialect.js';
 import CachedPromptFinder from './cached-prompt-finder.js';
 import SlotQueue from './slot-queue.js';
 import PrefillEstimator from './prefill-estimator.js';
@@ -33,52 +32,12 @@
 import { NO_RATE_LIMITS, type SendPermits } from './send-permits.js';
 import { OPEN_GATE } from './target-gate.js';
 import SlownessTracker from './slowness-tracker.js';
+import RunStopper from './run-stopper.js';
 import SilenceMonitor from './silence-monitor.js';
+import dialect from './dialect.fixture.js';
 
 const clock = { now: () => performance.now() };
 
-const DIRECTIVE_HEADERS = { limit: 'limit', retryAfter: 'retry-after', leaving: 'leaving' };
-
-/** A simple dialect for the tests. */
-const dialect: TargetDialect = {
-  composeCall: ({ request, target, lastPiece, replicaTarget, resumeFrom }) => ({
-    method: request.method,
-    path: request.path,
-    body: request.body,
-    headers: [
-      ...['host', 'test', 'id', request.requestId, 'target', target.id],
-      ...[
-        'last',
-        String(lastPiece),
-        'copy-to',
-        replicaTarget?.id ?? '',
-        'from',
-        resumeFrom?.target.id ?? '',
-      ],
-    ],
-  }),
-  readAnswer: (request, { status, headers }) => ({
-    isForRequest: headers.has('not-run') || headers.get('id') === request.requestId,
-    notRun: headers.has('not-run'),
-    isOtherTarget: status === 421,
-    directives: readDirectives({ status, headers }, DIRECTIVE_HEADERS, Date.now()),
-  }),
-  composeProbe: () => ({
-    method: 'GET',
-    path: '/probe',
-    headers: ['host', 'test'],
-    body: Buffer.alloc(0),
-  }),
-  composeCacheQuery: () => ({
-    method: 'GET',
-    path: '/kept',
-    headers: ['host', 'test'],
-    body: Buffer.alloc(0),
-  }),
-  readCachedPrompts: (body) => new Set(body.toString().split(' ')),
-  readProbe: (body) => ({ runs: new Set(body.toString().split(' ')), waiting: 0 }),
-};
-
 /** A request as received by a target. */
 export interface SeenRequest {
   target: string;
@@ -231,9 +190,18 @@
   answersProbes = true;
   /** Ids of the runs that the targets list, separated by spaces. */
   listedRuns = '';
+  /** Status of the answer to a stop; undefined leaves it unanswered. Default: the run ends, if it is there. */
+  stopRun = (target: string, runId: string): number | undefined => {
+    const run = this.openRuns.get(`${target} ${runId}`);
+    run?.destroy();
+    return run === undefined ? 404 : 200;
+  };
+  /** Answers under way, by target and run. */
+  private readonly openRuns = new Map<string, ServerResponse>();
   /** Advice of a scheduler; none by default. */
   askTarget: RequestTargetAdvice = noTargetAdvice;
   private readonly servers: Server[] = [];
+  private readonly serverOf = new Map<string, Server>();
   private readonly behaviours = new Map<string, Behaviour>();
   private readonly spender = new PrioritisedRetryBudget({
     limits: { ratio: 1, slack: 100, windowMs: 10_000 },
@@ -261,7 +229,7 @@
         {
           name: 'briefs',
           maxConnections: 10,
-          engine: { slots: 2, memoryTokens: 100, copiesRuns: true },
+          engine: { slots: 2, memoryTokens: 100, copiesRuns: true, stopsRuns: true },
         },
       ],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
@@ -284,6 +252,10 @@
         ...{ ...shared, connections: this.connections, dialect, log, metrics },
         random: systemRandom,
       }),
+      runStopper: new RunStopper({
+        ...{ ...shared, connections: this.connections, dialect, log, metrics },
+        findService: (name) => table.findService(name),
+      }),
       prefill: new PrefillEstimator(),
       slowness: new SlownessTracker(() => undefined),
       readPauses: new ReadPauses(log, clock),
@@ -361,6 +333,14 @@
     }
   }
 
+  /** Ends a target, which then refuses connections; those that are open stay. */
+  async stopTarget(id: string): Promise<void> {
+    const server = this.serverOf.get(id);
+    server?.close();
+    server?.closeIdleConnections();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
   private async listen(id: string): Promise<number> {
     const server = createServer((request, response) => {
       if (request.url === '/probe') {
@@ -369,6 +349,13 @@
         }
         return;
       }
+      if (request.url === '/stop') {
+        const status = this.stopRun(id, String(request.headers['id']));
+        if (status !== undefined) {
+          response.writeHead(status).end();
+        }
+        return;
+      }
       if (request.url === '/kept') {
         response.end(this.cachedPrompts.get(id) ?? '');
         return;
@@ -381,10 +368,18 @@
         from: String(from),
       };
       this.seen.push(seen);
+      const run = `${id} ${String(request.headers['id'])}`;
+      this.openRuns.set(run, response);
+      response.on('close', () => {
+        if (this.openRuns.get(run) === response) {
+          this.openRuns.delete(run);
+        }
+      });
       request.resume();
       this.behaviours.get(id)?.(request, response, seen);
     });
     this.servers.push(server);
+    this.serverOf.set(id, server);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     return (server.address() as AddressInfo).port;
   }
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -10,6 +10,7 @@
 import type RunReplicas from './run-replicas.js';
 import RunActivity from './run-activity.js';
 import type { GiveUpCause } from './monitored-run.js';
+import type { LeavingRun } from './run-stopper.js';
 import StreamAttempt, { type StreamAttemptEvents } from './stream-attempt.js';
 import { maxPauseOf } from './to-generation-request.js';
 
@@ -41,6 +42,22 @@
   return activity.isWriting ? replica : undefined;
 }
 
+/** The run of an attempt that is to leave its target. */
+export function toLeavingRun(
+  { request }: AdmittedRequest,
+  { attempt, activity, firstPieceAfterMs, replica }: LiveAttempt,
+  isDisconnected: boolean,
+): LeavingRun {
+  return {
+    requestId: request.requestId,
+    target: attempt.target,
+    isDisconnected,
+    writingSinceMs:
+      firstPieceAfterMs === undefined ? undefined : activity.startedAtMs + firstPieceAfterMs,
+    replicaTarget: replica?.target,
+  };
+}
+
 /** Parameters of a new attempt. */
 export interface AttemptStart {
   slot: Slot;
--- a/packages/forward-request/src/query-target.ts
+++ b/packages/forward-request/src/query-target.ts
@@ -1,50 +1,71 @@
-/** Sends a small query to a target, outside of any request. */
+/** Sends small calls to a target, outside of any request. */
 import type { PortFault } from '@limelead/errors';
-import type { TargetCall, TargetConnections } from '@limelead/target-connections';
+import type { AnswerHead, TargetCall, TargetConnections } from '@limelead/target-connections';
 import type { Millis, ServiceTarget, Timers } from '@limelead/types';
 
-/** Longest idle time of a connection that a query reuses. */
+/** Longest idle time of a connection that a call reuses. */
 const MAX_IDLE_MS = 2_000;
 
-export interface QueryOptions {
-  connections: TargetConnections;
+export interface TargetCallOptions {
+  connections: Pick<TargetConnections, 'send'>;
   timers: Timers;
   /** Timeout for the complete answer. */
   timeoutMs: Millis;
   /** Longest idle time of a connection to reuse; 0 for a new one. Default: 2 s. */
   maxIdleMs?: Millis;
-  onFault?(fault: PortFault): void;
 }
 
-/** Returns the body of the answer, or undefined on a fault or timeout. */
-export default function queryTarget(
-  { connections, timers, timeoutMs, maxIdleMs = MAX_IDLE_MS, onFault }: QueryOptions,
+/** Result of a call. */
+export type TargetCallResult =
+  | { kind: 'answered'; head: AnswerHead | undefined; body: Buffer }
+  | { kind: 'failed'; fault: PortFault }
+  | { kind: 'timed-out' };
+
+/** Resolves with the result; never rejects. */
+export function callTarget(
+  { connections, timers, timeoutMs, maxIdleMs = MAX_IDLE_MS }: TargetCallOptions,
   target: ServiceTarget,
   call: TargetCall,
-): Promise<Buffer | undefined> {
+): Promise<TargetCallResult> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
-    const finish = (body: Buffer | undefined): void => {
+    let head: AnswerHead | undefined;
+    const finish = (result: TargetCallResult): void => {
       cancelTimer();
-      resolve(body);
+      resolve(result);
     };
     const open = connections.send(
       target,
       call,
       { maxIdleMs },
       {
-        onHead: () => undefined,
+        onHead: (received) => (head = received),
         onData: (chunk) => chunks.push(chunk),
-        onEnd: () => finish(Buffer.concat(chunks)),
-        onFault: (fault) => {
-          onFault?.(fault);
-          finish(undefined);
-        },
+        onEnd: () => finish({ kind: 'answered', head, body: Buffer.concat(chunks) }),
+        onFault: (fault) => finish({ kind: 'failed', fault }),
       },
     );
-    const cancelTimer = timers.after(timeoutMs, () => {
+    const cancel = (): void => {
       open.cancel();
-      resolve(undefined);
-    });
+      finish({ kind: 'timed-out' });
+    };
+    const cancelTimer = timers.after(timeoutMs, cancel);
   });
 }
+
+export interface QueryOptions extends TargetCallOptions {
+  onFault?(fault: PortFault): void;
+}
+
+/** Returns the body of the answer, or undefined on a fault or timeout. */
+export default async function queryTarget(
+  { onFault, ...options }: QueryOptions,
+  target: ServiceTarget,
+  call: TargetCall,
+): Promise<Buffer | undefined> {
+  const result = await callTarget(options, target, call);
+  if (result.kind === 'failed') {
+    onFault?.(result.fault);
+  }
+  return result.kind === 'answered' ? result.body : undefined;
+}
--- /dev/null
+++ b/packages/forward-request/src/run-at-two-targets.test.ts
@@ -0,0 +1,92 @@
+/** Guards against a request that two targets work on: not every target ends a run whose connection closes. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import forwardStream from './forward-stream.js';
+import {
+  beginAnswer,
+  createAdmittedRequest,
+  formatPiece,
+  RecordingSink,
+  streamTo,
+  TestBed,
+  type Behaviour,
+} from './forwarding.fixture.js';
+
+const WHOLE = [1, 2, 3, 4].map(formatPiece).join('');
+/** The time for which two targets may work on one request. */
+const ALLOWED_MS = 400;
+
+/** A first target that works on a run until it is stopped, and a second one that answers at once. */
+async function start(first: Behaviour) {
+  const state = { isWorking: false, stops: 0, workedAtSecond: false };
+  const working: Behaviour = (request, response, seen) => {
+    state.isWorking = true;
+    first(request, response, seen);
+  };
+  const second: Behaviour = (request, response, seen) => {
+    state.workedAtSecond ||= state.isWorking;
+    streamTo(4)(request, response, seen);
+  };
+  const bed = await TestBed.start(working, second);
+  const closeRun = bed.stopRun;
+  bed.stopRun = (target, runId) => {
+    state.stops += 1;
+    closeRun(target, runId);
+    const wasWorking = state.isWorking;
+    state.isWorking = false;
+    return wasWorking ? 200 : 404;
+  };
+  const sink = new RecordingSink();
+  const forward = (route = {}): Promise<void> => {
+    forwardStream(bed.context, createAdmittedRequest(route), sink);
+    return sink.done;
+  };
+  return { bed, forward, sink, state };
+}
+
+/** Writes two pieces and calls `follow`. */
+const writeTwo =
+  (follow: (end: () => void) => void): Behaviour =>
+  (request, response) => {
+    beginAnswer(request, response);
+    response.write(formatPiece(1) + formatPiece(2), () => follow(() => response.destroy()));
+  };
+
+test('a stream whose connection breaks does not go on while its target works on', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo((end) => end()));
+  await forward();
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.equal(bed.askedTargets, ['t1', 't2']);
+  assert.not(state.workedAtSecond);
+});
+
+test('a broken run is asked to stop again while its target is busy with the stop', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo((end) => end()));
+  const { stopRun } = bed;
+  let isBusy = true;
+  bed.stopRun = (target, runId) => {
+    const status = isBusy ? 409 : stopRun(target, runId);
+    isBusy = false;
+    return status;
+  };
+  await forward();
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.not(state.workedAtSecond);
+});
+
+test('a stream goes on at once when the target of its broken connection is gone', async () => {
+  const { bed, forward, sink } = await start(
+    writeTwo((end) => void bed.stopTarget('t1').then(end)),
+  );
+  const startedAtMs = performance.now();
+  await forward();
+  const tookMs = performance.now() - startedAtMs;
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.ok(tookMs < ALLOWED_MS, `${tookMs} ms`);
+  assert.ok(bed.directory.isSuspected('t1'));
+});
+
+test.run();
--- a/packages/forward-request/src/run-replicas.ts
+++ b/packages/forward-request/src/run-replicas.ts
@@ -14,6 +14,8 @@
 export default class RunReplicas {
   /** Replica from which the next attempt can resume. */
   private usable: RunReplica | undefined;
+  /** Ids of targets at which a run of the request was lost. */
+  private readonly lossyTargets = new Set<string>();
 
   constructor(
     private readonly context: ForwardContext,
@@ -25,6 +27,11 @@
     this.usable = replica;
   }
 
+  /** A target lost a run of the request; replicas go to others, if there are any. */
+  avoid(targetId: string): void {
+    this.lossyTargets.add(targetId);
+  }
+
   /** Whether the next attempt can resume from a replica, as far as is known. */
   get hasUsable(): boolean {
     const target = this.usable?.target.id;
@@ -61,7 +68,9 @@
       return advised;
     }
     const { placement } = this.context.slots;
-    const targets = gate.listAdvisable(service, directory.listUsable(service));
+    const advisable = gate.listAdvisable(service, directory.listUsable(service));
+    const reliable = advisable.filter(({ target }) => !this.lossyTargets.has(target.id));
+    const targets = reliable.some((one) => one !== slot.tracked) ? reliable : advisable;
     if (slot.isAdvised === true && slot.replicaTargetId === undefined && slot.memory) {
       // The scheduler knows the memory of all targets, of which this VM knows only its own part.
       placement.reportNoAdvisedReplica(request.requestId, targets.length - 1);
@@ -76,8 +85,11 @@
       now: clock.now(),
     });
     if (chosen === undefined) {
-      const others = targets.filter((one) => one !== slot.tracked);
-      placement.reportNoReplica(request.requestId, slot.memory, others);
+      placement.reportNoReplica(
+        request.requestId,
+        slot.memory,
+        targets.filter((one) => one !== slot.tracked),
+      );
     }
     return chosen?.target;
   }
@@ -98,6 +110,7 @@
       tracked !== undefined &&
       runsSoftwareVersion(tracked.target, softwareVersionOf(running.target)) &&
       !tracked.target.leaving &&
+      !this.lossyTargets.has(tracked.target.id) &&
       !directory.isSuspected(tracked.target.id) &&
       slots.placement.isReplicaAllowedAt(tracked, memory);
     return isUsable ? tracked.target : undefined;
--- a/packages/forward-request/src/silence-monitor.ts
+++ b/packages/forward-request/src/silence-monitor.ts
@@ -4,6 +4,7 @@
 import type { TargetConnections } from '@limelead/target-connections';
 import type { TargetDirectory } from '@limelead/track-service-targets';
 import type { CancelTimer, Clock, Millis, Random, ServiceTarget, Timers } from '@limelead/types';
+import { REPORT_LAG_MS } from './assess-run-end.js';
 import type { TargetDialect } from './dialect.js';
 import assessSilence, {
   findSilenceLimit,
@@ -28,8 +29,6 @@
 const MAX_PROBE_DELAY_MS = 20;
 /** A run that was active this recently is kept when its target is reported lost. */
 const RECENT_ACTIVITY_MS = 100;
-/** Probe answers lag, so a run younger than this may be missing from them. */
-const PROBE_LAG_MS = 700;
 /** Consecutive probe answers without a run after which it is given up. */
 const MAX_MISSED_PROBES = 2;
 
@@ -203,7 +202,7 @@
 
   private onAnsweredFor(run: MonitoredRun, lists: ReadonlySet<string> | undefined): void {
     const { clock, directory } = this.options;
-    if (lists !== undefined && run.startedAtMs < clock.now() - PROBE_LAG_MS) {
+    if (lists !== undefined && run.startedAtMs < clock.now() - REPORT_LAG_MS) {
       run.missedProbes = lists.has(run.requestId) ? 0 : run.missedProbes + 1;
     }
     if (run.missedProbes >= MAX_MISSED_PROBES) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,6 @@
   OPEN_GATE,
   SlotQueue,
   PrefillEstimator,
-  SilenceMonitor,
   SlownessTracker,
   combineObservers,
   type ForwardContext,
@@ -44,6 +43,7 @@
 import createExchange from './create-exchange.js';
 import createFleetComponents from './create-fleet-components.js';
 import createPermits from './create-permits.js';
+import createRunWatchers, { type RunWatchers } from './create-run-watchers.js';
 import createRelay, { type RelayParts } from './create-relay.js';
 import createPlacement from './create-placement.js';
 import createReadPauses from './create-read-pauses.js';
@@ -116,6 +116,7 @@
   /** Undefined if this VM has no peer address. */
   private readonly exchange: PeerExchange | undefined;
   private readonly frontDoor: HttpFrontDoor;
+  private readonly runWatchers: RunWatchers;
   private readonly slowness: SlownessTracker;
   private readonly engineLoad: EngineLoad;
   private readonly retryBudgets: RetryBudgets;
@@ -211,6 +212,7 @@
       hasConnectedSince: (sinceMs) => this.relaying.reach.hasConnectedSince(sinceMs),
     });
     this.components = [this.quarantine, this.shares, ...createFleetComponents(partContext)];
+    this.runWatchers = createRunWatchers(partContext, this.connections, this.relaying.dialect);
     this.frontDoor = new HttpFrontDoor({
       ...settings.frontDoor,
       maxBufferedAnswerBytes: settings.maxBufferedAnswerBytes,
@@ -355,11 +357,7 @@
       }),
       requestAdvice: (request, receive) =>
         this.exchange?.requestTargetAdvice(request, receive) ?? noTargetAdvice(request, receive),
-      silence: new SilenceMonitor({
-        ...{ ...shared, connections, dialect, log, metrics: this.metrics },
-        onProbeAnswered: (target, atMs) =>
-          this.exchange?.targetUpdates.probeAnswers.publish({ target, atMs }),
-      }),
+      ...this.runWatchers,
       prefill: new PrefillEstimator(),
       slowness: this.slowness,
       readPauses: createReadPauses(log, this.metrics, steadyClock),
--- a/packages/http-front-door/src/front-door.fixture.ts
+++ b/packages/http-front-door/src/front-door.fixture.ts
@@ -1,6 +1,6 @@
 /** Protocols and a configuration for the tests of the front door. */
 import { LimeleadError } from '@limelead/errors';
-import type { TargetDialect } from '@limelead/forward-request';
+import { NO_STOPS, type TargetDialect } from '@limelead/forward-request';
 import { NO_DIRECTIVES, type ServingConfiguration, type ServingRoute } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import type { IngressDialect } from './index.js';
@@ -37,6 +37,7 @@
     isOtherTarget: false,
     directives: NO_DIRECTIVES,
   }),
+  ...NO_STOPS,
   composeProbe: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
   readProbe: () => undefined,
   composeCacheQuery: () => ({ method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }),
--- a/packages/http-front-door/src/test-bed.fixture.ts
+++ b/packages/http-front-door/src/test-bed.fixture.ts
@@ -11,6 +11,7 @@
   SlotQueue,
   PrefillEstimator,
   ReadPauses,
+  RunStopper,
   SilenceMonitor,
   SlownessTracker,
 } from '@limelead/forward-request';
@@ -171,6 +172,10 @@
       permits: NO_RATE_LIMITS,
       guard: createIsolatedGuard({ clock, timers: systemTimers, log, metrics }),
       silence: new SilenceMonitor({ ...shared, connections, dialect: targets, log, metrics }),
+      runStopper: new RunStopper({
+        ...{ ...shared, connections, dialect: targets, log, metrics },
+        findService: () => undefined,
+      }),
       prefill: new PrefillEstimator(),
       slowness: new SlownessTracker(() => undefined),
       relay: NO_RELAY,
--- a/packages/load/src/placement-replay.fixture.ts
+++ b/packages/load/src/placement-replay.fixture.ts
@@ -122,7 +122,12 @@
     return createReplayVm({
       ...{ time: this.time, id: `vm${index}`, directory: this.createDirectory() },
       failureDomain: `d${index % this.plan.domains}`,
-      engine: { slots: this.plan.slots, memoryTokens: this.memoryTokens, copiesRuns: true },
+      engine: {
+        slots: this.plan.slots,
+        memoryTokens: this.memoryTokens,
+        copiesRuns: true,
+        stopsRuns: false,
+      },
       onLimited: () => void (this.result.limited += 1),
       requestAdvice: (vm, ...parameters) => this.scheduler.requestAdvice(vm, ...parameters),
     });
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -10,9 +10,11 @@
   SlotQueue,
   PrefillEstimator,
   ReadPauses,
+  RunStopper,
   SilenceMonitor,
   SlownessTracker,
   type ForwardContext,
+  NO_STOPS,
   type TargetDialect,
 } from '@limelead/forward-request';
 import createDecisionLog from '@limelead/decision-log';
@@ -193,6 +195,10 @@
     permits: NO_RATE_LIMITS,
     guard: createIsolatedGuard({ clock, timers: systemTimers, log, metrics: createMetrics() }),
     silence: new SilenceMonitor({ ...shared, connections, dialect, log, metrics: createMetrics() }),
+    runStopper: new RunStopper({
+      ...{ ...shared, connections, dialect, log, metrics: createMetrics() },
+      findService: () => undefined,
+    }),
     prefill: new PrefillEstimator(),
     slowness: new SlownessTracker(() => undefined),
     relay: NO_RELAY,
@@ -255,6 +261,7 @@
     isOtherTarget: false,
     directives: NO_DIRECTIVES,
   }),
+  ...NO_STOPS,
   composeProbe: () => ({ method: 'GET', path: '/call/1', headers: [], body: Buffer.alloc(0) }),
   readProbe: () => undefined,
   composeCacheQuery: () => ({
--- a/packages/order-capacity/src/fleet.fixture.ts
+++ b/packages/order-capacity/src/fleet.fixture.ts
@@ -24,7 +24,7 @@
   const service: ServedService = {
     name: SERVICE,
     maxConnections: 100,
-    engine: { slots: 96, memoryTokens: 88_000, copiesRuns: true },
+    engine: { slots: 96, memoryTokens: 88_000, copiesRuns: true, stopsRuns: false },
     scaling: {
       ...{ min: 1, max: 56, bootMs: BOOT_MS, spotPrice: 0.15 },
       domainPrices: Object.fromEntries(domains.map((name) => [name, 1])),
--- a/packages/types/src/serving.ts
+++ b/packages/types/src/serving.ts
@@ -41,6 +41,8 @@
   memoryTokens: number;
   /** Whether an engine can replicate a run's memory to another engine during the run. */
   copiesRuns: boolean;
+  /** Whether an engine stops a run when it is asked to. */
+  stopsRuns: boolean;
 }
 
 /** Limits and prices for ordering targets of a service. */
