Take a run that reads its prompt only from a target that has stopped it

Cause: a run that read for longer than its prompt explains was left although its target answered. The next attempt was sent 200 ms before the first connection was closed, and the close does not end the run at every target. Reports list a run only once it writes, so they could not tell either. Change: a search for another target comes first; then the target is asked to stop the run, and the next attempt starts when the target has stopped it and closed its stream. A run that its target does not stop stays, until it writes, its target is lost or the deadline passes.

--- a/packages/forward-request/src/forward-stream.ts
+++ b/packages/forward-request/src/forward-stream.ts
@@ -276,7 +276,7 @@
 
   private onEnded(attempt: number, trailer: Buffer): void {
     const live = this.live.get(attempt);
-    if (live === undefined) {
+    if (live === undefined || this.relocation.onStreamClosed(attempt, true)) {
       return;
     }
     this.answer.setTrailer(trailer);
@@ -289,7 +289,7 @@
 
   private onBroken(attempt: number, reason: string): void {
     const live = this.live.get(attempt);
-    if (live === undefined) {
+    if (live === undefined || this.relocation.onStreamClosed(attempt, false)) {
       return;
     }
     const { isSuspected } = this.guarded;
--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -45,15 +45,14 @@
 /** The run of an attempt that is to leave its target. */
 export function toLeavingRun(
   { request }: AdmittedRequest,
-  { attempt, activity, firstPieceAfterMs, replica }: LiveAttempt,
+  { attempt, activity, replica }: LiveAttempt,
   isDisconnected: boolean,
 ): LeavingRun {
   return {
     requestId: request.requestId,
     target: attempt.target,
     isDisconnected,
-    writingSinceMs:
-      firstPieceAfterMs === undefined ? undefined : activity.startedAtMs + firstPieceAfterMs,
+    writingSinceMs: activity.firstPieceAtMs,
     replicaTarget: replica?.target,
   };
 }
--- a/packages/forward-request/src/run-activity.ts
+++ b/packages/forward-request/src/run-activity.ts
@@ -35,10 +35,11 @@
   readonly maxPauseMs: Millis;
   isWriting: boolean;
   missedProbes = 0;
+  firstPieceAtMs?: Millis;
   private gaps: GapEstimate;
-  private hasSentPieces = false;
   private lastPieceAtMs: Millis;
   private isReadPaused = false;
+  private hasToStay = false;
 
   constructor(private readonly options: RunActivityOptions) {
     const { carried, clock, directory, target } = options;
@@ -68,18 +69,24 @@
 
   recordActivity(): void {
     const now = this.options.clock.now();
-    if (this.hasSentPieces) {
+    if (this.firstPieceAtMs !== undefined) {
       this.gaps = updateGapEstimate(this.gaps, now - this.lastPieceAtMs);
     }
-    this.hasSentPieces = true;
+    this.firstPieceAtMs ??= now;
     this.isWriting = true;
     this.missedProbes = 0;
     this.lastPieceAtMs = now;
   }
 
+  /** The run could not be stopped; only the loss of its target ends it. */
+  stay(): void {
+    this.hasToStay = true;
+  }
+
   maxSilenceMs(): number {
-    const { resumesFromReplica, maxPrefillMs, policy } = this.options;
-    if (this.hasSentPieces) {
+    const { resumesFromReplica, policy } = this.options;
+    const maxPrefillMs = this.hasToStay ? Infinity : this.options.maxPrefillMs;
+    if (this.firstPieceAtMs !== undefined) {
       return computeSilenceTimeoutBesidePrefill(this.gaps, this.prefillGapMs, policy);
     }
     return resumesFromReplica ? policy.maxSilenceMs : maxPrefillMs;
@@ -92,7 +99,7 @@
   /** Gaps at the usual pace, with which the next run of the request starts. */
   carry(): GapEstimate {
     const { carried, directory, target } = this.options;
-    if (!this.hasSentPieces) {
+    if (this.firstPieceAtMs === undefined) {
       // Its gaps are those that it began with; the pace of its target may have changed since.
       return carried ?? INITIAL_GAP_ESTIMATE;
     }
--- a/packages/forward-request/src/run-at-two-targets.test.ts
+++ b/packages/forward-request/src/run-at-two-targets.test.ts
@@ -89,4 +89,40 @@
   assert.ok(bed.directory.isSuspected('t1'));
 });
 
+/** Accepts the request and reads its prompt without end. */
+const readOn: Behaviour = () => undefined;
+const SHORT_OBJECTIVE = { objectiveMs: 200 };
+
+test('a run that reads its prompt for too long is stopped before another target gets the request', async () => {
+  const { bed, forward, sink, state } = await start(readOn);
+  await forward(SHORT_OBJECTIVE);
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.is(state.stops, 1);
+  assert.not(state.workedAtSecond);
+});
+
+test('a run that reads its prompt for too long stays at a target that does not stop it', async () => {
+  const { bed, forward, sink, state } = await start((request, response, seen) => {
+    setTimeout(() => streamTo(4)(request, response, seen), 900);
+  });
+  bed.stopRun = () => 404;
+  await forward(SHORT_OBJECTIVE);
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.equal(bed.askedTargets, ['t1']);
+  assert.is(bed.directory.get('t1')?.inFlight, 0);
+  assert.not(state.workedAtSecond);
+});
+
+test('a run that was kept is left when its target is lost', async () => {
+  const { bed, forward, sink } = await start(readOn);
+  bed.stopRun = () => 404;
+  setTimeout(() => (bed.answersProbes = false), 600);
+  await forward(SHORT_OBJECTIVE);
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.equal(bed.askedTargets, ['t1', 't2']);
+});
+
 test.run();
--- a/packages/forward-request/src/run-relocation.test.ts
+++ b/packages/forward-request/src/run-relocation.test.ts
@@ -17,7 +17,7 @@
   const { advance, timers } = createManualTime();
   const state = { searches: 0, cancelled: 0, slots: 0, accepted: 0, kept: [] as string[] };
   const relocation = new RunRelocation({
-    ...{ timers, attempt: SILENT_ATTEMPT },
+    ...{ timers, attempt: SILENT_ATTEMPT, startsBeside: true },
     createSearch: (events) => {
       const result = results[Math.min(state.searches, results.length - 1)];
       state.searches += 1;
--- a/packages/forward-request/src/run-relocation.ts
+++ b/packages/forward-request/src/run-relocation.ts
@@ -1,6 +1,6 @@
 /**
- * Moves a silent run to another target. The run stays until the next target has accepted the
- * request, since its own target may go on while no other one continues the stream.
+ * Moves a silent run to another target. The run of a lost target stays until the next target has
+ * accepted the request, since its own target may go on while no other one continues the stream.
  */
 import type { LimeleadError } from '@limelead/errors';
 import type { CancelTimer, Millis, Timers } from '@limelead/types';
@@ -23,6 +23,8 @@
   createSearch(events: SlotSearchEvents): SlotSearch;
   /** Called with a slot, at which the next attempt is to start. */
   onSlot(slot: Slot): void;
+  /** False if the run has to end before the next attempt starts. */
+  startsBeside: boolean;
   /** Called once, if the first search finds nothing. The error is undefined without a target. */
   onKept(error: LimeleadError | undefined): void;
   /** The next attempt was accepted; the silent run is to be given up. */
@@ -76,9 +78,10 @@
   }
 
   private startNext(slot: Slot): void {
-    this.hasNextAttempt = true;
+    const { startsBeside } = this.options;
+    this.hasNextAttempt = startsBeside;
     // A VM that relays may queue the request, which its first output tells apart.
-    if (slot.tracked.target.isHelper !== true) {
+    if (startsBeside && slot.tracked.target.isHelper !== true) {
       this.cancelTimer = this.options.timers.after(ACCEPTANCE_MS, () => this.accept());
     }
     this.options.onSlot(slot);
--- a/packages/forward-request/src/run-stopper.ts
+++ b/packages/forward-request/src/run-stopper.ts
@@ -57,6 +57,13 @@
 export default class RunStopper {
   constructor(private readonly options: RunStopperOptions) {}
 
+  /** Asks the target once. */
+  async stop(run: LeavingRun): Promise<RunEnd> {
+    const startedAtMs = this.options.clock.now();
+    const evidence = await this.ask(run, startedAtMs);
+    return this.report(run, evidence, startedAtMs);
+  }
+
   /** Asks until the run has ended, its target is lost, or that time is reached. */
   async awaitEnd(run: LeavingRun, untilMs: Millis): Promise<RunEnd> {
     const { clock, findService, timers } = this.options;
--- a/packages/forward-request/src/stream-relocation.ts
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -3,8 +3,9 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import type { ForwardContext } from './context.js';
 import type LiveAttempts from './live-attempts.js';
-import { findReplica, type LiveAttempt } from './live-attempts.js';
+import { findReplica, isRelayed, toLeavingRun, type LiveAttempt } from './live-attempts.js';
 import { SILENCE_REASONS, type GiveUpCause } from './monitored-run.js';
+import StoppedAttempt from './stopped-attempt.js';
 import RunRelocation from './run-relocation.js';
 import type RunReplicas from './run-replicas.js';
 import type SlotSearch from './slot-search.js';
@@ -41,6 +42,8 @@
 /** The relocations of one stream, one at a time. */
 export default class StreamRelocation {
   private relocation: RunRelocation | undefined;
+  /** Stop that the target of a silent run was asked for. */
+  private stopping: StoppedAttempt | undefined;
 
   constructor(
     private readonly stream: RelocatedStream,
@@ -77,6 +80,14 @@
     this.relocation?.onAccepted(attempt);
   }
 
+  /**
+   * The stream of an attempt has ended. Returns true if its target was asked to stop the run, so that
+   * the relocation handles the end; a complete stream is one only until the target has stopped it.
+   */
+  onStreamClosed(attempt: number, isComplete: boolean): boolean {
+    return this.stopping?.attempt === attempt && this.stopping.onClosed(isComplete);
+  }
+
   /** Whether an attempt was started beside a silent run. */
   isBeside(attempt: number): boolean {
     return this.relocation !== undefined && this.relocation.attempt !== attempt;
@@ -99,6 +110,8 @@
   private createRelocation(attempt: number, live: LiveAttempt, cause: GiveUpCause): RunRelocation {
     const { context, replicas, report } = this.stream;
     const { id } = live.attempt.target;
+    // A VM that relays ends the run itself once its connection closes.
+    const startsBeside = cause === 'target-lost' || isRelayed(live);
     return new RunRelocation({
       ...{ timers: context.timers, attempt },
       createSearch: (events) => {
@@ -106,16 +119,74 @@
         const exclude = [...this.events.readState().excludedTargets, id];
         return this.events.createSearch(exclude, events, id);
       },
-      onSlot: (slot) => this.startBeside(attempt, id, slot),
+      startsBeside,
+      onSlot: (slot) =>
+        startsBeside
+          ? this.startBeside(attempt, id, slot)
+          : void this.startAfterStop(attempt, live, slot, cause),
       onKept: (error) => report.runKept(attempt, id, error?.message),
-      onAccepted: () => {
-        this.relocation = undefined;
-        this.events.lose(attempt, SILENCE_REASONS[cause]);
-        this.events.advance({ kind: 'broken', attempt, cause: 'target-gone' });
-      },
+      onAccepted: () => this.leave(attempt, cause),
     });
   }
 
+  /** Ends the silent attempt; the stream goes on with the next one. */
+  private leave(attempt: number, cause: GiveUpCause): void {
+    this.relocation = undefined;
+    this.events.lose(attempt, SILENCE_REASONS[cause]);
+    this.events.advance({ kind: 'broken', attempt, cause: 'target-gone' });
+  }
+
+  /** Starts the next attempt once the target, which is up, has stopped the run. */
+  private async startAfterStop(
+    attempt: number,
+    live: LiveAttempt,
+    slot: Slot,
+    cause: GiveUpCause,
+  ): Promise<void> {
+    const { admitted, context, live: all, refusals, replicas } = this.stream;
+    if (!hasBreaksLeft(this.events.readState())) {
+      slot.release();
+      this.keep(attempt, refusals.movedTooOften().message);
+      return;
+    }
+    const { relocation } = this;
+    const stopping = new StoppedAttempt(attempt, context.timers);
+    this.stopping = stopping;
+    const end = await context.runStopper.stop(toLeavingRun(admitted, live, false));
+    if (end === 'ended') {
+      await stopping.awaitClose();
+    }
+    this.stopping = undefined;
+    const isLive = all.get(attempt) === live;
+    const isCurrent = relocation !== undefined && this.relocation === relocation;
+    if (isLive && (stopping.isClosed || (isCurrent && end === 'ended'))) {
+      replicas.onRunLost(findReplica(live));
+      this.events.setNextSlot(slot);
+      this.leave(attempt, cause);
+      return;
+    }
+    slot.release();
+    if (isLive && isCurrent) {
+      this.keep(attempt, 'its target did not stop it');
+    }
+  }
+
+  /** Keeps a run that could not be stopped at a target that is up. */
+  private keep(attempt: number, reason: string): void {
+    const { attempts, live, replicas, report } = this.stream;
+    const run = live.get(attempt);
+    this.cancel();
+    if (run !== undefined) {
+      const { id } = run.attempt.target;
+      attempts.recordReturn(id);
+      attempts.releaseRetry();
+      replicas.onRunLost(undefined);
+      run.activity.stay();
+      live.watchAgain(attempt);
+      report.runKept(attempt, id, reason);
+    }
+  }
+
   /** Starts the next attempt beside a silent run; without breaks left, the run stays for good. */
   private startBeside(attempt: number, target: string, slot: Slot): void {
     if (hasBreaksLeft(this.events.readState())) {
