Stop the run of a cancelled attempt at its target

What callers saw: nothing; a caller who left and came back at another VM had two runs at once for 3 to 4 s, and a target that was silent for a second went on with a run that had been left. Cause: an attempt was cancelled by the close of its connection, which not every target takes for the end of the run. No VM ever asked one to stop. Change: each cancelled attempt, whatever cancelled it (caller, deadline, shutdown, relocation), is stopped 100 ms later, when most targets have ended it; a silent target gets the stop when it goes on. A stop is withdrawn when the request starts again at the same target. A VM that stops waits for its stops within the reserve of its grace.

--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -119,6 +119,7 @@
       stopMonitoring: silence.monitor(activity),
     });
     this.events.onSending(number, attemptRequest);
+    this.context.runStopper.onRunStarted(attemptRequest.request.requestId, target.id);
     attempt.send();
   }
 
@@ -145,10 +146,14 @@
     }
   }
 
-  /** Cancels an attempt; its target stops the run. */
+  /** Cancels an attempt and stops its run. */
   drop(number: number): void {
-    this.live.get(number)?.attempt.cancel();
-    this.release(number);
+    const live = this.live.get(number);
+    if (live !== undefined) {
+      live.attempt.cancel();
+      this.context.runStopper.stopCancelled(toLeavingRun(this.admitted, live, true));
+      this.release(number);
+    }
   }
 
   /**
--- a/packages/forward-request/src/query-target.ts
+++ b/packages/forward-request/src/query-target.ts
@@ -13,6 +13,8 @@
   timeoutMs: Millis;
   /** Longest idle time of a connection to reuse; 0 for a new one. Default: 2 s. */
   maxIdleMs?: Millis;
+  /** Cancels the call, which then counts as timed out. */
+  signal?: AbortSignal;
 }
 
 /** Result of a call. */
@@ -23,7 +25,7 @@
 
 /** Resolves with the result; never rejects. */
 export function callTarget(
-  { connections, timers, timeoutMs, maxIdleMs = MAX_IDLE_MS }: TargetCallOptions,
+  { connections, timers, timeoutMs, maxIdleMs = MAX_IDLE_MS, signal }: TargetCallOptions,
   target: ServiceTarget,
   call: TargetCall,
 ): Promise<TargetCallResult> {
@@ -50,6 +52,7 @@
       finish({ kind: 'timed-out' });
     };
     const cancelTimer = timers.after(timeoutMs, cancel);
+    signal?.addEventListener('abort', cancel, { once: true });
   });
 }
 
--- a/packages/forward-request/src/run-at-two-targets.test.ts
+++ b/packages/forward-request/src/run-at-two-targets.test.ts
@@ -1,4 +1,5 @@
 /** Guards against a request that two targets work on: not every target ends a run whose connection closes. */
+import { delay, systemTimers } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import forwardStream from './forward-stream.js';
@@ -125,4 +126,53 @@
   assert.equal(bed.askedTargets, ['t1', 't2']);
 });
 
+test('a run ends at its target when its caller leaves', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo(() => undefined));
+  void forward();
+  await sink.until(() => sink.body !== '');
+  sink.leave();
+  await delay(systemTimers, ALLOWED_MS);
+  await bed.stop();
+  assert.is(state.stops, 1);
+  assert.not(state.isWorking);
+});
+
+test('a run ends at its target when its VM shuts down', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo(() => undefined));
+  void forward();
+  await sink.until(() => sink.body !== '');
+  sink.shutDown();
+  await bed.context.runStopper.settle(ALLOWED_MS);
+  await bed.stop();
+  assert.not(state.isWorking);
+});
+
+test('a run that was left at a silent target ends once the target goes on', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo(() => undefined));
+  const { stopRun } = bed;
+  let isSilent = true;
+  bed.answersProbes = false;
+  bed.stopRun = (target, runId) => {
+    setTimeout(() => isSilent || stopRun(target, runId), 600);
+    return undefined;
+  };
+  await forward();
+  assert.is(sink.body, WHOLE);
+  isSilent = false;
+  await delay(systemTimers, 1_000);
+  await bed.stop();
+  assert.not(state.isWorking);
+});
+
+test('a stop of an earlier run does not end a later one of the request at the same target', async () => {
+  const { bed, forward, sink, state } = await start(writeTwo(() => undefined));
+  void forward();
+  await sink.until(() => sink.body !== '');
+  sink.leave();
+  bed.context.runStopper.onRunStarted('r1', 't1');
+  await delay(systemTimers, ALLOWED_MS);
+  await bed.stop();
+  assert.is(state.stops, 0);
+});
+
 test.run();
--- a/packages/forward-request/src/run-stopper.ts
+++ b/packages/forward-request/src/run-stopper.ts
@@ -30,6 +30,11 @@
 /** A timeout that is noticed this much late says nothing: the process was stalled. */
 const MAX_TIMER_DELAY_MS: Millis = 40;
 const ASK_INTERVAL_MS: Millis = 60;
+/** Most targets end a run by themselves within this time of the close of its connection. */
+const SELF_END_MS: Millis = 100;
+/** Time for which a run of a cancelled attempt is followed; a silent target may come back. */
+const CANCELLED_RUN_MS: Millis = 3_000;
+
 /** A run that leaves its target. */
 export interface LeavingRun {
   requestId: string;
@@ -55,6 +60,9 @@
 
 /** Stops runs and finds out whether they have ended. */
 export default class RunStopper {
+  /** Stops of cancelled attempts that are under way, by target and request. */
+  private readonly cancelled = new Map<string, { abort: AbortController; end: Promise<void> }>();
+
   constructor(private readonly options: RunStopperOptions) {}
 
   /** Asks the target once. */
@@ -84,6 +92,44 @@
     return this.report(run, evidence, startedAtMs);
   }
 
+  /** Stops the run of an attempt that was cancelled, unless its target ends it by itself. */
+  stopCancelled(run: LeavingRun): void {
+    if (run.target.isHelper === true || !this.canStop(run)) {
+      return;
+    }
+    const key = keyOf(run.requestId, run.target.id);
+    this.cancelled.get(key)?.abort.abort();
+    const abort = new AbortController();
+    const stop = { abort, end: this.stopLater(run, abort.signal) };
+    this.cancelled.set(key, stop);
+    void stop.end.then(() => {
+      if (this.cancelled.get(key) === stop) {
+        this.cancelled.delete(key);
+      }
+    });
+  }
+
+  /** A request starts again at a target, whose stop must not end the new run. */
+  onRunStarted(requestId: string, targetId: string): void {
+    this.cancelled.get(keyOf(requestId, targetId))?.abort.abort();
+  }
+
+  /** Resolves once no cancelled attempt is to be stopped, or at the timeout. */
+  async settle(timeoutMs: Millis): Promise<void> {
+    const ends = [...this.cancelled.values()].map(({ end }) => end);
+    await Promise.race([Promise.all(ends), delay(this.options.timers, timeoutMs)]);
+  }
+
+  private async stopLater(run: LeavingRun, signal: AbortSignal): Promise<void> {
+    const { clock, timers } = this.options;
+    const startedAtMs = clock.now();
+    await delay(timers, SELF_END_MS);
+    if (!signal.aborted) {
+      const stop = await this.sendStop(run, CANCELLED_RUN_MS, signal);
+      this.report(run, { stop, isDisconnected: true, unlistedForMs: 0 }, startedAtMs);
+    }
+  }
+
   /** Asks for a stop and a report at once; the first answer that decides is enough. */
   private async ask(run: LeavingRun, unlistedSinceMs: Millis): Promise<RunEndEvidence> {
     const { clock } = this.options;
@@ -107,6 +153,7 @@
   private async sendStop(
     run: LeavingRun,
     timeoutMs: Millis,
+    signal?: AbortSignal,
   ): Promise<StopAnswer['outcome'] | CallFailure> {
     const { connections, dialect, timers } = this.options;
     const { target, requestId: runId } = run;
@@ -115,7 +162,7 @@
       return 'unanswered';
     }
     const call = dialect.composeStop(target, { runId, receiver });
-    const result = await callTarget({ connections, timers, timeoutMs }, target, call);
+    const result = await callTarget({ connections, timers, timeoutMs, signal }, target, call);
     if (result.kind !== 'answered' || result.head === undefined) {
       return toFailure(result);
     }
@@ -175,6 +222,10 @@
   }
 }
 
+function keyOf(requestId: string, targetId: string): string {
+  return `${targetId} ${requestId}`;
+}
+
 function describe({ stop, report, writingForMs }: RunEndEvidence) {
   return {
     stop,
--- a/packages/forward-request/src/stream-relocation.ts
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -108,7 +108,7 @@
   }
 
   private createRelocation(attempt: number, live: LiveAttempt, cause: GiveUpCause): RunRelocation {
-    const { context, replicas, report } = this.stream;
+    const { admitted, context, replicas, report } = this.stream;
     const { id } = live.attempt.target;
     // A VM that relays ends the run itself once its connection closes.
     const startsBeside = cause === 'target-lost' || isRelayed(live);
@@ -125,7 +125,10 @@
           ? this.startBeside(attempt, id, slot)
           : void this.startAfterStop(attempt, live, slot, cause),
       onKept: (error) => report.runKept(attempt, id, error?.message),
-      onAccepted: () => this.leave(attempt, cause),
+      onAccepted: () => {
+        this.leave(attempt, cause);
+        context.runStopper.stopCancelled(toLeavingRun(admitted, live, true));
+      },
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -314,7 +314,7 @@
     });
     // Nothing is awaited since the last check: a request that came meanwhile would be cut.
     await this.frontDoor.close();
-    await handedOver;
+    await Promise.all([handedOver, this.runWatchers.runStopper.settle(STOP_RESERVE_MS)]);
     this.components.forEach((component) => component.onDrained?.());
     this.follower.stop();
     await this.exchange?.stop();
