End an answer whose head or framing exceeds its limit

What callers saw: 504 at their deadlines, streams after 6 s; one connection took most of a VM's processor time, and calls to other targets took 0.3 to 0.5 s (p95) instead of 0.04 s. Cause: the HTTP library limits headers and trailers only. It skips a reason phrase, interim answers and the extension of a chunk for as long as they come. Change: the socket of a target's connection counts what the library takes, and AnswerMeter subtracts the body.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,7 @@
 import createPeerLossHandler from './peer-losses.js';
 import createOrigins from './create-origins.js';
 import createQuarantineComponent, { type QuarantineComponent } from './quarantine-component.js';
+import reportAnswerExcess from './report-answer-excess.js';
 import createReportUncaught, { type ReportUncaught } from './report-uncaught.js';
 import type { GatewaySettings } from './settings.js';
 
@@ -162,11 +163,11 @@
       onChange: () => this.exchange?.onLoadChanged(),
     });
     this.connections = new TargetConnections({
-      clock: steadyClock,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      ...{ clock: steadyClock, connectTimeoutMs: CONNECT_TIMEOUT_MS },
       maxIdlePerTarget: MAX_IDLE_CONNECTIONS,
       onOpened: () => this.metrics.count('limelead_connections_opened_total'),
       onConnect: (target, isOpen) => this.relaying.onConnect(target, isOpen),
+      onExcess: (target, excess) => reportAnswerExcess(this.log, this.metrics, target, excess),
     });
     this.storeView = new StoreView({
       clock: steadyClock,
--- a/packages/target-connections/src/create-connector.ts
+++ b/packages/target-connections/src/create-connector.ts
@@ -1,6 +1,6 @@
 /** Opens TCP connections with a timeout. */
 import type { buildConnector } from 'undici';
-import HttpSocket from './http-socket.js';
+import HttpSocket, { type TakenBytes } from './http-socket.js';
 
 /** Delay of TCP keep-alive probes, which detect peers that disappeared. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
@@ -11,6 +11,7 @@
   onOpened?(isOpen: boolean): void;
   /** The connection was reset but seems to end; called before the HTTP library handles the end. */
   onBroken?(): void;
+  taken?: TakenBytes;
 }
 
 /** For errors while the library does not listen. */
@@ -22,7 +23,7 @@
   events: ConnectionEvents = {},
 ): buildConnector.connector {
   return ({ hostname, port }, callback) => {
-    const socket = new HttpSocket();
+    const socket = new HttpSocket(events.taken);
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     socket.connect({ host: hostname, port: Number(port) });
--- a/packages/target-connections/src/http-socket.ts
+++ b/packages/target-connections/src/http-socket.ts
@@ -1,6 +1,14 @@
 /** A TCP connection whose end the HTTP library can meet at any time, also while it does not read. */
 import { Socket } from 'node:net';
 
+/** Meters what the library takes of a connection. */
+export interface TakenBytes {
+  /** Bytes that the library takes, or returns if negative. */
+  addTaken(bytes: number): void;
+  /** Returns an error if the library must not take more, which then ends the connection. */
+  findError(): Error | undefined;
+}
+
 /**
  * The library takes the end or reset of a connection for the end of an answer that has no other
  * end. If it does not read at that time, an assertion fails in an event of the socket.
@@ -9,6 +17,10 @@
   private hasReceivedEnd = false;
   private isOfferingEnd = false;
 
+  constructor(private readonly taken?: TakenBytes) {
+    super();
+  }
+
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     this.hasReceivedEnd ||= chunk === null;
     return super.push(chunk, encoding);
@@ -20,6 +32,25 @@
    * asks for a read, and `end` follows that one.
    */
   override read(size?: number): unknown {
+    const error = this.taken?.findError();
+    if (error !== undefined) {
+      this.destroy(error);
+      return null;
+    }
+    const chunk = this.readChunk(size);
+    if (Buffer.isBuffer(chunk)) {
+      this.taken?.addTaken(chunk.length);
+    }
+    return chunk;
+  }
+
+  /** The library returns what follows the place at which its reader paused. */
+  override unshift(chunk: Buffer, encoding?: BufferEncoding): void {
+    this.taken?.addTaken(-chunk.length);
+    super.unshift(chunk, encoding);
+  }
+
+  private readChunk(size?: number): unknown {
     if (!this.hasReceivedEnd || this.isOfferingEnd) {
       return super.read(size);
     }
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -2,6 +2,7 @@
 import { PortFault, type RequestSent } from '@limelead/errors';
 import type { Clock, Millis } from '@limelead/types';
 import { Client, type Dispatcher } from 'undici';
+import AnswerMeter, { FIRST_FINAL_STATUS, type AnswerExcess } from './answer-meter.js';
 import createConnector from './create-connector.js';
 
 /** Keep-alive timeout for targets that announce none. */
@@ -60,6 +61,7 @@
   isClosed = false;
   private isBroken = false;
   private readonly client: Client;
+  private readonly meter = new AnswerMeter();
 
   constructor(
     origin: string,
@@ -67,12 +69,17 @@
     private readonly clock: Clock,
     private readonly onClosed: (connection: TargetConnection) => void,
     onOpened: (isOpen: boolean) => void,
+    private readonly onExcess: (excess: AnswerExcess) => void = () => undefined,
   ) {
     this.client = new Client(origin, {
       pipelining: 1,
       connect: createConnector(connectTimeoutMs, {
         onOpened,
         onBroken: () => (this.isBroken = true),
+        taken: {
+          addTaken: (bytes) => this.meter.addTaken(bytes),
+          findError: () => this.findExcessError(),
+        },
       }),
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -87,7 +94,9 @@
   /** Sends a call; the connection must not be busy. */
   send(call: TargetCall, events: CallEvents): OpenCall {
     this.isBusy = true;
+    this.meter.begin();
     const handler = new CallHandler(events, {
+      meter: this.meter,
       isBroken: () => this.isBroken,
       onIdle: () => this.onIdle(),
       close: () => this.close(),
@@ -114,6 +123,15 @@
     void this.client.destroy().catch(() => undefined);
   }
 
+  private findExcessError(): Error | undefined {
+    const excess = this.isClosed ? undefined : this.meter.findExcess();
+    if (excess === undefined) {
+      return undefined;
+    }
+    this.onExcess(excess);
+    return new Error(`${excess.part} of ${excess.size}, where ${excess.limit} are allowed`);
+  }
+
   private onIdle(): void {
     this.isBusy = false;
     this.idleSinceMs = this.clock.now();
@@ -122,6 +140,7 @@
 
 /** The operations of a connection that a call uses. */
 interface ConnectionControl {
+  meter: AnswerMeter;
   /** Whether the connection was reset but seems to end. */
   isBroken(): boolean;
   onIdle(): void;
@@ -151,7 +170,8 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (this.isOver || status < 200) {
+    this.connection.meter.addHead(status);
+    if (this.isOver || status < FIRST_FINAL_STATUS) {
       return;
     }
     const rawHeaders = (controller.rawHeaders ?? []) as unknown as (Buffer | string)[];
@@ -165,6 +185,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.connection.meter.addBody(chunk.length);
     // The library passes an empty chunk when it reads on behind the end of a chunk.
     if (!this.isOver && chunk.length > 0) {
       this.events.onData(chunk);
--- a/packages/target-connections/src/target-connections.ts
+++ b/packages/target-connections/src/target-connections.ts
@@ -1,6 +1,7 @@
 /** A pool of this VM's connections to all targets, by target id. */
 import { PortFault } from '@limelead/errors';
 import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import type { AnswerExcess } from './answer-meter.js';
 import createConnector from './create-connector.js';
 import TargetConnection, {
   type CallEvents,
@@ -29,6 +30,8 @@
   onOpened?: () => void;
   /** Called when a connection to a target opened, or failed to. */
   onConnect?: (target: ServiceTarget, isOpen: boolean) => void;
+  /** Called when an answer exceeds a limit, at which its connection is closed. */
+  onExcess?: (target: ServiceTarget, excess: AnswerExcess) => void;
 }
 
 /** Opens, reuses and closes connections to targets. */
@@ -133,13 +136,14 @@
   }
 
   private openConnection(target: ServiceTarget): TargetConnection {
-    const { clock, connectTimeoutMs, onConnect } = this.options;
+    const { clock, connectTimeoutMs, onConnect, onExcess } = this.options;
     const connection = new TargetConnection(
       `http://${target.host}:${target.port}`,
       connectTimeoutMs,
       clock,
       (closed) => this.remove(target.id, closed),
       (isOpen) => onConnect?.(target, isOpen),
+      (excess) => onExcess?.(target, excess),
     );
     const connections = this.byTarget.get(target.id) ?? new Set<TargetConnection>();
     this.byTarget.set(target.id, connections);
