Try another target when an error answer is too long to buffer

What callers saw: a 500 although another target, or the hedge under way, would have answered 200. Cause: an answer of more than 256 KB is streamed, which cancels the other attempts, also when it is a failure that could be replaced. Change: such a failure is judged by its head; the rest is not read while another attempt is open or allowed. Without one it is passed on as before.

--- a/packages/forward-request/src/call-attempt.ts
+++ b/packages/forward-request/src/call-attempt.ts
@@ -108,6 +108,12 @@
     }
   }
 
+  /** Ends the attempt at an answer whose rest is not needed. */
+  endUnread(): void {
+    this.open?.cancel();
+    this.finish(() => undefined, 'answered');
+  }
+
   /** Pauses or continues reading the answer. */
   setReadPaused(isPaused: boolean): void {
     if (isPaused) {
--- a/packages/forward-request/src/forward-call.ts
+++ b/packages/forward-request/src/forward-call.ts
@@ -16,6 +16,7 @@
 import type { AdmittedRequest } from './admitted-request.js';
 import CallAttempt, { type CallAttemptEvents } from './call-attempt.js';
 import PacedSink from './paced-sink.js';
+import { isRetriableAnswer, recordCallAnswer } from './call-answers.js';
 import CallReport, { type CallOutcome } from './call-report.js';
 import type { ForwardContext } from './context.js';
 import createShutdownError from './create-shutdown-error.js';
@@ -68,7 +69,7 @@
   private isHedge = false;
   private readonly timers: CancelTimer[] = [];
   private readonly events: CallAttemptEvents = {
-    onTooLongToBuffer: (attempt, head) => this.beginStreaming(attempt, head),
+    onTooLongToBuffer: (attempt, head) => this.onTooLongToBuffer(attempt, head),
     onBuffered: (bytes) => this.sink.addHeldBytes(bytes),
     onData: (_, chunk) => this.sink.write(chunk),
     onEnd: (attempt, answer) => this.onEnd(attempt, answer),
@@ -207,6 +208,21 @@
     }
   }
 
+  private onTooLongToBuffer(attempt: CallAttempt, head: AnswerHead): void {
+    const isOther = (other: CallAttempt): boolean => other !== attempt && !other.isOver;
+    const isHopeless = this.possibleRuns >= this.admitted.route.maxTargets;
+    const isReplaceable = !isHopeless || this.isWaiting || this.attempts.some(isOther);
+    if (isReplaceable && isRetriableAnswer(this.admitted, attempt, head.status)) {
+      // The caller gets another answer, so the rest of this one is not read.
+      attempt.endUnread();
+      recordCallAnswer(this.context, this.report, attempt, false);
+      this.report.failed(attempt, false, `status ${head.status} with a long body`);
+      this.retryFailed();
+    } else {
+      this.beginStreaming(attempt, head);
+    }
+  }
+
   /** Streams an answer that is too long to buffer and cancels the other attempts. */
   private beginStreaming(attempt: CallAttempt, head: AnswerHead): void {
     this.streaming = attempt;
@@ -226,19 +242,13 @@
 
   private onEnd(attempt: CallAttempt, answer: WholeAnswer): void {
     const { status } = answer.head;
-    const isGood = status < MIN_SERVER_ERROR_STATUS;
-    const kind = isGood ? 'answered' : 'failed';
-    this.context.directory.observe(attempt.target.id, { kind });
-    attempt.run?.recordAnswer(isGood);
-    this.report.runStarted(attempt);
-    this.report.attemptEnded(attempt, isGood);
+    recordCallAnswer(this.context, this.report, attempt, status < MIN_SERVER_ERROR_STATUS);
     if (this.streaming === attempt) {
       this.sink.end();
       this.finish('answered', attempt, status);
       return;
     }
-    // A VM that relays has retried already.
-    if (isGood || !this.admitted.route.repeatable || attempt.isRelayed) {
+    if (!isRetriableAnswer(this.admitted, attempt, status)) {
       this.deliver(answer, attempt);
       return;
     }
--- a/packages/forward-request/src/long-error-answer.test.ts
+++ b/packages/forward-request/src/long-error-answer.test.ts
@@ -20,6 +20,7 @@
   response.end('good');
 };
 
+// Guards against a failure whose rest was passed on although another target could answer.
 test('an error answer too long to buffer ends a repeatable call', async () => {
   const bed = await TestBed.start(failing, answering);
   const sink = new RecordingSink();
