Read no error answer to a stream, and no report, beyond a limit

What callers saw: 502 for streams at their deadline, or a move after 2.6 s; VMs held up to 130 MB. Cause: the body of an answer that is no stream, and that of a report, were buffered without a limit. Change: past 256 KB of a failure the connection is closed, and the attempt counts as broken; the body of a query has at most 4 MB.

--- a/packages/forward-request/src/query-target.ts
+++ b/packages/forward-request/src/query-target.ts
@@ -3,6 +3,8 @@
 import type { AnswerHead, TargetCall, TargetConnections } from '@limelead/target-connections';
 import type { Millis, ServiceTarget, Timers } from '@limelead/types';
 
+/** Limit on the body of an answer. */
+const MAX_BODY_BYTES = 4 * 1_024 * 1_024;
 /** Longest idle time of a connection that a call reuses. */
 const MAX_IDLE_MS = 2_000;
 
@@ -32,6 +34,7 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let head: AnswerHead | undefined;
+    let bodyBytes = 0;
     const finish = (result: TargetCallResult): void => {
       cancelTimer();
       resolve(result);
@@ -42,7 +45,13 @@
       { maxIdleMs },
       {
         onHead: (received) => (head = received),
-        onData: (chunk) => chunks.push(chunk),
+        onData(chunk) {
+          chunks.push(chunk);
+          bodyBytes += chunk.length;
+          if (bodyBytes > MAX_BODY_BYTES) {
+            cancel();
+          }
+        },
         onEnd: () => finish({ kind: 'answered', head, body: Buffer.concat(chunks) }),
         onFault: (fault) => finish({ kind: 'failed', fault }),
       },
--- a/packages/forward-request/src/stream-attempt.ts
+++ b/packages/forward-request/src/stream-attempt.ts
@@ -4,10 +4,13 @@
 import createPieceSplitter, { type PieceSplitter } from '@limelead/split-pieces';
 import type { ForwardContext } from './context.js';
 import type { AttemptRequest } from './dialect.js';
+import { MIN_SERVER_ERROR_STATUS } from './limits.js';
 import readAnswer, { MAY_HAVE_RUN, withoutFalsePromise } from './read-answer.js';
 
 /** Longest idle time of a connection that a stream reuses. */
 const STREAM_MAX_IDLE_MS = 1_000;
+/** Limit on the body of a failure that is buffered. */
+const MAX_BUFFERED_FAILURE_BYTES = 256 * 1_024;
 const OK = 200;
 
 /** A numbered piece, including the unnumbered bytes before it. */
@@ -118,9 +121,7 @@
       return;
     }
     if (this.otherBody !== undefined) {
-      this.otherBody.push(chunk);
-      this.otherBytes += chunk.length;
-      this.events.onBuffered(chunk.length);
+      this.bufferOther(this.otherBody, chunk);
       return;
     }
     const pieces = this.numberPieces(chunk);
@@ -132,6 +133,18 @@
     }
   }
 
+  /** Buffers an answer that is no stream. A long failure is not read to its end. */
+  private bufferOther(body: Buffer[], chunk: Buffer): void {
+    body.push(chunk);
+    this.otherBytes += chunk.length;
+    this.events.onBuffered(chunk.length);
+    const isFailure = (this.head?.status ?? 0) >= MIN_SERVER_ERROR_STATUS;
+    if (isFailure && this.otherBytes > MAX_BUFFERED_FAILURE_BYTES) {
+      this.open?.cancel();
+      this.finish(() => this.events.onBroken(`status ${this.head?.status} with a long body`));
+    }
+  }
+
   /** Adds unnumbered bytes to the next numbered piece. */
   private numberPieces(chunk: Buffer): NumberedPiece[] {
     const pieces: NumberedPiece[] = [];
