Cover stops that end a stream, and share the end of a relocation

Cause: two ways of keeping a silent run returned the same reservations in two places, and nothing tested a target that ends its stream as if it were complete once it has stopped the run.

--- a/packages/forward-request/src/run-at-two-targets.test.ts
+++ b/packages/forward-request/src/run-at-two-targets.test.ts
@@ -116,6 +116,24 @@
   assert.not(state.workedAtSecond);
 });
 
+test('a stream that its target ends at the stop is not complete', async () => {
+  const { bed, forward, sink, state } = await start((request, response) => {
+    beginAnswer(request, response);
+    bed.stopRun = () => {
+      setTimeout(() => {
+        state.isWorking = false;
+        response.end();
+      }, 100);
+      return 200;
+    };
+  });
+  await forward(SHORT_OBJECTIVE);
+  await bed.stop();
+  assert.is(sink.body, WHOLE);
+  assert.equal(bed.askedTargets, ['t1', 't2']);
+  assert.not(state.workedAtSecond);
+});
+
 test('a run that was kept is left when its target is lost', async () => {
   const { bed, forward, sink } = await start(readOn);
   bed.stopRun = () => 404;
--- a/packages/forward-request/src/stream-relocation.ts
+++ b/packages/forward-request/src/stream-relocation.ts
@@ -134,7 +134,7 @@
 
   /** Ends the silent attempt; the stream goes on with the next one. */
   private leave(attempt: number, cause: GiveUpCause): void {
-    this.relocation = undefined;
+    this.cancel();
     this.events.lose(attempt, SILENCE_REASONS[cause]);
     this.events.advance({ kind: 'broken', attempt, cause: 'target-gone' });
   }
@@ -159,7 +159,9 @@
     if (end === 'ended') {
       await stopping.awaitClose();
     }
-    this.stopping = undefined;
+    if (this.stopping === stopping) {
+      this.stopping = undefined;
+    }
     const isLive = all.get(attempt) === live;
     const isCurrent = relocation !== undefined && this.relocation === relocation;
     if (isLive && (stopping.isClosed || (isCurrent && end === 'ended'))) {
@@ -176,17 +178,13 @@
 
   /** Keeps a run that could not be stopped at a target that is up. */
   private keep(attempt: number, reason: string): void {
-    const { attempts, live, replicas, report } = this.stream;
+    const { live, report } = this.stream;
     const run = live.get(attempt);
-    this.cancel();
+    this.cancelFor(run);
     if (run !== undefined) {
-      const { id } = run.attempt.target;
-      attempts.recordReturn(id);
-      attempts.releaseRetry();
-      replicas.onRunLost(undefined);
       run.activity.stay();
       live.watchAgain(attempt);
-      report.runKept(attempt, id, reason);
+      report.runKept(attempt, run.attempt.target.id, reason);
     }
   }
 
@@ -205,17 +203,24 @@
 
   /** Keeps a run that has written although it was reported silent. */
   private onRunReturned(attempt: number): void {
-    const { attempts, context, live, replicas, report } = this.stream;
+    const { context, live, report } = this.stream;
     const run = live.get(attempt);
-    this.cancel();
+    this.cancelFor(run);
     if (run !== undefined) {
-      const { id } = run.attempt.target;
       const silentMs = context.clock.now() - run.activity.lastActivityAtMs;
-      attempts.recordReturn(id);
+      live.watchAgain(attempt);
+      report.runReturned(attempt, run.attempt.target.id, silentMs);
+    }
+  }
+
+  /** Cancels the relocation of a run that stays, and returns what was reserved for its successor. */
+  private cancelFor(run: LiveAttempt | undefined): void {
+    const { attempts, replicas } = this.stream;
+    this.cancel();
+    if (run !== undefined) {
+      attempts.recordReturn(run.attempt.target.id);
       attempts.releaseRetry();
       replicas.onRunLost(undefined);
-      live.watchAgain(attempt);
-      report.runReturned(attempt, id, silentMs);
     }
   }
 }
