Let a run read its prompt for as long as another target could still read it

Cause: a run that read for 1.3 objectives was stopped to be read anew elsewhere. By the protocol's words a request is a run from its first token on, so that a target need not know one that it reads. Change: such a run stays until the deadline leaves only the longest expected time of a prompt; then its target is asked to stop it as before.

--- a/packages/forward-request/src/live-attempts.ts
+++ b/packages/forward-request/src/live-attempts.ts
@@ -208,6 +208,16 @@
     };
   }
 
+  /**
+   * A run that reads its prompt stays for as long as another target could still read it: reports do
+   * not list it, and a target that cannot stop it may work on.
+   */
+  private findPrefillLimit(): Millis {
+    const { clock, prefill } = this.context;
+    const maxPrefillMs = prefill.maxMs(this.admitted);
+    return Math.max(maxPrefillMs, this.admitted.dueAtMs - clock.now() - maxPrefillMs);
+  }
+
   private createActivity(
     number: number,
     { request, target, resumeFrom }: AttemptRequest,
@@ -219,7 +229,7 @@
       target,
       resumesFromReplica: resumeFrom !== undefined,
       policy,
-      maxPrefillMs: this.context.prefill.maxMs(this.admitted),
+      maxPrefillMs: this.findPrefillLimit(),
       maxPauseMs: maxPauseOf(this.admitted.route),
       carried: this.carried,
       clock,
