--- a/packages/forward-request/src/run-at-two-targets.test.ts
+++ b/packages/forward-request/src/run-at-two-targets.test.ts
@@ -149,8 +149,8 @@
 test('a run that was kept is left when its target is lost', async () => {
   const { bed, forward, sink } = await start(readOn);
   bed.stopRun = () => 404;
-  setTimeout(() => (bed.answersProbes = false), 2_100);
-  await forward({ objectiveMs: 1_200, timeoutMs: 3_500 });
+  setTimeout(() => (bed.answersProbes = false), 2_750);
+  await forward({ objectiveMs: 2_000, timeoutMs: 5_000 });
   await bed.stop();
   assert.is(sink.body, WHOLE);
   assert.equal(bed.askedTargets, ['t1', 't2']);
