Keep the origins of streams in the store while a service has several versions

Cause: what began a stream was known to VMs only.

Change: new package store-origins. While a service has several versions, the origins of streams are written in groups to items of the store that hang on leases (segments), with digests of service and stream id. One of the VMs that are told of a stream writes it; the VM that serves it does so itself if it has not seen it stored for a second. The view of the store decodes segments once, and a change of them alone does not make VMs read roll-outs and quarantines anew. A stream is looked up in them behind the VM's own table. Writes that are refused or lost are retried ever more slowly.

--- a/packages/gateway/src/decoded-store-item.ts
+++ b/packages/gateway/src/decoded-store-item.ts
@@ -1,6 +1,7 @@
 /** Items of the store as limelead uses them. */
 import type { StoreItem } from '@limelead/follow-store';
 import type { Quarantine } from '@limelead/quarantine-requests';
+import type { SegmentOrigins } from '@limelead/store-origins';
 import type { AgreedStep, RollOutState, StateItem } from '@limelead/run-roll-outs';
 import type { RollOutOrder, ServiceTarget, ServingConfiguration } from '@limelead/types';
 
@@ -13,6 +14,8 @@
   | { kind: 'roll-out-step'; service: string; step: AgreedStep }
   /** Written by limelead: requests of that identity are quarantined. */
   | { kind: 'quarantine'; identity: string; quarantine: Quarantine }
+  /** Written by limelead: the software versions that began some streams. */
+  | { kind: 'streams'; origins: SegmentOrigins }
   /** Written by limelead: a VM holds the duties. */
   | { kind: 'duty' }
   /**
--- a/packages/gateway/src/operations-page.test.ts
+++ b/packages/gateway/src/operations-page.test.ts
@@ -23,6 +23,7 @@
   'relay-requests',
   'run-roll-outs',
   'share-evidence',
+  'store-origins',
   'track-backpressure',
   'track-origins',
   'track-reach',
--- a/packages/gateway/src/store-view.ts
+++ b/packages/gateway/src/store-view.ts
@@ -11,12 +11,8 @@
 import type { StoreChange, StoreChanges, StoreItem, StoreList } from '@limelead/follow-store';
 import type { Quarantine } from '@limelead/quarantine-requests';
 import type { StoreUpdate } from '@limelead/share-evidence';
-import {
-  decodeStep,
-  STEP_KEY_PREFIX,
-  type AgreedStep,
-  type StoredOrder,
-} from '@limelead/run-roll-outs';
+import { StoredOrigins } from '@limelead/store-origins';
+import type { AgreedStep, StoredOrder } from '@limelead/run-roll-outs';
 import compileRoutes, { type RouteTable } from '@limelead/route-requests';
 import type { TargetChange, TargetDirectory } from '@limelead/track-service-targets';
 import type { Clock, Millis, ServiceTarget, ServingConfiguration, Timers } from '@limelead/types';
@@ -26,8 +22,8 @@
   type StoreDialect,
 } from './decoded-store-item.js';
 import LapsedTargets from './lapsed-targets.js';
-import { DUTY_KEY, QUARANTINE_KEY_PREFIX, ROLL_OUT_DUTY_KEY } from './store-keys.js';
-import { decodeQuarantine } from './quarantine-item.js';
+import decodeOwnItem from './decode-own-item.js';
+import { isStreamsKey } from './store-keys.js';
 import RemovalHistory from './removal-history.js';
 import StoreFingerprints, { fingerprintTarget } from './store-fingerprints.js';
 
@@ -36,8 +32,6 @@
 
 const STORE: UpdateSource = 'store';
 
-const DUTY: DecodedStoreItem = { kind: 'duty' };
-
 interface StoreViewItem {
   item: StoreItem;
   decoded: DecodedStoreItem;
@@ -60,12 +54,13 @@
   onConfiguration(table: RouteTable): void;
   /** Called when the view is dropped because it belongs to another store. */
   onReset(): void;
-  /** Called after each change of the view. */
+  /** Called after each change of the view, except of the origins of streams. */
   onChange(): void;
 }
 
 /** Holds the configuration in force and applies changes of targets to the directory. */
 export default class StoreView {
+  readonly storedOrigins: StoredOrigins;
   private routeTable: RouteTable | undefined;
   /** Known items by key, except those of kind "other". */
   private readonly items = new Map<string, StoreViewItem>();
@@ -84,6 +79,7 @@
 
   constructor(private readonly options: StoreViewOptions) {
     const { clock, timers, leavingTargetMs, directory, log } = options;
+    this.storedOrigins = new StoredOrigins(clock);
     this.logUnreadable = createRateLimitedLog(log, clock, 'store-item-unreadable');
     this.lapsedTargets = new LapsedTargets({
       clock,
@@ -129,6 +125,7 @@
       source: this.currentSource,
     });
     this.items.clear();
+    this.storedOrigins.clear();
     this.unreadableRevisions.clear();
     this.removals = new RemovalHistory();
     this.fingerprints.reset();
@@ -312,11 +309,18 @@
   private removeExcept(keys: ReadonlySet<string>): void {
     for (const key of [...this.items.keys()]) {
       if (!keys.has(key)) {
-        this.items.delete(key);
+        this.removeItem(key);
       }
     }
   }
 
+  private removeItem(key: string): void {
+    this.items.delete(key);
+    if (isStreamsKey(key)) {
+      this.storedOrigins.remove(key);
+    }
+  }
+
   /** Applies changes; ignores them if peers have told newer ones since they were requested. */
   applyChanges({ changes, revision }: StoreChanges, source = STORE): void {
     if (revision < this.currentRevision) {
@@ -328,7 +332,7 @@
     // Set first: applying targets serves queued requests, which rely on the new revision.
     this.currentRevision = Math.max(revision, this.currentRevision);
     this.options.directory.apply(this.lapsedTargets.filter(targetChanges));
-    if (changes.length > 0) {
+    if (changes.some((change) => !isStreamsKey(keyOf(change)))) {
       this.options.onChange();
     }
   }
@@ -338,10 +342,10 @@
     revision: number,
     source: UpdateSource,
   ): TargetChange[] {
-    const key = change.kind === 'gone' ? change.key : change.item.key;
+    const key = keyOf(change);
     const before = this.getTarget(key);
     if (change.kind === 'gone') {
-      this.items.delete(key);
+      this.removeItem(key);
       this.unreadableRevisions.delete(key);
       this.removals.record(key, revision);
       const id = before?.id ?? this.options.dialect.parseTargetId(key);
@@ -379,6 +383,9 @@
         fingerprint: fingerprintOf(item, decoded, known),
       });
     }
+    if (decoded.kind === 'streams') {
+      this.storedOrigins.put(item.key, decoded.origins);
+    }
     if (decoded.kind === 'configuration') {
       this.fingerprints.addConfiguration(item);
       this.currentConfigurationBytes = item.value.length;
@@ -449,22 +456,6 @@
   return (isSame ? known?.fingerprint : undefined) ?? fingerprintTarget(item, decoded.target);
 }
 
-/** Decodes items that limelead itself writes; undefined for others. */
-function decodeOwnItem({ key, value }: StoreItem): DecodedStoreItem | undefined {
-  if (key === DUTY_KEY || key === ROLL_OUT_DUTY_KEY) {
-    return DUTY;
-  }
-  if (key.startsWith(QUARANTINE_KEY_PREFIX)) {
-    const quarantine = decodeQuarantine(value);
-    return quarantine === undefined
-      ? { kind: 'unreadable', reason: 'names no service' }
-      : { kind: 'quarantine', identity: key.slice(QUARANTINE_KEY_PREFIX.length), quarantine };
-  }
-  if (!key.startsWith(STEP_KEY_PREFIX)) {
-    return undefined;
-  }
-  const agreed = decodeStep(value);
-  return agreed === undefined
-    ? { kind: 'unreadable', reason: 'holds no step of a roll-out' }
-    : { kind: 'roll-out-step', service: key.slice(STEP_KEY_PREFIX.length), step: agreed };
+function keyOf(change: StoreChange): string {
+  return change.kind === 'gone' ? change.key : change.item.key;
 }
--- a/packages/share-evidence/src/origin-exchange.test.ts
+++ b/packages/share-evidence/src/origin-exchange.test.ts
@@ -138,4 +138,36 @@
   );
 });
 
+// Each VM would have written every stream to the store.
+test('one VM of a small fleet writes a stream, and the next one once its link is lost', () => {
+  const first = create(['b', 'foreign']).exchange;
+  const { exchange, peers } = create(['0', 'b']);
+  assert.ok(first.isWriterOf('r1'));
+  assert.not.ok(exchange.isWriterOf('r1'));
+  peers.remove('0');
+  assert.ok(exchange.isWriterOf('r1'));
+  assert.is(exchange.countWriters(), 1);
+});
+
+// A VM that nobody tells of streams would have been their writer.
+test('in a large fleet the linked holders of a stream write it', () => {
+  const candidates = ['a', 'b', 'c', 'd'];
+  const members = { schedulers: [candidates], dutyCandidates: ['b'] };
+  const { exchange, peers } = create(candidates, members);
+  const ids = Array.from({ length: 40 }, (_, index) => `r${index}`);
+  const listOwn = (): string[] => ids.filter((id) => exchange.isWriterOf(id));
+  assert.equal(
+    listOwn(),
+    ids.filter((id) => chooseOriginHolders(id, candidates)[0] === 'a'),
+  );
+  ['b', 'c', 'd'].forEach((peer) => peers.remove(peer));
+  assert.equal(
+    listOwn(),
+    ids.filter((id) => chooseOriginHolders(id, candidates).includes('a')),
+  );
+  assert.is(exchange.countWriters(), 4);
+  const other = create(['b', 'c'], { schedulers: [['b', 'c', 'd']], dutyCandidates: [] });
+  assert.not.ok(ids.some((id) => other.exchange.isWriterOf(id)));
+});
+
 test.run();
--- a/packages/share-evidence/src/origin-exchange.ts
+++ b/packages/share-evidence/src/origin-exchange.ts
@@ -87,6 +87,22 @@
     return () => this.close(number);
   }
 
+  /** Whether this VM is the one of the linked VMs that writes a stream to the store. */
+  isWriterOf(streamId: string): boolean {
+    const { self } = this.options;
+    const candidates = this.listCandidates();
+    const writers =
+      candidates === undefined
+        ? [self, ...this.listLinked()].sort()
+        : chooseOriginHolders(streamId, candidates);
+    return writers.find((peer) => peer === self || this.isLinked(peer)) === self;
+  }
+
+  /** The number of VMs that may be writers at the same time. */
+  countWriters(): number {
+    return this.listCandidates()?.length ?? 1;
+  }
+
   /** Tells a newly linked peer of the streams that this VM served. */
   onLinked(peer: PeerId): void {
     const origins = this.options
--- /dev/null
+++ b/packages/track-origins/src/origin-store.ts
@@ -0,0 +1,11 @@
+import type { StreamKey, StreamOrigin } from '@limelead/types';
+
+/** Keeps origins where the loss of all VMs leaves them. */
+export interface OriginStore {
+  /** @param isOwn whether this VM served the stream; else a peer told it */
+  add(origin: StreamOrigin, isOwn: boolean): void;
+  /** Handles that a stream ended well, so that nobody resumes it. */
+  forget(streamId: string): void;
+  /** The version that began a stream; undefined if unknown. */
+  find(stream: StreamKey): string | undefined;
+}
--- a/packages/track-origins/src/origin-table.ts
+++ b/packages/track-origins/src/origin-table.ts
@@ -6,6 +6,9 @@
 /** Time beyond the deadline of a stream for which it is kept, since attempts may be under way. */
 const GRACE_MS: Millis = 2_000;
 
+/** Difference up to which two attempts of a stream have the same deadline. */
+const SAME_DEADLINE_MS: Millis = 500;
+
 interface KnownStream {
   service: string;
   softwareVersion: string;
@@ -14,6 +17,13 @@
   isOwn: boolean;
 }
 
+/** A stream of the table. */
+export interface ListedOrigin {
+  origin: StreamOrigin;
+  /** Whether this VM served the stream. */
+  isOwn: boolean;
+}
+
 /** Origins by stream id. */
 export default class OriginTable {
   private readonly streams = new Map<string, KnownStream>();
@@ -24,17 +34,26 @@
     return this.streams.size;
   }
 
-  /** @param isOwn whether this VM served the stream */
-  record({ streamId, service, softwareVersion, leftMs }: StreamOrigin, isOwn: boolean): void {
-    const wasOwn = this.streams.get(streamId)?.isOwn ?? false;
+  /**
+   * @param isOwn whether this VM served the stream
+   * @returns whether the stream is new here, or may be resumed for longer than was known
+   */
+  record({ streamId, service, softwareVersion, leftMs }: StreamOrigin, isOwn: boolean): boolean {
+    const known = this.streams.get(streamId);
+    const expiresAtMs = this.clock.now() + leftMs + GRACE_MS;
     this.streams.delete(streamId);
     this.forgetOldest();
     this.streams.set(streamId, {
       service,
       softwareVersion,
-      expiresAtMs: this.clock.now() + leftMs + GRACE_MS,
-      isOwn: isOwn || wasOwn,
+      expiresAtMs,
+      isOwn: isOwn || known?.isOwn === true,
     });
+    return (
+      known?.service !== service ||
+      known.softwareVersion !== softwareVersion ||
+      expiresAtMs > known.expiresAtMs + SAME_DEADLINE_MS
+    );
   }
 
   forget(streamId: string): void {
@@ -50,12 +69,17 @@
 
   /** The streams that this VM served and that may still be resumed. */
   listOwn(isIncluded: (service: string) => boolean): StreamOrigin[] {
+    return this.list(isIncluded).flatMap(({ origin, isOwn }) => (isOwn ? [origin] : []));
+  }
+
+  /** All streams that may still be resumed. */
+  list(isIncluded: (service: string) => boolean): ListedOrigin[] {
     const now = this.clock.now();
     return [...this.streams].flatMap(([streamId, known]) => {
       const { service, softwareVersion, isOwn, expiresAtMs } = known;
       const leftMs = expiresAtMs - GRACE_MS - now;
-      return isOwn && leftMs > 0 && isIncluded(service)
-        ? [{ streamId, service, softwareVersion, leftMs }]
+      return leftMs > 0 && isIncluded(service)
+        ? [{ origin: { streamId, service, softwareVersion, leftMs }, isOwn }]
         : [];
     });
   }
--- a/packages/track-origins/src/origin-tracker.test.ts
+++ b/packages/track-origins/src/origin-tracker.test.ts
@@ -29,6 +29,8 @@
   const asked: string[] = [];
   let answers: OriginEvidence[] = [];
   const delayed: (() => void)[] = [];
+  const stored: string[] = [];
+  const inStore = new Map<string, string>();
   const toTarget = (version: string): ServiceTarget => ({
     ...{ id: version, service: 'llm', host: 'h', port: 1, failureDomain: 'd', slots: 1 },
     ...{ leaving: false, version },
@@ -60,6 +62,11 @@
       receive(answers);
       return () => undefined;
     },
+    store: {
+      add: ({ streamId }, isOwn) => stored.push(`${streamId} ${isOwn ? 'own' : 'told'}`),
+      forget: (streamId) => stored.push(`${streamId} ended`),
+      find: ({ streamId }) => inStore.get(streamId),
+    },
   });
   const find = (streamId = 'r1'): OriginLookup | undefined => {
     let found: OriginLookup | undefined;
@@ -67,7 +74,7 @@
     return found;
   };
   const answer = (evidence: OriginEvidence[]): void => void (answers = evidence);
-  return { tracker, state, told, asked, delayed, find, answer, toTarget };
+  return { tracker, state, told, asked, delayed, find, answer, toTarget, stored, inStore };
 }
 
 test('peers are told of streams while the service has several versions', () => {
@@ -205,4 +212,40 @@
   assert.equal(find('r5'), { outcome: 'unknown' });
 });
 
+// A service of one version would have paid for what it never needs.
+test('streams are stored while the service has several versions, and those known before', () => {
+  const { tracker, state, stored, toTarget } = create('v1');
+  tracker.record(STREAM);
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r2' }]);
+  assert.equal(stored, []);
+  state.versions = ['v1', 'v2'];
+  tracker.onTargetJoined(toTarget('v2'));
+  tracker.record({ ...STREAM, streamId: 'r3' });
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r4' }]);
+  tracker.forget('r3');
+  assert.equal(stored, ['r1 own', 'r2 told', 'r3 own', 'r4 told', 'r3 ended']);
+});
+
+// Each resume of a stream would have stored it again.
+test('a stream that is resumed is stored again only if its deadline is later', () => {
+  const { tracker, state, stored } = create('v1', 'v2');
+  tracker.record(STREAM);
+  state.now = 4_000;
+  tracker.record({ ...STREAM, leftMs: 6_000 });
+  tracker.onPeerOrigins([{ ...STREAM, leftMs: 6_000 }]);
+  assert.equal(stored, ['r1 own']);
+  tracker.onPeerOrigins([STREAM]);
+  assert.equal(stored, ['r1 own', 'r1 told']);
+});
+
+// Behind the loss of all VMs nobody knew the streams under way, and all of them were refused.
+test('a stream that no VM knows goes on at the version that the store names', () => {
+  const { find, inStore, asked, state } = create('v1', 'v2');
+  state.now = 2_000;
+  inStore.set('r1', 'v1');
+  assert.equal(find(), { outcome: 'known', softwareVersion: 'v1' });
+  assert.equal(find('r2'), { outcome: 'unknown' });
+  assert.equal(asked, ['r2']);
+});
+
 test.run();
--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -16,6 +16,7 @@
   type Timers,
 } from '@limelead/types';
 import decideOrigin from './decide-origin.js';
+import type { OriginStore } from './origin-store.js';
 import OriginTable from './origin-table.js';
 import VersionHistory from './version-history.js';
 
@@ -42,6 +43,8 @@
   publish(origins: StreamOrigin[]): number;
   /** Asks peers; `receive` is called once, with the answers that came in time. */
   ask(stream: StreamKey, receive: (answers: OriginEvidence[]) => void): () => void;
+  /** Receives streams of services with several versions. */
+  store?: OriginStore;
 }
 
 /** A search for the origin of a stream. */
@@ -72,8 +75,11 @@
 
   /** Records that this VM passed on the first piece of a stream. */
   record(origin: StreamOrigin): void {
-    this.table.record(origin, true);
+    const isNews = this.table.record(origin, true);
     if (this.hasSeveralVersions(origin.service)) {
+      if (isNews && this.published.has(origin.service)) {
+        this.options.store?.add(origin, true);
+      }
       this.publishOwn(origin.service, [origin]);
     }
   }
@@ -81,6 +87,7 @@
   /** Forgets a stream that ended well, which nobody resumes. */
   forget(streamId: string): void {
     this.table.forget(streamId);
+    this.options.store?.forget(streamId);
   }
 
   /** Handles a new target: its version may be the second one of its service. */
@@ -98,14 +105,17 @@
   onPeerOrigins(origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => {
       this.onVersionSeen(origin.service, origin.softwareVersion);
-      this.table.record(origin, false);
+      const isNews = this.table.record(origin, false);
+      if (isNews && this.hasSeveralVersions(origin.service)) {
+        this.options.store?.add(origin, false);
+      }
     });
   }
 
   /** What this VM knows of a stream, for a peer that asks. */
   readEvidence(stream: StreamKey): OriginEvidence {
     return {
-      softwareVersion: this.table.find(stream),
+      softwareVersion: this.table.find(stream) ?? this.options.store?.find(stream),
       versions: this.history.list(stream.service),
       isFresh: this.options.readAgeMs() <= this.options.maxAgeMs(),
     };
@@ -197,10 +207,19 @@
     return hasSeveral;
   }
 
+  private storeKnown(service: string): void {
+    this.table
+      .list((other) => other === service)
+      .forEach(({ origin, isOwn }) => this.options.store?.add(origin, isOwn));
+  }
+
   /** Tells peers of new streams, and first of all others if the service had one version so far. */
   private publishOwn(service: string, origins: StreamOrigin[]): void {
     const isFirst = !this.published.has(service);
     this.published.add(service);
+    if (isFirst) {
+      this.storeKnown(service);
+    }
     const told = isFirst ? this.table.listOwn((other) => other === service) : origins;
     if (told.length > 0) {
       const peers = this.options.publish(told);
