Merge the origins of streams in the store

Callers' streams were refused by all VMs behind the loss of all of them, although targets of their version served: nobody knew which version had begun them.

--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -14,6 +14,7 @@
   type StreamOrigin,
 } from '@limelead/types';
 import decideOrigin from './decide-origin.js';
+import type { OriginStore } from './origin-store.js';
 import OriginTable from './origin-table.js';
 import OriginSearch, { type OriginSearchOptions } from './origin-search.js';
 import VersionHistory from './version-history.js';
@@ -32,6 +33,8 @@
   isLinkedToMost(): boolean;
   /** Tells peers; returns the number of peers that were told. */
   publish(origins: StreamOrigin[]): number;
+  /** Receives streams of services with several versions. */
+  store?: OriginStore;
 }
 
 /** A search for the origin of a stream. */
@@ -70,8 +73,11 @@
 
   /** Records that this VM passed on the first piece of a stream. */
   record(origin: StreamOrigin): void {
-    this.table.record(origin, true);
+    const isNews = this.table.record(origin, true);
     if (this.hasSeveralVersions(origin.service)) {
+      if (isNews && this.published.has(origin.service)) {
+        this.options.store?.add(origin, true);
+      }
       this.publishOwn(origin.service, [origin]);
     }
   }
@@ -79,6 +85,7 @@
   /** Forgets a stream that ended well, which nobody resumes. */
   forget(streamId: string): void {
     this.table.forget(streamId);
+    this.options.store?.forget(streamId);
   }
 
   /** Handles a new target: its version may be the second one of its service. */
@@ -96,7 +103,10 @@
   onPeerOrigins(origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => {
       this.onVersionSeen(origin.service, origin.softwareVersion);
-      this.table.record(origin, false);
+      const isNews = this.table.record(origin, false);
+      if (isNews && this.hasSeveralVersions(origin.service)) {
+        this.options.store?.add(origin, false);
+      }
     });
   }
 
@@ -105,7 +115,7 @@
     const { readAgeMs, recorded } = this.options;
     const hasRecord = recorded.list(stream.service) !== undefined;
     return {
-      softwareVersion: this.table.find(stream),
+      softwareVersion: this.table.find(stream) ?? this.options.store?.find(stream),
       versions: this.history.list(stream.service),
       completeAgoMs: hasRecord ? readAgeMs() : undefined,
     };
@@ -167,7 +177,7 @@
     metrics.count('limelead_stream_origins_total', 1, { outcome: lookup.outcome });
     log.write('stream-origin', {
       ...{ requestId, streamId, service, ...lookup },
-      source: own.softwareVersion === undefined && lookup.outcome === 'known' ? 'peer' : 'own',
+      source: this.findSource({ streamId, service }, lookup),
       versions: own.versions.map(({ softwareVersion }) => softwareVersion),
       ...{ isConfirmed, completeAgoMs: own.completeAgoMs },
       answers: answers.length,
@@ -177,6 +187,14 @@
     return lookup;
   }
 
+  /** Where the version of a lookup is from, for the log. */
+  private findSource(stream: StreamKey, { outcome }: OriginLookup): 'own' | 'store' | 'peer' {
+    if (outcome !== 'known' || this.table.find(stream) !== undefined) {
+      return 'own';
+    }
+    return this.options.store?.find(stream) === undefined ? 'peer' : 'store';
+  }
+
   private hasSeveralVersions(service: string): boolean {
     const hasSeveral = this.history.list(service).length > 1;
     if (!hasSeveral) {
@@ -185,10 +203,19 @@
     return hasSeveral;
   }
 
+  private storeKnown(service: string): void {
+    this.table
+      .list((other) => other === service)
+      .forEach(({ origin, isOwn }) => this.options.store?.add(origin, isOwn));
+  }
+
   /** Tells peers of new streams, and first of all others if the service had one version so far. */
   private publishOwn(service: string, origins: StreamOrigin[]): void {
     const isFirst = !this.published.has(service);
     this.published.add(service);
+    if (isFirst) {
+      this.storeKnown(service);
+    }
     const told = isFirst ? this.table.listOwn((other) => other === service) : origins;
     if (told.length > 0) {
       const peers = this.options.publish(told);
