--- a/packages/cli/src/commands/explain/describe-reason.ts
+++ b/packages/cli/src/commands/explain/describe-reason.ts
@@ -65,8 +65,8 @@
     `refused: the prompt of ${text(promptTokens)} tokens exceeds the memory of a target, ${text(capacityTokens)} tokens`,
   'stream-resume-requested': ({ firstAttemptId, lastPiece }) =>
     `resumes the stream that request ${text(firstAttemptId)} began, behind piece ${text(lastPiece)}`,
-  'stream-origin': ({ outcome, softwareVersion, source, versions, answers }) =>
-    `${[ORIGIN_OUTCOMES[text(outcome)] ?? text(outcome), softwareVersion].join(' ').trimEnd()} (by ${text(source)}, versions ${text(versions)}, ${text(answers)} answers of peers)`,
+  'stream-origin': ({ outcome, softwareVersion, source, versions, isConfirmed, answers }) =>
+    `${[ORIGIN_OUTCOMES[text(outcome)] ?? text(outcome), softwareVersion].join(' ').trimEnd()} (by ${text(source)}, versions ${text(versions)}${isConfirmed === true ? ' confirmed by the store' : ''}, ${text(answers)} answers of peers)`,
   'version-gone': ({ service }) =>
     `refused: no target of service ${text(service)} runs the software version that began the stream`,
   'answer-buffer-full': ({ bytes, totalBytes, outcome }) =>
--- a/packages/cli/src/commands/explain/explain-request.test.ts
+++ b/packages/cli/src/commands/explain/explain-request.test.ts
@@ -59,6 +59,14 @@
     { outcome: 'unknown', source: 'own', versions: ['v1', 'v2'], answers: 5 },
     'refused: nobody that answered knows which software version began it (by own, versions ["v1","v2"], 5 answers of peers)',
   ],
+  [
+    'stream-origin',
+    {
+      ...{ outcome: 'only-version', softwareVersion: 'v1', source: 'own', versions: ['v1'] },
+      ...{ isConfirmed: true, answers: 0 },
+    },
+    'nobody knows who began it; goes on at the only software version there has been, v1 (by own, versions ["v1"] confirmed by the store, 0 answers of peers)',
+  ],
   [
     'version-gone',
     { service: 'llm' },
