--- a/packages/store-origins/src/origin-writer.test.ts
+++ b/packages/store-origins/src/origin-writer.test.ts
@@ -108,9 +108,9 @@
   const { time, begin, store, find } = create();
   const ids = Array.from({ length: 400 }, (_, index) => `s${index}`);
   ids.forEach((id) => begin(id));
-  await time.advance(300);
-  assert.ok([...store.items.values()].every(({ value }) => value.length <= 2_048));
-  assert.is(store.items.size, 3);
+  await time.advance(500);
+  assert.ok([...store.items.values()].every(({ value }) => value.length <= 1_024));
+  assert.is(store.items.size, 5);
   assert.ok(ids.every((id) => find(id) === 'v1'));
 });
 
--- a/packages/store-origins/src/plan-group.test.ts
+++ b/packages/store-origins/src/plan-group.test.ts
@@ -32,7 +32,7 @@
   const group = [pending('a')];
   const full = {
     ...OPEN,
-    entries: Array.from({ length: 185 }, (_, index) => pending(`s${index}`)),
+    entries: Array.from({ length: 92 }, (_, index) => pending(`s${index}`)),
   };
   assert.is(planGroup(group, undefined, 0).segment, undefined);
   assert.is(planGroup(group, OPEN, 1_999).segment, OPEN);
--- a/packages/store-origins/src/plan-group.ts
+++ b/packages/store-origins/src/plan-group.ts
@@ -11,7 +11,7 @@
 /** Time for which a segment takes further streams. */
 export const SEGMENT_MS: Millis = 2_000;
 /** Size of an item up to which further streams are added. */
-export const MAX_SEGMENT_BYTES = 2_048;
+export const MAX_SEGMENT_BYTES = 1_024;
 /** Bytes of the names of a service and of a version beside their letters. */
 const NAMES_OVERHEAD_BYTES = 12;
 /** Time beyond the deadline of a stream for which it is kept, since attempts may be under way. */
--- a/packages/store-origins/src/stored-origins.test.ts
+++ b/packages/store-origins/src/stored-origins.test.ts
@@ -38,6 +38,22 @@
   assert.is(stored.size, 0);
 });
 
+// Streams that a rewritten segment no longer holds would have stayed in memory.
+test('streams that leave a segment are forgotten', () => {
+  const { stored, find } = create();
+  stored.put('a/1', segment('v1', 's1', 's2'));
+  stored.put('b/1', segment('v1', 's1'));
+  assert.is(stored.size, 2);
+  stored.put('a/1', segment('v1', 's3'));
+  assert.equal(
+    ['s1', 's2', 's3'].map((id) => find(id)),
+    ['v1', undefined, 'v1'],
+  );
+  stored.remove('b/1');
+  stored.remove('a/1');
+  assert.is(stored.size, 0);
+});
+
 // A stream would have gone on at a version that perhaps did not begin it.
 test('a stream that two segments ascribe to different versions is unknown', () => {
   const { stored, find } = create();
--- a/packages/store-origins/src/stored-origins.ts
+++ b/packages/store-origins/src/stored-origins.ts
@@ -10,17 +10,15 @@
 /** Origins by segment; a segment is an item of the store. */
 export default class StoredOrigins {
   private readonly segments = new Map<string, StoredSegment>();
+  /** The segments that hold each digest, nearly always one. */
+  private readonly holders = new Map<string, StoredSegment | StoredSegment[]>();
   private listener: ((digest: string) => void) | undefined;
 
   constructor(private readonly clock: Clock) {}
 
-  /** Number of streams; one that several segments hold counts in each. */
+  /** Number of streams. */
   get size(): number {
-    let size = 0;
-    for (const { origins } of this.segments.values()) {
-      origins.forEach((versions) => versions.forEach((digests) => (size += digests.size)));
-    }
-    return size;
+    return this.holders.size;
   }
 
   /** Calls the listener with each digest that a segment did not hold before. */
@@ -30,45 +28,76 @@
 
   /** Adds or replaces a segment. */
   put(key: string, origins: SegmentOrigins): void {
-    const before = this.segments.get(key)?.origins;
-    this.segments.set(key, { origins, arrivedAtMs: this.clock.now() });
-    origins.forEach((versions, service) =>
-      versions.forEach((digests, version) => {
-        const known = before?.get(service)?.get(version);
-        digests.forEach((digest) => known?.has(digest) !== true && this.listener?.(digest));
-      }),
-    );
+    const segment = this.segments.get(key) ?? { origins: new Map(), arrivedAtMs: 0 };
+    const before = new Set(listDigests(segment.origins));
+    const after = new Set(listDigests(origins));
+    this.segments.set(key, segment);
+    segment.origins = origins;
+    segment.arrivedAtMs = this.clock.now();
+    before.forEach((digest) => !after.has(digest) && this.removeHolder(digest, segment));
+    after.forEach((digest) => {
+      if (!before.has(digest)) {
+        this.holders.set(digest, append(this.holders.get(digest), segment));
+        this.listener?.(digest);
+      }
+    });
   }
 
   remove(key: string): void {
-    this.segments.delete(key);
+    const segment = this.segments.get(key);
+    if (segment !== undefined) {
+      listDigests(segment.origins).forEach((digest) => this.removeHolder(digest, segment));
+      this.segments.delete(key);
+    }
   }
 
   clear(): void {
     this.segments.clear();
+    this.holders.clear();
   }
 
   /** The version that began a stream; undefined if unknown, or if segments contradict each other. */
   find({ service, digest }: Omit<SegmentEntry, 'softwareVersion'>): string | undefined {
-    const found = new Set<string>();
-    for (const { origins } of this.segments.values()) {
-      origins.get(service)?.forEach((digests, version) => {
-        if (digests.has(digest)) {
-          found.add(version);
-        }
-      });
-    }
-    const [version] = found;
-    return found.size === 1 ? version : undefined;
+    const versions = this.listHolders(digest).flatMap(({ origins }) =>
+      [...(origins.get(service) ?? [])].flatMap(([version, digests]) =>
+        digests.has(digest) ? [version] : [],
+      ),
+    );
+    return new Set(versions).size === 1 ? versions[0] : undefined;
   }
 
   /** Whether a segment that holds the stream arrived at that time or later. */
   hasSince({ service, softwareVersion, digest }: SegmentEntry, sinceMs: Millis): boolean {
-    for (const { origins, arrivedAtMs } of this.segments.values()) {
-      if (arrivedAtMs >= sinceMs && origins.get(service)?.get(softwareVersion)?.has(digest)) {
-        return true;
-      }
+    return this.listHolders(digest).some(
+      ({ origins, arrivedAtMs }) =>
+        arrivedAtMs >= sinceMs && origins.get(service)?.get(softwareVersion)?.has(digest) === true,
+    );
+  }
+
+  private listHolders(digest: string): StoredSegment[] {
+    const holders = this.holders.get(digest) ?? [];
+    return Array.isArray(holders) ? holders : [holders];
+  }
+
+  private removeHolder(digest: string, segment: StoredSegment): void {
+    const [first, ...others] = this.listHolders(digest).filter((holder) => holder !== segment);
+    if (first === undefined) {
+      this.holders.delete(digest);
+    } else {
+      this.holders.set(digest, others.length === 0 ? first : [first, ...others]);
     }
-    return false;
   }
 }
+
+function append(
+  holders: StoredSegment | StoredSegment[] | undefined,
+  segment: StoredSegment,
+): StoredSegment | StoredSegment[] {
+  return holders === undefined ? segment : [holders, segment].flat();
+}
+
+function listDigests(origins: SegmentOrigins): string[] {
+  return [...origins.values()].flatMap((versions) =>
+    [...versions.values()].flatMap((digests) => [...digests]),
+  );
+}
