Keep a version recorded for as long as its streams may live, and new ones waiting

Found by the review of the record, each with a test that was red before:

- A VM that had missed the life of a version (cut off, suspended) removed it from the record at its first check, since it counted from its own start; a version whose only target left was removed at once.
The absence of a version now counts from a check with a recent view that saw it absent, and anew with each write of the record and each time in which the view was old.
- A version that returned could be lost to a removal that was decided before: it is written again before streams begin there, so that the removal fails.
- A view that a peer of an older release told has no record.
The newer one of both records counts, conflicts are repeated less and less often, and several count as a failure.
A new version is recorded two seconds behind the start of a VM while another one serves, so that callers who return at once still find one version recorded.
- An error of one who asked ended the reads for all.

A target that joins at a version that is open costs no look at all targets.

--- a/packages/gateway/src/create-origins.ts
+++ b/packages/gateway/src/create-origins.ts
@@ -18,11 +18,7 @@
   const { readExchange, readStoreViewAgeMs } = context;
   return new OriginTracker({
     ...{ clock, timers, log, metrics, recorded, store: createWriter(context) },
-    listTargets: (service) =>
-      directory
-        .all()
-        .map(({ target }) => target)
-        .filter((target) => target.service === service),
+    listTargets: (service) => directory.listService(service).map(({ target }) => target),
     readAgeMs: readStoreViewAgeMs,
     maxAgeMs: () => settings.configurationWithinMs,
     isLinkedToMost: () => readExchange()?.isolatedSinceMs === undefined,
--- a/packages/gateway/src/create-version-record.ts
+++ b/packages/gateway/src/create-version-record.ts
@@ -2,6 +2,7 @@
 import type { TargetGate } from '@limelead/forward-request';
 import { VersionRecord } from '@limelead/record-versions';
 import { VERSION_TTL_MS } from '@limelead/track-origins';
+import type { TrackedServiceTarget } from '@limelead/track-service-targets';
 import { softwareVersionOf, type ServiceTarget } from '@limelead/types';
 import type { FleetComponentContext } from './fleet-component.js';
 import { versionsKeyOf } from './store-keys.js';
@@ -21,18 +22,18 @@
     keyOf: versionsKeyOf,
     listServices: () => [...streamed()],
     hasStreams: (service) => streamed().has(service),
-    listPresent: (service) =>
-      directory
-        .all()
-        .filter(({ target }) => target.service === service)
-        .map(({ target }) => softwareVersionOf(target)),
+    listPresent: (service) => listVersions(directory.listService(service)),
+    listUsable: (service) => listVersions(directory.listUsable(service)),
     readView: (service) => storeView.readVersions(service),
-    readViewRevision: () => storeView.revision,
     isViewFresh: () => context.readStoreViewAgeMs() <= settings.configurationWithinMs,
     ttlMs: VERSION_TTL_MS,
   });
 }
 
+function listVersions(targets: TrackedServiceTarget[]): string[] {
+  return targets.map(({ target }) => softwareVersionOf(target));
+}
+
 /** Restricts a gate to targets at whose version streams may begin. */
 export function restrictToRecorded(gate: TargetGate, record: VersionRecord): TargetGate {
   const canBegin = (target: ServiceTarget): boolean =>
--- a/packages/gateway/src/target-notices.ts
+++ b/packages/gateway/src/target-notices.ts
@@ -6,6 +6,7 @@
 import type { TargetConnections } from '@limelead/target-connections';
 import type { OriginTracker } from '@limelead/track-origins';
 import type { TargetNotice } from '@limelead/track-service-targets';
+import { softwareVersionOf } from '@limelead/types';
 import type { QuarantineComponent } from './quarantine-component.js';
 
 /** The parts that keep something of each target. */
@@ -33,16 +34,15 @@
       version: target.version,
     });
     if (kind === 'joined') {
+      versionRecord.onTargetJoined(target.service, softwareVersionOf(target));
       origins.onTargetJoined(target);
     }
     if (kind === 'gone') {
+      versionRecord.onTargetGone(target.service);
       origins.onTargetGone(target);
       quarantine.onTargetGone(target);
       permits.forget(target.id);
     }
-    if (kind !== 'leaving') {
-      versionRecord.onTargetChange(target.service);
-    }
     if (kind !== 'joined') {
       connections.closeIdle(target.id);
       slowness.forget(target.id);
--- a/packages/record-versions/src/coalesced-reads.ts
+++ b/packages/record-versions/src/coalesced-reads.ts
@@ -51,12 +51,15 @@
       return;
     }
     this.isReading = true;
-    while (this.waiting.size > 0) {
-      const served = [...this.waiting];
-      this.waiting.clear();
-      const value = await this.call();
-      served.forEach((settle) => settle(value));
+    try {
+      while (this.waiting.size > 0) {
+        const served = [...this.waiting];
+        this.waiting.clear();
+        const value = await this.call();
+        served.forEach((settle) => settle(value));
+      }
+    } finally {
+      this.isReading = false;
     }
-    this.isReading = false;
   }
 }
--- a/packages/record-versions/src/version-record.test.ts
+++ b/packages/record-versions/src/version-record.test.ts
@@ -7,10 +7,12 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import encodeVersions, { decodeVersions } from './version-item.js';
-import VersionRecord, { type RecordedVersions } from './version-record.js';
+import type { RecordedVersions } from './recorded-versions.js';
+import VersionRecord from './version-record.js';
 
 const TTL_MS = 600_000;
 const HOLD_MS = 1_000;
+const RETURN_MS = 2_000;
 
 /** A store that several VMs share. */
 function createStore() {
@@ -47,7 +49,10 @@
 
 /** One VM before a store. */
 function createVm(store = createStore()) {
-  const vm = { now: 0, present: ['v1'], isViewFresh: true, viewRevision: 0 };
+  const vm = {
+    ...{ now: 0, present: ['v1'], isViewFresh: true },
+    usable: undefined as string[] | undefined,
+  };
   let view: RecordedVersions | undefined;
   let timers: { atMs: Millis; run: () => void }[] = [];
   const clock = { now: () => vm.now };
@@ -69,7 +74,7 @@
     hasStreams: (service) => service === 'llm',
     listPresent: () => vm.present,
     readView: () => view,
-    readViewRevision: () => vm.viewRevision,
+    listUsable: () => vm.usable ?? vm.present,
     isViewFresh: () => vm.isViewFresh,
     countVms: () => 6,
     ttlMs: TTL_MS,
@@ -89,21 +94,25 @@
     }
     vm.now = untilMs;
   };
+  /** Handles what joined and what is gone. */
+  const look = (): void => {
+    vm.present.forEach((version) => record.onTargetJoined('llm', version));
+    record.onTargetGone('llm');
+  };
   /** The view follows the store. */
   const follow = (): void => {
-    vm.viewRevision = store.state.revision;
     const versions = store.stored();
     view = versions && { versions, revision: store.state.revision };
     record.onViewChange();
-    record.onTargetChange('llm');
+    look();
   };
-  return { vm, store, record, pass, follow };
+  return { vm, store, record, pass, follow, look };
 }
 
 test('streams begin at a version only once the store holds it', async () => {
-  const { record, store, pass } = createVm();
+  const { record, store, pass, look } = createVm();
   assert.not(record.canBegin('llm', 'v1'));
-  record.onTargetChange('llm');
+  look();
   assert.not(record.canBegin('llm', 'v1'));
   await pass(10);
   assert.equal(store.stored(), ['v1']);
@@ -116,9 +125,9 @@
   const store = createStore();
   const first = createVm(store);
   const second = createVm(store);
-  first.record.onTargetChange('llm');
+  first.look();
   second.vm.present = ['v2'];
-  second.record.onTargetChange('llm');
+  second.look();
   await Promise.all([first.pass(100), second.pass(100)]);
   assert.equal(store.stored(), ['v1', 'v2']);
   assert.ok(first.record.canBegin('llm', 'v1'));
@@ -132,9 +141,9 @@
   assert.equal(record.list('llm'), ['v0', 'v1']);
 });
 
-test('a view that lags does not undo what this VM wrote or read', async () => {
-  const { record, vm, store, follow, pass } = createVm();
-  record.onTargetChange('llm');
+test('a view that lags, or was told without the record, does not undo what this VM wrote or read', async () => {
+  const { record, store, follow, pass, look } = createVm();
+  look();
   await pass(10);
   assert.equal(record.list('llm'), ['v1']);
   store.put('v1', 'v2');
@@ -143,30 +152,135 @@
   await pass(0);
   assert.equal(read, ['v1', 'v2']);
   assert.equal(record.list('llm'), ['v1', 'v2']);
-  vm.viewRevision = store.state.revision - 1;
-  record.onTargetChange('llm');
+  look();
   assert.equal(record.list('llm'), ['v1', 'v2']);
-  store.put('v2');
-  vm.present = ['v2'];
+  store.put('v1', 'v2', 'v3');
   follow();
-  assert.equal(record.list('llm'), ['v2']);
+  assert.equal(record.list('llm'), ['v1', 'v2', 'v3']);
 });
 
 test('a version leaves the record when no stream of it can be left, not before', async () => {
-  const { record, vm, store, follow, pass } = createVm();
+  const { vm, store, follow, pass } = createVm();
   vm.present = ['v1', 'v2'];
-  record.onTargetChange('llm');
+  follow();
   await pass(10);
   follow();
+  await pass(2 * TTL_MS);
   vm.present = ['v2'];
-  await pass(1_000);
   follow();
-  await pass(TTL_MS - 31_000);
+  await pass(TTL_MS - 1);
   assert.equal(store.stored(), ['v1', 'v2']);
-  await pass(62_000);
+  await pass(31_000);
   assert.equal(store.stored(), ['v2']);
 });
 
+// A VM that had been cut off for the life of a version removed it at once, since it had never seen it.
+test('a VM that never saw a version keeps it for as long as its streams may live', async () => {
+  const { store, follow, pass } = createVm();
+  follow();
+  await pass(10);
+  follow();
+  await pass(2 * TTL_MS);
+  store.put('v1', 'v2');
+  follow();
+  await pass(TTL_MS - 1);
+  assert.equal(store.stored(), ['v1', 'v2']);
+});
+
+test('a time in which the view was old does not count for the end of a version', async () => {
+  const { vm, store, follow, pass } = createVm();
+  store.put('v1', 'v2');
+  follow();
+  await pass(TTL_MS - 40_000);
+  vm.isViewFresh = false;
+  await pass(31_000);
+  vm.isViewFresh = true;
+  await pass(TTL_MS - 1);
+  assert.equal(store.stored(), ['v1', 'v2']);
+});
+
+// A removal that was decided before a version returned would have met its condition.
+test('streams begin at a version that has returned only once the record is written again', async () => {
+  const { vm, record, store, follow, pass, look } = createVm();
+  vm.present = ['v1', 'v2'];
+  follow();
+  await pass(10);
+  follow();
+  const { revision } = store.state;
+  vm.present = ['v1'];
+  look();
+  await pass(TTL_MS / 2);
+  vm.present = ['v1', 'v2'];
+  look();
+  assert.not(record.canBegin('llm', 'v2'));
+  await pass(10);
+  assert.is(store.state.revision, revision + 1);
+  assert.ok(record.canBegin('llm', 'v2'));
+  assert.equal(store.stored(), ['v1', 'v2']);
+});
+
+// Streams of the old version that callers resumed behind the loss of all VMs were refused at once.
+test('behind the start of a VM a new version waits for callers that return, while another one serves', async () => {
+  const { vm, record, store, follow, pass } = createVm();
+  store.put('v1');
+  vm.present = ['v1', 'v2'];
+  follow();
+  await pass(RETURN_MS - 1);
+  assert.equal(store.stored(), ['v1']);
+  assert.not(record.canBegin('llm', 'v2'));
+  assert.ok(record.canBegin('llm', 'v1'));
+  await pass(20);
+  assert.equal(store.stored(), ['v1', 'v2']);
+});
+
+test('behind the start of a VM a new version does not wait if no other one serves', async () => {
+  const { vm, store, follow, pass } = createVm();
+  store.put('v1');
+  vm.present = ['v1', 'v2'];
+  vm.usable = ['v2'];
+  follow();
+  await pass(20);
+  assert.equal(store.stored(), ['v1', 'v2']);
+});
+
+// Writes that another VM forestalled were repeated every 20 ms, at a store that limits calls.
+test('conflicts that do not end are repeated less and less often, and count as failures', async () => {
+  const { vm, record, store, pass, look } = createVm();
+  store.put('v0');
+  store.port.write = () => () => {
+    store.state.writes += 1;
+    return Promise.resolve(E.right({ kind: 'mismatch' as const }));
+  };
+  look();
+  await pass(10_000);
+  assert.ok(store.state.writes < 12, `${store.state.writes} writes`);
+  assert.ok(record.canBegin('llm', 'v1'));
+  vm.present = ['v0'];
+  look();
+  await pass(20_000);
+  vm.present = ['v0', 'v3'];
+  look();
+  assert.not(record.canBegin('llm', 'v3'));
+});
+
+test('an error of one who asked does not end the reads of others', async () => {
+  const { record, store, pass } = createVm();
+  store.put('v1');
+  let answer: readonly string[] | undefined;
+  const faults: unknown[] = [];
+  const onFault = (fault: unknown): void => void faults.push(fault);
+  process.on('unhandledRejection', onFault);
+  record.read('llm', () => {
+    throw new Error('the asker failed');
+  });
+  await pass(0);
+  record.read('llm', (versions) => (answer = versions));
+  await pass(0);
+  process.off('unhandledRejection', onFault);
+  assert.is(faults.length, 1);
+  assert.equal(answer, ['v1']);
+});
+
 test('a VM whose view is old removes nothing from the record', async () => {
   const { vm, store, follow, pass } = createVm();
   store.put('v1', 'v2');
@@ -177,9 +291,9 @@
 });
 
 test('while the store takes no writes, streams wait a time before they begin at a new version', async () => {
-  const { record, store, pass } = createVm();
+  const { record, store, pass, look } = createVm();
   store.state.isAway = true;
-  record.onTargetChange('llm');
+  look();
   await pass(HOLD_MS - 1);
   assert.not(record.canBegin('llm', 'v1'));
   await pass(2);
@@ -190,8 +304,8 @@
 });
 
 test('what another store held does not count', async () => {
-  const { record, pass } = createVm();
-  record.onTargetChange('llm');
+  const { record, pass, look } = createVm();
+  look();
   await pass(10);
   record.reset();
   assert.is(record.list('llm'), undefined);
@@ -199,8 +313,8 @@
 });
 
 test('a version is recorded again that another VM removed while it has a target', async () => {
-  const { record, store, follow, pass } = createVm();
-  record.onTargetChange('llm');
+  const { store, follow, pass, look } = createVm();
+  look();
   await pass(10);
   store.put('v2');
   follow();
@@ -226,7 +340,7 @@
   store.port.read = () => () => new Promise(() => undefined);
   const answers: unknown[] = [];
   record.read('llm', (versions) => answers.push(versions));
-  await pass(400);
+  await pass(700);
   assert.equal(answers, [undefined]);
 });
 
--- a/packages/record-versions/src/version-record.ts
+++ b/packages/record-versions/src/version-record.ts
@@ -6,30 +6,33 @@
 import type { Metrics } from '@limelead/metrics';
 import type { ConditionalStore } from '@limelead/ports';
 import type { Clock, Millis, Random, Timers } from '@limelead/types';
-import * as E from 'fp-ts/lib/Either.js';
 import CoalescedReads from './coalesced-reads.js';
 import planRecord from './plan-record.js';
-import encodeVersions, { decodeVersions } from './version-item.js';
+import { NO_RECORD, type RecordedVersions } from './recorded-versions.js';
+import { readRecord, writeRecord } from './record-calls.js';
+import VersionPresence from './version-presence.js';
 
-/** Longest wait for a read; a slow store answers within 320 ms. */
-const READ_TIMEOUT_MS: Millis = 400;
-/** Delay before a failed write is retried. */
+/** Longest wait for a read: two calls of a slow store, which answers within 320 ms. */
+const READ_TIMEOUT_MS: Millis = 700;
+/** First delay before a failed write is repeated; it doubles with each. */
 const WRITE_RETRY_DELAY_MS: Millis = 500;
-/** Delay before a write is repeated that another VM's write forestalled. */
+/** The same behind a write that another VM's write forestalled. */
 const CONFLICT_RETRY_DELAY_MS: Millis = 20;
+const MAX_RETRY_DELAY_MS: Millis = 10_000;
+/** Failures in a row behind which a conflict counts as a write that the store does not take. */
+const MAX_CONFLICTS = 5;
 /** VMs see a new version at the same moment; all but the first to write find it recorded. */
 const WRITE_JITTER_PER_VM_MS: Millis = 1;
 /** Time for which streams avoid a version that the store does not take. */
 const HOLD_MS: Millis = 1_000;
+/**
+ * Time behind the start of a VM for which a version that no VM has recorded yet waits, while another
+ * one serves. Streams that callers resume then have begun at a recorded one.
+ */
+const RETURN_MS: Millis = 2_000;
 /** Interval at which versions without targets are checked for their end. */
 const EXPIRY_CHECK_MS: Millis = 30_000;
 
-/** The record of a service at a revision of the store; revision 0 if there is none. */
-export interface RecordedVersions {
-  versions: readonly string[];
-  revision: number;
-}
-
 /** Dependencies of `VersionRecord`. */
 export interface VersionRecordOptions {
   clock: Clock;
@@ -44,10 +47,10 @@
   hasStreams(service: string): boolean;
   /** Versions of the targets that a service has now, with repeats. */
   listPresent(service: string): string[];
+  /** The same of targets that take new requests. */
+  listUsable(service: string): string[];
   /** The record in this VM's view of the store; undefined if the view has none. */
   readView(service: string): RecordedVersions | undefined;
-  /** Store revision of the view. */
-  readViewRevision(): number;
   /** Whether the view is recent. */
   isViewFresh(): boolean;
   countVms(): number;
@@ -57,15 +60,16 @@
 
 interface ServiceState {
   reads: CoalescedReads<readonly string[]>;
+  presence: VersionPresence;
   /** The record as this VM last read or wrote it, possibly ahead of the view. */
   last: RecordedVersions | undefined;
   /** Revision of the view's record at the last check; undefined before the first. */
   checkedRevision: number | undefined;
-  /** Steady times at which versions last had a target. */
-  presentAtMs: Map<string, Millis>;
-  /** Steady times since which the store lacks versions. */
-  unrecordedSinceMs: Map<string, Millis>;
+  /** Steady times since which streams wait for versions to be recorded. */
+  waitingSinceMs: Map<string, Millis>;
   isWriting: boolean;
+  /** Failed writes in a row, conflicts included. */
+  failures: number;
   hasWriteFailed: boolean;
 }
 
@@ -89,8 +93,16 @@
     }
   }
 
-  /** Handles a target of the service that joined or is gone. */
-  onTargetChange(service: string): void {
+  /** Handles a new target. */
+  onTargetJoined(service: string, version: string): void {
+    const isWaiting = this.services.get(service)?.waitingSinceMs.has(version) === true;
+    if (this.options.hasStreams(service) && !isWaiting && !this.isOpen(service, version)) {
+      this.check(service);
+    }
+  }
+
+  /** Handles the end of a target of the service. */
+  onTargetGone(service: string): void {
     if (this.options.hasStreams(service)) {
       this.check(service);
     }
@@ -103,17 +115,18 @@
 
   /** The recorded versions of a service; undefined if this VM knows no record. */
   list(service: string): readonly string[] | undefined {
-    return this.latest(service)?.versions;
+    const { versions, revision } = this.latest(service);
+    return revision === 0 ? undefined : versions;
   }
 
   /** Whether streams may begin at a version, so that every later VM will know of it. */
   canBegin(service: string, version: string): boolean {
     const { clock, hasStreams } = this.options;
-    if (!hasStreams(service) || this.list(service)?.includes(version) === true) {
+    if (!hasStreams(service) || this.isOpen(service, version)) {
       return true;
     }
     const state = this.services.get(service);
-    const sinceMs = state?.unrecordedSinceMs.get(version) ?? Infinity;
+    const sinceMs = state?.waitingSinceMs.get(version) ?? Infinity;
     return state?.hasWriteFailed === true && clock.now() - sinceMs >= HOLD_MS;
   }
 
@@ -126,52 +139,73 @@
     return this.stateOf(service).reads.ask(receive);
   }
 
-  /** The newer one of the view's record and of what this VM read or wrote since. */
-  private latest(service: string): RecordedVersions | undefined {
-    const last = this.services.get(service)?.last;
-    return last !== undefined && last.revision > this.options.readViewRevision()
-      ? last
-      : this.options.readView(service);
+  /** Whether the record holds the version, and no VM can be about to remove it. */
+  private isOpen(service: string, version: string): boolean {
+    const wasAbsent = this.services.get(service)?.presence.wasAbsent(version) === true;
+    return !wasAbsent && this.latest(service).versions.includes(version);
+  }
+
+  /** The newer one of the view's record and of what this VM read or wrote. */
+  private latest(service: string): RecordedVersions {
+    const last = this.services.get(service)?.last ?? NO_RECORD;
+    const viewed = this.options.readView(service) ?? NO_RECORD;
+    return last.revision > viewed.revision ? last : viewed;
   }
 
   private check(service: string): void {
+    const { clock, isViewFresh, listPresent, readView } = this.options;
     const state = this.stateOf(service);
-    state.checkedRevision = this.options.readView(service)?.revision ?? 0;
-    const now = this.options.clock.now();
-    const present = new Set(this.options.listPresent(service));
-    present.forEach((version) => state.presentAtMs.set(version, now));
-    const recorded = this.list(service) ?? [];
-    for (const version of state.unrecordedSinceMs.keys()) {
-      if (!present.has(version) || recorded.includes(version)) {
-        state.unrecordedSinceMs.delete(version);
+    const record = this.latest(service);
+    const present = new Set(listPresent(service));
+    state.checkedRevision = readView(service)?.revision ?? 0;
+    state.presence.update(record, present, isViewFresh());
+    for (const version of state.waitingSinceMs.keys()) {
+      if (!present.has(version) || this.isOpen(service, version)) {
+        state.waitingSinceMs.delete(version);
       }
     }
-    present.forEach((version) => {
-      if (!recorded.includes(version) && !state.unrecordedSinceMs.has(version)) {
-        state.unrecordedSinceMs.set(version, now);
+    for (const version of present) {
+      if (!this.isOpen(service, version) && !state.waitingSinceMs.has(version)) {
+        state.waitingSinceMs.set(version, clock.now());
       }
-    });
+    }
     if (this.plan(service) !== undefined) {
       this.scheduleWrite(service, state);
     }
-    if (recorded.some((version) => !present.has(version))) {
-      this.scheduleCheck();
+    if (state.waitingSinceMs.size > 0 && this.returnLeftMs > 0) {
+      this.scheduleCheck(this.returnLeftMs);
+    } else if (record.versions.some((version) => !present.has(version))) {
+      this.scheduleCheck(EXPIRY_CHECK_MS);
     }
   }
 
   /** The versions to write; undefined if the record is right. */
   private plan(service: string): string[] | undefined {
-    const { clock, isViewFresh, listPresent, ttlMs } = this.options;
-    const { presentAtMs } = this.stateOf(service);
-    const oldestMs = clock.now() - ttlMs;
+    const { isViewFresh, ttlMs } = this.options;
+    const { presence } = this.stateOf(service);
+    const wanted = this.listWanted(service);
     return planRecord({
-      recorded: this.list(service) ?? [],
-      present: new Set(listPresent(service)),
+      ...{ recorded: this.latest(service).versions, wanted },
+      hasReturned: (version) => wanted.has(version) && presence.wasAbsent(version),
       isExpired: (version) =>
-        isViewFresh() && (presentAtMs.get(version) ?? this.startedAtMs) <= oldestMs,
+        isViewFresh() && !wanted.has(version) && presence.absentMs(version) >= ttlMs,
     });
   }
 
+  /** Present versions; behind the start of this VM only recorded ones, while one of these serves. */
+  private listWanted(service: string): ReadonlySet<string> {
+    const { listPresent, listUsable } = this.options;
+    const recorded = this.latest(service).versions;
+    const present = listPresent(service);
+    const mustWait =
+      this.returnLeftMs > 0 && listUsable(service).some((version) => recorded.includes(version));
+    return new Set(mustWait ? present.filter((version) => recorded.includes(version)) : present);
+  }
+
+  private get returnLeftMs(): Millis {
+    return this.startedAtMs + RETURN_MS - this.options.clock.now();
+  }
+
   private scheduleWrite(service: string, state: ServiceState): void {
     if (state.isWriting) {
       return;
@@ -183,58 +217,67 @@
   }
 
   private async write(service: string, state: ServiceState): Promise<void> {
-    const { keyOf, log, store, timers } = this.options;
+    const { keyOf, log, store } = this.options;
     const versions = this.plan(service);
     if (versions === undefined) {
-      state.isWriting = false;
+      Object.assign(state, { isWriting: false, hasWriteFailed: false, failures: 0 });
       return;
     }
-    const key = keyOf(service);
-    const { revision } = this.latest(service) ?? { revision: 0 };
-    const value = encodeVersions(versions);
-    const written = await store.write([{ key, revision }], [{ kind: 'put', key, value }])();
-    if (E.isLeft(written) || written.right.kind === 'lease-gone') {
-      const reason = E.isLeft(written) ? written.left.message : written.right.kind;
-      this.onWriteFailed(service, state, reason);
-      return;
+    const written = await writeRecord(store, keyOf(service), {
+      ...{ versions, revision: this.latest(service).revision },
+    });
+    if (written.outcome === 'failed') {
+      this.onWriteFailed(service, state, written.reason);
+    } else if (written.outcome === 'mismatch') {
+      await this.onConflict(service, state);
+    } else {
+      state.last = { versions, revision: written.revision };
+      Object.assign(state, { isWriting: false, hasWriteFailed: false, failures: 0 });
+      this.countWrite('written');
+      log.write('versions-recorded', { service, versions, revision: written.revision });
+      this.check(service);
     }
-    if (written.right.kind === 'mismatch') {
-      this.countWrite('mismatch');
-      await this.readStore(service);
-      timers.after(CONFLICT_RETRY_DELAY_MS, () => void this.write(service, state));
+  }
+
+  /** Another VM wrote first. */
+  private async onConflict(service: string, state: ServiceState): Promise<void> {
+    this.countWrite('mismatch');
+    const versions = await this.readStore(service);
+    if (versions === undefined) {
+      this.onWriteFailed(service, state, 'the record cannot be read');
       return;
     }
-    state.last = { versions, revision: written.right.revision };
-    state.hasWriteFailed = false;
-    state.isWriting = false;
-    this.countWrite('written');
-    log.write('versions-recorded', { service, versions, revision: state.last.revision });
+    state.failures += 1;
+    state.hasWriteFailed ||= state.failures >= MAX_CONFLICTS;
     this.check(service);
+    this.retryWrite(service, state, CONFLICT_RETRY_DELAY_MS);
   }
 
   private onWriteFailed(service: string, state: ServiceState, reason: string): void {
-    const { log, timers } = this.options;
+    state.failures += 1;
     state.hasWriteFailed = true;
     this.countWrite('failed');
-    const unrecorded = [...state.unrecordedSinceMs.keys()];
-    log.write('version-record-failed', { service, unrecorded, reason });
-    timers.after(WRITE_RETRY_DELAY_MS, () => void this.write(service, state));
+    const unrecorded = [...state.waitingSinceMs.keys()];
+    this.options.log.write('version-record-failed', { service, unrecorded, reason });
+    this.retryWrite(service, state, WRITE_RETRY_DELAY_MS);
+  }
+
+  private retryWrite(service: string, state: ServiceState, firstDelayMs: Millis): void {
+    const { random, timers } = this.options;
+    const longestMs = Math.min(MAX_RETRY_DELAY_MS, firstDelayMs * 2 ** (state.failures - 1));
+    const delayMs = longestMs * (0.5 + random.next() / 2);
+    timers.after(delayMs, () => void this.write(service, state));
   }
 
   /** Reads the record; undefined if there is no readable one, or no answer. */
   private async readStore(service: string): Promise<readonly string[] | undefined> {
     const { keyOf, store } = this.options;
-    const entry = await store.read(keyOf(service))();
-    if (E.isLeft(entry) || entry.right === undefined) {
-      return undefined;
-    }
-    const { value, revision } = entry.right;
-    const versions = decodeVersions(value);
+    const read = await readRecord(store, keyOf(service));
     const state = this.stateOf(service);
-    if (revision > (state.last?.revision ?? 0)) {
-      state.last = { versions: versions ?? [], revision };
+    if (read !== undefined && read.revision > (state.last?.revision ?? 0)) {
+      state.last = read;
     }
-    return versions;
+    return read?.versions;
   }
 
   private stateOf(service: string): ServiceState {
@@ -246,19 +289,20 @@
       this.readStore(service),
     );
     const state: ServiceState = {
-      ...{ reads, last: undefined, presentAtMs: new Map(), unrecordedSinceMs: new Map() },
-      ...{ isWriting: false, hasWriteFailed: false, checkedRevision: undefined },
+      ...{ reads, presence: new VersionPresence(this.options.clock), last: undefined },
+      ...{ checkedRevision: undefined, waitingSinceMs: new Map() },
+      ...{ isWriting: false, failures: 0, hasWriteFailed: false },
     };
     this.services.set(service, state);
     return state;
   }
 
-  private scheduleCheck(): void {
+  private scheduleCheck(delayMs: Millis): void {
     if (this.isCheckScheduled) {
       return;
     }
     this.isCheckScheduled = true;
-    this.options.timers.after(EXPIRY_CHECK_MS, () => {
+    this.options.timers.after(delayMs, () => {
       this.isCheckScheduled = false;
       this.options.listServices().forEach((service) => this.check(service));
     });
--- a/packages/track-service-targets/src/target-directory.ts
+++ b/packages/track-service-targets/src/target-directory.ts
@@ -110,9 +110,14 @@
     return [...this.tracked.values()];
   }
 
+  /** All incarnations of a service. */
+  listService(service: string): TrackedServiceTarget[] {
+    return this.all().filter(({ target }) => target.service === service);
+  }
+
   /** Incarnations of a service that accept new requests. */
   listUsable(service: string): TrackedServiceTarget[] {
-    return this.all().filter(({ target }) => target.service === service && !target.leaving);
+    return this.listService(service).filter(({ target }) => !target.leaving);
   }
 
   /** Handles a target's announcement that it leaves. */
