Count only versions at which streams can have begun

- While one version is recorded, a second one whose targets have joined made each unknown stream be refused, although no stream can have begun at it yet.
A record that the store confirmed now decides, with the versions of streams that this VM or its peers recorded.
- Each look at the record renewed this VM's memory of its versions, so that unknown streams were refused for 20 minutes behind a roll-out, not ten.
- A VM that relayed the first piece of a stream and lost the link before its caller had it tells of a version that wrote nothing; the last one to tell was believed.
A stream for which VMs name two versions is now unknown.

--- a/packages/track-origins/src/origin-table.ts
+++ b/packages/track-origins/src/origin-table.ts
@@ -12,6 +12,8 @@
 interface KnownStream {
   service: string;
   softwareVersion: string;
+  /** Whether VMs named several versions, so that none is known to have begun the stream. */
+  isContradicted: boolean;
   expiresAtMs: Millis;
   /** Whether this VM served the stream. */
   isOwn: boolean;
@@ -40,12 +42,19 @@
    */
   record({ streamId, service, softwareVersion, leftMs }: StreamOrigin, isOwn: boolean): boolean {
     const known = this.streams.get(streamId);
-    const expiresAtMs = this.clock.now() + leftMs + GRACE_MS;
+    const now = this.clock.now();
+    const expiresAtMs = now + leftMs + GRACE_MS;
+    const isOther =
+      known !== undefined &&
+      known.expiresAtMs > now &&
+      known.service === service &&
+      known.softwareVersion !== softwareVersion;
     this.streams.delete(streamId);
     this.forgetOldest();
     this.streams.set(streamId, {
       service,
       softwareVersion,
+      isContradicted: isOther || (known?.isContradicted === true && known.expiresAtMs > now),
       expiresAtMs,
       isOwn: isOwn || known?.isOwn === true,
     });
@@ -61,10 +70,20 @@
   }
 
   /** The version that began a stream; undefined if unknown. */
-  find({ streamId, service }: StreamKey): string | undefined {
+  find(stream: StreamKey): string | undefined {
+    const known = this.get(stream);
+    return known?.isContradicted === false ? known.softwareVersion : undefined;
+  }
+
+  /** Whether several versions were named for a stream. */
+  isContradicted(stream: StreamKey): boolean {
+    return this.get(stream)?.isContradicted === true;
+  }
+
+  private get({ streamId, service }: StreamKey): KnownStream | undefined {
     const known = this.streams.get(streamId);
     const isValid = known?.service === service && known.expiresAtMs > this.clock.now();
-    return isValid ? known.softwareVersion : undefined;
+    return isValid ? known : undefined;
   }
 
   /** The streams that this VM served and that may still be resumed. */
@@ -76,9 +95,9 @@
   list(isIncluded: (service: string) => boolean): ListedOrigin[] {
     const now = this.clock.now();
     return [...this.streams].flatMap(([streamId, known]) => {
-      const { service, softwareVersion, isOwn, expiresAtMs } = known;
+      const { service, softwareVersion, isOwn, expiresAtMs, isContradicted } = known;
       const leftMs = expiresAtMs - GRACE_MS - now;
-      return leftMs > 0 && isIncluded(service)
+      return leftMs > 0 && !isContradicted && isIncluded(service)
         ? [{ origin: { streamId, service, softwareVersion, leftMs }, isOwn }]
         : [];
     });
--- a/packages/track-origins/src/origin-tracker.test.ts
+++ b/packages/track-origins/src/origin-tracker.test.ts
@@ -60,6 +60,7 @@
       list: () => record.known,
       read(_, receive) {
         reads += 1;
+        record.known = record.stored ?? record.known;
         receive(record.stored);
         return () => undefined;
       },
@@ -162,6 +163,48 @@
   assert.is(find()?.outcome, 'unknown');
 });
 
+// Behind the loss of all VMs streams were refused, since targets of a new version had joined meanwhile.
+test('a version at which no stream can have begun does not count', () => {
+  const { record, find } = create('v1', 'v2');
+  Object.assign(record, { known: ['v1'], stored: ['v1'] });
+  assert.equal(find(), { outcome: 'only-version', softwareVersion: 'v1' });
+});
+
+test('a version that the store did not take in time counts once a stream began at it', () => {
+  const { tracker, record, find, answer } = create('v1', 'v2');
+  Object.assign(record, { known: ['v1'], stored: ['v1'] });
+  answer([{ versions: seen('v1'), completeAgoMs: 0 }]);
+  tracker.onPeerOrigins([{ ...STREAM, streamId: 'r9', softwareVersion: 'v2' }]);
+  assert.equal(find(), { outcome: 'unknown' });
+});
+
+// A VM that had relayed a stream told of a version that wrote nothing that the caller has.
+test('a stream is unknown if VMs name two versions for it', () => {
+  const { tracker, find, answer } = create('v1', 'v2');
+  answer([]);
+  tracker.onPeerOrigins([{ ...STREAM, softwareVersion: 'v2' }]);
+  assert.equal(find(), { outcome: 'known', softwareVersion: 'v2' });
+  tracker.onPeerOrigins([STREAM]);
+  tracker.onPeerOrigins([{ ...STREAM, softwareVersion: 'v2' }]);
+  assert.equal(tracker.readEvidence(STREAM).softwareVersion, undefined);
+});
+
+// Each read of the record renewed the memory of its versions.
+test('a version that left the record is forgotten when its own time is over', () => {
+  const { tracker, record, state, find, toTarget } = create('v2');
+  Object.assign(record, { known: ['v1', 'v2'], stored: ['v1', 'v2'] });
+  tracker.onTargetGone(toTarget('v1'));
+  state.now = VERSION_TTL_MS - 1;
+  tracker.record(STREAM);
+  assert.equal(find('r7'), { outcome: 'unknown' });
+  state.now = VERSION_TTL_MS;
+  Object.assign(record, { known: ['v2'], stored: ['v2'] });
+  assert.equal(
+    tracker.readEvidence(STREAM).versions.map(({ softwareVersion }) => softwareVersion),
+    ['v2'],
+  );
+});
+
 test('while the store does not answer, peers tell whether there was another version', () => {
   const { state, record, find, asked, answer } = create('v1');
   record.stored = undefined;
--- a/packages/track-origins/src/origin-tracker.ts
+++ b/packages/track-origins/src/origin-tracker.ts
@@ -9,6 +9,7 @@
   type Millis,
   type OriginEvidence,
   type OriginLookup,
+  type SeenVersion,
   type ServiceTarget,
   type StreamKey,
   type StreamOrigin,
@@ -17,7 +18,7 @@
 import type { OriginStore } from './origin-store.js';
 import OriginTable from './origin-table.js';
 import OriginSearch, { type OriginSearchOptions } from './origin-search.js';
-import VersionHistory from './version-history.js';
+import VersionHistory, { VERSION_TTL_MS } from './version-history.js';
 
 /** Dependencies of `OriginTracker`. */
 export interface OriginTrackerOptions extends OriginSearchOptions {
@@ -47,33 +48,37 @@
 interface SearchResult {
   /** Of the peers that answered. */
   answers: OriginEvidence[];
-  /** Whether the store named all versions. */
-  isConfirmed: boolean;
+  /** All versions that streams may have begun at; undefined if the store did not name them. */
+  confirmed?: readonly string[];
   afterMs: Millis;
 }
 
 /** The origins that one VM knows. */
 export default class OriginTracker {
   private readonly table: OriginTable;
+  /** Versions of targets, which streams may begin at soon. */
   private readonly history: VersionHistory;
+  /** Versions of the streams that were recorded. */
+  private readonly begun: VersionHistory;
   private readonly startedAtMs: Millis;
   /** Services with several versions, whose streams peers were told of. */
   private readonly published = new Set<string>();
 
   constructor(private readonly options: OriginTrackerOptions) {
-    const { clock, metrics, listTargets, recorded } = options;
+    const { clock, metrics, listTargets } = options;
     this.startedAtMs = clock.now();
     this.table = new OriginTable(clock);
-    this.history = new VersionHistory(clock, (service) => [
-      ...listTargets(service).map(softwareVersionOf),
-      ...(recorded.list(service) ?? []),
-    ]);
+    this.history = new VersionHistory(clock, (service) =>
+      listTargets(service).map(softwareVersionOf),
+    );
+    this.begun = new VersionHistory(clock, () => []);
     metrics.gauge('limelead_known_stream_origins', () => this.table.size);
   }
 
   /** Records that this VM passed on the first piece of a stream. */
   record(origin: StreamOrigin): void {
     const isNews = this.table.record(origin, true);
+    this.begun.record(origin.service, { softwareVersion: origin.softwareVersion, agoMs: 0 });
     if (this.hasSeveralVersions(origin.service)) {
       if (isNews && this.published.has(origin.service)) {
         this.options.store?.add(origin, true);
@@ -103,6 +108,7 @@
   onPeerOrigins(origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => {
       this.onVersionSeen(origin.service, origin.softwareVersion);
+      this.begun.record(origin.service, { softwareVersion: origin.softwareVersion, agoMs: 0 });
       const isNews = this.table.record(origin, false);
       if (isNews && this.hasSeveralVersions(origin.service)) {
         this.options.store?.add(origin, false);
@@ -115,8 +121,10 @@
     const { readAgeMs, recorded } = this.options;
     const hasRecord = recorded.list(stream.service) !== undefined;
     return {
-      softwareVersion: this.table.find(stream) ?? this.options.store?.find(stream),
-      versions: this.history.list(stream.service),
+      softwareVersion: this.table.isContradicted(stream)
+        ? undefined
+        : (this.table.find(stream) ?? this.options.store?.find(stream)),
+      versions: this.listVersions(stream.service),
       completeAgoMs: hasRecord ? readAgeMs() : undefined,
     };
   }
@@ -132,24 +140,25 @@
    * @returns a function that cancels the search
    */
   find(query: OriginQuery, receive: (lookup: OriginLookup) => void): () => void {
+    const { service } = query;
     const search = new OriginSearch(this.options, this.startedAtMs);
-    const decide = (answers: OriginEvidence[] = [], isConfirmed = false): void => {
-      answers.forEach(({ versions }) => this.history.recordAll(query.service, versions));
-      receive(this.decide(query, { answers, isConfirmed, afterMs: search.durationMs }));
+    const decide = (result: Omit<SearchResult, 'afterMs'>): void => {
+      result.answers.forEach(({ versions }) => this.history.recordAll(service, versions));
+      receive(this.decide(query, { ...result, afterMs: search.durationMs }));
     };
-    const own = this.readEvidence(query);
-    if (own.softwareVersion !== undefined) {
-      decide();
-    } else if (own.versions.length > 1) {
-      search.askPeers(query, decide);
+    const askPeers = (): void => search.askPeers(query, (answers) => decide({ answers }));
+    if (this.readEvidence(query).softwareVersion !== undefined) {
+      decide({ answers: [] });
+    } else if ((this.options.recorded.list(service) ?? []).length > 1) {
+      askPeers();
     } else {
-      search.readRecord(query.service, (versions) => {
-        const seen = versions?.map((softwareVersion) => ({ softwareVersion, agoMs: 0 })) ?? [];
-        this.history.recordAll(query.service, seen);
-        if (versions !== undefined && this.history.list(query.service).length === 1) {
-          decide([], true);
+      search.readRecord(service, (recorded) => {
+        const begun = this.begun.list(service).map(({ softwareVersion }) => softwareVersion);
+        const confirmed = recorded && [...new Set([...recorded, ...begun])];
+        if (confirmed?.length === 1) {
+          decide({ answers: [], confirmed });
         } else {
-          search.askPeers(query, decide);
+          askPeers();
         }
       });
     }
@@ -166,10 +175,12 @@
 
   private decide(
     { requestId, streamId, service }: OriginQuery,
-    { answers, isConfirmed, afterMs }: SearchResult,
+    { answers, confirmed, afterMs }: SearchResult,
   ): OriginLookup {
     const { log, metrics, isLinkedToMost, readAgeMs, maxAgeMs } = this.options;
-    const own = this.readEvidence({ streamId, service });
+    const evidence = this.readEvidence({ streamId, service });
+    const isConfirmed = confirmed !== undefined;
+    const own = isConfirmed ? { ...evidence, versions: confirmed.map(toSeenNow) } : evidence;
     const lookup = decideOrigin({
       ...{ own, peers: answers, isConfirmed },
       ...{ isLinkedToMost: isLinkedToMost(), maxAgeMs: maxAgeMs() },
@@ -195,8 +206,21 @@
     return this.options.store?.find(stream) === undefined ? 'peer' : 'store';
   }
 
+  /** Versions of targets that this VM or a peer saw, and recorded ones, which do not count anew. */
+  private listVersions(service: string): SeenVersion[] {
+    const seen = this.history.list(service);
+    const recorded = this.options.recorded.list(service) ?? [];
+    const unseen = recorded.filter(
+      (version) => !seen.some(({ softwareVersion }) => softwareVersion === version),
+    );
+    return [
+      ...seen,
+      ...unseen.map((softwareVersion) => ({ softwareVersion, agoMs: VERSION_TTL_MS - 1 })),
+    ];
+  }
+
   private hasSeveralVersions(service: string): boolean {
-    const hasSeveral = this.history.list(service).length > 1;
+    const hasSeveral = this.listVersions(service).length > 1;
     if (!hasSeveral) {
       this.published.delete(service);
     }
@@ -223,3 +247,7 @@
     }
   }
 }
+
+function toSeenNow(softwareVersion: string): SeenVersion {
+  return { softwareVersion, agoMs: 0 };
+}
