Read long answers of targets in turns, at a bounded rate

Cause: a body is read as fast as its caller takes it, and one connection may return 2 MB to the event loop at once.

Change: a connection reads a burst of 256 KB at once; beyond it the connections of a VM take turns of 64 KB, 16 KB a millisecond in all. The socket stops to read until its turn, so that the target is held back.

--- a/packages/forward-request/src/forwarding.fixture.ts
+++ b/packages/forward-request/src/forwarding.fixture.ts
@@ -181,6 +181,7 @@
   });
   readonly connections = new TargetConnections({
     clock,
+    timers: systemTimers,
     connectTimeoutMs: 300,
     maxIdlePerTarget: 4,
   });
--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -37,7 +37,9 @@
   }
   const directory = new TargetDirectory(clock);
   directory.replaceAll(targets);
-  const connections = new TargetConnections({ clock, connectTimeoutMs: 200, maxIdlePerTarget: 1 });
+  const connections = new TargetConnections({
+    ...{ clock, timers, connectTimeoutMs: 200, maxIdlePerTarget: 1 },
+  });
   const detector = new CrashDetector({
     ...{ clock, timers, directory, connections },
     dialect: {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -163,7 +163,7 @@
       onChange: () => this.exchange?.onLoadChanged(),
     });
     this.connections = new TargetConnections({
-      ...{ clock: steadyClock, connectTimeoutMs: CONNECT_TIMEOUT_MS },
+      ...{ clock: steadyClock, timers: systemTimers, connectTimeoutMs: CONNECT_TIMEOUT_MS },
       maxIdlePerTarget: MAX_IDLE_CONNECTIONS,
       onOpened: () => this.metrics.count('limelead_connections_opened_total'),
       onConnect: (target, isOpen) => this.relaying.onConnect(target, isOpen),
--- a/packages/http-front-door/src/test-bed.fixture.ts
+++ b/packages/http-front-door/src/test-bed.fixture.ts
@@ -64,6 +64,7 @@
   private target!: Server;
   private readonly connections = new TargetConnections({
     clock,
+    timers: systemTimers,
     connectTimeoutMs: 300,
     maxIdlePerTarget: 2,
   });
--- a/packages/measure/src/experiments/front-door.ts
+++ b/packages/measure/src/experiments/front-door.ts
@@ -156,6 +156,7 @@
   };
   const connections = new TargetConnections({
     clock,
+    timers: systemTimers,
     connectTimeoutMs: 1_000,
     maxIdlePerTarget: 64,
   });
--- a/packages/target-connections/src/create-connector.ts
+++ b/packages/target-connections/src/create-connector.ts
@@ -1,6 +1,6 @@
 /** Opens TCP connections with a timeout. */
 import type { buildConnector } from 'undici';
-import HttpSocket, { type TakenBytes } from './http-socket.js';
+import HttpSocket, { type ReadPacing, type TakenBytes } from './http-socket.js';
 
 /** Delay of TCP keep-alive probes, which detect peers that disappeared. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
@@ -12,6 +12,8 @@
   /** The connection was reset but seems to end; called before the HTTP library handles the end. */
   onBroken?(): void;
   taken?: TakenBytes;
+  /** Creates the pacing of a socket. Default: none. */
+  createPacing?(): ReadPacing;
 }
 
 /** For errors while the library does not listen. */
@@ -23,7 +25,7 @@
   events: ConnectionEvents = {},
 ): buildConnector.connector {
   return ({ hostname, port }, callback) => {
-    const socket = new HttpSocket(events.taken);
+    const socket = new HttpSocket(events.taken, events.createPacing?.());
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     socket.connect({ host: hostname, port: Number(port) });
--- a/packages/target-connections/src/http-socket.ts
+++ b/packages/target-connections/src/http-socket.ts
@@ -1,5 +1,7 @@
 /** A TCP connection whose end the HTTP library can meet at any time, also while it does not read. */
+import type { CancelTimer, Timers } from '@limelead/types';
 import { Socket } from 'node:net';
+import type { ConnectionReads } from './read-share.js';
 
 /** Meters what the library takes of a connection. */
 export interface TakenBytes {
@@ -9,6 +11,12 @@
   findError(): Error | undefined;
 }
 
+/** Paces what the socket reads from the kernel. */
+export interface ReadPacing {
+  reads: ConnectionReads;
+  timers: Timers;
+}
+
 /**
  * The library takes the end or reset of a connection for the end of an answer that has no other
  * end. If it does not read at that time, an assertion fails in an event of the socket.
@@ -17,13 +25,31 @@
   private hasReceivedEnd = false;
   private isOfferingEnd = false;
 
-  constructor(private readonly taken?: TakenBytes) {
+  private cancelWait: CancelTimer | undefined;
+
+  constructor(
+    private readonly taken?: TakenBytes,
+    private readonly pacing?: ReadPacing,
+  ) {
     super();
   }
 
+  /** Returns false, at which the socket stops to read, also when no more may be read now. */
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     this.hasReceivedEnd ||= chunk === null;
-    return super.push(chunk, encoding);
+    const mayReadMore = !Buffer.isBuffer(chunk) || this.pacing?.reads.add(chunk.length) !== false;
+    return super.push(chunk, encoding) && mayReadMore;
+  }
+
+  /** Called once the bytes read so far are taken. */
+  override _read(size: number): void {
+    const waitMs = this.pacing?.reads.requestRead() ?? 0;
+    if (waitMs === 0) {
+      super._read(size);
+      return;
+    }
+    this.cancelWait?.();
+    this.cancelWait = this.pacing?.timers.after(waitMs, () => super._read(size));
   }
 
   /**
@@ -69,6 +95,7 @@
     error: NodeJS.ErrnoException | null,
     callback: (error?: Error | null) => void,
   ): void {
+    this.cancelWait?.();
     const isReset = error?.code === 'ECONNRESET';
     super._destroy(isReset ? new Error('connection reset', { cause: error }) : error, callback);
   }
--- a/packages/target-connections/src/target-connection.ts
+++ b/packages/target-connections/src/target-connection.ts
@@ -1,9 +1,11 @@
 /** A connection to a target that carries one request at a time. */
 import { PortFault, type RequestSent } from '@limelead/errors';
-import type { Clock, Millis } from '@limelead/types';
+import type { Clock, Millis, Timers } from '@limelead/types';
 import { Client, type Dispatcher } from 'undici';
 import AnswerMeter, { FIRST_FINAL_STATUS, type AnswerExcess } from './answer-meter.js';
 import createConnector from './create-connector.js';
+import { ConnectionReads } from './read-share.js';
+import type ReadShare from './read-share.js';
 
 /** Keep-alive timeout for targets that announce none. */
 const DEFAULT_IDLE_MS = 4_000;
@@ -53,6 +55,19 @@
   resume(): void;
 }
 
+/** Options of a connection. */
+export interface TargetConnectionOptions {
+  origin: string;
+  connectTimeoutMs: Millis;
+  clock: Clock;
+  timers: Timers;
+  /** Share of the event loop of all connections that read long answers. */
+  share: ReadShare;
+  onClosed(connection: TargetConnection): void;
+  onOpened(isOpen: boolean): void;
+  onExcess(excess: AnswerExcess): void;
+}
+
 /** A connection that opens when its first request is sent. */
 export default class TargetConnection {
   isBusy = false;
@@ -63,18 +78,13 @@
   private readonly client: Client;
   private readonly meter = new AnswerMeter();
 
-  constructor(
-    origin: string,
-    connectTimeoutMs: number,
-    private readonly clock: Clock,
-    private readonly onClosed: (connection: TargetConnection) => void,
-    onOpened: (isOpen: boolean) => void,
-    private readonly onExcess: (excess: AnswerExcess) => void = () => undefined,
-  ) {
+  constructor(private readonly options: TargetConnectionOptions) {
+    const { origin, connectTimeoutMs, share, timers } = options;
     this.client = new Client(origin, {
       pipelining: 1,
       connect: createConnector(connectTimeoutMs, {
-        onOpened,
+        onOpened: (isOpen) => options.onOpened(isOpen),
+        createPacing: () => ({ reads: new ConnectionReads(share), timers }),
         onBroken: () => (this.isBroken = true),
         taken: {
           addTaken: (bytes) => this.meter.addTaken(bytes),
@@ -119,7 +129,7 @@
       return;
     }
     this.isClosed = true;
-    this.onClosed(this);
+    this.options.onClosed(this);
     void this.client.destroy().catch(() => undefined);
   }
 
@@ -128,13 +138,13 @@
     if (excess === undefined) {
       return undefined;
     }
-    this.onExcess(excess);
+    this.options.onExcess(excess);
     return new Error(`${excess.part} of ${excess.size}, where ${excess.limit} are allowed`);
   }
 
   private onIdle(): void {
     this.isBusy = false;
-    this.idleSinceMs = this.clock.now();
+    this.idleSinceMs = this.options.clock.now();
   }
 }
 
--- a/packages/target-connections/src/target-connections.ts
+++ b/packages/target-connections/src/target-connections.ts
@@ -1,8 +1,9 @@
 /** A pool of this VM's connections to all targets, by target id. */
 import { PortFault } from '@limelead/errors';
-import type { Clock, Millis, ServiceTarget } from '@limelead/types';
+import type { Clock, Millis, ServiceTarget, Timers } from '@limelead/types';
 import type { AnswerExcess } from './answer-meter.js';
 import createConnector from './create-connector.js';
+import ReadShare from './read-share.js';
 import TargetConnection, {
   type CallEvents,
   type OpenCall,
@@ -22,6 +23,7 @@
 /** Options of `TargetConnections`. */
 export interface TargetConnectionsOptions {
   clock: Clock;
+  timers: Timers;
   /** Timeout for opening a connection. */
   connectTimeoutMs: number;
   /** Limit on idle connections per target. */
@@ -37,8 +39,11 @@
 /** Opens, reuses and closes connections to targets. */
 export default class TargetConnections {
   private readonly byTarget = new Map<string, Set<TargetConnection>>();
+  private readonly share: ReadShare;
 
-  constructor(private readonly options: TargetConnectionsOptions) {}
+  constructor(private readonly options: TargetConnectionsOptions) {
+    this.share = new ReadShare(options.clock);
+  }
 
   /**
    * Sends a call on an idle connection, or on a new one. If the idle connection turns out to be
@@ -136,15 +141,14 @@
   }
 
   private openConnection(target: ServiceTarget): TargetConnection {
-    const { clock, connectTimeoutMs, onConnect, onExcess } = this.options;
-    const connection = new TargetConnection(
-      `http://${target.host}:${target.port}`,
-      connectTimeoutMs,
-      clock,
-      (closed) => this.remove(target.id, closed),
-      (isOpen) => onConnect?.(target, isOpen),
-      (excess) => onExcess?.(target, excess),
-    );
+    const { clock, timers, connectTimeoutMs, onConnect, onExcess } = this.options;
+    const connection = new TargetConnection({
+      ...{ clock, timers, connectTimeoutMs, share: this.share },
+      origin: `http://${target.host}:${target.port}`,
+      onClosed: (closed) => this.remove(target.id, closed),
+      onOpened: (isOpen) => onConnect?.(target, isOpen),
+      onExcess: (excess) => onExcess?.(target, excess),
+    });
     const connections = this.byTarget.get(target.id) ?? new Set<TargetConnection>();
     this.byTarget.set(target.id, connections);
     connections.add(connection);
--- a/packages/target-connections/src/target.fixture.ts
+++ b/packages/target-connections/src/target.fixture.ts
@@ -1,11 +1,9 @@
 /** A target that answers over plain TCP, and calls to it. */
 import type { PortFault } from '@limelead/errors';
-import type { ServiceTarget } from '@limelead/types';
+import { steadyClock, systemTimers, type ServiceTarget } from '@limelead/types';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { TargetConnections, type AnswerHead, type OpenCall } from './index.js';
 
-const clock = { now: () => performance.now() };
-
 /** Events of a call up to its last one. */
 export interface Outcome {
   head?: AnswerHead;
@@ -43,8 +41,8 @@
   };
 }
 
-export function createConnections(): TargetConnections {
-  return new TargetConnections({ clock, connectTimeoutMs: 300, maxIdlePerTarget: 4 });
+export function createConnections(clock = steadyClock, timers = systemTimers): TargetConnections {
+  return new TargetConnections({ clock, timers, connectTimeoutMs: 300, maxIdlePerTarget: 4 });
 }
 
 export function send(
