Close a link to a peer at an upgrade that is answered without end

Cause: what listens at a peer's address may answer the upgrade of a link with interim answers without end. They were read until the handshake timed out after 2 s, and again at each attempt.

Change: the connection is closed at more than 64 KB before the upgrade.

--- a/packages/peer-links/src/peer-links.ts
+++ b/packages/peer-links/src/peer-links.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { WebSocket, WebSocketServer } from 'ws';
 import connectWithTimeout from './connect-with-timeout.js';
+import limitUpgrade from './limit-upgrade.js';
 import type { MessageFormat } from './messages.js';
 import answerMisdirected from './misdirected.js';
 import PeerLink, { type PeerLinkEvents } from './peer-link.js';
@@ -121,12 +122,15 @@
         continue;
       }
       openingPeers.add(id);
+      let isUpgraded = false;
       const socket = new WebSocket(`ws://${host}:${port}`, {
         maxPayload: MAX_MESSAGE_BYTES,
         perMessageDeflate: false,
         handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
-        createConnection: () => connectWithTimeout({ host, port }, options.timers),
+        createConnection: () =>
+          limitUpgrade(connectWithTimeout({ host, port }, options.timers), () => isUpgraded),
       });
+      socket.once('open', () => (isUpgraded = true));
       socket.once('close', () => openingPeers.delete(id));
       createLink(socket, 'opener');
     }
