End a read of the store whose answer comes byte by byte without end

Cause: a read of the store had timeouts on silence only, so a body of which a byte comes within each 0.8 s was waited for without end, and no change of the configuration reached the VM.

Change: a body takes no longer than ten timeouts of silence, 8 s for the store.

Measured: "a read ends although its answer comes byte by byte without end: the body" failed before: late, no end within 5 s at a silence of 0.1 s. The same in the head ended before as well.

--- a/packages/call-json/src/request-text.ts
+++ b/packages/call-json/src/request-text.ts
@@ -1,4 +1,4 @@
-/** A GET request with timeouts on silence instead of on its total duration. */
+/** A GET request with timeouts on silence, and a long one on its body. */
 import { AnswerExcessError } from '@limelead/target-connections';
 import type { Millis } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
@@ -30,6 +30,9 @@
  */
 export type TextFault = 'silent' | 'too-long' | 'unreachable';
 
+/** Longest time from the headers to the end of a response, in timeouts of silence. */
+const MAX_BODY_SILENCES = 10;
+
 /** Sends a GET request and reads the complete response. */
 export default async function requestText(
   client: Client,
@@ -39,9 +42,11 @@
   const timeout = new AbortController();
   const { signal } = timeout;
   let timer = setTimeout(() => timeout.abort(), firstMs);
+  let bodyTimer: NodeJS.Timeout | undefined;
   const onData = (): void => {
     clearTimeout(timer);
     timer = setTimeout(() => timeout.abort(), silenceMs);
+    bodyTimer ??= setTimeout(() => timeout.abort(), silenceMs * MAX_BODY_SILENCES);
   };
   try {
     const { statusCode, body } = await client.request({ method: 'GET', path, query, signal });
@@ -51,6 +56,7 @@
     return E.left(isTooLong ? 'too-long' : signal.aborted ? 'silent' : 'unreachable');
   } finally {
     clearTimeout(timer);
+    clearTimeout(bodyTimer);
   }
 }
 
