Let the fuzz of connections draw answers that never end

One answer of seven now ends in bytes without end, at any place of head and body and in eight kinds, as fast as they are read or one byte each 2 ms. Calls beside them, uncaught exceptions and events behind an end are checked as before, and the bytes that such an answer can send until its call is cancelled.

--- a/packages/target-connections/src/connection-fuzz.test.ts
+++ b/packages/target-connections/src/connection-fuzz.test.ts
@@ -17,6 +17,8 @@
 /** Time in which events after the last one would come. */
 const AFTERMATH_MS = 5;
 const MAX_IDLE_MS = 1_000;
+/** Most bytes of an answer without end until its call is cancelled, with what its connection holds. */
+const MAX_ENDLESS_BYTES = 10e6;
 const BODIES = [0, 2, 2, 2, 500_000].map((bytes) => Buffer.alloc(bytes, 'b'));
 
 /** How a call stands. */
@@ -26,6 +28,7 @@
 class Fuzz {
   readonly seen = new Map<string, number>();
   readonly faults: string[] = [];
+  mostEndlessBytes = 0;
   readonly counts = { ended: 0, faulted: 0, cancelled: 0 };
 
   constructor(
@@ -55,6 +58,7 @@
         this.faults.push(`${number}.${call}: the sound call got ${body} ${fault?.message ?? ''}`);
       }
     }
+    this.mostEndlessBytes = Math.max(this.mostEndlessBytes, faulty.mostEndlessBytes);
     await faulty.stop();
     this.connections.closeIdle(target.id);
   }
@@ -139,10 +143,15 @@
   await sound.stop();
   uncaught.stop();
   if (process.env['FUZZ_SEED'] !== undefined) {
-    console.log(fuzz.counts, fuzz.seen, uncaught.exceptions);
+    console.log(fuzz.counts, fuzz.seen, fuzz.mostEndlessBytes, uncaught.exceptions);
   }
   assert.equal(uncaught.exceptions, []);
   assert.equal(fuzz.faults, []);
+  const { mostEndlessBytes } = fuzz;
+  assert.ok(
+    mostEndlessBytes > 0 && mostEndlessBytes < MAX_ENDLESS_BYTES,
+    `${mostEndlessBytes} bytes`,
+  );
   assert.ok(Object.values(fuzz.counts).every((count) => count > 0));
   for (const ending of ['reset', 'halfClose', 'close']) {
     for (const state of ['connecting', 'waiting', 'body', 'paused', 'idle']) {
--- a/packages/target-connections/src/faulty-target.fixture.ts
+++ b/packages/target-connections/src/faulty-target.fixture.ts
@@ -1,7 +1,7 @@
 /** A target that answers by plans, over plain TCP. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { AnswerPlan, Ending } from './random-answer.fixture.js';
+import type { AnswerPlan, EndlessBytes, Ending } from './random-answer.fixture.js';
 
 /** What a faulty target does. */
 export interface TargetPlan {
@@ -11,11 +11,15 @@
   answers: AnswerPlan[];
 }
 
+/** Bytes of a write of those that never end. */
+const ENDLESS_WRITE_BYTES = 16_384;
 const REQUEST_START = /^(GET|POST|HEAD) /;
 
 /** Target for a few requests; connections and requests beyond its plan are closed. */
 export default class FaultyTarget {
   private readonly sockets = new Set<Socket>();
+  /** Bytes that were sent without end, by the connection with the most of them. */
+  mostEndlessBytes = 0;
   private connections = 0;
   private requests = 0;
 
@@ -70,10 +74,43 @@
         socket.write(Buffer.from(text, 'latin1'));
       }
     }
+    if (plan?.endless !== undefined) {
+      this.sendEndlessly(socket, plan.endless);
+      return;
+    }
     await sleep(plan?.endDelayMs ?? 0);
     this.end(socket, plan?.ending ?? 'close');
   }
 
+  private sendEndlessly(socket: Socket, { text, intervalMs }: EndlessBytes): void {
+    if (socket.destroyed) {
+      return;
+    }
+    const isDrip = intervalMs > 0;
+    const bytes = Buffer.from(
+      text.repeat(isDrip ? 1 : Math.ceil(ENDLESS_WRITE_BYTES / text.length)),
+    );
+    let sentBytes = 0;
+    let at = 0;
+    const write = (): boolean => {
+      const part = isDrip ? bytes.subarray(at, at + 1) : bytes;
+      at = (at + 1) % bytes.length;
+      sentBytes += part.length;
+      this.mostEndlessBytes = Math.max(this.mostEndlessBytes, sentBytes);
+      return socket.writable && socket.write(part);
+    };
+    const writeMore = (): void => {
+      while (!socket.destroyed && write());
+    };
+    if (isDrip) {
+      const timer = setInterval(write, intervalMs);
+      socket.on('close', () => clearInterval(timer));
+    } else {
+      socket.on('drain', () => setImmediate(writeMore));
+      writeMore();
+    }
+  }
+
   private end(socket: Socket, ending: Ending, isNew = false): void {
     if (ending === 'keep' || socket.destroyed) {
       return;
--- a/packages/target-connections/src/random-answer.fixture.ts
+++ b/packages/target-connections/src/random-answer.fixture.ts
@@ -4,12 +4,21 @@
 /** How a target closes a connection, or that it keeps it open. */
 export type Ending = 'reset' | 'halfClose' | 'close' | 'keep';
 
+/** Bytes that follow an answer again and again until its connection closes. */
+export interface EndlessBytes {
+  text: string;
+  /** Time between the bytes; 0 sends as fast as they are read. */
+  intervalMs: number;
+}
+
 /** An answer as its target sends it. */
 export interface AnswerPlan {
   /** Latin-1 text of each write, with the pause before it in milliseconds. */
   pieces: { text: string; delayMs: number }[];
   ending: Ending;
   endDelayMs: number;
+  /** What follows in place of an end. */
+  endless?: EndlessBytes;
   /** Whether the target reads no more of the request. */
   isDeaf: boolean;
 }
@@ -43,6 +52,12 @@
 const BAD_CHUNK_SHARE = 0.04;
 const CHANGED_BYTE_SHARE = 0.15;
 const CUT_SHARE = 0.3;
+const ENDLESS_SHARE = 0.15;
+/** Bytes that never end: of a body or a line, interim answers, headers, chunks, extensions. */
+const ENDLESS_TEXTS = [
+  ...['x', 'HTTP/1.1 103 Early Hints\r\n\r\n', 'X-Pad: y\r\n', '5\r\nabcde\r\n'],
+  ...['4000\r\n' + 'x'.repeat(0x4000) + '\r\n', '1;x=y\r\nx\r\n', '\r\n', '0'],
+];
 const MAX_PIECES = 5;
 const MAX_DELAY_MS = 4;
 
@@ -60,6 +75,9 @@
     ending: draws.pick(['reset', 'halfClose', 'close', 'keep'] as const),
     endDelayMs: draws.below(MAX_DELAY_MS),
     isDeaf: draws.isWithin(0.1),
+    ...(draws.isWithin(ENDLESS_SHARE) && {
+      endless: { text: draws.pick(ENDLESS_TEXTS), intervalMs: draws.pick([0, 0, 2]) },
+    }),
   };
 }
 
