Share one retry budget with the lives of VMs before a restart

Cause: a process took its own life for the whole window of the retry budget. Each start had its part of the slack anew, although its predecessor might have spent the same part within the window, and a VM that knew few others yet divided the slack by these. What targets saw: a fleet that is killed three times within a window, or whose VMs restart one after the other, sends more retries to a failing service than ratio x requests + slack (rule BUDGET, which counts over all VMs and lives).

Change: a budget knows since when its attempts are recorded, which the gateway sets to the start of the process. Until that covers the window, a VM has its part of the reserve (0.05 of the slack), released in proportion to the time since its start, in place of its part of the usable 0.95: restarts within a window release the reserve once, however many there are. The ratio of own first attempts counts from the start, and older peers lend.

The two tests of `create-retry-budgets` looked at a budget at the moment of its creation; they look at the same figures a window later now, since a budget is lower before.

--- a/packages/gateway/src/create-retry-budgets.test.ts
+++ b/packages/gateway/src/create-retry-budgets.test.ts
@@ -8,14 +8,16 @@
   fields: Record<string, unknown>;
 }
 
-/** Budgets of a VM that knows 29 other VMs, on a manual clock. */
+const WINDOW_MS = 10_000;
+
+/** Budgets of a VM that knows 29 other VMs and has run for a window, on a manual clock. */
 function create() {
   const time = { now: 0 };
   const lines: Line[] = [];
   const asked: string[] = [];
   const metrics = createMetrics();
   const budgets = createRetryBudgets({
-    limits: { ratio: 0, slack: 62, windowMs: 10_000 },
+    limits: { ratio: 0, slack: 62, windowMs: WINDOW_MS },
     clock: { now: () => time.now },
     timers: { after: () => () => undefined },
     random: { next: () => 0 },
@@ -34,15 +36,21 @@
         },
       }) as never,
   });
+  time.now = WINDOW_MS;
   return { budgets, time, lines, asked, metrics };
 }
 
-const REQUEST = { class: 'stream-written', rank: 2, lateAtMs: 700, untilMs: 9_000 } as const;
+const REQUEST = {
+  class: 'stream-written',
+  rank: 2,
+  lateAtMs: WINDOW_MS + 700,
+  untilMs: WINDOW_MS + 9_000,
+} as const;
 
 // Guards against a VM that started and that peers do not count yet: its part is left free.
 test('the slack is shared by all known VMs and one that has just started', () => {
-  const { budgets } = create();
-  const available = budgets.forService('s').countAvailable(0, 31);
+  const { budgets, time } = create();
+  const available = budgets.forService('s').countAvailable(time.now, 31);
   assert.ok(Math.abs(available - (0.95 * 62) / 31) < 1e-9);
 });
 
@@ -55,7 +63,7 @@
   budget.requestRetry({ ...REQUEST, requestId: 'r2' }, () => undefined);
   assert.equal(asked, ['s: precaution', 's: waiting']);
   assert.match(metrics.render(), /limelead_retry_waiters 1\n/);
-  time.now = 20;
+  time.now += 20;
   budgets.borrow('s', 1);
   assert.equal(lines, [
     {
--- a/packages/gateway/src/create-retry-budgets.ts
+++ b/packages/gateway/src/create-retry-budgets.ts
@@ -36,6 +36,7 @@
     Math.max(MIN_VMS, (readExchange()?.totalVmCount ?? 0) + STARTING_VMS);
   const budgets = new RetryBudgets({
     ...{ limits, clock, timers, random, countVms },
+    knownSinceMs: clock.now(),
     onLow: (service) => readExchange()?.retries.borrow(service),
     borrowForWaiters: (service) => readExchange()?.retries.borrowForWaiters(service) ?? false,
     onCreated: (service, budget) =>
--- a/packages/spend-retries/src/attempt-window.ts
+++ b/packages/spend-retries/src/attempt-window.ts
@@ -28,8 +28,14 @@
   private readonly buckets: Bucket[] = [];
   private deferred: DeferredCount[] = [];
 
-  /** @param readWindowMs returns the length of the window, which settings may change */
-  constructor(private readonly readWindowMs: () => Millis) {}
+  /**
+   * @param readWindowMs returns the length of the window, which settings may change
+   * @param knownSinceMs time since which all attempts of this VM are recorded
+   */
+  constructor(
+    private readonly readWindowMs: () => Millis,
+    private readonly knownSinceMs: Millis,
+  ) {}
 
   get bucketMs(): Millis {
     return this.readWindowMs() / BUCKETS;
@@ -79,6 +85,12 @@
     return receivedAtMs + this.readWindowMs() - this.bucketMs;
   }
 
+  /** Share (0 to 1) of the window that ends at a time in which all attempts of this VM are recorded. */
+  knownShareAt(atMs: Millis): number {
+    const share = (atMs - this.knownSinceMs) / this.readWindowMs();
+    return Math.min(1, Math.max(0, share));
+  }
+
   /** First attempts whose bucket lies wholly within the window that ends at a time. */
   countFirstAttempts(atMs: Millis): number {
     const sinceMs = atMs - this.readWindowMs();
--- a/packages/spend-retries/src/index.ts
+++ b/packages/spend-retries/src/index.ts
@@ -2,7 +2,8 @@
  * Retry budgets. Within a sliding window all VMs together may retry up to a ratio of their
  * first attempts plus a fixed slack. Each VM has an equal part of the slack and the ratio
  * of its own first attempts; VMs lend each other retries. Requests that lack a retry wait and
- * are served by priority.
+ * are served by priority. A VM has its part of the slack only once it has run for a whole window,
+ * since its predecessor may have spent it; until then peers lend it some.
  */
 export { default as RetryBudgets } from './retry-budgets.js';
 export type { RetryBudgetsOptions } from './retry-budgets.js';
--- a/packages/spend-retries/src/prioritised-retry-budget.ts
+++ b/packages/spend-retries/src/prioritised-retry-budget.ts
@@ -50,6 +50,8 @@
   clock: Clock;
   timers: Timers;
   random: Random;
+  /** Time since which all attempts of this VM are recorded; unlimited if undefined. */
+  knownSinceMs?: Millis;
   /** Number of VMs that share the slack, including this one. */
   countVms(): number;
   /** Called when few or no retries are left. */
@@ -78,7 +80,7 @@
   private streamsSeenAtMs: Millis = -Infinity;
 
   constructor(private readonly options: PrioritisedRetryBudgetOptions) {
-    super(options.limits, () => options.onLow(), USABLE_SHARE);
+    super(options.limits, () => options.onLow(), USABLE_SHARE, options.knownSinceMs);
   }
 
   /** Number of waiting requests. */
@@ -104,10 +106,7 @@
       this.streamsSeenAtMs = now;
     }
     this.lastId += 1;
-    const waiter: Waiter = {
-      ...{ id: this.lastId, request, onDecision },
-      ...{ sinceMs: now, hasWaited: false },
-    };
+    const waiter = { id: this.lastId, request, onDecision, sinceMs: now, hasWaited: false };
     this.waiters.push(waiter);
     this.serve();
     waiter.hasWaited = true;
--- a/packages/spend-retries/src/retry-budget-tracker.ts
+++ b/packages/spend-retries/src/retry-budget-tracker.ts
@@ -52,7 +52,7 @@
 
 /** Retry budget of one VM for one service. */
 export default class RetryBudgetTracker {
-  private readonly window = new AttemptWindow(() => this.limits.windowMs);
+  private readonly window: AttemptWindow;
   private borrowed: BorrowedRetries[] = [];
   /** Own fractions of retries that were taken and not sent. */
   private held = 0;
@@ -62,12 +62,17 @@
   /**
    * @param onLow called when few or no retries are left
    * @param usableShare share of the allowed retries that is used
+   * @param knownSinceMs time since which all attempts of this VM are recorded; a process that may
+   *   have had a predecessor within the window gives its start
    */
   constructor(
     protected limits: RetryBudgetLimits,
     private readonly onLow: () => void = () => undefined,
     private readonly usableShare = USABLE_SHARE,
-  ) {}
+    knownSinceMs: Millis = -Infinity,
+  ) {
+    this.window = new AttemptWindow(() => this.limits.windowMs, knownSinceMs);
+  }
 
   /** Changes the limits. Attempts and retries so far still count. */
   changeLimits(limits: RetryBudgetLimits): void {
@@ -230,7 +235,18 @@
     // A VM that was lost may have spent its part of the slack within the window, so the parts of
     // the others do not grow before the window has passed.
     const slackPart = slack / this.window.countVms(atMs);
-    return this.usableShare * (ratio * this.window.countFirstAttempts(atMs) + slackPart);
+    const firstAttempts = this.window.countFirstAttempts(atMs);
+    return this.usableShare * ratio * firstAttempts + this.slackShareAt(atMs) * slackPart;
+  }
+
+  /**
+   * Share of this VM's part of the slack. A predecessor may have spent the usable share just before
+   * its end, so until that has left the window the reserve is released, in proportion to the time
+   * since the start: any number of restarts within a window release it once.
+   */
+  private slackShareAt(atMs: Millis): number {
+    const knownShare = this.window.knownShareAt(atMs);
+    return knownShare === 1 ? this.usableShare : (1 - this.usableShare) * knownShare;
   }
 
   /** Takes fractions from the borrowed retries, the oldest first. */
--- a/packages/spend-retries/src/retry-budgets.ts
+++ b/packages/spend-retries/src/retry-budgets.ts
@@ -1,5 +1,5 @@
 /** Retry budgets of one VM, by service. */
-import type { Clock, Random, RetryNeed, Timers } from '@limelead/types';
+import type { Clock, Millis, Random, RetryNeed, Timers } from '@limelead/types';
 import PrioritisedRetryBudget from './prioritised-retry-budget.js';
 import type { RetryBudgetLimits } from './retry-budget-tracker.js';
 import type { RetryRequestEnd } from './retry-request.js';
@@ -15,6 +15,8 @@
   clock: Clock;
   timers: Timers;
   random: Random;
+  /** Time since which all attempts of this VM are recorded; unlimited if undefined. */
+  knownSinceMs?: Millis;
   /** Number of VMs that share the slack, including this one. */
   countVms(): number;
   /** Called when this VM has few or no retries left for a service. */
@@ -82,10 +84,10 @@
   }
 
   private create(service: string): PrioritisedRetryBudget {
-    const { clock, timers, random, countVms, onLow } = this.options;
+    const { clock, timers, random, knownSinceMs, countVms, onLow } = this.options;
     const { borrowForWaiters, onRequestEnded } = this.options;
     return new PrioritisedRetryBudget({
-      ...{ limits: this.limits, clock, timers, random },
+      ...{ limits: this.limits, clock, timers, random, knownSinceMs },
       countVms: () => countVms(),
       onLow: () => onLow(service),
       borrowForWaiters: () => borrowForWaiters?.(service) ?? false,
