--- a/packages/permit-sends/src/fleet.fixture.ts
+++ b/packages/permit-sends/src/fleet.fixture.ts
@@ -69,6 +69,7 @@
   /** Until then the VM runs no timers and handles no messages. */
   frozenUntilMs = 0;
   killedAtMs = Infinity;
+  startedAtMs = -Infinity;
 
   constructor(
     private readonly fleet: Fleet,
@@ -134,6 +135,8 @@
   /** Limit that each target advertises, in requests a second; undefined for none. */
   perSecond: number | undefined;
   isLinkCut: (a: string, b: string) => boolean = () => false;
+  /** Time from the start of the younger of two VMs until they know each other. */
+  linkedAfterMs = 0;
   private firstLimitAtMs = Infinity;
   private lastId = 0;
   private readonly scheduled = new Map<number, (() => void)[]>();
@@ -208,6 +211,7 @@
     vm.attachQueue();
     vm.isUp = true;
     vm.killedAtMs = Infinity;
+    vm.startedAtMs = this.now;
     for (const other of this.vms.filter((one) => one.isUp && one !== vm)) {
       this.transmit(other.name, vm.name, () =>
         vm.limiter.onPeerUpdate(other.name, this.roundTimes(other.limiter.listLimits())),
@@ -302,9 +306,16 @@
   }
 
   private createLinks(self: string): LimitFleet {
-    const isReachable = (vm: Vm): boolean => vm.isUp && !this.isLinkCut(self, vm.name);
-    const isKnown = (vm: Vm): boolean => this.now - vm.killedAtMs < FORGET_AFTER_MS;
-    const isTrusted = (vm: Vm): boolean => this.now - vm.killedAtMs < FAILURE_DETECTION_MS;
+    const startedAtMs = (name: string): number =>
+      this.vms.find((vm) => vm.name === name)?.startedAtMs ?? -Infinity;
+    const isLinked = (vm: Vm): boolean =>
+      vm.name === self ||
+      this.now - Math.max(vm.startedAtMs, startedAtMs(self)) >= this.linkedAfterMs;
+    const isReachable = (vm: Vm): boolean =>
+      vm.isUp && isLinked(vm) && !this.isLinkCut(self, vm.name);
+    const isKnown = (vm: Vm): boolean => isLinked(vm) && this.now - vm.killedAtMs < FORGET_AFTER_MS;
+    const isTrusted = (vm: Vm): boolean =>
+      isLinked(vm) && this.now - vm.killedAtMs < FAILURE_DETECTION_MS;
     return {
       self,
       countVms: () => this.vms.filter(isKnown).length,
--- a/packages/permit-sends/src/send-limiter.test.ts
+++ b/packages/permit-sends/src/send-limiter.test.ts
@@ -106,6 +106,18 @@
     fleet.schedule(8_000, () => fleet.vms.forEach((_, index) => fleet.kill(index)));
     fleet.schedule(8_500, () => fleet.vms.forEach((_, index) => fleet.restart(index)));
   },
+  'all VMs are killed at once and know only themselves at first': (fleet) => {
+    fleet.linkedAfterMs = 400;
+    fleet.schedule(8_000, () => fleet.vms.forEach((_, index) => fleet.kill(index)));
+    fleet.schedule(8_500, () => fleet.vms.forEach((_, index) => fleet.restart(index)));
+  },
+  'VMs restart in turn, each before the next one knows it': (fleet) => {
+    fleet.linkedAfterMs = 400;
+    fleet.vms.forEach((_, index) => {
+      fleet.schedule(8_000 + index * 700, () => fleet.kill(index));
+      fleet.schedule(8_300 + index * 700, () => fleet.restart(index));
+    });
+  },
   'the grantor is frozen for a time': (fleet) => {
     fleet.schedule(8_000, () => fleet.freeze(0, 1_500));
     fleet.schedule(15_000, () => fleet.freeze(0, 3_000));
