--- a/packages/record-versions/src/version-record.ts
+++ b/packages/record-versions/src/version-record.ts
@@ -5,20 +5,27 @@
 import type { DecisionLog } from '@limelead/decision-log';
 import type { Metrics } from '@limelead/metrics';
 import type { ConditionalStore } from '@limelead/ports';
-import type { Clock, Millis, Random, Timers } from '@limelead/types';
+import {
+  backoffMs,
+  type BackoffBounds,
+  type Clock,
+  type Millis,
+  type Random,
+  type Timers,
+} from '@limelead/types';
 import CoalescedReads from './coalesced-reads.js';
 import planRecord from './plan-record.js';
 import { NO_RECORD, type RecordedVersions } from './recorded-versions.js';
 import { readRecord, writeRecord } from './record-calls.js';
 import VersionPresence from './version-presence.js';
+import WaitingVersions from './waiting-versions.js';
 
 /** Longest wait for a read: two calls of a slow store, which answers within 320 ms. */
 const READ_TIMEOUT_MS: Millis = 700;
-/** First delay before a failed write is repeated; it doubles with each. */
-const WRITE_RETRY_DELAY_MS: Millis = 500;
-/** The same behind a write that another VM's write forestalled. */
-const CONFLICT_RETRY_DELAY_MS: Millis = 20;
-const MAX_RETRY_DELAY_MS: Millis = 10_000;
+/** Delays behind writes that failed. */
+const WRITE_RETRIES: BackoffBounds = { firstMs: 500, maxMs: 10_000 };
+/** The same behind writes that another VM's write forestalled. */
+const CONFLICT_RETRIES: BackoffBounds = { firstMs: 20, maxMs: 10_000 };
 /** Failures in a row behind which a conflict counts as a write that the store does not take. */
 const MAX_CONFLICTS = 5;
 /** VMs see a new version at the same moment; all but the first to write find it recorded. */
@@ -65,8 +72,7 @@
   last: RecordedVersions | undefined;
   /** Revision of the view's record at the last check; undefined before the first. */
   checkedRevision: number | undefined;
-  /** Steady times since which streams wait for versions to be recorded. */
-  waitingSinceMs: Map<string, Millis>;
+  waiting: WaitingVersions;
   isWriting: boolean;
   /** Failed writes in a row, conflicts included. */
   failures: number;
@@ -95,7 +101,7 @@
 
   /** Handles a new target. */
   onTargetJoined(service: string, version: string): void {
-    const isWaiting = this.services.get(service)?.waitingSinceMs.has(version) === true;
+    const isWaiting = this.services.get(service)?.waiting.has(version) === true;
     if (this.options.hasStreams(service) && !isWaiting && !this.isOpen(service, version)) {
       this.check(service);
     }
@@ -121,13 +127,11 @@
 
   /** Whether streams may begin at a version, so that every later VM will know of it. */
   canBegin(service: string, version: string): boolean {
-    const { clock, hasStreams } = this.options;
-    if (!hasStreams(service) || this.isOpen(service, version)) {
+    if (!this.options.hasStreams(service) || this.isOpen(service, version)) {
       return true;
     }
     const state = this.services.get(service);
-    const sinceMs = state?.waitingSinceMs.get(version) ?? Infinity;
-    return state?.hasWriteFailed === true && clock.now() - sinceMs >= HOLD_MS;
+    return state?.hasWriteFailed === true && state.waiting.waitedMs(version) >= HOLD_MS;
   }
 
   /**
@@ -153,26 +157,17 @@
   }
 
   private check(service: string): void {
-    const { clock, isViewFresh, listPresent, readView } = this.options;
+    const { isViewFresh, listPresent, readView } = this.options;
     const state = this.stateOf(service);
     const record = this.latest(service);
     const present = new Set(listPresent(service));
     state.checkedRevision = readView(service)?.revision ?? 0;
     state.presence.update(record, present, isViewFresh());
-    for (const version of state.waitingSinceMs.keys()) {
-      if (!present.has(version) || this.isOpen(service, version)) {
-        state.waitingSinceMs.delete(version);
-      }
-    }
-    for (const version of present) {
-      if (!this.isOpen(service, version) && !state.waitingSinceMs.has(version)) {
-        state.waitingSinceMs.set(version, clock.now());
-      }
-    }
+    state.waiting.update([...present].filter((version) => !this.isOpen(service, version)));
     if (this.plan(service) !== undefined) {
       this.scheduleWrite(service, state);
     }
-    if (state.waitingSinceMs.size > 0 && this.returnLeftMs > 0) {
+    if (state.waiting.size > 0 && this.returnLeftMs > 0) {
       this.scheduleCheck(this.returnLeftMs);
     } else if (record.versions.some((version) => !present.has(version))) {
       this.scheduleCheck(EXPIRY_CHECK_MS);
@@ -250,23 +245,24 @@
     state.failures += 1;
     state.hasWriteFailed ||= state.failures >= MAX_CONFLICTS;
     this.check(service);
-    this.retryWrite(service, state, CONFLICT_RETRY_DELAY_MS);
+    this.retryWrite(service, state, CONFLICT_RETRIES);
   }
 
   private onWriteFailed(service: string, state: ServiceState, reason: string): void {
     state.failures += 1;
     state.hasWriteFailed = true;
     this.countWrite('failed');
-    const unrecorded = [...state.waitingSinceMs.keys()];
+    const unrecorded = state.waiting.list();
     this.options.log.write('version-record-failed', { service, unrecorded, reason });
-    this.retryWrite(service, state, WRITE_RETRY_DELAY_MS);
+    this.retryWrite(service, state, WRITE_RETRIES);
   }
 
-  private retryWrite(service: string, state: ServiceState, firstDelayMs: Millis): void {
+  private retryWrite(service: string, state: ServiceState, bounds: BackoffBounds): void {
     const { random, timers } = this.options;
-    const longestMs = Math.min(MAX_RETRY_DELAY_MS, firstDelayMs * 2 ** (state.failures - 1));
-    const delayMs = longestMs * (0.5 + random.next() / 2);
-    timers.after(delayMs, () => void this.write(service, state));
+    timers.after(
+      backoffMs(state.failures, bounds, random.next()),
+      () => void this.write(service, state),
+    );
   }
 
   /** Reads the record; undefined if there is no readable one, or no answer. */
@@ -290,7 +286,7 @@
     );
     const state: ServiceState = {
       ...{ reads, presence: new VersionPresence(this.options.clock), last: undefined },
-      ...{ checkedRevision: undefined, waitingSinceMs: new Map() },
+      ...{ checkedRevision: undefined, waiting: new WaitingVersions(this.options.clock) },
       ...{ isWriting: false, failures: 0, hasWriteFailed: false },
     };
     this.services.set(service, state);
--- a/packages/store-origins/src/origin-writer.ts
+++ b/packages/store-origins/src/origin-writer.ts
@@ -4,14 +4,15 @@
 import type { Metrics } from '@limelead/metrics';
 import type { ConditionalStore, WriteOutcome } from '@limelead/ports';
 import type { OriginStore } from '@limelead/track-origins';
-import type {
-  CancelTimer,
-  Clock,
-  Millis,
-  Random,
-  StreamKey,
-  StreamOrigin,
-  Timers,
+import {
+  backoffMs,
+  type CancelTimer,
+  type Clock,
+  type Millis,
+  type Random,
+  type StreamKey,
+  type StreamOrigin,
+  type Timers,
 } from '@limelead/types';
 import * as E from 'fp-ts/lib/Either.js';
 import digestStream from './digest-stream.js';
@@ -19,7 +20,7 @@
 import {
   groupIntervalMs,
   planGroup,
-  retryDelayMs,
+  WRITE_RETRIES,
   type GroupPlan,
   type OpenSegment,
 } from './plan-group.js';
@@ -162,7 +163,7 @@
   private onFailed({ sent, message }: Failure): void {
     const { clock, random, log, metrics } = this.options;
     this.failures += 1;
-    this.retryAtMs = clock.now() + retryDelayMs(this.failures, random.next());
+    this.retryAtMs = clock.now() + backoffMs(this.failures, WRITE_RETRIES, random.next());
     if (sent !== 'no') {
       // The write may take effect later and would undo a later one of the same segment.
       this.open = undefined;
--- a/packages/store-origins/src/plan-group.test.ts
+++ b/packages/store-origins/src/plan-group.test.ts
@@ -1,7 +1,8 @@
+import { backoffMs } from '@limelead/types';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import PendingOrigins, { toPending } from './pending-origins.js';
-import { groupIntervalMs, planGroup, retryDelayMs, type OpenSegment } from './plan-group.js';
+import { groupIntervalMs, planGroup, WRITE_RETRIES, type OpenSegment } from './plan-group.js';
 
 const pending = (streamId: string, { leftMs = 10_000, softwareVersion = 'v1' } = {}) =>
   toPending({ streamId, service: 'llm', softwareVersion, leftMs }, true, 0);
@@ -18,11 +19,11 @@
 // VMs whose writes failed at the same moment would have come back at the same moment.
 test('retries are drawn from the upper half of a delay that doubles up to five seconds', () => {
   assert.equal(
-    [1, 2, 9].map((failures) => retryDelayMs(failures, 0)),
+    [1, 2, 9].map((failures) => backoffMs(failures, WRITE_RETRIES, 0)),
     [100, 200, 2_500],
   );
   assert.equal(
-    [1, 2, 9].map((failures) => retryDelayMs(failures, 1)),
+    [1, 2, 9].map((failures) => backoffMs(failures, WRITE_RETRIES, 1)),
     [200, 400, 5_000],
   );
 });
--- a/packages/store-origins/src/plan-group.ts
+++ b/packages/store-origins/src/plan-group.ts
@@ -1,5 +1,5 @@
 /** Decides which streams are written next, into which segment, and when. */
-import type { Millis } from '@limelead/types';
+import type { BackoffBounds, Millis } from '@limelead/types';
 import { DIGEST_CHARS } from './digest-stream.js';
 import type { PendingOrigin } from './pending-origins.js';
 import type { SegmentEntry } from './segment-item.js';
@@ -18,8 +18,8 @@
 const STREAM_GRACE_MS: Millis = 2_000;
 /** Longest lease that the store grants. */
 const MAX_LEASE_MS: Millis = 600_000;
-const FIRST_RETRY_MS: Millis = 200;
-const MAX_RETRY_MS: Millis = 5_000;
+/** Delays behind writes that failed. */
+export const WRITE_RETRIES: BackoffBounds = { firstMs: 200, maxMs: 5_000 };
 
 const MILLIS_PER_SECOND = 1_000;
 
@@ -49,15 +49,6 @@
   return Math.max(MIN_INTERVAL_MS, (writers * MILLIS_PER_SECOND) / FLEET_GROUPS_PER_SECOND);
 }
 
-/**
- * Delay before the next write behind failed ones: doubled with each, and half of it random.
- * @param draw from 0 to 1
- */
-export function retryDelayMs(failures: number, draw: number): Millis {
-  const longest = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (failures - 1));
-  return longest * (0.5 + draw / 2);
-}
-
 /** Plans the write of some streams; the first ones if one segment cannot take all. */
 export function planGroup(
   pending: readonly PendingOrigin[],
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 /** Types and small helpers that several packages share. */
 export * from './address.js';
 export * from './advice.js';
+export { backoffMs, type BackoffBounds } from './backoff.js';
 export * from './configuration.js';
 export * from './directives.js';
 export * from './engine.js';
