Record a new version in time beside one that has ended

A VM that starts records a new version two seconds later. The check for the end of another version, due within 30 s, was scheduled first and put this one off, so that streams could not begin at the new version for so long. The sooner check now counts. The test was red before (v2 missing).

--- a/packages/record-versions/src/version-record.test.ts
+++ b/packages/record-versions/src/version-record.test.ts
@@ -233,6 +233,18 @@
   assert.equal(store.stored(), ['v1', 'v2']);
 });
 
+// The check for the end of other versions was due later, and put the one for the new version off.
+test('a new version does not wait longer beside a version that has ended', async () => {
+  const { vm, store, follow, pass, look } = createVm();
+  store.put('v0', 'v1');
+  follow();
+  await pass(RETURN_MS / 2);
+  vm.present = ['v1', 'v2'];
+  look();
+  await pass(RETURN_MS / 2 + 20);
+  assert.equal(store.stored(), ['v0', 'v1', 'v2']);
+});
+
 test('behind the start of a VM a new version does not wait if no other one serves', async () => {
   const { vm, store, follow, pass } = createVm();
   store.put('v1');
--- a/packages/record-versions/src/version-record.ts
+++ b/packages/record-versions/src/version-record.ts
@@ -8,6 +8,7 @@
 import {
   backoffMs,
   type BackoffBounds,
+  type CancelTimer,
   type Clock,
   type Millis,
   type Random,
@@ -83,7 +84,7 @@
 export default class VersionRecord {
   private readonly services = new Map<string, ServiceState>();
   private readonly startedAtMs: Millis;
-  private isCheckScheduled = false;
+  private nextCheck: { atMs: Millis; cancel: CancelTimer } | undefined;
 
   constructor(private readonly options: VersionRecordOptions) {
     this.startedAtMs = options.clock.now();
@@ -293,15 +294,19 @@
     return state;
   }
 
+  /** Checks all services after the delay, or sooner if an earlier check is due. */
   private scheduleCheck(delayMs: Millis): void {
-    if (this.isCheckScheduled) {
+    const { clock, listServices, timers } = this.options;
+    const atMs = clock.now() + delayMs;
+    if (this.nextCheck !== undefined && this.nextCheck.atMs <= atMs) {
       return;
     }
-    this.isCheckScheduled = true;
-    this.options.timers.after(delayMs, () => {
-      this.isCheckScheduled = false;
-      this.options.listServices().forEach((service) => this.check(service));
+    this.nextCheck?.cancel();
+    const cancel = timers.after(delayMs, () => {
+      this.nextCheck = undefined;
+      listServices().forEach((service) => this.check(service));
     });
+    this.nextCheck = { atMs, cancel };
   }
 
   private countWrite(outcome: string): void {
