Do not take the word of one peer for that of most VMs

While the store is away, an old view and one answer without any record made an unknown stream go on at the only version that was seen: isLinkedToMost says nothing of what the peers know. Half of those that answer must hold the record. The new cases of decide-origin were red before.

--- a/packages/track-origins/src/decide-origin.test.ts
+++ b/packages/track-origins/src/decide-origin.test.ts
@@ -51,6 +51,8 @@
 test('VMs that know nothing of the time before their start do not guess together', () => {
   assert.is(decide(YOUNG), 'unknown');
   assert.is(decide(YOUNG, [YOUNG, YOUNG, YOUNG]), 'unknown');
+  assert.is(decide(BEHIND, [YOUNG]), 'unknown');
+  assert.is(decide(BEHIND, [BEHIND, YOUNG, YOUNG]), 'unknown');
 });
 
 test.run();
--- a/packages/track-origins/src/decide-origin.ts
+++ b/packages/track-origins/src/decide-origin.ts
@@ -37,7 +37,9 @@
 
 function knowsAllVersions(evidence: OriginCase): boolean {
   const { own, peers, isConfirmed, isLinkedToMost, maxAgeMs } = evidence;
-  const agesMs = [own, ...peers].flatMap(({ completeAgoMs }) => completeAgoMs ?? []);
-  const isAnyRecent = agesMs.some((ageMs) => ageMs <= maxAgeMs);
-  return isConfirmed || isAnyRecent || (agesMs.length > 0 && peers.length > 0 && isLinkedToMost);
+  const isRecent = ({ completeAgoMs = Infinity }: OriginEvidence): boolean =>
+    completeAgoMs <= maxAgeMs;
+  const complete = peers.filter(({ completeAgoMs }) => completeAgoMs !== undefined);
+  const knowMost = complete.length > 0 && complete.length * 2 >= peers.length && isLinkedToMost;
+  return isConfirmed || [own, ...peers].some(isRecent) || knowMost;
 }
