--- a/packages/gateway/src/decode-own-item.ts
+++ b/packages/gateway/src/decode-own-item.ts
@@ -1,3 +1,4 @@
+/** Decodes the items of the store that limelead itself writes. */
 import type { StoreItem } from '@limelead/follow-store';
 import { decodeVersions } from '@limelead/record-versions';
 import { decodeStep, STEP_KEY_PREFIX } from '@limelead/run-roll-outs';
--- a/packages/store-origins/src/digest-stream.ts
+++ b/packages/store-origins/src/digest-stream.ts
@@ -1,3 +1,4 @@
+/** What stands for a stream in the store. */
 import type { StreamKey } from '@limelead/types';
 import { createHash } from 'node:crypto';
 
--- a/packages/track-origins/src/origin-store.ts
+++ b/packages/track-origins/src/origin-store.ts
@@ -1,3 +1,4 @@
+/** What the origins of streams need of the store. */
 import type { StreamKey, StreamOrigin } from '@limelead/types';
 
 /** Keeps origins where the loss of all VMs leaves them. */
