Tell the reader of the version record from the record itself

Two types were named RecordedVersions: what the origins of streams ask, and the record at a revision. Three comments say their reason in fewer turns.

--- a/packages/gateway/src/create-origins.ts
+++ b/packages/gateway/src/create-origins.ts
@@ -1,6 +1,6 @@
 /** Connects the software versions that began streams to the targets, the store and the peers. */
 import { OriginWriter } from '@limelead/store-origins';
-import { OriginTracker, type RecordedVersions } from '@limelead/track-origins';
+import { OriginTracker, type VersionRecordReader } from '@limelead/track-origins';
 import { backgroundTimers } from '@limelead/types';
 import { randomBytes } from 'node:crypto';
 import type { FleetComponentContext } from './fleet-component.js';
@@ -12,7 +12,7 @@
 /** Creates the tracker of one VM. */
 export default function createOrigins(
   context: FleetComponentContext,
-  recorded: RecordedVersions,
+  recorded: VersionRecordReader,
 ): OriginTracker {
   const { clock, timers, log, metrics, directory, settings } = context;
   const { readExchange, readStoreViewAgeMs } = context;
--- a/packages/share-evidence/src/origin-messages.ts
+++ b/packages/share-evidence/src/origin-messages.ts
@@ -25,7 +25,7 @@
     version: t.union([t.string, t.null]),
     /** Versions of the service that ran lately, as far as the sender knows. */
     versions: t.array(t.type({ version: t.string, agoMs: t.number })),
-    /** Always false: older releases guess by a list that is recent, however short its past. */
+    /** Always false: for older releases, true would confirm the only version that was seen. */
     isFresh: t.boolean,
   }),
   t.partial({
--- a/packages/track-origins/src/decide-origin.ts
+++ b/packages/track-origins/src/decide-origin.ts
@@ -16,9 +16,8 @@
 
 /**
  * A VM may lag behind the others and know one version where they serve two. Without an origin, a
- * stream goes on only if the store, or while it does not answer recent knowledge or most of the
- * VMs, know of no other version. Knowledge that does not reach back beyond the start of a VM does
- * not count.
+ * stream goes on only if the store names a single version. While the store does not answer, views
+ * count that hold its record: a recent one, or those of half of the peers that answer.
  */
 export default function decideOrigin(evidence: OriginCase): OriginLookup {
   const { own, peers } = evidence;
--- a/packages/track-origins/src/origin-search.ts
+++ b/packages/track-origins/src/origin-search.ts
@@ -1,6 +1,6 @@
 /** One search for the version that began a stream: asks the store and peers. */
 import type { Clock, Millis, OriginEvidence, StreamKey, Timers } from '@limelead/types';
-import type { RecordedVersions } from './recorded-versions.js';
+import type { VersionRecordReader } from './version-record-reader.js';
 
 /** Time in which the links to peers open after the start of a VM. */
 const LINKING_MS: Millis = 1_000;
@@ -12,7 +12,7 @@
   clock: Clock;
   timers: Timers;
   /** Versions that this VM may never have seen. */
-  recorded: RecordedVersions;
+  recorded: VersionRecordReader;
   /** Asks peers; `receive` is called once, with the answers that came in time. */
   ask(stream: StreamKey, receive: (answers: OriginEvidence[]) => void): () => void;
 }
--- a/packages/track-origins/src/origin-store.ts
+++ b/packages/track-origins/src/origin-store.ts
@@ -1,7 +1,7 @@
 /** What the origins of streams need of the store. */
 import type { StreamKey, StreamOrigin } from '@limelead/types';
 
-/** Keeps origins where the loss of all VMs leaves them. */
+/** Keeps origins beyond the loss of all VMs. */
 export interface OriginStore {
   /** @param isOwn whether this VM served the stream; else a peer told it */
   add(origin: StreamOrigin, isOwn: boolean): void;
--- a/packages/track-origins/src/recorded-versions.ts
+++ b/packages/track-origins/src/version-record-reader.ts
@@ -1,7 +1,7 @@
 /** What the origins of streams need of the record of versions. */
 
 /** The software versions of each service that the store keeps; see `VersionRecord`. */
-export interface RecordedVersions {
+export interface VersionRecordReader {
   /** The record as this VM knows it; undefined if it knows none. */
   list(service: string): readonly string[] | undefined;
   /**
